Lay out the package: decisions, stand-ins and the platform's wire

Cause: the project starts empty. Change: the pure parts (configuration, routing, retries, streams, leases, shares, gossip, ledger, placement), an HTTP pool over Tornado's connections that knows whether a byte was sent, and stand-ins for platform, engine and service.

--- /dev/null
+++ b/src/rosepath/declarations.py
@@ -0,0 +1,204 @@
+"""What operators declare; checked at the border, plain data classes inside."""
+
+import fnmatch
+from collections.abc import Mapping
+from dataclasses import asdict, dataclass
+from types import MappingProxyType
+from typing import Annotated, Any, Literal
+
+from expression import Error, Ok, Result
+from pydantic import ConfigDict, Field, TypeAdapter, ValidationError
+
+from rosepath.settings import first_problem
+
+Bytes = Annotated[int, Field(gt=0)]
+Share = Annotated[float, Field(ge=0, le=1)]
+_STRICT = ConfigDict(extra="forbid")
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Model:
+    """Declare a model; `memory_bytes` is what one loaded copy takes."""
+
+    __pydantic_config__ = _STRICT
+    memory_bytes: Bytes
+    pinned_to: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Version:
+    """Declare another version of a model, callable as `model@version`."""
+
+    __pydantic_config__ = _STRICT
+    model: str
+    memory_bytes: Bytes
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Adapter:
+    """Declare an adapter of a model, callable as `model:adapter`."""
+
+    __pydantic_config__ = _STRICT
+    model: str
+    memory_bytes: Bytes
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Service:
+    """Declare a plain service and the methods that may be repeated."""
+
+    __pydantic_config__ = _STRICT
+    idempotent_methods: tuple[str, ...] = ("GET", "HEAD", "OPTIONS", "PUT", "DELETE")
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Caller:
+    """Declare a caller by the SHA-256 of its key and what it may reach."""
+
+    __pydantic_config__ = _STRICT
+    key_sha256: Annotated[str, Field(pattern=r"^[0-9a-f]{64}$")]
+    reach: tuple[str, ...] = ("*",)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Variant:
+    """Give one target its share of a route's requests."""
+
+    __pydantic_config__ = _STRICT
+    target: str
+    share: Share
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Route:
+    """Split the requests of some callers for a name over variants."""
+
+    __pydantic_config__ = _STRICT
+    name: str
+    variants: tuple[Variant, ...]
+    callers: tuple[str, ...] = ("*",)
+    idempotent: bool = True
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Limit:
+    """Bound what some callers may have running or start a second."""
+
+    __pydantic_config__ = _STRICT
+    callers: tuple[str, ...] = ("*",)
+    targets: tuple[str, ...] = ("*",)
+    concurrency: Annotated[int, Field(ge=1)] | None = None
+    rate_per_s: Annotated[float, Field(gt=0)] | None = None
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class BackendServer:
+    """Declare a model engine or one server of a plain service.
+
+    `fences` says that the engine refuses orders with an old fencing number.
+    """
+
+    __pydantic_config__ = _STRICT
+    data_centre: str
+    address: Annotated[str, Field(pattern=r"^[0-9a-fA-F.:]+:\d+$")]
+    memory_bytes: Annotated[int, Field(ge=0)] = 0
+    service: str = ""
+    fences: bool = False
+    accelerators: Annotated[int, Field(ge=1)] = 1
+
+    @property
+    def is_engine(self) -> bool:
+        return not self.service
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Drain:
+    """Ask that a backend server gets no new work and gives up its models."""
+
+    __pydantic_config__ = _STRICT
+    reason: str = ""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class QuietWindow:
+    """Forbid moves that are not needed between two hours of the day (UTC)."""
+
+    __pydantic_config__ = _STRICT
+    from_hour: Annotated[int, Field(ge=0, le=23)]
+    to_hour: Annotated[int, Field(ge=0, le=24)]
+
+
+Declaration = (
+    Model
+    | Version
+    | Adapter
+    | Service
+    | Caller
+    | Route
+    | Limit
+    | BackendServer
+    | Drain
+    | QuietWindow
+)
+Kind = Literal[
+    "model",
+    "version",
+    "adapter",
+    "service",
+    "caller",
+    "route",
+    "limit",
+    "backend_server",
+    "drain",
+    "quiet_window",
+]
+
+KINDS: Mapping[str, type] = MappingProxyType(
+    {
+        "model": Model,
+        "version": Version,
+        "adapter": Adapter,
+        "service": Service,
+        "caller": Caller,
+        "route": Route,
+        "limit": Limit,
+        "backend_server": BackendServer,
+        "drain": Drain,
+        "quiet_window": QuietWindow,
+    }
+)
+_ADAPTERS: Mapping[str, TypeAdapter[Any]] = {
+    kind: TypeAdapter(row) for kind, row in KINDS.items()
+}
+
+
+def parse_declaration(kind: str, raw: object) -> Result[Declaration, str]:
+    """Check one declaration given as plain data."""
+    adapter = _ADAPTERS.get(kind)
+    if adapter is None:
+        return Error(f"{kind}: unknown kind; one of {', '.join(KINDS)}")
+    try:
+        return Ok(adapter.validate_python(raw))
+    except ValidationError as error:
+        return Error(f"{kind}: {first_problem(error)}")
+
+
+def parse_declaration_json(kind: str, text: str) -> Result[Declaration, str]:
+    """Check one declaration given as JSON."""
+    adapter = _ADAPTERS.get(kind)
+    if adapter is None:
+        return Error(f"{kind}: unknown kind; one of {', '.join(KINDS)}")
+    try:
+        return Ok(adapter.validate_json(text))
+    except ValidationError as error:
+        return Error(f"{kind}: {first_problem(error)}")
+
+
+def plain(declaration: Declaration) -> dict[str, Any]:
+    """Return a declaration as plain data."""
+    return asdict(declaration)
+
+
+def matches(name: str, patterns: tuple[str, ...]) -> bool:
+    """Tell whether a name matches one of the shell-style patterns."""
+    return any(fnmatch.fnmatchcase(name, pattern) for pattern in patterns)
--- /dev/null
+++ b/src/rosepath/gossip.py
@@ -0,0 +1,186 @@
+"""Spread small versioned rows between entry VMs, only what the other lacks.
+
+Rows are last-writer-wins by version. Each node talks to the members at
+distances 1, 2, 4, ... along a ring, so that a node keeps O(log n) links and
+news crosses the fleet in O(log n) hops.
+"""
+
+from collections import OrderedDict
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, field
+from enum import IntEnum
+from typing import NamedTuple
+
+MAX_ROWS_PER_FRAME = 2000
+
+
+class RowKind(IntEnum):
+    """Name what a row is about."""
+
+    MEMBER = 1
+    LOAD = 2
+    LEAVING = 3
+
+
+class RowKey(NamedTuple):
+    """Identify a row."""
+
+    kind: RowKind
+    name: str
+
+
+class Row(NamedTuple):
+    """Hold a row as it travels."""
+
+    key: RowKey
+    version: int
+    payload: bytes
+
+
+class _Stored(NamedTuple):
+    version: int
+    payload: bytes
+    sequence: int
+    source: str
+
+
+@dataclass(slots=True)
+class Link:
+    """Hold what a neighbour is known to have."""
+
+    acked: int = 0
+    epoch: int = 0
+    sent_at_s: float = -1e9
+    heard_at_s: float = -1e9
+    throttled: dict[RowKey, float] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class Batch:
+    """Hold rows to send and the position that an answer acknowledges."""
+
+    rows: tuple[Row, ...]
+    sequence: int
+
+
+class GossipState:
+    """Hold the rows and the order in which they changed here."""
+
+    def __init__(self) -> None:
+        self._rows: OrderedDict[RowKey, _Stored] = OrderedDict()
+        self.sequence = 0
+        self.links: dict[str, Link] = {}
+
+    def __len__(self) -> int:
+        return len(self._rows)
+
+    @property
+    def payload_bytes(self) -> int:
+        """Return the bytes of all payloads held."""
+        return sum(len(stored.payload) for stored in self._rows.values())
+
+    def get(self, key: RowKey) -> Row | None:
+        """Return a row."""
+        stored = self._rows.get(key)
+        return None if stored is None else Row(key, stored.version, stored.payload)
+
+    def merge(self, row: Row, *, source: str = "") -> bool:
+        """Keep a row if it is newer than what is held; return whether it was."""
+        held = self._rows.get(row.key)
+        if held is not None and held.version >= row.version:
+            return False
+        self.sequence += 1
+        self._rows[row.key] = _Stored(row.version, row.payload, self.sequence, source)
+        self._rows.move_to_end(row.key)
+        return True
+
+    def forget(self, key: RowKey) -> None:
+        """Drop a row here; a neighbour that still has it may bring it back."""
+        self._rows.pop(key, None)
+
+    def link(self, neighbour: str) -> Link:
+        """Return the link to a neighbour, made on first use."""
+        return self.links.setdefault(neighbour, Link())
+
+    def keep_links(self, members: Iterable[str]) -> None:
+        """Drop the links to members that are gone."""
+        keep = set(members)
+        for name in self.links.keys() - keep:
+            del self.links[name]
+
+    def batch_for(
+        self, neighbour: str, *, now_s: float, load_interval_s: float = 0.0
+    ) -> Batch:
+        """Return what a neighbour lacks, newest first, a frame at most.
+
+        A load row goes over a link at most once in `load_interval_s`; what is
+        held back is offered again later, by then perhaps newer.
+        """
+        link = self.link(neighbour)
+        rows: list[Row] = []
+        due = [key for key, at_s in link.throttled.items() if at_s <= now_s]
+        fresh = self._newer_than(link.acked)
+        for key in dict.fromkeys([*fresh, *due]):
+            stored = self._rows.get(key)
+            if stored is None or stored.source == neighbour:
+                link.throttled.pop(key, None)
+                continue
+            if self._held_back(link, key, now_s, load_interval_s):
+                continue
+            rows.append(Row(key, stored.version, stored.payload))
+            if len(rows) >= MAX_ROWS_PER_FRAME:
+                return Batch(tuple(rows), link.acked)
+        return Batch(tuple(rows), self.sequence)
+
+    def _newer_than(self, acked: int) -> list[RowKey]:
+        keys = []
+        for key in reversed(self._rows):
+            if self._rows[key].sequence <= acked:
+                break
+            keys.append(key)
+        return keys
+
+    def _held_back(
+        self, link: Link, key: RowKey, now_s: float, interval_s: float
+    ) -> bool:
+        if key.kind is not RowKind.LOAD or interval_s <= 0:
+            return False
+        if key in link.throttled and link.throttled[key] > now_s:
+            return True
+        if key not in link.throttled:
+            link.throttled[key] = now_s + interval_s
+            return False
+        link.throttled[key] = now_s + interval_s
+        return False
+
+    def acknowledge(self, neighbour: str, sequence: int) -> None:
+        """Note that a neighbour has everything up to a position."""
+        link = self.link(neighbour)
+        link.acked = max(link.acked, sequence)
+
+    def note_epoch(self, neighbour: str, epoch: int) -> None:
+        """Start over with a neighbour that restarted and forgot everything."""
+        link = self.link(neighbour)
+        if link.epoch != epoch:
+            link.epoch = epoch
+            link.acked = 0
+            link.throttled.clear()
+
+
+def finger_neighbours(me: str, members: Sequence[str]) -> list[str]:
+    """Return the members at distances 1, 2, 4, ... along the sorted ring."""
+    ring = sorted({*members, me})
+    at = ring.index(me)
+    chosen: list[str] = []
+    distance = 1
+    while distance < len(ring):
+        chosen.append(ring[(at + distance) % len(ring)])
+        distance *= 2
+    return chosen
+
+
+def observers_of(name: str, members: Sequence[str], *, count: int = 2) -> list[str]:
+    """Return the members just before one on the ring, who watch over it."""
+    ring = sorted({*members, name})
+    at = ring.index(name)
+    return [ring[(at - n) % len(ring)] for n in range(1, min(count, len(ring) - 1) + 1)]
--- /dev/null
+++ b/src/rosepath/limits.py
@@ -0,0 +1,116 @@
+"""Admit requests within this node's part of the declared limits."""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+
+from rosepath.declarations import Limit, matches
+from rosepath.rates import TokenBucket
+from rosepath.shares import UNITS, allowance
+
+RATE_WINDOW_S = 1.0
+
+
+@dataclass(slots=True)
+class LimitRow:
+    """Hold one limit's use on this node."""
+
+    name: str
+    limit: Limit
+    units: int = 0
+    slots: int = 0
+    own: set[str] = field(default_factory=set)
+    lent: dict[str, str] = field(default_factory=dict)
+    borrowed: dict[str, str] = field(default_factory=dict)
+    bucket: TokenBucket | None = None
+
+    @property
+    def in_use(self) -> int:
+        return len(self.own) + len(self.lent)
+
+    @property
+    def full(self) -> bool:
+        return self.limit.concurrency is not None and self.in_use >= self.slots
+
+
+def apply_limits(
+    rows: dict[str, LimitRow], declared: Mapping[str, Limit], units: frozenset[int]
+) -> None:
+    """Bring the rows in line with what is declared and the units held."""
+    for name in rows.keys() - declared.keys():
+        del rows[name]
+    for name, limit in declared.items():
+        row = rows.get(name)
+        if row is None or row.limit != limit:
+            old = row
+            row = LimitRow(name, limit)
+            if old is not None:
+                row.own, row.lent, row.borrowed = old.own, old.lent, old.borrowed
+            rows[name] = row
+        row.units = len(units)
+        if limit.concurrency is not None:
+            row.slots = allowance(limit.concurrency, units)
+        if limit.rate_per_s is not None:
+            rate_per_s = limit.rate_per_s * len(units) / UNITS
+            _set_rate(row, rate_per_s)
+
+
+def _set_rate(row: LimitRow, rate_per_s: float) -> None:
+    if rate_per_s <= 0:
+        row.bucket = None
+    elif row.bucket is None:
+        burst = max(1.0, rate_per_s * RATE_WINDOW_S)
+        row.bucket = TokenBucket(rate_per_s=rate_per_s, burst=burst, level=0.0)
+    else:
+        row.bucket.rate_per_s = rate_per_s
+        row.bucket.burst = max(1.0, rate_per_s * RATE_WINDOW_S)
+
+
+def applying(rows: Iterable[LimitRow], caller: str, target: str) -> list[LimitRow]:
+    """Return the limits that a request is under."""
+    return [
+        row
+        for row in rows
+        if matches(caller, row.limit.callers) and matches(target, row.limit.targets)
+    ]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RateRefusal:
+    """Name the limit whose rate is used up, and when to come back."""
+
+    limit: str
+    retry_after_s: float
+
+
+def take_rates(rows: Iterable[LimitRow], *, now_s: float) -> RateRefusal | None:
+    """Take one token of each rate limit, or say which has none."""
+    for row in rows:
+        if row.limit.rate_per_s is None:
+            continue
+        if row.bucket is None:
+            return RateRefusal(limit=row.name, retry_after_s=1.0)
+        wait_s = row.bucket.take(now_s)
+        if wait_s > 0:
+            return RateRefusal(limit=row.name, retry_after_s=wait_s)
+    return None
+
+
+def lend(row: LimitRow, *, borrower: str, request_id: str) -> bool:
+    """Lend a slot to another entry VM if one is free here."""
+    if request_id in row.lent:
+        return True
+    if row.full or row.limit.concurrency is None:
+        return False
+    row.lent[request_id] = borrower
+    return True
+
+
+def reclaim_lent(row: LimitRow, gone: frozenset[str]) -> None:
+    """Take back slots lent to entry VMs that the platform says are gone.
+
+    Silence is no proof: a borrower that is cut off may still be running the
+    request, and lending its slot again would exceed the limit.
+    """
+    for request_id, borrower in list(row.lent.items()):
+        if borrower in gone:
+            del row.lent[request_id]
--- /dev/null
+++ b/src/rosepath/platform.py
@@ -0,0 +1,59 @@
+"""The port to the platform: objects with versions, watches, and the VM list."""
+
+from collections.abc import AsyncIterator
+from enum import StrEnum
+from typing import NamedTuple, Protocol
+
+from rosepath.errors import RosepathError
+
+
+class StoredObject(NamedTuple):
+    """Hold a value of the object API with the version it was read at."""
+
+    name: str
+    version: int
+    value: bytes
+
+
+class ObjectEvent(NamedTuple):
+    """Report that an object changed, or (no name) that the watch is alive."""
+
+    name: str
+    version: int
+
+
+class VmState(StrEnum):
+    """Tell whether the platform means a VM to go on."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+class ConflictError(RosepathError):
+    """A conditional update met another version than it named."""
+
+
+class StoreError(RosepathError):
+    """A call failed; `unknown` if a write may have taken effect."""
+
+    unknown = False
+
+
+class PlatformPort(Protocol):
+    """Reach the platform; every call either answers in time or raises."""
+
+    async def get(self, name: str) -> StoredObject | None: ...
+
+    async def put(
+        self, name: str, value: bytes, *, expected_version: int | None
+    ) -> int:
+        """Write if the version is as expected (0: must not exist yet)."""
+        ...
+
+    async def delete(self, name: str, *, expected_version: int) -> None: ...
+
+    async def list_names(self, prefix: str) -> list[str]: ...
+
+    def watch(self, prefix: str) -> AsyncIterator[ObjectEvent]: ...
+
+    async def vms(self) -> dict[str, VmState]: ...
--- /dev/null
+++ b/src/rosepath/retries.py
@@ -0,0 +1,89 @@
+"""Whether a failed attempt may be made again, and what to say if not."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+from rosepath.errors import Run
+
+BUDGET_FLOOR = 3.0
+BUDGET_CAP = 100.0
+
+
+@dataclass(slots=True, kw_only=True)
+class RetryBudget:
+    """Earn a share of a retry with each request; spend one a retry.
+
+    Without it, retries multiply the load just when replicas fail.
+    """
+
+    share: float = 0.1
+    balance: float = BUDGET_FLOOR
+
+    def earn(self) -> None:
+        """Note one request."""
+        self.balance = min(BUDGET_CAP, self.balance + self.share)
+
+    def spend(self) -> bool:
+        """Take one retry, or return False."""
+        if self.balance < 1:
+            return False
+        self.balance -= 1
+        return True
+
+
+class Evidence(StrEnum):
+    """Say what is known of an attempt that failed."""
+
+    NOT_SENT = "not_sent"
+    REFUSED = "refused"
+    SENT = "sent"
+    ANSWER_BEGUN = "answer_begun"
+
+
+class Verdict(StrEnum):
+    """Say what follows a failed attempt."""
+
+    RETRY = "retry"
+    RESUME = "resume"
+    GIVE_UP = "give_up"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Attempt:
+    """Describe a failed attempt as far as the verdict depends on it."""
+
+    evidence: Evidence
+    idempotent: bool
+    resumable: bool
+    attempts: int
+    max_attempts: int
+    left_s: float
+
+
+def judge(attempt: Attempt, budget: RetryBudget) -> Verdict:
+    """Decide whether to try again; spends the budget if it says so."""
+    if attempt.attempts >= attempt.max_attempts or attempt.left_s <= 0:
+        return Verdict.GIVE_UP
+    proven_not_run = attempt.evidence in (Evidence.NOT_SENT, Evidence.REFUSED)
+    if not proven_not_run and not attempt.idempotent:
+        return Verdict.GIVE_UP
+    if attempt.evidence is Evidence.ANSWER_BEGUN and not attempt.resumable:
+        return Verdict.GIVE_UP
+    if attempt.evidence is not Evidence.NOT_SENT and not budget.spend():
+        return Verdict.GIVE_UP
+    if attempt.evidence is Evidence.ANSWER_BEGUN:
+        return Verdict.RESUME
+    return Verdict.RETRY
+
+
+def run_of(evidence: Evidence) -> Run:
+    """Return what a refusal may honestly say after this evidence."""
+    if evidence in (Evidence.NOT_SENT, Evidence.REFUSED):
+        return Run.NO
+    return Run.PARTIAL if evidence is Evidence.ANSWER_BEGUN else Run.UNKNOWN
+
+
+def worst_evidence(seen: list[Evidence]) -> Evidence:
+    """Return the evidence that admits most, over all attempts of a request."""
+    order = list(Evidence)
+    return max(seen, key=order.index)
--- /dev/null
+++ b/src/rosepath/settings.py
@@ -0,0 +1,144 @@
+"""The daemon's settings, read from TOML and checked before anything starts."""
+
+import tomllib
+from pathlib import Path
+from typing import Annotated, Literal
+
+from expression import Error, Ok, Result
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+Port = Annotated[int, Field(ge=0, le=65535)]
+Seconds = Annotated[float, Field(gt=0)]
+Address = Annotated[str, Field(pattern=r"^[0-9a-fA-F.:]+:\d+$")]
+
+
+class Section(BaseModel):
+    """Refuse keys that no setting has."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+class TlsSettings(Section):
+    """Name the PEM files of one listening side; they are read again on SIGHUP."""
+
+    certificate_file: Path
+    key_file: Path
+    client_ca_file: Path | None = None
+
+
+class CallerSettings(Section):
+    """Listen for callers."""
+
+    listen: Address = "127.0.0.1:8080"
+    tls: TlsSettings | None = None
+    max_body_bytes: Annotated[int, Field(gt=0)] = 16 * 1024 * 1024
+    header_timeout_s: Seconds = 10.0
+    body_timeout_s: Seconds = 300.0
+
+
+class PeerSettings(Section):
+    """Listen for other entry VMs and for operators."""
+
+    listen: Address = "127.0.0.1:8081"
+    tls: TlsSettings | None = None
+    gossip_interval_s: Seconds = 0.25
+    suspect_after_s: Seconds = 2.0
+
+
+class PlatformSettings(Section):
+    """Reach the platform's object API."""
+
+    address: Address = "127.0.0.1:8090"
+    call_timeout_s: Seconds = 3.0
+    watch_silence_s: Seconds = 5.0
+    calls_per_s: Seconds = 20.0
+
+
+class RoutingSettings(Section):
+    """Shape how replicas are chosen and failures retried."""
+
+    first_token_target_s: Seconds = 0.39
+    connect_timeout_s: Seconds = 1.0
+    progress_timeout_s: Seconds = 10.0
+    proven_live_within_s: Seconds = 1.0
+    retry_budget_share: Annotated[float, Field(ge=0, le=1)] = 0.1
+    affinity_slack: Annotated[float, Field(ge=0)] = 1.25
+    request_timeout_s: Seconds = 600.0
+    report_interval_s: Seconds = 0.5
+
+
+class PlacementSettings(Section):
+    """Weigh attainment against moves and bound the weight store's load."""
+
+    lease_s: Seconds = 5.0
+    lease_margin_s: Seconds = 1.0
+    tick_s: Seconds = 0.25
+    loads_per_s: Seconds = 1.0
+    parallel_loads: Annotated[int, Field(gt=0)] = 4
+    move_cost_s: Seconds = 20.0
+    horizon_s: Seconds = 300.0
+    order_timeout_s: Seconds = 30.0
+
+
+class TelemetrySettings(Section):
+    """Choose where traces and metrics go."""
+
+    exporter: Literal["none", "file", "otlp"] = "none"
+    trace_file: Path | None = None
+    otlp_endpoint: str = "http://127.0.0.1:4318"
+    metrics_endpoint: bool = True
+    log_level: Literal["debug", "info", "warning", "error"] = "info"
+
+
+class StopSettings(Section):
+    """Shape a planned stop."""
+
+    balancer_wait_s: Annotated[float, Field(ge=0)] = 2.0
+    drain_timeout_s: Seconds = 3600.0
+
+
+class Settings(Section):
+    """Hold everything that a daemon learns before it starts."""
+
+    deployment: Annotated[str, Field(min_length=1)]
+    entry_vm: Annotated[str, Field(min_length=1, pattern=r"^[\w.-]+$")]
+    data_centre: Annotated[str, Field(min_length=1, pattern=r"^[\w.-]+$")]
+    seeds: tuple[Address, ...] = ()
+    callers: CallerSettings = CallerSettings()
+    peers: PeerSettings = PeerSettings()
+    platform: PlatformSettings = PlatformSettings()
+    routing: RoutingSettings = RoutingSettings()
+    placement: PlacementSettings = PlacementSettings()
+    telemetry: TelemetrySettings = TelemetrySettings()
+    stop: StopSettings = StopSettings()
+
+
+def load_settings(path: Path) -> Result[Settings, str]:
+    """Read a settings file, or return one line that says what is wrong."""
+    try:
+        raw = tomllib.loads(path.read_text(encoding="utf-8"))
+    except OSError as error:
+        return Error(f"{path}: cannot be read: {error.strerror}")
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        return Error(f"{path}: not TOML: {error}")
+    try:
+        return Ok(Settings.model_validate(raw))
+    except ValidationError as error:
+        return Error(f"{path}: {first_problem(error)}")
+
+
+def first_problem(error: ValidationError) -> str:
+    """Tell the first problem as key, complaint and given value."""
+    problem = error.errors(include_url=False)[0]
+    key = ".".join(str(part) for part in problem["loc"]) or "(top)"
+    if problem["type"] == "extra_forbidden":
+        return f"{key}: unknown key"
+    if problem["type"] == "missing":
+        return f"{key}: missing"
+    return f"{key}: {problem['msg']} (got {problem['input']!r})"
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Split `host:port`."""
+    host, _, port = address.rpartition(":")
+    return host, int(port)
--- /dev/null
+++ b/src/rosepath/variants.py
@@ -0,0 +1,44 @@
+"""Which variant answers a request: the same on every entry VM."""
+
+import xxhash
+
+from rosepath.configuration import Configuration
+from rosepath.declarations import Route, Variant, matches
+
+_SCALE = float(1 << 64)
+
+
+def pick_variant(variants: tuple[Variant, ...], key: str) -> str:
+    """Pick a target by a stable hash, so that each gets its declared share."""
+    point = xxhash.xxh3_64_intdigest(key.encode()) / _SCALE
+    reached = 0.0
+    for variant in variants:
+        reached += variant.share
+        if point < reached:
+            return variant.target
+    return max(variants, key=lambda variant: variant.share).target
+
+
+def find_route(
+    configuration: Configuration, name: str, caller: str
+) -> tuple[str, Route] | None:
+    """Return the route for a name that names this caller most narrowly."""
+    found = [
+        (key, route)
+        for key, route in configuration.routes.items()
+        if route.name == name and matches(caller, route.callers)
+    ]
+    if not found:
+        return None
+    return min(found, key=lambda item: ("*" in item[1].callers, item[0]))
+
+
+def resolve_target(
+    configuration: Configuration, name: str, caller: str, request_key: str
+) -> str | None:
+    """Return the target that answers a request, or None if nothing does."""
+    found = find_route(configuration, name, caller)
+    if found is not None:
+        key, route = found
+        return pick_variant(route.variants, f"{key}|{caller}|{request_key}")
+    return name if configuration.is_target(name) else None
--- /dev/null
+++ b/src/rosepath_standins/__main__.py
@@ -0,0 +1,121 @@
+"""Run one stand-in as a process, or the demo."""
+
+import asyncio
+from pathlib import Path
+from typing import Literal
+
+import defopt
+from tornado.httpserver import HTTPServer
+from tornado.web import Application
+
+from rosepath.settings import split_address
+from rosepath_standins.engine import EngineShape, keep_reporting, make_engine
+from rosepath_standins.platform import PlatformShape, make_platform
+from rosepath_standins.service import make_service
+
+BIG_BODY_BYTES = 1 << 30
+
+
+def serve(app: Application, address: str) -> HTTPServer:
+    """Listen for an application on an address."""
+    server = HTTPServer(app, max_body_size=BIG_BODY_BYTES, idle_connection_timeout=600)
+    host, port = split_address(address)
+    server.listen(port, address=host)
+    return server
+
+
+async def _until_killed() -> None:
+    await asyncio.Event().wait()
+
+
+def platform(
+    *,
+    listen: str = "127.0.0.1:8090",
+    vm_list_lag_s: float = 1.0,
+    weight_loads_per_s: float = 1.0,
+    weight_parallel: int = 4,
+) -> None:
+    """Run the platform's stand-in."""
+
+    async def run() -> None:
+        app, _ = make_platform(
+            PlatformShape(
+                vm_list_lag_s=vm_list_lag_s,
+                weight_loads_per_s=weight_loads_per_s,
+                weight_parallel=weight_parallel,
+            )
+        )
+        serve(app, listen)
+        await _until_killed()
+
+    asyncio.run(run())
+
+
+def engine(
+    *,
+    listen: str = "127.0.0.1:8100",
+    name: str = "engine",
+    memory_bytes: int = 80_000,
+    slots: int = 16,
+    token_interval_s: float = 0.01,
+    tokens_per_event: int = 1,
+    prefill_s_per_block: float = 0.002,
+    load_s_per_byte: float = 0.0,
+    report_lag_s: float = 0.1,
+    fences: bool = True,
+    weights: str = "",
+    resident: str = "",
+) -> None:
+    """Run a model engine's stand-in."""
+
+    async def run() -> None:
+        app, state = make_engine(
+            EngineShape(
+                name=name,
+                memory_bytes=memory_bytes,
+                slots=slots,
+                token_interval_s=token_interval_s,
+                tokens_per_event=tokens_per_event,
+                prefill_s_per_block=prefill_s_per_block,
+                load_s_per_byte=load_s_per_byte,
+                report_lag_s=report_lag_s,
+                fences=fences,
+                weights_address=weights,
+            )
+        )
+        for target in filter(None, resident.split(",")):
+            state.resident[target] = 1
+        serve(app, listen)
+        await keep_reporting(state)
+
+    asyncio.run(run())
+
+
+def service(
+    *, listen: str = "127.0.0.1:8200", name: str = "service", delay_s: float = 0.0
+) -> None:
+    """Run a plain service's stand-in."""
+
+    async def run() -> None:
+        app, _ = make_service(name, delay_s=delay_s)
+        serve(app, listen)
+        await _until_killed()
+
+    asyncio.run(run())
+
+
+def demo(*, keep: Path | None = None, mode: Literal["quick"] = "quick") -> int:
+    """Show the whole path once, with real processes."""
+    from rosepath_standins.demo import run_demo
+
+    return run_demo(keep=keep)
+
+
+def main() -> None:
+    """Run what the command line asks for."""
+    result = defopt.run([platform, engine, service, demo])
+    raise SystemExit(result or 0)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/rosepath_standins/engine.py
@@ -0,0 +1,497 @@
+"""Stand-in for a model engine: memory, loading, batching, streams, faults."""
+
+import asyncio
+import heapq
+import itertools
+import json
+import time
+from collections import Counter, OrderedDict
+from dataclasses import dataclass, field
+from typing import Any
+
+from tornado.iostream import StreamClosedError
+from tornado.web import Application, RequestHandler
+
+from rosepath.http_client import HttpPool, Request
+from rosepath_standins.faults import Faults, FaultsHandler
+from rosepath_standins.tokens import token_text
+
+PREFIX_BLOCK_CHARS = 64
+CACHE_EVENTS_KEPT = 1000
+ORDERS_KEPT = 500
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class EngineShape:
+    """Set the stand-in's size and speed."""
+
+    name: str = "engine"
+    memory_bytes: int = 80_000
+    slots: int = 16
+    queue_limit: int = 256
+    token_interval_s: float = 0.01
+    batch_slowdown: float = 0.02
+    prefill_s_per_block: float = 0.002
+    tokens_per_event: int = 1
+    cache_blocks: int = 2000
+    load_s_per_byte: float = 0.0
+    report_lag_s: float = 0.1
+    event_lag_s: float = 0.5
+    event_gap_every: int = 10
+    fences: bool = True
+    weights_address: str = ""
+
+
+@dataclass(slots=True)
+class Order:
+    """Hold one order and how it went."""
+
+    order_id: str
+    action: str
+    target: str
+    memory_bytes: int
+    state: str = "accepted"
+
+
+@dataclass(slots=True)
+class EngineState:
+    """Hold what the engine really holds; its record is the tests' witness."""
+
+    shape: EngineShape
+    faults: Faults = field(default_factory=Faults)
+    resident: dict[str, int] = field(default_factory=dict)
+    loading: dict[str, int] = field(default_factory=dict)
+    orders: OrderedDict[str, Order] = field(default_factory=OrderedDict)
+    fence: int = 0
+    stale_orders: int = 0
+    peak_memory_bytes: int = 0
+    overcommitted: int = 0
+    started: Counter[str] = field(default_factory=Counter)
+    finished: Counter[str] = field(default_factory=Counter)
+    cancelled: dict[str, float] = field(default_factory=dict)
+    started_at: dict[str, float] = field(default_factory=dict)
+    running: Counter[str] = field(default_factory=Counter)
+    tokens: int = 0
+    leaving: bool = False
+    report: dict[str, Any] = field(default_factory=dict)
+    cache: OrderedDict[str, None] = field(default_factory=OrderedDict)
+    cache_events: list[tuple[float, int, str, bool]] = field(default_factory=list)
+    cache_hits: int = 0
+    cache_lookups: int = 0
+    event_numbers: itertools.count = field(default_factory=itertools.count)
+    waiting: list[tuple[int, int, asyncio.Future[None]]] = field(default_factory=list)
+    arrivals: itertools.count = field(default_factory=itertools.count)
+    streams: dict[str, asyncio.Event] = field(default_factory=dict)
+
+    @property
+    def memory_used_bytes(self) -> int:
+        return sum(self.resident.values()) + sum(self.loading.values())
+
+    @property
+    def running_total(self) -> int:
+        return sum(self.running.values())
+
+    def note_memory(self) -> None:
+        """Record the highest use and whether it went past the size."""
+        used = self.memory_used_bytes
+        self.peak_memory_bytes = max(self.peak_memory_bytes, used)
+        if used > self.shape.memory_bytes:
+            self.overcommitted += 1
+
+    def snapshot(self) -> dict[str, Any]:
+        """Return a load report as of now."""
+        return {
+            "at_s": time.time(),
+            "memory_bytes": self.shape.memory_bytes,
+            "resident": dict(self.resident),
+            "loading": dict(self.loading),
+            "running": self.running_total,
+            "queued": len(self.waiting),
+            "running_by_target": {k: v for k, v in self.running.items() if v},
+            "slots": self.shape.slots,
+            "tokens": self.tokens,
+            "leaving": self.leaving,
+            "fence": self.fence,
+            "orders": {key: o.state for key, o in self.orders.items()},
+        }
+
+    async def acquire_slot(self, priority: int) -> None:
+        """Wait for a slot of the batch, higher priority first."""
+        if self.running_total < self.shape.slots and not self.waiting:
+            return
+        future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        heapq.heappush(self.waiting, (-priority, next(self.arrivals), future))
+        await future
+
+    def wake_next(self) -> None:
+        """Give a freed slot to whoever waits first."""
+        while self.waiting and self.running_total < self.shape.slots:
+            _, _, future = heapq.heappop(self.waiting)
+            if not future.done():
+                future.set_result(None)
+                return
+
+    def look_up_prefix(self, target: str, prompt: str) -> int:
+        """Cache a prompt's blocks; return how many were not yet cached."""
+        missing = 0
+        for block in prefix_blocks(target, prompt):
+            self.cache_lookups += 1
+            if block in self.cache:
+                self.cache.move_to_end(block)
+                self.cache_hits += 1
+                continue
+            missing += 1
+            self.cache[block] = None
+            self._cache_event(block, True)
+            if len(self.cache) > self.shape.cache_blocks:
+                old, _ = self.cache.popitem(last=False)
+                self._cache_event(old, False)
+        return missing
+
+    def _cache_event(self, block: str, added: bool) -> None:
+        number = next(self.event_numbers)
+        if number % self.shape.event_gap_every == self.shape.event_gap_every - 1:
+            return
+        self.cache_events.append((time.time(), number, block, added))
+        del self.cache_events[:-CACHE_EVENTS_KEPT]
+
+
+def prefix_blocks(target: str, prompt: str) -> list[str]:
+    """Name the cacheable blocks of a prompt by all that precedes them."""
+    count = max(1, len(prompt) // PREFIX_BLOCK_CHARS)
+    return [
+        f"{target}#{hash(prompt[: (n + 1) * PREFIX_BLOCK_CHARS])}" for n in range(count)
+    ]
+
+
+class _EngineHandler(RequestHandler):
+    def initialize(self, state: EngineState) -> None:
+        self.state = state
+
+    async def prepare(self) -> None:
+        if self.state.faults.active("silent"):
+            await asyncio.Event().wait()
+
+    def not_run(self, status: int, code: str) -> None:
+        """Refuse, saying that nothing was run."""
+        self.set_status(status)
+        self.finish({"ran": False, "code": code})
+
+
+class GenerateHandler(_EngineHandler):
+    """Stream an answer as server-sent events with ids `request/from-to`."""
+
+    def on_connection_close(self) -> None:
+        stop = getattr(self, "stopped", None)
+        if stop is not None:
+            stop.set()
+
+    async def post(self) -> None:
+        raw: dict[str, Any] = json.loads(self.request.body)
+        state, target = self.state, raw["target"]
+        if state.leaving or state.faults.take("refuse") is not None:
+            return self.not_run(503, "leaving" if state.leaving else "refused")
+        base = target.split(":", 1)[0]
+        if base not in state.resident or target not in state.resident:
+            return self.not_run(409, "not_loaded")
+        if len(state.waiting) >= state.shape.queue_limit:
+            return self.not_run(429, "overloaded")
+        request_id = raw["request_id"]
+        self.stopped = state.streams.setdefault(request_id, asyncio.Event())
+        await state.acquire_slot(int(raw.get("priority", 0)))
+        state.running[target] += 1
+        state.started[request_id] += 1
+        state.started_at[request_id] = time.time()
+        try:
+            await self._generate(raw, request_id, target)
+        except StreamClosedError:
+            self.stopped.set()
+        finally:
+            state.running[target] -= 1
+            state.streams.pop(request_id, None)
+            if self.stopped.is_set():
+                state.cancelled[request_id] = time.time()
+            state.wake_next()
+
+    async def _generate(
+        self, raw: dict[str, Any], request_id: str, target: str
+    ) -> None:
+        state, shape, prompt = self.state, self.state.shape, raw["prompt"]
+        self.set_header("Content-Type", "text/event-stream")
+        missing = state.look_up_prefix(target, prompt)
+        if missing and shape.prefill_s_per_block:
+            await asyncio.sleep(missing * shape.prefill_s_per_block)
+        end, offset = int(raw["max_tokens"]), int(raw.get("offset", 0))
+        while offset < end and not self.stopped.is_set():
+            step = min(shape.tokens_per_event, end - offset)
+            text = "".join(token_text(target, prompt, offset + n) for n in range(step))
+            if not await self._send_tokens(raw, request_id, offset, step, text):
+                return
+            offset += step
+            state.tokens += step
+            if shape.token_interval_s:
+                crowd = 1 + shape.batch_slowdown * state.running_total
+                await asyncio.sleep(shape.token_interval_s * crowd * step)
+        if self.stopped.is_set():
+            return
+        state.finished[request_id] += 1
+        if state.faults.take("lose_end") is not None:
+            self.request.connection.stream.close()  # type: ignore[union-attr]
+            return
+        self.write(_end_events(raw, request_id, end))
+        await self.finish()
+
+    async def _send_tokens(
+        self, raw: dict[str, Any], request_id: str, offset: int, step: int, text: str
+    ) -> bool:
+        faults = self.state.faults
+        if (at := faults.take("cut_stream")) is not None:
+            if offset >= at:
+                self.request.connection.stream.close()  # type: ignore[union-attr]
+                return False
+            faults.arm("cut_stream", count=1, value=at)
+        if faults.active("silent_stream") and offset > 0:
+            faults.take("silent_stream")
+            await self.stopped.wait()
+            return False
+        event = _token_event(raw, request_id, offset, offset + step, text)
+        if faults.take("wrong_id") is not None:
+            other = _token_event(raw, "somebody-else", offset, offset + step, "X ")
+            self.write(other)
+        self.write(event)
+        if faults.take("duplicate_chunk") is not None:
+            self.write(event)
+        await self.flush()
+        return True
+
+
+def _chunk(raw: dict[str, Any], request_id: str, choice: dict[str, Any]) -> str:
+    chat = raw.get("shape", "chat") == "chat"
+    return json.dumps(
+        {
+            "id": request_id,
+            "object": "chat.completion.chunk" if chat else "text_completion",
+            "created": raw.get("created", 0),
+            "model": raw.get("served_as", raw["target"]),
+            "choices": [{"index": 0, "logprobs": None, **choice}],
+        }
+    )
+
+
+def _token_event(
+    raw: dict[str, Any], request_id: str, start: int, end: int, text: str
+) -> bytes:
+    if raw.get("shape", "chat") == "chat":
+        delta = {"content": text}
+        if start == 0:
+            delta["role"] = "assistant"
+        choice: dict[str, Any] = {"delta": delta, "finish_reason": None}
+    else:
+        choice = {"text": text, "finish_reason": None}
+    data = _chunk(raw, request_id, choice)
+    return f"id: {request_id}/{start}-{end}\ndata: {data}\n\n".encode()
+
+
+def _end_events(raw: dict[str, Any], request_id: str, end: int) -> bytes:
+    chat = raw.get("shape", "chat") == "chat"
+    choice: dict[str, Any] = {"delta": {}} if chat else {"text": ""}
+    finish = _chunk(raw, request_id, {**choice, "finish_reason": "length"})
+    prompt_tokens = max(1, len(raw["prompt"]) // 4)
+    usage = {
+        "prompt_tokens": prompt_tokens,
+        "completion_tokens": end,
+        "total_tokens": prompt_tokens + end,
+    }
+    lines = [f"id: {request_id}/{end}-end\ndata: {finish}\n\n"]
+    if raw.get("include_usage"):
+        chunk = json.loads(finish) | {"choices": [], "usage": usage}
+        lines.append(f"data: {json.dumps(chunk)}\n\n")
+    lines.append("data: [DONE]\n\n")
+    return "".join(lines).encode()
+
+
+class CancelHandler(_EngineHandler):
+    """Stop a stream that nobody waits for."""
+
+    def post(self) -> None:
+        request_id = json.loads(self.request.body)["request_id"]
+        stream = self.state.streams.get(request_id)
+        if stream is not None:
+            stream.set()
+        self.finish({"found": stream is not None})
+
+
+class ReportHandler(_EngineHandler):
+    """Show the load as it was a while ago."""
+
+    def get(self) -> None:
+        self.finish(self.state.report or self.state.snapshot())
+
+
+class CacheEventsHandler(_EngineHandler):
+    """Show cache events, late and with gaps."""
+
+    def get(self) -> None:
+        after = int(self.get_argument("after", "-1"))
+        ready_s = time.time() - self.state.shape.event_lag_s
+        events = [
+            {"number": number, "block": block, "added": added}
+            for at_s, number, block, added in self.state.cache_events
+            if number > after and at_s <= ready_s
+        ]
+        self.finish({"events": events})
+
+
+class OrdersHandler(_EngineHandler):
+    """Take an order to load or unload; report how it went by its id."""
+
+    async def post(self) -> None:
+        raw: dict[str, Any] = json.loads(self.request.body)
+        if self.state.faults.take("lose_order") is not None:
+            self.request.connection.stream.close()  # type: ignore[union-attr]
+            return
+        delay_s = self.state.faults.take("delay_order")
+        if delay_s is not None:
+            # A middle hop holds the order back: the sender sees its
+            # connection die, and the order lands later all the same.
+            asyncio.get_running_loop().call_later(delay_s, self._accept, raw)
+            self.request.connection.stream.close()  # type: ignore[union-attr]
+            return
+        if not self._accept(raw):
+            self.set_status(412)
+            self.finish({"fence": self.state.fence})
+            return
+        if self.state.faults.take("lose_order_reply") is not None:
+            self.request.connection.stream.close()  # type: ignore[union-attr]
+            return
+        self.set_status(202)
+        self.finish({"state": self.state.orders[raw["order_id"]].state})
+
+    def _accept(self, raw: dict[str, Any]) -> bool:
+        state = self.state
+        if raw["order_id"] in state.orders:
+            return True
+        fence = int(raw["fence"])
+        if state.shape.fences and fence < state.fence:
+            state.stale_orders += 1
+            return False
+        state.fence = max(state.fence, fence)
+        order = Order(
+            raw["order_id"], raw["action"], raw["target"], int(raw["memory_bytes"])
+        )
+        state.orders[order.order_id] = order
+        while len(state.orders) > ORDERS_KEPT:
+            state.orders.popitem(last=False)
+        asyncio.ensure_future(_carry_out(state, order))
+        return True
+
+
+async def _carry_out(state: EngineState, order: Order) -> None:
+    """Load or unload, taking the time it takes."""
+    if order.action == "unload":
+        for target in [t for t in state.resident if _is_part(t, order.target)]:
+            del state.resident[target]
+        order.state = "done"
+        return
+    if order.target in state.resident or order.target in state.loading:
+        order.state = "done"
+        return
+    state.loading[order.target] = order.memory_bytes
+    state.note_memory()
+    order.state = "loading"
+    try:
+        await _fetch_weights(state, order)
+    except Exception:
+        del state.loading[order.target]
+        order.state = "failed"
+        return
+    if order.target in state.loading:
+        state.resident[order.target] = state.loading.pop(order.target)
+    order.state = "done"
+
+
+def _is_part(target: str, unloaded: str) -> bool:
+    return target == unloaded or target.startswith(unloaded + ":")
+
+
+async def _fetch_weights(state: EngineState, order: Order) -> None:
+    duration_s = order.memory_bytes * state.shape.load_s_per_byte
+    if not state.shape.weights_address:
+        await asyncio.sleep(duration_s)
+        return
+    pool = HttpPool()
+    path = f"/weights/{order.target}?duration_s={duration_s}"
+    await pool.fetch(
+        Request(
+            address=state.shape.weights_address,
+            method="GET",
+            path=path,
+            progress_timeout_s=600.0,
+        )
+    )
+    pool.close()
+
+
+class RecordHandler(_EngineHandler):
+    """Show the engine's own record, whatever faults are armed."""
+
+    async def prepare(self) -> None:
+        """Answer even while faults are armed."""
+
+    def get(self) -> None:
+        state = self.state
+        self.finish(
+            {
+                "started": dict(state.started),
+                "finished": dict(state.finished),
+                "cancelled": state.cancelled,
+                "started_at": state.started_at,
+                "peak_memory_bytes": state.peak_memory_bytes,
+                "overcommitted": state.overcommitted,
+                "stale_orders": state.stale_orders,
+                "orders": [
+                    [o.order_id, o.action, o.target, o.state]
+                    for o in state.orders.values()
+                ],
+                "resident": state.resident,
+                "cache_hits": state.cache_hits,
+                "cache_lookups": state.cache_lookups,
+                "tokens": state.tokens,
+            }
+        )
+
+
+class LeaveHandler(_EngineHandler):
+    """Start leaving: refuse new work, finish what runs."""
+
+    def post(self) -> None:
+        self.state.leaving = True
+        self.finish({"leaving": True})
+
+
+async def keep_reporting(state: EngineState) -> None:
+    """Renew the report that readers see, one lag behind."""
+    while True:
+        fresh = state.snapshot()
+        await asyncio.sleep(state.shape.report_lag_s)
+        state.report = fresh
+
+
+def make_engine(shape: EngineShape) -> tuple[Application, EngineState]:
+    """Build the stand-in's application and the state behind it."""
+    state = EngineState(shape)
+    handled = {"state": state}
+    app = Application(
+        [
+            (r"/v1/generate", GenerateHandler, handled),
+            (r"/v1/cancel", CancelHandler, handled),
+            (r"/report", ReportHandler, handled),
+            (r"/cache-events", CacheEventsHandler, handled),
+            (r"/orders", OrdersHandler, handled),
+            (r"/admin/faults", FaultsHandler, {"faults": state.faults}),
+            (r"/admin/record", RecordHandler, handled),
+            (r"/admin/leave", LeaveHandler, handled),
+        ],
+        log_function=lambda _: None,
+    )
+    return app, state
--- /dev/null
+++ b/src/rosepath_standins/fault_proxy.py
@@ -0,0 +1,118 @@
+"""A TCP proxy that delays, cuts, resets or swallows what passes through it."""
+
+import asyncio
+import random
+import socket
+import struct
+from dataclasses import dataclass, field
+
+READ_BYTES = 64 * 1024
+
+
+@dataclass(slots=True, kw_only=True)
+class LinkFaults:
+    """Set what happens to bytes; `up` is towards the target."""
+
+    delay_s: float = 0.0
+    blackhole_up: bool = False
+    blackhole_down: bool = False
+    refuse: bool = False
+    cut_down_after_bytes: int | None = None
+    cut_up_after_bytes: int | None = None
+    loss: float = 0.0
+
+
+@dataclass(slots=True)
+class FaultProxy:
+    """Pass connections on to one target, spoiled as its faults say."""
+
+    target: str
+    faults: LinkFaults = field(default_factory=LinkFaults)
+    address: str = ""
+    seed: int = 1
+    accepted: int = 0
+    _server: asyncio.Server | None = None
+    _writers: set[asyncio.StreamWriter] = field(default_factory=set)
+    _random: random.Random = field(default_factory=lambda: random.Random(1))
+
+    async def start(self, *, port: int = 0) -> str:
+        """Listen on loopback; return the address."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", port)
+        host, chosen = self._server.sockets[0].getsockname()[:2]
+        self.address = f"{host}:{chosen}"
+        return self.address
+
+    async def stop(self) -> None:
+        """Stop listening and reset every connection."""
+        if self._server is not None:
+            self._server.close()
+        self.reset_all()
+
+    def reset_all(self) -> None:
+        """Reset every open connection."""
+        for writer in list(self._writers):
+            _reset(writer)
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.accepted += 1
+        if self.faults.refuse:
+            _reset(writer)
+            return
+        host, _, port = self.target.rpartition(":")
+        try:
+            up_reader, up_writer = await asyncio.open_connection(host, int(port))
+        except OSError:
+            _reset(writer)
+            return
+        self._writers |= {writer, up_writer}
+        try:
+            await asyncio.gather(
+                self._pump(reader, up_writer, up=True),
+                self._pump(up_reader, writer, up=False),
+            )
+        finally:
+            self._writers -= {writer, up_writer}
+            for end in (writer, up_writer):
+                end.close()
+
+    async def _pump(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, *, up: bool
+    ) -> None:
+        passed = 0
+        try:
+            while data := await reader.read(READ_BYTES):
+                faults = self.faults
+                if faults.delay_s:
+                    await asyncio.sleep(faults.delay_s)
+                if faults.loss and self._random.random() < faults.loss:
+                    # A lost segment shows to TCP's users as a late one.
+                    await asyncio.sleep(0.2)
+                if faults.blackhole_up if up else faults.blackhole_down:
+                    continue
+                limit = faults.cut_up_after_bytes if up else faults.cut_down_after_bytes
+                if limit is not None and passed + len(data) > limit:
+                    writer.write(data[: max(0, limit - passed)])
+                    await writer.drain()
+                    self.reset_pair(writer)
+                    return
+                writer.write(data)
+                await writer.drain()
+                passed += len(data)
+            if not writer.is_closing():
+                writer.write_eof()
+        except (OSError, RuntimeError):
+            writer.close()
+
+    def reset_pair(self, writer: asyncio.StreamWriter) -> None:
+        """Reset one connection."""
+        _reset(writer)
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    raw = writer.get_extra_info("socket")
+    if raw is not None:
+        linger = struct.pack("ii", 1, 0)
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
