--- /dev/null
+++ b/src/rosepath/admission.py
@@ -0,0 +1,75 @@
+"""Admit a request under the declared limits, with slots lent by peers."""
+
+import asyncio
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+
+from rosepath.clock import Clock
+from rosepath.errors import Step, refuse
+from rosepath.limits import LimitRow, applying, take_rates
+
+Borrow = Callable[[str, str], Awaitable[str | None]]
+GiveBack = Callable[[str, str, str], Awaitable[None]]
+
+FULL_RETRY_AFTER_S = 1.0
+
+
+class Admission:
+    """Hold the limits' rows and admit requests under them."""
+
+    def __init__(self, *, clock: Clock, borrow: Borrow, give_back: GiveBack) -> None:
+        self.rows: dict[str, LimitRow] = {}
+        self._clock = clock
+        self._borrow = borrow
+        self._give_back = give_back
+
+    @asynccontextmanager
+    async def admit(
+        self, *, caller: str, target: str, request_id: str
+    ) -> AsyncIterator[None]:
+        """Hold a slot of every limit that applies while a request runs."""
+        rows = applying(self.rows.values(), caller, target)
+        held: list[LimitRow] = []
+        try:
+            for row in rows:
+                if row.limit.concurrency is not None:
+                    await self._take_slot(row, request_id)
+                    held.append(row)
+            self._take_rates(rows)
+            yield
+        finally:
+            for row in held:
+                self._release(row, request_id)
+
+    async def _take_slot(self, row: LimitRow, request_id: str) -> None:
+        if not row.full:
+            row.own.add(request_id)
+            return
+        lender = await self._borrow(row.name, request_id)
+        if lender is not None:
+            row.borrowed[request_id] = lender
+            return
+        raise refuse(
+            429,
+            "concurrency_limit",
+            f"limit {row.name} is used up",
+            step=Step.LIMIT,
+            retry_after_s=FULL_RETRY_AFTER_S,
+        )
+
+    def _take_rates(self, rows: list[LimitRow]) -> None:
+        refusal = take_rates(rows, now_s=self._clock.monotonic_s())
+        if refusal is not None:
+            raise refuse(
+                429,
+                "rate_limit",
+                f"limit {refusal.limit} is used up",
+                step=Step.LIMIT,
+                retry_after_s=refusal.retry_after_s,
+            )
+
+    def _release(self, row: LimitRow, request_id: str) -> None:
+        row.own.discard(request_id)
+        lender = row.borrowed.pop(request_id, None)
+        if lender is not None:
+            asyncio.ensure_future(self._give_back(lender, row.name, request_id))
--- /dev/null
+++ b/src/rosepath/cli.py
@@ -0,0 +1,429 @@
+"""The operators' command line: `rosepath`, a thin client of the operators' RPC."""
+
+import asyncio
+import json
+import os
+import ssl
+import sys
+import tomllib
+import uuid
+from collections.abc import Awaitable, Callable, Sequence
+from pathlib import Path
+from typing import Any, Literal, TypeVar
+
+import defopt
+from grpclib import GRPCError
+from grpclib.client import Channel
+from grpclib.const import Status
+
+from rosepath.proto import rosepath_pb2 as pb
+from rosepath.proto.rosepath_grpc import OperatorsStub
+
+Output = Literal["table", "json"]
+T = TypeVar("T")
+
+EXIT_FAILED = 1
+EXIT_INVALID = 2
+EXIT_CONFLICT = 3
+EXIT_UNAVAILABLE = 4
+EXIT_NOT_FOUND = 5
+EXIT_TIMED_OUT = 6
+CALL_TIMEOUT_S = 10.0
+WAIT_POLL_S = 0.1
+
+_EXIT_CODES = {
+    Status.INVALID_ARGUMENT: EXIT_INVALID,
+    Status.FAILED_PRECONDITION: EXIT_INVALID,
+    Status.ABORTED: EXIT_CONFLICT,
+    Status.UNAVAILABLE: EXIT_UNAVAILABLE,
+    Status.DEADLINE_EXCEEDED: EXIT_UNAVAILABLE,
+    Status.NOT_FOUND: EXIT_NOT_FOUND,
+}
+
+
+def _channel() -> Channel:
+    address = os.environ.get("ROSEPATH_OPERATORS", "127.0.0.1:8082")
+    host, _, port = address.rpartition(":")
+    context = None
+    if ca_file := os.environ.get("ROSEPATH_CA_FILE"):
+        context = ssl.create_default_context(cafile=ca_file)
+        context.check_hostname = False
+        context.set_alpn_protocols(["h2"])
+        certificate = os.environ.get("ROSEPATH_CERTIFICATE_FILE")
+        if certificate:
+            context.load_cert_chain(certificate, os.environ.get("ROSEPATH_KEY_FILE"))
+    return Channel(host, int(port), ssl=context)
+
+
+def _call(work: Callable[[OperatorsStub], Awaitable[T]]) -> T:
+    """Run one conversation with the daemon; exit with a stable code on failure."""
+
+    async def run() -> T:
+        async with _channel() as channel:
+            return await work(OperatorsStub(channel))
+
+    try:
+        return asyncio.run(run())
+    except GRPCError as error:
+        print(f"rosepath: {error.status.name}: {error.message}", file=sys.stderr)
+        raise SystemExit(_EXIT_CODES.get(error.status, EXIT_FAILED)) from None
+    except (OSError, TimeoutError) as error:
+        print(f"rosepath: daemon unreachable: {error}", file=sys.stderr)
+        raise SystemExit(EXIT_UNAVAILABLE) from None
+
+
+def _print_table(header: Sequence[str], rows: Sequence[Sequence[object]]) -> None:
+    lines = [header, *[[str(cell) for cell in row] for row in rows]]
+    widths = [max(len(line[n]) for line in lines) for n in range(len(header))]
+    for line in lines:
+        cells = (cell.ljust(width) for cell, width in zip(line, widths, strict=True))
+        print("  ".join(cells).rstrip())
+
+
+def _print_json(value: object) -> None:
+    print(json.dumps(value, indent=2))
+
+
+def apply(
+    file: Path,
+    *,
+    change_id: str = "",
+    expected_version: int = -1,
+    dry_run: bool = False,
+    output: Output = "table",
+) -> int:
+    """Apply a TOML file of declarations as one change.
+
+    The file has a table per declaration, `[KIND.NAME]`; a name under
+    `[delete]` with a list of `KIND/NAME` is removed.
+
+    :param file: TOML file
+    :param change_id: repeat it to learn whether a change was accepted
+    :param expected_version: version that the change is made against; -1: current
+    :param dry_run: only show the differences and the moves
+    :param output: table or json
+    """
+    try:
+        operations = _operations_from(tomllib.loads(file.read_text(encoding="utf-8")))
+    except (OSError, ValueError) as error:
+        print(f"rosepath: {file}: {error}", file=sys.stderr)
+        return EXIT_INVALID
+    return _change(operations, change_id, expected_version, dry_run, output)
+
+
+def _operations_from(raw: dict[str, Any]) -> list[pb.Operation]:
+    operations = []
+    for reference in raw.pop("delete", []):
+        kind, separator, name = str(reference).partition("/")
+        if not separator:
+            raise ValueError(f"delete: {reference!r} is not KIND/NAME")
+        operations.append(pb.Operation(kind=kind, name=name))
+    for kind, table in raw.items():
+        if not isinstance(table, dict):
+            raise ValueError(f"{kind}: expected tables [{kind}.NAME]")
+        for name, declaration in table.items():
+            text = json.dumps(declaration)
+            operations.append(pb.Operation(kind=kind, name=name, declaration_json=text))
+    return operations
+
+
+def declare(
+    kind: str,
+    name: str,
+    declaration: str,
+    *,
+    change_id: str = "",
+    expected_version: int = -1,
+    dry_run: bool = False,
+    output: Output = "table",
+) -> int:
+    """Declare one thing, given as JSON.
+
+    :param kind: model, version, adapter, service, caller, route, limit, ...
+    :param name: its name
+    :param declaration: its fields as JSON
+    :param change_id: repeat it to learn whether a change was accepted
+    :param expected_version: version that the change is made against; -1: current
+    :param dry_run: only show the differences and the moves
+    :param output: table or json
+    """
+    operation = pb.Operation(kind=kind, name=name, declaration_json=declaration)
+    return _change([operation], change_id, expected_version, dry_run, output)
+
+
+def delete(
+    kind: str,
+    name: str,
+    *,
+    change_id: str = "",
+    expected_version: int = -1,
+    dry_run: bool = False,
+    output: Output = "table",
+) -> int:
+    """Delete one declaration.
+
+    :param kind: its kind
+    :param name: its name
+    :param change_id: repeat it to learn whether a change was accepted
+    :param expected_version: version that the change is made against; -1: current
+    :param dry_run: only show the differences and the moves
+    :param output: table or json
+    """
+    operation = pb.Operation(kind=kind, name=name)
+    return _change([operation], change_id, expected_version, dry_run, output)
+
+
+def drain(backend_server: str, *, reason: str = "", output: Output = "table") -> int:
+    """Send a backend server no new work and move its models away.
+
+    :param backend_server: its name
+    :param reason: why, for the history
+    :param output: table or json
+    """
+    text = json.dumps({"reason": reason})
+    return declare("drain", backend_server, text, output=output)
+
+
+def undrain(backend_server: str, *, output: Output = "table") -> int:
+    """Take a drained backend server back into use.
+
+    :param backend_server: its name
+    :param output: table or json
+    """
+    return delete("drain", backend_server, output=output)
+
+
+def _change(
+    operations: list[pb.Operation],
+    change_id: str,
+    expected_version: int,
+    dry_run: bool,
+    output: Output,
+) -> int:
+    identity = change_id or uuid.uuid4().hex
+
+    async def work(stub: OperatorsStub) -> pb.ChangeReply:
+        version = expected_version
+        if version < 0:
+            version = (await stub.List(pb.ListRequest(kind="quiet_window"))).version
+        request = pb.ChangeRequest(
+            change_id=identity,
+            expected_version=version,
+            dry_run=dry_run,
+            operations=operations,
+        )
+        return await stub.Change(request, timeout=CALL_TIMEOUT_S)
+
+    reply = _call(work)
+    if output == "json":
+        _print_json(
+            {
+                "version": reply.version,
+                "change_id": identity,
+                "already_applied": reply.already_applied,
+                "dry_run": dry_run,
+                "diff": list(reply.diff),
+                "moves": list(reply.moves),
+            }
+        )
+        return 0
+    verb = "would change" if dry_run else "version"
+    print(f"{verb} {reply.version}  change_id {identity}")
+    for line in reply.diff:
+        print(f"  {line}")
+    for move in reply.moves:
+        print(f"  move: {move}")
+    return 0
+
+
+def list_(kind: str = "", *, output: Output = "table") -> int:
+    """List declarations, all or of one kind.
+
+    :param kind: only this kind
+    :param output: table or json
+    """
+    request = pb.ListRequest(kind=kind)
+    reply = _call(lambda stub: stub.List(request, timeout=CALL_TIMEOUT_S))
+    return _show_declarations(reply, output)
+
+
+def get(kind: str, name: str, *, output: Output = "table") -> int:
+    """Show one declaration.
+
+    :param kind: its kind
+    :param name: its name
+    :param output: table or json
+    """
+    request = pb.ListRequest(kind=kind, name=name)
+    reply = _call(lambda stub: stub.List(request, timeout=CALL_TIMEOUT_S))
+    return _show_declarations(reply, output)
+
+
+def _show_declarations(reply: pb.ListReply, output: Output) -> int:
+    rows = [(op.kind, op.name, op.declaration_json) for op in reply.declarations]
+    if output == "json":
+        declarations = [
+            {"kind": kind, "name": name, "declaration": json.loads(text)}
+            for kind, name, text in rows
+        ]
+        _print_json({"version": reply.version, "declarations": declarations})
+    else:
+        print(f"version {reply.version}")
+        _print_table(("KIND", "NAME", "DECLARATION"), rows)
+    return 0
+
+
+def history(*, limit: int = 20, output: Output = "table") -> int:
+    """Show the latest changes, newest first.
+
+    :param limit: how many
+    :param output: table or json
+    """
+    request = pb.HistoryRequest(limit=limit)
+    reply = _call(lambda stub: stub.History(request, timeout=CALL_TIMEOUT_S))
+    if output == "json":
+        _print_json(
+            [
+                {
+                    "version": e.version,
+                    "change_id": e.change_id,
+                    "operator": e.operator,
+                    "at_s": e.at_s,
+                    "summary": list(e.summary),
+                }
+                for e in reply.entries
+            ]
+        )
+        return 0
+    _print_table(
+        ("VERSION", "OPERATOR", "CHANGE", "SUMMARY"),
+        [
+            (e.version, e.operator, e.change_id, ", ".join(e.summary[:3]))
+            for e in reply.entries
+        ],
+    )
+    return 0
+
+
+def status(*, output: Output = "table") -> int:
+    """Show entry VMs, backend servers, leases and the latest moves.
+
+    :param output: table or json
+    """
+    reply = _call(lambda stub: stub.Status(pb.StatusRequest(), timeout=CALL_TIMEOUT_S))
+    if output == "json":
+        from google.protobuf.json_format import MessageToDict
+
+        _print_json(MessageToDict(reply, preserving_proto_field_name=True))
+        return 0
+    platform = "reachable" if reply.platform_reachable else "unreachable"
+    print(f"seen from {reply.entry_vm}: version {reply.version}, platform {platform}")
+    _print_table(
+        ("ENTRY VM", "DATA CENTRE", "STATE", "VERSION"),
+        [(r.name, r.data_centre, r.state, r.version_in_force) for r in reply.entry_vms],
+    )
+    _print_table(
+        ("BACKEND SERVER", "DATA CENTRE", "STATE", "RUNNING", "LOADED"),
+        [
+            (r.name, r.data_centre, r.state, r.running, " ".join(r.resident))
+            for r in reply.backend_servers
+        ],
+    )
+    _print_table(
+        ("LEASE", "HOLDER", "REMAINING"),
+        [(r.name, r.holder or "-", f"{r.remaining_s:.1f} s") for r in reply.leases],
+    )
+    return 0
+
+
+def moves(*, output: Output = "table") -> int:
+    """Show the moves that this entry VM ordered, and why.
+
+    :param output: table or json
+    """
+    reply = _call(lambda stub: stub.Status(pb.StatusRequest(), timeout=CALL_TIMEOUT_S))
+    rows = [
+        (f"{m.at_s:.1f}", m.action, m.subject, m.backend_server, m.reason, m.outcome)
+        for m in reply.moves
+    ]
+    if output == "json":
+        keys = ("at_s", "action", "target", "backend_server", "reason", "outcome")
+        _print_json([dict(zip(keys, row, strict=True)) for row in rows])
+    else:
+        _print_table(("AT", "ACTION", "TARGET", "SERVER", "REASON", "OUTCOME"), rows)
+    return 0
+
+
+def wait(version: int, *, timeout_s: float = 19.0) -> int:
+    """Wait until a version is in force on every live entry VM.
+
+    :param version: the version
+    :param timeout_s: give up after this long and name the laggards
+    """
+
+    async def work(stub: OperatorsStub) -> list[str]:
+        loop = asyncio.get_running_loop()
+        deadline_s = loop.time() + timeout_s
+        while True:
+            reply = await stub.Status(pb.StatusRequest(), timeout=CALL_TIMEOUT_S)
+            lagging = [
+                row.name
+                for row in reply.entry_vms
+                if row.state != "dead" and row.version_in_force < version
+            ]
+            if not lagging or loop.time() > deadline_s:
+                return lagging
+            await asyncio.sleep(WAIT_POLL_S)
+
+    lagging = _call(work)
+    if lagging:
+        print(f"not in force on: {' '.join(lagging)}", file=sys.stderr)
+        return EXIT_TIMED_OUT
+    print(f"version {version} is in force everywhere")
+    return 0
+
+
+def watch(*, after_version: int = 0, count: int = 0) -> int:
+    """Print each new version as it comes into force.
+
+    :param after_version: only later versions
+    :param count: stop after so many; 0: never
+    """
+
+    async def work(stub: OperatorsStub) -> None:
+        seen = 0
+        async with stub.Watch.open() as stream:
+            request = pb.WatchRequest(after_version=after_version)
+            await stream.send_message(request, end=True)
+            async for event in stream:
+                print(event.version, flush=True)
+                seen += 1
+                if count and seen >= count:
+                    await stream.cancel()
+                    return
+
+    _call(work)
+    return 0
+
+
+def main() -> None:
+    """Run the command line."""
+    commands = {
+        "apply": apply,
+        "declare": declare,
+        "delete": delete,
+        "drain": drain,
+        "undrain": undrain,
+        "list": list_,
+        "get": get,
+        "history": history,
+        "status": status,
+        "moves": moves,
+        "wait": wait,
+        "watch": watch,
+    }
+    raise SystemExit(defopt.run(commands))
+
+
+if __name__ == "__main__":
+    main()
--- a/src/rosepath/gossip.py
+++ b/src/rosepath/gossip.py
@@ -111,7 +111,7 @@
     def batch_for(
         self, neighbour: str, *, now_s: float, load_interval_s: float = 0.0
     ) -> Batch:
-        """Return what a neighbour lacks, newest first, a frame at most.
+        """Return what a neighbour lacks, oldest first, a frame at most.
 
         A load row goes over a link at most once in `load_interval_s`; what is
         held back is offered again later, by then perhaps newer.
@@ -129,7 +129,7 @@
                 continue
             rows.append(Row(key, stored.version, stored.payload))
             if len(rows) >= MAX_ROWS_PER_FRAME:
-                return Batch(tuple(rows), link.acked)
+                return Batch(tuple(rows), max(link.acked, stored.sequence))
         return Batch(tuple(rows), self.sequence)
 
     def _newer_than(self, acked: int) -> list[RowKey]:
@@ -138,6 +138,7 @@
             if self._rows[key].sequence <= acked:
                 break
             keys.append(key)
+        keys.reverse()
         return keys
 
     def _held_back(
--- /dev/null
+++ b/src/rosepath/lease_keeper.py
@@ -0,0 +1,139 @@
+"""Take, renew and give up leases in the store."""
+
+import uuid
+
+from expression import Result
+
+from rosepath.clock import Clock
+from rosepath.leases import (
+    LeaseAction,
+    LeasePolicy,
+    LeaseRow,
+    decode_lease,
+    encode_lease,
+    lease_action,
+    may_take_over,
+)
+from rosepath.logs import get_logger
+from rosepath.platform import ConflictError, PlatformPort, StoredObject, StoreError
+
+_log = get_logger()
+
+
+class LeaseKeeper:
+    """Hold the lease rows that this node takes part in."""
+
+    def __init__(
+        self, platform: PlatformPort, *, me: str, policy: LeasePolicy, clock: Clock
+    ) -> None:
+        self._platform = platform
+        self._me = me
+        self._clock = clock
+        self._first_seen_s: dict[str, float] = {}
+        self.policy = policy
+        self.rows: dict[str, LeaseRow] = {}
+
+    def valid(self, name: str) -> bool:
+        """Tell whether this node holds a lease right now, with its margin."""
+        row = self.rows.get(name)
+        now_s = self._clock.monotonic_s()
+        return row is not None and row.valid(now_s=now_s, policy=self.policy)
+
+    def term(self, name: str) -> int:
+        """Return the term under which a lease was last taken."""
+        row = self.rows.get(name)
+        return row.term if row else 0
+
+    async def step(self, name: str, *, wanted: bool) -> None:
+        """Do what is due about one lease."""
+        row = self.rows.setdefault(name, LeaseRow(name=name))
+        action = lease_action(
+            row,
+            me=self._me,
+            wanted=wanted,
+            now_s=self._clock.monotonic_s(),
+            policy=self.policy,
+        )
+        try:
+            if action is LeaseAction.RENEW:
+                await self._write(row, term=row.term)
+            elif action is LeaseAction.READ:
+                await self._read(row)
+        except StoreError:
+            return
+
+    async def _read(self, row: LeaseRow) -> None:
+        stored = await self._platform.get(f"leases/{row.name}")
+        now_s = self._clock.monotonic_s()
+        version = stored.version if stored else 0
+        if version != row.version or row.name not in self._first_seen_s:
+            self._first_seen_s[row.name] = now_s
+        self._note(row, stored, now_s)
+        if may_take_over(
+            row,
+            me=self._me,
+            now_s=now_s,
+            first_seen_s=self._first_seen_s[row.name],
+            policy=self.policy,
+        ):
+            await self._write(row, term=row.term + 1)
+
+    def _note(self, row: LeaseRow, stored: StoredObject | None, now_s: float) -> None:
+        row.seen_at_s = now_s
+        row.version = stored.version if stored else 0
+        row.holder = ""
+        if stored is None:
+            return
+        match decode_lease(stored):
+            case Result(tag="ok", ok=(holder, term, _)):
+                row.holder, row.term = holder, max(row.term, term)
+
+    async def _write(self, row: LeaseRow, *, term: int) -> None:
+        # The time counts from before the write: however late the reply, no
+        # other node can have seen this version for longer than that.
+        asked_s = self._clock.monotonic_s()
+        nonce = uuid.uuid4().hex
+        value = encode_lease(holder=self._me, term=term, nonce=nonce)
+        name = f"leases/{row.name}"
+        try:
+            version = await self._platform.put(
+                name, value, expected_version=row.version
+            )
+        except ConflictError:
+            self._lose(row)
+            return
+        except StoreError as error:
+            if not error.unknown:
+                raise
+            stored = await self._platform.get(name)
+            if stored is None or stored.value != value:
+                self._note(row, stored, self._clock.monotonic_s())
+                return
+            version = stored.version
+        if row.holder != self._me:
+            _log.info("lease_taken", step="lease", lease=row.name, term=term)
+        row.version, row.holder, row.term = version, self._me, term
+        row.seen_at_s = asked_s
+        row.held_until_s = asked_s + self.policy.duration_s
+
+    def _lose(self, row: LeaseRow) -> None:
+        if row.holder == self._me:
+            _log.warning("lease_lost", step="lease", lease=row.name)
+        row.holder = ""
+        row.held_until_s = -1e9
+        row.seen_at_s = -1e9
+
+    async def give_up(self, name: str) -> None:
+        """Hand a lease back, so that the next holder need not wait."""
+        row = self.rows.get(name)
+        if row is None or row.holder != self._me:
+            return
+        row.held_until_s = -1e9
+        value = encode_lease(holder="", term=row.term, nonce=uuid.uuid4().hex)
+        try:
+            await self._platform.put(
+                f"leases/{name}", value, expected_version=row.version
+            )
+        except (StoreError, ConflictError):
+            return
+        row.holder = ""
--- a/src/rosepath/membership.py
+++ b/src/rosepath/membership.py
@@ -7,6 +7,13 @@
 from rosepath.tables import EntryVm, MemberState
 
 _STATES = len(MemberState)
+_REVISION_BITS = 30
+_FIRST_SECOND = 1_704_067_200
+
+
+def first_incarnation(wall_s: float) -> int:
+    """Return an incarnation above every earlier process of the same name."""
+    return max(1, int(wall_s) - _FIRST_SECOND)
 
 
 def member_version(incarnation: int, state: MemberState, revision: int) -> int:
@@ -15,7 +22,8 @@
     So news of a death beats every heartbeat of that incarnation, and the
     member itself, if it lives, beats the news by a new incarnation.
     """
-    return ((incarnation * _STATES + state) << 40) | (revision & ((1 << 40) - 1))
+    rank = incarnation * _STATES + state
+    return (rank << _REVISION_BITS) | (revision & ((1 << _REVISION_BITS) - 1))
 
 
 def encode_member(member: EntryVm, *, peer_port: int = 0) -> bytes:
--- /dev/null
+++ b/src/rosepath/peers.py
@@ -0,0 +1,512 @@
+"""Talk to other entry VMs: gossip, configuration, lent slots."""
+
+import asyncio
+import random
+import ssl
+from collections.abc import Callable, Mapping
+from contextlib import suppress
+from dataclasses import dataclass
+
+from grpclib import GRPCError
+from grpclib.client import Channel
+from grpclib.const import Status
+from grpclib.exceptions import StreamTerminatedError
+from grpclib.server import Stream
+
+from rosepath.clock import Clock
+from rosepath.configuration import ConfigurationState, decode_head, encode_head
+from rosepath.gossip import (
+    GossipState,
+    Row,
+    RowKey,
+    RowKind,
+    finger_neighbours,
+)
+from rosepath.limits import LimitRow, lend
+from rosepath.logs import get_logger
+from rosepath.membership import (
+    alive,
+    decode_member,
+    encode_member,
+    first_incarnation,
+    member_version,
+    present,
+    silent_members,
+)
+from rosepath.proto.rosepath_grpc import PeersBase, PeersStub
+from rosepath.proto.rosepath_pb2 import (
+    BorrowReply,
+    BorrowRequest,
+    ConfigurationBundle,
+    FetchConfigurationRequest,
+    GossipFrame,
+    GossipRow,
+    ReturnReply,
+    ReturnRequest,
+)
+from rosepath.settings import Settings, split_address
+from rosepath.tables import EntryVm, MemberState, Tables
+
+PROTOCOL = 1
+CALL_TIMEOUT_S = 1.0
+FETCH_TIMEOUT_S = 5.0
+REPROBE_INTERVAL_S = 2.0
+HEARTBEAT_FINGERS = 2
+FAR_HEARTBEAT_FACTOR = 6.0
+BORROW_PEERS = 8
+_FAILURES = (GRPCError, StreamTerminatedError, OSError, TimeoutError)
+
+_log = get_logger()
+
+
+@dataclass(slots=True)
+class PeerCounters:
+    """Count what control costs."""
+
+    frames: int = 0
+    rows_sent: int = 0
+    rows_received: int = 0
+    bytes_sent: int = 0
+    bytes_received: int = 0
+    refused: int = 0
+
+
+@dataclass(slots=True, kw_only=True)
+class PeerPorts:
+    """Hold what the peer network works on."""
+
+    settings: Settings
+    tables: Tables
+    configuration: ConfigurationState
+    limits: Callable[[], Mapping[str, LimitRow]]
+    clock: Clock
+    client_tls: ssl.SSLContext | None
+    on_row: Callable[[Row], None]
+    on_configuration: Callable[[], None]
+
+
+class PeerNetwork:
+    """Hold the gossip state, the channels and what was heard from whom."""
+
+    def __init__(self, ports: PeerPorts, *, address: str) -> None:
+        self.gossip = GossipState()
+        self.counters = PeerCounters()
+        self.epoch = random.getrandbits(63)
+        self.heard_at_s: dict[str, float] = {}
+        self._ports = ports
+        self._channels: dict[str, Channel] = {}
+        self._received: dict[str, int] = {}
+        self._busy: set[str] = set()
+        self._news = asyncio.Event()
+        self._reprobed_at_s = -1e9
+        self._first_fetch = asyncio.Lock()
+        settings = ports.settings
+        self.me = EntryVm(
+            name=settings.entry_vm,
+            data_centre=settings.data_centre,
+            address=address,
+            incarnation=first_incarnation(ports.clock.wall_s()),
+            state=MemberState.ALIVE,
+        )
+        self.announce_me()
+
+    # Rows
+
+    def announce_me(self) -> None:
+        """Publish this node's own row."""
+        self.me.configuration_version = self._ports.configuration.head.version
+        self._ports.tables.entry_vms[self.me.name] = self.me
+        self._publish_member(self.me)
+
+    def _publish_member(self, member: EntryVm) -> None:
+        version = member_version(
+            member.incarnation, member.state, member.configuration_version
+        )
+        key = RowKey(RowKind.MEMBER, member.name)
+        self.publish(Row(key, version, encode_member(member)))
+
+    def publish(self, row: Row) -> None:
+        """Take a row of this node's into the gossip."""
+        if self.gossip.merge(row) and row.key.kind is not RowKind.LOAD:
+            self._news.set()
+
+    def merge(self, row: Row, *, source: str) -> None:
+        """Take a neighbour's row and act on it if it is news."""
+        if not self.gossip.merge(row, source=source):
+            return
+        self.counters.rows_received += 1
+        if row.key.kind is RowKind.MEMBER:
+            self._merge_member(row)
+        else:
+            self._ports.on_row(row)
+        if row.key.kind is not RowKind.LOAD:
+            self._news.set()
+
+    def _merge_member(self, row: Row) -> None:
+        member = decode_member(row.key.name, row.payload)
+        if member is None:
+            return
+        if member.name == self.me.name:
+            self._refute(member)
+            return
+        self._ports.tables.entry_vms[member.name] = member
+        if member.state is MemberState.DEAD:
+            self.heard_at_s.pop(member.name, None)
+        else:
+            self.heard_at_s.setdefault(member.name, self._ports.clock.monotonic_s())
+
+    def _refute(self, rumour: EntryVm) -> None:
+        """Answer news of the own death with a newer incarnation."""
+        self.me.incarnation = max(self.me.incarnation, rumour.incarnation) + 1
+        self.announce_me()
+
+    # Calls made
+
+    def neighbours(self) -> list[str]:
+        """Return the members that this node calls, the nearest first."""
+        return finger_neighbours(self.me.name, present(self._ports.tables.entry_vms))
+
+    async def run(self) -> None:
+        """Exchange frames with neighbours until cancelled."""
+        interval_s = self._ports.settings.peers.gossip_interval_s
+        while True:
+            with suppress(TimeoutError):
+                async with asyncio.timeout(interval_s * random.uniform(0.8, 1.2)):
+                    await self._news.wait()
+            urgent = self._news.is_set()
+            self._news.clear()
+            self._tick(urgent=urgent)
+            # A burst of news travels in one frame instead of many.
+            await asyncio.sleep(0.02)
+
+    def _tick(self, *, urgent: bool) -> None:
+        now_s = self._ports.clock.monotonic_s()
+        neighbours = self.neighbours()
+        for place, name in enumerate(neighbours):
+            if name not in self._busy and self._due(name, place, urgent, now_s):
+                self._busy.add(name)
+                asyncio.ensure_future(self._exchange_with(name))
+        self._suspect(neighbours, now_s)
+        if now_s - self._reprobed_at_s > REPROBE_INTERVAL_S:
+            self._reprobed_at_s = now_s
+            self._reprobe()
+
+    def _due(self, name: str, place: int, urgent: bool, now_s: float) -> bool:
+        link = self.gossip.link(name)
+        settings = self._ports.settings.peers
+        since_s = now_s - link.sent_at_s
+        if urgent or link.acked < self.gossip.sequence:
+            return urgent or since_s >= settings.gossip_interval_s * 2
+        factor = 1.0 if place < HEARTBEAT_FINGERS else FAR_HEARTBEAT_FACTOR
+        return since_s >= settings.heartbeat_interval_s * factor
+
+    def _suspect(self, neighbours: list[str], now_s: float) -> None:
+        watched = neighbours[:HEARTBEAT_FINGERS]
+        for name in silent_members(
+            watched,
+            self.heard_at_s,
+            now_s=now_s,
+            suspect_after_s=self._ports.settings.peers.suspect_after_s,
+        ):
+            self._declare_dead(name, "silent")
+
+    def _declare_dead(self, name: str, reason: str) -> None:
+        member = self._ports.tables.entry_vms.get(name)
+        if member is None or member.state is MemberState.DEAD:
+            return
+        _log.warning("entry_vm_dead", peer=name, reason=reason)
+        member.state = MemberState.DEAD
+        self.heard_at_s.pop(name, None)
+        self._publish_member(member)
+
+    def _reprobe(self) -> None:
+        """Try a seed or a member thought dead, so that partitions heal."""
+        tables = self._ports.tables
+        dead = [
+            row.address
+            for row in tables.entry_vms.values()
+            if row.state is MemberState.DEAD
+        ]
+        known = {row.address for row in tables.entry_vms.values()}
+        unknown = [a for a in self._ports.settings.seeds if a not in known]
+        candidates = dead + unknown
+        if candidates:
+            address = random.choice(candidates)
+            asyncio.ensure_future(self._exchange_at(address, ""))
+
+    async def _exchange_with(self, name: str) -> None:
+        try:
+            member = self._ports.tables.entry_vms.get(name)
+            if member is not None:
+                await self._exchange_at(member.address, name)
+        finally:
+            self._busy.discard(name)
+
+    async def _exchange_at(self, address: str, name: str) -> None:
+        now_s = self._ports.clock.monotonic_s()
+        frame, sequence = self._frame_for(name, now_s)
+        if name:
+            self.gossip.link(name).sent_at_s = now_s
+        try:
+            reply = await PeersStub(self._channel(address)).Exchange(
+                frame, timeout=CALL_TIMEOUT_S
+            )
+        except _FAILURES as error:
+            self._drop_channel(address)
+            if isinstance(error, ConnectionRefusedError) and name:
+                self._declare_dead(name, "refused")
+            return
+        self.counters.bytes_sent += frame.ByteSize()
+        self.counters.bytes_received += reply.ByteSize()
+        if not self.accepts(reply):
+            return
+        if name and reply.sender != name:
+            return
+        self._take_frame(reply)
+        if name:
+            self.gossip.acknowledge(name, sequence)
+
+    def _frame_for(self, name: str, now_s: float) -> tuple[GossipFrame, int]:
+        settings = self._ports.settings
+        frame = GossipFrame(
+            protocol=PROTOCOL,
+            deployment=settings.deployment,
+            sender=self.me.name,
+            sender_epoch=self.epoch,
+            configuration_version=self._ports.configuration.head.version,
+        )
+        sequence = self.gossip.sequence
+        if name:
+            member = self._ports.tables.entry_vms.get(name)
+            far = member is not None and member.data_centre != self.me.data_centre
+            batch = self.gossip.batch_for(
+                name,
+                now_s=now_s,
+                load_interval_s=settings.peers.remote_load_interval_s if far else 0.0,
+            )
+            frame.rows.extend(_encode_row(row) for row in batch.rows)
+            sequence = batch.sequence
+            self.counters.rows_sent += len(batch.rows)
+        else:
+            own = self.gossip.get(RowKey(RowKind.MEMBER, self.me.name))
+            if own is not None:
+                frame.rows.append(_encode_row(own))
+        frame.sequence = sequence
+        frame.acked = self._received.get(name, 0)
+        self.counters.frames += 1
+        return frame, sequence
+
+    def accepts(self, frame: GossipFrame) -> bool:
+        settings = self._ports.settings
+        wrong = ""
+        if frame.protocol != PROTOCOL:
+            wrong = f"protocol {frame.protocol}"
+        elif frame.deployment != settings.deployment:
+            wrong = f"deployment {frame.deployment!r}"
+        elif not frame.sender or frame.sender == self.me.name:
+            wrong = f"sender {frame.sender!r}"
+        if wrong:
+            self.counters.refused += 1
+            _log.warning("peer_refused", peer=frame.sender, reason=wrong)
+        return not wrong
+
+    def _take_frame(self, frame: GossipFrame) -> None:
+        """Merge a frame and learn what its sender has."""
+        self.gossip.note_epoch(frame.sender, frame.sender_epoch)
+        self.heard_at_s[frame.sender] = self._ports.clock.monotonic_s()
+        for message in frame.rows:
+            row = _decode_row(message)
+            if row is not None:
+                self.merge(row, source=frame.sender)
+        self._received[frame.sender] = frame.sequence
+        if frame.configuration_version > self._ports.configuration.head.version:
+            asyncio.ensure_future(self.fetch_configuration(frame.sender))
+
+    async def fetch_configuration(self, name: str) -> None:
+        """Take a newer configuration from a peer."""
+        member = self._ports.tables.entry_vms.get(name)
+        if member is None or self._first_fetch.locked():
+            return
+        async with self._first_fetch:
+            state = self._ports.configuration
+            request = FetchConfigurationRequest(
+                known_version=state.head.version, known_digests=list(state.shards)
+            )
+            try:
+                bundle = await PeersStub(
+                    self._channel(member.address)
+                ).FetchConfiguration(request, timeout=FETCH_TIMEOUT_S)
+            except _FAILURES:
+                self._drop_channel(member.address)
+                return
+            self.take_bundle(bundle)
+
+    def take_bundle(self, bundle: ConfigurationBundle) -> None:
+        """Put a peer's configuration in force if it is newer and whole."""
+        if not bundle.head:
+            return
+        head = decode_head(bundle.head)
+        if head.is_error():
+            _log.warning("bundle_refused", reason=head.error)
+            return
+        applied = self._ports.configuration.apply(head.ok, dict(bundle.shards))
+        if applied.is_error():
+            _log.warning("bundle_refused", reason=applied.error)
+        elif applied.ok:
+            self._ports.on_configuration()
+
+    async def borrow(self, limit: str, request_id: str) -> str | None:
+        """Ask peers for a slot of a limit; return the lender's name."""
+        names = [n for n in alive(self._ports.tables.entry_vms) if n != self.me.name]
+        random.shuffle(names)
+        for name in names[:BORROW_PEERS]:
+            request = BorrowRequest(
+                limit=limit, borrower=self.me.name, request_id=request_id
+            )
+            address = self._ports.tables.entry_vms[name].address
+            try:
+                reply = await PeersStub(self._channel(address)).Borrow(
+                    request, timeout=CALL_TIMEOUT_S
+                )
+            except _FAILURES:
+                # The lender may have lent it and the reply been lost.
+                asyncio.ensure_future(self.give_back(name, limit, request_id))
+                continue
+            if reply.granted:
+                return name
+        return None
+
+    async def give_back(self, lender: str, limit: str, request_id: str) -> None:
+        """Return a slot, trying until the lender knows or is gone."""
+        while (member := self._ports.tables.entry_vms.get(lender)) is not None:
+            if member.state is MemberState.DEAD:
+                return
+            request = ReturnRequest(limit=limit, request_id=request_id)
+            try:
+                await PeersStub(self._channel(member.address)).Return(
+                    request, timeout=CALL_TIMEOUT_S
+                )
+                return
+            except _FAILURES:
+                await asyncio.sleep(random.uniform(0.2, 0.5))
+
+    def _channel(self, address: str) -> Channel:
+        if address not in self._channels:
+            host, port = split_address(address)
+            self._channels[address] = Channel(host, port, ssl=self._ports.client_tls)
+        return self._channels[address]
+
+    def _drop_channel(self, address: str) -> None:
+        # A connection that went silent stays silent: the next call must go
+        # over a new one.
+        channel = self._channels.pop(address, None)
+        if channel is not None:
+            channel.close()
+
+    async def leave(self) -> None:
+        """Tell the neighbours that this node leaves."""
+        self.me.state = MemberState.LEAVING
+        self.announce_me()
+        await asyncio.gather(*(self._exchange_with(n) for n in self.neighbours()))
+
+    def close(self) -> None:
+        """Close every channel."""
+        for channel in self._channels.values():
+            channel.close()
+
+    # Calls answered
+
+    def answer_exchange(self, frame: GossipFrame) -> GossipFrame:
+        """Merge a neighbour's frame and return what it lacks."""
+        self._take_frame(frame)
+        self.gossip.acknowledge(frame.sender, frame.acked)
+        reply, _ = self._frame_for(frame.sender, self._ports.clock.monotonic_s())
+        self.counters.bytes_received += frame.ByteSize()
+        self.counters.bytes_sent += reply.ByteSize()
+        return reply
+
+    def bundle_for(self, request: FetchConfigurationRequest) -> ConfigurationBundle:
+        """Return the own configuration without what the asker has."""
+        state = self._ports.configuration
+        bundle = ConfigurationBundle()
+        if state.head.version <= request.known_version:
+            return bundle
+        bundle.head = encode_head(state.head)
+        known = set(request.known_digests)
+        for address, data in state.shards.items():
+            if address not in known:
+                bundle.shards[address] = data
+        return bundle
+
+    def answer_borrow(self, request: BorrowRequest) -> bool:
+        """Lend a slot if one is free here."""
+        row = self._ports.limits().get(request.limit)
+        return row is not None and lend(
+            row, borrower=request.borrower, request_id=request.request_id
+        )
+
+    def answer_return(self, request: ReturnRequest) -> None:
+        """Take a lent slot back."""
+        row = self._ports.limits().get(request.limit)
+        if row is not None:
+            row.lent.pop(request.request_id, None)
+
+
+def _encode_row(row: Row) -> GossipRow:
+    return GossipRow(
+        kind=int(row.key.kind),
+        name=row.key.name,
+        version=row.version,
+        payload=row.payload,
+    )
+
+
+def _decode_row(message: GossipRow) -> Row | None:
+    """Decode a row; None for a kind that this version does not know."""
+    try:
+        kind = RowKind(message.kind)
+    except ValueError:
+        return None
+    return Row(RowKey(kind, message.name), message.version, message.payload)
+
+
+class PeerService(PeersBase):
+    """Serve other entry VMs."""
+
+    def __init__(self, network: PeerNetwork) -> None:
+        self._network = network
+
+    async def Exchange(  # noqa: N802
+        self, stream: "Stream[GossipFrame, GossipFrame]"
+    ) -> None:
+        frame = await stream.recv_message()
+        if frame is None:
+            return
+        if not self._network.accepts(frame):
+            raise GRPCError(
+                Status.FAILED_PRECONDITION, "another deployment, protocol or sender"
+            )
+        await stream.send_message(self._network.answer_exchange(frame))
+
+    async def FetchConfiguration(  # noqa: N802
+        self, stream: "Stream[FetchConfigurationRequest, ConfigurationBundle]"
+    ) -> None:
+        request = await stream.recv_message()
+        if request is not None:
+            await stream.send_message(self._network.bundle_for(request))
+
+    async def Borrow(  # noqa: N802
+        self, stream: "Stream[BorrowRequest, BorrowReply]"
+    ) -> None:
+        request = await stream.recv_message()
+        if request is not None:
+            granted = self._network.answer_borrow(request)
+            await stream.send_message(BorrowReply(granted=granted))
+
+    async def Return(  # noqa: N802
+        self, stream: "Stream[ReturnRequest, ReturnReply]"
+    ) -> None:
+        request = await stream.recv_message()
+        if request is not None:
+            self._network.answer_return(request)
+            await stream.send_message(ReturnReply())
--- a/src/rosepath/placement.py
+++ b/src/rosepath/placement.py
@@ -137,7 +137,7 @@
         for engine in view.engines.values()
         if engine.open and _pin_allows(view, base, engine)
     ]
-    holding = [engine for engine in engines if base in engine.ready]
+    holding = [e for e in engines if base in e.ready - e.leaving_targets]
     if holding:
         return max(holding, key=lambda engine: score(base, engine.name))
     size = view.set_bytes(base)
@@ -205,11 +205,16 @@
 
 
 def _floor_loads(view: PlacementView, anchors: Mapping[str, str]) -> Iterable[Move]:
-    """Load each anchored base that is not there, most wanted first."""
+    """Load each anchored base that is not there, most wanted first.
+
+    Only anchors that are stored count: two data centres that each plan to
+    take a base home would else both load it.
+    """
     missing = [
         (base, name)
         for base, name in anchors.items()
-        if base not in view.engines[name].ready | view.engines[name].coming
+        if view.anchors.get(base) == name
+        and base not in view.engines[name].ready | view.engines[name].coming
     ]
 
     def need(item: tuple[str, str]) -> tuple[bool, float, str]:
--- /dev/null
+++ b/src/rosepath/poller.py
@@ -0,0 +1,162 @@
+"""Load reports: polled by two entry VMs each, spread to the others as rows."""
+
+import asyncio
+from collections.abc import Iterable
+
+from rosepath.backend import BackendPort, LoadReport
+from rosepath.clock import Clock
+from rosepath.configuration import Configuration
+from rosepath.errors import ExchangeError
+from rosepath.gossip import Row, RowKey, RowKind
+from rosepath.membership import alive
+from rosepath.proto.rosepath_pb2 import LoadPayload
+from rosepath.rendezvous import top
+from rosepath.tables import Replica, Tables
+
+POLLERS = 2
+MAX_LAG_S = 10.0
+UNREACHABLE_AFTER = 2
+
+
+def polled_by(tables: Tables, me: str, data_centre: str, replica: str) -> bool:
+    """Tell whether this node is one of the two that poll a replica."""
+    members = [
+        name
+        for name in alive(tables.entry_vms)
+        if tables.entry_vms[name].data_centre == data_centre
+    ]
+    return me in top(f"poll/{replica}", members, POLLERS)
+
+
+def sync_replicas(tables: Tables, configuration: Configuration) -> None:
+    """Bring the replicas' rows in line with what is declared."""
+    declared = configuration.backend_servers
+    for name in tables.replicas.keys() - declared.keys():
+        del tables.replicas[name]
+    for name, server in declared.items():
+        row = tables.replicas.get(name)
+        if row is None:
+            row = Replica(name=name)
+            tables.replicas[name] = row
+        row.data_centre = server.data_centre
+        row.address = server.address
+        row.service = server.service
+        row.memory_bytes = server.memory_bytes
+        if server.service:
+            row.resident = frozenset({server.service})
+
+
+def load_row(name: str, report: LoadReport, *, wall_s: float) -> Row:
+    """Encode a report; its version is the backend server's own time."""
+    lag_s = min(max(0.0, wall_s - report.at_s), MAX_LAG_S)
+    targets = sorted(report.running_by_target)
+    payload = LoadPayload(
+        running=report.running,
+        queued=report.queued,
+        slots=report.slots,
+        memory_bytes=report.engine.memory_bytes,
+        leaving=report.engine.leaving,
+        resident=sorted(report.engine.resident.keys() - report.closing),
+        report_lag_ms=int(lag_s * 1000),
+        reachable=True,
+        running_models=targets,
+        running_counts=[report.running_by_target[t] for t in targets],
+    )
+    key = RowKey(RowKind.LOAD, name)
+    return Row(key, int(report.at_s * 1000), payload.SerializeToString())
+
+
+def unreachable_row(name: str, *, version: int) -> Row:
+    """Encode that a poller can't reach a backend server."""
+    payload = LoadPayload(reachable=False)
+    return Row(RowKey(RowKind.LOAD, name), version, payload.SerializeToString())
+
+
+def apply_load(replica: Replica, payload: bytes, *, now_s: float) -> bool:
+    """Take a load row into the table; return False if it can't be read."""
+    message = LoadPayload()
+    try:
+        message.ParseFromString(payload)
+    except Exception as error:
+        if type(error).__name__ != "DecodeError":
+            raise
+        return False
+    if not message.reachable:
+        replica.reachable = False
+        return True
+    replica.reachable = True
+    replica.running = message.running
+    replica.queued = message.queued
+    replica.slots = max(1, message.slots)
+    replica.reported_at_s = now_s - message.report_lag_ms / 1000
+    replica.running_by_target = dict(
+        zip(message.running_models, message.running_counts, strict=False)
+    )
+    if not replica.service:
+        replica.resident = frozenset(message.resident)
+        replica.memory_bytes = message.memory_bytes or replica.memory_bytes
+    return True
+
+
+def smooth_demand(
+    demand: dict[str, float], replicas: Iterable[Replica], *, weight: float
+) -> None:
+    """Follow each base's running and queued requests, smoothed."""
+    seen: dict[str, float] = {}
+    for replica in replicas:
+        total = max(1, sum(replica.running_by_target.values()))
+        for target, running in replica.running_by_target.items():
+            base = target.split(":", 1)[0]
+            queued = replica.queued * running / total
+            seen[base] = seen.get(base, 0.0) + running + queued
+    for base in {*demand, *seen}:
+        old = demand.get(base, 0.0)
+        new = old + weight * (seen.get(base, 0.0) - old)
+        if new < 0.01 and base not in seen:
+            del demand[base]
+        else:
+            demand[base] = new
+
+
+class Poller:
+    """Hold how often each poll failed, and poll."""
+
+    def __init__(
+        self, tables: Tables, backend: BackendPort, *, me: str, clock: Clock
+    ) -> None:
+        self._tables = tables
+        self._backend = backend
+        self._me = me
+        self._clock = clock
+        self._failures: dict[str, int] = {}
+        self._versions: dict[str, int] = {}
+
+    def due(self, data_centre: str) -> list[Replica]:
+        """Return the replicas that this node polls."""
+        return [
+            replica
+            for replica in self._tables.replicas.values()
+            if replica.data_centre == data_centre
+            and polled_by(self._tables, self._me, data_centre, replica.name)
+        ]
+
+    async def poll(self, replica: Replica) -> Row | None:
+        """Poll one replica; return the row to spread, if there is news."""
+        try:
+            report = await self._backend.report(replica.address)
+        except ExchangeError:
+            failures = self._failures.get(replica.name, 0) + 1
+            self._failures[replica.name] = failures
+            if failures < UNREACHABLE_AFTER:
+                return None
+            version = self._versions.get(replica.name, 0) + 1
+            return unreachable_row(replica.name, version=version)
+        self._failures.pop(replica.name, None)
+        row = load_row(replica.name, report, wall_s=self._clock.wall_s())
+        self._versions[replica.name] = row.version
+        return row
+
+    async def poll_all(self, data_centre: str) -> list[Row]:
+        """Poll every replica that is due, at once."""
+        rows = await asyncio.gather(*(self.poll(r) for r in self.due(data_centre)))
+        return [row for row in rows if row is not None]
--- /dev/null
+++ b/src/rosepath/services.py
@@ -0,0 +1,244 @@
+"""Pass calls on to plain services, whole, and at most once where they must be."""
+
+import asyncio
+from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
+from dataclasses import dataclass, field
+
+from opentelemetry import trace
+
+from rosepath.dispatch import Dispatcher, Terms
+from rosepath.errors import ExchangeError, RefusalError, Run, Step, refuse
+from rosepath.http_client import HttpPool, Request, ResponseHead
+from rosepath.retries import (
+    Attempt,
+    Evidence,
+    Verdict,
+    judge,
+    run_of,
+    worst_evidence,
+)
+from rosepath.routing import RoutingRequest, note_failure, note_success
+from rosepath.tables import Replica
+from rosepath.telemetry import traceparent_of
+
+HELD_ANSWER_BYTES = 256 * 1024
+MAX_ATTEMPTS = 4
+RUN_HEADER = "Rosepath-Run"
+HOP_HEADERS = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "host",
+        "content-length",
+        "authorization",
+    }
+)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ServiceCall:
+    """Describe a call; its body is at hand or still arriving."""
+
+    service: str
+    method: str
+    path: str
+    headers: Mapping[str, str]
+    body: bytes = b""
+    body_chunks: AsyncIterator[bytes] | None = None
+
+
+OnHead = Callable[[ResponseHead], Awaitable[None] | None]
+OnData = Callable[[bytes], Awaitable[None] | None]
+
+
+@dataclass(slots=True)
+class _Answer:
+    """Hold back a short answer until it is whole; pass a long one on."""
+
+    on_head: OnHead
+    on_data: OnData
+    head: ResponseHead | None = None
+    held: list[bytes] = field(default_factory=list)
+    passing: bool = False
+
+    def take_head(self, head: ResponseHead) -> Awaitable[None] | None:
+        self.head = head
+        length = head.headers.get("Content-Length", "")
+        if length.isdigit() and int(length) <= HELD_ANSWER_BYTES:
+            return None
+        if head.headers.get(RUN_HEADER) == "no":
+            return None
+        self.passing = True
+        return self.on_head(head)
+
+    def take_data(self, data: bytes) -> Awaitable[None] | None:
+        if self.passing:
+            return self.on_data(data)
+        self.held.append(data)
+        return None
+
+    async def release(self) -> None:
+        """Send what was held back, now that all of it is here."""
+        if self.passing or self.head is None:
+            return
+        await _maybe(self.on_head(self.head))
+        if self.held:
+            await _maybe(self.on_data(b"".join(self.held)))
+
+
+async def _maybe(waiting: Awaitable[None] | None) -> None:
+    if waiting is not None:
+        await waiting
+
+
+class ServiceRelay:
+    """Run calls to plain services over the tables."""
+
+    def __init__(self, dispatcher: Dispatcher, pool: HttpPool) -> None:
+        self._dispatcher = dispatcher
+        self._pool = pool
+
+    async def call(
+        self, call: ServiceCall, terms: Terms, on_head: OnHead, on_data: OnData
+    ) -> None:
+        """Pass a call on; raises RefusalError if it can't be answered."""
+        tried: set[str] = set()
+        seen: list[Evidence] = []
+        self._dispatcher.budget.earn()
+        while True:
+            replica = self._choose(call.service, terms, tried, seen)
+            answer = _Answer(on_head, on_data)
+            evidence, error = await self._attempt(replica, call, terms, answer)
+            if evidence is None:
+                await answer.release()
+                return
+            seen.append(evidence)
+            tried.add(replica.name)
+            self._judge(replica, call, terms, answer, seen, error)
+
+    def _choose(
+        self, service: str, terms: Terms, tried: set[str], seen: list[Evidence]
+    ) -> Replica:
+        replicas = [
+            replica
+            for replica in self._dispatcher.tables.replicas.values()
+            if replica.service == service
+        ]
+        request = RoutingRequest(
+            target=service, data_centre=terms.data_centre, tried=frozenset(tried)
+        )
+        replica = self._dispatcher.choose(replicas, request)
+        if replica is not None:
+            return replica
+        if seen:
+            raise _given_up(seen, "", "no other server is left")
+        raise refuse(
+            503,
+            "service_unavailable",
+            f"no server of {service} can take calls now",
+            step=Step.ROUTE,
+            retry_after_s=2.0,
+        )
+
+    async def _attempt(
+        self, replica: Replica, call: ServiceCall, terms: Terms, answer: _Answer
+    ) -> tuple[Evidence | None, str]:
+        """Make one attempt; return evidence and error if it failed."""
+        clock_s = asyncio.get_running_loop().time
+        started_s = clock_s()
+        key = f"{id(call)}.{started_s}"
+        settings = self._dispatcher.settings
+        context = trace.set_span_in_context(terms.span)
+        with self._dispatcher.telemetry.tracer.start_as_current_span(
+            "backend.call", context=context, attributes={"peer": replica.name}
+        ) as span:
+            request = Request(
+                address=replica.address,
+                method=call.method,
+                path=call.path,
+                headers=_passed_headers(call.headers, traceparent_of(span)),
+                body=call.body,
+                body_chunks=call.body_chunks,
+                connect_timeout_s=settings.connect_timeout_s,
+                progress_timeout_s=settings.progress_timeout_s,
+                proven_live_within_s=None
+                if terms.idempotent
+                else settings.proven_live_within_s,
+            )
+            replica.own_starts[key] = started_s
+            try:
+                head = await self._pool.exchange(
+                    request, on_head=answer.take_head, on_data=answer.take_data
+                )
+            except ExchangeError as error:
+                note_failure(replica, now_s=clock_s())
+                return self._evidence(error, answer), str(error)
+            finally:
+                replica.own_starts.pop(key, None)
+        if head.headers.get(RUN_HEADER) == "no":
+            return Evidence.REFUSED, f"{replica.name} refused before running"
+        note_success(replica, held_s=clock_s() - started_s)
+        return None, ""
+
+    def _evidence(self, error: ExchangeError, answer: _Answer) -> Evidence:
+        if not error.sent:
+            return Evidence.NOT_SENT
+        # An answer that was held back is not lost on the caller: the call
+        # may be repeated if it is idempotent, as if no answer had begun.
+        return Evidence.ANSWER_BEGUN if answer.passing else Evidence.SENT
+
+    def _judge(
+        self,
+        replica: Replica,
+        call: ServiceCall,
+        terms: Terms,
+        answer: _Answer,
+        seen: list[Evidence],
+        error: str,
+    ) -> None:
+        evidence = seen[-1]
+        # A body that is still arriving can't be sent a second time.
+        spent = call.body_chunks is not None and evidence is not Evidence.NOT_SENT
+        verdict = judge(
+            Attempt(
+                evidence=evidence,
+                idempotent=terms.idempotent and not spent,
+                resumable=False,
+                attempts=MAX_ATTEMPTS if spent else len(seen),
+                max_attempts=MAX_ATTEMPTS,
+                left_s=terms.deadline_s - asyncio.get_running_loop().time(),
+            ),
+            self._dispatcher.budget,
+        )
+        if verdict is Verdict.GIVE_UP:
+            raise _given_up(seen, replica.name, error)
+
+
+def _given_up(seen: list[Evidence], peer: str, error: str) -> RefusalError:
+    run = run_of(worst_evidence(seen))
+    return refuse(
+        503 if run is Run.NO else 502,
+        "backend_failed",
+        f"{len(seen)} attempts failed; the last: {error}",
+        step=Step.SEND,
+        run=run,
+        peer=peer,
+        retry_after_s=1.0,
+    )
+
+
+def _passed_headers(headers: Mapping[str, str], traceparent: str) -> dict[str, str]:
+    passed = {
+        name: value
+        for name, value in headers.items()
+        if name.lower() not in HOP_HEADERS
+    }
+    if traceparent:
+        passed["Traceparent"] = traceparent
+    return passed
--- a/src/rosepath/settings.py
+++ b/src/rosepath/settings.py
@@ -37,12 +37,22 @@
 
 
 class PeerSettings(Section):
-    """Listen for other entry VMs and for operators."""
+    """Listen for other entry VMs, and how to tell whether they live."""
 
     listen: Address = "127.0.0.1:8081"
     tls: TlsSettings | None = None
     gossip_interval_s: Seconds = 0.25
+    heartbeat_interval_s: Seconds = 0.75
     suspect_after_s: Seconds = 2.0
+    remote_load_interval_s: Seconds = 2.0
+    advertise: Address | None = None
+
+
+class OperatorSettings(Section):
+    """Listen for operators."""
+
+    listen: Address = "127.0.0.1:8082"
+    tls: TlsSettings | None = None
 
 
 class PlatformSettings(Section):
@@ -77,7 +87,7 @@
     parallel_loads: Annotated[int, Field(gt=0)] = 4
     move_cost_s: Seconds = 20.0
     horizon_s: Seconds = 300.0
-    order_timeout_s: Seconds = 30.0
+    late_order_bound_s: Seconds = 60.0
 
 
 class TelemetrySettings(Section):
@@ -106,6 +116,7 @@
     seeds: tuple[Address, ...] = ()
     callers: CallerSettings = CallerSettings()
     peers: PeerSettings = PeerSettings()
+    operators: OperatorSettings = OperatorSettings()
     platform: PlatformSettings = PlatformSettings()
     routing: RoutingSettings = RoutingSettings()
     placement: PlacementSettings = PlacementSettings()
--- a/src/rosepath_standins/engine.py
+++ b/src/rosepath_standins/engine.py
@@ -60,6 +60,7 @@
     shape: EngineShape
     faults: Faults = field(default_factory=Faults)
     resident: dict[str, int] = field(default_factory=dict)
+    closing: set[str] = field(default_factory=set)
     loading: dict[str, int] = field(default_factory=dict)
     orders: OrderedDict[str, Order] = field(default_factory=OrderedDict)
     fence: int = 0
@@ -104,6 +105,7 @@
             "at_s": time.time(),
             "memory_bytes": self.shape.memory_bytes,
             "resident": dict(self.resident),
+            "closing": sorted(self.closing),
             "loading": dict(self.loading),
             "running": self.running_total,
             "queued": len(self.waiting),
@@ -192,7 +194,8 @@
         if state.leaving or state.faults.take("refuse") is not None:
             return self.not_run(503, "leaving" if state.leaving else "refused")
         base = target.split(":", 1)[0]
-        if base not in state.resident or target not in state.resident:
+        ready = state.resident.keys() - state.closing
+        if base not in ready or target not in ready:
             return self.not_run(409, "not_loaded")
         if len(state.waiting) >= state.shape.queue_limit:
             return self.not_run(429, "overloaded")
@@ -388,11 +391,12 @@
 
 async def _carry_out(state: EngineState, order: Order) -> None:
     """Load or unload, taking the time it takes."""
-    if order.action == "unload":
-        for target in [t for t in state.resident if _is_part(t, order.target)]:
-            del state.resident[target]
+    if order.action == "claim":
         order.state = "done"
         return
+    if order.action == "unload":
+        await _unload(state, order)
+        return
     if order.target in state.resident or order.target in state.loading:
         order.state = "done"
         return
@@ -410,6 +414,19 @@
     order.state = "done"
 
 
+async def _unload(state: EngineState, order: Order) -> None:
+    """Take no new work for a target, let its streams end, free its memory."""
+    parts = [t for t in state.resident if _is_part(t, order.target)]
+    state.closing.update(parts)
+    order.state = "unloading"
+    while any(state.running[part] for part in parts):  # noqa: ASYNC110
+        await asyncio.sleep(0.02)
+    for part in parts:
+        state.resident.pop(part, None)
+        state.closing.discard(part)
+    order.state = "done"
+
+
 def _is_part(target: str, unloaded: str) -> bool:
     return target == unloaded or target.startswith(unloaded + ":")
 
