Keep anchors where a data centre has merely not reported yet

Cause: at a joint start each data centre saw the other's engine as unusable, since no report had come, and took every model home. Conclusion: silence at the start is no proof of loss.

--- a/src/rosepath/node.py
+++ b/src/rosepath/node.py
@@ -270,7 +270,8 @@
 
     def configuration_changed(self) -> None:
         """Put a new configuration in force in every table."""
-        sync_replicas(self.tables, self.state.configuration)
+        now_s = self.clock.monotonic_s()
+        sync_replicas(self.tables, self.state.configuration, now_s=now_s)
         self._apply_limits()
         self.peers.announce_me()
         _log.info("configuration_in_force", version=self.state.head.version)
--- a/src/rosepath/placer.py
+++ b/src/rosepath/placer.py
@@ -565,6 +565,9 @@
         **configuration.artifacts,
         **{t: a.memory_bytes for t, a in configuration.adapter_targets.items()},
     }
+    # Silence is no proof of loss: a data centre that just started, or whose
+    # reports are on their way, keeps its copies until it is silent for long.
+    heard_at_s = replica.reported_at_s or replica.known_since_s
     used = sum(sizes.get(target, 0) for target in replica.resident)
     return EngineView(
         name=replica.name,
@@ -572,9 +575,7 @@
         memory_bytes=replica.memory_bytes,
         free_bytes=replica.memory_bytes - used,
         slots=replica.slots,
-        usable=replica.reachable
-        and replica.reported_at_s is not None
-        and now_s - replica.reported_at_s < REMOTE_STALE_S,
+        usable=replica.reachable and now_s - heard_at_s < REMOTE_STALE_S,
         draining=replica.leaving,
         ready=replica.resident,
     )
--- a/src/rosepath/poller.py
+++ b/src/rosepath/poller.py
@@ -28,7 +28,9 @@
     return me in top(f"poll/{replica}", members, POLLERS)
 
 
-def sync_replicas(tables: Tables, configuration: Configuration) -> None:
+def sync_replicas(
+    tables: Tables, configuration: Configuration, *, now_s: float
+) -> None:
     """Bring the replicas' rows in line with what is declared."""
     declared = configuration.backend_servers
     for name in tables.replicas.keys() - declared.keys():
@@ -36,7 +38,7 @@
     for name, server in declared.items():
         row = tables.replicas.get(name)
         if row is None:
-            row = Replica(name=name)
+            row = Replica(name=name, known_since_s=now_s)
             tables.replicas[name] = row
         row.data_centre = server.data_centre
         row.address = server.address
--- a/src/rosepath/tables.py
+++ b/src/rosepath/tables.py
@@ -31,7 +31,8 @@
 class Replica:
     """Hold what is known of one backend server.
 
-    `reported_at_s` is the local monotonic time at which the report was true;
+    `reported_at_s` is the local monotonic time at which the report was true,
+    `known_since_s` the one at which the row was made;
     `own_starts` are the local times of this node's requests still running.
     """
 
@@ -46,6 +47,7 @@
     resident: frozenset[str] = frozenset()
     running_by_target: dict[str, int] = field(default_factory=dict)
     reported_at_s: float | None = None
+    known_since_s: float = 0.0
     reachable: bool = True
     leaving: bool = False
     own_starts: dict[str, float] = field(default_factory=dict)
