--- a/src/rosepath/node.py
+++ b/src/rosepath/node.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from grpclib.server import Server
+from opentelemetry import trace
 from tornado.httpserver import HTTPServer
 
 from rosepath.admission import Admission
@@ -15,7 +16,10 @@
 from rosepath.clock import SystemClock
 from rosepath.configuration import Configuration, ConfigurationState
 from rosepath.configuration_store import HEAD_NAME, Accepted, ConfigurationStore
-from rosepath.dispatch import Dispatcher
+from rosepath.deferred import DeferredRequest
+from rosepath.deferred_runner import DeferredRunner, RunnerPorts
+from rosepath.dispatch import Dispatcher, Terms
+from rosepath.errors import Step, refuse
 from rosepath.gossip import Row, RowKey, RowKind
 from rosepath.http_client import HttpPool
 from rosepath.lease_keeper import LeaseKeeper
@@ -23,6 +27,7 @@
 from rosepath.limits import apply_limits, reclaim_lent
 from rosepath.logs import get_logger
 from rosepath.membership import alive, gone_entry_vms
+from rosepath.openai_api import collect_answer, make_generation, parse_body
 from rosepath.operators import OperatorPorts, OperatorService
 from rosepath.peers import PeerNetwork, PeerPorts, PeerService
 from rosepath.placement import plan
@@ -38,6 +43,7 @@
 from rosepath.tables import MemberState, Tables
 from rosepath.telemetry import Telemetry
 from rosepath.tls import grpc_server_context, peer_client_context, server_context
+from rosepath.variants import resolve_target
 
 RELAYS = 2
 VM_LIST_INTERVAL_S = 1.0
@@ -46,6 +52,9 @@
 LEASE_TICK_S = 0.25
 DEMAND_WEIGHT = 0.1
 RETRY_PAUSE_S = 0.5
+DEFERRED_SCAN_S = 1.0
+DEFERRED_PRIORITY = -50
+DEFERRED_SHARE_OF_SLOTS = 0.7
 
 _log = get_logger()
 
@@ -129,6 +138,17 @@
                 store_reachable=lambda: self.platform.reachable,
             )
         )
+        self.deferred = DeferredRunner(
+            RunnerPorts(
+                me=settings.entry_vm,
+                platform=self.platform,
+                clock=self.clock,
+                execute=self._execute_deferred,
+                mine=self._runs_deferred,
+                is_alive=self._is_alive,
+                has_room=self._has_room,
+            )
+        )
         self.operator_ports = OperatorPorts(
             entry_vm=settings.entry_vm,
             tables=self.tables,
@@ -194,6 +214,7 @@
         self._spawn(self._every(VM_LIST_INTERVAL_S, self._read_vms))
         self._spawn(self._every(LEASE_TICK_S, self._step_lease))
         self._spawn(self._every(self.settings.placement.tick_s, self._place))
+        self._spawn(self._every(DEFERRED_SCAN_S, self._scan_deferred))
         self._spawn(self._keep_shares())
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
@@ -226,6 +247,7 @@
         await self._wait_for_balancer()
         self.http.stop()
         await self._drain()
+        await self.deferred.drain()
         with suppress(StoreError):
             await self.leases.give_up(self.lease_name)
         with suppress(StoreError):
@@ -415,6 +437,71 @@
             for move in plan(view, self.placer.policy()).moves
         ]
 
+    # Deferred requests
+
+    async def _execute_deferred(self, request: DeferredRequest) -> bytes:
+        """Run a deferred request as its caller would have; raises RefusalError."""
+        parsed = parse_body(request.shape, request.body.encode())
+        if parsed.is_error():
+            raise refuse(400, "invalid_body", parsed.error, step=Step.DEFER)
+        configuration = self.configuration()
+        target = resolve_target(
+            configuration, parsed.ok.model, request.caller, request.request_id
+        )
+        if target is None:
+            raise refuse(404, "model_not_found", parsed.ok.model, step=Step.ROUTE)
+        generation = make_generation(
+            parsed.ok,
+            request_id=f"{request.request_id}.{request.runs}",
+            target=target,
+            priority=DEFERRED_PRIORITY,
+        )
+        timeout_s = self.settings.routing.request_timeout_s
+        terms = Terms(
+            idempotent=request.idempotent,
+            deadline_s=self.clock.monotonic_s() + timeout_s,
+            data_centre=self.settings.data_centre,
+            span=trace.INVALID_SPAN,
+        )
+        events: list[bytes] = []
+        async with self.admission.admit(
+            caller=request.caller,
+            target=parsed.ok.model,
+            request_id=generation.request_id,
+        ):
+            await self.dispatcher.generate(generation, terms, events.append)
+        return collect_answer(b"".join(events), generation)
+
+    def _runs_deferred(self, name: str) -> bool:
+        return self.settings.entry_vm in top(name, self._all_relays(), 1)
+
+    async def _scan_deferred(self) -> None:
+        """Scan as a relay only: the store's load must not grow with the fleet."""
+        if not self.stopping and self._is_relay():
+            await self.deferred.scan()
+
+    def _all_relays(self) -> list[str]:
+        by_data_centre: dict[str, list[str]] = {}
+        for name in alive(self.tables.entry_vms):
+            home = self.tables.entry_vms[name].data_centre
+            by_data_centre.setdefault(home, []).append(name)
+        return [
+            name
+            for home, members in by_data_centre.items()
+            for name in top(f"relay/{home}", members, RELAYS)
+        ]
+
+    def _is_alive(self, runner: str) -> bool:
+        return runner.partition("#")[0] in alive(self.tables.entry_vms)
+
+    def _has_room(self) -> bool:
+        """Tell whether engines have slots to spare for what may wait."""
+        return any(
+            replica.load() < replica.slots * DEFERRED_SHARE_OF_SLOTS
+            for replica in self.tables.replicas.values()
+            if not replica.service and replica.reachable and not replica.leaving
+        )
+
     # Limits
 
     def _apply_limits(self) -> None:
--- /dev/null
+++ b/tests/builders.py
@@ -0,0 +1,84 @@
+"""Builders of test data."""
+
+from collections.abc import Mapping
+from typing import Any
+
+from rosepath.configuration import Configuration, Operation
+from rosepath.declarations import parse_declaration
+from rosepath.ledger import EngineReport
+from rosepath.placement import EngineView, PlacementView
+from rosepath.tables import Replica
+
+
+def operation(kind: str, name: str, **fields: Any) -> Operation:
+    """Build an operation that puts a declaration."""
+    return Operation(kind, name, parse_declaration(kind, fields).ok)
+
+
+def configuration(*operations: Operation, version: int = 1) -> Configuration:
+    """Build a configuration from operations."""
+    return Configuration().with_operations(operations, version=version)
+
+
+def engine_operation(name: str, *, memory_bytes: int = 100, **fields: Any) -> Operation:
+    """Build the declaration of an engine."""
+    given = {"data_centre": "casa-a", "address": "127.0.0.1:1", **fields}
+    return operation("backend_server", name, memory_bytes=memory_bytes, **given)
+
+
+def replica(name: str, **fields: Any) -> Replica:
+    """Build a replica that holds `m` and has just reported."""
+    given: dict[str, Any] = {
+        "data_centre": "casa-a",
+        "slots": 4,
+        "resident": frozenset({"m"}),
+        "reported_at_s": 0.0,
+    }
+    return Replica(name=name, **{**given, **fields})
+
+
+def report(**fields: Any) -> EngineReport:
+    """Build an engine's report."""
+    given: dict[str, Any] = {
+        "memory_bytes": 100,
+        "resident": {},
+        "loading": {},
+        "fence": 0,
+        "orders": {},
+    }
+    return EngineReport(**{**given, **fields})
+
+
+def engine_view(name: str, **fields: Any) -> EngineView:
+    """Build a planner's view of an empty engine."""
+    given: dict[str, Any] = {
+        "data_centre": "casa-a",
+        "memory_bytes": 100,
+        "free_bytes": 100,
+        "slots": 4,
+    }
+    return EngineView(name=name, **{**given, **fields})
+
+
+def placement_view(
+    engines: list[EngineView], artifacts: Mapping[str, int], **fields: Any
+) -> PlacementView:
+    """Build a planner's view."""
+    return PlacementView(
+        engines={engine.name: engine for engine in engines},
+        artifacts=artifacts,
+        **fields,
+    )
+
+
+def token_event(request_id: str, start: int, end: int, text: str = "x") -> bytes:
+    """Build an engine's event."""
+    data = f'{{"choices": [{{"delta": {{"content": "{text}"}}}}]}}'
+    return f"id: {request_id}/{start}-{end}\ndata: {data}\n\n".encode()
+
+
+def end_events(request_id: str, at: int) -> bytes:
+    """Build an engine's closing events."""
+    return (
+        f'id: {request_id}/{at}-end\ndata: {{"choices": []}}\n\ndata: [DONE]\n\n'
+    ).encode()
