--- a/tests/builders.py
+++ b/tests/builders.py
@@ -10,7 +10,7 @@
 from rosepath.tables import Replica
 
 
-def operation(kind: str, name: str, **fields: Any) -> Operation:
+def operation(kind: str, name: str, /, **fields: Any) -> Operation:
     """Build an operation that puts a declaration."""
     return Operation(kind, name, parse_declaration(kind, fields).ok)
 
@@ -20,10 +20,16 @@
     return Configuration().with_operations(operations, version=version)
 
 
-def engine_operation(name: str, *, memory_bytes: int = 100, **fields: Any) -> Operation:
+def engine_operation(
+    name: str, /, *, memory_bytes: int = 100, **fields: Any
+) -> Operation:
     """Build the declaration of an engine."""
-    given = {"data_centre": "casa-a", "address": "127.0.0.1:1", **fields}
-    return operation("backend_server", name, memory_bytes=memory_bytes, **given)
+    given: dict[str, Any] = {
+        "data_centre": "casa-a",
+        "address": "127.0.0.1:1",
+        "memory_bytes": 100,
+    }
+    return operation("backend_server", name, **{**given, **fields})
 
 
 def replica(name: str, **fields: Any) -> Replica:
--- /dev/null
+++ b/tests/test_configuration.py
@@ -0,0 +1,164 @@
+"""Configurations only move up, whole, whoever sends them."""
+
+import asyncio
+from itertools import pairwise
+
+from builders import configuration, engine_operation, operation
+from fakes import FakePlatform
+from hypothesis import given, strategies as st
+
+from rosepath.configuration import (
+    Configuration,
+    ConfigurationState,
+    Head,
+    Operation,
+    decode_head,
+    decode_shard,
+    digest,
+    encode_head,
+    encode_shards,
+)
+from rosepath.configuration_store import (
+    HEAD_NAME,
+    ConfigurationStore,
+    Invalid,
+    ProposedChange,
+    VersionConflict,
+    next_head,
+)
+from rosepath.validation import validate
+
+
+def change(
+    *operations: Operation, change_id: str = "c", expected_version: int = 0
+) -> ProposedChange:
+    return ProposedChange(
+        change_id=change_id,
+        expected_version=expected_version,
+        operator="o",
+        at_s=0.0,
+        operations=operations,
+    )
+
+
+def versions(count: int) -> list[tuple[Head, dict[str, bytes]]]:
+    """Build a history, each version with every shard that it needs."""
+    head, current = Head(), Configuration()
+    history = []
+    for number in range(1, count + 1):
+        op = operation("model", f"m{number % 3}", memory_bytes=number)
+        current = current.with_operations([op], version=number)
+        head, _ = next_head(head, current, change(op, change_id=str(number)), ())
+        shards = {digest(d): d for d in encode_shards(current).values()}
+        history.append((head, shards))
+    return history
+
+
+@given(st.lists(st.integers(0, 9), max_size=40))
+def test_no_order_of_arrival_takes_a_node_back(order: list[int]) -> None:
+    history = versions(10)
+    state = ConfigurationState()
+    seen = [0]
+    for number in order:
+        state.apply(*history[number])
+        seen.append(state.head.version)
+    assert all(a <= b for a, b in pairwise(seen))
+    assert state.head.version == max((n + 1 for n in order), default=0)
+
+
+@given(st.binary(max_size=200))
+def test_decoders_take_any_bytes(data: bytes) -> None:
+    decode_head(data)
+    decode_shard("model-1", data)
+    decode_shard("nonsense", data)
+
+
+def test_a_head_without_its_shards_changes_nothing() -> None:
+    state = ConfigurationState()
+    head, _ = versions(1)[0]
+    assert state.apply(head, {}).is_error()
+    assert state.head.version == 0
+
+
+def test_head_survives_encoding() -> None:
+    head, _ = versions(3)[-1]
+    assert decode_head(encode_head(head)).ok == head
+
+
+def test_validation_says_what_is_short() -> None:
+    wrong = configuration(
+        engine_operation("e1", memory_bytes=50),
+        operation("model", "big", memory_bytes=80),
+        operation("route", "r", name="x", variants=[{"target": "no", "share": 0.5}]),
+    )
+    problems = "\n".join(validate(wrong).error)
+    assert "30 short" in problems
+    assert "shares sum to 0.5" in problems
+    assert "'no' is not declared" in problems
+
+
+def store_of(platform: FakePlatform) -> ConfigurationStore:
+    return ConfigurationStore(platform, ConfigurationState())
+
+
+def test_racing_operators_get_one_acceptance_and_one_conflict() -> None:
+    async def run() -> None:
+        platform = FakePlatform()
+        first, second = store_of(platform), store_of(platform)
+        model = operation("caller", "a", key_sha256="0" * 64)
+        outcomes = await asyncio.gather(
+            first.commit(change(model, change_id="a")),
+            second.commit(change(model, change_id="b")),
+        )
+        assert sorted(outcome.is_ok() for outcome in outcomes) == [False, True]
+        lost = next(outcome.error for outcome in outcomes if outcome.is_error())
+        assert lost == VersionConflict(current_version=1)
+
+    asyncio.run(run())
+
+
+def test_a_lost_reply_is_not_applied_twice() -> None:
+    # The operator sees its change accepted once: the head is written, the
+    # store's reply is lost, and reading back finds the change's id.
+    async def run() -> None:
+        platform = FakePlatform()
+        store = store_of(platform)
+        platform.lose_replies(HEAD_NAME, 1)
+        model = operation("caller", "a", key_sha256="0" * 64)
+        accepted = (await store.commit(change(model))).ok
+        assert (accepted.version, accepted.already_applied) == (1, True)
+        again = (await store.commit(change(model))).ok
+        assert (again.version, again.already_applied) == (1, True)
+
+    asyncio.run(run())
+
+
+def test_an_invalid_change_is_refused_whole() -> None:
+    async def run() -> None:
+        platform = FakePlatform()
+        outcome = await store_of(platform).commit(
+            change(operation("adapter", "a", model="none", memory_bytes=1))
+        )
+        assert isinstance(outcome.error, Invalid)
+        assert HEAD_NAME not in platform.objects
+
+    asyncio.run(run())
+
+
+def test_a_store_that_comes_back_older_takes_nothing_back() -> None:
+    # Version 2 was accepted and is in force; the store is restored from a
+    # backup that holds version 1. The node keeps 2 and raises the alarm.
+    async def run() -> None:
+        platform = FakePlatform()
+        store = store_of(platform)
+        await store.commit(change(operation("caller", "a", key_sha256="0" * 64)))
+        backup = dict(platform.objects)
+        later = operation("caller", "b", key_sha256="1" * 64)
+        await store.commit(change(later, change_id="d", expected_version=1))
+        platform.objects = backup
+        assert not await store.pull()
+        assert store.went_back
+        refused = await store.commit(change(later, change_id="e", expected_version=2))
+        assert refused.is_error()
+
+    asyncio.run(run())
--- /dev/null
+++ b/tests/test_retries.py
@@ -0,0 +1,66 @@
+"""Retries need proof or idempotence, and a budget."""
+
+from hypothesis import given, strategies as st
+
+from rosepath.errors import Run
+from rosepath.retries import (
+    Attempt,
+    Evidence,
+    RetryBudget,
+    Verdict,
+    judge,
+    run_of,
+    worst_evidence,
+)
+
+
+def attempt(evidence: Evidence, **fields: object) -> Attempt:
+    given_: dict = {
+        "idempotent": True,
+        "resumable": True,
+        "attempts": 1,
+        "max_attempts": 4,
+        "left_s": 1.0,
+        **fields,
+    }
+    return Attempt(evidence=evidence, **given_)
+
+
+def test_what_may_run_once_is_repeated_only_on_proof() -> None:
+    verdicts = {
+        evidence: judge(attempt(evidence, idempotent=False), RetryBudget())
+        for evidence in Evidence
+    }
+    assert verdicts == {
+        Evidence.NOT_SENT: Verdict.RETRY,
+        Evidence.REFUSED: Verdict.RETRY,
+        Evidence.SENT: Verdict.GIVE_UP,
+        Evidence.ANSWER_BEGUN: Verdict.GIVE_UP,
+    }
+
+
+def test_a_refusal_says_no_only_on_proof() -> None:
+    said = {evidence: run_of(evidence) for evidence in Evidence}
+    assert [e for e, run in said.items() if run is Run.NO] == [
+        Evidence.NOT_SENT,
+        Evidence.REFUSED,
+    ]
+    seen = [Evidence.SENT, Evidence.NOT_SENT]
+    assert run_of(worst_evidence(seen)) is Run.UNKNOWN
+
+
+@given(st.integers(1, 2000))
+def test_retries_stay_within_a_tenth_of_requests(requests: int) -> None:
+    budget = RetryBudget()
+    retries = 0
+    for _ in range(requests):
+        budget.earn()
+        retries += judge(attempt(Evidence.SENT), budget) is Verdict.RETRY
+    assert retries <= 0.1 * requests + 3
+
+
+def test_time_and_tries_bound_an_attempt() -> None:
+    late = attempt(Evidence.NOT_SENT, left_s=0.0)
+    many = attempt(Evidence.NOT_SENT, attempts=4)
+    assert judge(late, RetryBudget()) is Verdict.GIVE_UP
+    assert judge(many, RetryBudget()) is Verdict.GIVE_UP
--- /dev/null
+++ b/tests/test_routing.py
@@ -0,0 +1,77 @@
+"""Replicas are chosen by load, own requests and affinity; none is starved."""
+
+import random
+
+from builders import replica
+from hypothesis import given, strategies as st
+
+from rosepath.prefixes import BLOCK_CHARS, PrefixIndex, prefix_keys
+from rosepath.routing import (
+    RoutingPolicy,
+    RoutingRequest,
+    choose_replica,
+    note_failure,
+)
+from rosepath.tables import Replica
+
+
+def choose(replicas: list[Replica], **fields: object) -> str:
+    given_: dict = {"target": "m", "data_centre": "casa-a", **fields}
+    chosen = choose_replica(
+        replicas,
+        RoutingRequest(**given_),
+        RoutingPolicy(),
+        now_s=10.0,
+        rng=random.Random(1),
+    )
+    return chosen.name if chosen else ""
+
+
+def test_a_replica_without_the_target_or_leaving_is_never_chosen() -> None:
+    assert choose([replica("a", leaving=True), replica("b", reachable=False)]) == ""
+    assert choose([replica("a", resident=frozenset({"n"}))]) == ""
+
+
+def test_own_newer_requests_count_on_top_of_a_lagging_report() -> None:
+    busy = replica("a", own_starts={str(n): 5.0 for n in range(6)})
+    assert choose([busy, replica("b", running=2)]) == "b"
+
+
+def test_own_requests_that_the_report_saw_count_once() -> None:
+    row = replica("a", running=3, own_starts={"x": -1.0})
+    assert row.load() == 3
+
+
+def test_own_data_centre_comes_first_until_it_is_crowded() -> None:
+    near, far = replica("a"), replica("b", data_centre="casa-b")
+    assert choose([near, far]) == "a"
+    near.running = 12
+    assert choose([near, far]) == "b"
+
+
+def test_a_failed_replica_goes_last_but_stays_a_candidate() -> None:
+    failed = replica("a")
+    note_failure(failed, now_s=10.0)
+    assert choose([failed, replica("b", running=9)]) == "b"
+    assert choose([failed]) == "a"
+
+
+def test_affinity_is_bounded_by_load() -> None:
+    home, other = replica("a", running=1), replica("b")
+    assert choose([home, other], prefix_home="a") == "a"
+    home.running = 4
+    assert choose([home, other], prefix_home="a") == "b"
+
+
+@given(st.text(min_size=BLOCK_CHARS, max_size=4 * BLOCK_CHARS), st.text(max_size=50))
+def test_a_longer_prompt_finds_its_prefix(prompt: str, more: str) -> None:
+    index = PrefixIndex()
+    index.note(prefix_keys("m", prompt), "a")
+    assert index.find(prefix_keys("m", prompt + more)) == "a"
+    assert index.find(prefix_keys("n", prompt + more)) is None
+
+
+def test_the_index_is_bounded() -> None:
+    index = PrefixIndex(max_entries=10)
+    index.note(list(range(100)), "a")
+    assert len(index) == 10
--- /dev/null
+++ b/tests/test_shares.py
@@ -0,0 +1,130 @@
+"""The sum over all nodes never exceeds a limit, whatever happens to them."""
+
+import asyncio
+
+from builders import operation
+from fakes import FakePlatform
+from hypothesis import given, settings, strategies as st
+
+from rosepath.limits import LimitRow, apply_limits, lend, take_rates
+from rosepath.share_keeper import LEDGER_NAME, ShareKeeper
+from rosepath.shares import UNITS, ShareLedger, allowance, decode_ledger, encode_ledger
+
+NAMES = ("a", "b", "c", "d")
+
+
+@given(st.integers(1, 5000), st.lists(st.sampled_from(NAMES), min_size=1, max_size=40))
+def test_any_split_of_units_sums_to_the_limit(limit: int, parts: list[str]) -> None:
+    holders = [parts[u % len(parts)] for u in range(UNITS)]
+    ledger = ShareLedger(tuple(holders))
+    total = sum(allowance(limit, ledger.units_of(name)) for name in set(holders))
+    assert total == limit
+
+
+step = st.tuples(
+    st.sampled_from(NAMES),
+    st.sets(st.sampled_from(NAMES), min_size=1),
+    st.sampled_from(["ok", "lose", "down", "busy"]),
+)
+
+
+@settings(max_examples=60, deadline=None)
+@given(st.lists(step, max_size=40))
+def test_units_in_force_are_never_doubled(
+    steps: list[tuple[str, set[str], str]],
+) -> None:
+    # Nodes join, die, disagree about who lives, lose the store's replies or
+    # the store itself, in any order. Each acts on its own stale view; still
+    # no unit is in force on two nodes.
+    async def run() -> None:
+        platform = FakePlatform()
+        keepers = {name: ShareKeeper(platform, me=name) for name in NAMES}
+        for name, live, fault in steps:
+            platform.down = fault == "down"
+            if fault == "lose":
+                platform.lose_replies(LEDGER_NAME, 1)
+            keeper = keepers[name]
+            try:
+                await keeper.refresh()
+            except Exception:
+                pass
+            await _step(keeper, frozenset(live | {name}), busy=fault == "busy")
+            platform.down = False
+            held = [unit for k in keepers.values() for unit in k.units]
+            assert len(held) == len(set(held))
+
+    asyncio.run(run())
+
+
+async def _step(keeper: ShareKeeper, live: frozenset[str], *, busy: bool) -> None:
+    try:
+        await keeper.step(live=live, gone=frozenset(), lowered=lambda _: not busy)
+    except Exception as error:
+        assert type(error).__name__ == "StoreError"
+
+
+def test_nodes_settle_on_fair_shares() -> None:
+    async def run() -> None:
+        platform = FakePlatform()
+        keepers = [ShareKeeper(platform, me=name) for name in NAMES]
+        live = frozenset(NAMES)
+        for _ in range(6):
+            for keeper in keepers:
+                await keeper.refresh()
+                await keeper.step(live=live, gone=frozenset(), lowered=lambda _: True)
+        counts = [len(keeper.units) for keeper in keepers]
+        assert sum(counts) == UNITS
+        assert min(counts) > UNITS / 8
+
+    asyncio.run(run())
+
+
+def test_a_gone_vms_units_are_taken_over() -> None:
+    async def run() -> None:
+        platform = FakePlatform()
+        first, second = (ShareKeeper(platform, me=name) for name in ("a", "b"))
+        await first.step(live=frozenset("a"), gone=frozenset(), lowered=lambda _: True)
+        await second.refresh()
+        await second.step(
+            live=frozenset("b"), gone=frozenset("a"), lowered=lambda _: True
+        )
+        assert len(second.units) == UNITS
+
+    asyncio.run(run())
+
+
+@given(st.binary(max_size=100))
+def test_the_ledgers_decoder_takes_any_bytes(data: bytes) -> None:
+    decode_ledger(data)
+
+
+def test_the_ledger_survives_encoding() -> None:
+    ledger = ShareLedger(tuple("ab"[u % 2] for u in range(UNITS)))
+    assert decode_ledger(encode_ledger(ledger)).ok == ledger
+
+
+def limit_rows(units: frozenset[int], **fields: object) -> dict[str, LimitRow]:
+    rows: dict[str, LimitRow] = {}
+    limit = operation("limit", "l", **fields).declaration
+    apply_limits(rows, {"l": limit}, units)
+    return rows
+
+
+def test_a_lent_slot_counts_until_returned() -> None:
+    row = limit_rows(frozenset(range(UNITS)), concurrency=2)["l"]
+    row.own.add("x")
+    assert lend(row, borrower="b", request_id="y")
+    assert lend(row, borrower="b", request_id="y")
+    assert not lend(row, borrower="b", request_id="z")
+
+
+def test_a_node_without_units_admits_nothing() -> None:
+    row = limit_rows(frozenset(), concurrency=5, rate_per_s=5)["l"]
+    assert row.full
+    assert take_rates([row], now_s=0.0) is not None
+
+
+def test_a_rate_starts_empty_so_that_a_share_handed_on_is_not_used_twice() -> None:
+    row = limit_rows(frozenset(range(UNITS)), rate_per_s=10)["l"]
+    allowed = sum(take_rates([row], now_s=n / 100) is None for n in range(101))
+    assert allowed <= 10
