Prove the request promises under failure; retry a single copy

Cause: no promise had been run against real failures. A replica that failed is now tried again after 20 to 100 ms when no untried one is left; one that refused is not. Ruled out: the checker and the budget (the attempts stopped at 1 of 4 with the budget at 3). Conclusion: 'tried' must order, not remove.

--- a/src/rosepath/dispatch.py
+++ b/src/rosepath/dispatch.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable, Collection, Iterable
 from dataclasses import dataclass, field, replace
 
 from opentelemetry import trace
@@ -28,7 +28,6 @@
     note_failure,
     note_success,
     predicted_first_token_s,
-    usable,
 )
 from rosepath.settings import RoutingSettings
 from rosepath.streams import StreamBrokenError, StreamChecker
@@ -36,6 +35,7 @@
 from rosepath.telemetry import Telemetry, traceparent_of
 
 MAX_ATTEMPTS = 4
+RETRY_SAME_PAUSE_S = (0.02, 0.1)
 
 _log = get_logger()
 
@@ -52,9 +52,13 @@
 
 @dataclass(slots=True)
 class _Course:
-    """Hold how a request has gone so far, over all its attempts."""
+    """Hold how a request has gone so far, over all its attempts.
+
+    `refused` holds the replicas that would only refuse again.
+    """
 
     tried: set[str] = field(default_factory=set)
+    refused: set[str] = field(default_factory=set)
     evidence: list[Evidence] = field(default_factory=list)
     attempts: int = 0
     last_error: str = ""
@@ -95,7 +99,7 @@
         course = _Course()
         self.budget.earn()
         while not checker.complete:
-            replica = self._choose(generation.target, keys, terms, course)
+            replica = await self._choose(generation.target, keys, terms, course)
             left = replace(generation, offset=checker.offset)
             try:
                 await self._attempt(replica, left, terms, checker, on_events)
@@ -161,7 +165,7 @@
     def _cancel_later(self, replica: Replica, request_id: str) -> None:
         asyncio.ensure_future(self.backend.cancel(replica.address, request_id))
 
-    def _choose(
+    async def _choose(
         self, target: str, keys: list[int], terms: Terms, course: _Course
     ) -> Replica:
         left_s = terms.deadline_s - self._clock.monotonic_s()
@@ -170,9 +174,12 @@
             data_centre=terms.data_centre,
             prefix_home=self.prefixes.find(keys),
             prefix_key=str(keys[0]) if keys else "",
-            tried=frozenset(course.tried),
+            tried=frozenset(course.tried | course.refused),
+        )
+        replicas = self.tables.replicas.values()
+        replica = await self.choose_again(
+            replicas, request, refused=frozenset(course.refused)
         )
-        replica = self.choose(self.tables.replicas.values(), request)
         if replica is None:
             raise self._unavailable(target, course)
         wait_s = predicted_first_token_s(replica, terms.data_centre)
@@ -186,6 +193,24 @@
             )
         return replica
 
+    async def choose_again(
+        self,
+        replicas: Collection[Replica],
+        request: RoutingRequest,
+        *,
+        refused: frozenset[str],
+    ) -> Replica | None:
+        """Choose an untried replica, or after a pause one that failed before.
+
+        A model often has a single copy; giving up on it after one broken
+        connection would refuse what a second try answers.
+        """
+        replica = self.choose(replicas, request)
+        if replica is None and request.tried - refused:
+            await asyncio.sleep(self._rng.uniform(*RETRY_SAME_PAUSE_S))
+            replica = self.choose(replicas, replace(request, tried=refused))
+        return replica
+
     def choose(
         self, replicas: Iterable[Replica], request: RoutingRequest
     ) -> Replica | None:
@@ -226,14 +251,14 @@
         course.evidence.append(evidence)
         course.attempts += 1
         course.last_error, course.last_peer = str(error), replica.name
-        resumable = terms.idempotent
-        if evidence is not Evidence.ANSWER_BEGUN or not usable(replica, ""):
-            course.tried.add(replica.name)
+        course.tried.add(replica.name)
+        if isinstance(error, NotRunError):
+            course.refused.add(replica.name)
         verdict = judge(
             Attempt(
                 evidence=evidence,
                 idempotent=terms.idempotent,
-                resumable=resumable,
+                resumable=terms.idempotent,
                 attempts=course.attempts,
                 max_attempts=MAX_ATTEMPTS,
                 left_s=terms.deadline_s - self._clock.monotonic_s(),
--- a/src/rosepath/services.py
+++ b/src/rosepath/services.py
@@ -112,7 +112,7 @@
         seen: list[Evidence] = []
         self._dispatcher.budget.earn()
         while True:
-            replica = self._choose(call.service, terms, tried, seen)
+            replica = await self._choose(call.service, terms, tried, seen)
             answer = _Answer(on_head, on_data)
             evidence, error = await self._attempt(replica, call, terms, answer)
             if evidence is None:
@@ -122,7 +122,7 @@
             tried.add(replica.name)
             self._judge(replica, call, terms, answer, seen, error)
 
-    def _choose(
+    async def _choose(
         self, service: str, terms: Terms, tried: set[str], seen: list[Evidence]
     ) -> Replica:
         replicas = [
@@ -133,7 +133,9 @@
         request = RoutingRequest(
             target=service, data_centre=terms.data_centre, tried=frozenset(tried)
         )
-        replica = self._dispatcher.choose(replicas, request)
+        replica = await self._dispatcher.choose_again(
+            replicas, request, refused=frozenset()
+        )
         if replica is not None:
             return replica
         if seen:
--- /dev/null
+++ b/tests/test_promises.py
@@ -0,0 +1,442 @@
+"""The promises of the brief, under failure, with real processes."""
+
+import asyncio
+import json
+import signal
+import uuid
+from dataclasses import dataclass, field
+from typing import Any
+
+import pytest
+from conftest import KEY, Deployment
+from pytest_bdd import given, parsers, scenarios, then, when
+
+from rosepath.errors import ExchangeError
+from rosepath.http_client import HttpPool, Request
+from rosepath_standins.tokens import answer_text
+
+scenarios("features/promises.feature")
+
+PROMPT = "user: which form?\n"
+
+
+@dataclass
+class Seen:
+    """Hold what a scenario's caller saw."""
+
+    status: int = 0
+    body: bytes = b""
+    headers: dict[str, str] = field(default_factory=dict)
+    tokens: int = 0
+    run_key: str = ""
+    key: str = ""
+    earlier: bytes = b""
+    engine: str = ""
+    left_at_s: float = 0.0
+    texts: list[str] = field(default_factory=list)
+    deferred_id: str = ""
+    exit_code: int = -1
+
+
+@pytest.fixture
+def seen() -> Seen:
+    return Seen()
+
+
+def headers(**more: str) -> dict[str, str]:
+    return {
+        "Authorization": f"Bearer {KEY}",
+        "Content-Type": "application/json",
+        **{name.replace("_", "-"): value for name, value in more.items()},
+    }
+
+
+def chat_body(tokens: int) -> bytes:
+    return json.dumps(
+        {
+            "model": "court-rules",
+            "stream": True,
+            "max_tokens": tokens,
+            "messages": [{"role": "user", "content": "which form?"}],
+        }
+    ).encode()
+
+
+def events_of(body: bytes) -> list[dict[str, Any]]:
+    return [
+        json.loads(line[6:])
+        for line in body.split(b"\n")
+        if line.startswith(b"data: {")
+    ]
+
+
+def text_of(body: bytes) -> str:
+    return "".join(
+        choice["delta"].get("content", "")
+        for event in events_of(body)
+        for choice in event.get("choices", ())
+    )
+
+
+async def stream(deployment: Deployment, tokens: int, entry_vm: str = "entry-1") -> Any:
+    return await deployment.request(
+        deployment.daemons[entry_vm].callers,
+        "POST",
+        "/v1/chat/completions",
+        body=chat_body(tokens),
+        headers=headers(),
+    )
+
+
+async def file_claim(
+    deployment: Deployment, seen: Seen, entry_vm: str = "entry-1"
+) -> None:
+    given_ = {"X_Run_Key": seen.run_key}
+    if seen.key:
+        given_["Idempotency_Key"] = seen.key
+    head, seen.body = await deployment.request(
+        deployment.daemons[entry_vm].callers,
+        "POST",
+        "/services/greffe-api/claims",
+        body=b"claim",
+        headers=headers(**given_),
+    )
+    seen.status = head.status
+
+
+async def service_runs(deployment: Deployment, run_key: str) -> int:
+    records = [await deployment.record(p) for p in deployment.services.values()]
+    return sum(record["runs"].get(run_key, 0) for record in records)
+
+
+async def arm(
+    deployment: Deployment, kind: str, name: str, *, count: int = 1, value: float = 0
+) -> None:
+    processes = deployment.engines if kind == "engine" else deployment.services
+    for process in processes.values():
+        await deployment.fault(process, name, count=count, value=value)
+
+
+@given("a deployment of three entry VMs")
+def _deployment(deployment: Deployment) -> None:
+    """Started by the fixture."""
+
+
+@given(parsers.parse("every engine cuts its next stream at token {at:d}"))
+def _cut(deployment: Deployment, at: int) -> None:
+    deployment.background.run(arm(deployment, "engine", "cut_stream", value=at))
+
+
+@given("every engine sends somebody else's chunk and a repeated one")
+def _mixed(deployment: Deployment) -> None:
+    deployment.background.run(arm(deployment, "engine", "wrong_id", count=3))
+    deployment.background.run(arm(deployment, "engine", "duplicate_chunk", count=3))
+
+
+@given("every engine goes silent in its next stream")
+def _silent(deployment: Deployment) -> None:
+    deployment.background.run(arm(deployment, "engine", "silent_stream"))
+
+
+@given("every engine loses the end of its next stream")
+def _lose_end(deployment: Deployment) -> None:
+    deployment.background.run(arm(deployment, "engine", "lose_end"))
+
+
+@given("every service server loses its next reply")
+def _lose_reply(deployment: Deployment) -> None:
+    deployment.background.run(arm(deployment, "service", "lose_reply"))
+
+
+@given("every service server cuts its next answer")
+def _cut_answer(deployment: Deployment) -> None:
+    deployment.background.run(arm(deployment, "service", "cut_answer"))
+
+
+@given("one service server refuses its next call")
+def _refuse(deployment: Deployment) -> None:
+    server = deployment.services["greffe-1"]
+    deployment.background.run(deployment.fault(server, "refuse"))
+
+
+@given("the platform is down")
+def _down(deployment: Deployment) -> None:
+    assert deployment.platform is not None
+    deployment.background.run(deployment.fault(deployment.platform, "down", count=-1))
+
+
+@given("the platform loses its next replies")
+def _platform_loses(deployment: Deployment) -> None:
+    assert deployment.platform is not None
+    deployment.background.run(
+        deployment.fault(deployment.platform, "lose_reply", count=3)
+    )
+
+
+@when(parsers.parse("a caller streams {tokens:d} tokens"))
+def _stream(deployment: Deployment, seen: Seen, tokens: int) -> None:
+    head, seen.body = deployment.background.run(stream(deployment, tokens))
+    seen.status, seen.tokens = head.status, tokens
+
+
+@when(parsers.parse("a caller streams {tokens:d} tokens and every engine is killed"))
+@when(
+    parsers.parse(
+        "a caller streams {tokens:d} tokens and every engine is killed meanwhile"
+    )
+)
+def _stream_and_kill(deployment: Deployment, seen: Seen, tokens: int) -> None:
+    async def run() -> None:
+        streaming = asyncio.ensure_future(stream(deployment, tokens))
+        await deployment.until(lambda: some_engine_runs(deployment))
+        for engine in deployment.engines.values():
+            engine.kill()
+        head, seen.body = await streaming
+        seen.status = head.status
+
+    deployment.background.run(run())
+
+
+async def some_engine_runs(deployment: Deployment) -> str:
+    for name, process in deployment.engines.items():
+        record = await deployment.record(process)
+        if len(record["started"]) > len(record["finished"]) + len(record["cancelled"]):
+            return name
+    return ""
+
+
+@when(parsers.parse("a caller hangs up in a stream of {tokens:d} tokens"))
+def _hang_up(deployment: Deployment, seen: Seen, tokens: int) -> None:
+    async def run() -> None:
+        streaming = asyncio.ensure_future(stream(deployment, tokens))
+        seen.engine = await deployment.until(lambda: some_engine_runs(deployment))
+        streaming.cancel()
+        await asyncio.wait([streaming])
+
+    deployment.background.run(run())
+
+
+@when("a caller files a claim")
+def _file(deployment: Deployment, seen: Seen) -> None:
+    seen.run_key = uuid.uuid4().hex
+    deployment.background.run(file_claim(deployment, seen))
+
+
+@when("a caller files a claim under a key")
+def _file_with_key(deployment: Deployment, seen: Seen) -> None:
+    seen.run_key = seen.key = uuid.uuid4().hex
+    deployment.background.run(file_claim(deployment, seen))
+
+
+@when("it repeats that through another entry VM")
+def _repeat(deployment: Deployment, seen: Seen) -> None:
+    seen.earlier = seen.body
+    deployment.background.run(file_claim(deployment, seen, "entry-2"))
+
+
+@when(parsers.parse("a caller fetches {size:d} bytes"))
+def _fetch(deployment: Deployment, seen: Seen, size: int) -> None:
+    head, seen.body = deployment.background.run(
+        deployment.request(
+            deployment.daemons["entry-1"].callers,
+            "GET",
+            f"/services/greffe-api/file?size={size}",
+            headers=headers(),
+        )
+    )
+    seen.status, seen.tokens = head.status, size
+
+
+@when("an engine starts leaving while callers go on")
+def _leave(deployment: Deployment, seen: Seen) -> None:
+    async def run() -> None:
+        seen.engine = (await deployment.holders("court-rules"))[0]
+        engine = deployment.engines[seen.engine]
+        loop = asyncio.get_running_loop()
+        ends_s = loop.time() + 6.0
+        await deployment.json(engine.address, "/admin/leave", method="POST")
+        seen.left_at_s = (await deployment.json(engine.address, "/report"))["at_s"]
+        while loop.time() < ends_s:
+            head, body = await stream(deployment, 5)
+            if head.status == 200:
+                seen.texts.append(text_of(body))
+
+    deployment.background.run(run())
+
+
+@when(
+    parsers.parse(
+        "an entry VM is stopped while it serves a stream of {tokens:d} tokens"
+    )
+)
+def _stop(deployment: Deployment, seen: Seen, tokens: int) -> None:
+    async def run() -> None:
+        streaming = asyncio.ensure_future(stream(deployment, tokens, "entry-2"))
+        await deployment.until(lambda: some_engine_runs(deployment))
+        process = deployment.daemons["entry-2"].process
+        process.signal(signal.SIGTERM)
+        head, seen.body = await streaming
+        seen.status, seen.tokens = head.status, tokens
+        seen.exit_code = await asyncio.to_thread(process.wait, 20)
+
+    deployment.background.run(run())
+
+
+@given("a deferred request that must wait")
+def _defer(deployment: Deployment, seen: Seen) -> None:
+    async def run() -> None:
+        report = await deployment.json(
+            deployment.engines["engine-1"].address, "/report"
+        )
+        body = {
+            "shape": "completion",
+            "not_before_s": report["at_s"] + 8,
+            "body": {"model": "claim-drafts", "prompt": "night", "max_tokens": 6},
+        }
+        head, answer = await deployment.request(
+            deployment.daemons["entry-1"].callers,
+            "POST",
+            "/v1/deferred",
+            body=json.dumps(body).encode(),
+            headers=headers(Rosepath_Idempotent="false"),
+        )
+        assert head.status == 202, answer
+        seen.deferred_id = json.loads(answer)["id"]
+
+    deployment.background.run(run())
+
+
+@when("every entry VM is killed and replaced")
+def _replace(deployment: Deployment) -> None:
+    async def run() -> None:
+        for daemon in deployment.daemons.values():
+            daemon.process.kill()
+        deployment.daemons.clear()
+        for number in (4, 5):
+            deployment.start_entry_vm(f"entry-{number}")
+        await deployment.wait_ready()
+
+    deployment.background.run(run())
+
+
+@then("the answer is whole")
+def _whole(seen: Seen) -> None:
+    assert seen.status == 200, seen.body
+    assert text_of(seen.body) == answer_text("court-rules", PROMPT, seen.tokens)
+    assert seen.body.endswith(b"data: [DONE]\n\n")
+
+
+@then("no token came twice")
+def _once(seen: Seen) -> None:
+    ids = [line for line in seen.body.split(b"\n") if line.startswith(b"id: ")]
+    assert len(ids) == len(set(ids)) == seen.tokens + 1
+
+
+@then("the stream ends with an error whose run is partial")
+def _partial(seen: Seen) -> None:
+    last = events_of(seen.body)[-1]
+    assert last["error"]["run"] == "partial"
+    assert b"[DONE]" not in seen.body
+
+
+@then("the engine stops generating within a second")
+def _cancelled(deployment: Deployment, seen: Seen) -> None:
+    async def run() -> bool:
+        record = await deployment.record(deployment.engines[seen.engine])
+        return bool(record["cancelled"])
+
+    deployment.background.run(
+        deployment.until(run, timeout_s=10.0),
+    )
+
+
+@then(parsers.parse("the answer is {status:d} with run {run}"))
+def _refused(seen: Seen, status: int, run: str) -> None:
+    assert (seen.status, json.loads(seen.body)["error"]["run"]) == (status, run)
+
+
+@then(parsers.parse("the answer is {status:d}"))
+def _status(seen: Seen, status: int) -> None:
+    assert seen.status == status, seen.body
+
+
+@then("both answers are the same")
+def _same(seen: Seen) -> None:
+    assert seen.status == 200
+    assert seen.body == seen.earlier
+
+
+@then("the claim ran once")
+def _ran_once(deployment: Deployment, seen: Seen) -> None:
+    assert deployment.background.run(service_runs(deployment, seen.run_key)) == 1
+
+
+@then("the claim never ran")
+def _never_ran(deployment: Deployment, seen: Seen) -> None:
+    assert deployment.background.run(service_runs(deployment, seen.run_key)) == 0
+
+
+@then("all of them arrive")
+def _all_arrive(seen: Seen) -> None:
+    assert (seen.status, len(seen.body)) == (200, seen.tokens)
+
+
+@then("it got no new work after three seconds")
+def _no_new_work(deployment: Deployment, seen: Seen) -> None:
+    async def run() -> list[float]:
+        record = await deployment.record(deployment.engines[seen.engine])
+        return [at_s - seen.left_at_s for at_s in record["started_at"].values()]
+
+    assert max(deployment.background.run(run()), default=0.0) < 3.0
+
+
+@then("every answer of those callers was whole")
+def _all_whole(seen: Seen) -> None:
+    assert seen.texts
+    assert set(seen.texts) == {answer_text("court-rules", PROMPT, 5)}
+
+
+@then("that entry VM exits with code 0")
+def _exit_0(seen: Seen) -> None:
+    assert seen.exit_code == 0
+
+
+@then("its result can be collected")
+def _collected(deployment: Deployment, seen: Seen) -> None:
+    async def run() -> Any:
+        _, body = await deployment.request(
+            deployment.daemons["entry-4"].callers,
+            "GET",
+            f"/v1/deferred/{seen.deferred_id}",
+            headers=headers(),
+        )
+        answer = json.loads(body)
+        return answer if answer.get("status") == "done" else None
+
+    answer = deployment.background.run(deployment.until(run, timeout_s=60))
+    text = answer["result"]["choices"][0]["text"]
+    assert text == answer_text("claim-drafts", "night", 6)
+
+
+@then("the engines ran it once")
+def _engines_once(deployment: Deployment, seen: Seen) -> None:
+    async def run() -> int:
+        records = [await deployment.record(p) for p in deployment.engines.values()]
+        return sum(
+            count
+            for record in records
+            for key, count in record["started"].items()
+            if key.startswith(seen.deferred_id)
+        )
+
+    assert deployment.background.run(run()) == 1
+
+
+def test_a_hung_up_pool_is_closed() -> None:
+    async def run() -> None:
+        pool = HttpPool()
+        with pytest.raises(ExchangeError) as failure:
+            await pool.fetch(Request(address="127.0.0.1:1", method="GET", path="/"))
+        assert not failure.value.sent
+
+    asyncio.run(run())
