Prove that entry VMs act as one, through proxies on every link

Cause: configuration, membership and placement had run only in peace. Change: 11 scenarios with real processes behind a fault-injecting proxy: cuts, kills, SIGSTOP, an older store, silent and lossy links. Two faults of the harness were found first (commands run on the proxies' loop). Of the product: an unexpected failure answered 500 without a typed body or a log line; both are given now.

--- a/src/rosepath/caller_server.py
+++ b/src/rosepath/caller_server.py
@@ -88,6 +88,23 @@
         if self.work is not None:
             self.work.cancel()
 
+    def log_exception(self, *exc_info: Any) -> None:
+        _log.error("handler_failed", request_id=self.request_id, exc_info=exc_info)
+
+    def write_error(self, status_code: int, **_: Any) -> None:
+        """Answer what no refusal covers: a fault of this node, or bad HTTP."""
+        ours = status_code >= 500
+        refusal = Refusal(
+            status_code,
+            "internal_error" if ours else "bad_request",
+            "an unexpected failure" if ours else "the request cannot be read",
+            Run.UNKNOWN if ours else Run.NO,
+            Step.PARSE,
+        )
+        self.set_header("Content-Type", "application/json")
+        self.set_header("Rosepath-Run", refusal.run.value)
+        self.finish(json.dumps(error_body(refusal, self.request_id)))
+
     async def run(self, step: Callable[[], Awaitable[None]]) -> None:
         """Run a handler's work as a task that a hang-up cancels."""
         self.ports.in_flight.add(self.request_id)
--- a/src/rosepath/platform_http.py
+++ b/src/rosepath/platform_http.py
@@ -155,7 +155,7 @@
             async with asyncio.timeout(self._settings.call_timeout_s):
                 head, answer = await self._pool.fetch(request)
         except (ExchangeError, TimeoutError) as error:
-            raise self._failed(str(error), error, method) from error
+            raise self._failed(str(error) or "no answer", error, method) from error
         if head.status == 412:
             raise ConflictError(
                 f"{path} changed", step=Step.STORE, peer=self._settings.address
--- a/src/rosepath_standins/cluster.py
+++ b/src/rosepath_standins/cluster.py
@@ -280,7 +280,9 @@
         failure: Exception | None = None
         while time.monotonic() < deadline_s:
             try:
-                value = condition()
+                # In a thread: a condition may run a command, and proxies
+                # may be running on this loop.
+                value = await asyncio.to_thread(condition)
                 if asyncio.iscoroutine(value):
                     value = await value
                 if value:
--- a/src/rosepath_standins/fault_proxy.py
+++ b/src/rosepath_standins/fault_proxy.py
@@ -42,6 +42,17 @@
         self.address = f"{host}:{chosen}"
         return self.address
 
+    def start_now(self) -> str:
+        """Reserve the address at once and serve as soon as the loop runs."""
+        listener = socket.create_server(("127.0.0.1", 0))
+        host, chosen = listener.getsockname()[:2]
+        self.address = f"{host}:{chosen}"
+        asyncio.ensure_future(self._serve_on(listener))
+        return self.address
+
+    async def _serve_on(self, listener: socket.socket) -> None:
+        self._server = await asyncio.start_server(self._serve, sock=listener)
+
     async def stop(self) -> None:
         """Stop listening and reset every connection."""
         if self._server is not None:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -66,7 +66,7 @@
         for number in (1, 2, 3):
             self.start_entry_vm(f"entry-{number}")
         await self.wait_live()
-        self.declare(self.declarations())
+        await asyncio.to_thread(self.declare, self.declarations())
         await self.wait_ready()
         await self.until(self.all_loaded)
         for name in self.daemons:
--- /dev/null
+++ b/tests/test_acting_as_one.py
@@ -0,0 +1,464 @@
+"""Entry VMs act as one under cuts, kills, pauses and a store that misbehaves."""
+
+import asyncio
+import json
+import signal
+import uuid
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import pytest
+from conftest import KEY, Background, Deployment
+from pytest_bdd import given, parsers, scenarios, then, when
+
+from rosepath.cli import EXIT_CONFLICT
+from rosepath_standins.cluster import free_address
+from rosepath_standins.fault_proxy import FaultProxy, LinkFaults
+
+scenarios("features/acting_as_one.feature")
+
+
+class ProxiedDeployment(Deployment):
+    """Put a proxy before every peer link and every platform link."""
+
+    peer_proxies: dict[str, FaultProxy]
+    platform_proxies: dict[str, FaultProxy]
+
+    def start_entry_vm(self, name: str, **options: Any) -> Any:
+        listen = free_address()
+        peer_proxy = FaultProxy(listen)
+        assert self.platform is not None
+        platform_proxy = FaultProxy(self.platform.address)
+        for proxy in (peer_proxy, platform_proxy):
+            proxy.start_now()
+        self.peer_proxies[name] = peer_proxy
+        self.platform_proxies[name] = platform_proxy
+        return super().start_entry_vm(
+            name,
+            peers_listen=listen,
+            peers_advertise=peer_proxy.address,
+            platform_address=platform_proxy.address,
+            **options,
+        )
+
+
+@dataclass
+class Seen:
+    """Hold what a scenario's operators and callers saw."""
+
+    version: int = 0
+    outcomes: list[int] = field(default_factory=list)
+    statuses: list[int] = field(default_factory=list)
+    runs: list[str] = field(default_factory=list)
+    killed: str = ""
+    most_at_once: int = 0
+    cut: list[str] = field(default_factory=list)
+
+
+@pytest.fixture
+def seen() -> Seen:
+    return Seen()
+
+
+@pytest.fixture
+def proxied(tmp_path: Path, background: Background) -> Iterator[ProxiedDeployment]:
+    deployment = ProxiedDeployment(tmp_path, deployment="mahkama")
+    deployment.background = background
+    deployment.peer_proxies, deployment.platform_proxies = {}, {}
+    background.run(deployment.start())
+    yield deployment
+    deployment.stop()
+    for proxy in all_proxies(deployment):
+        background.run(proxy.stop())
+
+
+def all_proxies(deployment: ProxiedDeployment) -> list[FaultProxy]:
+    return [*deployment.peer_proxies.values(), *deployment.platform_proxies.values()]
+
+
+def limit(value: int) -> str:
+    return json.dumps({"concurrency": value})
+
+
+def declare_limit(
+    deployment: Deployment,
+    value: int,
+    *,
+    change_id: str,
+    daemon: str = "",
+    at: int = -1,
+) -> Any:
+    return deployment.cli(
+        *("declare", "limit", "all", limit(value), "--change-id", change_id),
+        *("--expected-version", str(at), "--output", "json"),
+        daemon=daemon,
+    )
+
+
+def status(deployment: Deployment, daemon: str) -> dict[str, Any]:
+    done = deployment.cli("status", "--output", "json", daemon=daemon)
+    return dict(json.loads(done.stdout)) if done.returncode == 0 else {}
+
+
+def states(deployment: Deployment, daemon: str) -> dict[str, str]:
+    rows = status(deployment, daemon).get("entry_vms", [])
+    return {row["name"]: row["state"] for row in rows}
+
+
+@given("a deployment with a proxy before every peer and platform link")
+def _proxied(proxied: ProxiedDeployment) -> None:
+    """Started by the fixture."""
+
+
+@given("the platform goes down")
+def _platform_down(proxied: ProxiedDeployment) -> None:
+    assert proxied.platform is not None
+    proxied.background.run(proxied.fault(proxied.platform, "down", count=-1))
+
+
+@given(parsers.parse("a limit of {value:d} requests at once"))
+def _limit(proxied: ProxiedDeployment, seen: Seen, value: int) -> None:
+    done = declare_limit(proxied, value, change_id="limit")
+    seen.version = json.loads(done.stdout)["version"]
+    assert proxied.cli("wait", str(seen.version)).returncode == 0
+
+
+@when(parsers.parse('an operator declares a limit under the change id "{change_id}"'))
+def _declare(proxied: ProxiedDeployment, seen: Seen, change_id: str) -> None:
+    done = declare_limit(proxied, 50, change_id=change_id)
+    seen.version = json.loads(done.stdout)["version"]
+
+
+@when("two operators change the configuration at the same version")
+def _race(proxied: ProxiedDeployment, seen: Seen) -> None:
+    version = int(status(proxied, "entry-1")["version"])
+
+    async def run() -> None:
+        calls = [
+            asyncio.to_thread(
+                declare_limit,
+                proxied,
+                60 + n,
+                change_id=f"race-{n}",
+                daemon=f"entry-{n}",
+                at=version,
+            )
+            for n in (1, 2)
+        ]
+        seen.outcomes = [done.returncode for done in await asyncio.gather(*calls)]
+
+    proxied.background.run(run())
+
+
+@when("a change is accepted and the store is restored from an older backup")
+def _restore(proxied: ProxiedDeployment, seen: Seen) -> None:
+    assert proxied.platform is not None
+    address = proxied.platform.address
+    run = proxied.background.run
+    run(proxied.request(address, "POST", "/admin/snapshot"))
+    done = declare_limit(proxied, 70, change_id="kept")
+    seen.version = json.loads(done.stdout)["version"]
+    assert proxied.cli("wait", str(seen.version)).returncode == 0
+    run(proxied.request(address, "PUT", "/admin/snapshot"))
+
+
+@when("a new entry VM starts")
+def _new_entry_vm(proxied: ProxiedDeployment) -> None:
+    proxied.background.run(start_with_proxies(proxied, "entry-4"))
+
+
+async def start_with_proxies(proxied: ProxiedDeployment, name: str) -> None:
+    proxied.start_entry_vm(name)
+
+
+@when("one data centre is cut off from its peers and the platform")
+def _cut(proxied: ProxiedDeployment, seen: Seen) -> None:
+    seen.cut = ["entry-2"]
+    for name in seen.cut:
+        for proxy in (proxied.peer_proxies[name], proxied.platform_proxies[name]):
+            set_faults(proxied, proxy, blackhole_up=True, blackhole_down=True)
+    others = proxied.peer_proxies.keys() - set(seen.cut)
+    # The cut entry VM's own calls go through the others' proxies, which
+    # can't tell callers apart: its platform link and its listener are cut,
+    # and what it sends to the others still arrives, one way.
+    assert others
+
+
+@when("the links heal")
+def _heal(proxied: ProxiedDeployment) -> None:
+    for proxy in all_proxies(proxied):
+        set_faults(proxied, proxy)
+
+
+def set_faults(proxied: ProxiedDeployment, proxy: FaultProxy, **faults: Any) -> None:
+    async def run() -> None:
+        proxy.faults = LinkFaults(**faults)
+
+    proxied.background.run(run())
+
+
+@when("a change is accepted on the other side")
+def _change_elsewhere(proxied: ProxiedDeployment, seen: Seen) -> None:
+    done = declare_limit(proxied, 80, change_id="other-side", daemon="entry-1")
+    seen.version = json.loads(done.stdout)["version"]
+
+
+@when("an entry VM is killed")
+def _kill(proxied: ProxiedDeployment, seen: Seen) -> None:
+    seen.killed = "entry-2"
+    proxied.daemons[seen.killed].process.kill()
+
+
+@when("it starts again")
+def _start_again(proxied: ProxiedDeployment, seen: Seen) -> None:
+    proxied.daemons[seen.killed].process.start()
+
+
+@when("the placement holder of a data centre is paused while models change")
+def _pause_holder(proxied: ProxiedDeployment, seen: Seen) -> None:
+    async def run() -> None:
+        seen.killed = await proxied.until(lambda: placement_holder(proxied, "casa-b"))
+        process = proxied.daemons[seen.killed].process
+        version = "[version.v2]\nmodel = 'claim-drafts'\nmemory_bytes = 30000\n"
+        await asyncio.to_thread(proxied.declare, version)
+        process.signal(signal.SIGSTOP)
+
+    proxied.background.run(run())
+
+
+def placement_holder(proxied: ProxiedDeployment, data_centre: str) -> str:
+    for name, daemon in proxied.daemons.items():
+        if daemon.data_centre != data_centre or name in stopped(proxied):
+            continue
+        for lease in status(proxied, name).get("leases", []):
+            if lease.get("remaining_s", 0) > 0:
+                return name
+    return ""
+
+
+def stopped(proxied: ProxiedDeployment) -> set[str]:
+    found = set()
+    for name, daemon in proxied.daemons.items():
+        state = Path(f"/proc/{daemon.process.pid}/stat").read_text().split()[2]
+        if state == "T":
+            found.add(name)
+    return found
+
+
+@when("the paused holder wakes up")
+def _wake(proxied: ProxiedDeployment, seen: Seen) -> None:
+    proxied.daemons[seen.killed].process.signal(signal.SIGCONT)
+    proxied.background.run(proxied.until(lambda: states(proxied, seen.killed)))
+
+
+@when("an engine that holds a model is killed")
+def _kill_engine(proxied: ProxiedDeployment, seen: Seen) -> None:
+    async def run() -> None:
+        seen.killed = (await proxied.holders("court-rules"))[0]
+        proxied.engines[seen.killed].kill()
+
+    proxied.background.run(run())
+
+
+@when("30 callers at once use all entry VMs and one of those is killed")
+def _crowd(proxied: ProxiedDeployment, seen: Seen) -> None:
+    async def run() -> None:
+        watching = asyncio.ensure_future(watch_running(proxied, seen))
+        names = list(proxied.daemons)
+        calls = [
+            asyncio.ensure_future(one_call(proxied, seen, names[n % len(names)]))
+            for n in range(30)
+        ]
+        await proxied.until(lambda: seen.most_at_once > 0)
+        proxied.daemons["entry-3"].process.kill()
+        await asyncio.gather(*calls, return_exceptions=True)
+        watching.cancel()
+
+    proxied.background.run(run())
+
+
+async def watch_running(proxied: ProxiedDeployment, seen: Seen) -> None:
+    while True:
+        running = 0
+        for engine in proxied.engines.values():
+            record = await proxied.record(engine)
+            ended = {*record["finished"], *record["cancelled"]}
+            running += len(record["started"].keys() - ended)
+        seen.most_at_once = max(seen.most_at_once, running)
+        await asyncio.sleep(0.01)
+
+
+async def one_call(proxied: ProxiedDeployment, seen: Seen, name: str) -> None:
+    body = {"model": "court-rules", "prompt": uuid.uuid4().hex, "max_tokens": 150}
+    head, answer = await proxied.request(
+        proxied.daemons[name].callers,
+        "POST",
+        "/v1/completions",
+        body=json.dumps(body).encode(),
+        headers={"Authorization": f"Bearer {KEY}"},
+    )
+    seen.statuses.append(head.status)
+    if head.status != 200:
+        seen.runs.append(json.loads(answer)["error"]["run"])
+
+
+@when("the platform links of all entry VMs swallow everything for a while")
+def _swallow(proxied: ProxiedDeployment) -> None:
+    async def run() -> None:
+        for proxy in proxied.platform_proxies.values():
+            proxy.faults = LinkFaults(blackhole_up=True, blackhole_down=True)
+        await proxied.until(lambda: not any_reachable(proxied))
+
+    proxied.background.run(run())
+
+
+def any_reachable(proxied: ProxiedDeployment) -> bool:
+    return any(
+        status(proxied, name).get("platform_reachable") for name in proxied.daemons
+    )
+
+
+@when("a change is accepted after they pass bytes again")
+def _change_later(proxied: ProxiedDeployment, seen: Seen) -> None:
+    for proxy in proxied.platform_proxies.values():
+        set_faults(proxied, proxy)
+
+    async def run() -> None:
+        done = await proxied.until(lambda: accepted(proxied))
+        seen.version = json.loads(done.stdout)["version"]
+
+    proxied.background.run(run())
+
+
+def accepted(proxied: ProxiedDeployment) -> Any:
+    done = declare_limit(proxied, 90, change_id="after-silence")
+    return done if done.returncode == 0 else None
+
+
+@when("a fifth of the peers' packets is lost for a while")
+def _lossy(proxied: ProxiedDeployment) -> None:
+    for proxy in proxied.peer_proxies.values():
+        set_faults(proxied, proxy, loss=0.2)
+
+    async def run() -> None:
+        frames = [proxy.accepted for proxy in proxied.peer_proxies.values()]
+        await asyncio.sleep(len(frames) * 4.0)
+
+    proxied.background.run(run())
+
+
+@then("nobody was declared dead")
+def _no_deaths(proxied: ProxiedDeployment) -> None:
+    for name in proxied.daemons:
+        log = (proxied.folder / f"{name}.log").read_text()
+        assert "entry_vm_dead" not in log
+
+
+@then("every entry VM has that version in force")
+def _in_force(proxied: ProxiedDeployment, seen: Seen) -> None:
+    for name in proxied.daemons:
+        done = proxied.cli("wait", str(seen.version), daemon=name)
+        assert done.returncode == 0, done.stderr
+
+
+@then(parsers.parse('repeating "{change_id}" reports it as already applied'))
+def _already(proxied: ProxiedDeployment, seen: Seen, change_id: str) -> None:
+    reply = json.loads(
+        declare_limit(proxied, 50, change_id=change_id, daemon="entry-2").stdout
+    )
+    assert (reply["version"], reply["already_applied"]) == (seen.version, True)
+
+
+@then("one is accepted and the other exits with the conflict code")
+def _one_conflict(seen: Seen) -> None:
+    assert sorted(seen.outcomes) == [0, EXIT_CONFLICT]
+
+
+@then("every entry VM keeps the accepted version")
+def _kept(proxied: ProxiedDeployment, seen: Seen) -> None:
+    proxied.background.run(proxied.until(lambda: alarm_logged(proxied)))
+    for name in proxied.daemons:
+        assert int(status(proxied, name)["version"]) == seen.version
+
+
+@then("an alarm is logged")
+def _alarm(proxied: ProxiedDeployment) -> None:
+    assert alarm_logged(proxied)
+
+
+def alarm_logged(proxied: ProxiedDeployment) -> bool:
+    logs = [proxied.folder / f"{name}.log" for name in proxied.daemons]
+    return any("store_went_back" in log.read_text() for log in logs)
+
+
+@then("it becomes ready and serves")
+def _serves(proxied: ProxiedDeployment) -> None:
+    proxied.background.run(proxied.wait_serving("entry-4"))
+
+
+@then("callers of both sides are still answered")
+def _both_answer(proxied: ProxiedDeployment) -> None:
+    for name in ("entry-1", "entry-2"):
+        proxied.background.run(proxied.wait_serving(name))
+
+
+@then("the others list it as dead within three seconds")
+def _dead(proxied: ProxiedDeployment, seen: Seen) -> None:
+    others = [name for name in proxied.daemons if name != seen.killed]
+
+    def all_know() -> bool:
+        return all(states(proxied, n).get(seen.killed) == "dead" for n in others)
+
+    proxied.background.run(proxied.until(all_know))
+
+
+@then("the others list it as alive")
+def _alive(proxied: ProxiedDeployment, seen: Seen) -> None:
+    def all_know() -> bool:
+        return all(
+            states(proxied, n).get(seen.killed) == "alive" for n in proxied.daemons
+        )
+
+    proxied.background.run(proxied.until(all_know))
+
+
+@then("another entry VM takes its lease over")
+def _taken_over(proxied: ProxiedDeployment, seen: Seen) -> None:
+    holder = proxied.background.run(
+        proxied.until(lambda: placement_holder(proxied, "casa-b"))
+    )
+    assert holder != seen.killed
+
+
+@then("no engine was ever overcommitted")
+def _never_over(proxied: ProxiedDeployment) -> None:
+    async def run() -> list[int]:
+        alive = [p for p in proxied.engines.values() if p.popen and not p.popen.poll()]
+        records = [
+            await proxied.record(p)
+            for p in alive
+            if p.popen is not None and p.popen.poll() is None
+        ]
+        return [record["overcommitted"] for record in records]
+
+    assert set(proxied.background.run(run())) == {0}
+
+
+@then("every declared model answers")
+def _all_answer(proxied: ProxiedDeployment) -> None:
+    for name in proxied.daemons:
+        proxied.background.run(proxied.wait_serving(name))
+
+
+@then(parsers.parse("never more than {value:d} requests ran at once"))
+def _never_more(seen: Seen, value: int) -> None:
+    assert 0 < seen.most_at_once <= value
+
+
+@then("some requests were answered and the others refused as not run")
+def _some(seen: Seen) -> None:
+    assert 200 in seen.statuses
+    assert set(seen.statuses) <= {200, 429}
+    assert set(seen.runs) == {"no"}
