Meet the openai client; listen on idle connections; react to joins

Cause: tests with the unmodified openai client and with bad input. Found: an idle pooled connection closed by its peer was used again and its request lost (Tornado listens on an idle stream only once a close callback is set); a wrong Rosepath-Idempotent header was not checked on methods that may not be repeated; a node that took all share units first noticed a join only after up to 10 s, so another refused all callers of a small limit meanwhile. Change: a close callback, the check first, and a wake-up on membership changes; units are given up evenly. Conclusion: peace tests find faults too.

--- a/src/rosepath/caller_server.py
+++ b/src/rosepath/caller_server.py
@@ -202,8 +202,9 @@
                     step=Step.PARSE,
                 )
             timeout_s = min(timeout_s, int(given) / 1000)
+        marked = self.marked_idempotent()
         return Terms(
-            idempotent=idempotent and self.marked_idempotent(),
+            idempotent=idempotent and marked,
             deadline_s=self.ports.clock.monotonic_s() + timeout_s,
             data_centre=settings.data_centre,
             span=span,
--- a/src/rosepath/http_client.py
+++ b/src/rosepath/http_client.py
@@ -215,6 +215,10 @@
         if len(idle) >= MAX_IDLE_PER_PEER:
             stream.close()
             return
+        # Tornado notices that the peer closed an idle stream only if a close
+        # callback makes it listen; without, the next request would be sent
+        # into a dead connection.
+        stream.set_close_callback(_ignore_close)
         idle.append(_IdleConnection(stream, self._clock.monotonic_s()))
 
     async def _run(
@@ -318,6 +322,10 @@
         self._timer = self._loop.call_later(self._silence_s, self._check)
 
 
+def _ignore_close() -> None:
+    """Leave a closed idle stream to the next look into the pool."""
+
+
 def _keeps_alive(headers: HTTPHeaders) -> bool:
     return headers.get("Connection", "").lower() != "close"
 
--- a/src/rosepath/node.py
+++ b/src/rosepath/node.py
@@ -159,6 +159,7 @@
             platform_reachable=lambda: self.platform.reachable,
             on_change=self.configuration_changed,
             predict_moves=self._predict_moves,
+            share_units=lambda: len(self.shares.units),
         )
 
     def configuration(self) -> Configuration:
@@ -188,7 +189,7 @@
         self.http = HTTPServer(
             make_application(ports),
             max_body_size=callers.max_body_bytes,
-            idle_connection_timeout=callers.header_timeout_s,
+            idle_connection_timeout=callers.idle_timeout_s,
             body_timeout=callers.body_timeout_s,
             ssl_options=self.caller_tls,
         )
@@ -519,7 +520,14 @@
             except StoreError:
                 interval_s = SHARES_INTERVAL_S
             self._apply_limits()
-            await asyncio.sleep(interval_s * random.uniform(0.5, 1.0))
+            await self._until_members_change(interval_s * random.uniform(0.5, 1.0))
+
+    async def _until_members_change(self, timeout_s: float) -> None:
+        """Wait for a join or a death, but not longer than a while."""
+        with suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                await self.peers.members_changed.wait()
+        self.peers.members_changed.clear()
 
     async def _step_shares(self) -> bool:
         if self.stopping or self.state.head.version == 0:
--- a/src/rosepath/operators.py
+++ b/src/rosepath/operators.py
@@ -43,6 +43,7 @@
     platform_reachable: Callable[[], bool]
     on_change: Callable[[], None]
     predict_moves: Callable[[Accepted], list[str]]
+    share_units: Callable[[], int]
     changed: asyncio.Condition = field(default_factory=asyncio.Condition)
 
 
@@ -156,6 +157,7 @@
                 ),
                 leases=ports.leases(),
                 moves=_move_rows(ports.tables),
+                share_units=ports.share_units(),
             )
         )
 
--- a/src/rosepath/peers.py
+++ b/src/rosepath/peers.py
@@ -98,6 +98,7 @@
         self._received: dict[str, int] = {}
         self._busy: set[str] = set()
         self._news = asyncio.Event()
+        self.members_changed = asyncio.Event()
         self._reprobed_at_s = -1e9
         self._first_fetch = asyncio.Lock()
         settings = ports.settings
@@ -149,6 +150,9 @@
         if member.name == self.me.name:
             self._refute(member)
             return
+        known = self._ports.tables.entry_vms.get(member.name)
+        if known is None or known.state is not member.state:
+            self.members_changed.set()
         self._ports.tables.entry_vms[member.name] = member
         if member.state is MemberState.DEAD:
             self.heard_at_s.pop(member.name, None)
@@ -216,6 +220,7 @@
             return
         _log.warning("entry_vm_dead", peer=name, reason=reason)
         member.state = MemberState.DEAD
+        self.members_changed.set()
         self.heard_at_s.pop(name, None)
         self._publish_member(member)
 
--- a/src/rosepath/settings.py
+++ b/src/rosepath/settings.py
@@ -32,7 +32,7 @@
     listen: Address = "127.0.0.1:8080"
     tls: TlsSettings | None = None
     max_body_bytes: Annotated[int, Field(gt=0)] = 16 * 1024 * 1024
-    header_timeout_s: Seconds = 10.0
+    idle_timeout_s: Seconds = 60.0
     body_timeout_s: Seconds = 300.0
 
 
--- a/src/rosepath/shares.py
+++ b/src/rosepath/shares.py
@@ -47,7 +47,9 @@
 ) -> frozenset[int]:
     """Return the own units beyond the fair share, with some slack.
 
-    The slack keeps a join at a large fleet from making every node write.
+    They are picked evenly, so that small limits, whose slots sit on few
+    units, are spread over the nodes as well. The slack keeps a join in a
+    large fleet from making every node write.
     """
     mine = ledger.units_of(me)
     fair = -(-UNITS // max(1, len(live)))
@@ -56,17 +58,13 @@
         return frozenset()
     if len(mine) <= fair * SLACK and ledger.counts().get(FREE, 0):
         return frozenset()
-    return frozenset(sorted(mine)[fair:])
+    return spread(sorted(mine), len(mine) - fair)
 
 
 def units_to_take(
     ledger: ShareLedger, *, me: str, live: frozenset[str], gone: frozenset[str]
 ) -> frozenset[int]:
-    """Return free units, and those of gone VMs, up to the fair share.
-
-    They are spread over the range, so that small limits, whose slots sit on
-    few units, are spread over the nodes as well.
-    """
+    """Return free units, and those of gone VMs, up to the fair share."""
     fair = -(-UNITS // max(1, len(live)))
     wanted = fair - len(ledger.units_of(me))
     free = [
@@ -74,9 +72,14 @@
     ]
     if wanted <= 0 or not free:
         return frozenset()
-    step = max(1, len(free) // wanted)
-    spread = free[::step][:wanted]
-    return frozenset(spread)
+    return spread(free, wanted)
+
+
+def spread(units: list[int], count: int) -> frozenset[int]:
+    """Pick some units evenly, or all if there are no more than that."""
+    if count >= len(units):
+        return frozenset(units)
+    return frozenset(units[n * len(units) // count] for n in range(count))
 
 
 def with_holder(ledger: ShareLedger, units: frozenset[int], name: str) -> ShareLedger:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -105,6 +105,7 @@
                 "trace_file": str(self.folder / f"trace-{name}.jsonl"),
             },
             "platform": {"calls_per_s": 100.0, "call_timeout_s": 1.0},
+            "callers": {"idle_timeout_s": 5.0},
         }
         for section, values in options.pop("settings", {}).items():
             settings.setdefault(section, {}).update(values)
--- a/tests/test_acting_as_one.py
+++ b/tests/test_acting_as_one.py
@@ -14,6 +14,7 @@
 from pytest_bdd import given, parsers, scenarios, then, when
 
 from rosepath.cli import EXIT_CONFLICT
+from rosepath.shares import UNITS
 from rosepath_standins.cluster import free_address
 from rosepath_standins.fault_proxy import FaultProxy, LinkFaults
 
@@ -123,6 +124,13 @@
     done = declare_limit(proxied, value, change_id="limit")
     seen.version = json.loads(done.stdout)["version"]
     assert proxied.cli("wait", str(seen.version)).returncode == 0
+    proxied.background.run(proxied.until(lambda: all_hold_slots(proxied)))
+
+
+def all_hold_slots(proxied: ProxiedDeployment) -> bool:
+    """Tell whether the limits are divided over all entry VMs."""
+    units = [status(proxied, name).get("share_units", 0) for name in proxied.daemons]
+    return sum(units) == UNITS and min(units) >= UNITS // 8
 
 
 @when(parsers.parse('an operator declares a limit under the change id "{change_id}"'))
--- /dev/null
+++ b/tests/test_callers.py
@@ -0,0 +1,231 @@
+"""Callers meet the OpenAI API, and bad input hurts only its sender."""
+
+import asyncio
+import json
+import socket
+from collections.abc import Iterator
+from pathlib import Path
+
+import openai
+import pytest
+from conftest import KEY, Background, Deployment
+
+from rosepath_standins.tokens import answer_text
+
+MESSAGES = [{"role": "user", "content": "which form?"}]
+PROMPT = "user: which form?\n"
+
+
+@pytest.fixture(scope="module")
+def shared(
+    tmp_path_factory: pytest.TempPathFactory, background: Background
+) -> Iterator[Deployment]:
+    folder: Path = tmp_path_factory.mktemp("callers")
+    started = Deployment.started(folder, background)
+    yield started
+    started.stop()
+
+
+@pytest.fixture
+def base_url(shared: Deployment) -> str:
+    return f"http://{shared.daemons['entry-1'].callers}/v1"
+
+
+@pytest.fixture
+def client(base_url: str) -> openai.OpenAI:
+    return openai.OpenAI(api_key=KEY, base_url=base_url, max_retries=0)
+
+
+def test_models_are_listed(client: openai.OpenAI) -> None:
+    names = {model.id for model in client.models.list()}
+    assert names == {"court-rules", "claim-drafts", "court-rules:casablanca"}
+
+
+def test_a_chat_is_answered_whole(client: openai.OpenAI) -> None:
+    answer = client.chat.completions.create(
+        model="court-rules", messages=MESSAGES, max_tokens=9
+    )
+    assert answer.choices[0].message.content == answer_text("court-rules", PROMPT, 9)
+    assert answer.usage is not None
+    assert answer.usage.completion_tokens == 9
+    assert answer.choices[0].finish_reason == "length"
+
+
+def test_a_chat_streams(client: openai.OpenAI) -> None:
+    stream = client.chat.completions.create(
+        model="court-rules:casablanca",
+        messages=MESSAGES,
+        max_tokens=9,
+        stream=True,
+        stream_options={"include_usage": True},
+    )
+    chunks = list(stream)
+    text = "".join(
+        choice.delta.content or "" for chunk in chunks for choice in chunk.choices
+    )
+    assert text == answer_text("court-rules:casablanca", PROMPT, 9)
+    assert chunks[-1].usage is not None
+
+
+def test_a_completion_is_answered_and_streams(client: openai.OpenAI) -> None:
+    whole = client.completions.create(model="claim-drafts", prompt="p", max_tokens=5)
+    parts = client.completions.create(
+        model="claim-drafts", prompt="p", max_tokens=5, stream=True
+    )
+    streamed = "".join(part.choices[0].text for part in parts)
+    assert whole.choices[0].text == streamed == answer_text("claim-drafts", "p", 5)
+
+
+def test_the_asynchronous_client_works(base_url: str) -> None:
+    async def run() -> str:
+        async with openai.AsyncOpenAI(api_key=KEY, base_url=base_url) as client:
+            stream = await client.chat.completions.create(
+                model="court-rules", messages=MESSAGES, max_tokens=4, stream=True
+            )
+            return "".join(
+                [
+                    chunk.choices[0].delta.content or ""
+                    async for chunk in stream
+                    if chunk.choices
+                ]
+            )
+
+    assert asyncio.run(run()) == answer_text("court-rules", PROMPT, 4)
+
+
+def test_errors_are_the_clients_own(client: openai.OpenAI, base_url: str) -> None:
+    with pytest.raises(openai.NotFoundError):
+        client.completions.create(model="no-such", prompt="p")
+    with pytest.raises(openai.AuthenticationError):
+        openai.OpenAI(api_key="wrong", base_url=base_url).models.list()
+    with pytest.raises(openai.BadRequestError):
+        client.completions.create(model="court-rules", prompt="p", max_tokens=-1)
+
+
+@pytest.mark.parametrize(
+    ("path", "body", "given", "status"),
+    [
+        ("/v1/chat/completions", b"{", {}, 400),
+        ("/v1/chat/completions", b"[]", {}, 400),
+        ("/v1/chat/completions", b"\xff\xfe", {}, 400),
+        ("/v1/chat/completions", b'{"model": "court-rules"}', {}, 400),
+        ("/v1/completions", b'{"model":"a","prompt":"p","n":2}', {}, 400),
+        ("/nowhere", b"", {}, 404),
+        ("/services/none/x", b"", {}, 404),
+        ("/services/greffe-api/x", b"", {"Rosepath-Deadline-Ms": "soon"}, 400),
+        ("/services/greffe-api/x", b"", {"Rosepath-Idempotent": "maybe"}, 400),
+        ("/services/greffe-api/x", b"", {"Idempotency-Key": "k" * 300}, 400),
+        ("/v1/deferred", b'{"body": {"model": "x"}}', {}, 400),
+    ],
+)
+def test_bad_input_gets_a_typed_error_that_says_not_run(
+    shared: Deployment, path: str, body: bytes, given: dict[str, str], status: int
+) -> None:
+    head, answer = shared.background.run(
+        shared.request(
+            shared.daemons["entry-1"].callers,
+            "POST",
+            path,
+            body=body,
+            headers={"Authorization": f"Bearer {KEY}", **given},
+        )
+    )
+    error = json.loads(answer)["error"]
+    assert (head.status, error["run"]) == (status, "no")
+    assert head.headers["Rosepath-Run"] == "no"
+
+
+def test_an_oversized_or_broken_request_is_closed_and_others_go_on(
+    shared: Deployment, client: openai.OpenAI
+) -> None:
+    host, _, port = shared.daemons["entry-1"].callers.rpartition(":")
+    senders = []
+    for data in (
+        b"POST /v1/completions HTTP/1.1\r\nContent-Length: 99999999999\r\n\r\n",
+        b"\x00\x01\x02 nonsense\r\n\r\n",
+        b"GET /v1/models HTTP/1.1\r\nBroken header\r\n\r\n",
+        b"GET / HTTP/1.1\r\nX: " + b"a" * 200_000,
+    ):
+        sender = socket.create_connection((host, int(port)))
+        sender.sendall(data)
+        senders.append(sender)
+    assert client.models.list().data
+    for sender in senders:
+        sender.settimeout(20)
+        assert last_bytes(sender) in (b"", b"HTTP/1.1 400")
+        sender.close()
+
+
+def last_bytes(sender: socket.socket) -> bytes:
+    try:
+        return sender.recv(12)
+    except ConnectionResetError:
+        return b""
+
+
+def test_a_slow_sender_is_cut_off(shared: Deployment, client: openai.OpenAI) -> None:
+    # A header that never ends holds its connection only until the header
+    # timeout, and holds up nobody else meanwhile.
+    host, _, port = shared.daemons["entry-1"].callers.rpartition(":")
+    sender = socket.create_connection((host, int(port)))
+    sender.sendall(b"GET /v1/models HTTP/1.1\r\nX-")
+    assert client.models.list().data
+    sender.settimeout(30)
+    assert sender.recv(1) == b""
+
+
+def test_large_bodies_stream_through_a_service_both_ways(shared: Deployment) -> None:
+    body = bytes(range(256)) * 8192
+    head, answer = shared.background.run(
+        shared.request(
+            shared.daemons["entry-2"].callers,
+            "POST",
+            "/services/greffe-api/echo",
+            body=body,
+            headers={"Authorization": f"Bearer {KEY}"},
+        )
+    )
+    assert head.status == 200
+    assert answer == body
+
+
+def test_health_and_metrics(shared: Deployment) -> None:
+    async def get(path: str) -> tuple[int, bytes]:
+        address = shared.daemons["entry-1"].callers
+        head, body = await shared.request(address, "GET", path)
+        return head.status, body
+
+    assert shared.background.run(get("/livez"))[0] == 200
+    assert shared.background.run(get("/readyz"))[0] == 200
+    status, body = shared.background.run(get("/metrics"))
+    assert status == 200
+    assert b'rosepath_requests{target="court-rules"}' in body
+    assert b"rosepath_first_token_count" in body
+
+
+def test_a_trace_has_a_span_for_each_hop(shared: Deployment) -> None:
+    trace_id = "c" * 32
+    body = json.dumps({"model": "court-rules", "prompt": "p", "max_tokens": 1})
+    shared.background.run(
+        shared.request(
+            shared.daemons["entry-1"].callers,
+            "POST",
+            "/v1/completions",
+            body=body.encode(),
+            headers={
+                "Authorization": f"Bearer {KEY}",
+                "traceparent": f"00-{trace_id}-{'d' * 16}-01",
+            },
+        )
+    )
+    lines = (shared.folder / "trace-entry-1.jsonl").read_text().splitlines()
+    spans = [s for s in map(json.loads, lines) if s["trace_id"] == trace_id]
+    by_name = {span["name"]: span for span in spans}
+    assert by_name["caller.request"]["parent_id"] == "d" * 16
+    parent = by_name["caller.request"]["span_id"]
+    assert by_name["backend.generate"]["parent_id"] == parent
+
+
+def test_keys_are_in_no_log(shared: Deployment) -> None:
+    for file in shared.folder.glob("entry-*.log"):
+        assert KEY not in file.read_text()
--- /dev/null
+++ b/tests/test_gossip.py
@@ -0,0 +1,105 @@
+"""Rows reach everyone, the newest wins, and only what is missing is sent."""
+
+import random
+
+from hypothesis import given, settings, strategies as st
+
+from rosepath.gossip import (
+    GossipState,
+    Row,
+    RowKey,
+    RowKind,
+    finger_neighbours,
+    observers_of,
+)
+from rosepath.membership import decode_member, member_version
+from rosepath.tables import MemberState
+
+
+def row(name: str, version: int, kind: RowKind = RowKind.MEMBER) -> Row:
+    return Row(RowKey(kind, name), version, b"%d" % version)
+
+
+def exchange(states: dict[str, GossipState], a: str, b: str) -> int:
+    """Send what b lacks from a to b; return how many rows went."""
+    batch = states[a].batch_for(b, now_s=0.0)
+    for item in batch.rows:
+        states[b].merge(item, source=a)
+    states[a].acknowledge(b, batch.sequence)
+    return len(batch.rows)
+
+
+@settings(deadline=None)
+@given(
+    st.integers(2, 24), st.integers(0, 2**31), st.lists(st.integers(1, 50), max_size=20)
+)
+def test_news_reaches_every_node_in_few_rounds(
+    count: int, seed: int, versions: list[int]
+) -> None:
+    rng = random.Random(seed)
+    names = [f"n{n:02d}" for n in range(count)]
+    states = {name: GossipState() for name in names}
+    for version in versions:
+        states[rng.choice(names)].merge(row("x", version))
+    for _ in range(6):
+        for name in names:
+            for other in finger_neighbours(name, names):
+                exchange(states, name, other)
+    held = {state.get(RowKey(RowKind.MEMBER, "x")) for state in states.values()}
+    assert held == {row("x", max(versions)) if versions else None}
+
+
+def test_nothing_is_sent_twice_or_back() -> None:
+    states = {"a": GossipState(), "b": GossipState()}
+    states["a"].merge(row("x", 1))
+    assert exchange(states, "a", "b") == 1
+    assert exchange(states, "a", "b") == 0
+    assert exchange(states, "b", "a") == 0
+
+
+def test_a_neighbour_that_restarted_is_sent_everything_again() -> None:
+    states = {"a": GossipState(), "b": GossipState()}
+    states["a"].merge(row("x", 1))
+    states["a"].note_epoch("b", 1)
+    exchange(states, "a", "b")
+    states["b"] = GossipState()
+    states["a"].note_epoch("b", 2)
+    assert exchange(states, "a", "b") == 1
+
+
+def test_load_rows_cross_a_far_link_seldom_but_are_not_lost() -> None:
+    state = GossipState()
+    sent = []
+    for tick in range(10):
+        state.merge(row("r", tick + 1, RowKind.LOAD))
+        batch = state.batch_for("far", now_s=float(tick), load_interval_s=4.0)
+        state.acknowledge("far", batch.sequence)
+        sent += [(tick, item.version) for item in batch.rows]
+    assert sent == [(0, 1), (4, 5), (8, 9)]
+    late = state.batch_for("far", now_s=20.0, load_interval_s=4.0)
+    assert [item.version for item in late.rows] == [10]
+
+
+@given(st.sets(st.text("abc", min_size=1, max_size=3), min_size=2))
+def test_links_grow_with_the_logarithm_and_everyone_is_watched(names: set) -> None:
+    ring = sorted(names)
+    watched = set()
+    for name in ring:
+        chosen = finger_neighbours(name, ring)
+        assert len(chosen) <= len(ring).bit_length()
+        watched.update(chosen[:2])
+    assert watched == names
+    assert ring[-1] in observers_of(ring[0], ring)
+
+
+def test_death_beats_heartbeats_and_a_new_incarnation_beats_death() -> None:
+    alive = member_version(5, MemberState.ALIVE, 999)
+    dead = member_version(5, MemberState.DEAD, 0)
+    again = member_version(6, MemberState.ALIVE, 0)
+    assert alive < dead < again
+    assert again < 2**64
+
+
+@given(st.binary(max_size=100))
+def test_the_member_decoder_takes_any_bytes(data: bytes) -> None:
+    decode_member("x", data)
--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,100 @@
+"""Plans: the floor first, few moves, and no last copy unloaded."""
+
+from builders import engine_view, placement_view
+from hypothesis import given, strategies as st
+
+from rosepath.placement import PlacementPolicy, PlacementView, plan
+from rosepath.tables import Move, MoveAction, MoveReason
+
+POLICY = PlacementPolicy()
+
+
+def moves(view: PlacementView, policy: PlacementPolicy = POLICY) -> list[Move]:
+    return list(plan(view, policy).moves)
+
+
+def test_a_settled_deployment_moves_nothing() -> None:
+    engines = [engine_view("a", ready=frozenset({"m"}), free_bytes=70)]
+    view = placement_view(engines, {"m": 30}, anchors={"m": "a"})
+    assert moves(view) == []
+
+
+def test_an_anchored_base_that_is_missing_is_loaded() -> None:
+    view = placement_view([engine_view("a")], {"m": 30}, anchors={"m": "a"})
+    (move,) = moves(view)
+    assert (move.action, move.reason) == (MoveAction.LOAD, MoveReason.FLOOR)
+
+
+def test_planned_anchors_load_nothing_until_they_are_stored() -> None:
+    view = placement_view([engine_view("a")], {"m": 30})
+    assert plan(view, POLICY).anchors == {"m": "a"}
+    assert moves(view) == []
+
+
+def crowded_view(**fields: object) -> PlacementView:
+    engines = [
+        engine_view("a", ready=frozenset({"m"}), free_bytes=70),
+        engine_view("b", ready=frozenset({"n"}), free_bytes=70),
+    ]
+    given_: dict = {"anchors": {"m": "a", "n": "b"}, "demand": {"m": 8.0}, **fields}
+    return placement_view(engines, {"m": 30, "n": 30}, **given_)
+
+
+def test_a_crowded_base_gets_a_second_copy() -> None:
+    (move,) = moves(crowded_view())
+    assert (move.target, move.backend_server) == ("m", "b")
+    assert move.reason is MoveReason.DEMAND
+
+
+def test_no_copy_is_added_that_does_not_win_back_its_cost() -> None:
+    assert moves(crowded_view(), PlacementPolicy(move_cost_s=1e6)) == []
+
+
+def test_nothing_beyond_need_moves_in_a_quiet_window() -> None:
+    assert moves(crowded_view(), PlacementPolicy(extras_allowed=False)) == []
+
+
+def test_calm_demand_moves_nothing() -> None:
+    assert moves(crowded_view(demand={"m": 2.0})) == []
+
+
+def test_a_pinned_base_stays_on_its_engines() -> None:
+    view = crowded_view(pins={"m": ("a",)})
+    assert moves(view) == []
+
+
+targets = st.sampled_from(["m0", "m1", "m2", "m3"])
+
+
+@given(
+    st.lists(st.frozensets(targets), min_size=1, max_size=4),
+    st.dictionaries(targets, st.integers(0, 3)),
+    st.dictionaries(targets, st.floats(0, 50)),
+    st.lists(st.booleans(), min_size=4, max_size=4),
+)
+def test_no_plan_unloads_an_anchored_or_last_copy(
+    held: list[frozenset[str]],
+    homes: dict[str, int],
+    demand: dict[str, float],
+    draining: list[bool],
+) -> None:
+    engines = [
+        engine_view(
+            f"e{n}",
+            ready=ready,
+            free_bytes=100 - 30 * len(ready),
+            draining=draining[n],
+        )
+        for n, ready in enumerate(held)
+    ]
+    anchors = {m: f"e{n}" for m, n in homes.items() if n < len(engines)}
+    view = placement_view(
+        engines, {f"m{n}": 30 for n in range(4)}, anchors=anchors, demand=demand
+    )
+    left = {engine.name: set(engine.ready) for engine in engines}
+    for move in moves(view):
+        if move.action is MoveAction.UNLOAD:
+            assert anchors.get(move.target) != move.backend_server
+            left[move.backend_server].discard(move.target)
+    before = set().union(*held)
+    assert set().union(*left.values()) == before
