Test TLS between peers and for operators

Cause: mutual TLS and the operator's identity were untested. Change: four tests with certificates made by openssl: an operator's common name stands in the history, one without a certificate is refused, peers of one authority find each other, and a peer of another authority or deployment stays outside. Conclusion: no change was needed.

--- /dev/null
+++ b/tests/test_tls.py
@@ -0,0 +1,142 @@
+"""Peers, operators and callers over TLS; strangers are refused."""
+
+import json
+import subprocess
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+from conftest import Background, Deployment
+
+from rosepath_standins.cluster import Cluster
+
+
+def make_authority(folder: Path, name: str) -> None:
+    """Make a certificate authority with the openssl command."""
+    _openssl(
+        *("req", "-x509", "-newkey", "rsa:2048", "-nodes", "-days", "2"),
+        *("-subj", f"/CN={name}", "-keyout", folder / f"{name}.key"),
+        *("-out", folder / f"{name}.pem"),
+    )
+
+
+def make_certificate(folder: Path, name: str, *, authority: str) -> None:
+    """Make a certificate signed by an authority."""
+    request = folder / f"{name}.csr"
+    _openssl(
+        *("req", "-newkey", "rsa:2048", "-nodes", "-subj", f"/CN={name}"),
+        *("-keyout", folder / f"{name}.key", "-out", request),
+    )
+    _openssl(
+        *("x509", "-req", "-in", request, "-days", "2", "-CAcreateserial"),
+        *("-CA", folder / f"{authority}.pem", "-CAkey", folder / f"{authority}.key"),
+        *("-out", folder / f"{name}.pem"),
+    )
+
+
+def _openssl(*arguments: object) -> None:
+    command = ["openssl", *map(str, arguments)]
+    subprocess.run(command, check=True, capture_output=True)
+
+
+def tls(folder: Path, name: str, *, ca: str = "ca") -> dict[str, str]:
+    return {
+        "certificate_file": str(folder / f"{name}.pem"),
+        "key_file": str(folder / f"{name}.key"),
+        "client_ca_file": str(folder / f"{ca}.pem"),
+    }
+
+
+@pytest.fixture(scope="module")
+def secured(
+    tmp_path_factory: pytest.TempPathFactory, background: Background
+) -> Iterator[Deployment]:
+    folder = tmp_path_factory.mktemp("tls")
+    make_authority(folder, "ca")
+    make_authority(folder, "other-ca")
+    for name in ("entry-1", "entry-2", "amina"):
+        make_certificate(folder, name, authority="ca")
+    make_certificate(folder, "entry-3", authority="other-ca")
+    deployment = Deployment(folder, deployment="mahkama")
+
+    async def start() -> None:
+        deployment.start_platform()
+        await deployment.wait_listening()
+        for name in ("entry-1", "entry-2"):
+            start_secured(deployment, name)
+        await deployment.wait_live()
+
+    background.run(start())
+    yield deployment
+    deployment.stop()
+
+
+def start_secured(
+    deployment: Cluster, name: str, *, ca: str = "ca", deployed: str = "mahkama"
+) -> None:
+    deployment.deployment = deployed
+    settings = {
+        "peers.tls": tls(deployment.folder, name, ca=ca),
+        "operators.tls": tls(deployment.folder, name, ca=ca),
+    }
+    seeds = [daemon.peers for daemon in deployment.daemons.values()]
+    deployment.start_daemon(name, "casa-a", settings=settings, seeds=seeds)
+
+
+def run_cli(deployment: Cluster, monkeypatch: pytest.MonkeyPatch, *words: str) -> str:
+    folder = deployment.folder
+    monkeypatch.setenv("ROSEPATH_CA_FILE", str(folder / "ca.pem"))
+    monkeypatch.setenv("ROSEPATH_CERTIFICATE_FILE", str(folder / "amina.pem"))
+    monkeypatch.setenv("ROSEPATH_KEY_FILE", str(folder / "amina.key"))
+    done = deployment.cli(*words, daemon="entry-1")
+    assert done.returncode == 0, done.stderr
+    return done.stdout
+
+
+def test_an_operators_identity_is_recorded(
+    secured: Deployment, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    run_cli(secured, monkeypatch, "declare", "service", "greffe-api", "{}")
+    entries = json.loads(run_cli(secured, monkeypatch, "history", "--output", "json"))
+    assert entries[0]["operator"] == "amina"
+
+
+def test_an_operator_without_a_certificate_is_refused(secured: Deployment) -> None:
+    assert secured.cli("status", daemon="entry-1").returncode != 0
+
+
+def known(deployment: Deployment, monkeypatch: pytest.MonkeyPatch) -> dict[str, str]:
+    status = json.loads(run_cli(deployment, monkeypatch, "status", "--output", "json"))
+    return {row["name"]: row["state"] for row in status["entry_vms"]}
+
+
+def test_peers_of_one_authority_find_each_other(
+    secured: Deployment, background: Background, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    background.run(
+        secured.until(lambda: known(secured, monkeypatch).get("entry-2") == "alive")
+    )
+
+
+def test_a_peer_of_another_authority_or_deployment_stays_outside(
+    secured: Deployment, background: Background, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # A stranger keeps knocking at its seeds; a right peer that starts after
+    # it is known, the stranger is not.
+    make_certificate(secured.folder, "entry-4", authority="ca")
+    make_certificate(secured.folder, "entry-5", authority="ca")
+
+    async def start() -> None:
+        start_secured(secured, "entry-3", ca="other-ca")
+        start_secured(secured, "entry-4", deployed="somebody-else")
+        await secured.until(lambda: "peer_refused" in log(secured, "entry-4"))
+        start_secured(secured, "entry-5")
+        await secured.until(lambda: "entry-5" in known(secured, monkeypatch))
+
+    background.run(start())
+    assert known(secured, monkeypatch).keys() == {"entry-1", "entry-2", "entry-5"}
+
+
+def log(deployment: Deployment, name: str) -> str:
+    daemons = [name, "entry-1", "entry-2"]
+    return "".join((deployment.folder / f"{n}.log").read_text() for n in daemons)
