Keep connections after chunked answers; drop answers nobody asked for

Cause: the profile of short requests showed a connect for each of 1,203 requests: llhttp forgets whether to keep alive once the message is complete. Change: the flag is read at completion; surplus answers are skipped and the connection dropped.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -4,7 +4,7 @@
 import sys
 import time
 
-ALL = ("relay",)
+ALL = ("relay", "control")
 
 
 def main() -> None:
--- /dev/null
+++ b/benchmarks/control.py
@@ -0,0 +1,183 @@
+"""What control costs a node, against nodes, replicas and models."""
+
+import asyncio
+import json
+import re
+import time
+from datetime import datetime
+from typing import Any, NamedTuple
+
+import psutil
+
+from benchmarks._private import caller, run_cluster, show, usage
+from rosepath_standins.cluster import Cluster
+
+DATA_CENTRES = ("dc-a", "dc-b", "dc-c", "dc-d")
+FLEETS = (8, 24, 70)
+REPLICAS = (8, 48, 144)
+MODELS = (20, 200, 860)
+CHANGES = 12
+MEASURED_S = 10.0
+
+
+class Cost(NamedTuple):
+    """Hold the cost of control of one quiet fleet, a node where not said."""
+
+    nodes: int
+    replicas: int
+    models: int
+    cpu_percent: float
+    wire_kb_per_s: float
+    memory_mb: float
+    store_calls_per_s: float
+    in_force_median_s: float
+    in_force_worst_s: float
+    calls_per_change: float
+
+
+async def _start(cluster: Cluster, nodes: int, replicas: int, models: int) -> None:
+    cluster.start_platform(weight_loads_per_s=1000.0, weight_parallel=1000)
+    for start in range(0, replicas, 24):
+        cluster.start_engines(min(24, replicas - start), memory_bytes=1_000_000)
+    await cluster.wait_listening()
+    for number in range(nodes):
+        home = DATA_CENTRES[number % len(DATA_CENTRES)]
+        cluster.start_daemon(f"entry-{number:03d}", home)
+        if number % 8 == 7:
+            await cluster.wait_live()
+    await cluster.wait_live()
+    homes = {
+        name: DATA_CENTRES[n % len(DATA_CENTRES)]
+        for n, name in enumerate(cluster.engines)
+    }
+    declarations = "".join(
+        f"[model.m{n}]\nmemory_bytes = 1000\n" for n in range(models)
+    )
+    cluster.declare(
+        declarations + caller() + cluster.engine_declarations(homes, 1_000_000)
+    )
+    await cluster.wait_ready()
+
+
+async def _store_calls(cluster: Cluster) -> int:
+    assert cluster.platform is not None
+    counts = await cluster.json(cluster.platform.address, "/admin/calls")
+    return int(sum(counts["calls"].values()))
+
+
+async def _measure(cluster: Cluster, nodes: int, replicas: int, models: int) -> Cost:
+    await _start(cluster, nodes, replicas, models)
+    await asyncio.sleep(12.0)
+    pids = [daemon.process.pid for daemon in cluster.daemons.values()]
+    cpu = sum(usage(pid).cpu_s for pid in pids)
+    wire = psutil.net_io_counters(pernic=True)["lo"].bytes_sent
+    calls = await _store_calls(cluster)
+    started_s = time.perf_counter()
+    await asyncio.sleep(MEASURED_S)
+    elapsed_s = time.perf_counter() - started_s
+    cpu = sum(usage(pid).cpu_s for pid in pids) - cpu
+    wire = psutil.net_io_counters(pernic=True)["lo"].bytes_sent - wire
+    idle_calls = (await _store_calls(cluster) - calls) / elapsed_s
+    memory = sum(usage(pid).memory_bytes for pid in pids) / nodes
+    spreads, per_change = await _changes(cluster, idle_calls)
+    return Cost(
+        nodes,
+        replicas,
+        models,
+        100 * cpu / elapsed_s / nodes,
+        wire / elapsed_s / nodes / 1e3,
+        memory / 1e6,
+        idle_calls,
+        sorted(spreads)[len(spreads) // 2],
+        max(spreads),
+        per_change,
+    )
+
+
+async def _changes(cluster: Cluster, idle_calls: float) -> tuple[list[float], float]:
+    """Make changes one after another; return each one's time to be everywhere."""
+    calls = await _store_calls(cluster)
+    started_s = time.perf_counter()
+    accepted: dict[int, float] = {}
+    for number in range(CHANGES):
+        declaration = json.dumps({"concurrency": 100 + number})
+        done = await asyncio.to_thread(
+            cluster.cli, "declare", "limit", "l", declaration, "--output", "json"
+        )
+        accepted[int(json.loads(done.stdout)["version"])] = time.time()
+    await cluster.until(lambda: _all_have(cluster, max(accepted)), timeout_s=60)
+    elapsed_s = time.perf_counter() - started_s
+    spent = await _store_calls(cluster) - calls - idle_calls * elapsed_s
+    return _spreads(cluster, list(accepted)), max(0.0, spent) / CHANGES
+
+
+def _log_times(cluster: Cluster, name: str) -> dict[int, float]:
+    times: dict[int, float] = {}
+    for line in (cluster.folder / f"{name}.log").read_text().splitlines():
+        if '"configuration_in_force"' in line:
+            event: dict[str, Any] = json.loads(line)
+            at = datetime.fromisoformat(event["timestamp"]).timestamp()
+            times[int(event["version"])] = at
+    return times
+
+
+def _all_have(cluster: Cluster, version: int) -> bool:
+    return all(
+        max(_log_times(cluster, n), default=0) >= version for n in cluster.daemons
+    )
+
+
+def _spreads(cluster: Cluster, versions: list[int]) -> list[float]:
+    """Return, a version, the time from its first node to its last.
+
+    The node that accepts a change puts it in force at once, so the first is
+    the acceptance. A node may skip a version for a newer one.
+    """
+    logs = [_log_times(cluster, name) for name in cluster.daemons]
+    spreads = []
+    for version in versions:
+        reached = [min(at for v, at in log.items() if v >= version) for log in logs]
+        spreads.append(max(reached) - min(reached))
+    return spreads
+
+
+def _slope(costs: list[Cost], x: str, y: str) -> float:
+    """Return the least-squares slope of one figure over another."""
+    xs = [float(getattr(cost, x)) for cost in costs]
+    ys = [float(getattr(cost, y)) for cost in costs]
+    mean_x, mean_y = sum(xs) / len(xs), sum(ys) / len(ys)
+    over = sum((a - mean_x) * (b - mean_y) for a, b in zip(xs, ys, strict=True))
+    return over / sum((a - mean_x) ** 2 for a in xs)
+
+
+def _run(nodes: int, replicas: int, models: int) -> Cost:
+    return run_cluster(lambda cluster: _measure(cluster, nodes, replicas, models))
+
+
+def main() -> None:
+    """Measure quiet fleets and print costs and slopes."""
+    header = tuple(re.sub("_", " ", name) for name in Cost._fields)
+    by_nodes = [_run(nodes, 8, 20) for nodes in FLEETS]
+    by_replicas = [by_nodes[0], *(_run(8, count, 20) for count in REPLICAS[1:])]
+    by_models = [by_nodes[0], *(_run(8, 8, count) for count in MODELS[1:])]
+    show("Control: quiet fleets", header, [*by_nodes, *by_replicas[1:], *by_models[1:]])
+    rows = []
+    for name, costs in (
+        ("nodes", by_nodes),
+        ("replicas", by_replicas),
+        ("models", by_models),
+    ):
+        rows.append(
+            [
+                f"a {name[:-1]}",
+                _slope(costs, name, "cpu_percent"),
+                1000 * _slope(costs, name, "wire_kb_per_s"),
+                1000 * _slope(costs, name, "memory_mb"),
+                _slope(costs, name, "store_calls_per_s"),
+            ]
+        )
+    show(
+        "Control: slopes, what one more costs each node (store calls: the fleet)",
+        ("one more", "CPU %", "wire B/s", "memory KB", "store calls/s"),
+        rows,
+    )
--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -112,6 +112,36 @@
     return percentile(firsts, 0.5), percentile(firsts, 0.99)
 
 
+async def _slopes(cluster: Cluster) -> list[list[object]]:
+    """Tell the cost of a token from that of a request and of idling."""
+    import asyncio
+
+    await _one_daemon(cluster)
+    daemon = cluster.daemons["entry-1"]
+    before = usage(daemon.process.pid).cpu_s
+    await asyncio.sleep(5.0)
+    idle = (usage(daemon.process.pid).cpu_s - before) / 5.0
+    samples = []
+    for tokens in (10, 200):
+        shape = LoadShape(
+            addresses=(daemon.callers,),
+            key=KEY,
+            models=(MODEL,),
+            streams=32,
+            tokens=tokens,
+            duration_s=6.0,
+            check=False,
+        )
+        before = usage(daemon.process.pid).cpu_s
+        result = await run_loads(shape, 4)
+        cpu_s = usage(daemon.process.pid).cpu_s - before - idle * result.elapsed_s
+        samples.append((result.whole, result.tokens, cpu_s))
+    (r1, t1, c1), (r2, t2, c2) = samples
+    per_token_s = (c2 * r1 - c1 * r2) / (t2 * r1 - t1 * r2)
+    per_request_s = (c1 - t1 * per_token_s) / r1
+    return [[100 * idle, 1e6 * per_token_s, 1e3 * per_request_s]]
+
+
 async def _coalesced(cluster: Cluster) -> list[list[object]]:
     await _one_daemon(cluster, tokens_per_event=4)
     daemon = cluster.daemons["entry-1"]
@@ -206,6 +236,11 @@
         ),
         run_cluster(_relay),
     )
+    show(
+        "Relay: slopes at 32 streams",
+        ("idle % of a core", "CPU us/token", "CPU ms/request"),
+        run_cluster(_slopes),
+    )
     show(
         "Relay: several tokens an event",
         ("tokens an event", "CPU us/token"),
--- a/src/rosepath/http_client.py
+++ b/src/rosepath/http_client.py
@@ -121,6 +121,8 @@
         self.failure: BaseException | None = None
         self.progress = 0
         self.consumer_busy = False
+        self._keep_alive = False
+        self._surplus = False
         self._connection = connection
         self._bodiless = method == "HEAD"
         self._on_head = on_head
@@ -132,13 +134,22 @@
 
     # Called by the parser
 
+    def on_message_begin(self) -> None:
+        # Another answer right behind the first: it belongs to no request of
+        # this exchange, so it is skipped and the connection not used again.
+        self._surplus = self.finished
+
     def on_header(self, name: bytes, value: bytes) -> None:
+        if self._surplus:
+            return
         self._header_bytes += len(name) + len(value)
         if self._header_bytes > MAX_HEADER_BYTES:
             raise ValueError("the headers are too large")
         self._headers.add(name.decode("latin1"), value.decode("latin1"))
 
     def on_headers_complete(self) -> None:
+        if self._surplus:
+            return
         status = self._parser.get_status_code()
         if status < 200:
             self._headers = HTTPHeaders()
@@ -149,11 +160,13 @@
             self.finished = True
 
     def on_body(self, body: bytes) -> None:
-        self._arrived.append(body)
+        if not self._surplus:
+            self._arrived.append(body)
 
     def on_message_complete(self) -> None:
-        if self.head is not None:
+        if self.head is not None and not self._surplus:
             self.finished = True
+            self._keep_alive = self._parser.should_keep_alive()
 
     # Called by the connection
 
@@ -234,9 +247,10 @@
         """Tell whether the next request may use this connection."""
         return (
             self.finished
+            and not self._surplus
             and not self._bodiless
             and self._delimited
-            and self._parser.should_keep_alive()
+            and self._keep_alive
         )
 
 
--- a/src/rosepath/node.py
+++ b/src/rosepath/node.py
@@ -4,6 +4,7 @@
 import random
 from collections.abc import Awaitable, Callable, Coroutine
 from contextlib import suppress
+from dataclasses import asdict
 from typing import Any
 
 from grpclib.server import Server
@@ -162,6 +163,26 @@
             share_units=lambda: len(self.shares.units),
         )
 
+    def _export_state(self) -> None:
+        """Export the size of what is held and the cost of control."""
+        telemetry = self.telemetry
+        telemetry.observe("control", lambda: asdict(self.peers.counters))
+        telemetry.observe("store_calls", lambda: dict(self.platform.calls))
+        telemetry.observe("held", self._held)
+
+    def _held(self) -> dict[str, float]:
+        return {
+            "gossip_rows": len(self.peers.gossip),
+            "gossip_bytes": self.peers.gossip.payload_bytes,
+            "entry_vms": len(self.tables.entry_vms),
+            "replicas": len(self.tables.replicas),
+            "prefixes": len(self.dispatcher.prefixes),
+            "configuration_version": self.state.head.version,
+            "configuration_bytes": sum(map(len, self.state.shards.values())),
+            "share_units": len(self.shares.units),
+            "in_flight": len(self.in_flight),
+        }
+
     def configuration(self) -> Configuration:
         """Return the configuration in force."""
         return self.state.configuration
@@ -204,6 +225,7 @@
         await self.operator_server.start(
             host, port, ssl=grpc_server_context(settings.operators.tls)
         )
+        self._export_state()
         self._start_loops()
         _log.info("started", callers=callers.listen, peers=settings.peers.listen)
 
--- a/src/rosepath/telemetry.py
+++ b/src/rosepath/telemetry.py
@@ -1,7 +1,7 @@
 """Traces with a span for each hop, and metrics, by OpenTelemetry."""
 
 import json
-from collections.abc import Sequence
+from collections.abc import Callable, Mapping, Sequence
 from contextlib import suppress
 from pathlib import Path
 from typing import Any
@@ -71,6 +71,7 @@
     ) -> None:
         self.tracer = tracer
         self._reader = reader
+        self._meter = meter
         self.requests = meter.create_counter("rosepath.requests")
         self.refusals = meter.create_counter("rosepath.refusals")
         self.dropped_chunks = meter.create_counter("rosepath.dropped_chunks")
@@ -115,6 +116,17 @@
         meter = meters.get_meter("rosepath")
         return cls(tracer, meter, readers[0] if chosen.metrics_endpoint else None)
 
+    def observe(self, name: str, read: Callable[[], Mapping[str, float]]) -> None:
+        """Export values, by kind, that are read only when asked for."""
+
+        def callback(_: metrics.CallbackOptions) -> list[metrics.Observation]:
+            return [
+                metrics.Observation(value, {"kind": kind})
+                for kind, value in read().items()
+            ]
+
+        self._meter.create_observable_gauge(f"rosepath.{name}", callbacks=[callback])
+
     def metrics_text(self) -> str:
         """Render the metrics in the Prometheus text format."""
         if not isinstance(self._reader, InMemoryMetricReader):
--- a/src/rosepath_standins/__main__.py
+++ b/src/rosepath_standins/__main__.py
@@ -99,6 +99,37 @@
     asyncio.run(run())
 
 
+def engines(
+    *,
+    listen: list[str],
+    memory_bytes: int = 80_000,
+    slots: int = 16,
+    token_interval_s: float = 0.01,
+    prefill_s_per_block: float = 0.002,
+    report_lag_s: float = 0.1,
+) -> None:
+    """Run several model engines' stand-ins in one process."""
+
+    async def run() -> None:
+        reporting = []
+        for address in listen:
+            app, state = make_engine(
+                EngineShape(
+                    name=address,
+                    memory_bytes=memory_bytes,
+                    slots=slots,
+                    token_interval_s=token_interval_s,
+                    prefill_s_per_block=prefill_s_per_block,
+                    report_lag_s=report_lag_s,
+                )
+            )
+            serve(app, address)
+            reporting.append(keep_reporting(state))
+        await asyncio.gather(*reporting)
+
+    asyncio.run(run())
+
+
 def service(
     *, listen: str = "127.0.0.1:8200", name: str = "service", delay_s: float = 0.0
 ) -> None:
@@ -151,7 +182,7 @@
 
 def main() -> None:
     """Run what the command line asks for."""
-    result = defopt.run([platform, engine, service, load, demo])
+    result = defopt.run([platform, engine, engines, service, load, demo])
     raise SystemExit(result or 0)
 
 
--- a/src/rosepath_standins/cluster.py
+++ b/src/rosepath_standins/cluster.py
@@ -10,7 +10,7 @@
 import sys
 import time
 from collections.abc import Callable, Mapping, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 from typing import Any
 
@@ -127,6 +127,19 @@
         )
         return self.engines[name]
 
+    def start_engines(self, count: int, **options: object) -> list[Process]:
+        """Start several engines' stand-ins in one process."""
+        first = len(self.engines)
+        addresses = [free_address() for _ in range(count)]
+        flags = [word for address in addresses for word in ("--listen", address)]
+        host = self._process(
+            f"engines-{first}", addresses[0], "engines", *flags, *_flags(options)
+        )
+        for number, address in enumerate(addresses, start=first):
+            name = f"engine-{number}"
+            self.engines[name] = replace(host, name=name, address=address)
+        return list(self.engines.values())[first:]
+
     def start_service(self, name: str, **options: object) -> Process:
         """Start a plain service's stand-in."""
         address = free_address()
