Split the callers' side and placement into modules of one job

Change: handlers by path, the claim's outcome, the engines' keeper and the planner's view stand alone.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -4,7 +4,7 @@
 import sys
 import time
 
-ALL = ("relay", "control")
+ALL = ("relay", "control", "placement")
 
 
 def main() -> None:
--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -151,7 +151,9 @@
 
 
 def _run(nodes: int, replicas: int, models: int) -> Cost:
-    return run_cluster(lambda cluster: _measure(cluster, nodes, replicas, models))
+    cost: Cost = run_cluster(lambda c: _measure(c, nodes, replicas, models))
+    print(cost, flush=True)
+    return cost
 
 
 def main() -> None:
--- /dev/null
+++ b/benchmarks/placement.py
@@ -0,0 +1,460 @@
+"""Placement policies over one seeded day: attainment against moves."""
+
+import random
+import time
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field, replace
+
+from benchmarks._private import OUT, show
+from benchmarks.demand import DAY_S, MAHKAMA, ZAGORKA, Day, Shape
+from rosepath.placement import (
+    EngineView,
+    PlacementPolicy,
+    PlacementView,
+    crowding,
+    plan,
+)
+from rosepath.rates import TokenBucket
+from rosepath.tables import Move, MoveAction, MoveReason
+
+TICK_S = 10.0
+DEMAND_WEIGHT = 0.5
+SEED = 20261202
+CURVE = (0.0, 5.0, 20.0, 100.0, 400.0, 2000.0, 10_000.0)
+DEFAULT_MOVE_COST_S = {"Mahkama": 20.0, "Zagorka": 400.0}
+
+Decide = Callable[["Fleet", PlacementView, float], list[Move]]
+
+
+@dataclass(slots=True)
+class FakeEngine:
+    """Hold an engine's memory as the engine itself would count it."""
+
+    name: str
+    memory_bytes: int
+    slots: int
+    ready: dict[str, int] = field(default_factory=dict)
+    coming: dict[str, tuple[int, float]] = field(default_factory=dict)
+    alive: bool = True
+
+    @property
+    def used_bytes(self) -> int:
+        coming = sum(size for size, _ in self.coming.values())
+        return sum(self.ready.values()) + coming
+
+
+@dataclass(slots=True)
+class Score:
+    """Hold what a policy reached over the day."""
+
+    asked: float = 0.0
+    served: float = 0.0
+    bound: float = 0.0
+    moves: int = 0
+    night_moves: int = 0
+    overcommitted: int = 0
+    longest_gap_s: float = 0.0
+    over_time: list[tuple[float, float, int]] = field(default_factory=list)
+
+
+class Fleet:
+    """Fake engines behind a fake weight store, with an injected clock."""
+
+    def __init__(self, shape: Shape, *, faults: bool) -> None:
+        self.shape = shape
+        self.now_s = 0.0
+        self.engines = {
+            f"e{n}": FakeEngine(f"e{n}", shape.engine_bytes, shape.slots)
+            for n in range(shape.engines)
+        }
+        self.sizes = _sizes(shape)
+        self.anchors: dict[str, str] = {}
+        self.demand: dict[str, float] = {}
+        self.last_used_s: dict[tuple[str, str], float] = {}
+        self.score = Score()
+        self._weights = TokenBucket(rate_per_s=shape.loads_per_s, burst=1)
+        self._deaths = _deaths(shape) if faults else []
+        self._missing_since_s: dict[str, float] = {}
+
+    def view(self) -> PlacementView:
+        """Show the fleet as placement sees it."""
+        engines = {
+            engine.name: EngineView(
+                name=engine.name,
+                data_centre="dc",
+                memory_bytes=engine.memory_bytes,
+                free_bytes=engine.memory_bytes - engine.used_bytes,
+                slots=engine.slots,
+                usable=engine.alive,
+                ready=frozenset(engine.ready),
+                coming=frozenset(engine.coming),
+            )
+            for engine in self.engines.values()
+        }
+        return PlacementView(
+            engines=engines,
+            artifacts=self.sizes,
+            anchors=self.anchors,
+            demand=dict(self.demand),
+        )
+
+    def advance(self) -> None:
+        """Let time pass: loads end, engines die and return."""
+        self.now_s += TICK_S
+        for start_s, end_s, name in self._deaths:
+            engine = self.engines[name]
+            alive = not start_s <= self.now_s < end_s
+            if engine.alive and not alive:
+                engine.ready, engine.coming = {}, {}
+            engine.alive = alive
+        for engine in self.engines.values():
+            for target, (size, due_s) in list(engine.coming.items()):
+                if due_s <= self.now_s:
+                    engine.ready[target] = size
+                    del engine.coming[target]
+
+    def carry_out(self, moves: list[Move]) -> None:
+        """Carry moves out as far as memory and the weight store allow."""
+        for move in moves:
+            engine = self.engines[move.backend_server]
+            if move.action is MoveAction.UNLOAD:
+                if engine.ready.pop(move.target, None) is not None:
+                    self._count_move()
+            elif self._load(engine, move.target):
+                self._count_move()
+
+    def _load(self, engine: FakeEngine, target: str) -> bool:
+        size = self.sizes[target]
+        loading = sum(len(e.coming) for e in self.engines.values())
+        if target in engine.ready or target in engine.coming or not engine.alive:
+            return False
+        if engine.used_bytes + size > engine.memory_bytes:
+            return False
+        if loading >= self.shape.parallel_loads or self._weights.take(self.now_s) > 0:
+            return False
+        engine.coming[target] = (size, self.now_s + self.shape.load_s)
+        return True
+
+    def _count_move(self) -> None:
+        if self.now_s < 600:
+            return
+        self.score.moves += 1
+        hour = self.now_s / 3600 % 24
+        start, end = self.shape.day_hours
+        self.score.night_moves += not start <= hour < end
+
+    def serve(self, rates: Mapping[str, float]) -> None:
+        """Serve a tick's arrivals; what exceeds the slots misses its target."""
+        capacity = {
+            e.name: e.slots / self.shape.hold_s
+            for e in self.engines.values()
+            if e.alive
+        }
+        served = _fill(rates, self.engines, capacity)
+        asked = sum(rates.values())
+        self.score.asked += asked * TICK_S
+        self.score.served += sum(served.values()) * TICK_S
+        self.score.bound += min(asked, sum(capacity.values())) * TICK_S
+        for model, rate in rates.items():
+            self._note(model, rate)
+        for engine in self.engines.values():
+            self.score.overcommitted += engine.used_bytes > engine.memory_bytes
+        if int(self.now_s) % 600 == 0:
+            attained = self.score.served / max(1e-9, self.score.asked)
+            self.score.over_time.append((self.now_s, attained, self.score.moves))
+
+    def _note(self, model: str, rate: float) -> None:
+        running = rate * self.shape.hold_s
+        old = self.demand.get(model, 0.0)
+        self.demand[model] = old + DEMAND_WEIGHT * (running - old)
+        holders = [e for e in self.engines.values() if model in e.ready]
+        for engine in holders:
+            if rate > 0.05:
+                self.last_used_s[model, engine.name] = self.now_s
+        if holders or self.now_s < 600:
+            self._missing_since_s.pop(model, None)
+            return
+        since_s = self._missing_since_s.setdefault(model, self.now_s)
+        gap_s = self.now_s - since_s
+        self.score.longest_gap_s = max(self.score.longest_gap_s, gap_s)
+
+
+def _sizes(shape: Shape) -> dict[str, int]:
+    rng = random.Random(SEED)
+    per_adapter = 100
+    floor = shape.engines * shape.engine_bytes * 0.55
+    weights = [rng.uniform(0.5, 1.5) for _ in range(shape.models)]
+    scale = floor / sum(weights)
+    adapters = shape.adapters // shape.models * per_adapter
+    return {
+        f"m{n:02d}": int(weight * scale) + adapters for n, weight in enumerate(weights)
+    }
+
+
+def _deaths(shape: Shape) -> list[tuple[float, float, str]]:
+    rng = random.Random(SEED + 1)
+    starts = [rng.uniform(7, 10) * 3600, rng.uniform(12, 16) * 3600]
+    return [
+        (start_s, start_s + 1200, f"e{rng.randrange(shape.engines)}")
+        for start_s in starts
+    ]
+
+
+def _fill(
+    rates: Mapping[str, float],
+    engines: Mapping[str, FakeEngine],
+    capacity: Mapping[str, float],
+) -> dict[str, float]:
+    """Spread arrivals over the copies, evening out the load, in small parts."""
+    left = dict(capacity)
+    served = dict.fromkeys(rates, 0.0)
+    holders = {
+        model: [n for n, e in engines.items() if model in e.ready and n in left]
+        for model in rates
+    }
+    parts = 12
+    for _ in range(parts):
+        for model, rate in rates.items():
+            portion = rate / parts
+            for name in sorted(holders[model], key=lambda n: -left[n]):
+                taken = min(portion, left[name])
+                left[name] -= taken
+                served[model] += taken
+                portion -= taken
+                if portion <= 1e-12:
+                    break
+    return served
+
+
+def rosepath_policy(move_cost_s: float, quiet: tuple[int, int] | None) -> Decide:
+    """Decide as the product does."""
+
+    def decide(fleet: Fleet, view: PlacementView, now_s: float) -> list[Move]:
+        hour = now_s / 3600 % 24
+        asleep = quiet is not None and (hour >= quiet[0] or hour < quiet[1])
+        policy = PlacementPolicy(move_cost_s=move_cost_s, extras_allowed=not asleep)
+        wanted = plan(view, policy)
+        fleet.anchors = dict(wanted.anchors)
+        return list(plan(replace(view, anchors=fleet.anchors), policy).moves)
+
+    return decide
+
+
+def static_policy(fleet: Fleet, view: PlacementView, _: float) -> list[Move]:
+    """Keep the floor and nothing else."""
+    policy = PlacementPolicy(extras_allowed=False)
+    fleet.anchors = dict(plan(view, policy).anchors)
+    return list(plan(replace(view, anchors=fleet.anchors), policy).moves)
+
+
+def on_demand_policy(fleet: Fleet, view: PlacementView, now_s: float) -> list[Move]:
+    """Load whatever is crowded; unload the least recently used above the floor."""
+    moves = static_policy(fleet, view, now_s)
+    if moves:
+        return moves
+    load = crowding(view, fleet.anchors)
+    for model, demand in sorted(view.demand.items(), key=lambda item: -item[1]):
+        holders = [n for n, e in view.engines.items() if model in e.targets]
+        if demand < 0.5 or not holders or min(load[n] for n in holders) < 0.85:
+            continue
+        others = [n for n, e in view.engines.items() if n not in holders and e.usable]
+        if others:
+            name = min(others, key=lambda n: load[n])
+            return _load_with_lru(fleet, view, model, name)
+    return []
+
+
+def _load_with_lru(
+    fleet: Fleet, view: PlacementView, model: str, name: str
+) -> list[Move]:
+    engine, moves = view.engines[name], []
+    short = fleet.sizes[model] - engine.free_bytes
+    extras = [m for m in engine.ready if fleet.anchors.get(m) != name]
+    for extra in sorted(extras, key=lambda m: fleet.last_used_s.get((m, name), 0)):
+        if short <= 0:
+            break
+        short -= fleet.sizes[extra]
+        moves.append(_move(MoveAction.UNLOAD, extra, name, fleet))
+    if short <= 0:
+        moves.append(_move(MoveAction.LOAD, model, name, fleet))
+    return moves
+
+
+def proportional_policy(fleet: Fleet, view: PlacementView, now_s: float) -> list[Move]:
+    """Every minute, give each model copies in proportion to its demand."""
+    moves = static_policy(fleet, view, now_s)
+    if moves or now_s % 60:
+        return moves
+    total = sum(view.demand.values()) or 1.0
+    usable = [n for n, e in view.engines.items() if e.usable]
+    left = {n: view.engines[n].memory_bytes for n in usable}
+    wanted: dict[str, set[str]] = {n: set() for n in usable}
+    for model, name in fleet.anchors.items():
+        wanted[name].add(model)
+        left[name] -= fleet.sizes[model]
+    for model, demand in sorted(view.demand.items(), key=lambda item: -item[1]):
+        copies = min(len(usable), round(demand / total * len(usable) * 2))
+        for name in sorted(usable, key=lambda n: -left[n])[: max(0, copies - 1)]:
+            if model not in wanted[name] and left[name] >= fleet.sizes[model]:
+                wanted[name].add(model)
+                left[name] -= fleet.sizes[model]
+    for name in usable:
+        ready = view.engines[name].ready
+        gone = sorted(ready - wanted[name])
+        new = sorted(wanted[name] - view.engines[name].targets)
+        moves += [_move(MoveAction.UNLOAD, model, name, fleet) for model in gone]
+        moves += [_move(MoveAction.LOAD, model, name, fleet) for model in new]
+    return moves
+
+
+def _move(action: MoveAction, model: str, name: str, fleet: Fleet) -> Move:
+    return Move(
+        action=action,
+        target=model,
+        backend_server=name,
+        memory_bytes=fleet.sizes[model],
+        reason=MoveReason.DEMAND,
+    )
+
+
+def run_day(shape: Shape, decide: Decide, *, faults: bool) -> Score:
+    """Run one day under a policy."""
+    day, fleet = Day(shape, SEED), Fleet(shape, faults=faults)
+    while fleet.now_s < DAY_S:
+        fleet.advance()
+        fleet.serve({m: day.rate_per_s(m, fleet.now_s) for m in day.models})
+        fleet.carry_out(decide(fleet, fleet.view(), fleet.now_s))
+    return fleet.score
+
+
+def compare(shape: Shape) -> dict[str, Score]:
+    """Run every policy over the same day, without and with faults."""
+    own = rosepath_policy(DEFAULT_MOVE_COST_S[shape.name], shape.quiet_hours)
+    policies: dict[str, Decide] = {
+        "rosepath": own,
+        "static": static_policy,
+        "on demand, LRU": on_demand_policy,
+        "proportional": proportional_policy,
+    }
+    scores, rows = {}, []
+    for faults in (False, True):
+        for name, decide in policies.items():
+            score = run_day(shape, decide, faults=faults)
+            if not faults:
+                scores[name] = score
+            rows.append(
+                [
+                    name,
+                    "yes" if faults else "no",
+                    score.served / score.asked,
+                    score.served / score.bound,
+                    score.served / score.asked / shape.engines,
+                    score.moves,
+                    score.night_moves,
+                    score.overcommitted,
+                    score.longest_gap_s,
+                ]
+            )
+    show(
+        f"Placement over a day: {shape.name}",
+        (
+            "policy",
+            "faults",
+            "attainment",
+            "of the bound",
+            "per engine",
+            "moves",
+            "at night",
+            "overcommitted",
+            "longest gap s",
+        ),
+        rows,
+    )
+    return scores
+
+
+def trade_off(shape: Shape) -> list[tuple[float, float, int]]:
+    """Show attainment against moves over the weight of a move."""
+    points = []
+    for cost_s in CURVE:
+        decide = rosepath_policy(cost_s, shape.quiet_hours)
+        score = run_day(shape, decide, faults=False)
+        points.append((cost_s, score.served / score.asked, score.moves))
+    default = DEFAULT_MOVE_COST_S[shape.name]
+    show(
+        f"Attainment against moves: {shape.name} (default move_cost_s {default:g})",
+        ("move_cost_s", "attainment", "moves"),
+        points,
+    )
+    return points
+
+
+def tick_cost() -> None:
+    """Time one plan at today's size and at the target's."""
+    rows = []
+    for models, engines in ((13, 5), (20, 6), (860, 227), (860, 2500)):
+        view = _large_view(models, engines)
+        policy = PlacementPolicy()
+        started_s = time.perf_counter()
+        rounds = 0
+        while time.perf_counter() - started_s < 1.0:
+            plan(view, policy)
+            rounds += 1
+        rows.append(
+            [models, engines, 1000 * (time.perf_counter() - started_s) / rounds]
+        )
+    show("Placement: one plan", ("models", "engines", "ms"), rows)
+
+
+def _large_view(models: int, engines: int) -> PlacementView:
+    rng = random.Random(SEED)
+    names = [f"e{n}" for n in range(engines)]
+    anchors = {f"m{n}": names[n % engines] for n in range(models)}
+    views = {
+        name: EngineView(
+            name=name,
+            data_centre="dc",
+            memory_bytes=100,
+            free_bytes=40,
+            slots=32,
+            ready=frozenset(m for m, home in anchors.items() if home == name),
+        )
+        for name in names
+    }
+    demand = {model: rng.uniform(0, 40) for model in anchors}
+    return PlacementView(
+        engines=views,
+        artifacts=dict.fromkeys(anchors, 10),
+        anchors=anchors,
+        demand=demand,
+    )
+
+
+def draw(shape: Shape, scores: Mapping[str, Score]) -> None:
+    """Plot attainment and moves over the day."""
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    figure, (above, below) = pyplot.subplots(2, 1, sharex=True, figsize=(8, 6))
+    for name, score in scores.items():
+        hours = [now_s / 3600 for now_s, _, _ in score.over_time]
+        above.plot(hours, [share for _, share, _ in score.over_time], label=name)
+        below.plot(hours, [moves for _, _, moves in score.over_time], label=name)
+    above.set_ylabel("attainment so far")
+    below.set_ylabel("moves so far")
+    below.set_xlabel("hour of the day")
+    above.set_title(f"{shape.name}: policies over one seeded day")
+    above.legend()
+    OUT.mkdir(parents=True, exist_ok=True)
+    figure.savefig(OUT / f"placement-{shape.name.lower()}.png", dpi=100)
+    pyplot.close(figure)
+
+
+def main() -> None:
+    """Compare policies for both shapes; write tables and plots."""
+    for shape in (MAHKAMA, ZAGORKA):
+        draw(shape, compare(shape))
+        trade_off(shape)
+    tick_cost()
--- /dev/null
+++ b/src/rosepath/caller_handler.py
@@ -0,0 +1,284 @@
+"""What every handler of the callers' side shares: refusals, keys, hang-ups."""
+
+import asyncio
+import hashlib
+import hmac
+import json
+import uuid
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Any
+
+from opentelemetry import trace
+from tornado.iostream import StreamClosedError
+from tornado.web import RequestHandler
+
+from rosepath.admission import Admission
+from rosepath.claims import HeldClaim, Outcome, claim_name, make_claim, request_digest
+from rosepath.clock import Clock
+from rosepath.configuration import Configuration
+from rosepath.declarations import matches
+from rosepath.dispatch import Dispatcher, Terms
+from rosepath.errors import Refusal, RefusalError, Run, Step, refuse
+from rosepath.logs import get_logger
+from rosepath.platform import PlatformPort
+from rosepath.services import ServiceRelay
+from rosepath.settings import Settings
+from rosepath.telemetry import Telemetry, context_from_headers
+
+WRITE_AHEAD_BYTES = 64 * 1024
+MAX_KEY_CHARS = 255
+
+_log = get_logger()
+
+
+@dataclass(slots=True, kw_only=True)
+class CallerPorts:
+    """Hold what the handlers work with."""
+
+    settings: Settings
+    configuration: Callable[[], Configuration]
+    dispatcher: Dispatcher
+    relay: ServiceRelay
+    admission: Admission
+    platform: PlatformPort
+    telemetry: Telemetry
+    clock: Clock
+    ready: Callable[[], str]
+    in_flight: set[str]
+    stopping: Callable[[], bool]
+
+
+class Handler(RequestHandler):
+    """Answer refusals as typed errors and hang-ups by cancelling the work."""
+
+    def initialize(self, ports: CallerPorts) -> None:
+        self.ports = ports
+        self.work: asyncio.Task[None] | None = None
+        self.request_id = uuid.uuid4().hex
+        self.in_stream = False
+        if ports.stopping():
+            # So that no caller sends its next request on a connection that
+            # is about to be closed: it would not know whether that ran.
+            self.set_header("Connection", "close")
+
+    def set_default_headers(self) -> None:
+        self.clear_header("Server")
+
+    def compute_etag(self) -> str | None:
+        return None
+
+    def on_connection_close(self) -> None:
+        if self.work is not None:
+            self.work.cancel()
+
+    def log_exception(self, *exc_info: Any) -> None:
+        _log.error("handler_failed", request_id=self.request_id, exc_info=exc_info)
+
+    def write_error(self, status_code: int, **_: Any) -> None:
+        """Answer what no refusal covers: a fault of this node, or bad HTTP."""
+        ours = status_code >= 500
+        refusal = Refusal(
+            status_code,
+            "internal_error" if ours else "bad_request",
+            "an unexpected failure" if ours else "the request cannot be read",
+            Run.UNKNOWN if ours else Run.NO,
+            Step.PARSE,
+        )
+        self.set_header("Content-Type", "application/json")
+        self.set_header("Rosepath-Run", refusal.run.value)
+        self.finish(json.dumps(error_body(refusal, self.request_id)))
+
+    async def run(self, step: Callable[[], Awaitable[None]]) -> None:
+        """Run a handler's work as a task that a hang-up cancels."""
+        self.ports.in_flight.add(self.request_id)
+        self.work = asyncio.ensure_future(_await(step))
+        try:
+            await self.work
+        except RefusalError as error:
+            await self.send_refusal(error.refusal)
+        except StreamClosedError:
+            return
+        except asyncio.CancelledError:
+            if not self.request.connection.stream.closed():  # type: ignore[union-attr]
+                raise
+        finally:
+            self.ports.in_flight.discard(self.request_id)
+
+    async def send_refusal(self, refusal: Refusal) -> None:
+        """Send a refusal as the answer, or as the last event of a stream."""
+        self.ports.telemetry.refusals.add(
+            1, {"code": refusal.code, "run": refusal.run.value}
+        )
+        _log.info(
+            "refused",
+            request_id=self.request_id,
+            code=refusal.code,
+            run=refusal.run,
+            step=refusal.step,
+            peer=refusal.peer,
+        )
+        body = json.dumps(error_body(refusal, self.request_id))
+        try:
+            if self._headers_written:
+                await self._end_broken(body)
+                return
+            self.set_status(refusal.status)
+            self.set_header("Content-Type", "application/json")
+            self.set_header("Rosepath-Run", refusal.run.value)
+            self.set_header("Rosepath-Request-Id", self.request_id)
+            if refusal.retry_after_s is not None:
+                seconds = max(1, round(refusal.retry_after_s + 0.5))
+                self.set_header("Retry-After", str(seconds))
+            await self.finish(body)
+        except StreamClosedError:
+            return
+
+    async def _end_broken(self, body: str) -> None:
+        """End an answer that began: an error event, or a visible cut."""
+        if self.in_stream:
+            self.write(f"data: {body}\n\n")
+            await self.finish()
+            return
+        # Finishing here would make half an answer look whole.
+        self.request.connection.stream.close()  # type: ignore[union-attr]
+
+    def authenticate(self) -> str:
+        """Return the caller's name."""
+        scheme, _, key = self.request.headers.get("Authorization", "").partition(" ")
+        hashed = hashlib.sha256(key.strip().encode()).hexdigest()
+        found = None
+        for known, name in self.ports.configuration().callers_by_key.items():
+            if hmac.compare_digest(known, hashed):
+                found = name
+        if scheme.lower() != "bearer" or found is None:
+            raise refuse(
+                401,
+                "invalid_api_key",
+                "the key is missing or unknown",
+                step=Step.AUTHENTICATE,
+            )
+        return found
+
+    def may_reach(self, caller: str, name: str) -> bool:
+        row = self.ports.configuration().table("caller").get(caller)
+        return row is not None and matches(name, row.reach)
+
+    def check_ready(self) -> None:
+        """Refuse while this node can't serve."""
+        reason = self.ports.ready()
+        if reason:
+            raise refuse(503, "not_ready", reason, step=Step.ROUTE, retry_after_s=1.0)
+
+    def terms(self, *, idempotent: bool, span: trace.Span) -> Terms:
+        """Read how the caller wants its request run."""
+        settings = self.ports.settings
+        timeout_s = settings.routing.request_timeout_s
+        given = self.request.headers.get("Rosepath-Deadline-Ms", "")
+        if given:
+            if not given.isdigit() or int(given) == 0:
+                raise refuse(
+                    400,
+                    "invalid_header",
+                    "Rosepath-Deadline-Ms must be a positive integer",
+                    step=Step.PARSE,
+                )
+            timeout_s = min(timeout_s, int(given) / 1000)
+        marked = self.marked_idempotent()
+        return Terms(
+            idempotent=idempotent and marked,
+            deadline_s=self.ports.clock.monotonic_s() + timeout_s,
+            data_centre=settings.data_centre,
+            span=span,
+        )
+
+    def marked_idempotent(self) -> bool:
+        """Read the header that marks a request as non-idempotent."""
+        given = self.request.headers.get("Rosepath-Idempotent", "true").lower()
+        if given not in ("true", "false"):
+            raise refuse(
+                400,
+                "invalid_header",
+                "Rosepath-Idempotent must be true or false",
+                step=Step.PARSE,
+            )
+        return given == "true"
+
+    def priority(self) -> int:
+        """Read the header that ranks a request."""
+        given = self.request.headers.get("Rosepath-Priority", "0")
+        try:
+            return max(-100, min(100, int(given)))
+        except ValueError:
+            raise refuse(
+                400,
+                "invalid_header",
+                "Rosepath-Priority must be an integer",
+                step=Step.PARSE,
+            ) from None
+
+    async def claim(self, caller: str, body: bytes) -> HeldClaim | Outcome | None:
+        """Claim the idempotency key, if the caller sent one."""
+        key = self.request.headers.get("Idempotency-Key", "")
+        if not key:
+            return None
+        if len(key) > MAX_KEY_CHARS:
+            raise refuse(
+                400, "invalid_header", "Idempotency-Key is too long", step=Step.PARSE
+            )
+        return await make_claim(
+            self.ports.platform,
+            name=claim_name(caller, key),
+            attempt=self.request_id,
+            digest=request_digest(
+                self.request.method or "", self.request.uri or "", body
+            ),
+        )
+
+    def start_span(self, name: str, **attributes: str) -> trace.Span:
+        """Start this hop's span under the caller's, if it sent one."""
+        context = context_from_headers(
+            {"traceparent": self.request.headers.get("Traceparent", "")}
+        )
+        attributes["request_id"] = self.request_id
+        return self.ports.telemetry.tracer.start_span(
+            name, context=context, attributes=attributes
+        )
+
+    def send_ahead(self, data: bytes) -> Awaitable[None] | None:
+        """Write to the caller; hold the sender back once enough is waiting."""
+        self.write(data)
+        written = self.flush()
+        stream = self.request.connection.stream  # type: ignore[union-attr]
+        if len(stream._write_buffer) > WRITE_AHEAD_BYTES:
+            return written
+        return None
+
+    async def replay(self, outcome: Outcome) -> None:
+        """Send the recorded answer of an earlier request with the same key."""
+        self.set_status(outcome.status)
+        for name, value in outcome.headers.items():
+            self.set_header(name, value)
+        self.set_header("Rosepath-Replayed", "true")
+        await self.finish(outcome.body)
+
+
+async def _await(step: Callable[[], Awaitable[None]]) -> None:
+    await step()
+
+
+def error_body(refusal: Refusal, request_id: str) -> dict[str, Any]:
+    """Return a refusal in the shape that OpenAI's clients read."""
+    kind = "invalid_request_error" if refusal.status < 500 else "server_error"
+    return {
+        "error": {
+            "message": refusal.message,
+            "type": kind,
+            "code": refusal.code,
+            "param": None,
+            "run": refusal.run.value,
+            "step": refusal.step.value,
+            "peer": refusal.peer,
+            "request_id": request_id,
+        }
+    }
--- /dev/null
+++ b/src/rosepath/generation_handlers.py
@@ -0,0 +1,178 @@
+"""The OpenAI-compatible paths."""
+
+from collections.abc import Awaitable
+
+from expression import Result
+from opentelemetry import trace
+
+from rosepath.backend import Generation
+from rosepath.caller_handler import WRITE_AHEAD_BYTES, CallerPorts, Handler
+from rosepath.claim_outcome import ClaimOutcome, settled
+from rosepath.claims import Outcome
+from rosepath.clock import Clock
+from rosepath.declarations import matches
+from rosepath.dispatch import Terms
+from rosepath.errors import Step, refuse
+from rosepath.openai_api import collect_answer, make_generation, parse_body
+from rosepath.variants import find_route, resolve_target
+
+
+class ModelsHandler(Handler):
+    """List what the caller may ask for."""
+
+    async def get(self) -> None:
+        await self.run(self._list)
+
+    async def _list(self) -> None:
+        caller = self.authenticate()
+        configuration = self.ports.configuration()
+        names = {*configuration.artifacts, *configuration.adapter_targets}
+        names |= {
+            route.name
+            for route in configuration.routes.values()
+            if matches(caller, route.callers)
+        }
+        rows = [
+            {"id": name, "object": "model", "created": 0, "owned_by": "rosepath"}
+            for name in sorted(names)
+            if self.may_reach(caller, name)
+        ]
+        await self.finish({"object": "list", "data": rows})
+
+
+class GenerationHandler(Handler):
+    """Answer chat and text completions."""
+
+    def initialize(  # type: ignore[override]
+        self, ports: CallerPorts, shape: str
+    ) -> None:
+        super().initialize(ports)
+        self.shape = shape
+
+    async def post(self) -> None:
+        await self.run(self._answer)
+
+    async def _answer(self) -> None:
+        caller = self.authenticate()
+        self.check_ready()
+        match parse_body(self.shape, self.request.body):
+            case Result(tag="ok", ok=body):
+                pass
+            case Result(error=problem):
+                raise refuse(400, "invalid_body", problem, step=Step.PARSE)
+        configuration = self.ports.configuration()
+        key = self.request.headers.get("Idempotency-Key") or self.request_id
+        target = resolve_target(configuration, body.model, caller, key)
+        if target is None or not self.may_reach(caller, body.model):
+            raise refuse(
+                404,
+                "model_not_found",
+                f"no model {body.model!r} for this caller",
+                step=Step.ROUTE,
+            )
+        found = find_route(configuration, body.model, caller)
+        route = found[1] if found else None
+        generation = make_generation(
+            body, request_id=self.request_id, target=target, priority=self.priority()
+        )
+        with trace.use_span(
+            self.start_span("caller.request", model=body.model, target=target),
+            end_on_exit=True,
+        ) as span:
+            terms = self.terms(idempotent=route is None or route.idempotent, span=span)
+            self.ports.telemetry.requests.add(1, {"target": target})
+            claimed = await self.claim(caller, self.request.body)
+            if isinstance(claimed, Outcome):
+                await self.replay(claimed)
+                return
+            async with settled(claimed) as outcome:
+                async with self.ports.admission.admit(
+                    caller=caller, target=body.model, request_id=self.request_id
+                ):
+                    if body.stream:
+                        await self._stream(generation, terms, outcome)
+                    else:
+                        await self._collect(generation, terms, outcome)
+
+    async def _stream(
+        self, generation: Generation, terms: Terms, outcome: ClaimOutcome
+    ) -> None:
+        self.set_header("Content-Type", "text/event-stream")
+        self.set_header("Cache-Control", "no-cache")
+        self.set_header("Rosepath-Request-Id", self.request_id)
+        timing = _Timing(self.ports.clock)
+        kept: list[bytes] = []
+
+        def on_events(events: bytes) -> Awaitable[None] | None:
+            self.in_stream = True
+            timing.note()
+            if outcome.wanted:
+                kept.append(events)
+            return self._send_events(events)
+
+        checker = await self.ports.dispatcher.generate(generation, terms, on_events)
+        outcome.set(200, {"Content-Type": "text/event-stream"}, b"".join(kept))
+        self._record(timing, generation.target, checker.offset)
+        await self.finish()
+
+    def _send_events(self, events: bytes) -> Awaitable[None] | None:
+        """Write events past the handler's buffers once the headers are out.
+
+        The handler's own write and flush cost as much as the socket write
+        itself, for each token of each stream.
+        """
+        if not self._headers_written or self.request.version != "HTTP/1.1":
+            return self.send_ahead(events)
+        stream = self.request.connection.stream  # type: ignore[union-attr]
+        written = stream.write(b"%x\r\n%b\r\n" % (len(events), events))
+        if len(stream._write_buffer) > WRITE_AHEAD_BYTES:
+            return written
+        return None
+
+    async def _collect(
+        self, generation: Generation, terms: Terms, outcome: ClaimOutcome
+    ) -> None:
+        events: list[bytes] = []
+        timing = _Timing(self.ports.clock)
+
+        def on_events(data: bytes) -> None:
+            timing.note()
+            events.append(data)
+
+        checker = await self.ports.dispatcher.generate(generation, terms, on_events)
+        self._record(timing, generation.target, checker.offset)
+        body = collect_answer(b"".join(events), generation)
+        outcome.set(200, {"Content-Type": "application/json"}, body)
+        self.set_header("Content-Type", "application/json")
+        self.set_header("Rosepath-Request-Id", self.request_id)
+        await self.finish(body)
+
+    def _record(self, timing: "_Timing", target: str, tokens: int) -> None:
+        telemetry = self.ports.telemetry
+        telemetry.first_token.record(timing.first_s, {"target": target})
+        if tokens > 1:
+            between_s = timing.span_s / (tokens - 1)
+            telemetry.between_tokens.record(between_s, {"target": target})
+
+
+class _Timing:
+    """Take the times of the first and the last token."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._now_s = clock.monotonic_s
+        self._started_s = self._now_s()
+        self._first_s: float | None = None
+        self._last_s = self._started_s
+
+    def note(self) -> None:
+        self._last_s = self._now_s()
+        if self._first_s is None:
+            self._first_s = self._last_s
+
+    @property
+    def first_s(self) -> float:
+        return (self._first_s or self._last_s) - self._started_s
+
+    @property
+    def span_s(self) -> float:
+        return self._last_s - (self._first_s or self._last_s)
--- a/src/rosepath/node.py
+++ b/src/rosepath/node.py
@@ -13,13 +13,15 @@
 
 from rosepath.admission import Admission
 from rosepath.backend_http import HttpBackend
-from rosepath.caller_server import CallerPorts, make_application
+from rosepath.caller_handler import CallerPorts
+from rosepath.caller_server import make_application
 from rosepath.clock import SystemClock
 from rosepath.configuration import Configuration, ConfigurationState
 from rosepath.configuration_store import HEAD_NAME, Accepted, ConfigurationStore
 from rosepath.deferred import DeferredRequest
 from rosepath.deferred_runner import DeferredRunner, RunnerPorts
 from rosepath.dispatch import Dispatcher, Terms
+from rosepath.engine_keeper import PlacerPorts
 from rosepath.errors import Step, refuse
 from rosepath.gossip import Row, RowKey, RowKind
 from rosepath.http_client import HttpPool
@@ -32,7 +34,7 @@
 from rosepath.operators import OperatorPorts, OperatorService
 from rosepath.peers import PeerNetwork, PeerPorts, PeerService
 from rosepath.placement import plan
-from rosepath.placer import Placer, PlacerPorts
+from rosepath.placer import Placer
 from rosepath.platform import StoreError, VmState
 from rosepath.platform_http import HttpPlatform
 from rosepath.poller import Poller, apply_load, smooth_demand, sync_replicas
@@ -41,7 +43,7 @@
 from rosepath.services import ServiceRelay
 from rosepath.settings import Settings, split_address
 from rosepath.share_keeper import ShareKeeper
-from rosepath.tables import MemberState, Tables
+from rosepath.tables import Tables
 from rosepath.telemetry import Telemetry
 from rosepath.tls import grpc_server_context, peer_client_context, server_context
 from rosepath.variants import resolve_target
@@ -573,10 +575,3 @@
             row.limit.concurrency is None or row.in_use <= row.slots
             for row in self.admission.rows.values()
         )
-
-    # For the status call
-
-    @property
-    def member_state(self) -> MemberState:
-        """Return this node's own state."""
-        return self.peers.me.state
--- /dev/null
+++ b/src/rosepath/service_handler.py
@@ -0,0 +1,146 @@
+"""Pass callers' requests on to plain services, bodies streamed both ways."""
+
+import asyncio
+from collections.abc import AsyncIterator, Awaitable
+from typing import Any
+
+from opentelemetry import trace
+from tornado.httputil import HTTPHeaders
+from tornado.web import stream_request_body
+
+from rosepath.caller_handler import CallerPorts, Handler
+from rosepath.claim_outcome import ClaimOutcome, settled
+from rosepath.claims import Outcome
+from rosepath.declarations import Service
+from rosepath.dispatch import Terms
+from rosepath.errors import Step, refuse
+from rosepath.http_client import ResponseHead
+from rosepath.services import HOP_HEADERS, ServiceCall
+
+HELD_BODY_BYTES = 64 * 1024
+BODY_QUEUE_CHUNKS = 4
+
+
+@stream_request_body
+class ServiceHandler(Handler):
+    """Pass calls on to a plain service, bodies streamed both ways."""
+
+    def initialize(self, ports: CallerPorts) -> None:
+        super().initialize(ports)
+        self.chunks: asyncio.Queue[bytes | None] = asyncio.Queue(BODY_QUEUE_CHUNKS)
+        self.held: list[bytes] = []
+        self.early: asyncio.Task[None] | None = None
+        self.streaming = False
+
+    async def prepare(self) -> None:
+        length = self.request.headers.get("Content-Length", "0")
+        chunked = "Transfer-Encoding" in self.request.headers
+        self.streaming = chunked or int(length) > HELD_BODY_BYTES
+        connection: Any = self.request.connection
+        connection.set_max_body_size(1 << 40)
+        if self.streaming:
+            self.early = asyncio.ensure_future(self.run(self._pass_on))
+
+    async def data_received(self, chunk: bytes) -> None:
+        if not self.streaming:
+            self.held.append(chunk)
+        elif self.early is not None and not self.early.done():
+            putting = asyncio.ensure_future(self.chunks.put(chunk))
+            await asyncio.wait(
+                [putting, self.early], return_when=asyncio.FIRST_COMPLETED
+            )
+            putting.cancel()
+
+    async def _serve(self, *_: str) -> None:
+        if self.early is not None:
+            if not self.early.done():
+                await self.chunks.put(None)
+            await self.early
+        else:
+            await self.run(self._pass_on)
+
+    get = head = post = put = delete = patch = options = _serve
+
+    async def _body_chunks(self) -> AsyncIterator[bytes]:
+        while (chunk := await self.chunks.get()) is not None:
+            yield chunk
+
+    async def _pass_on(self) -> None:
+        caller = self.authenticate()
+        self.check_ready()
+        name = str(self.path_args[0])
+        configuration = self.ports.configuration()
+        service: Service | None = configuration.services.get(name)
+        if service is None or not self.may_reach(caller, name):
+            raise refuse(
+                404,
+                "service_not_found",
+                f"no service {name!r} for this caller",
+                step=Step.ROUTE,
+            )
+        method = self.request.method or "GET"
+        body = b"".join(self.held)
+        with trace.use_span(
+            self.start_span("caller.call", service=name), end_on_exit=True
+        ) as span:
+            terms = self.terms(
+                idempotent=method in service.idempotent_methods, span=span
+            )
+            self.ports.telemetry.requests.add(1, {"target": name})
+            claimed = await self.claim(caller, body)
+            if isinstance(claimed, Outcome):
+                await self.replay(claimed)
+                return
+            call = ServiceCall(
+                service=name,
+                method=method,
+                path=self._service_path(name),
+                headers=dict(self.request.headers.get_all()),
+                body=body,
+                body_chunks=self._body_chunks() if self.streaming else None,
+            )
+            async with settled(claimed) as outcome:
+                async with self.ports.admission.admit(
+                    caller=caller, target=name, request_id=self.request_id
+                ):
+                    await self._relay(call, terms, outcome)
+
+    def _service_path(self, name: str) -> str:
+        path = (self.request.uri or "/")[len(f"/services/{name}") :]
+        return path if path.startswith("/") else "/" + path
+
+    async def _relay(
+        self, call: ServiceCall, terms: Terms, outcome: ClaimOutcome
+    ) -> None:
+        kept: list[bytes] = []
+
+        def on_head(head: ResponseHead) -> None:
+            self.set_status(head.status)
+            for name, value in _answer_headers(head.headers).items():
+                self.set_header(name, value)
+            self.set_header("Rosepath-Request-Id", self.request_id)
+
+        def on_data(data: bytes) -> Awaitable[None] | None:
+            if outcome.wanted:
+                kept.append(data)
+            return self.send_ahead(data)
+
+        await self.ports.relay.call(call, terms, on_head, on_data)
+        headers = {
+            name: value
+            for name, value in self._headers.get_all()
+            if name.lower() == "content-type"
+        }
+        outcome.set(self.get_status(), headers, b"".join(kept))
+        await self.finish()
+
+
+def _answer_headers(headers: HTTPHeaders) -> dict[str, str]:
+    passed = {
+        name: value
+        for name, value in headers.get_all()
+        if name.lower() not in HOP_HEADERS
+    }
+    if "Content-Length" in headers:
+        passed["Content-Length"] = headers["Content-Length"]
+    return passed
--- a/src/rosepath_standins/cluster.py
+++ b/src/rosepath_standins/cluster.py
@@ -131,7 +131,7 @@
         """Start several engines' stand-ins in one process."""
         first = len(self.engines)
         addresses = [free_address() for _ in range(count)]
-        flags = [word for address in addresses for word in ("--listen", address)]
+        flags = ["--listen", *addresses]
         host = self._process(
             f"engines-{first}", addresses[0], "engines", *flags, *_flags(options)
         )
--- a/tests/test_placer.py
+++ b/tests/test_placer.py
@@ -10,7 +10,8 @@
 
 from rosepath.clock import ManualClock
 from rosepath.configuration import Configuration, Operation
-from rosepath.placer import Placer, PlacerPorts
+from rosepath.engine_keeper import PlacerPorts
+from rosepath.placer import Placer
 from rosepath.poller import sync_replicas
 from rosepath.settings import PlacementSettings
 from rosepath.tables import Tables
