Announce every version that comes into force, whoever pulled it

Cause: a node that took an operator's change pulled a newer version first and told nobody: its tables kept the older one until the next change. Change: the state itself calls back. Drained backend servers go behind the others in routing. Before: the new test's list is empty; after: [1].

--- a/src/rosepath/configuration.py
+++ b/src/rosepath/configuration.py
@@ -2,7 +2,7 @@
 
 import hashlib
 import json
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 from functools import cached_property
 from typing import Any, NamedTuple
@@ -225,10 +225,12 @@
     """Hold the version in force; it only ever moves up.
 
     Shards are kept encoded by digest, so that a peer can be fed and a new
-    version decodes only what changed.
+    version decodes only what changed. `on_applied` is called for each version
+    that came into force, whoever brought it.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, on_applied: Callable[[], None] = lambda: None) -> None:
+        self.on_applied = on_applied
         self.head = Head()
         self.configuration = Configuration()
         self.shards: dict[str, bytes] = {}
@@ -267,4 +269,5 @@
         self.configuration = Configuration(head.version, tables)
         self.shards = {address: known[address] for address in decoded}
         self._decoded = decoded
+        self.on_applied()
         return Ok(True)
--- a/src/rosepath/node.py
+++ b/src/rosepath/node.py
@@ -69,7 +69,7 @@
         self.settings = settings
         self.clock = SystemClock()
         self.tables = Tables()
-        self.state = ConfigurationState()
+        self.state = ConfigurationState(on_applied=self.configuration_changed)
         self.telemetry = Telemetry.from_settings(settings)
         self.platform = HttpPlatform(settings.platform, clock=self.clock)
         self.store = ConfigurationStore(self.platform, self.state)
@@ -96,7 +96,6 @@
                 clock=self.clock,
                 client_tls=peer_client_context(settings.peers.tls),
                 on_row=self._on_row,
-                on_configuration=self.configuration_changed,
             ),
             address=address,
         )
@@ -160,7 +159,6 @@
             clock=self.clock,
             leases=self._lease_rows,
             platform_reachable=lambda: self.platform.reachable,
-            on_change=self.configuration_changed,
             predict_moves=self._predict_moves,
             share_units=lambda: len(self.shares.units),
         )
@@ -354,8 +352,7 @@
 
     async def _pull(self) -> None:
         try:
-            if await self.store.pull():
-                self.configuration_changed()
+            await self.store.pull()
         except (StoreError, ValueError) as error:
             _log.warning("pull_failed", step="store", error=str(error))
         if self.store.went_back:
--- a/src/rosepath/operators.py
+++ b/src/rosepath/operators.py
@@ -41,7 +41,6 @@
     clock: Clock
     leases: Callable[[], list[pb.LeaseStatus]]
     platform_reachable: Callable[[], bool]
-    on_change: Callable[[], None]
     predict_moves: Callable[[Accepted], list[str]]
     share_units: Callable[[], int]
     changed: asyncio.Condition = field(default_factory=asyncio.Condition)
@@ -86,8 +85,6 @@
     ) -> pb.ChangeReply:
         match outcome:
             case Result(tag="ok", ok=accepted):
-                if not change.dry_run:
-                    self._ports.on_change()
                 return pb.ChangeReply(
                     version=accepted.version,
                     already_applied=accepted.already_applied,
--- a/src/rosepath/peers.py
+++ b/src/rosepath/peers.py
@@ -82,7 +82,6 @@
     clock: Clock
     client_tls: ssl.SSLContext | None
     on_row: Callable[[Row], None]
-    on_configuration: Callable[[], None]
 
 
 class PeerNetwork:
@@ -357,8 +356,6 @@
         applied = self._ports.configuration.apply(head.ok, dict(bundle.shards))
         if applied.is_error():
             _log.warning("bundle_refused", reason=applied.error)
-        elif applied.ok:
-            self._ports.on_configuration()
 
     async def borrow(self, limit: str, request_id: str) -> str | None:
         """Ask peers for a slot of a limit; return the lender's name."""
--- a/src/rosepath/poller.py
+++ b/src/rosepath/poller.py
@@ -43,6 +43,7 @@
         row.data_centre = server.data_centre
         row.address = server.address
         row.service = server.service
+        row.draining = name in configuration.table("drain")
         row.memory_bytes = server.memory_bytes
         if server.service:
             row.resident = frozenset({server.service})
--- a/src/rosepath/routing.py
+++ b/src/rosepath/routing.py
@@ -69,8 +69,10 @@
     # A replica that failed lately goes behind the others but stays a
     # candidate: if all of them failed, removing them would refuse requests
     # that one of them could serve.
-    trusted = [replica for replica in able if replica.suspect_until_s <= now_s]
-    pool = trusted or able
+    # One that is being drained may still hold the only copy for a while.
+    staying = [replica for replica in able if not replica.draining] or able
+    trusted = [replica for replica in staying if replica.suspect_until_s <= now_s]
+    pool = trusted or staying
     home = _affine(pool, request, policy)
     if home is not None:
         return home
--- a/src/rosepath/tables.py
+++ b/src/rosepath/tables.py
@@ -50,6 +50,7 @@
     known_since_s: float = 0.0
     reachable: bool = True
     leaving: bool = False
+    draining: bool = False
     own_starts: dict[str, float] = field(default_factory=dict)
     hold_s: float = 0.5
     suspect_until_s: float = 0.0
--- a/src/rosepath_standins/standalone.py
+++ b/src/rosepath_standins/standalone.py
@@ -91,4 +91,3 @@
     outcome = await node.store.commit(change)
     if outcome.is_error():
         raise RuntimeError(outcome.error)
-    node.configuration_changed()
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -20,9 +20,7 @@
     return Configuration().with_operations(operations, version=version)
 
 
-def engine_operation(
-    name: str, /, *, memory_bytes: int = 100, **fields: Any
-) -> Operation:
+def engine_operation(name: str, /, **fields: Any) -> Operation:
     """Build the declaration of an engine."""
     given: dict[str, Any] = {
         "data_centre": "casa-a",
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -133,6 +133,25 @@
     asyncio.run(run())
 
 
+def test_a_version_that_a_conflicting_change_pulled_is_announced() -> None:
+    # A node that lags takes an operator's change: it reads the newer version
+    # first and answers with a conflict. Its tables must follow that version
+    # all the same, or it would serve the old one until the next change.
+    async def run() -> None:
+        platform = FakePlatform()
+        applied: list[int] = []
+        state = ConfigurationState()
+        state.on_applied = lambda: applied.append(state.head.version)
+        lagging = ConfigurationStore(platform, state)
+        caller = operation("caller", "a", key_sha256="0" * 64)
+        await store_of(platform).commit(change(caller, change_id="first"))
+        outcome = await lagging.commit(change(caller, change_id="second"))
+        assert outcome.error == VersionConflict(current_version=1)
+        assert applied == [1]
+
+    asyncio.run(run())
+
+
 def test_an_invalid_change_is_refused_whole() -> None:
     async def run() -> None:
         platform = FakePlatform()
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -56,6 +56,12 @@
     assert choose([failed]) == "a"
 
 
+def test_a_drained_replica_serves_only_what_no_other_holds() -> None:
+    drained = replica("a", draining=True)
+    assert choose([drained, replica("b", running=9)]) == "b"
+    assert choose([drained]) == "a"
+
+
 def test_affinity_is_bounded_by_load() -> None:
     home, other = replica("a", running=1), replica("b")
     assert choose([home, other], prefix_home="a") == "a"
