--- a/src/rosepath/peers.py
+++ b/src/rosepath/peers.py
@@ -1,31 +1,17 @@
-"""Talk to other entry VMs: gossip, configuration, lent slots."""
+"""Gossip with other entry VMs: who lives, and the rows that they share."""
 
 import asyncio
 import random
-import ssl
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Coroutine
 from contextlib import suppress
 from dataclasses import dataclass
-
-from grpclib import GRPCError
-from grpclib.client import Channel
-from grpclib.const import Status
-from grpclib.exceptions import StreamTerminatedError
-from grpclib.server import Stream
+from typing import Any
 
 from rosepath.clock import Clock
-from rosepath.configuration import ConfigurationState, decode_head, encode_head
-from rosepath.gossip import (
-    GossipState,
-    Row,
-    RowKey,
-    RowKind,
-    finger_neighbours,
-)
-from rosepath.limits import LimitRow, lend
+from rosepath.configuration import ConfigurationState
+from rosepath.gossip import GossipState, Row, RowKey, RowKind, finger_neighbours
 from rosepath.logs import get_logger
 from rosepath.membership import (
-    alive,
     decode_member,
     encode_member,
     first_incarnation,
@@ -33,28 +19,15 @@
     present,
     silent_members,
 )
-from rosepath.proto.rosepath_grpc import PeersBase, PeersStub
-from rosepath.proto.rosepath_pb2 import (
-    BorrowReply,
-    BorrowRequest,
-    ConfigurationBundle,
-    FetchConfigurationRequest,
-    GossipFrame,
-    GossipRow,
-    ReturnReply,
-    ReturnRequest,
-)
-from rosepath.settings import Settings, split_address
+from rosepath.peer_channels import CALL_FAILURES, CALL_TIMEOUT_S, PeerChannels
+from rosepath.proto.rosepath_pb2 import GossipFrame, GossipRow
+from rosepath.settings import Settings
 from rosepath.tables import EntryVm, MemberState, Tables
 
 PROTOCOL = 1
-CALL_TIMEOUT_S = 1.0
-FETCH_TIMEOUT_S = 5.0
 REPROBE_INTERVAL_S = 2.0
 HEARTBEAT_FINGERS = 2
 FAR_HEARTBEAT_FACTOR = 6.0
-BORROW_PEERS = 8
-_FAILURES = (GRPCError, StreamTerminatedError, OSError, TimeoutError)
 
 _log = get_logger()
 
@@ -78,9 +51,9 @@
     settings: Settings
     tables: Tables
     configuration: ConfigurationState
-    limits: Callable[[], Mapping[str, LimitRow]]
+    channels: PeerChannels
+    fetch: Callable[[str], Coroutine[Any, Any, None]]
     clock: Clock
-    client_tls: ssl.SSLContext | None
     on_row: Callable[[Row], None]
 
 
@@ -93,13 +66,11 @@
         self.epoch = random.getrandbits(63)
         self.heard_at_s: dict[str, float] = {}
         self._ports = ports
-        self._channels: dict[str, Channel] = {}
         self._received: dict[str, int] = {}
         self._busy: set[str] = set()
         self._news = asyncio.Event()
         self.members_changed = asyncio.Event()
         self._reprobed_at_s = -1e9
-        self._first_fetch = asyncio.Lock()
         settings = ports.settings
         self.me = EntryVm(
             name=settings.entry_vm,
@@ -252,11 +223,11 @@
         if name:
             self.gossip.link(name).sent_at_s = now_s
         try:
-            reply = await PeersStub(self._channel(address)).Exchange(
+            reply = await self._ports.channels.stub(address).Exchange(
                 frame, timeout=CALL_TIMEOUT_S
             )
-        except _FAILURES as error:
-            self._drop_channel(address)
+        except CALL_FAILURES as error:
+            self._ports.channels.drop(address)
             if isinstance(error, ConnectionRefusedError) and name:
                 self._declare_dead(name, "refused")
             return
@@ -324,86 +295,7 @@
                 self.merge(row, source=frame.sender)
         self._received[frame.sender] = frame.sequence
         if frame.configuration_version > self._ports.configuration.head.version:
-            asyncio.ensure_future(self.fetch_configuration(frame.sender))
-
-    async def fetch_configuration(self, name: str) -> None:
-        """Take a newer configuration from a peer."""
-        member = self._ports.tables.entry_vms.get(name)
-        if member is None or self._first_fetch.locked():
-            return
-        async with self._first_fetch:
-            state = self._ports.configuration
-            request = FetchConfigurationRequest(
-                known_version=state.head.version, known_digests=list(state.shards)
-            )
-            try:
-                bundle = await PeersStub(
-                    self._channel(member.address)
-                ).FetchConfiguration(request, timeout=FETCH_TIMEOUT_S)
-            except _FAILURES:
-                self._drop_channel(member.address)
-                return
-            self.take_bundle(bundle)
-
-    def take_bundle(self, bundle: ConfigurationBundle) -> None:
-        """Put a peer's configuration in force if it is newer and whole."""
-        if not bundle.head:
-            return
-        head = decode_head(bundle.head)
-        if head.is_error():
-            _log.warning("bundle_refused", reason=head.error)
-            return
-        applied = self._ports.configuration.apply(head.ok, dict(bundle.shards))
-        if applied.is_error():
-            _log.warning("bundle_refused", reason=applied.error)
-
-    async def borrow(self, limit: str, request_id: str) -> str | None:
-        """Ask peers for a slot of a limit; return the lender's name."""
-        names = [n for n in alive(self._ports.tables.entry_vms) if n != self.me.name]
-        random.shuffle(names)
-        for name in names[:BORROW_PEERS]:
-            request = BorrowRequest(
-                limit=limit, borrower=self.me.name, request_id=request_id
-            )
-            address = self._ports.tables.entry_vms[name].address
-            try:
-                reply = await PeersStub(self._channel(address)).Borrow(
-                    request, timeout=CALL_TIMEOUT_S
-                )
-            except _FAILURES:
-                # The lender may have lent it and the reply been lost.
-                asyncio.ensure_future(self.give_back(name, limit, request_id))
-                continue
-            if reply.granted:
-                return name
-        return None
-
-    async def give_back(self, lender: str, limit: str, request_id: str) -> None:
-        """Return a slot, trying until the lender knows or is gone."""
-        while (member := self._ports.tables.entry_vms.get(lender)) is not None:
-            if member.state is MemberState.DEAD:
-                return
-            request = ReturnRequest(limit=limit, request_id=request_id)
-            try:
-                await PeersStub(self._channel(member.address)).Return(
-                    request, timeout=CALL_TIMEOUT_S
-                )
-                return
-            except _FAILURES:
-                await asyncio.sleep(random.uniform(0.2, 0.5))
-
-    def _channel(self, address: str) -> Channel:
-        if address not in self._channels:
-            host, port = split_address(address)
-            self._channels[address] = Channel(host, port, ssl=self._ports.client_tls)
-        return self._channels[address]
-
-    def _drop_channel(self, address: str) -> None:
-        # A connection that went silent stays silent: the next call must go
-        # over a new one.
-        channel = self._channels.pop(address, None)
-        if channel is not None:
-            channel.close()
+            asyncio.ensure_future(self._ports.fetch(frame.sender))
 
     async def leave(self) -> None:
         """Tell the neighbours that this node leaves."""
@@ -411,11 +303,6 @@
         self.announce_me()
         await asyncio.gather(*(self._exchange_with(n) for n in self.neighbours()))
 
-    def close(self) -> None:
-        """Close every channel."""
-        for channel in self._channels.values():
-            channel.close()
-
     # Calls answered
 
     def answer_exchange(self, frame: GossipFrame) -> GossipFrame:
@@ -427,32 +314,6 @@
         self.counters.bytes_sent += reply.ByteSize()
         return reply
 
-    def bundle_for(self, request: FetchConfigurationRequest) -> ConfigurationBundle:
-        """Return the own configuration without what the asker has."""
-        state = self._ports.configuration
-        bundle = ConfigurationBundle()
-        if state.head.version <= request.known_version:
-            return bundle
-        bundle.head = encode_head(state.head)
-        known = set(request.known_digests)
-        for address, data in state.shards.items():
-            if address not in known:
-                bundle.shards[address] = data
-        return bundle
-
-    def answer_borrow(self, request: BorrowRequest) -> bool:
-        """Lend a slot if one is free here."""
-        row = self._ports.limits().get(request.limit)
-        return row is not None and lend(
-            row, borrower=request.borrower, request_id=request.request_id
-        )
-
-    def answer_return(self, request: ReturnRequest) -> None:
-        """Take a lent slot back."""
-        row = self._ports.limits().get(request.limit)
-        if row is not None:
-            row.lent.pop(request.request_id, None)
-
 
 def _encode_row(row: Row) -> GossipRow:
     return GossipRow(
@@ -470,45 +331,3 @@
     except ValueError:
         return None
     return Row(RowKey(kind, message.name), message.version, message.payload)
-
-
-class PeerService(PeersBase):
-    """Serve other entry VMs."""
-
-    def __init__(self, network: PeerNetwork) -> None:
-        self._network = network
-
-    async def Exchange(  # noqa: N802
-        self, stream: "Stream[GossipFrame, GossipFrame]"
-    ) -> None:
-        frame = await stream.recv_message()
-        if frame is None:
-            return
-        if not self._network.accepts(frame):
-            raise GRPCError(
-                Status.FAILED_PRECONDITION, "another deployment, protocol or sender"
-            )
-        await stream.send_message(self._network.answer_exchange(frame))
-
-    async def FetchConfiguration(  # noqa: N802
-        self, stream: "Stream[FetchConfigurationRequest, ConfigurationBundle]"
-    ) -> None:
-        request = await stream.recv_message()
-        if request is not None:
-            await stream.send_message(self._network.bundle_for(request))
-
-    async def Borrow(  # noqa: N802
-        self, stream: "Stream[BorrowRequest, BorrowReply]"
-    ) -> None:
-        request = await stream.recv_message()
-        if request is not None:
-            granted = self._network.answer_borrow(request)
-            await stream.send_message(BorrowReply(granted=granted))
-
-    async def Return(  # noqa: N802
-        self, stream: "Stream[ReturnRequest, ReturnReply]"
-    ) -> None:
-        request = await stream.recv_message()
-        if request is not None:
-            self._network.answer_return(request)
-            await stream.send_message(ReturnReply())
--- a/src/rosepath/poller.py
+++ b/src/rosepath/poller.py
@@ -101,6 +101,12 @@
     return True
 
 
+def load_says_leaving(payload: bytes) -> bool | None:
+    """Return whether a poller's own row says so; None if it says nothing."""
+    message = LoadPayload.FromString(payload)
+    return message.leaving if message.reachable else None
+
+
 def smooth_demand(
     demand: dict[str, float], replicas: Iterable[Replica], *, weight: float
 ) -> None:
--- a/src/rosepath_standins/cluster.py
+++ b/src/rosepath_standins/cluster.py
@@ -4,6 +4,7 @@
 import hashlib
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -18,13 +19,29 @@
 
 START_TIMEOUT_S = 20.0
 POLL_S = 0.02
+PORTS = (12_000, 32_000)
+
+
+_given: set[int] = set()
 
 
 def free_port() -> int:
-    """Return a loopback port that was free a moment ago."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
+    """Return a loopback port that is free, below those given to clients.
+
+    A port from the ephemeral range could be taken by any outgoing connection
+    before its process starts.
+    """
+    while True:
+        port = random.randrange(*PORTS)
+        if port in _given:
+            continue
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        _given.add(port)
+        return port
 
 
 def free_address() -> str:
