Cost of control: fewer calls, exchanges and scans

The ledger's fair share rounded up left four of 64 nodes without units, polling each second for ever; load news went over all links twice a second; links ignored data centres; the poller hashed every replica with every member at each poll; validation summed adapters base by base. Change: fair shares round down, the ledger is read on joins and every 120 s, spread out; load news goes once a second over local links and every 2 s over far ones, on a ring ordered by data centre; polls are assigned when members change; packing uses a heap.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -4,7 +4,15 @@
 import sys
 import time
 
-ALL = ("relay", "control", "placement")
+ALL = (
+    "relay",
+    "routing",
+    "retries",
+    "placement",
+    "capacity",
+    "control",
+    "soak",
+)
 
 
 def main() -> None:
--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -398,7 +398,7 @@
         started_s = time.perf_counter()
         rounds = 0
         while time.perf_counter() - started_s < 1.0:
-            plan(view, policy)
+            plan(replace(view), policy)
             rounds += 1
         rows.append(
             [models, engines, 1000 * (time.perf_counter() - started_s) / rounds]
--- a/src/rosepath/gossip.py
+++ b/src/rosepath/gossip.py
@@ -168,9 +168,8 @@
             link.throttled.clear()
 
 
-def finger_neighbours(me: str, members: Sequence[str]) -> list[str]:
-    """Return the members at distances 1, 2, 4, ... along the sorted ring."""
-    ring = sorted({*members, me})
+def finger_neighbours(me: str, ring: Sequence[str]) -> list[str]:
+    """Return the members at distances 1, 2, 4, ... along a ring."""
     at = ring.index(me)
     chosen: list[str] = []
     distance = 1
@@ -178,10 +177,3 @@
         chosen.append(ring[(at + distance) % len(ring)])
         distance *= 2
     return chosen
-
-
-def observers_of(name: str, members: Sequence[str], *, count: int = 2) -> list[str]:
-    """Return the members just before one on the ring, who watch over it."""
-    ring = sorted({*members, name})
-    at = ring.index(name)
-    return [ring[(at - n) % len(ring)] for n in range(1, min(count, len(ring) - 1) + 1)]
--- a/src/rosepath/limit_keeper.py
+++ b/src/rosepath/limit_keeper.py
@@ -12,10 +12,12 @@
 from rosepath.membership import alive, gone_entry_vms
 from rosepath.platform import StoreError
 from rosepath.share_keeper import ShareKeeper
+from rosepath.shares import fair_units
 from rosepath.tables import Tables
 
 BUSY_INTERVAL_S = 1.0
-IDLE_INTERVAL_S = 10.0
+IDLE_INTERVAL_S = 120.0
+JOIN_SPREAD_S = 0.02
 
 
 class LimitKeeper:
@@ -59,6 +61,10 @@
                 async with asyncio.timeout(interval_s * random.uniform(0.5, 1.0)):
                     await self._members_changed.wait()
             self._members_changed.clear()
+            # A join is seen by all at once; reading the ledger together
+            # would be a burst on the store that grows with the fleet.
+            count = len(self._tables.entry_vms)
+            await asyncio.sleep(random.uniform(0, JOIN_SPREAD_S * count))
 
     async def _step(self) -> bool:
         """Take one step; return whether another is due soon."""
@@ -73,7 +79,7 @@
             reclaim_lent(row, gone)
         live = frozenset(alive(members))
         wrote = await self._shares.step(live=live, gone=gone, lowered=self._lower)
-        return wrote or len(self._shares.holders & live) < len(live)
+        return wrote or len(self._shares.units) < fair_units(len(live)) / 2
 
     def _lower(self, units: frozenset[int]) -> bool:
         """Put fewer units in force; tell whether what runs fits them."""
--- a/src/rosepath/node.py
+++ b/src/rosepath/node.py
@@ -49,9 +49,9 @@
 from rosepath.telemetry import Telemetry
 from rosepath.tls import grpc_server_context, peer_client_context, server_context
 
-VM_LIST_INTERVAL_S = 1.0
+VM_LIST_INTERVAL_S = 1.5
 LEASE_TICK_S = 0.25
-DEFERRED_SCAN_S = 1.0
+DEFERRED_SCAN_S = 2.0
 
 _log = get_logger()
 
--- a/src/rosepath/peers.py
+++ b/src/rosepath/peers.py
@@ -27,7 +27,8 @@
 PROTOCOL = 1
 REPROBE_INTERVAL_S = 2.0
 HEARTBEAT_FINGERS = 2
-FAR_HEARTBEAT_FACTOR = 6.0
+FAR_FACTOR = 6.0
+LOCAL_NEWS_S = 1.0
 
 _log = get_logger()
 
@@ -137,8 +138,14 @@
     # Calls made
 
     def neighbours(self) -> list[str]:
-        """Return the members that this node calls, the nearest first."""
-        return finger_neighbours(self.me.name, present(self._ports.tables.entry_vms))
+        """Return the members that this node calls, the nearest first.
+
+        The ring is ordered by data centre, so that most links are local.
+        """
+        members = self._ports.tables.entry_vms
+        names = {*present(members), self.me.name}
+        ring = sorted(names, key=lambda name: (members[name].data_centre, name))
+        return finger_neighbours(self.me.name, ring)
 
     async def run(self) -> None:
         """Exchange frames with neighbours until cancelled."""
@@ -166,13 +173,22 @@
             self._reprobe()
 
     def _due(self, name: str, place: int, urgent: bool, now_s: float) -> bool:
+        if urgent:
+            return True
         link = self.gossip.link(name)
         settings = self._ports.settings.peers
-        since_s = now_s - link.sent_at_s
-        if urgent or link.acked < self.gossip.sequence:
-            return urgent or since_s >= settings.gossip_interval_s * 2
-        factor = 1.0 if place < HEARTBEAT_FINGERS else FAR_HEARTBEAT_FACTOR
-        return since_s >= settings.heartbeat_interval_s * factor
+        near = place < HEARTBEAT_FINGERS
+        interval_s = settings.heartbeat_interval_s * (1.0 if near else FAR_FACTOR)
+        if link.acked < self.gossip.sequence:
+            # Only load rows are waiting; whatever is urgent went at once.
+            far = self._is_far(name)
+            news_s = settings.remote_load_interval_s if far else LOCAL_NEWS_S
+            interval_s = min(interval_s, news_s)
+        return now_s - link.sent_at_s >= interval_s
+
+    def _is_far(self, name: str) -> bool:
+        member = self._ports.tables.entry_vms.get(name)
+        return member is not None and member.data_centre != self.me.data_centre
 
     def _suspect(self, neighbours: list[str], now_s: float) -> None:
         watched = neighbours[:HEARTBEAT_FINGERS]
@@ -252,8 +268,7 @@
         )
         sequence = self.gossip.sequence
         if name:
-            member = self._ports.tables.entry_vms.get(name)
-            far = member is not None and member.data_centre != self.me.data_centre
+            far = self._is_far(name)
             batch = self.gossip.batch_for(
                 name,
                 now_s=now_s,
--- a/src/rosepath/poller.py
+++ b/src/rosepath/poller.py
@@ -8,9 +8,9 @@
 from rosepath.configuration import Configuration
 from rosepath.errors import ExchangeError
 from rosepath.gossip import Row, RowKey, RowKind
-from rosepath.membership import alive
 from rosepath.proto.rosepath_pb2 import LoadPayload
 from rosepath.rendezvous import top
+from rosepath.roles import local_members
 from rosepath.tables import Replica, Tables
 
 POLLERS = 2
@@ -18,13 +18,8 @@
 UNREACHABLE_AFTER = 2
 
 
-def polled_by(tables: Tables, me: str, data_centre: str, replica: str) -> bool:
-    """Tell whether this node is one of the two that poll a replica."""
-    members = [
-        name
-        for name in alive(tables.entry_vms)
-        if tables.entry_vms[name].data_centre == data_centre
-    ]
+def polled_by(me: str, replica: str, members: Iterable[str]) -> bool:
+    """Tell whether a node is one of the two that poll a replica."""
     return me in top(f"poll/{replica}", members, POLLERS)
 
 
@@ -139,15 +134,27 @@
         self._clock = clock
         self._failures: dict[str, int] = {}
         self._versions: dict[str, int] = {}
+        self._assigned_on: tuple[frozenset[str], frozenset[str]] | None = None
+        self._assigned: list[str] = []
 
     def due(self, data_centre: str) -> list[Replica]:
-        """Return the replicas that this node polls."""
-        return [
-            replica
-            for replica in self._tables.replicas.values()
-            if replica.data_centre == data_centre
-            and polled_by(self._tables, self._me, data_centre, replica.name)
-        ]
+        """Return the replicas that this node polls.
+
+        Hashing each replica with each member is done again only when one of
+        them came or went, not at every poll.
+        """
+        replicas = self._tables.replicas
+        members = local_members(self._tables.entry_vms, data_centre)
+        basis = (frozenset(members), frozenset(replicas))
+        if basis != self._assigned_on:
+            self._assigned_on = basis
+            self._assigned = [
+                name
+                for name, replica in replicas.items()
+                if replica.data_centre == data_centre
+                and polled_by(self._me, name, members)
+            ]
+        return [replicas[name] for name in self._assigned]
 
     async def poll(self, replica: Replica) -> Row | None:
         """Poll one replica; return the row to spread, if there is news."""
--- a/src/rosepath/shares.py
+++ b/src/rosepath/shares.py
@@ -16,7 +16,7 @@
 
 UNITS = 840
 FREE = ""
-SLACK = 1.25
+POOR = 2.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,37 +42,46 @@
     return sum(limit * (u + 1) // UNITS - limit * u // UNITS for u in units)
 
 
+def fair_units(live: int) -> int:
+    """Return the units that each of some nodes can have."""
+    return max(1, UNITS // max(1, live))
+
+
 def units_to_give_up(
     ledger: ShareLedger, *, me: str, live: frozenset[str]
 ) -> frozenset[int]:
-    """Return the own units beyond the fair share, with some slack.
+    """Return the own units beyond the fair share while another node is poor.
 
     They are picked evenly, so that small limits, whose slots sit on few
-    units, are spread over the nodes as well. The slack keeps a join in a
-    large fleet from making every node write.
+    units, are spread over the nodes as well. Small differences are left
+    alone, or a join in a large fleet would make every node write.
     """
-    mine = ledger.units_of(me)
-    fair = -(-UNITS // max(1, len(live)))
-    poor = any(ledger.counts().get(name, 0) < fair / SLACK / 2 for name in live)
-    if not poor or len(mine) <= fair:
-        return frozenset()
-    if len(mine) <= fair * SLACK and ledger.counts().get(FREE, 0):
+    counts = ledger.counts()
+    mine = sorted(ledger.units_of(me))
+    fair = fair_units(len(live))
+    poor = any(counts.get(name, 0) < fair / POOR for name in live)
+    enough_free = counts.get(FREE, 0) >= fair
+    if not poor or enough_free or len(mine) <= fair:
         return frozenset()
-    return spread(sorted(mine), len(mine) - fair)
+    return spread(mine, len(mine) - fair)
 
 
 def units_to_take(
     ledger: ShareLedger, *, me: str, live: frozenset[str], gone: frozenset[str]
 ) -> frozenset[int]:
-    """Return free units, and those of gone VMs, up to the fair share."""
-    fair = -(-UNITS // max(1, len(live)))
-    wanted = fair - len(ledger.units_of(me))
+    """Return free units, and those of gone VMs, up to the fair share.
+
+    What is left once nobody is poor goes to whoever comes first.
+    """
+    fair = fair_units(len(live))
+    counts = ledger.counts()
     free = [
         u for u, holder in enumerate(ledger.holders) if holder == FREE or holder in gone
     ]
-    if wanted <= 0 or not free:
-        return frozenset()
-    return spread(free, wanted)
+    wanted = fair - counts.get(me, 0)
+    if wanted <= 0 and all(counts.get(name, 0) >= fair for name in live):
+        wanted = 1
+    return spread(free, wanted) if wanted > 0 and free else frozenset()
 
 
 def spread(units: list[int], count: int) -> frozenset[int]:
--- a/src/rosepath/validation.py
+++ b/src/rosepath/validation.py
@@ -1,5 +1,6 @@
 """Whole-configuration checks: names resolve, shares sum, everything fits."""
 
+import heapq
 from collections.abc import Iterable
 
 from expression import Error, Ok, Result
@@ -68,34 +69,36 @@
             yield f"caller {name}: has the same key as {other}"
 
 
-def floor_bytes(configuration: Configuration, base: str) -> int:
-    """Return the bytes of one copy of a base with all of its adapters."""
-    adapters = sum(
-        row.memory_bytes for row in configuration.adapters.values() if row.model == base
-    )
-    return configuration.artifacts[base] + adapters
+def floor_sizes(configuration: Configuration) -> dict[str, int]:
+    """Return the bytes of one copy of each base with all of its adapters."""
+    sizes = dict(configuration.artifacts)
+    for adapter in configuration.adapters.values():
+        if adapter.model in sizes:
+            sizes[adapter.model] += adapter.memory_bytes
+    return sizes
 
 
 def unplaceable(configuration: Configuration) -> Iterable[str]:
     """Tell which bases find no room when one copy of each is packed.
 
-    First-fit decreasing; what it can place is placeable for sure, and it
-    never needs more than 11/9 of the best packing (Johnson 1973).
+    Largest first, each onto the engine with the most room left; what this
+    places is placeable for sure.
     """
-    if not configuration.artifacts:
+    sizes = floor_sizes(configuration)
+    if not sizes:
         return
-    free = {
-        name: row.memory_bytes
+    drained = configuration.table("drain")
+    rooms = [
+        (-row.memory_bytes, name)
         for name, row in configuration.engines.items()
-        if name not in configuration.table("drain")
-    }
-    sizes = {base: floor_bytes(configuration, base) for base in configuration.artifacts}
+        if name not in drained
+    ]
+    heapq.heapify(rooms)
     for base, size in sorted(sizes.items(), key=lambda item: (-item[1], item[0])):
-        room = [name for name, left in free.items() if left >= size]
-        if room:
-            free[max(room, key=lambda name: (free[name], name))] -= size
+        largest = -rooms[0][0] if rooms else 0
+        if size <= largest:
+            heapq.heapreplace(rooms, (size - largest, rooms[0][1]))
             continue
-        largest = max(free.values(), default=0)
         yield (
             f"{base}: needs {size} bytes with its adapters; the most room left "
             f"on one backend_server is {largest} bytes: {size - largest} short"
