Record golden sessions: bytes, headers, log events, spans

Cause: nothing held whole sessions still. The first recording raced with the last span's file; the test waits for a caller's span of every answered request now. Conclusion: a change of the wire shows in a diff.

--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -112,9 +112,24 @@
     ]
 
 
-def span_names(deployment: Deployment, after: int) -> list[str]:
-    lines = (deployment.folder / "trace-entry-1.jsonl").read_text().splitlines()
-    return [json.loads(line)["name"] for line in lines[after:]]
+async def settled_spans(
+    deployment: Deployment, after: int, steps: list[dict[str, Any]]
+) -> list[str]:
+    """Return the spans once every request that got far enough has its own.
+
+    A request's span ends just after its answer, so the file lags a little.
+    """
+    wanted = sum(step["status"] in (200, 409, 422) for step in steps)
+
+    def names() -> list[str]:
+        lines = (deployment.folder / "trace-entry-1.jsonl").read_text().splitlines()
+        return sorted(json.loads(line)["name"] for line in lines[after:])
+
+    def complete() -> bool:
+        return sum(name.startswith("caller.") for name in names()) >= wanted
+
+    await deployment.until(complete)
+    return names()
 
 
 def line_count(file: Path) -> int:
@@ -127,10 +142,11 @@
     logged = line_count(deployment.folder / "entry-1.log")
     traced = line_count(deployment.folder / "trace-entry-1.jsonl")
     steps = deployment.background.run(play(deployment, name))
+    spans = deployment.background.run(settled_spans(deployment, traced, steps))
     session = {
         "steps": steps,
         "log": log_events(deployment, logged),
-        "spans": span_names(deployment, traced),
+        "spans": spans,
     }
     file = GOLDEN / f"{name}.json"
     text = json.dumps(session, indent=2) + "\n"
