--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -49,6 +49,7 @@
     exit_codes: Counter[int] = field(default_factory=Counter)
     faults: Counter[str] = field(default_factory=Counter)
     messages: list[str] = field(default_factory=list)
+    unreachable: list[str] = field(default_factory=list)
 
 
 @dataclass(slots=True)
@@ -353,7 +354,11 @@
     await asyncio.sleep(8.0)
     for daemon in cluster.daemons.values():
         daemon.process.signal(signal.SIGCONT)
-    await wait_serving(cluster, MODELS)
+    for model in MODELS:
+        try:
+            await wait_serving(cluster, [model])
+        except TimeoutError:
+            run.tally.unreachable.append(model)
     await run.witness()
     return run.tally
 
@@ -384,7 +389,7 @@
         ["VIOLATIONS: planned stops that did not exit 0", bad_stops],
         ["VIOLATIONS: new work 3 s after leaving", tally.late_work],
         ["VIOLATIONS: overcommitted memory", tally.overcommitted],
-        ["VIOLATIONS: models unreachable at the end", 0],
+        ["VIOLATIONS: models unreachable at the end", len(tally.unreachable)],
     ]
 
 
--- a/src/rosepath/caller_handler.py
+++ b/src/rosepath/caller_handler.py
@@ -165,8 +165,13 @@
         return row is not None and matches(name, row.reach)
 
     def check_ready(self) -> None:
-        """Refuse while this node can't serve."""
-        reason = self.ports.ready()
+        """Refuse while this node can't serve.
+
+        Before anything else: a node without a configuration knows no key,
+        and must not tell a caller that its key is wrong. One that stops goes
+        on serving whatever still reaches it.
+        """
+        reason = "" if self.ports.stopping() else self.ports.ready()
         if reason:
             raise refuse(503, "not_ready", reason, step=Step.ROUTE, retry_after_s=1.0)
 
--- a/src/rosepath/cli.py
+++ b/src/rosepath/cli.py
@@ -2,87 +2,28 @@
 
 import asyncio
 import json
-import os
-import ssl
 import sys
 import tomllib
 import uuid
-from collections.abc import Awaitable, Callable, Sequence
 from pathlib import Path
-from typing import Any, Literal, TypeVar
+from typing import Any
 
 import defopt
-from grpclib import GRPCError
-from grpclib.client import Channel
-from grpclib.const import Status
 
+from rosepath.cli_calls import (
+    CALL_TIMEOUT_S,
+    EXIT_INVALID,
+    EXIT_TIMED_OUT,
+    Output,
+    call,
+    print_json,
+    print_table,
+)
 from rosepath.proto import rosepath_pb2 as pb
 from rosepath.proto.rosepath_grpc import OperatorsStub
 
-Output = Literal["table", "json"]
-T = TypeVar("T")
-
-EXIT_FAILED = 1
-EXIT_INVALID = 2
-EXIT_CONFLICT = 3
-EXIT_UNAVAILABLE = 4
-EXIT_NOT_FOUND = 5
-EXIT_TIMED_OUT = 6
-CALL_TIMEOUT_S = 10.0
 WAIT_POLL_S = 0.1
 
-_EXIT_CODES = {
-    Status.INVALID_ARGUMENT: EXIT_INVALID,
-    Status.FAILED_PRECONDITION: EXIT_INVALID,
-    Status.ABORTED: EXIT_CONFLICT,
-    Status.UNAVAILABLE: EXIT_UNAVAILABLE,
-    Status.DEADLINE_EXCEEDED: EXIT_UNAVAILABLE,
-    Status.NOT_FOUND: EXIT_NOT_FOUND,
-}
-
-
-def _channel() -> Channel:
-    address = os.environ.get("ROSEPATH_OPERATORS", "127.0.0.1:8082")
-    host, _, port = address.rpartition(":")
-    context = None
-    if ca_file := os.environ.get("ROSEPATH_CA_FILE"):
-        context = ssl.create_default_context(cafile=ca_file)
-        context.check_hostname = False
-        context.set_alpn_protocols(["h2"])
-        certificate = os.environ.get("ROSEPATH_CERTIFICATE_FILE")
-        if certificate:
-            context.load_cert_chain(certificate, os.environ.get("ROSEPATH_KEY_FILE"))
-    return Channel(host, int(port), ssl=context)
-
-
-def _call(work: Callable[[OperatorsStub], Awaitable[T]]) -> T:
-    """Run one conversation with the daemon; exit with a stable code on failure."""
-
-    async def run() -> T:
-        async with _channel() as channel:
-            return await work(OperatorsStub(channel))
-
-    try:
-        return asyncio.run(run())
-    except GRPCError as error:
-        print(f"rosepath: {error.status.name}: {error.message}", file=sys.stderr)
-        raise SystemExit(_EXIT_CODES.get(error.status, EXIT_FAILED)) from None
-    except (OSError, TimeoutError) as error:
-        print(f"rosepath: daemon unreachable: {error}", file=sys.stderr)
-        raise SystemExit(EXIT_UNAVAILABLE) from None
-
-
-def _print_table(header: Sequence[str], rows: Sequence[Sequence[object]]) -> None:
-    lines = [header, *[[str(cell) for cell in row] for row in rows]]
-    widths = [max(len(line[n]) for line in lines) for n in range(len(header))]
-    for line in lines:
-        cells = (cell.ljust(width) for cell, width in zip(line, widths, strict=True))
-        print("  ".join(cells).rstrip())
-
-
-def _print_json(value: object) -> None:
-    print(json.dumps(value, indent=2))
-
 
 def apply(
     file: Path,
@@ -214,9 +155,9 @@
         )
         return await stub.Change(request, timeout=CALL_TIMEOUT_S)
 
-    reply = _call(work)
+    reply = call(work)
     if output == "json":
-        _print_json(
+        print_json(
             {
                 "version": reply.version,
                 "change_id": identity,
@@ -243,7 +184,7 @@
     :param output: table or json
     """
     request = pb.ListRequest(kind=kind)
-    reply = _call(lambda stub: stub.List(request, timeout=CALL_TIMEOUT_S))
+    reply = call(lambda stub: stub.List(request, timeout=CALL_TIMEOUT_S))
     return _show_declarations(reply, output)
 
 
@@ -255,7 +196,7 @@
     :param output: table or json
     """
     request = pb.ListRequest(kind=kind, name=name)
-    reply = _call(lambda stub: stub.List(request, timeout=CALL_TIMEOUT_S))
+    reply = call(lambda stub: stub.List(request, timeout=CALL_TIMEOUT_S))
     return _show_declarations(reply, output)
 
 
@@ -266,10 +207,10 @@
             {"kind": kind, "name": name, "declaration": json.loads(text)}
             for kind, name, text in rows
         ]
-        _print_json({"version": reply.version, "declarations": declarations})
+        print_json({"version": reply.version, "declarations": declarations})
     else:
         print(f"version {reply.version}")
-        _print_table(("KIND", "NAME", "DECLARATION"), rows)
+        print_table(("KIND", "NAME", "DECLARATION"), rows)
     return 0
 
 
@@ -280,9 +221,9 @@
     :param output: table or json
     """
     request = pb.HistoryRequest(limit=limit)
-    reply = _call(lambda stub: stub.History(request, timeout=CALL_TIMEOUT_S))
+    reply = call(lambda stub: stub.History(request, timeout=CALL_TIMEOUT_S))
     if output == "json":
-        _print_json(
+        print_json(
             [
                 {
                     "version": e.version,
@@ -295,7 +236,7 @@
             ]
         )
         return 0
-    _print_table(
+    print_table(
         ("VERSION", "OPERATOR", "CHANGE", "SUMMARY"),
         [
             (e.version, e.operator, e.change_id, ", ".join(e.summary[:3]))
@@ -310,26 +251,26 @@
 
     :param output: table or json
     """
-    reply = _call(lambda stub: stub.Status(pb.StatusRequest(), timeout=CALL_TIMEOUT_S))
+    reply = call(lambda stub: stub.Status(pb.StatusRequest(), timeout=CALL_TIMEOUT_S))
     if output == "json":
         from google.protobuf.json_format import MessageToDict
 
-        _print_json(MessageToDict(reply, preserving_proto_field_name=True))
+        print_json(MessageToDict(reply, preserving_proto_field_name=True))
         return 0
     platform = "reachable" if reply.platform_reachable else "unreachable"
     print(f"seen from {reply.entry_vm}: version {reply.version}, platform {platform}")
-    _print_table(
+    print_table(
         ("ENTRY VM", "DATA CENTRE", "STATE", "VERSION"),
         [(r.name, r.data_centre, r.state, r.version_in_force) for r in reply.entry_vms],
     )
-    _print_table(
+    print_table(
         ("BACKEND SERVER", "DATA CENTRE", "STATE", "RUNNING", "LOADED"),
         [
             (r.name, r.data_centre, r.state, r.running, " ".join(r.resident))
             for r in reply.backend_servers
         ],
     )
-    _print_table(
+    print_table(
         ("LEASE", "HOLDER", "REMAINING"),
         [(r.name, r.holder or "-", f"{r.remaining_s:.1f} s") for r in reply.leases],
     )
@@ -341,16 +282,16 @@
 
     :param output: table or json
     """
-    reply = _call(lambda stub: stub.Status(pb.StatusRequest(), timeout=CALL_TIMEOUT_S))
+    reply = call(lambda stub: stub.Status(pb.StatusRequest(), timeout=CALL_TIMEOUT_S))
     rows = [
         (f"{m.at_s:.1f}", m.action, m.subject, m.backend_server, m.reason, m.outcome)
         for m in reply.moves
     ]
     if output == "json":
         keys = ("at_s", "action", "target", "backend_server", "reason", "outcome")
-        _print_json([dict(zip(keys, row, strict=True)) for row in rows])
+        print_json([dict(zip(keys, row, strict=True)) for row in rows])
     else:
-        _print_table(("AT", "ACTION", "TARGET", "SERVER", "REASON", "OUTCOME"), rows)
+        print_table(("AT", "ACTION", "TARGET", "SERVER", "REASON", "OUTCOME"), rows)
     return 0
 
 
@@ -375,7 +316,7 @@
                 return lagging
             await asyncio.sleep(WAIT_POLL_S)
 
-    lagging = _call(work)
+    lagging = call(work)
     if lagging:
         print(f"not in force on: {' '.join(lagging)}", file=sys.stderr)
         return EXIT_TIMED_OUT
@@ -402,7 +343,7 @@
                     await stream.cancel()
                     return
 
-    _call(work)
+    call(work)
     return 0
 
 
--- a/src/rosepath/deferred_handlers.py
+++ b/src/rosepath/deferred_handlers.py
@@ -21,8 +21,8 @@
         await self.run(self._accept)
 
     async def _accept(self) -> None:
-        caller = self.authenticate()
         self.check_ready()
+        caller = self.authenticate()
         raw = _parse_deferral(self.request.body)
         body = json.dumps(raw.body)
         parsed = parse_body(raw.shape, body.encode())
@@ -71,6 +71,7 @@
         await self.run(self._show)
 
     async def _show(self) -> None:
+        self.check_ready()
         caller = self.authenticate()
         try:
             found = await read_status(self.ports.platform, self.deferred_id, caller)
--- a/src/rosepath/generation_handlers.py
+++ b/src/rosepath/generation_handlers.py
@@ -24,6 +24,7 @@
         await self.run(self._list)
 
     async def _list(self) -> None:
+        self.check_ready()
         caller = self.authenticate()
         configuration = self.ports.configuration()
         names = {*configuration.artifacts, *configuration.adapter_targets}
@@ -53,8 +54,8 @@
         await self.run(self._answer)
 
     async def _answer(self) -> None:
-        caller = self.authenticate()
         self.check_ready()
+        caller = self.authenticate()
         match parse_body(self.shape, self.request.body):
             case Result(tag="ok", ok=body):
                 pass
--- a/src/rosepath/http_client.py
+++ b/src/rosepath/http_client.py
@@ -2,37 +2,31 @@
 
 Tornado's client hides that, keeps no connections, and takes three reads a
 chunk. The promise in a refusal ("was not run") needs the first; the cost of a
-relayed token the last. So this pool reads with llhttp (httptools) straight
-from the transport; docs/design/http-client.md has the measurements.
+relayed token the last. docs/design/http-client.md has the measurements.
 """
 
 import asyncio
 from collections import defaultdict
-from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
+from collections.abc import AsyncIterator, Mapping
 from dataclasses import dataclass, field
-from typing import NamedTuple
 
 import httptools
-from tornado.httputil import HTTPHeaders
 
 from rosepath.clock import Clock, SystemClock
 from rosepath.errors import ExchangeError, Step
+from rosepath.http_exchange import (
+    Connection,
+    Exchange,
+    OnData,
+    OnHead,
+    ResponseHead,
+    Watchdog,
+)
 
-MAX_HEADER_BYTES = 64 * 1024
 MAX_IDLE_PER_PEER = 64
 MAX_IDLE_S = 30.0
 
-OnData = Callable[[bytes], Awaitable[None] | None]
-
-
-class ResponseHead(NamedTuple):
-    """Hold the status and headers of an answer."""
-
-    status: int
-    headers: HTTPHeaders
-
-
-OnHead = Callable[[ResponseHead], None]
+__all__ = ["HttpPool", "Request", "ResponseHead"]
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -50,216 +44,12 @@
     proven_live_within_s: float | None = None
 
 
-class _Connection(asyncio.Protocol):
-    """Hold one connection and the exchange that runs on it, if any."""
-
-    def __init__(self) -> None:
-        self.transport: asyncio.Transport | None = None
-        self.exchange: _Exchange | None = None
-        self.closed = False
-        self.last_answer_s = 0.0
-        self._writable = asyncio.Event()
-        self._writable.set()
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        assert isinstance(transport, asyncio.Transport)
-        self.transport = transport
-
-    def data_received(self, data: bytes) -> None:
-        if self.exchange is None:
-            # Nothing was asked: whatever this is, no later answer on this
-            # connection could be trusted to belong to its request.
-            self.close()
-        else:
-            self.exchange.take(data)
-
-    def connection_lost(self, _: Exception | None) -> None:
-        self.closed = True
-        self._writable.set()
-        if self.exchange is not None:
-            self.exchange.lose()
-
-    def pause_writing(self) -> None:
-        self._writable.clear()
-
-    def resume_writing(self) -> None:
-        self._writable.set()
-
-    def write(self, data: bytes) -> None:
-        """Hand bytes to the transport."""
-        if self.transport is not None and not self.closed:
-            self.transport.write(data)
-
-    async def drained(self) -> None:
-        """Wait until the transport takes more."""
-        await self._writable.wait()
-
-    def pause_reading(self) -> None:
-        if self.transport is not None and not self.closed:
-            self.transport.pause_reading()
-
-    def resume_reading(self) -> None:
-        if self.transport is not None and not self.closed:
-            self.transport.resume_reading()
-
-    def close(self) -> None:
-        """Close at once; nothing that is still buffered matters."""
-        self.closed = True
-        if self.transport is not None:
-            self.transport.abort()
-
-
-class _Exchange:
-    """Hold one answer as it arrives; the parser calls the `on_` methods."""
-
-    def __init__(
-        self, connection: _Connection, method: str, on_head: OnHead, on_data: OnData
-    ) -> None:
-        self.done: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        self.head: ResponseHead | None = None
-        self.finished = False
-        self.failure: BaseException | None = None
-        self.progress = 0
-        self.consumer_busy = False
-        self._keep_alive = False
-        self._surplus = False
-        self._connection = connection
-        self._bodiless = method == "HEAD"
-        self._on_head = on_head
-        self._on_data = on_data
-        self._headers = HTTPHeaders()
-        self._header_bytes = 0
-        self._arrived: list[bytes] = []
-        self._parser = httptools.HttpResponseParser(self)
-
-    # Called by the parser
-
-    def on_message_begin(self) -> None:
-        # Another answer right behind the first: it belongs to no request of
-        # this exchange, so it is skipped and the connection not used again.
-        self._surplus = self.finished
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        if self._surplus:
-            return
-        self._header_bytes += len(name) + len(value)
-        if self._header_bytes > MAX_HEADER_BYTES:
-            raise ValueError("the headers are too large")
-        self._headers.add(name.decode("latin1"), value.decode("latin1"))
-
-    def on_headers_complete(self) -> None:
-        if self._surplus:
-            return
-        status = self._parser.get_status_code()
-        if status < 200:
-            self._headers = HTTPHeaders()
-            return
-        self.head = ResponseHead(status, self._headers)
-        self._on_head(self.head)
-        if self._bodiless:
-            self.finished = True
-
-    def on_body(self, body: bytes) -> None:
-        if not self._surplus:
-            self._arrived.append(body)
-
-    def on_message_complete(self) -> None:
-        if self.head is not None and not self._surplus:
-            self.finished = True
-            self._keep_alive = self._parser.should_keep_alive()
-
-    # Called by the connection
-
-    def take(self, data: bytes) -> None:
-        """Parse bytes and pass on, as one, the parts of the body in them."""
-        self.progress += 1
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserCallbackError as error:
-            self._fail(error.__context__ or error)
-            return
-        except httptools.HttpParserError as error:
-            if not (self.finished and self._bodiless):
-                self._fail(error)
-                return
-        self._pass_on()
-
-    def _pass_on(self) -> None:
-        if self._arrived:
-            arrived = self._arrived
-            data = arrived[0] if len(arrived) == 1 else b"".join(arrived)
-            self._arrived = []
-            try:
-                waiting = self._on_data(data)
-            except BaseException as error:
-                self._fail(error)
-                return
-            if waiting is not None:
-                self._hold_back(waiting)
-                return
-        if self.finished:
-            self._end()
-
-    def _hold_back(self, waiting: Awaitable[None]) -> None:
-        # A slow consumer must not look like a silent peer: the progress
-        # deadline is suspended while the consumer holds the answer back.
-        self.consumer_busy = True
-        self._connection.pause_reading()
-        task = asyncio.ensure_future(waiting)
-        task.add_done_callback(self._consumed)
-
-    def _consumed(self, task: asyncio.Future[None]) -> None:
-        self.consumer_busy = False
-        self.progress += 1
-        if task.cancelled() or task.exception() is not None:
-            error = None if task.cancelled() else task.exception()
-            self._fail(error or asyncio.CancelledError())
-            return
-        self._connection.resume_reading()
-        if self.finished or self._connection.closed:
-            self._end()
-
-    def lose(self) -> None:
-        """Note that the connection is gone."""
-        if not self.consumer_busy:
-            self._end()
-
-    def _fail(self, error: BaseException) -> None:
-        self.failure = error
-        self._connection.close()
-        self._end()
-
-    def _end(self) -> None:
-        if self._connection.closed and self.head is not None and not self._delimited:
-            # Without a length, the close itself ends the answer.
-            self.finished = True
-        if not self.done.done():
-            self.done.set_result(None)
-
-    @property
-    def _delimited(self) -> bool:
-        return "Content-Length" in self._headers or (
-            "Transfer-Encoding" in self._headers
-        )
-
-    @property
-    def reusable(self) -> bool:
-        """Tell whether the next request may use this connection."""
-        return (
-            self.finished
-            and not self._surplus
-            and not self._bodiless
-            and self._delimited
-            and self._keep_alive
-        )
-
-
 class HttpPool:
     """Keep connections to peers and run exchanges over them."""
 
     def __init__(self, *, clock: Clock | None = None) -> None:
         self._clock = clock or SystemClock()
-        self._idle: dict[str, list[_Connection]] = defaultdict(list)
+        self._idle: dict[str, list[Connection]] = defaultdict(list)
 
     def close(self) -> None:
         """Close every idle connection."""
@@ -290,7 +80,7 @@
         `on_head` or `on_data` closes the connection and is raised as it is.
         """
         connection, reused = await self._connection_for(request)
-        exchange = _Exchange(connection, request.method, on_head, on_data)
+        exchange = Exchange(connection, request.method, on_head, on_data)
         connection.exchange = exchange
         returned = False
         try:
@@ -310,7 +100,7 @@
             if not returned:
                 connection.close()
 
-    async def _connection_for(self, request: Request) -> tuple[_Connection, bool]:
+    async def _connection_for(self, request: Request) -> tuple[Connection, bool]:
         now_s = self._clock.monotonic_s()
         idle = self._idle[request.address]
         limit_s = request.proven_live_within_s
@@ -328,13 +118,13 @@
             connection.close()
         return await self._connect(request), False
 
-    async def _connect(self, request: Request) -> _Connection:
+    async def _connect(self, request: Request) -> Connection:
         host, _, port = request.address.rpartition(":")
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(request.connect_timeout_s):
                 _, connection = await loop.create_connection(
-                    _Connection, host, int(port)
+                    Connection, host, int(port)
                 )
         except (OSError, TimeoutError) as error:
             raise ExchangeError(
@@ -346,7 +136,7 @@
             ) from error
         return connection
 
-    def _put_back(self, address: str, connection: _Connection) -> None:
+    def _put_back(self, address: str, connection: Connection) -> None:
         idle = self._idle[address]
         if len(idle) >= MAX_IDLE_PER_PEER:
             connection.close()
@@ -355,9 +145,9 @@
         idle.append(connection)
 
     async def _run(
-        self, request: Request, connection: _Connection, exchange: _Exchange
+        self, request: Request, connection: Connection, exchange: Exchange
     ) -> ResponseHead:
-        watchdog = _Watchdog(connection, exchange, request.progress_timeout_s)
+        watchdog = Watchdog(connection, exchange, request.progress_timeout_s)
         try:
             connection.write(_encode_head(request) + request.body)
             if request.body_chunks is not None:
@@ -378,9 +168,9 @@
     async def _send_chunks(
         self,
         chunks: AsyncIterator[bytes],
-        connection: _Connection,
-        exchange: _Exchange,
-        watchdog: "_Watchdog",
+        connection: Connection,
+        exchange: Exchange,
+        watchdog: Watchdog,
     ) -> None:
         async for chunk in chunks:
             connection.write(b"%x\r\n%s\r\n" % (len(chunk), chunk))
@@ -392,7 +182,7 @@
         watchdog.touch()
 
     def _broken(
-        self, request: Request, exchange: _Exchange, watchdog: "_Watchdog", how: str
+        self, request: Request, exchange: Exchange, watchdog: Watchdog, how: str
     ) -> ExchangeError:
         return ExchangeError(
             "peer went silent" if watchdog.fired else f"answer {how}",
@@ -404,42 +194,6 @@
         )
 
 
-class _Watchdog:
-    """Close a connection on which nothing moved for a while.
-
-    Some middlebox may forget a connection: both ends keep it open, yet
-    nothing arrives, and a caller would wait for ever. Closing wakes the
-    reader, whatever it waits for.
-    """
-
-    def __init__(
-        self, connection: _Connection, exchange: _Exchange, silence_s: float
-    ) -> None:
-        self.fired = False
-        self._connection = connection
-        self._exchange = exchange
-        self._silence_s = silence_s
-        self._seen = 0
-        self._loop = asyncio.get_running_loop()
-        self._timer = self._loop.call_later(silence_s, self._check)
-
-    def touch(self) -> None:
-        self._seen = -1
-
-    def stop(self) -> None:
-        self._timer.cancel()
-
-    def _check(self) -> None:
-        exchange = self._exchange
-        if self._seen == exchange.progress and not exchange.consumer_busy:
-            self.fired = True
-            self._connection.close()
-            exchange.lose()
-            return
-        self._seen = exchange.progress
-        self._timer = self._loop.call_later(self._silence_s, self._check)
-
-
 def _encode_head(request: Request) -> bytes:
     lines = [f"{request.method} {request.path} HTTP/1.1", f"Host: {request.address}"]
     lines += [f"{name}: {value}" for name, value in request.headers.items()]
--- a/src/rosepath/service_handler.py
+++ b/src/rosepath/service_handler.py
@@ -66,8 +66,8 @@
             yield chunk
 
     async def _pass_on(self) -> None:
-        caller = self.authenticate()
         self.check_ready()
+        caller = self.authenticate()
         name = str(self.path_args[0])
         configuration = self.ports.configuration()
         service: Service | None = configuration.services.get(name)
--- a/src/rosepath/settings.py
+++ b/src/rosepath/settings.py
@@ -74,7 +74,7 @@
     retry_budget_share: Annotated[float, Field(ge=0, le=1)] = 0.1
     affinity_slack: Annotated[float, Field(ge=0)] = 1.25
     request_timeout_s: Seconds = 600.0
-    report_interval_s: Seconds = 0.5
+    report_interval_s: Seconds = 1.0
 
 
 class PlacementSettings(Section):
--- a/tests/test_acting_as_one.py
+++ b/tests/test_acting_as_one.py
@@ -13,7 +13,7 @@
 from conftest import KEY, Background, Deployment
 from pytest_bdd import given, parsers, scenarios, then, when
 
-from rosepath.cli import EXIT_CONFLICT
+from rosepath.cli_calls import EXIT_CONFLICT
 from rosepath.shares import UNITS
 from rosepath_standins.cluster import free_address
 from rosepath_standins.fault_proxy import FaultProxy, LinkFaults
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -226,6 +226,27 @@
     assert by_name["backend.generate"]["parent_id"] == parent
 
 
+def test_a_node_without_a_configuration_calls_no_key_wrong(
+    shared: Deployment,
+) -> None:
+    # A VM that just started is reached before it has been fed: a caller that
+    # was told 401 would take its key for revoked.
+    async def run() -> tuple[int, str]:
+        daemon = shared.start_daemon(
+            "entry-9", "casa-a", platform_address="127.0.0.1:9", seeds=[]
+        )
+        await shared.until(lambda: shared._answers(daemon.callers, "/livez"))
+        head, body = await shared.request(
+            daemon.callers,
+            "GET",
+            "/v1/models",
+            headers={"Authorization": f"Bearer {KEY}"},
+        )
+        return head.status, json.loads(body)["error"]["code"]
+
+    assert shared.background.run(run()) == (503, "not_ready")
+
+
 def test_keys_are_in_no_log(shared: Deployment) -> None:
     for file in shared.folder.glob("entry-*.log"):
         assert KEY not in file.read_text()
