Split placement and the engine stand-in by concept

Change: types, copies, demand and floor stand alone; the stand-in's state is apart from its handlers.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -24,7 +24,8 @@
 from rosepath.gossip import GossipState, Row, RowKey, RowKind
 from rosepath.http_client import HttpPool
 from rosepath.membership import encode_member, member_version
-from rosepath.placement import PlacementPolicy, plan
+from rosepath.placement import plan
+from rosepath.placement_types import PlacementPolicy
 from rosepath.poller import Poller, smooth_demand, sync_replicas
 from rosepath.routing import RoutingPolicy, RoutingRequest, choose_replica
 from rosepath.tables import EntryVm, MemberState, Tables
--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -7,13 +7,9 @@
 
 from benchmarks._private import OUT, show
 from benchmarks.demand import DAY_S, MAHKAMA, ZAGORKA, Day, Shape
-from rosepath.placement import (
-    EngineView,
-    PlacementPolicy,
-    PlacementView,
-    crowding,
-    plan,
-)
+from rosepath.placement import plan
+from rosepath.placement_demand import crowding
+from rosepath.placement_types import EngineView, PlacementPolicy, PlacementView
 from rosepath.rates import TokenBucket
 from rosepath.tables import Move, MoveAction, MoveReason
 
--- a/src/rosepath/placement_view.py
+++ b/src/rosepath/placement_view.py
@@ -5,7 +5,7 @@
 from rosepath.configuration import Configuration
 from rosepath.engine_keeper import EngineRow
 from rosepath.ledger import promised_bytes
-from rosepath.placement import EngineView, PlacementView
+from rosepath.placement_types import EngineView, PlacementView
 from rosepath.tables import MoveAction, Replica, Tables
 
 REMOTE_STALE_S = 30.0
--- a/src/rosepath/placer.py
+++ b/src/rosepath/placer.py
@@ -11,7 +11,8 @@
 from rosepath.configuration import Configuration
 from rosepath.engine_keeper import EngineKeeper, EngineRow, PlacerPorts
 from rosepath.logs import get_logger
-from rosepath.placement import PlacementPolicy, PlacementView, Plan, plan
+from rosepath.placement import plan
+from rosepath.placement_types import PlacementPolicy, PlacementView, Plan
 from rosepath.placement_view import build_view
 from rosepath.platform import ConflictError, StoreError
 from rosepath.rates import TokenBucket
--- a/src/rosepath_standins/__main__.py
+++ b/src/rosepath_standins/__main__.py
@@ -10,7 +10,8 @@
 from tornado.web import Application
 
 from rosepath.settings import split_address
-from rosepath_standins.engine import EngineShape, keep_reporting, make_engine
+from rosepath_standins.engine import keep_reporting, make_engine
+from rosepath_standins.engine_state import EngineShape
 from rosepath_standins.load import (
     LoadShape,
     decode_shape,
--- a/src/rosepath_standins/engine.py
+++ b/src/rosepath_standins/engine.py
@@ -1,170 +1,23 @@
-"""Stand-in for a model engine: memory, loading, batching, streams, faults."""
+"""Stand-in for a model engine: generation, orders, reports, faults."""
 
 import asyncio
-import heapq
-import itertools
 import json
 import time
-from collections import Counter, OrderedDict
-from dataclasses import dataclass, field
 from typing import Any
 
 from tornado.iostream import StreamClosedError
 from tornado.web import Application, RequestHandler
 
 from rosepath.http_client import HttpPool, Request
-from rosepath_standins.faults import Faults, FaultsHandler
+from rosepath_standins.engine_state import (
+    ORDERS_KEPT,
+    EngineShape,
+    EngineState,
+    Order,
+)
+from rosepath_standins.faults import FaultsHandler
 from rosepath_standins.tokens import token_text
 
-PREFIX_BLOCK_CHARS = 64
-CACHE_EVENTS_KEPT = 1000
-ORDERS_KEPT = 500
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class EngineShape:
-    """Set the stand-in's size and speed."""
-
-    name: str = "engine"
-    memory_bytes: int = 80_000
-    slots: int = 16
-    queue_limit: int = 256
-    token_interval_s: float = 0.01
-    batch_slowdown: float = 0.02
-    prefill_s_per_block: float = 0.002
-    tokens_per_event: int = 1
-    cache_blocks: int = 2000
-    load_s_per_byte: float = 0.0
-    report_lag_s: float = 0.1
-    event_lag_s: float = 0.5
-    event_gap_every: int = 10
-    fences: bool = True
-    weights_address: str = ""
-
-
-@dataclass(slots=True)
-class Order:
-    """Hold one order and how it went."""
-
-    order_id: str
-    action: str
-    target: str
-    memory_bytes: int
-    state: str = "accepted"
-
-
-@dataclass(slots=True)
-class EngineState:
-    """Hold what the engine really holds; its record is the tests' witness."""
-
-    shape: EngineShape
-    faults: Faults = field(default_factory=Faults)
-    resident: dict[str, int] = field(default_factory=dict)
-    closing: set[str] = field(default_factory=set)
-    loading: dict[str, int] = field(default_factory=dict)
-    orders: OrderedDict[str, Order] = field(default_factory=OrderedDict)
-    fence: int = 0
-    stale_orders: int = 0
-    peak_memory_bytes: int = 0
-    overcommitted: int = 0
-    started: Counter[str] = field(default_factory=Counter)
-    finished: Counter[str] = field(default_factory=Counter)
-    cancelled: dict[str, float] = field(default_factory=dict)
-    started_at: dict[str, float] = field(default_factory=dict)
-    running: Counter[str] = field(default_factory=Counter)
-    tokens: int = 0
-    leaving: bool = False
-    report: dict[str, Any] = field(default_factory=dict)
-    cache: OrderedDict[str, None] = field(default_factory=OrderedDict)
-    cache_events: list[tuple[float, int, str, bool]] = field(default_factory=list)
-    cache_hits: int = 0
-    cache_lookups: int = 0
-    event_numbers: itertools.count = field(default_factory=itertools.count)
-    waiting: list[tuple[int, int, asyncio.Future[None]]] = field(default_factory=list)
-    arrivals: itertools.count = field(default_factory=itertools.count)
-    streams: dict[str, asyncio.Event] = field(default_factory=dict)
-
-    @property
-    def memory_used_bytes(self) -> int:
-        return sum(self.resident.values()) + sum(self.loading.values())
-
-    @property
-    def running_total(self) -> int:
-        return sum(self.running.values())
-
-    def note_memory(self) -> None:
-        """Record the highest use and whether it went past the size."""
-        used = self.memory_used_bytes
-        self.peak_memory_bytes = max(self.peak_memory_bytes, used)
-        if used > self.shape.memory_bytes:
-            self.overcommitted += 1
-
-    def snapshot(self) -> dict[str, Any]:
-        """Return a load report as of now."""
-        return {
-            "at_s": time.time(),
-            "memory_bytes": self.shape.memory_bytes,
-            "resident": dict(self.resident),
-            "closing": sorted(self.closing),
-            "loading": dict(self.loading),
-            "running": self.running_total,
-            "queued": len(self.waiting),
-            "running_by_target": {k: v for k, v in self.running.items() if v},
-            "slots": self.shape.slots,
-            "tokens": self.tokens,
-            "leaving": self.leaving,
-            "fence": self.fence,
-            "orders": {key: o.state for key, o in self.orders.items()},
-        }
-
-    async def acquire_slot(self, priority: int) -> None:
-        """Wait for a slot of the batch, higher priority first."""
-        if self.running_total < self.shape.slots and not self.waiting:
-            return
-        future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        heapq.heappush(self.waiting, (-priority, next(self.arrivals), future))
-        await future
-
-    def wake_next(self) -> None:
-        """Give a freed slot to whoever waits first."""
-        while self.waiting and self.running_total < self.shape.slots:
-            _, _, future = heapq.heappop(self.waiting)
-            if not future.done():
-                future.set_result(None)
-                return
-
-    def look_up_prefix(self, target: str, prompt: str) -> int:
-        """Cache a prompt's blocks; return how many were not yet cached."""
-        missing = 0
-        for block in prefix_blocks(target, prompt):
-            self.cache_lookups += 1
-            if block in self.cache:
-                self.cache.move_to_end(block)
-                self.cache_hits += 1
-                continue
-            missing += 1
-            self.cache[block] = None
-            self._cache_event(block, True)
-            if len(self.cache) > self.shape.cache_blocks:
-                old, _ = self.cache.popitem(last=False)
-                self._cache_event(old, False)
-        return missing
-
-    def _cache_event(self, block: str, added: bool) -> None:
-        number = next(self.event_numbers)
-        if number % self.shape.event_gap_every == self.shape.event_gap_every - 1:
-            return
-        self.cache_events.append((time.time(), number, block, added))
-        del self.cache_events[:-CACHE_EVENTS_KEPT]
-
-
-def prefix_blocks(target: str, prompt: str) -> list[str]:
-    """Name the cacheable blocks of a prompt by all that precedes them."""
-    count = max(1, len(prompt) // PREFIX_BLOCK_CHARS)
-    return [
-        f"{target}#{hash(prompt[: (n + 1) * PREFIX_BLOCK_CHARS])}" for n in range(count)
-    ]
-
 
 class _EngineHandler(RequestHandler):
     def initialize(self, state: EngineState) -> None:
--- a/src/rosepath_standins/standalone.py
+++ b/src/rosepath_standins/standalone.py
@@ -12,7 +12,8 @@
 from rosepath.node import Node
 from rosepath.settings import Settings
 from rosepath_standins.__main__ import serve
-from rosepath_standins.engine import EngineShape, keep_reporting, make_engine
+from rosepath_standins.engine import keep_reporting, make_engine
+from rosepath_standins.engine_state import EngineShape
 from rosepath_standins.platform import PlatformShape, make_platform
 from rosepath_standins.service import make_service
 
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -6,7 +6,7 @@
 from rosepath.configuration import Configuration, Operation
 from rosepath.declarations import parse_declaration
 from rosepath.ledger import EngineReport
-from rosepath.placement import EngineView, PlacementView
+from rosepath.placement_types import EngineView, PlacementView
 from rosepath.tables import Replica
 
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -3,7 +3,8 @@
 from builders import engine_view, placement_view
 from hypothesis import given, strategies as st
 
-from rosepath.placement import PlacementPolicy, PlacementView, plan
+from rosepath.placement import plan
+from rosepath.placement_types import PlacementPolicy, PlacementView
 from rosepath.tables import Move, MoveAction, MoveReason
 
 POLICY = PlacementPolicy()
