Route by own requests in flight plus others' smoothed load

Change: load is the own count, which is exact, plus what others have, smoothed; all able replicas are candidates; affinity is bounded by own requests and three quarters of the slots. Conclusion: whatever is late may only weigh on average.

--- a/benchmarks/routing.py
+++ b/benchmarks/routing.py
@@ -104,8 +104,11 @@
                 report = await backend.report(replica.address)
             except RosepathError:
                 continue
-            replica.running, replica.queued = report.running, report.queued
-            replica.reported_at_s = time.monotonic() - 0.05
+            replica.note_report(
+                running=report.running,
+                queued=report.queued,
+                at_s=time.monotonic() - 0.05,
+            )
         await asyncio.sleep(lag_s)
 
 
--- a/src/rosepath/poller.py
+++ b/src/rosepath/poller.py
@@ -83,10 +83,12 @@
         replica.reachable = False
         return True
     replica.reachable = True
-    replica.running = message.running
-    replica.queued = message.queued
     replica.slots = max(1, message.slots)
-    replica.reported_at_s = now_s - message.report_lag_ms / 1000
+    replica.note_report(
+        running=message.running,
+        queued=message.queued,
+        at_s=now_s - message.report_lag_ms / 1000,
+    )
     replica.running_by_target = dict(
         zip(message.running_models, message.running_counts, strict=False)
     )
--- a/src/rosepath/routing.py
+++ b/src/rosepath/routing.py
@@ -7,7 +7,6 @@
 from rosepath.rendezvous import ranked
 from rosepath.tables import Replica
 
-CANDIDATES = 3
 REMOTE_PENALTY_S = 0.02
 PREFILL_PER_LOAD_S = 0.004
 UNKNOWN_LOAD_PENALTY_S = 0.05
@@ -18,7 +17,7 @@
     """Set how much affinity may unbalance the load."""
 
     affinity_slack: float = 1.25
-    candidates: int = CANDIDATES
+    affinity_share_of_slots: float = 0.75
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -35,7 +34,7 @@
 def predicted_first_token_s(replica: Replica, data_centre: str) -> float:
     """Predict the wait for the first token from the load and own history."""
     load = replica.load()
-    over = max(0, load + 1 - replica.slots)
+    over = max(0.0, load + 1 - replica.slots)
     wait_s = over * replica.hold_s / max(1, replica.slots)
     wait_s += load * PREFILL_PER_LOAD_S
     if replica.data_centre != data_centre:
@@ -73,46 +72,46 @@
     staying = [replica for replica in able if not replica.draining] or able
     trusted = [replica for replica in staying if replica.suspect_until_s <= now_s]
     pool = trusted or staying
-    home = _affine(pool, request, policy)
+    home = _affine(pool, request, policy, rng)
     if home is not None:
         return home
-    sample = _sample(pool, policy.candidates, rng)
     return min(
-        sample,
+        pool,
         key=lambda replica: (
             predicted_first_token_s(replica, request.data_centre),
-            replica.own_in_flight,
+            rng.random(),
         ),
     )
 
 
 def _affine(
-    pool: Sequence[Replica], request: RoutingRequest, policy: RoutingPolicy
+    pool: Sequence[Replica],
+    request: RoutingRequest,
+    policy: RoutingPolicy,
+    rng: random.Random,
 ) -> Replica | None:
-    """Return the replica with the prefix unless its load is out of bounds."""
+    """Return the replica with the prefix unless its load is out of bounds.
+
+    The bound is on this router's own requests: all routers share the same
+    home for a prefix, and reports come too late to hold them back together.
+    """
     if not request.prefix_key and request.prefix_home is None:
         return None
     by_name = {replica.name: replica for replica in pool}
-    mean = sum(replica.load() for replica in pool) / len(pool)
-    bound = policy.affinity_slack * (mean + 1)
+    mean = sum(replica.own_in_flight for replica in pool) / len(pool)
+    bound = max(1.0, policy.affinity_slack * mean)
     names = [request.prefix_home] if request.prefix_home in by_name else []
     if request.prefix_key:
         names += ranked(request.prefix_key, by_name)[:2]
     for name in names:
         home = by_name[name] if name else None
-        if home is not None and home.load() < min(bound, home.slots):
+        if home is None or home.own_in_flight >= bound:
+            continue
+        if home.load() + 1 <= policy.affinity_share_of_slots * home.slots:
             return home
     return None
 
 
-def _sample(
-    pool: Sequence[Replica], count: int, rng: random.Random
-) -> Sequence[Replica]:
-    # Routers share the same stale reports; choosing the one best of all
-    # would send every router's next requests to the same replica at once.
-    return pool if len(pool) <= count else rng.sample(list(pool), count)
-
-
 SUSPECT_BASE_S = 1.0
 SUSPECT_MAX_S = 30.0
 
--- a/src/rosepath/tables.py
+++ b/src/rosepath/tables.py
@@ -1,10 +1,13 @@
 """The tables of a node: plain rows that the systems read and write."""
 
+import math
 from collections import deque
 from dataclasses import dataclass, field
 from enum import IntEnum, StrEnum
 
 MOVES_KEPT = 500
+OTHERS_SMOOTHED_S = 2.8
+OTHERS_MAX_WEIGHT = 0.3
 
 
 class MemberState(IntEnum):
@@ -47,6 +50,7 @@
     resident: frozenset[str] = frozenset()
     running_by_target: dict[str, int] = field(default_factory=dict)
     reported_at_s: float | None = None
+    others_load: float = 0.0
     known_since_s: float = 0.0
     reachable: bool = True
     leaving: bool = False
@@ -60,13 +64,23 @@
     def own_in_flight(self) -> int:
         return len(self.own_starts)
 
-    def load(self) -> int:
-        """Return running and queued requests, own newer ones included."""
-        if self.reported_at_s is None:
-            return self.own_in_flight
-        reported_at_s = self.reported_at_s
-        newer = sum(1 for at_s in self.own_starts.values() if at_s > reported_at_s)
-        return self.running + self.queued + newer
+    def load(self) -> float:
+        """Return own requests in flight plus what others have, smoothed.
+
+        The own count is exact and known to no one else, so routers that read
+        the same report don't all turn to the same replica; the reported part
+        is old by the time it is read, and only its average means something.
+        """
+        return self.own_in_flight + self.others_load
+
+    def note_report(self, *, running: int, queued: int, at_s: float) -> None:
+        """Take a report that was true at a local time."""
+        elapsed_s = at_s - (self.reported_at_s or -math.inf)
+        weight = 1 - math.exp(-max(0.0, elapsed_s) / OTHERS_SMOOTHED_S)
+        weight = min(weight, OTHERS_MAX_WEIGHT)
+        self.running, self.queued, self.reported_at_s = running, queued, at_s
+        others = max(0, running + queued - self.own_in_flight)
+        self.others_load += weight * (others - self.others_load)
 
 
 class MoveAction(StrEnum):
