Take out what nothing uses

Cause: reading the change once more found a setting that nothing reads (first_token_target_s), a kind list beside KINDS, two gossip methods and a field, and a parameter passed for nothing; two tests slept where a condition can be waited for. Change: removed, and waited for. Conclusion: pruning dead members is owed.

--- a/src/rosepath/declarations.py
+++ b/src/rosepath/declarations.py
@@ -4,7 +4,7 @@
 from collections.abc import Mapping
 from dataclasses import asdict, dataclass
 from types import MappingProxyType
-from typing import Annotated, Any, Literal
+from typing import Annotated, Any
 
 from expression import Error, Ok, Result
 from pydantic import ConfigDict, Field, TypeAdapter, ValidationError
@@ -140,18 +140,6 @@
     | Drain
     | QuietWindow
 )
-Kind = Literal[
-    "model",
-    "version",
-    "adapter",
-    "service",
-    "caller",
-    "route",
-    "limit",
-    "backend_server",
-    "drain",
-    "quiet_window",
-]
 
 KINDS: Mapping[str, type] = MappingProxyType(
     {
--- a/src/rosepath/gossip.py
+++ b/src/rosepath/gossip.py
@@ -6,7 +6,7 @@
 """
 
 from collections import OrderedDict
-from collections.abc import Iterable, Sequence
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 from enum import IntEnum
 from typing import NamedTuple
@@ -51,7 +51,6 @@
     acked: int = 0
     epoch: int = 0
     sent_at_s: float = -1e9
-    heard_at_s: float = -1e9
     throttled: dict[RowKey, float] = field(default_factory=dict)
 
 
@@ -94,20 +93,10 @@
         self._rows.move_to_end(row.key)
         return True
 
-    def forget(self, key: RowKey) -> None:
-        """Drop a row here; a neighbour that still has it may bring it back."""
-        self._rows.pop(key, None)
-
     def link(self, neighbour: str) -> Link:
         """Return the link to a neighbour, made on first use."""
         return self.links.setdefault(neighbour, Link())
 
-    def keep_links(self, members: Iterable[str]) -> None:
-        """Drop the links to members that are gone."""
-        keep = set(members)
-        for name in self.links.keys() - keep:
-            del self.links[name]
-
     def batch_for(
         self, neighbour: str, *, now_s: float, load_interval_s: float = 0.0
     ) -> Batch:
--- a/src/rosepath/routing.py
+++ b/src/rosepath/routing.py
@@ -72,7 +72,7 @@
     staying = [replica for replica in able if not replica.draining] or able
     trusted = [replica for replica in staying if replica.suspect_until_s <= now_s]
     pool = trusted or staying
-    home = _affine(pool, request, policy, rng)
+    home = _affine(pool, request, policy)
     if home is not None:
         return home
     return min(
@@ -88,7 +88,6 @@
     pool: Sequence[Replica],
     request: RoutingRequest,
     policy: RoutingPolicy,
-    rng: random.Random,
 ) -> Replica | None:
     """Return the replica with the prefix unless its load is out of bounds.
 
--- a/src/rosepath/settings.py
+++ b/src/rosepath/settings.py
@@ -67,7 +67,6 @@
 class RoutingSettings(Section):
     """Shape how replicas are chosen and failures retried."""
 
-    first_token_target_s: Seconds = 0.39
     connect_timeout_s: Seconds = 1.0
     progress_timeout_s: Seconds = 10.0
     proven_live_within_s: Seconds = 1.0
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -64,6 +64,12 @@
     await reader.read()
 
 
+async def idle_closed(pool: HttpPool, server: Server) -> None:
+    """Wait until the pool knows that its idle connection is closed."""
+    while not all(c.closed for c in pool._idle[server.address]):  # noqa: ASYNC110
+        await asyncio.sleep(0)
+
+
 def test_a_connection_is_kept_and_used_again() -> None:
     async def run() -> None:
         async with Server(answering(OK, OK, OK)) as server:
@@ -111,7 +117,7 @@
         async with Server(answering(OK)) as server:
             pool = HttpPool()
             await pool.fetch(server.request())
-            await asyncio.sleep(0.05)
+            await idle_closed(pool, server)
             assert (await pool.fetch(server.request()))[1] == b"ok"
             pool.close()
 
@@ -227,7 +233,7 @@
         async with Server(answering(OK + OK, OK)) as server:
             pool = HttpPool()
             await pool.fetch(server.request())
-            await asyncio.sleep(0.05)
+            await idle_closed(pool, server)
             await pool.fetch(server.request())
             assert server.connections == 2
             pool.close()
