Call the decoder's own error and base_of instead of writing them again

Cause: rereading the whole change found protobuf's DecodeError matched by its class name in two places, and the base of a target split by hand in two more beside configuration.base_of. Conclusion: the read-back is the next duplicate to unite.

--- a/src/rosepath/membership.py
+++ b/src/rosepath/membership.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Iterable, Mapping
 
+from google.protobuf.message import DecodeError
+
 from rosepath.platform import VmState
 from rosepath.proto.rosepath_pb2 import MemberPayload
 from rosepath.tables import EntryVm, MemberState
@@ -44,11 +46,7 @@
     try:
         message.ParseFromString(payload)
         state = MemberState(message.state)
-    except (ValueError, TypeError):
-        return None
-    except Exception as error:
-        if type(error).__name__ != "DecodeError":
-            raise
+    except (DecodeError, ValueError):
         return None
     if not message.address or not message.data_centre:
         return None
--- a/src/rosepath/placement.py
+++ b/src/rosepath/placement.py
@@ -9,6 +9,7 @@
 
 from collections.abc import Iterable, Mapping
 
+from rosepath.configuration import base_of
 from rosepath.placement_copies import (
     extras_on,
     held_bytes,
@@ -145,7 +146,7 @@
     """Unload extra copies where an anchored load or its adapters lack room."""
     lacking: dict[str, int] = {}
     for move in moves:
-        extra = anchors.get(move.target.split(":", 1)[0]) != move.backend_server
+        extra = anchors.get(base_of(move.target)) != move.backend_server
         if move.action is MoveAction.LOAD and not extra:
             size = lacking.get(move.backend_server, 0) + move.memory_bytes
             lacking[move.backend_server] = size
--- a/src/rosepath/poller.py
+++ b/src/rosepath/poller.py
@@ -3,9 +3,11 @@
 import asyncio
 from collections.abc import Iterable
 
+from google.protobuf.message import DecodeError
+
 from rosepath.backend import BackendPort, LoadReport
 from rosepath.clock import Clock
-from rosepath.configuration import Configuration
+from rosepath.configuration import Configuration, base_of
 from rosepath.errors import ExchangeError
 from rosepath.gossip import Row, RowKey, RowKind
 from rosepath.proto.rosepath_pb2 import LoadPayload
@@ -75,9 +77,7 @@
     message = LoadPayload()
     try:
         message.ParseFromString(payload)
-    except Exception as error:
-        if type(error).__name__ != "DecodeError":
-            raise
+    except DecodeError:
         return False
     if not message.reachable:
         replica.reachable = False
@@ -112,7 +112,7 @@
     for replica in replicas:
         total = max(1, sum(replica.running_by_target.values()))
         for target, running in replica.running_by_target.items():
-            base = target.split(":", 1)[0]
+            base = base_of(target)
             queued = replica.queued * running / total
             seen[base] = seen.get(base, 0.0) + running + queued
     for base in {*demand, *seen}:
