--- a/src/rosepath/backend_watch.py
+++ b/src/rosepath/backend_watch.py
@@ -5,7 +5,7 @@
 from rosepath.clock import Clock
 from rosepath.gossip import Row, RowKey, RowKind
 from rosepath.logs import get_logger
-from rosepath.platform import PlatformPort, StoreError, VmState
+from rosepath.object_store import PlatformPort, StoreError, VmState
 from rosepath.poller import Poller, apply_load, load_says_leaving, smooth_demand
 from rosepath.tables import Tables
 
--- a/src/rosepath/caller_handler.py
+++ b/src/rosepath/caller_handler.py
@@ -21,7 +21,7 @@
 from rosepath.dispatch import Dispatcher, Terms
 from rosepath.errors import Refusal, RefusalError, Run, Step, refuse
 from rosepath.logs import get_logger
-from rosepath.platform import PlatformPort
+from rosepath.object_store import PlatformPort
 from rosepath.services import ServiceRelay
 from rosepath.settings import Settings
 from rosepath.telemetry import Telemetry, context_from_headers
--- /dev/null
+++ b/src/rosepath/catalog.py
@@ -0,0 +1,134 @@
+"""What operators declare for callers: host routes, services, models, limits."""
+
+from collections import defaultdict
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+import xxhash
+
+
+class RouteKind(StrEnum):
+    """Tell how often a request of a route may run."""
+
+    IDEMPOTENT = "idempotent"
+    NON_IDEMPOTENT = "non_idempotent"
+    STREAMING = "streaming"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ServiceShare:
+    """Give a service its part of a route's requests."""
+
+    service: str
+    weight: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class HostRoute:
+    """Send the requests of one host below one path to a service.
+
+    `priority` 0 is the most urgent.
+    """
+
+    name: str
+    host: str
+    path_prefix: str
+    kind: RouteKind
+    shares: tuple[ServiceShare, ...]
+    timeout_s: float
+    target_latency_s: float
+    target_gap_s: float = 0.0
+    priority: int = 0
+    max_attempts: int = 1
+    resumable: bool = False
+
+    @property
+    def repeatable(self) -> bool:
+        """Tell whether a request that may have run may be run again."""
+        if self.kind is RouteKind.STREAMING:
+            return self.resumable
+        return self.kind is RouteKind.IDEMPOTENT
+
+    def service_for(self, request_id: str) -> str:
+        """Pick the service of a request; the same on every entry VM."""
+        if len(self.shares) == 1:
+            return self.shares[0].service
+        total = sum(share.weight for share in self.shares)
+        drawn = xxhash.xxh3_64_intdigest(request_id.encode()) / 2**64 * total
+        for share in self.shares:
+            drawn -= share.weight
+            if drawn < 0:
+                return share.service
+        return self.shares[-1].service
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ModelSpec:
+    """Describe a model; the load times are from store, host memory and disk."""
+
+    name: str
+    size_mb: float
+    load_s: float
+    warm_load_s: float
+    disk_load_s: float
+    adapter_mb: float = 0.0
+    adapters: int = 0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class EngineSpec:
+    """Describe the engines of a service and what they may hold."""
+
+    slots: int
+    kv_capacity_tokens: int
+    memory_mb: float
+    adapter_slots: int
+    loads_per_s: float
+    models: Mapping[str, ModelSpec]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ServiceSpec:
+    """Describe a service; `engine` is None for a plain one."""
+
+    name: str
+    health_path: str
+    max_connections: int
+    engine: EngineSpec | None = None
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CallerLimits:
+    """Bound what a caller may send and how long it may stay idle."""
+
+    max_header_bytes: int = 16 * 1024
+    max_body_bytes: int = 4 * 1024 * 1024
+    header_timeout_s: float = 3.0
+    idle_timeout_s: float = 15.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Catalog:
+    """Hold one version of what operators declare."""
+
+    version: int
+    routes: Sequence[HostRoute]
+    services: Mapping[str, ServiceSpec]
+    limits: CallerLimits
+    by_host: Mapping[str, Sequence[HostRoute]] = field(init=False)
+
+    def __post_init__(self) -> None:
+        by_host: dict[str, list[HostRoute]] = defaultdict(list)
+        for route in self.routes:
+            by_host[route.host].append(route)
+        for routes in by_host.values():
+            routes.sort(key=lambda route: -len(route.path_prefix))
+        object.__setattr__(self, "by_host", dict(by_host))
+
+    def find(self, host: str, path: str) -> HostRoute | None:
+        """Return the route with the longest prefix of a path."""
+        for route in self.by_host.get(host, ()):
+            if path.startswith(route.path_prefix):
+                return route
+        return None
--- a/src/rosepath/claims.py
+++ b/src/rosepath/claims.py
@@ -15,7 +15,7 @@
 from expression import Error, Ok, Result
 
 from rosepath.errors import Run, Step, refuse
-from rosepath.platform import ConflictError, PlatformPort, StoreError
+from rosepath.object_store import ConflictError, PlatformPort, StoreError
 
 MAX_RECORDED_BYTES = 256 * 1024
 
--- a/src/rosepath/configuration_follower.py
+++ b/src/rosepath/configuration_follower.py
@@ -6,7 +6,7 @@
 from rosepath.configuration import ConfigurationState
 from rosepath.configuration_store import HEAD_NAME, ConfigurationStore
 from rosepath.logs import get_logger
-from rosepath.platform import PlatformPort, StoreError
+from rosepath.object_store import PlatformPort, StoreError
 
 PAUSE_S = 0.5
 
--- a/src/rosepath/configuration_store.py
+++ b/src/rosepath/configuration_store.py
@@ -18,7 +18,7 @@
     encode_shards,
     shard_key,
 )
-from rosepath.platform import ConflictError, PlatformPort, StoreError
+from rosepath.object_store import ConflictError, PlatformPort, StoreError
 from rosepath.validation import describe_change, validate
 
 HEAD_NAME = "configuration/head"
--- a/src/rosepath/deferred_handlers.py
+++ b/src/rosepath/deferred_handlers.py
@@ -9,8 +9,8 @@
 from rosepath.deferred import MAX_BODY_BYTES, DeferredRequest, DeferredState
 from rosepath.deferred_runner import read_status, store_request
 from rosepath.errors import Run, Step, refuse
+from rosepath.object_store import StoreError
 from rosepath.openai_api import parse_body
-from rosepath.platform import StoreError
 from rosepath.settings import first_problem
 
 
--- a/src/rosepath/deferred_runner.py
+++ b/src/rosepath/deferred_runner.py
@@ -26,7 +26,7 @@
 )
 from rosepath.errors import RefusalError, Run
 from rosepath.logs import get_logger
-from rosepath.platform import ConflictError, PlatformPort, StoreError
+from rosepath.object_store import ConflictError, PlatformPort, StoreError
 
 REQUEST_PREFIX = "deferred/"
 RESULT_PREFIX = "results/"
--- /dev/null
+++ b/src/rosepath/engine_choice.py
@@ -0,0 +1,84 @@
+"""Which engine takes a generation: least predicted time to the first token."""
+
+import random
+from collections.abc import Callable, Collection, Iterable
+from dataclasses import dataclass
+
+from rosepath.caller_call import Prompt
+from rosepath.fleet import BackendServer
+from rosepath.rendezvous import ranked
+
+# Tokens of a prompt that an engine reads in a second, to begin with; learned
+# from first tokens since.
+READ_TOKENS_PER_S = 30_000.0
+REMOTE_PENALTY_S = 0.002
+# Each request in an engine's batch delays the others' tokens a little.
+BATCH_PENALTY_S = 0.004
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class EngineChoice:
+    """Hold the engine chosen and what it is expected to take."""
+
+    server: BackendServer
+    unread_tokens: int
+    first_token_s: float
+
+
+def prompt_home_key(prompt: Prompt) -> str:
+    """Return the key by which requests with a common prompt meet."""
+    shared = prompt.parts[:-1]
+    return f"{prompt.target}#{shared[-1].part_id if shared else ''}"
+
+
+def holds(server: BackendServer, prompt: Prompt) -> bool:
+    """Tell whether an engine holds a prompt's model and adapter."""
+    adapters = server.held.get(prompt.model)
+    if adapters is None:
+        return False
+    return not prompt.adapter or prompt.adapter in adapters
+
+
+def choose_engine(
+    engines: Iterable[BackendServer],
+    prompt: Prompt,
+    *,
+    data_centre: str,
+    tried: Collection[str],
+    now_s: float,
+    cached_tokens: Callable[[BackendServer, Prompt], int],
+    rng: random.Random,
+    model_only: bool = False,
+) -> EngineChoice | None:
+    """Choose among the engines that hold what the prompt needs."""
+    able = [
+        engine
+        for engine in engines
+        if engine.usable
+        and engine.name not in tried
+        and (prompt.model in engine.held if model_only else holds(engine, prompt))
+    ]
+    trusted = [engine for engine in able if engine.suspect_until_s <= now_s]
+    pool = {engine.name: engine for engine in trusted or able}
+    if not pool:
+        return None
+    order = ranked(prompt_home_key(prompt), pool)
+    best: EngineChoice | None = None
+    best_key: tuple[float, float] | None = None
+    for place, name in enumerate(order):
+        engine = pool[name]
+        unread = max(0, prompt.input_tokens - cached_tokens(engine, prompt))
+        first_token_s = (engine.unread_tokens + unread) / READ_TOKENS_PER_S
+        first_token_s += engine.requests * BATCH_PENALTY_S
+        if engine.entry.data_centre != data_centre:
+            first_token_s += REMOTE_PENALTY_S
+        # Where nothing is cached yet, all VMs should build the cache in the
+        # same place: the first in rank wins unless it is clearly busier.
+        cost_s = first_token_s + 0.01 * min(place, 3)
+        key = (cost_s, rng.random())
+        if best_key is None or key < best_key:
+            best_key = key
+            best = EngineChoice(
+                server=engine, unread_tokens=unread, first_token_s=first_token_s
+            )
+    return best
--- a/src/rosepath/engine_keeper.py
+++ b/src/rosepath/engine_keeper.py
@@ -32,7 +32,7 @@
     reserve,
 )
 from rosepath.logs import get_logger
-from rosepath.platform import ConflictError, PlatformPort, StoreError
+from rosepath.object_store import ConflictError, PlatformPort, StoreError
 from rosepath.settings import PlacementSettings
 from rosepath.tables import Move, MoveAction, Tables
 
--- /dev/null
+++ b/src/rosepath/entry_settings.py
@@ -0,0 +1,46 @@
+"""Settings of an entry VM on the users' platform, read from TOML."""
+
+from typing import Annotated
+
+from pydantic import Field
+
+from rosepath.settings import Address, Seconds, Section
+
+
+class EntryCallers(Section):
+    """Listen for callers and for the balancer's questions."""
+
+    listen: Address
+    ready_listen: Address
+
+
+class StoreSettings(Section):
+    """Reach the platform's object store."""
+
+    address: Address
+    call_timeout_s: Seconds = 0.5
+
+
+class RetrySettings(Section):
+    """Bound the repeats of a service over all entry VMs together."""
+
+    ratio: Annotated[float, Field(ge=0)] = 0.2
+    slack: Annotated[float, Field(ge=0)] = 50.0
+    window_s: Seconds = 10.0
+
+
+class StopBounds(Section):
+    """Bound a planned stop."""
+
+    grace_s: Seconds = 8.0
+
+
+class EntrySettings(Section):
+    """Hold everything that an entry VM learns before it starts."""
+
+    entry_vm: Annotated[str, Field(min_length=1, pattern=r"^[\w.-]+$")]
+    data_centre: Annotated[str, Field(min_length=1, pattern=r"^[\w.-]+$")]
+    callers: EntryCallers
+    store: StoreSettings
+    retries: RetrySettings = RetrySettings()
+    stop: StopBounds = StopBounds()
--- /dev/null
+++ b/src/rosepath/fleet.py
@@ -0,0 +1,141 @@
+"""The table of backend servers, and what this entry VM has seen of each."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ServerEntry:
+    """Hold what a backend server says of itself in the store.
+
+    `models` maps each model it holds to that model's adapters; `sequence`
+    counts the orders it has accepted; `remaining_s` is set if it leaves at
+    short notice.
+    """
+
+    name: str
+    service: str
+    address: str
+    data_centre: str
+    slots: int
+    draining: bool
+    sequence: int = 0
+    models: Mapping[str, frozenset[str]] = field(default_factory=dict)
+    remaining_s: float | None = None
+
+
+@dataclass(slots=True, kw_only=True)
+class Flight:
+    """Hold one request of this entry VM that is at a backend server.
+
+    `unread_tokens` are the prompt tokens it likely has to read before its
+    first token; they count until that came.
+    """
+
+    since_s: float
+    unread_tokens: int = 0
+    tokens: int = 0
+    model: str = ""
+
+
+@dataclass(slots=True, kw_only=True)
+class PeerLoad:
+    """Hold what another entry VM has at a backend server."""
+
+    requests: int = 0
+    unread_tokens: int = 0
+    tokens: int = 0
+
+
+@dataclass(slots=True, kw_only=True)
+class BackendServer:
+    """Hold one backend server: its entry, and what was seen of it here."""
+
+    entry: ServerEntry
+    left: bool = False
+    flights: dict[str, Flight] = field(default_factory=dict)
+    peers: dict[str, PeerLoad] = field(default_factory=dict)
+    failures: int = 0
+    suspect_until_s: float = 0.0
+    probing_since_s: float | None = None
+    service_time_s: float = 0.05
+    latency_s: float = 0.0
+    # Overrides of the entry by what an answer or an order showed since.
+    held: dict[str, set[str]] = field(default_factory=dict)
+
+    @property
+    def name(self) -> str:
+        return self.entry.name
+
+    @property
+    def address(self) -> str:
+        return self.entry.address
+
+    @property
+    def usable(self) -> bool:
+        """Tell whether new work may be sent there."""
+        return not self.left and not self.entry.draining
+
+    @property
+    def requests(self) -> int:
+        """Return the requests that all entry VMs have there."""
+        return len(self.flights) + sum(load.requests for load in self.peers.values())
+
+    @property
+    def unread_tokens(self) -> int:
+        """Return the prompt tokens that wait to be read there."""
+        own = sum(flight.unread_tokens for flight in self.flights.values())
+        return own + sum(load.unread_tokens for load in self.peers.values())
+
+    @property
+    def tokens(self) -> int:
+        """Return the tokens of memory that running requests take there."""
+        own = sum(flight.tokens for flight in self.flights.values())
+        return own + sum(load.tokens for load in self.peers.values())
+
+
+class Fleet:
+    """Hold every backend server by name."""
+
+    def __init__(self) -> None:
+        self.servers: dict[str, BackendServer] = {}
+        self.revision = 0
+
+    def of_service(self, service: str) -> list[BackendServer]:
+        """Return the backend servers of a service."""
+        return [
+            server
+            for server in self.servers.values()
+            if server.entry.service == service
+        ]
+
+    def put(self, entry: ServerEntry) -> None:
+        """Take in an entry; what left is not brought back by an older entry."""
+        server = self.servers.get(entry.name)
+        if server is None:
+            server = self.servers[entry.name] = BackendServer(entry=entry)
+        elif server.entry.draining and not entry.draining:
+            entry = _still_draining(entry)
+        server.entry = entry
+        server.left = False
+        server.held = {name: set(adapters) for name, adapters in entry.models.items()}
+
+    def remove(self, name: str) -> None:
+        """Take out a backend server that left; its running requests go on."""
+        server = self.servers.pop(name, None)
+        if server is not None:
+            server.left = True
+
+    def replace(self, entries: Mapping[str, ServerEntry]) -> None:
+        """Take in a whole listing."""
+        for name in list(self.servers):
+            if name not in entries:
+                self.remove(name)
+        for entry in entries.values():
+            self.put(entry)
+
+
+def _still_draining(entry: ServerEntry) -> ServerEntry:
+    from dataclasses import replace
+
+    return replace(entry, draining=True)
--- /dev/null
+++ b/src/rosepath/gateway.py
@@ -0,0 +1,162 @@
+"""Take callers' connections: read requests whole, write answers, notice leaving."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from http.client import responses
+
+from tornado.http1connection import HTTP1Connection
+from tornado.httpserver import HTTPServer
+from tornado.httputil import (
+    HTTPConnection,
+    HTTPHeaders,
+    HTTPMessageDelegate,
+    HTTPServerConnectionDelegate,
+    RequestStartLine,
+    ResponseStartLine,
+)
+
+from rosepath.clock import Clock
+
+# Enough for a burst of events; beyond it the backend server is held back.
+WRITE_AHEAD_BYTES = 256 * 1024
+
+
+class CallerExchange(HTTPMessageDelegate):
+    """Hold one request as it is read, and its answer as it is written."""
+
+    def __init__(self, gateway: "Gateway", connection: HTTP1Connection) -> None:
+        self.method = ""
+        self.path = ""
+        self.headers = HTTPHeaders()
+        self.arrived_s = 0.0
+        self.begun = False
+        self.done = False
+        self._body: list[bytes] = []
+        self._gateway = gateway
+        self._connection = connection
+        self._task: asyncio.Task[None] | None = None
+
+    @property
+    def body(self) -> bytes:
+        return b"".join(self._body)
+
+    # Called by the server
+
+    def headers_received(
+        self,
+        start_line: RequestStartLine | ResponseStartLine,
+        headers: HTTPHeaders,
+    ) -> None:
+        assert isinstance(start_line, RequestStartLine)
+        self.method, self.path = start_line.method, start_line.path
+        self.headers = headers
+        self.arrived_s = self._gateway.clock.monotonic_s()
+
+    def data_received(self, chunk: bytes) -> None:
+        self._body.append(chunk)
+
+    def finish(self) -> None:
+        self._gateway.open.add(self)
+        self._task = asyncio.ensure_future(self._gateway.serve(self))
+        self._task.add_done_callback(self._served)
+
+    def on_connection_close(self) -> None:
+        # The caller left: whatever works for it stops at once.
+        if self._task is not None:
+            self._task.cancel()
+        self._body.clear()
+
+    def _served(self, task: asyncio.Task[None]) -> None:
+        self._gateway.open.discard(self)
+        if not self.done:
+            self.abort()
+        if not task.cancelled() and task.exception() is not None:
+            self._gateway.on_failure(self, task.exception())
+
+    # Called by whoever answers
+
+    def begin(
+        self, status: int, headers: HTTPHeaders, *, length: int | None = None
+    ) -> None:
+        """Write the head of an answer."""
+        self.begun = True
+        if length is not None:
+            headers["Content-Length"] = str(length)
+        if self._gateway.closing:
+            self._connection._disconnect_on_finish = True
+        line = ResponseStartLine("HTTP/1.1", status, responses.get(status, "Status"))
+        _ignore_closed(self._connection.write_headers(line, headers))
+
+    def write(self, data: bytes) -> Awaitable[None] | None:
+        """Write a part of the body; return what to wait for if it piles up."""
+        if not data:
+            return None
+        written = self._connection.write(data)
+        _ignore_closed(written)
+        if len(self._connection.stream._write_buffer) > WRITE_AHEAD_BYTES:
+            return written
+        return None
+
+    def end(self) -> None:
+        """Complete the answer."""
+        self.done = True
+        self._connection.finish()
+
+    def answer(self, status: int, headers: HTTPHeaders, body: bytes) -> None:
+        """Write a whole answer."""
+        self.begin(status, headers, length=len(body))
+        self.write(body)
+        self.end()
+
+    def abort(self) -> None:
+        """Break the connection, so that a cut answer does not look whole."""
+        self.done = True
+        stream = self._connection.stream
+        if stream is not None and not stream.closed():
+            stream.close()
+
+
+def _ignore_closed(written: "asyncio.Future[None]") -> None:
+    # A write to a caller that left fails here; its close is handled.
+    written.add_done_callback(lambda done: done.cancelled() or done.exception())
+
+
+class Gateway(HTTPServerConnectionDelegate):
+    """Listen for callers and hand each whole request on."""
+
+    def __init__(
+        self,
+        serve: Callable[[CallerExchange], Awaitable[None]],
+        *,
+        clock: Clock,
+        on_failure: Callable[[CallerExchange, BaseException | None], None],
+    ) -> None:
+        self._serve = serve
+        self.clock = clock
+        self.on_failure = on_failure
+        self.open: set[CallerExchange] = set()
+        self.closing = False
+        self.server = HTTPServer(self)
+
+    def start_request(
+        self, server_conn: object, request_conn: HTTPConnection
+    ) -> CallerExchange:
+        assert isinstance(request_conn, HTTP1Connection)
+        return CallerExchange(self, request_conn)
+
+    async def serve(self, exchange: CallerExchange) -> None:
+        """Answer one request."""
+        await self._serve(exchange)
+
+    def limit(
+        self,
+        *,
+        max_header_bytes: int,
+        max_body_bytes: int,
+        idle_timeout_s: float,
+    ) -> None:
+        """Bound what callers may send, from the next connection on."""
+        params = self.server.conn_params
+        params.max_header_size = max_header_bytes
+        params.max_body_size = max_body_bytes
+        params.header_timeout = idle_timeout_s
--- a/src/rosepath/http_client.py
+++ b/src/rosepath/http_client.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import socket
 from collections import defaultdict
 from collections.abc import AsyncIterator, Mapping
 from dataclasses import dataclass, field
@@ -15,6 +16,7 @@
 from rosepath.clock import Clock, SystemClock
 from rosepath.errors import ExchangeError, Step
 from rosepath.http_exchange import (
+    Accepts,
     Connection,
     Exchange,
     OnData,
@@ -25,6 +27,13 @@
 
 MAX_IDLE_PER_PEER = 64
 MAX_IDLE_S = 30.0
+# A peer that states a shorter idle time closes on its own clock; half a second
+# before that, a request could cross its close.
+IDLE_MARGIN_S = 0.5
+# A machine without power or behind a partition acknowledges nothing. Without
+# a bound of its own the kernel would go on for many minutes.
+UNACKNOWLEDGED_MS = 1500
+KEEPALIVE_IDLE_S = 1
 
 __all__ = ["HttpPool", "Request", "ResponseHead"]
 
@@ -42,6 +51,8 @@
     connect_timeout_s: float = 1.0
     progress_timeout_s: float = 10.0
     proven_live_within_s: float | None = None
+    host: str | None = None
+    accepts: Accepts | None = None
 
 
 class HttpPool:
@@ -80,7 +91,9 @@
         `on_head` or `on_data` closes the connection and is raised as it is.
         """
         connection, reused = await self._connection_for(request)
-        exchange = Exchange(connection, request.method, on_head, on_data)
+        exchange = Exchange(
+            connection, request.method, on_head, on_data, accepts=request.accepts
+        )
         connection.exchange = exchange
         returned = False
         try:
@@ -110,9 +123,9 @@
             age_s = now_s - connection.last_answer_s
             if connection.closed:
                 continue
-            if age_s <= fresh_s:
+            if age_s <= min(fresh_s, connection.idle_limit_s):
                 return connection, True
-            if age_s <= MAX_IDLE_S:
+            if age_s <= min(MAX_IDLE_S, connection.idle_limit_s):
                 idle.append(connection)
                 break
             connection.close()
@@ -134,6 +147,7 @@
                 sent=False,
                 timed_out=isinstance(error, TimeoutError),
             ) from error
+        _bound_silence(connection)
         return connection
 
     def _put_back(self, address: str, connection: Connection) -> None:
@@ -142,6 +156,7 @@
             connection.close()
             return
         connection.last_answer_s = self._clock.monotonic_s()
+        connection.idle_limit_s = max(0.0, connection.stated_idle_s - IDLE_MARGIN_S)
         idle.append(connection)
 
     async def _run(
@@ -194,8 +209,20 @@
         )
 
 
+def _bound_silence(connection: Connection) -> None:
+    """Have the kernel give up a connection whose peer acknowledges nothing."""
+    assert connection.transport is not None
+    sock = connection.transport.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_IDLE_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
+
+
 def _encode_head(request: Request) -> bytes:
-    lines = [f"{request.method} {request.path} HTTP/1.1", f"Host: {request.address}"]
+    host = request.host or request.address
+    lines = [f"{request.method} {request.path} HTTP/1.1", f"Host: {host}"]
     lines += [f"{name}: {value}" for name, value in request.headers.items()]
     if request.body_chunks is not None:
         lines.append("Transfer-Encoding: chunked")
--- a/src/rosepath/http_exchange.py
+++ b/src/rosepath/http_exchange.py
@@ -1,6 +1,7 @@
 """One HTTP/1.1 exchange on one connection, read with llhttp."""
 
 import asyncio
+import math
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
@@ -20,6 +21,7 @@
 
 
 OnHead = Callable[[ResponseHead], None]
+Accepts = Callable[[ResponseHead], bool]
 
 
 class Connection(asyncio.Protocol):
@@ -29,7 +31,10 @@
         self.transport: asyncio.Transport | None = None
         self.exchange: Exchange | None = None
         self.closed = False
+        self.ended_by_peer = False
         self.last_answer_s = 0.0
+        self.stated_idle_s = math.inf
+        self.idle_limit_s = math.inf
         self._writable = asyncio.Event()
         self._writable.set()
 
@@ -45,7 +50,8 @@
         else:
             self.exchange.take(data)
 
-    def connection_lost(self, _: Exception | None) -> None:
+    def connection_lost(self, error: Exception | None) -> None:
+        self.ended_by_peer = error is None and not self.closed
         self.closed = True
         self._writable.set()
         if self.exchange is not None:
@@ -85,7 +91,13 @@
     """Hold one answer as it arrives; the parser calls the `on_` methods."""
 
     def __init__(
-        self, connection: Connection, method: str, on_head: OnHead, on_data: OnData
+        self,
+        connection: Connection,
+        method: str,
+        on_head: OnHead,
+        on_data: OnData,
+        *,
+        accepts: Accepts | None = None,
     ) -> None:
         self.done: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self.head: ResponseHead | None = None
@@ -95,6 +107,8 @@
         self.consumer_busy = False
         self._keep_alive = False
         self._surplus = False
+        self._stray = False
+        self._accepts = accepts
         self._connection = connection
         self._bodiless = method == "HEAD"
         self._on_head = on_head
@@ -110,6 +124,10 @@
         # Another answer right behind the first: it belongs to no request of
         # this exchange, so it is skipped and the connection not used again.
         self._surplus = self.finished
+        if self._stray:
+            self._stray = False
+            self._headers = HTTPHeaders()
+            self._header_bytes = 0
 
     def on_header(self, name: bytes, value: bytes) -> None:
         if self._surplus:
@@ -126,13 +144,20 @@
         if status < 200:
             self._headers = HTTPHeaders()
             return
-        self.head = ResponseHead(status, self._headers)
+        head = ResponseHead(status, self._headers)
+        if self._accepts is not None and not self._accepts(head):
+            # A late answer to an earlier request of this connection: passed
+            # on, it would be another caller's. The own answer may follow.
+            self._stray = True
+            return
+        self.head = head
+        self._connection.stated_idle_s = _stated_idle_s(self._headers)
         self._on_head(self.head)
         if self._bodiless:
             self.finished = True
 
     def on_body(self, body: bytes) -> None:
-        if not self._surplus:
+        if not self._surplus and not self._stray:
             self._arrived.append(body)
 
     def on_message_complete(self) -> None:
@@ -202,8 +227,13 @@
         self._end()
 
     def _end(self) -> None:
-        if self._connection.closed and self.head is not None and not self._delimited:
-            # Without a length, the close itself ends the answer.
+        if (
+            self._connection.ended_by_peer
+            and self.head is not None
+            and not self._delimited
+        ):
+            # Without a length, the peer's close itself ends the answer; a
+            # reset, or a close of our own, leaves it incomplete.
             self.finished = True
         if not self.done.done():
             self.done.set_result(None)
@@ -226,6 +256,15 @@
         )
 
 
+def _stated_idle_s(headers: HTTPHeaders) -> float:
+    """Return how long the peer says it keeps an idle connection."""
+    for part in headers.get("Keep-Alive", "").split(","):
+        name, _, value = part.strip().partition("=")
+        if name.lower() == "timeout" and value.isdigit():
+            return float(value)
+    return math.inf
+
+
 class Watchdog:
     """Close a connection on which nothing moved for a while.
 
--- a/src/rosepath/lease_keeper.py
+++ b/src/rosepath/lease_keeper.py
@@ -15,7 +15,7 @@
     may_take_over,
 )
 from rosepath.logs import get_logger
-from rosepath.platform import ConflictError, PlatformPort, StoredObject, StoreError
+from rosepath.object_store import ConflictError, PlatformPort, StoredObject, StoreError
 
 _log = get_logger()
 
--- a/src/rosepath/leases.py
+++ b/src/rosepath/leases.py
@@ -11,7 +11,7 @@
 
 from expression import Error, Ok, Result
 
-from rosepath.platform import StoredObject
+from rosepath.object_store import StoredObject
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/rosepath/limit_keeper.py
+++ b/src/rosepath/limit_keeper.py
@@ -10,7 +10,7 @@
 from rosepath.configuration import ConfigurationState
 from rosepath.limits import apply_limits, reclaim_lent
 from rosepath.membership import alive, gone_entry_vms
-from rosepath.platform import StoreError
+from rosepath.object_store import StoreError
 from rosepath.share_keeper import ShareKeeper
 from rosepath.shares import fair_units
 from rosepath.tables import Tables
--- a/src/rosepath/membership.py
+++ b/src/rosepath/membership.py
@@ -4,7 +4,7 @@
 
 from google.protobuf.message import DecodeError
 
-from rosepath.platform import VmState
+from rosepath.object_store import VmState
 from rosepath.proto.rosepath_pb2 import MemberPayload
 from rosepath.tables import EntryVm, MemberState
 
--- a/src/rosepath/node.py
+++ b/src/rosepath/node.py
@@ -28,13 +28,13 @@
 from rosepath.limit_keeper import LimitKeeper
 from rosepath.logs import get_logger
 from rosepath.membership import alive
+from rosepath.object_store import StoreError
 from rosepath.operators import OperatorPorts, OperatorService
 from rosepath.peer_channels import PeerChannels
 from rosepath.peer_service import PeerService
 from rosepath.peers import PeerNetwork, PeerPorts
 from rosepath.placement import plan
 from rosepath.placer import Placer
-from rosepath.platform import StoreError
 from rosepath.platform_http import HttpPlatform
 from rosepath.poller import Poller, sync_replicas
 from rosepath.proto import rosepath_pb2 as pb
--- a/src/rosepath/platform.py
+++ b/src/rosepath/object_store.py
@@ -1,6 +1,7 @@
-"""The port to the platform: objects with versions, watches, and the VM list."""
+"""The port to the object store: objects with versions, watches, and the VM list."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Mapping
+from dataclasses import dataclass
 from enum import StrEnum
 from typing import NamedTuple, Protocol
 
@@ -29,16 +30,45 @@
     LEAVING = "leaving"
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Listing:
+    """Hold every object of a kind as of one revision of the store."""
+
+    revision: int
+    objects: Mapping[str, StoredObject]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Change:
+    """Hold what changed in a kind up to one revision of the store."""
+
+    revision: int
+    written: Mapping[str, StoredObject]
+    removed: frozenset[str]
+
+
 class ConflictError(RosepathError):
     """A conditional update met another version than it named."""
 
 
+class HistoryGoneError(RosepathError):
+    """The changes after a revision are no longer kept; read the whole again."""
+
+
 class StoreError(RosepathError):
     """A call failed; `unknown` if a write may have taken effect."""
 
     unknown = False
 
 
+class FeedPort(Protocol):
+    """Read a kind of objects whole, then wait for what changes."""
+
+    async def list(self, kind: str) -> Listing: ...
+
+    async def changes(self, kind: str, *, after: int, wait_s: float) -> Change: ...
+
+
 class PlatformPort(Protocol):
     """Reach the platform; every call either answers in time or raises."""
 
--- a/src/rosepath/operators.py
+++ b/src/rosepath/operators.py
@@ -21,7 +21,7 @@
     VersionConflict,
 )
 from rosepath.declarations import KINDS, parse_declaration_json, plain
-from rosepath.platform import StoreError
+from rosepath.object_store import StoreError
 from rosepath.proto import rosepath_pb2 as pb
 from rosepath.proto.rosepath_grpc import OperatorsBase
 from rosepath.tables import Tables
--- a/src/rosepath/placer.py
+++ b/src/rosepath/placer.py
@@ -11,10 +11,10 @@
 from rosepath.configuration import Configuration
 from rosepath.engine_keeper import EngineKeeper, EngineRow, PlacerPorts
 from rosepath.logs import get_logger
+from rosepath.object_store import ConflictError, StoreError
 from rosepath.placement import plan
 from rosepath.placement_types import PlacementPolicy, PlacementView, Plan
 from rosepath.placement_view import build_view
-from rosepath.platform import ConflictError, StoreError
 from rosepath.rates import TokenBucket
 from rosepath.tables import Move, MoveAction, MoveRecord
 
--- /dev/null
+++ b/src/rosepath/platform/documents.py
@@ -0,0 +1,226 @@
+"""Decode the operator's configuration and the backend servers' entries."""
+
+import json
+from typing import Annotated, Any, Literal, TypeVar
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic.alias_generators import to_camel
+
+from rosepath.catalog import (
+    CallerLimits,
+    Catalog,
+    EngineSpec,
+    HostRoute,
+    ModelSpec,
+    RouteKind,
+    ServiceShare,
+    ServiceSpec,
+)
+from rosepath.fleet import ServerEntry
+from rosepath.logs import get_logger
+from rosepath.object_store import StoredObject
+
+CONFIGURATION_KIND = "config"
+CONFIGURATION_NAME = "config/main"
+SERVER_KIND = "servers"
+
+_log = get_logger()
+_M = TypeVar("_M", bound=BaseModel)
+
+
+class _Document(BaseModel):
+    model_config = ConfigDict(extra="ignore", frozen=True, alias_generator=to_camel)
+
+
+class _Share(_Document):
+    service: str
+    weight: Annotated[float, Field(ge=0)]
+
+
+class _Route(_Document):
+    name: str
+    host: str
+    path_prefix: str
+    route_type: Literal["idempotent", "non_idempotent", "streaming"]
+    timeout_ms: Annotated[float, Field(gt=0)]
+    target_latency_ms: float = 0.0
+    target_gap_ms: float | None = None
+    priority: int = 0
+    service: str | None = None
+    traffic_split: tuple[_Share, ...] | None = None
+    max_attempts: int = 1
+    resumable: bool = False
+
+    def decoded(self) -> HostRoute:
+        shares = tuple(
+            ServiceShare(service=share.service, weight=share.weight)
+            for share in self.traffic_split or ()
+            if share.weight > 0
+        )
+        if not shares and self.service:
+            shares = (ServiceShare(service=self.service, weight=1.0),)
+        if not shares:
+            raise ValueError("the route names no service")
+        return HostRoute(
+            name=self.name,
+            host=self.host,
+            path_prefix=self.path_prefix,
+            kind=RouteKind(self.route_type),
+            shares=shares,
+            timeout_s=self.timeout_ms / 1000,
+            target_latency_s=self.target_latency_ms / 1000,
+            target_gap_s=(self.target_gap_ms or 0.0) / 1000,
+            priority=self.priority,
+            max_attempts=self.max_attempts,
+            resumable=self.resumable,
+        )
+
+
+class _Model(_Document):
+    name: str
+    mb: float
+    load_time_s: float
+    warm_s: float | None = None
+    disk_load_s: float | None = None
+    adapters: int = 0
+    adapter_mb: float = 0.0
+
+
+class _Engine(_Document):
+    slots: int
+    kv_capacity_tokens: int
+    mb: float
+    adapter_slots: int = 0
+    loads_per_s: float = 1.0
+    models: tuple[_Model, ...] = ()
+
+    def decoded(self) -> EngineSpec:
+        return EngineSpec(
+            slots=self.slots,
+            kv_capacity_tokens=self.kv_capacity_tokens,
+            memory_mb=self.mb,
+            adapter_slots=self.adapter_slots,
+            loads_per_s=self.loads_per_s,
+            models={
+                model.name: ModelSpec(
+                    name=model.name,
+                    size_mb=model.mb,
+                    load_s=model.load_time_s,
+                    warm_load_s=model.warm_s or model.load_time_s,
+                    disk_load_s=model.disk_load_s or model.load_time_s,
+                    adapter_mb=model.adapter_mb,
+                    adapters=model.adapters,
+                )
+                for model in self.models
+            },
+        )
+
+
+class _Service(_Document):
+    name: str
+    health_path: str = "/health"
+    max_connections: int = 100
+    engine: _Engine | None = None
+
+    def decoded(self) -> ServiceSpec:
+        return ServiceSpec(
+            name=self.name,
+            health_path=self.health_path,
+            max_connections=self.max_connections,
+            engine=self.engine.decoded() if self.engine else None,
+        )
+
+
+class _Limits(_Document):
+    max_header_bytes: int = 16384
+    max_body_bytes: int = 4194304
+    header_timeout_ms: float = 3000
+    idle_timeout_ms: float = 15000
+
+
+class _HeldModel(_Document):
+    name: str
+    adapters: tuple[str, ...] = ()
+
+
+class _Server(_Document):
+    service: str
+    address: Annotated[str, Field(pattern=r"^[0-9.]+:\d+$")]
+    zone: str = ""
+    slots: int = 1
+    state: str = "ready"
+    sequence: int = 0
+    models: tuple[_HeldModel, ...] = ()
+    remaining_ms: float | None = None
+
+
+def decode_catalog(stored: StoredObject) -> Catalog | None:
+    """Decode a configuration; entries that are not understood are skipped."""
+    raw = _object(stored)
+    version = raw.get("version") if raw else None
+    if raw is None or not isinstance(version, int):
+        _log.warning("configuration_unreadable", revision=stored.version)
+        return None
+    services = [s.decoded() for s in _entries(raw, "services", _Service)]
+    routes: list[HostRoute] = []
+    for route in _entries(raw, "routes", _Route):
+        try:
+            routes.append(route.decoded())
+        except ValueError as error:
+            _log.warning("configuration_entry_skipped", name=route.name, why=str(error))
+    limits = _read(_Limits, raw.get("limits") or {}, "limits") or _Limits()
+    return Catalog(
+        version=version,
+        routes=routes,
+        services={service.name: service for service in services},
+        limits=CallerLimits(
+            max_header_bytes=limits.max_header_bytes,
+            max_body_bytes=limits.max_body_bytes,
+            header_timeout_s=limits.header_timeout_ms / 1000,
+            idle_timeout_s=limits.idle_timeout_ms / 1000,
+        ),
+    )
+
+
+def decode_server(stored: StoredObject) -> ServerEntry | None:
+    """Decode a backend server's entry, or log why it is skipped."""
+    raw = _object(stored)
+    read = _read(_Server, raw, stored.name) if raw is not None else None
+    if read is None:
+        return None
+    return ServerEntry(
+        name=stored.name.partition("/")[2],
+        service=read.service,
+        address=read.address,
+        data_centre=read.zone,
+        slots=read.slots,
+        draining=read.state != "ready",
+        sequence=read.sequence,
+        models={model.name: frozenset(model.adapters) for model in read.models},
+        remaining_s=None if read.remaining_ms is None else read.remaining_ms / 1000,
+    )
+
+
+def _object(stored: StoredObject) -> dict[str, Any] | None:
+    raw = json.loads(stored.value)
+    return raw if isinstance(raw, dict) else None
+
+
+def _entries(raw: dict[str, Any], key: str, model: type[_M]) -> list[_M]:
+    listed = raw.get(key)
+    read = [_read(model, entry, key) for entry in listed or ()]
+    return [entry for entry in read if entry is not None]
+
+
+def _read(model: type[_M], raw: Any, where: str) -> _M | None:
+    try:
+        return model.model_validate(raw)
+    except ValidationError as error:
+        problem = error.errors(include_url=False)[0]
+        _log.warning(
+            "configuration_entry_skipped",
+            name=where,
+            key=".".join(map(str, problem["loc"])),
+            why=problem["msg"],
+        )
+        return None
--- /dev/null
+++ b/src/rosepath/platform/store.py
@@ -0,0 +1,175 @@
+"""Speak the platform's object store: conditional writes, lists, watches."""
+
+import asyncio
+import json
+from collections import Counter
+from collections.abc import AsyncIterator, Mapping
+from dataclasses import dataclass
+from typing import Any
+from urllib.parse import quote, urlencode
+
+from rosepath.clock import Clock
+from rosepath.errors import ExchangeError, Step
+from rosepath.http_client import HttpPool, Request, ResponseHead
+from rosepath.object_store import (
+    Change,
+    ConflictError,
+    HistoryGoneError,
+    Listing,
+    ObjectEvent,
+    StoredObject,
+    StoreError,
+    VmState,
+)
+
+_PATH = "/v1/objects/"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class StoreAccess:
+    """Tell where the store is and how long a call may take."""
+
+    address: str
+    call_timeout_s: float
+
+
+class PlatformStore:
+    """Implement the object-store port; names are `kind/name`."""
+
+    def __init__(self, access: StoreAccess, *, clock: Clock) -> None:
+        self._access = access
+        self._clock = clock
+        self._pool = HttpPool(clock=clock)
+        self.calls: Counter[str] = Counter()
+        self.last_success_s = -1e9
+
+    def close(self) -> None:
+        """Close the connections."""
+        self._pool.close()
+
+    async def get(self, name: str) -> StoredObject | None:
+        head, raw = await self._call("get", "GET", _path(name))
+        return None if head.status == 404 else _stored(name, raw)
+
+    async def put(
+        self, name: str, value: bytes, *, expected_version: int | None
+    ) -> int:
+        kind, _, own = name.partition("/")
+        metadata: dict[str, Any] = {"name": own}
+        if expected_version:
+            metadata["revision"] = expected_version
+        body = json.dumps({"metadata": metadata, "spec": json.loads(value)}).encode()
+        if expected_version == 0:
+            _, raw = await self._call("create", "POST", _PATH + kind, body)
+        else:
+            _, raw = await self._call("replace", "PUT", _path(name), body)
+        return int(raw["metadata"]["revision"])
+
+    async def delete(self, name: str, *, expected_version: int) -> None:
+        await self._call(
+            "delete", "DELETE", f"{_path(name)}?revision={expected_version}"
+        )
+
+    async def list_names(self, prefix: str) -> list[str]:
+        listing = await self.list(prefix.partition("/")[0])
+        return [name for name in listing.objects if name.startswith(prefix)]
+
+    async def list(self, kind: str) -> Listing:
+        """Read every object of a kind, page by page."""
+        objects: dict[str, StoredObject] = {}
+        after = ""
+        revision: int | None = None
+        while True:
+            query = f"?{urlencode({'after': after})}" if after else ""
+            _, raw = await self._call("list", "GET", f"{_PATH}{kind}{query}")
+            for item in raw["items"]:
+                after = item["metadata"]["name"]
+                name = f"{kind}/{after}"
+                objects[name] = _stored(name, item)
+            # The first page's revision: what changes while later pages are
+            # read comes once more with the watch that starts there.
+            revision = int(raw["atRevision"]) if revision is None else revision
+            if not raw.get("hasMore"):
+                return Listing(revision=revision, objects=objects)
+
+    async def changes(self, kind: str, *, after: int, wait_s: float) -> Change:
+        """Wait for changes of a kind; raises HistoryGoneError or StoreError."""
+        query = urlencode({"watch": after, "waitMs": int(wait_s * 1000)})
+        path = f"{_PATH}{kind}?{query}"
+        head, raw = await self._call("watch", "GET", path, wait_s=wait_s)
+        if head.status == 410:
+            raise HistoryGoneError(kind, step=Step.STORE, peer=self._access.address)
+        written: dict[str, StoredObject] = {}
+        removed: set[str] = set()
+        for event in raw["events"]:
+            name = f"{kind}/{event['object']['metadata']['name']}"
+            if event.get("deleted"):
+                written.pop(name, None)
+                removed.add(name)
+            else:
+                removed.discard(name)
+                written[name] = _stored(name, event["object"])
+        return Change(
+            revision=int(raw["atRevision"]),
+            written=written,
+            removed=frozenset(removed),
+        )
+
+    async def vms(self) -> dict[str, VmState]:
+        return {}
+
+    def watch(self, prefix: str) -> AsyncIterator[ObjectEvent]:
+        raise NotImplementedError(prefix)
+
+    async def _call(
+        self,
+        what: str,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        *,
+        wait_s: float = 0.0,
+    ) -> tuple[ResponseHead, Any]:
+        self.calls[what] += 1
+        limit_s = self._access.call_timeout_s
+        request = Request(
+            address=self._access.address,
+            method=method,
+            path=path,
+            headers={"Content-Type": "application/json"} if body else {},
+            body=body,
+            connect_timeout_s=limit_s,
+            progress_timeout_s=limit_s + wait_s,
+        )
+        try:
+            async with asyncio.timeout(limit_s + wait_s):
+                head, answer = await self._pool.fetch(request)
+            if head.status == 409:
+                raise ConflictError(path, step=Step.STORE, peer=self._access.address)
+            if head.status >= 400 and head.status not in (404, 410):
+                raise self._failed(f"{method} {path}: {head.status}", unknown=False)
+            raw = json.loads(answer) if answer else {}
+        except (ExchangeError, TimeoutError, ValueError) as error:
+            never_sent = isinstance(error, ExchangeError) and not error.sent
+            unknown = method != "GET" and not never_sent
+            why = str(error) or "no answer in time"
+            raise self._failed(f"{method} {path}: {why}", unknown=unknown) from error
+        if head.status == 404 and what == "replace":
+            raise ConflictError(path, step=Step.STORE, peer=self._access.address)
+        self.last_success_s = self._clock.monotonic_s()
+        return head, raw
+
+    def _failed(self, message: str, *, unknown: bool) -> StoreError:
+        failure = StoreError(message, step=Step.STORE, peer=self._access.address)
+        failure.unknown = unknown
+        return failure
+
+
+def _path(name: str) -> str:
+    kind, _, own = name.partition("/")
+    return f"{_PATH}{kind}/{quote(own, safe='')}"
+
+
+def _stored(name: str, raw: Mapping[str, Any]) -> StoredObject:
+    value = json.dumps(raw.get("spec")).encode()
+    return StoredObject(name, int(raw["metadata"]["revision"]), value)
--- a/src/rosepath/platform_http.py
+++ b/src/rosepath/platform_http.py
@@ -10,7 +10,7 @@
 from rosepath.clock import Clock
 from rosepath.errors import ExchangeError, Step
 from rosepath.http_client import HttpPool, Request, ResponseHead
-from rosepath.platform import (
+from rosepath.object_store import (
     ConflictError,
     ObjectEvent,
     StoredObject,
--- /dev/null
+++ b/src/rosepath/relay.py
@@ -0,0 +1,456 @@
+"""Bring a caller's request to a backend server and the answer back."""
+
+import asyncio
+import json
+import random
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from tornado.httputil import HTTPHeaders
+
+from rosepath.attempt import Answer, AttemptError, Attempts, Sending
+from rosepath.caller_call import BadRequestError, CallerCall, Prompt
+from rosepath.catalog import Catalog, HostRoute, RouteKind, ServiceSpec
+from rosepath.clock import Clock
+from rosepath.engine_choice import choose_engine
+from rosepath.errors import RefusalError, Run, Step, refuse
+from rosepath.event_order import EventOrder
+from rosepath.fleet import BackendServer, Fleet, Flight
+from rosepath.gateway import CallerExchange
+from rosepath.http_client import ResponseHead
+from rosepath.logs import get_logger
+from rosepath.platform.calls import answer_headers, decode_call, refusal_headers
+from rosepath.prompt_caches import PromptCaches
+from rosepath.retries import Attempt, Evidence, Verdict, judge, worst_evidence
+from rosepath.retry_window import RetryWindow
+from rosepath.server_choice import choose_server, note_failure, note_success
+
+# A caller's clock runs three milliseconds ahead of ours; what comes later
+# than that before its deadline reaches nobody.
+ANSWER_MARGIN_S = 0.02
+# How long a request waits for a server to become known before it is refused.
+NO_SERVER_WAIT_S = 0.5
+RETRY_AFTER_S = 0.5
+# An idempotent request of a plain service is tried elsewhere after so many
+# usual answer times, and no sooner than this.
+PATIENCE_TIMES = 5.0
+PATIENCE_MIN_S = 0.2
+# A resumable stream that stands still so many times its route's longest good
+# pause goes on elsewhere; callers leave at eight times that pause.
+STREAM_PATIENCE_GAPS = 4.0
+FIRST_EVENT_PATIENCE = 2.5
+
+_log = get_logger()
+
+
+class ModelDesk(Protocol):
+    """Get models and adapters onto engines."""
+
+    def want(self, service: str, prompt: Prompt, until_s: float) -> None: ...
+
+    async def ensure_adapter(
+        self, server: BackendServer, prompt: Prompt, *, deadline_s: float
+    ) -> bool: ...
+
+
+@dataclass(slots=True, kw_only=True)
+class RelayPorts:
+    """Hold what a relay works with."""
+
+    data_centre: str
+    clock: Clock
+    fleet: Fleet
+    caches: PromptCaches
+    attempts: Attempts
+    catalog: Callable[[], Catalog | None]
+    budget: Callable[[str], RetryWindow]
+    desk: ModelDesk
+    fleet_changed: asyncio.Condition
+    on_outcome: Callable[["Course", int, str], None]
+    rng: random.Random = field(default_factory=random.Random)
+
+
+@dataclass(slots=True, kw_only=True)
+class Course:
+    """Hold how a request has fared so far."""
+
+    call: CallerCall
+    route: HostRoute
+    service: ServiceSpec
+    exchange: CallerExchange
+    deadline_s: float
+    order: EventOrder | None = None
+    tried: set[str] = field(default_factory=set)
+    seen: list[Evidence] = field(default_factory=list)
+    first_event_s: float | None = None
+    waited_s: float = 0.0
+    answered_by: str = ""
+
+    @property
+    def may_have_run(self) -> int:
+        """Return the tries that may have run."""
+        harmless = (Evidence.NOT_SENT, Evidence.REFUSED)
+        return sum(evidence not in harmless for evidence in self.seen)
+
+    @property
+    def evidence(self) -> Evidence:
+        """Return what is known of all tries together."""
+        return worst_evidence(self.seen) if self.seen else Evidence.NOT_SENT
+
+    @property
+    def not_run(self) -> bool:
+        return self.may_have_run == 0
+
+
+class Relay:
+    """Answer callers' requests."""
+
+    def __init__(self, ports: RelayPorts) -> None:
+        self._ports = ports
+
+    async def serve(self, exchange: CallerExchange) -> None:
+        """Answer one request, whatever happens to it."""
+        request_id = ""
+        try:
+            call = decode_call(
+                method=exchange.method,
+                path=exchange.path,
+                headers=exchange.headers,
+                body=exchange.body,
+                arrived_s=exchange.arrived_s,
+            )
+            request_id = call.request_id
+            course = self._begin(call, exchange)
+        except BadRequestError as error:
+            self._refuse(exchange, request_id, 400, "bad_request", str(error))
+            return
+        except RefusalError as error:
+            refusal = error.refusal
+            self._refuse(
+                exchange,
+                request_id,
+                refusal.status,
+                refusal.code,
+                refusal.message,
+                refusal.retry_after_s,
+            )
+            return
+        try:
+            await self._run(course)
+        except RefusalError as error:
+            self._give_up(course, error)
+
+    def _begin(self, call: CallerCall, exchange: CallerExchange) -> Course:
+        catalog = self._ports.catalog()
+        if catalog is None:
+            raise refuse(
+                503,
+                "no_configuration",
+                "no configuration is known yet",
+                step=Step.ROUTE,
+                retry_after_s=RETRY_AFTER_S,
+            )
+        path = call.path.partition("?")[0]
+        route = catalog.find(call.host, path)
+        if route is None:
+            raise refuse(404, "no_route", "no route leads there", step=Step.ROUTE)
+        service = catalog.services.get(route.service_for(call.request_id))
+        if service is None:
+            raise refuse(
+                503,
+                "no_service",
+                "the route's service is not declared",
+                step=Step.ROUTE,
+                retry_after_s=RETRY_AFTER_S,
+            )
+        limit_s = min(route.timeout_s, call.wait_s or route.timeout_s)
+        self._ports.budget(service.name).note_request()
+        streams = route.kind is RouteKind.STREAMING
+        return Course(
+            call=call,
+            route=route,
+            service=service,
+            exchange=exchange,
+            deadline_s=call.arrived_s + limit_s - ANSWER_MARGIN_S,
+            order=EventOrder(last_id=call.last_event_id) if streams else None,
+        )
+
+    async def _run(self, course: Course) -> None:
+        while True:
+            server, flight = await self._choose(course)
+            sent_s = self._now_s()
+            server.flights[course.call.request_id] = flight
+            try:
+                answer = await self._try(course, server, flight)
+            except AttemptError as error:
+                course.seen.append(error.evidence)
+                self._note_failed(course, server, error)
+                self._judge(course, error)
+                continue
+            finally:
+                server.flights.pop(course.call.request_id, None)
+            failed = not answer.success
+            if failed and self._try_again_after(course, server, answer):
+                continue
+            note_success(server, took_s=self._now_s() - sent_s)
+            self._finish(course, server, answer)
+            return
+
+    def _try_again_after(
+        self, course: Course, server: BackendServer, answer: Answer
+    ) -> bool:
+        """Tell whether an idempotent request that failed goes on elsewhere."""
+        if answer.head.status < 500 or course.exchange.begun:
+            return False
+        course.tried.add(server.name)
+        course.seen.append(Evidence.SENT)
+        error = AttemptError(
+            f"the server answered {answer.head.status}",
+            step=Step.ANSWER,
+            peer=server.name,
+            evidence=Evidence.SENT,
+        )
+        again = judge(self._as_attempt(course, error), self._budget(course))
+        return again is not Verdict.GIVE_UP
+
+    async def _try(
+        self, course: Course, server: BackendServer, flight: Flight
+    ) -> Answer:
+        def on_events(head: ResponseHead, events: bytes) -> Awaitable[None] | None:
+            if course.first_event_s is None:
+                course.first_event_s = self._now_s()
+            flight.unread_tokens = 0
+            if not course.exchange.begun:
+                course.exchange.begin(head.status, answer_headers(head.headers))
+            return course.exchange.write(events)
+
+        order = course.order
+        if order is not None:
+            order.restart()
+        begun = order is not None and order.events > 0
+        sending = Sending(
+            deadline_s=course.deadline_s,
+            patience_s=self._patience_s(course, server),
+            repeatable=course.route.repeatable,
+            priority=None if course.service.engine is None else _rank(course.route),
+            last_event_id=order.last_id if order is not None and begun else None,
+        )
+        return await self._ports.attempts.send(
+            course.call,
+            server,
+            sending,
+            order=order,
+            on_events=on_events if order is not None else None,
+        )
+
+    def _patience_s(self, course: Course, server: BackendServer) -> float:
+        left_s = max(0.01, course.deadline_s - self._now_s())
+        if not course.route.repeatable:
+            # Waiting costs nothing that giving up would save.
+            return left_s + 1.0
+        if course.order is None:
+            usual_s = max(PATIENCE_MIN_S, PATIENCE_TIMES * server.latency_s)
+            return min(left_s + 1.0, usual_s)
+        pause_s = STREAM_PATIENCE_GAPS * course.route.target_gap_s
+        first_s = FIRST_EVENT_PATIENCE * course.route.target_latency_s
+        return min(left_s + 1.0, max(1.0, pause_s, first_s))
+
+    async def _choose(self, course: Course) -> tuple[BackendServer, Flight]:
+        """Choose a server, waiting a little for one if there is none."""
+        asked_s = self._now_s()
+        patience_s = NO_SERVER_WAIT_S
+        if course.service.engine is not None:
+            patience_s = max(patience_s, 0.6 * (course.deadline_s - asked_s))
+        give_up_s = min(asked_s + patience_s, course.deadline_s)
+        while True:
+            chosen = await self._pick(course)
+            now_s = self._now_s()
+            if chosen is not None and now_s < course.deadline_s:
+                course.waited_s += now_s - asked_s
+                return chosen
+            if now_s >= give_up_s:
+                raise refuse(
+                    503,
+                    "no_server",
+                    "no server can take the request now",
+                    step=Step.ROUTE,
+                    retry_after_s=RETRY_AFTER_S,
+                )
+            await self._wait_for_change(min(give_up_s - now_s, 0.1))
+
+    async def _pick(self, course: Course) -> tuple[BackendServer, Flight] | None:
+        ports = self._ports
+        now_s = self._now_s()
+        servers = ports.fleet.of_service(course.service.name)
+        prompt = course.call.prompt
+        if course.service.engine is None or prompt is None:
+            server = choose_server(
+                servers,
+                data_centre=ports.data_centre,
+                tried=course.tried,
+                now_s=now_s,
+                rng=ports.rng,
+            )
+            return None if server is None else (server, Flight(since_s=now_s))
+        choice = choose_engine(
+            servers,
+            prompt,
+            data_centre=ports.data_centre,
+            tried=course.tried,
+            now_s=now_s,
+            cached_tokens=ports.caches.cached_tokens,
+            rng=ports.rng,
+            model_only=True,
+        )
+        if choice is None:
+            course.tried.clear()
+            ports.desk.want(course.service.name, prompt, course.deadline_s)
+            return None
+        if prompt.adapter and prompt.adapter not in choice.server.held[prompt.model]:
+            ready = await ports.desk.ensure_adapter(
+                choice.server, prompt, deadline_s=course.deadline_s
+            )
+            if not ready:
+                return None
+        ports.desk.want(course.service.name, prompt, course.deadline_s)
+        ports.caches.note_read(choice.server, prompt)
+        flight = Flight(
+            since_s=now_s,
+            unread_tokens=choice.unread_tokens,
+            tokens=prompt.input_tokens + prompt.output_tokens,
+            model=prompt.model,
+        )
+        return choice.server, flight
+
+    async def _wait_for_change(self, limit_s: float) -> None:
+        async with self._ports.fleet_changed:
+            try:
+                async with asyncio.timeout(limit_s):
+                    await self._ports.fleet_changed.wait()
+            except TimeoutError:
+                return
+
+    def _note_failed(
+        self, course: Course, server: BackendServer, error: AttemptError
+    ) -> None:
+        course.tried.add(server.name)
+        now_s = self._now_s()
+        if error.evidence is not Evidence.REFUSED:
+            silent = error.timed_out or error.evidence is Evidence.NOT_SENT
+            note_failure(server, now_s=now_s, silent=silent)
+        elif error.status == 421 and course.call.prompt is not None:
+            # It does not hold what we thought it does.
+            prompt = course.call.prompt
+            if prompt.adapter and prompt.model in server.held:
+                server.held[prompt.model].discard(prompt.adapter)
+            else:
+                server.held.pop(prompt.model, None)
+        _log.info(
+            "try_failed",
+            request_id=course.call.request_id,
+            step=error.step.value,
+            peer=server.name,
+            why=error.message,
+            evidence=error.evidence.value,
+            tries=len(course.seen),
+        )
+
+    def _as_attempt(self, course: Course, error: AttemptError) -> Attempt:
+        return Attempt(
+            evidence=error.evidence,
+            idempotent=course.route.repeatable,
+            resumable=course.route.resumable,
+            attempts=course.may_have_run,
+            max_attempts=course.route.max_attempts,
+            left_s=course.deadline_s - self._now_s(),
+        )
+
+    def _judge(self, course: Course, error: AttemptError) -> None:
+        """Return if the request may be tried again; raises RefusalError."""
+        verdict = judge(self._as_attempt(course, error), self._budget(course))
+        if verdict is not Verdict.GIVE_UP:
+            return
+        if course.not_run:
+            raise refuse(
+                503,
+                "not_run",
+                error.message,
+                step=error.step,
+                peer=error.peer,
+                retry_after_s=RETRY_AFTER_S,
+            )
+        out_of_time = self._now_s() >= course.deadline_s
+        raise refuse(
+            504 if out_of_time else 502,
+            "timeout" if out_of_time else "server_failed",
+            error.message,
+            step=error.step,
+            peer=error.peer,
+            run=Run.UNKNOWN,
+        )
+
+    def _budget(self, course: Course) -> RetryWindow:
+        return self._ports.budget(course.service.name)
+
+    def _finish(self, course: Course, server: BackendServer, answer: Answer) -> None:
+        course.answered_by = server.name
+        exchange = course.exchange
+        if exchange.begun:
+            exchange.end()
+        else:
+            exchange.answer(
+                answer.head.status, answer_headers(answer.head.headers), answer.body
+            )
+        self._ports.on_outcome(course, answer.head.status, "")
+
+    def _give_up(self, course: Course, error: RefusalError) -> None:
+        refusal = error.refusal
+        if course.exchange.begun:
+            course.exchange.abort()
+        else:
+            self._refuse(
+                course.exchange,
+                course.call.request_id,
+                refusal.status,
+                refusal.code,
+                refusal.message,
+                refusal.retry_after_s,
+            )
+        self._ports.on_outcome(course, refusal.status, refusal.code)
+        _log.info(
+            "request_refused",
+            request_id=course.call.request_id,
+            route=course.route.name,
+            service=course.service.name,
+            status=refusal.status,
+            code=refusal.code,
+            why=refusal.message,
+            step=refusal.step.value,
+            peer=refusal.peer,
+            tries=len(course.seen),
+            age_s=round(self._now_s() - course.call.arrived_s, 3),
+            cut=course.exchange.begun,
+        )
+
+    @staticmethod
+    def _refuse(
+        exchange: CallerExchange,
+        request_id: str,
+        status: int,
+        code: str,
+        message: str,
+        retry_after_s: float | None = None,
+    ) -> None:
+        body = json.dumps({"error": {"code": code, "message": message}}).encode()
+        headers: HTTPHeaders = refusal_headers(request_id, retry_after_s=retry_after_s)
+        exchange.answer(status, headers, body)
+
+    def _now_s(self) -> float:
+        return self._ports.clock.monotonic_s()
+
+
+def _rank(route: HostRoute) -> int:
+    """Return how urgent a generation is to an engine, 0 first of 9."""
+    patient = 3 if route.target_latency_s > 2.0 else 0
+    return min(9, 1 + 2 * route.priority + patient)
--- a/src/rosepath/retries.py
+++ b/src/rosepath/retries.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 from enum import StrEnum
+from typing import Protocol
 
 from rosepath.errors import Run
 
@@ -9,6 +10,12 @@
 BUDGET_CAP = 100.0
 
 
+class Budget(Protocol):
+    """Allow repeats as long as there is room for them."""
+
+    def spend(self) -> bool: ...
+
+
 @dataclass(slots=True, kw_only=True)
 class RetryBudget:
     """Earn a share of a retry with each request; spend one a retry.
@@ -60,7 +67,7 @@
     left_s: float
 
 
-def judge(attempt: Attempt, budget: RetryBudget) -> Verdict:
+def judge(attempt: Attempt, budget: Budget) -> Verdict:
     """Decide whether to try again; spends the budget if it says so."""
     if attempt.attempts >= attempt.max_attempts or attempt.left_s <= 0:
         return Verdict.GIVE_UP
--- /dev/null
+++ b/src/rosepath/server_choice.py
@@ -0,0 +1,53 @@
+"""Which server of a plain service takes a request."""
+
+import random
+from collections.abc import Collection, Iterable
+
+from rosepath.fleet import BackendServer
+
+# Between data centres a request takes a millisecond more both ways; a server
+# with as many requests more than this per slot is slower than that.
+REMOTE_PENALTY = 0.1
+
+SUSPECT_FIRST_S = 0.5
+SUSPECT_MAX_S = 4.0
+# Plain failures happen to good servers, too; this many in a row do not.
+FAILURES_BORNE = 3
+
+
+def choose_server(
+    servers: Iterable[BackendServer],
+    *,
+    data_centre: str,
+    tried: Collection[str],
+    now_s: float,
+    rng: random.Random,
+) -> BackendServer | None:
+    """Choose the least busy server; one that failed lately goes behind."""
+    able = [server for server in servers if server.usable and server.name not in tried]
+    trusted = [server for server in able if server.suspect_until_s <= now_s]
+    return min(
+        trusted or able,
+        key=lambda server: (
+            server.requests / max(1, server.entry.slots)
+            + (REMOTE_PENALTY if server.entry.data_centre != data_centre else 0.0),
+            rng.random(),
+        ),
+        default=None,
+    )
+
+
+def note_success(server: BackendServer, *, took_s: float) -> None:
+    """Restore trust and learn how long an answer takes."""
+    server.failures = 0
+    server.suspect_until_s = 0.0
+    server.latency_s += 0.2 * (took_s - server.latency_s)
+
+
+def note_failure(server: BackendServer, *, now_s: float, silent: bool) -> None:
+    """Put a server behind the others for a while, longer each time."""
+    server.failures += 1
+    if not silent and server.failures < FAILURES_BORNE:
+        return
+    pause_s = SUSPECT_FIRST_S * 2 ** min(server.failures, 4)
+    server.suspect_until_s = now_s + min(pause_s, SUSPECT_MAX_S)
--- a/src/rosepath/settings.py
+++ b/src/rosepath/settings.py
@@ -2,13 +2,14 @@
 
 import tomllib
 from pathlib import Path
-from typing import Annotated, Literal
+from typing import Annotated, Literal, TypeVar
 
 from expression import Error, Ok, Result
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
 Port = Annotated[int, Field(ge=0, le=65535)]
 Seconds = Annotated[float, Field(gt=0)]
+_Model = TypeVar("_Model", bound=BaseModel)
 Address = Annotated[str, Field(pattern=r"^[0-9a-fA-F.:]+:\d+$")]
 
 
@@ -125,6 +126,11 @@
 
 def load_settings(path: Path) -> Result[Settings, str]:
     """Read a settings file, or return one line that says what is wrong."""
+    return load_settings_as(Settings, path)
+
+
+def load_settings_as(model: type[_Model], path: Path) -> Result[_Model, str]:
+    """Read a settings file of some shape, or return what is wrong with it."""
     try:
         raw = tomllib.loads(path.read_text(encoding="utf-8"))
     except OSError as error:
@@ -132,7 +138,7 @@
     except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
         return Error(f"{path}: not TOML: {error}")
     try:
-        return Ok(Settings.model_validate(raw))
+        return Ok(model.model_validate(raw))
     except ValidationError as error:
         return Error(f"{path}: {first_problem(error)}")
 
--- a/src/rosepath/share_keeper.py
+++ b/src/rosepath/share_keeper.py
@@ -4,7 +4,7 @@
 
 from expression import Result
 
-from rosepath.platform import ConflictError, PlatformPort, StoreError
+from rosepath.object_store import ConflictError, PlatformPort, StoreError
 from rosepath.shares import (
     FREE,
     ShareLedger,
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -14,7 +14,7 @@
 )
 from rosepath.errors import ExchangeError, Step
 from rosepath.ledger import EngineReport
-from rosepath.platform import (
+from rosepath.object_store import (
     ConflictError,
     ObjectEvent,
     StoredObject,
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -8,7 +8,7 @@
 from rosepath.clock import ManualClock
 from rosepath.lease_keeper import LeaseKeeper
 from rosepath.leases import LeasePolicy, decode_lease
-from rosepath.platform import StoredObject
+from rosepath.object_store import StoredObject
 
 POLICY = LeasePolicy(duration_s=5.0, margin_s=1.0)
 step = st.tuples(
