Order models and adapters under a lease; tell load and demand by datagrams

Change: a lease in the store whose term is the fence and whose holder resigns when it cannot renew; a pure plan over demand told by all VMs; adapters asked of the holder; the caller's close cancels its request (it was not heard before: GONE).

--- a/src/rosepath/clock.py
+++ b/src/rosepath/clock.py
@@ -22,6 +22,17 @@
         return time.time()
 
 
+class BootClock(SystemClock):
+    """Count the time that the machine was suspended, too.
+
+    A lease goes on lapsing while its holder is suspended; on a clock that
+    stands still meanwhile, the holder would wake and trust it.
+    """
+
+    def monotonic_s(self) -> float:
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 class ManualClock:
     """Hold a time that moves only when told."""
 
--- /dev/null
+++ b/src/rosepath/demand.py
@@ -0,0 +1,74 @@
+"""How much each model is asked for, here and at other entry VMs."""
+
+from collections import Counter, deque
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from rosepath.caller_call import Prompt
+
+# Demand moves within seconds; a window much shorter than this sees no rare
+# model, a longer one lags.
+WINDOW_S = 5.0
+# Reading a prompt and writing an answer cost an engine about so much.
+READ_S_PER_TOKEN = 1 / 38_000
+WRITE_S_PER_TOKEN = 1 / 8_000
+
+
+@dataclass(frozen=True, slots=True)
+class ModelDemand:
+    """Hold a model's load in engine-seconds a second, and who waits for it."""
+
+    load: float
+    waiting: int
+
+
+@dataclass(slots=True, kw_only=True)
+class _Window:
+    work: deque[tuple[float, float]] = field(default_factory=deque)
+    waiting: int = 0
+
+
+class Demand:
+    """Count the requests of this entry VM, model by model."""
+
+    def __init__(self) -> None:
+        self._windows: dict[tuple[str, str], _Window] = {}
+
+    def note(self, service: str, prompt: Prompt, *, now_s: float) -> None:
+        """Note a request."""
+        work_s = prompt.input_tokens * READ_S_PER_TOKEN
+        work_s += prompt.output_tokens * WRITE_S_PER_TOKEN
+        window = self._windows.setdefault((service, prompt.model), _Window())
+        window.work.append((now_s, work_s))
+
+    def wait(self, service: str, model: str, *, step: int) -> None:
+        """Count a request that begins (1) or ends (-1) waiting for a model."""
+        self._windows.setdefault((service, model), _Window()).waiting += step
+
+    def now(self, service: str, *, now_s: float) -> dict[str, ModelDemand]:
+        """Return the demand for each model of a service."""
+        demands = {}
+        for (name, model), window in self._windows.items():
+            while window.work and window.work[0][0] < now_s - WINDOW_S:
+                window.work.popleft()
+            load = sum(work_s for _, work_s in window.work) / WINDOW_S
+            if name == service and (load or window.waiting):
+                demands[model] = ModelDemand(load, window.waiting)
+        return demands
+
+    @property
+    def services(self) -> set[str]:
+        return {service for service, _ in self._windows}
+
+
+def total_demand(
+    parts: "list[Mapping[str, ModelDemand]]",
+) -> dict[str, ModelDemand]:
+    """Add up the demand that several entry VMs see."""
+    load: Counter[str] = Counter()
+    waiting: Counter[str] = Counter()
+    for part in parts:
+        for model, demand in part.items():
+            load[model] += demand.load  # type: ignore[assignment]
+            waiting[model] += demand.waiting
+    return {model: ModelDemand(load[model], waiting[model]) for model in load}
--- /dev/null
+++ b/src/rosepath/engine_orders.py
@@ -0,0 +1,126 @@
+"""Orders to engines, and the book that the lease's holder keeps of each."""
+
+from collections import deque
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from enum import StrEnum
+from typing import Protocol
+
+
+class OrderAction(StrEnum):
+    """Name what an order makes an engine do."""
+
+    LOAD = "load"
+    UNLOAD = "unload"
+
+
+class OrderReply(StrEnum):
+    """Say what an engine answered to an order."""
+
+    ACCEPTED = "accepted"
+    HOLDS = "holds"
+    CONFLICT = "conflict"
+    STALE_FENCE = "stale_fence"
+    OTHER_INSTANCE = "other_instance"
+    REFUSED = "refused"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Order:
+    """Order one engine to load or unload a model, or an adapter of one.
+
+    An engine takes it only while its count of accepted orders is
+    `expected_sequence`: one that arrives late, after newer ones, does nothing.
+    """
+
+    action: OrderAction
+    server: str
+    model: str
+    holder: str
+    fence: int
+    expected_sequence: int
+    adapter: str = ""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class EngineReport:
+    """Hold what an engine says it holds; some hundred milliseconds old."""
+
+    sequence: int
+    busy: bool
+    models: Mapping[str, frozenset[str]]
+    pending: frozenset[str] = frozenset()
+
+
+class EnginePort(Protocol):
+    """Reach engines by address."""
+
+    async def order(self, address: str, order: Order) -> OrderReply: ...
+
+    async def report(self, address: str, server: str) -> EngineReport: ...
+
+
+@dataclass(slots=True, kw_only=True)
+class EngineBook:
+    """Hold what the holder knows of an engine's contents.
+
+    `adapters` maps `model/adapter` to the time of its last use; `loading` and
+    `unloading` name the model that the order in progress is about.
+    """
+
+    server: str
+    sequence: int = 0
+    known: bool = False
+    busy: bool = False
+    models: set[str] = field(default_factory=set)
+    adapters: dict[str, float] = field(default_factory=dict)
+    loading: str = ""
+    unloading: str = ""
+    looked_s: float = -1e9
+    ordered_s: float = -1e9
+
+    def take(self, report: EngineReport, *, now_s: float) -> None:
+        """Take in a report, unless newer orders made it stale."""
+        if self.known and report.sequence < self.sequence:
+            return
+        self.sequence = report.sequence
+        self.known = True
+        self.busy = report.busy
+        self.looked_s = now_s
+        if not report.busy:
+            self.loading = self.unloading = ""
+        self.models = set(report.models)
+        names = {
+            f"{model}/{adapter}"
+            for model, adapters in report.models.items()
+            for adapter in adapters
+        } | report.pending
+        self.adapters = {name: self.adapters.get(name, now_s) for name in names}
+
+    def used_mb(
+        self, size_mb: Mapping[str, float], adapter_mb: Mapping[str, float]
+    ) -> float:
+        """Return the memory that is taken or promised."""
+        models = self.models | ({self.loading} - {""})
+        weights = sum(size_mb.get(model, 0.0) for model in models)
+        return weights + sum(
+            adapter_mb.get(name.partition("/")[0], 0.0) for name in self.adapters
+        )
+
+
+@dataclass(slots=True, kw_only=True)
+class LoadCeiling:
+    """Bound how many loads from the weight store begin in any window."""
+
+    window_s: float = 5.0
+    _begun: deque[float] = field(default_factory=deque)
+
+    def room(self, now_s: float, *, per_s: float) -> bool:
+        """Tell whether one more load may begin."""
+        while self._begun and self._begun[0] <= now_s - self.window_s:
+            self._begun.popleft()
+        return len(self._begun) + 1 <= per_s * self.window_s + 1
+
+    def note(self, now_s: float) -> None:
+        """Note that a load begins."""
+        self._begun.append(now_s)
--- a/src/rosepath/entry_node.py
+++ b/src/rosepath/entry_node.py
@@ -1,6 +1,7 @@
 """One entry VM on the users' platform: its tables, loops, start and stop."""
 
 import asyncio
+import json
 import socket
 from collections import Counter
 from collections.abc import Mapping
@@ -9,16 +10,25 @@
 from tornado.web import Application, RequestHandler
 
 from rosepath.attempt import Attempts
-from rosepath.caller_call import Prompt
 from rosepath.catalog import Catalog
 from rosepath.clock import SystemClock
 from rosepath.entry_settings import EntrySettings
 from rosepath.feed import Feed
-from rosepath.fleet import BackendServer, Fleet
+from rosepath.fleet import Fleet, own_load
 from rosepath.gateway import CallerExchange, Gateway
 from rosepath.http_client import HttpPool
 from rosepath.logs import get_logger
-from rosepath.object_store import Change, Listing, StoredObject
+from rosepath.model_desk import ModelDesk
+from rosepath.object_store import (
+    Change,
+    ConflictError,
+    Listing,
+    StoredObject,
+    StoreError,
+)
+from rosepath.peer_link import PeerLink
+from rosepath.peer_messages import PeerState
+from rosepath.peer_table import PeerTable
 from rosepath.platform.calls import READY_PATH
 from rosepath.platform.documents import (
     CONFIGURATION_KIND,
@@ -27,6 +37,7 @@
     decode_catalog,
     decode_server,
 )
+from rosepath.platform.engines import EngineCalls
 from rosepath.platform.store import PlatformStore, StoreAccess
 from rosepath.prompt_caches import PromptCaches
 from rosepath.relay import Course, Relay, RelayPorts
@@ -39,6 +50,14 @@
 # What is left of the grace for closing connections and leaving.
 STOP_MARGIN_S = 0.6
 
+LEASE_TICK_S = 0.2
+PLAN_TICK_S = 0.1
+FORGET_TICK_S = 0.4
+JOIN_AGAIN_S = 0.3
+# The holder says again what is being unloaded with each datagram.
+DROPPING_HOLDS_S = 0.6
+VM_KIND = "rosepath-entry-vms"
+
 _log = get_logger()
 
 
@@ -52,18 +71,6 @@
         self.set_status(200 if self.node.ready else 503)
 
 
-class _NoDesk:
-    """Stand in while nobody orders models."""
-
-    def want(self, service: str, prompt: Prompt, until_s: float) -> None:
-        return
-
-    async def ensure_adapter(
-        self, server: BackendServer, prompt: Prompt, *, deadline_s: float
-    ) -> bool:
-        return False
-
-
 class EntryNode:
     """Hold one entry VM's state and run its loops."""
 
@@ -97,6 +104,27 @@
             on_listing=lambda listing: self._take_catalog(listing.objects),
             on_change=lambda change: self._take_catalog(change.written),
         )
+        self.peers = PeerTable(settings.entry_vm, clock=self.clock)
+        self.desk = ModelDesk(
+            settings,
+            clock=self.clock,
+            store=self.store,
+            engines=EngineCalls(pool=self.pool),
+            fleet=self.fleet,
+            caches=self.caches,
+            catalog=lambda: self.catalog,
+            peers=self.peers,
+            stopping=lambda: self.stopping,
+        )
+        self.link = PeerLink(
+            settings.peers.listen,
+            self.peers,
+            clock=self.clock,
+            describe=self._describe,
+            on_state=self._peer_spoke,
+            on_ask=self.desk.answer,
+        )
+        self.desk.link = self.link
         self.relay = Relay(
             RelayPorts(
                 data_centre=settings.data_centre,
@@ -106,7 +134,7 @@
                 attempts=Attempts(self.pool, clock=self.clock),
                 catalog=lambda: self.catalog,
                 budget=self._budget,
-                desk=_NoDesk(),
+                desk=self.desk,
                 fleet_changed=self.fleet_changed,
                 on_outcome=self._note_outcome,
             )
@@ -129,8 +157,14 @@
         self.ready_server = HTTPServer(application)
         host, port = split_address(self.settings.callers.ready_listen)
         self.ready_server.listen(port, address=host, family=socket.AF_INET)
+        await self.link.listen()
         self.loops.forever(self.configuration_feed.run)
         self.loops.forever(self.servers_feed.run)
+        self.loops.forever(self._join)
+        self.loops.forever(self.link.run)
+        self.loops.every(FORGET_TICK_S, self._forget_silent)
+        self.loops.every(LEASE_TICK_S, self.desk.step_lease)
+        self.loops.every(PLAN_TICK_S, self.desk.orders.tick)
         _log.info("started", callers=self.settings.callers.listen)
 
     async def stop(self) -> None:
@@ -139,6 +173,8 @@
         self.stopping = True
         self.gateway.closing = True
         _log.info("stopping", in_flight=len(self.gateway.open))
+        self.link.tell()
+        await self.desk.give_up()
         await asyncio.sleep(BALANCER_NOTICES_S)
         self.gateway.server.stop()
         limit_s = started_s + self.settings.stop.grace_s - STOP_MARGIN_S
@@ -146,6 +182,7 @@
             await asyncio.sleep(0.02)
         cut = len(self.gateway.open)
         await self.loops.stop()
+        self.link.close()
         self.store.close()
         self.pool.close()
         _log.info("stopped", cut=cut)
@@ -158,9 +195,93 @@
                 ratio=bounds.ratio,
                 slack=bounds.slack,
                 window_s=bounds.window_s,
-                vms=9,
             )
-        return self.budgets[service]
+        budget = self.budgets[service]
+        budget.vms = 1 + len(self.peers.peers)
+        return budget
+
+    # Other entry VMs
+
+    async def _join(self) -> None:
+        """Tell the store where this VM is, and read where the others are."""
+        name = f"{VM_KIND}/{self.settings.entry_vm}"
+        value = json.dumps({"address": self.settings.peers.listen}).encode()
+        registered = False
+        while True:
+            try:
+                if not registered:
+                    await self._register(name, value)
+                    registered = True
+                listing = await self.store.list(VM_KIND)
+                break
+            except StoreError as error:
+                _log.info("join_failed", why=error.message, step="store")
+                await asyncio.sleep(JOIN_AGAIN_S)
+        for stored in listing.objects.values():
+            raw = json.loads(stored.value)
+            if isinstance(raw, dict) and "address" in raw:
+                own = stored.name.partition("/")[2]
+                self.peers.learn(own, str(raw["address"]))
+        self.link.tell()
+        _log.info("joined", peers=sorted(self.peers.peers))
+        await asyncio.Event().wait()
+
+    async def _register(self, name: str, value: bytes) -> None:
+        try:
+            await self.store.put(name, value, expected_version=0)
+        except ConflictError:
+            await self.store.put(name, value, expected_version=None)
+
+    def _describe(self, start: str, number: int) -> PeerState:
+        now_s = self.clock.monotonic_s()
+        return PeerState(
+            entry_vm=self.settings.entry_vm,
+            data_centre=self.settings.data_centre,
+            address=self.settings.peers.listen,
+            start=start,
+            number=number,
+            stopping=self.stopping,
+            servers_revision=self.fleet.revision,
+            configuration_version=self.catalog.version if self.catalog else 0,
+            term=self.desk.term,
+            lease_version=self.desk.lease_version,
+            resigned_version=self.desk.resigned_version,
+            acted_ago_s=self.desk.acted_ago_s,
+            load={
+                server.name: own_load(server)
+                for server in self.fleet.servers.values()
+                if server.flights
+            },
+            demand=self.desk.own_demand(),
+            dropping={
+                server.name: model
+                for server in self.fleet.servers.values()
+                for model, until_s in server.dropping.items()
+                if self.desk.term and until_s > now_s
+            },
+        )
+
+    def _peer_spoke(self, state: PeerState) -> None:
+        name = state.entry_vm
+        for server in self.fleet.servers.values():
+            load = state.load.get(server.name)
+            if load is None:
+                server.peers.pop(name, None)
+            else:
+                server.peers[name] = load
+        self.desk.hear_peer(state)
+        if state.term:
+            until_s = self.clock.monotonic_s() + DROPPING_HOLDS_S
+            for server_name, model in state.dropping.items():
+                if server_name in self.fleet.servers:
+                    self.fleet.servers[server_name].dropping[model] = until_s
+
+    async def _forget_silent(self) -> None:
+        """Stop counting the load of VMs that are silent."""
+        live = {peer.name for peer in self.peers.live()}
+        for server in self.fleet.servers.values():
+            for name in server.peers.keys() - live:
+                del server.peers[name]
 
     # Tables
 
--- a/src/rosepath/entry_settings.py
+++ b/src/rosepath/entry_settings.py
@@ -35,12 +35,28 @@
     grace_s: Seconds = 8.0
 
 
+class PeerAddress(Section):
+    """Say where other entry VMs reach this one, by datagrams."""
+
+    listen: Address
+
+
+class LeaseSettings(Section):
+    """Bound how long the right to order lasts, and how it changes hands."""
+
+    duration_s: Seconds = 1.8
+    margin_s: Seconds = 0.3
+    handover_s: Seconds = 3.2
+
+
 class EntrySettings(Section):
     """Hold everything that an entry VM learns before it starts."""
 
     entry_vm: Annotated[str, Field(min_length=1, pattern=r"^[\w.-]+$")]
     data_centre: Annotated[str, Field(min_length=1, pattern=r"^[\w.-]+$")]
     callers: EntryCallers
+    peers: PeerAddress
     store: StoreSettings
+    lease: LeaseSettings = LeaseSettings()
     retries: RetrySettings = RetrySettings()
     stop: StopBounds = StopBounds()
--- a/src/rosepath/feed.py
+++ b/src/rosepath/feed.py
@@ -17,6 +17,9 @@
 # A watch that is answered so often needs no other sign of life: a connection
 # that has gone silent is found this long after, plus one call's time.
 WATCH_WAIT_S = 2.0
+# Changes come in bursts, and each answer to a watch is a call that costs; this
+# pause takes a burst together and is a small part of any bound on following.
+GATHER_S = 0.25
 BACKOFF_FIRST_S = 0.05
 BACKOFF_MAX_S = 0.5
 
@@ -59,6 +62,8 @@
                 )
                 self._take_change(change)
                 backoff_s = BACKOFF_FIRST_S
+                if change.written or change.removed:
+                    await asyncio.sleep(GATHER_S)
             except HistoryGoneError:
                 # What happened in between is lost: only the whole tells.
                 listed = False
--- a/src/rosepath/fleet.py
+++ b/src/rosepath/fleet.py
@@ -1,14 +1,15 @@
 """The table of backend servers, and what this entry VM has seen of each."""
 
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ServerEntry:
     """Hold what a backend server says of itself in the store.
 
-    `models` maps each model it holds to that model's adapters; `sequence`
+    `models` maps each model it holds to that model's adapters; `in_memory`
+    and `on_disk` name those it can load without the weight store; `sequence`
     counts the orders it has accepted; `remaining_s` is set if it leaves at
     short notice.
     """
@@ -21,6 +22,8 @@
     draining: bool
     sequence: int = 0
     models: Mapping[str, frozenset[str]] = field(default_factory=dict)
+    in_memory: frozenset[str] = frozenset()
+    on_disk: frozenset[str] = frozenset()
     remaining_s: float | None = None
 
 
@@ -60,8 +63,10 @@
     probing_since_s: float | None = None
     service_time_s: float = 0.05
     latency_s: float = 0.0
-    # Overrides of the entry by what an answer or an order showed since.
+    # The entry's models, corrected by what an answer or an order showed since.
     held: dict[str, set[str]] = field(default_factory=dict)
+    # Models that are being unloaded, with the time until which that is known.
+    dropping: dict[str, float] = field(default_factory=dict)
 
     @property
     def name(self) -> str:
@@ -115,7 +120,7 @@
         if server is None:
             server = self.servers[entry.name] = BackendServer(entry=entry)
         elif server.entry.draining and not entry.draining:
-            entry = _still_draining(entry)
+            entry = replace(entry, draining=True)
         server.entry = entry
         server.left = False
         server.held = {name: set(adapters) for name, adapters in entry.models.items()}
@@ -135,7 +140,11 @@
             self.put(entry)
 
 
-def _still_draining(entry: ServerEntry) -> ServerEntry:
-    from dataclasses import replace
-
-    return replace(entry, draining=True)
+def own_load(server: BackendServer) -> PeerLoad:
+    """Return what this entry VM has at a backend server."""
+    flights = server.flights.values()
+    return PeerLoad(
+        requests=len(flights),
+        unread_tokens=sum(flight.unread_tokens for flight in flights),
+        tokens=sum(flight.tokens for flight in flights),
+    )
--- a/src/rosepath/gateway.py
+++ b/src/rosepath/gateway.py
@@ -56,6 +56,9 @@
         self._body.append(chunk)
 
     def finish(self) -> None:
+        # Between the end of the request and that of the answer, only the
+        # connection's own callback tells that the caller left.
+        self._connection.set_close_callback(self.on_connection_close)
         self._gateway.open.add(self)
         self._task = asyncio.ensure_future(self._gateway.serve(self))
         self._task.add_done_callback(self._served)
@@ -93,7 +96,8 @@
             return None
         written = self._connection.write(data)
         _ignore_closed(written)
-        if len(self._connection.stream._write_buffer) > WRITE_AHEAD_BYTES:
+        waiting = self._connection.stream._write_buffer
+        if waiting is not None and len(waiting) > WRITE_AHEAD_BYTES:
             return written
         return None
 
--- a/src/rosepath/lease_keeper.py
+++ b/src/rosepath/lease_keeper.py
@@ -9,6 +9,8 @@
     LeaseAction,
     LeasePolicy,
     LeaseRow,
+    Resignation,
+    act_from_s,
     decode_lease,
     encode_lease,
     lease_action,
@@ -17,6 +19,8 @@
 from rosepath.logs import get_logger
 from rosepath.object_store import ConflictError, PlatformPort, StoredObject, StoreError
 
+LEASE_KIND = "leases"
+
 _log = get_logger()
 
 
@@ -30,6 +34,9 @@
         self._me = me
         self._clock = clock
         self._first_seen_s: dict[str, float] = {}
+        self._heard: dict[str, int] = {}
+        self._heard_s: dict[str, float] = {}
+        self._resigned: dict[str, Resignation] = {}
         self.policy = policy
         self.rows: dict[str, LeaseRow] = {}
 
@@ -39,6 +46,40 @@
         now_s = self._clock.monotonic_s()
         return row is not None and row.valid(now_s=now_s, policy=self.policy)
 
+    def hear(self, name: str, *, version: int) -> None:
+        """Note a version of which its holder told.
+
+        Heard from the holder, a version is known before it is read; one that
+        is found unchanged later has stood since, and the wait for it to lapse
+        need not begin anew.
+        """
+        if version > self._heard.get(name, 0):
+            self._heard[name] = version
+            self._heard_s[name] = self._clock.monotonic_s()
+
+    def hear_resigned(self, name: str, *, version: int, acted_ago_s: float) -> None:
+        """Note that the holder of a version acts no more."""
+        known = self._resigned.get(name)
+        if known is None or known.version < version:
+            acted_s = self._clock.monotonic_s() - acted_ago_s
+            self._resigned[name] = Resignation(version=version, acted_s=acted_s)
+
+    def resign(self, name: str) -> int:
+        """Stop acting as the holder; return the version that this ends.
+
+        For a holder that loses the store: it can't hand the lease back there,
+        but its word to the others spares them the wait for it to lapse.
+        """
+        row = self.rows[name]
+        version = row.version
+        self._lose(row)
+        return version
+
+    def version(self, name: str) -> int:
+        """Return the version under which a lease was last renewed."""
+        row = self.rows.get(name)
+        return row.version if row else 0
+
     def term(self, name: str) -> int:
         """Return the term under which a lease was last taken."""
         row = self.rows.get(name)
@@ -63,19 +104,30 @@
             return
 
     async def _read(self, row: LeaseRow) -> None:
-        stored = await self._platform.get(f"leases/{row.name}")
+        stored = await self._platform.get(f"{LEASE_KIND}/{row.name}")
         now_s = self._clock.monotonic_s()
         version = stored.version if stored else 0
         if version != row.version or row.name not in self._first_seen_s:
-            self._first_seen_s[row.name] = now_s
+            heard = version != 0 and version == self._heard.get(row.name)
+            self._first_seen_s[row.name] = self._heard_s[row.name] if heard else now_s
         self._note(row, stored, now_s)
+        first_seen_s = self._first_seen_s[row.name]
+        resigned = self._resigned.get(row.name)
         if may_take_over(
             row,
             me=self._me,
             now_s=now_s,
-            first_seen_s=self._first_seen_s[row.name],
+            first_seen_s=first_seen_s,
             policy=self.policy,
+            resigned=resigned,
         ):
+            row.act_from_s = act_from_s(
+                row,
+                me=self._me,
+                first_seen_s=first_seen_s,
+                policy=self.policy,
+                resigned=resigned,
+            )
             await self._write(row, term=row.term + 1)
 
     def _note(self, row: LeaseRow, stored: StoredObject | None, now_s: float) -> None:
@@ -94,7 +146,7 @@
         asked_s = self._clock.monotonic_s()
         nonce = uuid.uuid4().hex
         value = encode_lease(holder=self._me, term=term, nonce=nonce)
-        name = f"leases/{row.name}"
+        name = f"{LEASE_KIND}/{row.name}"
         try:
             version = await self._platform.put(
                 name, value, expected_version=row.version
@@ -123,17 +175,18 @@
         row.held_until_s = -1e9
         row.seen_at_s = -1e9
 
-    async def give_up(self, name: str) -> None:
-        """Hand a lease back, so that the next holder need not wait."""
+    async def give_up(self, name: str) -> int:
+        """Hand a lease back; return the version that says so, or 0."""
         row = self.rows.get(name)
         if row is None or row.holder != self._me:
-            return
+            return 0
         row.held_until_s = -1e9
         value = encode_lease(holder="", term=row.term, nonce=uuid.uuid4().hex)
         try:
-            await self._platform.put(
-                f"leases/{name}", value, expected_version=row.version
+            version = await self._platform.put(
+                f"{LEASE_KIND}/{name}", value, expected_version=row.version
             )
         except (StoreError, ConflictError):
-            return
+            return row.version
         row.holder = ""
+        return version
--- a/src/rosepath/leases.py
+++ b/src/rosepath/leases.py
@@ -20,6 +20,8 @@
 
     duration_s: float
     margin_s: float
+    # How long after the last act of one holder the next one may act first.
+    handover_s: float = 0.0
 
 
 @dataclass(slots=True, kw_only=True)
@@ -32,10 +34,11 @@
     term: int = 0
     seen_at_s: float = -1e9
     held_until_s: float = -1e9
+    act_from_s: float = -1e9
 
     def valid(self, *, now_s: float, policy: LeasePolicy) -> bool:
         """Tell whether this node may act as holder right now."""
-        return now_s < self.held_until_s - policy.margin_s
+        return self.act_from_s <= now_s < self.held_until_s - policy.margin_s
 
     def remaining_s(self, *, now_s: float) -> float:
         """Return the seconds left of an own lease."""
@@ -65,15 +68,56 @@
     return LeaseAction.READ
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Resignation:
+    """Hold a holder's word that it no longer acts under a version.
+
+    `acted_s` is the local time by which its last act was over.
+    """
+
+    version: int
+    acted_s: float
+
+
 def may_take_over(
-    row: LeaseRow, *, me: str, now_s: float, first_seen_s: float, policy: LeasePolicy
+    row: LeaseRow,
+    *,
+    me: str,
+    now_s: float,
+    first_seen_s: float,
+    policy: LeasePolicy,
+    resigned: Resignation | None = None,
 ) -> bool:
-    """Tell whether a lease seen unchanged since `first_seen_s` has lapsed."""
+    """Tell whether a lease seen unchanged since `first_seen_s` is free."""
     if row.version == 0 or not row.holder or row.holder == me:
         return True
+    if resigned is not None and resigned.version == row.version:
+        return True
     return now_s - first_seen_s > policy.duration_s + policy.margin_s
 
 
+def act_from_s(
+    row: LeaseRow,
+    *,
+    me: str,
+    first_seen_s: float,
+    policy: LeasePolicy,
+    resigned: Resignation | None = None,
+) -> float:
+    """Return when the next holder may first act, so that no two take turns.
+
+    An act of the holder before may have left just before its lease ended.
+    """
+    if row.version == 0 or row.holder == me or not policy.handover_s:
+        return -1e9
+    if resigned is not None and resigned.version >= row.version:
+        return resigned.acted_s + policy.handover_s
+    if not row.holder:
+        return first_seen_s + policy.handover_s
+    # The holder acts no later than its margin before the end.
+    return first_seen_s + policy.duration_s - policy.margin_s + policy.handover_s
+
+
 def encode_lease(*, holder: str, term: int, nonce: str) -> bytes:
     """Encode a lease; an empty holder means it was given up."""
     raw = {"holder": holder, "term": term, "nonce": nonce}
--- /dev/null
+++ b/src/rosepath/model_desk.py
@@ -0,0 +1,223 @@
+"""What this entry VM does about models: tell of demand, ask, hold the lease."""
+
+import uuid
+from collections.abc import Callable, Mapping
+
+from rosepath.caller_call import Prompt
+from rosepath.catalog import Catalog
+from rosepath.clock import BootClock, Clock
+from rosepath.demand import Demand, ModelDemand, total_demand
+from rosepath.engine_orders import EnginePort
+from rosepath.entry_settings import EntrySettings
+from rosepath.fleet import BackendServer, Fleet
+from rosepath.lease_keeper import LeaseKeeper
+from rosepath.leases import LeasePolicy
+from rosepath.object_store import PlatformPort
+from rosepath.order_desk import DeskPorts, OrderDesk
+from rosepath.peer_link import PeerLink
+from rosepath.peer_messages import AdapterAsk, PeerState
+from rosepath.peer_table import PeerTable
+from rosepath.prompt_caches import PromptCaches
+from rosepath.rendezvous import ranked
+
+LEASE_NAME = "placement"
+# So long after the last word of a holder, others look whether it has lapsed;
+# each waits a little longer than the one before it in rank, so that one reads.
+HOLDER_SILENT_S = 1.0
+RANK_STEP_S = 0.4
+
+
+class ModelDesk:
+    """Count demand, and bring orders about: as the holder, or by asking it."""
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        *,
+        clock: Clock,
+        store: PlatformPort,
+        engines: EnginePort,
+        fleet: Fleet,
+        caches: PromptCaches,
+        catalog: Callable[[], Catalog | None],
+        peers: PeerTable,
+        stopping: Callable[[], bool],
+    ) -> None:
+        self._me = settings.entry_vm
+        self._clock = clock
+        self._fleet = fleet
+        self._caches = caches
+        self._peers = peers
+        self._stopping = stopping
+        self._address = settings.peers.listen
+        self._holder_heard_s = clock.monotonic_s()
+        self.link: PeerLink | None = None
+        self.resigned_version = 0
+        self._was_holder = False
+        self._boot = BootClock()
+        self.demand = Demand()
+        lease = settings.lease
+        self.leases = LeaseKeeper(
+            store,
+            me=settings.entry_vm,
+            policy=LeasePolicy(
+                duration_s=lease.duration_s,
+                margin_s=lease.margin_s,
+                handover_s=lease.handover_s,
+            ),
+            clock=self._boot,
+        )
+        self.orders = OrderDesk(
+            DeskPorts(
+                me=settings.entry_vm,
+                clock=clock,
+                engines=engines,
+                fleet=fleet,
+                catalog=catalog,
+                may_order=lambda: self.holds,
+                fence=lambda: self.leases.term(LEASE_NAME),
+                demand=self.all_demand,
+                on_held=self._note_held,
+            )
+        )
+
+    @property
+    def holds(self) -> bool:
+        """Tell whether this VM may order right now."""
+        return self.leases.valid(LEASE_NAME)
+
+    @property
+    def term(self) -> int:
+        """Return the term of the lease held, or 0."""
+        return self.leases.term(LEASE_NAME) if self.holds else 0
+
+    @property
+    def lease_version(self) -> int:
+        """Return the version of the lease held, or 0."""
+        return self.leases.version(LEASE_NAME) if self.holds else 0
+
+    @property
+    def acted_ago_s(self) -> float:
+        """Return how long ago this VM last sent an order."""
+        return max(0.0, self._boot.monotonic_s() - self.orders.acted_s)
+
+    def hear_peer(self, state: PeerState) -> None:
+        """Take in what another VM says of the lease."""
+        if state.term:
+            self.leases.hear(LEASE_NAME, version=state.lease_version)
+        if state.resigned_version:
+            self.leases.hear_resigned(
+                LEASE_NAME,
+                version=state.resigned_version,
+                acted_ago_s=state.acted_ago_s,
+            )
+
+    # Demand
+
+    def note_request(self, service: str, prompt: Prompt) -> None:
+        """Note that a model is asked for."""
+        self.demand.note(service, prompt, now_s=self._clock.monotonic_s())
+
+    def note_waiting(self, service: str, model: str, *, step: int) -> None:
+        """Note that a request begins or ends waiting for a model."""
+        self.demand.wait(service, model, step=step)
+
+    def own_demand(self) -> dict[str, Mapping[str, ModelDemand]]:
+        """Return the demand that this VM sees, by service."""
+        now_s = self._clock.monotonic_s()
+        return {
+            service: self.demand.now(service, now_s=now_s)
+            for service in self.demand.services
+        }
+
+    def all_demand(self, service: str) -> dict[str, ModelDemand]:
+        """Return the demand that all VMs see."""
+        parts = [self.own_demand().get(service, {})]
+        for peer in self._peers.live():
+            if peer.state is not None:
+                parts.append(peer.state.demand.get(service, {}))
+        return total_demand(parts)
+
+    # The lease
+
+    async def step_lease(self) -> None:
+        """Renew the lease, or look whether the holder's has lapsed."""
+        now_s = self._clock.monotonic_s()
+        if self._peers.holder() is not None:
+            self._holder_heard_s = now_s
+        silent_s = now_s - self._holder_heard_s
+        wanted = not self._stopping() and silent_s > self._turn_s()
+        await self.leases.step(LEASE_NAME, wanted=wanted)
+        if self._was_holder and not self.holds:
+            # Renewals fail, yet the others may still hear this VM.
+            self.resigned_version = self.leases.resign(LEASE_NAME)
+            self._say_so()
+        elif self.holds:
+            self.resigned_version = 0
+        self._was_holder = self.holds
+
+    def _say_so(self) -> None:
+        if self.link is not None:
+            self.link.tell()
+
+    def _turn_s(self) -> float:
+        names = [self._me]
+        names += [
+            peer.name
+            for peer in self._peers.live()
+            if peer.state is not None and not peer.state.stopping
+        ]
+        place = ranked(LEASE_NAME, names).index(self._me)
+        return HOLDER_SILENT_S + RANK_STEP_S * place
+
+    async def give_up(self) -> None:
+        """Hand the lease back before a planned stop."""
+        self._was_holder = False
+        self.resigned_version = await self.leases.give_up(LEASE_NAME)
+        self._say_so()
+
+    # Adapters
+
+    async def ensure_adapter(
+        self, service: str, server: BackendServer, prompt: Prompt, *, limit_s: float
+    ) -> bool:
+        """Get an adapter onto an engine, by own order or by asking the holder."""
+        if self.holds:
+            return await self.orders.ensure_adapter(
+                service, server.name, prompt.model, prompt.adapter
+            )
+        holder = self._peers.holder()
+        if holder is None or self.link is None:
+            return False
+        ask = AdapterAsk(
+            ask_id=uuid.uuid4().hex[:12],
+            reply_to=self._address,
+            server=server.name,
+            service=service,
+            model=prompt.model,
+            adapter=prompt.adapter,
+        )
+        ready = await self.link.ask(ask, holder.address, limit_s=limit_s)
+        if ready and prompt.model in server.held:
+            server.held[prompt.model].add(prompt.adapter)
+        return ready
+
+    async def answer(self, ask: AdapterAsk) -> bool:
+        """Answer another VM's question."""
+        return self.holds and await self.orders.ensure_adapter(
+            ask.service, ask.server, ask.model, ask.adapter
+        )
+
+    def _note_held(self, name: str, model: str, adapter: str, there: bool) -> None:
+        server = self._fleet.servers.get(name)
+        if server is None:
+            return
+        if adapter:
+            adapters = server.held.get(model, set())
+            (adapters.add if there else adapters.discard)(adapter)
+        elif there:
+            server.held.setdefault(model, set())
+            server.dropping.pop(model, None)
+        else:
+            server.held.pop(model, None)
+            self._caches.forget_model(name, model)
--- /dev/null
+++ b/src/rosepath/peer_link.py
@@ -0,0 +1,129 @@
+"""Datagrams between entry VMs: state to all, questions to the holder."""
+
+import asyncio
+import uuid
+from collections.abc import Awaitable, Callable
+from typing import cast
+
+from rosepath.clock import Clock
+from rosepath.peer_messages import (
+    AdapterAsk,
+    AdapterReply,
+    Message,
+    PeerState,
+    decode,
+    encode,
+)
+from rosepath.peer_table import PeerTable
+from rosepath.settings import split_address
+
+STATE_INTERVAL_S = 0.15
+# Every VM tells every other; past this many the interval grows in proportion,
+# so that a VM's datagrams a second stay the same.
+VMS_AT_INTERVAL = 12
+# A question crosses and comes back in two milliseconds, and the order behind
+# it takes twenty; a lost datagram is sent again after this.
+ASK_AGAIN_S = 0.08
+
+OnAsk = Callable[[AdapterAsk], Awaitable[bool]]
+
+
+class PeerLink(asyncio.DatagramProtocol):
+    """Hold the socket, and the questions that wait for their answers."""
+
+    def __init__(
+        self,
+        address: str,
+        table: PeerTable,
+        *,
+        clock: Clock,
+        describe: Callable[[str, int], PeerState],
+        on_state: Callable[[PeerState], None],
+        on_ask: OnAsk,
+    ) -> None:
+        self.address = address
+        self._table = table
+        self._clock = clock
+        self._describe = describe
+        self._on_state = on_state
+        self._on_ask = on_ask
+        self._start = uuid.uuid4().hex[:8]
+        self._number = 0
+        self._transport: asyncio.DatagramTransport | None = None
+        self._waiting: dict[str, asyncio.Future[bool]] = {}
+        self._answering: set[str] = set()
+
+    async def listen(self) -> None:
+        """Open the socket."""
+        loop = asyncio.get_running_loop()
+        await loop.create_datagram_endpoint(
+            lambda: self, local_addr=split_address(self.address)
+        )
+
+    def close(self) -> None:
+        """Close the socket."""
+        if self._transport is not None:
+            self._transport.close()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        # The selector loop's transport is none by type, only by its methods.
+        self._transport = cast(asyncio.DatagramTransport, transport)
+
+    def datagram_received(self, data: bytes, _: tuple[str, int]) -> None:
+        match decode(data):
+            case PeerState() as state:
+                if self._table.take(state):
+                    self._on_state(state)
+            case AdapterAsk() as ask:
+                # A question that was sent again while its answer is on its
+                # way must not be carried out twice at the same time.
+                if ask.ask_id not in self._answering:
+                    self._answering.add(ask.ask_id)
+                    asyncio.ensure_future(self._answer(ask))
+            case AdapterReply() as reply:
+                waiting = self._waiting.get(reply.ask_id)
+                if waiting is not None and not waiting.done():
+                    waiting.set_result(reply.ready)
+
+    async def run(self) -> None:
+        """Tell the others this VM's state, for ever."""
+        while True:
+            self.tell()
+            peers = len(self._table.peers)
+            await asyncio.sleep(STATE_INTERVAL_S * max(1.0, peers / VMS_AT_INTERVAL))
+
+    def tell(self) -> None:
+        """Tell the others this VM's state once."""
+        self._number += 1
+        data = encode(self._describe(self._start, self._number))
+        for peer in self._table.told():
+            self._send_data(data, peer.address)
+
+    async def ask(self, ask: AdapterAsk, address: str, *, limit_s: float) -> bool:
+        """Ask another VM; False if it says no or does not answer in time."""
+        future: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
+        self._waiting[ask.ask_id] = future
+        deadline_s = self._clock.monotonic_s() + limit_s
+        try:
+            while (left_s := deadline_s - self._clock.monotonic_s()) > 0:
+                self._send(ask, address)
+                done, _ = await asyncio.wait([future], timeout=min(left_s, ASK_AGAIN_S))
+                if done:
+                    return future.result()
+            return False
+        finally:
+            del self._waiting[ask.ask_id]
+
+    async def _answer(self, ask: AdapterAsk) -> None:
+        try:
+            ready = await self._on_ask(ask)
+            self._send(AdapterReply(ask_id=ask.ask_id, ready=ready), ask.reply_to)
+        finally:
+            self._answering.discard(ask.ask_id)
+
+    def _send(self, message: Message, address: str) -> None:
+        self._send_data(encode(message), address)
+
+    def _send_data(self, data: bytes, address: str) -> None:
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.sendto(data, split_address(address))
--- /dev/null
+++ b/src/rosepath/peer_messages.py
@@ -0,0 +1,160 @@
+"""What entry VMs tell each other in datagrams."""
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+from rosepath.demand import ModelDemand
+from rosepath.fleet import PeerLoad
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PeerState:
+    """Tell what one entry VM has in flight, believes, and is asked for.
+
+    `start` differs each time its process starts; `term` is set while it holds
+    the placement lease; `leaving` names the servers that it saw leave lately.
+    """
+
+    entry_vm: str
+    data_centre: str
+    address: str
+    start: str
+    number: int
+    stopping: bool = False
+    servers_revision: int = 0
+    configuration_version: int = 0
+    term: int = 0
+    lease_version: int = 0
+    resigned_version: int = 0
+    acted_ago_s: float = 0.0
+    load: Mapping[str, PeerLoad] = field(default_factory=dict)
+    demand: Mapping[str, Mapping[str, ModelDemand]] = field(default_factory=dict)
+    leaving: tuple[str, ...] = ()
+    dropping: Mapping[str, str] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class AdapterAsk:
+    """Ask the lease's holder to get an adapter onto an engine."""
+
+    ask_id: str
+    reply_to: str
+    server: str
+    service: str
+    model: str
+    adapter: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class AdapterReply:
+    """Tell whether the adapter is there."""
+
+    ask_id: str
+    ready: bool
+
+
+Message = PeerState | AdapterAsk | AdapterReply
+
+
+def encode(message: Message) -> bytes:
+    """Encode a message for one datagram."""
+    return json.dumps(_raw(message), separators=(",", ":")).encode()
+
+
+def decode(data: bytes) -> Message | None:
+    """Decode a datagram; None if it is not one of ours."""
+    try:
+        raw = json.loads(data)
+        match raw["t"]:
+            case "state":
+                return _state(raw)
+            case "ask":
+                return AdapterAsk(
+                    ask_id=str(raw["id"]),
+                    reply_to=str(raw["to"]),
+                    server=str(raw["s"]),
+                    service=str(raw["v"]),
+                    model=str(raw["m"]),
+                    adapter=str(raw["a"]),
+                )
+            case "reply":
+                return AdapterReply(ask_id=str(raw["id"]), ready=bool(raw["ok"]))
+    except (ValueError, KeyError, TypeError, IndexError):
+        return None
+    return None
+
+
+def _raw(message: Message) -> dict[str, Any]:
+    if isinstance(message, AdapterAsk):
+        return {
+            "t": "ask",
+            "id": message.ask_id,
+            "to": message.reply_to,
+            "s": message.server,
+            "v": message.service,
+            "m": message.model,
+            "a": message.adapter,
+        }
+    if isinstance(message, AdapterReply):
+        return {"t": "reply", "id": message.ask_id, "ok": message.ready}
+    return {
+        "t": "state",
+        "vm": message.entry_vm,
+        "dc": message.data_centre,
+        "at": message.address,
+        "st": message.start,
+        "n": message.number,
+        "x": int(message.stopping),
+        "r": message.servers_revision,
+        "c": message.configuration_version,
+        "h": message.term,
+        "e": message.lease_version,
+        "q": [message.resigned_version, round(message.acted_ago_s, 3)],
+        "l": {
+            name: [load.requests, load.unread_tokens, load.tokens]
+            for name, load in message.load.items()
+        },
+        "w": {
+            service: {
+                model: [round(demand.load, 4), demand.waiting]
+                for model, demand in models.items()
+            }
+            for service, models in message.demand.items()
+        },
+        "g": list(message.leaving),
+        "u": dict(message.dropping),
+    }
+
+
+def _state(raw: dict[str, Any]) -> PeerState:
+    return PeerState(
+        entry_vm=str(raw["vm"]),
+        data_centre=str(raw["dc"]),
+        address=str(raw["at"]),
+        start=str(raw["st"]),
+        number=int(raw["n"]),
+        stopping=bool(raw["x"]),
+        servers_revision=int(raw["r"]),
+        configuration_version=int(raw["c"]),
+        term=int(raw["h"]),
+        lease_version=int(raw["e"]),
+        resigned_version=int(raw["q"][0]),
+        acted_ago_s=float(raw["q"][1]),
+        load={
+            str(name): PeerLoad(
+                requests=int(load[0]), unread_tokens=int(load[1]), tokens=int(load[2])
+            )
+            for name, load in raw["l"].items()
+        },
+        demand={
+            str(service): {
+                str(model): ModelDemand(float(row[0]), int(row[1]))
+                for model, row in models.items()
+            }
+            for service, models in raw["w"].items()
+        },
+        leaving=tuple(map(str, raw["g"])),
+        dropping={str(name): str(model) for name, model in raw["u"].items()},
+    )
--- /dev/null
+++ b/src/rosepath/peer_table.py
@@ -0,0 +1,82 @@
+"""The other entry VMs, as their datagrams tell."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from rosepath.clock import Clock
+from rosepath.peer_messages import PeerState
+
+# Datagrams come every 0.15 s; after so long without one, a VM's load is no
+# longer counted and it is nobody's holder.
+SILENT_AFTER_S = 0.8
+# A VM that was silent for so long is no longer told anything, until it speaks.
+FORGET_AFTER_S = 30.0
+
+
+@dataclass(slots=True, kw_only=True)
+class Peer:
+    """Hold one other entry VM; `heard_s` is when it last spoke."""
+
+    name: str
+    address: str
+    state: PeerState | None = None
+    heard_s: float = -1e9
+    known_s: float = 0.0
+
+
+class PeerTable:
+    """Hold every other entry VM by name."""
+
+    def __init__(self, me: str, *, clock: Clock) -> None:
+        self._me = me
+        self._clock = clock
+        self.peers: dict[str, Peer] = {}
+
+    def learn(self, name: str, address: str) -> None:
+        """Note where a VM says it is, read from the store."""
+        if name == self._me:
+            return
+        peer = self.peers.get(name)
+        if peer is None or (peer.address != address and not self._live(peer)):
+            self.peers[name] = Peer(
+                name=name, address=address, known_s=self._clock.monotonic_s()
+            )
+
+    def take(self, state: PeerState) -> bool:
+        """Take in a datagram; False if it is older than what is known."""
+        if state.entry_vm == self._me:
+            return False
+        peer = self.peers.get(state.entry_vm)
+        if peer is None:
+            peer = Peer(name=state.entry_vm, address=state.address)
+            self.peers[state.entry_vm] = peer
+        known = peer.state
+        if known and known.start == state.start and state.number <= known.number:
+            return False
+        peer.state = state
+        peer.address = state.address
+        peer.heard_s = self._clock.monotonic_s()
+        return True
+
+    def live(self) -> list[Peer]:
+        """Return the VMs that spoke lately."""
+        return [peer for peer in self.peers.values() if self._live(peer)]
+
+    def told(self) -> Iterable[Peer]:
+        """Return the VMs that are told this VM's state."""
+        limit_s = self._clock.monotonic_s() - FORGET_AFTER_S
+        return [
+            peer
+            for peer in self.peers.values()
+            if max(peer.heard_s, peer.known_s) > limit_s
+        ]
+
+    def holder(self) -> Peer | None:
+        """Return the VM that says it holds the lease, by the latest term."""
+        holders = [peer for peer in self.live() if peer.state and peer.state.term > 0]
+        return max(
+            holders, key=lambda peer: peer.state.term if peer.state else 0, default=None
+        )
+
+    def _live(self, peer: Peer) -> bool:
+        return peer.heard_s > self._clock.monotonic_s() - SILENT_AFTER_S
--- a/src/rosepath/platform/documents.py
+++ b/src/rosepath/platform/documents.py
@@ -143,6 +143,11 @@
     adapters: tuple[str, ...] = ()
 
 
+class _Available(_Document):
+    in_memory: frozenset[str] = frozenset()
+    on_disk: frozenset[str] = frozenset()
+
+
 class _Server(_Document):
     service: str
     address: Annotated[str, Field(pattern=r"^[0-9.]+:\d+$")]
@@ -151,6 +156,7 @@
     state: str = "ready"
     sequence: int = 0
     models: tuple[_HeldModel, ...] = ()
+    available: _Available = _Available()
     remaining_ms: float | None = None
 
 
@@ -197,6 +203,8 @@
         draining=read.state != "ready",
         sequence=read.sequence,
         models={model.name: frozenset(model.adapters) for model in read.models},
+        in_memory=read.available.in_memory,
+        on_disk=read.available.on_disk,
         remaining_s=None if read.remaining_ms is None else read.remaining_ms / 1000,
     )
 
--- /dev/null
+++ b/src/rosepath/platform/engines.py
@@ -0,0 +1,101 @@
+"""Calls to engines: orders to load and unload, and reports."""
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from rosepath.engine_orders import EngineReport, Order, OrderAction, OrderReply
+from rosepath.errors import ExchangeError, Step
+from rosepath.http_client import HttpPool, Request
+
+ORDER_TIMEOUT_S = 0.6
+
+_OPERATIONS: Mapping[OrderAction, str] = {
+    OrderAction.LOAD: "model_load",
+    OrderAction.UNLOAD: "model_unload",
+}
+_REPLIES: Mapping[int, OrderReply] = {
+    200: OrderReply.HOLDS,
+    202: OrderReply.ACCEPTED,
+    409: OrderReply.CONFLICT,
+    412: OrderReply.STALE_FENCE,
+    421: OrderReply.OTHER_INSTANCE,
+}
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class EngineCalls:
+    """Implement the engine port over pooled connections."""
+
+    pool: HttpPool
+
+    async def order(self, address: str, order: Order) -> OrderReply:
+        """Send an order; raises ExchangeError if no answer tells its fate."""
+        body = {
+            "operation": _OPERATIONS[order.action],
+            "model": order.model,
+            "expected": order.expected_sequence,
+            "holder": order.holder,
+            "fencingToken": order.fence,
+        }
+        if order.adapter:
+            body["adapter"] = order.adapter
+        head, _ = await self.pool.fetch(
+            Request(
+                address=address,
+                method="POST",
+                path="/v1/order",
+                headers={
+                    "Content-Type": "application/json",
+                    "Target-Instance": order.server,
+                },
+                body=json.dumps(body).encode(),
+                connect_timeout_s=ORDER_TIMEOUT_S,
+                progress_timeout_s=ORDER_TIMEOUT_S,
+            )
+        )
+        return _REPLIES.get(head.status, OrderReply.REFUSED)
+
+    async def report(self, address: str, server: str) -> EngineReport:
+        """Read an engine's report; raises ExchangeError."""
+        head, body = await self.pool.fetch(
+            Request(
+                address=address,
+                method="GET",
+                path="/v1/report",
+                headers={"Target-Instance": server},
+                connect_timeout_s=ORDER_TIMEOUT_S,
+                progress_timeout_s=ORDER_TIMEOUT_S,
+            )
+        )
+        try:
+            if head.status != 200:
+                raise ValueError(f"status {head.status}")
+            raw = json.loads(body)
+            return EngineReport(
+                sequence=int(raw["sequence"]),
+                busy=bool(raw["busy"]),
+                models={
+                    str(model["name"]): frozenset(
+                        _adapter_name(adapter) for adapter in model["adapters"]
+                    )
+                    for model in raw["models"]
+                },
+                # As model/name@version.
+                pending=frozenset(
+                    name.partition("@")[0] for name in raw.get("pending") or ()
+                ),
+            )
+        except (ValueError, KeyError, TypeError) as error:
+            raise ExchangeError(
+                f"report cannot be read: {error}",
+                step=Step.ANSWER,
+                peer=address,
+                sent=True,
+            ) from error
+
+
+def _adapter_name(adapter: object) -> str:
+    if isinstance(adapter, Mapping):
+        return str(adapter["name"])
+    return str(adapter).partition("@")[0]
--- a/src/rosepath/relay.py
+++ b/src/rosepath/relay.py
@@ -3,7 +3,8 @@
 import asyncio
 import json
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -13,7 +14,7 @@
 from rosepath.caller_call import BadRequestError, CallerCall, Prompt
 from rosepath.catalog import Catalog, HostRoute, RouteKind, ServiceSpec
 from rosepath.clock import Clock
-from rosepath.engine_choice import choose_engine
+from rosepath.engine_choice import choose_engine, holds_adapter
 from rosepath.errors import RefusalError, Run, Step, refuse
 from rosepath.event_order import EventOrder
 from rosepath.fleet import BackendServer, Fleet, Flight
@@ -41,16 +42,22 @@
 STREAM_PATIENCE_GAPS = 4.0
 FIRST_EVENT_PATIENCE = 2.5
 
+# An adapter is there after some 20 ms; a holder that does not answer by then
+# may be gone, and its successor is asked.
+ADAPTER_WAIT_S = 0.4
+
 _log = get_logger()
 
 
 class ModelDesk(Protocol):
-    """Get models and adapters onto engines."""
+    """Tell of demand, and get adapters onto engines."""
+
+    def note_request(self, service: str, prompt: Prompt) -> None: ...
 
-    def want(self, service: str, prompt: Prompt, until_s: float) -> None: ...
+    def note_waiting(self, service: str, model: str, *, step: int) -> None: ...
 
     async def ensure_adapter(
-        self, server: BackendServer, prompt: Prompt, *, deadline_s: float
+        self, service: str, server: BackendServer, prompt: Prompt, *, limit_s: float
     ) -> bool: ...
 
 
@@ -166,6 +173,8 @@
             )
         limit_s = min(route.timeout_s, call.wait_s or route.timeout_s)
         self._ports.budget(service.name).note_request()
+        if service.engine is not None and call.prompt is not None:
+            self._ports.desk.note_request(service.name, call.prompt)
         streams = route.kind is RouteKind.STREAMING
         return Course(
             call=call,
@@ -246,7 +255,8 @@
 
     def _patience_s(self, course: Course, server: BackendServer) -> float:
         left_s = max(0.01, course.deadline_s - self._now_s())
-        if not course.route.repeatable:
+        last = course.may_have_run + 1 >= course.route.max_attempts
+        if last or not course.route.repeatable:
             # Waiting costs nothing that giving up would save.
             return left_s + 1.0
         if course.order is None:
@@ -263,6 +273,35 @@
         if course.service.engine is not None:
             patience_s = max(patience_s, 0.6 * (course.deadline_s - asked_s))
         give_up_s = min(asked_s + patience_s, course.deadline_s)
+        with self._counted_waiting(course) as count_waiting:
+            return await self._choose_until(course, asked_s, give_up_s, count_waiting)
+
+    @contextmanager
+    def _counted_waiting(self, course: Course) -> Iterator[Callable[[], None]]:
+        """Let demand show that a request waits, from its first wait on."""
+        prompt = course.call.prompt
+        desk, service = self._ports.desk, course.service.name
+        counted = False
+
+        def count() -> None:
+            nonlocal counted
+            if prompt is not None and not counted:
+                counted = True
+                desk.note_waiting(service, prompt.model, step=1)
+
+        try:
+            yield count
+        finally:
+            if counted and prompt is not None:
+                desk.note_waiting(service, prompt.model, step=-1)
+
+    async def _choose_until(
+        self,
+        course: Course,
+        asked_s: float,
+        give_up_s: float,
+        count_waiting: Callable[[], None],
+    ) -> tuple[BackendServer, Flight]:
         while True:
             chosen = await self._pick(course)
             now_s = self._now_s()
@@ -277,6 +316,7 @@
                     step=Step.ROUTE,
                     retry_after_s=RETRY_AFTER_S,
                 )
+            count_waiting()
             await self._wait_for_change(min(give_up_s - now_s, 0.1))
 
     async def _pick(self, course: Course) -> tuple[BackendServer, Flight] | None:
@@ -301,19 +341,17 @@
             now_s=now_s,
             cached_tokens=ports.caches.cached_tokens,
             rng=ports.rng,
-            model_only=True,
         )
         if choice is None:
             course.tried.clear()
-            ports.desk.want(course.service.name, prompt, course.deadline_s)
             return None
-        if prompt.adapter and prompt.adapter not in choice.server.held[prompt.model]:
+        if not holds_adapter(choice.server, prompt):
+            limit_s = min(ADAPTER_WAIT_S, course.deadline_s - now_s)
             ready = await ports.desk.ensure_adapter(
-                choice.server, prompt, deadline_s=course.deadline_s
+                course.service.name, choice.server, prompt, limit_s=limit_s
             )
             if not ready:
                 return None
-        ports.desk.want(course.service.name, prompt, course.deadline_s)
         ports.caches.note_read(choice.server, prompt)
         flight = Flight(
             since_s=now_s,
