Swap models as one operation; plan by load beyond what copies bear

Cause: single steps planned anew each tick thrashed: a model was unloaded, then loaded again, and loads in progress were not counted while a report was due. Change: a swap carries its victims and its load to the end, copies on engines whose report is due count, a further copy pays only beyond a borne load, what is in use stays, idle models keep one copy; engines' contents and occupied engines are told by datagram.

--- a/src/rosepath/catalog.py
+++ b/src/rosepath/catalog.py
@@ -50,6 +50,11 @@
             return self.resumable
         return self.kind is RouteKind.IDEMPOTENT
 
+    @property
+    def first_event_patience_s(self) -> float:
+        """Return how long callers wait for the first event of a stream."""
+        return max(2.0, 4 * self.target_latency_s, 8 * self.target_gap_s)
+
     def service_for(self, request_id: str) -> str:
         """Pick the service of a request; the same on every entry VM."""
         if len(self.shares) == 1:
--- a/src/rosepath/demand.py
+++ b/src/rosepath/demand.py
@@ -9,9 +9,9 @@
 # Demand moves within seconds; a window much shorter than this sees no rare
 # model, a longer one lags.
 WINDOW_S = 5.0
-# Reading a prompt and writing an answer cost an engine about so much.
+# What an engine is busy with is reading prompts; tokens are written for all
+# running requests at once.
 READ_S_PER_TOKEN = 1 / 38_000
-WRITE_S_PER_TOKEN = 1 / 8_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,10 +34,11 @@
     def __init__(self) -> None:
         self._windows: dict[tuple[str, str], _Window] = {}
 
-    def note(self, service: str, prompt: Prompt, *, now_s: float) -> None:
-        """Note a request."""
-        work_s = prompt.input_tokens * READ_S_PER_TOKEN
-        work_s += prompt.output_tokens * WRITE_S_PER_TOKEN
+    def note(
+        self, service: str, prompt: Prompt, *, unread_tokens: int, now_s: float
+    ) -> None:
+        """Note a request and what of its prompt an engine has to read."""
+        work_s = unread_tokens * READ_S_PER_TOKEN
         window = self._windows.setdefault((service, prompt.model), _Window())
         window.work.append((now_s, work_s))
 
--- a/src/rosepath/engine_choice.py
+++ b/src/rosepath/engine_choice.py
@@ -14,6 +14,8 @@
 REMOTE_PENALTY_S = 0.002
 # Getting an adapter there takes a question, an order and its loading.
 ADAPTER_PENALTY_S = 0.03
+# An engine that loads a model takes no order for an adapter until it is done.
+OCCUPIED_PENALTY_S = 1.0
 # Each request in an engine's batch delays the others' tokens a little.
 BATCH_PENALTY_S = 0.004
 
@@ -33,11 +35,6 @@
     return f"{prompt.target}#{shared[-1].part_id if shared else ''}"
 
 
-def holds_model(server: BackendServer, model: str, *, now_s: float) -> bool:
-    """Tell whether an engine holds a model and is not told to drop it."""
-    return model in server.held and server.dropping.get(model, 0.0) <= now_s
-
-
 def holds_adapter(server: BackendServer, prompt: Prompt) -> bool:
     """Tell whether an engine that holds a prompt's model has its adapter."""
     return not prompt.adapter or prompt.adapter in server.held[prompt.model]
@@ -57,9 +54,7 @@
     able = [
         engine
         for engine in engines
-        if engine.usable
-        and engine.name not in tried
-        and holds_model(engine, prompt.model, now_s=now_s)
+        if engine.usable and engine.name not in tried and prompt.model in engine.held
     ]
     trusted = [engine for engine in able if engine.suspect_until_s <= now_s]
     pool = {engine.name: engine for engine in trusted or able}
@@ -76,7 +71,8 @@
         if engine.entry.data_centre != data_centre:
             first_token_s += REMOTE_PENALTY_S
         if not holds_adapter(engine, prompt):
-            first_token_s += ADAPTER_PENALTY_S
+            occupied = engine.ordering_until_s > now_s
+            first_token_s += OCCUPIED_PENALTY_S if occupied else ADAPTER_PENALTY_S
         # Where nothing is cached yet, all VMs should build the cache in the
         # same place: the first in rank wins unless it is clearly busier.
         cost_s = first_token_s + 0.01 * min(place, 3)
--- a/src/rosepath/engine_orders.py
+++ b/src/rosepath/engine_orders.py
@@ -64,31 +64,36 @@
 class EngineBook:
     """Hold what the holder knows of an engine's contents.
 
-    `adapters` maps `model/adapter` to the time of its last use; `loading` and
-    `unloading` name the model that the order in progress is about.
+    `read` is set once a report was read, `known` while none is due.
+    `adapters` maps `model/adapter` to the time of its last use. `busy` is set
+    while a swap of the holder's own runs, for the model `loading`;
+    `engine_busy` while the engine itself says that an order is in progress.
     """
 
     server: str
     sequence: int = 0
+    read: bool = False
     known: bool = False
     busy: bool = False
+    engine_busy: bool = False
+    loading: str = ""
     models: set[str] = field(default_factory=set)
+    loaded_s: dict[str, float] = field(default_factory=dict)
     adapters: dict[str, float] = field(default_factory=dict)
-    loading: str = ""
-    unloading: str = ""
     looked_s: float = -1e9
-    ordered_s: float = -1e9
 
-    def take(self, report: EngineReport, *, now_s: float) -> None:
-        """Take in a report, unless newer orders made it stale."""
-        if self.known and report.sequence < self.sequence:
-            return
+    @property
+    def occupied(self) -> bool:
+        """Tell whether the engine takes no further order now."""
+        return self.busy or self.engine_busy
+
+    def take(self, report: EngineReport, *, now_s: float) -> bool:
+        """Take in a report, unless it tells of before the last order."""
+        if report.sequence < self.sequence:
+            return False
         self.sequence = report.sequence
-        self.known = True
-        self.busy = report.busy
-        self.looked_s = now_s
-        if not report.busy:
-            self.loading = self.unloading = ""
+        self.read = self.known = True
+        self.engine_busy = report.busy
         self.models = set(report.models)
         names = {
             f"{model}/{adapter}"
@@ -96,6 +101,7 @@
             for adapter in adapters
         } | report.pending
         self.adapters = {name: self.adapters.get(name, now_s) for name in names}
+        return True
 
     def used_mb(
         self, size_mb: Mapping[str, float], adapter_mb: Mapping[str, float]
--- a/src/rosepath/engine_plan.py
+++ b/src/rosepath/engine_plan.py
@@ -1,9 +1,11 @@
 """Which model to load next on which engine, and what makes way for it.
 
-Pure: a view of the engines and of demand in, at most one step an engine out.
-A copy is worth the load that it takes off the model's other copies, so busy
-models spread, rare ones keep one copy while there is room, and a model that
-somebody waits for goes before what nobody asks for.
+Pure: a view of the engines and of demand in, at most one swap an engine out.
+A further copy is worth the load beyond what the others bear well, so busy
+models spread only as far as they need to, rare ones keep one copy while there
+is room, and a model that somebody waits for goes before all else. A swap that
+waits for running requests keeps its engine from all other orders, so what is
+in use stays.
 """
 
 from collections.abc import Mapping, Sequence
@@ -11,186 +13,194 @@
 
 from rosepath.catalog import ModelSpec
 from rosepath.demand import ModelDemand
-from rosepath.engine_orders import OrderAction
-
-# A model that nobody asks for is still worth a copy where there is room: the
-# first request for it then finds it there.
-IDLE_COPY_WORTH = 0.004
-# Worth, in engine-seconds a second, of serving those who wait for a model
-# that nobody holds: more than any further copy of a busy one.
-WAITING_WORTH = 2.0
+
+# Share of an engine's time for reading prompts that one model may take before
+# another copy pays: at 0.2, a prompt of 10,000 tokens waits some 30 ms for
+# others; a copy more costs a load and drops what else was there.
+BORNE_LOAD = 0.2
+# A model that nobody asks for now is worth a copy: when demand moves to it,
+# its first requests find it there instead of waiting for a load.
+IDLE_COPY_WORTH = 0.12
+# What it is worth to serve those who wait for a model that nobody holds: more
+# than any further copy of a busy one, less than the only copy of one.
+WAITING_WORTH = 1.0
+# A running request that an unload would have to wait for.
+IN_USE_WORTH = 0.15
+# Engines in a swap at the same time, as a share of all: while it lasts, no
+# adapter gets to them.
+MOST_SWAPPING = 0.5
 # A move must gain clearly more than it takes away, or noise in the demand
 # would swap models back and forth.
-GAIN_FACTOR = 2.0
-GAIN_MIN = 0.03
+GAIN_FACTOR = 1.5
+GAIN_MIN = 0.02
+# What was loaded this recently is not taken away again for a small gain.
+FRESH_S = 4.0
+FRESH_WORTH = 0.5
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class EngineView:
     """Hold an engine as the plan sees it.
 
-    `near` maps the models that it can load without the weight store to the
-    seconds that takes.
+    `age_s` maps the models it holds to the seconds since they were loaded,
+    `near` those that it can load without the weight store to the seconds that
+    takes; `settled` is False while an order is in progress.
     """
 
     name: str
     memory_mb: float
     used_mb: float
-    models: frozenset[str]
-    settled: bool
+    age_s: Mapping[str, float]
     in_use: Mapping[str, int]
+    settled: bool
     near: Mapping[str, float]
     load: float = 0.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class Step:
-    """Order one engine to load or unload one model."""
+class Swap:
+    """Unload some models of an engine, if need be, and load another."""
 
     engine: str
-    action: OrderAction
     model: str
+    victims: tuple[str, ...] = ()
     gain: float = 0.0
-    makes_way_for: str = ""
     from_store: bool = False
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Terms:
+    models: Mapping[str, ModelSpec]
+    demands: Mapping[str, ModelDemand]
+    copies: Mapping[str, int]
+    store_room: bool
+
+
 def copy_worth(demand: ModelDemand | None, copies: int) -> float:
     """Return what the last of so many copies of a model is worth."""
-    if demand is None:
-        return IDLE_COPY_WORTH if copies == 1 else 0.0
     if copies <= 1:
+        if demand is None:
+            return IDLE_COPY_WORTH
         waiting = WAITING_WORTH if demand.waiting else 0.0
-        return IDLE_COPY_WORTH + demand.load * 2 + waiting
-    return demand.load / (copies * (copies - 1))
+        return IDLE_COPY_WORTH + waiting + 2.0 * demand.load
+    if demand is None:
+        return 0.0
+    return max(0.0, demand.load / (copies - 1) - BORNE_LOAD)
 
 
-def plan_steps(
+def plan_swaps(
     engines: Sequence[EngineView],
     models: Mapping[str, ModelSpec],
     demands: Mapping[str, ModelDemand],
     *,
     loading: Mapping[str, int],
     store_room: bool,
-) -> list[Step]:
-    """Return the next steps, the most useful first, at most one an engine.
+) -> list[Swap]:
+    """Return the next swaps, the most useful first, at most one an engine.
 
     `loading` counts the copies of each model that are on their way.
     """
     copies = {name: loading.get(name, 0) for name in models}
     for engine in engines:
-        for model in engine.models:
+        for model in engine.age_s:
             copies[model] = copies.get(model, 0) + 1
-    steps: list[Step] = []
+    swaps: list[Swap] = []
     free = {engine.name: engine for engine in engines if engine.settled}
-    while free:
-        best = _best_step(list(free.values()), models, demands, copies, store_room)
+    swapping = len(engines) - len(free)
+    while free and swapping < max(1.0, MOST_SWAPPING * len(engines)):
+        terms = _Terms(
+            models=models, demands=demands, copies=copies, store_room=store_room
+        )
+        best = _best_swap(list(free.values()), terms)
         if best is None:
             break
-        steps.append(best)
+        swaps.append(best)
+        swapping += 1
         del free[best.engine]
-        if best.action is OrderAction.LOAD:
-            copies[best.model] += 1
-            store_room = store_room and not best.from_store
-        else:
-            copies[best.model] -= 1
-            copies[best.makes_way_for] += 1
-    return steps
-
-
-def _best_step(
-    engines: Sequence[EngineView],
-    models: Mapping[str, ModelSpec],
-    demands: Mapping[str, ModelDemand],
-    copies: Mapping[str, int],
-    store_room: bool,
-) -> Step | None:
-    best: Step | None = None
-    for model, spec in models.items():
-        worth = copy_worth(demands.get(model), copies[model] + 1)
-        if worth <= 0 or (demands.get(model) is None and copies[model] > 0):
+        copies[best.model] += 1
+        for victim in best.victims:
+            copies[victim] -= 1
+        store_room = store_room and not best.from_store
+    return swaps
+
+
+def _best_swap(engines: Sequence[EngineView], terms: _Terms) -> Swap | None:
+    best: Swap | None = None
+    for model, spec in terms.models.items():
+        worth = copy_worth(terms.demands.get(model), terms.copies[model] + 1)
+        if worth <= 0:
             continue
         for engine in engines:
-            if model in engine.models:
+            if model in engine.age_s:
                 continue
-            step = _step_for(engine, spec, worth, models, demands, copies, store_room)
-            if step is not None and (best is None or step.gain > best.gain):
-                best = step
+            swap = _swap_for(engine, spec, worth, terms)
+            if swap is not None and (best is None or swap.gain > best.gain):
+                best = swap
     return best
 
 
-def _step_for(
-    engine: EngineView,
-    spec: ModelSpec,
-    worth: float,
-    models: Mapping[str, ModelSpec],
-    demands: Mapping[str, ModelDemand],
-    copies: Mapping[str, int],
-    store_room: bool,
-) -> Step | None:
+def _swap_for(
+    engine: EngineView, spec: ModelSpec, worth: float, terms: _Terms
+) -> Swap | None:
     from_store = spec.name not in engine.near
-    if from_store and not store_room:
+    if from_store and not terms.store_room:
         return None
     load_s = spec.load_s if from_store else engine.near[spec.name]
     # Of equal engines, the one that is quicker to load and less busy.
-    worth = worth / (1 + 0.1 * load_s + 0.1 * engine.load)
-    room_mb = engine.memory_mb - engine.used_mb
-    if spec.size_mb <= room_mb:
-        return Step(
-            engine=engine.name,
-            action=OrderAction.LOAD,
-            model=spec.name,
-            gain=worth,
-            from_store=from_store,
-        )
-    victim, loss = _cheapest_victims(
-        engine, spec.size_mb - room_mb, models, demands, copies
-    )
-    if victim is None or worth < GAIN_FACTOR * loss + GAIN_MIN:
-        return None
-    return Step(
+    worth = worth / (1 + 0.3 * load_s + 0.2 * engine.load)
+    needed_mb = spec.size_mb - (engine.memory_mb - engine.used_mb)
+    victims: tuple[str, ...] = ()
+    if needed_mb > 0:
+        found = _victims(engine, needed_mb, terms)
+        if found is None:
+            return None
+        victims, loss = found
+        if worth < GAIN_FACTOR * loss + GAIN_MIN:
+            return None
+        worth -= loss
+    return Swap(
         engine=engine.name,
-        action=OrderAction.UNLOAD,
-        model=victim,
-        gain=worth - loss,
-        makes_way_for=spec.name,
+        model=spec.name,
+        victims=victims,
+        gain=worth,
+        from_store=from_store,
     )
 
 
-def _cheapest_victims(
-    engine: EngineView,
-    needed_mb: float,
-    models: Mapping[str, ModelSpec],
-    demands: Mapping[str, ModelDemand],
-    copies: Mapping[str, int],
-) -> tuple[str | None, float]:
-    """Return the model to unload first, and what all that must go are worth."""
+def _victims(
+    engine: EngineView, needed_mb: float, terms: _Terms
+) -> tuple[tuple[str, ...], float] | None:
+    """Return the models worth least that free enough memory together."""
 
     def loss_of(model: str) -> float:
-        loss = copy_worth(demands.get(model), copies.get(model, 1))
-        return loss + 0.02 * engine.in_use.get(model, 0)
-
-    held = sorted((loss_of(model), model) for model in engine.models)
-    for loss, model in held:
-        if _size(models, model) >= needed_mb:
-            single: tuple[str | None, float] = (model, loss)
-            break
-    else:
-        single = (None, 0.0)
-    gone_mb, total, first = 0.0, 0.0, None
+        loss = copy_worth(terms.demands.get(model), terms.copies.get(model, 1))
+        fresh = engine.age_s[model] < FRESH_S and model in terms.demands
+        loss += IN_USE_WORTH * engine.in_use.get(model, 0)
+        return loss + (FRESH_WORTH if fresh else 0.0)
+
+    held = sorted((loss_of(model), model) for model in engine.age_s)
+    single = next(
+        (
+            ((model,), loss)
+            for loss, model in held
+            if _size_mb(terms, model) >= needed_mb
+        ),
+        None,
+    )
+    gone_mb, total, several = 0.0, 0.0, []
     for loss, model in held:
-        first = first or model
-        gone_mb += _size(models, model)
+        several.append(model)
+        gone_mb += _size_mb(terms, model)
         total += loss
         if gone_mb >= needed_mb:
             break
     if gone_mb < needed_mb:
         return single
-    if single[0] is None or total < single[1]:
-        return first, total
+    if single is None or total < single[1]:
+        return tuple(several), total
     return single
 
 
-def _size(models: Mapping[str, ModelSpec], model: str) -> float:
-    spec = models.get(model)
-    return spec.size_mb if spec else 1e9
+def _size_mb(terms: _Terms, model: str) -> float:
+    spec = terms.models.get(model)
+    return spec.size_mb if spec else 0.0
--- a/src/rosepath/entry_node.py
+++ b/src/rosepath/entry_node.py
@@ -54,8 +54,6 @@
 PLAN_TICK_S = 0.1
 FORGET_TICK_S = 0.4
 JOIN_AGAIN_S = 0.3
-# The holder says again what is being unloaded with each datagram.
-DROPPING_HOLDS_S = 0.6
 VM_KIND = "rosepath-entry-vms"
 
 _log = get_logger()
@@ -115,6 +113,7 @@
             catalog=lambda: self.catalog,
             peers=self.peers,
             stopping=lambda: self.stopping,
+            changed=self._announce,
         )
         self.link = PeerLink(
             settings.peers.listen,
@@ -176,7 +175,7 @@
         self.link.tell()
         await self.desk.give_up()
         await asyncio.sleep(BALANCER_NOTICES_S)
-        self.gateway.server.stop()
+        self.gateway.close_idle()
         limit_s = started_s + self.settings.stop.grace_s - STOP_MARGIN_S
         while self.gateway.open and self.clock.monotonic_s() < limit_s:  # noqa: ASYNC110
             await asyncio.sleep(0.02)
@@ -233,7 +232,6 @@
             await self.store.put(name, value, expected_version=None)
 
     def _describe(self, start: str, number: int) -> PeerState:
-        now_s = self.clock.monotonic_s()
         return PeerState(
             entry_vm=self.settings.entry_vm,
             data_centre=self.settings.data_centre,
@@ -253,12 +251,8 @@
                 if server.flights
             },
             demand=self.desk.own_demand(),
-            dropping={
-                server.name: model
-                for server in self.fleet.servers.values()
-                for model, until_s in server.dropping.items()
-                if self.desk.term and until_s > now_s
-            },
+            occupied=tuple(self.desk.orders.occupied) if self.desk.term else (),
+            moves=tuple(self.desk.recent_moves()),
         )
 
     def _peer_spoke(self, state: PeerState) -> None:
@@ -270,11 +264,6 @@
             else:
                 server.peers[name] = load
         self.desk.hear_peer(state)
-        if state.term:
-            until_s = self.clock.monotonic_s() + DROPPING_HOLDS_S
-            for server_name, model in state.dropping.items():
-                if server_name in self.fleet.servers:
-                    self.fleet.servers[server_name].dropping[model] = until_s
 
     async def _forget_silent(self) -> None:
         """Stop counting the load of VMs that are silent."""
@@ -339,6 +328,24 @@
 
     def _note_outcome(self, course: Course, status: int, code: str) -> None:
         self.outcomes[course.route.kind.value, status, code] += 1
+        call, arrived_s = course.call, course.call.arrived_s
+        first_s = course.first_event_s
+        _log.info(
+            "request_ended",
+            request_id=call.request_id,
+            route=course.route.name,
+            status=status,
+            code=code,
+            peer=course.answered_by,
+            target=call.prompt.target if call.prompt else "",
+            tries=len(course.seen),
+            waited_s=round(course.waited_s, 3),
+            unread_tokens=course.unread_tokens,
+            predicted_s=round(course.predicted_s, 3),
+            first_s=round(first_s - arrived_s, 3) if first_s else None,
+            took_s=round(self.clock.monotonic_s() - arrived_s, 3),
+            target_s=course.route.target_latency_s,
+        )
 
     def _serving_failed(
         self, exchange: CallerExchange, error: BaseException | None
--- a/src/rosepath/fleet.py
+++ b/src/rosepath/fleet.py
@@ -1,5 +1,6 @@
 """The table of backend servers, and what this entry VM has seen of each."""
 
+from collections import Counter
 from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
 
@@ -48,6 +49,7 @@
     requests: int = 0
     unread_tokens: int = 0
     tokens: int = 0
+    models: Mapping[str, int] = field(default_factory=dict)
 
 
 @dataclass(slots=True, kw_only=True)
@@ -65,8 +67,8 @@
     latency_s: float = 0.0
     # The entry's models, corrected by what an answer or an order showed since.
     held: dict[str, set[str]] = field(default_factory=dict)
-    # Models that are being unloaded, with the time until which that is known.
-    dropping: dict[str, float] = field(default_factory=dict)
+    # Until when it is known to be busy with an order: no adapter gets there.
+    ordering_until_s: float = -1e9
 
     @property
     def name(self) -> str:
@@ -92,6 +94,14 @@
         own = sum(flight.unread_tokens for flight in self.flights.values())
         return own + sum(load.unread_tokens for load in self.peers.values())
 
+    @property
+    def in_use(self) -> Counter[str]:
+        """Return the running requests by model."""
+        used = Counter(flight.model for flight in self.flights.values())
+        for load in self.peers.values():
+            used.update(load.models)
+        return used
+
     @property
     def tokens(self) -> int:
         """Return the tokens of memory that running requests take there."""
@@ -147,4 +157,5 @@
         requests=len(flights),
         unread_tokens=sum(flight.unread_tokens for flight in flights),
         tokens=sum(flight.tokens for flight in flights),
+        models=Counter(flight.model for flight in flights if flight.model),
     )
--- a/src/rosepath/gateway.py
+++ b/src/rosepath/gateway.py
@@ -50,6 +50,7 @@
         assert isinstance(start_line, RequestStartLine)
         self.method, self.path = start_line.method, start_line.path
         self.headers = headers
+        self._gateway.idle.discard(self)
         self.arrived_s = self._gateway.clock.monotonic_s()
 
     def data_received(self, chunk: bytes) -> None:
@@ -65,6 +66,7 @@
 
     def on_connection_close(self) -> None:
         # The caller left: whatever works for it stops at once.
+        self._gateway.idle.discard(self)
         if self._task is not None:
             self._task.cancel()
         self._body.clear()
@@ -139,6 +141,7 @@
         self.clock = clock
         self.on_failure = on_failure
         self.open: set[CallerExchange] = set()
+        self.idle: set[CallerExchange] = set()
         self.closing = False
         self.server = HTTPServer(self)
 
@@ -146,7 +149,19 @@
         self, server_conn: object, request_conn: HTTPConnection
     ) -> CallerExchange:
         assert isinstance(request_conn, HTTP1Connection)
-        return CallerExchange(self, request_conn)
+        exchange = CallerExchange(self, request_conn)
+        self.idle.add(exchange)
+        return exchange
+
+    def close_idle(self) -> None:
+        """Listen no more, and close connections on which nothing was asked.
+
+        A request that came over one of them later might need longer than
+        there is time; its caller asks again on a new connection instead.
+        """
+        self.server.stop()
+        for exchange in list(self.idle):
+            exchange.abort()
 
     async def serve(self, exchange: CallerExchange) -> None:
         """Answer one request."""
--- a/src/rosepath/model_desk.py
+++ b/src/rosepath/model_desk.py
@@ -1,6 +1,7 @@
 """What this entry VM does about models: tell of demand, ask, hold the lease."""
 
 import uuid
+from collections import deque
 from collections.abc import Callable, Mapping
 
 from rosepath.caller_call import Prompt
@@ -15,11 +16,15 @@
 from rosepath.object_store import PlatformPort
 from rosepath.order_desk import DeskPorts, OrderDesk
 from rosepath.peer_link import PeerLink
-from rosepath.peer_messages import AdapterAsk, PeerState
+from rosepath.peer_messages import AdapterAsk, HeldMove, PeerState
 from rosepath.peer_table import PeerTable
 from rosepath.prompt_caches import PromptCaches
 from rosepath.rendezvous import ranked
 
+# What came or went is told for so long; then the engines' own entries say it.
+MOVES_TOLD_S = 2.0
+# The holder says which engines are occupied with each datagram.
+OCCUPIED_HOLDS_S = 0.5
 LEASE_NAME = "placement"
 # So long after the last word of a holder, others look whether it has lapsed;
 # each waits a little longer than the one before it in rank, so that one reads.
@@ -42,7 +47,9 @@
         catalog: Callable[[], Catalog | None],
         peers: PeerTable,
         stopping: Callable[[], bool],
+        changed: Callable[[], None],
     ) -> None:
+        self._changed = changed
         self._me = settings.entry_vm
         self._clock = clock
         self._fleet = fleet
@@ -53,6 +60,9 @@
         self._holder_heard_s = clock.monotonic_s()
         self.link: PeerLink | None = None
         self.resigned_version = 0
+        self._moves: deque[tuple[float, HeldMove]] = deque()
+        self._move_number = 0
+        self._heeded: dict[tuple[str, str], int] = {}
         self._was_holder = False
         self._boot = BootClock()
         self.demand = Demand()
@@ -103,9 +113,11 @@
 
     def hear_peer(self, state: PeerState) -> None:
         """Take in what another VM says of the lease."""
+        self._hear_moves(state)
         if state.term:
             self.leases.hear(LEASE_NAME, version=state.lease_version)
         if state.resigned_version:
+            self._holder_heard_s = -1e9
             self.leases.hear_resigned(
                 LEASE_NAME,
                 version=state.resigned_version,
@@ -114,9 +126,14 @@
 
     # Demand
 
-    def note_request(self, service: str, prompt: Prompt) -> None:
+    def note_request(self, service: str, prompt: Prompt, *, unread_tokens: int) -> None:
         """Note that a model is asked for."""
-        self.demand.note(service, prompt, now_s=self._clock.monotonic_s())
+        self.demand.note(
+            service,
+            prompt,
+            unread_tokens=unread_tokens,
+            now_s=self._clock.monotonic_s(),
+        )
 
     def note_waiting(self, service: str, model: str, *, step: int) -> None:
         """Note that a request begins or ends waiting for a model."""
@@ -208,16 +225,43 @@
             ask.service, ask.server, ask.model, ask.adapter
         )
 
+    # What engines hold
+
     def _note_held(self, name: str, model: str, adapter: str, there: bool) -> None:
-        server = self._fleet.servers.get(name)
+        self._move_number += 1
+        move = HeldMove(self._move_number, name, model, adapter, there)
+        self._moves.append((self._clock.monotonic_s(), move))
+        self._apply(move)
+
+    def recent_moves(self) -> list[HeldMove]:
+        """Return what came to engines or went lately, by own orders."""
+        limit_s = self._clock.monotonic_s() - MOVES_TOLD_S
+        while self._moves and self._moves[0][0] < limit_s:
+            self._moves.popleft()
+        return [move for _, move in self._moves]
+
+    def _hear_moves(self, state: PeerState) -> None:
+        key = (state.entry_vm, state.start)
+        heeded = self._heeded.get(key, 0)
+        for move in state.moves:
+            if move.number > heeded:
+                self._apply(move)
+                self._heeded[key] = move.number
+        until_s = self._clock.monotonic_s() + OCCUPIED_HOLDS_S
+        for name in state.occupied:
+            if name in self._fleet.servers:
+                self._fleet.servers[name].ordering_until_s = until_s
+
+    def _apply(self, move: HeldMove) -> None:
+        server = self._fleet.servers.get(move.server)
         if server is None:
             return
-        if adapter:
-            adapters = server.held.get(model, set())
-            (adapters.add if there else adapters.discard)(adapter)
-        elif there:
-            server.held.setdefault(model, set())
-            server.dropping.pop(model, None)
+        if move.adapter:
+            adapters = server.held.get(move.model, set())
+            (adapters.add if move.there else adapters.discard)(move.adapter)
+        elif move.there:
+            server.held.setdefault(move.model, set())
         else:
-            server.held.pop(model, None)
-            self._caches.forget_model(name, model)
+            server.held.pop(move.model, None)
+            self._caches.forget_model(move.server, move.model)
+        self._changed()
--- a/src/rosepath/order_desk.py
+++ b/src/rosepath/order_desk.py
@@ -1,12 +1,14 @@
 """Order models and adapters onto engines, as the holder of the lease."""
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
 from rosepath.catalog import Catalog, EngineSpec
 from rosepath.clock import BootClock, Clock
 from rosepath.demand import ModelDemand
+from rosepath.engine_choice import READ_TOKENS_PER_S
 from rosepath.engine_orders import (
     EngineBook,
     EnginePort,
@@ -15,7 +17,7 @@
     OrderAction,
     OrderReply,
 )
-from rosepath.engine_plan import EngineView, Step, plan_steps
+from rosepath.engine_plan import EngineView, Swap, plan_swaps
 from rosepath.errors import ExchangeError
 from rosepath.fleet import BackendServer, Fleet
 from rosepath.logs import get_logger
@@ -25,14 +27,15 @@
 ADAPTER_SETTLES_S = 0.015
 # While an order is in progress, its end is looked for this often.
 LOOK_INTERVAL_S = 0.25
-# What an engine reports is up to so old; a report read sooner after an own
-# order may still tell of before.
-REPORT_LAG_S = 0.35
+# An engine that is still busy is asked again after this, then less often; an
+# unload waits for the runs of its model, which seldom last longer than this.
+BUSY_AGAIN_S = 0.06
+BUSY_MAX_S = 12.0
+# Loads that share the weight store take longer, up to so many times.
+LOAD_TIMES = 4.0
 # An adapter that was used this recently is not taken away for another.
 ADAPTER_KEPT_S = 0.5
 ORDER_TRIES = 3
-# An unload waits for the runs of its model; no run lasts longer than this.
-DROPPING_MAX_S = 15.0
 
 _log = get_logger()
 
@@ -63,12 +66,13 @@
         self._fence = 0
         self._boot = BootClock()
         self.outcomes: dict[str, int] = {}
+        self._swaps: set[asyncio.Task[None]] = set()
         self.acted_s = -1e9
 
     # The plan
 
     async def tick(self) -> None:
-        """Look at what is in progress and order the next steps."""
+        """Read what is not known yet and begin the next swaps."""
         ports = self._ports
         catalog = ports.catalog()
         if catalog is None or not ports.may_order():
@@ -77,57 +81,78 @@
             # What another holder ordered meanwhile is not in these books.
             self._books.clear()
             self._fence = ports.fence()
-        steps = []
         for service in catalog.services.values():
             if service.engine is not None:
-                steps += await self._plan(service.name, service.engine)
-        await asyncio.gather(*(self._take_step(step, spec) for step, spec in steps))
+                await self._plan(service.name, service.engine)
 
-    async def _plan(
-        self, service: str, spec: EngineSpec
-    ) -> list[tuple[Step, EngineSpec]]:
+    async def _plan(self, service: str, spec: EngineSpec) -> None:
         servers = [s for s in self._ports.fleet.of_service(service) if s.usable]
-        await asyncio.gather(*(self._look(server) for server in servers))
+        await asyncio.gather(*(self._look_if_due(server) for server in servers))
         views = []
-        loading: dict[str, int] = {}
+        loading: Counter[str] = Counter()
         for server in servers:
             book = self._books.get(server.name)
-            if book is None or not book.known:
+            if book is None or not book.read:
                 continue
             if book.loading:
-                loading[book.loading] = loading.get(book.loading, 0) + 1
+                loading[book.loading] += 1
             views.append(self._view(server, book, spec))
         now_s = self._ports.clock.monotonic_s()
-        steps = plan_steps(
+        demands = self._ports.demand(service)
+        swaps = plan_swaps(
             views,
             spec.models,
-            self._ports.demand(service),
+            demands,
             loading=loading,
             store_room=self._ceiling.room(now_s, per_s=spec.loads_per_s),
         )
-        return [(step, spec) for step in steps]
+        for swap in swaps:
+            server = self._ports.fleet.servers[swap.engine]
+            book = self._books[swap.engine]
+            book.busy = True
+            book.loading = swap.model
+            if swap.from_store:
+                self._ceiling.note(now_s)
+            _log.info(
+                "swap_planned",
+                step="plan",
+                peer=swap.engine,
+                model=swap.model,
+                victims=swap.victims,
+                gain=round(swap.gain, 3),
+                from_store=swap.from_store,
+                demand=_shown(demands.get(swap.model)),
+                victims_demand=[_shown(demands.get(name)) for name in swap.victims],
+            )
+            task = asyncio.ensure_future(self._swap(swap, server, book, spec))
+            self._swaps.add(task)
+            task.add_done_callback(self._swaps.discard)
 
     def _view(
         self, server: BackendServer, book: EngineBook, spec: EngineSpec
     ) -> EngineView:
-        near = dict.fromkeys(server.entry.on_disk, 0.0)
-        for name in near:
-            near[name] = spec.models[name].disk_load_s if name in spec.models else 1.0
+        now_s = self._ports.clock.monotonic_s()
+        near = {
+            name: spec.models[name].disk_load_s
+            for name in server.entry.on_disk
+            if name in spec.models
+        }
         for name in server.entry.in_memory:
             if name in spec.models:
                 near[name] = spec.models[name].warm_load_s
-        in_use: dict[str, int] = {}
-        for flight in server.flights.values():
-            in_use[flight.model] = in_use.get(flight.model, 0) + 1
         return EngineView(
             name=server.name,
             memory_mb=spec.memory_mb,
             used_mb=self._used_mb(book, spec),
-            models=frozenset(book.models - {book.unloading}),
-            settled=not book.busy and server.entry.remaining_s is None,
-            in_use=in_use,
+            age_s={
+                model: now_s - book.loaded_s.get(model, -1e9) for model in book.models
+            },
+            in_use=server.in_use,
+            settled=book.known
+            and not book.occupied
+            and server.entry.remaining_s is None,
             near=near,
-            load=server.unread_tokens / 30_000,
+            load=server.unread_tokens / READ_TOKENS_PER_S,
         )
 
     @staticmethod
@@ -137,60 +162,106 @@
             {name: model.adapter_mb for name, model in spec.models.items()},
         )
 
-    async def _look(self, server: BackendServer) -> None:
-        """Read an engine's report where the book may be behind."""
+    async def _look_if_due(self, server: BackendServer) -> None:
         book = self._books.setdefault(server.name, EngineBook(server=server.name))
         now_s = self._ports.clock.monotonic_s()
-        due = not book.known or (
-            book.busy
-            and now_s - book.looked_s >= LOOK_INTERVAL_S
-            and now_s - book.ordered_s >= REPORT_LAG_S
-        )
-        if not due:
-            return
-        book.looked_s = now_s
+        # An engine that is busy with what a holder before ordered is looked
+        # at until it is done; own swaps look for themselves.
+        foreign = book.busy and not book.loading
+        due = foreign or not (book.known or book.busy)
+        if due and now_s - book.looked_s >= LOOK_INTERVAL_S:
+            await self._look(server, book)
+
+    async def _look(self, server: BackendServer, book: EngineBook) -> bool:
+        """Read an engine's report into its book."""
+        book.looked_s = self._ports.clock.monotonic_s()
         try:
             report = await self._ports.engines.report(server.address, server.name)
         except ExchangeError as error:
             _log.info("report_unread", peer=server.name, why=error.message)
-            return
-        was_loading, was_unloading = book.loading, book.unloading
-        book.take(report, now_s=now_s)
-        if not book.busy:
-            if was_loading and was_loading in book.models:
-                self._ports.on_held(server.name, was_loading, "", True)
-            if was_unloading and was_unloading not in book.models:
-                server.dropping.pop(was_unloading, None)
-                self._ports.on_held(server.name, was_unloading, "", False)
-
-    async def _take_step(self, step: Step, spec: EngineSpec) -> None:
-        server = self._ports.fleet.servers.get(step.engine)
-        if server is None:
-            return
-        async with self._lock(step.engine):
-            book = self._books[step.engine]
-            if book.busy:
+            return False
+        return book.take(report, now_s=self._ports.clock.monotonic_s())
+
+    # Swaps
+
+    async def _swap(
+        self, swap: Swap, server: BackendServer, book: EngineBook, spec: EngineSpec
+    ) -> None:
+        """Carry out one swap; whatever ends it, the book is read again."""
+        now_s = self._ports.clock.monotonic_s
+        try:
+            for victim in swap.victims:
+                if not await self._unload(server, book, victim):
+                    return
+            size_mb = spec.models[swap.model].size_mb
+            book.loading = ""
+            if self._used_mb(book, spec) + size_mb > spec.memory_mb:
+                return
+            book.loading = swap.model
+            if not await self._load(server, book, swap.model):
                 return
-            if step.action is OrderAction.LOAD:
-                size_mb = spec.models[step.model].size_mb
-                if self._used_mb(book, spec) + size_mb > spec.memory_mb:
+            load_s = spec.models[swap.model].load_s
+            near = swap.model in server.entry.on_disk | server.entry.in_memory
+            await asyncio.sleep(0.4 if near else max(0.4, 0.8 * load_s))
+            limit_s = now_s() + LOAD_TIMES * load_s
+            while now_s() < limit_s and self._ports.may_order():
+                await self._look(server, book)
+                if swap.model in book.models and not book.engine_busy:
+                    book.loaded_s[swap.model] = now_s()
+                    self._ports.on_held(server.name, swap.model, "", True)
                     return
-                if step.from_store:
-                    self._ceiling.note(self._ports.clock.monotonic_s())
-            reply = await self._send(server, book, step.action, step.model)
-            if reply is OrderReply.ACCEPTED:
-                book.busy = True
-                if step.action is OrderAction.LOAD:
-                    book.loading = step.model
-                else:
-                    book.unloading = step.model
-                    for name in list(book.adapters):
-                        if name.startswith(f"{step.model}/"):
-                            del book.adapters[name]
-                    server.dropping[step.model] = (
-                        self._ports.clock.monotonic_s() + DROPPING_MAX_S
-                    )
-                    self._ports.on_held(server.name, step.model, "", False)
+                await asyncio.sleep(LOOK_INTERVAL_S)
+        finally:
+            book.loading = ""
+            book.busy = False
+            book.known = False
+
+    async def _unload(
+        self, server: BackendServer, book: EngineBook, victim: str
+    ) -> bool:
+        async with self._lock(server.name):
+            # From the order on, new requests for it are turned away there.
+            self._ports.on_held(server.name, victim, "", False)
+            reply = await self._send_until_free(
+                server, book, OrderAction.UNLOAD, victim
+            )
+        if reply not in (OrderReply.ACCEPTED, OrderReply.HOLDS):
+            return False
+        book.models.discard(victim)
+        for name in list(book.adapters):
+            if name.startswith(f"{victim}/"):
+                del book.adapters[name]
+        return True
+
+    async def _load(self, server: BackendServer, book: EngineBook, model: str) -> bool:
+        # Until the unload before it is done, the engine turns this away: its
+        # memory is free by the time that the load is accepted.
+        reply = await self._send_until_free(server, book, OrderAction.LOAD, model)
+        return reply in (OrderReply.ACCEPTED, OrderReply.HOLDS)
+
+    async def _send_until_free(
+        self, server: BackendServer, book: EngineBook, action: OrderAction, model: str
+    ) -> OrderReply | None:
+        """Send an order again while the engine is busy with the one before."""
+        pause_s = BUSY_AGAIN_S
+        limit_s = self._ports.clock.monotonic_s() + BUSY_MAX_S
+        while True:
+            reply = await self._send(server, book, action, model)
+            now_s = self._ports.clock.monotonic_s()
+            if reply is not OrderReply.CONFLICT or now_s > limit_s:
+                return reply
+            await asyncio.sleep(pause_s)
+            pause_s = min(pause_s * 1.6, LOOK_INTERVAL_S)
+            if pause_s >= LOOK_INTERVAL_S:
+                await self._catch_up(server, book)
+
+    async def _catch_up(self, server: BackendServer, book: EngineBook) -> None:
+        """Correct the count of orders if the engine took one unseen."""
+        try:
+            report = await self._ports.engines.report(server.address, server.name)
+        except ExchangeError:
+            return
+        book.sequence = max(book.sequence, report.sequence)
 
     # Adapters
 
@@ -210,13 +281,16 @@
         async with self._lock(server_name):
             book = self._books.setdefault(server_name, EngineBook(server=server_name))
             if not book.known:
-                await self._look(server)
+                await self._look(server, book)
             now_s = self._ports.clock.monotonic_s()
-            if not book.known or model not in book.models or model == book.unloading:
+            if not book.known or model not in book.models:
                 return False
             if name in book.adapters:
                 book.adapters[name] = now_s
                 return True
+            if book.occupied:
+                # It takes one order at a time; another engine is quicker.
+                return False
             if not await self._make_adapter_room(server, book, spec, model):
                 return False
             reply = await self._send(server, book, OrderAction.LOAD, model, adapter)
@@ -292,12 +366,9 @@
             self._note(order, reply, why)
             if reply is OrderReply.ACCEPTED:
                 book.sequence += 1
-                book.ordered_s = ports.clock.monotonic_s()
                 return reply
             if reply is OrderReply.CONFLICT:
                 book.known = False
-                await asyncio.sleep(REPORT_LAG_S)
-                await self._look(server)
                 return reply
             if reply is not None:
                 return reply
@@ -323,5 +394,14 @@
             why=why,
         )
 
+    @property
+    def occupied(self) -> list[str]:
+        """Return the engines that an order keeps busy."""
+        return [book.server for book in self._books.values() if book.occupied]
+
     def _lock(self, server: str) -> asyncio.Lock:
         return self._locks.setdefault(server, asyncio.Lock())
+
+
+def _shown(demand: ModelDemand | None) -> tuple[float, int] | None:
+    return None if demand is None else (round(demand.load, 3), demand.waiting)
--- a/src/rosepath/peer_messages.py
+++ b/src/rosepath/peer_messages.py
@@ -3,12 +3,25 @@
 import json
 from collections.abc import Mapping
 from dataclasses import dataclass, field
-from typing import Any
+from typing import Any, NamedTuple
 
 from rosepath.demand import ModelDemand
 from rosepath.fleet import PeerLoad
 
 
+class HeldMove(NamedTuple):
+    """Tell that a model, or an adapter of it, came to an engine or went.
+
+    Numbered, so that the word of it is heeded once however often it is heard.
+    """
+
+    number: int
+    server: str
+    model: str
+    adapter: str
+    there: bool
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class PeerState:
     """Tell what one entry VM has in flight, believes, and is asked for.
@@ -32,7 +45,8 @@
     load: Mapping[str, PeerLoad] = field(default_factory=dict)
     demand: Mapping[str, Mapping[str, ModelDemand]] = field(default_factory=dict)
     leaving: tuple[str, ...] = ()
-    dropping: Mapping[str, str] = field(default_factory=dict)
+    occupied: tuple[str, ...] = ()
+    moves: tuple[HeldMove, ...] = ()
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -113,7 +127,7 @@
         "e": message.lease_version,
         "q": [message.resigned_version, round(message.acted_ago_s, 3)],
         "l": {
-            name: [load.requests, load.unread_tokens, load.tokens]
+            name: [load.requests, load.unread_tokens, load.tokens, dict(load.models)]
             for name, load in message.load.items()
         },
         "w": {
@@ -124,7 +138,11 @@
             for service, models in message.demand.items()
         },
         "g": list(message.leaving),
-        "u": dict(message.dropping),
+        "u": list(message.occupied),
+        "m": [
+            [move.number, move.server, move.model, move.adapter, int(move.there)]
+            for move in message.moves
+        ],
     }
 
 
@@ -144,7 +162,10 @@
         acted_ago_s=float(raw["q"][1]),
         load={
             str(name): PeerLoad(
-                requests=int(load[0]), unread_tokens=int(load[1]), tokens=int(load[2])
+                requests=int(load[0]),
+                unread_tokens=int(load[1]),
+                tokens=int(load[2]),
+                models={str(model): int(runs) for model, runs in load[3].items()},
             )
             for name, load in raw["l"].items()
         },
@@ -156,5 +177,9 @@
             for service, models in raw["w"].items()
         },
         leaving=tuple(map(str, raw["g"])),
-        dropping={str(name): str(model) for name, model in raw["u"].items()},
+        occupied=tuple(map(str, raw["u"])),
+        moves=tuple(
+            HeldMove(int(row[0]), str(row[1]), str(row[2]), str(row[3]), bool(row[4]))
+            for row in raw["m"]
+        ),
     )
--- a/src/rosepath/relay.py
+++ b/src/rosepath/relay.py
@@ -33,6 +33,9 @@
 # How long a request waits for a server to become known before it is refused.
 NO_SERVER_WAIT_S = 0.5
 RETRY_AFTER_S = 0.5
+# Of the time until its caller leaves, what a generation may spend waiting for
+# an engine that holds its model; the rest is for the engine to begin.
+WAITED_SHARE = 0.85
 # An idempotent request of a plain service is tried elsewhere after so many
 # usual answer times, and no sooner than this.
 PATIENCE_TIMES = 5.0
@@ -52,7 +55,9 @@
 class ModelDesk(Protocol):
     """Tell of demand, and get adapters onto engines."""
 
-    def note_request(self, service: str, prompt: Prompt) -> None: ...
+    def note_request(
+        self, service: str, prompt: Prompt, *, unread_tokens: int
+    ) -> None: ...
 
     def note_waiting(self, service: str, model: str, *, step: int) -> None: ...
 
@@ -92,6 +97,8 @@
     seen: list[Evidence] = field(default_factory=list)
     first_event_s: float | None = None
     waited_s: float = 0.0
+    unread_tokens: int = 0
+    predicted_s: float = 0.0
     answered_by: str = ""
 
     @property
@@ -173,8 +180,6 @@
             )
         limit_s = min(route.timeout_s, call.wait_s or route.timeout_s)
         self._ports.budget(service.name).note_request()
-        if service.engine is not None and call.prompt is not None:
-            self._ports.desk.note_request(service.name, call.prompt)
         streams = route.kind is RouteKind.STREAMING
         return Course(
             call=call,
@@ -269,13 +274,23 @@
     async def _choose(self, course: Course) -> tuple[BackendServer, Flight]:
         """Choose a server, waiting a little for one if there is none."""
         asked_s = self._now_s()
-        patience_s = NO_SERVER_WAIT_S
+        give_up_s = min(asked_s + NO_SERVER_WAIT_S, course.deadline_s)
         if course.service.engine is not None:
-            patience_s = max(patience_s, 0.6 * (course.deadline_s - asked_s))
-        give_up_s = min(asked_s + patience_s, course.deadline_s)
+            give_up_s = self._wait_until_s(course)
         with self._counted_waiting(course) as count_waiting:
             return await self._choose_until(course, asked_s, give_up_s, count_waiting)
 
+    @staticmethod
+    def _wait_until_s(course: Course) -> float:
+        """Return until when a generation may wait for an engine.
+
+        A caller of a stream leaves if its first event is too long in coming;
+        an engine needs some of that time.
+        """
+        patience_s = min(course.route.first_event_patience_s, course.route.timeout_s)
+        left_s = WAITED_SHARE * patience_s
+        return min(course.call.arrived_s + left_s, course.deadline_s)
+
     @contextmanager
     def _counted_waiting(self, course: Course) -> Iterator[Callable[[], None]]:
         """Let demand show that a request waits, from its first wait on."""
@@ -353,6 +368,11 @@
             if not ready:
                 return None
         ports.caches.note_read(choice.server, prompt)
+        ports.desk.note_request(
+            course.service.name, prompt, unread_tokens=choice.unread_tokens
+        )
+        course.unread_tokens = choice.unread_tokens
+        course.predicted_s = choice.first_token_s
         flight = Flight(
             since_s=now_s,
             unread_tokens=choice.unread_tokens,
