Give a model another copy where its adapters need the places

Cause: requests with an adapter stood still for up to 3.7 s because eight places of one engine were all in use by running requests. Change: demand names the adapters asked for; a copy pays where the others have too few places.

--- a/src/rosepath/demand.py
+++ b/src/rosepath/demand.py
@@ -1,7 +1,7 @@
 """How much each model is asked for, here and at other entry VMs."""
 
-from collections import Counter, deque
-from collections.abc import Mapping
+from collections import deque
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
 from rosepath.caller_call import Prompt
@@ -16,15 +16,19 @@
 
 @dataclass(frozen=True, slots=True)
 class ModelDemand:
-    """Hold a model's load in engine-seconds a second, and who waits for it."""
+    """Hold a model's load in engine-seconds a second, and who waits for it.
+
+    `adapters` names the adapters of it that were asked for lately.
+    """
 
     load: float
     waiting: int
+    adapters: frozenset[str] = frozenset()
 
 
 @dataclass(slots=True, kw_only=True)
 class _Window:
-    work: deque[tuple[float, float]] = field(default_factory=deque)
+    work: deque[tuple[float, float, str]] = field(default_factory=deque)
     waiting: int = 0
 
 
@@ -40,7 +44,7 @@
         """Note a request and what of its prompt an engine has to read."""
         work_s = unread_tokens * READ_S_PER_TOKEN
         window = self._windows.setdefault((service, prompt.model), _Window())
-        window.work.append((now_s, work_s))
+        window.work.append((now_s, work_s, prompt.adapter))
 
     def wait(self, service: str, model: str, *, step: int) -> None:
         """Count a request that begins (1) or ends (-1) waiting for a model."""
@@ -52,9 +56,12 @@
         for (name, model), window in self._windows.items():
             while window.work and window.work[0][0] < now_s - WINDOW_S:
                 window.work.popleft()
-            load = sum(work_s for _, work_s in window.work) / WINDOW_S
-            if name == service and (load or window.waiting):
-                demands[model] = ModelDemand(load, window.waiting)
+            if name == service and (window.work or window.waiting):
+                demands[model] = ModelDemand(
+                    sum(work_s for _, work_s, _ in window.work) / WINDOW_S,
+                    window.waiting,
+                    frozenset(adapter for _, _, adapter in window.work if adapter),
+                )
         return demands
 
     @property
@@ -62,14 +69,15 @@
         return {service for service, _ in self._windows}
 
 
-def total_demand(
-    parts: "list[Mapping[str, ModelDemand]]",
-) -> dict[str, ModelDemand]:
+def total_demand(parts: Iterable[Mapping[str, ModelDemand]]) -> dict[str, ModelDemand]:
     """Add up the demand that several entry VMs see."""
-    load: Counter[str] = Counter()
-    waiting: Counter[str] = Counter()
+    total: dict[str, ModelDemand] = {}
     for part in parts:
         for model, demand in part.items():
-            load[model] += demand.load  # type: ignore[assignment]
-            waiting[model] += demand.waiting
-    return {model: ModelDemand(load[model], waiting[model]) for model in load}
+            known = total.get(model, ModelDemand(0.0, 0))
+            total[model] = ModelDemand(
+                known.load + demand.load,
+                known.waiting + demand.waiting,
+                known.adapters | demand.adapters,
+            )
+    return total
--- a/src/rosepath/engine_plan.py
+++ b/src/rosepath/engine_plan.py
@@ -26,6 +26,11 @@
 WAITING_WORTH = 1.0
 # A running request that an unload would have to wait for.
 IN_USE_WORTH = 0.15
+# An engine has few places for adapters, each taken for as long as a request
+# that uses it runs. Where the other copies of a model have too few for the
+# adapters asked for lately, requests stand still until one is free.
+ADAPTERS_SHARE = 0.8
+ADAPTERS_WORTH = 0.3
 # Engines in a swap at the same time, as a share of all: while it lasts, no
 # adapter gets to them.
 MOST_SWAPPING = 0.5
@@ -74,9 +79,12 @@
     demands: Mapping[str, ModelDemand]
     copies: Mapping[str, int]
     store_room: bool
+    adapter_slots: int
 
 
-def copy_worth(demand: ModelDemand | None, copies: int) -> float:
+def copy_worth(
+    demand: ModelDemand | None, copies: int, *, adapter_slots: int = 0
+) -> float:
     """Return what the last of so many copies of a model is worth."""
     if copies <= 1:
         if demand is None:
@@ -85,7 +93,10 @@
         return IDLE_COPY_WORTH + waiting + 2.0 * demand.load
     if demand is None:
         return 0.0
-    return max(0.0, demand.load / (copies - 1) - BORNE_LOAD)
+    worth = max(0.0, demand.load / (copies - 1) - BORNE_LOAD)
+    if len(demand.adapters) > ADAPTERS_SHARE * adapter_slots * (copies - 1):
+        worth += ADAPTERS_WORTH
+    return worth
 
 
 def plan_swaps(
@@ -95,6 +106,7 @@
     *,
     loading: Mapping[str, int],
     store_room: bool,
+    adapter_slots: int,
 ) -> list[Swap]:
     """Return the next swaps, the most useful first, at most one an engine.
 
@@ -109,7 +121,11 @@
     swapping = len(engines) - len(free)
     while free and swapping < max(1.0, MOST_SWAPPING * len(engines)):
         terms = _Terms(
-            models=models, demands=demands, copies=copies, store_room=store_room
+            models=models,
+            demands=demands,
+            copies=copies,
+            store_room=store_room,
+            adapter_slots=adapter_slots,
         )
         best = _best_swap(list(free.values()), terms)
         if best is None:
@@ -127,7 +143,7 @@
 def _best_swap(engines: Sequence[EngineView], terms: _Terms) -> Swap | None:
     best: Swap | None = None
     for model, spec in terms.models.items():
-        worth = copy_worth(terms.demands.get(model), terms.copies[model] + 1)
+        worth = _worth(terms, model, terms.copies[model] + 1)
         if worth <= 0:
             continue
         for engine in engines:
@@ -173,7 +189,7 @@
     """Return the models worth least that free enough memory together."""
 
     def loss_of(model: str) -> float:
-        loss = copy_worth(terms.demands.get(model), terms.copies.get(model, 1))
+        loss = _worth(terms, model, terms.copies.get(model, 1))
         fresh = engine.age_s[model] < FRESH_S and model in terms.demands
         loss += IN_USE_WORTH * engine.in_use.get(model, 0)
         return loss + (FRESH_WORTH if fresh else 0.0)
@@ -201,6 +217,12 @@
     return single
 
 
+def _worth(terms: _Terms, model: str, copies: int) -> float:
+    return copy_worth(
+        terms.demands.get(model), copies, adapter_slots=terms.adapter_slots
+    )
+
+
 def _size_mb(terms: _Terms, model: str) -> float:
     spec = terms.models.get(model)
     return spec.size_mb if spec else 0.0
--- a/src/rosepath/entry_settings.py
+++ b/src/rosepath/entry_settings.py
@@ -46,7 +46,8 @@
 
     duration_s: Seconds = 1.8
     margin_s: Seconds = 0.3
-    handover_s: Seconds = 3.2
+    handover_s: Seconds = 3.0
+    handover_margin_s: Seconds = 0.15
 
 
 class EntrySettings(Section):
--- a/src/rosepath/model_desk.py
+++ b/src/rosepath/model_desk.py
@@ -73,7 +73,7 @@
             policy=LeasePolicy(
                 duration_s=lease.duration_s,
                 margin_s=lease.margin_s,
-                handover_s=lease.handover_s,
+                handover_s=lease.handover_s + lease.handover_margin_s,
             ),
             clock=self._boot,
         )
--- a/src/rosepath/order_desk.py
+++ b/src/rosepath/order_desk.py
@@ -104,6 +104,7 @@
             spec.models,
             demands,
             loading=loading,
+            adapter_slots=spec.adapter_slots,
             store_room=self._ceiling.room(now_s, per_s=spec.loads_per_s),
         )
         for swap in swaps:
--- a/src/rosepath/peer_messages.py
+++ b/src/rosepath/peer_messages.py
@@ -132,7 +132,7 @@
         },
         "w": {
             service: {
-                model: [round(demand.load, 4), demand.waiting]
+                model: [round(demand.load, 4), demand.waiting, sorted(demand.adapters)]
                 for model, demand in models.items()
             }
             for service, models in message.demand.items()
@@ -171,7 +171,9 @@
         },
         demand={
             str(service): {
-                str(model): ModelDemand(float(row[0]), int(row[1]))
+                str(model): ModelDemand(
+                    float(row[0]), int(row[1]), frozenset(map(str, row[2]))
+                )
                 for model, row in models.items()
             }
             for service, models in raw["w"].items()
