Look again at engines that said they were busy; let a stop end kept connections

Cause: an engine whose report said it was busy outside a swap was never looked at again, so after twelve seconds no engine took orders; a connection whose answer began before SIGTERM was kept and took a request 6 s after it; a request read in the same turn as the close of idle connections was passed on over a closed connection (LOST). Change: such engines are looked at until they are done; the end of every answer closes while stopping; nothing is served over a closed connection.

--- a/src/rosepath/gateway.py
+++ b/src/rosepath/gateway.py
@@ -57,6 +57,10 @@
         self._body.append(chunk)
 
     def finish(self) -> None:
+        if self._connection.stream.closed():
+            # Closed while this was being read: passed on, its answer would
+            # reach nobody; not passed on, its caller may safely ask again.
+            return
         # Between the end of the request and that of the answer, only the
         # connection's own callback tells that the caller left.
         self._connection.set_close_callback(self.on_connection_close)
@@ -106,6 +110,10 @@
     def end(self) -> None:
         """Complete the answer."""
         self.done = True
+        if self._gateway.closing:
+            # Its head may have gone out before the stop began, and then does
+            # not say that this connection takes no further request.
+            self._connection._disconnect_on_finish = True
         self._connection.finish()
 
     def answer(self, status: int, headers: HTTPHeaders, body: bytes) -> None:
--- a/src/rosepath/order_desk.py
+++ b/src/rosepath/order_desk.py
@@ -166,10 +166,9 @@
     async def _look_if_due(self, server: BackendServer) -> None:
         book = self._books.setdefault(server.name, EngineBook(server=server.name))
         now_s = self._ports.clock.monotonic_s()
-        # An engine that is busy with what a holder before ordered is looked
-        # at until it is done; own swaps look for themselves.
-        foreign = book.busy and not book.loading
-        due = foreign or not (book.known or book.busy)
+        # An engine that says it is busy, with an adapter or with what a holder
+        # before ordered, is looked at until it is not; swaps look themselves.
+        due = not book.busy and (book.engine_busy or not book.known)
         if due and now_s - book.looked_s >= LOOK_INTERVAL_S:
             await self._look(server, book)
 
