Trial: find partitions by silence, learn from errors, keep live connections

Cause: in a cut data centre each VM met each far server's silence by itself; a third of the connections were opened for non-idempotent requests.

--- a/src/rosepath/attempt.py
+++ b/src/rosepath/attempt.py
@@ -21,8 +21,9 @@
 # Within one data centre a connection takes a millisecond, between two a few.
 CONNECT_TIMEOUT_S = 0.4
 # A non-idempotent request must not be spent on a connection that has gone
-# silent; one that answered this recently has not, short of bad luck.
-PROVEN_LIVE_WITHIN_S = 1.0
+# silent. The kernel's probes of idle connections find that out within three
+# seconds, so one that answered this recently, or outlived them, is live.
+PROVEN_LIVE_WITHIN_S = 3.0
 
 
 class AttemptError(RosepathError):
@@ -59,10 +60,14 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Sending:
-    """Say how a request goes to a server: until when, and what is added."""
+    """Say how a request goes to a server: until when, and what is added.
+
+    `patience_s` bounds the silence before its answer begins, `pause_s` after.
+    """
 
     deadline_s: float
     patience_s: float
+    pause_s: float
     repeatable: bool
     priority: int | None = None
     last_event_id: int | None = None
@@ -123,6 +128,7 @@
             body=call.body,
             connect_timeout_s=min(CONNECT_TIMEOUT_S, sending.deadline_s - now_s),
             progress_timeout_s=sending.patience_s,
+            pause_timeout_s=sending.pause_s,
             proven_live_within_s=None if sending.repeatable else PROVEN_LIVE_WITHIN_S,
             accepts=lambda head: belongs_to(call, head.headers),
         )
--- a/src/rosepath/engine_choice.py
+++ b/src/rosepath/engine_choice.py
@@ -12,6 +12,8 @@
 # from first tokens since.
 READ_TOKENS_PER_S = 30_000.0
 REMOTE_PENALTY_S = 0.002
+# What failed has to be read again elsewhere, after the time that it took.
+ERROR_PENALTY_S = 1.0
 # Getting an adapter there takes a question, an order and its loading.
 ADAPTER_PENALTY_S = 0.03
 # An engine that loads a model takes no order for an adapter until it is done.
@@ -46,6 +48,7 @@
     *,
     data_centre: str,
     tried: Collection[str],
+    cut_off: Collection[str],
     now_s: float,
     cached_tokens: Callable[[BackendServer, Prompt], int],
     rng: random.Random,
@@ -56,7 +59,11 @@
         for engine in engines
         if engine.usable and engine.name not in tried and prompt.model in engine.held
     ]
-    trusted = [engine for engine in able if engine.suspect_until_s <= now_s]
+    trusted = [
+        engine
+        for engine in able
+        if engine.suspect_until_s <= now_s and engine.entry.data_centre not in cut_off
+    ]
     pool = {engine.name: engine for engine in trusted or able}
     if not pool:
         return None
@@ -73,6 +80,7 @@
         if not holds_adapter(engine, prompt):
             occupied = engine.ordering_until_s > now_s
             first_token_s += OCCUPIED_PENALTY_S if occupied else ADAPTER_PENALTY_S
+        first_token_s += ERROR_PENALTY_S * engine.error_share
         # Where nothing is cached yet, all VMs should build the cache in the
         # same place: the first in rank wins unless it is clearly busier.
         cost_s = first_token_s + 0.01 * min(place, 3)
--- a/src/rosepath/entry_node.py
+++ b/src/rosepath/entry_node.py
@@ -135,6 +135,7 @@
                 budget=self._budget,
                 desk=self.desk,
                 fleet_changed=self.fleet_changed,
+                cut_off=lambda: self.peers.cut_off(settings.data_centre),
                 on_outcome=self._note_outcome,
             )
         )
--- a/src/rosepath/fleet.py
+++ b/src/rosepath/fleet.py
@@ -62,9 +62,8 @@
     peers: dict[str, PeerLoad] = field(default_factory=dict)
     failures: int = 0
     suspect_until_s: float = 0.0
-    probing_since_s: float | None = None
-    service_time_s: float = 0.05
     latency_s: float = 0.0
+    error_share: float = 0.0
     # The entry's models, corrected by what an answer or an order showed since.
     held: dict[str, set[str]] = field(default_factory=dict)
     # Until when it is known to be busy with an order: no adapter gets there.
--- a/src/rosepath/http_client.py
+++ b/src/rosepath/http_client.py
@@ -50,6 +50,7 @@
     body_chunks: AsyncIterator[bytes] | None = None
     connect_timeout_s: float = 1.0
     progress_timeout_s: float = 10.0
+    pause_timeout_s: float | None = None
     proven_live_within_s: float | None = None
     host: str | None = None
     accepts: Accepts | None = None
@@ -162,7 +163,12 @@
     async def _run(
         self, request: Request, connection: Connection, exchange: Exchange
     ) -> ResponseHead:
-        watchdog = Watchdog(connection, exchange, request.progress_timeout_s)
+        watchdog = Watchdog(
+            connection,
+            exchange,
+            request.progress_timeout_s,
+            pause_s=request.pause_timeout_s,
+        )
         try:
             connection.write(_encode_head(request) + request.body)
             if request.body_chunks is not None:
--- a/src/rosepath/http_exchange.py
+++ b/src/rosepath/http_exchange.py
@@ -105,6 +105,7 @@
         self.failure: BaseException | None = None
         self.progress = 0
         self.consumer_busy = False
+        self.on_begun: Callable[[], None] | None = None
         self._keep_alive = False
         self._surplus = False
         self._stray = False
@@ -151,6 +152,8 @@
             self._stray = True
             return
         self.head = head
+        if self.on_begun is not None:
+            self.on_begun()
         self._connection.stated_idle_s = _stated_idle_s(self._headers)
         self._on_head(self.head)
         if self._bodiless:
@@ -274,15 +277,30 @@
     """
 
     def __init__(
-        self, connection: Connection, exchange: Exchange, silence_s: float
+        self,
+        connection: Connection,
+        exchange: Exchange,
+        silence_s: float,
+        *,
+        pause_s: float | None = None,
     ) -> None:
         self.fired = False
         self._connection = connection
         self._exchange = exchange
         self._silence_s = silence_s
+        self._pause_s = silence_s if pause_s is None else pause_s
         self._seen = 0
         self._loop = asyncio.get_running_loop()
         self._timer = self._loop.call_later(silence_s, self._check)
+        exchange.on_begun = self._answer_began
+
+    def _answer_began(self) -> None:
+        """Watch at the pace of pauses from the first byte on."""
+        if self._pause_s < self._silence_s:
+            self._timer.cancel()
+            self._seen = self._exchange.progress
+            self._timer = self._loop.call_later(self._pause_s, self._check)
+        self._silence_s = self._pause_s
 
     def touch(self) -> None:
         self._seen = -1
--- a/src/rosepath/model_desk.py
+++ b/src/rosepath/model_desk.py
@@ -64,6 +64,7 @@
         self._move_number = 0
         self._heeded: dict[tuple[str, str], int] = {}
         self._was_holder = False
+        self._looked = False
         self._boot = BootClock()
         self.demand = Demand()
         lease = settings.lease
@@ -163,7 +164,11 @@
         if self._peers.holder() is not None:
             self._holder_heard_s = now_s
         silent_s = now_s - self._holder_heard_s
-        wanted = not self._stopping() and silent_s > self._turn_s()
+        # The first look is at once: a holder that was killed finds its own
+        # lease and need not wait for it to lapse.
+        wanted = not self._looked or silent_s > self._turn_s()
+        wanted = wanted and not self._stopping()
+        self._looked = True
         await self.leases.step(LEASE_NAME, wanted=wanted)
         if self._was_holder and not self.holds:
             # Renewals fail, yet the others may still hear this VM.
--- a/src/rosepath/peer_table.py
+++ b/src/rosepath/peer_table.py
@@ -9,6 +9,8 @@
 # Datagrams come every 0.15 s; after so long without one, a VM's load is no
 # longer counted and it is nobody's holder.
 SILENT_AFTER_S = 0.8
+# Three datagrams in a row are seldom lost by chance.
+CUT_OFF_AFTER_S = 0.55
 # A VM that was silent for so long is no longer told anything, until it speaks.
 FORGET_AFTER_S = 30.0
 
@@ -78,5 +80,25 @@
             holders, key=lambda peer: peer.state.term if peer.state else 0, default=None
         )
 
+    def cut_off(self, own: str) -> set[str]:
+        """Return the data centres from which no VM has spoken lately.
+
+        All of them silent at once, and known to have spoken before, means a
+        partition more often than a loss of every VM there.
+        """
+        now_s = self._clock.monotonic_s()
+        heard_s: dict[str, float] = {}
+        for peer in self.peers.values():
+            state = peer.state
+            if state is None or state.stopping or state.data_centre == own:
+                continue
+            last_s = heard_s.get(state.data_centre, -1e9)
+            heard_s[state.data_centre] = max(last_s, peer.heard_s)
+        return {
+            name
+            for name, last_s in heard_s.items()
+            if CUT_OFF_AFTER_S < now_s - last_s < FORGET_AFTER_S
+        }
+
     def _live(self, peer: Peer) -> bool:
         return peer.heard_s > self._clock.monotonic_s() - SILENT_AFTER_S
--- a/src/rosepath/relay.py
+++ b/src/rosepath/relay.py
@@ -3,7 +3,7 @@
 import asyncio
 import json
 import random
-from collections.abc import Awaitable, Callable, Iterator
+from collections.abc import Awaitable, Callable, Collection, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 from typing import Protocol
@@ -25,7 +25,12 @@
 from rosepath.prompt_caches import PromptCaches
 from rosepath.retries import Attempt, Evidence, Verdict, judge, worst_evidence
 from rosepath.retry_window import RetryWindow
-from rosepath.server_choice import choose_server, note_failure, note_success
+from rosepath.server_choice import (
+    choose_server,
+    note_error,
+    note_failure,
+    note_success,
+)
 
 # A caller's clock runs three milliseconds ahead of ours; what comes later
 # than that before its deadline reaches nobody.
@@ -40,11 +45,14 @@
 # usual answer times, and no sooner than this.
 PATIENCE_TIMES = 5.0
 PATIENCE_MIN_S = 0.2
-# A resumable stream that stands still so many times its route's longest good
-# pause goes on elsewhere; callers leave at eight times that pause.
-STREAM_PATIENCE_GAPS = 4.0
-FIRST_EVENT_PATIENCE = 2.5
-
+# A resumable stream goes on elsewhere after standing still for so many times its
+# route's longest good pause; callers leave at eight times that pause.
+PAUSE_GAPS = 3.0
+PAUSE_MIN_S = 0.7
+# The same before its first event, by the time that was predicted for it: more
+# than this is no queue but an engine that will not answer.
+FIRST_EVENT_MIN_S = 0.6
+FIRST_EVENT_TIMES = 3.0
 # An adapter is there after some 20 ms; a holder that does not answer by then
 # may be gone, and its successor is asked.
 ADAPTER_WAIT_S = 0.4
@@ -79,6 +87,7 @@
     budget: Callable[[str], RetryWindow]
     desk: ModelDesk
     fleet_changed: asyncio.Condition
+    cut_off: Callable[[], Collection[str]]
     on_outcome: Callable[["Course", int, str], None]
     rng: random.Random = field(default_factory=random.Random)
 
@@ -219,6 +228,7 @@
             return False
         course.tried.add(server.name)
         course.seen.append(Evidence.SENT)
+        note_error(server)
         error = AttemptError(
             f"the server answered {answer.head.status}",
             step=Step.ANSWER,
@@ -246,6 +256,7 @@
         sending = Sending(
             deadline_s=course.deadline_s,
             patience_s=self._patience_s(course, server),
+            pause_s=self._pause_s(course),
             repeatable=course.route.repeatable,
             priority=None if course.service.engine is None else _rank(course.route),
             last_event_id=order.last_id if order is not None and begun else None,
@@ -259,6 +270,7 @@
         )
 
     def _patience_s(self, course: Course, server: BackendServer) -> float:
+        """Return how long an answer may be in coming before another is asked."""
         left_s = max(0.01, course.deadline_s - self._now_s())
         last = course.may_have_run + 1 >= course.route.max_attempts
         if last or not course.route.repeatable:
@@ -267,9 +279,14 @@
         if course.order is None:
             usual_s = max(PATIENCE_MIN_S, PATIENCE_TIMES * server.latency_s)
             return min(left_s + 1.0, usual_s)
-        pause_s = STREAM_PATIENCE_GAPS * course.route.target_gap_s
-        first_s = FIRST_EVENT_PATIENCE * course.route.target_latency_s
-        return min(left_s + 1.0, max(1.0, pause_s, first_s))
+        usual_s = FIRST_EVENT_MIN_S + FIRST_EVENT_TIMES * course.predicted_s
+        return min(left_s + 1.0, max(usual_s, course.route.target_latency_s))
+
+    def _pause_s(self, course: Course) -> float:
+        """Return how long a stream may stand still before it goes on elsewhere."""
+        if not course.route.repeatable or course.order is None:
+            return max(0.01, course.deadline_s - self._now_s()) + 1.0
+        return max(PAUSE_MIN_S, PAUSE_GAPS * course.route.target_gap_s)
 
     async def _choose(self, course: Course) -> tuple[BackendServer, Flight]:
         """Choose a server, waiting a little for one if there is none."""
@@ -344,6 +361,7 @@
                 servers,
                 data_centre=ports.data_centre,
                 tried=course.tried,
+                cut_off=ports.cut_off(),
                 now_s=now_s,
                 rng=ports.rng,
             )
@@ -353,6 +371,7 @@
             prompt,
             data_centre=ports.data_centre,
             tried=course.tried,
+            cut_off=ports.cut_off(),
             now_s=now_s,
             cached_tokens=ports.caches.cached_tokens,
             rng=ports.rng,
--- a/src/rosepath/server_choice.py
+++ b/src/rosepath/server_choice.py
@@ -9,6 +9,11 @@
 # with as many requests more than this per slot is slower than that.
 REMOTE_PENALTY = 0.1
 
+# A server that answers every other request with an error is passed over for
+# any that has a free slot.
+ERROR_PENALTY = 2.0
+ERROR_LEARNED = 0.15
+
 SUSPECT_FIRST_S = 0.5
 SUSPECT_MAX_S = 4.0
 # Plain failures happen to good servers, too; this many in a row do not.
@@ -20,16 +25,22 @@
     *,
     data_centre: str,
     tried: Collection[str],
+    cut_off: Collection[str],
     now_s: float,
     rng: random.Random,
 ) -> BackendServer | None:
     """Choose the least busy server; one that failed lately goes behind."""
     able = [server for server in servers if server.usable and server.name not in tried]
-    trusted = [server for server in able if server.suspect_until_s <= now_s]
+    trusted = [
+        server
+        for server in able
+        if server.suspect_until_s <= now_s and server.entry.data_centre not in cut_off
+    ]
     return min(
         trusted or able,
         key=lambda server: (
             server.requests / max(1, server.entry.slots)
+            + ERROR_PENALTY * server.error_share
             + (REMOTE_PENALTY if server.entry.data_centre != data_centre else 0.0),
             rng.random(),
         ),
@@ -41,12 +52,19 @@
     """Restore trust and learn how long an answer takes."""
     server.failures = 0
     server.suspect_until_s = 0.0
+    server.error_share -= ERROR_LEARNED * server.error_share
     server.latency_s += 0.2 * (took_s - server.latency_s)
 
 
+def note_error(server: BackendServer) -> None:
+    """Learn that a server answered with an error of its own."""
+    server.error_share += ERROR_LEARNED * (1.0 - server.error_share)
+
+
 def note_failure(server: BackendServer, *, now_s: float, silent: bool) -> None:
     """Put a server behind the others for a while, longer each time."""
     server.failures += 1
+    note_error(server)
     if not silent and server.failures < FAILURES_BORNE:
         return
     pause_s = SUSPECT_FIRST_S * 2 ** min(server.failures, 4)
