--- a/src/rosepath/entry_node.py
+++ b/src/rosepath/entry_node.py
@@ -244,6 +244,7 @@
             configuration_version=self.catalog.version if self.catalog else 0,
             term=self.desk.term,
             lease_version=self.desk.lease_version,
+            store_ago_s=self.clock.monotonic_s() - self.store.last_success_s,
             resigned_version=self.desk.resigned_version,
             acted_ago_s=self.desk.acted_ago_s,
             load={
--- a/src/rosepath/entry_settings.py
+++ b/src/rosepath/entry_settings.py
@@ -44,8 +44,11 @@
 class LeaseSettings(Section):
     """Bound how long the right to order lasts, and how it changes hands."""
 
-    duration_s: Seconds = 1.8
-    margin_s: Seconds = 0.3
+    # Longer than most outages of the store, which nobody can take a lease in.
+    duration_s: Seconds = 6.0
+    margin_s: Seconds = 0.4
+    renew_s: Seconds = 1.0
+    look_s: Seconds = 0.4
     handover_s: Seconds = 3.0
     handover_margin_s: Seconds = 0.15
 
--- a/src/rosepath/lease_keeper.py
+++ b/src/rosepath/lease_keeper.py
@@ -75,6 +75,13 @@
         self._lose(row)
         return version
 
+    def overdue_s(self, name: str) -> float:
+        """Return for how long a held lease could not be renewed."""
+        row = self.rows[name]
+        renewed_s = row.held_until_s - self.policy.duration_s
+        due_s = renewed_s + self.policy.renewed_after_s
+        return self._clock.monotonic_s() - due_s
+
     def version(self, name: str) -> int:
         """Return the version under which a lease was last renewed."""
         row = self.rows.get(name)
--- a/src/rosepath/leases.py
+++ b/src/rosepath/leases.py
@@ -22,6 +22,18 @@
     margin_s: float
     # How long after the last act of one holder the next one may act first.
     handover_s: float = 0.0
+    # How long after a renewal the next one is due, and how long after a look
+    # at another's lease the next look; by default half and a quarter.
+    renew_s: float | None = None
+    look_s: float | None = None
+
+    @property
+    def renewed_after_s(self) -> float:
+        return self.duration_s / 2 if self.renew_s is None else self.renew_s
+
+    @property
+    def looked_after_s(self) -> float:
+        return self.duration_s / 4 if self.look_s is None else self.look_s
 
 
 @dataclass(slots=True, kw_only=True)
@@ -59,11 +71,11 @@
 ) -> LeaseAction:
     """Decide the next step for a lease that this node wants or holds."""
     if row.holder == me and row.held_until_s > now_s:
-        renew_at_s = row.held_until_s - policy.duration_s / 2
+        renew_at_s = row.held_until_s - policy.duration_s + policy.renewed_after_s
         return LeaseAction.RENEW if now_s >= renew_at_s else LeaseAction.WAIT
     if not wanted:
         return LeaseAction.WAIT
-    if now_s - row.seen_at_s < policy.duration_s / 4:
+    if now_s - row.seen_at_s < policy.looked_after_s:
         return LeaseAction.WAIT
     return LeaseAction.READ
 
--- a/src/rosepath/model_desk.py
+++ b/src/rosepath/model_desk.py
@@ -25,6 +25,8 @@
 MOVES_TOLD_S = 2.0
 # The holder says which engines are occupied with each datagram.
 OCCUPIED_HOLDS_S = 0.5
+# One renewal may fail by chance; after two the store has turned away.
+RESIGN_OVERDUE_S = 0.5
 LEASE_NAME = "placement"
 # So long after the last word of a holder, others look whether it has lapsed;
 # each waits a little longer than the one before it in rank, so that one reads.
@@ -74,6 +76,8 @@
             policy=LeasePolicy(
                 duration_s=lease.duration_s,
                 margin_s=lease.margin_s,
+                renew_s=lease.renew_s,
+                look_s=lease.look_s,
                 handover_s=lease.handover_s + lease.handover_margin_s,
             ),
             clock=self._boot,
@@ -170,7 +174,7 @@
         wanted = wanted and not self._stopping()
         self._looked = True
         await self.leases.step(LEASE_NAME, wanted=wanted)
-        if self._was_holder and not self.holds:
+        if self._was_holder and (not self.holds or self._alone_without_store()):
             # Renewals fail, yet the others may still hear this VM.
             self.resigned_version = self.leases.resign(LEASE_NAME)
             self._say_so()
@@ -178,6 +182,21 @@
             self.resigned_version = 0
         self._was_holder = self.holds
 
+    def _alone_without_store(self) -> bool:
+        """Tell whether the store answers others while it fails this VM.
+
+        When it answers nobody, nobody can take the lease, and its holder does
+        best to keep it until it lapses.
+        """
+        overdue_s = self.leases.overdue_s(LEASE_NAME)
+        if overdue_s < RESIGN_OVERDUE_S:
+            return False
+        return any(
+            peer.state is not None
+            and peer.state.store_ago_s < overdue_s - RESIGN_OVERDUE_S / 2
+            for peer in self._peers.live()
+        )
+
     def _say_so(self) -> None:
         if self.link is not None:
             self.link.tell()
--- a/src/rosepath/peer_messages.py
+++ b/src/rosepath/peer_messages.py
@@ -40,6 +40,7 @@
     configuration_version: int = 0
     term: int = 0
     lease_version: int = 0
+    store_ago_s: float = 1e9
     resigned_version: int = 0
     acted_ago_s: float = 0.0
     load: Mapping[str, PeerLoad] = field(default_factory=dict)
@@ -125,6 +126,7 @@
         "c": message.configuration_version,
         "h": message.term,
         "e": message.lease_version,
+        "k": round(min(message.store_ago_s, 1e6), 2),
         "q": [message.resigned_version, round(message.acted_ago_s, 3)],
         "l": {
             name: [load.requests, load.unread_tokens, load.tokens, dict(load.models)]
@@ -158,6 +160,7 @@
         configuration_version=int(raw["c"]),
         term=int(raw["h"]),
         lease_version=int(raw["e"]),
+        store_ago_s=float(raw["k"]),
         resigned_version=int(raw["q"][0]),
         acted_ago_s=float(raw["q"][1]),
         load={
--- /dev/null
+++ b/tests/entry_builders.py
@@ -0,0 +1,178 @@
+"""Builders of test data for the entry VM on the users' platform."""
+
+from collections.abc import Mapping
+
+from rosepath.caller_call import CallerCall, Prompt, PromptPart
+from rosepath.catalog import (
+    CallerLimits,
+    Catalog,
+    EngineSpec,
+    HostRoute,
+    ModelSpec,
+    RouteKind,
+    ServiceShare,
+    ServiceSpec,
+)
+from rosepath.engine_plan import EngineView
+from rosepath.fleet import BackendServer, ServerEntry
+from rosepath.peer_messages import PeerState
+
+
+def a_model(name: str, *, size_mb: float = 70_000.0) -> ModelSpec:
+    return ModelSpec(
+        name=name,
+        size_mb=size_mb,
+        load_s=4.0,
+        warm_load_s=0.5,
+        disk_load_s=0.8,
+        adapter_mb=66.0,
+        adapters=8,
+    )
+
+
+def an_engine_spec(*names: str, adapter_slots: int = 2) -> EngineSpec:
+    return EngineSpec(
+        slots=64,
+        kv_capacity_tokens=250_000,
+        memory_mb=200_000.0,
+        adapter_slots=adapter_slots,
+        loads_per_s=1.0,
+        models={name: a_model(name) for name in names},
+    )
+
+
+def a_route(
+    *,
+    kind: RouteKind = RouteKind.STREAMING,
+    service: str = "llm",
+    resumable: bool = True,
+    max_attempts: int = 2,
+    timeout_s: float = 6.0,
+    path_prefix: str = "/drafts/",
+) -> HostRoute:
+    return HostRoute(
+        name="r-1",
+        host="court.example",
+        path_prefix=path_prefix,
+        kind=kind,
+        shares=(ServiceShare(service=service, weight=1.0),),
+        timeout_s=timeout_s,
+        target_latency_s=0.6,
+        target_gap_s=0.25,
+        max_attempts=max_attempts,
+        resumable=resumable,
+    )
+
+
+def a_catalog(
+    *routes: HostRoute, engine: EngineSpec | None = None, version: int = 1
+) -> Catalog:
+    return Catalog(
+        version=version,
+        routes=routes,
+        services={
+            "llm": ServiceSpec(
+                name="llm",
+                health_path="/health",
+                max_connections=100,
+                engine=engine or an_engine_spec("m0", "m1"),
+            ),
+            "desk": ServiceSpec(
+                name="desk", health_path="/health", max_connections=100
+            ),
+        },
+        limits=CallerLimits(),
+    )
+
+
+def an_entry(
+    name: str,
+    *,
+    service: str = "llm",
+    address: str = "127.0.0.1:1",
+    data_centre: str = "a",
+    models: Mapping[str, frozenset[str]] | None = None,
+    draining: bool = False,
+) -> ServerEntry:
+    return ServerEntry(
+        name=name,
+        service=service,
+        address=address,
+        data_centre=data_centre,
+        slots=6,
+        draining=draining,
+        models={"m0": frozenset()} if models is None else models,
+        on_disk=frozenset(("m0", "m1")),
+    )
+
+
+def a_server(name: str, **options: object) -> BackendServer:
+    entry = an_entry(name, **options)  # type: ignore[arg-type]
+    server = BackendServer(entry=entry)
+    server.held = {model: set(adapters) for model, adapters in entry.models.items()}
+    return server
+
+
+def a_prompt(model: str = "m0", *, adapter: str = "", shared: str = "s1") -> Prompt:
+    return Prompt(
+        model=model,
+        adapter=adapter,
+        input_tokens=3000,
+        output_tokens=100,
+        parts=(PromptPart(shared, 2000), PromptPart("own", 1000)),
+    )
+
+
+def a_call(
+    *,
+    request_id: str = "q1",
+    method: str = "POST",
+    path: str = "/drafts/1",
+    body: bytes = b"",
+    arrived_s: float = 0.0,
+    wait_s: float | None = 5.0,
+    prompt: Prompt | None = None,
+) -> CallerCall:
+    return CallerCall(
+        request_id=request_id,
+        method=method,
+        path=path,
+        host="court.example",
+        headers={"Host": "court.example", "Request-Id": request_id},
+        body=body,
+        arrived_s=arrived_s,
+        wait_s=wait_s,
+        prompt=prompt,
+    )
+
+
+def an_engine_view(
+    name: str,
+    *models: str,
+    in_use: Mapping[str, int] | None = None,
+    settled: bool = True,
+    near: Mapping[str, float] | None = None,
+    size_mb: float = 70_000.0,
+) -> EngineView:
+    return EngineView(
+        name=name,
+        memory_mb=200_000.0,
+        used_mb=size_mb * len(models),
+        age_s=dict.fromkeys(models, 100.0),
+        in_use=in_use or {},
+        settled=settled,
+        near={"m0": 0.8, "m1": 0.8, "m2": 0.8, "m3": 0.8} if near is None else near,
+    )
+
+
+def a_peer_state(
+    name: str, *, number: int = 1, data_centre: str = "a", term: int = 0
+) -> PeerState:
+    return PeerState(
+        entry_vm=name,
+        data_centre=data_centre,
+        address="127.0.0.1:9",
+        start="s1",
+        number=number,
+        term=term,
+    )
--- /dev/null
+++ b/tests/entry_harness.py
@@ -0,0 +1,188 @@
+"""A gateway and relay on loopback, with backend servers that follow a script."""
+
+import asyncio
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from typing import Any
+
+from entry_builders import a_catalog, a_route, an_entry
+
+from rosepath.attempt import Attempts
+from rosepath.catalog import Catalog, HostRoute
+from rosepath.clock import SystemClock
+from rosepath.fleet import Fleet
+from rosepath.gateway import CallerExchange, Gateway
+from rosepath.http_client import HttpPool
+from rosepath.prompt_caches import PromptCaches
+from rosepath.relay import Course, Relay, RelayPorts
+from rosepath.retry_window import RetryWindow
+
+Script = Callable[["Asked", asyncio.StreamWriter], Awaitable[None]]
+SIGNED = "Response-Signature: s\r\n"
+
+
+@dataclass(slots=True)
+class Asked:
+    """Hold a request as a backend server read it."""
+
+    line: str
+    headers: dict[str, str]
+    body: bytes
+
+    @property
+    def request_id(self) -> str:
+        return self.headers.get("request-id", "")
+
+
+@dataclass(slots=True)
+class Scripted:
+    """Hold a backend server: its script, and what it was asked."""
+
+    name: str
+    script: Script
+    asked: list[Asked] = field(default_factory=list)
+    left: asyncio.Event = field(default_factory=asyncio.Event)
+    address: str = ""
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            while True:
+                asked = await read_request(reader)
+                self.asked.append(asked)
+                await self.script(asked, writer)
+                await writer.drain()
+        except (asyncio.IncompleteReadError, ConnectionError):
+            self.left.set()
+        finally:
+            writer.close()
+
+
+async def read_request(reader: asyncio.StreamReader) -> Asked:
+    head = (await reader.readuntil(b"\r\n\r\n")).decode()
+    line, *rest = head.strip().split("\r\n")
+    headers = {
+        name.lower(): value.strip()
+        for name, _, value in (entry.partition(":") for entry in rest)
+    }
+    body = await reader.readexactly(int(headers.get("content-length", "0")))
+    return Asked(line, headers, body)
+
+
+def answer(asked: Asked, status: int, body: bytes, extra: str = SIGNED) -> bytes:
+    head = f"HTTP/1.1 {status} X\r\nRequest-Id: {asked.request_id}\r\n{extra}"
+    return f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body
+
+
+def event(number: int) -> bytes:
+    return b"id: %d\ndata: x\n\n" % number
+
+
+def chunk(data: bytes) -> bytes:
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+def stream_head(asked: Asked) -> bytes:
+    head = f"HTTP/1.1 200 OK\r\nRequest-Id: {asked.request_id}\r\n{SIGNED}"
+    return f"{head}Transfer-Encoding: chunked\r\n\r\n".encode()
+
+
+class NoDesk:
+    """Order nothing."""
+
+    def note_request(self, *_: Any, **__: Any) -> None:
+        return
+
+    def note_waiting(self, *_: Any, **__: Any) -> None:
+        return
+
+    async def ensure_adapter(self, *_: Any, **__: Any) -> bool:
+        return False
+
+
+@dataclass(slots=True)
+class Entry:
+    """Hold a gateway that listens, and what became of its requests."""
+
+    gateway: Gateway
+    port: int
+    catalog: Catalog
+    outcomes: list[tuple[int, str]] = field(default_factory=list)
+    budget_slack: float = 50.0
+
+    async def connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        return await asyncio.open_connection("127.0.0.1", self.port)
+
+    async def ask(self, head: str, body: bytes = b"") -> bytes:
+        """Send one request on its own connection; return all that comes back."""
+        reader, writer = await self.connect()
+        writer.write(request(head, body, close=True))
+        async with asyncio.timeout(10):
+            data = await reader.read()
+        writer.close()
+        return data
+
+
+def request(head: str, body: bytes = b"", *, close: bool = False) -> bytes:
+    lines = [head, "Host: court.example"]
+    if body:
+        lines.append(f"Content-Length: {len(body)}")
+    if close:
+        lines.append("Connection: close")
+    return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
+
+
+@asynccontextmanager
+async def entry(
+    *servers: Scripted, route: HostRoute | None = None, slack: float = 50.0
+) -> AsyncIterator[Entry]:
+    """Run a gateway before some backend servers."""
+    clock, fleet, pool = SystemClock(), Fleet(), HttpPool()
+    chosen = route or a_route()
+    catalog = a_catalog(chosen)
+    listening = []
+    for server in servers:
+        listener = await asyncio.start_server(server.serve, "127.0.0.1", 0)
+        listening.append(listener)
+        port = listener.sockets[0].getsockname()[1]
+        server.address = f"127.0.0.1:{port}"
+        service = chosen.shares[0].service
+        fleet.put(an_entry(server.name, service=service, address=server.address))
+    window = RetryWindow(clock=clock, ratio=0.2, slack=slack, window_s=10.0)
+    made: list[Entry] = []
+
+    def on_outcome(_: Course, status: int, code: str) -> None:
+        made[0].outcomes.append((status, code))
+
+    def on_failure(_: CallerExchange, error: BaseException | None) -> None:
+        made[0].outcomes.append((0, repr(error)))
+
+    relay = Relay(
+        RelayPorts(
+            data_centre="a",
+            clock=clock,
+            fleet=fleet,
+            caches=PromptCaches(),
+            attempts=Attempts(pool, clock=clock),
+            catalog=lambda: catalog,
+            budget=lambda _: window,
+            desk=NoDesk(),
+            fleet_changed=asyncio.Condition(),
+            cut_off=set,
+            on_outcome=on_outcome,
+        )
+    )
+    gateway = Gateway(relay.serve, clock=clock, on_failure=on_failure)
+    gateway.server.listen(0, address="127.0.0.1")
+    port = next(iter(gateway.server._sockets.values())).getsockname()[1]
+    made.append(Entry(gateway, port, catalog))
+    try:
+        yield made[0]
+    finally:
+        gateway.server.stop()
+        await gateway.server.close_all_connections()
+        pool.close()
+        for listener in listening:
+            listener.close()
--- /dev/null
+++ b/tests/test_engine_plan.py
@@ -0,0 +1,93 @@
+"""Which model is loaded where, by demand and what it would cost others."""
+
+from entry_builders import a_model, an_engine_view
+
+from rosepath.demand import ModelDemand
+from rosepath.engine_plan import EngineView, Swap, plan_swaps
+
+MODELS = {name: a_model(name) for name in ("m0", "m1", "m2", "m3")}
+
+
+def plan(
+    *engines: EngineView,
+    demands: dict[str, ModelDemand],
+    loading: dict[str, int] | None = None,
+    store_room: bool = True,
+) -> list[Swap]:
+    return plan_swaps(
+        engines,
+        MODELS,
+        demands,
+        loading=loading or {},
+        store_room=store_room,
+        adapter_slots=8,
+    )
+
+
+def test_a_model_that_somebody_waits_for_takes_the_place_of_an_idle_one() -> None:
+    swaps = plan(
+        an_engine_view("e1", "m0", "m1"),
+        demands={"m0": ModelDemand(0.5, 0), "m2": ModelDemand(0.0, 3)},
+    )
+    assert [(swap.model, swap.victims) for swap in swaps] == [("m2", ("m1",))]
+
+
+def test_a_model_in_use_is_not_unloaded_for_one_more_copy() -> None:
+    # An unload waits for the running requests of its model, and its engine
+    # takes no other order until they end: adapters stood still for seconds.
+    view = an_engine_view("e1", "m1", "m2", in_use={"m1": 3, "m2": 3})
+    other = an_engine_view("e2", "m0", "m3", in_use={"m0": 1, "m3": 1})
+    demands = {name: ModelDemand(0.05, 0) for name in ("m1", "m2", "m3")}
+    demands["m0"] = ModelDemand(0.6, 0)
+    assert plan(view, other, demands=demands) == []
+
+
+def test_a_load_that_is_on_its_way_is_not_ordered_again() -> None:
+    swaps = plan(
+        an_engine_view("e1", "m0", settled=False),
+        an_engine_view("e2", "m1", "m3"),
+        demands={"m2": ModelDemand(0.0, 2)},
+        loading={"m2": 1},
+    )
+    assert swaps == []
+
+
+def test_copies_on_engines_that_take_no_order_now_still_count() -> None:
+    # Left out while a report was due, their models looked lost, and were
+    # loaded a second time on the next engine.
+    swaps = plan(
+        an_engine_view("e1", "m0", "m1", settled=False),
+        an_engine_view("e2", "m2", "m3"),
+        demands={"m0": ModelDemand(0.1, 0)},
+    )
+    assert swaps == []
+
+
+def test_quiet_engines_keep_what_they_hold() -> None:
+    swaps = plan(
+        an_engine_view("e1", "m0", "m1"),
+        an_engine_view("e2", "m2", "m3"),
+        demands={},
+    )
+    assert swaps == []
+
+
+def test_a_model_with_more_adapters_than_places_gets_another_copy() -> None:
+    adapters = frozenset(f"a{number}" for number in range(12))
+    swaps = plan(
+        an_engine_view("e1", "m0"),
+        an_engine_view("e2", "m1"),
+        demands={"m0": ModelDemand(0.1, 0, adapters)},
+    )
+    assert ("e2", "m0") in {(swap.engine, swap.model) for swap in swaps}
+
+
+def test_without_room_at_the_weight_store_only_near_models_are_loaded() -> None:
+    view = an_engine_view("e1", "m0", near={})
+    assert plan(view, demands={"m2": ModelDemand(0, 9)}, store_room=False) == []
+
+
+def test_only_some_engines_swap_at_the_same_time() -> None:
+    engines = [an_engine_view(f"e{number}") for number in range(6)]
+    swaps = plan(*engines, demands={})
+    assert len(swaps) == 3
--- /dev/null
+++ b/tests/test_order_desk.py
@@ -0,0 +1,148 @@
+"""The holder's orders: late ones, busy engines, places for adapters."""
+
+import asyncio
+from collections.abc import Callable
+
+from entry_builders import a_catalog, an_engine_spec, an_entry
+
+from rosepath.clock import ManualClock
+from rosepath.demand import ModelDemand
+from rosepath.engine_orders import EngineReport, Order, OrderAction, OrderReply
+from rosepath.errors import ExchangeError, Step
+from rosepath.fleet import Fleet
+from rosepath.order_desk import LOOK_INTERVAL_S, DeskPorts, OrderDesk
+
+
+class FakeEngine:
+    """Carry out orders as engines do: one at a time, counted, maybe unanswered."""
+
+    def __init__(self, *models: str) -> None:
+        self.sequence = 0
+        self.busy = False
+        self.models: dict[str, set[str]] = {name: set() for name in models}
+        self.unanswered = 0
+        self.late: list[Order] = []
+        self.orders: list[Order] = []
+        self.reports = 0
+
+    async def order(self, _: str, order: Order) -> OrderReply:
+        self.orders.append(order)
+        if self.unanswered:
+            self.unanswered -= 1
+            self.late.append(order)
+            raise ExchangeError("silent", step=Step.SEND, peer="e1", sent=True)
+        return self.carry_out(order)
+
+    def carry_out(self, order: Order) -> OrderReply:
+        if self.busy or order.expected_sequence != self.sequence:
+            return OrderReply.CONFLICT
+        self.sequence += 1
+        adapters = self.models.get(order.model)
+        if order.adapter and adapters is not None:
+            load = order.action is OrderAction.LOAD
+            (adapters.add if load else adapters.discard)(order.adapter)
+        elif order.action is OrderAction.LOAD:
+            self.models[order.model] = set()
+        else:
+            self.models.pop(order.model, None)
+        return OrderReply.ACCEPTED
+
+    async def report(self, _: str, __: str) -> EngineReport:
+        self.reports += 1
+        return EngineReport(
+            sequence=self.sequence,
+            busy=self.busy,
+            models={name: frozenset(held) for name, held in self.models.items()},
+        )
+
+
+def a_desk(
+    engine: FakeEngine,
+    clock: ManualClock,
+    *,
+    demand: dict[str, ModelDemand] | None = None,
+    may_order: Callable[[], bool] = lambda: True,
+) -> OrderDesk:
+    fleet = Fleet()
+    fleet.put(an_entry("e1", models=dict.fromkeys(engine.models, frozenset())))
+    catalog = a_catalog(engine=an_engine_spec("m0", "m1", "m2", adapter_slots=2))
+    return OrderDesk(
+        DeskPorts(
+            me="vm-1",
+            clock=clock,
+            engines=engine,
+            fleet=fleet,
+            catalog=lambda: catalog,
+            may_order=may_order,
+            fence=lambda: 7,
+            demand=lambda _: demand or {},
+            on_held=lambda *_: None,
+        )
+    )
+
+
+async def until(done: Callable[[], bool]) -> None:
+    async with asyncio.timeout(10):
+        while not done():  # noqa: ASYNC110
+            await asyncio.sleep(0)
+
+
+def test_an_order_without_an_answer_is_sent_again_and_done_once() -> None:
+    # The answer is lost, and the order carried out seconds later. Sent again
+    # with the same expected sequence, one of the two is refused: the engine
+    # never holds more than the book reckons with.
+    async def run() -> None:
+        engine, clock = FakeEngine("m0"), ManualClock()
+        engine.unanswered = 1
+        desk = a_desk(engine, clock)
+        assert await desk.ensure_adapter("llm", "e1", "m0", "a1")
+        assert [order.expected_sequence for order in engine.orders] == [0, 0]
+        assert engine.carry_out(engine.late[0]) is OrderReply.CONFLICT
+        assert engine.models["m0"] == {"a1"}
+
+    asyncio.run(run())
+
+
+def test_an_engine_that_said_it_was_busy_is_looked_at_again() -> None:
+    # An adapter's unload waited for its runs when the report was read. Nobody
+    # looked again, and the engine took no order for the rest of the day.
+    async def run() -> None:
+        engine, clock = FakeEngine("m0"), ManualClock()
+        demand = {"m1": ModelDemand(0.0, 2)}
+        desk = a_desk(engine, clock, demand=demand)
+        engine.busy = True
+        await desk.tick()
+        assert engine.orders == []
+        engine.busy = False
+        clock.advance(LOOK_INTERVAL_S + 0.01)
+        await desk.tick()
+        await until(lambda: bool(engine.orders))
+        assert engine.orders[0].model == "m1"
+
+    asyncio.run(run())
+
+
+def test_adapters_never_exceed_the_places_of_an_engine() -> None:
+    # An engine that is ordered to hold more than it can crashes.
+    async def run() -> None:
+        engine, clock = FakeEngine("m0"), ManualClock()
+        desk = a_desk(engine, clock)
+        assert await desk.ensure_adapter("llm", "e1", "m0", "a1")
+        assert await desk.ensure_adapter("llm", "e1", "m0", "a2")
+        assert not await desk.ensure_adapter("llm", "e1", "m0", "a3")
+        clock.advance(1.0)
+        assert await desk.ensure_adapter("llm", "e1", "m0", "a3")
+        assert engine.models["m0"] == {"a2", "a3"}
+
+    asyncio.run(run())
+
+
+def test_who_no_longer_holds_the_lease_sends_nothing() -> None:
+    async def run() -> None:
+        engine, clock = FakeEngine("m0"), ManualClock()
+        desk = a_desk(engine, clock, may_order=lambda: False)
+        await desk.tick()
+        assert not await desk.ensure_adapter("llm", "e1", "m0", "a1")
+        assert engine.orders == []
+
+    asyncio.run(run())
--- /dev/null
+++ b/tests/test_peer_messages.py
@@ -0,0 +1,78 @@
+"""What entry VMs tell each other survives its way, and junk is dropped."""
+
+from entry_builders import a_peer_state
+from hypothesis import given, strategies as st
+
+from rosepath.clock import ManualClock
+from rosepath.demand import ModelDemand
+from rosepath.fleet import PeerLoad
+from rosepath.peer_messages import (
+    AdapterAsk,
+    AdapterReply,
+    HeldMove,
+    PeerState,
+    decode,
+    encode,
+)
+from rosepath.peer_table import PeerTable
+
+
+def test_messages_are_read_as_they_were_written() -> None:
+    state = PeerState(
+        entry_vm="vm-1",
+        data_centre="a",
+        address="127.0.0.1:7",
+        start="x",
+        number=3,
+        term=2,
+        lease_version=9,
+        store_ago_s=0.25,
+        resigned_version=8,
+        acted_ago_s=1.5,
+        load={"e1": PeerLoad(requests=2, unread_tokens=5, tokens=7, models={"m": 2})},
+        demand={"llm": {"m": ModelDemand(0.5, 1, frozenset(["a1"]))}},
+        leaving=("e9",),
+        occupied=("e2",),
+        moves=(HeldMove(1, "e1", "m", "a1", True),),
+    )
+    ask = AdapterAsk(
+        ask_id="1", reply_to="h:1", server="e", service="s", model="m", adapter="a"
+    )
+    for message in (state, ask, AdapterReply(ask_id="1", ready=True)):
+        assert decode(encode(message)) == message
+
+
+@given(st.binary(max_size=200) | st.text(max_size=80).map(str.encode))
+def test_junk_is_dropped(data: bytes) -> None:
+    assert decode(data) is None
+
+
+def test_datagrams_that_overtake_each_other_do_not_go_back() -> None:
+    table = PeerTable("me", clock=ManualClock())
+    assert table.take(a_peer_state("vm-1", number=5))
+    assert not table.take(a_peer_state("vm-1", number=4))
+
+
+def test_a_data_centre_that_falls_silent_is_cut_off_until_it_speaks() -> None:
+    # Requests sent into a cut data centre hang until their patience ends; the
+    # silence of its VMs tells sooner, and costs no request.
+    clock = ManualClock()
+    table = PeerTable("me", clock=clock)
+    table.take(a_peer_state("vm-1", number=1, data_centre="b"))
+    table.take(a_peer_state("vm-2", number=1, data_centre="c"))
+    clock.advance(0.6)
+    table.take(a_peer_state("vm-2", number=2, data_centre="c"))
+    assert table.cut_off("a") == {"b"}
+    table.take(a_peer_state("vm-1", number=2, data_centre="b"))
+    assert table.cut_off("a") == set()
+
+
+def test_the_holder_is_the_live_one_with_the_latest_term() -> None:
+    clock = ManualClock()
+    table = PeerTable("me", clock=clock)
+    table.take(a_peer_state("vm-1", term=3))
+    table.take(a_peer_state("vm-2", term=4))
+    holder = table.holder()
+    assert holder is not None and holder.name == "vm-2"
+    clock.advance(1.0)
+    assert table.holder() is None
--- /dev/null
+++ b/tests/test_relay.py
@@ -0,0 +1,274 @@
+"""What callers see of a request, whatever the backend servers do to it."""
+
+import asyncio
+
+import pytest
+from entry_builders import a_route
+from entry_harness import (
+    Asked,
+    Entry,
+    Scripted,
+    answer,
+    chunk,
+    entry,
+    event,
+    read_request,
+    request,
+    stream_head,
+)
+
+from rosepath.catalog import HostRoute, RouteKind
+
+
+def generate(shared: str = "aa") -> str:
+    prompt = f"Model: m0\r\nToken-Usage: 300,20\r\nPrompt-Prefix: {shared}:200,bb:100"
+    return f"POST /drafts/1 HTTP/1.1\r\nRequest-Id: q1\r\n{prompt}"
+
+
+FILE = "POST /drafts/1 HTTP/1.1\r\nRequest-Id: q1"
+LOOK_UP = "GET /drafts/1 HTTP/1.1\r\nRequest-Id: q1"
+
+
+def a_plain_route(kind: RouteKind, *, max_attempts: int = 2) -> HostRoute:
+    return a_route(kind=kind, service="desk", max_attempts=max_attempts)
+
+
+async def answers(asked: Asked, writer: asyncio.StreamWriter) -> None:
+    writer.write(answer(asked, 200, b"whole"))
+
+
+async def breaks_off(asked: Asked, writer: asyncio.StreamWriter) -> None:
+    writer.write(answer(asked, 200, b"whole")[:-2])
+    writer.close()
+
+
+async def refuses(asked: Asked, writer: asyncio.StreamWriter) -> None:
+    writer.write(answer(asked, 503, b"", "Not-Executed: 1\r\n"))
+
+
+async def fails(asked: Asked, writer: asyncio.StreamWriter) -> None:
+    writer.write(answer(asked, 500, b"sorry"))
+
+
+async def streams(asked: Asked, writer: asyncio.StreamWriter) -> None:
+    first = int(asked.headers.get("last-event-id", "0")) + 1
+    writer.write(stream_head(asked))
+    for number in range(first, 5):
+        writer.write(chunk(event(number)))
+    writer.write(b"0\r\n\r\n")
+
+
+async def dies_after_two_events(asked: Asked, writer: asyncio.StreamWriter) -> None:
+    writer.write(stream_head(asked) + chunk(event(1)) + chunk(event(2) + b"id: 3\nda"))
+    await writer.drain()
+    writer.close()
+
+
+async def ask_until_asked(node: Entry, server: Scripted) -> bytes:
+    """Ask with other prompts until one has its home at a server."""
+    for number in range(40):
+        data = await node.ask(generate(f"{number:x}"))
+        if server.asked:
+            return data
+    raise AssertionError(f"{server.name} is nobody's home")
+
+
+def test_a_non_idempotent_request_whose_answer_is_lost_is_not_sent_again() -> None:
+    # The server runs the filing and its answer breaks off. Sent again, the
+    # claim would be lodged twice; a 503 would say that it had not run.
+    async def run() -> None:
+        servers = Scripted("s1", breaks_off), Scripted("s2", breaks_off)
+        route = a_plain_route(RouteKind.NON_IDEMPOTENT)
+        async with entry(*servers, route=route) as node:
+            data = await node.ask(FILE, b"claim")
+        assert data.startswith(b"HTTP/1.1 502")
+        assert sum(len(server.asked) for server in servers) == 1
+
+    asyncio.run(run())
+
+
+def test_a_request_that_was_refused_unrun_goes_elsewhere() -> None:
+    async def run() -> None:
+        servers = Scripted("s1", refuses), Scripted("s2", answers)
+        route = a_plain_route(RouteKind.NON_IDEMPOTENT, max_attempts=1)
+        async with entry(*servers, route=route) as node:
+            data = await node.ask(FILE, b"claim")
+        assert data.endswith(b"whole")
+
+    asyncio.run(run())
+
+
+def test_what_nobody_ran_is_refused_at_once_with_a_time_to_come_back() -> None:
+    async def run() -> None:
+        servers = Scripted("s1", refuses), Scripted("s2", refuses)
+        route = a_plain_route(RouteKind.NON_IDEMPOTENT)
+        async with entry(*servers, route=route, slack=1.5) as node:
+            data = await node.ask(FILE, b"claim")
+        assert data.startswith(b"HTTP/1.1 503")
+        assert b"Retry-After: " in data
+
+    asyncio.run(run())
+
+
+def test_an_idempotent_request_goes_elsewhere_after_an_error() -> None:
+    async def run() -> None:
+        servers = Scripted("s1", fails), Scripted("s2", answers)
+        route = a_plain_route(RouteKind.IDEMPOTENT)
+        async with entry(*servers, route=route) as node:
+            for _ in range(6):
+                assert (await node.ask(LOOK_UP)).endswith(b"whole")
+
+    asyncio.run(run())
+
+
+def test_the_last_error_is_passed_on_as_the_server_gave_it() -> None:
+    async def run() -> None:
+        servers = Scripted("s1", fails), Scripted("s2", fails)
+        async with entry(*servers, route=a_plain_route(RouteKind.IDEMPOTENT)) as node:
+            data = await node.ask(LOOK_UP)
+        assert data.startswith(b"HTTP/1.1 500") and data.endswith(b"sorry")
+        assert b"Response-Signature: s" in data
+
+    asyncio.run(run())
+
+
+def test_a_late_answer_to_another_request_is_not_passed_on() -> None:
+    # The server sends an answer nobody asked for just where the next one is
+    # due on a kept connection; only its id tells.
+    async def run() -> None:
+        async def stray_first(asked: Asked, writer: asyncio.StreamWriter) -> None:
+            stray = Asked(asked.line, {"request-id": "other"}, b"")
+            writer.write(answer(stray, 200, b"wrong") + answer(asked, 200, b"right"))
+
+        server = Scripted("s1", stray_first)
+        async with entry(server, route=a_plain_route(RouteKind.IDEMPOTENT)) as node:
+            assert (await node.ask(LOOK_UP)).endswith(b"right")
+
+    asyncio.run(run())
+
+
+def test_a_resumable_stream_goes_on_at_the_last_event() -> None:
+    async def run() -> None:
+        first = Scripted("s1", dies_after_two_events)
+        second = Scripted("s2", streams)
+        async with entry(first, second) as node:
+            data = await ask_until_asked(node, first)
+        events = b"".join(event(number) for number in range(1, 5))
+        body = data.partition(b"\r\n\r\n")[2]
+        assert b"".join(body.split(b"\r\n")[1::2]) == events
+        resumed = [asked for asked in second.asked if "last-event-id" in asked.headers]
+        assert resumed and resumed[0].headers["last-event-id"] == "2"
+
+    asyncio.run(run())
+
+
+def test_a_stream_that_cannot_go_on_does_not_look_whole() -> None:
+    async def run() -> None:
+        servers = Scripted("s1", dies_after_two_events), Scripted("s2", streams)
+        async with entry(*servers, route=a_route(resumable=False)) as node:
+            data = await ask_until_asked(node, servers[0])
+        assert event(2) in data
+        assert not data.endswith(b"0\r\n\r\n")
+        assert len(servers[0].asked) == 1
+
+    asyncio.run(run())
+
+
+def test_the_callers_close_stops_the_server() -> None:
+    # A caller that left is not heard while its answer is awaited unless the
+    # connection itself is listened to: engines would work on for nobody.
+    async def run() -> None:
+        async def never(asked: Asked, _: asyncio.StreamWriter) -> None:
+            begun.set()
+
+        begun = asyncio.Event()
+        server = Scripted("s1", never)
+        async with entry(server) as node, asyncio.timeout(10):
+            _, writer = await node.connect()
+            writer.write(request(generate()))
+            await begun.wait()
+            writer.close()
+            await server.left.wait()
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize(
+    ("head", "status"),
+    [
+        ("GET /drafts/1 HTTP/1.1", 400),
+        ("GET /nowhere/ HTTP/1.1\r\nRequest-Id: q1", 404),
+        (f"{LOOK_UP}\r\nModel: m0\r\nPrompt-Prefix: a:b:c", 400),
+        (f"{LOOK_UP}\r\nModel: m0\r\nToken-Usage: many", 400),
+    ],
+)
+def test_bad_input_gets_a_typed_error(head: str, status: int) -> None:
+    async def run() -> None:
+        server = Scripted("s1", answers)
+        async with entry(server, route=a_plain_route(RouteKind.IDEMPOTENT)) as node:
+            data = await node.ask(head)
+            assert data.startswith(b"HTTP/1.1 %d" % status)
+            assert (await node.ask(LOOK_UP)).endswith(b"whole")
+        assert len(server.asked) == 1
+
+    asyncio.run(run())
+
+
+def test_what_only_the_system_may_ask_for_is_not_passed_on() -> None:
+    async def run() -> None:
+        server = Scripted("s1", answers)
+        async with entry(server, route=a_plain_route(RouteKind.IDEMPOTENT)) as node:
+            await node.ask(f"{LOOK_UP}\r\nHold: h1\r\nKv-From: x\r\nX-Other: kept")
+        headers = server.asked[0].headers
+        assert "hold" not in headers and "kv-from" not in headers
+        assert headers["x-other"] == "kept"
+        assert headers["target-instance"] == "s1"
+        assert int(headers["request-deadline-ms"]) <= 6000
+
+    asyncio.run(run())
+
+
+def test_an_answer_begun_before_a_stop_is_the_last_of_its_connection() -> None:
+    # Its head went out before the stop and names no close. Kept, the caller
+    # sent another request six seconds later, and the process ended under it.
+    async def run() -> None:
+        async def half(asked: Asked, writer: asyncio.StreamWriter) -> None:
+            writer.write(stream_head(asked) + chunk(event(1)))
+            await finish.wait()
+            writer.write(chunk(event(2)) + b"0\r\n\r\n")
+
+        finish = asyncio.Event()
+        async with entry(Scripted("s1", half)) as node, asyncio.timeout(10):
+            reader, writer = await node.connect()
+            writer.write(request(generate()))
+            await reader.readuntil(event(1))
+            node.gateway.closing = True
+            finish.set()
+            rest = await reader.read()
+            assert rest.endswith(b"0\r\n\r\n")
+
+    asyncio.run(run())
+
+
+def test_a_stop_closes_connections_on_which_nothing_was_asked() -> None:
+    async def run() -> None:
+        server = Scripted("s1", answers)
+        route = a_plain_route(RouteKind.IDEMPOTENT)
+        async with entry(server, route=route) as node, asyncio.timeout(10):
+            reader, writer = await node.connect()
+            writer.write(request(LOOK_UP))
+            await reader.readuntil(b"whole")
+            node.gateway.close_idle()
+            assert await reader.read() == b""
+
+    asyncio.run(run())
+
+
+def test_the_harness_reads_requests_whole() -> None:
+    async def run() -> None:
+        reader = asyncio.StreamReader()
+        reader.feed_data(request(FILE, b"abc"))
+        asked = await read_request(reader)
+        assert asked.body == b"abc"
+
+    asyncio.run(run())
