Take an outage that the holder noticed for one, and its removals for lapses

Cause: a watch that waits eight seconds sleeps through an outage, and took the lapsed entries for servers that left; in a crowd it told all others so. Change: the holder's datagram shows how long the store has not answered it; removals after that wait as after an own outage; only the holder tells what went.

--- a/src/rosepath/peer_exchange.py
+++ b/src/rosepath/peer_exchange.py
@@ -16,6 +16,8 @@
 from rosepath.store_tables import StoreTables
 
 JOIN_AGAIN_S = 0.3
+# The holder renews its lease each second.
+STORE_TROUBLE_S = 1.6
 VM_KIND = "rosepath-entry-vms"
 
 _log = get_logger()
@@ -86,6 +88,8 @@
             await self._store.put(name, value, expected_version=None)
 
     def _describe(self, start: str, number: int) -> PeerState:
+        telling = self._desk.term and self.peers.crowded
+        totals = self._totals() if telling else {}
         return PeerState(
             entry_vm=self._me,
             data_centre=self._data_centre,
@@ -109,8 +113,8 @@
             occupied=tuple(self._desk.orders.occupied) if self._desk.term else (),
             moves=tuple(self._desk.recent_moves()),
             leaving=tuple(self._tables.fleet.leaving()),
-            gone=tuple(self._tables.gone()),
-            totals=self._totals() if self._desk.term and self.peers.crowded else {},
+            gone=tuple(self._tables.gone()) if totals else (),
+            totals=totals,
         )
 
     def _peer_spoke(self, state: PeerState) -> None:
@@ -124,6 +128,8 @@
             self._tables.fleet.note_leaving(name)
         for name in state.gone:
             self._tables.fleet.remove(name)
+        if state.term and state.store_ago_s > STORE_TROUBLE_S:
+            self._tables.note_trouble()
         self._desk.hear_peer(state)
 
     def _totals(self) -> dict[str, PeerLoad]:
--- a/src/rosepath/store_tables.py
+++ b/src/rosepath/store_tables.py
@@ -41,6 +41,7 @@
         self._clock = clock
         self._on_catalog = on_catalog
         self._absent: set[str] = set()
+        self._trouble_s = -1e9
         self._gone: deque[tuple[float, str]] = deque(maxlen=GONE_TOLD)
         self.catalog: Catalog | None = None
         self.fleet = Fleet()
@@ -103,9 +104,9 @@
         While the store was away, entries of living servers run out and come
         back soon after; dropped at once, there would be nobody to serve.
         """
-        feed = self.servers_feed
-        since_s = self._clock.monotonic_s() - feed.regained_s
-        lapsed = feed.out_of_touch or since_s < LAPSED_BACK_S
+        now_s = self._clock.monotonic_s()
+        away_s = max(self.servers_feed.regained_s, self._trouble_s)
+        lapsed = self.servers_feed.out_of_touch or now_s - away_s < LAPSED_BACK_S
         for name in names:
             if not lapsed:
                 self._remove(name)
@@ -124,6 +125,14 @@
         self.fleet.remove(name)
         self._gone.append((self._clock.monotonic_s(), name))
 
+    def note_trouble(self) -> None:
+        """Note that the store does not answer another VM.
+
+        A watch that waits through a whole outage does not notice it; the
+        holder, who writes each second, does.
+        """
+        self._trouble_s = self._clock.monotonic_s()
+
     def gone(self) -> list[str]:
         """Return the servers whose entries were removed lately."""
         limit_s = self._clock.monotonic_s() - GONE_TOLD_S
--- /dev/null
+++ b/tests/test_store_tables.py
@@ -0,0 +1,114 @@
+"""What a VM believes of servers and configuration as the store comes and goes."""
+
+import asyncio
+import json
+from typing import Any
+
+from rosepath.clock import ManualClock
+from rosepath.feed import Pace
+from rosepath.object_store import Change, Listing, StoredObject
+from rosepath.store_tables import LAPSED_BACK_S, StoreTables
+
+
+class NoStore:
+    """Answer nothing: the tests hand in what was read."""
+
+    async def list(self, kind: str) -> Listing:
+        raise NotImplementedError(kind)
+
+    async def changes(self, kind: str, *, after: int, wait_s: float) -> Change:
+        raise NotImplementedError(kind)
+
+
+def tables(clock: ManualClock) -> StoreTables:
+    return StoreTables(NoStore(), clock=clock, pace=Pace, on_catalog=lambda _: None)
+
+
+def server(name: str, *, state: str = "ready") -> StoredObject:
+    raw = {"service": "llm", "address": "10.0.0.1:80", "slots": 4, "state": state}
+    return StoredObject(f"servers/{name}", 3, json.dumps(raw).encode())
+
+
+def listing(*objects: StoredObject, revision: int = 5) -> Listing:
+    return Listing(revision=revision, objects={o.name: o for o in objects})
+
+
+def configuration(version: int) -> StoredObject:
+    raw: dict[str, Any] = {"version": version, "routes": [], "services": []}
+    return StoredObject("config/main", version, json.dumps(raw).encode())
+
+
+def test_entries_that_lapsed_in_an_outage_are_waited_for() -> None:
+    # The store was away and ran out all entries. Dropped at once, every
+    # request would be refused until the servers had written theirs again.
+    async def run() -> None:
+        clock = ManualClock()
+        held = tables(clock)
+        held._servers_listed(listing(server("i-1"), server("i-2")))
+        held.servers_feed.out_of_touch = True
+        held._servers_listed(listing())
+        assert set(held.fleet.servers) == {"i-1", "i-2"}
+        held._servers_changed(
+            Change(
+                revision=7,
+                written={"servers/i-1": server("i-1")},
+                removed=frozenset(),
+            )
+        )
+        held._remove_if_absent("i-1")
+        held._remove_if_absent("i-2")
+        assert set(held.fleet.servers) == {"i-1"}
+        assert held.gone() == ["i-2"]
+
+    asyncio.run(run())
+
+
+def test_a_server_that_is_removed_while_the_store_is_well_goes_at_once() -> None:
+    async def run() -> None:
+        clock = ManualClock()
+        held = tables(clock)
+        held._servers_listed(listing(server("i-1")))
+        clock.advance(LAPSED_BACK_S + 1)
+        gone = frozenset({"servers/i-1"})
+        held._servers_changed(Change(revision=6, written={}, removed=gone))
+        assert held.fleet.servers == {}
+
+    asyncio.run(run())
+
+
+def test_a_server_that_said_it_leaves_stays_left() -> None:
+    # An older entry, read after the newer one, must bring no new work there.
+    async def run() -> None:
+        held = tables(ManualClock())
+        held._servers_listed(listing(server("i-1", state="draining")))
+        held._servers_listed(listing(server("i-1")))
+        assert not held.fleet.servers["i-1"].usable
+
+    asyncio.run(run())
+
+
+def test_a_configuration_does_not_go_back() -> None:
+    async def run() -> None:
+        held = tables(ManualClock())
+        for version in (3, 5, 4):
+            stored = configuration(version)
+            held._take_catalog({stored.name: stored})
+        assert held.catalog is not None
+        assert held.catalog.version == 5
+
+    asyncio.run(run())
+
+
+def test_an_outage_that_only_the_holder_noticed_counts() -> None:
+    # This VM's watch waited through the outage and ended well, with the
+    # removal of every server whose entry had run out meanwhile.
+    async def run() -> None:
+        held = tables(ManualClock())
+        held._servers_listed(listing(server("i-1")))
+        held.note_trouble()
+        gone = frozenset({"servers/i-1"})
+        held._servers_changed(Change(revision=6, written={}, removed=gone))
+        assert set(held.fleet.servers) == {"i-1"}
+        assert held.gone() == []
+
+    asyncio.run(run())
