--- a/src/rosepath/peer_messages.py
+++ b/src/rosepath/peer_messages.py
@@ -12,6 +12,8 @@
 # A holder's word to ninety VMs would fill a link of 5 Mbit/s; it shrinks to a
 # third. Small messages are sent as they are.
 COMPRESS_OVER_BYTES = 600
+# Stands for "not yet" where the time since something is told.
+NEVER_S = 1e6
 ZLIB_MARK = b"\x78"
 
 
@@ -46,7 +48,7 @@
     configuration_revision: int = 0
     term: int = 0
     lease_version: int = 0
-    store_ago_s: float = 1e9
+    store_ago_s: float = NEVER_S
     resigned_version: int = 0
     acted_ago_s: float = 0.0
     load: Mapping[str, PeerLoad] = field(default_factory=dict)
@@ -138,7 +140,7 @@
         "c": message.configuration_revision,
         "h": message.term,
         "e": message.lease_version,
-        "k": round(min(message.store_ago_s, 1e6), 2),
+        "k": round(min(message.store_ago_s, NEVER_S), 2),
         "q": [message.resigned_version, round(message.acted_ago_s, 3)],
         "l": _raw_loads(message.load),
         "s": _raw_loads(message.totals),
