--- a/src/rosepath/lease_keeper.py
+++ b/src/rosepath/lease_keeper.py
@@ -82,6 +82,11 @@
         due_s = renewed_s + self.policy.renewed_after_s
         return self._clock.monotonic_s() - due_s
 
+    def holder(self, name: str) -> str:
+        """Return whom a lease named when it was last read."""
+        row = self.rows.get(name)
+        return row.holder if row else ""
+
     def version(self, name: str) -> int:
         """Return the version under which a lease was last renewed."""
         row = self.rows.get(name)
--- a/src/rosepath/peer_table.py
+++ b/src/rosepath/peer_table.py
@@ -41,6 +41,8 @@
         self._me = me
         self._clock = clock
         self.peers: dict[str, Peer] = {}
+        # Whom the lease names, who may not have heard of this VM yet.
+        self.named_holder = ""
 
     def learn(self, name: str, address: str) -> None:
         """Note where a VM says it is, read from the store."""
@@ -87,7 +89,7 @@
         ]
         if holding or not self.crowded:
             return known
-        holder = self.holder()
+        holder = self.holder() or self.peers.get(self.named_holder)
         chosen = rng.sample(known, min(len(known), SAMPLED_VMS))
         return chosen if holder is None or holder in chosen else [holder, *chosen]
 
