Name the order dispatcher, the placement coordinator and the request context

Cause: desk, book and course were metaphors of our own, and tokens, start times and a revision were kept that nothing read. Change: modules, classes and fields renamed, unused fields taken out of tables and datagrams; behaviour as before.

--- a/src/rosepath/engine_orders.py
+++ b/src/rosepath/engine_orders.py
@@ -1,4 +1,4 @@
-"""Orders to engines, and the book that the lease's holder keeps of each."""
+"""Orders to engines, and the record that the lease's holder keeps of each."""
 
 from collections import deque
 from collections.abc import Mapping
@@ -61,7 +61,7 @@
 
 
 @dataclass(slots=True, kw_only=True)
-class EngineBook:
+class EngineRecord:
     """Hold what the holder knows of an engine's contents.
 
     `read` is set once a report was read, `known` while none is due.
--- a/src/rosepath/entry_node.py
+++ b/src/rosepath/entry_node.py
@@ -9,21 +9,21 @@
 from rosepath.attempt import Attempts
 from rosepath.catalog import Catalog
 from rosepath.clock import SystemClock
-from rosepath.course import RelayPorts
 from rosepath.entry_metrics import EntryMetrics
 from rosepath.entry_settings import EntrySettings
 from rosepath.feed import Pace
 from rosepath.gateway import CallerExchange, Gateway
 from rosepath.http_client import HttpPool
 from rosepath.logs import get_logger
-from rosepath.model_desk import ModelDesk
 from rosepath.peer_exchange import PeerExchange
 from rosepath.peer_table import PeerTable
+from rosepath.placement_coordinator import PlacementCoordinator
 from rosepath.platform.calls import READY_PATH
 from rosepath.platform.engines import EngineCalls
 from rosepath.platform.store import PlatformStore, StoreAccess
 from rosepath.prompt_caches import PromptCaches
 from rosepath.relay import Relay
+from rosepath.request_context import RelayPorts
 from rosepath.request_records import RequestRecords
 from rosepath.retry_window import RetryWindow
 from rosepath.settings import split_address
@@ -100,7 +100,7 @@
             on_catalog=self._limit_callers,
         )
         self.peers = PeerTable(settings.entry_vm, clock=self.clock)
-        self.desk = ModelDesk(
+        self.coordinator = PlacementCoordinator(
             settings,
             clock=self.clock,
             store=self.store,
@@ -120,7 +120,7 @@
             store=self.store,
             tables=self.tables,
             peers=self.peers,
-            desk=self.desk,
+            coordinator=self.coordinator,
             stopping=lambda: self.stopping,
         )
         self.records = RequestRecords(self.metrics, clock=self.clock)
@@ -133,7 +133,7 @@
                 attempts=Attempts(self.pool, clock=self.clock),
                 catalog=lambda: self.tables.catalog,
                 budget=self._budget,
-                desk=self.desk,
+                models=self.coordinator,
                 fleet_changed=self.tables.changed,
                 cut_off=lambda: self.peers.cut_off(settings.data_centre),
                 on_outcome=self.records.note,
@@ -171,8 +171,8 @@
         self.loops.forever(self.exchange.join)
         self.loops.forever(self.exchange.link.run)
         self.loops.every(FORGET_TICK_S, self.exchange.forget_silent)
-        self.loops.every(LEASE_TICK_S, self.desk.step_lease)
-        self.loops.every(PLAN_TICK_S, self.desk.orders.tick)
+        self.loops.every(LEASE_TICK_S, self.coordinator.step_lease)
+        self.loops.every(PLAN_TICK_S, self.coordinator.orders.tick)
         _log.info("started", callers=self.settings.callers.listen)
 
     async def stop(self) -> None:
@@ -182,7 +182,7 @@
         self.gateway.closing = True
         _log.info("stopping", in_flight=len(self.gateway.open))
         self.exchange.link.tell()
-        await self.desk.give_up()
+        await self.coordinator.give_up()
         await asyncio.sleep(BALANCER_NOTICES_S)
         self.gateway.close_idle()
         limit_s = started_s + self.settings.stop.grace_s - STOP_MARGIN_S
@@ -210,7 +210,7 @@
         """Export what is believed, how old it is, and what orders came to."""
         metrics = self.metrics
         metrics.observe("store_calls", lambda: dict(self.store.calls))
-        metrics.observe("orders", lambda: dict(self.desk.orders.outcomes))
+        metrics.observe("orders", lambda: dict(self.coordinator.orders.outcomes))
         metrics.observe("beliefs", self._beliefs)
 
     def _beliefs(self) -> dict[str, float]:
@@ -224,7 +224,7 @@
             "store_age_s": now_s - self.store.last_success_s,
             "servers": len(self.tables.fleet.servers),
             "peers_live": len(self.peers.live()),
-            "lease_term": self.desk.term,
+            "lease_term": self.coordinator.term,
             "ready": self.ready,
             "in_flight": len(self.gateway.open),
         }
@@ -244,7 +244,9 @@
 
     def _pace(self) -> Pace:
         """Return how the store is followed: what VMs tell spares them calls."""
-        told = not self.desk.term and self.peers.holder_heard_within(TOLD_WITHIN_S)
+        told = not self.coordinator.term and self.peers.holder_heard_within(
+            TOLD_WITHIN_S
+        )
         return Pace(
             wait_s=GUARDED_WAIT_S if told else ALONE_WAIT_S,
             gather_s=GATHER_TOLD_S if told and self.peers.crowded else GATHER_S,
--- a/src/rosepath/fleet.py
+++ b/src/rosepath/fleet.py
@@ -40,9 +40,7 @@
     first token; they count until that came.
     """
 
-    since_s: float
     unread_tokens: int = 0
-    tokens: int = 0
     model: str = ""
 
 
@@ -52,7 +50,6 @@
 
     requests: int = 0
     unread_tokens: int = 0
-    tokens: int = 0
     models: Mapping[str, int] = field(default_factory=dict)
 
     def less(self, other: "PeerLoad") -> "PeerLoad":
@@ -60,7 +57,6 @@
         return PeerLoad(
             requests=max(0, self.requests - other.requests),
             unread_tokens=max(0, self.unread_tokens - other.unread_tokens),
-            tokens=max(0, self.tokens - other.tokens),
         )
 
 
@@ -116,19 +112,12 @@
             used.update(load.models)
         return used
 
-    @property
-    def tokens(self) -> int:
-        """Return the tokens of memory that running requests take there."""
-        own = sum(flight.tokens for flight in self.flights.values())
-        return own + sum(load.tokens for load in self.peers.values())
-
 
 class Fleet:
     """Hold every backend server by name."""
 
     def __init__(self) -> None:
         self.servers: dict[str, BackendServer] = {}
-        self.revision = 0
 
     def leaving(self) -> list[str]:
         """Return the servers that say they are leaving."""
@@ -173,6 +162,5 @@
     return PeerLoad(
         requests=len(flights),
         unread_tokens=sum(flight.unread_tokens for flight in flights),
-        tokens=sum(flight.tokens for flight in flights),
         models=Counter(flight.model for flight in flights if flight.model),
     )
--- a/src/rosepath/order_desk.py
+++ b/src/rosepath/order_dispatcher.py
@@ -10,8 +10,8 @@
 from rosepath.demand import ModelDemand
 from rosepath.engine_choice import READ_TOKENS_PER_S
 from rosepath.engine_orders import (
-    EngineBook,
     EnginePort,
+    EngineRecord,
     LoadCeiling,
     Order,
     OrderAction,
@@ -41,7 +41,7 @@
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class DeskPorts:
+class DispatcherPorts:
     """Hold what orders are made from."""
 
     me: str
@@ -55,12 +55,12 @@
     on_held: Callable[[str, str, str, bool], None]
 
 
-class OrderDesk:
-    """Keep a book of every engine and order what the plan says."""
+class OrderDispatcher:
+    """Keep a record of every engine and order what the plan says."""
 
-    def __init__(self, ports: DeskPorts) -> None:
+    def __init__(self, ports: DispatcherPorts) -> None:
         self._ports = ports
-        self._books: dict[str, EngineBook] = {}
+        self._records: dict[str, EngineRecord] = {}
         self._locks: dict[str, asyncio.Lock] = {}
         self._ceiling = LoadCeiling()
         self._fence = 0
@@ -78,8 +78,8 @@
         if catalog is None or not ports.may_order():
             return
         if ports.fence() != self._fence:
-            # What another holder ordered meanwhile is not in these books.
-            self._books.clear()
+            # What another holder ordered meanwhile is not in these records.
+            self._records.clear()
             self._fence = ports.fence()
         for service in catalog.services.values():
             if service.engine is not None:
@@ -97,12 +97,12 @@
         views = []
         loading: Counter[str] = Counter()
         for server in servers:
-            book = self._books.get(server.name)
-            if book is None or not book.read:
+            record = self._records.get(server.name)
+            if record is None or not record.read:
                 continue
-            if book.loading:
-                loading[book.loading] += 1
-            views.append(self._view(server, book, spec))
+            if record.loading:
+                loading[record.loading] += 1
+            views.append(self._view(server, record, spec))
         now_s = self._ports.clock.monotonic_s()
         demands = self._ports.demand(service)
         swaps = plan_swaps(
@@ -115,9 +115,9 @@
         )
         for swap in swaps:
             server = self._ports.fleet.servers[swap.engine]
-            book = self._books[swap.engine]
-            book.busy = True
-            book.loading = swap.model
+            record = self._records[swap.engine]
+            record.busy = True
+            record.loading = swap.model
             if swap.from_store:
                 self._ceiling.note(now_s)
             _log.info(
@@ -131,12 +131,12 @@
                 demand=_shown(demands.get(swap.model)),
                 victims_demand=[_shown(demands.get(name)) for name in swap.victims],
             )
-            task = asyncio.ensure_future(self._swap(swap, server, book, spec))
+            task = asyncio.ensure_future(self._swap(swap, server, record, spec))
             self._swaps.add(task)
             task.add_done_callback(self._swaps.discard)
 
     def _view(
-        self, server: BackendServer, book: EngineBook, spec: EngineSpec
+        self, server: BackendServer, record: EngineRecord, spec: EngineSpec
     ) -> EngineView:
         now_s = self._ports.clock.monotonic_s()
         near = {
@@ -150,124 +150,131 @@
         return EngineView(
             name=server.name,
             memory_mb=spec.memory_mb,
-            used_mb=self._used_mb(book, spec),
+            used_mb=self._used_mb(record, spec),
             age_s={
-                model: now_s - book.loaded_s.get(model, -1e9) for model in book.models
+                model: now_s - record.loaded_s.get(model, -1e9)
+                for model in record.models
             },
             in_use=server.in_use,
-            settled=book.known
-            and not book.occupied
+            settled=record.known
+            and not record.occupied
             and server.entry.remaining_s is None,
             near=near,
             load=server.unread_tokens / READ_TOKENS_PER_S,
         )
 
     @staticmethod
-    def _used_mb(book: EngineBook, spec: EngineSpec) -> float:
-        return book.used_mb(
+    def _used_mb(record: EngineRecord, spec: EngineSpec) -> float:
+        return record.used_mb(
             {name: model.size_mb for name, model in spec.models.items()},
             {name: model.adapter_mb for name, model in spec.models.items()},
         )
 
     async def _look_if_due(self, server: BackendServer) -> None:
-        book = self._books.setdefault(server.name, EngineBook(server=server.name))
+        record = self._records.setdefault(server.name, EngineRecord(server=server.name))
         now_s = self._ports.clock.monotonic_s()
         # An engine that says it is busy, with an adapter or with what a holder
         # before ordered, is looked at until it is not; swaps look themselves.
-        due = not book.busy and (book.engine_busy or not book.known)
-        if due and now_s - book.looked_s >= LOOK_INTERVAL_S:
-            await self._look(server, book)
+        due = not record.busy and (record.engine_busy or not record.known)
+        if due and now_s - record.looked_s >= LOOK_INTERVAL_S:
+            await self._look(server, record)
 
-    async def _look(self, server: BackendServer, book: EngineBook) -> bool:
-        """Read an engine's report into its book."""
-        book.looked_s = self._ports.clock.monotonic_s()
+    async def _look(self, server: BackendServer, record: EngineRecord) -> bool:
+        """Read an engine's report into its record."""
+        record.looked_s = self._ports.clock.monotonic_s()
         try:
             report = await self._ports.engines.report(server.address, server.name)
         except ExchangeError as error:
             _log.info("report_unread", peer=server.name, why=error.message)
             return False
-        return book.take(report, now_s=self._ports.clock.monotonic_s())
+        return record.take(report, now_s=self._ports.clock.monotonic_s())
 
     # Swaps
 
     async def _swap(
-        self, swap: Swap, server: BackendServer, book: EngineBook, spec: EngineSpec
+        self, swap: Swap, server: BackendServer, record: EngineRecord, spec: EngineSpec
     ) -> None:
-        """Carry out one swap; whatever ends it, the book is read again."""
+        """Carry out one swap; whatever ends it, the record is read again."""
         now_s = self._ports.clock.monotonic_s
         try:
             for victim in swap.victims:
-                if not await self._unload(server, book, victim):
+                if not await self._unload(server, record, victim):
                     return
             size_mb = spec.models[swap.model].size_mb
-            book.loading = ""
-            if self._used_mb(book, spec) + size_mb > spec.memory_mb:
+            record.loading = ""
+            if self._used_mb(record, spec) + size_mb > spec.memory_mb:
                 return
-            book.loading = swap.model
-            if not await self._load(server, book, swap.model):
+            record.loading = swap.model
+            if not await self._load(server, record, swap.model):
                 return
             load_s = spec.models[swap.model].load_s
             near = swap.model in server.entry.on_disk | server.entry.in_memory
             await asyncio.sleep(0.4 if near else max(0.4, 0.8 * load_s))
             limit_s = now_s() + LOAD_TIMES * load_s
             while now_s() < limit_s and self._ports.may_order():
-                await self._look(server, book)
-                if swap.model in book.models and not book.engine_busy:
-                    book.loaded_s[swap.model] = now_s()
+                await self._look(server, record)
+                if swap.model in record.models and not record.engine_busy:
+                    record.loaded_s[swap.model] = now_s()
                     self._ports.on_held(server.name, swap.model, "", True)
                     return
                 await asyncio.sleep(LOOK_INTERVAL_S)
         finally:
-            book.loading = ""
-            book.busy = False
-            book.known = False
+            record.loading = ""
+            record.busy = False
+            record.known = False
 
     async def _unload(
-        self, server: BackendServer, book: EngineBook, victim: str
+        self, server: BackendServer, record: EngineRecord, victim: str
     ) -> bool:
         async with self._lock(server.name):
             # From the order on, new requests for it are turned away there.
             self._ports.on_held(server.name, victim, "", False)
             reply = await self._send_until_free(
-                server, book, OrderAction.UNLOAD, victim
+                server, record, OrderAction.UNLOAD, victim
             )
         if reply not in (OrderReply.ACCEPTED, OrderReply.HOLDS):
             return False
-        book.models.discard(victim)
-        for name in list(book.adapters):
+        record.models.discard(victim)
+        for name in list(record.adapters):
             if name.startswith(f"{victim}/"):
-                del book.adapters[name]
+                del record.adapters[name]
         return True
 
-    async def _load(self, server: BackendServer, book: EngineBook, model: str) -> bool:
+    async def _load(
+        self, server: BackendServer, record: EngineRecord, model: str
+    ) -> bool:
         # Until the unload before it is done, the engine turns this away: its
         # memory is free by the time that the load is accepted.
-        reply = await self._send_until_free(server, book, OrderAction.LOAD, model)
+        reply = await self._send_until_free(server, record, OrderAction.LOAD, model)
         return reply in (OrderReply.ACCEPTED, OrderReply.HOLDS)
 
     async def _send_until_free(
-        self, server: BackendServer, book: EngineBook, action: OrderAction, model: str
+        self,
+        server: BackendServer,
+        record: EngineRecord,
+        action: OrderAction,
+        model: str,
     ) -> OrderReply | None:
         """Send an order again while the engine is busy with the one before."""
         pause_s = BUSY_AGAIN_S
         limit_s = self._ports.clock.monotonic_s() + BUSY_MAX_S
         while True:
-            reply = await self._send(server, book, action, model)
+            reply = await self._send(server, record, action, model)
             now_s = self._ports.clock.monotonic_s()
             if reply is not OrderReply.CONFLICT or now_s > limit_s:
                 return reply
             await asyncio.sleep(pause_s)
             pause_s = min(pause_s * 1.6, LOOK_INTERVAL_S)
             if pause_s >= LOOK_INTERVAL_S:
-                await self._catch_up(server, book)
+                await self._catch_up(server, record)
 
-    async def _catch_up(self, server: BackendServer, book: EngineBook) -> None:
+    async def _catch_up(self, server: BackendServer, record: EngineRecord) -> None:
         """Correct the count of orders if the engine took one unseen."""
         try:
             report = await self._ports.engines.report(server.address, server.name)
         except ExchangeError:
             return
-        book.sequence = max(book.sequence, report.sequence)
+        record.sequence = max(record.sequence, report.sequence)
 
     # Adapters
 
@@ -285,40 +292,42 @@
         spec = found.engine
         name = f"{model}/{adapter}"
         async with self._lock(server_name):
-            book = self._books.setdefault(server_name, EngineBook(server=server_name))
-            if not book.known:
-                await self._look(server, book)
+            record = self._records.setdefault(
+                server_name, EngineRecord(server=server_name)
+            )
+            if not record.known:
+                await self._look(server, record)
             now_s = self._ports.clock.monotonic_s()
-            if not book.known or model not in book.models:
+            if not record.known or model not in record.models:
                 return False
-            if name in book.adapters:
-                book.adapters[name] = now_s
+            if name in record.adapters:
+                record.adapters[name] = now_s
                 return True
-            if book.occupied:
+            if record.occupied:
                 # It takes one order at a time; another engine is quicker.
                 return False
-            if not await self._make_adapter_room(server, book, spec, model):
+            if not await self._make_adapter_room(server, record, spec, model):
                 return False
-            reply = await self._send(server, book, OrderAction.LOAD, model, adapter)
+            reply = await self._send(server, record, OrderAction.LOAD, model, adapter)
             if reply not in (OrderReply.ACCEPTED, OrderReply.HOLDS):
                 return False
-            book.adapters[name] = now_s
+            record.adapters[name] = now_s
         await asyncio.sleep(ADAPTER_SETTLES_S)
         self._ports.on_held(server_name, model, adapter, True)
         return True
 
     async def _make_adapter_room(
-        self, server: BackendServer, book: EngineBook, spec: EngineSpec, model: str
+        self, server: BackendServer, record: EngineRecord, spec: EngineSpec, model: str
     ) -> bool:
         now_s = self._ports.clock.monotonic_s()
-        free_mb = spec.memory_mb - self._used_mb(book, spec)
+        free_mb = spec.memory_mb - self._used_mb(record, spec)
         size_mb = spec.models[model].adapter_mb if model in spec.models else 0.0
-        if len(book.adapters) < spec.adapter_slots and size_mb <= free_mb:
+        if len(record.adapters) < spec.adapter_slots and size_mb <= free_mb:
             return True
         # The one asked for longest ago; engines finish its requests first.
         idle = [
             (used_s, name)
-            for name, used_s in book.adapters.items()
+            for name, used_s in record.adapters.items()
             if used_s < now_s - ADAPTER_KEPT_S
         ]
         if not idle:
@@ -326,11 +335,11 @@
         victim = min(idle)[1]
         victim_model, _, adapter = victim.partition("/")
         reply = await self._send(
-            server, book, OrderAction.UNLOAD, victim_model, adapter
+            server, record, OrderAction.UNLOAD, victim_model, adapter
         )
         if reply not in (OrderReply.ACCEPTED, OrderReply.HOLDS):
             return False
-        del book.adapters[victim]
+        del record.adapters[victim]
         self._ports.on_held(server.name, victim_model, adapter, False)
         return True
 
@@ -339,7 +348,7 @@
     async def _send(
         self,
         server: BackendServer,
-        book: EngineBook,
+        record: EngineRecord,
         action: OrderAction,
         model: str,
         adapter: str = "",
@@ -360,7 +369,7 @@
                 adapter=adapter,
                 holder=ports.me,
                 fence=ports.fence(),
-                expected_sequence=book.sequence,
+                expected_sequence=record.sequence,
             )
             reply: OrderReply | None = None
             why = ""
@@ -371,14 +380,14 @@
                 why = error.message
             self._note(order, reply, why)
             if reply is OrderReply.ACCEPTED:
-                book.sequence += 1
+                record.sequence += 1
                 return reply
             if reply is OrderReply.CONFLICT:
-                book.known = False
+                record.known = False
                 return reply
             if reply is not None:
                 return reply
-        book.known = False
+        record.known = False
         return None
 
     def _note(self, order: Order, reply: OrderReply | None, why: str) -> None:
@@ -403,7 +412,7 @@
     @property
     def occupied(self) -> list[str]:
         """Return the engines that an order keeps busy."""
-        return [book.server for book in self._books.values() if book.occupied]
+        return [record.server for record in self._records.values() if record.occupied]
 
     def _lock(self, server: str) -> asyncio.Lock:
         return self._locks.setdefault(server, asyncio.Lock())
--- a/src/rosepath/peer_exchange.py
+++ b/src/rosepath/peer_exchange.py
@@ -7,11 +7,11 @@
 from rosepath.clock import Clock
 from rosepath.fleet import PeerLoad, own_load
 from rosepath.logs import get_logger
-from rosepath.model_desk import ModelDesk
 from rosepath.object_store import ConflictError, StoreError
 from rosepath.peer_link import PeerLink
 from rosepath.peer_messages import PeerState
 from rosepath.peer_table import PeerTable
+from rosepath.placement_coordinator import PlacementCoordinator
 from rosepath.platform.store import PlatformStore
 from rosepath.store_tables import StoreTables
 
@@ -40,7 +40,7 @@
         store: PlatformStore,
         tables: StoreTables,
         peers: PeerTable,
-        desk: ModelDesk,
+        coordinator: PlacementCoordinator,
         stopping: Callable[[], bool],
     ) -> None:
         self._me = entry_vm
@@ -48,7 +48,7 @@
         self._clock = clock
         self._store = store
         self._tables = tables
-        self._desk = desk
+        self._coordinator = coordinator
         self._stopping = stopping
         self.peers = peers
         self.link = PeerLink(
@@ -57,9 +57,9 @@
             clock=clock,
             describe=self._describe,
             on_state=self._peer_spoke,
-            on_ask=desk.answer,
+            on_ask=coordinator.answer,
         )
-        desk.link = self.link
+        coordinator.link = self.link
 
     async def join(self) -> None:
         """Tell the store where this VM is, and read where the others are."""
@@ -98,7 +98,7 @@
             for server in self._tables.fleet.servers.values()
             if server.unreached_s > now_s - DOWN_TOLD_S
         ]
-        telling = self._desk.term > 0 and self.peers.crowded
+        telling = self._coordinator.term > 0 and self.peers.crowded
         totals = self._totals() if telling else {}
         return PeerState(
             entry_vm=self._me,
@@ -109,15 +109,17 @@
             stopping=self._stopping(),
             servers_revision=self._tables.servers_feed.changed_revision,
             configuration_revision=self._tables.catalog_feed.changed_revision,
-            term=self._desk.term,
-            lease_version=self._desk.lease_version,
+            term=self._coordinator.term,
+            lease_version=self._coordinator.lease_version,
             store_ago_s=self._clock.monotonic_s() - self._store.last_success_s,
-            resigned_version=self._desk.resigned_version,
-            acted_ago_s=self._desk.acted_ago_s,
+            resigned_version=self._coordinator.resigned_version,
+            acted_ago_s=self._coordinator.acted_ago_s,
             load={} if telling else self._own_loads(),
-            demand={} if telling else self._desk.own_demand(),
-            occupied=tuple(self._desk.orders.occupied) if self._desk.term else (),
-            moves=tuple(self._desk.recent_moves()),
+            demand={} if telling else self._coordinator.own_demand(),
+            occupied=tuple(self._coordinator.orders.occupied)
+            if self._coordinator.term
+            else (),
+            moves=tuple(self._coordinator.recent_moves()),
             leaving=tuple(self._tables.fleet.leaving()),
             down=tuple(unreached),
             gone=tuple(self._tables.gone()) if totals else (),
@@ -127,7 +129,7 @@
     def _peer_spoke(self, state: PeerState) -> None:
         if state.totals:
             self._take_totals(state)
-        elif not self.peers.crowded or self._desk.term:
+        elif not self.peers.crowded or self._coordinator.term:
             self._take_load(state)
         self._tables.servers_feed.hear(state.servers_revision)
         self._tables.catalog_feed.hear(state.configuration_revision)
@@ -138,7 +140,7 @@
         self._hear_down(state)
         if state.term and state.store_ago_s > STORE_TROUBLE_S:
             self._tables.note_trouble()
-        self._desk.hear_peer(state)
+        self._coordinator.hear_peer(state)
 
     def _own_loads(self) -> dict[str, PeerLoad]:
         return {
@@ -152,7 +154,6 @@
             server.name: PeerLoad(
                 requests=server.requests,
                 unread_tokens=server.unread_tokens,
-                tokens=server.tokens,
             )
             for server in self._tables.fleet.servers.values()
             if server.requests
@@ -160,7 +161,7 @@
 
     def _hear_down(self, state: PeerState) -> None:
         """Spare requests a server that another VM of this data centre misses."""
-        if state.data_centre != self._data_centre and not self._desk.term:
+        if state.data_centre != self._data_centre and not self._coordinator.term:
             return
         until_s = self._clock.monotonic_s() + DOWN_HEARD_S
         for name in state.down:
@@ -186,7 +187,7 @@
 
     async def forget_silent(self) -> None:
         """Stop counting the load of VMs that are silent."""
-        if self.peers.crowded and not self._desk.term:
+        if self.peers.crowded and not self._coordinator.term:
             return
         live = {peer.name for peer in self.peers.live()}
         for server in self._tables.fleet.servers.values():
--- a/src/rosepath/model_desk.py
+++ b/src/rosepath/placement_coordinator.py
@@ -14,7 +14,7 @@
 from rosepath.lease_keeper import LeaseKeeper
 from rosepath.leases import LeasePolicy
 from rosepath.object_store import ObjectsPort
-from rosepath.order_desk import DeskPorts, OrderDesk
+from rosepath.order_dispatcher import DispatcherPorts, OrderDispatcher
 from rosepath.peer_link import PeerLink
 from rosepath.peer_messages import AdapterAsk, HeldMove, PeerState
 from rosepath.peer_table import PeerTable
@@ -34,7 +34,7 @@
 RANK_STEP_S = 0.4
 
 
-class ModelDesk:
+class PlacementCoordinator:
     """Count demand, and bring orders about: as the holder, or by asking it."""
 
     def __init__(
@@ -82,8 +82,8 @@
             ),
             clock=self._boot,
         )
-        self.orders = OrderDesk(
-            DeskPorts(
+        self.orders = OrderDispatcher(
+            DispatcherPorts(
                 me=settings.entry_vm,
                 clock=clock,
                 engines=engines,
--- a/src/rosepath/relay.py
+++ b/src/rosepath/relay.py
@@ -8,7 +8,6 @@
 from rosepath.attempt import Answer, AttemptError, Sending
 from rosepath.caller_call import BadRequestError, CallerCall
 from rosepath.catalog import HostRoute, RouteKind
-from rosepath.course import RETRY_AFTER_S, Course, RelayPorts
 from rosepath.errors import RefusalError, Run, Step, refuse
 from rosepath.event_order import EventOrder
 from rosepath.fleet import BackendServer, Flight
@@ -16,6 +15,7 @@
 from rosepath.http_client import ResponseHead
 from rosepath.logs import get_logger
 from rosepath.platform.calls import answer_headers, decode_call, refusal_headers
+from rosepath.request_context import RETRY_AFTER_S, RelayPorts, RequestContext
 from rosepath.retries import Attempt, Evidence, Verdict, judge
 from rosepath.retry_window import RetryWindow
 from rosepath.server_choice import (
@@ -67,7 +67,7 @@
                 arrived_s=exchange.arrived_s,
             )
             request_id = call.request_id
-            course = self._begin(call, exchange)
+            context = self._begin(call, exchange)
         except BadRequestError as error:
             self._refuse(exchange, request_id, 400, "bad_request", str(error))
             return
@@ -83,11 +83,11 @@
             )
             return
         try:
-            await self._run(course)
+            await self._run(context)
         except RefusalError as error:
-            self._give_up(course, error)
+            self._give_up(context, error)
 
-    def _begin(self, call: CallerCall, exchange: CallerExchange) -> Course:
+    def _begin(self, call: CallerCall, exchange: CallerExchange) -> RequestContext:
         catalog = self._ports.catalog()
         if catalog is None:
             raise refuse(
@@ -113,7 +113,7 @@
         limit_s = min(route.timeout_s, call.wait_s or route.timeout_s)
         self._ports.budget(service.name).note_request()
         streams = route.kind is RouteKind.STREAMING
-        return Course(
+        return RequestContext(
             call=call,
             route=route,
             service=service,
@@ -122,35 +122,35 @@
             order=EventOrder(last_id=call.last_event_id) if streams else None,
         )
 
-    async def _run(self, course: Course) -> None:
+    async def _run(self, context: RequestContext) -> None:
         while True:
-            server, flight = await self._picker.choose(course)
+            server, flight = await self._picker.choose(context)
             sent_s = self._now_s()
-            server.flights[course.call.request_id] = flight
+            server.flights[context.call.request_id] = flight
             try:
-                answer = await self._try(course, server, flight)
+                answer = await self._try(context, server, flight)
             except AttemptError as error:
-                course.seen.append(error.evidence)
-                self._note_failed(course, server, error)
-                self._judge(course, error)
+                context.seen.append(error.evidence)
+                self._note_failed(context, server, error)
+                self._judge(context, error)
                 continue
             finally:
-                server.flights.pop(course.call.request_id, None)
+                server.flights.pop(context.call.request_id, None)
             failed = not answer.success
-            if failed and self._try_again_after(course, server, answer):
+            if failed and self._try_again_after(context, server, answer):
                 continue
             note_success(server, took_s=self._now_s() - sent_s)
-            self._finish(course, server, answer)
+            self._finish(context, server, answer)
             return
 
     def _try_again_after(
-        self, course: Course, server: BackendServer, answer: Answer
+        self, context: RequestContext, server: BackendServer, answer: Answer
     ) -> bool:
         """Tell whether an idempotent request that failed goes on elsewhere."""
-        if answer.head.status < 500 or course.exchange.begun:
+        if answer.head.status < 500 or context.exchange.begun:
             return False
-        course.tried.add(server.name)
-        course.seen.append(Evidence.SENT)
+        context.tried.add(server.name)
+        context.seen.append(Evidence.SENT)
         note_error(server)
         error = AttemptError(
             f"the server answered {answer.head.status}",
@@ -158,102 +158,102 @@
             peer=server.name,
             evidence=Evidence.SENT,
         )
-        again = judge(self._as_attempt(course, error), self._budget(course))
+        again = judge(self._as_attempt(context, error), self._budget(context))
         return again is not Verdict.GIVE_UP
 
     async def _try(
-        self, course: Course, server: BackendServer, flight: Flight
+        self, context: RequestContext, server: BackendServer, flight: Flight
     ) -> Answer:
         def on_events(head: ResponseHead, events: bytes) -> Awaitable[None] | None:
-            if course.first_event_s is None:
-                course.first_event_s = self._now_s()
+            if context.first_event_s is None:
+                context.first_event_s = self._now_s()
             flight.unread_tokens = 0
-            if not course.exchange.begun:
-                course.exchange.begin(head.status, answer_headers(head.headers))
-            return course.exchange.write(events)
+            if not context.exchange.begun:
+                context.exchange.begin(head.status, answer_headers(head.headers))
+            return context.exchange.write(events)
 
-        order = course.order
+        order = context.order
         if order is not None:
             order.restart()
         begun = order is not None and order.events > 0
         sending = Sending(
-            deadline_s=course.deadline_s,
-            patience_s=self._patience_s(course, server),
-            pause_s=self._pause_s(course),
-            repeatable=course.route.repeatable,
-            priority=None if course.service.engine is None else _rank(course.route),
+            deadline_s=context.deadline_s,
+            patience_s=self._patience_s(context, server),
+            pause_s=self._pause_s(context),
+            repeatable=context.route.repeatable,
+            priority=None if context.service.engine is None else _rank(context.route),
             last_event_id=order.last_id if order is not None and begun else None,
         )
         return await self._ports.attempts.send(
-            course.call,
+            context.call,
             server,
             sending,
             order=order,
             on_events=on_events if order is not None else None,
         )
 
-    def _patience_s(self, course: Course, server: BackendServer) -> float:
+    def _patience_s(self, context: RequestContext, server: BackendServer) -> float:
         """Return how long an answer may be in coming before another is asked."""
-        left_s = max(0.01, course.deadline_s - self._now_s())
-        last = course.may_have_run + 1 >= course.route.max_attempts
-        if last or not course.route.repeatable:
+        left_s = max(0.01, context.deadline_s - self._now_s())
+        last = context.may_have_run + 1 >= context.route.max_attempts
+        if last or not context.route.repeatable:
             # Waiting costs nothing that giving up would save.
             return left_s + 1.0
-        if course.order is None:
+        if context.order is None:
             usual_s = max(PATIENCE_MIN_S, PATIENCE_TIMES * server.latency_s)
             return min(left_s + 1.0, usual_s)
-        usual_s = FIRST_EVENT_MIN_S + FIRST_EVENT_TIMES * course.predicted_s
-        return min(left_s + 1.0, max(usual_s, course.route.target_latency_s))
+        usual_s = FIRST_EVENT_MIN_S + FIRST_EVENT_TIMES * context.predicted_s
+        return min(left_s + 1.0, max(usual_s, context.route.target_latency_s))
 
-    def _pause_s(self, course: Course) -> float:
+    def _pause_s(self, context: RequestContext) -> float:
         """Return how long a stream may stand still before it goes on elsewhere."""
-        if not course.route.repeatable or course.order is None:
-            return max(0.01, course.deadline_s - self._now_s()) + 1.0
-        return max(PAUSE_MIN_S, PAUSE_GAPS * course.route.target_gap_s)
+        if not context.route.repeatable or context.order is None:
+            return max(0.01, context.deadline_s - self._now_s()) + 1.0
+        return max(PAUSE_MIN_S, PAUSE_GAPS * context.route.target_gap_s)
 
     def _note_failed(
-        self, course: Course, server: BackendServer, error: AttemptError
+        self, context: RequestContext, server: BackendServer, error: AttemptError
     ) -> None:
-        course.tried.add(server.name)
+        context.tried.add(server.name)
         now_s = self._now_s()
         if error.evidence is Evidence.NOT_SENT:
             note_unreached(server, now_s=now_s)
         if error.evidence is not Evidence.REFUSED:
             silent = error.timed_out or error.evidence is Evidence.NOT_SENT
             note_failure(server, now_s=now_s, silent=silent)
-        elif error.status == 421 and course.call.prompt is not None:
+        elif error.status == 421 and context.call.prompt is not None:
             # It does not hold what we thought it does.
-            prompt = course.call.prompt
+            prompt = context.call.prompt
             if prompt.adapter and prompt.model in server.held:
                 server.held[prompt.model].discard(prompt.adapter)
             else:
                 server.held.pop(prompt.model, None)
         _log.info(
             "try_failed",
-            request_id=course.call.request_id,
+            request_id=context.call.request_id,
             step=error.step.value,
             peer=server.name,
             why=error.message,
             evidence=error.evidence.value,
-            tries=len(course.seen),
+            tries=len(context.seen),
         )
 
-    def _as_attempt(self, course: Course, error: AttemptError) -> Attempt:
+    def _as_attempt(self, context: RequestContext, error: AttemptError) -> Attempt:
         return Attempt(
             evidence=error.evidence,
-            idempotent=course.route.repeatable,
-            resumable=course.route.resumable,
-            attempts=course.may_have_run,
-            max_attempts=course.route.max_attempts,
-            left_s=course.deadline_s - self._now_s(),
+            idempotent=context.route.repeatable,
+            resumable=context.route.resumable,
+            attempts=context.may_have_run,
+            max_attempts=context.route.max_attempts,
+            left_s=context.deadline_s - self._now_s(),
         )
 
-    def _judge(self, course: Course, error: AttemptError) -> None:
+    def _judge(self, context: RequestContext, error: AttemptError) -> None:
         """Return if the request may be tried again; raises RefusalError."""
-        verdict = judge(self._as_attempt(course, error), self._budget(course))
-        if verdict is not Verdict.GIVE_UP and course.arrivals < MAX_TRIES:
+        verdict = judge(self._as_attempt(context, error), self._budget(context))
+        if verdict is not Verdict.GIVE_UP and context.arrivals < MAX_TRIES:
             return
-        if course.not_run:
+        if context.not_run:
             raise refuse(
                 503,
                 "not_run",
@@ -262,7 +262,7 @@
                 peer=error.peer,
                 retry_after_s=RETRY_AFTER_S,
             )
-        out_of_time = self._now_s() >= course.deadline_s
+        out_of_time = self._now_s() >= context.deadline_s
         raise refuse(
             504 if out_of_time else 502,
             "timeout" if out_of_time else "server_failed",
@@ -272,47 +272,49 @@
             run=Run.UNKNOWN,
         )
 
-    def _budget(self, course: Course) -> RetryWindow:
-        return self._ports.budget(course.service.name)
+    def _budget(self, context: RequestContext) -> RetryWindow:
+        return self._ports.budget(context.service.name)
 
-    def _finish(self, course: Course, server: BackendServer, answer: Answer) -> None:
-        course.answered_by = server.name
-        exchange = course.exchange
+    def _finish(
+        self, context: RequestContext, server: BackendServer, answer: Answer
+    ) -> None:
+        context.answered_by = server.name
+        exchange = context.exchange
         if exchange.begun:
             exchange.end()
         else:
             exchange.answer(
                 answer.head.status, answer_headers(answer.head.headers), answer.body
             )
-        self._ports.on_outcome(course, answer.head.status, "")
+        self._ports.on_outcome(context, answer.head.status, "")
 
-    def _give_up(self, course: Course, error: RefusalError) -> None:
+    def _give_up(self, context: RequestContext, error: RefusalError) -> None:
         refusal = error.refusal
-        cut = course.exchange.begun
+        cut = context.exchange.begun
         if cut:
-            course.exchange.abort()
+            context.exchange.abort()
         else:
             self._refuse(
-                course.exchange,
-                course.call.request_id,
+                context.exchange,
+                context.call.request_id,
                 refusal.status,
                 refusal.code,
                 refusal.message,
                 refusal.retry_after_s,
             )
-        self._ports.on_outcome(course, refusal.status, refusal.code)
+        self._ports.on_outcome(context, refusal.status, refusal.code)
         _log.info(
             "request_refused",
-            request_id=course.call.request_id,
-            route=course.route.name,
-            service=course.service.name,
+            request_id=context.call.request_id,
+            route=context.route.name,
+            service=context.service.name,
             status=refusal.status,
             code=refusal.code,
             why=refusal.message,
             step=refusal.step.value,
             peer=refusal.peer,
-            tries=len(course.seen),
-            age_s=round(self._now_s() - course.call.arrived_s, 3),
+            tries=len(context.seen),
+            age_s=round(self._now_s() - context.call.arrived_s, 3),
             cut=cut,
         )
 
--- a/src/rosepath/course.py
+++ b/src/rosepath/request_context.py
@@ -1,4 +1,4 @@
-"""A request's course so far, and what those who carry it work with."""
+"""A request's context so far, and what those who carry it work with."""
 
 import asyncio
 import random
@@ -14,7 +14,7 @@
 from rosepath.fleet import BackendServer, Fleet
 from rosepath.gateway import CallerExchange
 from rosepath.prompt_caches import PromptCaches
-from rosepath.retries import Evidence, worst_evidence
+from rosepath.retries import Evidence
 from rosepath.retry_window import RetryWindow
 
 # When a caller may come back after a refusal: swaps and restarts are over by
@@ -22,7 +22,7 @@
 RETRY_AFTER_S = 0.5
 
 
-class ModelDesk(Protocol):
+class ModelPort(Protocol):
     """Tell of demand, and get adapters onto engines."""
 
     def note_request(
@@ -47,15 +47,15 @@
     attempts: Attempts
     catalog: Callable[[], Catalog | None]
     budget: Callable[[str], RetryWindow]
-    desk: ModelDesk
+    models: ModelPort
     fleet_changed: asyncio.Condition
     cut_off: Callable[[], Collection[str]]
-    on_outcome: Callable[["Course", int, str], None]
+    on_outcome: Callable[["RequestContext", int, str], None]
     rng: random.Random = field(default_factory=random.Random)
 
 
 @dataclass(slots=True, kw_only=True)
-class Course:
+class RequestContext:
     """Hold how a request has fared so far."""
 
     call: CallerCall
@@ -83,11 +83,6 @@
         """Return the tries that reached a server."""
         return sum(evidence is not Evidence.NOT_SENT for evidence in self.seen)
 
-    @property
-    def evidence(self) -> Evidence:
-        """Return what is known of all tries together."""
-        return worst_evidence(self.seen) if self.seen else Evidence.NOT_SENT
-
     @property
     def not_run(self) -> bool:
         return self.may_have_run == 0
--- a/src/rosepath/server_picker.py
+++ b/src/rosepath/server_picker.py
@@ -4,10 +4,10 @@
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
-from rosepath.course import RETRY_AFTER_S, Course, RelayPorts
 from rosepath.engine_choice import choose_engine, holds_adapter
 from rosepath.errors import Step, refuse
 from rosepath.fleet import BackendServer, Flight
+from rosepath.request_context import RETRY_AFTER_S, RelayPorts, RequestContext
 from rosepath.server_choice import choose_server
 
 # How long a request waits for a server to become known before it is refused.
@@ -26,57 +26,57 @@
     def __init__(self, ports: RelayPorts) -> None:
         self._ports = ports
 
-    async def choose(self, course: Course) -> tuple[BackendServer, Flight]:
+    async def choose(self, context: RequestContext) -> tuple[BackendServer, Flight]:
         """Choose a server, waiting a little for one if there is none."""
         asked_s = self._now_s()
-        give_up_s = min(asked_s + NO_SERVER_WAIT_S, course.deadline_s)
-        if course.service.engine is not None:
-            give_up_s = self._wait_until_s(course)
-        with self._counted_waiting(course) as count_waiting:
-            return await self._choose_until(course, asked_s, give_up_s, count_waiting)
+        give_up_s = min(asked_s + NO_SERVER_WAIT_S, context.deadline_s)
+        if context.service.engine is not None:
+            give_up_s = self._wait_until_s(context)
+        with self._counted_waiting(context) as count_waiting:
+            return await self._choose_until(context, asked_s, give_up_s, count_waiting)
 
     @staticmethod
-    def _wait_until_s(course: Course) -> float:
+    def _wait_until_s(context: RequestContext) -> float:
         """Return until when a generation may wait for an engine.
 
         A caller of a stream leaves if its first event is too long in coming;
         an engine needs some of that time.
         """
-        patience_s = min(course.route.first_event_patience_s, course.route.timeout_s)
+        patience_s = min(context.route.first_event_patience_s, context.route.timeout_s)
         left_s = WAITED_SHARE * patience_s
-        return min(course.call.arrived_s + left_s, course.deadline_s)
+        return min(context.call.arrived_s + left_s, context.deadline_s)
 
     @contextmanager
-    def _counted_waiting(self, course: Course) -> Iterator[Callable[[], None]]:
+    def _counted_waiting(self, context: RequestContext) -> Iterator[Callable[[], None]]:
         """Let demand show that a request waits, from its first wait on."""
-        prompt = course.call.prompt
-        desk, service = self._ports.desk, course.service.name
+        prompt = context.call.prompt
+        models, service = self._ports.models, context.service.name
         counted = False
 
         def count() -> None:
             nonlocal counted
             if prompt is not None and not counted:
                 counted = True
-                desk.note_waiting(service, prompt.model, step=1)
+                models.note_waiting(service, prompt.model, step=1)
 
         try:
             yield count
         finally:
             if counted and prompt is not None:
-                desk.note_waiting(service, prompt.model, step=-1)
+                models.note_waiting(service, prompt.model, step=-1)
 
     async def _choose_until(
         self,
-        course: Course,
+        context: RequestContext,
         asked_s: float,
         give_up_s: float,
         count_waiting: Callable[[], None],
     ) -> tuple[BackendServer, Flight]:
         while True:
-            chosen = await self._pick(course)
+            chosen = await self._pick(context)
             now_s = self._now_s()
-            if chosen is not None and now_s < course.deadline_s:
-                course.waited_s += now_s - asked_s
+            if chosen is not None and now_s < context.deadline_s:
+                context.waited_s += now_s - asked_s
                 return chosen
             if now_s >= give_up_s:
                 raise refuse(
@@ -89,26 +89,28 @@
             count_waiting()
             await self._wait_for_change(min(give_up_s - now_s, 0.1))
 
-    async def _pick(self, course: Course) -> tuple[BackendServer, Flight] | None:
+    async def _pick(
+        self, context: RequestContext
+    ) -> tuple[BackendServer, Flight] | None:
         ports = self._ports
         now_s = self._now_s()
-        servers = ports.fleet.of_service(course.service.name)
-        prompt = course.call.prompt
-        if course.service.engine is None or prompt is None:
+        servers = ports.fleet.of_service(context.service.name)
+        prompt = context.call.prompt
+        if context.service.engine is None or prompt is None:
             server = choose_server(
                 servers,
                 data_centre=ports.data_centre,
-                tried=course.tried,
+                tried=context.tried,
                 cut_off=ports.cut_off(),
                 now_s=now_s,
                 rng=ports.rng,
             )
-            return None if server is None else (server, Flight(since_s=now_s))
+            return None if server is None else (server, Flight())
         choice = choose_engine(
             servers,
             prompt,
             data_centre=ports.data_centre,
-            tried=course.tried,
+            tried=context.tried,
             cut_off=ports.cut_off(),
             now_s=now_s,
             cached_tokens=ports.caches.cached_tokens,
@@ -116,25 +118,23 @@
         )
         if choice is None:
             # All that hold the model refused it; it may be theirs again soon.
-            course.tried.clear()
+            context.tried.clear()
             return None
         if not holds_adapter(choice.server, prompt):
-            limit_s = min(ADAPTER_WAIT_S, course.deadline_s - now_s)
-            ready = await ports.desk.ensure_adapter(
-                course.service.name, choice.server, prompt, limit_s=limit_s
+            limit_s = min(ADAPTER_WAIT_S, context.deadline_s - now_s)
+            ready = await ports.models.ensure_adapter(
+                context.service.name, choice.server, prompt, limit_s=limit_s
             )
             if not ready:
                 return None
         ports.caches.note_read(choice.server, prompt)
-        ports.desk.note_request(
-            course.service.name, prompt, unread_tokens=choice.unread_tokens
+        ports.models.note_request(
+            context.service.name, prompt, unread_tokens=choice.unread_tokens
         )
-        course.unread_tokens = choice.unread_tokens
-        course.predicted_s = choice.first_token_s
+        context.unread_tokens = choice.unread_tokens
+        context.predicted_s = choice.first_token_s
         flight = Flight(
-            since_s=now_s,
             unread_tokens=choice.unread_tokens,
-            tokens=prompt.input_tokens + prompt.output_tokens,
             model=prompt.model,
         )
         return choice.server, flight
--- a/tests/entry_harness.py
+++ b/tests/entry_harness.py
@@ -11,12 +11,12 @@
 from rosepath.attempt import Attempts
 from rosepath.catalog import Catalog, HostRoute
 from rosepath.clock import SystemClock
-from rosepath.course import Course, RelayPorts
 from rosepath.fleet import Fleet
 from rosepath.gateway import CallerExchange, Gateway
 from rosepath.http_client import HttpPool
 from rosepath.prompt_caches import PromptCaches
 from rosepath.relay import Relay
+from rosepath.request_context import RelayPorts, RequestContext
 from rosepath.retry_window import RetryWindow
 
 Script = Callable[["Asked", asyncio.StreamWriter], Awaitable[None]]
@@ -90,7 +90,7 @@
     return f"{head}Transfer-Encoding: chunked\r\n\r\n".encode()
 
 
-class NoDesk:
+class NoModels:
     """Order nothing."""
 
     def note_request(self, *_: Any, **__: Any) -> None:
@@ -165,7 +165,7 @@
     window = RetryWindow(clock=clock, ratio=0.2, slack=slack, window_s=10.0)
     made: list[Entry] = []
 
-    def on_outcome(_: Course, status: int, code: str) -> None:
+    def on_outcome(_: RequestContext, status: int, code: str) -> None:
         made[0].outcomes.append((status, code))
 
     def on_failure(_: CallerExchange, error: BaseException | None) -> None:
@@ -180,7 +180,7 @@
             attempts=Attempts(pool, clock=clock),
             catalog=lambda: catalog,
             budget=lambda _: window,
-            desk=NoDesk(),
+            models=NoModels(),
             fleet_changed=asyncio.Condition(),
             cut_off=set,
             on_outcome=on_outcome,
--- a/tests/test_order_desk.py
+++ b/tests/test_order_dispatcher.py
@@ -10,7 +10,7 @@
 from rosepath.engine_orders import EngineReport, Order, OrderAction, OrderReply
 from rosepath.errors import ExchangeError, Step
 from rosepath.fleet import Fleet
-from rosepath.order_desk import LOOK_INTERVAL_S, DeskPorts, OrderDesk
+from rosepath.order_dispatcher import LOOK_INTERVAL_S, DispatcherPorts, OrderDispatcher
 
 
 class FakeEngine:
@@ -56,18 +56,18 @@
         )
 
 
-def a_desk(
+def a_dispatcher(
     engine: FakeEngine,
     clock: ManualClock,
     *,
     demand: dict[str, ModelDemand] | None = None,
     may_order: Callable[[], bool] = lambda: True,
-) -> OrderDesk:
+) -> OrderDispatcher:
     fleet = Fleet()
     fleet.put(an_entry("e1", models=dict.fromkeys(engine.models, frozenset())))
     catalog = a_catalog(engine=an_engine_spec("m0", "m1", "m2", adapter_slots=2))
-    return OrderDesk(
-        DeskPorts(
+    return OrderDispatcher(
+        DispatcherPorts(
             me="vm-1",
             clock=clock,
             engines=engine,
@@ -90,12 +90,12 @@
 def test_an_order_without_an_answer_is_sent_again_and_done_once() -> None:
     # The answer is lost, and the order carried out seconds later. Sent again
     # with the same expected sequence, one of the two is refused: the engine
-    # never holds more than the book reckons with.
+    # never holds more than the record reckons with.
     async def run() -> None:
         engine, clock = FakeEngine("m0"), ManualClock()
         engine.unanswered = 1
-        desk = a_desk(engine, clock)
-        assert await desk.ensure_adapter("llm", "e1", "m0", "a1")
+        dispatcher = a_dispatcher(engine, clock)
+        assert await dispatcher.ensure_adapter("llm", "e1", "m0", "a1")
         assert [order.expected_sequence for order in engine.orders] == [0, 0]
         assert engine.carry_out(engine.late[0]) is OrderReply.CONFLICT
         assert engine.models["m0"] == {"a1"}
@@ -109,13 +109,13 @@
     async def run() -> None:
         engine, clock = FakeEngine("m0"), ManualClock()
         demand = {"m1": ModelDemand(0.0, 2)}
-        desk = a_desk(engine, clock, demand=demand)
+        dispatcher = a_dispatcher(engine, clock, demand=demand)
         engine.busy = True
-        await desk.tick()
+        await dispatcher.tick()
         assert engine.orders == []
         engine.busy = False
         clock.advance(LOOK_INTERVAL_S + 0.01)
-        await desk.tick()
+        await dispatcher.tick()
         await until(lambda: bool(engine.orders))
         assert engine.orders[0].model == "m1"
 
@@ -126,12 +126,12 @@
     # An engine that is ordered to hold more than it can crashes.
     async def run() -> None:
         engine, clock = FakeEngine("m0"), ManualClock()
-        desk = a_desk(engine, clock)
-        assert await desk.ensure_adapter("llm", "e1", "m0", "a1")
-        assert await desk.ensure_adapter("llm", "e1", "m0", "a2")
-        assert not await desk.ensure_adapter("llm", "e1", "m0", "a3")
+        dispatcher = a_dispatcher(engine, clock)
+        assert await dispatcher.ensure_adapter("llm", "e1", "m0", "a1")
+        assert await dispatcher.ensure_adapter("llm", "e1", "m0", "a2")
+        assert not await dispatcher.ensure_adapter("llm", "e1", "m0", "a3")
         clock.advance(1.0)
-        assert await desk.ensure_adapter("llm", "e1", "m0", "a3")
+        assert await dispatcher.ensure_adapter("llm", "e1", "m0", "a3")
         assert engine.models["m0"] == {"a2", "a3"}
 
     asyncio.run(run())
@@ -140,9 +140,9 @@
 def test_who_no_longer_holds_the_lease_sends_nothing() -> None:
     async def run() -> None:
         engine, clock = FakeEngine("m0"), ManualClock()
-        desk = a_desk(engine, clock, may_order=lambda: False)
-        await desk.tick()
-        assert not await desk.ensure_adapter("llm", "e1", "m0", "a1")
+        dispatcher = a_dispatcher(engine, clock, may_order=lambda: False)
+        await dispatcher.tick()
+        assert not await dispatcher.ensure_adapter("llm", "e1", "m0", "a1")
         assert engine.orders == []
 
     asyncio.run(run())
--- a/tests/test_peer_messages.py
+++ b/tests/test_peer_messages.py
@@ -31,7 +31,7 @@
         store_ago_s=0.25,
         resigned_version=8,
         acted_ago_s=1.5,
-        load={"e1": PeerLoad(requests=2, unread_tokens=5, tokens=7, models={"m": 2})},
+        load={"e1": PeerLoad(requests=2, unread_tokens=5, models={"m": 2})},
         demand={"llm": {"m": ModelDemand(0.5, 1, frozenset(["a1"]))}},
         leaving=("e9",),
         gone=("e8",),
@@ -48,7 +48,7 @@
 def test_a_large_message_shrinks_and_is_read_all_the_same() -> None:
     # Sent to ninety VMs as it is, it would fill the holder's link.
     totals = {
-        f"i-{number:010x}": PeerLoad(requests=number, unread_tokens=9, tokens=7)
+        f"i-{number:010x}": PeerLoad(requests=number, unread_tokens=9)
         for number in range(70)
     }
     state = replace(a_peer_state("vm-1", term=1), totals=totals)
