Reckon anew after a late order; refuse what waits when a stop is noticed

LIMIT: a load given up unanswered landed late, and the dispatcher took over the engine's count without what it then held. LOST: a request that waited unsent for a model was cut at the end of a planned stop's grace.

--- a/src/rosepath/entry_node.py
+++ b/src/rosepath/entry_node.py
@@ -1,6 +1,7 @@
 """One entry VM on the users' platform: its tables, loops, start and stop."""
 
 import asyncio
+import math
 import socket
 
 from tornado.httpserver import HTTPServer
@@ -84,6 +85,7 @@
         self.settings = settings
         self.clock = SystemClock()
         self.stopping = False
+        self.wait_limit_s = math.inf
         self.loops = Supervisor()
         self.metrics = EntryMetrics()
         self.budgets: dict[str, RetryWindow] = {}
@@ -136,6 +138,7 @@
                 models=self.coordinator,
                 fleet_changed=self.tables.changed,
                 cut_off=lambda: self.peers.cut_off(settings.data_centre),
+                wait_limit_s=lambda: self.wait_limit_s,
                 on_outcome=self.records.note,
             )
         )
@@ -180,6 +183,9 @@
         started_s = self.clock.monotonic_s()
         self.stopping = True
         self.gateway.closing = True
+        # What still waits then is refused unrun, and served by another VM;
+        # kept, it would be cut without an answer when the grace is over.
+        self.wait_limit_s = started_s + BALANCER_NOTICES_S
         _log.info("stopping", in_flight=len(self.gateway.open))
         self.exchange.link.tell()
         await self.coordinator.give_up()
--- a/src/rosepath/order_dispatcher.py
+++ b/src/rosepath/order_dispatcher.py
@@ -265,16 +265,18 @@
                 return reply
             await asyncio.sleep(pause_s)
             pause_s = min(pause_s * 1.6, LOOK_INTERVAL_S)
-            if pause_s >= LOOK_INTERVAL_S:
-                await self._catch_up(server, record)
+            if pause_s >= LOOK_INTERVAL_S and await self._moved_on(server, record):
+                # An order that was given up landed late: what fits is to be
+                # reckoned anew, or this one would load beyond the memory.
+                return reply
 
-    async def _catch_up(self, server: BackendServer, record: EngineRecord) -> None:
-        """Correct the count of orders if the engine took one unseen."""
+    async def _moved_on(self, server: BackendServer, record: EngineRecord) -> bool:
+        """Tell whether an engine took an order that is not counted here."""
         try:
             report = await self._ports.engines.report(server.address, server.name)
         except ExchangeError:
-            return
-        record.sequence = max(record.sequence, report.sequence)
+            return False
+        return report.sequence > record.sequence
 
     # Adapters
 
--- a/src/rosepath/request_context.py
+++ b/src/rosepath/request_context.py
@@ -50,6 +50,8 @@
     models: ModelPort
     fleet_changed: asyncio.Condition
     cut_off: Callable[[], Collection[str]]
+    # Until when a request may wait unsent: a planned stop sets an end to it.
+    wait_limit_s: Callable[[], float]
     on_outcome: Callable[["RequestContext", int, str], None]
     rng: random.Random = field(default_factory=random.Random)
 
--- a/src/rosepath/server_picker.py
+++ b/src/rosepath/server_picker.py
@@ -78,7 +78,7 @@
             if chosen is not None and now_s < context.deadline_s:
                 context.waited_s += now_s - asked_s
                 return chosen
-            if now_s >= give_up_s:
+            if now_s >= min(give_up_s, self._ports.wait_limit_s()):
                 raise refuse(
                     503,
                     "no_server",
--- a/tests/entry_harness.py
+++ b/tests/entry_harness.py
@@ -1,6 +1,7 @@
 """A gateway and relay on loopback, with backend servers that follow a script."""
 
 import asyncio
+import math
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
@@ -112,6 +113,7 @@
     catalog: Catalog
     outcomes: list[tuple[int, str]] = field(default_factory=list)
     fleet: Fleet = field(default_factory=Fleet)
+    wait_limit_s: float = math.inf
     listening: dict[str, asyncio.Server] = field(default_factory=dict)
 
     async def close_server(self, name: str) -> None:
@@ -183,6 +185,7 @@
             models=NoModels(),
             fleet_changed=asyncio.Condition(),
             cut_off=set,
+            wait_limit_s=lambda: made[0].wait_limit_s,
             on_outcome=on_outcome,
         )
     )
--- a/tests/test_order_dispatcher.py
+++ b/tests/test_order_dispatcher.py
@@ -24,6 +24,7 @@
         self.late: list[Order] = []
         self.orders: list[Order] = []
         self.reports = 0
+        self.lands_after_report = False
 
     async def order(self, _: str, order: Order) -> OrderReply:
         self.orders.append(order)
@@ -49,11 +50,14 @@
 
     async def report(self, _: str, __: str) -> EngineReport:
         self.reports += 1
-        return EngineReport(
+        report = EngineReport(
             sequence=self.sequence,
             busy=self.busy,
             models={name: frozenset(held) for name, held in self.models.items()},
         )
+        while self.lands_after_report and self.late:
+            self.carry_out(self.late.pop())
+        return report
 
 
 def a_dispatcher(
@@ -146,3 +150,26 @@
         assert engine.orders == []
 
     asyncio.run(run())
+
+
+def test_an_order_that_lands_late_is_reckoned_with_before_the_next() -> None:
+    # A load is given up unanswered, and lands just before another is sent.
+    # Sent again with the count that the engine then shows, the second would
+    # load more than the engine's memory holds, and crash it.
+    async def run() -> None:
+        engine, clock = FakeEngine("m0"), ManualClock()
+        demand = {"m0": ModelDemand(0.1, 0), "m1": ModelDemand(0.0, 1)}
+        dispatcher = a_dispatcher(engine, clock, demand=demand)
+        engine.unanswered = 3
+        await dispatcher.tick()
+        await until(lambda: not dispatcher.occupied)
+        assert len(engine.late) == 3
+        del demand["m1"]
+        demand["m2"] = ModelDemand(0.0, 1)
+        clock.advance(LOOK_INTERVAL_S + 0.01)
+        engine.lands_after_report = True
+        await dispatcher.tick()
+        await until(lambda: not dispatcher.occupied)
+        assert set(engine.models) == {"m0", "m1"}
+
+    asyncio.run(run())
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -305,3 +305,21 @@
         assert data.endswith(b"0\r\n\r\n")
 
     asyncio.run(run())
+
+
+def test_a_planned_stop_refuses_what_still_waits() -> None:
+    # The model is on no engine, and the VM has been asked to stop. Waiting on,
+    # the request was cut without a word when the grace was over; refused
+    # unrun, it is served by another VM.
+    async def run() -> None:
+        async with entry() as node, asyncio.timeout(10):
+            reader, writer = await node.connect()
+            writer.write(request(generate()))
+            while not node.gateway.open:  # noqa: ASYNC110
+                await asyncio.sleep(0)
+            node.wait_limit_s = 0.0
+            head = await reader.readuntil(b"\r\n\r\n")
+        assert head.startswith(b"HTTP/1.1 503")
+        assert b"Retry-After" in head
+
+    asyncio.run(run())
