Keep adapters that requests use, and count an unload that is done at once

Besides, an engine answers the unload of an unused adapter with "holds" and counts it; it was not counted here, so each order after one met a sequence it did not expect and was refused (121 of 337 orders). Change: VMs tell their requests by model and adapter; only an adapter that no request uses makes way, else the request goes to another engine; an adapter's unload that holds is counted. A refused request's wait is logged. Both tests red before.

--- a/src/rosepath/engine_orders.py
+++ b/src/rosepath/engine_orders.py
@@ -1,7 +1,7 @@
 """Orders to engines, and the record that the lease's holder keeps of each."""
 
 from collections import deque
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from enum import StrEnum
 from typing import Protocol
@@ -103,6 +103,12 @@
         self.adapters = {name: self.adapters.get(name, now_s) for name in names}
         return True
 
+    def note_used(self, targets: Iterable[str], *, now_s: float) -> None:
+        """Note which adapters, as `model/adapter`, requests use now."""
+        for target in targets:
+            if target in self.adapters:
+                self.adapters[target] = now_s
+
     def used_mb(
         self, size_mb: Mapping[str, float], adapter_mb: Mapping[str, float]
     ) -> float:
--- a/src/rosepath/fleet.py
+++ b/src/rosepath/fleet.py
@@ -37,20 +37,24 @@
     """Hold one request of this entry VM that is at a backend server.
 
     `unread_tokens` are the prompt tokens it likely has to read before its
-    first token; they count until that came.
+    first token; they count until that came. `target` is the model, with the
+    adapter after a slash if there is one.
     """
 
     unread_tokens: int = 0
-    model: str = ""
+    target: str = ""
 
 
 @dataclass(slots=True, kw_only=True)
 class PeerLoad:
-    """Hold what another entry VM has at a backend server."""
+    """Hold what another entry VM has at a backend server.
+
+    `targets` counts the requests by what they use, as in `Flight`.
+    """
 
     requests: int = 0
     unread_tokens: int = 0
-    models: Mapping[str, int] = field(default_factory=dict)
+    targets: Mapping[str, int] = field(default_factory=dict)
 
     def less(self, other: "PeerLoad") -> "PeerLoad":
         """Return what is left of this load without another."""
@@ -105,11 +109,19 @@
         return own + sum(load.unread_tokens for load in self.peers.values())
 
     @property
-    def in_use(self) -> Counter[str]:
-        """Return the running requests by model."""
-        used = Counter(flight.model for flight in self.flights.values())
+    def targets_in_use(self) -> Counter[str]:
+        """Return the running requests by model and adapter."""
+        used = Counter(flight.target for flight in self.flights.values())
         for load in self.peers.values():
-            used.update(load.models)
+            used.update(load.targets)
+        return used
+
+    @property
+    def models_in_use(self) -> Counter[str]:
+        """Return the running requests by model."""
+        used: Counter[str] = Counter()
+        for target, requests in self.targets_in_use.items():
+            used[target.partition("/")[0]] += requests
         return used
 
 
@@ -162,5 +174,5 @@
     return PeerLoad(
         requests=len(flights),
         unread_tokens=sum(flight.unread_tokens for flight in flights),
-        models=Counter(flight.model for flight in flights if flight.model),
+        targets=Counter(flight.target for flight in flights if flight.target),
     )
--- a/src/rosepath/order_dispatcher.py
+++ b/src/rosepath/order_dispatcher.py
@@ -33,8 +33,10 @@
 BUSY_MAX_S = 12.0
 # Loads that share the weight store take longer, up to so many times.
 LOAD_TIMES = 4.0
-# An adapter that was used this recently is not taken away for another.
-ADAPTER_KEPT_S = 0.5
+# An adapter that was got for a request stays for that request to be sent and
+# told of: two turns of what VMs tell each other, and the way.
+ADAPTER_KEPT_TURNS = 2.0
+ADAPTER_KEPT_MIN_S = 0.2
 ORDER_TRIES = 3
 
 _log = get_logger()
@@ -52,6 +54,8 @@
     may_order: Callable[[], bool]
     fence: Callable[[], int]
     demand: Callable[[str], Mapping[str, ModelDemand]]
+    # How old what other VMs have at an engine may be.
+    told_every_s: Callable[[], float]
     on_held: Callable[[str, str, str, bool], None]
 
 
@@ -102,6 +106,7 @@
                 continue
             if record.loading:
                 loading[record.loading] += 1
+            record.note_used(server.targets_in_use, now_s=now_s)
             views.append(self._view(server, record, spec))
         now_s = self._ports.clock.monotonic_s()
         demands = self._ports.demand(service)
@@ -155,7 +160,7 @@
                 model: now_s - record.loaded_s.get(model, -1e9)
                 for model in record.models
             },
-            in_use=server.in_use,
+            in_use=server.models_in_use,
             settled=record.known
             and not record.occupied
             and server.entry.remaining_s is None,
@@ -326,11 +331,16 @@
         size_mb = spec.models[model].adapter_mb if model in spec.models else 0.0
         if len(record.adapters) < spec.adapter_slots and size_mb <= free_mb:
             return True
-        # The one asked for longest ago; engines finish its requests first.
+        # An adapter that no request uses is gone at once. For one in use the
+        # engine would wait until its requests are done, for seconds, and take
+        # no order meanwhile: whoever needs another adapter there would stand
+        # still for that long.
+        kept_s = ADAPTER_KEPT_MIN_S + ADAPTER_KEPT_TURNS * self._ports.told_every_s()
+        in_use = server.targets_in_use
         idle = [
             (used_s, name)
             for name, used_s in record.adapters.items()
-            if used_s < now_s - ADAPTER_KEPT_S
+            if used_s < now_s - kept_s and not in_use[name]
         ]
         if not idle:
             return False
@@ -381,9 +391,8 @@
             except ExchangeError as error:
                 why = error.message
             self._note(order, reply, why)
-            if reply is OrderReply.ACCEPTED:
+            if reply is not None and _counted(order, reply):
                 record.sequence += 1
-                return reply
             if reply is OrderReply.CONFLICT:
                 record.known = False
                 return reply
@@ -420,5 +429,16 @@
         return self._locks.setdefault(server, asyncio.Lock())
 
 
+def _counted(order: Order, reply: OrderReply) -> bool:
+    """Tell whether an engine counted an order among those it accepted.
+
+    What an adapter's unload finds unused is gone at once, and the engine says
+    that it holds already; it counts that, unlike other orders that hold.
+    """
+    if reply is OrderReply.HOLDS:
+        return bool(order.adapter) and order.action is OrderAction.UNLOAD
+    return reply is OrderReply.ACCEPTED
+
+
 def _shown(demand: ModelDemand | None) -> tuple[float, int] | None:
     return None if demand is None else (round(demand.load, 3), demand.waiting)
--- a/src/rosepath/peer_messages.py
+++ b/src/rosepath/peer_messages.py
@@ -201,7 +201,7 @@
 
 def _raw_loads(loads: Mapping[str, PeerLoad]) -> dict[str, list[Any]]:
     return {
-        name: [load.requests, load.unread_tokens, dict(load.models)]
+        name: [load.requests, load.unread_tokens, dict(load.targets)]
         for name, load in loads.items()
     }
 
@@ -211,7 +211,7 @@
         str(name): PeerLoad(
             requests=int(row[0]),
             unread_tokens=int(row[1]),
-            models={str(model): int(runs) for model, runs in row[2].items()},
+            targets={str(target): int(runs) for target, runs in row[2].items()},
         )
         for name, row in raw.items()
     }
--- a/src/rosepath/placement_coordinator.py
+++ b/src/rosepath/placement_coordinator.py
@@ -92,6 +92,7 @@
                 may_order=lambda: self.holds,
                 fence=lambda: self.leases.term(LEASE_NAME),
                 demand=self.all_demand,
+                told_every_s=lambda: peers.interval_s,
                 on_held=self._note_held,
             )
         )
--- a/src/rosepath/server_picker.py
+++ b/src/rosepath/server_picker.py
@@ -79,6 +79,7 @@
                 context.waited_s += now_s - asked_s
                 return chosen
             if now_s >= min(give_up_s, self._ports.wait_limit_s()):
+                context.waited_s += now_s - asked_s
                 raise refuse(
                     503,
                     "no_server",
@@ -135,7 +136,7 @@
         context.predicted_s = choice.first_token_s
         flight = Flight(
             unread_tokens=choice.unread_tokens,
-            model=prompt.model,
+            target=prompt.target,
         )
         return choice.server, flight
 
--- a/tests/test_order_dispatcher.py
+++ b/tests/test_order_dispatcher.py
@@ -9,7 +9,7 @@
 from rosepath.demand import ModelDemand
 from rosepath.engine_orders import EngineReport, Order, OrderAction, OrderReply
 from rosepath.errors import ExchangeError, Step
-from rosepath.fleet import Fleet
+from rosepath.fleet import Fleet, Flight, PeerLoad
 from rosepath.order_dispatcher import LOOK_INTERVAL_S, DispatcherPorts, OrderDispatcher
 
 
@@ -25,6 +25,7 @@
         self.orders: list[Order] = []
         self.reports = 0
         self.lands_after_report = False
+        self.in_use: set[str] = set()
 
     async def order(self, _: str, order: Order) -> OrderReply:
         self.orders.append(order)
@@ -40,8 +41,14 @@
         self.sequence += 1
         adapters = self.models.get(order.model)
         if order.adapter and adapters is not None:
-            load = order.action is OrderAction.LOAD
-            (adapters.add if load else adapters.discard)(order.adapter)
+            if order.action is OrderAction.LOAD:
+                adapters.add(order.adapter)
+            elif f"{order.model}/{order.adapter}" in self.in_use:
+                # It waits for the runs, and takes no order until they end.
+                self.busy = True
+            else:
+                adapters.discard(order.adapter)
+                return OrderReply.HOLDS
         elif order.action is OrderAction.LOAD:
             self.models[order.model] = set()
         else:
@@ -66,8 +73,9 @@
     *,
     demand: dict[str, ModelDemand] | None = None,
     may_order: Callable[[], bool] = lambda: True,
+    fleet: Fleet | None = None,
 ) -> OrderDispatcher:
-    fleet = Fleet()
+    fleet = fleet or Fleet()
     fleet.put(an_entry("e1", models=dict.fromkeys(engine.models, frozenset())))
     catalog = a_catalog(engine=an_engine_spec("m0", "m1", "m2", adapter_slots=2))
     return OrderDispatcher(
@@ -80,6 +88,7 @@
             may_order=may_order,
             fence=lambda: 7,
             demand=lambda _: demand or {},
+            told_every_s=lambda: 0.15,
             on_held=lambda *_: None,
         )
     )
@@ -141,6 +150,48 @@
     asyncio.run(run())
 
 
+def test_an_adapter_in_use_does_not_make_way_for_another() -> None:
+    # All places for adapters are taken, one by a long stream. Its adapter was
+    # asked for longest ago and was ordered away; the engine waited seconds for
+    # the stream to end, took no order meanwhile, and whoever needed any other
+    # adapter there was refused in the end.
+    async def run() -> None:
+        engine, clock, fleet = FakeEngine("m0"), ManualClock(), Fleet()
+        dispatcher = a_dispatcher(engine, clock, fleet=fleet)
+        assert await dispatcher.ensure_adapter("llm", "e1", "m0", "a1")
+        clock.advance(0.1)
+        assert await dispatcher.ensure_adapter("llm", "e1", "m0", "a2")
+        fleet.servers["e1"].peers["vm-2"] = PeerLoad(requests=1, targets={"m0/a1": 1})
+        engine.in_use.add("m0/a1")
+        clock.advance(1.0)
+        assert await dispatcher.ensure_adapter("llm", "e1", "m0", "a3")
+        assert engine.models["m0"] == {"a1", "a3"}
+        assert not engine.busy
+        # With every place in use, the request goes to another engine.
+        fleet.servers["e1"].flights["q1"] = Flight(target="m0/a3")
+        clock.advance(1.0)
+        assert not await dispatcher.ensure_adapter("llm", "e1", "m0", "a2")
+        assert engine.models["m0"] == {"a1", "a3"}
+
+    asyncio.run(run())
+
+
+def test_an_adapter_that_goes_at_once_is_counted() -> None:
+    # An engine answers the unload of an unused adapter as done already, and
+    # counts it. Not counted here, each order after such an unload met another
+    # sequence than it expected and was refused: one more round a request.
+    async def run() -> None:
+        engine, clock = FakeEngine("m0"), ManualClock()
+        dispatcher = a_dispatcher(engine, clock)
+        for adapter in ("a1", "a2", "a3"):
+            clock.advance(1.0)
+            assert await dispatcher.ensure_adapter("llm", "e1", "m0", adapter)
+        assert [order.expected_sequence for order in engine.orders] == [0, 1, 2, 3]
+        assert engine.sequence == 4
+
+    asyncio.run(run())
+
+
 def test_who_no_longer_holds_the_lease_sends_nothing() -> None:
     async def run() -> None:
         engine, clock = FakeEngine("m0"), ManualClock()
