Plan models by what engines are strained by, all of their models together

Change: the plan adds up reading and adapters for each engine and takes the swap that makes fewest requests late; demand is also told by a window of 2 s, and those who wait count, with their adapters. Four new tests, each with its pattern; the old ones pass.

--- a/src/rosepath/demand.py
+++ b/src/rosepath/demand.py
@@ -9,6 +9,12 @@
 # Demand moves within seconds; a window much shorter than this sees no rare
 # model, a longer one lags.
 WINDOW_S = 5.0
+# Where demand moves to, a shorter window shows it sooner; it is discounted, as
+# a few requests more in it may be chance.
+FRESH_WINDOW_S = 2.0
+FRESH_DISCOUNT = 0.8
+# Of those who wait, nobody knows yet what an engine will have to read.
+WAITING_WORK_S = 0.12
 # What an engine is busy with is reading prompts; tokens are written for all
 # running requests at once.
 READ_S_PER_TOKEN = 1 / 38_000
@@ -18,12 +24,20 @@
 class ModelDemand:
     """Hold a model's load in engine-seconds a second, and who waits for it.
 
-    `adapters` names the adapters of it that were asked for lately.
+    `adapters` names the adapters of it that were asked for lately, and
+    `fresh_load` is the load by a shorter window.
     """
 
     load: float
     waiting: int
     adapters: frozenset[str] = frozenset()
+    fresh_load: float = 0.0
+
+    @property
+    def expected_load(self) -> float:
+        """Return the load to plan for, of those who wait too."""
+        waiting = self.waiting * WAITING_WORK_S / FRESH_WINDOW_S
+        return max(self.load, FRESH_DISCOUNT * (self.fresh_load + waiting))
 
 
 @dataclass(slots=True, kw_only=True)
@@ -46,9 +60,15 @@
         window = self._windows.setdefault((service, prompt.model), _Window())
         window.work.append((now_s, work_s, prompt.adapter))
 
-    def wait(self, service: str, model: str, *, step: int) -> None:
-        """Count a request that begins (1) or ends (-1) waiting for a model."""
-        self._windows.setdefault((service, model), _Window()).waiting += step
+    def wait(self, service: str, prompt: Prompt, *, step: int, now_s: float) -> None:
+        """Count a request that begins (1) or ends (-1) waiting for a model.
+
+        It shows at once which adapter it needs; what it reads is noted later.
+        """
+        window = self._windows.setdefault((service, prompt.model), _Window())
+        window.waiting += step
+        if step > 0 and prompt.adapter:
+            window.work.append((now_s, 0.0, prompt.adapter))
 
     def now(self, service: str, *, now_s: float) -> dict[str, ModelDemand]:
         """Return the demand for each model of a service."""
@@ -57,10 +77,13 @@
             while window.work and window.work[0][0] < now_s - WINDOW_S:
                 window.work.popleft()
             if name == service and (window.work or window.waiting):
+                fresh_s = now_s - FRESH_WINDOW_S
+                fresh = sum(work_s for at_s, work_s, _ in window.work if at_s > fresh_s)
                 demands[model] = ModelDemand(
                     sum(work_s for _, work_s, _ in window.work) / WINDOW_S,
                     window.waiting,
                     frozenset(adapter for _, _, adapter in window.work if adapter),
+                    fresh / FRESH_WINDOW_S,
                 )
         return demands
 
@@ -79,5 +102,6 @@
                 known.load + demand.load,
                 known.waiting + demand.waiting,
                 known.adapters | demand.adapters,
+                known.fresh_load + demand.fresh_load,
             )
     return total
--- a/src/rosepath/engine_plan.py
+++ b/src/rosepath/engine_plan.py
@@ -1,46 +1,60 @@
 """Which model to load next on which engine, and what makes way for it.
 
 Pure: a view of the engines and of demand in, at most one swap an engine out.
-A further copy is worth the load beyond what the others bear well, so busy
-models spread only as far as they need to, rare ones keep one copy while there
-is room, and a model that somebody waits for goes before all else. A swap that
-waits for running requests keeps its engine from all other orders, so what is
-in use stays.
+All costs are requests a second that would be late or lost. An engine's strain
+grows with what it has to read and with the adapters it is asked for beyond its
+places, summed over all models it holds: two busy models on one engine strain
+it though each alone would not. A swap gains what it takes off the strained
+engines, or what is lost while nobody holds a model, less what it puts on its
+own engine, what its victims are worth, and what the swap itself costs.
 """
 
-from collections.abc import Mapping, Sequence
-from dataclasses import dataclass
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass, field
 
 from rosepath.catalog import ModelSpec
 from rosepath.demand import ModelDemand
 
-# Share of an engine's time for reading prompts that one model may take before
-# another copy pays: at 0.2, a prompt of 10,000 tokens waits some 30 ms for
-# others; a copy more costs a load and drops what else was there.
-BORNE_LOAD = 0.2
-# A model that nobody asks for now is worth a copy: when demand moves to it,
-# its first requests find it there instead of waiting for a load.
-IDLE_COPY_WORTH = 0.12
-# What it is worth to serve those who wait for a model that nobody holds: more
-# than any further copy of a busy one, less than the only copy of one.
-WAITING_WORTH = 1.0
-# A running request that an unload would have to wait for.
-IN_USE_WORTH = 0.15
-# An engine has few places for adapters, each taken for as long as a request
-# that uses it runs. Where the other copies of a model have too few for the
-# adapters asked for lately, requests stand still until one is free.
-ADAPTERS_SHARE = 0.8
-ADAPTERS_WORTH = 0.3
+# Demand stays where it is for some five seconds; what a swap gains a second
+# counts for this long.
+HORIZON_S = 4.0
+# A long prompt takes an engine an eighth of a second to read.
+REQUESTS_PER_LOAD = 8.0
+# At this share of its time spent reading, an engine's first tokens begin to be
+# late, and at the second all of them are: running requests take the rest.
+EASED_LOAD = 0.3
+FULL_LOAD = 0.75
+# Beyond full load, the queue grows, and with it what is lost; up to this.
+LATE_MAX = 1.5
+# Requests a second that wait too long for each adapter beyond the places.
+CROWDED_OUT_PER_S = 0.4
+# A model that nobody holds: lost of those who ask, and of those who might
+# begin to, as busy models change every few seconds.
+ABSENT_IDLE_PER_S = 0.5
+ABSENT_ASKED_PER_S = 1.0
+ABSENT_WAITING_PER_S = 1.0
+ABSENT_TIMES = 2.0
+# Counted once, in requests. Loading keeps an engine from all other orders, for
+# adapters too; a load from the weight store costs its users about one request.
+LOADING_PER_S = 0.5
+STORE_LOAD = 1.1
+# An unload waits for the running requests of its model, and its engine takes
+# no other order until they end.
+IN_USE = 2.5
+# What was loaded lately is not taken away again for a small gain.
+FRESH_S = 4.0
+FRESH = 3.0
+# The first copy of a busy model in a data centre serves it while it is cut off.
+NEW_DATA_CENTRE = 1.0
+# A swap must gain clearly more than its victims lose, or noise in the demand
+# would swap models back and forth.
+LOSS_FACTOR = 1.25
+GAIN_MIN = 0.3
 # Engines in a swap at the same time, as a share of all: while it lasts, no
 # adapter gets to them.
 MOST_SWAPPING = 0.5
-# A move must gain clearly more than it takes away, or noise in the demand
-# would swap models back and forth.
-GAIN_FACTOR = 1.5
-GAIN_MIN = 0.02
-# What was loaded this recently is not taken away again for a small gain.
-FRESH_S = 4.0
-FRESH_WORTH = 0.5
+# Models looked at for each swap, those first that gain most by a copy.
+MODELS_WEIGHED = 12
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -49,17 +63,19 @@
 
     `age_s` maps the models it holds to the seconds since they were loaded,
     `near` those that it can load without the weight store to the seconds that
-    takes; `settled` is False while an order is in progress.
+    takes; `coming` is the model it loads now; `settled` is False while an
+    order is in progress.
     """
 
     name: str
+    data_centre: str
     memory_mb: float
     used_mb: float
     age_s: Mapping[str, float]
     in_use: Mapping[str, int]
     settled: bool
     near: Mapping[str, float]
-    load: float = 0.0
+    coming: str = ""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -73,156 +89,261 @@
     from_store: bool = False
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class _Terms:
-    models: Mapping[str, ModelSpec]
-    demands: Mapping[str, ModelDemand]
-    copies: Mapping[str, int]
-    store_room: bool
-    adapter_slots: int
-
-
-def copy_worth(
-    demand: ModelDemand | None, copies: int, *, adapter_slots: int = 0
-) -> float:
-    """Return what the last of so many copies of a model is worth."""
-    if copies <= 1:
-        if demand is None:
-            return IDLE_COPY_WORTH
-        waiting = WAITING_WORTH if demand.waiting else 0.0
-        return IDLE_COPY_WORTH + waiting + 2.0 * demand.load
-    if demand is None:
-        return 0.0
-    worth = max(0.0, demand.load / (copies - 1) - BORNE_LOAD)
-    if len(demand.adapters) > ADAPTERS_SHARE * adapter_slots * (copies - 1):
-        worth += ADAPTERS_WORTH
-    return worth
-
-
 def plan_swaps(
     engines: Sequence[EngineView],
     models: Mapping[str, ModelSpec],
     demands: Mapping[str, ModelDemand],
     *,
-    loading: Mapping[str, int],
     store_room: bool,
     adapter_slots: int,
 ) -> list[Swap]:
-    """Return the next swaps, the most useful first, at most one an engine.
-
-    `loading` counts the copies of each model that are on their way.
-    """
-    copies = {name: loading.get(name, 0) for name in models}
-    for engine in engines:
-        for model in engine.age_s:
-            copies[model] = copies.get(model, 0) + 1
-    swaps: list[Swap] = []
+    """Return the next swaps, the most useful first, at most one an engine."""
+    books = _Books.from_views(engines, models, demands, adapter_slots=adapter_slots)
     free = {engine.name: engine for engine in engines if engine.settled}
     swapping = len(engines) - len(free)
+    swaps: list[Swap] = []
     while free and swapping < max(1.0, MOST_SWAPPING * len(engines)):
-        terms = _Terms(
-            models=models,
-            demands=demands,
-            copies=copies,
-            store_room=store_room,
-            adapter_slots=adapter_slots,
-        )
-        best = _best_swap(list(free.values()), terms)
+        best = _best_swap(list(free.values()), books, store_room=store_room)
         if best is None:
             break
         swaps.append(best)
         swapping += 1
         del free[best.engine]
-        copies[best.model] += 1
-        for victim in best.victims:
-            copies[victim] -= 1
+        books.apply(best)
         store_room = store_room and not best.from_store
     return swaps
 
 
-def _best_swap(engines: Sequence[EngineView], terms: _Terms) -> Swap | None:
+def strain(load: float, adapters: float, adapter_slots: int) -> float:
+    """Return the requests a second that an engine makes late."""
+    late = (load - EASED_LOAD) / (FULL_LOAD - EASED_LOAD)
+    late = min(LATE_MAX, max(0.0, late))
+    crowded_out = max(0.0, adapters - adapter_slots)
+    return REQUESTS_PER_LOAD * load * late + CROWDED_OUT_PER_S * crowded_out
+
+
+@dataclass(slots=True, kw_only=True)
+class _Books:
+    """Hold who holds what, and what that puts on each engine."""
+
+    engines: Mapping[str, EngineView]
+    models: Mapping[str, ModelSpec]
+    demands: Mapping[str, ModelDemand]
+    adapter_slots: int
+    copies: dict[str, set[str]]
+    held: dict[str, set[str]]
+    load: dict[str, float] = field(default_factory=dict)
+    adapters: dict[str, float] = field(default_factory=dict)
+    _losses: dict[str, list[tuple[float, str]]] = field(default_factory=dict)
+
+    @classmethod
+    def from_views(
+        cls,
+        engines: Sequence[EngineView],
+        models: Mapping[str, ModelSpec],
+        demands: Mapping[str, ModelDemand],
+        *,
+        adapter_slots: int,
+    ) -> "_Books":
+        books = cls(
+            engines={engine.name: engine for engine in engines},
+            models=models,
+            demands=demands,
+            adapter_slots=adapter_slots,
+            copies={model: set() for model in models},
+            held={
+                engine.name: set(engine.age_s) | ({engine.coming} - {""})
+                for engine in engines
+            },
+        )
+        for name, held in books.held.items():
+            for model in held:
+                books.copies.setdefault(model, set()).add(name)
+        books._reckon(books.engines)
+        return books
+
+    def apply(self, swap: Swap) -> None:
+        """Reckon with a swap as if it were done."""
+        touched = {swap.engine}
+        for model in swap.victims:
+            touched |= self.copies[model]
+            self.copies[model].discard(swap.engine)
+            self.held[swap.engine].discard(model)
+        self.copies[swap.model].add(swap.engine)
+        self.held[swap.engine].add(swap.model)
+        self._reckon(touched | self.copies[swap.model])
+
+    def _reckon(self, engines: Iterable[str]) -> None:
+        for name in engines:
+            shares = [self.share(m, len(self.copies[m])) for m in self.held[name]]
+            self.load[name] = sum(load for load, _ in shares)
+            self.adapters[name] = sum(adapters for _, adapters in shares)
+        self._losses.clear()
+
+    def share(self, model: str, copies: int) -> tuple[float, float]:
+        """Return what each of so many copies takes: load and adapters."""
+        demand = self.demands.get(model)
+        if demand is None or not copies:
+            return 0.0, 0.0
+        return demand.expected_load / copies, len(demand.adapters) / copies
+
+    def strain_of(
+        self, engine: str, *, more_load: float = 0.0, more_adapters: float = 0.0
+    ) -> float:
+        """Return an engine's strain with so much more on it."""
+        return strain(
+            self.load[engine] + more_load,
+            self.adapters[engine] + more_adapters,
+            self.adapter_slots,
+        )
+
+    def absent(self, model: str) -> float:
+        """Return what is lost a second while nobody holds a model."""
+        demand = self.demands.get(model)
+        if demand is None:
+            return ABSENT_IDLE_PER_S
+        asked = ABSENT_TIMES * REQUESTS_PER_LOAD * demand.expected_load
+        return ABSENT_ASKED_PER_S + ABSENT_WAITING_PER_S * demand.waiting + asked
+
+    def value(self, model: str) -> float:
+        """Return what one more copy takes off those who hold a model."""
+        copies = len(self.copies[model])
+        if not copies:
+            return self.absent(model)
+        return self._shifted(model, self.copies[model], copies, copies + 1)
+
+    def _shifted(
+        self, model: str, holders: Iterable[str], copies: int, then: int
+    ) -> float:
+        """Return how much the holders' strain falls by a change of copies."""
+        load, adapters = self.share(model, copies)
+        load_then, adapters_then = self.share(model, then)
+        if not load and not adapters:
+            return 0.0
+        return sum(
+            self.strain_of(name)
+            - self.strain_of(
+                name,
+                more_load=load_then - load,
+                more_adapters=adapters_then - adapters,
+            )
+            for name in holders
+        )
+
+    def losses(self, engine: str) -> list[tuple[float, str]]:
+        """Return an engine's models by what their loss costs elsewhere."""
+        if engine not in self._losses:
+            view = self.engines[engine]
+            self._losses[engine] = sorted(
+                (self._loss(view, model), model) for model in view.age_s
+            )
+        return self._losses[engine]
+
+    def _loss(self, view: EngineView, model: str) -> float:
+        copies = len(self.copies[model])
+        if copies <= 1:
+            lost = self.absent(model)
+        else:
+            others = self.copies[model] - {view.name}
+            lost = -self._shifted(model, others, copies, copies - 1)
+        once = IN_USE * view.in_use.get(model, 0)
+        if view.age_s[model] < FRESH_S and model in self.demands:
+            once += FRESH
+        return HORIZON_S * lost + once
+
+
+def _best_swap(
+    engines: Sequence[EngineView], books: _Books, *, store_room: bool
+) -> Swap | None:
+    values = sorted(
+        ((books.value(model), model) for model in books.models), reverse=True
+    )
     best: Swap | None = None
-    for model, spec in terms.models.items():
-        worth = _worth(terms, model, terms.copies[model] + 1)
-        if worth <= 0:
-            continue
+    for value, model in values[:MODELS_WEIGHED]:
+        if value <= 0:
+            break
         for engine in engines:
-            if model in engine.age_s:
+            if model in books.held[engine.name]:
+                continue
+            if not store_room and model not in engine.near:
                 continue
-            swap = _swap_for(engine, spec, worth, terms)
+            swap = _swap_for(engine, model, value, books)
             if swap is not None and (best is None or swap.gain > best.gain):
                 best = swap
     return best
 
 
 def _swap_for(
-    engine: EngineView, spec: ModelSpec, worth: float, terms: _Terms
+    engine: EngineView, model: str, value: float, books: _Books
 ) -> Swap | None:
-    from_store = spec.name not in engine.near
-    if from_store and not terms.store_room:
+    """Return a swap that gains, or None."""
+    spec = books.models[model]
+    from_store = model not in engine.near
+    load_s = spec.load_s if from_store else engine.near[model]
+    gain = HORIZON_S * value + _new_data_centre(engine, model, books)
+    gain -= LOADING_PER_S * load_s + (STORE_LOAD if from_store else 0.0)
+    if gain < GAIN_MIN:
         return None
-    load_s = spec.load_s if from_store else engine.near[spec.name]
-    # Of equal engines, the one that is quicker to load and less busy.
-    worth = worth / (1 + 0.3 * load_s + 0.2 * engine.load)
     needed_mb = spec.size_mb - (engine.memory_mb - engine.used_mb)
     victims: tuple[str, ...] = ()
+    loss = 0.0
     if needed_mb > 0:
-        found = _victims(engine, needed_mb, terms)
+        found = _victims(engine, needed_mb, books)
         if found is None:
             return None
         victims, loss = found
-        if worth < GAIN_FACTOR * loss + GAIN_MIN:
-            return None
-        worth -= loss
+    if gain < GAIN_MIN + LOSS_FACTOR * loss:
+        return None
+    load, adapters = books.share(model, len(books.copies[model]) + 1)
+    for victim in victims:
+        load_less, adapters_less = books.share(victim, len(books.copies[victim]))
+        load, adapters = load - load_less, adapters - adapters_less
+    burden = books.strain_of(engine.name, more_load=load, more_adapters=adapters)
+    gain -= HORIZON_S * (burden - books.strain_of(engine.name))
+    if gain < GAIN_MIN + LOSS_FACTOR * loss:
+        return None
     return Swap(
         engine=engine.name,
-        model=spec.name,
+        model=model,
         victims=victims,
-        gain=worth,
+        gain=gain - loss,
         from_store=from_store,
     )
 
 
-def _victims(
-    engine: EngineView, needed_mb: float, terms: _Terms
-) -> tuple[tuple[str, ...], float] | None:
-    """Return the models worth least that free enough memory together."""
+def _new_data_centre(engine: EngineView, model: str, books: _Books) -> float:
+    if model not in books.demands:
+        return 0.0
+    there = {books.engines[name].data_centre for name in books.copies[model]}
+    return 0.0 if engine.data_centre in there else NEW_DATA_CENTRE
 
-    def loss_of(model: str) -> float:
-        loss = _worth(terms, model, terms.copies.get(model, 1))
-        fresh = engine.age_s[model] < FRESH_S and model in terms.demands
-        loss += IN_USE_WORTH * engine.in_use.get(model, 0)
-        return loss + (FRESH_WORTH if fresh else 0.0)
 
-    held = sorted((loss_of(model), model) for model in engine.age_s)
+def _victims(
+    engine: EngineView, needed_mb: float, books: _Books
+) -> tuple[tuple[str, ...], float] | None:
+    """Return the models lost most easily that free enough memory together."""
+    losses = books.losses(engine.name)
     single = next(
         (
             ((model,), loss)
-            for loss, model in held
-            if _size_mb(terms, model) >= needed_mb
+            for loss, model in losses
+            if _size_mb(books, model) >= needed_mb
         ),
         None,
     )
-    gone_mb, total, several = 0.0, 0.0, []
-    for loss, model in held:
+    gone_mb, total = 0.0, 0.0
+    several: list[str] = []
+    for loss, model in losses:
         several.append(model)
-        gone_mb += _size_mb(terms, model)
+        gone_mb += _size_mb(books, model)
         total += loss
         if gone_mb >= needed_mb:
             break
-    if gone_mb < needed_mb:
+    if gone_mb < needed_mb or (single is not None and single[1] <= total):
         return single
-    if single is None or total < single[1]:
-        return tuple(several), total
-    return single
-
-
-def _worth(terms: _Terms, model: str, copies: int) -> float:
-    return copy_worth(
-        terms.demands.get(model), copies, adapter_slots=terms.adapter_slots
-    )
+    return tuple(several), total
 
 
-def _size_mb(terms: _Terms, model: str) -> float:
-    spec = terms.models.get(model)
+def _size_mb(books: _Books, model: str) -> float:
+    spec = books.models.get(model)
     return spec.size_mb if spec else 0.0
--- a/src/rosepath/order_dispatcher.py
+++ b/src/rosepath/order_dispatcher.py
@@ -1,14 +1,12 @@
 """Order models and adapters onto engines, as the holder of the lease."""
 
 import asyncio
-from collections import Counter
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
 from rosepath.catalog import Catalog, EngineSpec
 from rosepath.clock import BootClock, Clock
 from rosepath.demand import ModelDemand
-from rosepath.engine_choice import READ_TOKENS_PER_S
 from rosepath.engine_orders import (
     EnginePort,
     EngineRecord,
@@ -99,13 +97,10 @@
         ]
         await asyncio.gather(*(self._look_if_due(server) for server in servers))
         views = []
-        loading: Counter[str] = Counter()
         for server in servers:
             record = self._records.get(server.name)
             if record is None or not record.read:
                 continue
-            if record.loading:
-                loading[record.loading] += 1
             record.note_used(server.targets_in_use, now_s=now_s)
             views.append(self._view(server, record, spec))
         now_s = self._ports.clock.monotonic_s()
@@ -114,7 +109,6 @@
             views,
             spec.models,
             demands,
-            loading=loading,
             adapter_slots=spec.adapter_slots,
             store_room=self._ceiling.room(now_s, per_s=spec.loads_per_s),
         )
@@ -154,6 +148,7 @@
                 near[name] = spec.models[name].warm_load_s
         return EngineView(
             name=server.name,
+            data_centre=server.entry.data_centre,
             memory_mb=spec.memory_mb,
             used_mb=self._used_mb(record, spec),
             age_s={
@@ -165,7 +160,7 @@
             and not record.occupied
             and server.entry.remaining_s is None,
             near=near,
-            load=server.unread_tokens / READ_TOKENS_PER_S,
+            coming=record.loading,
         )
 
     @staticmethod
--- a/src/rosepath/peer_messages.py
+++ b/src/rosepath/peer_messages.py
@@ -146,7 +146,12 @@
         "s": _raw_loads(message.totals),
         "w": {
             service: {
-                model: [round(demand.load, 4), demand.waiting, sorted(demand.adapters)]
+                model: [
+                    round(demand.load, 4),
+                    demand.waiting,
+                    sorted(demand.adapters),
+                    round(demand.fresh_load, 4),
+                ]
                 for model, demand in models.items()
             }
             for service, models in message.demand.items()
@@ -182,7 +187,10 @@
         demand={
             str(service): {
                 str(model): ModelDemand(
-                    float(row[0]), int(row[1]), frozenset(map(str, row[2]))
+                    float(row[0]),
+                    int(row[1]),
+                    frozenset(map(str, row[2])),
+                    float(row[3]),
                 )
                 for model, row in models.items()
             }
--- a/src/rosepath/placement_coordinator.py
+++ b/src/rosepath/placement_coordinator.py
@@ -141,9 +141,10 @@
             now_s=self._clock.monotonic_s(),
         )
 
-    def note_waiting(self, service: str, model: str, *, step: int) -> None:
+    def note_waiting(self, service: str, prompt: Prompt, *, step: int) -> None:
         """Note that a request begins or ends waiting for a model."""
-        self.demand.wait(service, model, step=step)
+        now_s = self._clock.monotonic_s()
+        self.demand.wait(service, prompt, step=step, now_s=now_s)
 
     def own_demand(self) -> dict[str, Mapping[str, ModelDemand]]:
         """Return the demand that this VM sees, by service."""
--- a/src/rosepath/server_picker.py
+++ b/src/rosepath/server_picker.py
@@ -57,13 +57,13 @@
             nonlocal counted
             if prompt is not None and not counted:
                 counted = True
-                models.note_waiting(service, prompt.model, step=1)
+                models.note_waiting(service, prompt, step=1)
 
         try:
             yield count
         finally:
             if counted and prompt is not None:
-                models.note_waiting(service, prompt.model, step=-1)
+                models.note_waiting(service, prompt, step=-1)
 
     async def _choose_until(
         self,
--- a/tests/entry_builders.py
+++ b/tests/entry_builders.py
@@ -153,9 +153,13 @@
     settled: bool = True,
     near: Mapping[str, float] | None = None,
     size_mb: float = 70_000.0,
+    data_centre: str = "a",
+    coming: str = "",
 ) -> EngineView:
     return EngineView(
         name=name,
+        data_centre=data_centre,
+        coming=coming,
         memory_mb=200_000.0,
         used_mb=size_mb * len(models),
         age_s=dict.fromkeys(models, 100.0),
--- a/tests/test_engine_plan.py
+++ b/tests/test_engine_plan.py
@@ -11,14 +11,12 @@
 def plan(
     *engines: EngineView,
     demands: dict[str, ModelDemand],
-    loading: dict[str, int] | None = None,
     store_room: bool = True,
 ) -> list[Swap]:
     return plan_swaps(
         engines,
         MODELS,
         demands,
-        loading=loading or {},
         store_room=store_room,
         adapter_slots=8,
     )
@@ -44,10 +42,9 @@
 
 def test_a_load_that_is_on_its_way_is_not_ordered_again() -> None:
     swaps = plan(
-        an_engine_view("e1", "m0", settled=False),
+        an_engine_view("e1", "m0", settled=False, coming="m2"),
         an_engine_view("e2", "m1", "m3"),
         demands={"m2": ModelDemand(0.0, 2)},
-        loading={"m2": 1},
     )
     assert swaps == []
 
@@ -91,3 +88,45 @@
     engines = [an_engine_view(f"e{number}") for number in range(6)]
     swaps = plan(*engines, demands={})
     assert len(swaps) == 3
+
+
+def test_two_busy_models_do_not_stay_on_one_engine() -> None:
+    # Demand moves to two models of the same engine. Each alone it would bear;
+    # both together, all first tokens there came seconds late while the other
+    # engines had nothing to do, as no model by itself looked too busy.
+    engines = [
+        an_engine_view("e1", "m0", "m1"),
+        an_engine_view("e2", "m2"),
+        an_engine_view("e3", "m3"),
+    ]
+    demands = {"m0": ModelDemand(0.45, 0), "m1": ModelDemand(0.45, 0)}
+    moved = {swap.model for swap in plan(*engines, demands=demands)}
+    assert moved & {"m0", "m1"}
+
+
+def test_a_crowd_for_one_model_goes_before_a_single_request_for_another() -> None:
+    # Twenty wait for a model that a strained engine holds, one for a model that
+    # nobody holds, and one engine at a time may swap: served first, the one
+    # kept the twenty waiting for as long as two loads take.
+    engines = [an_engine_view("e1", "m0"), an_engine_view("e2", "m1")]
+    demands = {"m0": ModelDemand(0.9, 20), "m2": ModelDemand(0.0, 1)}
+    assert [swap.model for swap in plan(*engines, demands=demands)] == ["m0"]
+
+
+def test_a_swap_is_planned_with_what_the_ones_before_it_change() -> None:
+    # Ten idle engines must not all take a copy of the one busy model.
+    engines = [an_engine_view("e0", "m0")]
+    engines += [an_engine_view(f"e{number}", "m1") for number in range(1, 11)]
+    swaps = plan(*engines, demands={"m0": ModelDemand(0.7, 0)})
+    assert 1 <= sum(swap.model == "m0" for swap in swaps) <= 2
+
+
+def test_a_second_copy_goes_where_the_data_centre_has_none() -> None:
+    # A data centre that is cut off serves only what its own engines hold.
+    engines = [
+        an_engine_view("e1", "m0", data_centre="a"),
+        an_engine_view("e2", "m1", data_centre="a"),
+        an_engine_view("e3", "m1", data_centre="b"),
+    ]
+    first = plan(*engines, demands={"m0": ModelDemand(0.9, 0)})[0]
+    assert (first.engine, first.model) == ("e3", "m0")
--- a/tests/test_peer_messages.py
+++ b/tests/test_peer_messages.py
@@ -32,7 +32,7 @@
         resigned_version=8,
         acted_ago_s=1.5,
         load={"e1": PeerLoad(requests=2, unread_tokens=5, targets={"m/a1": 2})},
-        demand={"llm": {"m": ModelDemand(0.5, 1, frozenset(["a1"]))}},
+        demand={"llm": {"m": ModelDemand(0.5, 1, frozenset(["a1"]), 0.75)}},
         leaving=("e9",),
         gone=("e8",),
         occupied=("e2",),
