--- a/src/rosepath/order_dispatcher.py
+++ b/src/rosepath/order_dispatcher.py
@@ -79,14 +79,17 @@
         catalog = ports.catalog()
         if catalog is None or not ports.may_order():
             return
-        if ports.fence() != self._fence:
-            # What another holder ordered meanwhile is not in these records.
-            self._records.clear()
-            self._fence = ports.fence()
+        self._begin_term()
         for service in catalog.services.values():
             if service.engine is not None:
                 await self._plan(service.name, service.engine)
 
+    def _begin_term(self) -> None:
+        """Forget, once a term, what was known: another holder ordered since."""
+        if self._ports.fence() != self._fence:
+            self._records.clear()
+            self._fence = self._ports.fence()
+
     async def _plan(self, service: str, spec: EngineSpec) -> None:
         # What an engine that is down held is nowhere until it is back.
         now_s = self._ports.clock.monotonic_s()
@@ -293,6 +296,7 @@
             return False
         spec = found.engine
         name = f"{model}/{adapter}"
+        self._begin_term()
         async with self._lock(server_name):
             record = self._records.setdefault(
                 server_name, EngineRecord(server=server_name)
--- a/tests/test_order_dispatcher.py
+++ b/tests/test_order_dispatcher.py
@@ -26,6 +26,7 @@
         self.reports = 0
         self.lands_after_report = False
         self.in_use: set[str] = set()
+        self.lagging: EngineReport | None = None
 
     async def order(self, _: str, order: Order) -> OrderReply:
         self.orders.append(order)
@@ -57,6 +58,8 @@
 
     async def report(self, _: str, __: str) -> EngineReport:
         self.reports += 1
+        if self.lagging is not None:
+            return self.lagging
         report = EngineReport(
             sequence=self.sequence,
             busy=self.busy,
@@ -192,6 +195,25 @@
     asyncio.run(run())
 
 
+def test_an_adapter_ordered_before_the_first_plan_of_a_term_is_counted() -> None:
+    # A VM that just became the holder is asked for an adapter before it plans.
+    # Forgotten with the first plan, its order made a swap expect a sequence of
+    # before it, read from a report that lags; the swap was refused until it was
+    # given up, while a crowd waited.
+    async def run() -> None:
+        engine, clock = FakeEngine("m0"), ManualClock()
+        demand = {"m1": ModelDemand(0.0, 9)}
+        dispatcher = a_dispatcher(engine, clock, demand=demand)
+        stale = await engine.report("", "")
+        assert await dispatcher.ensure_adapter("llm", "e1", "m0", "a1")
+        engine.lagging = stale
+        await dispatcher.tick()
+        await until(lambda: len(engine.orders) > 1)
+        assert engine.orders[1].expected_sequence == 1
+
+    asyncio.run(run())
+
+
 def test_who_no_longer_holds_the_lease_sends_nothing() -> None:
     async def run() -> None:
         engine, clock = FakeEngine("m0"), ManualClock()
