Pass over engines that can't take a request's adapter now

Change: an engine whose places are all in use counts as slow, one that says no is passed over for the next; requests of one adapter share one home; a swap is charged for the adapters asked for that its engine lacks meanwhile. Three tests, red before.

--- a/src/rosepath/engine_choice.py
+++ b/src/rosepath/engine_choice.py
@@ -14,9 +14,12 @@
 REMOTE_PENALTY_S = 0.002
 # What failed has to be read again elsewhere, after the time that it took.
 ERROR_PENALTY_S = 1.0
-# Getting an adapter there takes a question, an order and its loading.
+# Getting an adapter there takes a question, an order and its loading, and one
+# of the engine's few places, which cost more the fewer are left.
 ADAPTER_PENALTY_S = 0.03
-# An engine that loads a model takes no order for an adapter until it is done.
+PLACE_PENALTY_S = 0.12
+# An engine that loads a model, or whose places are all in use, takes no other
+# adapter for about so long.
 OCCUPIED_PENALTY_S = 1.0
 # Each request in an engine's batch delays the others' tokens a little.
 BATCH_PENALTY_S = 0.004
@@ -32,7 +35,13 @@
 
 
 def prompt_home_key(prompt: Prompt) -> str:
-    """Return the key by which requests with a common prompt meet."""
+    """Return the key by which requests with a common prompt meet.
+
+    Those of one adapter meet whatever their prompt: each engine that they are
+    spread over would give it a place.
+    """
+    if prompt.adapter:
+        return prompt.target
     shared = prompt.parts[:-1]
     return f"{prompt.target}#{shared[-1].part_id if shared else ''}"
 
@@ -42,10 +51,19 @@
     return not prompt.adapter or prompt.adapter in server.held[prompt.model]
 
 
+def adapter_wait_s(engine: BackendServer, *, adapter_slots: int, now_s: float) -> float:
+    """Return what it takes to get one more adapter onto an engine."""
+    used = sum("/" in target for target in engine.targets_in_use)
+    if engine.ordering_until_s > now_s or used >= adapter_slots:
+        return OCCUPIED_PENALTY_S
+    return ADAPTER_PENALTY_S + PLACE_PENALTY_S * used / adapter_slots
+
+
 def choose_engine(
     engines: Iterable[BackendServer],
     prompt: Prompt,
     *,
+    adapter_slots: int,
     data_centre: str,
     tried: Collection[str],
     cut_off: Collection[str],
@@ -78,8 +96,9 @@
         if engine.entry.data_centre != data_centre:
             first_token_s += REMOTE_PENALTY_S
         if not holds_adapter(engine, prompt):
-            occupied = engine.ordering_until_s > now_s
-            first_token_s += OCCUPIED_PENALTY_S if occupied else ADAPTER_PENALTY_S
+            first_token_s += adapter_wait_s(
+                engine, adapter_slots=adapter_slots, now_s=now_s
+            )
         first_token_s += ERROR_PENALTY_S * engine.error_share
         # Where nothing is cached yet, all VMs should build the cache in the
         # same place: the first in rank wins unless it is clearly busier.
--- a/src/rosepath/engine_plan.py
+++ b/src/rosepath/engine_plan.py
@@ -34,9 +34,11 @@
 ABSENT_ASKED_PER_S = 1.0
 ABSENT_WAITING_PER_S = 1.0
 ABSENT_TIMES = 2.0
-# Counted once, in requests. Loading keeps an engine from all other orders, for
-# adapters too; a load from the weight store costs its users about one request.
+# Counted once, in requests. Loading keeps an engine from all other orders: each
+# adapter asked for that is not there yet stands still for as long. A load from
+# the weight store costs its users about one request.
 LOADING_PER_S = 0.5
+BLOCKED_PER_S = 0.4
 STORE_LOAD = 1.1
 # An unload waits for the running requests of its model, and its engine takes
 # no other order until they end.
@@ -63,8 +65,8 @@
 
     `age_s` maps the models it holds to the seconds since they were loaded,
     `near` those that it can load without the weight store to the seconds that
-    takes; `coming` is the model it loads now; `settled` is False while an
-    order is in progress.
+    takes; `coming` is the model it loads now, `adapters` those it has, as
+    `model/adapter`; `settled` is False while an order is in progress.
     """
 
     name: str
@@ -76,6 +78,7 @@
     settled: bool
     near: Mapping[str, float]
     coming: str = ""
+    adapters: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -197,6 +200,16 @@
             self.adapter_slots,
         )
 
+    def missing(self, engine: EngineView) -> float:
+        """Return the adapters asked for that an engine ought to have and has not."""
+        missing = 0.0
+        for model in self.held[engine.name]:
+            demand = self.demands.get(model)
+            for adapter in demand.adapters if demand else ():
+                if f"{model}/{adapter}" not in engine.adapters:
+                    missing += 1 / len(self.copies[model])
+        return missing
+
     def absent(self, model: str) -> float:
         """Return what is lost a second while nobody holds a model."""
         demand = self.demands.get(model)
@@ -281,7 +294,8 @@
     from_store = model not in engine.near
     load_s = spec.load_s if from_store else engine.near[model]
     gain = HORIZON_S * value + _new_data_centre(engine, model, books)
-    gain -= LOADING_PER_S * load_s + (STORE_LOAD if from_store else 0.0)
+    gain -= (LOADING_PER_S + BLOCKED_PER_S * books.missing(engine)) * load_s
+    gain -= STORE_LOAD if from_store else 0.0
     if gain < GAIN_MIN:
         return None
     needed_mb = spec.size_mb - (engine.memory_mb - engine.used_mb)
--- a/src/rosepath/order_dispatcher.py
+++ b/src/rosepath/order_dispatcher.py
@@ -164,6 +164,7 @@
             and server.entry.remaining_s is None,
             near=near,
             coming=record.loading,
+            adapters=frozenset(record.adapters),
         )
 
     @staticmethod
--- a/src/rosepath/server_picker.py
+++ b/src/rosepath/server_picker.py
@@ -4,7 +4,9 @@
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
-from rosepath.engine_choice import choose_engine, holds_adapter
+from rosepath.caller_call import Prompt
+from rosepath.catalog import EngineSpec
+from rosepath.engine_choice import EngineChoice, choose_engine, holds_adapter
 from rosepath.errors import Step, refuse
 from rosepath.fleet import BackendServer, Flight
 from rosepath.request_context import RETRY_AFTER_S, RelayPorts, RequestContext
@@ -107,27 +109,9 @@
                 rng=ports.rng,
             )
             return None if server is None else (server, Flight())
-        choice = choose_engine(
-            servers,
-            prompt,
-            data_centre=ports.data_centre,
-            tried=context.tried,
-            cut_off=ports.cut_off(),
-            now_s=now_s,
-            cached_tokens=ports.caches.cached_tokens,
-            rng=ports.rng,
-        )
+        choice = await self._pick_engine(context, prompt, context.service.engine)
         if choice is None:
-            # All that hold the model refused it; it may be theirs again soon.
-            context.tried.clear()
             return None
-        if not holds_adapter(choice.server, prompt):
-            limit_s = min(ADAPTER_WAIT_S, context.deadline_s - now_s)
-            ready = await ports.models.ensure_adapter(
-                context.service.name, choice.server, prompt, limit_s=limit_s
-            )
-            if not ready:
-                return None
         ports.caches.note_read(choice.server, prompt)
         ports.models.note_request(
             context.service.name, prompt, unread_tokens=choice.unread_tokens
@@ -140,6 +124,44 @@
         )
         return choice.server, flight
 
+    async def _pick_engine(
+        self, context: RequestContext, prompt: Prompt, spec: EngineSpec
+    ) -> EngineChoice | None:
+        """Choose an engine that has the prompt's adapter, or can be given it.
+
+        One that can't now is passed over for the next: asked again and again,
+        it would keep a request from others that have room.
+        """
+        ports = self._ports
+        asked_s = self._now_s()
+        without_room: set[str] = set()
+        while (now_s := self._now_s()) < min(
+            asked_s + ADAPTER_WAIT_S, context.deadline_s
+        ):
+            choice = choose_engine(
+                ports.fleet.of_service(context.service.name),
+                prompt,
+                adapter_slots=spec.adapter_slots,
+                data_centre=ports.data_centre,
+                tried=context.tried | without_room,
+                cut_off=ports.cut_off(),
+                now_s=now_s,
+                cached_tokens=ports.caches.cached_tokens,
+                rng=ports.rng,
+            )
+            if choice is None and not without_room:
+                # All that hold the model refused it; it may be theirs again soon.
+                context.tried.clear()
+            if choice is None or holds_adapter(choice.server, prompt):
+                return choice
+            limit_s = min(ADAPTER_WAIT_S, context.deadline_s - now_s)
+            if await ports.models.ensure_adapter(
+                context.service.name, choice.server, prompt, limit_s=limit_s
+            ):
+                return choice
+            without_room.add(choice.server.name)
+        return None
+
     async def _wait_for_change(self, limit_s: float) -> None:
         async with self._ports.fleet_changed:
             try:
--- /dev/null
+++ b/tests/test_engine_choice.py
@@ -0,0 +1,114 @@
+"""Which engine takes a generation, and what happens if it can't."""
+
+import asyncio
+import math
+import random
+from typing import Any, cast
+
+from entry_builders import a_call, a_catalog, a_prompt, a_route, an_entry
+from entry_harness import NoModels
+
+from rosepath.caller_call import Prompt
+from rosepath.clock import ManualClock
+from rosepath.engine_choice import EngineChoice, choose_engine, prompt_home_key
+from rosepath.fleet import BackendServer, Fleet, Flight
+from rosepath.prompt_caches import PromptCaches
+from rosepath.request_context import RelayPorts, RequestContext
+from rosepath.server_picker import ServerPicker
+
+
+def a_fleet(*names: str) -> Fleet:
+    fleet = Fleet()
+    for name in names:
+        fleet.put(an_entry(name, models={"m0": frozenset()}))
+    return fleet
+
+
+def choose(fleet: Fleet, prompt: Prompt) -> EngineChoice | None:
+    return choose_engine(
+        fleet.of_service("llm"),
+        prompt,
+        adapter_slots=2,
+        data_centre="a",
+        tried=(),
+        cut_off=(),
+        now_s=1000.0,
+        cached_tokens=lambda *_: 0,
+        rng=random.Random(1),
+    )
+
+
+def test_an_engine_whose_adapters_are_all_in_use_is_passed_over() -> None:
+    # Its places are taken by streams that run for seconds. It was chosen for
+    # its shorter queue, could not take the adapter, and was chosen again.
+    fleet = a_fleet("e1", "e2")
+    for number in range(2):
+        flight = Flight(target=f"m0/a{number}")
+        fleet.servers["e1"].flights[f"q{number}"] = flight
+    fleet.servers["e2"].flights["q9"] = Flight(unread_tokens=9_000, target="m0")
+    choice = choose(fleet, a_prompt(adapter="a7"))
+    assert choice is not None and choice.server.name == "e2"
+
+
+def test_requests_of_one_adapter_meet_whatever_their_prompt() -> None:
+    one, other = (a_prompt(adapter="a1", shared=part) for part in ("s1", "s2"))
+    assert prompt_home_key(one) == prompt_home_key(other)
+    assert prompt_home_key(a_prompt(shared="s1")) != prompt_home_key(
+        a_prompt(shared="s2")
+    )
+
+
+class OneWithRoom(NoModels):
+    """Get adapters onto one engine only."""
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.asked: list[str] = []
+
+    async def ensure_adapter(
+        self, _: str, server: BackendServer, *__: Any, **___: Any
+    ) -> bool:
+        self.asked.append(server.name)
+        return server.name == self.name
+
+
+def test_an_engine_that_takes_no_adapter_does_not_keep_the_request() -> None:
+    # The holder answers that one engine can't take the adapter now. Asked for
+    # the same engine every tenth of a second, requests waited until they were
+    # refused, next to an engine with room.
+    async def run() -> None:
+        fleet = a_fleet("e1", "e2", "e3")
+        prompt = a_prompt(adapter="a7")
+        first = choose(fleet, prompt)
+        assert first is not None
+        with_room = next(name for name in fleet.servers if name != first.server.name)
+        models = OneWithRoom(with_room)
+        catalog = a_catalog(a_route())
+        ports = RelayPorts(
+            data_centre="a",
+            clock=ManualClock(),
+            fleet=fleet,
+            caches=PromptCaches(),
+            attempts=cast(Any, None),
+            catalog=lambda: catalog,
+            budget=cast(Any, None),
+            models=models,
+            fleet_changed=asyncio.Condition(),
+            cut_off=set,
+            wait_limit_s=lambda: math.inf,
+            on_outcome=lambda *_: None,
+        )
+        context = RequestContext(
+            call=a_call(prompt=prompt, arrived_s=1000.0),
+            route=catalog.routes[0],
+            service=catalog.services["llm"],
+            exchange=cast(Any, None),
+            deadline_s=1005.0,
+        )
+        async with asyncio.timeout(10):
+            server, flight = await ServerPicker(ports).choose(context)
+        assert server.name == with_room
+        assert flight.target == "m0/a7"
+        assert len(models.asked) == len(set(models.asked))
+
+    asyncio.run(run())
