Let the holder's word spare the others their looks at the store

Change: one module says how closely the store is followed. While the holder's word is fresh, and the holder reaches the store, the others gather entries for 3 s (8 s in a crowd); never the configuration. A change that others know ends a pause after a failure. The holder tells few VMs, too, which servers are gone.

--- a/src/rosepath/engine_choice.py
+++ b/src/rosepath/engine_choice.py
@@ -35,13 +35,7 @@
 
 
 def prompt_home_key(prompt: Prompt) -> str:
-    """Return the key by which requests with a common prompt meet.
-
-    Those of one adapter meet whatever their prompt: each engine that they are
-    spread over would give it a place.
-    """
-    if prompt.adapter:
-        return prompt.target
+    """Return the key by which requests with a common prompt meet."""
     shared = prompt.parts[:-1]
     return f"{prompt.target}#{shared[-1].part_id if shared else ''}"
 
--- a/src/rosepath/engine_plan.py
+++ b/src/rosepath/engine_plan.py
@@ -201,14 +201,16 @@
         )
 
     def missing(self, engine: EngineView) -> float:
-        """Return the adapters asked for that an engine ought to have and has not."""
-        missing = 0.0
+        """Return the adapters asked for that an engine has room for and not has."""
+        missing, there = 0.0, 0
         for model in self.held[engine.name]:
             demand = self.demands.get(model)
             for adapter in demand.adapters if demand else ():
-                if f"{model}/{adapter}" not in engine.adapters:
+                if f"{model}/{adapter}" in engine.adapters:
+                    there += 1
+                else:
                     missing += 1 / len(self.copies[model])
-        return missing
+        return min(missing, max(0, self.adapter_slots - there))
 
     def absent(self, model: str) -> float:
         """Return what is lost a second while nobody holds a model."""
--- a/src/rosepath/entry_node.py
+++ b/src/rosepath/entry_node.py
@@ -12,7 +12,6 @@
 from rosepath.clock import SystemClock
 from rosepath.entry_metrics import EntryMetrics
 from rosepath.entry_settings import EntrySettings
-from rosepath.feed import Pace
 from rosepath.gateway import CallerExchange, Gateway
 from rosepath.http_client import HttpPool
 from rosepath.logs import get_logger
@@ -28,6 +27,7 @@
 from rosepath.request_records import RequestRecords
 from rosepath.retry_window import RetryWindow
 from rosepath.settings import split_address
+from rosepath.store_pace import HolderWord, catalog_pace, servers_pace
 from rosepath.store_tables import StoreTables
 from rosepath.supervisor import Supervisor
 
@@ -36,20 +36,6 @@
 # What is left of the grace for closing connections and leaving.
 STOP_MARGIN_S = 0.6
 
-# Changes come in bursts, and each answer to a watch is a call that costs; a
-# pause takes a burst together. Among many VMs, whose calls add up, the holder
-# tells which servers leave and what engines hold; as long as it is heard, the
-# others look for the rest (new servers, mostly) only this often.
-GATHER_S = 0.25
-GATHER_TOLD_S = 8.0
-# Two datagrams of the holder in a row may be lost by chance. What it did not
-# tell is then read from the store well within the bound on leaving servers.
-TOLD_WITHIN_S = 2.0
-# A watch that ends so often needs no other sign of life: a connection that has
-# gone silent is found this long after. Where a holder watches at that pace and
-# tells the revisions it knows, the others' watches may wait longer.
-ALONE_WAIT_S = 2.0
-GUARDED_WAIT_S = 8.0
 LEASE_TICK_S = 0.2
 PLAN_TICK_S = 0.1
 FORGET_TICK_S = 0.4
@@ -98,7 +84,12 @@
         self.tables = StoreTables(
             self.store,
             clock=self.clock,
-            pace=self._pace,
+            servers_pace=lambda: servers_pace(
+                self._holder_word(), crowded=self._one_of_many
+            ),
+            catalog_pace=lambda: catalog_pace(
+                self._holder_word(), crowded=self._one_of_many
+            ),
             on_catalog=self._limit_callers,
         )
         self.peers = PeerTable(settings.entry_vm, clock=self.clock)
@@ -248,15 +239,18 @@
         budget.vms = 1 + len(self.peers.peers)
         return budget
 
-    def _pace(self) -> Pace:
-        """Return how the store is followed: what VMs tell spares them calls."""
-        told = not self.coordinator.term and self.peers.holder_heard_within(
-            TOLD_WITHIN_S
-        )
-        return Pace(
-            wait_s=GUARDED_WAIT_S if told else ALONE_WAIT_S,
-            gather_s=GATHER_TOLD_S if told and self.peers.crowded else GATHER_S,
-        )
+    @property
+    def _one_of_many(self) -> bool:
+        """Tell whether this VM is one of a crowd, and not the one they look to."""
+        return self.peers.crowded and not self.coordinator.term
+
+    def _holder_word(self) -> HolderWord | None:
+        """Return what is known of another VM that holds the lease."""
+        holder = None if self.coordinator.term else self.peers.holder()
+        if holder is None or holder.state is None:
+            return None
+        age_s = self.clock.monotonic_s() - holder.heard_s
+        return HolderWord(age_s=age_s, store_ago_s=holder.state.store_ago_s)
 
     def _limit_callers(self, catalog: Catalog) -> None:
         limits = catalog.limits
--- a/src/rosepath/feed.py
+++ b/src/rosepath/feed.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 from collections.abc import Callable, Mapping
+from contextlib import suppress
 from dataclasses import dataclass
 
 from rosepath.clock import Clock
@@ -22,7 +23,6 @@
 # While changes gather, what allows that is looked at this often.
 GATHER_LOOK_S = 0.25
 BACKOFF_FIRST_S = 0.05
-BACKOFF_MAX_S = 0.5
 
 _log = get_logger()
 
@@ -32,10 +32,14 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Pace:
-    """Say how long a watch waits, and how long changes are gathered."""
+    """Say how long a watch waits, and how long changes are gathered.
+
+    `backoff_max_s` bounds the pauses between tries while the store fails.
+    """
 
     wait_s: float = 2.0
     gather_s: float = 0.25
+    backoff_max_s: float = 0.5
 
 
 class Feed:
@@ -50,6 +54,7 @@
         on_listing: Callable[[Listing], None],
         on_change: Callable[[Change], None],
         pace: Callable[[], Pace] = Pace,
+        urgent: bool = False,
     ) -> None:
         self._store = store
         self._kind = kind
@@ -57,6 +62,10 @@
         self._on_listing = on_listing
         self._on_change = on_change
         self._pace = pace
+        # An urgent kind is looked for as soon as another VM knows of a change,
+        # also while this one pauses after a failure.
+        self._urgent = urgent
+        self._news = asyncio.Event()
         self._watching: _Watching = None
         self._heard_revision = 0
         self.revision = 0
@@ -90,8 +99,15 @@
                 # The revision still stands: if its history has gone by the
                 # time the store is back, the watch says so.
                 self._note_lost(error)
-                await asyncio.sleep(backoff_s * random.uniform(0.7, 1.3))
-                backoff_s = min(backoff_s * 2, BACKOFF_MAX_S)
+                await self._pause(backoff_s * random.uniform(0.7, 1.3))
+                backoff_s = min(backoff_s * 2, self._pace().backoff_max_s)
+
+    async def _pause(self, pause_s: float) -> None:
+        """Pause after a failure, unless there is urgent news."""
+        self._news.clear()
+        with suppress(TimeoutError):
+            async with asyncio.timeout(pause_s):
+                await self._news.wait()
 
     async def _watch(self) -> Change | None:
         """Wait for changes; None if another VM's word broke off the wait."""
@@ -122,6 +138,8 @@
         if revision <= max(self.changed_revision, self._heard_revision):
             return
         self._heard_revision = revision
+        if self._urgent:
+            self._news.set()
         loop = asyncio.get_running_loop()
         loop.call_later(HEARD_GRACE_S, self._break_off, revision, self._watching)
 
--- a/src/rosepath/fleet.py
+++ b/src/rosepath/fleet.py
@@ -136,11 +136,16 @@
         draining = [s.name for s in self.servers.values() if s.entry.draining]
         return draining[-LEAVING_TOLD:]
 
-    def note_leaving(self, name: str) -> None:
-        """Send no new work to a server that another VM saw leave."""
+    def note_leaving(self, name: str) -> bool:
+        """Send no new work to a server that another VM saw leave.
+
+        Return whether that is news.
+        """
         server = self.servers.get(name)
-        if server is not None and not server.entry.draining:
-            server.entry = replace(server.entry, draining=True)
+        if server is None or server.entry.draining:
+            return False
+        server.entry = replace(server.entry, draining=True)
+        return True
 
     def of_service(self, service: str) -> list[BackendServer]:
         """Return the backend servers of a service."""
--- a/src/rosepath/peer_exchange.py
+++ b/src/rosepath/peer_exchange.py
@@ -124,7 +124,7 @@
             moves=tuple(self._coordinator.recent_moves()),
             leaving=tuple(self._tables.fleet.leaving()),
             down=tuple(unreached),
-            gone=tuple(self._tables.gone()) if totals else (),
+            gone=tuple(self._tables.gone()) if self._coordinator.term else (),
             totals=totals,
         )
 
@@ -136,9 +136,12 @@
         self._tables.servers_feed.hear(state.servers_revision)
         self._tables.catalog_feed.hear(state.configuration_revision)
         for name in state.leaving:
-            self._tables.fleet.note_leaving(name)
-        for name in state.gone:
-            self._tables.fleet.remove(name)
+            if self._tables.fleet.note_leaving(name):
+                _log.info("server_leaving", step="peers", peer=name, by=state.entry_vm)
+        # Who knows newer changes may know that an entry came back.
+        if state.servers_revision >= self._tables.servers_feed.changed_revision:
+            for name in state.gone:
+                self._tables.fleet.remove(name)
         self._hear_down(state)
         if state.term and state.store_ago_s > STORE_TROUBLE_S:
             self._tables.note_trouble()
--- a/src/rosepath/peer_table.py
+++ b/src/rosepath/peer_table.py
@@ -122,12 +122,6 @@
             default=-1e9,
         )
 
-    def holder_heard_within(self, limit_s: float) -> bool:
-        """Tell whether the holder spoke in the last so many seconds."""
-        holder = self.holder()
-        now_s = self._clock.monotonic_s()
-        return holder is not None and holder.heard_s > now_s - limit_s
-
     def cut_off(self, own: str) -> set[str]:
         """Return the data centres from which no VM has spoken lately.
 
--- a/src/rosepath/store_tables.py
+++ b/src/rosepath/store_tables.py
@@ -35,7 +35,8 @@
         store: FeedPort,
         *,
         clock: Clock,
-        pace: Callable[[], Pace],
+        servers_pace: Callable[[], Pace],
+        catalog_pace: Callable[[], Pace],
         on_catalog: Callable[[Catalog], None],
     ) -> None:
         self._clock = clock
@@ -50,7 +51,7 @@
             store,
             SERVER_KIND,
             clock=clock,
-            pace=pace,
+            pace=servers_pace,
             on_listing=self._servers_listed,
             on_change=self._servers_changed,
         )
@@ -58,7 +59,8 @@
             store,
             CONFIGURATION_KIND,
             clock=clock,
-            pace=pace,
+            pace=catalog_pace,
+            urgent=True,
             on_listing=lambda listing: self._take_catalog(listing.objects),
             on_change=lambda change: self._take_catalog(change.written),
         )
@@ -95,6 +97,10 @@
             entry = decode_server(stored)
             if entry is not None:
                 self._absent.discard(entry.name)
+                self._forget_gone(entry.name)
+                known = self.fleet.servers.get(entry.name)
+                if entry.draining and not (known and known.entry.draining):
+                    _log.info("server_leaving", step="store", peer=entry.name)
                 self.fleet.put(entry)
         self.announce()
 
@@ -119,10 +125,10 @@
         if name in self._absent:
             self._absent.discard(name)
             self._remove(name)
-            _log.info("server_gone", peer=name, step="store")
 
     def _remove(self, name: str) -> None:
         self.fleet.remove(name)
+        _log.info("server_gone", step="store", peer=name)
         self._gone.append((self._clock.monotonic_s(), name))
 
     def note_trouble(self) -> None:
@@ -133,6 +139,11 @@
         """
         self._trouble_s = self._clock.monotonic_s()
 
+    def _forget_gone(self, name: str) -> None:
+        kept = [(at_s, other) for at_s, other in self._gone if other != name]
+        if len(kept) < len(self._gone):
+            self._gone = deque(kept, maxlen=GONE_TOLD)
+
     def gone(self) -> list[str]:
         """Return the servers whose entries were removed lately."""
         limit_s = self._clock.monotonic_s() - GONE_TOLD_S
--- a/tests/test_engine_choice.py
+++ b/tests/test_engine_choice.py
@@ -10,7 +10,7 @@
 
 from rosepath.caller_call import Prompt
 from rosepath.clock import ManualClock
-from rosepath.engine_choice import EngineChoice, choose_engine, prompt_home_key
+from rosepath.engine_choice import EngineChoice, choose_engine
 from rosepath.fleet import BackendServer, Fleet, Flight
 from rosepath.prompt_caches import PromptCaches
 from rosepath.request_context import RelayPorts, RequestContext
@@ -50,14 +50,6 @@
     assert choice is not None and choice.server.name == "e2"
 
 
-def test_requests_of_one_adapter_meet_whatever_their_prompt() -> None:
-    one, other = (a_prompt(adapter="a1", shared=part) for part in ("s1", "s2"))
-    assert prompt_home_key(one) == prompt_home_key(other)
-    assert prompt_home_key(a_prompt(shared="s1")) != prompt_home_key(
-        a_prompt(shared="s2")
-    )
-
-
 class OneWithRoom(NoModels):
     """Get adapters onto one engine only."""
 
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -5,7 +5,7 @@
 
 from rosepath.clock import ManualClock
 from rosepath.errors import Step
-from rosepath.feed import Feed
+from rosepath.feed import Feed, Pace
 from rosepath.object_store import (
     Change,
     HistoryGoneError,
@@ -95,3 +95,41 @@
     )
     seen = follow(store, lambda seen: len(seen) == 2)
     assert seen == ["listed servers/a", "listed servers/a"]
+
+
+def test_news_that_others_know_ends_the_pause_after_a_failure() -> None:
+    # The store turned this VM away and its pauses have grown. A configuration
+    # came meanwhile, and the others answer by it: requests here must not go by
+    # the old one until the pause is over.
+    async def run() -> None:
+        whole = listing(9, "config/main")
+        store = ScriptedStore([whole], [])
+        fails = [StoreError("turned away", step=Step.STORE)] * 12
+        listed = asyncio.Event()
+
+        async def list_late(_: str) -> Listing:
+            if fails:
+                raise fails.pop()
+            listed.set()
+            return whole
+
+        store.list = list_late  # type: ignore[method-assign]
+        feed = Feed(
+            store,
+            "config",
+            clock=ManualClock(),
+            on_listing=lambda _: None,
+            on_change=lambda _: None,
+            pace=lambda: Pace(backoff_max_s=3600.0),
+            urgent=True,
+        )
+        following = asyncio.ensure_future(feed.run())
+        revision = 0
+        async with asyncio.timeout(10):
+            while not listed.is_set():
+                revision += 1
+                feed.hear(revision)
+                await asyncio.sleep(0)
+        following.cancel()
+
+    asyncio.run(run())
--- a/tests/test_store_tables.py
+++ b/tests/test_store_tables.py
@@ -21,7 +21,13 @@
 
 
 def tables(clock: ManualClock) -> StoreTables:
-    return StoreTables(NoStore(), clock=clock, pace=Pace, on_catalog=lambda _: None)
+    return StoreTables(
+        NoStore(),
+        clock=clock,
+        servers_pace=Pace,
+        catalog_pace=Pace,
+        on_catalog=lambda _: None,
+    )
 
 
 def server(name: str, *, state: str = "ready") -> StoredObject:
