End no stream as whole at a server that fails to go on with it

Ruled out: event order (nothing was joined). Change: once events went out, a failed answer is a failed try: the stream goes on elsewhere while the route allows it, and is cut if not. The test is red without it.

--- a/src/rosepath/relay.py
+++ b/src/rosepath/relay.py
@@ -146,8 +146,11 @@
     def _try_again_after(
         self, context: RequestContext, server: BackendServer, answer: Answer
     ) -> bool:
-        """Tell whether an idempotent request that failed goes on elsewhere."""
-        if answer.head.status < 500 or context.exchange.begun:
+        """Tell whether a request whose server failed goes on elsewhere.
+
+        Raises RefusalError if it neither can nor has an answer to pass on.
+        """
+        if answer.head.status < 500 and not context.exchange.begun:
             return False
         context.tried.add(server.name)
         context.seen.append(Evidence.SENT)
@@ -158,6 +161,11 @@
             peer=server.name,
             evidence=Evidence.SENT,
         )
+        if context.exchange.begun:
+            # Part of a stream is at its caller already: this answer can't be
+            # passed on, and to end the stream would make it look whole.
+            self._judge(context, error)
+            return True
         again = judge(self._as_attempt(context, error), self._budget(context))
         return again is not Verdict.GIVE_UP
 
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -176,6 +176,21 @@
     asyncio.run(run())
 
 
+def test_a_stream_that_goes_on_at_a_failing_server_does_not_look_whole() -> None:
+    # A server dies in the middle of a stream, and the one at which it goes on
+    # answers 500. That ended the stream as if all of its events had come.
+    async def run() -> None:
+        servers = Scripted("s1", dies_after_two_events), Scripted("s2", fails)
+        async with entry(*servers, route=a_route(max_attempts=2)) as node:
+            data = await ask_until_asked(node, servers[0])
+        assert event(2) in data
+        assert not data.endswith(b"0\r\n\r\n")
+        resumed = [a for a in servers[1].asked if "last-event-id" in a.headers]
+        assert len(resumed) == 1
+
+    asyncio.run(run())
+
+
 def test_the_callers_close_stops_the_server() -> None:
     # A caller that left is not heard while its answer is awaited unless the
     # connection itself is listened to: engines would work on for nobody.
