Turn unready in a cut-off data centre; count the time until a model is there

Change: a VM that hears no other data centre (of two or more) and does not reach the store says that it is not ready, and goes on serving what comes; a swap gains from when the model is there.

--- a/src/rosepath/engine_plan.py
+++ b/src/rosepath/engine_plan.py
@@ -15,9 +15,12 @@
 from rosepath.catalog import ModelSpec
 from rosepath.demand import ModelDemand
 
-# Demand stays where it is for some five seconds; what a swap gains a second
-# counts for this long.
-HORIZON_S = 4.0
+# Demand stays where it is for some five seconds. What a swap gains a second
+# counts for this long, from when the model is there; what it loses, from now.
+HORIZON_S = 6.0
+HORIZON_MIN_S = 0.5
+# An unload waits for the running requests of its model for about so long.
+IN_USE_WAIT_S = 2.0
 # A long prompt takes an engine an eighth of a second to read.
 REQUESTS_PER_LOAD = 8.0
 # At this share of its time spent reading, an engine's first tokens begin to be
@@ -295,7 +298,8 @@
     spec = books.models[model]
     from_store = model not in engine.near
     load_s = spec.load_s if from_store else engine.near[model]
-    gain = HORIZON_S * value + _new_data_centre(engine, model, books)
+    gain = max(HORIZON_MIN_S, HORIZON_S - load_s) * value
+    gain += _new_data_centre(engine, model, books)
     gain -= (LOADING_PER_S + BLOCKED_PER_S * books.missing(engine)) * load_s
     gain -= STORE_LOAD if from_store else 0.0
     if gain < GAIN_MIN:
@@ -308,6 +312,9 @@
         if found is None:
             return None
         victims, loss = found
+        if any(engine.in_use.get(victim) for victim in victims):
+            later_s = min(IN_USE_WAIT_S, max(0.0, HORIZON_S - load_s - HORIZON_MIN_S))
+            gain -= later_s * value
     if gain < GAIN_MIN + LOSS_FACTOR * loss:
         return None
     load, adapters = books.share(model, len(books.copies[model]) + 1)
--- a/src/rosepath/entry_node.py
+++ b/src/rosepath/entry_node.py
@@ -14,8 +14,9 @@
 from rosepath.entry_settings import EntrySettings
 from rosepath.gateway import CallerExchange, Gateway
 from rosepath.http_client import HttpPool
+from rosepath.isolation import Isolation
 from rosepath.logs import get_logger
-from rosepath.peer_exchange import PeerExchange
+from rosepath.peer_exchange import VM_KIND, PeerExchange
 from rosepath.peer_table import PeerTable
 from rosepath.placement_coordinator import PlacementCoordinator
 from rosepath.platform.calls import READY_PATH
@@ -37,6 +38,8 @@
 STOP_MARGIN_S = 0.6
 
 LEASE_TICK_S = 0.2
+# The balancer asks for readiness once a second.
+ISOLATION_TICK_S = 0.3
 PLAN_TICK_S = 0.1
 FORGET_TICK_S = 0.4
 
@@ -116,6 +119,12 @@
             coordinator=self.coordinator,
             stopping=lambda: self.stopping,
         )
+        self.isolation = Isolation(
+            settings.data_centre,
+            peers=self.peers,
+            store=self.store,
+            probe=f"{VM_KIND}/{settings.entry_vm}",
+        )
         self.records = RequestRecords(self.metrics, clock=self.clock)
         self.relay = Relay(
             RelayPorts(
@@ -139,7 +148,8 @@
 
     @property
     def ready(self) -> bool:
-        return self.tables.catalog is not None and not self.stopping
+        known = self.tables.catalog is not None
+        return known and not self.stopping and not self.isolation.cut_off
 
     async def start(self) -> None:
         """Listen and start every loop."""
@@ -165,6 +175,7 @@
         self.loops.forever(self.exchange.join)
         self.loops.forever(self.exchange.link.run)
         self.loops.every(FORGET_TICK_S, self.exchange.forget_silent)
+        self.loops.every(ISOLATION_TICK_S, self.isolation.step)
         self.loops.every(LEASE_TICK_S, self.coordinator.step_lease)
         self.loops.every(PLAN_TICK_S, self.coordinator.orders.tick)
         _log.info("started", callers=self.settings.callers.listen)
--- a/src/rosepath/peer_table.py
+++ b/src/rosepath/peer_table.py
@@ -145,6 +145,14 @@
             if after_s < now_s - last_s < FORGET_AFTER_S
         }
 
+    def data_centres(self, own: str) -> set[str]:
+        """Return the other data centres from which a VM has spoken."""
+        return {
+            peer.state.data_centre
+            for peer in self._remembered()
+            if peer.state is not None and not peer.state.stopping
+        } - {own}
+
     @property
     def interval_s(self) -> float:
         """Return how often each VM tells its state."""
--- a/tests/test_engine_plan.py
+++ b/tests/test_engine_plan.py
@@ -130,3 +130,16 @@
     ]
     first = plan(*engines, demands={"m0": ModelDemand(0.9, 0)})[0]
     assert (first.engine, first.model) == ("e3", "m0")
+
+
+def test_a_crowd_gets_the_model_where_it_is_there_first() -> None:
+    # A model that nine wait for is loaded where nothing has to end before and
+    # it is on disk; from the store, or after running requests, they would wait
+    # as long again.
+    engines = [
+        an_engine_view("e1", "m1", "m3", near={}),
+        an_engine_view("e2", "m1", "m3", in_use={"m1": 1, "m3": 1}),
+        an_engine_view("e3", "m1", "m3"),
+    ]
+    swaps = plan(*engines, demands={"m2": ModelDemand(0.0, 9)})
+    assert (swaps[0].engine, swaps[0].model) == ("e3", "m2")
