Let a holder that stops while the store is away hand its lease over by word

Nobody could take the lease; up to 48 requests waited for models. Change: the stopping holder names one heir, who orders once all others back it and tells the store when that is back. A VM alone of its data centre silent for 6 s need not back anyone. VMs that are cut off look at the lease no more.

--- a/src/rosepath/entry_node.py
+++ b/src/rosepath/entry_node.py
@@ -38,8 +38,8 @@
 STOP_MARGIN_S = 0.6
 
 LEASE_TICK_S = 0.2
-# The balancer asks for readiness once a second.
-ISOLATION_TICK_S = 0.3
+# The balancer asks for readiness once a second, and each look may be a call.
+ISOLATION_TICK_S = 0.5
 PLAN_TICK_S = 0.1
 FORGET_TICK_S = 0.4
 
@@ -106,6 +106,7 @@
             catalog=lambda: self.tables.catalog,
             peers=self.peers,
             stopping=lambda: self.stopping,
+            cut_off=lambda: self.isolation.cut_off,
             changed=self.tables.announce,
         )
         self.exchange = PeerExchange(
--- a/src/rosepath/lease_keeper.py
+++ b/src/rosepath/lease_keeper.py
@@ -8,6 +8,7 @@
 from rosepath.clock import Clock
 from rosepath.leases import (
     BEFORE_KEPT,
+    FENCES_A_TERM,
     LeaseAction,
     LeasePolicy,
     LeaseRecord,
@@ -88,6 +89,33 @@
         self._lose(row)
         return version
 
+    def inherit(
+        self, name: str, *, version: int, fence: int, acted_ago_s: float
+    ) -> bool:
+        """Take a lease over by its stopping holder's word alone.
+
+        The holder that speaks acts no more, and named this node only. Until the
+        store can be told, the lease holds only while it is backed.
+        """
+        row = self.rows.setdefault(name, LeaseRow(name=name))
+        newest = max(row.version, self._heard.get(name, 0))
+        if row.holder == self._me or version < newest or fence < row.fence:
+            return False
+        now_s = self._clock.monotonic_s()
+        pause_s = self.policy.turn_s if self._me in row.before else 0.0
+        row.before = holders_before(row, me=self._me)
+        row.version, row.holder = version, self._me
+        row.term, row.passed_on = divmod(fence + 1, FENCES_A_TERM)
+        row.held_until_s = row.seen_at_s = now_s
+        row.act_from_s = now_s - acted_ago_s + max(pause_s, self.policy.handover_s)
+        return True
+
+    def lapsed(self, name: str) -> bool:
+        """Tell whether a lease that names this node here was not renewed in time."""
+        row = self.rows.get(name)
+        now_s = self._clock.monotonic_s()
+        return row is not None and row.holder == self._me and row.held_until_s <= now_s
+
     def overdue_s(self, name: str) -> float:
         """Return for how long a held lease could not be renewed."""
         row = self.rows[name]
@@ -110,6 +138,11 @@
         row = self.rows.get(name)
         return row.term if row else 0
 
+    def fence(self, name: str) -> int:
+        """Return the fence of the acts under a lease as it was last taken."""
+        row = self.rows.get(name)
+        return row.fence if row else 0
+
     async def step(
         self, name: str, *, wanted: bool, backed_until_s: float = -1e9
     ) -> None:
@@ -167,7 +200,8 @@
         match decode_lease(stored):
             case Result(tag="ok", ok=record):
                 row.holder, row.before = record.holder, record.before
-                row.term = max(row.term, record.term)
+                if record.term > row.term:
+                    row.term, row.passed_on = record.term, 0
 
     async def _write(self, row: LeaseRow, *, term: int) -> None:
         # The time counts from before the write: however late the reply, no
@@ -197,6 +231,8 @@
             version = stored.version
         if row.holder != self._me:
             _log.info("lease_taken", step="lease", lease=row.name, term=term)
+        if term != row.term:
+            row.passed_on = 0
         row.version, row.holder, row.term = version, self._me, term
         row.before = before
         row.seen_at_s = asked_s
@@ -245,7 +281,10 @@
             version = await self._platform.put(
                 f"{LEASE_KIND}/{name}", value, expected_version=row.version
             )
-        except (StoreError, ConflictError):
+        except ConflictError:
+            self._lose(row)
+            return row.version
+        except StoreError:
             return row.version
         row.holder = ""
         return version
--- a/src/rosepath/leases.py
+++ b/src/rosepath/leases.py
@@ -18,6 +18,11 @@
 BEFORE_KEPT = 8
 
 
+# Fences between two terms: one for each holder by word alone. The next term is
+# taken from the store, which may know nothing of them, and must come after.
+FENCES_A_TERM = 1000
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class LeasePolicy:
     """Set how long a lease lasts and how early its holder stops trusting it."""
@@ -57,6 +62,13 @@
     act_from_s: float = -1e9
     # Who held earlier terms, the latest first.
     before: tuple[str, ...] = ()
+    # How often this term was passed on by word alone.
+    passed_on: int = 0
+
+    @property
+    def fence(self) -> int:
+        """Return the number that orders the acts of all holders."""
+        return self.term * FENCES_A_TERM + self.passed_on
 
     def valid(
         self, *, now_s: float, policy: LeasePolicy, backed_until_s: float = -1e9
--- a/src/rosepath/peer_exchange.py
+++ b/src/rosepath/peer_exchange.py
@@ -16,6 +16,7 @@
 from rosepath.store_tables import StoreTables
 
 JOIN_AGAIN_S = 0.3
+JOIN_AGAIN_MAX_S = 2.0
 # A server that took no connection is named for so long, and each naming keeps
 # requests off it for as long as the next one may take to come.
 DOWN_TOLD_S = 0.5
@@ -66,6 +67,7 @@
         name = f"{VM_KIND}/{self._me}"
         value = json.dumps({"address": self.link.address}).encode()
         registered = False
+        pause_s = JOIN_AGAIN_S
         while True:
             try:
                 if not registered:
@@ -75,7 +77,8 @@
                 break
             except StoreError as error:
                 _log.info("join_failed", why=error.message, step="store")
-                await asyncio.sleep(JOIN_AGAIN_S)
+                await asyncio.sleep(pause_s)
+                pause_s = min(2 * pause_s, JOIN_AGAIN_MAX_S)
         for stored in listing.objects.values():
             raw = json.loads(stored.value)
             if isinstance(raw, dict) and "address" in raw:
@@ -116,6 +119,7 @@
             store_ago_s=self._clock.monotonic_s() - self._store.last_success_s,
             resigned_version=self._coordinator.resigned_version,
             acted_ago_s=self._coordinator.acted_ago_s,
+            bequest=self._coordinator.bequest,
             load={} if telling else self._own_loads(),
             demand={} if telling else self._coordinator.own_demand(),
             occupied=tuple(self._coordinator.orders.occupied)
--- a/src/rosepath/peer_messages.py
+++ b/src/rosepath/peer_messages.py
@@ -17,6 +17,20 @@
 ZLIB_MARK = b"\x78"
 
 
+class Bequest(NamedTuple):
+    """Name who holds a lease on from a version, after its holder's fence.
+
+    The word of a holder that stops while the store can't take the lease back.
+    """
+
+    heir: str = ""
+    version: int = 0
+    fence: int = 0
+
+
+NO_BEQUEST = Bequest()
+
+
 class HeldMove(NamedTuple):
     """Tell that a model, or an adapter of it, came to an engine or went.
 
@@ -53,6 +67,7 @@
     store_ago_s: float = NEVER_S
     resigned_version: int = 0
     acted_ago_s: float = 0.0
+    bequest: Bequest = NO_BEQUEST
     load: Mapping[str, PeerLoad] = field(default_factory=dict)
     demand: Mapping[str, Mapping[str, ModelDemand]] = field(default_factory=dict)
     leaving: tuple[str, ...] = ()
@@ -145,6 +160,7 @@
         "b": list(message.heard),
         "k": round(min(message.store_ago_s, NEVER_S), 2),
         "q": [message.resigned_version, round(message.acted_ago_s, 3)],
+        "i": list(message.bequest),
         "l": _raw_loads(message.load),
         "s": _raw_loads(message.totals),
         "w": {
@@ -186,6 +202,7 @@
         store_ago_s=float(raw["k"]),
         resigned_version=int(raw["q"][0]),
         acted_ago_s=float(raw["q"][1]),
+        bequest=Bequest(str(raw["i"][0]), int(raw["i"][1]), int(raw["i"][2])),
         load=_loads(raw["l"]),
         totals=_loads(raw["s"]),
         demand={
--- a/src/rosepath/peer_table.py
+++ b/src/rosepath/peer_table.py
@@ -19,6 +19,9 @@
 # two a second from each data centre.
 CUT_OFF_INTERVALS = 3.7
 CUT_OFF_CROWDED_S = 3.0
+# A VM that alone of its data centre is silent for so long is gone: restarts are
+# over in two seconds, and machines wake or slow links clear within five.
+GONE_AFTER_S = 6.0
 # A VM that was silent for so long is no longer told anything, until it speaks.
 FORGET_AFTER_S = 30.0
 
@@ -103,11 +106,22 @@
         return holder.state.start, holder.state.number
 
     def backers(self) -> list[str]:
-        """Return the VMs that might take a lease over: all but those stopping."""
+        """Return the VMs that might take a lease over.
+
+        Not those that are stopping, nor one that has been silent for long while
+        others of its data centre are heard: it is gone. All of a data centre
+        silent may be a partition, behind which they live.
+        """
+        gone_s = self._clock.monotonic_s() - GONE_AFTER_S
+        heard = {peer.state.data_centre for peer in self.live() if peer.state}
         return [
             peer.name
             for peer in self._remembered()
-            if peer.state is None or not peer.state.stopping
+            if peer.state is None
+            or not (
+                peer.state.stopping
+                or (peer.heard_s < gone_s and peer.state.data_centre in heard)
+            )
         ]
 
     @property
--- a/src/rosepath/placement_coordinator.py
+++ b/src/rosepath/placement_coordinator.py
@@ -14,10 +14,11 @@
 from rosepath.lease_backing import LeaseBacking
 from rosepath.lease_keeper import LeaseKeeper
 from rosepath.leases import LeasePolicy
+from rosepath.logs import get_logger
 from rosepath.object_store import ObjectsPort
 from rosepath.order_dispatcher import DispatcherPorts, OrderDispatcher
 from rosepath.peer_link import PeerLink
-from rosepath.peer_messages import AdapterAsk, HeldMove, PeerState
+from rosepath.peer_messages import AdapterAsk, Bequest, HeldMove, PeerState
 from rosepath.peer_table import PeerTable
 from rosepath.prompt_caches import PromptCaches
 from rosepath.rendezvous import ranked
@@ -29,6 +30,8 @@
 # One renewal may fail by chance; after two the store has turned away.
 RESIGN_OVERDUE_S = 0.5
 LEASE_NAME = "placement"
+# An heir that the others do not back by then leaves the lease to them.
+INHERITED_CLAIM_S = 2.0
 # So long after the last word of a holder, others look whether it has lapsed;
 # each waits a little longer than the one before it in rank, so that one reads.
 # Eight words lost in a row, or four in a crowd, mean that it is gone.
@@ -36,6 +39,8 @@
 HOLDER_SILENT_CROWDED_S = 3.0
 RANK_STEP_S = 0.4
 
+_log = get_logger()
+
 
 class PlacementCoordinator:
     """Count demand, and bring orders about: as the holder, or by asking it."""
@@ -52,6 +57,7 @@
         catalog: Callable[[], Catalog | None],
         peers: PeerTable,
         stopping: Callable[[], bool],
+        cut_off: Callable[[], bool],
         changed: Callable[[], None],
         boot_clock: Clock | None = None,
     ) -> None:
@@ -62,10 +68,13 @@
         self._caches = caches
         self._peers = peers
         self._stopping = stopping
+        self._cut_off = cut_off
         self._address = settings.peers.listen
         self._silent_since_s = clock.monotonic_s()
         self.link: PeerLink | None = None
         self.resigned_version = 0
+        self.bequest = Bequest()
+        self._inherited_s = -1e9
         self._moves: deque[tuple[float, HeldMove]] = deque()
         self._move_number = 0
         self._heeded: dict[tuple[str, str], int] = {}
@@ -96,7 +105,7 @@
                 fleet=fleet,
                 catalog=catalog,
                 may_order=lambda: self.holds,
-                fence=lambda: self.leases.term(LEASE_NAME),
+                fence=lambda: self.leases.fence(LEASE_NAME),
                 demand=self.all_demand,
                 told_every_s=lambda: peers.interval_s,
                 on_held=self._note_held,
@@ -110,13 +119,25 @@
 
     @property
     def term(self) -> int:
-        """Return the term of the lease held, or 0."""
-        return self.leases.term(LEASE_NAME) if self.holds else 0
+        """Return the fence under which the lease is held, or 0."""
+        return self.leases.fence(LEASE_NAME) if self._claims else 0
 
     @property
     def lease_version(self) -> int:
         """Return the version of the lease held, or 0."""
-        return self.leases.version(LEASE_NAME) if self.holds else 0
+        return self.leases.version(LEASE_NAME) if self._claims else 0
+
+    @property
+    def _claims(self) -> bool:
+        """Tell whether this VM says that it holds the lease.
+
+        An heir says so before it may act: the others back whom they hear.
+        """
+        if self.holds:
+            return True
+        inherited_ago_s = self._boot.monotonic_s() - self._inherited_s
+        mine = self.leases.holder(LEASE_NAME) == self._me
+        return mine and inherited_ago_s < INHERITED_CLAIM_S and not self._stopping()
 
     @property
     def acted_ago_s(self) -> float:
@@ -145,6 +166,8 @@
             self._backing.note_heard(state.entry_vm, number)
         if state.term:
             self.leases.hear(LEASE_NAME, version=state.lease_version)
+        if state.bequest.heir == self._me and not self._stopping():
+            self._inherit(state)
         if state.resigned_version:
             self._silent_since_s = -1e9
             self.leases.hear_resigned(
@@ -194,7 +217,9 @@
         # The first look is at once: a holder that was killed finds its own
         # lease and need not wait for it to lapse.
         wanted = not self._looked or silent_s > self._turn_s()
-        wanted = wanted and not self._stopping()
+        # One that reaches nobody spares the store its looks, which are paid for
+        # whether they arrive or not.
+        wanted = wanted and not self._stopping() and not self._cut_off()
         self._looked = True
         await self.leases.step(
             LEASE_NAME, wanted=wanted, backed_until_s=self._backed_until_s()
@@ -206,8 +231,22 @@
             self._say_so()
         elif self.holds:
             self.resigned_version = 0
+        elif self.leases.lapsed(LEASE_NAME) and not (self._claims or self._stopping()):
+            # An heir whom not all others back; the store decides once it is back.
+            self.leases.resign(LEASE_NAME)
         self._was_holder = self.holds
 
+    def _inherit(self, state: PeerState) -> None:
+        if self.leases.inherit(
+            LEASE_NAME,
+            version=state.bequest.version,
+            fence=state.bequest.fence,
+            acted_ago_s=state.acted_ago_s,
+        ):
+            self._inherited_s = self._boot.monotonic_s()
+            _log.info("lease_inherited", step="lease", by=state.entry_vm)
+            self._say_so()
+
     def _backed_until_s(self) -> float:
         """Return until when the others are known to keep off the lease.
 
@@ -255,10 +294,23 @@
 
     async def give_up(self) -> None:
         """Hand the lease back before a planned stop."""
-        self._was_holder = False
+        held, self._was_holder = self._was_holder, False
+        fence = self.leases.fence(LEASE_NAME)
         self.resigned_version = await self.leases.give_up(LEASE_NAME)
+        if held and self.leases.holder(LEASE_NAME) == self._me:
+            # The store was not told: one VM goes on by this word instead.
+            self.bequest = Bequest(self._heir(), self.resigned_version, fence)
+            _log.info("lease_bequeathed", step="lease", peer=self.bequest.heir)
         self._say_so()
 
+    def _heir(self) -> str:
+        live = [
+            peer.name
+            for peer in self._peers.live()
+            if peer.state is not None and not peer.state.stopping
+        ]
+        return next(iter(ranked(LEASE_NAME, live)), "")
+
     # Adapters
 
     async def ensure_adapter(
--- a/tests/test_lease_backing.py
+++ b/tests/test_lease_backing.py
@@ -1,7 +1,7 @@
 """A holder that can't reach the store goes on while the others keep off."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, replace
 from typing import Any, cast
 
@@ -29,6 +29,7 @@
     coordinator: PlacementCoordinator
     number: int = 0
     start: str = ""
+    stopping: bool = False
 
     def tell(self) -> None:
         return
@@ -44,6 +45,8 @@
     def __init__(self) -> None:
         super().__init__()
         self.unreached_by: set[str] = set()
+        # Runs once, while the next write is on its way.
+        self.before_write: Callable[[], Awaitable[None]] | None = None
 
     def seen_by(self, name: str) -> "SeenStore":
         return SeenStore(self, name)
@@ -59,6 +62,13 @@
         self._store.down = self._name in self._store.unreached_by
         return getattr(self._store, what)
 
+    async def put(self, name: str, value: bytes, *, expected_version: int) -> int:
+        meanwhile, self._store.before_write = self._store.before_write, None
+        if meanwhile is not None:
+            await meanwhile()
+        self._store.down = self._name in self._store.unreached_by
+        return await self._store.put(name, value, expected_version=expected_version)
+
 
 def a_node(name: str, store: Store, clock: ManualClock) -> Node:
     peers = PeerTable(name, clock=clock)
@@ -71,7 +81,8 @@
         caches=PromptCaches(),
         catalog=a_catalog,
         peers=peers,
-        stopping=lambda: False,
+        stopping=lambda: node.stopping,
+        cut_off=lambda: False,
         changed=lambda: None,
         boot_clock=clock,
     )
@@ -90,7 +101,9 @@
         start=node.start,
         lease_version=node.coordinator.lease_version,
         heard=node.coordinator.heard,
+        stopping=node.stopping,
         resigned_version=node.coordinator.resigned_version,
+        bequest=node.coordinator.bequest,
         acted_ago_s=node.coordinator.acted_ago_s,
     )
     for other in others:
@@ -134,7 +147,7 @@
         store.unreached_by = set()
         await play(nodes, clock, 3.0)
         assert holder.coordinator.holds
-        assert holder.coordinator.term == 1
+        assert holder.coordinator.term == 1000
 
     asyncio.run(run())
 
@@ -165,6 +178,91 @@
     asyncio.run(run())
 
 
+def test_a_holder_that_stops_in_an_outage_hands_over_by_word() -> None:
+    # The store answers nobody as the holder is stopped. Nobody could take the
+    # lease from the store, and models stood unordered until it was back. The
+    # write takes its time to fail; meanwhile the holder's own loop goes on.
+    async def run() -> None:
+        nodes, store, clock = three_nodes()
+        await play(nodes, clock, 3.0)
+        holder = next(node for node in nodes if node.coordinator.holds)
+        store.unreached_by = set(NAMES)
+        await play(nodes, clock, 1.0)
+        holder.stopping = True
+        store.before_write = holder.coordinator.step_lease
+        await holder.coordinator.give_up()
+        await play(nodes, clock, 2.0)
+        heir = next(node for node in nodes if node.coordinator.holds)
+        assert heir is not holder
+        assert heir.coordinator.term == 1001
+        await play(nodes, clock, 4.0)
+        assert heir.coordinator.holds
+        store.unreached_by = set()
+        await play(nodes, clock, 3.0)
+        assert heir.coordinator.holds and heir.coordinator.term == 1001
+
+    asyncio.run(run())
+
+
+def test_the_fence_of_an_heir_is_not_used_again() -> None:
+    # An heir that was never written to the store stops, too. Whoever then takes
+    # the lease from the store finds there the term from before both, and gave
+    # its orders the heir's fence: engines saw two masters with one.
+    async def run() -> None:
+        nodes, store, clock = three_nodes()
+        await play(nodes, clock, 3.0)
+        holder = next(node for node in nodes if node.coordinator.holds)
+        store.unreached_by = set(NAMES)
+        holder.stopping = True
+        await holder.coordinator.give_up()
+        await play(nodes, clock, 2.0)
+        heir = next(node for node in nodes if node.coordinator.holds)
+        fence = heir.coordinator.term
+        last = next(node for node in nodes if node not in (holder, heir))
+        store.unreached_by = set()
+        fresh = a_node(last.name, store, clock)
+        await play([fresh], clock, 5.0)
+        assert fresh.coordinator.term > fence
+
+    asyncio.run(run())
+
+
+def test_a_vm_that_is_gone_for_good_does_not_have_to_back_a_holder() -> None:
+    # A VM was removed long before the outage. As nobody heard from it whose
+    # word it heard last, the holder's lease ended two seconds into the outage.
+    async def run() -> None:
+        nodes, store, clock = three_nodes()
+        await play(nodes, clock, 3.0)
+        holder = next(node for node in nodes if node.coordinator.holds)
+        gone = next(node for node in nodes if node is not holder)
+        left = [node for node in nodes if node is not gone]
+        await play(left, clock, 7.0)
+        store.unreached_by = set(NAMES)
+        await play(left, clock, 6.0)
+        assert holder.coordinator.holds
+
+    asyncio.run(run())
+
+
+def test_an_heir_that_is_not_backed_leaves_the_lease_to_the_store() -> None:
+    async def run() -> None:
+        nodes, store, clock = three_nodes()
+        await play(nodes, clock, 3.0)
+        holder = next(node for node in nodes if node.coordinator.holds)
+        store.unreached_by = set(NAMES)
+        holder.stopping = True
+        await holder.coordinator.give_up()
+        heir = next(n for n in nodes if n.name == holder.coordinator.bequest.heir)
+        lost = next(n for n in nodes if n not in (holder, heir))
+        await play(nodes, clock, 4.0, speaking=lambda node: node is not lost)
+        assert not any(node.coordinator.holds for node in nodes)
+        store.unreached_by = set()
+        await play([heir, lost], clock, 6.0)
+        assert sum(node.coordinator.holds for node in (heir, lost)) == 1
+
+    asyncio.run(run())
+
+
 def test_words_that_are_not_known_back_nothing() -> None:
     backing = LeaseBacking(silent_s=1.0)
     assert backing.until_s([]) < 0
@@ -177,18 +275,26 @@
 trouble = st.tuples(
     st.sampled_from([*NAMES, "none"]),
     st.sampled_from([*NAMES, "all", "none"]),
+    st.sampled_from([*NAMES, "none", "none"]),
     st.floats(0.1, 4.0),
 )
 
 
 @settings(deadline=None, max_examples=60)
 @given(st.lists(trouble, min_size=1, max_size=8))
-def test_no_two_hold_the_lease(troubles: list[tuple[str, str, float]]) -> None:
-    # One VM is not heard, one or all do not reach the store, for any time.
+def test_no_two_hold_the_lease(
+    troubles: list[tuple[str, str, str, float]],
+) -> None:
+    # One VM is not heard, one or all do not reach the store, one is stopping,
+    # for any time.
     async def run() -> None:
         nodes, store, clock = three_nodes()
         await play(nodes, clock, 1.0)
-        for mute, unreached, for_s in troubles:
+        for mute, unreached, stopped, for_s in troubles:
+            for node in nodes:
+                node.stopping = node.name == stopped
+                if node.stopping:
+                    await node.coordinator.give_up()
             store.unreached_by = set(NAMES) if unreached == "all" else {unreached}
             await play(
                 nodes, clock, for_s, speaking=lambda node, mute=mute: node.name != mute
--- a/tests/test_peer_exchange.py
+++ b/tests/test_peer_exchange.py
@@ -42,11 +42,12 @@
         catalog=lambda: None,
         peers=peers,
         stopping=lambda: False,
+        cut_off=lambda: False,
         changed=lambda: None,
         boot_clock=clock,
     )
     monkeypatch.setattr(coordinator.leases, "valid", lambda *_, **__: term > 0)
-    monkeypatch.setattr(coordinator.leases, "term", lambda _: term)
+    monkeypatch.setattr(coordinator.leases, "fence", lambda _: term)
     return PeerExchange(
         name,
         "a",
--- a/tests/test_peer_messages.py
+++ b/tests/test_peer_messages.py
@@ -11,6 +11,7 @@
 from rosepath.peer_messages import (
     AdapterAsk,
     AdapterReply,
+    Bequest,
     HeldMove,
     PeerState,
     decode,
@@ -32,6 +33,7 @@
         store_ago_s=0.25,
         resigned_version=8,
         acted_ago_s=1.5,
+        bequest=Bequest("vm-2", 9, 2),
         load={"e1": PeerLoad(requests=2, unread_tokens=5, targets={"m/a1": 2})},
         demand={"llm": {"m": ModelDemand(0.5, 1, frozenset(["a1"]), 0.75)}},
         leaving=("e9",),
