--- a/src/rosepath/engine_plan.py
+++ b/src/rosepath/engine_plan.py
@@ -58,8 +58,13 @@
 # Engines in a swap at the same time, as a share of all: while it lasts, no
 # adapter gets to them.
 MOST_SWAPPING = 0.5
-# Models looked at for each swap, those first that gain most by a copy.
+# Models looked at for each swap, those first that gain most by a copy: until so
+# many have found an engine, and no more than the second.
 MODELS_WEIGHED = 12
+MODELS_LOOKED_AT = 60
+# A swap among 70 engines and 171 models takes 9 ms to find; more at a time would
+# keep a holder from speaking. The next are found a tick later.
+SWAPS_AT_ONCE = 4
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -108,7 +113,11 @@
     free = {engine.name: engine for engine in engines if engine.settled}
     swapping = len(engines) - len(free)
     swaps: list[Swap] = []
-    while free and swapping < max(1.0, MOST_SWAPPING * len(engines)):
+    while (
+        free
+        and len(swaps) < SWAPS_AT_ONCE
+        and swapping < max(1.0, MOST_SWAPPING * len(engines))
+    ):
         best = _best_swap(list(free.values()), books, store_room=store_room)
         if best is None:
             break
@@ -277,16 +286,20 @@
         ((books.value(model), model) for model in books.models), reverse=True
     )
     best: Swap | None = None
-    for value, model in values[:MODELS_WEIGHED]:
-        if value <= 0:
+    weighed = 0
+    for value, model in values[:MODELS_LOOKED_AT]:
+        if value <= 0 or weighed == MODELS_WEIGHED:
             break
-        for engine in engines:
-            if model in books.held[engine.name]:
-                continue
-            if not store_room and model not in engine.near:
-                continue
-            swap = _swap_for(engine, model, value, books)
-            if swap is not None and (best is None or swap.gain > best.gain):
+        swaps = [
+            swap
+            for engine in engines
+            if model not in books.held[engine.name]
+            and (store_room or model in engine.near)
+            and (swap := _swap_for(engine, model, value, books)) is not None
+        ]
+        weighed += bool(swaps)
+        for swap in swaps:
+            if best is None or swap.gain > best.gain:
                 best = swap
     return best
 
--- a/tests/test_engine_plan.py
+++ b/tests/test_engine_plan.py
@@ -121,6 +121,25 @@
     assert 1 <= sum(swap.model == "m0" for swap in swaps) <= 2
 
 
+def test_models_that_fit_nowhere_do_not_keep_others_from_their_copies() -> None:
+    # Of 171 models, more are waited for than are weighed for one swap, and no
+    # engine can take any of those. Looked at first and alone, they kept busy
+    # models on one engine each while most engines idled.
+    hopeless = {
+        f"x{number}": a_model(f"x{number}", size_mb=3e5) for number in range(20)
+    }
+    demands = {name: ModelDemand(0.0, 9) for name in hopeless}
+    demands["m0"] = ModelDemand(0.7, 0)
+    swaps = plan_swaps(
+        [an_engine_view("e1", "m0"), an_engine_view("e2", "m1")],
+        MODELS | hopeless,
+        demands,
+        store_room=True,
+        adapter_slots=8,
+    )
+    assert [(swap.engine, swap.model) for swap in swaps] == [("e2", "m0")]
+
+
 def test_a_second_copy_goes_where_the_data_centre_has_none() -> None:
     # A data centre that is cut off serves only what its own engines hold.
     engines = [
