--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -6,9 +6,10 @@
 from hypothesis import given, settings, strategies as st
 
 from rosepath.clock import ManualClock
+from rosepath.errors import Step
 from rosepath.lease_keeper import LeaseKeeper
 from rosepath.leases import LeasePolicy, decode_lease
-from rosepath.object_store import StoredObject
+from rosepath.object_store import StoredObject, StoreError
 
 POLICY = LeasePolicy(duration_s=5.0, margin_s=1.0)
 step = st.tuples(
@@ -81,3 +82,54 @@
 @given(st.binary(max_size=100))
 def test_the_decoder_takes_any_bytes(data: bytes) -> None:
     decode_lease(StoredObject("l", 1, data))
+
+
+class LatePlatform(FakePlatform):
+    """Leave one write unanswered, and carry it out when told."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.hold_next = False
+        self.held: tuple[str, bytes] | None = None
+
+    async def put(
+        self, name: str, value: bytes, *, expected_version: int | None
+    ) -> int:
+        if self.hold_next:
+            self.hold_next, self.held = False, (name, value)
+            raise unanswered()
+        return await super().put(name, value, expected_version=expected_version)
+
+    def carry_out(self) -> None:
+        assert self.held is not None
+        name, value = self.held
+        self.revision += 1
+        self.objects[name] = StoredObject(name, self.revision, value)
+
+
+def unanswered() -> StoreError:
+    error = StoreError("no answer in time", step=Step.STORE)
+    error.unknown = True
+    return error
+
+
+def test_a_renewal_that_is_carried_out_late_does_not_end_its_own_lease() -> None:
+    # The store answers a renewal not at all and carries it out a second later.
+    # The next renewal then met a version that its sender had never seen, and
+    # the holder gave up a lease that nobody else had.
+    async def run() -> None:
+        platform, clock = LatePlatform(), ManualClock()
+        keeper = LeaseKeeper(platform, me="a", policy=POLICY, clock=clock)
+        await keeper.step("l", wanted=True)
+        clock.advance(2.6)
+        platform.hold_next = True
+        await keeper.step("l", wanted=True)
+        platform.carry_out()
+        clock.advance(0.2)
+        await keeper.step("l", wanted=True)
+        assert keeper.holder("l") == "a"
+        await keeper.step("l", wanted=True)
+        clock.advance(2.4)
+        assert keeper.valid("l") and keeper.term("l") == 1
+
+    asyncio.run(run())
