Check the right to order once more when the connection is there

A holder suspended meanwhile wakes and sends, its lease long gone. Ruled out by reading: the lease's clock (it counts suspension), words sent before it (counted from when they were sent). Change: what is to be sent is asked for again once the connection is there.

--- a/src/rosepath/engine_orders.py
+++ b/src/rosepath/engine_orders.py
@@ -1,7 +1,7 @@
 """Orders to engines, and the record that the lease's holder keeps of each."""
 
 from collections import deque
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 from enum import StrEnum
 from typing import Protocol
@@ -55,7 +55,9 @@
 class EnginePort(Protocol):
     """Reach engines by address."""
 
-    async def order(self, address: str, order: Order) -> OrderReply: ...
+    async def order(
+        self, address: str, order: Order, *, still_wanted: Callable[[], bool]
+    ) -> OrderReply: ...
 
     async def report(self, address: str, server: str) -> EngineReport: ...
 
--- a/src/rosepath/http_client.py
+++ b/src/rosepath/http_client.py
@@ -8,7 +8,7 @@
 import asyncio
 import socket
 from collections import defaultdict
-from collections.abc import AsyncIterator, Mapping
+from collections.abc import AsyncIterator, Callable, Mapping
 from dataclasses import dataclass, field
 
 import httptools
@@ -54,6 +54,8 @@
     proven_live_within_s: float | None = None
     host: str | None = None
     accepts: Accepts | None = None
+    # Asked once the connection is there, right before the first byte goes out.
+    still_wanted: Callable[[], bool] = lambda: True
 
 
 class HttpPool:
@@ -92,6 +94,11 @@
         `on_head` or `on_data` closes the connection and is raised as it is.
         """
         connection, reused = await self._connection_for(request)
+        if not request.still_wanted():
+            connection.close()
+            raise ExchangeError(
+                "no longer wanted", step=Step.SEND, peer=request.address, sent=False
+            )
         exchange = Exchange(
             connection, request.method, on_head, on_data, accepts=request.accepts
         )
--- a/src/rosepath/order_dispatcher.py
+++ b/src/rosepath/order_dispatcher.py
@@ -387,7 +387,11 @@
             why = ""
             self.acted_s = self._boot.monotonic_s()
             try:
-                reply = await ports.engines.order(server.address, order)
+                # The holder may be suspended while it connects, and its lease
+                # be another's by the time that the order could go out.
+                reply = await ports.engines.order(
+                    server.address, order, still_wanted=ports.may_order
+                )
             except ExchangeError as error:
                 why = error.message
             self._note(order, reply, why)
--- a/src/rosepath/platform/engines.py
+++ b/src/rosepath/platform/engines.py
@@ -1,7 +1,7 @@
 """Calls to engines: orders to load and unload, and reports."""
 
 import json
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
 from rosepath.engine_orders import EngineReport, Order, OrderAction, OrderReply
@@ -29,7 +29,9 @@
 
     pool: HttpPool
 
-    async def order(self, address: str, order: Order) -> OrderReply:
+    async def order(
+        self, address: str, order: Order, *, still_wanted: Callable[[], bool]
+    ) -> OrderReply:
         """Send an order; raises ExchangeError if no answer tells its fate."""
         body = {
             "operation": _OPERATIONS[order.action],
@@ -52,6 +54,7 @@
                 body=json.dumps(body).encode(),
                 connect_timeout_s=ORDER_TIMEOUT_S,
                 progress_timeout_s=ORDER_TIMEOUT_S,
+                still_wanted=still_wanted,
             )
         )
         return _REPLIES.get(head.status, OrderReply.REFUSED)
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -248,3 +248,29 @@
                 await HttpPool().fetch(server.request(headers={"a": "b\r\nc: d"}))
 
     asyncio.run(run())
+
+
+def test_what_is_no_longer_wanted_once_connected_is_not_sent() -> None:
+    # A holder of a lease is suspended while it connects to an engine, and wakes
+    # after the lease went to another. The order was checked before it
+    # connected, went out after, and the engine saw two masters.
+    async def run() -> None:
+        read: list[bytes] = []
+        done = asyncio.Event()
+
+        async def note(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            read.append(await reader.read())
+            done.set()
+
+        async with Server(note) as server, asyncio.timeout(10):
+            pool = HttpPool()
+            with pytest.raises(ExchangeError) as raised:
+                await pool.fetch(server.request(still_wanted=lambda: False))
+            await done.wait()
+        assert server.connections == 1
+        assert read == [b""]
+        assert not raised.value.sent
+
+    asyncio.run(run())
--- a/tests/test_order_dispatcher.py
+++ b/tests/test_order_dispatcher.py
@@ -28,7 +28,10 @@
         self.in_use: set[str] = set()
         self.lagging: EngineReport | None = None
 
-    async def order(self, _: str, order: Order) -> OrderReply:
+    async def order(
+        self, _: str, order: Order, *, still_wanted: Callable[[], bool]
+    ) -> OrderReply:
+        assert still_wanted()
         self.orders.append(order)
         if self.unanswered:
             self.unanswered -= 1
