Count an act from when its order goes out

An order may take 0.6 s to connect and 0.6 s more to be answered or given up. The next holder waited 0.75 s from the last act, which was noted before connecting: a holder that resigned meanwhile had an order on its way for up to 0.45 s of the other's time. Change: the act is noted, and the right checked, once the connection is there. Measured: both tests of it red before (one with the act noted too early, one with no second check to fail).

--- a/src/rosepath/order_dispatcher.py
+++ b/src/rosepath/order_dispatcher.py
@@ -66,7 +66,7 @@
         self._locks: dict[str, asyncio.Lock] = {}
         self._ceiling = LoadCeiling()
         self._fence = 0
-        self._boot = BootClock()
+        self._boot: Clock = BootClock()
         self.outcomes: dict[str, int] = {}
         self._swaps: set[asyncio.Task[None]] = set()
         self.acted_s = -1e9
@@ -390,7 +390,7 @@
                 # The holder may be suspended while it connects, and its lease
                 # be another's by the time that the order could go out.
                 reply = await ports.engines.order(
-                    server.address, order, still_wanted=ports.may_order
+                    server.address, order, still_wanted=self._may_act
                 )
             except ExchangeError as error:
                 why = error.message
@@ -405,6 +405,17 @@
         record.known = False
         return None
 
+    def _may_act(self) -> bool:
+        """Tell whether an order may go out now, and note that it does.
+
+        The next holder waits from here until the order has arrived or been
+        given up; counted from before the connection, that would be too short.
+        """
+        if not self._ports.may_order():
+            return False
+        self.acted_s = self._boot.monotonic_s()
+        return True
+
     def _note(self, order: Order, reply: OrderReply | None, why: str) -> None:
         outcome = reply.value if reply else "unanswered"
         key = (
--- a/tests/test_order_dispatcher.py
+++ b/tests/test_order_dispatcher.py
@@ -27,11 +27,14 @@
         self.lands_after_report = False
         self.in_use: set[str] = set()
         self.lagging: EngineReport | None = None
+        self.connecting: Callable[[], None] = lambda: None
 
     async def order(
         self, _: str, order: Order, *, still_wanted: Callable[[], bool]
     ) -> OrderReply:
-        assert still_wanted()
+        self.connecting()
+        if not still_wanted():
+            raise ExchangeError("unwanted", step=Step.SEND, peer="e1", sent=False)
         self.orders.append(order)
         if self.unanswered:
             self.unanswered -= 1
@@ -217,6 +220,39 @@
     asyncio.run(run())
 
 
+def test_an_act_is_counted_from_when_its_order_goes_out() -> None:
+    # Connecting to an engine took half a second. The holder then resigned and
+    # told how long ago it had acted, from before it connected: the next holder
+    # ordered while the order was still on its way.
+    async def run() -> None:
+        engine, clock = FakeEngine("m0"), ManualClock()
+        dispatcher = a_dispatcher(engine, clock)
+        dispatcher._boot = clock
+        connected_s: list[float] = []
+
+        def connect() -> None:
+            clock.advance(0.5)
+            connected_s.append(clock.monotonic_s())
+
+        engine.connecting = connect
+        assert await dispatcher.ensure_adapter("llm", "e1", "m0", "a1")
+        assert dispatcher.acted_s == connected_s[0]
+
+    asyncio.run(run())
+
+
+def test_who_loses_the_lease_while_it_connects_sends_nothing() -> None:
+    async def run() -> None:
+        engine, clock = FakeEngine("m0"), ManualClock()
+        holding = [True]
+        dispatcher = a_dispatcher(engine, clock, may_order=lambda: holding[0])
+        engine.connecting = lambda: holding.__setitem__(0, False)
+        assert not await dispatcher.ensure_adapter("llm", "e1", "m0", "a1")
+        assert engine.orders == []
+
+    asyncio.run(run())
+
+
 def test_who_no_longer_holds_the_lease_sends_nothing() -> None:
     async def run() -> None:
         engine, clock = FakeEngine("m0"), ManualClock()
