Take a server that started again for a new one; name no server by foreign entries

Cause: nothing read `born`. An engine that crashed behind a cut and started again under its id kept its former models, errors, drain mark and count of orders here: EngineRecord.take dropped its lower sequence for ever, and a swap went on for 12 s by the former count. An entry that is no document raised out of decode_server; an address 999.2.3.4:599999, a slot count "64", an unnamed state were taken; the same bytes in the lease or in a VM's entry ended a loop.

Change: `born` is read from entries and reports. An earlier one is stale, also after the server was removed; a later one begins a new record, without prompts, and who leaves is told with the life that it concerns. Entries are checked field by field without conversion; one that fails takes the server out until it writes again. A spoilt lease is waited out as if held, and its version stands for the terms that it no longer tells.

--- a/src/rosepath/engine_orders.py
+++ b/src/rosepath/engine_orders.py
@@ -44,11 +44,15 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class EngineReport:
-    """Hold what an engine says it holds; some hundred milliseconds old."""
+    """Hold what an engine says it holds; some hundred milliseconds old.
+
+    `born_ms` is the Unix time at which this life of the engine began.
+    """
 
     sequence: int
     busy: bool
     models: Mapping[str, frozenset[str]]
+    born_ms: int = 0
     pending: frozenset[str] = frozenset()
 
 
@@ -73,6 +77,7 @@
     """
 
     server: str
+    born_ms: int = 0
     sequence: int = 0
     read: bool = False
     known: bool = False
@@ -90,7 +95,15 @@
         return self.busy or self.engine_busy
 
     def take(self, report: EngineReport, *, now_s: float) -> bool:
-        """Take in a report, unless it tells of before the last order."""
+        """Take in a report, unless it tells of before the last order.
+
+        An engine that started again counts its orders from the start; held to
+        the count of its former life, it would never be read again.
+        """
+        if report.born_ms < self.born_ms:
+            return False
+        if report.born_ms > self.born_ms:
+            self.begin_life(report.born_ms)
         if report.sequence < self.sequence:
             return False
         self.sequence = report.sequence
@@ -105,6 +118,15 @@
         self.adapters = {name: self.adapters.get(name, now_s) for name in names}
         return True
 
+    def begin_life(self, born_ms: int) -> None:
+        """Forget what an engine was before it started again."""
+        self.born_ms = born_ms
+        self.sequence = 0
+        self.known = False
+        self.models.clear()
+        self.loaded_s.clear()
+        self.adapters.clear()
+
     def note_used(self, targets: Iterable[str], *, now_s: float) -> None:
         """Note which adapters, as `model/adapter`, requests use now."""
         for target in targets:
--- a/src/rosepath/entry_node.py
+++ b/src/rosepath/entry_node.py
@@ -94,6 +94,7 @@
                 self._holder_word(), crowded=self._one_of_many
             ),
             on_catalog=self._limit_callers,
+            on_reborn=self.caches.forget,
         )
         self.peers = PeerTable(settings.entry_vm, clock=self.clock)
         self.coordinator = PlacementCoordinator(
--- a/src/rosepath/fleet.py
+++ b/src/rosepath/fleet.py
@@ -1,19 +1,24 @@
 """The table of backend servers, and what this entry VM has seen of each."""
 
-from collections import Counter
+from collections import Counter, OrderedDict
 from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
+from typing import NamedTuple
 
 # Servers named as leaving in what VMs tell each other; more leave at once only
 # with a data centre, which each VM finds out by itself.
 LEAVING_TOLD = 16
+# Servers whose latest life is remembered: more than start again in the minutes
+# for which an older entry could still come.
+LIVES_KEPT = 5_000
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ServerEntry:
     """Hold what a backend server says of itself in the store.
 
-    `models` maps each model it holds to that model's adapters; `in_memory`
+    `born_ms` is the Unix time at which this life of the server began, 0 if it
+    doesn't say. `models` maps each model it holds to that model's adapters; `in_memory`
     and `on_disk` name those it can load without the weight store; `sequence`
     counts the orders it has accepted; `remaining_s` is set if it leaves at
     short notice.
@@ -26,6 +31,7 @@
     slots: int
     draining: bool
     sequence: int = 0
+    born_ms: int = 0
     models: Mapping[str, frozenset[str]] = field(default_factory=dict)
     in_memory: frozenset[str] = frozenset()
     on_disk: frozenset[str] = frozenset()
@@ -125,25 +131,40 @@
         return used
 
 
+class LeavingServer(NamedTuple):
+    """Name a server that is leaving, and which of its lives that concerns."""
+
+    name: str
+    born_ms: int = 0
+
+
 class Fleet:
-    """Hold every backend server by name."""
+    """Hold every backend server by name, in its latest life."""
 
     def __init__(self) -> None:
         self.servers: dict[str, BackendServer] = {}
+        self._born_ms: OrderedDict[str, int] = OrderedDict()
 
-    def leaving(self) -> list[str]:
+    def leaving(self) -> list[LeavingServer]:
         """Return the servers that say they are leaving."""
-        draining = [s.name for s in self.servers.values() if s.entry.draining]
+        draining = [
+            LeavingServer(server.name, server.entry.born_ms)
+            for server in self.servers.values()
+            if server.entry.draining
+        ]
         return draining[-LEAVING_TOLD:]
 
-    def note_leaving(self, name: str) -> bool:
+    def note_leaving(self, leaving: LeavingServer) -> bool:
         """Send no new work to a server that another VM saw leave.
 
-        Return whether that is news.
+        Return whether that is news. A server that started again since stays:
+        who says that it leaves has not heard of its new life yet.
         """
-        server = self.servers.get(name)
+        server = self.servers.get(leaving.name)
         if server is None or server.entry.draining:
             return False
+        if leaving.born_ms < server.entry.born_ms:
+            return False
         server.entry = replace(server.entry, draining=True)
         return True
 
@@ -155,16 +176,35 @@
             if server.entry.service == service
         ]
 
-    def put(self, entry: ServerEntry) -> None:
-        """Take in an entry; what left is not brought back by an older entry."""
+    def put(self, entry: ServerEntry) -> bool:
+        """Take in an entry; return whether a server began a new life with it.
+
+        What left is not brought back by an older entry. A new life holds
+        nothing of what was known of the one before.
+        """
+        if entry.born_ms < self._born_ms.get(entry.name, 0):
+            return False
         server = self.servers.get(entry.name)
-        if server is None:
+        reborn = server is not None and entry.born_ms > server.entry.born_ms
+        self._note_born(entry)
+        if server is None or reborn:
+            if server is not None:
+                server.left = True
             server = self.servers[entry.name] = BackendServer(entry=entry)
         elif server.entry.draining and not entry.draining:
             entry = replace(entry, draining=True)
         server.entry = entry
         server.left = False
         server.held = {name: set(adapters) for name, adapters in entry.models.items()}
+        return reborn
+
+    def _note_born(self, entry: ServerEntry) -> None:
+        """Remember a life for longer than entries of earlier ones may come."""
+        if entry.born_ms:
+            self._born_ms[entry.name] = entry.born_ms
+            self._born_ms.move_to_end(entry.name)
+        while len(self._born_ms) > LIVES_KEPT:
+            self._born_ms.popitem(last=False)
 
     def remove(self, name: str) -> None:
         """Take out a backend server that left; its running requests go on."""
--- a/src/rosepath/lease_keeper.py
+++ b/src/rosepath/lease_keeper.py
@@ -9,6 +9,7 @@
 from rosepath.leases import (
     BEFORE_KEPT,
     FENCES_A_TERM,
+    UNKNOWN_HOLDER,
     LeaseAction,
     LeasePolicy,
     LeaseRecord,
@@ -202,6 +203,12 @@
                 row.holder, row.before = record.holder, record.before
                 if record.term > row.term:
                     row.term, row.passed_on = record.term, 0
+            case Result(error=problem):
+                # Another writer wrote it over. Each term took a change, so the
+                # version is beyond every term that was ever in use.
+                _log.warning("lease_unreadable", step="lease", why=problem)
+                row.holder = UNKNOWN_HOLDER
+                row.term, row.passed_on = max(row.term, stored.version), 0
 
     async def _write(self, row: LeaseRow, *, term: int) -> None:
         # The time counts from before the write: however late the reply, no
--- a/src/rosepath/leases.py
+++ b/src/rosepath/leases.py
@@ -18,6 +18,10 @@
 BEFORE_KEPT = 8
 
 
+# Stands for the holder of a lease that can't be read: nobody this node knows,
+# who may act until the lease would have lapsed.
+UNKNOWN_HOLDER = "?"
+
 # Fences between two terms: one for each holder by word alone. The next term is
 # taken from the store, which may know nothing of them, and must come after.
 FENCES_A_TERM = 1000
@@ -178,6 +182,9 @@
     before: tuple[str, ...] = ()
 
 
+_UNREADABLE = (ValueError, KeyError, TypeError, OverflowError, RecursionError)
+
+
 def encode_lease(record: LeaseRecord) -> bytes:
     """Encode a lease."""
     return json.dumps(asdict(record), sort_keys=True).encode()
@@ -187,6 +194,8 @@
     """Decode a stored lease."""
     try:
         raw = json.loads(stored.value)
+        if not isinstance(raw, dict):
+            return Error(f"lease {stored.name} is not an object")
         record = LeaseRecord(
             holder=str(raw["holder"]),
             term=int(raw["term"]),
@@ -194,5 +203,5 @@
             before=tuple(map(str, raw.get("before", ()))),
         )
         return Ok(record)
-    except (ValueError, KeyError, TypeError) as error:
+    except _UNREADABLE as error:
         return Error(f"lease {stored.name} cannot be read: {error}")
--- a/src/rosepath/order_dispatcher.py
+++ b/src/rosepath/order_dispatcher.py
@@ -174,8 +174,17 @@
             {name: model.adapter_mb for name, model in spec.models.items()},
         )
 
+    def _record(self, server: BackendServer) -> EngineRecord:
+        """Return the record of an engine in its present life."""
+        record = self._records.get(server.name)
+        if record is None or record.born_ms < server.entry.born_ms:
+            # A swap of the former life keeps the record that it began with.
+            record = EngineRecord(server=server.name, born_ms=server.entry.born_ms)
+            self._records[server.name] = record
+        return record
+
     async def _look_if_due(self, server: BackendServer) -> None:
-        record = self._records.setdefault(server.name, EngineRecord(server=server.name))
+        record = self._record(server)
         now_s = self._ports.clock.monotonic_s()
         # An engine that says it is busy, with an adapter or with what a holder
         # before ordered, is looked at until it is not; swaps look themselves.
@@ -275,12 +284,16 @@
                 return reply
 
     async def _moved_on(self, server: BackendServer, record: EngineRecord) -> bool:
-        """Tell whether an engine took an order that is not counted here."""
+        """Tell whether an engine took an order that is not counted here.
+
+        Or whether it started again and counts anew.
+        """
         try:
             report = await self._ports.engines.report(server.address, server.name)
         except ExchangeError:
             return False
-        return report.sequence > record.sequence
+        reborn = report.born_ms > record.born_ms
+        return reborn or report.sequence > record.sequence
 
     # Adapters
 
@@ -299,9 +312,7 @@
         name = f"{model}/{adapter}"
         self._begin_term()
         async with self._lock(server_name):
-            record = self._records.setdefault(
-                server_name, EngineRecord(server=server_name)
-            )
+            record = self._record(server)
             if not record.known:
                 await self._look(server, record)
             now_s = self._ports.clock.monotonic_s()
--- a/src/rosepath/peer_exchange.py
+++ b/src/rosepath/peer_exchange.py
@@ -7,12 +7,13 @@
 from rosepath.clock import Clock
 from rosepath.fleet import PeerLoad, own_load
 from rosepath.logs import get_logger
-from rosepath.object_store import ConflictError, StoreError
+from rosepath.object_store import ConflictError, StoredObject, StoreError
 from rosepath.peer_link import PeerLink
 from rosepath.peer_messages import PeerState
 from rosepath.peer_table import PeerTable
 from rosepath.placement_coordinator import PlacementCoordinator
 from rosepath.platform.store import PlatformStore
+from rosepath.settings import split_address
 from rosepath.store_tables import StoreTables
 
 JOIN_AGAIN_S = 0.3
@@ -28,6 +29,17 @@
 _log = get_logger()
 
 
+def _member_address(stored: StoredObject) -> str | None:
+    """Read where a VM listens; None if that is not what its entry says."""
+    try:
+        address = str(json.loads(stored.value)["address"])
+        split_address(address)
+    except (ValueError, KeyError, TypeError, RecursionError) as error:
+        _log.warning("member_unreadable", name=stored.name, why=str(error)[:80])
+        return None
+    return address
+
+
 class PeerExchange:
     """Describe this VM to the others, and apply what they say."""
 
@@ -80,10 +92,9 @@
                 await asyncio.sleep(pause_s)
                 pause_s = min(2 * pause_s, JOIN_AGAIN_MAX_S)
         for stored in listing.objects.values():
-            raw = json.loads(stored.value)
-            if isinstance(raw, dict) and "address" in raw:
-                own = stored.name.partition("/")[2]
-                self.peers.learn(own, str(raw["address"]))
+            address = _member_address(stored)
+            if address is not None:
+                self.peers.learn(stored.name.partition("/")[2], address)
         self.link.tell()
         _log.info("joined", peers=sorted(self.peers.peers))
         await asyncio.Event().wait()
@@ -139,9 +150,11 @@
             self._take_load(state)
         self._tables.servers_feed.hear(state.servers_revision)
         self._tables.catalog_feed.hear(state.configuration_revision)
-        for name in state.leaving:
-            if self._tables.fleet.note_leaving(name):
-                _log.info("server_leaving", step="peers", peer=name, by=state.entry_vm)
+        for server in state.leaving:
+            if self._tables.fleet.note_leaving(server):
+                _log.info(
+                    "server_leaving", step="peers", peer=server.name, by=state.entry_vm
+                )
         # Who knows newer changes may know that an entry came back.
         if state.servers_revision >= self._tables.servers_feed.changed_revision:
             for name in state.gone:
--- a/src/rosepath/peer_messages.py
+++ b/src/rosepath/peer_messages.py
@@ -7,7 +7,7 @@
 from typing import Any, NamedTuple
 
 from rosepath.demand import ModelDemand
-from rosepath.fleet import PeerLoad
+from rosepath.fleet import LeavingServer, PeerLoad
 
 # A holder tells every VM of a crowd the load of all engines: below 1,400 bytes
 # for 70 of them once compressed. Small messages are sent as they are.
@@ -70,7 +70,7 @@
     bequest: Bequest = NO_BEQUEST
     load: Mapping[str, PeerLoad] = field(default_factory=dict)
     demand: Mapping[str, Mapping[str, ModelDemand]] = field(default_factory=dict)
-    leaving: tuple[str, ...] = ()
+    leaving: tuple[LeavingServer, ...] = ()
     gone: tuple[str, ...] = ()
     down: tuple[str, ...] = ()
     occupied: tuple[str, ...] = ()
@@ -175,7 +175,7 @@
             }
             for service, models in message.demand.items()
         },
-        "g": list(message.leaving),
+        "g": [list(server) for server in message.leaving],
         "o": list(message.gone),
         "d": list(message.down),
         "u": list(message.occupied),
@@ -217,7 +217,7 @@
             }
             for service, models in raw["w"].items()
         },
-        leaving=tuple(map(str, raw["g"])),
+        leaving=tuple(LeavingServer(str(row[0]), int(row[1])) for row in raw["g"]),
         gone=tuple(map(str, raw["o"])),
         down=tuple(map(str, raw["d"])),
         occupied=tuple(map(str, raw["u"])),
--- a/src/rosepath/platform/documents.py
+++ b/src/rosepath/platform/documents.py
@@ -1,9 +1,18 @@
 """Decode the operator's configuration and the backend servers' entries."""
 
+import ipaddress
 import json
 from typing import Annotated, Any, Literal, TypeVar
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic import (
+    AfterValidator,
+    BaseModel,
+    ConfigDict,
+    Field,
+    StrictInt,
+    StrictStr,
+    ValidationError,
+)
 from pydantic.alias_generators import to_camel
 
 from rosepath.catalog import (
@@ -32,6 +41,15 @@
     model_config = ConfigDict(extra="ignore", frozen=True, alias_generator=to_camel)
 
 
+def _reachable(address: str) -> str:
+    """Check that an address is one of IPv4 with a port."""
+    host, _, port = address.rpartition(":")
+    ipaddress.IPv4Address(host)
+    if not (port.isascii() and port.isdigit() and 0 < int(port) < 65_536):
+        raise ValueError("no such port")
+    return address
+
+
 class _Share(_Document):
     service: str
     weight: Annotated[float, Field(ge=0)]
@@ -139,22 +157,35 @@
 
 
 class _HeldModel(_Document):
-    name: str
-    adapters: tuple[str, ...] = ()
+    name: StrictStr
+    adapters: tuple[StrictStr, ...] = ()
 
 
 class _Available(_Document):
-    in_memory: frozenset[str] = frozenset()
-    on_disk: frozenset[str] = frozenset()
+    in_memory: frozenset[StrictStr] = frozenset()
+    on_disk: frozenset[StrictStr] = frozenset()
+
+
+_Count = Annotated[StrictInt, Field(ge=0)]
 
 
 class _Server(_Document):
-    service: str
-    address: Annotated[str, Field(pattern=r"^[0-9.]+:\d+$")]
-    zone: str = ""
-    slots: int = 1
-    state: str = "ready"
-    sequence: int = 0
+    """Read a server's entry, every field of the type that its writer uses.
+
+    Other writers' entries stand under the same kind: with a field missing or
+    converted from another type, one would lead requests to nowhere.
+    """
+
+    service: Annotated[StrictStr, Field(min_length=1)]
+    address: Annotated[StrictStr, AfterValidator(_reachable)]
+    zone: StrictStr
+    version: StrictStr
+    slots: Annotated[StrictInt, Field(ge=1)]
+    state: Literal["ready", "draining"]
+    sequence: _Count
+    # When this life of the server began, in Unix milliseconds; entries that
+    # lack it are from before any that has it.
+    born: _Count = 0
     models: tuple[_HeldModel, ...] = ()
     available: _Available = _Available()
     remaining_ms: float | None = None
@@ -202,6 +233,7 @@
         slots=read.slots,
         draining=read.state != "ready",
         sequence=read.sequence,
+        born_ms=read.born,
         models={model.name: frozenset(model.adapters) for model in read.models},
         in_memory=read.available.in_memory,
         on_disk=read.available.on_disk,
@@ -210,7 +242,11 @@
 
 
 def _object(stored: StoredObject) -> dict[str, Any] | None:
-    raw = json.loads(stored.value)
+    try:
+        raw = json.loads(stored.value)
+    except (ValueError, RecursionError) as error:
+        _log.warning("entry_unreadable", name=stored.name, why=str(error)[:80])
+        return None
     return raw if isinstance(raw, dict) else None
 
 
--- a/src/rosepath/platform/engines.py
+++ b/src/rosepath/platform/engines.py
@@ -78,6 +78,7 @@
             return EngineReport(
                 sequence=int(raw["sequence"]),
                 busy=bool(raw["busy"]),
+                born_ms=int(raw.get("born", 0)),
                 models={
                     str(model["name"]): frozenset(
                         _adapter_name(adapter) for adapter in model["adapters"]
@@ -89,7 +90,7 @@
                     name.partition("@")[0] for name in raw.get("pending") or ()
                 ),
             )
-        except (ValueError, KeyError, TypeError) as error:
+        except (ValueError, KeyError, TypeError, AttributeError) as error:
             raise ExchangeError(
                 f"report cannot be read: {error}",
                 step=Step.ANSWER,
--- a/src/rosepath/platform/store.py
+++ b/src/rosepath/platform/store.py
@@ -136,8 +136,9 @@
                 raise ConflictError(path, step=Step.STORE, peer=self._access.address)
             if head.status >= 400 and head.status not in (404, 410):
                 raise self._failed(f"{method} {path}: {head.status}", unknown=False)
-            raw = json.loads(answer) if answer else {}
-        except (ExchangeError, TimeoutError, ValueError) as error:
+            # Other writers' objects may hold bytes that are no text at all.
+            raw = json.loads(answer.decode(errors="replace")) if answer else {}
+        except (ExchangeError, TimeoutError, ValueError, RecursionError) as error:
             never_sent = isinstance(error, ExchangeError) and not error.sent
             unknown = method != "GET" and not never_sent
             why = str(error) or "no answer in time"
@@ -161,5 +162,6 @@
 def _stored(name: str, raw: Mapping[str, Any]) -> StoredObject:
     spec = raw.get("spec")
     # Own objects hold text, byte for byte; the operator's hold documents.
-    value = spec.encode() if isinstance(spec, str) else json.dumps(spec).encode()
+    text = spec if isinstance(spec, str) else json.dumps(spec)
+    value = text.encode(errors="replace")
     return StoredObject(name, int(raw["metadata"]["revision"]), value)
--- a/src/rosepath/store_tables.py
+++ b/src/rosepath/store_tables.py
@@ -38,7 +38,9 @@
         servers_pace: Callable[[], Pace],
         catalog_pace: Callable[[], Pace],
         on_catalog: Callable[[Catalog], None],
+        on_reborn: Callable[[str], None] = lambda _: None,
     ) -> None:
+        self._on_reborn = on_reborn
         self._clock = clock
         self._on_catalog = on_catalog
         self._absent: set[str] = set()
@@ -95,15 +97,29 @@
     def _take_in(self, objects: Mapping[str, StoredObject]) -> None:
         for stored in objects.values():
             entry = decode_server(stored)
-            if entry is not None:
-                self._absent.discard(entry.name)
-                self._forget_gone(entry.name)
-                known = self.fleet.servers.get(entry.name)
-                if entry.draining and not (known and known.entry.draining):
-                    _log.info("server_leaving", step="store", peer=entry.name)
-                self.fleet.put(entry)
+            if entry is None:
+                self._drop_unreadable(stored.name.partition("/")[2])
+                continue
+            self._absent.discard(entry.name)
+            self._forget_gone(entry.name)
+            known = self.fleet.servers.get(entry.name)
+            if entry.draining and not (known and known.entry.draining):
+                _log.info("server_leaving", step="store", peer=entry.name)
+            if self.fleet.put(entry):
+                _log.info("server_reborn", step="store", peer=entry.name)
+                self._on_reborn(entry.name)
         self.announce()
 
+    def _drop_unreadable(self, name: str) -> None:
+        """Send nothing to a server whose entry another writer overwrote.
+
+        Nobody knows what is at the address before; the server itself writes
+        its entry again with its next heartbeat.
+        """
+        self._absent.discard(name)
+        if name in self.fleet.servers:
+            self._remove(name)
+
     def _take_out(self, names: Iterable[str]) -> None:
         """Remove servers, unless their entries may only have lapsed.
 
--- a/tests/test_lease_handover.py
+++ b/tests/test_lease_handover.py
@@ -104,3 +104,23 @@
         assert after.term("l") > before.term("l")
 
     asyncio.run(run())
+
+
+def test_a_lease_that_another_writer_spoilt_is_waited_out() -> None:
+    # Its object holds bytes that are no lease. Taken for free, it would let a
+    # second holder act beside the one that lives until its next renewal fails;
+    # and a node that just started would begin again at the first fence.
+    async def run() -> None:
+        platform, clock = FakePlatform(), ManualClock()
+        platform.revision = 40
+        await platform.put("leases/l", b"\xff", expected_version=0)
+        keeper = LeaseKeeper(platform, me="a", policy=POLICY, clock=clock)
+        await keeper.step("l", wanted=True)
+        assert keeper.holder("l") != "a"
+        clock.advance(POLICY.duration_s + POLICY.margin_s + 0.1)
+        await keeper.step("l", wanted=True)
+        clock.advance(HANDOVER_S)
+        assert keeper.valid("l")
+        assert keeper.term("l") > 40
+
+    asyncio.run(run())
--- a/tests/test_order_dispatcher.py
+++ b/tests/test_order_dispatcher.py
@@ -7,7 +7,13 @@
 
 from rosepath.clock import ManualClock
 from rosepath.demand import ModelDemand
-from rosepath.engine_orders import EngineReport, Order, OrderAction, OrderReply
+from rosepath.engine_orders import (
+    EngineRecord,
+    EngineReport,
+    Order,
+    OrderAction,
+    OrderReply,
+)
 from rosepath.errors import ExchangeError, Step
 from rosepath.fleet import Fleet, Flight, PeerLoad
 from rosepath.order_dispatcher import LOOK_INTERVAL_S, DispatcherPorts, OrderDispatcher
@@ -18,6 +24,7 @@
 
     def __init__(self, *models: str) -> None:
         self.sequence = 0
+        self.born_ms = 0
         self.busy = False
         self.models: dict[str, set[str]] = {name: set() for name in models}
         self.unanswered = 0
@@ -69,6 +76,7 @@
         report = EngineReport(
             sequence=self.sequence,
             busy=self.busy,
+            born_ms=self.born_ms,
             models={name: frozenset(held) for name, held in self.models.items()},
         )
         while self.lands_after_report and self.late:
@@ -285,3 +293,31 @@
         assert set(engine.models) == {"m0", "m1"}
 
     asyncio.run(run())
+
+
+def test_an_engine_that_started_again_is_read_and_ordered() -> None:
+    # Engines count their orders from the start of each life. The holder took
+    # the lower count of a new life for a report from before its last order, and
+    # never read or ordered that engine again.
+    async def run() -> None:
+        engine, clock = FakeEngine("m0"), ManualClock()
+        dispatcher = a_dispatcher(engine, clock)
+        for number in range(2):
+            assert await dispatcher.ensure_adapter("llm", "e1", "m0", f"a{number}")
+        engine.models, engine.sequence, engine.born_ms = {}, 0, 500
+        # A load by its former count is turned away until the holder looks.
+        await dispatcher.tick()
+        await until(lambda: not dispatcher._swaps)
+        clock.advance(LOOK_INTERVAL_S)
+        await dispatcher.tick()
+        await until(lambda: bool(engine.models))
+        assert engine.orders[-1].expected_sequence == 0
+
+    asyncio.run(run())
+
+
+def test_a_report_of_a_former_life_is_dropped() -> None:
+    record = EngineRecord(server="e1", born_ms=500, sequence=1)
+    late = EngineReport(sequence=9, busy=False, born_ms=400, models={"m0": frozenset()})
+    assert not record.take(late, now_s=1.0)
+    assert record.models == set()
--- a/tests/test_peer_messages.py
+++ b/tests/test_peer_messages.py
@@ -7,7 +7,7 @@
 
 from rosepath.clock import ManualClock
 from rosepath.demand import ModelDemand
-from rosepath.fleet import PeerLoad
+from rosepath.fleet import LeavingServer, PeerLoad
 from rosepath.peer_messages import (
     AdapterAsk,
     AdapterReply,
@@ -36,7 +36,7 @@
         bequest=Bequest("vm-2", 9, 2),
         load={"e1": PeerLoad(requests=2, unread_tokens=5, targets={"m/a1": 2})},
         demand={"llm": {"m": ModelDemand(0.5, 1, frozenset(["a1"]), 0.75)}},
-        leaving=("e9",),
+        leaving=(LeavingServer("e9", 17),),
         gone=("e8",),
         occupied=("e2",),
         moves=(HeldMove(1, "e1", "m", "a1", True),),
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -3,9 +3,11 @@
 import json
 from typing import Any
 
+import pytest
 from hypothesis import given, strategies as st
 
 from rosepath.catalog import RouteKind
+from rosepath.leases import decode_lease
 from rosepath.object_store import StoredObject
 from rosepath.platform.documents import decode_catalog, decode_server
 
@@ -28,6 +30,7 @@
     "service": "llm",
     "address": "10.1.0.9:8080",
     "zone": "casa-a",
+    "version": "v1",
     "slots": 64,
     "state": "ready",
     "sequence": 4,
@@ -95,6 +98,52 @@
     assert entry.on_disk == {"m", "n"}
 
 
+@pytest.mark.parametrize(
+    "spoilt",
+    [
+        {"address": "999.2.3.4:8080"},
+        {"address": "10.1.0.9:599999"},
+        {"address": "10.1.0.9:0"},
+        {"address": 5},
+        {"service": None},
+        {"service": ""},
+        {"zone": 7},
+        {"slots": "64"},
+        {"slots": True},
+        {"slots": 0},
+        {"state": "asleep"},
+        {"sequence": 1.5},
+        {"sequence": "4"},
+        {"born": 17.5},
+        {"born": "17"},
+        {"born": True},
+        {"models": {"name": "m"}},
+        {"models": [{"name": 5}]},
+        {"available": []},
+    ],
+)
+def test_a_field_of_another_type_names_no_server(spoilt: dict[str, Any]) -> None:
+    assert decode_server(stored({**SERVER, **spoilt}, "servers/i-1")) is None
+
+
+@pytest.mark.parametrize("lacking", ["service", "zone", "version", "slots", "state"])
+def test_a_field_that_is_missing_names_no_server(lacking: str) -> None:
+    raw = {key: value for key, value in SERVER.items() if key != lacking}
+    assert decode_server(stored(raw, "servers/i-1")) is None
+
+
+def test_the_start_of_a_servers_life_is_read() -> None:
+    entry = decode_server(stored({**SERVER, "born": 1_790_000_000_123}, "servers/i-1"))
+    assert entry is not None and entry.born_ms == 1_790_000_000_123
+
+
+@given(st.binary(max_size=40))
+def test_no_bytes_in_a_document_end_the_process(value: bytes) -> None:
+    decode_catalog(StoredObject("config/main", 5, value))
+    decode_server(StoredObject("servers/i-1", 5, value))
+    decode_lease(StoredObject("leases/placement", 5, value))
+
+
 values = st.recursive(
     st.none() | st.booleans() | st.integers() | st.text(max_size=5),
     lambda inner: (
@@ -109,4 +158,5 @@
 def test_nothing_in_a_document_ends_the_process(raw: Any) -> None:
     decode_catalog(stored(raw))
     decode_server(stored(raw, "servers/i-1"))
+    decode_lease(stored(raw, "leases/placement"))
     decode_catalog(stored({"version": 1, "routes": raw, "services": raw}))
--- a/tests/test_store_tables.py
+++ b/tests/test_store_tables.py
@@ -31,8 +31,20 @@
 
 
 def server(name: str, *, state: str = "ready") -> StoredObject:
-    raw = {"service": "llm", "address": "10.0.0.1:80", "slots": 4, "state": state}
-    return StoredObject(f"servers/{name}", 3, json.dumps(raw).encode())
+    return StoredObject(f"servers/{name}", 3, json.dumps(entry(state=state)).encode())
+
+
+def entry(*, state: str = "ready", **fields: Any) -> dict[str, Any]:
+    return {
+        "service": "llm",
+        "address": "10.0.0.1:80",
+        "zone": "a",
+        "version": "v1",
+        "slots": 4,
+        "state": state,
+        "sequence": 1,
+        **fields,
+    }
 
 
 def listing(*objects: StoredObject, revision: int = 5) -> Listing:
@@ -118,3 +130,43 @@
         assert held.gone() == []
 
     asyncio.run(run())
+
+
+def test_an_entry_of_another_writer_names_no_server() -> None:
+    # Another program writes under a server's name: bytes that are no document,
+    # or an address that is none. Requests went there, or the whole table stood
+    # still. The good entries hold, and the server itself comes back with its
+    # next heartbeat.
+    async def run() -> None:
+        held = tables(ManualClock())
+        held._servers_listed(listing(server("i-1"), server("i-2")))
+        for value in (b"\xff\xfe", b"", b"{", b"[" * 100_000, b"[]", b'"x"'):
+            written = {"servers/i-1": StoredObject("servers/i-1", 9, value)}
+            held._servers_changed(
+                Change(revision=9, written=written, removed=frozenset())
+            )
+            assert set(held.fleet.servers) == {"i-2"}
+            again = {"servers/i-1": server("i-1")}
+            held._servers_changed(
+                Change(revision=10, written=again, removed=frozenset())
+            )
+            assert set(held.fleet.servers) == {"i-1", "i-2"}
+
+    asyncio.run(run())
+
+
+def test_a_server_that_started_again_is_told_of_once() -> None:
+    # Behind a cut an engine crashes and starts again under its name. What was
+    # believed of its prompts belongs to the life before.
+    async def run() -> None:
+        reborn: list[str] = []
+        held = tables(ManualClock())
+        held._on_reborn = reborn.append
+        for born in (100, 200, 200, 100):
+            raw = json.dumps(entry(born=born)).encode()
+            stored = StoredObject("servers/i-1", 3, raw)
+            held._servers_listed(listing(stored))
+        assert reborn == ["i-1"]
+        assert held.fleet.servers["i-1"].entry.born_ms == 200
+
+    asyncio.run(run())
