Owe a model its load when it is asked for in vain; discount long loads

Cause: a swap's gain counted for 6 s less the time of the load.

Change: the gain lasts 6 s from when the model is there, discounted by the chance that demand has moved on meanwhile (ten seconds in the mean). Requests that come in vain for a model without a copy are counted and added to the gain of its load, so that it outweighs anything in the end. Every request is counted as it comes, also those that no engine could take.

Tests, red before: a model with loads of 0.5 to 300 s is planned; a property over sizes, load times, demand and running requests; what is owed ends with a copy and with the lease.

--- a/src/rosepath/demand.py
+++ b/src/rosepath/demand.py
@@ -25,13 +25,15 @@
     """Hold a model's load in engine-seconds a second, and who waits for it.
 
     `adapters` names the adapters of it that were asked for lately, and
-    `fresh_load` is the load by a shorter window.
+    `fresh_load` is the load by a shorter window. `asked_per_s` counts every
+    request for it, whether an engine could take it or not.
     """
 
     load: float
     waiting: int
     adapters: frozenset[str] = frozenset()
     fresh_load: float = 0.0
+    asked_per_s: float = 0.0
 
     @property
     def expected_load(self) -> float:
@@ -43,6 +45,7 @@
 @dataclass(slots=True, kw_only=True)
 class _Window:
     work: deque[tuple[float, float, str]] = field(default_factory=deque)
+    asked_s: deque[float] = field(default_factory=deque)
     waiting: int = 0
 
 
@@ -52,6 +55,11 @@
     def __init__(self) -> None:
         self._windows: dict[tuple[str, str], _Window] = {}
 
+    def ask(self, service: str, prompt: Prompt, *, now_s: float) -> None:
+        """Count a request that came, whatever becomes of it."""
+        window = self._windows.setdefault((service, prompt.model), _Window())
+        window.asked_s.append(now_s)
+
     def note(
         self, service: str, prompt: Prompt, *, unread_tokens: int, now_s: float
     ) -> None:
@@ -76,7 +84,9 @@
         for (name, model), window in self._windows.items():
             while window.work and window.work[0][0] < now_s - WINDOW_S:
                 window.work.popleft()
-            if name == service and (window.work or window.waiting):
+            while window.asked_s and window.asked_s[0] < now_s - WINDOW_S:
+                window.asked_s.popleft()
+            if name == service and (window.work or window.waiting or window.asked_s):
                 fresh_s = now_s - FRESH_WINDOW_S
                 fresh = sum(work_s for at_s, work_s, _ in window.work if at_s > fresh_s)
                 demands[model] = ModelDemand(
@@ -84,6 +94,7 @@
                     window.waiting,
                     frozenset(adapter for _, _, adapter in window.work if adapter),
                     fresh / FRESH_WINDOW_S,
+                    len(window.asked_s) / WINDOW_S,
                 )
         return demands
 
@@ -103,5 +114,6 @@
                 known.waiting + demand.waiting,
                 known.adapters | demand.adapters,
                 known.fresh_load + demand.fresh_load,
+                known.asked_per_s + demand.asked_per_s,
             )
     return total
--- a/src/rosepath/engine_plan.py
+++ b/src/rosepath/engine_plan.py
@@ -9,16 +9,19 @@
 own engine, what its victims are worth, and what the swap itself costs.
 """
 
+import math
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 
 from rosepath.catalog import ModelSpec
 from rosepath.demand import ModelDemand
 
-# Demand stays where it is for some five seconds. What a swap gains a second
-# counts for this long, from when the model is there; what it loses, from now.
+# What a swap gains or loses a second counts for this long.
 HORIZON_S = 6.0
-HORIZON_MIN_S = 0.5
+# Demand moves on after some ten seconds in the mean: the longer a load takes,
+# the less likely it still helps. Taken off the horizon instead, a load that
+# took as long as that gained nothing, and busy models kept their one copy.
+DEMAND_LASTS_S = 10.0
 # An unload waits for the running requests of its model for about so long.
 IN_USE_WAIT_S = 2.0
 # A long prompt takes an engine an eighth of a second to read.
@@ -37,6 +40,9 @@
 ABSENT_ASKED_PER_S = 1.0
 ABSENT_WAITING_PER_S = 1.0
 ABSENT_TIMES = 2.0
+# What each request that came in vain for a model that nobody holds adds to the
+# gain of its load: in the end it outweighs any other use of the room.
+OWED = 3.0
 # Counted once, in requests. Loading keeps an engine from all other orders: each
 # adapter asked for that is not there yet stands still for as long. A load from
 # the weight store costs its users about one request.
@@ -66,6 +72,8 @@
 # keep a holder from speaking. The next are found a tick later.
 SWAPS_AT_ONCE = 4
 
+NOTHING_OWED: Mapping[str, float] = {}
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class EngineView:
@@ -107,9 +115,15 @@
     *,
     store_room: bool,
     adapter_slots: int,
+    owed: Mapping[str, float] = NOTHING_OWED,
 ) -> list[Swap]:
-    """Return the next swaps, the most useful first, at most one an engine."""
-    books = _Books.from_views(engines, models, demands, adapter_slots=adapter_slots)
+    """Return the next swaps, the most useful first, at most one an engine.
+
+    `owed` counts the requests that came in vain for a model without a copy.
+    """
+    books = _Books.from_views(
+        engines, models, demands, adapter_slots=adapter_slots, owed=owed
+    )
     free = {engine.name: engine for engine in engines if engine.settled}
     swapping = len(engines) - len(free)
     swaps: list[Swap] = []
@@ -145,6 +159,7 @@
     models: Mapping[str, ModelSpec]
     demands: Mapping[str, ModelDemand]
     adapter_slots: int
+    owed: Mapping[str, float]
     copies: dict[str, set[str]]
     held: dict[str, set[str]]
     load: dict[str, float] = field(default_factory=dict)
@@ -159,12 +174,14 @@
         demands: Mapping[str, ModelDemand],
         *,
         adapter_slots: int,
+        owed: Mapping[str, float],
     ) -> "_Books":
         books = cls(
             engines={engine.name: engine for engine in engines},
             models=models,
             demands=demands,
             adapter_slots=adapter_slots,
+            owed=owed,
             copies={model: set() for model in models},
             held={
                 engine.name: set(engine.age_s) | ({engine.coming} - {""})
@@ -230,7 +247,8 @@
         if demand is None:
             return ABSENT_IDLE_PER_S
         asked = ABSENT_TIMES * REQUESTS_PER_LOAD * demand.expected_load
-        return ABSENT_ASKED_PER_S + ABSENT_WAITING_PER_S * demand.waiting + asked
+        waiting = ABSENT_WAITING_PER_S * demand.waiting
+        return ABSENT_ASKED_PER_S + max(asked, demand.asked_per_s) + waiting
 
     def value(self, model: str) -> float:
         """Return what one more copy takes off those who hold a model."""
@@ -311,9 +329,10 @@
     spec = books.models[model]
     from_store = model not in engine.near
     load_s = spec.load_s if from_store else engine.near[model]
-    gain = max(HORIZON_MIN_S, HORIZON_S - load_s) * value
+    gain = OWED * books.owed.get(model, 0.0) + _lasting(value, load_s)
     gain += _new_data_centre(engine, model, books)
-    gain -= (LOADING_PER_S + BLOCKED_PER_S * books.missing(engine)) * load_s
+    blocked_per_s = LOADING_PER_S + BLOCKED_PER_S * books.missing(engine)
+    gain -= blocked_per_s * min(load_s, HORIZON_S)
     gain -= STORE_LOAD if from_store else 0.0
     if gain < GAIN_MIN:
         return None
@@ -326,8 +345,7 @@
             return None
         victims, loss = found
         if any(engine.in_use.get(victim) for victim in victims):
-            later_s = min(IN_USE_WAIT_S, max(0.0, HORIZON_S - load_s - HORIZON_MIN_S))
-            gain -= later_s * value
+            gain += _lasting(value, load_s + IN_USE_WAIT_S) - _lasting(value, load_s)
     if gain < GAIN_MIN + LOSS_FACTOR * loss:
         return None
     load, adapters = books.share(model, len(books.copies[model]) + 1)
@@ -347,6 +365,11 @@
     )
 
 
+def _lasting(value: float, load_s: float) -> float:
+    """Return what a gain a second comes to that begins after a load."""
+    return HORIZON_S * value * math.exp(-load_s / DEMAND_LASTS_S)
+
+
 def _new_data_centre(engine: EngineView, model: str, books: _Books) -> float:
     if model not in books.demands:
         return 0.0
--- a/src/rosepath/order_dispatcher.py
+++ b/src/rosepath/order_dispatcher.py
@@ -7,6 +7,7 @@
 from rosepath.catalog import Catalog, EngineSpec
 from rosepath.clock import BootClock, Clock
 from rosepath.demand import ModelDemand
+from rosepath.demand_history import DemandHistory
 from rosepath.engine_orders import (
     EnginePort,
     EngineRecord,
@@ -65,6 +66,7 @@
         self._records: dict[str, EngineRecord] = {}
         self._locks: dict[str, asyncio.Lock] = {}
         self._ceiling = LoadCeiling()
+        self._histories: dict[str, DemandHistory] = {}
         self._fence = 0
         self._boot: Clock = BootClock()
         self.outcomes: dict[str, int] = {}
@@ -108,12 +110,16 @@
             views.append(self._view(server, record, spec))
         now_s = self._ports.clock.monotonic_s()
         demands = self._ports.demand(service)
+        history = self._histories.setdefault(service, DemandHistory())
+        held = {model for view in views for model in (*view.age_s, view.coming)}
+        history.note(demands, held=held, now_s=now_s)
         swaps = plan_swaps(
             views,
             spec.models,
             demands,
             adapter_slots=spec.adapter_slots,
             store_room=self._ceiling.room(now_s, per_s=spec.loads_per_s),
+            owed=history.owed,
         )
         for swap in swaps:
             server = self._ports.fleet.servers[swap.engine]
--- a/src/rosepath/peer_messages.py
+++ b/src/rosepath/peer_messages.py
@@ -170,6 +170,7 @@
                     demand.waiting,
                     sorted(demand.adapters),
                     round(demand.fresh_load, 4),
+                    round(demand.asked_per_s, 2),
                 ]
                 for model, demand in models.items()
             }
@@ -212,6 +213,7 @@
                     int(row[1]),
                     frozenset(map(str, row[2])),
                     float(row[3]),
+                    float(row[4]),
                 )
                 for model, row in models.items()
             }
--- a/src/rosepath/placement_coordinator.py
+++ b/src/rosepath/placement_coordinator.py
@@ -178,8 +178,12 @@
 
     # Demand
 
+    def note_asked(self, service: str, prompt: Prompt) -> None:
+        """Note that a request for a model came."""
+        self.demand.ask(service, prompt, now_s=self._clock.monotonic_s())
+
     def note_request(self, service: str, prompt: Prompt, *, unread_tokens: int) -> None:
-        """Note that a model is asked for."""
+        """Note what an engine has to read for a request."""
         self.demand.note(
             service,
             prompt,
--- a/src/rosepath/request_context.py
+++ b/src/rosepath/request_context.py
@@ -25,6 +25,8 @@
 class ModelPort(Protocol):
     """Tell of demand, and get adapters onto engines."""
 
+    def note_asked(self, service: str, prompt: Prompt) -> None: ...
+
     def note_request(
         self, service: str, prompt: Prompt, *, unread_tokens: int
     ) -> None: ...
--- a/src/rosepath/server_picker.py
+++ b/src/rosepath/server_picker.py
@@ -34,6 +34,8 @@
         give_up_s = min(asked_s + NO_SERVER_WAIT_S, context.deadline_s)
         if context.service.engine is not None:
             give_up_s = self._wait_until_s(context)
+            if context.call.prompt is not None and not context.seen:
+                self._ports.models.note_asked(context.service.name, context.call.prompt)
         with self._counted_waiting(context) as count_waiting:
             return await self._choose_until(context, asked_s, give_up_s, count_waiting)
 
--- a/tests/entry_harness.py
+++ b/tests/entry_harness.py
@@ -94,6 +94,9 @@
 class NoModels:
     """Order nothing."""
 
+    def note_asked(self, *_: Any) -> None:
+        pass
+
     def note_request(self, *_: Any, **__: Any) -> None:
         return
 
--- a/tests/test_engine_plan.py
+++ b/tests/test_engine_plan.py
@@ -1,10 +1,18 @@
 """Which model is loaded where, by demand and what it would cost others."""
 
+from dataclasses import replace
+
+import pytest
 from entry_builders import a_model, an_engine_view
+from hypothesis import given, settings, strategies as st
 
+from rosepath.catalog import ModelSpec
 from rosepath.demand import ModelDemand
+from rosepath.demand_history import DemandHistory
 from rosepath.engine_plan import EngineView, Swap, plan_swaps
 
+# So many requests in vain make room for a model wherever it fits.
+ASKED_IN_VAIN_AT_MOST = 60.0
 MODELS = {name: a_model(name) for name in ("m0", "m1", "m2", "m3")}
 
 
@@ -162,3 +170,98 @@
     ]
     swaps = plan(*engines, demands={"m2": ModelDemand(0.0, 9)})
     assert (swaps[0].engine, swaps[0].model) == ("e3", "m2")
+
+
+def store_only(name: str, *, load_s: float) -> ModelSpec:
+    return replace(a_model(name), load_s=load_s)
+
+
+@pytest.mark.parametrize("load_s", [0.5, 5.8, 30.0, 300.0])
+def test_a_model_that_is_asked_for_is_loaded_however_long_that_takes(
+    load_s: float,
+) -> None:
+    # A spot engine leaves with the only copy of a busy model. Its load from the
+    # weight store takes as long as demand was reckoned to last, so that nothing
+    # was gained by it, and hundreds of requests were refused until the day's
+    # end, next to engines that had room.
+    models = MODELS | {"m0": store_only("m0", load_s=load_s)}
+    engines = [
+        an_engine_view("e1", "m1", "m2", near={}, in_use={"m1": 2, "m2": 1}),
+        an_engine_view("e2", "m1", "m3", near={}, in_use={"m1": 2, "m3": 1}),
+    ]
+    demands = {
+        "m0": ModelDemand(0.0, 9, asked_per_s=12.0),
+        "m1": ModelDemand(0.3, 0, asked_per_s=9.0),
+    }
+    assert "m0" in ticks_until_planned("m0", engines, models, demands, ticks=600)
+
+
+def ticks_until_planned(
+    model: str,
+    engines: list[EngineView],
+    models: dict[str, ModelSpec],
+    demands: dict[str, ModelDemand],
+    *,
+    ticks: int,
+) -> set[str]:
+    history = DemandHistory()
+    held = {name for view in engines for name in view.age_s}
+    for tick in range(ticks):
+        history.note(demands, held=held, now_s=tick / 10)
+        swaps = plan_swaps(
+            engines,
+            models,
+            demands,
+            store_room=True,
+            adapter_slots=8,
+            owed=history.owed,
+        )
+        if any(swap.model == model for swap in swaps):
+            return {swap.model for swap in swaps}
+    return set()
+
+
+@settings(deadline=None, max_examples=60)
+@given(
+    load_s=st.floats(0.1, 600.0),
+    size_mb=st.floats(1_000.0, 190_000.0),
+    others=st.lists(st.floats(0.0, 0.6), min_size=1, max_size=4),
+    waiting=st.integers(0, 3),
+    running=st.integers(0, 20),
+)
+def test_whatever_its_size_and_load_an_asked_for_model_that_fits_is_loaded(
+    load_s: float, size_mb: float, others: list[float], waiting: int, running: int
+) -> None:
+    # That every declared model stays reachable is a promise, not a price.
+    models = MODELS | {"x": replace(a_model("x", size_mb=size_mb), load_s=load_s)}
+    engines = [
+        an_engine_view("e1", "m0", "m1", near={}, in_use={"m0": running, "m1": 1}),
+        an_engine_view("e2", "m2", "m3", near={}, in_use={"m2": 2, "m3": running}),
+    ]
+    demands = {
+        f"m{number}": ModelDemand(load, 0, asked_per_s=10 * load)
+        for number, load in enumerate(others)
+    }
+    demands["x"] = ModelDemand(0.0, waiting, asked_per_s=0.2)
+    swaps = plan_swaps(
+        engines,
+        models,
+        demands,
+        store_room=True,
+        adapter_slots=8,
+        owed={"x": ASKED_IN_VAIN_AT_MOST},
+    )
+    assert "x" in {swap.model for swap in swaps}
+
+
+def test_what_is_owed_ends_with_a_copy_and_with_the_lease() -> None:
+    history = DemandHistory()
+    demands = {"m0": ModelDemand(0.0, 2, asked_per_s=3.0)}
+    for now_s in (0.0, 1.0, 2.0):
+        history.note(demands, held=(), now_s=now_s)
+    assert history.owed == {"m0": 10.0}
+    history.note(demands, held=("m0",), now_s=3.0)
+    assert history.owed == {}
+    history.note(demands, held=(), now_s=4.0)
+    history.note(demands, held=(), now_s=60.0)
+    assert history.owed == {}
--- a/tests/test_peer_messages.py
+++ b/tests/test_peer_messages.py
@@ -35,7 +35,7 @@
         acted_ago_s=1.5,
         bequest=Bequest("vm-2", 9, 2),
         load={"e1": PeerLoad(requests=2, unread_tokens=5, targets={"m/a1": 2})},
-        demand={"llm": {"m": ModelDemand(0.5, 1, frozenset(["a1"]), 0.75)}},
+        demand={"llm": {"m": ModelDemand(0.5, 1, frozenset(["a1"]), 0.75, 2.5)}},
         leaving=(LeavingServer("e9", 17),),
         gone=("e8",),
         occupied=("e2",),
