Break no stream off for its silence on its last try

Change: a stream that can't go on elsewhere waits until its deadline, as a request before its first event does already.

Test: test_stream_pauses, red before (0.75 s where 5 s are left).

--- a/src/rosepath/relay.py
+++ b/src/rosepath/relay.py
@@ -203,9 +203,7 @@
     def _patience_s(self, context: RequestContext, server: BackendServer) -> float:
         """Return how long an answer may be in coming before another is asked."""
         left_s = max(0.01, context.deadline_s - self._now_s())
-        last = context.may_have_run + 1 >= context.route.max_attempts
-        if last or not context.route.repeatable:
-            # Waiting costs nothing that giving up would save.
+        if self._last_try(context):
             return left_s + 1.0
         if context.order is None:
             usual_s = max(PATIENCE_MIN_S, PATIENCE_TIMES * server.latency_s)
@@ -213,9 +211,19 @@
         usual_s = FIRST_EVENT_MIN_S + FIRST_EVENT_TIMES * context.predicted_s
         return min(left_s + 1.0, max(usual_s, context.route.target_latency_s))
 
+    @staticmethod
+    def _last_try(context: RequestContext) -> bool:
+        """Tell whether a request can't go on elsewhere if this try is given up.
+
+        Then waiting costs nothing that giving up would save; a stream that is
+        broken off for its silence would be lost to its caller.
+        """
+        last = context.may_have_run + 1 >= context.route.max_attempts
+        return last or not context.route.repeatable
+
     def _pause_s(self, context: RequestContext) -> float:
         """Return how long a stream may stand still before it goes on elsewhere."""
-        if not context.route.repeatable or context.order is None:
+        if self._last_try(context) or context.order is None:
             return max(0.01, context.deadline_s - self._now_s()) + 1.0
         return max(PAUSE_MIN_S, PAUSE_GAPS * context.route.target_gap_s)
 
--- /dev/null
+++ b/tests/test_stream_pauses.py
@@ -0,0 +1,66 @@
+"""How long a stream may stand still before it goes on elsewhere."""
+
+import asyncio
+import math
+from typing import Any, cast
+
+from entry_builders import a_call, a_catalog, a_prompt, a_route
+from entry_harness import NoModels
+
+from rosepath.clock import ManualClock
+from rosepath.event_order import EventOrder
+from rosepath.fleet import Fleet
+from rosepath.prompt_caches import PromptCaches
+from rosepath.relay import Relay
+from rosepath.request_context import RelayPorts, RequestContext
+from rosepath.retries import Evidence
+
+
+def a_relay(clock: ManualClock) -> Relay:
+    return Relay(
+        RelayPorts(
+            data_centre="a",
+            clock=clock,
+            fleet=Fleet(),
+            caches=PromptCaches(),
+            attempts=cast(Any, None),
+            catalog=lambda: None,
+            budget=cast(Any, None),
+            models=NoModels(),
+            fleet_changed=asyncio.Condition(),
+            cut_off=set,
+            wait_limit_s=lambda: math.inf,
+            on_outcome=lambda *_: None,
+        )
+    )
+
+
+def a_context(*seen: Evidence, max_attempts: int, resumable: bool) -> RequestContext:
+    catalog = a_catalog(a_route(max_attempts=max_attempts, resumable=resumable))
+    return RequestContext(
+        call=a_call(prompt=a_prompt(), arrived_s=0.0),
+        route=catalog.routes[0],
+        service=catalog.services["llm"],
+        exchange=cast(Any, None),
+        deadline_s=5.0,
+        order=EventOrder(last_id=None),
+        seen=list(seen),
+    )
+
+
+def test_a_stream_that_can_go_on_elsewhere_leaves_an_engine_that_stands_still() -> None:
+    context = a_context(max_attempts=2, resumable=True)
+    assert a_relay(ManualClock())._pause_s(context) < 1.0
+
+
+def test_a_stream_on_its_last_try_is_not_broken_off_for_silence() -> None:
+    # Each of two engines stood still for 0.7 s under a crowd. After the second
+    # the route allowed no third: the stream was cut before its caller, who got
+    # neither an answer nor a refusal, while the engine still worked for it.
+    clock = ManualClock()
+    left_s = 5.0 - clock.monotonic_s()
+    again = a_context(Evidence.ANSWER_BEGUN, max_attempts=2, resumable=True)
+    once = a_context(max_attempts=1, resumable=True)
+    never = a_context(max_attempts=2, resumable=False)
+    for context in (again, once, never):
+        assert a_relay(clock)._pause_s(context) > left_s
