Reckon an engine's strain by pauses, slots and queueing, from what is observed

Cause: strain counted the reading of prompts only, by shares (0.3, 0.75) and a prompt length (1/8 s) that fitted one deployment.

Change: engine_strain, pure: the share of streams that meet a burst of prompts longer than their route's pause (a gamma tail over as many windows as their life holds), the share whose prompt waits too long (exponential service), and slots in use. Inputs are observed: requests and reading by model, running requests, the routes' own objectives. Only the spread of prompt lengths and where slots begin to fill are constants.

--- a/src/rosepath/catalog.py
+++ b/src/rosepath/catalog.py
@@ -131,6 +131,24 @@
             routes.sort(key=lambda route: -len(route.path_prefix))
         object.__setattr__(self, "by_host", dict(by_host))
 
+    def gap_s(self, service: str) -> float:
+        """Return the longest pause that is good in every stream of a service."""
+        gaps = (route.target_gap_s for route in self.routes_to(service))
+        return min((gap_s for gap_s in gaps if gap_s), default=0.0)
+
+    def first_token_s(self, service: str) -> float:
+        """Return the wait for an answer to begin that is good on every route."""
+        routes = self.routes_to(service)
+        return min((route.target_latency_s for route in routes), default=0.0)
+
+    def routes_to(self, service: str) -> list[HostRoute]:
+        """Return the routes that lead to a service."""
+        return [
+            route
+            for route in self.routes
+            if any(share.service == service for share in route.shares)
+        ]
+
     def find(self, host: str, path: str) -> HostRoute | None:
         """Return the route with the longest prefix of a path."""
         for route in self.by_host.get(host, ()):
--- a/src/rosepath/demand.py
+++ b/src/rosepath/demand.py
@@ -15,8 +15,11 @@
 FRESH_DISCOUNT = 0.8
 # Of those who wait, nobody knows yet what an engine will have to read.
 WAITING_WORK_S = 0.12
-# What an engine is busy with is reading prompts; tokens are written for all
-# running requests at once.
+# Requests a second behind each engine-second of reading a second, where a VM
+# tells of no requests.
+REQUESTS_PER_LOAD = 8.0
+# Tokens are written for all running requests at once; prompts are read one
+# after the other.
 READ_S_PER_TOKEN = 1 / 38_000
 
 
@@ -41,6 +44,13 @@
         waiting = self.waiting * WAITING_WORK_S / FRESH_WINDOW_S
         return max(self.load, FRESH_DISCOUNT * (self.fresh_load + waiting))
 
+    @property
+    def expected_per_s(self) -> float:
+        """Return the requests a second to plan for."""
+        if self.asked_per_s <= 0 or self.load <= 0:
+            return max(self.asked_per_s, REQUESTS_PER_LOAD * self.expected_load)
+        return self.asked_per_s * self.expected_load / self.load
+
 
 @dataclass(slots=True, kw_only=True)
 class _Window:
--- a/src/rosepath/engine_plan.py
+++ b/src/rosepath/engine_plan.py
@@ -2,19 +2,21 @@
 
 Pure: a view of the engines and of demand in, at most one swap an engine out.
 All costs are requests a second that would be late or lost. An engine's strain
-grows with what it has to read and with the adapters it is asked for beyond its
-places, summed over all models it holds: two busy models on one engine strain
-it though each alone would not. A swap gains what it takes off the strained
-engines, or what is lost while nobody holds a model, less what it puts on its
-own engine, what its victims are worth, and what the swap itself costs.
+is what it makes late, by all that is asked of the models it holds: two busy
+models on one engine strain it though each alone would not. A swap gains what
+it takes off the strained engines, or what is lost while nobody holds a model,
+less what it puts on its own engine, what its victims are worth, and what the
+swap itself costs.
 """
 
 import math
+from collections import Counter
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 
 from rosepath.catalog import ModelSpec
 from rosepath.demand import ModelDemand
+from rosepath.engine_strain import EngineLimits, Work, late_per_s
 
 # What a swap gains or loses a second counts for this long.
 HORIZON_S = 6.0
@@ -24,16 +26,6 @@
 DEMAND_LASTS_S = 10.0
 # An unload waits for the running requests of its model for about so long.
 IN_USE_WAIT_S = 2.0
-# A long prompt takes an engine an eighth of a second to read.
-REQUESTS_PER_LOAD = 8.0
-# At this share of its time spent reading, an engine's first tokens begin to be
-# late, and at the second all of them are: running requests take the rest.
-EASED_LOAD = 0.3
-FULL_LOAD = 0.75
-# Beyond full load, the queue grows, and with it what is lost; up to this.
-LATE_MAX = 1.5
-# Requests a second that wait too long for each adapter beyond the places.
-CROWDED_OUT_PER_S = 0.4
 # A model that nobody holds: lost of those who ask, and of those who might
 # begin to, as busy models change every few seconds.
 ABSENT_IDLE_PER_S = 0.5
@@ -73,6 +65,7 @@
 SWAPS_AT_ONCE = 4
 
 NOTHING_OWED: Mapping[str, float] = {}
+NO_WORK = Work()
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -114,16 +107,14 @@
     demands: Mapping[str, ModelDemand],
     *,
     store_room: bool,
-    adapter_slots: int,
+    limits: EngineLimits,
     owed: Mapping[str, float] = NOTHING_OWED,
 ) -> list[Swap]:
     """Return the next swaps, the most useful first, at most one an engine.
 
     `owed` counts the requests that came in vain for a model without a copy.
     """
-    books = _Books.from_views(
-        engines, models, demands, adapter_slots=adapter_slots, owed=owed
-    )
+    books = _Books.from_views(engines, models, demands, limits=limits, owed=owed)
     free = {engine.name: engine for engine in engines if engine.settled}
     swapping = len(engines) - len(free)
     swaps: list[Swap] = []
@@ -143,14 +134,6 @@
     return swaps
 
 
-def strain(load: float, adapters: float, adapter_slots: int) -> float:
-    """Return the requests a second that an engine makes late."""
-    late = (load - EASED_LOAD) / (FULL_LOAD - EASED_LOAD)
-    late = min(LATE_MAX, max(0.0, late))
-    crowded_out = max(0.0, adapters - adapter_slots)
-    return REQUESTS_PER_LOAD * load * late + CROWDED_OUT_PER_S * crowded_out
-
-
 @dataclass(slots=True, kw_only=True)
 class _Books:
     """Hold who holds what, and what that puts on each engine."""
@@ -158,12 +141,12 @@
     engines: Mapping[str, EngineView]
     models: Mapping[str, ModelSpec]
     demands: Mapping[str, ModelDemand]
-    adapter_slots: int
+    limits: EngineLimits
     owed: Mapping[str, float]
     copies: dict[str, set[str]]
     held: dict[str, set[str]]
-    load: dict[str, float] = field(default_factory=dict)
-    adapters: dict[str, float] = field(default_factory=dict)
+    asked: dict[str, Work] = field(default_factory=dict)
+    work: dict[str, Work] = field(default_factory=dict)
     _losses: dict[str, list[tuple[float, str]]] = field(default_factory=dict)
 
     @classmethod
@@ -173,14 +156,14 @@
         models: Mapping[str, ModelSpec],
         demands: Mapping[str, ModelDemand],
         *,
-        adapter_slots: int,
+        limits: EngineLimits,
         owed: Mapping[str, float],
     ) -> "_Books":
         books = cls(
             engines={engine.name: engine for engine in engines},
             models=models,
             demands=demands,
-            adapter_slots=adapter_slots,
+            limits=limits,
             owed=owed,
             copies={model: set() for model in models},
             held={
@@ -188,6 +171,16 @@
                 for engine in engines
             },
         )
+        running: Counter[str] = Counter()
+        for engine in engines:
+            running.update(engine.in_use)
+        for model, demand in demands.items():
+            books.asked[model] = Work(
+                read=demand.expected_load,
+                asked_per_s=demand.expected_per_s,
+                running=running[model],
+                adapters=len(demand.adapters),
+            )
         for name, held in books.held.items():
             for model in held:
                 books.copies.setdefault(model, set()).add(name)
@@ -207,27 +200,25 @@
 
     def _reckon(self, engines: Iterable[str]) -> None:
         for name in engines:
-            shares = [self.share(m, len(self.copies[m])) for m in self.held[name]]
-            self.load[name] = sum(load for load, _ in shares)
-            self.adapters[name] = sum(adapters for _, adapters in shares)
+            work = NO_WORK
+            for model in self.held[name]:
+                work = work.plus(self.share(model, len(self.copies[model])))
+            self.work[name] = work
         self._losses.clear()
 
-    def share(self, model: str, copies: int) -> tuple[float, float]:
-        """Return what each of so many copies takes: load and adapters."""
-        demand = self.demands.get(model)
-        if demand is None or not copies:
-            return 0.0, 0.0
-        return demand.expected_load / copies, len(demand.adapters) / copies
+    def share(self, model: str, copies: int) -> Work:
+        """Return what each of so many copies takes of a model's work."""
+        asked = self.asked.get(model)
+        if asked is None or not copies:
+            return NO_WORK
+        return NO_WORK.plus(asked, times=1 / copies)
 
     def strain_of(
-        self, engine: str, *, more_load: float = 0.0, more_adapters: float = 0.0
+        self, engine: str, *, less: Work = NO_WORK, more: Work = NO_WORK
     ) -> float:
-        """Return an engine's strain with so much more on it."""
-        return strain(
-            self.load[engine] + more_load,
-            self.adapters[engine] + more_adapters,
-            self.adapter_slots,
-        )
+        """Return an engine's strain with some work taken off it or added."""
+        work = self.work[engine].plus(less, times=-1.0).plus(more)
+        return late_per_s(work, self.limits)
 
     def missing(self, engine: EngineView) -> float:
         """Return the adapters asked for that an engine has room for and not has."""
@@ -239,16 +230,15 @@
                     there += 1
                 else:
                     missing += 1 / len(self.copies[model])
-        return min(missing, max(0, self.adapter_slots - there))
+        return min(missing, max(0, self.limits.adapter_slots - there))
 
     def absent(self, model: str) -> float:
         """Return what is lost a second while nobody holds a model."""
         demand = self.demands.get(model)
         if demand is None:
             return ABSENT_IDLE_PER_S
-        asked = ABSENT_TIMES * REQUESTS_PER_LOAD * demand.expected_load
         waiting = ABSENT_WAITING_PER_S * demand.waiting
-        return ABSENT_ASKED_PER_S + max(asked, demand.asked_per_s) + waiting
+        return ABSENT_ASKED_PER_S + waiting + ABSENT_TIMES * demand.expected_per_s
 
     def value(self, model: str) -> float:
         """Return what one more copy takes off those who hold a model."""
@@ -261,17 +251,11 @@
         self, model: str, holders: Iterable[str], copies: int, then: int
     ) -> float:
         """Return how much the holders' strain falls by a change of copies."""
-        load, adapters = self.share(model, copies)
-        load_then, adapters_then = self.share(model, then)
-        if not load and not adapters:
+        if model not in self.asked:
             return 0.0
+        now, later = self.share(model, copies), self.share(model, then)
         return sum(
-            self.strain_of(name)
-            - self.strain_of(
-                name,
-                more_load=load_then - load,
-                more_adapters=adapters_then - adapters,
-            )
+            self.strain_of(name) - self.strain_of(name, less=now, more=later)
             for name in holders
         )
 
@@ -348,11 +332,11 @@
             gain += _lasting(value, load_s + IN_USE_WAIT_S) - _lasting(value, load_s)
     if gain < GAIN_MIN + LOSS_FACTOR * loss:
         return None
-    load, adapters = books.share(model, len(books.copies[model]) + 1)
+    more = books.share(model, len(books.copies[model]) + 1)
+    less = NO_WORK
     for victim in victims:
-        load_less, adapters_less = books.share(victim, len(books.copies[victim]))
-        load, adapters = load - load_less, adapters - adapters_less
-    burden = books.strain_of(engine.name, more_load=load, more_adapters=adapters)
+        less = less.plus(books.share(victim, len(books.copies[victim])))
+    burden = books.strain_of(engine.name, less=less, more=more)
     gain -= HORIZON_S * (burden - books.strain_of(engine.name))
     if gain < GAIN_MIN + LOSS_FACTOR * loss:
         return None
--- a/src/rosepath/order_dispatcher.py
+++ b/src/rosepath/order_dispatcher.py
@@ -17,6 +17,7 @@
     OrderReply,
 )
 from rosepath.engine_plan import EngineView, Swap, plan_swaps
+from rosepath.engine_strain import EngineLimits
 from rosepath.errors import ExchangeError
 from rosepath.fleet import BackendServer, Fleet
 from rosepath.logs import get_logger
@@ -84,7 +85,7 @@
         self._begin_term()
         for service in catalog.services.values():
             if service.engine is not None:
-                await self._plan(service.name, service.engine)
+                await self._plan(service.name, service.engine, catalog)
 
     def _begin_term(self) -> None:
         """Forget, once a term, what was known: another holder ordered since."""
@@ -92,7 +93,7 @@
             self._records.clear()
             self._fence = self._ports.fence()
 
-    async def _plan(self, service: str, spec: EngineSpec) -> None:
+    async def _plan(self, service: str, spec: EngineSpec, catalog: Catalog) -> None:
         # What an engine that is down held is nowhere until it is back.
         now_s = self._ports.clock.monotonic_s()
         servers = [
@@ -117,7 +118,12 @@
             views,
             spec.models,
             demands,
-            adapter_slots=spec.adapter_slots,
+            limits=EngineLimits(
+                slots=spec.slots,
+                adapter_slots=spec.adapter_slots,
+                first_s=catalog.first_token_s(service),
+                gap_s=catalog.gap_s(service),
+            ),
             store_room=self._ceiling.room(now_s, per_s=spec.loads_per_s),
             owed=history.owed,
         )
