Tell at once of models that come and go, and look for a load when it is due

Cause: a swap from disk takes 1.2 s, and what surrounds it took 0.4 s more: a load from memory or disk was looked for after 0.4 s and then every 0.25 s, one from the store from 0.8 of its time on; that the model was there, or gone, was told with the next datagram.

Change: the holder looks when the load is due by where the engine has the model, and every 0.12 s from then; a model that came or goes is told at once.

--- a/src/rosepath/order_dispatcher.py
+++ b/src/rosepath/order_dispatcher.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
-from rosepath.catalog import Catalog, EngineSpec
+from rosepath.catalog import Catalog, EngineSpec, ModelSpec
 from rosepath.clock import BootClock, Clock
 from rosepath.demand import ModelDemand
 from rosepath.demand_history import DemandHistory
@@ -27,6 +27,9 @@
 ADAPTER_SETTLES_S = 0.015
 # While an order is in progress, its end is looked for this often.
 LOOK_INTERVAL_S = 0.25
+# A load that is due is looked for this often: its model is waited for, and
+# reports lag by a tenth of a second.
+LOADED_LOOK_S = 0.12
 # An engine that is still busy is asked again after this, then less often; an
 # unload waits for the runs of its model, which seldom last longer than this.
 BUSY_AGAIN_S = 0.06
@@ -154,13 +157,10 @@
     ) -> EngineView:
         now_s = self._ports.clock.monotonic_s()
         near = {
-            name: spec.models[name].disk_load_s
-            for name in server.entry.on_disk
+            name: _load_s(server, spec.models[name])
+            for name in server.entry.on_disk | server.entry.in_memory
             if name in spec.models
         }
-        for name in server.entry.in_memory:
-            if name in spec.models:
-                near[name] = spec.models[name].warm_load_s
         return EngineView(
             name=server.name,
             data_centre=server.entry.data_centre,
@@ -232,17 +232,16 @@
             record.loading = swap.model
             if not await self._load(server, record, swap.model):
                 return
-            load_s = spec.models[swap.model].load_s
-            near = swap.model in server.entry.on_disk | server.entry.in_memory
-            await asyncio.sleep(0.4 if near else max(0.4, 0.8 * load_s))
-            limit_s = now_s() + LOAD_TIMES * load_s
+            load_s = _load_s(server, spec.models[swap.model])
+            await asyncio.sleep(load_s)
+            limit_s = now_s() + LOAD_TIMES * spec.models[swap.model].load_s
             while now_s() < limit_s and self._ports.may_order():
                 await self._look(server, record)
                 if swap.model in record.models and not record.engine_busy:
                     record.loaded_s[swap.model] = now_s()
                     self._ports.on_held(server.name, swap.model, "", True)
                     return
-                await asyncio.sleep(LOOK_INTERVAL_S)
+                await asyncio.sleep(LOADED_LOOK_S)
         finally:
             record.loading = ""
             record.busy = False
@@ -478,5 +477,14 @@
     return reply is OrderReply.ACCEPTED
 
 
+def _load_s(server: BackendServer, model: ModelSpec) -> float:
+    """Return how long an engine takes to load a model, from where it has it."""
+    if model.name in server.entry.in_memory:
+        return model.warm_load_s
+    if model.name in server.entry.on_disk:
+        return model.disk_load_s
+    return model.load_s
+
+
 def _shown(demand: ModelDemand | None) -> tuple[float, int] | None:
     return None if demand is None else (round(demand.load, 3), demand.waiting)
--- a/src/rosepath/placement_coordinator.py
+++ b/src/rosepath/placement_coordinator.py
@@ -354,6 +354,10 @@
         move = HeldMove(self._move_number, name, model, adapter, there)
         self._moves.append((self._clock.monotonic_s(), move))
         self._apply(move)
+        if not adapter:
+            # Whoever waits for a model, or would send to one that goes, acts on
+            # this at once; the next turn to speak may be 0.15 s away.
+            self._say_so()
 
     def recent_moves(self) -> list[HeldMove]:
         """Return what came to engines or went lately, by own orders."""
