--- a/src/rosepath/engine_plan.py
+++ b/src/rosepath/engine_plan.py
@@ -38,7 +38,7 @@
 # Counted once, in requests. Loading keeps an engine from all other orders: each
 # adapter asked for that is not there yet stands still for as long. A load from
 # the weight store costs its users about one request.
-LOADING_PER_S = 0.5
+LOADING_PER_S = 1.5
 BLOCKED_PER_S = 0.4
 STORE_LOAD = 1.1
 # An unload waits for the running requests of its model, and its engine takes
