Refuse at once what waits for a model that comes too late, and say when it comes

Cause: a request for a model that nobody holds was held for 1.7 s and then told to come back in half a second, though its load from the store was known to take 5.8 s; the caller came back once, was held once more, and was lost.

Change: the holder tells which models are on their way and when they are there. A request whose model comes within its caller's patience waits; another is refused unrun at once, to come back when the model is there, spread over half a second. Without word of a load it waits as before. request_ended tells the longest pause of a stream.

--- a/src/rosepath/engine_orders.py
+++ b/src/rosepath/engine_orders.py
@@ -72,7 +72,8 @@
 
     `read` is set once a report was read, `known` while none is due.
     `adapters` maps `model/adapter` to the time of its last use. `busy` is set
-    while a swap of the holder's own runs, for the model `loading`;
+    while a swap of the holder's own runs, for the model `loading`, which is
+    there at `due_s`;
     `engine_busy` while the engine itself says that an order is in progress.
     """
 
@@ -84,6 +85,7 @@
     busy: bool = False
     engine_busy: bool = False
     loading: str = ""
+    due_s: float = 0.0
     models: set[str] = field(default_factory=set)
     loaded_s: dict[str, float] = field(default_factory=dict)
     adapters: dict[str, float] = field(default_factory=dict)
--- a/src/rosepath/order_dispatcher.py
+++ b/src/rosepath/order_dispatcher.py
@@ -16,11 +16,12 @@
     OrderAction,
     OrderReply,
 )
-from rosepath.engine_plan import EngineView, Swap, plan_swaps
+from rosepath.engine_plan import IN_USE_WAIT_S, EngineView, Swap, plan_swaps
 from rosepath.engine_strain import EngineLimits
 from rosepath.errors import ExchangeError
 from rosepath.fleet import BackendServer, Fleet
 from rosepath.logs import get_logger
+from rosepath.model_arrivals import ModelArrival
 
 # An adapter takes 5 to 10 ms to load; asked for earlier than this, an engine
 # answers that it is not there yet.
@@ -30,6 +31,8 @@
 # A load that is due is looked for this often: its model is waited for, and
 # reports lag by a tenth of a second.
 LOADED_LOOK_S = 0.12
+# A load that should be over is found to be so by the next look or two.
+SETTLING_S = 0.2
 # An engine that is still busy is asked again after this, then less often; an
 # unload waits for the runs of its model, which seldom last longer than this.
 BUSY_AGAIN_S = 0.06
@@ -135,6 +138,7 @@
             record = self._records[swap.engine]
             record.busy = True
             record.loading = swap.model
+            record.due_s = now_s + _swap_s(swap, server, spec)
             if swap.from_store:
                 self._ceiling.note(now_s)
             _log.info(
@@ -233,6 +237,7 @@
             if not await self._load(server, record, swap.model):
                 return
             load_s = _load_s(server, spec.models[swap.model])
+            record.due_s = now_s() + load_s
             await asyncio.sleep(load_s)
             limit_s = now_s() + LOAD_TIMES * spec.models[swap.model].load_s
             while now_s() < limit_s and self._ports.may_order():
@@ -462,6 +467,18 @@
         """Return the engines that an order keeps busy."""
         return [record.server for record in self._records.values() if record.occupied]
 
+    @property
+    def arrivals(self) -> list[ModelArrival]:
+        """Return the models on their way to engines, and when they are there."""
+        now_s = self._ports.clock.monotonic_s()
+        return [
+            ModelArrival(
+                record.server, record.loading, max(SETTLING_S, record.due_s - now_s)
+            )
+            for record in self._records.values()
+            if record.loading
+        ]
+
     def _lock(self, server: str) -> asyncio.Lock:
         return self._locks.setdefault(server, asyncio.Lock())
 
@@ -477,6 +494,13 @@
     return reply is OrderReply.ACCEPTED
 
 
+def _swap_s(swap: Swap, server: BackendServer, spec: EngineSpec) -> float:
+    """Return how long a swap will take, with the unloads before it."""
+    in_use = server.models_in_use
+    waits = any(in_use[victim] for victim in swap.victims)
+    return _load_s(server, spec.models[swap.model]) + (IN_USE_WAIT_S if waits else 0.0)
+
+
 def _load_s(server: BackendServer, model: ModelSpec) -> float:
     """Return how long an engine takes to load a model, from where it has it."""
     if model.name in server.entry.in_memory:
--- a/src/rosepath/peer_exchange.py
+++ b/src/rosepath/peer_exchange.py
@@ -136,6 +136,9 @@
             occupied=tuple(self._coordinator.orders.occupied)
             if self._coordinator.term
             else (),
+            arrivals=tuple(self._coordinator.orders.arrivals)
+            if self._coordinator.term
+            else (),
             moves=tuple(self._coordinator.recent_moves()),
             leaving=tuple(self._tables.fleet.leaving()),
             down=tuple(unreached),
--- a/src/rosepath/peer_messages.py
+++ b/src/rosepath/peer_messages.py
@@ -8,6 +8,7 @@
 
 from rosepath.demand import ModelDemand
 from rosepath.fleet import LeavingServer, PeerLoad
+from rosepath.model_arrivals import ModelArrival
 
 # A holder tells every VM of a crowd the load of all engines: below 1,400 bytes
 # for 70 of them once compressed. Small messages are sent as they are.
@@ -76,6 +77,7 @@
     occupied: tuple[str, ...] = ()
     moves: tuple[HeldMove, ...] = ()
     totals: Mapping[str, PeerLoad] = field(default_factory=dict)
+    arrivals: tuple[ModelArrival, ...] = ()
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -176,6 +178,7 @@
             }
             for service, models in message.demand.items()
         },
+        "a": [[*arrival[:2], round(arrival.in_s, 2)] for arrival in message.arrivals],
         "g": [list(server) for server in message.leaving],
         "o": list(message.gone),
         "d": list(message.down),
@@ -219,6 +222,9 @@
             }
             for service, models in raw["w"].items()
         },
+        arrivals=tuple(
+            ModelArrival(str(row[0]), str(row[1]), float(row[2])) for row in raw["a"]
+        ),
         leaving=tuple(LeavingServer(str(row[0]), int(row[1])) for row in raw["g"]),
         gone=tuple(map(str, raw["o"])),
         down=tuple(map(str, raw["d"])),
--- a/src/rosepath/placement_coordinator.py
+++ b/src/rosepath/placement_coordinator.py
@@ -15,6 +15,7 @@
 from rosepath.lease_keeper import LeaseKeeper
 from rosepath.leases import LeasePolicy
 from rosepath.logs import get_logger
+from rosepath.model_arrivals import ModelArrivals
 from rosepath.object_store import ObjectsPort
 from rosepath.order_dispatcher import DispatcherPorts, OrderDispatcher
 from rosepath.peer_link import PeerLink
@@ -78,6 +79,7 @@
         self._moves: deque[tuple[float, HeldMove]] = deque()
         self._move_number = 0
         self._heeded: dict[tuple[str, str], int] = {}
+        self._arrivals = ModelArrivals()
         self._was_holder = False
         self._looked = False
         self._boot = boot_clock or BootClock()
@@ -165,6 +167,7 @@
         if self.link is not None and start == self.link.start:
             self._backing.note_heard(state.entry_vm, number)
         if state.term:
+            self._arrivals.hear(state.arrivals, now_s=self._clock.monotonic_s())
             self.leases.hear(LEASE_NAME, version=state.lease_version)
         if state.bequest.heir == self._me and not self._stopping():
             self._inherit(state)
@@ -212,6 +215,13 @@
                 parts.append(peer.state.demand.get(service, {}))
         return total_demand(parts)
 
+    def model_due_s(self, model: str) -> float | None:
+        """Return when a model will be on some engine, if that is known."""
+        now_s = self._clock.monotonic_s()
+        if self.holds:
+            self._arrivals.hear(self.orders.arrivals, now_s=now_s)
+        return self._arrivals.due_s(model, now_s=now_s)
+
     # The lease
 
     async def step_lease(self) -> None:
--- a/src/rosepath/relay.py
+++ b/src/rosepath/relay.py
@@ -173,8 +173,7 @@
         self, context: RequestContext, server: BackendServer, flight: Flight
     ) -> Answer:
         def on_events(head: ResponseHead, events: bytes) -> Awaitable[None] | None:
-            if context.first_event_s is None:
-                context.first_event_s = self._now_s()
+            context.note_events(now_s=self._now_s())
             flight.unread_tokens = 0
             if not context.exchange.begun:
                 context.exchange.begin(head.status, answer_headers(head.headers))
--- a/src/rosepath/request_context.py
+++ b/src/rosepath/request_context.py
@@ -33,6 +33,8 @@
 
     def note_waiting(self, service: str, prompt: Prompt, *, step: int) -> None: ...
 
+    def model_due_s(self, model: str) -> float | None: ...
+
     async def ensure_adapter(
         self, service: str, server: BackendServer, prompt: Prompt, *, limit_s: float
     ) -> bool: ...
@@ -71,11 +73,22 @@
     tried: set[str] = field(default_factory=set)
     seen: list[Evidence] = field(default_factory=list)
     first_event_s: float | None = None
+    last_event_s: float = 0.0
+    longest_pause_s: float = 0.0
     waited_s: float = 0.0
     unread_tokens: int = 0
     predicted_s: float = 0.0
     answered_by: str = ""
 
+    def note_events(self, *, now_s: float) -> None:
+        """Note that events came, and how long the stream stood still before."""
+        if self.first_event_s is None:
+            self.first_event_s = now_s
+        else:
+            pause_s = now_s - self.last_event_s
+            self.longest_pause_s = max(self.longest_pause_s, pause_s)
+        self.last_event_s = now_s
+
     @property
     def may_have_run(self) -> int:
         """Return the tries that may have run."""
--- a/src/rosepath/request_records.py
+++ b/src/rosepath/request_records.py
@@ -42,5 +42,7 @@
             predicted_s=round(context.predicted_s, 3),
             first_s=round(first_s - arrived_s, 3) if first_s else None,
             took_s=round(took_s, 3),
+            longest_pause_s=round(context.longest_pause_s, 3),
+            gap_s=context.route.target_gap_s,
             target_s=context.route.target_latency_s,
         )
--- a/src/rosepath/server_picker.py
+++ b/src/rosepath/server_picker.py
@@ -9,6 +9,7 @@
 from rosepath.engine_choice import EngineChoice, choose_engine, holds_adapter
 from rosepath.errors import Step, refuse
 from rosepath.fleet import BackendServer, Flight
+from rosepath.model_arrivals import Wait, choose_wait
 from rosepath.request_context import RETRY_AFTER_S, RelayPorts, RequestContext
 from rosepath.server_choice import choose_server
 
@@ -91,9 +92,37 @@
                     step=Step.ROUTE,
                     retry_after_s=RETRY_AFTER_S,
                 )
+            self._refuse_if_model_is_late(context, asked_s, give_up_s)
             count_waiting()
             await self._wait_for_change(min(give_up_s - now_s, 0.1))
 
+    def _refuse_if_model_is_late(
+        self, context: RequestContext, asked_s: float, give_up_s: float
+    ) -> None:
+        prompt = context.call.prompt
+        if prompt is None or self._held_somewhere(context.service.name, prompt.model):
+            return
+        now_s = self._now_s()
+        choice = choose_wait(
+            due_s=self._ports.models.model_due_s(prompt.model),
+            give_up_s=give_up_s,
+            now_s=now_s,
+            rng=self._ports.rng,
+        )
+        if choice.wait is Wait.REFUSED:
+            context.waited_s += now_s - asked_s
+            raise refuse(
+                503,
+                "model_absent",
+                "the model can't be loaded while the caller waits",
+                step=Step.ROUTE,
+                retry_after_s=choice.back_s,
+            )
+
+    def _held_somewhere(self, service: str, model: str) -> bool:
+        servers = self._ports.fleet.of_service(service)
+        return any(server.usable and model in server.held for server in servers)
+
     async def _pick(
         self, context: RequestContext
     ) -> tuple[BackendServer, Flight] | None:
--- a/tests/entry_harness.py
+++ b/tests/entry_harness.py
@@ -103,6 +103,9 @@
     def note_waiting(self, *_: Any, **__: Any) -> None:
         return
 
+    def model_due_s(self, _: str) -> float | None:
+        return None
+
     async def ensure_adapter(self, *_: Any, **__: Any) -> bool:
         return False
 
--- a/tests/test_peer_messages.py
+++ b/tests/test_peer_messages.py
@@ -8,6 +8,7 @@
 from rosepath.clock import ManualClock
 from rosepath.demand import ModelDemand
 from rosepath.fleet import LeavingServer, PeerLoad
+from rosepath.model_arrivals import ModelArrival
 from rosepath.peer_messages import (
     AdapterAsk,
     AdapterReply,
@@ -39,6 +40,7 @@
         leaving=(LeavingServer("e9", 17),),
         gone=("e8",),
         occupied=("e2",),
+        arrivals=(ModelArrival("e3", "m2", 1.25),),
         moves=(HeldMove(1, "e1", "m", "a1", True),),
     )
     ask = AdapterAsk(
