--- /dev/null
+++ b/src/rosepath/load_report.py
@@ -0,0 +1,164 @@
+"""Where requests were late or lost, by cause and time, from entry VMs' logs."""
+
+from collections import Counter, defaultdict
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass, field
+from datetime import datetime
+from enum import StrEnum
+from pathlib import Path
+from typing import Any
+
+from rosepath.explain import LogLine
+
+# A wait of more than this share of the objective made the answer late.
+WAITED_SHARE = 0.5
+PEAK_MODELS = 5
+
+
+class Cause(StrEnum):
+    """Say what became of a request, and what made it so."""
+
+    IN_TIME = "in time"
+    WAITED_FOR_MODEL = "late: waited for its model or adapter"
+    QUEUED = "late: queued at its server"
+    PAUSED = "late: a pause in its stream"
+    SLOW = "late: answered slowly"
+    REFUSED = "refused unrun"
+    FAILED = "failed"
+
+
+@dataclass(slots=True, kw_only=True)
+class Window:
+    """Count what ended in one stretch of time."""
+
+    causes: Counter[Cause] = field(default_factory=Counter)
+    swaps: int = 0
+    tries_failed: int = 0
+    waited_s: float = 0.0
+
+    @property
+    def requests(self) -> int:
+        return sum(self.causes.values())
+
+
+@dataclass(slots=True, kw_only=True)
+class LoadReport:
+    """Hold the counts of all requests, by cause, route, model and window."""
+
+    window_s: float
+    causes: Counter[Cause] = field(default_factory=Counter)
+    by_route: dict[str, Counter[Cause]] = field(
+        default_factory=lambda: defaultdict(Counter)
+    )
+    by_model: dict[str, Counter[Cause]] = field(
+        default_factory=lambda: defaultdict(Counter)
+    )
+    by_server: Counter[str] = field(default_factory=Counter)
+    windows: dict[int, Window] = field(default_factory=lambda: defaultdict(Window))
+
+    @classmethod
+    def from_lines(cls, lines: Iterable[LogLine], *, window_s: float) -> "LoadReport":
+        """Count the lines of several VMs."""
+        report = cls(window_s=window_s)
+        begun_s: float | None = None
+        for line in lines:
+            at_s = _seconds(line.at)
+            if at_s is None:
+                continue
+            begun_s = at_s if begun_s is None else begun_s
+            window = report.windows[int((at_s - begun_s) / window_s)]
+            if line.event == "swap_planned":
+                window.swaps += 1
+            elif line.event == "try_failed":
+                window.tries_failed += 1
+            elif line.event == "request_ended":
+                report._count(line.details, window)
+        return report
+
+    def _count(self, details: Mapping[str, Any], window: Window) -> None:
+        cause = cause_of(details)
+        window.causes[cause] += 1
+        window.waited_s += float(details.get("waited_s") or 0.0)
+        self.causes[cause] += 1
+        self.by_route[str(details.get("route", ""))][cause] += 1
+        model = str(details.get("target", "")).partition("/")[0]
+        if model:
+            self.by_model[model][cause] += 1
+        if details.get("peer"):
+            self.by_server[str(details["peer"])] += 1
+
+    @property
+    def spread(self) -> float:
+        """Return the requests of the busiest server by the mean of all."""
+        if not self.by_server:
+            return 0.0
+        mean = sum(self.by_server.values()) / len(self.by_server)
+        return max(self.by_server.values()) / mean
+
+    def worst_models(self) -> list[tuple[str, Counter[Cause]]]:
+        """Return the models with most requests that were not in time."""
+        ranked = sorted(
+            self.by_model.items(),
+            key=lambda item: item[1][Cause.IN_TIME] - sum(item[1].values()),
+        )
+        return ranked[:PEAK_MODELS]
+
+
+def cause_of(details: Mapping[str, Any]) -> Cause:
+    """Return the cause that a request's last line tells of."""
+    status = int(details.get("status") or 0)
+    if status == 503:
+        return Cause.REFUSED
+    if not 200 <= status < 300:
+        return Cause.FAILED
+    target_s = float(details.get("target_s") or 0.0)
+    first_s = details.get("first_s")
+    answered_s = float(first_s if first_s is not None else details.get("took_s") or 0)
+    if not target_s or answered_s <= target_s:
+        gap_s = float(details.get("gap_s") or 0.0)
+        paused = gap_s and float(details.get("longest_pause_s") or 0.0) > gap_s
+        return Cause.PAUSED if paused else Cause.IN_TIME
+    if float(details.get("waited_s") or 0.0) > WAITED_SHARE * target_s:
+        return Cause.WAITED_FOR_MODEL
+    return Cause.QUEUED if first_s is not None else Cause.SLOW
+
+
+def cause_rows(counts: Mapping[str, Counter[Cause]]) -> Sequence[Sequence[str]]:
+    """Return a row a name: all its requests, then those of each cause."""
+    return [
+        [name, str(sum(causes.values())), *(str(causes[cause]) for cause in Cause)]
+        for name, causes in counts.items()
+    ]
+
+
+def draw_report(report: LoadReport, file: Path) -> None:
+    """Draw causes, swaps and failed tries by window of time."""
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    numbers = sorted(report.windows)
+    at_s = [number * report.window_s for number in numbers]
+    windows = [report.windows[number] for number in numbers]
+    figure, (requests, orders) = pyplot.subplots(2, 1, sharex=True, figsize=(9, 6))
+    requests.stackplot(
+        at_s,
+        [[window.causes[cause] for window in windows] for cause in Cause],
+        labels=list(Cause),
+    )
+    requests.set_ylabel("requests")
+    requests.legend(fontsize=7, loc="upper left")
+    orders.plot(at_s, [window.swaps for window in windows], label="swaps")
+    orders.plot(at_s, [window.tries_failed for window in windows], label="tries failed")
+    orders.set_xlabel("s")
+    orders.legend(fontsize=7)
+    figure.savefig(file, format="svg")
+    pyplot.close(figure)
+
+
+def _seconds(at: str) -> float | None:
+    try:
+        return datetime.fromisoformat(at).timestamp()
+    except ValueError:
+        return None
