Split the sending of orders and the view for the plan from the dispatcher

No behaviour changes; the tests' reach into private parts of the dispatcher is now the sender's public clock and acted_s.

--- /dev/null
+++ b/src/rosepath/engine_views.py
@@ -0,0 +1,58 @@
+"""What the holder knows of an engine, as the plan sees it."""
+
+from rosepath.catalog import EngineSpec, ModelSpec
+from rosepath.engine_orders import EngineRecord
+from rosepath.engine_plan import IN_USE_WAIT_S, EngineView, Swap
+from rosepath.fleet import BackendServer
+
+
+def engine_view(
+    server: BackendServer, record: EngineRecord, spec: EngineSpec, *, now_s: float
+) -> EngineView:
+    """Return an engine's view for the plan."""
+    near = {
+        name: load_s_of(server, spec.models[name])
+        for name in server.entry.on_disk | server.entry.in_memory
+        if name in spec.models
+    }
+    return EngineView(
+        name=server.name,
+        data_centre=server.entry.data_centre,
+        memory_mb=spec.memory_mb,
+        used_mb=used_mb(record, spec),
+        age_s={
+            model: now_s - record.loaded_s.get(model, -1e9) for model in record.models
+        },
+        in_use=server.models_in_use,
+        settled=record.known
+        and not record.occupied
+        and server.entry.remaining_s is None,
+        near=near,
+        coming=record.loading,
+        adapters=frozenset(record.adapters),
+    )
+
+
+def used_mb(record: EngineRecord, spec: EngineSpec) -> float:
+    """Return the memory of an engine that is taken or promised."""
+    return record.used_mb(
+        {name: model.size_mb for name, model in spec.models.items()},
+        {name: model.adapter_mb for name, model in spec.models.items()},
+    )
+
+
+def load_s_of(server: BackendServer, model: ModelSpec) -> float:
+    """Return how long an engine takes to load a model, from where it has it."""
+    if model.name in server.entry.in_memory:
+        return model.warm_load_s
+    if model.name in server.entry.on_disk:
+        return model.disk_load_s
+    return model.load_s
+
+
+def swap_s(swap: Swap, server: BackendServer, spec: EngineSpec) -> float:
+    """Return how long a swap will take, with the unloads before it."""
+    in_use = server.models_in_use
+    waits = any(in_use[victim] for victim in swap.victims)
+    load_s = load_s_of(server, spec.models[swap.model])
+    return load_s + (IN_USE_WAIT_S if waits else 0.0)
--- a/src/rosepath/entry_node.py
+++ b/src/rosepath/entry_node.py
@@ -220,7 +220,7 @@
         """Export what is believed, how old it is, and what orders came to."""
         metrics = self.metrics
         metrics.observe("store_calls", lambda: dict(self.store.calls))
-        metrics.observe("orders", lambda: dict(self.coordinator.orders.outcomes))
+        metrics.observe("orders", lambda: dict(self.coordinator.orders.sender.outcomes))
         metrics.observe("beliefs", self._beliefs)
 
     def _beliefs(self) -> dict[str, float]:
--- a/src/rosepath/order_dispatcher.py
+++ b/src/rosepath/order_dispatcher.py
@@ -4,24 +4,25 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
-from rosepath.catalog import Catalog, EngineSpec, ModelSpec
-from rosepath.clock import BootClock, Clock
+from rosepath.catalog import Catalog, EngineSpec
+from rosepath.clock import Clock
 from rosepath.demand import ModelDemand
 from rosepath.demand_history import DemandHistory
 from rosepath.engine_orders import (
     EnginePort,
     EngineRecord,
     LoadCeiling,
-    Order,
     OrderAction,
     OrderReply,
 )
-from rosepath.engine_plan import IN_USE_WAIT_S, EngineView, Swap, plan_swaps
+from rosepath.engine_plan import Swap, plan_swaps
 from rosepath.engine_strain import EngineLimits
+from rosepath.engine_views import engine_view, load_s_of, swap_s, used_mb
 from rosepath.errors import ExchangeError
 from rosepath.fleet import BackendServer, Fleet
 from rosepath.logs import get_logger
 from rosepath.model_arrivals import ModelArrival
+from rosepath.order_sender import OrderSender
 
 # An adapter takes 5 to 10 ms to load; asked for earlier than this, an engine
 # answers that it is not there yet.
@@ -43,7 +44,6 @@
 # told of: two turns of what VMs tell each other, and the way.
 ADAPTER_KEPT_TURNS = 2.0
 ADAPTER_KEPT_MIN_S = 0.2
-ORDER_TRIES = 3
 
 _log = get_logger()
 
@@ -75,10 +75,13 @@
         self._ceiling = LoadCeiling()
         self._histories: dict[str, DemandHistory] = {}
         self._fence = 0
-        self._boot: Clock = BootClock()
-        self.outcomes: dict[str, int] = {}
+        self.sender = OrderSender(
+            me=ports.me,
+            engines=ports.engines,
+            may_order=ports.may_order,
+            fence=ports.fence,
+        )
         self._swaps: set[asyncio.Task[None]] = set()
-        self.acted_s = -1e9
 
     # The plan
 
@@ -114,7 +117,7 @@
             if record is None or not record.read:
                 continue
             record.note_used(server.targets_in_use, now_s=now_s)
-            views.append(self._view(server, record, spec))
+            views.append(engine_view(server, record, spec, now_s=now_s))
         now_s = self._ports.clock.monotonic_s()
         demands = self._ports.demand(service)
         history = self._histories.setdefault(service, DemandHistory())
@@ -138,7 +141,7 @@
             record = self._records[swap.engine]
             record.busy = True
             record.loading = swap.model
-            record.due_s = now_s + _swap_s(swap, server, spec)
+            record.due_s = now_s + swap_s(swap, server, spec)
             if swap.from_store:
                 self._ceiling.note(now_s)
             _log.info(
@@ -156,40 +159,6 @@
             self._swaps.add(task)
             task.add_done_callback(self._swaps.discard)
 
-    def _view(
-        self, server: BackendServer, record: EngineRecord, spec: EngineSpec
-    ) -> EngineView:
-        now_s = self._ports.clock.monotonic_s()
-        near = {
-            name: _load_s(server, spec.models[name])
-            for name in server.entry.on_disk | server.entry.in_memory
-            if name in spec.models
-        }
-        return EngineView(
-            name=server.name,
-            data_centre=server.entry.data_centre,
-            memory_mb=spec.memory_mb,
-            used_mb=self._used_mb(record, spec),
-            age_s={
-                model: now_s - record.loaded_s.get(model, -1e9)
-                for model in record.models
-            },
-            in_use=server.models_in_use,
-            settled=record.known
-            and not record.occupied
-            and server.entry.remaining_s is None,
-            near=near,
-            coming=record.loading,
-            adapters=frozenset(record.adapters),
-        )
-
-    @staticmethod
-    def _used_mb(record: EngineRecord, spec: EngineSpec) -> float:
-        return record.used_mb(
-            {name: model.size_mb for name, model in spec.models.items()},
-            {name: model.adapter_mb for name, model in spec.models.items()},
-        )
-
     def _record(self, server: BackendServer) -> EngineRecord:
         """Return the record of an engine in its present life."""
         record = self._records.get(server.name)
@@ -231,12 +200,12 @@
                     return
             size_mb = spec.models[swap.model].size_mb
             record.loading = ""
-            if self._used_mb(record, spec) + size_mb > spec.memory_mb:
+            if used_mb(record, spec) + size_mb > spec.memory_mb:
                 return
             record.loading = swap.model
             if not await self._load(server, record, swap.model):
                 return
-            load_s = _load_s(server, spec.models[swap.model])
+            load_s = load_s_of(server, spec.models[swap.model])
             record.due_s = now_s() + load_s
             await asyncio.sleep(load_s)
             limit_s = now_s() + LOAD_TIMES * spec.models[swap.model].load_s
@@ -288,7 +257,7 @@
         pause_s = BUSY_AGAIN_S
         limit_s = self._ports.clock.monotonic_s() + BUSY_MAX_S
         while True:
-            reply = await self._send(server, record, action, model)
+            reply = await self.sender.send(server, record, action, model)
             now_s = self._ports.clock.monotonic_s()
             if reply is not OrderReply.CONFLICT or now_s > limit_s:
                 return reply
@@ -342,7 +311,9 @@
                 return False
             if not await self._make_adapter_room(server, record, spec, model):
                 return False
-            reply = await self._send(server, record, OrderAction.LOAD, model, adapter)
+            reply = await self.sender.send(
+                server, record, OrderAction.LOAD, model, adapter
+            )
             if reply not in (OrderReply.ACCEPTED, OrderReply.HOLDS):
                 return False
             record.adapters[name] = now_s
@@ -354,7 +325,7 @@
         self, server: BackendServer, record: EngineRecord, spec: EngineSpec, model: str
     ) -> bool:
         now_s = self._ports.clock.monotonic_s()
-        free_mb = spec.memory_mb - self._used_mb(record, spec)
+        free_mb = spec.memory_mb - used_mb(record, spec)
         size_mb = spec.models[model].adapter_mb if model in spec.models else 0.0
         if len(record.adapters) < spec.adapter_slots and size_mb <= free_mb:
             return True
@@ -373,7 +344,7 @@
             return False
         victim = min(idle)[1]
         victim_model, _, adapter = victim.partition("/")
-        reply = await self._send(
+        reply = await self.sender.send(
             server, record, OrderAction.UNLOAD, victim_model, adapter
         )
         if reply not in (OrderReply.ACCEPTED, OrderReply.HOLDS):
@@ -382,86 +353,6 @@
         self._ports.on_held(server.name, victim_model, adapter, False)
         return True
 
-    # Orders
-
-    async def _send(
-        self,
-        server: BackendServer,
-        record: EngineRecord,
-        action: OrderAction,
-        model: str,
-        adapter: str = "",
-    ) -> OrderReply | None:
-        """Send one order until its fate is known; None if it stays unknown.
-
-        An order without an answer may still be carried out. Sent again with
-        the same expected sequence, only one of the two can be.
-        """
-        ports = self._ports
-        for _ in range(ORDER_TRIES):
-            if not ports.may_order():
-                return None
-            order = Order(
-                action=action,
-                server=server.name,
-                model=model,
-                adapter=adapter,
-                holder=ports.me,
-                fence=ports.fence(),
-                expected_sequence=record.sequence,
-            )
-            reply: OrderReply | None = None
-            why = ""
-            self.acted_s = self._boot.monotonic_s()
-            try:
-                # The holder may be suspended while it connects, and its lease
-                # be another's by the time that the order could go out.
-                reply = await ports.engines.order(
-                    server.address, order, still_wanted=self._may_act
-                )
-            except ExchangeError as error:
-                why = error.message
-            self._note(order, reply, why)
-            if reply is not None and _counted(order, reply):
-                record.sequence += 1
-            if reply is OrderReply.CONFLICT:
-                record.known = False
-                return reply
-            if reply is not None:
-                return reply
-        record.known = False
-        return None
-
-    def _may_act(self) -> bool:
-        """Tell whether an order may go out now, and note that it does.
-
-        The next holder waits from here until the order has arrived or been
-        given up; counted from before the connection, that would be too short.
-        """
-        if not self._ports.may_order():
-            return False
-        self.acted_s = self._boot.monotonic_s()
-        return True
-
-    def _note(self, order: Order, reply: OrderReply | None, why: str) -> None:
-        outcome = reply.value if reply else "unanswered"
-        key = (
-            f"{order.action.value}_{'adapter' if order.adapter else 'model'}_{outcome}"
-        )
-        self.outcomes[key] = self.outcomes.get(key, 0) + 1
-        _log.info(
-            "order",
-            step="order",
-            peer=order.server,
-            action=order.action.value,
-            model=order.model,
-            adapter=order.adapter,
-            fence=order.fence,
-            sequence=order.expected_sequence,
-            outcome=outcome,
-            why=why,
-        )
-
     @property
     def occupied(self) -> list[str]:
         """Return the engines that an order keeps busy."""
@@ -483,32 +374,5 @@
         return self._locks.setdefault(server, asyncio.Lock())
 
 
-def _counted(order: Order, reply: OrderReply) -> bool:
-    """Tell whether an engine counted an order among those it accepted.
-
-    What an adapter's unload finds unused is gone at once, and the engine says
-    that it holds already; it counts that, unlike other orders that hold.
-    """
-    if reply is OrderReply.HOLDS:
-        return bool(order.adapter) and order.action is OrderAction.UNLOAD
-    return reply is OrderReply.ACCEPTED
-
-
-def _swap_s(swap: Swap, server: BackendServer, spec: EngineSpec) -> float:
-    """Return how long a swap will take, with the unloads before it."""
-    in_use = server.models_in_use
-    waits = any(in_use[victim] for victim in swap.victims)
-    return _load_s(server, spec.models[swap.model]) + (IN_USE_WAIT_S if waits else 0.0)
-
-
-def _load_s(server: BackendServer, model: ModelSpec) -> float:
-    """Return how long an engine takes to load a model, from where it has it."""
-    if model.name in server.entry.in_memory:
-        return model.warm_load_s
-    if model.name in server.entry.on_disk:
-        return model.disk_load_s
-    return model.load_s
-
-
 def _shown(demand: ModelDemand | None) -> tuple[float, int] | None:
     return None if demand is None else (round(demand.load, 3), demand.waiting)
--- /dev/null
+++ b/src/rosepath/order_sender.py
@@ -0,0 +1,131 @@
+"""Send one order at a time to an engine, until its fate is known."""
+
+from collections.abc import Callable
+
+from rosepath.clock import BootClock, Clock
+from rosepath.engine_orders import (
+    EnginePort,
+    EngineRecord,
+    Order,
+    OrderAction,
+    OrderReply,
+)
+from rosepath.errors import ExchangeError
+from rosepath.fleet import BackendServer
+from rosepath.logs import get_logger
+
+ORDER_TRIES = 3
+
+_log = get_logger()
+
+
+class OrderSender:
+    """Send orders while this VM may, and remember when it last did.
+
+    `outcomes` counts them by kind and reply; `acted_s` is when the last one
+    went out, on the clock that runs through suspension.
+    """
+
+    def __init__(
+        self,
+        *,
+        me: str,
+        engines: EnginePort,
+        may_order: Callable[[], bool],
+        fence: Callable[[], int],
+    ) -> None:
+        self._me = me
+        self._engines = engines
+        self._may_order = may_order
+        self._fence = fence
+        self.clock: Clock = BootClock()
+        self.outcomes: dict[str, int] = {}
+        self.acted_s = -1e9
+
+    async def send(
+        self,
+        server: BackendServer,
+        record: EngineRecord,
+        action: OrderAction,
+        model: str,
+        adapter: str = "",
+    ) -> OrderReply | None:
+        """Send one order until its fate is known; None if it stays unknown.
+
+        An order without an answer may still be carried out. Sent again with
+        the same expected sequence, only one of the two can be.
+        """
+        for _ in range(ORDER_TRIES):
+            if not self._may_order():
+                return None
+            order = Order(
+                action=action,
+                server=server.name,
+                model=model,
+                adapter=adapter,
+                holder=self._me,
+                fence=self._fence(),
+                expected_sequence=record.sequence,
+            )
+            reply: OrderReply | None = None
+            why = ""
+            self.acted_s = self.clock.monotonic_s()
+            try:
+                # The holder may be suspended while it connects, and its lease
+                # be another's by the time that the order could go out.
+                reply = await self._engines.order(
+                    server.address, order, still_wanted=self._may_act
+                )
+            except ExchangeError as error:
+                why = error.message
+            self._note(order, reply, why)
+            if reply is not None and _counted(order, reply):
+                record.sequence += 1
+            if reply is OrderReply.CONFLICT:
+                record.known = False
+                return reply
+            if reply is not None:
+                return reply
+        record.known = False
+        return None
+
+    def _may_act(self) -> bool:
+        """Tell whether an order may go out now, and note that it does.
+
+        The next holder waits from here until the order has arrived or been
+        given up; counted from before the connection, that would be too short.
+        """
+        if not self._may_order():
+            return False
+        self.acted_s = self.clock.monotonic_s()
+        return True
+
+    def _note(self, order: Order, reply: OrderReply | None, why: str) -> None:
+        outcome = reply.value if reply else "unanswered"
+        key = (
+            f"{order.action.value}_{'adapter' if order.adapter else 'model'}_{outcome}"
+        )
+        self.outcomes[key] = self.outcomes.get(key, 0) + 1
+        _log.info(
+            "order",
+            step="order",
+            peer=order.server,
+            action=order.action.value,
+            model=order.model,
+            adapter=order.adapter,
+            fence=order.fence,
+            sequence=order.expected_sequence,
+            outcome=outcome,
+            why=why,
+        )
+
+
+def _counted(order: Order, reply: OrderReply) -> bool:
+    """Tell whether an engine counted an order among those it accepted.
+
+    What an adapter's unload finds unused is gone at once, and the engine says
+    that it holds already; it counts that, unlike other orders that hold.
+    """
+    if reply is OrderReply.HOLDS:
+        return bool(order.adapter) and order.action is OrderAction.UNLOAD
+    return reply is OrderReply.ACCEPTED
--- a/src/rosepath/placement_coordinator.py
+++ b/src/rosepath/placement_coordinator.py
@@ -144,7 +144,7 @@
     @property
     def acted_ago_s(self) -> float:
         """Return how long ago this VM last sent an order."""
-        return max(0.0, self._boot.monotonic_s() - self.orders.acted_s)
+        return max(0.0, self._boot.monotonic_s() - self.orders.sender.acted_s)
 
     @property
     def heard(self) -> tuple[str, int]:
--- a/tests/test_order_dispatcher.py
+++ b/tests/test_order_dispatcher.py
@@ -235,7 +235,7 @@
     async def run() -> None:
         engine, clock = FakeEngine("m0"), ManualClock()
         dispatcher = a_dispatcher(engine, clock)
-        dispatcher._boot = clock
+        dispatcher.sender.clock = clock
         connected_s: list[float] = []
 
         def connect() -> None:
@@ -244,7 +244,7 @@
 
         engine.connecting = connect
         assert await dispatcher.ensure_adapter("llm", "e1", "m0", "a1")
-        assert dispatcher.acted_s == connected_s[0]
+        assert dispatcher.sender.acted_s == connected_s[0]
 
     asyncio.run(run())
 
