--- a/src/rosepath/engine_plan.py
+++ b/src/rosepath/engine_plan.py
@@ -54,7 +54,8 @@
 LOSS_FACTOR = 1.25
 GAIN_MIN = 0.3
 # Engines in a swap at the same time, as a share of all: while it lasts, no
-# adapter gets to them.
+# adapter gets to them. Those that hold nothing that is asked for may load what
+# is: after a crash, all of them at once.
 MOST_SWAPPING = 0.5
 # Models looked at for each swap, those first that gain most by a copy: until so
 # many have found an engine, and no more than the second.
@@ -118,12 +119,12 @@
     free = {engine.name: engine for engine in engines if engine.settled}
     swapping = len(engines) - len(free)
     swaps: list[Swap] = []
-    while (
-        free
-        and len(swaps) < SWAPS_AT_ONCE
-        and swapping < max(1.0, MOST_SWAPPING * len(engines))
-    ):
-        best = _best_swap(list(free.values()), books, store_room=store_room)
+    while free and len(swaps) < SWAPS_AT_ONCE:
+        able, wanted = list(free.values()), books.models.keys()
+        if swapping >= max(1.0, MOST_SWAPPING * len(engines)):
+            able = [engine for engine in able if not _serves(engine, demands)]
+            wanted = demands.keys() & books.models.keys()
+        best = _best_swap(able, books, wanted=wanted, store_room=store_room)
         if best is None:
             break
         swaps.append(best)
@@ -134,6 +135,11 @@
     return swaps
 
 
+def _serves(engine: EngineView, demands: Mapping[str, ModelDemand]) -> bool:
+    """Tell whether an engine holds a model that is asked for."""
+    return any(model in demands for model in engine.age_s)
+
+
 @dataclass(slots=True, kw_only=True)
 class _Books:
     """Hold who holds what, and what that puts on each engine."""
@@ -282,11 +288,13 @@
 
 
 def _best_swap(
-    engines: Sequence[EngineView], books: _Books, *, store_room: bool
+    engines: Sequence[EngineView],
+    books: _Books,
+    *,
+    wanted: Iterable[str],
+    store_room: bool,
 ) -> Swap | None:
-    values = sorted(
-        ((books.value(model), model) for model in books.models), reverse=True
-    )
+    values = sorted(((books.value(model), model) for model in wanted), reverse=True)
     best: Swap | None = None
     weighed = 0
     for value, model in values[:MODELS_LOOKED_AT]:
