Bear what chance makes late before a model is spread over more engines

Prompts are long there and kept (37% of what is read); a further copy reads shared parts again.

Change: a quarter of lateness is borne before it strains an engine.

--- a/src/rosepath/engine_strain.py
+++ b/src/rosepath/engine_strain.py
@@ -21,6 +21,10 @@
 # at the second one its requests queue.
 SLOTS_EASED = 0.7
 SLOTS_FULL = 1.1
+# Chance makes so many late on an engine that is well used. To spread its models
+# for these splits what engines keep of shared prompts, which are then read
+# again: where prompts are long, that made more late than it spared.
+LATE_BORNE = 0.25
 # Beyond that the queue grows, and with it what is lost; up to this.
 LATE_MAX = 1.5
 # Requests a second that wait too long for each adapter beyond the places.
@@ -73,7 +77,7 @@
         filled = work.running / limits.slots
         crowded = max(0.0, (filled - SLOTS_EASED) / (SLOTS_FULL - SLOTS_EASED))
         late = 1.0 - in_time + crowded + in_time * waiting_share(work, limits)
-        late = min(LATE_MAX, late)
+        late = min(LATE_MAX, max(0.0, late - LATE_BORNE))
     return work.asked_per_s * late + CROWDED_OUT_PER_S * crowded_out
 
 
