--- a/src/rosepath/catalog.py
+++ b/src/rosepath/catalog.py
@@ -113,6 +113,27 @@
     idle_timeout_s: float = 15.0
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Objectives:
+    """Hold what is good on every route to a service.
+
+    `first_s` is the wait for an answer to begin, `gap_s` the longest pause in a
+    stream; 0 where no route says.
+    """
+
+    first_s: float = 0.0
+    gap_s: float = 0.0
+
+    @classmethod
+    def from_routes(cls, routes: Sequence[HostRoute]) -> "Objectives":
+        """Take the strictest of each objective."""
+        gaps = (route.target_gap_s for route in routes if route.target_gap_s)
+        return cls(
+            first_s=min((route.target_latency_s for route in routes), default=0.0),
+            gap_s=min(gaps, default=0.0),
+        )
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Catalog:
     """Hold one version of what operators declare."""
@@ -122,6 +143,9 @@
     services: Mapping[str, ServiceSpec]
     limits: CallerLimits
     by_host: Mapping[str, Sequence[HostRoute]] = field(init=False)
+    # Worked out once a version: the plan asks ten times a second, and there may
+    # be thousands of routes.
+    objectives: Mapping[str, Objectives] = field(init=False)
 
     def __post_init__(self) -> None:
         by_host: dict[str, list[HostRoute]] = defaultdict(list)
@@ -130,24 +154,15 @@
         for routes in by_host.values():
             routes.sort(key=lambda route: -len(route.path_prefix))
         object.__setattr__(self, "by_host", dict(by_host))
-
-    def gap_s(self, service: str) -> float:
-        """Return the longest pause that is good in every stream of a service."""
-        gaps = (route.target_gap_s for route in self.routes_to(service))
-        return min((gap_s for gap_s in gaps if gap_s), default=0.0)
-
-    def first_token_s(self, service: str) -> float:
-        """Return the wait for an answer to begin that is good on every route."""
-        routes = self.routes_to(service)
-        return min((route.target_latency_s for route in routes), default=0.0)
-
-    def routes_to(self, service: str) -> list[HostRoute]:
-        """Return the routes that lead to a service."""
-        return [
-            route
-            for route in self.routes
-            if any(share.service == service for share in route.shares)
-        ]
+        by_service: dict[str, list[HostRoute]] = defaultdict(list)
+        for route in self.routes:
+            for share in route.shares:
+                by_service[share.service].append(route)
+        objectives = {
+            service: Objectives.from_routes(routes)
+            for service, routes in by_service.items()
+        }
+        object.__setattr__(self, "objectives", objectives)
 
     def find(self, host: str, path: str) -> HostRoute | None:
         """Return the route with the longest prefix of a path."""
--- /dev/null
+++ b/src/rosepath/cli_logs.py
@@ -0,0 +1,64 @@
+"""Commands that read entry VMs' logs and need no daemon."""
+
+import sys
+from pathlib import Path
+
+from rosepath.cli_calls import EXIT_INVALID, print_table
+from rosepath.explain import course_of, read_lines
+from rosepath.load_report import Cause, LoadReport, cause_rows, draw_report
+
+
+def explain(request_id: str, *files: Path) -> int:
+    """Show a request's course from the logs of one or more entry VMs.
+
+    :param request_id: the id that its caller sent
+    :param files: log files; without any, standard input is read
+    """
+    lines = [text for file in files for text in file.read_text().splitlines()]
+    course = course_of(request_id, read_lines(lines if files else sys.stdin))
+    if not course:
+        print(f"rosepath: no line names {request_id}", file=sys.stderr)
+        return EXIT_INVALID
+    for line in course:
+        print(line.shown)
+    return 0
+
+
+def report(*files: Path, window_s: float = 2.0, plot: Path | None = None) -> int:
+    """Show where requests were late or lost, from entry VMs' logs.
+
+    :param files: log files; without any, standard input is read
+    :param window_s: length of the windows of time
+    :param plot: also draw the windows into this SVG file (needs matplotlib)
+    """
+    lines = [text for file in files for text in file.read_text().splitlines()]
+    counted = LoadReport.from_lines(
+        read_lines(lines if files else sys.stdin), window_s=window_s
+    )
+    if not counted.causes:
+        print("rosepath: no request ended in these logs", file=sys.stderr)
+        return EXIT_INVALID
+    header = ["", "requests", *Cause]
+    rows = {"all": counted.causes, **counted.by_route}
+    print_table(header, cause_rows(rows))
+    print("\nmodels with most requests not in time")
+    print_table(header, cause_rows(dict(counted.worst_models())))
+    print(f"\nbusiest server by the mean of all: {counted.spread:.2f}\n")
+    windows = {
+        f"{number * window_s:g} s": window
+        for number, window in sorted(counted.windows.items())
+    }
+    print_table(
+        ["from", "requests", *Cause, "swaps", "tries failed"],
+        [
+            [*row, str(window.swaps), str(window.tries_failed)]
+            for row, window in zip(
+                cause_rows({at: window.causes for at, window in windows.items()}),
+                windows.values(),
+                strict=True,
+            )
+        ],
+    )
+    if plot is not None:
+        draw_report(counted, plot)
+    return 0
--- a/src/rosepath/engine_views.py
+++ b/src/rosepath/engine_views.py
@@ -1,8 +1,9 @@
 """What the holder knows of an engine, as the plan sees it."""
 
 from rosepath.catalog import EngineSpec, ModelSpec
+from rosepath.engine_books import EngineView, Swap
 from rosepath.engine_orders import EngineRecord
-from rosepath.engine_plan import IN_USE_WAIT_S, EngineView, Swap
+from rosepath.engine_plan import IN_USE_WAIT_S
 from rosepath.fleet import BackendServer
 
 
--- a/src/rosepath/order_dispatcher.py
+++ b/src/rosepath/order_dispatcher.py
@@ -4,10 +4,11 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
-from rosepath.catalog import Catalog, EngineSpec
+from rosepath.catalog import Catalog, EngineSpec, Objectives
 from rosepath.clock import Clock
 from rosepath.demand import ModelDemand
 from rosepath.demand_history import DemandHistory
+from rosepath.engine_books import Swap
 from rosepath.engine_orders import (
     EnginePort,
     EngineRecord,
@@ -15,7 +16,7 @@
     OrderAction,
     OrderReply,
 )
-from rosepath.engine_plan import Swap, plan_swaps
+from rosepath.engine_plan import plan_swaps
 from rosepath.engine_strain import EngineLimits
 from rosepath.engine_views import engine_view, load_s_of, swap_s, used_mb
 from rosepath.errors import ExchangeError
@@ -120,6 +121,7 @@
             views.append(engine_view(server, record, spec, now_s=now_s))
         now_s = self._ports.clock.monotonic_s()
         demands = self._ports.demand(service)
+        good = catalog.objectives.get(service, Objectives())
         history = self._histories.setdefault(service, DemandHistory())
         held = {model for view in views for model in (*view.age_s, view.coming)}
         history.note(demands, held=held, now_s=now_s)
@@ -130,8 +132,8 @@
             limits=EngineLimits(
                 slots=spec.slots,
                 adapter_slots=spec.adapter_slots,
-                first_s=catalog.first_token_s(service),
-                gap_s=catalog.gap_s(service),
+                first_s=good.first_s,
+                gap_s=good.gap_s,
             ),
             store_room=self._ceiling.room(now_s, per_s=spec.loads_per_s),
             owed=history.owed,
--- a/tests/entry_builders.py
+++ b/tests/entry_builders.py
@@ -13,7 +13,7 @@
     ServiceShare,
     ServiceSpec,
 )
-from rosepath.engine_plan import EngineView
+from rosepath.engine_books import EngineView
 from rosepath.entry_settings import EntrySettings
 from rosepath.fleet import BackendServer, ServerEntry
 from rosepath.peer_messages import PeerState
--- a/tests/test_load_report.py
+++ b/tests/test_load_report.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from rosepath.cli import report
+from rosepath.cli_logs import report
 from rosepath.explain import read_lines
 from rosepath.load_report import Cause, LoadReport, cause_of, cause_rows
 
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -160,3 +160,13 @@
     decode_server(stored(raw, "servers/i-1"))
     decode_lease(stored(raw, "leases/placement"))
     decode_catalog(stored({"version": 1, "routes": raw, "services": raw}))
+
+
+def test_a_services_objectives_are_the_strictest_of_its_routes() -> None:
+    lax = {**ROUTE, "name": "r-2", "targetLatencyMs": 4000, "targetGapMs": None}
+    strict = {**ROUTE, "name": "r-3", "targetLatencyMs": 900, "targetGapMs": 150}
+    catalog = decode_catalog(document(ROUTE, lax, strict))
+    assert catalog is not None
+    good = catalog.objectives["llm"]
+    assert (good.first_s, good.gap_s) == (0.6, 0.15)
+    assert "other" not in catalog.objectives
