Make the test of a stream's last try fail without its mend

It was not run on the old code, and it passed there: the manual clock starts at 1000 s, so that the time left, reckoned from a deadline at 5 s, was negative and any pause was longer.

Change: the deadline is reckoned from the clock. With the former condition in _pause_s the test now fails (0.75 > 5.0), with the mend it passes. The source is not touched.

--- a/tests/test_stream_pauses.py
+++ b/tests/test_stream_pauses.py
@@ -35,22 +35,28 @@
     )
 
 
-def a_context(*seen: Evidence, max_attempts: int, resumable: bool) -> RequestContext:
+LEFT_S = 5.0
+
+
+def a_context(
+    *seen: Evidence, clock: ManualClock, max_attempts: int, resumable: bool
+) -> RequestContext:
     catalog = a_catalog(a_route(max_attempts=max_attempts, resumable=resumable))
     return RequestContext(
         call=a_call(prompt=a_prompt(), arrived_s=0.0),
         route=catalog.routes[0],
         service=catalog.services["llm"],
         exchange=cast(Any, None),
-        deadline_s=5.0,
+        deadline_s=clock.monotonic_s() + LEFT_S,
         order=EventOrder(last_id=None),
         seen=list(seen),
     )
 
 
 def test_a_stream_that_can_go_on_elsewhere_leaves_an_engine_that_stands_still() -> None:
-    context = a_context(max_attempts=2, resumable=True)
-    assert a_relay(ManualClock())._pause_s(context) < 1.0
+    clock = ManualClock()
+    context = a_context(clock=clock, max_attempts=2, resumable=True)
+    assert a_relay(clock)._pause_s(context) < 1.0
 
 
 def test_a_stream_on_its_last_try_is_not_broken_off_for_silence() -> None:
@@ -58,9 +64,10 @@
     # the route allowed no third: the stream was cut before its caller, who got
     # neither an answer nor a refusal, while the engine still worked for it.
     clock = ManualClock()
-    left_s = 5.0 - clock.monotonic_s()
-    again = a_context(Evidence.ANSWER_BEGUN, max_attempts=2, resumable=True)
-    once = a_context(max_attempts=1, resumable=True)
-    never = a_context(max_attempts=2, resumable=False)
+    again = a_context(
+        Evidence.ANSWER_BEGUN, clock=clock, max_attempts=2, resumable=True
+    )
+    once = a_context(clock=clock, max_attempts=1, resumable=True)
+    never = a_context(clock=clock, max_attempts=2, resumable=False)
     for context in (again, once, never):
-        assert a_relay(clock)._pause_s(context) > left_s
+        assert a_relay(clock)._pause_s(context) > LEFT_S
