--- a/src/rosepath/engine_strain.py
+++ b/src/rosepath/engine_strain.py
@@ -25,6 +25,9 @@
 # for these splits what engines keep of shared prompts, which are then read
 # again: where prompts are long, that made more late than it spared.
 LATE_BORNE = 0.25
+# So few prompts come within a pause that the chance of a burst is below what a
+# float holds; smaller figures still would round to nothing and divide by it.
+SHAPE_MIN = 1e-6
 # Beyond that the queue grows, and with it what is lost; up to this.
 LATE_MAX = 1.5
 # Requests a second that wait too long for each adapter beyond the places.
@@ -103,12 +106,10 @@
     come by chance, about gamma distributed. A stream meets as many such
     windows as fit into its life; each may be the bad one.
     """
-    if work.read <= 0 or work.asked_per_s <= 0 or limits.gap_s <= 0:
+    shape = work.asked_per_s * limits.gap_s / READ_SPREAD
+    if work.read <= 0 or shape < SHAPE_MIN:
         return 0.0
-    mean_read_s = work.read / work.asked_per_s
-    usual_s = work.read * limits.gap_s
-    shape = usual_s / (READ_SPREAD * mean_read_s)
-    risk = _gamma_tail(READ_SHARE_OF_PAUSE * limits.gap_s / usual_s, shape)
+    risk = _gamma_tail(READ_SHARE_OF_PAUSE / work.read, shape)
     life_s = work.running / work.asked_per_s
     windows = max(1.0, life_s / limits.gap_s)
     return 1.0 - (1.0 - risk) ** windows
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,15 +2,23 @@
 
 import asyncio
 import json
+import os
 import threading
 from collections.abc import Coroutine, Iterator
 from pathlib import Path
 from typing import Any, TypeVar
 
 import pytest
+from hypothesis import settings
 
 from rosepath_standins.cluster import Cluster, caller_declaration
 
+# The same examples in each run, so that a verdict is about the code alone; by
+# hand, `HYPOTHESIS_PROFILE=fresh` draws new ones.
+settings.register_profile("steady", derandomize=True)
+settings.register_profile("fresh")
+settings.load_profile(os.environ.get("HYPOTHESIS_PROFILE", "steady"))
+
 T = TypeVar("T")
 KEY = "test-key"
 DATA_CENTRES = ("casa-a", "casa-b")
--- a/tests/test_engine_plan.py
+++ b/tests/test_engine_plan.py
@@ -4,7 +4,7 @@
 
 import pytest
 from entry_builders import a_model, an_engine_view
-from hypothesis import given, settings, strategies as st
+from hypothesis import example, given, settings, strategies as st
 
 from rosepath.catalog import ModelSpec
 from rosepath.demand import ModelDemand
@@ -232,6 +232,8 @@
     waiting=st.integers(0, 3),
     running=st.integers(0, 20),
 )
+# A load so small that the time to read it rounds to nothing.
+@example(load_s=1.0, size_mb=1_000.0, others=[5e-324], waiting=0, running=0)
 def test_whatever_its_size_and_load_an_asked_for_model_that_fits_is_loaded(
     load_s: float, size_mb: float, others: list[float], waiting: int, running: int
 ) -> None:
--- a/tests/test_engine_strain.py
+++ b/tests/test_engine_strain.py
@@ -71,3 +71,18 @@
     assert paused_share(reading(2.0), READS) > 0.05
     assert late_per_s(reading(2.0), READS) == 0.0
     assert late_per_s(reading(6.0), READS) > 1.0
+
+
+@pytest.mark.parametrize("tiny", [5e-324, 1e-320, 1e-300, 1e-12])
+def test_a_work_that_rounds_to_nothing_makes_nobody_late(tiny: float) -> None:
+    # A model is asked for once in ages: what it takes to read, or how often it
+    # is asked for, rounds to nothing. The holder's plan ended with a division
+    # by zero each tick, and no model was loaded any more.
+    for work in (
+        Work(read=tiny, asked_per_s=1.0, running=1.0),
+        Work(read=0.1, asked_per_s=tiny, running=1.0),
+        Work(read=tiny, asked_per_s=10 * tiny, running=0.0),
+    ):
+        assert paused_share(work, READS) == 0.0
+        late = late_per_s(work, READS)
+        assert 0.0 <= late < 1e-3
