Log who leaves by whose word, how old the table was, and what is waited out

Cause: a request reached a server 3.4 s after it had left; the lines could not tell whether a late VM had been told, had looked, or waited for a lapse. Change: server_gone and server_leaving also for removals told by others, with looked_ago_s (since the look was asked for on which work was sent until then), in_flight, and how well the teller knows; server_missing where an absence is waited out; servers_followed where a VM changes how closely it looks; the metric servers_looked_ago_s. No decision reads any of it.

--- a/src/rosepath/entry_node.py
+++ b/src/rosepath/entry_node.py
@@ -12,6 +12,7 @@
 from rosepath.clock import SystemClock
 from rosepath.entry_metrics import EntryMetrics
 from rosepath.entry_settings import EntrySettings
+from rosepath.feed import Pace
 from rosepath.gateway import CallerExchange, Gateway
 from rosepath.http_client import HttpPool
 from rosepath.isolation import Isolation
@@ -75,6 +76,7 @@
         self.clock = SystemClock()
         self.stopping = False
         self.wait_limit_s = math.inf
+        self._pace: Pace | None = None
         self.loops = Supervisor()
         self.metrics = EntryMetrics()
         self.budgets: dict[str, RetryWindow] = {}
@@ -87,9 +89,7 @@
         self.tables = StoreTables(
             self.store,
             clock=self.clock,
-            servers_pace=lambda: servers_pace(
-                self._holder_word(), crowded=self._one_of_many
-            ),
+            servers_pace=self._servers_pace,
             catalog_pace=lambda: catalog_pace(
                 self._holder_word(), crowded=self._one_of_many
             ),
@@ -232,6 +232,7 @@
             else 0,
             "configuration_age_s": now_s - self.tables.catalog_feed.in_touch_s,
             "servers_age_s": now_s - self.tables.servers_feed.in_touch_s,
+            "servers_looked_ago_s": self.tables.looked_ago_s,
             "store_age_s": now_s - self.store.last_success_s,
             "servers": len(self.tables.fleet.servers),
             "peers_live": len(self.peers.live()),
@@ -258,6 +259,21 @@
         """Tell whether this VM is one of a crowd, and not the one they look to."""
         return self.peers.crowded and not self.coordinator.term
 
+    def _servers_pace(self) -> Pace:
+        word = self._holder_word()
+        pace = servers_pace(word, crowded=self._one_of_many)
+        if pace != self._pace:
+            self._pace = pace
+            _log.info(
+                "servers_followed",
+                wait_s=pace.wait_s,
+                gather_s=pace.gather_s,
+                word_ago_s=round(word.age_s, 3) if word else None,
+                holder_store_ago_s=word.store_ago_s if word else None,
+                looked_ago_s=self.tables.looked_ago_s,
+            )
+        return pace
+
     def _holder_word(self) -> HolderWord | None:
         """Return what is known of another VM that holds the lease."""
         holder = None if self.coordinator.term else self.peers.holder()
--- a/src/rosepath/feed.py
+++ b/src/rosepath/feed.py
@@ -74,6 +74,9 @@
         self.changed_revision = 0
         self.regained_s = -1e9
         self.in_touch_s = -1e9
+        # When the last call that was answered was asked: what the table says
+        # was true then, or later.
+        self.looked_s = -1e9
         self.out_of_touch = False
 
     async def run(self) -> None:
@@ -83,12 +86,16 @@
         while True:
             try:
                 if not listed:
+                    asked_s = self._clock.monotonic_s()
                     self._take_listing(await self._store.list(self._kind))
+                    self.looked_s = asked_s
                     listed = True
+                asked_s = self._clock.monotonic_s()
                 change = await self._watch()
                 if change is None:
                     continue
                 self._take_change(change)
+                self.looked_s = asked_s
                 backoff_s = BACKOFF_FIRST_S
                 if change.written or change.removed:
                     await self._gather()
--- a/src/rosepath/peer_exchange.py
+++ b/src/rosepath/peer_exchange.py
@@ -155,18 +155,31 @@
         self._tables.catalog_feed.hear(state.configuration_revision)
         for server in state.leaving:
             if self._tables.fleet.note_leaving(server):
-                _log.info(
-                    "server_leaving", step="peers", peer=server.name, by=state.entry_vm
-                )
+                self._tell("server_leaving", server.name, state)
         # Who knows newer changes may know that an entry came back.
         if state.servers_revision >= self._tables.servers_feed.changed_revision:
             for name in state.gone:
+                if name in self._tables.fleet.servers:
+                    self._tell("server_gone", name, state)
                 self._tables.fleet.remove(name)
         self._hear_down(state)
         if state.term and state.store_ago_s > STORE_TROUBLE_S:
             self._tables.note_trouble()
         self._coordinator.hear_peer(state)
 
+    def _tell(self, event: str, name: str, state: PeerState) -> None:
+        """Log what another VM's word changed, and how well that VM knows it."""
+        _log.info(
+            event,
+            step="peers",
+            peer=name,
+            by=state.entry_vm,
+            in_flight=len(self._tables.fleet.servers[name].flights),
+            looked_ago_s=self._tables.looked_ago_s,
+            their_revision=state.servers_revision,
+            their_store_ago_s=state.store_ago_s,
+        )
+
     def _own_loads(self) -> dict[str, PeerLoad]:
         return {
             server.name: own_load(server)
--- a/src/rosepath/store_tables.py
+++ b/src/rosepath/store_tables.py
@@ -111,7 +111,7 @@
             self._forget_gone(entry.name)
             known = self.fleet.servers.get(entry.name)
             if entry.draining and not (known and known.entry.draining):
-                _log.info("server_leaving", step="store", peer=entry.name)
+                self._tell("server_leaving", entry.name)
             if self.fleet.put(entry):
                 _log.info("server_reborn", step="store", peer=entry.name)
                 self._on_reborn(entry.name)
@@ -139,6 +139,7 @@
                 self._remove(name)
             elif name not in self._absent:
                 self._absent.add(name)
+                self._tell("server_missing", name, wait_s=wait_s)
                 loop = asyncio.get_running_loop()
                 loop.call_later(wait_s, self._remove_if_absent, name)
 
@@ -158,10 +159,29 @@
             self._remove(name)
 
     def _remove(self, name: str) -> None:
+        self._tell("server_gone", name)
         self.fleet.remove(name)
-        _log.info("server_gone", step="store", peer=name)
         self._gone.append((self._clock.monotonic_s(), name))
 
+    def _tell(self, event: str, name: str, **fields: float) -> None:
+        """Log a change of a server, and how old the look before it was."""
+        server = self.fleet.servers.get(name)
+        _log.info(
+            event,
+            step="store",
+            peer=name,
+            in_flight=len(server.flights) if server else 0,
+            looked_ago_s=self.looked_ago_s,
+            trouble_ago_s=round(self._clock.monotonic_s() - self._trouble_s, 3),
+            revision=self.servers_feed.revision,
+            **fields,
+        )
+
+    @property
+    def looked_ago_s(self) -> float:
+        """Return how long ago the look was asked for that the table rests on."""
+        return round(self._clock.monotonic_s() - self.servers_feed.looked_s, 3)
+
     def note_trouble(self) -> None:
         """Note that the store does not answer another VM.
 
