--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -20,10 +20,36 @@
 settings.load_profile(os.environ.get("HYPOTHESIS_PROFILE", "steady"))
 
 T = TypeVar("T")
+KNOWN_RED = Path(__file__).parent.parent / "KNOWN-RED.txt"
 KEY = "test-key"
 DATA_CENTRES = ("casa-a", "casa-b")
 
 
+def _known_red() -> dict[str, str]:
+    """Return the lines of the list of known failures by the test they name."""
+    if not KNOWN_RED.exists():
+        return {}
+    lines = [line for line in KNOWN_RED.read_text().splitlines() if line.strip()]
+    return {line.split(" | ")[0]: line for line in lines}
+
+
+def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
+    """Pass over the known failures, and over nothing else.
+
+    One that passes fails the run: it is to be taken off the list.
+    """
+    known = _known_red()
+    for item in items:
+        if item.nodeid in known:
+            item.add_marker(pytest.mark.xfail(strict=True, reason=known[item.nodeid]))
+
+
+def pytest_terminal_summary(terminalreporter: Any) -> None:
+    """Print the list of known failures."""
+    for line in _known_red().values():
+        terminalreporter.write_line(f"KNOWN RED: {line}")
+
+
 class Background:
     """Run coroutines on a loop that keeps going between a test's steps."""
 
--- /dev/null
+++ b/tests/fleet_world.py
@@ -0,0 +1,415 @@
+"""Entry VMs, a store and servers that leave, in one process and virtual time.
+
+The VMs are real but for their sockets: their tables follow this store, their
+words go over this wire, and each sends callers' requests all the time.
+"""
+
+import asyncio
+import json
+import math
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any, cast
+
+import pytest
+from entry_builders import a_catalog, a_route, entry_settings
+from tornado.httputil import HTTPHeaders
+from virtual_time import LoopClock, VirtualLoop
+
+from rosepath import entry_node, placement_coordinator
+from rosepath.catalog import RouteKind
+from rosepath.entry_node import EntryNode
+from rosepath.errors import ExchangeError, Step
+from rosepath.http_client import Request, ResponseHead
+from rosepath.object_store import (
+    Change,
+    HistoryGoneError,
+    Listing,
+    StoredObject,
+    StoreError,
+)
+
+SERVICE = "desk"
+# The way to the store or to another VM.
+WAY_S = 0.004
+CALL_LIMIT_S = 0.5
+RENEWED_EACH_S = 0.6
+BEAT_S = 0.2
+ASKED_EACH_S = 0.08
+
+
+def _address(vm: str) -> str:
+    return f"10.0.0.1:{int(vm.rpartition('-')[2]) + 1}"
+
+
+def now_s() -> float:
+    return asyncio.get_running_loop().time()
+
+
+@dataclass(slots=True)
+class World:
+    """Hold the store, the wire, the VMs, and what reached which server when."""
+
+    drain_s: float = 2.0
+    # A VM that was cut from the store, or whose connections went silent, is
+    # held to the drain time again so long after.
+    contact_s: float = 3.0
+    rng: random.Random = field(default_factory=lambda: random.Random(7))
+    revision: int = 0
+    objects: dict[str, StoredObject] = field(default_factory=dict)
+    events: list[tuple[int, str, StoredObject | None]] = field(default_factory=list)
+    floor: int = 0
+    # Watches are told nothing of changes while it is deaf.
+    deaf: bool = False
+    # The store answers nobody, or not these VMs; silently or at once.
+    down: bool = False
+    turned_away: set[str] = field(default_factory=set)
+    # Connections of watches that were waiting then are silent for good.
+    silenced_s: dict[str, float] = field(default_factory=dict)
+    lost_share: float = 0.0
+    changed: asyncio.Condition = field(default_factory=asyncio.Condition)
+    cuts: int = 0
+    nodes: dict[str, EntryNode] = field(default_factory=dict)
+    tasks: list[asyncio.Task[Any]] = field(default_factory=list)
+    holder: str = ""
+    holder_term: int = 1
+    left_s: dict[str, float] = field(default_factory=dict)
+    harmed_s: dict[str, float] = field(default_factory=dict)
+    late_s: list[tuple[float, str, str]] = field(default_factory=list)
+    answered: int = 0
+    refused: int = 0
+    connect_s: float = 0.0
+
+    # The store
+
+    def write(self, name: str, value: bytes | None) -> None:
+        """Write an object, or remove it."""
+        self.revision += 1
+        stored = None
+        if value is None:
+            self.objects.pop(name, None)
+        else:
+            stored = self.objects[name] = StoredObject(name, self.revision, value)
+        self.events.append((self.revision, name, stored))
+        self.wake()
+
+    def wake(self) -> None:
+        asyncio.ensure_future(self._wake())
+
+    async def _wake(self) -> None:
+        async with self.changed:
+            self.changed.notify_all()
+
+    def cut_watches(self, *, forget: bool = False) -> None:
+        """Cut every watch that waits, and drop the history if told so."""
+        self.cuts += 1
+        if forget:
+            self.floor = self.revision
+        self.wake()
+
+    def turn_away(self, *vms: str) -> None:
+        """Answer some VMs no more."""
+        self.turned_away.update(vms)
+        self.harmed_s.update(dict.fromkeys(vms, math.inf))
+        self.wake()
+
+    def take_back(self) -> None:
+        """Answer all VMs again."""
+        self.harmed_s.update(dict.fromkeys(self.turned_away, now_s()))
+        self.turned_away.clear()
+
+    def silence(self, *vms: str) -> None:
+        """Let the connections of VMs that wait go silent for good."""
+        self.silenced_s.update(dict.fromkeys(vms, now_s()))
+        self.harmed_s.update(dict.fromkeys(vms, now_s()))
+
+    # Servers
+
+    async def keep_busy(self, names: list[str]) -> None:
+        """Change some servers' entries all the time."""
+        while True:
+            await asyncio.sleep(BEAT_S)
+            self.enter(self.rng.choice(names))
+
+    def enter(self, name: str, *, state: str = "ready", beat: int = 1) -> None:
+        """Write a server's entry."""
+        raw = {
+            "service": SERVICE,
+            "address": f"10.9.0.{int(name.rpartition('-')[2]) + 1}:80",
+            "zone": "a",
+            "version": "v1",
+            "slots": 6,
+            "state": state,
+            "sequence": beat,
+            "born": 100,
+        }
+        self.write(f"servers/{name}", json.dumps(raw).encode())
+
+    def leave(self, name: str, *, says_so: bool = False) -> None:
+        """Let a server leave: it says so, or its entry is removed."""
+        self.left_s.setdefault(name, now_s())
+        if says_so:
+            self.enter(name, state="draining")
+        else:
+            self.write(f"servers/{name}", None)
+
+    def reached(self, vm: str, server: str) -> None:
+        self.answered += 1
+        left_s = self.left_s.get(server)
+        if left_s is None or now_s() - left_s <= self.drain_s:
+            return
+        if now_s() - self.harmed_s.get(vm, -1e9) > self.contact_s:
+            self.late_s.append((round(now_s() - left_s, 3), vm, server))
+
+    # VMs
+
+    async def start(
+        self, vms: int, monkeypatch: pytest.MonkeyPatch, *, servers: int = 4
+    ) -> None:
+        """Start VMs that know each other; the first holds the lease."""
+        monkeypatch.setattr(entry_node, "SystemClock", LoopClock)
+        monkeypatch.setattr(placement_coordinator, "BootClock", LoopClock)
+        if hasattr(entry_node, "BootClock"):
+            monkeypatch.setattr(entry_node, "BootClock", LoopClock)
+        for number in range(servers):
+            self.enter(f"i-{number}")
+        names = [f"vm-{number}" for number in range(vms)]
+        self.holder = names[0]
+        for name in names:
+            self._add(name, monkeypatch)
+        for name, node in self.nodes.items():
+            for other in names:
+                node.peers.learn(other, _address(other))
+            link = node.exchange.link
+            link._rng = self.rng
+            link.connection_made(cast(Any, Wire(self, name)))
+            self._run(name)
+
+    def _add(self, name: str, monkeypatch: pytest.MonkeyPatch) -> None:
+        monkeypatch.setattr(
+            entry_node, "PlatformStore", lambda *_, **__: View(self, name)
+        )
+        settings = entry_settings(name).model_copy(
+            update={"drain_ms": self.drain_s * 1000}
+        )
+        node = self.nodes[name] = EntryNode(settings)
+        node.exchange.link.address = _address(name)
+        node.tables.catalog = a_catalog(
+            a_route(kind=RouteKind.IDEMPOTENT, service=SERVICE, resumable=False)
+        )
+        leases = node.coordinator.leases
+        monkeypatch.setattr(leases, "valid", lambda *_, **__: self.holder == name)
+        monkeypatch.setattr(leases, "fence", lambda _: self.holder_term)
+        monkeypatch.setattr(
+            leases, "holder", lambda _: name if self.holder == name else ""
+        )
+        monkeypatch.setattr(node.pool, "exchange", self._serve_as(name))
+        node.relay._ports.on_outcome = lambda *_: None
+        node.relay._ports.rng = self.rng
+
+    def _run(self, name: str) -> None:
+        node = self.nodes[name]
+        for work in (
+            node.tables.servers_feed.run,
+            node.tables.catalog_feed.run,
+            node.exchange.link.run,
+        ):
+            self.tasks.append(asyncio.create_task(work(), name=name))
+        self.tasks.append(asyncio.create_task(self._renew(name), name=name))
+        self.tasks.append(asyncio.create_task(self._ask(name), name=name))
+
+    def kill(self, name: str) -> None:
+        """Let a VM fall silent for good."""
+        for task in self.tasks:
+            if task.get_name() == name:
+                task.cancel()
+        self.turn_away(name)
+        if self.holder == name:
+            self.holder = ""
+
+    async def close(self) -> None:
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+    async def _renew(self, name: str) -> None:
+        # The holder's lease; its calls succeed or fail apart from its watches.
+        while True:
+            if self.holder == name:
+                try:
+                    await self.nodes[name].store.get("leases/placement")
+                except StoreError:
+                    pass
+            await asyncio.sleep(RENEWED_EACH_S)
+
+    async def _ask(self, name: str) -> None:
+        """Send a request of a caller's every few milliseconds."""
+        await asyncio.sleep(1.0)
+        number = 0
+        while True:
+            number += 1
+            exchange = Exchange(f"{name}-{number}", self)
+            asyncio.ensure_future(self.nodes[name].relay.serve(cast(Any, exchange)))
+            await asyncio.sleep(ASKED_EACH_S)
+
+    def _serve_as(self, name: str) -> Callable[..., Any]:
+        async def exchange(request: Request, *, on_head: Any, on_data: Any) -> Any:
+            if self.connect_s:
+                await asyncio.sleep(min(self.connect_s, request.connect_timeout_s))
+            if not request.still_wanted():
+                raise ExchangeError(
+                    "no longer wanted", step=Step.SEND, peer=request.address, sent=False
+                )
+            self.reached(name, request.headers["Target-Instance"])
+            headers = HTTPHeaders({"Response-Signature": "s"})
+            head = ResponseHead(200, headers)
+            on_head(head)
+            on_data(b"done")
+            return head
+
+        return exchange
+
+
+@dataclass(slots=True)
+class View:
+    """Speak the store's port for one VM."""
+
+    world: World
+    vm: str
+    last_success_s: float = -1e9
+    calls: dict[str, int] = field(default_factory=dict)
+    # When the connection of its watches was made; -1 if there is none.
+    connected_s: float = -1.0
+
+    async def list(self, kind: str) -> Listing:
+        await self._call("list")
+        objects = {
+            name: stored
+            for name, stored in self.world.objects.items()
+            if name.startswith(f"{kind}/")
+        }
+        return self._answered(Listing(revision=self.world.revision, objects=objects))
+
+    async def changes(self, kind: str, *, after: int, wait_s: float) -> Change:
+        """Watch over the connection of the watch before, unless that failed."""
+        if self.connected_s < 0:
+            self.connected_s = now_s()
+        connected_s, self.connected_s = self.connected_s, -1.0
+        change = await self._changes(kind, after, wait_s, connected_s)
+        self.connected_s = connected_s
+        return change
+
+    async def _changes(
+        self, kind: str, after: int, wait_s: float, connected_s: float
+    ) -> Change:
+        await self._call("watch")
+        world, cuts, begun_s = self.world, self.world.cuts, now_s()
+        gone = after < world.floor
+        until_s = begun_s + wait_s
+        while True:
+            if connected_s < world.silenced_s.get(self.vm, -1e9) <= now_s():
+                await asyncio.sleep(until_s + CALL_LIMIT_S - now_s())
+                raise StoreError("no answer in time", step=Step.STORE)
+            if world.cuts != cuts or self._away:
+                raise StoreError("answer closed early", step=Step.STORE)
+            change = self._change(kind, after)
+            if change.written or change.removed:
+                if gone:
+                    raise HistoryGoneError(kind, step=Step.STORE)
+                await asyncio.sleep(WAY_S)
+                return self._answered(change)
+            left_s = until_s - now_s()
+            if left_s <= 0:
+                return self._answered(change)
+            await self._wait(left_s)
+
+    async def get(self, name: str) -> StoredObject | None:
+        await self._call("get")
+        return self._answered(self.world.objects.get(name))
+
+    def close(self) -> None:
+        pass
+
+    @property
+    def _away(self) -> bool:
+        return self.world.down or self.vm in self.world.turned_away
+
+    async def _call(self, what: str) -> None:
+        self.calls[what] = self.calls.get(what, 0) + 1
+        if self._away:
+            await asyncio.sleep(CALL_LIMIT_S)
+            raise StoreError("no answer in time", step=Step.STORE)
+        await asyncio.sleep(WAY_S)
+
+    def _answered(self, answer: Any) -> Any:
+        self.last_success_s = now_s()
+        return answer
+
+    def _change(self, kind: str, after: int) -> Change:
+        written: dict[str, StoredObject] = {}
+        removed: set[str] = set()
+        # What was written before the history went is not told of any more.
+        seen = max(after, self.world.floor)
+        for revision, name, stored in self.world.events if not self.world.deaf else ():
+            if revision <= seen or not name.startswith(f"{kind}/"):
+                continue
+            written.pop(name, None)
+            removed.discard(name)
+            if stored is None:
+                removed.add(name)
+            else:
+                written[name] = stored
+        return Change(
+            revision=self.world.revision, written=written, removed=frozenset(removed)
+        )
+
+    async def _wait(self, limit_s: float) -> None:
+        async with self.world.changed:
+            try:
+                async with asyncio.timeout(limit_s):
+                    await self.world.changed.wait()
+            except TimeoutError:
+                return
+
+
+@dataclass(slots=True)
+class Wire:
+    """Carry a VM's datagrams."""
+
+    world: World
+    vm: str
+
+    def sendto(self, data: bytes, address: tuple[str, int]) -> None:
+        node = self.world.nodes.get(f"vm-{address[1] - 1}")
+        if node is None or self.world.rng.random() < self.world.lost_share:
+            return
+        asyncio.get_running_loop().call_later(
+            WAY_S, node.exchange.link.datagram_received, data, ("", 0)
+        )
+
+    def is_closing(self) -> bool:
+        return False
+
+
+class Exchange:
+    """Be one caller's request."""
+
+    def __init__(self, request_id: str, world: World) -> None:
+        self.method, self.path = "POST", "/drafts/1"
+        self.headers = HTTPHeaders({"Host": "court.example", "Request-Id": request_id})
+        self.body = b""
+        self.arrived_s = now_s()
+        self.begun = False
+        self._world = world
+
+    def answer(self, status: int, _: HTTPHeaders, __: bytes) -> None:
+        if status != 200:
+            self._world.refused += 1
+
+
+def play(work: Callable[[], Any]) -> None:
+    """Run a coroutine function in virtual time."""
+    random.seed(7)
+    with asyncio.Runner(loop_factory=VirtualLoop) as runner:
+        runner.run(work())
--- /dev/null
+++ b/tests/test_leaving_servers.py
@@ -0,0 +1,134 @@
+"""No request reaches a server after its drain time, whoever fails meanwhile.
+
+Seen: on days with trouble a request reached a server 3.4 s after it had left,
+where 3 s are allowed. Each wait on the way was sound alone; in a row they were
+too long, and nothing added them up: a VM did not know as of when its table of
+servers was true.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import pytest
+from fleet_world import World, play
+
+# VMs, drain time, and how long after a cut a VM is held to it again.
+Size = tuple[int, float, float]
+FEW = pytest.param((5, 2.0, 3.0), id="few")
+CROWD = pytest.param((26, 3.0, 4.0), id="crowd")
+sizes = pytest.mark.parametrize("size", [FEW, CROWD])
+# Whether the entries of other servers change all the time.
+entries = pytest.mark.parametrize("busy", [False, True], ids=["quiet", "busy"])
+
+Course = Callable[[World], Awaitable[None]]
+
+
+def latest(
+    monkeypatch: pytest.MonkeyPatch,
+    size: Size,
+    course: Course,
+    *,
+    servers: int = 8,
+    connect_s: float = 0.0,
+    busy: bool = False,
+) -> list[tuple[float, str, str]]:
+    """Return the requests that reached servers latest after their drain time."""
+    vms, drain_s, contact_s = size
+    world = World(drain_s=drain_s, contact_s=contact_s, connect_s=connect_s)
+
+    async def run() -> None:
+        await world.start(vms, monkeypatch, servers=servers)
+        if busy:
+            stay = [f"i-{number}" for number in range(servers - 2, servers)]
+            world.tasks.append(asyncio.create_task(world.keep_busy(stay)))
+        await asyncio.sleep(10.0)
+        await course(world)
+        await world.close()
+
+    play(run)
+    assert world.answered > 500
+    return sorted(world.late_s, reverse=True)[:5]
+
+
+@entries
+@sizes
+def test_a_server_leaves_while_the_holder_is_cut_off(
+    monkeypatch: pytest.MonkeyPatch, size: Size, busy: bool
+) -> None:
+    # The holder misses the store and says so. A server's entry is removed; the
+    # others learn of it up to 1 s later, as they gather changes, and take it
+    # for a lapse in an outage: they wait another 2.2 s for it to come back.
+    # Proved by the lines of the late VMs: the look before was asked for 1.0 s
+    # before, and 2.2 s were waited out.
+    async def course(world: World) -> None:
+        for number, cut_s in enumerate((0.7, 1.7, 2.5)):
+            world.turn_away(world.holder)
+            await asyncio.sleep(cut_s)
+            world.leave(f"i-{number}")
+            await asyncio.sleep(5.0)
+            world.take_back()
+            await asyncio.sleep(6.0)
+
+    assert latest(monkeypatch, size, course, busy=busy) == []
+
+
+@entries
+@sizes
+def test_a_server_leaves_as_the_holder_dies(
+    monkeypatch: pytest.MonkeyPatch, size: Size, busy: bool
+) -> None:
+    async def course(world: World) -> None:
+        for number in range(3):
+            await asyncio.sleep(3.0 + 0.3 * number)
+            world.kill(world.holder)
+            world.leave(f"i-{number}")
+            await asyncio.sleep(4.0)
+            world.holder_term += 1
+            world.holder = f"vm-{number + 1}"
+            await asyncio.sleep(5.0)
+
+    assert latest(monkeypatch, size, course, busy=busy, connect_s=0.3) == []
+
+
+@entries
+@sizes
+def test_many_servers_leave_at_once(
+    monkeypatch: pytest.MonkeyPatch, size: Size, busy: bool
+) -> None:
+    # 24 servers say that they leave. The holder told of the sixteen that came
+    # last into its table; of the others the VMs of a crowd learned after 8 s,
+    # for which they leave new entries to gather as long as the holder speaks.
+    async def course(world: World) -> None:
+        await asyncio.sleep(0.2)
+        for number in range(24):
+            world.leave(f"i-{number}", says_so=True)
+        await asyncio.sleep(10.0)
+
+    assert latest(monkeypatch, size, course, servers=30, busy=busy) == []
+
+
+@entries
+@sizes
+def test_a_server_leaves_of_which_the_holder_has_not_heard(
+    monkeypatch: pytest.MonkeyPatch, size: Size, busy: bool
+) -> None:
+    # The holder's watch has gone silent; a server leaves; two seconds later the
+    # holder dies. Until then it renewed its lease over other connections, and
+    # by the age of such calls its word stood for a look at the servers, of
+    # which it knew nothing: the others began to look two seconds after the
+    # last word. Proved by the lines of a play: the holder's word was 36 ms old
+    # and its last call 0.15 s, while its look at the servers was 2.4 s old.
+    async def course(world: World) -> None:
+        for number in range(3):
+            holder = world.holder
+            world.silence(holder)
+            await asyncio.sleep(0.3)
+            world.leave(f"i-{number}")
+            await asyncio.sleep(2.0)
+            world.kill(holder)
+            await asyncio.sleep(4.0)
+            world.holder_term += 1
+            world.holder = f"vm-{number + 1}"
+            await asyncio.sleep(5.0)
+
+    assert latest(monkeypatch, size, course, busy=busy) == []
--- /dev/null
+++ b/tests/virtual_time.py
@@ -0,0 +1,52 @@
+"""An event loop whose time jumps to the next timer: waits take no time at all."""
+
+import asyncio
+import selectors
+from collections.abc import Coroutine
+from typing import Any, TypeVar
+
+T = TypeVar("T")
+# Where the time of every run begins.
+START_S = 1000.0
+
+
+class _JumpingSelector(selectors.DefaultSelector):
+    """Find nothing to read, and let the time pass instead of waiting."""
+
+    now_s = START_S
+
+    def select(self, timeout: float | None = None) -> list[Any]:
+        if timeout is None:
+            raise RuntimeError("every task waits for something that never comes")
+        self.now_s += max(0.0, timeout)
+        return []
+
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """Run tasks on a time of its own; nothing in them may touch a socket."""
+
+    def __init__(self) -> None:
+        self._jumping = _JumpingSelector()
+        super().__init__(self._jumping)
+
+    def time(self) -> float:
+        return self._jumping.now_s
+
+
+class LoopClock:
+    """Tell the running loop's time; `slept_s` counts in the boot clock only."""
+
+    def __init__(self, *, slept_s: float = 0.0) -> None:
+        self.slept_s = slept_s
+
+    def monotonic_s(self) -> float:
+        return asyncio.get_running_loop().time() + self.slept_s
+
+    def wall_s(self) -> float:
+        return self.monotonic_s()
+
+
+def run(work: Coroutine[Any, Any, T]) -> T:
+    """Run to the end in virtual time."""
+    with asyncio.Runner(loop_factory=VirtualLoop) as runner:
+        return runner.run(work)
