Read a kind of objects whole after any break of its watch

Cause: a watch that went on from the revision before a break trusted the store to say at once that its history had gone; it does with the next change of that kind. A configuration that is seldom changed stayed at an older version for 5.7 s; for servers' entries the same took 0.1 to 1.2 s. Change: a failed call is followed by a listing, which replaces the table whole, and by a watch from its revision.

--- a/src/rosepath/feed.py
+++ b/src/rosepath/feed.py
@@ -115,8 +115,10 @@
                 # What happened in between is lost: only the whole tells.
                 listed = False
             except StoreError as error:
-                # The revision still stands: if its history has gone by the
-                # time the store is back, the watch says so.
+                # The history since the revision may go while the store is away,
+                # and a watch is told so with the next change only: until then
+                # what changed in between would be missed.
+                listed = False
                 self._failed_s = self._asked_s
                 self._note_lost(error)
                 await self._pause(backoff_s * random.uniform(0.7, 1.3))
