Vouch for no one while an entry may only have lapsed

Cause (by reading the mend for sums that are left): a holder that waits for a lapsed entry to come back went on vouching for its table. Change: the age that a VM tells is that of when the oldest entry which it waits for was last there; the others then look for themselves. fleet_too_old tells in the logs when requests wait for a look.

--- a/src/rosepath/peer_exchange.py
+++ b/src/rosepath/peer_exchange.py
@@ -147,7 +147,7 @@
             if self._coordinator.term
             else (),
             moves=tuple(self._coordinator.recent_moves()),
-            known_ago_s=self._tables.servers_feed.age.age_s if holding else NEVER_S,
+            known_ago_s=self._tables.vouched_age_s if holding else NEVER_S,
             complete_ago_s=complete_ago_s,
             configuration_known_ago_s=self._tables.catalog_feed.age.age_s
             if holding
--- a/src/rosepath/store_tables.py
+++ b/src/rosepath/store_tables.py
@@ -3,6 +3,7 @@
 import asyncio
 import math
 from collections.abc import Callable, Iterable, Mapping
+from typing import NamedTuple
 
 from rosepath.catalog import Catalog
 from rosepath.clock import Clock
@@ -30,6 +31,13 @@
 _log = get_logger()
 
 
+class _Absence(NamedTuple):
+    """Tell when an entry was last known to be there, and a revision without it."""
+
+    there_s: float
+    gone_at: int
+
+
 class StoreTables:
     """Hold what the store says: the operator's catalog, and the servers."""
 
@@ -51,8 +59,8 @@
         self._on_reborn = on_reborn
         self._clock = clock
         self._on_catalog = on_catalog
-        # Entries that are not there and may have lapsed, and since which revision.
-        self._absent: dict[str, int] = {}
+        # Entries that are not there and may have lapsed.
+        self._absent: dict[str, _Absence] = {}
         self._trouble_s = -1e9
         self.leaves = LeaveLog(clock=boot_clock or clock)
         self.catalog: Catalog | None = None
@@ -151,7 +159,8 @@
             if not wait_s:
                 self._remove(name, gone_at=gone_at)
             elif name not in self._absent:
-                self._absent[name] = gone_at
+                there_s = self.servers_feed.age.known_s
+                self._absent[name] = _Absence(there_s, gone_at)
                 self._tell("server_missing", name, wait_s=wait_s)
                 loop = asyncio.get_running_loop()
                 loop.call_later(wait_s, self._remove_if_absent, name)
@@ -177,7 +186,7 @@
 
     def _remove_if_absent(self, name: str) -> None:
         if name in self._absent:
-            self._remove(name, gone_at=self._absent.pop(name))
+            self._remove(name, gone_at=self._absent.pop(name).gone_at)
 
     def _remove(self, name: str, *, gone_at: int) -> None:
         self._tell("server_gone", name)
@@ -212,6 +221,19 @@
         """Return how old what this VM goes by is, in looks or another's word."""
         return round(self.servers_feed.age.age_s, 3)
 
+    @property
+    def vouched_age_s(self) -> float:
+        """Return how old what others may go by is.
+
+        Which servers left is not known while entries may only have lapsed: each
+        VM that was told nothing of it would use such a server on, from when
+        this one stops.
+        """
+        age = self.servers_feed.age
+        there_s = min((absence.there_s for absence in self._absent.values()), default=0)
+        unsure_s = age.now_s() - there_s if self._absent else 0.0
+        return max(age.age_s, unsure_s)
+
     @property
     def sound(self) -> bool:
         """Tell whether requests may be sent to the servers by this table.
@@ -227,6 +249,7 @@
     async def make_sure(self) -> None:
         """Look at the store first where the table is too old to go by."""
         if not self.sound:
+            _log.info("fleet_too_old", step="store", looked_ago_s=self.looked_ago_s)
             await self.servers_feed.make_sure(limit_s=LOOK_LIMIT_S)
 
     def note_trouble(self) -> None:
--- a/src/rosepath/table_age.py
+++ b/src/rosepath/table_age.py
@@ -25,10 +25,15 @@
         """Return the time by which looks are noted."""
         return self._boot.monotonic_s()
 
+    @property
+    def known_s(self) -> float:
+        """Return as of when the table is known."""
+        return max(self._looked_s, self._told_s)
+
     @property
     def age_s(self) -> float:
         """Return for how long changes may have gone unnoticed."""
-        return self.now_s() - max(self._looked_s, self._told_s)
+        return self.now_s() - self.known_s
 
     @property
     def told_age_s(self) -> float:
@@ -49,7 +54,7 @@
             # Words that queued in a sleep are older than they look.
             self._slept_s = self._sleep_s()
             self._looked_s = self._told_s = NEVER_S
-        if max(self._looked_s, self._told_s) > now_s - complete_ago_s:
+        if self.known_s > now_s - complete_ago_s:
             self._told_s = max(self._told_s, now_s - known_ago_s)
 
     def _sleep_s(self) -> float:
--- a/tests/test_store_tables.py
+++ b/tests/test_store_tables.py
@@ -242,5 +242,11 @@
         held._servers_changed(Change(revision=6, written={}, removed=removed))
         assert len(waits_s) == 1
         assert waits_s[0] <= (1.8 if own_outage else 0.5) - 0.2
+        # Nor do others hear meanwhile that this VM knows who left: they would
+        # use the server on until it is told of, an interval of words later.
+        held.servers_feed.age.note_look(clock.now_s)
+        assert held.vouched_age_s == 1.5
+        held._remove_if_absent("i-1")
+        assert held.vouched_age_s == 0.0
 
     asyncio.run(run())
