--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from typing import Any
 
 from rosepath.clock import ManualClock
 from rosepath.errors import Step
@@ -42,6 +43,17 @@
     return Listing(revision=revision, objects=objects)
 
 
+def a_feed(store: ScriptedStore, clock: ManualClock, **options: Any) -> Feed:
+    return Feed(
+        store,
+        "servers",
+        clock=clock,
+        on_listing=lambda _: None,
+        on_change=lambda _: None,
+        **options,
+    )
+
+
 def follow(store: ScriptedStore, done: Callable[[list[str]], bool]) -> list[str]:
     """Follow until what was seen is enough; return it."""
     seen: list[str] = []
@@ -170,14 +182,7 @@
             return Change(revision=5, written={}, removed=frozenset())
 
         store.changes = changes  # type: ignore[method-assign]
-        feed = Feed(
-            store,
-            "servers",
-            clock=clock,
-            on_listing=lambda _: None,
-            on_change=lambda _: None,
-            pace=lambda: Pace(wait_s=10.0),
-        )
+        feed = a_feed(store, clock, pace=lambda: Pace(wait_s=10.0))
         following = asyncio.ensure_future(feed.run())
         while not waits_s:  # noqa: ASYNC110
             await asyncio.sleep(0)
@@ -198,13 +203,7 @@
     async def run() -> None:
         clock = ManualClock()
         store = ScriptedStore([], [])
-        feed = Feed(
-            store,
-            "servers",
-            clock=clock,
-            on_listing=lambda _: None,
-            on_change=lambda _: None,
-        )
+        feed = a_feed(store, clock)
         feed.age.note_look(clock.now_s)
         clock.advance(1.0)
         feed._asked_s = clock.now_s
--- a/tests/test_store_tables.py
+++ b/tests/test_store_tables.py
@@ -22,13 +22,14 @@
         raise NotImplementedError(kind)
 
 
-def tables(clock: ManualClock) -> StoreTables:
+def tables(clock: ManualClock, **options: Any) -> StoreTables:
     return StoreTables(
         NoStore(),
         clock=clock,
         servers_pace=Pace,
         catalog_pace=Pace,
         on_catalog=lambda _: None,
+        **options,
     )
 
 
@@ -186,14 +187,7 @@
     # got requests for 2.2 s, longer than its drain time of 2 s.
     async def run() -> None:
         clock = ManualClock()
-        held = StoreTables(
-            NoStore(),
-            clock=clock,
-            servers_pace=Pace,
-            catalog_pace=Pace,
-            on_catalog=lambda _: None,
-            drain_s=2.0,
-        )
+        held = tables(clock, drain_s=2.0)
         held._servers_listed(listing(server("i-1")))
         held.servers_feed.age.note_look(clock.now_s)
         held.note_trouble()
@@ -215,15 +209,7 @@
     # waited for 1.65 s more, its server got requests after its drain time.
     async def run() -> None:
         clock = ManualClock()
-        held = StoreTables(
-            NoStore(),
-            clock=clock,
-            servers_pace=Pace,
-            catalog_pace=Pace,
-            on_catalog=lambda _: None,
-            drain_s=2.0,
-            settle_s=3.0,
-        )
+        held = tables(clock, drain_s=2.0, settle_s=3.0)
         held._servers_listed(listing(server("i-1")))
         held.servers_feed.age.note_look(clock.now_s)
         if own_outage:
