Let a begun stream wait for a server past a planned stop's notice

Cause: the end of a stop's notice refuses what waits for a server, so that another VM serves it. A stream that was broken off for its silence waits there too, and is lost if it is refused. Change: the stop's limit holds for what was never sent only; a begun stream waits as long as its caller does, and is cut with the grace at worst, as before.

--- a/src/rosepath/server_picker.py
+++ b/src/rosepath/server_picker.py
@@ -1,6 +1,7 @@
 """Find a server for a request, waiting a while where there is none."""
 
 import asyncio
+import math
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
@@ -84,7 +85,7 @@
             if chosen is not None and now_s < context.deadline_s:
                 context.waited_s += now_s - asked_s
                 return chosen
-            if now_s >= min(give_up_s, self._ports.wait_limit_s()):
+            if now_s >= min(give_up_s, self._stop_limit_s(context)):
                 context.waited_s += now_s - asked_s
                 raise refuse(
                     503,
@@ -97,6 +98,15 @@
             count_waiting()
             await self._wait_for_change(min(give_up_s - now_s, 0.1))
 
+    def _stop_limit_s(self, context: RequestContext) -> float:
+        """Return until when a planned stop lets a request wait.
+
+        One that was never sent is refused unrun and served by another VM. A
+        stream that was broken off to go on elsewhere can't be: refused, it is
+        lost to its caller.
+        """
+        return math.inf if context.exchange.begun else self._ports.wait_limit_s()
+
     def _refuse_if_model_is_late(
         self, context: RequestContext, asked_s: float, give_up_s: float
     ) -> None:
