--- a/tests/virtual_time.py
+++ b/tests/virtual_time.py
@@ -2,10 +2,8 @@
 
 import asyncio
 import selectors
-from collections.abc import Coroutine
-from typing import Any, TypeVar
+from typing import Any
 
-T = TypeVar("T")
 # Where the time of every run begins.
 START_S = 1000.0
 
@@ -34,19 +32,10 @@
 
 
 class LoopClock:
-    """Tell the running loop's time; `slept_s` counts in the boot clock only."""
-
-    def __init__(self, *, slept_s: float = 0.0) -> None:
-        self.slept_s = slept_s
+    """Tell the running loop's time."""
 
     def monotonic_s(self) -> float:
-        return asyncio.get_running_loop().time() + self.slept_s
+        return asyncio.get_running_loop().time()
 
     def wall_s(self) -> float:
         return self.monotonic_s()
-
-
-def run(work: Coroutine[Any, Any, T]) -> T:
-    """Run to the end in virtual time."""
-    with asyncio.Runner(loop_factory=VirtualLoop) as runner:
-        return runner.run(work)
