Keep who is heard and who holds the lease in order, not looked for each word

Cause: each datagram asked `holds` or `term`, which looked through all peers for who backs the lease, with two readings of the clock a peer, and through all servers for the load of one VM; a VM hears a word of each peer, so that a fleet's work grew with the cube of its size.

Change: PeerTable keeps its peers in the order in which they spoke, the claims, and those that serve by data centre; backers are asked for only by a holder whose lease isn't good by itself; a word's load touches the servers it names.

--- a/src/rosepath/peer_exchange.py
+++ b/src/rosepath/peer_exchange.py
@@ -64,6 +64,8 @@
         self._tables = tables
         self._coordinator = coordinator
         self._stopping = stopping
+        # The servers at which each other VM had work by its latest word.
+        self._loaded: dict[str, frozenset[str]] = {}
         self.peers = peers
         self.link = PeerLink(
             address,
@@ -229,12 +231,15 @@
                 server.down_until_s = until_s
 
     def _take_load(self, state: PeerState) -> None:
-        for server in self._tables.fleet.servers.values():
-            load = state.load.get(server.name)
-            if load is None:
-                server.peers.pop(state.entry_vm, None)
-            else:
-                server.peers[state.entry_vm] = load
+        """Take in what a VM has at servers: of all, it has work at a few."""
+        servers = self._tables.fleet.servers
+        for name in self._loaded.get(state.entry_vm, frozenset()) - state.load.keys():
+            if name in servers:
+                servers[name].peers.pop(state.entry_vm, None)
+        for name, load in state.load.items():
+            if name in servers:
+                servers[name].peers[state.entry_vm] = load
+        self._loaded[state.entry_vm] = frozenset(state.load)
 
     def _take_totals(self, state: PeerState) -> None:
         """Take the sum over all VMs, less what is known here exactly."""
@@ -243,6 +248,7 @@
             server.peers.clear()
             if total is not None:
                 server.peers[state.entry_vm] = total.less(own_load(server))
+        self._loaded[state.entry_vm] = frozenset(state.totals)
 
     async def forget_silent(self) -> None:
         """Stop counting the load of VMs that are silent."""
--- a/src/rosepath/peer_table.py
+++ b/src/rosepath/peer_table.py
@@ -1,6 +1,7 @@
 """The other entry VMs, as their datagrams tell."""
 
 import random
+from collections import OrderedDict
 from dataclasses import dataclass
 
 from rosepath.clock import Clock
@@ -38,7 +39,12 @@
 
 
 class PeerTable:
-    """Hold every other entry VM by name."""
+    """Hold every other entry VM by name.
+
+    Each datagram asks who holds the lease and who is silent. Were all VMs looked
+    through for that, the work of a fleet would grow with the cube of its size:
+    those that speak are kept in the order in which they were heard last.
+    """
 
     def __init__(self, me: str, *, clock: Clock) -> None:
         self._me = me
@@ -46,6 +52,12 @@
         self.peers: dict[str, Peer] = {}
         # Whom the lease names, who may not have heard of this VM yet.
         self.named_holder = ""
+        # Who spoke lately, the longest silent first.
+        self._heard: OrderedDict[str, Peer] = OrderedDict()
+        # The same of those that don't stop, by data centre, for ever.
+        self._serving: dict[str, OrderedDict[str, Peer]] = {}
+        # Who said last that it holds the lease.
+        self._claiming: dict[str, Peer] = {}
 
     def learn(self, name: str, address: str) -> None:
         """Note where a VM says it is, read from the store."""
@@ -53,6 +65,8 @@
             return
         peer = self.peers.get(name)
         if peer is None or (peer.address != address and not self._live(peer)):
+            if peer is not None:
+                self._forget(peer)
             self.peers[name] = Peer(
                 name=name, address=address, known_s=self._clock.monotonic_s()
             )
@@ -68,14 +82,42 @@
         known = peer.state
         if known and known.start == state.start and state.number <= known.number:
             return False
+        self._forget(peer)
         peer.state = state
         peer.address = state.address
         peer.heard_s = self._clock.monotonic_s()
+        self._remember(peer, state)
         return True
 
+    def _remember(self, peer: Peer, state: PeerState) -> None:
+        """Note what a VM's latest word makes true, behind all earlier words."""
+        self._heard[peer.name] = peer
+        if not state.stopping:
+            serving = self._serving.setdefault(state.data_centre, OrderedDict())
+            serving[peer.name] = peer
+        if state.term > 0:
+            self._claiming[peer.name] = peer
+
+    def _forget(self, peer: Peer) -> None:
+        """Take back what the word before made true."""
+        self._heard.pop(peer.name, None)
+        self._claiming.pop(peer.name, None)
+        if peer.state is not None:
+            serving = self._serving.get(peer.state.data_centre)
+            if serving is not None:
+                serving.pop(peer.name, None)
+            if not serving:
+                self._serving.pop(peer.state.data_centre, None)
+
     def live(self) -> list[Peer]:
         """Return the VMs that spoke lately."""
-        return [peer for peer in self.peers.values() if self._live(peer)]
+        limit_s = self._clock.monotonic_s() - self._silent_s
+        lately: list[Peer] = []
+        for peer in reversed(self._heard.values()):
+            if peer.heard_s <= limit_s:
+                break
+            lately.append(peer)
+        return lately
 
     @property
     def crowded(self) -> bool:
@@ -93,9 +135,10 @@
 
     def holder(self) -> Peer | None:
         """Return the VM that says it holds the lease, by the latest term."""
-        holders = [peer for peer in self.live() if peer.state and peer.state.term > 0]
         return max(
-            holders, key=lambda peer: peer.state.term if peer.state else 0, default=None
+            (peer for peer in self._claiming.values() if self._live(peer)),
+            key=lambda peer: peer.state.term if peer.state else 0,
+            default=None,
         )
 
     def heard_holder(self) -> tuple[str, int]:
@@ -127,14 +170,8 @@
     @property
     def holder_heard_s(self) -> float:
         """Return when a VM last spoke that says it holds the lease."""
-        return max(
-            (
-                peer.heard_s
-                for peer in self.peers.values()
-                if peer.state is not None and peer.state.term > 0
-            ),
-            default=-1e9,
-        )
+        heard_s = (peer.heard_s for peer in self._claiming.values())
+        return max(heard_s, default=-1e9)
 
     def cut_off(self, own: str) -> set[str]:
         """Return the data centres from which no VM has spoken lately.
@@ -146,26 +183,27 @@
         after_s = CUT_OFF_CROWDED_S
         if not self.crowded:
             after_s = CUT_OFF_INTERVALS * STATE_INTERVAL_S
-        heard_s: dict[str, float] = {}
-        for peer in self.peers.values():
-            state = peer.state
-            if state is None or state.stopping or state.data_centre == own:
-                continue
-            last_s = heard_s.get(state.data_centre, -1e9)
-            heard_s[state.data_centre] = max(last_s, peer.heard_s)
         return {
             name
-            for name, last_s in heard_s.items()
-            if after_s < now_s - last_s < FORGET_AFTER_S
+            for name, last_s in self._last_heard_s().items()
+            if name != own and after_s < now_s - last_s < FORGET_AFTER_S
         }
 
     def data_centres(self, own: str) -> set[str]:
         """Return the other data centres from which a VM has spoken."""
+        limit_s = self._clock.monotonic_s() - FORGET_AFTER_S
         return {
-            peer.state.data_centre
-            for peer in self._remembered()
-            if peer.state is not None and not peer.state.stopping
-        } - {own}
+            name
+            for name, last_s in self._last_heard_s().items()
+            if name != own and last_s > limit_s
+        }
+
+    def _last_heard_s(self) -> dict[str, float]:
+        """Return when a VM last spoke that serves, by data centre."""
+        return {
+            name: next(reversed(serving.values())).heard_s
+            for name, serving in self._serving.items()
+        }
 
     @property
     def interval_s(self) -> float:
@@ -180,6 +218,9 @@
             if max(peer.heard_s, peer.known_s) > limit_s
         ]
 
+    @property
+    def _silent_s(self) -> float:
+        return SILENT_INTERVALS * self.interval_s
+
     def _live(self, peer: Peer) -> bool:
-        silent_s = SILENT_INTERVALS * self.interval_s
-        return peer.heard_s > self._clock.monotonic_s() - silent_s
+        return peer.heard_s > self._clock.monotonic_s() - self._silent_s
--- a/src/rosepath/placement_coordinator.py
+++ b/src/rosepath/placement_coordinator.py
@@ -39,6 +39,7 @@
 HOLDER_SILENT_S = 1.3
 HOLDER_SILENT_CROWDED_S = 3.0
 RANK_STEP_S = 0.4
+NEVER_BACKED_S = -1e9
 
 _log = get_logger()
 
@@ -117,6 +118,10 @@
     @property
     def holds(self) -> bool:
         """Tell whether this VM may order right now."""
+        # Each datagram asks this: who backs the lease is looked through only
+        # while it could not be renewed.
+        if self.leases.valid(LEASE_NAME):
+            return True
         return self.leases.valid(LEASE_NAME, backed_until_s=self._backed_until_s())
 
     @property
@@ -266,8 +271,10 @@
 
         In a crowd words are too far apart for that.
         """
+        if self.leases.holder(LEASE_NAME) != self._me:
+            return NEVER_BACKED_S
         if self._stopping() or self._peers.crowded:
-            return -1e9
+            return NEVER_BACKED_S
         return self._backing.until_s(self._peers.backers())
 
     def _alone_without_store(self) -> bool:
