Tell a holder's word once a data centre in a crowd, told on inside

Cause: a holder told each VM of a crowd by itself, each 0.8 s and at each model that came or went. 195 words of some 3 KB, four times a second, are 20 Mbit/s; the slowest links carry 10.

Change: PeerTable.ways: the holder tells the VMs of its own data centre, and of each other one a VM that spoke within the last second, drawn anew for each word; that one tells the rest, whose addresses come with the word. It adds how long the word may have lain with it, at most, and tells nothing on if it was asleep itself: a word may only vouch for a time in which somebody looked.

--- a/src/rosepath/entry_node.py
+++ b/src/rosepath/entry_node.py
@@ -188,7 +188,7 @@
         self.loops.forever(self.exchange.link.run)
         self.loops.every(FORGET_TICK_S, self.exchange.forget_silent)
         self.loops.every(ISOLATION_TICK_S, self.isolation.step)
-        self.loops.every(LEASE_TICK_S, self.coordinator.step_lease)
+        self.loops.every(LEASE_TICK_S, self._step_lease)
         self.loops.forever(self._plan)
         _log.info("started", callers=self.settings.callers.listen)
 
@@ -215,6 +215,10 @@
         self.pool.close()
         _log.info("stopped", cut=cut)
 
+    async def _step_lease(self) -> None:
+        self.exchange.link.note_awake()
+        await self.coordinator.step_lease()
+
     async def _plan(self) -> None:
         """Plan often while this VM may order; a term begins with a plan."""
         begun = self.coordinator.term_begun
--- a/src/rosepath/peer_exchange.py
+++ b/src/rosepath/peer_exchange.py
@@ -74,6 +74,7 @@
             describe=self._describe,
             on_state=self._peer_spoke,
             on_ask=coordinator.answer,
+            data_centre=data_centre,
         )
         coordinator.link = self.link
 
--- a/src/rosepath/peer_link.py
+++ b/src/rosepath/peer_link.py
@@ -11,6 +11,7 @@
     AdapterAsk,
     AdapterReply,
     Message,
+    Onward,
     PeerState,
     decode,
     encode,
@@ -22,6 +23,10 @@
 # it takes twenty; a lost datagram is sent again after this.
 ASK_AGAIN_S = 0.08
 
+# How long a VM may have done nothing before a word that it finds is too old to be
+# told on: it may have lain there all the time.
+ASLEEP_S = 0.5
+
 OnAsk = Callable[[AdapterAsk], Awaitable[bool]]
 
 
@@ -37,8 +42,11 @@
         describe: Callable[[str, int], PeerState],
         on_state: Callable[[PeerState], None],
         on_ask: OnAsk,
+        data_centre: str = "",
     ) -> None:
         self.address = address
+        self._data_centre = data_centre
+        self._awake_s = -1e9
         self._table = table
         self._clock = clock
         self._describe = describe
@@ -67,11 +75,19 @@
         # The selector loop's transport is none by type, only by its methods.
         self._transport = cast(asyncio.DatagramTransport, transport)
 
+    def note_awake(self) -> None:
+        """Note that this VM runs; to be called several times a second."""
+        self._awake_s = self._clock.monotonic_s()
+
     def datagram_received(self, data: bytes, _: tuple[str, int]) -> None:
         match decode(data):
             case PeerState() as state:
-                if self._table.take(state):
-                    self._on_state(state)
+                self._take(state)
+            case Onward() as onward:
+                self._tell_on(onward)
+                match decode(onward.word):
+                    case PeerState() as state:
+                        self._take(state.late_by(onward.late_s))
             case AdapterAsk() as ask:
                 # A question that was sent again while its answer is on its
                 # way must not be carried out twice at the same time.
@@ -83,6 +99,23 @@
                 if waiting is not None and not waiting.done():
                     waiting.set_result(reply.ready)
 
+    def _take(self, state: PeerState) -> None:
+        if self._table.take(state):
+            self._on_state(state)
+
+    def _tell_on(self, onward: Onward) -> None:
+        """Tell a holder's word to the rest of this data centre.
+
+        A VM that was frozen finds words that are older than they look. Told on as
+        they are, they would vouch for a time in which nobody looked.
+        """
+        slept_s = self._clock.monotonic_s() - self._awake_s
+        if not onward.to or slept_s > ASLEEP_S:
+            return
+        data = encode(Onward(word=onward.word, late_s=slept_s))
+        for address in onward.to:
+            self._send_data(data, address)
+
     async def run(self) -> None:
         """Tell the others this VM's state, for ever."""
         while True:
@@ -94,6 +127,11 @@
         self._number += 1
         state = self._describe(self.start, self._number)
         data = encode(state)
+        if state.term > 0 and self._table.crowded:
+            for peer, onward in self._table.ways(self._data_centre, rng=self._rng):
+                word = encode(Onward(word=data, to=onward)) if onward else data
+                self._send_data(word, peer.address)
+            return
         for peer in self._table.told(holding=state.term > 0, rng=self._rng):
             self._send_data(data, peer.address)
 
--- a/src/rosepath/peer_messages.py
+++ b/src/rosepath/peer_messages.py
@@ -3,7 +3,7 @@
 import json
 import zlib
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any, NamedTuple
 
 from rosepath.demand import ModelDemand
@@ -16,6 +16,7 @@
 # Stands for "not yet" where the time since something is told.
 NEVER_S = 1e6
 ZLIB_MARK = b"\x78"
+ONWARD_MARK = b"\x01"
 
 
 class Bequest(NamedTuple):
@@ -84,6 +85,14 @@
     totals: Mapping[str, PeerLoad] = field(default_factory=dict)
     arrivals: tuple[ModelArrival, ...] = ()
 
+    def late_by(self, late_s: float) -> "PeerState":
+        """Return this word as it vouches if it was on its way for longer."""
+        return replace(
+            self,
+            known_ago_s=self.known_ago_s + late_s,
+            configuration_known_ago_s=self.configuration_known_ago_s + late_s,
+        )
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class AdapterAsk:
@@ -105,11 +114,27 @@
     ready: bool
 
 
-Message = PeerState | AdapterAsk | AdapterReply
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Onward:
+    """Carry another VM's word by way of one of a data centre to the rest of it.
+
+    `to` are those whom its receiver tells; `late_s` is how long, at most, the word
+    lay with the VM that told it on.
+    """
+
+    word: bytes
+    to: tuple[str, ...] = ()
+    late_s: float = 0.0
+
+
+Message = PeerState | AdapterAsk | AdapterReply | Onward
 
 
 def encode(message: Message) -> bytes:
     """Encode a message for one datagram."""
+    if isinstance(message, Onward):
+        head = {"to": message.to, "l": round(message.late_s, 3)}
+        return ONWARD_MARK + json.dumps(head).encode() + b"\n" + message.word
     data = json.dumps(_raw(message), separators=(",", ":")).encode()
     return zlib.compress(data) if len(data) > COMPRESS_OVER_BYTES else data
 
@@ -117,6 +142,11 @@
 def decode(data: bytes) -> Message | None:
     """Decode a datagram; None if it is not one of ours."""
     try:
+        if data[:1] == ONWARD_MARK:
+            head, _, word = data[1:].partition(b"\n")
+            raw = json.loads(head)
+            to = tuple(map(str, raw["to"]))
+            return Onward(word=word, to=to, late_s=float(raw["l"]))
         if data[:1] == ZLIB_MARK:
             data = zlib.decompress(data)
         raw = json.loads(data)
@@ -139,7 +169,7 @@
     return None
 
 
-def _raw(message: Message) -> dict[str, Any]:
+def _raw(message: PeerState | AdapterAsk | AdapterReply) -> dict[str, Any]:
     if isinstance(message, AdapterAsk):
         return {
             "t": "ask",
--- a/src/rosepath/peer_table.py
+++ b/src/rosepath/peer_table.py
@@ -3,6 +3,7 @@
 import random
 from collections import OrderedDict
 from dataclasses import dataclass
+from typing import NamedTuple
 
 from rosepath.clock import Clock
 from rosepath.peer_messages import PeerState
@@ -13,6 +14,9 @@
 STATE_INTERVAL_S = 0.15
 CROWDED_INTERVAL_S = 0.8
 SAMPLED_VMS = 4
+# A holder in a crowd tells a data centre of its word by way of one VM there that
+# spoke this lately: a little over one interval, so that few of them are dead.
+WAY_HEARD_S = 1.0
 # After so many intervals without a datagram, a VM's load is no longer counted
 # and it is nobody's holder.
 SILENT_INTERVALS = 5.3
@@ -38,6 +42,13 @@
     known_s: float = 0.0
 
 
+class Way(NamedTuple):
+    """Name a VM that is told a word, and the addresses that it tells it on to."""
+
+    peer: Peer
+    onward: tuple[str, ...] = ()
+
+
 class PeerTable:
     """Hold every other entry VM by name.
 
@@ -133,6 +144,37 @@
         chosen = rng.sample(known, min(len(known), SAMPLED_VMS))
         return chosen if holder is None or holder in chosen else [holder, *chosen]
 
+    def ways(self, own: str, *, rng: random.Random) -> list[Way]:
+        """Return by which ways a holder in a crowd tells all others.
+
+        Told one by one, 200 VMs fill a slow holder's link several times over, and
+        nobody hears words that are young enough to go by. So one VM of each other
+        data centre tells the rest of it, another one with each word: one that is
+        dead or slow then costs its data centre a single word.
+        """
+        remembered = self._remembered()
+        ways: list[Way] = []
+        others: dict[str, list[Peer]] = {}
+        for peer in remembered:
+            if peer.state is None or peer.state.data_centre == own:
+                ways.append(Way(peer))
+            else:
+                others.setdefault(peer.state.data_centre, []).append(peer)
+        heard_s = self._clock.monotonic_s() - WAY_HEARD_S
+        for peers in others.values():
+            able = [
+                peer
+                for peer in peers
+                if peer.heard_s > heard_s and peer.state and not peer.state.stopping
+            ]
+            if not able:
+                ways += map(Way, peers)
+                continue
+            first = rng.choice(able)
+            onward = tuple(peer.address for peer in peers if peer is not first)
+            ways.append(Way(first, onward))
+        return ways
+
     def holder(self) -> Peer | None:
         """Return the VM that says it holds the lease, by the latest term."""
         return max(
--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -8,6 +8,7 @@
 import json
 import math
 import random
+from collections import Counter
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, field
 from typing import Any, cast
@@ -19,7 +20,7 @@
 
 from rosepath import entry_node, placement_coordinator
 from rosepath.catalog import RouteKind
-from rosepath.entry_node import EntryNode
+from rosepath.entry_node import LEASE_TICK_S, EntryNode
 from rosepath.errors import ExchangeError, Step
 from rosepath.http_client import Request, ResponseHead
 from rosepath.object_store import (
@@ -57,6 +58,9 @@
     # A VM that was cut from the store, or whose connections went silent, is
     # held to the drain time again so long after.
     contact_s: float = 3.0
+    data_centres: int = 1
+    # Datagrams sent by each VM.
+    sent: Counter[str] = field(default_factory=Counter)
     rng: random.Random = field(default_factory=lambda: random.Random(7))
     revision: int = 0
     objects: dict[str, StoredObject] = field(default_factory=dict)
@@ -224,7 +228,8 @@
         monkeypatch.setattr(
             entry_node, "PlatformStore", lambda *_, **__: View(self, name)
         )
-        settings = entry_settings(name).model_copy(
+        number = int(name.rpartition("-")[2]) % self.data_centres
+        settings = entry_settings(name, data_centre="abcdef"[number]).model_copy(
             update={
                 "drain_ms": self.drain_s * 1000,
                 "settle_ms": self.contact_s * 1000,
@@ -253,6 +258,7 @@
             node.exchange.link.run,
         ):
             self.tasks.append(asyncio.create_task(work(), name=name))
+        self.tasks.append(asyncio.create_task(self._stay_awake(name), name=name))
         self.tasks.append(asyncio.create_task(self._renew(name), name=name))
         self.tasks.append(asyncio.create_task(self._ask(name), name=name))
 
@@ -270,6 +276,11 @@
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
 
+    async def _stay_awake(self, name: str) -> None:
+        while True:
+            self.nodes[name].exchange.link.note_awake()
+            await asyncio.sleep(LEASE_TICK_S)
+
     async def _renew(self, name: str) -> None:
         # The holder's lease; its calls succeed or fail apart from its watches.
         while True:
@@ -319,7 +330,7 @@
     world: World
     vm: str
     last_success_s: float = -1e9
-    calls: dict[str, int] = field(default_factory=dict)
+    calls: Counter[str] = field(default_factory=Counter)
     # When the connection of its watches was made; -1 if there is none.
     connected_s: float = -1.0
 
@@ -386,7 +397,7 @@
         return self.world.down or self.vm in self.world.turned_away
 
     async def _call(self, what: str) -> None:
-        self.calls[what] = self.calls.get(what, 0) + 1
+        self.calls[what] += 1
         if self._away:
             await asyncio.sleep(CALL_LIMIT_S)
             raise StoreError("no answer in time", step=Step.STORE)
@@ -435,6 +446,7 @@
     vm: str
 
     def sendto(self, data: bytes, address: tuple[str, int]) -> None:
+        self.world.sent[self.vm] += 1
         node = self.world.nodes.get(f"vm-{address[1] - 1}")
         if node is None or self.world.rng.random() < self.world.lost_share:
             return
--- a/tests/test_leaving_servers.py
+++ b/tests/test_leaving_servers.py
@@ -33,6 +33,7 @@
     connect_s: float = 0.0,
     busy: bool = False,
     seed: int = 7,
+    data_centres: int = 1,
 ) -> list[tuple[float, str, str]]:
     """Return the requests that reached servers latest after their drain time."""
     vms, drain_s, contact_s = size
@@ -40,6 +41,7 @@
         drain_s=drain_s,
         contact_s=contact_s,
         connect_s=connect_s,
+        data_centres=data_centres,
         rng=random.Random(seed),
     )
 
@@ -222,3 +224,22 @@
         monkeypatch, size, course, servers=48, busy=True, connect_s=0.1, seed=seed
     )
     assert late == []
+
+
+@pytest.mark.parametrize("seed", [1, 2, 52])
+def test_servers_leave_while_words_go_by_way_of_others(
+    monkeypatch: pytest.MonkeyPatch, seed: int
+) -> None:
+    # In a crowd the holder's word reaches most VMs by way of another one of their
+    # data centre, which may be dead, cut off or lose it.
+    late = latest(
+        monkeypatch,
+        (26, 3.0, 4.0),
+        at_random,
+        servers=48,
+        busy=True,
+        connect_s=0.1,
+        seed=seed,
+        data_centres=3,
+    )
+    assert late == []
--- a/tests/test_peer_table.py
+++ b/tests/test_peer_table.py
@@ -1,11 +1,12 @@
 """Whom a VM tells its state, among few VMs and in a crowd."""
 
 import random
+from dataclasses import replace
 
 from entry_builders import a_peer_state
 
 from rosepath.clock import ManualClock
-from rosepath.peer_table import FEW_VMS, SAMPLED_VMS, PeerTable
+from rosepath.peer_table import FEW_VMS, SAMPLED_VMS, PeerTable, Way
 
 CROWD = 3 * FEW_VMS
 
@@ -44,3 +45,50 @@
 
 def test_the_holder_tells_all() -> None:
     assert len(told(a_table(CROWD), holding=True)) == CROWD
+
+
+def a_spread_table(clock: ManualClock) -> PeerTable:
+    """Return a crowd of which a third each is in data centres a, b and c."""
+    table = PeerTable("me", clock=clock)
+    for number in range(CROWD):
+        name, data_centre = f"vm-{number}", "abc"[number % 3]
+        state = replace(
+            a_peer_state(name, data_centre=data_centre), address=f"10.0.0.1:{number}"
+        )
+        table.take(state)
+    return table
+
+
+def reached(ways: list[Way]) -> list[str]:
+    """Return the addresses that hear a word, each as often as it does."""
+    return [address for way in ways for address in (way.peer.address, *way.onward)]
+
+
+def test_a_holders_word_goes_to_each_other_data_centre_once() -> None:
+    # Told one by one, 195 VMs were 20 Mbit/s on a holder's link of 10: words were
+    # lost, and all VMs went on watching the store for themselves.
+    table = a_spread_table(ManualClock())
+    ways = table.ways("a", rng=random.Random(1))
+    assert len(ways) == CROWD / 3 + 2
+    assert sorted(reached(ways)) == sorted(
+        peer.address for peer in table.peers.values()
+    )
+
+
+def test_each_word_takes_another_way() -> None:
+    # A VM that is dead or frozen must not keep a data centre from every word.
+    table, rng = a_spread_table(ManualClock()), random.Random(1)
+    firsts = {way.peer.name for _ in range(20) for way in table.ways("a", rng=rng)}
+    assert len(firsts) > CROWD / 3 + 10
+
+
+def test_a_word_goes_by_way_of_a_vm_that_spoke_lately() -> None:
+    clock = ManualClock()
+    table = a_spread_table(clock)
+    clock.advance(2.0)
+    state = replace(a_peer_state("vm-1", number=2, data_centre="b"), address="new:1")
+    table.take(state)
+    ways = [way for way in table.ways("a", rng=random.Random(1)) if way.onward]
+    # All of the third data centre are silent: each of them is told by itself.
+    assert [way.peer.name for way in ways] == ["vm-1"]
+    assert len(reached(table.ways("a", rng=random.Random(1)))) == CROWD
