--- a/src/rosepath/peer_link.py
+++ b/src/rosepath/peer_link.py
@@ -10,8 +10,8 @@
 from rosepath.peer_messages import (
     AdapterAsk,
     AdapterReply,
+    Forwarded,
     Message,
-    Onward,
     PeerState,
     decode,
     encode,
@@ -24,7 +24,7 @@
 ASK_AGAIN_S = 0.08
 
 # How long a VM may have done nothing before a word that it finds is too old to be
-# told on: it may have lain there all the time.
+# forwarded: it may have lain there all the time.
 ASLEEP_S = 0.5
 
 OnAsk = Callable[[AdapterAsk], Awaitable[bool]]
@@ -83,11 +83,11 @@
         match decode(data):
             case PeerState() as state:
                 self._take(state)
-            case Onward() as onward:
-                self._tell_on(onward)
-                match decode(onward.word):
+            case Forwarded() as forwarded:
+                self._forward(forwarded)
+                match decode(forwarded.word):
                     case PeerState() as state:
-                        self._take(state.late_by(onward.late_s))
+                        self._take(state.late_by(forwarded.late_s))
             case AdapterAsk() as ask:
                 # A question that was sent again while its answer is on its
                 # way must not be carried out twice at the same time.
@@ -103,17 +103,17 @@
         if self._table.take(state):
             self._on_state(state)
 
-    def _tell_on(self, onward: Onward) -> None:
-        """Tell a holder's word to the rest of this data centre.
+    def _forward(self, forwarded: Forwarded) -> None:
+        """Forward a holder's word to the rest of this data centre.
 
-        A VM that was frozen finds words that are older than they look. Told on as
-        they are, they would vouch for a time in which nobody looked.
+        A VM that was frozen finds words that are older than they look. Forwarded
+        as they are, they would vouch for a time in which nobody looked.
         """
         slept_s = self._clock.monotonic_s() - self._awake_s
-        if not onward.to or slept_s > ASLEEP_S:
+        if not forwarded.forward_to or slept_s > ASLEEP_S:
             return
-        data = encode(Onward(word=onward.word, late_s=slept_s))
-        for address in onward.to:
+        data = encode(Forwarded(word=forwarded.word, late_s=slept_s))
+        for address in forwarded.forward_to:
             self._send_data(data, address)
 
     async def run(self) -> None:
@@ -128,8 +128,12 @@
         state = self._describe(self.start, self._number)
         data = encode(state)
         if state.term > 0 and self._table.crowded:
-            for peer, onward in self._table.ways(self._data_centre, rng=self._rng):
-                word = encode(Onward(word=data, to=onward)) if onward else data
+            for peer, forward_to in self._table.hops(self._data_centre, rng=self._rng):
+                word = (
+                    encode(Forwarded(word=data, forward_to=forward_to))
+                    if forward_to
+                    else data
+                )
                 self._send_data(word, peer.address)
             return
         for peer in self._table.told(holding=state.term > 0, rng=self._rng):
--- a/src/rosepath/peer_messages.py
+++ b/src/rosepath/peer_messages.py
@@ -16,7 +16,7 @@
 # Stands for "not yet" where the time since something is told.
 NEVER_S = 1e6
 ZLIB_MARK = b"\x78"
-ONWARD_MARK = b"\x01"
+FORWARDED_MARK = b"\x01"
 
 
 class Bequest(NamedTuple):
@@ -115,26 +115,26 @@
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class Onward:
-    """Carry another VM's word by way of one of a data centre to the rest of it.
+class Forwarded:
+    """Carry another VM's word by way of a VM that forwards it.
 
-    `to` are those whom its receiver tells; `late_s` is how long, at most, the word
-    lay with the VM that told it on.
+    `forward_to` are the addresses to which its receiver forwards it; `late_s` is
+    how long, at most, the word lay with the VM that forwarded it.
     """
 
     word: bytes
-    to: tuple[str, ...] = ()
+    forward_to: tuple[str, ...] = ()
     late_s: float = 0.0
 
 
-Message = PeerState | AdapterAsk | AdapterReply | Onward
+Message = PeerState | AdapterAsk | AdapterReply | Forwarded
 
 
 def encode(message: Message) -> bytes:
     """Encode a message for one datagram."""
-    if isinstance(message, Onward):
-        head = {"to": message.to, "l": round(message.late_s, 3)}
-        return ONWARD_MARK + json.dumps(head).encode() + b"\n" + message.word
+    if isinstance(message, Forwarded):
+        head = {"to": message.forward_to, "l": round(message.late_s, 3)}
+        return FORWARDED_MARK + json.dumps(head).encode() + b"\n" + message.word
     data = json.dumps(_raw(message), separators=(",", ":")).encode()
     return zlib.compress(data) if len(data) > COMPRESS_OVER_BYTES else data
 
@@ -142,11 +142,11 @@
 def decode(data: bytes) -> Message | None:
     """Decode a datagram; None if it is not one of ours."""
     try:
-        if data[:1] == ONWARD_MARK:
+        if data[:1] == FORWARDED_MARK:
             head, _, word = data[1:].partition(b"\n")
             raw = json.loads(head)
             to = tuple(map(str, raw["to"]))
-            return Onward(word=word, to=to, late_s=float(raw["l"]))
+            return Forwarded(word=word, forward_to=to, late_s=float(raw["l"]))
         if data[:1] == ZLIB_MARK:
             data = zlib.decompress(data)
         raw = json.loads(data)
--- a/src/rosepath/peer_table.py
+++ b/src/rosepath/peer_table.py
@@ -14,9 +14,9 @@
 STATE_INTERVAL_S = 0.15
 CROWDED_INTERVAL_S = 0.8
 SAMPLED_VMS = 4
-# A holder in a crowd tells a data centre of its word by way of one VM there that
+# A holder in a crowd has its word forwarded in a data centre by a VM there that
 # spoke this lately: a little over one interval, so that few of them are dead.
-WAY_HEARD_S = 1.0
+FORWARDER_HEARD_S = 1.0
 # After so many intervals without a datagram, a VM's load is no longer counted
 # and it is nobody's holder.
 SILENT_INTERVALS = 5.3
@@ -42,11 +42,11 @@
     known_s: float = 0.0
 
 
-class Way(NamedTuple):
-    """Name a VM that is told a word, and the addresses that it tells it on to."""
+class Hop(NamedTuple):
+    """Name a VM that is sent a word, and the addresses to which it forwards it."""
 
     peer: Peer
-    onward: tuple[str, ...] = ()
+    forward_to: tuple[str, ...] = ()
 
 
 class PeerTable:
@@ -144,23 +144,23 @@
         chosen = rng.sample(known, min(len(known), SAMPLED_VMS))
         return chosen if holder is None or holder in chosen else [holder, *chosen]
 
-    def ways(self, own: str, *, rng: random.Random) -> list[Way]:
-        """Return by which ways a holder in a crowd tells all others.
+    def hops(self, own: str, *, rng: random.Random) -> list[Hop]:
+        """Return by which hops a holder in a crowd tells all others.
 
         Told one by one, 200 VMs fill a slow holder's link several times over, and
         nobody hears words that are young enough to go by. So one VM of each other
-        data centre tells the rest of it, another one with each word: one that is
-        dead or slow then costs its data centre a single word.
+        data centre forwards it to the rest there, another one with each word: one
+        that is dead or slow then costs its data centre a single word.
         """
         remembered = self._remembered()
-        ways: list[Way] = []
+        hops: list[Hop] = []
         others: dict[str, list[Peer]] = {}
         for peer in remembered:
             if peer.state is None or peer.state.data_centre == own:
-                ways.append(Way(peer))
+                hops.append(Hop(peer))
             else:
                 others.setdefault(peer.state.data_centre, []).append(peer)
-        heard_s = self._clock.monotonic_s() - WAY_HEARD_S
+        heard_s = self._clock.monotonic_s() - FORWARDER_HEARD_S
         for peers in others.values():
             able = [
                 peer
@@ -168,12 +168,12 @@
                 if peer.heard_s > heard_s and peer.state and not peer.state.stopping
             ]
             if not able:
-                ways += map(Way, peers)
+                hops += map(Hop, peers)
                 continue
             first = rng.choice(able)
-            onward = tuple(peer.address for peer in peers if peer is not first)
-            ways.append(Way(first, onward))
-        return ways
+            forward_to = tuple(peer.address for peer in peers if peer is not first)
+            hops.append(Hop(first, forward_to))
+        return hops
 
     def holder(self) -> Peer | None:
         """Return the VM that says it holds the lease, by the latest term."""
--- a/tests/test_peer_link.py
+++ b/tests/test_peer_link.py
@@ -1,4 +1,4 @@
-"""How a holder's word is told on inside a data centre."""
+"""How a holder's word is forwarded inside a data centre."""
 
 from dataclasses import replace
 from typing import Any, cast
@@ -10,7 +10,7 @@
 from rosepath.clock import ManualClock
 from rosepath.peer_exchange import PeerExchange
 from rosepath.peer_link import ASLEEP_S
-from rosepath.peer_messages import Message, Onward, PeerState, decode, encode
+from rosepath.peer_messages import Forwarded, Message, PeerState, decode, encode
 
 
 class Sent:
@@ -43,16 +43,16 @@
     return exchange, sent
 
 
-def test_a_word_is_told_on_with_how_long_it_may_have_lain_here(
+def test_a_word_is_forwarded_with_how_long_it_may_have_lain_here(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     clock = ManualClock()
     exchange, sent = a_link(clock, monkeypatch)
     exchange.link.note_awake()
     clock.advance(0.15)
-    onward = Onward(word=a_word(), to=("10.0.0.1:7", "10.0.0.2:7"))
-    exchange.link.datagram_received(encode(onward), ("", 0))
-    expected = Onward(word=a_word(), late_s=0.15)
+    forwarded = Forwarded(word=a_word(), forward_to=("10.0.0.1:7", "10.0.0.2:7"))
+    exchange.link.datagram_received(encode(forwarded), ("", 0))
+    expected = Forwarded(word=a_word(), late_s=0.15)
     assert sent.messages == [
         (expected, ("10.0.0.1", 7)),
         (expected, ("10.0.0.2", 7)),
@@ -61,37 +61,39 @@
     assert exchange.peers.heard_holder() == ("s1", 1)
 
 
-def test_a_word_that_was_told_on_vouches_for_no_more_than_it_may(
+def test_a_word_that_was_forwarded_vouches_for_no_more_than_it_may(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     exchange, sent = a_link(ManualClock(), monkeypatch)
     exchange._tables.servers_feed.age.note_look(999.0)
-    exchange.link.datagram_received(encode(Onward(word=a_word(), late_s=0.4)), ("", 0))
+    exchange.link.datagram_received(
+        encode(Forwarded(word=a_word(), late_s=0.4)), ("", 0)
+    )
     assert sent.messages == []
     assert exchange._tables.servers_feed.age.told_age_s == pytest.approx(0.6)
     assert exchange._tables.catalog_feed.age.told_age_s == pytest.approx(0.7)
 
 
-def test_a_vm_that_was_frozen_tells_no_word_on(
+def test_a_vm_that_was_frozen_forwards_no_word(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    # It wakes and finds a word that lay in its socket for seconds. Told on as it
+    # It wakes and finds a word that lay in its socket for seconds. Forwarded as it
     # is, a data centre would go by a table for which nobody vouches, and send
     # requests to a server that left meanwhile.
     clock = ManualClock()
     exchange, sent = a_link(clock, monkeypatch)
     exchange.link.note_awake()
     clock.advance(ASLEEP_S + 2.0)
-    onward = Onward(word=a_word(), to=("10.0.0.1:7",))
-    exchange.link.datagram_received(encode(onward), ("", 0))
+    forwarded = Forwarded(word=a_word(), forward_to=("10.0.0.1:7",))
+    exchange.link.datagram_received(encode(forwarded), ("", 0))
     assert sent.messages == []
 
 
-def test_no_word_inside_a_word_is_told_on(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_no_word_inside_a_word_is_forwarded(monkeypatch: pytest.MonkeyPatch) -> None:
     exchange, sent = a_link(ManualClock(), monkeypatch)
     exchange.link.note_awake()
-    inner = encode(Onward(word=a_word(), to=("10.0.0.1:7",)))
-    exchange.link.datagram_received(encode(Onward(word=inner)), ("", 0))
+    inner = encode(Forwarded(word=a_word(), forward_to=("10.0.0.1:7",)))
+    exchange.link.datagram_received(encode(Forwarded(word=inner)), ("", 0))
     assert sent.messages == [] and not exchange.peers.heard_holder()[0]
 
 
@@ -101,6 +103,6 @@
 
 
 def test_a_word_and_its_way_survive_the_wire() -> None:
-    onward = Onward(word=a_word(), to=("10.0.0.1:7",), late_s=0.25)
-    assert decode(encode(onward)) == onward
-    assert isinstance(decode(onward.word), PeerState)
+    forwarded = Forwarded(word=a_word(), forward_to=("10.0.0.1:7",), late_s=0.25)
+    assert decode(encode(forwarded)) == forwarded
+    assert isinstance(decode(forwarded.word), PeerState)
--- a/tests/test_peer_table.py
+++ b/tests/test_peer_table.py
@@ -6,7 +6,7 @@
 from entry_builders import a_peer_state
 
 from rosepath.clock import ManualClock
-from rosepath.peer_table import FEW_VMS, SAMPLED_VMS, PeerTable, Way
+from rosepath.peer_table import FEW_VMS, SAMPLED_VMS, Hop, PeerTable
 
 CROWD = 3 * FEW_VMS
 
@@ -59,18 +59,18 @@
     return table
 
 
-def reached(ways: list[Way]) -> list[str]:
+def reached(hops: list[Hop]) -> list[str]:
     """Return the addresses that hear a word, each as often as it does."""
-    return [address for way in ways for address in (way.peer.address, *way.onward)]
+    return [address for hop in hops for address in (hop.peer.address, *hop.forward_to)]
 
 
 def test_a_holders_word_goes_to_each_other_data_centre_once() -> None:
     # Told one by one, 195 VMs were 20 Mbit/s on a holder's link of 10: words were
     # lost, and all VMs went on watching the store for themselves.
     table = a_spread_table(ManualClock())
-    ways = table.ways("a", rng=random.Random(1))
-    assert len(ways) == CROWD / 3 + 2
-    assert sorted(reached(ways)) == sorted(
+    hops = table.hops("a", rng=random.Random(1))
+    assert len(hops) == CROWD / 3 + 2
+    assert sorted(reached(hops)) == sorted(
         peer.address for peer in table.peers.values()
     )
 
@@ -78,7 +78,7 @@
 def test_each_word_takes_another_way() -> None:
     # A VM that is dead or frozen must not keep a data centre from every word.
     table, rng = a_spread_table(ManualClock()), random.Random(1)
-    firsts = {way.peer.name for _ in range(20) for way in table.ways("a", rng=rng)}
+    firsts = {hop.peer.name for _ in range(20) for hop in table.hops("a", rng=rng)}
     assert len(firsts) > CROWD / 3 + 10
 
 
@@ -88,7 +88,7 @@
     clock.advance(2.0)
     state = replace(a_peer_state("vm-1", number=2, data_centre="b"), address="new:1")
     table.take(state)
-    ways = [way for way in table.ways("a", rng=random.Random(1)) if way.onward]
+    hops = [hop for hop in table.hops("a", rng=random.Random(1)) if hop.forward_to]
     # All of the third data centre are silent: each of them is told by itself.
-    assert [way.peer.name for way in ways] == ["vm-1"]
-    assert len(reached(table.ways("a", rng=random.Random(1)))) == CROWD
+    assert [hop.peer.name for hop in hops] == ["vm-1"]
+    assert len(reached(table.hops("a", rng=random.Random(1)))) == CROWD
