Count how long a word may have lain with its forwarder on the boot clock

Cause: found reading the change: a machine that is suspended wakes with its steady clock where it was, so that its VM took itself for awake all the time and forwarded a word that may be seconds old as if it were fresh. All VMs of its data centre would have gone by it.

Change: the link counts on the boot clock, as tables' ages do. The test is red before (1 failed, 10 passed) and green now.

--- a/src/rosepath/entry_node.py
+++ b/src/rosepath/entry_node.py
@@ -128,6 +128,7 @@
             peers=self.peers,
             coordinator=self.coordinator,
             stopping=lambda: self.stopping,
+            boot_clock=BootClock(),
         )
         self.isolation = Isolation(
             settings.data_centre,
--- a/src/rosepath/peer_exchange.py
+++ b/src/rosepath/peer_exchange.py
@@ -56,6 +56,7 @@
         peers: PeerTable,
         coordinator: PlacementCoordinator,
         stopping: Callable[[], bool],
+        boot_clock: Clock | None = None,
     ) -> None:
         self._me = entry_vm
         self._data_centre = data_centre
@@ -75,6 +76,7 @@
             on_state=self._peer_spoke,
             on_ask=coordinator.answer,
             data_centre=data_centre,
+            boot_clock=boot_clock,
         )
         coordinator.link = self.link
 
--- a/src/rosepath/peer_link.py
+++ b/src/rosepath/peer_link.py
@@ -43,9 +43,12 @@
         on_state: Callable[[PeerState], None],
         on_ask: OnAsk,
         data_centre: str = "",
+        boot_clock: Clock | None = None,
     ) -> None:
         self.address = address
         self._data_centre = data_centre
+        # Counts the time that the machine was suspended, too.
+        self._boot = boot_clock or clock
         self._awake_s = -1e9
         self._table = table
         self._clock = clock
@@ -77,7 +80,7 @@
 
     def note_awake(self) -> None:
         """Note that this VM runs; to be called several times a second."""
-        self._awake_s = self._clock.monotonic_s()
+        self._awake_s = self._boot.monotonic_s()
 
     def datagram_received(self, data: bytes, _: tuple[str, int]) -> None:
         match decode(data):
@@ -106,10 +109,10 @@
     def _forward(self, forwarded: Forwarded) -> None:
         """Forward a holder's word to the rest of this data centre.
 
-        A VM that was frozen finds words that are older than they look. Forwarded
-        as they are, they would vouch for a time in which nobody looked.
+        A VM that was frozen or suspended finds words that are older than they look.
+        Forwarded as they are, they would vouch for a time in which nobody looked.
         """
-        slept_s = self._clock.monotonic_s() - self._awake_s
+        slept_s = self._boot.monotonic_s() - self._awake_s
         if not forwarded.forward_to or slept_s > ASLEEP_S:
             return
         data = encode(Forwarded(word=forwarded.word, late_s=slept_s))
--- a/tests/test_peer_link.py
+++ b/tests/test_peer_link.py
@@ -89,6 +89,20 @@
     assert sent.messages == []
 
 
+def test_a_vm_whose_machine_was_suspended_forwards_no_word(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # The steady clock stands still meanwhile: by it the VM never slept.
+    boot_clock = ManualClock()
+    exchange, sent = a_link(ManualClock(), monkeypatch)
+    exchange.link._boot = boot_clock
+    exchange.link.note_awake()
+    boot_clock.advance(5.0)
+    forwarded = Forwarded(word=a_word(), forward_to=("10.0.0.1:7",))
+    exchange.link.datagram_received(encode(forwarded), ("", 0))
+    assert sent.messages == []
+
+
 def test_no_word_inside_a_word_is_forwarded(monkeypatch: pytest.MonkeyPatch) -> None:
     exchange, sent = a_link(ManualClock(), monkeypatch)
     exchange.link.note_awake()
