--- a/src/rosepath/entry_node.py
+++ b/src/rosepath/entry_node.py
@@ -311,7 +311,8 @@
             bound_s=bound_s,
             crowded=self._one_of_many,
             told_age_s=told_age_s,
-            words_every_s=self.peers.interval_s,
+            # Only the holder's watches stand for those of others.
+            words_every_s=self.peers.interval_s if self.coordinator.term else 0.0,
         )
 
     def _catalog_taken(self, catalog: Catalog) -> None:
--- a/tests/test_entry_node.py
+++ b/tests/test_entry_node.py
@@ -6,6 +6,7 @@
 from virtual_time import VirtualLoop
 
 from rosepath.entry_node import NO_PLAN_TICK_S, PLAN_TICK_S, EntryNode
+from rosepath.store_pace import WAIT_SHARE, catalog_pace
 
 
 def plans(*, holds: bool, begins_at_s: float, until_s: float) -> list[float]:
@@ -54,3 +55,17 @@
     first = at_s.index(3.25)
     assert at_s[first + 1] - at_s[first] <= PLAN_TICK_S + 1e-6
     assert max(at_s[:first]) > 3.25 - NO_PLAN_TICK_S
+
+
+def test_who_is_told_nothing_watches_no_closer_for_having_told_nothing() -> None:
+    # Only the holder's watches stand for those of others, and leave room for a
+    # word to be missed; without a holder, all of a crowd watched twice as often.
+    node = EntryNode(entry_settings("vm"))
+    for number in range(40):
+        node.peers.learn(f"vm-{number}", f"10.0.0.1:{number}")
+    feed, bound_s = node.tables.catalog_feed, 3.0
+    other_s = catalog_pace(node._following(feed, bound_s)).wait_s
+    node.coordinator.leases.valid = lambda *_, **__: True  # type: ignore[method-assign]
+    node.coordinator.leases.fence = lambda _: 1  # type: ignore[method-assign]
+    holder_s = catalog_pace(node._following(feed, bound_s)).wait_s
+    assert holder_s < other_s == WAIT_SHARE * bound_s
