--- a/src/rosepath/peer_table.py
+++ b/src/rosepath/peer_table.py
@@ -63,9 +63,7 @@
         self.peers: dict[str, Peer] = {}
         # Whom the lease names, who may not have heard of this VM yet.
         self.named_holder = ""
-        # Who spoke lately, the longest silent first.
-        self._heard: OrderedDict[str, Peer] = OrderedDict()
-        # The same of those that don't stop, by data centre, for ever.
+        # Those that don't stop, by data centre, the longest silent first.
         self._serving: dict[str, OrderedDict[str, Peer]] = {}
         # Who said last that it holds the lease.
         self._claiming: dict[str, Peer] = {}
@@ -102,7 +100,6 @@
 
     def _remember(self, peer: Peer, state: PeerState) -> None:
         """Note what a VM's latest word makes true, behind all earlier words."""
-        self._heard[peer.name] = peer
         if not state.stopping:
             serving = self._serving.setdefault(state.data_centre, OrderedDict())
             serving[peer.name] = peer
@@ -111,7 +108,6 @@
 
     def _forget(self, peer: Peer) -> None:
         """Take back what the word before made true."""
-        self._heard.pop(peer.name, None)
         self._claiming.pop(peer.name, None)
         if peer.state is not None:
             serving = self._serving.get(peer.state.data_centre)
@@ -121,14 +117,12 @@
                 self._serving.pop(peer.state.data_centre, None)
 
     def live(self) -> list[Peer]:
-        """Return the VMs that spoke lately."""
-        limit_s = self._clock.monotonic_s() - self._silent_s
-        lately: list[Peer] = []
-        for peer in reversed(self._heard.values()):
-            if peer.heard_s <= limit_s:
-                break
-            lately.append(peer)
-        return lately
+        """Return the VMs that spoke lately, always in the same order.
+
+        In the order heard, sums of what they tell would differ in their last bits
+        from one to the next, and plans that weigh like with like would waver.
+        """
+        return [peer for peer in self.peers.values() if self._live(peer)]
 
     @property
     def crowded(self) -> bool:
--- a/tests/test_peer_table.py
+++ b/tests/test_peer_table.py
@@ -92,3 +92,12 @@
     # All of the third data centre are silent: each of them is told by itself.
     assert [hop.peer.name for hop in hops] == ["vm-1"]
     assert len(reached(table.hops("a", rng=random.Random(1)))) == CROWD
+
+
+def test_live_vms_stay_in_one_order_whoever_spoke_last() -> None:
+    # Added up in the order heard, the same demand came to other last bits at each
+    # plan, which chose among like swaps by them.
+    table = a_spread_table(ManualClock())
+    before = [peer.name for peer in table.live()]
+    table.take(a_peer_state("vm-5", number=2, data_centre="c"))
+    assert [peer.name for peer in table.live()] == before
