Say in PeerTable what is noted as words come, since live() looks again

A docstring only: it still told of the order of all who speak, which the change before took out. Formatter, linter and the tests of the table, the work a word and the link pass; behaviour is as it was.

--- a/src/rosepath/peer_table.py
+++ b/src/rosepath/peer_table.py
@@ -54,7 +54,8 @@
 
     Each datagram asks who holds the lease and who is silent. Were all VMs looked
     through for that, the work of a fleet would grow with the cube of its size:
-    those that speak are kept in the order in which they were heard last.
+    who claims the lease, and who serves in each data centre in the order in which
+    they were heard, is noted as each word comes.
     """
 
     def __init__(self, me: str, *, clock: Clock) -> None:
