Log what stood against another try, and how long its server had done nothing

An operator who reads that a stream was cut after one try could not tell whether its route, its time or the retry budget forbade the next, nor whether the silent engine was dead or only full. request_refused now carries the obstacle and what is left of this VM's part of the budget; try_failed how long ago the server last moved any request of this VM. judge() is built on the function that names the obstacle, so that there is one list of them. Behaviour is as it was.

Tests: the obstacles by name, and a refusal's line over the whole relay.

--- a/src/rosepath/fleet.py
+++ b/src/rosepath/fleet.py
@@ -79,6 +79,8 @@
     peers: dict[str, PeerLoad] = field(default_factory=dict)
     failures: int = 0
     suspect_until_s: float = 0.0
+    # When it last made progress on any request of this VM.
+    moved_s: float | None = None
     # Until when it counts as down: no connection to it came about lately.
     down_until_s: float = -1e9
     unreached_s: float = -1e9
@@ -102,6 +104,10 @@
         """Tell whether new work may be sent there."""
         return not self.left and not self.entry.draining
 
+    def moved_ago_s(self, now_s: float) -> float | None:
+        """Return how long it has done nothing for this VM, None if it never did."""
+        return None if self.moved_s is None else round(now_s - self.moved_s, 3)
+
     @property
     def requests(self) -> int:
         """Return the requests that all entry VMs have there."""
--- a/src/rosepath/relay.py
+++ b/src/rosepath/relay.py
@@ -16,7 +16,7 @@
 from rosepath.logs import get_logger
 from rosepath.platform.calls import answer_headers, decode_call, refusal_headers
 from rosepath.request_context import RETRY_AFTER_S, RelayPorts, RequestContext
-from rosepath.retries import Attempt, Evidence, Verdict, judge
+from rosepath.retries import Attempt, Evidence, Obstacle, find_obstacle
 from rosepath.retry_window import RetryWindow
 from rosepath.server_choice import (
     note_error,
@@ -136,6 +136,7 @@
                 continue
             finally:
                 server.flights.pop(context.call.request_id, None)
+            server.moved_s = self._now_s()
             failed = not answer.success
             if failed and self._try_again_after(context, server, answer):
                 continue
@@ -166,14 +167,17 @@
             # passed on, and to end the stream would make it look whole.
             self._judge(context, error)
             return True
-        again = judge(self._as_attempt(context, error), self._budget(context))
-        return again is not Verdict.GIVE_UP
+        context.obstacle = find_obstacle(
+            self._as_attempt(context, error), self._budget(context)
+        )
+        return context.obstacle is None
 
     async def _try(
         self, context: RequestContext, server: BackendServer, flight: Flight
     ) -> Answer:
         def on_events(head: ResponseHead, events: bytes) -> Awaitable[None] | None:
-            context.note_events(now_s=self._now_s())
+            server.moved_s = self._now_s()
+            context.note_events(now_s=server.moved_s)
             flight.unread_tokens = 0
             if not context.exchange.begun:
                 context.exchange.begin(head.status, answer_headers(head.headers))
@@ -239,6 +243,7 @@
             why=error.message,
             evidence=error.evidence.value,
             tries=len(context.seen),
+            moved_ago_s=server.moved_ago_s(self._now_s()),
         )
         if error.withdrawn:
             # The server did nothing wrong; if it left, the fleet says so.
@@ -270,9 +275,14 @@
 
     def _judge(self, context: RequestContext, error: AttemptError) -> None:
         """Return if the request may be tried again; raises RefusalError."""
-        verdict = judge(self._as_attempt(context, error), self._budget(context))
-        if verdict is not Verdict.GIVE_UP and context.arrivals < MAX_TRIES:
+        obstacle = find_obstacle(
+            self._as_attempt(context, error), self._budget(context)
+        )
+        if obstacle is None and context.arrivals >= MAX_TRIES:
+            obstacle = Obstacle.TOO_MANY_REFUSALS
+        if obstacle is None:
             return
+        context.obstacle = obstacle
         if context.not_run:
             raise refuse(
                 503,
@@ -336,6 +346,8 @@
             tries=len(context.seen),
             age_s=round(self._now_s() - context.call.arrived_s, 3),
             cut=cut,
+            obstacle=context.obstacle,
+            repeats_left=round(self._budget(context).left, 1),
         )
 
     @staticmethod
--- a/src/rosepath/request_context.py
+++ b/src/rosepath/request_context.py
@@ -14,7 +14,7 @@
 from rosepath.fleet import BackendServer, Fleet
 from rosepath.gateway import CallerExchange
 from rosepath.prompt_caches import PromptCaches
-from rosepath.retries import Evidence
+from rosepath.retries import Evidence, Obstacle
 from rosepath.retry_window import RetryWindow
 
 # When a caller may come back after a refusal: swaps and restarts are over by
@@ -87,6 +87,8 @@
     unread_tokens: int = 0
     predicted_s: float = 0.0
     answered_by: str = ""
+    # What stood against another try, once one was wanted.
+    obstacle: Obstacle | None = None
 
     def note_events(self, *, now_s: float) -> None:
         """Note that events came, and how long the stream stood still before."""
--- a/src/rosepath/retries.py
+++ b/src/rosepath/retries.py
@@ -55,6 +55,17 @@
     GIVE_UP = "give_up"
 
 
+class Obstacle(StrEnum):
+    """Say what stands against another attempt."""
+
+    ATTEMPTS_USED = "attempts_used"
+    OUT_OF_TIME = "out_of_time"
+    NOT_IDEMPOTENT = "not_idempotent"
+    NOT_RESUMABLE = "not_resumable"
+    BUDGET_SPENT = "budget_spent"
+    TOO_MANY_REFUSALS = "too_many_refusals"
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Attempt:
     """Describe a failed attempt as far as the verdict depends on it."""
@@ -67,16 +78,25 @@
     left_s: float
 
 
-def judge(attempt: Attempt, budget: Budget) -> Verdict:
-    """Decide whether to try again; spends the budget if it says so."""
-    if attempt.attempts >= attempt.max_attempts or attempt.left_s <= 0:
-        return Verdict.GIVE_UP
+def find_obstacle(attempt: Attempt, budget: Budget) -> Obstacle | None:
+    """Return what stands against another try; spends the budget if nothing does."""
+    if attempt.attempts >= attempt.max_attempts:
+        return Obstacle.ATTEMPTS_USED
+    if attempt.left_s <= 0:
+        return Obstacle.OUT_OF_TIME
     proven_not_run = attempt.evidence in (Evidence.NOT_SENT, Evidence.REFUSED)
     if not proven_not_run and not attempt.idempotent:
-        return Verdict.GIVE_UP
+        return Obstacle.NOT_IDEMPOTENT
     if attempt.evidence is Evidence.ANSWER_BEGUN and not attempt.resumable:
-        return Verdict.GIVE_UP
+        return Obstacle.NOT_RESUMABLE
     if attempt.evidence is not Evidence.NOT_SENT and not budget.spend():
+        return Obstacle.BUDGET_SPENT
+    return None
+
+
+def judge(attempt: Attempt, budget: Budget) -> Verdict:
+    """Decide whether to try again; spends the budget if it says so."""
+    if find_obstacle(attempt, budget) is not None:
         return Verdict.GIVE_UP
     if attempt.evidence is Evidence.ANSWER_BEGUN:
         return Verdict.RESUME
--- a/src/rosepath/retry_window.py
+++ b/src/rosepath/retry_window.py
@@ -32,12 +32,17 @@
 
     def spend(self) -> bool:
         """Take one repeat, or return False."""
-        now_s = self.clock.monotonic_s()
+        if self.left < 1:
+            return False
+        self._repeats.append(self.clock.monotonic_s())
+        return True
+
+    @property
+    def left(self) -> float:
+        """Return how many repeats may be made now."""
+        old_s = self.clock.monotonic_s() - self.window_s
         for times in (self._requests, self._repeats):
-            while times and times[0] < now_s - self.window_s:
+            while times and times[0] < old_s:
                 times.popleft()
         allowed = self.ratio * len(self._requests) + SLACK_USED * self.slack / self.vms
-        if len(self._repeats) + 1 > allowed:
-            return False
-        self._repeats.append(now_s)
-        return True
+        return allowed - len(self._repeats)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -17,6 +17,7 @@
     request,
     stream_head,
 )
+from structlog.testing import capture_logs
 
 from rosepath.catalog import HostRoute, RouteKind
 from rosepath.relay import MAX_TRIES
@@ -112,6 +113,19 @@
     asyncio.run(run())
 
 
+def test_the_log_says_what_stood_against_another_try() -> None:
+    async def run() -> None:
+        route = a_plain_route(RouteKind.NON_IDEMPOTENT)
+        async with entry(Scripted("s1", refuses), route=route, slack=0.0) as node:
+            await node.ask(FILE, b"claim")
+
+    with capture_logs() as lines:
+        asyncio.run(run())
+    refused = next(line for line in lines if line["event"] == "request_refused")
+    assert refused["obstacle"] == "budget_spent"
+    assert refused["repeats_left"] < 1
+
+
 def test_an_idempotent_request_goes_elsewhere_after_an_error() -> None:
     async def run() -> None:
         servers = Scripted("s1", fails), Scripted("s2", answers)
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -6,8 +6,10 @@
 from rosepath.retries import (
     Attempt,
     Evidence,
+    Obstacle,
     RetryBudget,
     Verdict,
+    find_obstacle,
     judge,
     run_of,
     worst_evidence,
@@ -64,3 +66,25 @@
     many = attempt(Evidence.NOT_SENT, attempts=4)
     assert judge(late, RetryBudget()) is Verdict.GIVE_UP
     assert judge(many, RetryBudget()) is Verdict.GIVE_UP
+
+
+def test_what_stands_against_another_try_is_named() -> None:
+    # An operator who reads that a stream was cut must learn whether its route,
+    # its time or the retry budget forbade the next try.
+    spent = RetryBudget(balance=0.0)
+    named = [
+        find_obstacle(attempt(Evidence.SENT, attempts=4), RetryBudget()),
+        find_obstacle(attempt(Evidence.SENT, left_s=0.0), RetryBudget()),
+        find_obstacle(attempt(Evidence.SENT, idempotent=False), RetryBudget()),
+        find_obstacle(attempt(Evidence.ANSWER_BEGUN, resumable=False), RetryBudget()),
+        find_obstacle(attempt(Evidence.ANSWER_BEGUN), spent),
+        find_obstacle(attempt(Evidence.ANSWER_BEGUN), RetryBudget()),
+    ]
+    assert named == [
+        Obstacle.ATTEMPTS_USED,
+        Obstacle.OUT_OF_TIME,
+        Obstacle.NOT_IDEMPOTENT,
+        Obstacle.NOT_RESUMABLE,
+        Obstacle.BUDGET_SPENT,
+        None,
+    ]
