Land tests of requests that leave a silent server before asking, which fail

Callers saw drafts cut in the middle 1.4 s after their first token, and look-ups answered 502 while their server worked. The tests bring it about without a network, in virtual time, through relay, attempt and pool: an engine sets a stream aside for four seconds while no retry is left, or no other engine has room, or while it moves its other streams; an engine dies as the others are full, or as the budget is spent.

--- /dev/null
+++ b/tests/test_silent_servers.py
@@ -0,0 +1,243 @@
+"""Whether a request leaves a server that stands still, and what it then costs.
+
+A full engine sets requests aside for seconds while it serves others; a dead one
+sends nothing to anybody. A request that is broken off before it is known that
+another server may and can go on with it is lost to its caller, although its
+server was at work.
+"""
+
+import asyncio
+
+from entry_builders import a_route, an_entry
+from entry_harness import Asked
+from timed_engines import (
+    LOST,
+    Caller,
+    Engine,
+    Site,
+    Timetable,
+    a_site,
+    answers,
+    asks,
+    refuses,
+    run,
+    streams,
+)
+
+from rosepath.catalog import RouteKind
+from rosepath.fleet import PeerLoad
+
+
+def sets_aside(asked: Asked) -> Timetable:
+    """Send two events, stand still for four seconds, and send the rest."""
+    return streams(asked, 0.05, 0.3, 4.3, until=8)
+
+
+def goes_dark(asked: Asked) -> Timetable:
+    """Send two events and nothing after them, with the connection open."""
+    return streams(asked, 0.05, 0.3, until=2, ends=False)
+
+
+def breaks(asked: Asked) -> Timetable:
+    """Send two events and lose the connection."""
+    return [*streams(asked, 0.05, 0.3, until=2, ends=False), (0.4, LOST)]
+
+
+def goes_on(asked: Asked) -> Timetable:
+    return streams(asked, until=8)
+
+
+def only_first_is_set_aside(asked: Asked) -> Timetable:
+    if asked.request_id == "q1":
+        return sets_aside(asked)
+    return streams(asked, *(0.05 * number for number in range(1, 80)), until=79)
+
+
+def add(site: Site, engine: Engine) -> None:
+    """Let another engine come up."""
+    site.engines[engine.address] = engine
+    site.fleet.put(an_entry(engine.name, address=engine.address))
+
+
+def fill(site: Site, name: str) -> None:
+    """Let all places of an engine be taken by other entry VMs."""
+    server = site.fleet.servers[name]
+    server.peers["vm-9"] = PeerLoad(requests=server.entry.slots)
+
+
+def heard_whole(caller: Caller) -> bool:
+    return caller.whole and not caller.cut and caller.events == 8
+
+
+def test_a_stream_is_not_broken_off_when_no_retry_is_left() -> None:
+    # An engine under a crowd sets a stream aside for seconds. The entry VM took
+    # that for silence and broke it off, and only then found the retry budget
+    # spent: the caller, who had most of his time left, got a closed connection
+    # in the middle, while the engine would have gone on.
+    async def play() -> None:
+        engines = Engine("e1", sets_aside), Engine("e2", sets_aside)
+        site = a_site(*engines, repeats=0)
+        caller = asks()
+        await site.serve(caller)
+        assert heard_whole(caller)
+        assert sum(len(engine.asked) for engine in engines) == 1
+
+    run(play)
+
+
+def test_a_stream_is_not_broken_off_when_no_other_engine_has_room() -> None:
+    # A retry is left, but all places elsewhere are taken: the broken stream
+    # would be turned away there again and again, and be cut in the end.
+    async def play() -> None:
+        engines = Engine("e1", sets_aside), Engine("e2", refuses)
+        site = a_site(*engines)
+        fill(site, "e2")
+        caller = asks()
+        await site.serve(caller)
+        assert heard_whole(caller)
+        assert len(engines[0].asked) == 1 and not engines[1].asked
+
+    run(play)
+
+
+def test_a_stream_stays_with_an_engine_that_moves_others() -> None:
+    # The engine is full, not dead: its other streams go on. Elsewhere the
+    # prompt would have to be read anew, and a repeat would be spent.
+    async def play() -> None:
+        engine = Engine("e1", only_first_is_set_aside)
+        site = a_site(engine)
+        first, second = asks("q1"), asks("q2")
+        serving = asyncio.gather(site.serve(first), site.serve(second))
+        await asyncio.sleep(0)
+        spare = Engine("e2", goes_on)
+        add(site, spare)
+        await serving
+        assert heard_whole(first)
+        assert not spare.asked
+
+    run(play)
+
+
+def test_a_stream_leaves_an_engine_that_went_dark() -> None:
+    # The connection is open and nothing comes over it, for anybody; another
+    # engine has room. The stream goes on there after its last event.
+    async def play() -> None:
+        dark, spare = Engine("e1", goes_dark), Engine("e2", goes_on)
+        site = a_site(dark)
+        caller = asks()
+        serving = asyncio.ensure_future(site.serve(caller))
+        await asyncio.sleep(0.1)
+        add(site, spare)
+        await serving
+        assert heard_whole(caller)
+        assert spare.asked[0].headers["last-event-id"] == "2"
+        assert spare.asked_at_s[0] - dark.asked_at_s[0] < 2.0
+
+    run(play)
+
+
+def test_a_stream_that_was_kept_leaves_once_there_is_room() -> None:
+    # At first there was no place elsewhere; the stream is looked at again.
+    async def play() -> None:
+        dark, spare = Engine("e1", goes_dark), Engine("e2", goes_on)
+        site = a_site(dark)
+        caller = asks()
+        serving = asyncio.ensure_future(site.serve(caller))
+        await asyncio.sleep(5.0)
+        add(site, spare)
+        await serving
+        assert heard_whole(caller)
+        assert spare.asked_at_s[0] - dark.asked_at_s[0] < 7.0
+
+    run(play)
+
+
+def test_a_begun_stream_is_not_ended_by_a_count_of_refusals() -> None:
+    # Its engine died, the others are full for three seconds: six refusals came
+    # within milliseconds, and the stream was cut though its caller still waited.
+    async def play() -> None:
+        loop = asyncio.get_running_loop()
+        begun_s = loop.time()
+
+        def full_at_first(asked: Asked) -> Timetable:
+            return goes_on(asked) if loop.time() - begun_s > 3.0 else refuses(asked)
+
+        dying, full = Engine("e1", breaks), Engine("e2", full_at_first)
+        site = a_site(dying, repeats=60)
+        caller = asks()
+        serving = asyncio.ensure_future(site.serve(caller))
+        await asyncio.sleep(0.1)
+        site.fleet.remove("e1")
+        add(site, full)
+        await serving
+        assert heard_whole(caller)
+        assert len(full.asked) < 50
+
+    run(play)
+
+
+def test_a_begun_stream_waits_for_a_retry_while_its_caller_waits() -> None:
+    # Its engine died as the retry budget was spent. There are seconds left, in
+    # which the window moves on and a repeat is to be had.
+    async def play() -> None:
+        dying, spare = Engine("e1", breaks), Engine("e2", goes_on)
+        site = a_site(dying, repeats=1, window_s=4.0)
+        assert site.window.spend()
+        caller = asks()
+        serving = asyncio.ensure_future(site.serve(caller))
+        await asyncio.sleep(0.1)
+        site.fleet.remove("e1")
+        add(site, spare)
+        await serving
+        assert heard_whole(caller)
+        assert spare.asked_at_s[0] - dying.asked_at_s[0] < 4.5
+
+    run(play)
+
+
+def test_a_begun_stream_that_nobody_takes_ends_with_its_time() -> None:
+    # The wait is bounded, by the caller's time, and so are the tries.
+    async def play() -> None:
+        loop = asyncio.get_running_loop()
+        begun_s = loop.time()
+        dying, full = Engine("e1", breaks), Engine("e2", refuses)
+        site = a_site(dying, repeats=1000)
+        caller = asks(wait_ms=3_000)
+        serving = asyncio.ensure_future(site.serve(caller))
+        await asyncio.sleep(0.1)
+        site.fleet.remove("e1")
+        add(site, full)
+        await serving
+        assert caller.cut
+        assert 2.9 < loop.time() - begun_s < 3.2
+        assert len(full.asked) < 60
+
+    run(play)
+
+
+def test_a_look_up_is_not_broken_off_when_no_retry_is_left() -> None:
+    # The answer takes longer than usual; given up unasked, it became a 502.
+    async def play() -> None:
+        route = a_route(kind=RouteKind.IDEMPOTENT, service="desk", timeout_s=5.0)
+        slow = Engine("s1", lambda asked: answers(asked, after_s=1.0))
+        site = a_site(slow, repeats=0, route=route)
+        caller = asks()
+        await site.serve(caller)
+        assert caller.status == 200 and caller.heard == b"whole"
+        assert not slow.cut_at_s
+
+    run(play)
+
+
+def test_a_first_event_is_waited_for_when_no_retry_is_left() -> None:
+    # Queued at its engine for longer than was predicted; the same fault, before
+    # the first event.
+    async def play() -> None:
+        late = Engine("e1", lambda asked: streams(asked, 6.0, until=8))
+        site = a_site(late, Engine("e2", refuses), repeats=0)
+        fill(site, "e2")
+        caller = asks()
+        await site.serve(caller)
+        assert heard_whole(caller)
+
+    run(play)
--- /dev/null
+++ b/tests/timed_engines.py
@@ -0,0 +1,237 @@
+"""Engines that answer by a timetable, on a loop whose time takes no time."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any, cast
+
+from entry_builders import a_catalog, a_route, an_entry
+from entry_harness import Asked, NoModels, answer, chunk, event, stream_head
+from tornado.httputil import HTTPHeaders
+from virtual_time import LoopClock, VirtualLoop
+
+from rosepath.attempt import Attempts
+from rosepath.catalog import HostRoute
+from rosepath.fleet import Fleet
+from rosepath.http_client import HttpPool, Request
+from rosepath.http_exchange import Connection
+from rosepath.prompt_caches import PromptCaches
+from rosepath.relay import Relay
+from rosepath.request_context import RelayPorts, RequestContext
+from rosepath.retry_window import RetryWindow
+
+# What an engine does after so many seconds: send bytes, or lose its connection.
+LOST = b""
+Timetable = list[tuple[float, bytes]]
+END = b"0\r\n\r\n"
+
+
+def streams(asked: Asked, *at_s: float, until: int, ends: bool = True) -> Timetable:
+    """Send the events up to `until` that the caller lacks, the last times over."""
+    first = int(asked.headers.get("last-event-id", "0")) + 1
+    steps: Timetable = [(at_s[0] if at_s else 0.02, stream_head(asked))]
+    for number in range(first, until + 1):
+        due_s = at_s[min(number - first, len(at_s) - 1)] if at_s else 0.02
+        steps.append((due_s, chunk(event(number))))
+    return [*steps, (steps[-1][0], END)] if ends else steps
+
+
+def refuses(asked: Asked) -> Timetable:
+    return [(0.005, answer(asked, 503, b"", "Not-Executed: 1\r\n"))]
+
+
+def answers(asked: Asked, *, after_s: float) -> Timetable:
+    return [(after_s, answer(asked, 200, b"whole"))]
+
+
+@dataclass(slots=True)
+class Engine:
+    """Hold a server, what it does when asked, and what it was asked when."""
+
+    name: str
+    does: Callable[[Asked], Timetable]
+    asked: list[Asked] = field(default_factory=list)
+    asked_at_s: list[float] = field(default_factory=list)
+    cut_at_s: list[float] = field(default_factory=list)
+
+    @property
+    def address(self) -> str:
+        return f"{self.name}:1"
+
+
+class _TimedTransport(asyncio.Transport):
+    """Give a connection what its engine sends, when it is due."""
+
+    def __init__(self, engine: Engine, connection: Connection) -> None:
+        super().__init__()
+        self._engine = engine
+        self._connection = connection
+        self._loop = asyncio.get_running_loop()
+        self._due: list[asyncio.TimerHandle] = []
+
+    def write(self, data: Any) -> None:
+        head, _, body = bytes(data).partition(b"\r\n\r\n")
+        line, *rest = head.decode().split("\r\n")
+        headers = {
+            name.lower(): value.strip()
+            for name, _, value in (entry.partition(":") for entry in rest)
+        }
+        asked = Asked(line, headers, body)
+        self._engine.asked.append(asked)
+        self._engine.asked_at_s.append(self._loop.time())
+        # What is due at one moment goes out as one: timers keep no order then.
+        due: dict[float, list[bytes]] = {}
+        for after_s, sent in self._engine.does(asked):
+            due.setdefault(after_s, []).append(sent)
+        for after_s, parts in due.items():
+            self._due.append(self._loop.call_later(after_s, self._send, parts))
+
+    def _send(self, parts: list[bytes]) -> None:
+        if LOST in parts:
+            self._connection.connection_lost(ConnectionResetError())
+        else:
+            self._connection.data_received(b"".join(parts))
+
+    def abort(self) -> None:
+        pending = [due for due in self._due if due.when() > self._loop.time()]
+        if pending:
+            self._engine.cut_at_s.append(self._loop.time())
+        for due in self._due:
+            due.cancel()
+
+    def pause_reading(self) -> None:
+        return
+
+    def resume_reading(self) -> None:
+        return
+
+
+class _TimedPool(HttpPool):
+    """Connect to engines that are objects of this process."""
+
+    def __init__(self, engines: dict[str, Engine]) -> None:
+        super().__init__(clock=LoopClock())
+        self._engines = engines
+
+    async def _connect(self, request: Request) -> Connection:
+        connection = Connection()
+        engine = self._engines[request.address]
+        connection.connection_made(_TimedTransport(engine, connection))
+        return connection
+
+
+@dataclass(slots=True, kw_only=True)
+class Caller:
+    """Hold a request, and what its caller heard of an answer."""
+
+    path: str = "/drafts/1"
+    headers: HTTPHeaders = field(default_factory=HTTPHeaders)
+    method: str = "POST"
+    body: bytes = b""
+    arrived_s: float = 0.0
+    begun: bool = False
+    status: int = 0
+    heard: bytes = b""
+    whole: bool = False
+    cut: bool = False
+
+    def begin(self, status: int, _: HTTPHeaders) -> None:
+        self.begun = True
+        self.status = status
+
+    def write(self, data: bytes) -> None:
+        self.heard += data
+
+    def end(self) -> None:
+        self.whole = True
+
+    def answer(self, status: int, headers: HTTPHeaders, body: bytes) -> None:
+        self.begin(status, headers)
+        self.write(body)
+        self.end()
+
+    def abort(self) -> None:
+        self.cut = True
+
+    @property
+    def events(self) -> int:
+        return self.heard.count(b"id: ")
+
+
+def asks(request_id: str = "q1", *, wait_ms: int = 20_000) -> Caller:
+    """Build a caller of a generation."""
+    return Caller(
+        headers=HTTPHeaders(
+            {
+                "Host": "court.example",
+                "Request-Id": request_id,
+                "Request-Deadline-Ms": str(wait_ms),
+                "Model": "m0",
+                "Token-Usage": "300,20",
+                "Prompt-Prefix": f"aa:200,{request_id.encode().hex()}:100",
+            }
+        )
+    )
+
+
+@dataclass(slots=True)
+class Site:
+    """Hold a relay before engines, and its part of the retry budget."""
+
+    relay: Relay
+    fleet: Fleet
+    window: RetryWindow
+    engines: dict[str, Engine]
+
+    async def serve(self, caller: Caller, *, after_s: float = 0.0) -> None:
+        """Serve a caller who comes after some seconds."""
+        await asyncio.sleep(after_s)
+        caller.arrived_s = asyncio.get_running_loop().time()
+        await self.relay.serve(cast(Any, caller))
+
+
+def a_site(
+    *engines: Engine,
+    repeats: float = 10.0,
+    route: HostRoute | None = None,
+    window_s: float = 10.0,
+) -> Site:
+    """Build a relay before engines, with so many repeats in its window."""
+    chosen = route or a_route(timeout_s=20.0)
+    catalog = a_catalog(chosen)
+    clock, fleet = LoopClock(), Fleet()
+    for engine in engines:
+        service = chosen.shares[0].service
+        fleet.put(an_entry(engine.name, service=service, address=engine.address))
+    window = RetryWindow(
+        clock=clock, ratio=0.0, slack=repeats / 0.7 + 1e-9, window_s=window_s
+    )
+    by_address = {engine.address: engine for engine in engines}
+    ports = RelayPorts(
+        data_centre="a",
+        clock=clock,
+        fleet=fleet,
+        caches=PromptCaches(),
+        attempts=Attempts(_TimedPool(by_address), clock=clock),
+        catalog=lambda: catalog,
+        budget=lambda _: window,
+        models=NoModels(),
+        fleet_changed=asyncio.Condition(),
+        cut_off=set,
+        wait_limit_s=lambda: float("inf"),
+        on_outcome=_ignore,
+    )
+    return Site(Relay(ports), fleet, window, by_address)
+
+
+def _ignore(_: RequestContext, __: int, ___: str) -> None:
+    return
+
+
+def run(play: Callable[[], Any]) -> None:
+    """Run a coroutine function in virtual time."""
+    loop = VirtualLoop()
+    try:
+        loop.run_until_complete(play())
+    finally:
+        loop.close()
