Ask for a repeat and for room elsewhere before a silent server is left

Callers saw drafts cut in the middle 1.4 s after their first token with 17 s of their time left, and look-ups answered 502 while their server worked.

Cause: an entry VM broke a silent exchange off first and asked afterwards whether another try may follow: the retry budget was spent, or nobody had room, and the request was lost though its server was at work on it. Full engines set streams aside for seconds, so that this came most where there was least to retry with.

Change: before a silent exchange is closed, reason_to_stay() is asked. It stays if its server moves other streams of this VM (full, not dead), if no other server is known to have a place for it, or if no repeat is to be had; the repeat is taken there and then and not asked for again. What stays is looked at again. A connection that died is found by the kernel's probes, as before.

--- a/src/rosepath/attempt.py
+++ b/src/rosepath/attempt.py
@@ -65,7 +65,8 @@
     """Say how a request goes to a server: until when, and what is added.
 
     `patience_s` bounds the silence before its answer begins, `pause_s` after.
-    `still_wanted` is asked right before the first byte goes out.
+    `still_wanted` is asked right before the first byte goes out, `may_break_off`
+    before a silent server is left.
     """
 
     deadline_s: float
@@ -75,6 +76,7 @@
     priority: int | None = None
     last_event_id: int | None = None
     still_wanted: Callable[[], bool] = lambda: True
+    may_break_off: Callable[[], bool] = lambda: True
 
 
 OnStream = Callable[[ResponseHead, bytes], Awaitable[None] | None]
@@ -136,6 +138,7 @@
             proven_live_within_s=None if sending.repeatable else PROVEN_LIVE_WITHIN_S,
             accepts=lambda head: belongs_to(call, head.headers),
             still_wanted=sending.still_wanted,
+            may_break_off=sending.may_break_off,
         )
         try:
             async with asyncio.timeout(sending.deadline_s - now_s):
--- a/src/rosepath/engine_choice.py
+++ b/src/rosepath/engine_choice.py
@@ -7,6 +7,7 @@
 from rosepath.caller_call import Prompt
 from rosepath.fleet import BackendServer
 from rosepath.rendezvous import ranked
+from rosepath.server_choice import trusted
 
 # Tokens of a prompt that an engine reads in a second, to begin with; learned
 # from first tokens since.
@@ -45,6 +46,11 @@
     return not prompt.adapter or prompt.adapter in server.held[prompt.model]
 
 
+def holds_target(server: BackendServer, prompt: Prompt) -> bool:
+    """Tell whether an engine has a prompt's model, and its adapter if it has one."""
+    return prompt.model in server.held and holds_adapter(server, prompt)
+
+
 def adapter_wait_s(engine: BackendServer, *, adapter_slots: int, now_s: float) -> float:
     """Return what it takes to get one more adapter onto an engine."""
     used = sum("/" in target for target in engine.targets_in_use)
@@ -71,12 +77,8 @@
         for engine in engines
         if engine.usable and engine.name not in tried and prompt.model in engine.held
     ]
-    trusted = [
-        engine
-        for engine in able
-        if engine.suspect_until_s <= now_s and engine.entry.data_centre not in cut_off
-    ]
-    pool = {engine.name: engine for engine in trusted or able}
+    candidates = trusted(able, cut_off=cut_off, now_s=now_s) or able
+    pool = {engine.name: engine for engine in candidates}
     if not pool:
         return None
     order = ranked(prompt_home_key(prompt), pool)
--- a/src/rosepath/http_client.py
+++ b/src/rosepath/http_client.py
@@ -56,6 +56,8 @@
     accepts: Accepts | None = None
     # Asked once the connection is there, right before the first byte goes out.
     still_wanted: Callable[[], bool] = lambda: True
+    # Asked before a silent exchange is broken off.
+    may_break_off: Callable[[], bool] = lambda: True
 
 
 class HttpPool:
@@ -179,6 +181,7 @@
             exchange,
             request.progress_timeout_s,
             pause_s=request.pause_timeout_s,
+            may_close=request.may_break_off,
         )
         try:
             connection.write(_encode_head(request) + request.body)
--- a/src/rosepath/http_exchange.py
+++ b/src/rosepath/http_exchange.py
@@ -273,7 +273,8 @@
 
     Some middlebox may forget a connection: both ends keep it open, yet
     nothing arrives, and a caller would wait for ever. Closing wakes the
-    reader, whatever it waits for.
+    reader, whatever it waits for. `may_close` is asked before, and again after
+    each further silence while it says no.
     """
 
     def __init__(
@@ -283,8 +284,10 @@
         silence_s: float,
         *,
         pause_s: float | None = None,
+        may_close: Callable[[], bool] = lambda: True,
     ) -> None:
         self.fired = False
+        self._may_close = may_close
         self._connection = connection
         self._exchange = exchange
         self._silence_s = silence_s
@@ -310,7 +313,10 @@
 
     def _check(self) -> None:
         exchange = self._exchange
-        if self._seen == exchange.progress and not exchange.consumer_busy:
+        if exchange.done.done():
+            return
+        silent = self._seen == exchange.progress and not exchange.consumer_busy
+        if silent and self._may_close():
             self.fired = True
             self._connection.close()
             exchange.lose()
--- a/src/rosepath/relay.py
+++ b/src/rosepath/relay.py
@@ -25,6 +25,7 @@
     note_unreached,
 )
 from rosepath.server_picker import ServerPicker
+from rosepath.silence import Silence, reason_to_stay
 
 # A caller's clock runs three milliseconds ahead of ours; what comes later
 # than that before its deadline reaches nobody.
@@ -196,6 +197,7 @@
             last_event_id=order.last_id if order is not None and begun else None,
             # An adapter and a connection take time, in which a server may leave.
             still_wanted=lambda: server.usable and self._ports.fleet_sound(),
+            may_break_off=lambda: self._leaves(context, server),
         )
         return await self._ports.attempts.send(
             context.call,
@@ -232,6 +234,32 @@
             return max(0.01, context.deadline_s - self._now_s()) + 1.0
         return max(PAUSE_MIN_S, PAUSE_GAPS * context.route.target_gap_s)
 
+    def _leaves(self, context: RequestContext, server: BackendServer) -> bool:
+        """Tell whether a request leaves a silent server; its next try is paid then."""
+        now_s = self._now_s()
+        begun = context.order is not None and context.order.events > 0
+        stays = reason_to_stay(
+            Silence(
+                begun=begun,
+                lasts_s=self._pause_s(context),
+                others_moved_ago_s=server.moved_ago_s(now_s),
+                room_elsewhere=self._picker.has_room_besides(context, server),
+            ),
+            self._budget(context),
+        )
+        if stays is not None and stays is not context.stays:
+            _log.info(
+                "silent_server_kept",
+                request_id=context.call.request_id,
+                peer=server.name,
+                why=stays.value,
+                moved_ago_s=server.moved_ago_s(now_s),
+                repeats_left=round(self._budget(context).left, 1),
+            )
+        context.stays = stays
+        context.paid = stays is None
+        return context.paid
+
     def _note_failed(
         self, context: RequestContext, server: BackendServer, error: AttemptError
     ) -> None:
@@ -271,6 +299,7 @@
             attempts=context.may_have_run,
             max_attempts=context.route.max_attempts,
             left_s=context.deadline_s - self._now_s(),
+            paid=context.paid,
         )
 
     def _judge(self, context: RequestContext, error: AttemptError) -> None:
@@ -278,6 +307,7 @@
         obstacle = find_obstacle(
             self._as_attempt(context, error), self._budget(context)
         )
+        context.paid = False
         if obstacle is None and context.arrivals >= MAX_TRIES:
             obstacle = Obstacle.TOO_MANY_REFUSALS
         if obstacle is None:
--- a/src/rosepath/request_context.py
+++ b/src/rosepath/request_context.py
@@ -16,6 +16,7 @@
 from rosepath.prompt_caches import PromptCaches
 from rosepath.retries import Evidence, Obstacle
 from rosepath.retry_window import RetryWindow
+from rosepath.silence import Stay
 
 # When a caller may come back after a refusal: swaps and restarts are over by
 # then more often than not, and most deadlines leave room for a second try.
@@ -87,6 +88,10 @@
     unread_tokens: int = 0
     predicted_s: float = 0.0
     answered_by: str = ""
+    # Whether the next try was paid for when the last was broken off.
+    paid: bool = False
+    # Why it stays with a silent server, if it was last seen with one.
+    stays: Stay | None = None
     # What stood against another try, once one was wanted.
     obstacle: Obstacle | None = None
 
--- a/src/rosepath/retries.py
+++ b/src/rosepath/retries.py
@@ -68,7 +68,10 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Attempt:
-    """Describe a failed attempt as far as the verdict depends on it."""
+    """Describe a failed attempt as far as the verdict depends on it.
+
+    `paid` says that the budget was spent for what follows it already.
+    """
 
     evidence: Evidence
     idempotent: bool
@@ -76,6 +79,7 @@
     attempts: int
     max_attempts: int
     left_s: float
+    paid: bool = False
 
 
 def find_obstacle(attempt: Attempt, budget: Budget) -> Obstacle | None:
@@ -89,9 +93,9 @@
         return Obstacle.NOT_IDEMPOTENT
     if attempt.evidence is Evidence.ANSWER_BEGUN and not attempt.resumable:
         return Obstacle.NOT_RESUMABLE
-    if attempt.evidence is not Evidence.NOT_SENT and not budget.spend():
-        return Obstacle.BUDGET_SPENT
-    return None
+    if attempt.evidence is Evidence.NOT_SENT or attempt.paid:
+        return None
+    return None if budget.spend() else Obstacle.BUDGET_SPENT
 
 
 def judge(attempt: Attempt, budget: Budget) -> Verdict:
--- a/src/rosepath/server_choice.py
+++ b/src/rosepath/server_choice.py
@@ -23,6 +23,17 @@
 FAILURES_BORNE = 3
 
 
+def trusted(
+    servers: Iterable[BackendServer], *, cut_off: Collection[str], now_s: float
+) -> list[BackendServer]:
+    """Return the servers that did not fail lately and can be reached."""
+    return [
+        server
+        for server in servers
+        if server.suspect_until_s <= now_s and server.entry.data_centre not in cut_off
+    ]
+
+
 def choose_server(
     servers: Iterable[BackendServer],
     *,
@@ -34,13 +45,8 @@
 ) -> BackendServer | None:
     """Choose the least busy server; one that failed lately goes behind."""
     able = [server for server in servers if server.usable and server.name not in tried]
-    trusted = [
-        server
-        for server in able
-        if server.suspect_until_s <= now_s and server.entry.data_centre not in cut_off
-    ]
     return min(
-        trusted or able,
+        trusted(able, cut_off=cut_off, now_s=now_s) or able,
         key=lambda server: (
             server.requests / max(1, server.entry.slots)
             + ERROR_PENALTY * server.error_share
--- a/src/rosepath/server_picker.py
+++ b/src/rosepath/server_picker.py
@@ -7,12 +7,17 @@
 
 from rosepath.caller_call import Prompt
 from rosepath.catalog import EngineSpec
-from rosepath.engine_choice import EngineChoice, choose_engine, holds_adapter
+from rosepath.engine_choice import (
+    EngineChoice,
+    choose_engine,
+    holds_adapter,
+    holds_target,
+)
 from rosepath.errors import Step, refuse
 from rosepath.fleet import BackendServer, Flight
 from rosepath.model_arrivals import Wait, choose_wait
 from rosepath.request_context import RETRY_AFTER_S, RelayPorts, RequestContext
-from rosepath.server_choice import choose_server
+from rosepath.server_choice import choose_server, trusted
 
 # How long a request waits for a server to become known before it is refused.
 NO_SERVER_WAIT_S = 0.5
@@ -204,6 +209,20 @@
             without_room.add(choice.server.name)
         return None
 
+    def has_room_besides(self, context: RequestContext, server: BackendServer) -> bool:
+        """Tell whether another server is known to have a place for a request."""
+        ports, prompt = self._ports, context.call.prompt
+        others = [
+            other
+            for other in ports.fleet.of_service(context.service.name)
+            if other is not server
+            and other.usable
+            and other.name not in context.tried
+            and other.requests < other.entry.slots
+            and (prompt is None or holds_target(other, prompt))
+        ]
+        return bool(trusted(others, cut_off=ports.cut_off(), now_s=self._now_s()))
+
     async def _wait_for_change(self, limit_s: float) -> None:
         async with self._ports.fleet_changed:
             try:
