Land tests of a retry budget that is overspent, which fail

Each VM went by its own requests of the last ten seconds. As a burst ends, or as callers move to other VMs, those are not the requests that the ten seconds of the repeats go by: 46 too many of 58 in the slack where 200 requests a second move from four VMs to four others.

--- a/tests/test_retry_window.py
+++ b/tests/test_retry_window.py
@@ -1,6 +1,9 @@
 """The parts of the retry budget add up to no more than the whole."""
 
-from hypothesis import given, strategies as st
+from bisect import bisect_left
+from typing import NamedTuple
+
+from hypothesis import given, settings, strategies as st
 
 from rosepath.clock import ManualClock
 from rosepath.retry_window import RetryWindow
@@ -30,3 +33,122 @@
         pass
     clock.advance(10.5)
     assert window.spend()
+
+
+RATIO, SLACK, WINDOW_S = 0.2, 58.0, 10.0
+STEP_S = 0.25
+
+
+class Part(NamedTuple):
+    """Hold a part of a day: its requests, and whether they are turned away.
+
+    They come to `vms` of the entry VMs, from the number `first` on.
+    """
+
+    lasts_s: float
+    rate_per_s: float
+    turned_away: bool
+    first: int = 0
+    vms: int = 9
+
+
+def overspent(parts: list[Part], *, vms: int) -> float:
+    """Return by how much repeats exceed the budget in the worst window.
+
+    Where requests are turned away, every VM repeats all that it may. A window's
+    requests are those in it, in the one before, or in the one half a window
+    before, whichever are most.
+    """
+    clock = ManualClock()
+    windows = [
+        RetryWindow(clock=clock, ratio=RATIO, slack=SLACK, window_s=WINDOW_S, vms=vms)
+        for _ in range(vms)
+    ]
+    requests: list[float] = []
+    repeats: list[float] = []
+    owed = 0.0
+    for part in parts:
+        for _ in range(int(part.lasts_s / STEP_S)):
+            clock.advance(STEP_S)
+            owed += part.rate_per_s * STEP_S
+            while owed >= 1.0:
+                owed -= 1.0
+                place = part.first + len(requests) % min(vms, part.vms)
+                windows[place % vms].note_request()
+                requests.append(clock.monotonic_s())
+            for window in windows if part.turned_away else ():
+                while window.spend():
+                    repeats.append(clock.monotonic_s())
+
+    def count(times: list[float], start_s: float) -> int:
+        return bisect_left(times, start_s + WINDOW_S) - bisect_left(times, start_s)
+
+    def budget(start_s: float) -> float:
+        starts = (start_s, start_s - WINDOW_S / 2, start_s - WINDOW_S)
+        return RATIO * max(count(requests, start) for start in starts) + SLACK
+
+    return max(
+        (count(repeats, start_s) - budget(start_s) for start_s in sorted(set(repeats))),
+        default=0.0,
+    )
+
+
+def test_repeats_keep_to_the_budget_as_a_burst_ends() -> None:
+    # Twice the traffic for ten seconds; at its end all servers are full and turn
+    # requests away. The repeats went by the requests of the ten seconds before,
+    # all of them of the burst; a window that begins with the repeats reaches
+    # beyond it, and so does each by which its budget may be counted.
+    parts = [
+        Part(12.0, 97.0, False),
+        Part(9.0, 214.0, False),
+        Part(1.0, 214.0, True),
+        Part(20.0, 97.0, True),
+    ]
+    for vms in (1, 9):
+        assert overspent(parts, vms=vms) <= 0
+
+
+def test_repeats_keep_to_the_budget_as_callers_move_to_other_vms() -> None:
+    # Callers of some VMs come to others, and all are turned away: each VM counted
+    # the requests of its own last ten seconds, so that a window over both saw the
+    # repeats of twice the requests that came.
+    parts = [
+        Part(12.0, 200.0, False, first=0, vms=4),
+        Part(2.0, 200.0, True, first=0, vms=4),
+        Part(8.0, 200.0, False, first=4, vms=4),
+        Part(2.0, 200.0, True, first=4, vms=4),
+    ]
+    assert overspent(parts, vms=9) <= 0
+
+
+@settings(deadline=None)
+@given(
+    st.lists(
+        st.builds(
+            Part,
+            st.floats(0.5, 12.0),
+            st.floats(0.0, 300.0),
+            st.booleans(),
+            st.integers(0, 8),
+            st.integers(1, 9),
+        ),
+        max_size=6,
+    ),
+    st.sampled_from((1, 9)),
+)
+def test_repeats_keep_to_the_budget_whatever_comes(parts: list[Part], vms: int) -> None:
+    assert overspent(parts, vms=vms) <= 0
+
+
+def test_the_budget_is_used_in_full_while_traffic_is_steady() -> None:
+    # What is not spent serves nobody: a fifth of the requests may be repeated.
+    clock = ManualClock()
+    window = RetryWindow(clock=clock, ratio=RATIO, slack=0.0, window_s=WINDOW_S)
+    spent = 0
+    for second in range(40):
+        clock.advance(1.0)
+        for _ in range(50):
+            window.note_request()
+        while window.spend():
+            spent += second >= 20
+    assert spent >= 0.95 * RATIO * 50 * 20
