Count repeats by the requests around the start of their window

Cause: each VM allowed a fifth of its own requests of the last ten seconds. The ten seconds that hold most repeats need not be those: as a burst ends they reach beyond it, and as callers move from some VMs to others both count the same requests.

Change: every window of ten seconds that holds the moment has to bear what was made since it began, by the requests from half a window before its start to half a window after. As all VMs go by the same rule, their sum keeps to the requests of a window that the budget may go by, whatever the traffic does.

--- a/src/rosepath/retry_window.py
+++ b/src/rosepath/retry_window.py
@@ -1,6 +1,6 @@
 """Each entry VM's part of the one retry budget that all share."""
 
-from collections import deque
+from bisect import bisect_left
 from dataclasses import dataclass, field
 
 from rosepath.clock import Clock
@@ -8,6 +8,18 @@
 # All VMs' parts of the slack together stay below it, as VMs may not know of
 # each other for a moment and then reckon with too few.
 SLACK_USED = 0.7
+# Repeats made within so small a share of a window are counted as one burst, so
+# that the work of a decision doesn't grow with the traffic.
+BURST_SHARE = 0.02
+
+
+@dataclass(slots=True, kw_only=True)
+class _Burst:
+    """Count the repeats of a moment."""
+
+    first_s: float
+    last_s: float
+    count: int = 1
 
 
 @dataclass(slots=True, kw_only=True)
@@ -15,7 +27,10 @@
     """Allow repeats of one service: a ratio of own requests, and some slack.
 
     Nothing is shared between VMs: each spends by the requests that it took
-    itself, so the sum keeps to the ratio whatever the others do.
+    itself, so the sum keeps to the ratio whatever the others do. That takes one
+    rule for all as to which requests a window of repeats goes by: those from half
+    a window before it began to half a window after. By the requests of the last
+    window, callers that move to other VMs would be counted at both.
     """
 
     clock: Clock
@@ -23,26 +38,57 @@
     slack: float
     window_s: float
     vms: int = 1
-    _requests: deque[float] = field(default_factory=deque)
-    _repeats: deque[float] = field(default_factory=deque)
+    _requests_s: list[float] = field(default_factory=list)
+    _bursts: list[_Burst] = field(default_factory=list)
 
     def note_request(self) -> None:
         """Note a request that a caller sent."""
-        self._requests.append(self.clock.monotonic_s())
+        self._forget()
+        self._requests_s.append(self.clock.monotonic_s())
 
     def spend(self) -> bool:
         """Take one repeat, or return False."""
         if self.left < 1:
             return False
-        self._repeats.append(self.clock.monotonic_s())
+        now_s = self.clock.monotonic_s()
+        last = self._bursts[-1] if self._bursts else None
+        if last is None or now_s - last.first_s > BURST_SHARE * self.window_s:
+            self._bursts.append(_Burst(first_s=now_s, last_s=now_s))
+        else:
+            last.last_s = now_s
+            last.count += 1
         return True
 
     @property
     def left(self) -> float:
         """Return how many repeats may be made now."""
+        self._forget()
+        now_s = self.clock.monotonic_s()
+        # Every window that holds this moment has to bear what was made since it
+        # began; the first of them began a window ago, or right after a burst.
+        began_s = [now_s - self.window_s, *(burst.last_s for burst in self._bursts)]
+        left = self._allowed_from(now_s)
+        made = 0
+        for burst, after_s in zip(
+            reversed(self._bursts), reversed(began_s[:-1]), strict=True
+        ):
+            made += burst.count
+            starts_s = (after_s, burst.first_s, burst.last_s)
+            left = min(left, min(map(self._allowed_from, starts_s)) - made)
+        return left
+
+    def _allowed_from(self, start_s: float) -> float:
+        """Return how many repeats a window bears by what is known of it so far."""
+        half_s = self.window_s / 2
+        requests = bisect_left(self._requests_s, start_s + half_s) - bisect_left(
+            self._requests_s, start_s - half_s
+        )
+        return self.ratio * requests + SLACK_USED * self.slack / self.vms
+
+    def _forget(self) -> None:
+        """Drop what no window that holds this moment goes by."""
         old_s = self.clock.monotonic_s() - self.window_s
-        for times in (self._requests, self._repeats):
-            while times and times[0] < old_s:
-                times.popleft()
-        allowed = self.ratio * len(self._requests) + SLACK_USED * self.slack / self.vms
-        return allowed - len(self._repeats)
+        while self._bursts and self._bursts[0].last_s <= old_s:
+            del self._bursts[0]
+        old_s -= self.window_s / 2
+        del self._requests_s[: bisect_left(self._requests_s, old_s)]
