--- /dev/null
+++ b/src/rosepath/next_try.py
@@ -0,0 +1,139 @@
+"""What follows a try: how long it may stand still, and whether another comes."""
+
+from rosepath.attempt import AttemptError
+from rosepath.errors import Run, refuse
+from rosepath.fleet import BackendServer
+from rosepath.logs import get_logger
+from rosepath.request_context import RETRY_AFTER_S, RelayPorts, RequestContext
+from rosepath.retries import Attempt, Obstacle, find_obstacle
+from rosepath.retry_window import RetryWindow
+from rosepath.server_picker import ServerPicker
+from rosepath.silence import Silence, reason_to_stay
+
+# A request that so many servers refused unrun meets a want of room, not bad
+# luck; each further try would use up what others may repeat.
+MAX_TRIES = 6
+# An idempotent request of a plain service is tried elsewhere after so many
+# usual answer times, and no sooner than this.
+PATIENCE_TIMES = 5.0
+PATIENCE_MIN_S = 0.2
+# A resumable stream goes on elsewhere after standing still for so many times its
+# route's longest good pause; callers leave at eight times that pause.
+PAUSE_GAPS = 3.0
+PAUSE_MIN_S = 0.7
+# The same before its first event, by the time that was predicted for it: more
+# than this is no queue but an engine that will not answer.
+FIRST_EVENT_MIN_S = 0.6
+FIRST_EVENT_TIMES = 3.0
+
+_log = get_logger()
+
+
+class NextTry:
+    """Decide whether requests leave their servers, and what becomes of them then."""
+
+    def __init__(self, ports: RelayPorts, picker: ServerPicker) -> None:
+        self._ports = ports
+        self._picker = picker
+
+    def patience_s(self, context: RequestContext, server: BackendServer) -> float:
+        """Return how long an answer may be in coming before another is asked."""
+        left_s = max(0.01, context.deadline_s - self._now_s())
+        if self._last_try(context):
+            return left_s + 1.0
+        if context.order is None:
+            usual_s = max(PATIENCE_MIN_S, PATIENCE_TIMES * server.latency_s)
+            return min(left_s + 1.0, usual_s)
+        usual_s = FIRST_EVENT_MIN_S + FIRST_EVENT_TIMES * context.predicted_s
+        return min(left_s + 1.0, max(usual_s, context.route.target_latency_s))
+
+    @staticmethod
+    def _last_try(context: RequestContext) -> bool:
+        """Tell whether a request can't go on elsewhere if this try is given up.
+
+        Then waiting costs nothing that giving up would save; a stream that is
+        broken off for its silence would be lost to its caller.
+        """
+        last = context.may_have_run + 1 >= context.route.max_attempts
+        return last or not context.route.repeatable
+
+    def pause_s(self, context: RequestContext) -> float:
+        """Return how long a stream may stand still before it goes on elsewhere."""
+        if self._last_try(context) or context.order is None:
+            return max(0.01, context.deadline_s - self._now_s()) + 1.0
+        return max(PAUSE_MIN_S, PAUSE_GAPS * context.route.target_gap_s)
+
+    def leaves(self, context: RequestContext, server: BackendServer) -> bool:
+        """Tell whether a request leaves a silent server; its next try is paid then."""
+        now_s = self._now_s()
+        begun = context.order is not None and context.order.events > 0
+        stays = reason_to_stay(
+            Silence(
+                begun=begun,
+                lasts_s=self.pause_s(context),
+                others_moved_ago_s=server.moved_ago_s(now_s),
+                room_elsewhere=self._picker.has_room_besides(context, server),
+            ),
+            self._budget(context),
+        )
+        if stays is not None and stays is not context.stays:
+            _log.info(
+                "silent_server_kept",
+                request_id=context.call.request_id,
+                peer=server.name,
+                why=stays.value,
+                moved_ago_s=server.moved_ago_s(now_s),
+                repeats_left=round(self._budget(context).left, 1),
+            )
+        context.stays = stays
+        context.paid = stays is None
+        return context.paid
+
+    def _as_attempt(self, context: RequestContext, error: AttemptError) -> Attempt:
+        return Attempt(
+            evidence=error.evidence,
+            idempotent=context.route.repeatable,
+            resumable=context.route.resumable,
+            attempts=context.may_have_run,
+            max_attempts=context.route.max_attempts,
+            left_s=context.deadline_s - self._now_s(),
+            paid=context.paid,
+        )
+
+    def obstacle(self, context: RequestContext, error: AttemptError) -> Obstacle | None:
+        """Return what stands against another try; takes a repeat if nothing does."""
+        return find_obstacle(self._as_attempt(context, error), self._budget(context))
+
+    def judge(self, context: RequestContext, error: AttemptError) -> None:
+        """Return if the request may be tried again; raises RefusalError."""
+        obstacle = self.obstacle(context, error)
+        context.paid = False
+        if obstacle is None and context.arrivals >= MAX_TRIES:
+            obstacle = Obstacle.TOO_MANY_REFUSALS
+        if obstacle is None:
+            return
+        context.obstacle = obstacle
+        if context.not_run:
+            raise refuse(
+                503,
+                "not_run",
+                error.message,
+                step=error.step,
+                peer=error.peer,
+                retry_after_s=RETRY_AFTER_S,
+            )
+        out_of_time = self._now_s() >= context.deadline_s
+        raise refuse(
+            504 if out_of_time else 502,
+            "timeout" if out_of_time else "server_failed",
+            error.message,
+            step=error.step,
+            peer=error.peer,
+            run=Run.UNKNOWN,
+        )
+
+    def _budget(self, context: RequestContext) -> RetryWindow:
+        return self._ports.budget(context.service.name)
+
+    def _now_s(self) -> float:
+        return self._ports.clock.monotonic_s()
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -20,7 +20,7 @@
 from structlog.testing import capture_logs
 
 from rosepath.catalog import HostRoute, RouteKind
-from rosepath.relay import MAX_TRIES
+from rosepath.next_try import MAX_TRIES
 
 
 def generate(shared: str = "aa") -> str:
--- a/tests/test_stream_pauses.py
+++ b/tests/test_stream_pauses.py
@@ -10,29 +10,29 @@
 from rosepath.clock import ManualClock
 from rosepath.event_order import EventOrder
 from rosepath.fleet import Fleet
+from rosepath.next_try import NextTry
 from rosepath.prompt_caches import PromptCaches
-from rosepath.relay import Relay
 from rosepath.request_context import RelayPorts, RequestContext
 from rosepath.retries import Evidence
+from rosepath.server_picker import ServerPicker
 
 
-def a_relay(clock: ManualClock) -> Relay:
-    return Relay(
-        RelayPorts(
-            data_centre="a",
-            clock=clock,
-            fleet=Fleet(),
-            caches=PromptCaches(),
-            attempts=cast(Any, None),
-            catalog=lambda: None,
-            budget=cast(Any, None),
-            models=NoModels(),
-            fleet_changed=asyncio.Condition(),
-            cut_off=set,
-            wait_limit_s=lambda: math.inf,
-            on_outcome=lambda *_: None,
-        )
+def a_next_try(clock: ManualClock) -> NextTry:
+    ports = RelayPorts(
+        data_centre="a",
+        clock=clock,
+        fleet=Fleet(),
+        caches=PromptCaches(),
+        attempts=cast(Any, None),
+        catalog=lambda: None,
+        budget=cast(Any, None),
+        models=NoModels(),
+        fleet_changed=asyncio.Condition(),
+        cut_off=set,
+        wait_limit_s=lambda: math.inf,
+        on_outcome=lambda *_: None,
     )
+    return NextTry(ports, ServerPicker(ports))
 
 
 LEFT_S = 5.0
@@ -56,7 +56,7 @@
 def test_a_stream_that_can_go_on_elsewhere_leaves_an_engine_that_stands_still() -> None:
     clock = ManualClock()
     context = a_context(clock=clock, max_attempts=2, resumable=True)
-    assert a_relay(clock)._pause_s(context) < 1.0
+    assert a_next_try(clock).pause_s(context) < 1.0
 
 
 def test_a_stream_on_its_last_try_is_not_broken_off_for_silence() -> None:
@@ -70,4 +70,4 @@
     once = a_context(clock=clock, max_attempts=1, resumable=True)
     never = a_context(clock=clock, max_attempts=2, resumable=False)
     for context in (again, once, never):
-        assert a_relay(clock)._pause_s(context) > LEFT_S
+        assert a_next_try(clock).pause_s(context) > LEFT_S
