Leave a silent server where another would take the request, and only there

Change: has_place() is by what choose_engine() goes by; a stream may be set aside for half of the time that its caller bears; the last of the tries stays where it is; what may have run goes back to any server and is refused with 502; a failure is passed on where no untried server is.

--- a/src/rosepath/catalog.py
+++ b/src/rosepath/catalog.py
@@ -51,8 +51,8 @@
         return self.kind is RouteKind.IDEMPOTENT
 
     @property
-    def first_event_patience_s(self) -> float:
-        """Return how long callers wait for the first event of a stream."""
+    def event_patience_s(self) -> float:
+        """Return how long callers of a stream wait for its next event."""
         return max(2.0, 4 * self.target_latency_s, 8 * self.target_gap_s)
 
     def service_for(self, request_id: str) -> str:
--- a/src/rosepath/engine_choice.py
+++ b/src/rosepath/engine_choice.py
@@ -46,11 +46,6 @@
     return not prompt.adapter or prompt.adapter in server.held[prompt.model]
 
 
-def holds_target(server: BackendServer, prompt: Prompt) -> bool:
-    """Tell whether an engine has a prompt's model, and its adapter if it has one."""
-    return prompt.model in server.held and holds_adapter(server, prompt)
-
-
 def adapter_wait_s(engine: BackendServer, *, adapter_slots: int, now_s: float) -> float:
     """Return what it takes to get one more adapter onto an engine."""
     used = sum("/" in target for target in engine.targets_in_use)
@@ -59,6 +54,18 @@
     return ADAPTER_PENALTY_S + PLACE_PENALTY_S * used / adapter_slots
 
 
+def has_place(
+    engine: BackendServer, prompt: Prompt, *, adapter_slots: int, now_s: float
+) -> bool:
+    """Tell whether an engine is known to have a place for a generation."""
+    if prompt.model not in engine.held or engine.requests >= engine.entry.slots:
+        return False
+    if holds_adapter(engine, prompt):
+        return True
+    wait_s = adapter_wait_s(engine, adapter_slots=adapter_slots, now_s=now_s)
+    return wait_s < OCCUPIED_PENALTY_S
+
+
 def choose_engine(
     engines: Iterable[BackendServer],
     prompt: Prompt,
--- a/src/rosepath/next_try.py
+++ b/src/rosepath/next_try.py
@@ -54,8 +54,11 @@
         Then waiting costs nothing that giving up would save; a stream that is
         broken off for its silence would be lost to its caller.
         """
-        last = context.may_have_run + 1 >= context.route.max_attempts
-        return last or not context.route.repeatable
+        if not context.route.repeatable:
+            return True
+        if context.may_have_run + 1 >= context.route.max_attempts:
+            return True
+        return context.arrivals + 1 >= MAX_TRIES
 
     def pause_s(self, context: RequestContext) -> float:
         """Return how long a stream may stand still before it goes on elsewhere."""
@@ -65,16 +68,17 @@
 
     def leaves(self, context: RequestContext, server: BackendServer) -> bool:
         """Tell whether a request leaves a silent server; its next try is paid then."""
-        now_s = self._now_s()
-        begun = context.order is not None and context.order.events > 0
+        now_s, route = self._now_s(), context.route
         stays = reason_to_stay(
             Silence(
-                begun=begun,
-                lasts_s=self.pause_s(context),
-                others_moved_ago_s=server.moved_ago_s(now_s),
+                begun=context.exchange.begun,
+                look_s=self.pause_s(context),
+                lasts_s=now_s - context.last_event_s,
+                patience_s=route.event_patience_s,
+                moved_ago_s=server.moved_ago_s(now_s),
                 room_elsewhere=self._picker.has_room_besides(context, server),
             ),
-            self._budget(context),
+            self._budget(context).spend,
         )
         if stays is not None and stays is not context.stays:
             _log.info(
@@ -102,7 +106,9 @@
 
     def obstacle(self, context: RequestContext, error: AttemptError) -> Obstacle | None:
         """Return what stands against another try; takes a repeat if nothing does."""
-        return find_obstacle(self._as_attempt(context, error), self._budget(context))
+        return find_obstacle(
+            self._as_attempt(context, error), self._budget(context).spend
+        )
 
     def judge(self, context: RequestContext, error: AttemptError) -> None:
         """Return if the request may be tried again; raises RefusalError."""
--- a/src/rosepath/relay.py
+++ b/src/rosepath/relay.py
@@ -153,6 +153,8 @@
             # passed on, and to end the stream would make it look whole.
             self._next.judge(context, error)
             return True
+        if not self._picker.has_untried(context):
+            return False
         context.obstacle = self._next.obstacle(context, error)
         return context.obstacle is None
 
--- a/src/rosepath/retries.py
+++ b/src/rosepath/retries.py
@@ -1,5 +1,6 @@
 """Whether a failed attempt may be made again, and what to say if not."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import StrEnum
 from typing import Protocol
@@ -82,8 +83,8 @@
     paid: bool = False
 
 
-def find_obstacle(attempt: Attempt, budget: Budget) -> Obstacle | None:
-    """Return what stands against another try; spends the budget if nothing does."""
+def find_obstacle(attempt: Attempt, take_repeat: Callable[[], bool]) -> Obstacle | None:
+    """Return what stands against another try; takes a repeat if nothing does."""
     if attempt.attempts >= attempt.max_attempts:
         return Obstacle.ATTEMPTS_USED
     if attempt.left_s <= 0:
@@ -95,12 +96,12 @@
         return Obstacle.NOT_RESUMABLE
     if attempt.evidence is Evidence.NOT_SENT or attempt.paid:
         return None
-    return None if budget.spend() else Obstacle.BUDGET_SPENT
+    return None if take_repeat() else Obstacle.BUDGET_SPENT
 
 
 def judge(attempt: Attempt, budget: Budget) -> Verdict:
     """Decide whether to try again; spends the budget if it says so."""
-    if find_obstacle(attempt, budget) is not None:
+    if find_obstacle(attempt, budget.spend) is not None:
         return Verdict.GIVE_UP
     if attempt.evidence is Evidence.ANSWER_BEGUN:
         return Verdict.RESUME
--- a/src/rosepath/server_picker.py
+++ b/src/rosepath/server_picker.py
@@ -10,10 +10,10 @@
 from rosepath.engine_choice import (
     EngineChoice,
     choose_engine,
+    has_place,
     holds_adapter,
-    holds_target,
 )
-from rosepath.errors import Step, refuse
+from rosepath.errors import RefusalError, Run, Step, refuse
 from rosepath.fleet import BackendServer, Flight
 from rosepath.model_arrivals import Wait, choose_wait
 from rosepath.request_context import RETRY_AFTER_S, RelayPorts, RequestContext
@@ -53,7 +53,7 @@
         A caller of a stream leaves if its first event is too long in coming;
         an engine needs some of that time.
         """
-        patience_s = min(context.route.first_event_patience_s, context.route.timeout_s)
+        patience_s = min(context.route.event_patience_s, context.route.timeout_s)
         left_s = WAITED_SHARE * patience_s
         return min(context.call.arrived_s + left_s, context.deadline_s)
 
@@ -92,12 +92,11 @@
                 return chosen
             if now_s >= min(give_up_s, self._stop_limit_s(context)):
                 context.waited_s += now_s - asked_s
-                raise refuse(
-                    503,
+                raise _refused(
+                    context,
                     "no_server",
                     "no server can take the request now",
-                    step=Step.ROUTE,
-                    retry_after_s=RETRY_AFTER_S,
+                    back_s=RETRY_AFTER_S,
                 )
             self._refuse_if_model_is_late(context, asked_s, give_up_s)
             count_waiting()
@@ -127,12 +126,11 @@
         )
         if choice.wait is Wait.REFUSED:
             context.waited_s += now_s - asked_s
-            raise refuse(
-                503,
+            raise _refused(
+                context,
                 "model_absent",
                 "the model can't be loaded while the caller waits",
-                step=Step.ROUTE,
-                retry_after_s=choice.back_s,
+                back_s=choice.back_s,
             )
 
     def _held_somewhere(self, service: str, model: str) -> bool:
@@ -155,6 +153,9 @@
                 now_s=now_s,
                 rng=ports.rng,
             )
+            if server is None and not context.not_run:
+                # It left a slow one, and no other took it: back to any of them.
+                context.tried.clear()
             return None if server is None else (server, Flight())
         choice = await self._pick_engine(context, prompt, context.service.engine)
         if choice is None:
@@ -211,17 +212,32 @@
 
     def has_room_besides(self, context: RequestContext, server: BackendServer) -> bool:
         """Tell whether another server is known to have a place for a request."""
-        ports, prompt = self._ports, context.call.prompt
+        ports, now_s = self._ports, self._now_s()
+        prompt, spec = context.call.prompt, context.service.engine
+
+        def has_room(other: BackendServer) -> bool:
+            if spec is None or prompt is None:
+                return other.requests < other.entry.slots
+            return has_place(
+                other, prompt, adapter_slots=spec.adapter_slots, now_s=now_s
+            )
+
         others = [
             other
             for other in ports.fleet.of_service(context.service.name)
-            if other is not server
-            and other.usable
-            and other.name not in context.tried
-            and other.requests < other.entry.slots
-            and (prompt is None or holds_target(other, prompt))
+            if other is not server and other.usable and has_room(other)
         ]
-        return bool(trusted(others, cut_off=ports.cut_off(), now_s=self._now_s()))
+        return bool(trusted(others, cut_off=ports.cut_off(), now_s=now_s))
+
+    def has_untried(self, context: RequestContext) -> bool:
+        """Tell whether there is a server that a request has not been sent to."""
+        prompt, spec = context.call.prompt, context.service.engine
+        return any(
+            server.usable
+            and server.name not in context.tried
+            and (spec is None or prompt is None or prompt.model in server.held)
+            for server in self._ports.fleet.of_service(context.service.name)
+        )
 
     async def _wait_for_change(self, limit_s: float) -> None:
         async with self._ports.fleet_changed:
@@ -233,3 +249,12 @@
 
     def _now_s(self) -> float:
         return self._ports.clock.monotonic_s()
+
+
+def _refused(
+    context: RequestContext, code: str, message: str, *, back_s: float | None
+) -> RefusalError:
+    """Build a refusal that says "not run" only of what certainly was not."""
+    if context.not_run:
+        return refuse(503, code, message, step=Step.ROUTE, retry_after_s=back_s)
+    return refuse(502, code, message, step=Step.ROUTE, run=Run.UNKNOWN)
--- a/src/rosepath/silence.py
+++ b/src/rosepath/silence.py
@@ -5,10 +5,13 @@
 it is lost to its caller, so both are found out before.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import StrEnum
 
-from rosepath.retries import Budget
+# Of the time for which callers bear no event, a stream may be set aside by a server
+# that moves others; in the rest another one can read its prompt anew.
+SET_ASIDE_SHARE = 0.5
 
 
 class Stay(StrEnum):
@@ -23,25 +26,34 @@
 class Silence:
     """Describe a silence as far as it decides whether a request stays.
 
-    `others_moved_ago_s` is how long ago the server last did something for other
-    requests of this VM, None if it is not known to.
+    `look_s` is how long a silence is before it is looked at, `lasts_s` how long it
+    is by now, `patience_s` how long the caller bears it. `moved_ago_s` is how long
+    ago the server last did something for any request of this VM, None if never.
     """
 
     begun: bool
+    look_s: float
     lasts_s: float
-    others_moved_ago_s: float | None
+    patience_s: float
+    moved_ago_s: float | None
     room_elsewhere: bool
 
+    @property
+    def set_aside(self) -> bool:
+        """Tell whether the server is alive and goes on with others meanwhile.
 
-def reason_to_stay(silence: Silence, budget: Budget) -> Stay | None:
-    """Return why a request stays, or None if it leaves; spends a repeat then."""
-    moved_ago_s = silence.others_moved_ago_s
-    if silence.begun and moved_ago_s is not None and moved_ago_s < silence.lasts_s:
-        # The server is alive and set this stream aside. Were it the connection
-        # that died, the kernel's probes would say so.
+        Were it the connection that died, the kernel's probes would say so.
+        """
+        if not self.begun or self.moved_ago_s is None:
+            return False
+        moves = self.moved_ago_s < self.look_s
+        return moves and self.lasts_s < SET_ASIDE_SHARE * self.patience_s
+
+
+def reason_to_stay(silence: Silence, take_repeat: Callable[[], bool]) -> Stay | None:
+    """Return why a request stays, or None if it leaves; takes a repeat then."""
+    if silence.set_aside:
         return Stay.SERVER_MOVES
     if not silence.room_elsewhere:
         return Stay.NO_ROOM_ELSEWHERE
-    if not budget.spend():
-        return Stay.BUDGET_SPENT
-    return None
+    return None if take_repeat() else Stay.BUDGET_SPENT
