Let a begun stream wait for room and for a repeat while its caller does

Callers saw streams end in the middle, seconds into their time, after an engine had died: six others had turned the rest away within milliseconds, or no repeat was left at that moment, or no engine held the model for a while. Part of the answer was with them; nothing else could come of the request.

Cause: a stream that has begun was judged by what fits one that was never sent, which a refusal sends back to come again. Cut, it is lost.

Change: it waits for a server until its time is over, asks again every half second once six turned it away, and waits for a repeat where none is left. Its caller's leaving ends it, as before.

--- a/src/rosepath/next_try.py
+++ b/src/rosepath/next_try.py
@@ -1,7 +1,9 @@
 """What follows a try: how long it may stand still, and whether another comes."""
 
+import asyncio
+
 from rosepath.attempt import AttemptError
-from rosepath.errors import Run, refuse
+from rosepath.errors import RefusalError, Run, refuse
 from rosepath.fleet import BackendServer
 from rosepath.logs import get_logger
 from rosepath.request_context import RETRY_AFTER_S, RelayPorts, RequestContext
@@ -13,6 +15,9 @@
 # A request that so many servers refused unrun meets a want of room, not bad
 # luck; each further try would use up what others may repeat.
 MAX_TRIES = 6
+# A begun stream that as many turned away, or for which no repeat is left, asks
+# again after this; places come free as shorter answers end.
+CROWDED_PAUSE_S = 0.5
 # An idempotent request of a plain service is tried elsewhere after so many
 # usual answer times, and no sooner than this.
 PATIENCE_TIMES = 5.0
@@ -78,7 +83,7 @@
                 moved_ago_s=server.moved_ago_s(now_s),
                 room_elsewhere=self._picker.has_room_besides(context, server),
             ),
-            self._budget(context).spend,
+            lambda: self._hold(context),
         )
         if stays is not None and stays is not context.stays:
             _log.info(
@@ -90,8 +95,23 @@
                 repeats_left=round(self._budget(context).left, 1),
             )
         context.stays = stays
-        context.paid = stays is None
-        return context.paid
+        return stays is None
+
+    def _hold(self, context: RequestContext) -> bool:
+        context.holds_repeat = self._budget(context).hold()
+        return context.holds_repeat
+
+    def note_sent(self, context: RequestContext) -> None:
+        """Count the repeat that was held for a try as it goes out."""
+        if context.holds_repeat:
+            context.holds_repeat = False
+            self._budget(context).send()
+
+    def release(self, context: RequestContext) -> None:
+        """Give back the repeat that a request holds as it ends."""
+        if context.holds_repeat:
+            context.holds_repeat = False
+            self._budget(context).release()
 
     def _as_attempt(self, context: RequestContext, error: AttemptError) -> Attempt:
         return Attempt(
@@ -101,26 +121,43 @@
             attempts=context.may_have_run,
             max_attempts=context.route.max_attempts,
             left_s=context.deadline_s - self._now_s(),
-            paid=context.paid,
+            paid=context.holds_repeat,
         )
 
     def obstacle(self, context: RequestContext, error: AttemptError) -> Obstacle | None:
-        """Return what stands against another try; takes a repeat if nothing does."""
+        """Return what stands against another try; holds a repeat if nothing does."""
+        if context.arrivals >= MAX_TRIES and not context.exchange.begun:
+            return Obstacle.TOO_MANY_REFUSALS
         return find_obstacle(
-            self._as_attempt(context, error), self._budget(context).spend
+            self._as_attempt(context, error), lambda: self._hold(context)
         )
 
-    def judge(self, context: RequestContext, error: AttemptError) -> None:
-        """Return if the request may be tried again; raises RefusalError."""
-        obstacle = self.obstacle(context, error)
-        context.paid = False
-        if obstacle is None and context.arrivals >= MAX_TRIES:
-            obstacle = Obstacle.TOO_MANY_REFUSALS
-        if obstacle is None:
-            return
+    async def go_on(self, context: RequestContext, error: AttemptError) -> None:
+        """Return once the request may be tried again; raises RefusalError.
+
+        A stream that has begun is lost to its caller if it is given up here: it
+        waits for room, and for a repeat in the budget, as long as it has time.
+        """
+        begun = context.exchange.begun
+        if begun and context.arrivals >= MAX_TRIES:
+            await self._pause(context)
+        while (obstacle := self.obstacle(context, error)) is not None:
+            if not begun or obstacle is not Obstacle.BUDGET_SPENT:
+                raise self._given_up(context, error, obstacle)
+            await self._pause(context)
+
+    async def _pause(self, context: RequestContext) -> None:
+        """Wait a little, and no longer than the request has time."""
+        left_s = context.deadline_s - self._now_s()
+        await asyncio.sleep(max(0.0, min(CROWDED_PAUSE_S, left_s)))
+
+    def _given_up(
+        self, context: RequestContext, error: AttemptError, obstacle: Obstacle
+    ) -> RefusalError:
+        """Build the answer to a request that nobody is asked for again."""
         context.obstacle = obstacle
         if context.not_run:
-            raise refuse(
+            return refuse(
                 503,
                 "not_run",
                 error.message,
@@ -129,7 +166,7 @@
                 retry_after_s=RETRY_AFTER_S,
             )
         out_of_time = self._now_s() >= context.deadline_s
-        raise refuse(
+        return refuse(
             504 if out_of_time else 502,
             "timeout" if out_of_time else "server_failed",
             error.message,
--- a/src/rosepath/relay.py
+++ b/src/rosepath/relay.py
@@ -72,6 +72,8 @@
             await self._run(context)
         except RefusalError as error:
             self._give_up(context, error)
+        finally:
+            self._next.release(context)
 
     def _begin(self, call: CallerCall, exchange: CallerExchange) -> RequestContext:
         catalog = self._ports.catalog()
@@ -112,25 +114,22 @@
         while True:
             server, flight = await self._picker.choose(context)
             sent_s = self._now_s()
-            server.flights[context.call.request_id] = flight
             try:
                 answer = await self._try(context, server, flight)
             except AttemptError as error:
                 context.seen.append(error.evidence)
                 self._note_failed(context, server, error)
-                self._next.judge(context, error)
+                await self._next.go_on(context, error)
                 continue
-            finally:
-                server.flights.pop(context.call.request_id, None)
             server.moved_s = self._now_s()
             failed = not answer.success
-            if failed and self._try_again_after(context, server, answer):
+            if failed and await self._try_again_after(context, server, answer):
                 continue
             note_success(server, took_s=self._now_s() - sent_s)
             self._finish(context, server, answer)
             return
 
-    def _try_again_after(
+    async def _try_again_after(
         self, context: RequestContext, server: BackendServer, answer: Answer
     ) -> bool:
         """Tell whether a request whose server failed goes on elsewhere.
@@ -151,7 +150,7 @@
         if context.exchange.begun:
             # Part of a stream is at its caller already: this answer can't be
             # passed on, and to end the stream would make it look whole.
-            self._next.judge(context, error)
+            await self._next.go_on(context, error)
             return True
         if not self._picker.has_untried(context):
             return False
@@ -184,13 +183,18 @@
             still_wanted=lambda: server.usable and self._ports.fleet_sound(),
             may_break_off=lambda: self._next.leaves(context, server),
         )
-        return await self._ports.attempts.send(
-            context.call,
-            server,
-            sending,
-            order=order,
-            on_events=on_events if order is not None else None,
-        )
+        self._next.note_sent(context)
+        server.flights[context.call.request_id] = flight
+        try:
+            return await self._ports.attempts.send(
+                context.call,
+                server,
+                sending,
+                order=order,
+                on_events=on_events if order is not None else None,
+            )
+        finally:
+            server.flights.pop(context.call.request_id, None)
 
     def _note_failed(
         self, context: RequestContext, server: BackendServer, error: AttemptError
--- a/src/rosepath/request_context.py
+++ b/src/rosepath/request_context.py
@@ -88,8 +88,8 @@
     unread_tokens: int = 0
     predicted_s: float = 0.0
     answered_by: str = ""
-    # Whether the next try was paid for when the last was broken off.
-    paid: bool = False
+    # Whether a repeat in the budget is held for its next try.
+    holds_repeat: bool = False
     # Why it stays with a silent server, if it was last seen with one.
     stays: Stay | None = None
     # What stood against another try, once one was wanted.
--- a/src/rosepath/retry_window.py
+++ b/src/rosepath/retry_window.py
@@ -38,6 +38,9 @@
     slack: float
     window_s: float
     vms: int = 1
+    # Repeats that were taken and are not sent yet; a server may have to be waited
+    # for, and only their arrival counts.
+    _held: int = 0
     _requests_s: list[float] = field(default_factory=list)
     _bursts: list[_Burst] = field(default_factory=list)
 
@@ -47,9 +50,26 @@
         self._requests_s.append(self.clock.monotonic_s())
 
     def spend(self) -> bool:
-        """Take one repeat, or return False."""
+        """Take one repeat that is sent at once, or return False."""
+        if not self.hold():
+            return False
+        self.send()
+        return True
+
+    def hold(self) -> bool:
+        """Take one repeat to be sent later, or return False."""
         if self.left < 1:
             return False
+        self._held += 1
+        return True
+
+    def release(self) -> None:
+        """Give back a repeat that was held and won't be sent."""
+        self._held -= 1
+
+    def send(self) -> None:
+        """Count a repeat that was held as made now."""
+        self._held -= 1
         now_s = self.clock.monotonic_s()
         last = self._bursts[-1] if self._bursts else None
         if last is None or now_s - last.first_s > BURST_SHARE * self.window_s:
@@ -57,7 +77,6 @@
         else:
             last.last_s = now_s
             last.count += 1
-        return True
 
     @property
     def left(self) -> float:
@@ -75,7 +94,7 @@
             made += burst.count
             starts_s = (after_s, burst.first_s, burst.last_s)
             left = min(left, min(map(self._allowed_from, starts_s)) - made)
-        return left
+        return left - self._held
 
     def _allowed_from(self, start_s: float) -> float:
         """Return how many repeats a window bears by what is known of it so far."""
--- a/src/rosepath/server_picker.py
+++ b/src/rosepath/server_picker.py
@@ -38,21 +38,25 @@
     async def choose(self, context: RequestContext) -> tuple[BackendServer, Flight]:
         """Choose a server, waiting a little for one if there is none."""
         asked_s = self._now_s()
-        give_up_s = min(asked_s + NO_SERVER_WAIT_S, context.deadline_s)
+        give_up_s = self._wait_until_s(context, asked_s)
         if context.service.engine is not None:
-            give_up_s = self._wait_until_s(context)
             if context.call.prompt is not None and not context.seen:
                 self._ports.models.note_asked(context.service.name, context.call.prompt)
         with self._counted_waiting(context) as count_waiting:
             return await self._choose_until(context, asked_s, give_up_s, count_waiting)
 
     @staticmethod
-    def _wait_until_s(context: RequestContext) -> float:
-        """Return until when a generation may wait for an engine.
+    def _wait_until_s(context: RequestContext, asked_s: float) -> float:
+        """Return until when a request may wait for a server.
 
-        A caller of a stream leaves if its first event is too long in coming;
-        an engine needs some of that time.
+        A caller of a stream leaves if its first event is too long in coming; an
+        engine needs some of that time. One that has begun is lost if it is given
+        up, and waits as long as its caller does.
         """
+        if context.exchange.begun:
+            return context.deadline_s
+        if context.service.engine is None:
+            return min(asked_s + NO_SERVER_WAIT_S, context.deadline_s)
         patience_s = min(context.route.event_patience_s, context.route.timeout_s)
         left_s = WAITED_SHARE * patience_s
         return min(context.call.arrived_s + left_s, context.deadline_s)
@@ -115,6 +119,8 @@
         self, context: RequestContext, asked_s: float, give_up_s: float
     ) -> None:
         prompt = context.call.prompt
+        if context.exchange.begun:
+            return
         if prompt is None or self._held_somewhere(context.service.name, prompt.model):
             return
         now_s = self._now_s()
