Let a stream that may have run wait for a repeat, too

Callers of streams got 502 with seconds left: their request had left an engine that never began, with the last repeat, and the next engine turned it away. Such a caller doesn't come back after a failure; an idempotent request of a plain service does, and what is refused unrun does.

Change: comes_once tells what has no way back; that waits for room and a repeat as a begun stream does. Test: red before.

--- a/src/rosepath/next_try.py
+++ b/src/rosepath/next_try.py
@@ -15,8 +15,8 @@
 # A request that so many servers refused unrun meets a want of room, not bad
 # luck; each further try would use up what others may repeat.
 MAX_TRIES = 6
-# A begun stream that as many turned away, or for which no repeat is left, asks
-# again after this; places come free as shorter answers end.
+# A stream that has begun and that as many turned away, or for which no repeat is
+# left, asks again after this; places come free as shorter answers end.
 CROWDED_PAUSE_S = 0.5
 # An idempotent request of a plain service is tried elsewhere after so many
 # usual answer times, and no sooner than this.
@@ -126,7 +126,7 @@
 
     def obstacle(self, context: RequestContext, error: AttemptError) -> Obstacle | None:
         """Return what stands against another try; holds a repeat if nothing does."""
-        if context.arrivals >= MAX_TRIES and not context.exchange.begun:
+        if context.arrivals >= MAX_TRIES and not context.comes_once:
             return Obstacle.TOO_MANY_REFUSALS
         return find_obstacle(
             self._as_attempt(context, error), lambda: self._hold(context)
@@ -135,14 +135,14 @@
     async def go_on(self, context: RequestContext, error: AttemptError) -> None:
         """Return once the request may be tried again; raises RefusalError.
 
-        A stream that has begun is lost to its caller if it is given up here: it
-        waits for room, and for a repeat in the budget, as long as it has time.
+        What has no way back is lost to its caller if it is given up here: it waits
+        for room, and for a repeat in the budget, as long as it has time.
         """
-        begun = context.exchange.begun
-        if begun and context.arrivals >= MAX_TRIES:
+        waits = context.comes_once
+        if waits and context.arrivals >= MAX_TRIES:
             await self._pause(context)
         while (obstacle := self.obstacle(context, error)) is not None:
-            if not begun or obstacle is not Obstacle.BUDGET_SPENT:
+            if not waits or obstacle is not Obstacle.BUDGET_SPENT:
                 raise self._given_up(context, error, obstacle)
             await self._pause(context)
 
--- a/src/rosepath/request_context.py
+++ b/src/rosepath/request_context.py
@@ -118,3 +118,14 @@
     @property
     def not_run(self) -> bool:
         return self.may_have_run == 0
+
+    @property
+    def comes_once(self) -> bool:
+        """Tell whether its caller has no way back if it is given up.
+
+        What is refused unrun is asked for again, and so is an idempotent request of
+        a plain service; a stream that has begun, or may have, is not.
+        """
+        if self.exchange.begun:
+            return True
+        return self.order is not None and not self.not_run
--- a/tests/test_silent_servers.py
+++ b/tests/test_silent_servers.py
@@ -383,6 +383,21 @@
     run(play)
 
 
+def test_a_stream_that_may_have_run_waits_for_a_retry() -> None:
+    # It left an engine that never began, with the last repeat, and the next one
+    # turned it away. Its caller doesn't come back after a failure, and would wait
+    # for long yet: a 502 is the end of it.
+    async def play() -> None:
+        does = in_turn(never_answers, refuses, goes_on)
+        route = replace(a_route(timeout_s=20.0), target_latency_s=4.0)
+        site = a_site(*all_do(2, does), repeats=1, window_s=4.0, route=route)
+        caller = asks()
+        await site.serve(caller)
+        assert heard_whole(caller)
+
+    run(play)
+
+
 def test_a_look_up_goes_back_to_a_server_it_left() -> None:
     # The other one refused it. A 503 would say that it has not run.
     async def play() -> None:
