Ask before the daemon breaks a silent backend server off

Callers of the daemon got a 502, run unknown, 10 s after a call that takes its server 12 s, with most of their time left: a filing that may run once always, a call that may be repeated once the retry budget was spent or its fourth try came. A stream that a full engine set aside ended with an error, run partial.

Cause: the progress timeout broke a try off, and judge() asked only afterwards whether another may follow; nobody asked whether anyone could take it.

Change: services.py and dispatch.py hand the exchange a may_break_off (model requests by way of SendPolicy). Dispatcher.leaves_silent() answers it for both: first whether a server has room, then judge(), which spends the retry there and then; Attempt.paid keeps it from being asked for again. The attempt is described by one function for both questions.

Why it holds: a try is only broken off when a retry is already paid, a try is left and a server had room at that moment. What a dead connection loses is found by the kernel's probes, as before. One case is wider than "somebody else": a begun stream whose only engine has room goes back there after its last token, since engines may lose a single stream.

Left as it was: the server that was left for may still refuse, and a further try then needs a retry of its own.

--- a/src/rosepath/backend_http.py
+++ b/src/rosepath/backend_http.py
@@ -94,6 +94,7 @@
             connect_timeout_s=policy.connect_timeout_s,
             progress_timeout_s=policy.progress_timeout_s,
             proven_live_within_s=policy.proven_live_within_s,
+            may_break_off=policy.may_break_off,
         )
         await self.pool.exchange(request, on_head=on_head, on_data=on_data)
         if status != 200:
--- a/src/rosepath/dispatch.py
+++ b/src/rosepath/dispatch.py
@@ -25,6 +25,7 @@
     RoutingPolicy,
     RoutingRequest,
     choose_replica,
+    has_room_besides,
     note_failure,
     note_success,
     predicted_first_token_s,
@@ -54,13 +55,15 @@
 class _Course:
     """Hold how a request has gone so far, over all its attempts.
 
-    `refused` holds the replicas that would only refuse again.
+    `refused` holds the replicas that would only refuse again; `paid` says that
+    the budget was spent for what follows the present attempt.
     """
 
     tried: set[str] = field(default_factory=set)
     refused: set[str] = field(default_factory=set)
     evidence: list[Evidence] = field(default_factory=list)
     attempts: int = 0
+    paid: bool = False
     last_error: str = ""
     last_peer: str = ""
 
@@ -102,7 +105,7 @@
             replica = await self._choose(generation.target, keys, terms, course)
             left = replace(generation, offset=checker.offset)
             try:
-                await self._attempt(replica, left, terms, checker, on_events)
+                await self._attempt(replica, left, terms, checker, course, on_events)
             except (ExchangeError, NotRunError, StreamBrokenError) as error:
                 self._after_failure(replica, error, terms, checker, course)
             else:
@@ -116,6 +119,7 @@
         generation: Generation,
         terms: Terms,
         checker: StreamChecker,
+        course: _Course,
         on_events: OnBytes,
     ) -> None:
         checker.restart()
@@ -126,6 +130,10 @@
             passed = checker.feed(data)
             return on_events(passed) if passed else None
 
+        def may_break_off() -> bool:
+            course.paid = self._leaves(replica, generation, terms, checker, course)
+            return course.paid
+
         context = trace.set_span_in_context(terms.span)
         attributes: dict[str, str | int] = {
             "peer": replica.name,
@@ -140,7 +148,7 @@
                     replica.address,
                     replace(generation, traceparent=traceparent_of(span)),
                     on_bytes,
-                    self._send_policy(terms),
+                    self._send_policy(terms, may_break_off),
                 )
             except asyncio.CancelledError:
                 self._cancel_later(replica, generation.request_id)
@@ -151,7 +159,9 @@
             raise StreamBrokenError("the answer ended without its end marker")
         note_success(replica, held_s=self._clock.monotonic_s() - started_s)
 
-    def _send_policy(self, terms: Terms) -> SendPolicy:
+    def _send_policy(
+        self, terms: Terms, may_break_off: Callable[[], bool]
+    ) -> SendPolicy:
         # A connection that something between the ends has forgotten swallows
         # a request without a word, and nobody can tell whether it ran. What
         # may run only once goes out where an answer came a moment ago.
@@ -160,8 +170,49 @@
             connect_timeout_s=self.settings.connect_timeout_s,
             progress_timeout_s=self.settings.progress_timeout_s,
             proven_live_within_s=fresh_s,
+            may_break_off=may_break_off,
+        )
+
+    def _leaves(
+        self,
+        replica: Replica,
+        generation: Generation,
+        terms: Terms,
+        checker: StreamChecker,
+        course: _Course,
+    ) -> bool:
+        evidence = _evidence_once_sent(checker)
+        unfit = {replica.name, *course.refused}
+        if evidence is Evidence.ANSWER_BEGUN:
+            # An engine may lose a single stream. If it has room, it didn't set
+            # that aside, and goes on after the last token without a loss.
+            unfit = course.refused
+        return self.leaves_silent(
+            self._as_attempt(evidence, terms, course, attempts=course.attempts + 1),
+            self.tables.replicas.values(),
+            generation.target,
+            unfit=unfit,
         )
 
+    def leaves_silent(
+        self,
+        attempt: Attempt,
+        replicas: Iterable[Replica],
+        target: str,
+        *,
+        unfit: Collection[str],
+    ) -> bool:
+        """Tell whether a request leaves a silent server; spends a retry then.
+
+        Its server may be at work: broken off while it may not or can't go on
+        elsewhere, the request would be lost to its caller with time left.
+        """
+        if attempt.left_s <= 0:
+            return True
+        if not has_room_besides(replicas, target, unfit=unfit):
+            return False
+        return judge(attempt, self.budget) is not Verdict.GIVE_UP
+
     def _cancel_later(self, replica: Replica, request_id: str) -> None:
         asyncio.ensure_future(self.backend.cancel(replica.address, request_id))
 
@@ -255,16 +306,10 @@
         if isinstance(error, NotRunError):
             course.refused.add(replica.name)
         verdict = judge(
-            Attempt(
-                evidence=evidence,
-                idempotent=terms.idempotent,
-                resumable=terms.idempotent,
-                attempts=course.attempts,
-                max_attempts=MAX_ATTEMPTS,
-                left_s=terms.deadline_s - self._clock.monotonic_s(),
-            ),
+            self._as_attempt(evidence, terms, course, attempts=course.attempts),
             self.budget,
         )
+        course.paid = False
         self.telemetry.retries.add(
             1, {"verdict": verdict.value, "evidence": evidence.value}
         )
@@ -281,6 +326,19 @@
             self._count_dropped(checker)
             raise self._given_up(course) from error
 
+    def _as_attempt(
+        self, evidence: Evidence, terms: Terms, course: _Course, *, attempts: int
+    ) -> Attempt:
+        return Attempt(
+            evidence=evidence,
+            idempotent=terms.idempotent,
+            resumable=terms.idempotent,
+            attempts=attempts,
+            max_attempts=MAX_ATTEMPTS,
+            left_s=terms.deadline_s - self._clock.monotonic_s(),
+            paid=course.paid,
+        )
+
     def _evidence(
         self, replica: Replica, error: Exception, checker: StreamChecker
     ) -> Evidence:
@@ -289,11 +347,10 @@
             begun = checker.offset > 0
             return Evidence.ANSWER_BEGUN if begun else Evidence.REFUSED
         note_failure(replica, now_s=self._clock.monotonic_s())
-        if checker.offset > 0:
-            return Evidence.ANSWER_BEGUN
+        evidence = _evidence_once_sent(checker)
         if isinstance(error, ExchangeError) and not error.sent:
-            return Evidence.NOT_SENT
-        return Evidence.SENT
+            return Evidence.NOT_SENT if evidence is Evidence.SENT else evidence
+        return evidence
 
     def _learn_refusal(
         self, replica: Replica, code: str, checker: StreamChecker
@@ -323,3 +380,7 @@
     def _count_dropped(self, checker: StreamChecker) -> None:
         for reason, count in checker.dropped.items():
             self.telemetry.dropped_chunks.add(count, {"reason": reason.value})
+
+
+def _evidence_once_sent(checker: StreamChecker) -> Evidence:
+    return Evidence.ANSWER_BEGUN if checker.offset > 0 else Evidence.SENT
--- a/src/rosepath/routing.py
+++ b/src/rosepath/routing.py
@@ -1,7 +1,7 @@
 """Which replica takes a request: least predicted time to the first token."""
 
 import random
-from collections.abc import Iterable, Sequence
+from collections.abc import Collection, Iterable, Sequence
 from dataclasses import dataclass
 
 from rosepath.rendezvous import ranked
@@ -49,6 +49,18 @@
     return replica.reachable and not replica.leaving and target in replica.resident
 
 
+def has_room_besides(
+    replicas: Iterable[Replica], target: str, *, unfit: Collection[str]
+) -> bool:
+    """Tell whether a replica that is not unfit has a place for a target."""
+    return any(
+        usable(replica, target)
+        and replica.name not in unfit
+        and replica.load() < replica.slots
+        for replica in replicas
+    )
+
+
 def choose_replica(
     replicas: Iterable[Replica],
     request: RoutingRequest,
--- a/src/rosepath/services.py
+++ b/src/rosepath/services.py
@@ -82,6 +82,12 @@
         self.held.append(data)
         return None
 
+    @property
+    def evidence_once_sent(self) -> Evidence:
+        # An answer that was held back is not lost on the caller: the call
+        # may be repeated if it is idempotent, as if no answer had begun.
+        return Evidence.ANSWER_BEGUN if self.passing else Evidence.SENT
+
     async def release(self) -> None:
         """Send what was held back, now that all of it is here."""
         if self.passing or self.head is None:
@@ -91,6 +97,19 @@
             await _maybe(self.on_data(b"".join(self.held)))
 
 
+@dataclass(slots=True)
+class _Course:
+    """Hold how a call has gone so far, over all its attempts.
+
+    `paid` says that the budget was spent for what follows the present attempt.
+    """
+
+    tried: set[str] = field(default_factory=set)
+    refused: set[str] = field(default_factory=set)
+    seen: list[Evidence] = field(default_factory=list)
+    paid: bool = False
+
+
 async def _maybe(waiting: Awaitable[None] | None) -> None:
     if waiting is not None:
         await waiting
@@ -107,38 +126,34 @@
         self, call: ServiceCall, terms: Terms, on_head: OnHead, on_data: OnData
     ) -> None:
         """Pass a call on; raises RefusalError if it can't be answered."""
-        tried: set[str] = set()
-        seen: list[Evidence] = []
+        course = _Course()
         self._dispatcher.budget.earn()
         while True:
-            replica = await self._choose(call.service, terms, tried, seen)
+            replica = await self._choose(call.service, terms, course)
             answer = _Answer(on_head, on_data)
-            evidence, error = await self._attempt(replica, call, terms, answer)
+            evidence, error = await self._attempt(replica, call, terms, answer, course)
             if evidence is None:
                 await answer.release()
                 return
-            seen.append(evidence)
-            tried.add(replica.name)
-            self._judge(replica, call, terms, answer, seen, error)
-
-    async def _choose(
-        self, service: str, terms: Terms, tried: set[str], seen: list[Evidence]
-    ) -> Replica:
-        replicas = [
-            replica
-            for replica in self._dispatcher.tables.replicas.values()
-            if replica.service == service
-        ]
+            course.seen.append(evidence)
+            course.tried.add(replica.name)
+            if evidence is Evidence.REFUSED:
+                course.refused.add(replica.name)
+            self._judge(replica, call, terms, course, error)
+
+    async def _choose(self, service: str, terms: Terms, course: _Course) -> Replica:
         request = RoutingRequest(
-            target=service, data_centre=terms.data_centre, tried=frozenset(tried)
+            target=service,
+            data_centre=terms.data_centre,
+            tried=frozenset(course.tried),
         )
         replica = await self._dispatcher.choose_again(
-            replicas, request, refused=frozenset()
+            self._servers_of(service), request, refused=frozenset()
         )
         if replica is not None:
             return replica
-        if seen:
-            raise _given_up(seen, "", "no other server is left")
+        if course.seen:
+            raise _given_up(course.seen, "", "no other server is left")
         raise refuse(
             503,
             "service_unavailable",
@@ -147,14 +162,42 @@
             retry_after_s=2.0,
         )
 
+    def _servers_of(self, service: str) -> list[Replica]:
+        return [
+            replica
+            for replica in self._dispatcher.tables.replicas.values()
+            if replica.service == service
+        ]
+
     async def _attempt(
-        self, replica: Replica, call: ServiceCall, terms: Terms, answer: _Answer
+        self,
+        replica: Replica,
+        call: ServiceCall,
+        terms: Terms,
+        answer: _Answer,
+        course: _Course,
     ) -> tuple[Evidence | None, str]:
         """Make one attempt; return evidence and error if it failed."""
         clock_s = asyncio.get_running_loop().time
         started_s = clock_s()
         key = f"{id(call)}.{started_s}"
         settings = self._dispatcher.settings
+
+        def may_break_off() -> bool:
+            course.paid = self._dispatcher.leaves_silent(
+                _as_attempt(
+                    answer.evidence_once_sent,
+                    call,
+                    terms,
+                    course,
+                    attempts=len(course.seen) + 1,
+                ),
+                self._servers_of(call.service),
+                call.service,
+                unfit={replica.name, *course.refused},
+            )
+            return course.paid
+
         context = trace.set_span_in_context(terms.span)
         with self._dispatcher.telemetry.tracer.start_as_current_span(
             "backend.call", context=context, attributes={"peer": replica.name}
@@ -171,6 +214,7 @@
                 proven_live_within_s=None
                 if terms.idempotent
                 else settings.proven_live_within_s,
+                may_break_off=may_break_off,
             )
             replica.own_starts[key] = started_s
             try:
@@ -179,7 +223,8 @@
                 )
             except ExchangeError as error:
                 note_failure(replica, now_s=clock_s())
-                return self._evidence(error, answer), str(error)
+                sent = answer.evidence_once_sent
+                return sent if error.sent else Evidence.NOT_SENT, str(error)
             finally:
                 replica.own_starts.pop(key, None)
         if head.headers.get(RUN_HEADER) == "no":
@@ -187,40 +232,42 @@
         note_success(replica, held_s=clock_s() - started_s)
         return None, ""
 
-    def _evidence(self, error: ExchangeError, answer: _Answer) -> Evidence:
-        if not error.sent:
-            return Evidence.NOT_SENT
-        # An answer that was held back is not lost on the caller: the call
-        # may be repeated if it is idempotent, as if no answer had begun.
-        return Evidence.ANSWER_BEGUN if answer.passing else Evidence.SENT
-
     def _judge(
         self,
         replica: Replica,
         call: ServiceCall,
         terms: Terms,
-        answer: _Answer,
-        seen: list[Evidence],
+        course: _Course,
         error: str,
     ) -> None:
-        evidence = seen[-1]
-        # A body that is still arriving can't be sent a second time.
-        spent = call.body_chunks is not None and evidence is not Evidence.NOT_SENT
-        verdict = judge(
-            Attempt(
-                evidence=evidence,
-                idempotent=terms.idempotent and not spent,
-                resumable=False,
-                attempts=MAX_ATTEMPTS if spent else len(seen),
-                max_attempts=MAX_ATTEMPTS,
-                left_s=terms.deadline_s - asyncio.get_running_loop().time(),
-            ),
-            self._dispatcher.budget,
-        )
-        if verdict is Verdict.GIVE_UP:
+        seen = course.seen
+        attempt = _as_attempt(seen[-1], call, terms, course, attempts=len(seen))
+        course.paid = False
+        if judge(attempt, self._dispatcher.budget) is Verdict.GIVE_UP:
             raise _given_up(seen, replica.name, error)
 
 
+def _as_attempt(
+    evidence: Evidence,
+    call: ServiceCall,
+    terms: Terms,
+    course: _Course,
+    *,
+    attempts: int,
+) -> Attempt:
+    # A body that is still arriving can't be sent a second time.
+    spent = call.body_chunks is not None and evidence is not Evidence.NOT_SENT
+    return Attempt(
+        evidence=evidence,
+        idempotent=terms.idempotent and not spent,
+        resumable=False,
+        attempts=MAX_ATTEMPTS if spent else attempts,
+        max_attempts=MAX_ATTEMPTS,
+        left_s=terms.deadline_s - asyncio.get_running_loop().time(),
+        paid=course.paid,
+    )
+
+
 def _given_up(seen: list[Evidence], peer: str, error: str) -> RefusalError:
     run = run_of(worst_evidence(seen))
     return refuse(
