Give a deferred request's run back when it was refused unrun

Callers whose own limit was used up, or whose model had no room, found their deferred requests "failed" after five refusals, about ten seconds, without a word why, though each refusal said "not run" and none had ever run.

Cause: a run is counted as it is marked, before it ran, and was put back with its count whatever the refusal said.

Change: what is put back after "not run" (429, or 5xx with that proof) takes its run back and counts a refusal instead, stored beside the runs. The wait before the next try grows with those: 2 s, times 1.5 with each, 60 s at most. A run is named to engines and lenders by runs and refusals together, so that each start still has a name of its own and a slot given back late isn't the next one's. A request whose time has not come is not read at a scan: a scan reads 32, and more refused ones than that would have stood before all others for good.

Why it holds: runs that may have been (502, a runner that vanished) count as before and end it after five. Requests stored by the version before have no count of refusals and are read as none. What nobody ever takes stays queued; nothing ends it any more.

--- a/src/rosepath/deferred.py
+++ b/src/rosepath/deferred.py
@@ -16,6 +16,9 @@
 MAX_BODY_BYTES = 512 * 1024
 MAX_RESULT_BYTES = 900 * 1024
 MAX_RUNS = 5
+REQUEUE_PAUSE_S = 2.0
+REFUSED_PAUSE_GROWTH = 1.5
+MAX_REFUSED_PAUSE_S = 60.0
 
 
 class DeferredState(StrEnum):
@@ -30,7 +33,11 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class DeferredRequest:
-    """Hold a request that waits, and who runs it."""
+    """Hold a request that waits, and who runs it.
+
+    `runs` counts those that may have run, the present one included, `refusals`
+    those that are proven not to have.
+    """
 
     request_id: str
     caller: str
@@ -41,6 +48,12 @@
     state: DeferredState = DeferredState.QUEUED
     runner: str = ""
     runs: int = 0
+    refusals: int = 0
+
+    @property
+    def run_name(self) -> str:
+        """Name the present run as no other of this request is named."""
+        return f"{self.request_id}.{self.runs + self.refusals}"
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -94,10 +107,30 @@
     )
 
 
-def requeue(request: DeferredRequest, *, not_before_s: float) -> DeferredRequest:
-    """Return the request as put back after a run that is proven not to have been."""
+def requeue(
+    request: DeferredRequest, *, now_s: float, pause_s: float = REQUEUE_PAUSE_S
+) -> DeferredRequest:
+    """Return the request as put back after a run that may be repeated."""
+    return replace(
+        request,
+        state=DeferredState.QUEUED,
+        runner="",
+        not_before_s=now_s + pause_s,
+    )
+
+
+def requeue_unrun(request: DeferredRequest, *, now_s: float) -> DeferredRequest:
+    """Return the request as put back after a run that is proven not to have been.
+
+    It takes its run back, so that no count ends it; it waits longer each time
+    instead, as a try costs two writes to the store.
+    """
+    growth = REFUSED_PAUSE_GROWTH ** min(request.refusals, 10)
+    pause_s = min(REQUEUE_PAUSE_S * growth, MAX_REFUSED_PAUSE_S)
     return replace(
-        request, state=DeferredState.QUEUED, runner="", not_before_s=not_before_s
+        requeue(request, now_s=now_s, pause_s=pause_s),
+        runs=request.runs - 1,
+        refusals=request.refusals + 1,
     )
 
 
@@ -114,6 +147,7 @@
             "state": request.state,
             "runner": request.runner,
             "runs": request.runs,
+            "refusals": request.refusals,
         }
     ).encode()
 
@@ -133,6 +167,8 @@
                 state=DeferredState(raw["state"]),
                 runner=str(raw["runner"]),
                 runs=int(raw["runs"]),
+                # An entry VM of the version before stores none.
+                refusals=int(raw.get("refusals", 0)),
             )
         )
     except (ValueError, KeyError, TypeError, AttributeError) as error:
--- a/src/rosepath/deferred_execution.py
+++ b/src/rosepath/deferred_execution.py
@@ -50,7 +50,7 @@
             raise refuse(404, "model_not_found", model, step=Step.ROUTE)
         generation = make_generation(
             parsed.ok,
-            request_id=f"{request.request_id}.{request.runs}",
+            request_id=request.run_name,
             target=target,
             priority=PRIORITY,
         )
--- a/src/rosepath/deferred_runner.py
+++ b/src/rosepath/deferred_runner.py
@@ -22,6 +22,7 @@
     encode_result,
     next_step,
     requeue,
+    requeue_unrun,
     start_run,
 )
 from rosepath.errors import RefusalError, Run
@@ -32,7 +33,6 @@
 RESULT_PREFIX = "results/"
 LEASE_S = 10.0
 RENEW_S = 3.0
-REQUEUE_PAUSE_S = 2.0
 MAX_PARALLEL = 8
 MAX_READS_PER_SCAN = 32
 
@@ -113,12 +113,21 @@
         for name in self.seen.keys() - set(names):
             del self.seen[name]
         mine = [n for n in names if self.ports.mine(n) and n not in self.running]
-        for name in mine[:MAX_READS_PER_SCAN]:
+        # Those that wait are not read: many of them, before the others in the
+        # list, would keep these from ever being run.
+        due = [name for name in mine if not self._waits(name)]
+        for name in due[:MAX_READS_PER_SCAN]:
             if len(self.running) >= MAX_PARALLEL:
                 return
             with suppress(StoreError, ConflictError):
                 await self._look(name)
 
+    def _waits(self, name: str) -> bool:
+        row = self.seen.get(name)
+        if row is None or row.request.state is not DeferredState.QUEUED:
+            return False
+        return row.request.not_before_s > self.ports.clock.wall_s()
+
     async def _look(self, name: str) -> None:
         stored = await self.ports.platform.get(name)
         if stored is None:
@@ -203,21 +212,16 @@
                 await self._update(name, row, row.request)
 
     async def _after_refusal(self, name: str, row: _Seen, error: RefusalError) -> None:
-        refusal = error.refusal
+        refusal, now_s = error.refusal, self.ports.clock.wall_s()
+        again: DeferredRequest | None = None
         if refusal.run is Run.NO and refusal.status >= 429:
-            later_s = self.ports.clock.wall_s() + REQUEUE_PAUSE_S
-            again = requeue(row.request, not_before_s=later_s)
+            again = requeue_unrun(row.request, now_s=now_s)
+        elif row.request.idempotent and refusal.status >= 500:
+            again = requeue(row.request, now_s=now_s)
+        if again is not None:
             with suppress(StoreError, ConflictError):
                 await self._update(name, row, again)
             return
-        repeatable = row.request.idempotent and refusal.status >= 500
-        if repeatable:
-            later_s = self.ports.clock.wall_s() + REQUEUE_PAUSE_S
-            with suppress(StoreError, ConflictError):
-                await self._update(
-                    name, row, requeue(row.request, not_before_s=later_s)
-                )
-            return
         state = DeferredState.FAILED if refusal.run is Run.NO else DeferredState.UNKNOWN
         text = json.dumps({"code": refusal.code, "message": refusal.message})
         await self._end_surely(name, row, state, text)
--- a/tests/test_deferred.py
+++ b/tests/test_deferred.py
@@ -1,6 +1,10 @@
 """Deferred requests are run, at most once where they must, and end."""
 
 import asyncio
+import json
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field, replace
+from itertools import pairwise
 
 from fakes import FakePlatform
 from hypothesis import given, strategies as st
@@ -12,7 +16,9 @@
     NextStep,
     decode_request,
     decode_result,
+    encode_request,
     next_step,
+    requeue_unrun,
     start_run,
 )
 from rosepath.deferred_runner import (
@@ -22,6 +28,7 @@
     read_status,
     store_request,
 )
+from rosepath.errors import RefusalError, Run, Step, refuse
 
 
 def deferred(**fields: object) -> DeferredRequest:
@@ -153,3 +160,135 @@
         assert await read_status(fleet.platform, "r", "someone") is None
 
     asyncio.run(run())
+
+
+Execute = Callable[[DeferredRequest], Awaitable[bytes]]
+
+
+@dataclass(slots=True)
+class Alone:
+    """Hold a runner that scans each second."""
+
+    execute: Execute
+    platform: FakePlatform = field(default_factory=FakePlatform)
+    clock: ManualClock = field(default_factory=lambda: ManualClock(start_s=0.0))
+
+    async def scans(self, *requests: DeferredRequest, for_s: int) -> None:
+        """Run stored requests for some seconds."""
+        runner = DeferredRunner(
+            RunnerPorts(
+                me="a",
+                platform=self.platform,
+                clock=self.clock,
+                execute=self.execute,
+                mine=lambda _: True,
+                is_alive=lambda _: True,
+                has_room=lambda: True,
+            )
+        )
+        for request in requests:
+            await store_request(self.platform, request)
+        for _ in range(for_s):
+            await runner.scan()
+            await runner.drain()
+            await asyncio.sleep(0)
+            self.clock.advance(1.0)
+
+
+async def tries_of(
+    refusal_at: Callable[[int], RefusalError | None], *, for_s: int
+) -> tuple[list[float], tuple[DeferredState, str] | None]:
+    """Run a request that is refused at some tries; return when it was tried."""
+    tries: list[float] = []
+
+    async def execute(_: DeferredRequest) -> bytes:
+        tries.append(alone.clock.now_s)
+        refusal = refusal_at(len(tries))
+        if refusal is not None:
+            raise refusal
+        return b"answer"
+
+    alone = Alone(execute)
+    await alone.scans(deferred(), for_s=for_s)
+    return tries, await read_status(alone.platform, "r", "c")
+
+
+def used_up() -> RefusalError:
+    return refuse(429, "concurrency_limit", "used up", step=Step.LIMIT)
+
+
+def test_a_request_that_never_ran_is_not_ended_by_refusals() -> None:
+    # Its caller's own limit was used up for a minute. Each refusal said "not
+    # run" and used up a run nevertheless; after five of them, ten seconds, the
+    # request was "failed" without a word why, though it had never run.
+    tries, status = asyncio.run(
+        tries_of(lambda number: used_up() if number <= 8 else None, for_s=200)
+    )
+    assert status == (DeferredState.DONE, "answer")
+    assert len(tries) == 9
+
+
+def test_a_request_that_is_refused_waits_longer_each_time() -> None:
+    # Nothing ends it now, so it must not spin: each try writes to the store.
+    tries, status = asyncio.run(tries_of(lambda _: used_up(), for_s=1000))
+    pauses_s = [after - before for before, after in pairwise(tries)]
+    assert status == (DeferredState.QUEUED, "")
+    assert pauses_s[0] == 2.0 and pauses_s == sorted(pauses_s)
+    assert max(pauses_s) == 60.0
+    assert len(tries) < 30
+
+
+def test_requests_that_are_refused_keep_no_other_from_being_run() -> None:
+    # A scan reads 32 requests. More than that of one caller, all refused and none
+    # of them ended any more, stood before everybody else's for good.
+    async def run() -> None:
+        async def execute(request: DeferredRequest) -> bytes:
+            if request.caller == "c":
+                raise used_up()
+            return b"answer"
+
+        alone = Alone(execute)
+        crowd = [deferred(request_id=f"r{number}") for number in range(60)]
+        await alone.scans(*crowd, deferred(request_id="z", caller="d"), for_s=60)
+        found = await read_status(alone.platform, "z", "d")
+        assert found == (DeferredState.DONE, "answer")
+
+    asyncio.run(run())
+
+
+def test_a_request_that_may_have_run_still_uses_up_its_runs() -> None:
+    # A server that dies of it would otherwise be asked for ever; refusals in
+    # between give back no more than their own.
+    def refusal_at(number: int) -> RefusalError:
+        if number % 2:
+            return used_up()
+        return refuse(502, "backend_failed", "lost", step=Step.SEND, run=Run.UNKNOWN)
+
+    async def run() -> None:
+        tries, status = await tries_of(refusal_at, for_s=1000)
+        assert len(tries) == 10
+        assert status == (DeferredState.FAILED, "")
+
+    asyncio.run(run())
+
+
+def test_each_run_has_a_name_of_its_own() -> None:
+    # A run's name goes to engines and lenders of slots: what they are told late
+    # of a refused run must not meet the next.
+    names = [start_run(deferred(), runner="x").run_name]
+    refused = requeue_unrun(start_run(deferred(), runner="x"), now_s=0.0)
+    names.append(start_run(refused, runner="x").run_name)
+    names.append(start_run(start_run(refused, runner="x"), runner="y").run_name)
+    assert len(set(names)) == 3
+
+
+def test_a_stored_request_without_a_count_of_refusals_can_be_read() -> None:
+    # It was stored by an entry VM of the version before.
+    raw = json.loads(encode_request(deferred()))
+    del raw["refusals"]
+    assert decode_request(json.dumps(raw).encode()).ok == deferred()
+
+
+def test_a_count_of_refusals_is_stored() -> None:
+    request = replace(deferred(), refusals=3)
+    assert decode_request(encode_request(request)).ok == request
