--- a/tests/test_silent_backends.py
+++ b/tests/test_silent_backends.py
@@ -14,7 +14,7 @@
 from entry_harness import Asked, chunk, stream_head
 from opentelemetry import trace
 from opentelemetry.sdk.metrics import MeterProvider
-from timed_engines import END, Engine, Timetable, _TimedPool, answers, run
+from timed_engines import END, Engine, TimedPool, Timetable, answers, run
 from virtual_time import LoopClock
 
 from rosepath.backend import Generation
@@ -125,7 +125,7 @@
             resident=frozenset({"files"}),
             others_load=float(number),
         )
-    pool = _TimedPool({engine.address: engine for engine in engines})
+    pool = TimedPool({engine.address: engine for engine in engines})
     dispatcher = Dispatcher(
         tables,
         HttpBackend(pool),
--- a/tests/timed_engines.py
+++ b/tests/timed_engines.py
@@ -11,8 +11,9 @@
 from virtual_time import LoopClock, VirtualLoop
 
 from rosepath.attempt import Attempts
-from rosepath.catalog import HostRoute
-from rosepath.fleet import Fleet
+from rosepath.caller_call import Prompt
+from rosepath.catalog import HostRoute, RouteKind
+from rosepath.fleet import BackendServer, Fleet, PeerLoad
 from rosepath.http_client import HttpPool, Request
 from rosepath.http_exchange import Connection
 from rosepath.prompt_caches import PromptCaches
@@ -106,7 +107,7 @@
         return
 
 
-class _TimedPool(HttpPool):
+class TimedPool(HttpPool):
     """Connect to engines that are objects of this process."""
 
     def __init__(self, engines: dict[str, Engine]) -> None:
@@ -217,7 +218,7 @@
         clock=clock,
         fleet=fleet,
         caches=PromptCaches(),
-        attempts=Attempts(_TimedPool(by_address), clock=clock),
+        attempts=Attempts(TimedPool(by_address), clock=clock),
         catalog=lambda: catalog,
         budget=lambda _: window,
         models=NoModels(),
@@ -229,6 +230,96 @@
     return Site(Relay(ports), fleet, window, by_address)
 
 
+def sets_aside(asked: Asked) -> Timetable:
+    """Send two events, stand still for four seconds, and send the rest."""
+    return streams(asked, 0.05, 0.3, 4.3, until=8)
+
+
+def goes_dark(asked: Asked) -> Timetable:
+    """Send two events and nothing after them, with the connection open."""
+    return streams(asked, 0.05, 0.3, until=2, ends=False)
+
+
+def breaks(asked: Asked) -> Timetable:
+    """Send two events and lose the connection."""
+    return [*streams(asked, 0.05, 0.3, until=2, ends=False), (0.4, LOST)]
+
+
+def goes_on(asked: Asked) -> Timetable:
+    return streams(asked, until=8)
+
+
+def only_first_is_set_aside(asked: Asked) -> Timetable:
+    if asked.request_id == "q1":
+        return sets_aside(asked)
+    return streams(asked, *(0.05 * number for number in range(1, 80)), until=79)
+
+
+def add(site: Site, engine: Engine, *models: str) -> None:
+    """Let another engine come up, with a model that most ask for or with others."""
+    site.engines[engine.address] = engine
+    holds = {model: frozenset[str]() for model in models or ("m0",)}
+    site.fleet.put(an_entry(engine.name, address=engine.address, models=holds))
+
+
+def in_turn(*does: Callable[[Asked], Timetable]) -> Callable[[Asked], Timetable]:
+    """Do the next of these for each request, whichever server it comes to."""
+    left = list(does)
+
+    def next_one(asked: Asked) -> Timetable:
+        return (left.pop(0) if len(left) > 1 else left[0])(asked)
+
+    return next_one
+
+
+def all_do(count: int, does: Callable[[Asked], Timetable]) -> list[Engine]:
+    return [Engine(f"e{number}", does) for number in range(1, count + 1)]
+
+
+def never_answers(_: Asked) -> Timetable:
+    return []
+
+
+def answers_soon(asked: Asked) -> Timetable:
+    return answers(asked, after_s=0.01)
+
+
+def answers_late(asked: Asked) -> Timetable:
+    return answers(asked, after_s=1.0)
+
+
+def a_look_up_route() -> HostRoute:
+    return a_route(kind=RouteKind.IDEMPOTENT, service="desk", timeout_s=5.0)
+
+
+def looks_up(*, model: bool = False) -> Caller:
+    """Build a caller of a plain service."""
+    caller = asks()
+    for name in () if model else ("Model", "Token-Usage", "Prompt-Prefix"):
+        del caller.headers[name]
+    return caller
+
+
+class AdapterLoads(NoModels):
+    """Load any adapter at once."""
+
+    async def ensure_adapter(
+        self, _: str, server: BackendServer, prompt: Prompt, **__: Any
+    ) -> bool:
+        server.held[prompt.model].add(prompt.adapter)
+        return True
+
+
+def fill(site: Site, name: str) -> None:
+    """Let all places of an engine be taken by other entry VMs."""
+    server = site.fleet.servers[name]
+    server.peers["vm-9"] = PeerLoad(requests=server.entry.slots)
+
+
+def heard_whole(caller: Caller) -> bool:
+    return caller.whole and not caller.cut and caller.events == 8
+
+
 def _ignore(_: RequestContext, __: int, ___: str) -> None:
     return
 
