--- a/src/rosepath/order_sender.py
+++ b/src/rosepath/order_sender.py
@@ -36,7 +36,7 @@
     ) -> None:
         self._me = me
         self._engines = engines
-        self._may_order = may_order
+        self.may_order = may_order
         self._fence = fence
         self.clock: Clock = BootClock()
         self.outcomes: dict[str, int] = {}
@@ -56,7 +56,7 @@
         the same expected sequence, only one of the two can be.
         """
         for _ in range(ORDER_TRIES):
-            if not self._may_order():
+            if not self.may_order():
                 return None
             order = Order(
                 action=action,
@@ -95,7 +95,7 @@
         The next holder waits from here until the order has arrived or been
         given up; counted from before the connection, that would be too short.
         """
-        if not self._may_order():
+        if not self.may_order():
             return False
         self.acted_s = self.clock.monotonic_s()
         return True
