Take back that a model is gone if its unload was not carried out

Callers got `no_server` for a model that an engine held, until the engine's entry in the store was next written.

Cause: a victim was told to be gone to all VMs before its unload was ordered. If the lease had ended by then nothing was sent, and if the order got no answer or was refused the engine kept the model; nobody took the word back.

Change: the word goes out as the order does, after the last look at the lease, once. If the order was not taken, the engine's report is read, and the model is told to be there unless the report says that it went. If no report can be read it counts as there.

Why it holds: `on_way` runs in the same step as the check that lets an order out, so nothing is told of an order that was never sent. A wrong word that a model is there costs one request that is turned away unrun, whereupon the VM notes that it is gone; a wrong word that it is gone has nobody to correct it. That is also why the answer of a report that lags may be taken.

Not changed: while an engine is busy with the order before, the unload is sent again, and the model counts as gone meanwhile, as before.

--- a/src/rosepath/order_sender.py
+++ b/src/rosepath/order_sender.py
@@ -49,12 +49,22 @@
         action: OrderAction,
         model: str,
         adapter: str = "",
+        *,
+        on_way: Callable[[], None] = lambda: None,
     ) -> OrderReply | None:
         """Send one order until its fate is known; None if it stays unknown.
 
         An order without an answer may still be carried out. Sent again with
-        the same expected sequence, only one of the two can be.
+        the same expected sequence, only one of the two can be. `on_way` is
+        called each time that the order goes out, and not before it may.
         """
+
+        def may_act() -> bool:
+            allowed = self._may_act()
+            if allowed:
+                on_way()
+            return allowed
+
         for _ in range(ORDER_TRIES):
             if not self.may_order():
                 return None
@@ -74,7 +84,7 @@
                 # The holder may be suspended while it connects, and its lease
                 # be another's by the time that the order could go out.
                 reply = await self._engines.order(
-                    server.address, order, still_wanted=self._may_act
+                    server.address, order, still_wanted=may_act
                 )
             except ExchangeError as error:
                 why = error.message
--- a/src/rosepath/swap_carrier.py
+++ b/src/rosepath/swap_carrier.py
@@ -80,13 +80,21 @@
     async def _unload(
         self, server: BackendServer, record: EngineRecord, victim: str
     ) -> bool:
-        async with self._lock(server.name):
+        told: list[str] = []
+
+        def tell_once() -> None:
             # From the order on, new requests for it are turned away there.
-            self._on_held(server.name, victim, "", False)
+            if not told:
+                told.append(victim)
+                self._on_held(server.name, victim, "", False)
+
+        async with self._lock(server.name):
             reply = await self._send_until_free(
-                server, record, OrderAction.UNLOAD, victim
+                server, record, OrderAction.UNLOAD, victim, on_way=tell_once
             )
         if reply not in (OrderReply.ACCEPTED, OrderReply.HOLDS):
+            if told:
+                await self._take_back(server, record, victim)
             return False
         record.models.discard(victim)
         for name in list(record.adapters):
@@ -94,6 +102,18 @@
                 del record.adapters[name]
         return True
 
+    async def _take_back(
+        self, server: BackendServer, record: EngineRecord, victim: str
+    ) -> None:
+        """Tell that a model is there after all, unless a report says it went.
+
+        If no report can be read it counts as there: a request that is turned
+        away puts that right, while one that is never sent would not.
+        """
+        await self._look(server, record)
+        if victim in record.models and not server.left:
+            self._on_held(server.name, victim, "", True)
+
     async def _load(
         self, server: BackendServer, record: EngineRecord, model: str
     ) -> bool:
@@ -108,12 +128,16 @@
         record: EngineRecord,
         action: OrderAction,
         model: str,
+        *,
+        on_way: Callable[[], None] = lambda: None,
     ) -> OrderReply | None:
         """Send an order again while the engine is busy with the one before."""
         pause_s = BUSY_AGAIN_S
         limit_s = self._clock.monotonic_s() + BUSY_MAX_S
         while True:
-            reply = await self._sender.send(server, record, action, model)
+            reply = await self._sender.send(
+                server, record, action, model, on_way=on_way
+            )
             now_s = self._clock.monotonic_s()
             if reply is not OrderReply.CONFLICT or now_s > limit_s:
                 return reply
--- a/tests/test_order_dispatcher.py
+++ b/tests/test_order_dispatcher.py
@@ -5,6 +5,7 @@
 
 from entry_builders import a_catalog, an_engine_spec, an_entry
 
+from rosepath.catalog import EngineSpec
 from rosepath.clock import ManualClock
 from rosepath.demand import ModelDemand
 from rosepath.engine_orders import (
@@ -91,10 +92,13 @@
     demand: dict[str, ModelDemand] | None = None,
     may_order: Callable[[], bool] = lambda: True,
     fleet: Fleet | None = None,
+    spec: EngineSpec | None = None,
+    on_held: Callable[[str, str, str, bool], None] = lambda *_: None,
 ) -> OrderDispatcher:
     fleet = fleet or Fleet()
     fleet.put(an_entry("e1", models=dict.fromkeys(engine.models, frozenset())))
-    catalog = a_catalog(engine=an_engine_spec("m0", "m1", "m2", adapter_slots=2))
+    spec = spec or an_engine_spec("m0", "m1", "m2", adapter_slots=2)
+    catalog = a_catalog(engine=spec)
     return OrderDispatcher(
         DispatcherPorts(
             me="vm-1",
@@ -104,9 +108,9 @@
             catalog=lambda: catalog,
             may_order=may_order,
             fence=lambda: 7,
-            demand=lambda _: demand or {},
+            demand=lambda _: {} if demand is None else demand,
             told_every_s=lambda: 0.15,
-            on_held=lambda *_: None,
+            on_held=on_held,
         )
     )
 
