Ask whether a model still fits before its victim goes

Callers of a model waited for a load though nothing had taken its place: an engine that held two models was left with one. And an engine could be ordered to hold more than its memory does, which crashes it.

Cause: a swap was planned while an adapter was on its way to the same engine. Whether the new model fits beside what had landed was asked only after the victims had gone. A swap without victims asked at once, before the adapter was known to be there; its load was turned away for the adapter's order, then sent again and taken.

Change: a swap first waits for what is on its way to its engine, and asks whether its model fits once its victims and their adapters are gone. If not it ends there with nothing touched, and the next plan counts the adapter.

Why it holds: whoever orders an adapter does so within the engine's lock and notes it before the lock is free; no adapter is begun while the record is busy, which it is from the plan on. The second question, after the unloads, stays: an order that was given up may land late.

Ran: tests/test_order_swaps.py. Before: 2 of the 3 that land here red (the victim gone, the memory exceeded); the third, for an adapter that goes with its victim, was green and holds the mend to its bound. After: tests/test_order*.py and tests/test_engine_plan.py green; lint and types clean.

--- a/src/rosepath/engine_orders.py
+++ b/src/rosepath/engine_orders.py
@@ -1,7 +1,7 @@
 """Orders to engines, and the record that the lease's holder keeps of each."""
 
 from collections import deque
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 from enum import StrEnum
 from typing import Protocol
@@ -136,13 +136,18 @@
                 self.adapters[target] = now_s
 
     def used_mb(
-        self, size_mb: Mapping[str, float], adapter_mb: Mapping[str, float]
+        self,
+        size_mb: Mapping[str, float],
+        adapter_mb: Mapping[str, float],
+        *,
+        without: Collection[str] = (),
     ) -> float:
-        """Return the memory that is taken or promised."""
-        models = self.models | ({self.loading} - {""})
+        """Return the memory taken or promised, without some models' part."""
+        models = (self.models | ({self.loading} - {""})).difference(without)
         weights = sum(size_mb.get(model, 0.0) for model in models)
+        owners = (name.partition("/")[0] for name in self.adapters)
         return weights + sum(
-            adapter_mb.get(name.partition("/")[0], 0.0) for name in self.adapters
+            adapter_mb.get(model, 0.0) for model in owners if model not in without
         )
 
 
--- a/src/rosepath/engine_views.py
+++ b/src/rosepath/engine_views.py
@@ -1,5 +1,7 @@
 """What the holder knows of an engine, as the plan sees it."""
 
+from collections.abc import Collection
+
 from rosepath.catalog import EngineSpec, ModelSpec
 from rosepath.engine_books import EngineView, Swap
 from rosepath.engine_orders import EngineRecord
@@ -34,11 +36,14 @@
     )
 
 
-def used_mb(record: EngineRecord, spec: EngineSpec) -> float:
-    """Return the memory of an engine that is taken or promised."""
+def used_mb(
+    record: EngineRecord, spec: EngineSpec, *, without: Collection[str] = ()
+) -> float:
+    """Return an engine's memory taken or promised, without some models' part."""
     return record.used_mb(
         {name: model.size_mb for name, model in spec.models.items()},
         {name: model.adapter_mb for name, model in spec.models.items()},
+        without=without,
     )
 
 
--- a/src/rosepath/swap_carrier.py
+++ b/src/rosepath/swap_carrier.py
@@ -51,6 +51,11 @@
         """Carry out one swap; whatever ends it, the record is read again."""
         now_s = self._clock.monotonic_s
         try:
+            async with self._lock(server.name):
+                # An adapter that was on its way when the swap was planned has
+                # landed by now, and none is ordered while the record is busy.
+                if used_mb(record, spec, without=swap.victims) > spec.memory_mb:
+                    return
             for victim in swap.victims:
                 if not await self._unload(server, record, victim):
                     return
