End the swaps that are halfway before a stop gives up the lease

A holder that was stopped between an unload and the load after it left the engine with one model less. Callers of both models waited until another VM held the lease, had read the engine and had planned anew.

Cause: the first act of a planned stop was to give up the lease, and whether a swap was halfway was not asked; its load was then not allowed any more.

Change: a stopping holder begins no swap, and first sees those ended whose victim was ordered away, until their load is answered: for 2 s, or a quarter of a shorter grace. Then no order goes out any more; those on the way are waited for, 0.65 s at most, and the lease is given up. Adapters are ordered meanwhile, as nobody else may do so yet. In an outage of the store the others' word backs the lease until then, and the loop of the lease resigns nothing meanwhile: its resignation would name no heir, and was then taken back. The balancer notices the stop in the same time, so that a stop takes as long as before.

Weighed: without a swap halfway the lease is given up at once, as before. With one, nobody plans for up to 2.65 s, which a holder that is lost costs as well; an engine that lacks a model costs its callers the next load besides. An unload whose runs last longer is left to the next holder.

Why it holds: orders of two holders come no closer than before. Each order still goes out only if the lease is valid as it does; none does after the resignation; and the heir waits from the last one. Whoever backs a holder keeps off by its word, whether it stops or not.

Not mended: a lease that is lost between unload and load without a stop. No order may go out then.

--- a/src/rosepath/entry_node.py
+++ b/src/rosepath/entry_node.py
@@ -203,8 +203,9 @@
         self.wait_limit_s = started_s + BALANCER_NOTICES_S
         _log.info("stopping", in_flight=len(self.gateway.open))
         self.exchange.link.tell()
+        noticed = asyncio.ensure_future(asyncio.sleep(BALANCER_NOTICES_S))
         await self.coordinator.give_up()
-        await asyncio.sleep(BALANCER_NOTICES_S)
+        await noticed
         self.gateway.close_idle()
         limit_s = started_s + self.settings.stop.grace_s - STOP_MARGIN_S
         while self.gateway.open and self.clock.monotonic_s() < limit_s:  # noqa: ASYNC110
--- a/src/rosepath/order_dispatcher.py
+++ b/src/rosepath/order_dispatcher.py
@@ -85,15 +85,22 @@
 
     async def tick(self) -> None:
         """Read what is not known yet and begin the next swaps."""
-        ports = self._ports
-        catalog = ports.catalog()
-        if catalog is None or not ports.may_order():
+        catalog = self._ports.catalog()
+        if catalog is None or self._carrier.closing or not self.sender.may_order():
             return
         self._begin_term()
         for service in catalog.services.values():
             if service.engine is not None:
                 await self._plan(service.name, service.engine, catalog)
 
+    async def finish(self, limit_s: float) -> None:
+        """End what is halfway, if that does not take long; then order no more.
+
+        Adapters are ordered meanwhile: nobody else may do so yet.
+        """
+        await self._carrier.finish(limit_s)
+        await self.sender.close()
+
     def _begin_term(self) -> None:
         """Forget, once a term, what was known: another holder ordered since."""
         if self._ports.fence() != self._fence:
@@ -195,7 +202,7 @@
         """Get an adapter onto an engine; False if it can't be there now."""
         catalog = self._ports.catalog()
         server = self._ports.fleet.servers.get(server_name)
-        if catalog is None or server is None or not self._ports.may_order():
+        if catalog is None or server is None or not self.sender.may_order():
             return False
         found = catalog.services.get(service)
         if found is None or found.engine is None:
--- a/src/rosepath/order_sender.py
+++ b/src/rosepath/order_sender.py
@@ -1,6 +1,8 @@
 """Send one order at a time to an engine, until its fate is known."""
 
+import asyncio
 from collections.abc import Callable
+from contextlib import suppress
 
 from rosepath.clock import BootClock, Clock
 from rosepath.engine_orders import (
@@ -15,6 +17,9 @@
 from rosepath.logs import get_logger
 
 ORDER_TRIES = 3
+# An order is answered or given up within 0.6 s; its end is looked for this often.
+ANSWERED_S = 0.65
+END_LOOK_S = 0.02
 
 _log = get_logger()
 
@@ -36,12 +41,26 @@
     ) -> None:
         self._me = me
         self._engines = engines
-        self.may_order = may_order
+        self._may_order = may_order
+        self._closed = False
+        self._on_way = 0
         self._fence = fence
         self.clock: Clock = BootClock()
         self.outcomes: dict[str, int] = {}
         self.acted_s = -1e9
 
+    def may_order(self) -> bool:
+        """Tell whether an order may go out."""
+        return not self._closed and self._may_order()
+
+    async def close(self) -> None:
+        """Let no order out any more, and wait for the fate of those on the way."""
+        self._closed = True
+        with suppress(TimeoutError):
+            async with asyncio.timeout(ANSWERED_S):
+                while self._on_way:  # noqa: ASYNC110
+                    await asyncio.sleep(END_LOOK_S)
+
     async def send(
         self,
         server: BackendServer,
@@ -80,6 +99,7 @@
             reply: OrderReply | None = None
             why = ""
             self.acted_s = self.clock.monotonic_s()
+            self._on_way += 1
             try:
                 # The holder may be suspended while it connects, and its lease
                 # be another's by the time that the order could go out.
@@ -88,6 +108,8 @@
                 )
             except ExchangeError as error:
                 why = error.message
+            finally:
+                self._on_way -= 1
             self._note(order, reply, why)
             if reply is not None and _counted(order, reply):
                 record.sequence += 1
--- a/src/rosepath/placement_coordinator.py
+++ b/src/rosepath/placement_coordinator.py
@@ -41,6 +41,11 @@
 HOLDER_SILENT_CROWDED_S = 3.0
 RANK_STEP_S = 0.4
 NEVER_BACKED_S = -1e9
+# A stopping holder ends its swaps for so long, or a part of its grace: an unload
+# mostly waits less for the runs of its model, and until the lease is given up
+# nobody plans.
+FINISH_S = 2.0
+FINISH_GRACE_SHARE = 0.25
 
 _log = get_logger()
 
@@ -83,12 +88,14 @@
         self._heeded: dict[tuple[str, str], int] = {}
         self._arrivals = ModelArrivals()
         self._was_holder = False
+        self._finishing = False
         # Set as this VM becomes the holder; whoever plans clears it.
         self.term_begun = asyncio.Event()
         self._looked = False
         self._boot = boot_clock or BootClock()
         self.demand = Demand()
         self._backing = LeaseBacking(silent_s=HOLDER_SILENT_S)
+        self._finish_s = min(FINISH_S, FINISH_GRACE_SHARE * settings.stop.grace_s)
         lease = settings.lease
         self.leases = LeaseKeeper(
             store,
@@ -247,6 +254,10 @@
             LEASE_NAME, wanted=wanted, backed_until_s=self._backed_until_s()
         )
         self._peers.named_holder = self.leases.holder(LEASE_NAME)
+        if self._finishing:
+            # The lease is given up right after, and to an heir if need be;
+            # resigned here, it would have none.
+            return
         if self._was_holder and (not self.holds or self._alone_without_store()):
             # Renewals fail, yet the others may still hear this VM.
             self.resigned_version = self.leases.resign(LEASE_NAME)
@@ -278,7 +289,8 @@
         """
         if self.leases.holder(LEASE_NAME) != self._me:
             return NEVER_BACKED_S
-        if self._stopping() or self._peers.crowded:
+        gives_up = self._stopping() and not self._finishing
+        if gives_up or self._peers.crowded:
             return NEVER_BACKED_S
         return self._backing.until_s(self._peers.backers())
 
@@ -319,7 +331,12 @@
         return silent_s + RANK_STEP_S * place
 
     async def give_up(self) -> None:
-        """Hand the lease back before a planned stop."""
+        """Hand the lease back before a planned stop, after the last order."""
+        self._finishing = True
+        try:
+            await self.orders.finish(self._finish_s)
+        finally:
+            self._finishing = False
         held, self._was_holder = self._was_holder, False
         fence = self.leases.fence(LEASE_NAME)
         self.resigned_version = await self.leases.give_up(LEASE_NAME)
--- a/src/rosepath/swap_carrier.py
+++ b/src/rosepath/swap_carrier.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 
 from rosepath.catalog import EngineSpec
 from rosepath.clock import Clock
@@ -10,7 +11,7 @@
 from rosepath.engine_views import load_s_of, used_mb
 from rosepath.errors import ExchangeError
 from rosepath.fleet import BackendServer
-from rosepath.order_sender import OrderSender
+from rosepath.order_sender import END_LOOK_S, OrderSender
 
 # While an order is in progress, its end is looked for this often.
 LOOK_INTERVAL_S = 0.25
@@ -44,6 +45,21 @@
         self._look = look
         self._lock = lock
         self._on_held = on_held
+        self.closing = False
+        # The engines whose victims go or went, and whose load is not answered.
+        self._halfway: set[str] = set()
+
+    async def finish(self, limit_s: float) -> None:
+        """Begin no swap any more, and see those ended that are halfway.
+
+        Left there, an engine would hold one model less, and its callers wait
+        for the next holder to find out.
+        """
+        self.closing = True
+        with suppress(TimeoutError):
+            async with asyncio.timeout(limit_s):
+                while self._halfway and self._sender.may_order():  # noqa: ASYNC110
+                    await asyncio.sleep(END_LOOK_S)
 
     async def carry_out(
         self, swap: Swap, server: BackendServer, record: EngineRecord, spec: EngineSpec
@@ -56,6 +72,10 @@
                 # landed by now, and none is ordered while the record is busy.
                 if used_mb(record, spec, without=swap.victims) > spec.memory_mb:
                     return
+                if self.closing:
+                    return
+                if swap.victims:
+                    self._halfway.add(server.name)
             for victim in swap.victims:
                 if not await self._unload(server, record, victim):
                     return
@@ -66,6 +86,7 @@
             record.loading = swap.model
             if not await self._load(server, record, swap.model):
                 return
+            self._halfway.discard(server.name)
             load_s = load_s_of(server, spec.models[swap.model])
             record.due_s = now_s() + load_s
             await asyncio.sleep(load_s)
@@ -78,6 +99,7 @@
                     return
                 await asyncio.sleep(LOADED_LOOK_S)
         finally:
+            self._halfway.discard(server.name)
             record.loading = ""
             record.busy = False
             record.known = False
--- a/tests/test_lease_backing.py
+++ b/tests/test_lease_backing.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, replace
 from typing import Any, cast
 
+import pytest
 from entry_builders import a_catalog, a_peer_state, entry_settings
 from fakes import FakePlatform
 from hypothesis import given, settings, strategies as st
@@ -14,7 +15,7 @@
 from rosepath.lease_backing import LeaseBacking
 from rosepath.peer_link import PeerLink
 from rosepath.peer_table import PeerTable
-from rosepath.placement_coordinator import PlacementCoordinator
+from rosepath.placement_coordinator import FINISH_S, PlacementCoordinator
 from rosepath.prompt_caches import PromptCaches
 
 NAMES = ("vm-a", "vm-b", "vm-c")
@@ -204,6 +205,58 @@
     asyncio.run(run())
 
 
+def test_a_holder_that_stops_in_an_outage_ends_its_swaps_by_the_others_word() -> None:
+    # Its own lease lapsed long ago; the others' word backs it. No longer backed
+    # once it stops, it could not order the load that was to follow an unload;
+    # and resigned by its own loop meanwhile, it would name no heir.
+    async def run() -> None:
+        nodes, store, clock = three_nodes()
+        await play(nodes, clock, 3.0)
+        holder = next(node for node in nodes if node.coordinator.holds)
+        store.unreached_by = set(NAMES)
+        await play(nodes, clock, 3.0)
+        holder.stopping = True
+        held: list[bool] = []
+
+        async def finish(limit_s: float) -> None:
+            await play(nodes, clock, limit_s)
+            held.append(holder.coordinator.holds)
+
+        holder.coordinator.orders.finish = finish  # type: ignore[method-assign]
+        await holder.coordinator.give_up()
+        assert held == [True]
+        assert not holder.coordinator.holds
+        await play(nodes, clock, 2.0)
+        heir = next(node for node in nodes if node.coordinator.holds)
+        assert heir is not holder
+        assert heir.coordinator.term == 1001
+
+    asyncio.run(run())
+
+
+def test_a_holder_that_loses_its_lease_while_it_ends_its_swaps_says_so() -> None:
+    # The others are no longer heard meanwhile. Its own loop resigned; then the
+    # lease was given up once more, as one that it did not hold, and the word
+    # that it acts no more was taken back.
+    async def run() -> None:
+        nodes, store, clock = three_nodes()
+        await play(nodes, clock, 3.0)
+        holder = next(node for node in nodes if node.coordinator.holds)
+        store.unreached_by = set(NAMES)
+        await play(nodes, clock, 3.0)
+        holder.stopping = True
+
+        async def finish(limit_s: float) -> None:
+            await play(nodes, clock, limit_s, speaking=lambda node: node is holder)
+            assert not holder.coordinator.holds
+
+        holder.coordinator.orders.finish = finish  # type: ignore[method-assign]
+        await holder.coordinator.give_up()
+        assert holder.coordinator.resigned_version
+
+    asyncio.run(run())
+
+
 def test_the_fence_of_an_heir_is_not_used_again() -> None:
     # An heir that was never written to the store stops, too. Whoever then takes
     # the lease from the store finds there the term from before both, and gave
@@ -280,13 +333,15 @@
 )
 
 
+@pytest.mark.parametrize("swaps_s", [0.0, FINISH_S])
 @settings(deadline=None, max_examples=60)
 @given(st.lists(trouble, min_size=1, max_size=8))
 def test_no_two_hold_the_lease(
+    swaps_s: float,
     troubles: list[tuple[str, str, str, float]],
 ) -> None:
     # One VM is not heard, one or all do not reach the store, one is stopping,
-    # for any time.
+    # for any time, and ends its swaps first or has none.
     async def run() -> None:
         nodes, store, clock = three_nodes()
         await play(nodes, clock, 1.0)
@@ -294,6 +349,11 @@
             for node in nodes:
                 node.stopping = node.name == stopped
                 if node.stopping:
+                    node.coordinator.orders.finish = (  # type: ignore[method-assign]
+                        lambda _, mute=mute: play(
+                            nodes, clock, swaps_s, speaking=lambda n: n.name != mute
+                        )
+                    )
                     await node.coordinator.give_up()
             store.unreached_by = set(NAMES) if unreached == "all" else {unreached}
             await play(
