Move what came to engines or went out of the placement coordinator

Behaviour is as it was.

Ran: tests/test_order*.py, tests/test_lease_backing.py, tests/test_peer*.py and tests/test_acting_as_one.py, 84 passed; lint and types clean.

--- a/src/rosepath/peer_exchange.py
+++ b/src/rosepath/peer_exchange.py
@@ -151,7 +151,7 @@
             arrivals=tuple(self._coordinator.orders.arrivals)
             if self._coordinator.term
             else (),
-            moves=tuple(self._coordinator.recent_moves()),
+            moves=tuple(self._coordinator.moves.recent()),
             known_ago_s=self._tables.vouched_age_s if holding else NEVER_S,
             complete_ago_s=complete_ago_s,
             configuration_known_ago_s=self._tables.catalog_feed.age.age_s
--- a/src/rosepath/placement_coordinator.py
+++ b/src/rosepath/placement_coordinator.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import uuid
-from collections import deque
 from collections.abc import Callable, Mapping
 
 from rosepath.caller_call import Prompt
@@ -12,6 +11,7 @@
 from rosepath.engine_orders import EnginePort
 from rosepath.entry_settings import EntrySettings
 from rosepath.fleet import BackendServer, Fleet
+from rosepath.held_moves import HeldMoves
 from rosepath.lease_backing import LeaseBacking
 from rosepath.lease_keeper import LeaseKeeper
 from rosepath.leases import LeasePolicy
@@ -20,15 +20,11 @@
 from rosepath.object_store import ObjectsPort
 from rosepath.order_dispatcher import DispatcherPorts, OrderDispatcher
 from rosepath.peer_link import PeerLink
-from rosepath.peer_messages import AdapterAsk, Bequest, HeldMove, PeerState
+from rosepath.peer_messages import AdapterAsk, Bequest, PeerState
 from rosepath.peer_table import PeerTable
 from rosepath.prompt_caches import PromptCaches
 from rosepath.rendezvous import ranked
 
-# What came or went is told for so long; then the engines' own entries say it.
-MOVES_TOLD_S = 2.0
-# The holder says which engines are occupied with each datagram.
-OCCUPIED_HOLDS_S = 0.5
 # One renewal may fail by chance; after two the store has turned away.
 RESIGN_OVERDUE_S = 0.5
 LEASE_NAME = "placement"
@@ -69,11 +65,8 @@
         changed: Callable[[], None],
         boot_clock: Clock | None = None,
     ) -> None:
-        self._changed = changed
         self._me = settings.entry_vm
         self._clock = clock
-        self._fleet = fleet
-        self._caches = caches
         self._peers = peers
         self._stopping = stopping
         self._cut_off = cut_off
@@ -83,9 +76,13 @@
         self.resigned_version = 0
         self.bequest = Bequest()
         self._inherited_s = -1e9
-        self._moves: deque[tuple[float, HeldMove]] = deque()
-        self._move_number = 0
-        self._heeded: dict[tuple[str, str], int] = {}
+        self.moves = HeldMoves(
+            clock=clock,
+            fleet=fleet,
+            caches=caches,
+            changed=changed,
+            tell=self._say_so,
+        )
         self._arrivals = ModelArrivals()
         self._was_holder = False
         self._finishing = False
@@ -121,7 +118,7 @@
                 fence=lambda: self.leases.fence(LEASE_NAME),
                 demand=self.all_demand,
                 told_every_s=lambda: peers.interval_s,
-                on_held=self._note_held,
+                on_held=self.moves.note,
             )
         )
 
@@ -177,7 +174,7 @@
 
     def hear_peer(self, state: PeerState) -> None:
         """Take in what another VM says of the lease."""
-        self._hear_moves(state)
+        self.moves.hear(state)
         start, number = state.heard
         if self.link is not None and start == self.link.start:
             self._backing.note_heard(state.entry_vm, number)
@@ -385,48 +382,3 @@
         return self.holds and await self.orders.ensure_adapter(
             ask.service, ask.server, ask.model, ask.adapter
         )
-
-    # What engines hold
-
-    def _note_held(self, name: str, model: str, adapter: str, there: bool) -> None:
-        self._move_number += 1
-        move = HeldMove(self._move_number, name, model, adapter, there)
-        self._moves.append((self._clock.monotonic_s(), move))
-        self._apply(move)
-        if not adapter:
-            # Whoever waits for a model, or would send to one that goes, acts on
-            # this at once; the next turn to speak may be 0.15 s away.
-            self._say_so()
-
-    def recent_moves(self) -> list[HeldMove]:
-        """Return what came to engines or went lately, by own orders."""
-        limit_s = self._clock.monotonic_s() - MOVES_TOLD_S
-        while self._moves and self._moves[0][0] < limit_s:
-            self._moves.popleft()
-        return [move for _, move in self._moves]
-
-    def _hear_moves(self, state: PeerState) -> None:
-        key = (state.entry_vm, state.start)
-        heeded = self._heeded.get(key, 0)
-        for move in state.moves:
-            if move.number > heeded:
-                self._apply(move)
-                self._heeded[key] = move.number
-        until_s = self._clock.monotonic_s() + OCCUPIED_HOLDS_S
-        for name in state.occupied:
-            if name in self._fleet.servers:
-                self._fleet.servers[name].ordering_until_s = until_s
-
-    def _apply(self, move: HeldMove) -> None:
-        server = self._fleet.servers.get(move.server)
-        if server is None:
-            return
-        if move.adapter:
-            adapters = server.held.get(move.model, set())
-            (adapters.add if move.there else adapters.discard)(move.adapter)
-        elif move.there:
-            server.held.setdefault(move.model, set())
-        else:
-            server.held.pop(move.model, None)
-            self._caches.forget_model(move.server, move.model)
-        self._changed()
