--- a/tests/test_engine_choice.py
+++ b/tests/test_engine_choice.py
@@ -7,6 +7,7 @@
 
 from entry_builders import a_call, a_catalog, a_prompt, a_route, an_entry
 from entry_harness import NoModels
+from timed_engines import Caller
 
 from rosepath.caller_call import Prompt
 from rosepath.clock import ManualClock
@@ -94,7 +95,7 @@
             call=a_call(prompt=prompt, arrived_s=1000.0),
             route=catalog.routes[0],
             service=catalog.services["llm"],
-            exchange=cast(Any, None),
+            exchange=cast(Any, Caller()),
             deadline_s=1005.0,
         )
         async with asyncio.timeout(10):
