Let what may have run wait for an engine as it waits for a repeat

Change: comes_once decides in the choice of a server as it does afterwards; only requests of plain services stay with the last of six. A reason to stay is logged anew at each server.

--- a/src/rosepath/next_try.py
+++ b/src/rosepath/next_try.py
@@ -63,7 +63,8 @@
             return True
         if context.may_have_run + 1 >= context.route.max_attempts:
             return True
-        return context.arrivals + 1 >= MAX_TRIES
+        # Streams go on asking, with pauses, once something may have run.
+        return context.order is None and context.arrivals + 1 >= MAX_TRIES
 
     def pause_s(self, context: RequestContext) -> float:
         """Return how long a stream may stand still before it goes on elsewhere."""
@@ -72,7 +73,7 @@
         return max(PAUSE_MIN_S, PAUSE_GAPS * context.route.target_gap_s)
 
     def leaves(self, context: RequestContext, server: BackendServer) -> bool:
-        """Tell whether a request leaves a silent server; its next try is paid then."""
+        """Tell whether a request leaves a silent server, with a repeat in hand then."""
         now_s, route = self._now_s(), context.route
         stays = reason_to_stay(
             Silence(
@@ -103,6 +104,7 @@
 
     def note_sent(self, context: RequestContext) -> None:
         """Count the repeat that was held for a try as it goes out."""
+        context.stays = None
         if context.holds_repeat:
             context.holds_repeat = False
             self._budget(context).send()
--- a/src/rosepath/server_picker.py
+++ b/src/rosepath/server_picker.py
@@ -50,10 +50,10 @@
         """Return until when a request may wait for a server.
 
         A caller of a stream leaves if its first event is too long in coming; an
-        engine needs some of that time. One that has begun is lost if it is given
-        up, and waits as long as its caller does.
+        engine needs some of that time. What has no way back is lost if it is
+        given up, and waits as long as its caller does.
         """
-        if context.exchange.begun:
+        if context.comes_once:
             return context.deadline_s
         if context.service.engine is None:
             return min(asked_s + NO_SERVER_WAIT_S, context.deadline_s)
@@ -113,13 +113,13 @@
         stream that was broken off to go on elsewhere can't be: refused, it is
         lost to its caller.
         """
-        return math.inf if context.exchange.begun else self._ports.wait_limit_s()
+        return math.inf if context.comes_once else self._ports.wait_limit_s()
 
     def _refuse_if_model_is_late(
         self, context: RequestContext, asked_s: float, give_up_s: float
     ) -> None:
         prompt = context.call.prompt
-        if context.exchange.begun:
+        if context.comes_once:
             return
         if prompt is None or self._held_somewhere(context.service.name, prompt.model):
             return
--- a/tests/test_next_try.py
+++ b/tests/test_next_try.py
@@ -108,6 +108,33 @@
     run(play)
 
 
+def test_a_stream_that_may_have_run_waits_for_an_engine() -> None:
+    # The same where its caller bears little: the time in which a stream that was
+    # never sent looks for an engine is over when the repeat is to be had.
+    async def play() -> None:
+        does = in_turn(never_answers, refuses, goes_on)
+        route = replace(a_route(timeout_s=20.0), target_latency_s=0.4)
+        site = a_site(*all_do(2, does), repeats=1, window_s=4.0, route=route)
+        caller = asks()
+        await site.serve(caller)
+        assert heard_whole(caller)
+
+    run(play)
+
+
+def test_a_stream_leaves_a_dark_engine_after_five_refusals() -> None:
+    # The sixth to be asked is dead. Refusals don't end a stream that may have
+    # run, so they don't keep it there either.
+    async def play() -> None:
+        does = in_turn(*[refuses] * 5, never_answers, goes_on)
+        site = a_site(*all_do(8, does), repeats=60)
+        caller = asks()
+        await site.serve(caller)
+        assert heard_whole(caller)
+
+    run(play)
+
+
 def test_a_look_up_goes_back_to_a_server_it_left() -> None:
     # The other one refused it. A 503 would say that it has not run.
     async def play() -> None:
