--- a/src/rosepath/deferred.py
+++ b/src/rosepath/deferred.py
@@ -16,6 +16,8 @@
 MAX_BODY_BYTES = 512 * 1024
 MAX_RESULT_BYTES = 900 * 1024
 MAX_RUNS = 5
+# The next try of a run that may be repeated; one that is refused unrun waits longer
+# each time, up to a minute, as each try costs two writes to the store.
 REQUEUE_PAUSE_S = 2.0
 REFUSED_PAUSE_GROWTH = 1.5
 MAX_REFUSED_PAUSE_S = 60.0
@@ -167,7 +169,7 @@
                 state=DeferredState(raw["state"]),
                 runner=str(raw["runner"]),
                 runs=int(raw["runs"]),
-                # An entry VM of the version before stores none.
+                # Records written by the previous release lack it.
                 refusals=int(raw.get("refusals", 0)),
             )
         )
--- a/src/rosepath/next_try.py
+++ b/src/rosepath/next_try.py
@@ -93,7 +93,7 @@
                 peer=server.name,
                 why=stays.value,
                 moved_ago_s=server.moved_ago_s(now_s),
-                repeats_left=round(self._budget(context).left, 1),
+                repeats_left=self.repeats_left(context),
             )
         context.stays = stays
         return stays is None
@@ -128,7 +128,7 @@
 
     def obstacle(self, context: RequestContext, error: AttemptError) -> Obstacle | None:
         """Return what stands against another try; holds a repeat if nothing does."""
-        if context.arrivals >= MAX_TRIES and not context.comes_once:
+        if context.arrivals >= MAX_TRIES and not context.lost_if_refused:
             return Obstacle.TOO_MANY_REFUSALS
         return find_obstacle(
             self._as_attempt(context, error), lambda: self._hold(context)
@@ -140,7 +140,7 @@
         What has no way back is lost to its caller if it is given up here: it waits
         for room, and for a repeat in the budget, as long as it has time.
         """
-        waits = context.comes_once
+        waits = context.lost_if_refused
         if waits and context.arrivals >= MAX_TRIES:
             await self._pause(context)
         while (obstacle := self.obstacle(context, error)) is not None:
@@ -177,6 +177,10 @@
             run=Run.UNKNOWN,
         )
 
+    def repeats_left(self, context: RequestContext) -> float:
+        """Return what is left of this VM's part of the retry budget."""
+        return round(self._budget(context).left, 1)
+
     def _budget(self, context: RequestContext) -> RetryWindow:
         return self._ports.budget(context.service.name)
 
--- a/src/rosepath/order_sender.py
+++ b/src/rosepath/order_sender.py
@@ -17,8 +17,9 @@
 from rosepath.logs import get_logger
 
 ORDER_TRIES = 3
-# An order is answered or given up within 0.6 s; its end is looked for this often.
+# Longer than the silence after which an order that went out is given up.
 ANSWERED_S = 0.65
+# How often the end of what is under way is looked for.
 END_LOOK_S = 0.02
 
 _log = get_logger()
--- a/src/rosepath/relay.py
+++ b/src/rosepath/relay.py
@@ -18,7 +18,6 @@
 from rosepath.platform.calls import answer_headers, decode_call, refusal_headers
 from rosepath.request_context import RETRY_AFTER_S, RelayPorts, RequestContext
 from rosepath.retries import Evidence
-from rosepath.retry_window import RetryWindow
 from rosepath.server_choice import (
     note_error,
     note_failure,
@@ -227,9 +226,6 @@
             else:
                 server.held.pop(prompt.model, None)
 
-    def _budget(self, context: RequestContext) -> RetryWindow:
-        return self._ports.budget(context.service.name)
-
     def _finish(
         self, context: RequestContext, server: BackendServer, answer: Answer
     ) -> None:
@@ -272,7 +268,7 @@
             age_s=round(self._now_s() - context.call.arrived_s, 3),
             cut=cut,
             obstacle=context.obstacle,
-            repeats_left=round(self._budget(context).left, 1),
+            repeats_left=self._next.repeats_left(context),
         )
 
     @staticmethod
--- a/src/rosepath/request_context.py
+++ b/src/rosepath/request_context.py
@@ -120,7 +120,7 @@
         return self.may_have_run == 0
 
     @property
-    def comes_once(self) -> bool:
+    def lost_if_refused(self) -> bool:
         """Tell whether its caller has no way back if it is given up.
 
         What is refused unrun is asked for again, and so is an idempotent request of
--- a/src/rosepath/retry_window.py
+++ b/src/rosepath/retry_window.py
@@ -49,13 +49,6 @@
         self._forget()
         self._requests_s.append(self.clock.monotonic_s())
 
-    def spend(self) -> bool:
-        """Take one repeat that is sent at once, or return False."""
-        if not self.hold():
-            return False
-        self.send()
-        return True
-
     def hold(self) -> bool:
         """Take one repeat to be sent later, or return False."""
         if self.left < 1:
--- a/src/rosepath/server_picker.py
+++ b/src/rosepath/server_picker.py
@@ -53,7 +53,7 @@
         engine needs some of that time. What has no way back is lost if it is
         given up, and waits as long as its caller does.
         """
-        if context.comes_once:
+        if context.lost_if_refused:
             return context.deadline_s
         if context.service.engine is None:
             return min(asked_s + NO_SERVER_WAIT_S, context.deadline_s)
@@ -113,13 +113,13 @@
         stream that was broken off to go on elsewhere can't be: refused, it is
         lost to its caller.
         """
-        return math.inf if context.comes_once else self._ports.wait_limit_s()
+        return math.inf if context.lost_if_refused else self._ports.wait_limit_s()
 
     def _refuse_if_model_is_late(
         self, context: RequestContext, asked_s: float, give_up_s: float
     ) -> None:
         prompt = context.call.prompt
-        if context.comes_once:
+        if context.lost_if_refused:
             return
         if prompt is None or self._held_somewhere(context.service.name, prompt.model):
             return
--- a/src/rosepath/silence.py
+++ b/src/rosepath/silence.py
@@ -9,8 +9,8 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-# Of the time for which callers bear no event, a stream may be set aside by a server
-# that moves others; in the rest another one can read its prompt anew.
+# Of the time for which callers bear no event, a stream may be set aside for so much
+# by a server that moves others: as long again is left for another to read its prompt.
 SET_ASIDE_SHARE = 0.5
 
 
--- a/tests/test_retry_window.py
+++ b/tests/test_retry_window.py
@@ -9,6 +9,14 @@
 from rosepath.retry_window import RetryWindow
 
 
+def spend(window: RetryWindow) -> bool:
+    """Make a repeat at once, if one is left."""
+    held = window.hold()
+    if held:
+        window.send()
+    return held
+
+
 def a_window(clock: ManualClock, *, vms: int = 4) -> RetryWindow:
     return RetryWindow(clock=clock, ratio=0.2, slack=50.0, window_s=10.0, vms=vms)
 
@@ -22,17 +30,17 @@
         window = a_window(clock)
         for _ in range(count):
             window.note_request()
-        spent += sum(window.spend() for _ in range(500))
+        spent += sum(spend(window) for _ in range(500))
     assert spent <= 0.2 * sum(requests) + 50.0
 
 
 def test_what_was_spent_comes_back_after_the_window() -> None:
     clock = ManualClock()
     window = a_window(clock)
-    while window.spend():
+    while spend(window):
         pass
     clock.advance(10.5)
-    assert window.spend()
+    assert spend(window)
 
 
 RATIO, SLACK, WINDOW_S = 0.2, 58.0, 10.0
@@ -77,7 +85,7 @@
                 windows[place % vms].note_request()
                 requests.append(clock.monotonic_s())
             for window in windows if part.turned_away else ():
-                while window.spend():
+                while spend(window):
                     repeats.append(clock.monotonic_s())
 
     def count(times: list[float], start_s: float) -> int:
@@ -95,9 +103,9 @@
 
 def test_repeats_keep_to_the_budget_as_a_burst_ends() -> None:
     # Twice the traffic for ten seconds; at its end all servers are full and turn
-    # requests away. The repeats went by the requests of the ten seconds before,
-    # all of them of the burst; a window that begins with the repeats reaches
-    # beyond it, and so does each by which its budget may be counted.
+    # requests away. Repeats that go by the requests of the ten seconds before go by
+    # the burst alone; a window that begins with them reaches beyond it, and so does
+    # each by which its budget may be counted: the service gets too many.
     parts = [
         Part(12.0, 97.0, False),
         Part(9.0, 214.0, False),
@@ -109,8 +117,8 @@
 
 
 def test_repeats_keep_to_the_budget_as_callers_move_to_other_vms() -> None:
-    # Callers of some VMs come to others, and all are turned away: each VM counted
-    # the requests of its own last ten seconds, so that a window over both saw the
+    # Callers of some VMs come to others, and all are turned away. Where each VM
+    # counts the requests of its own last ten seconds, a window over both sees the
     # repeats of twice the requests that came.
     parts = [
         Part(12.0, 200.0, False, first=0, vms=4),
@@ -149,6 +157,6 @@
         clock.advance(1.0)
         for _ in range(50):
             window.note_request()
-        while window.spend():
+        while spend(window):
             spent += second >= 20
     assert spent >= 0.95 * RATIO * 50 * 20
