Count a lease as unchanged only from where its version was first read

The one of term 1, whose renewals had failed, took term 3 as the one of term 2 renewed as it should.

Cause: a renewal that fails without an answer is settled by reading the lease. That read noted the successor's version, but not when; the next look found it unchanged and took it as unchanged since this VM's own last look, long before: lapsed, and free to act on at once. Besides, such a VM told the others that the version which it had read was resigned: its successor's.

Change: where a version is first read is noted with it, whoever reads it. A lease that names another is not resigned. It holds since a version is only ever taken over after a lease's time from its first reading, and every change of version passes there.

Tests: two, red before; 61 of leases, fleets and stops pass.

--- a/src/rosepath/lease_keeper.py
+++ b/src/rosepath/lease_keeper.py
@@ -80,13 +80,14 @@
             self._resigned[name] = Resignation(version=version, acted_s=acted_s)
 
     def resign(self, name: str) -> int:
-        """Stop acting as the holder; return the version that this ends.
+        """Stop acting as the holder; return the version that this ends, or 0.
 
         For a holder that loses the store: it can't hand the lease back there,
         but its word to the others spares them the wait for it to lapse.
         """
         row = self.rows[name]
-        version = row.version
+        # Another's lease may have been read since; that one is not resigned.
+        version = row.version if row.holder == self._me else 0
         self._lose(row)
         return version
 
@@ -168,10 +169,6 @@
     async def _read(self, row: LeaseRow) -> None:
         stored = await self._platform.get(f"{LEASE_KIND}/{row.name}")
         now_s = self._clock.monotonic_s()
-        version = stored.version if stored else 0
-        if version != row.version or row.name not in self._first_seen_s:
-            heard = version != 0 and version == self._heard.get(row.name)
-            self._first_seen_s[row.name] = self._heard_s[row.name] if heard else now_s
         self._note(row, stored, now_s)
         first_seen_s = self._first_seen_s[row.name]
         resigned = self._resigned.get(row.name)
@@ -194,7 +191,13 @@
 
     def _note(self, row: LeaseRow, stored: StoredObject | None, now_s: float) -> None:
         row.seen_at_s = now_s
-        row.version = stored.version if stored else 0
+        version = stored.version if stored else 0
+        # Wherever a version is read first, from then on it may have stood; only
+        # one that stood for a lease's time has lapsed.
+        if version != row.version or row.name not in self._first_seen_s:
+            heard = version != 0 and version == self._heard.get(row.name)
+            self._first_seen_s[row.name] = self._heard_s[row.name] if heard else now_s
+        row.version = version
         row.holder = ""
         if stored is None:
             return
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -1,6 +1,7 @@
 """Leases have one holder at a time, whatever is paused or lost."""
 
 import asyncio
+from collections.abc import Awaitable, Callable
 
 from fakes import FakePlatform
 from hypothesis import given, settings, strategies as st
@@ -133,3 +134,66 @@
         assert keeper.valid("l") and keeper.term("l") == 1
 
     asyncio.run(run())
+
+
+class SlowToFail(FakePlatform):
+    """Fail a write without an answer, and without doing it, after a while."""
+
+    meanwhile: Callable[[], Awaitable[None]] | None = None
+
+    async def put(
+        self, name: str, value: bytes, *, expected_version: int | None
+    ) -> int:
+        if self.meanwhile is None:
+            return await super().put(name, value, expected_version=expected_version)
+        meanwhile, self.meanwhile = self.meanwhile, None
+        await meanwhile()
+        error = StoreError("no answer", step=Step.STORE)
+        error.unknown = True
+        raise error
+
+
+async def renewal_outlasted(
+    keepers: dict[str, LeaseKeeper], platform: SlowToFail, clock: ManualClock
+) -> None:
+    """Let a hold the lease, and b take it while a's renewal is on its way."""
+    await keepers["a"].step("l", wanted=True)
+    clock.advance(3.0)
+
+    async def b_takes_it() -> None:
+        await keepers["b"].step("l", wanted=True)
+        clock.advance(6.5)
+        await keepers["b"].step("l", wanted=True)
+
+    platform.meanwhile = b_takes_it
+    await keepers["a"].step("l", wanted=True)
+    assert keepers["b"].valid("l") and not keepers["a"].valid("l")
+
+
+def test_a_lease_found_taken_after_a_failed_renewal_is_left_to_its_holder() -> None:
+    # Two VMs ordered the same engines for most of a second. The first holder's
+    # renewal failed without an answer, and what it then read was the second
+    # holder's lease. Read once more it was unchanged, and counted as unchanged
+    # since the first holder had last looked, long before: taken for lapsed.
+    async def run() -> None:
+        platform, clock = SlowToFail(), ManualClock()
+        keepers = keepers_over(platform, clock)
+        await renewal_outlasted(keepers, platform, clock)
+        clock.advance(1.5)
+        await keepers["a"].step("l", wanted=True)
+        assert keepers["b"].valid("l")
+        assert not keepers["a"].valid("l")
+
+    asyncio.run(run())
+
+
+def test_only_its_holder_resigns_a_lease() -> None:
+    # The first holder then said that the version which it had read was resigned:
+    # the second's. Whoever heard that could take the lease from under it.
+    async def run() -> None:
+        platform, clock = SlowToFail(), ManualClock()
+        keepers = keepers_over(platform, clock)
+        await renewal_outlasted(keepers, platform, clock)
+        assert keepers["a"].resign("l") == 0
+
+    asyncio.run(run())
