Log what a request shares with its repeats where its run was lost

Change: try_failed carries, for a run whose connection was lost, the key of the request's content (method, host, path, body), the life of the server, and whether the server had begun to answer: these tell the hypotheses of the timeline apart. No decision goes by them.

--- a/src/rosepath/attempt.py
+++ b/src/rosepath/attempt.py
@@ -27,7 +27,11 @@
 
 
 class AttemptError(RosepathError):
-    """A try ended without an answer that counts."""
+    """A try ended without an answer that counts.
+
+    `lost` says that the server's end of the connection went away during the
+    run, `answered` that the server had begun to answer before.
+    """
 
     def __init__(
         self,
@@ -39,12 +43,16 @@
         timed_out: bool = False,
         withdrawn: bool = False,
         status: int = 0,
+        lost: bool = False,
+        answered: bool = False,
     ) -> None:
         super().__init__(message, step=step, peer=peer)
         self.withdrawn = withdrawn
         self.evidence = evidence
         self.timed_out = timed_out
         self.status = status
+        self.lost = lost
+        self.answered = answered
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -203,6 +211,8 @@
             evidence=evidence,
             timed_out=error.timed_out,
             withdrawn=error.withdrawn,
+            lost=error.lost,
+            answered=error.answered,
         )
 
 
--- a/src/rosepath/errors.py
+++ b/src/rosepath/errors.py
@@ -43,7 +43,8 @@
 
     `sent` is False only if no byte of the request was handed to the socket;
     `withdrawn` is True if that is because it was no longer wanted; `answered` is
-    True once a byte of the answer arrived.
+    True once the head of the answer arrived; `lost` is True if the peer closed or
+    reset the connection before the answer was whole.
     """
 
     def __init__(
@@ -56,8 +57,10 @@
         answered: bool = False,
         timed_out: bool = False,
         withdrawn: bool = False,
+        lost: bool = False,
     ) -> None:
         super().__init__(message, step=step, peer=peer)
+        self.lost = lost
         self.sent = sent
         self.withdrawn = withdrawn
         self.answered = answered
--- a/src/rosepath/http_client.py
+++ b/src/rosepath/http_client.py
@@ -197,7 +197,7 @@
                 raise self._broken(request, exchange, watchdog, "cannot be parsed")
             raise exchange.failure
         if exchange.head is None or not exchange.finished:
-            raise self._broken(request, exchange, watchdog, "closed early")
+            raise self._broken(request, exchange, watchdog, "closed early", lost=True)
         return exchange.head
 
     async def _send_chunks(
@@ -217,7 +217,13 @@
         watchdog.touch()
 
     def _broken(
-        self, request: Request, exchange: Exchange, watchdog: Watchdog, how: str
+        self,
+        request: Request,
+        exchange: Exchange,
+        watchdog: Watchdog,
+        how: str,
+        *,
+        lost: bool = False,
     ) -> ExchangeError:
         return ExchangeError(
             "peer went silent" if watchdog.fired else f"answer {how}",
@@ -226,6 +232,7 @@
             sent=True,
             answered=exchange.head is not None,
             timed_out=watchdog.fired,
+            lost=lost and not watchdog.fired,
         )
 
 
--- a/src/rosepath/relay.py
+++ b/src/rosepath/relay.py
@@ -2,6 +2,7 @@
 
 import json
 from collections.abc import Awaitable
+from typing import Any
 
 from tornado.httputil import HTTPHeaders
 
@@ -207,6 +208,7 @@
             evidence=error.evidence.value,
             tries=len(context.seen),
             moved_ago_s=server.moved_ago_s(self._now_s()),
+            **_run_lost(context, server, error),
         )
         if error.withdrawn:
             # The server did nothing wrong; if it left, the fleet says so.
@@ -288,6 +290,19 @@
         return self._ports.clock.monotonic_s()
 
 
+def _run_lost(
+    context: RequestContext, server: BackendServer, error: AttemptError
+) -> dict[str, Any]:
+    """Describe a run whose connection was lost, so that its repeats are found."""
+    if not error.lost:
+        return {}
+    return {
+        "content": context.content_key,
+        "born_ms": server.entry.born_ms,
+        "answered": error.answered,
+    }
+
+
 def _rank(route: HostRoute) -> int:
     """Return how urgent a generation is to an engine, 0 first of 9."""
     patient = 3 if route.target_latency_s > 2.0 else 0
--- a/src/rosepath/request_context.py
+++ b/src/rosepath/request_context.py
@@ -4,12 +4,14 @@
 import random
 from collections.abc import Awaitable, Callable, Collection
 from dataclasses import dataclass, field
+from functools import cached_property
 from typing import Protocol
 
 from rosepath.attempt import Attempts
 from rosepath.caller_call import CallerCall, Prompt
 from rosepath.catalog import Catalog, HostRoute, ServiceSpec
 from rosepath.clock import Clock
+from rosepath.content_key import content_key
 from rosepath.event_order import EventOrder
 from rosepath.fleet import BackendServer, Fleet
 from rosepath.gateway import CallerExchange
@@ -69,7 +71,7 @@
     rng: random.Random = field(default_factory=random.Random)
 
 
-@dataclass(slots=True, kw_only=True)
+@dataclass(kw_only=True)
 class RequestContext:
     """Hold how a request has fared so far."""
 
@@ -95,6 +97,11 @@
     # What stood against another try, once one was wanted.
     obstacle: Obstacle | None = None
 
+    @cached_property
+    def content_key(self) -> str:
+        """Return what the request shares with its repeats."""
+        return content_key(self.call)
+
     def note_events(self, *, now_s: float) -> None:
         """Note that events came, and how long the stream stood still before."""
         if self.first_event_s is None:
