Land tests of a request that crashes servers, which fail

Its repeats come to other VMs under other ids.

The stand-ins learn it: a server of the fleet in virtual time ends when it runs a marked request, refuses connections, and is back after 3 s under a new name.

--- /dev/null
+++ b/tests/crashing_servers.py
@@ -0,0 +1,172 @@
+"""Servers that end when they run a marked request, before several entry VMs.
+
+Each is back seconds later at its address, under a new name and with nothing of
+what it held, as on the users' platform.
+"""
+
+import asyncio
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any, cast
+
+from fleet_world import Exchange, World, now_s
+from tornado.httputil import HTTPHeaders
+
+from rosepath.errors import ExchangeError, Step
+from rosepath.http_client import Request, ResponseHead
+
+CRASHING_PATH = "/drafts/crashing"
+# From the start of a run to its server's end, and to the server's next life.
+CRASHES_AFTER_S = 0.05
+BACK_AFTER_S = 3.0
+# What other requests take.
+RUN_S = 0.03
+WAY_S = 0.001
+
+
+@dataclass(slots=True)
+class Server:
+    """Hold a server's present life, and who waits for its answers."""
+
+    name: str
+    ended: asyncio.Event = field(default_factory=asyncio.Event)
+    up: bool = True
+
+
+@dataclass(slots=True)
+class CrashingWorld(World):
+    """Add servers that end, and count what ended them."""
+
+    servers: dict[str, Server] = field(default_factory=dict)
+    ends_s: list[float] = field(default_factory=list)
+    arrivals_s: list[float] = field(default_factory=list)
+    lives: int = 100
+    statuses: list[tuple[str, int]] = field(default_factory=list)
+    probes: int = 0
+
+    def enter(self, name: str, *, state: str = "ready", beat: int = 1) -> None:
+        super(CrashingWorld, self).enter(name, state=state, beat=beat)
+        self.servers.setdefault(self.address_of(name), Server(name))
+
+    def address_of(self, name: str) -> str:
+        return f"10.9.0.{int(name.rpartition('-')[2]) % 100 + 1}:80"
+
+    async def repeat(self, *, times: int, each_s: float) -> None:
+        """Send the crashing request to one VM after the other, at random."""
+        rng = random.Random(3)
+        for number in range(times):
+            self.ask_crashing(rng.choice(sorted(self.nodes)), f"again-{number}")
+            await asyncio.sleep(each_s)
+
+    def ask_crashing(self, vm: str, request_id: str) -> None:
+        """Send the crashing request to a VM."""
+        exchange = CrashingExchange(request_id, self)
+        asyncio.ensure_future(self.nodes[vm].relay.serve(cast(Any, exchange)))
+
+    @property
+    def sent_after_third(self) -> int:
+        """Count the sends that are too late to be excused by what was on its way."""
+        if len(self.ends_s) < 3:
+            return 0
+        known_s = self.ends_s[2] + self.contact_s
+        return sum(arrival_s > known_s for arrival_s in self.arrivals_s)
+
+    def _add(self, name: str, monkeypatch: Any) -> None:
+        super(CrashingWorld, self)._add(name, monkeypatch)
+        pool = self.nodes[name].pool
+        monkeypatch.setattr(pool, "refuses_connections", self._refuses, raising=False)
+
+    async def _refuses(self, address: str, *, limit_s: float) -> bool:
+        self.probes += 1
+        await asyncio.sleep(WAY_S)
+        return not self.servers[address].up
+
+    def _serve_as(self, name: str) -> Callable[..., Any]:
+        async def exchange(request: Request, *, on_head: Any, on_data: Any) -> Any:
+            await asyncio.sleep(WAY_S)
+            server = self.servers[request.address]
+            if not server.up:
+                raise ExchangeError(
+                    "cannot connect: refused",
+                    step=Step.CONNECT,
+                    peer=request.address,
+                    sent=False,
+                )
+            if not request.still_wanted():
+                raise ExchangeError(
+                    "no longer wanted",
+                    step=Step.SEND,
+                    peer=request.address,
+                    sent=False,
+                    withdrawn=True,
+                )
+            if request.headers["Target-Instance"] != server.name:
+                return _answered(on_head, 421)
+            crashes = request.path == CRASHING_PATH
+            if crashes:
+                self.arrivals_s.append(now_s())
+                loop = asyncio.get_running_loop()
+                loop.call_later(CRASHES_AFTER_S, self._end, request.address)
+            else:
+                self.reached(name, server.name)
+            await self._run_at(server, request, None if crashes else RUN_S)
+            head = _answered(on_head, 200)
+            on_data(b"done")
+            return head
+
+        return exchange
+
+    async def _run_at(
+        self, server: Server, request: Request, run_s: float | None
+    ) -> None:
+        try:
+            async with asyncio.timeout(run_s):
+                await server.ended.wait()
+        except TimeoutError:
+            return
+        raise ExchangeError(
+            "answer closed early",
+            step=Step.SEND,
+            peer=request.address,
+            sent=True,
+            lost=True,
+        )
+
+    def _end(self, address: str) -> None:
+        server = self.servers[address]
+        if not server.up:
+            return
+        server.up = False
+        server.ended.set()
+        self.ends_s.append(now_s())
+        asyncio.ensure_future(self._come_back(address, server))
+
+    async def _come_back(self, address: str, server: Server) -> None:
+        await asyncio.sleep(BACK_AFTER_S)
+        self.lives += 100
+        number = self.lives + int(server.name.rpartition("-")[2]) % 100
+        self.write(f"servers/{server.name}", None)
+        del self.servers[address]
+        self.enter(f"i-{number}")
+
+
+class CrashingExchange(Exchange):
+    """Be a caller's request that ends each server that runs it."""
+
+    def __init__(self, request_id: str, world: CrashingWorld) -> None:
+        super().__init__(request_id, world)
+        self.path = CRASHING_PATH
+        self.body = b"the same each time"
+        self._id = request_id
+        self._crashing = world
+
+    def answer(self, status: int, _: HTTPHeaders, __: bytes) -> None:
+        self._crashing.statuses.append((self._id, status))
+
+
+def _answered(on_head: Any, status: int) -> ResponseHead:
+    headers = HTTPHeaders({"Response-Signature": "s"} if status == 200 else {})
+    head = ResponseHead(status, headers)
+    on_head(head)
+    return head
--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -169,11 +169,15 @@
             await asyncio.sleep(BEAT_S)
             self.enter(self.rng.choice(names))
 
+    def address_of(self, name: str) -> str:
+        """Return where a server listens."""
+        return f"10.9.0.{int(name.rpartition('-')[2]) + 1}:80"
+
     def enter(self, name: str, *, state: str = "ready", beat: int = 1) -> None:
         """Write a server's entry."""
         raw = {
             "service": SERVICE,
-            "address": f"10.9.0.{int(name.rpartition('-')[2]) + 1}:80",
+            "address": self.address_of(name),
             "zone": "a",
             "version": "v1",
             "slots": 6,
