Charge requests with the ends of servers that ran them, on all entry VMs

Cause: evidence was kept with one attempt and charged to one party. A server's end counted against the server alone, never against what it ran, and what an attempt learned was gone with it; a repeat began with a clean sheet at any VM.

Change: a request is known by a key of its method, host, path and body. Runs whose connection was lost are charged with the end of that life of the server once it refuses connections (asked at once, before the request goes on), or its entry is gone or of another life; a reset alone charges nobody, nor does the end of a server that leaves. Reports are told to all VMs at once, as a union that may arrive twice and in any order. A request at one end that had begun, or at two, is a suspect: it goes to servers at which there is no other suspect, and only one of its repeats at a time. At three ends it is barred: refused at once, 503 with a minute to come back if it did not run, else 502. Once the cause is known, all others that were at those ends are free of them; what nothing tells apart goes on, one by one, until the next end tells. A whole run excuses.

The table costs nothing while it is empty; at most 500 records.

--- /dev/null
+++ b/src/rosepath/crash_records.py
@@ -0,0 +1,262 @@
+"""Which requests crash the servers that run them; pure.
+
+A server that ends takes every request that it ran with it, and all of them are
+asked for again elsewhere. One that was there at one end after the other is the
+cause, whichever entry VM its repeats come to.
+"""
+
+from collections import OrderedDict
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+from enum import IntEnum
+from itertools import groupby
+from typing import NamedTuple
+
+from rosepath.clock import Clock
+
+# Servers fail on their own, too: a request that has nothing to do with it may be
+# at one such end or at two, hardly at three while none of its runs is whole.
+ENDS_TO_BAR = 3
+# Requests that were at the same ends are tried again so often, one by one.
+TRIALS_ALIKE = 2
+# The reports of one end come from all entry VMs, in any order. Until they are in,
+# the wrong request may look like the cause; others are told after that.
+SETTLE_S = 1.0
+# A report is told again for so long: words are lost, and a restarted VM misses some.
+TOLD_S = 3.0
+REPORTS_TOLD = 24
+BARRED_TOLD = 8
+# A request that repeats at all comes again within minutes.
+SUSPECT_KEPT_S = 600.0
+# What a barred request costs is a line in a table; let in again, it costs servers.
+BARRED_KEPT_S = 86_400.0
+RECORDS_KEPT = 500
+
+
+class ServerLife(NamedTuple):
+    """Name one life of a server, from its start to its end."""
+
+    server: str
+    born_ms: int = 0
+
+
+class Blame(IntEnum):
+    """Say how likely a request is the cause of an end at which it was.
+
+    What crashes a server does so as it begins to run.
+    """
+
+    QUEUED = 1
+    BEGUN = 2
+
+
+class CrashReport(NamedTuple):
+    """Tell that a server ended while a request was there."""
+
+    content: str
+    life: ServerLife
+    blame: Blame
+
+
+class Standing(IntEnum):
+    """Say how a request may be sent on.
+
+    A suspect goes to servers at which there is no other suspect, so that the next
+    end tells which of them is the cause.
+    """
+
+    CLEAR = 0
+    SUSPECT = 1
+    BARRED = 2
+
+
+@dataclass(slots=True)
+class _Record:
+    """Hold at which ends a request was, and those that its whole runs excuse."""
+
+    blames: dict[ServerLife, Blame] = field(default_factory=dict)
+    excused: set[ServerLife] = field(default_factory=set)
+    changed_s: float = 0.0
+    # When it was found to be the cause, as far as is known until now.
+    found_s: float | None = None
+    confirmed: bool = False
+    # At how many ends it was when others were first at just the same.
+    ends_alike: int | None = None
+
+    def open_ends(self, explained: set[ServerLife]) -> set[ServerLife]:
+        """Return the ends of which nothing else is known to be the cause."""
+        return self.blames.keys() - self.excused - explained
+
+    def had_its_trials(self) -> bool:
+        """Tell whether more ends came since it was like others; notes that it is."""
+        if self.ends_alike is None:
+            self.ends_alike = len(self.blames)
+        return len(self.blames) >= self.ends_alike + TRIALS_ALIKE
+
+    @property
+    def weight(self) -> tuple[int, int]:
+        """Return by what it is compared with others that were at the same ends."""
+        blames = [
+            blame for life, blame in self.blames.items() if life not in self.excused
+        ]
+        return len(blames), sum(blames)
+
+
+_Doubtful = tuple[str, _Record]
+
+
+class CrashRecords:
+    """Hold what is known of requests that were at the ends of servers.
+
+    Reports may come twice and in any order: what follows from them is the same.
+    """
+
+    def __init__(self, *, clock: Clock) -> None:
+        self._clock = clock
+        self._records: OrderedDict[str, _Record] = OrderedDict()
+        self._explained: set[ServerLife] = set()
+        self._learned: OrderedDict[CrashReport, float] = OrderedDict()
+
+    def __len__(self) -> int:
+        return len(self._records)
+
+    def add(self, report: CrashReport) -> bool:
+        """Take in a report; return whether it is news."""
+        record = self._records.get(report.content) or self._make(report.content)
+        if record.blames.get(report.life, 0) >= report.blame:
+            return False
+        record.blames[report.life] = report.blame
+        record.changed_s = self._clock.monotonic_s()
+        self._records.move_to_end(report.content)
+        self._learned[report] = record.changed_s
+        self._judge()
+        return True
+
+    def bar(self, content: str) -> bool:
+        """Take another VM's word that a request is the cause; return if it is news."""
+        record = self._records.get(content) or self._make(content)
+        if record.confirmed:
+            return False
+        record.changed_s = self._clock.monotonic_s()
+        record.found_s = record.changed_s
+        record.confirmed = True
+        self._judge()
+        return True
+
+    def excuse(self, content: str) -> None:
+        """Note that a run of a request was whole: no end before was its doing."""
+        record = self._records.get(content)
+        if record is None or record.confirmed:
+            return
+        if record.blames.keys() - record.excused:
+            record.excused.update(record.blames)
+            self._judge()
+
+    def standing(self, content: str) -> Standing:
+        """Tell how a request may be sent on."""
+        record = self._records.get(content)
+        if record is None:
+            return Standing.CLEAR
+        if record.found_s is not None:
+            # Asked for all the time, it is not forgotten.
+            record.changed_s = self._clock.monotonic_s()
+            self._records.move_to_end(content)
+            return Standing.BARRED
+        ends = record.open_ends(self._explained)
+        begun = any(record.blames[life] is Blame.BEGUN for life in ends)
+        suspect = begun or len(ends) > 1
+        return Standing.SUSPECT if suspect else Standing.CLEAR
+
+    def ends(self, content: str) -> list[str]:
+        """Return the names of the servers at whose ends a request was."""
+        record = self._records.get(content)
+        return [] if record is None else [life.server for life in record.blames]
+
+    def told(self) -> tuple[CrashReport, ...]:
+        """Return the reports that other VMs may not have heard of."""
+        limit_s = self._clock.monotonic_s() - TOLD_S
+        while self._learned and next(iter(self._learned.values())) < limit_s:
+            self._learned.popitem(last=False)
+        return tuple(self._learned)[-REPORTS_TOLD:]
+
+    @property
+    def barred(self) -> tuple[str, ...]:
+        """Return the requests that are certainly barred, the latest last."""
+        self._confirm()
+        return tuple(
+            content for content, record in self._records.items() if record.confirmed
+        )[-BARRED_TOLD:]
+
+    def _make(self, content: str) -> _Record:
+        self._forget_old()
+        record = self._records[content] = _Record()
+        return record
+
+    def _judge(self) -> None:
+        """Find the requests that explain most ends.
+
+        Once the cause of an end is known, all others that were there are free of
+        it. Of those that nothing tells apart one is the cause and all others are
+        innocent: they go on, apart from each other, until the next end tells.
+        """
+        self._confirm()
+        explained: set[ServerLife] = set()
+        for record in self._records.values():
+            if record.confirmed:
+                explained.update(record.blames)
+        found: set[str] = set()
+        for _, equals in self._by_weight():
+            causes = {
+                content: record
+                for content, record in equals
+                if len(record.open_ends(explained)) >= ENDS_TO_BAR
+            }
+            ends = {
+                content: record.open_ends(explained)
+                for content, record in causes.items()
+            }
+            for content, record in causes.items():
+                alike = sum(other == ends[content] for other in ends.values()) > 1
+                if not alike or record.had_its_trials():
+                    found.add(content)
+            for content in found & causes.keys():
+                explained |= ends[content]
+        self._explained = explained
+        now_s = self._clock.monotonic_s()
+        for content, record in self._records.items():
+            if content not in found and not record.confirmed:
+                record.found_s = None
+            elif record.found_s is None:
+                record.found_s = now_s
+
+    def _by_weight(self) -> Iterator[tuple[tuple[int, int], Iterable[_Doubtful]]]:
+        """Return what was at enough ends, in groups of those at equally many."""
+        doubtful = [
+            (content, record)
+            for content, record in self._records.items()
+            if not record.confirmed and len(record.blames) >= ENDS_TO_BAR
+        ]
+        doubtful.sort(key=lambda item: item[1].weight, reverse=True)
+        return groupby(doubtful, key=lambda item: item[1].weight)
+
+    def _confirm(self) -> None:
+        settled_s = self._clock.monotonic_s() - SETTLE_S
+        for record in self._records.values():
+            if record.found_s is not None and record.found_s <= settled_s:
+                record.confirmed = True
+
+    def _forget_old(self) -> None:
+        """Drop what is old, and of too much what was told of longest ago."""
+        now_s = self._clock.monotonic_s()
+        for content, record in list(self._records.items()):
+            kept_s = SUSPECT_KEPT_S if record.found_s is None else BARRED_KEPT_S
+            if record.changed_s < now_s - kept_s:
+                del self._records[content]
+        suspects = (
+            content
+            for content, record in list(self._records.items())
+            if record.found_s is None
+        )
+        while len(self._records) >= RECORDS_KEPT:
+            oldest = next(suspects, None) or next(iter(self._records))
+            del self._records[oldest]
--- a/src/rosepath/entry_node.py
+++ b/src/rosepath/entry_node.py
@@ -11,6 +11,7 @@
 from rosepath.attempt import Attempts
 from rosepath.catalog import Catalog
 from rosepath.clock import BootClock, SystemClock
+from rosepath.crash_watch import CrashWatch, life_of
 from rosepath.entry_metrics import EntryMetrics
 from rosepath.entry_settings import EntrySettings
 from rosepath.feed import Feed, Pace
@@ -91,6 +92,11 @@
         self.store = PlatformStore(access, clock=self.clock)
         self.pool = HttpPool(clock=self.clock)
         self.caches = PromptCaches()
+        self.crashes = CrashWatch(
+            clock=self.clock,
+            refuses=self.pool.refuses_connections,
+            on_news=lambda: self.exchange.tell_soon(),
+        )
         self.tables = StoreTables(
             self.store,
             clock=self.clock,
@@ -100,6 +106,7 @@
             ),
             on_catalog=self._catalog_taken,
             on_reborn=self.caches.forget,
+            on_ended=lambda server: self.crashes.note_ended(life_of(server)),
             drain_s=settings.drain_s,
             settle_s=settings.settle_s,
             boot_clock=BootClock(),
@@ -128,6 +135,7 @@
             peers=self.peers,
             coordinator=self.coordinator,
             stopping=lambda: self.stopping,
+            crashes=self.crashes,
             boot_clock=BootClock(),
         )
         self.isolation = Isolation(
@@ -151,6 +159,7 @@
                 cut_off=lambda: self.peers.cut_off(settings.data_centre),
                 wait_limit_s=lambda: self.wait_limit_s,
                 on_outcome=self.records.note,
+                crashes=self.crashes,
                 fleet_sound=lambda: self.tables.sound,
                 make_sure=self.tables.make_sure,
             )
@@ -266,6 +275,8 @@
             "peers_live": len(self.peers.live()),
             "lease_term": self.coordinator.term,
             "ready": self.ready,
+            "contents_suspected": len(self.crashes.records),
+            "contents_barred": len(self.crashes.records.barred),
             "in_flight": len(self.gateway.open),
         }
 
--- a/src/rosepath/fleet.py
+++ b/src/rosepath/fleet.py
@@ -48,6 +48,8 @@
 
     unread_tokens: int = 0
     target: str = ""
+    # When its first event came from this server.
+    begun_s: float | None = None
 
 
 @dataclass(slots=True, kw_only=True)
--- a/src/rosepath/http_client.py
+++ b/src/rosepath/http_client.py
@@ -127,6 +127,21 @@
             if not returned:
                 connection.close()
 
+    async def refuses_connections(self, address: str, *, limit_s: float) -> bool:
+        """Tell whether a peer's machine answers that nobody listens there.
+
+        A connection that comes about is kept for the next request.
+        """
+        request = Request(
+            address=address, method="GET", path="/", connect_timeout_s=limit_s
+        )
+        try:
+            connection = await self._connect(request)
+        except ExchangeError as error:
+            return not error.timed_out
+        self._put_back(address, connection)
+        return False
+
     async def _connection_for(self, request: Request) -> tuple[Connection, bool]:
         now_s = self._clock.monotonic_s()
         idle = self._idle[request.address]
--- a/src/rosepath/peer_exchange.py
+++ b/src/rosepath/peer_exchange.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 
 from rosepath.clock import Clock
+from rosepath.crash_watch import CrashWatch
 from rosepath.fleet import BackendServer, PeerLoad, own_load
 from rosepath.logs import get_logger
 from rosepath.object_store import ConflictError, StoredObject, StoreError
@@ -17,6 +18,8 @@
 from rosepath.settings import split_address
 from rosepath.store_tables import StoreTables
 
+# The VMs learn of one end within milliseconds of each other: one word for all.
+TELL_SOON_S = 0.01
 JOIN_AGAIN_S = 0.3
 JOIN_AGAIN_MAX_S = 2.0
 # A server that took no connection is named for so long, and each naming keeps
@@ -56,8 +59,11 @@
         peers: PeerTable,
         coordinator: PlacementCoordinator,
         stopping: Callable[[], bool],
+        crashes: CrashWatch,
         boot_clock: Clock | None = None,
     ) -> None:
+        self._crashes = crashes
+        self._tells_soon = False
         self._me = entry_vm
         self._data_centre = data_centre
         self._clock = clock
@@ -160,8 +166,21 @@
             leaving=leaving,
             down=tuple(unreached),
             totals=totals,
+            crashes=self._crashes.records.told(),
+            barred=self._crashes.records.barred,
+            trials=self._crashes.trials.told(merged=telling),
         )
 
+    def tell_soon(self) -> None:
+        """Tell the others before the next word is due; once for what comes at once."""
+        if not self._tells_soon:
+            self._tells_soon = True
+            asyncio.get_running_loop().call_later(TELL_SOON_S, self._tell_now)
+
+    def _tell_now(self) -> None:
+        self._tells_soon = False
+        self.link.tell()
+
     def _peer_spoke(self, state: PeerState) -> None:
         if state.totals:
             self._take_totals(state)
@@ -176,6 +195,7 @@
                 self._tell(event, known, state)
         if state.term:
             self._take_ages(state)
+        self._hear_crashes(state)
         self._hear_down(state)
         if state.term and state.store_ago_s > STORE_TROUBLE_S:
             self._tables.note_trouble()
@@ -223,6 +243,17 @@
             if server.requests
         }
 
+    def _hear_crashes(self, state: PeerState) -> None:
+        """Take in what crashes servers; a holder in a crowd tells it on at once."""
+        records = self._crashes.records
+        news = [records.add(report) for report in state.crashes]
+        news += [records.bar(content) for content in state.barred]
+        self._crashes.trials.hear(state.entry_vm, state.trials)
+        if any(news):
+            self._tables.announce()
+            if self._coordinator.term and self.peers.crowded:
+                self.tell_soon()
+
     def _hear_down(self, state: PeerState) -> None:
         """Spare requests a server that another VM of this data centre misses."""
         if state.data_centre != self._data_centre and not self._coordinator.term:
@@ -258,6 +289,8 @@
         if self.peers.crowded and not self._coordinator.term:
             return
         live = {peer.name for peer in self.peers.live()}
+        for name in set(self._crashes.trials.heard_of) - live:
+            self._crashes.trials.forget(name)
         for server in self._tables.fleet.servers.values():
             for name in server.peers.keys() - live:
                 del server.peers[name]
--- a/src/rosepath/peer_messages.py
+++ b/src/rosepath/peer_messages.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field, replace
 from typing import Any, NamedTuple
 
+from rosepath.crash_records import Blame, CrashReport, ServerLife
 from rosepath.demand import ModelDemand
 from rosepath.fleet import LeavingServer, PeerLoad
 from rosepath.model_arrivals import ModelArrival
@@ -55,7 +56,9 @@
     last heard of the holder. `leaving` names servers that it saw leave: if it
     speaks as the holder, all that left from `complete_ago_s` to `known_ago_s`
     ago; the latter is as of when it knows the servers, and the like of
-    `configuration_known_ago_s`.
+    `configuration_known_ago_s`. `crashes` tells at which ends of servers requests
+    were, `barred` which requests cause them, and `trials` maps those that may to
+    the servers at which they are.
     """
 
     entry_vm: str
@@ -84,6 +87,9 @@
     moves: tuple[HeldMove, ...] = ()
     totals: Mapping[str, PeerLoad] = field(default_factory=dict)
     arrivals: tuple[ModelArrival, ...] = ()
+    crashes: tuple[CrashReport, ...] = ()
+    barred: tuple[str, ...] = ()
+    trials: Mapping[str, str] = field(default_factory=dict)
 
     def late_by(self, late_s: float) -> "PeerState":
         """Return this word as it vouches if it was on its way for longer."""
@@ -226,6 +232,12 @@
             [move.number, move.server, move.model, move.adapter, int(move.there)]
             for move in message.moves
         ],
+        "cr": [
+            [report.content, *report.life, int(report.blame)]
+            for report in message.crashes
+        ],
+        "ba": list(message.barred),
+        "tr": dict(message.trials),
     }
 
 
@@ -276,6 +288,14 @@
             HeldMove(int(row[0]), str(row[1]), str(row[2]), str(row[3]), bool(row[4]))
             for row in raw["m"]
         ),
+        crashes=tuple(
+            CrashReport(
+                str(row[0]), ServerLife(str(row[1]), int(row[2])), Blame(int(row[3]))
+            )
+            for row in raw["cr"]
+        ),
+        barred=tuple(map(str, raw["ba"])),
+        trials={str(content): str(server) for content, server in raw["tr"].items()},
     )
 
 
--- a/src/rosepath/relay.py
+++ b/src/rosepath/relay.py
@@ -9,6 +9,9 @@
 from rosepath.attempt import Answer, AttemptError, Sending
 from rosepath.caller_call import BadRequestError, CallerCall
 from rosepath.catalog import HostRoute, RouteKind
+from rosepath.crash_records import Blame
+from rosepath.crash_trials import TRIAL_S
+from rosepath.crash_watch import LostRun, life_of
 from rosepath.errors import RefusalError, Step, refuse
 from rosepath.event_order import EventOrder
 from rosepath.fleet import BackendServer, Flight
@@ -40,6 +43,7 @@
         self._ports = ports
         self._picker = ServerPicker(ports)
         self._next = NextTry(ports, self._picker)
+        self._crashes = ports.crashes
 
     async def serve(self, exchange: CallerExchange) -> None:
         """Answer one request, whatever happens to it."""
@@ -119,6 +123,8 @@
             except AttemptError as error:
                 context.seen.append(error.evidence)
                 self._note_failed(context, server, error)
+                if error.lost:
+                    await self._note_lost(context, server, flight, error)
                 await self._next.go_on(context, error)
                 continue
             server.moved_s = self._now_s()
@@ -126,6 +132,8 @@
             if failed and await self._try_again_after(context, server, answer):
                 continue
             note_success(server, took_s=self._now_s() - sent_s)
+            if self._crashes.records:
+                self._crashes.records.excuse(context.content_key)
             self._finish(context, server, answer)
             return
 
@@ -161,13 +169,18 @@
         self, context: RequestContext, server: BackendServer, flight: Flight
     ) -> Answer:
         def on_events(head: ResponseHead, events: bytes) -> Awaitable[None] | None:
-            server.moved_s = self._now_s()
-            context.note_events(now_s=server.moved_s)
+            now_s = server.moved_s = self._now_s()
+            context.note_events(now_s=now_s)
             flight.unread_tokens = 0
+            if flight.begun_s is None:
+                flight.begun_s = now_s
+            elif on_trial and now_s - flight.begun_s > TRIAL_S:
+                self._crashes.trials.end(context.content_key)
             if not context.exchange.begun:
                 context.exchange.begin(head.status, answer_headers(head.headers))
             return context.exchange.write(events)
 
+        on_trial = self._picker.is_suspect(context)
         order = context.order
         if order is not None:
             order.restart()
@@ -180,11 +193,17 @@
             priority=None if context.service.engine is None else _rank(context.route),
             last_event_id=order.last_id if order is not None and begun else None,
             # An adapter and a connection take time, in which a server may leave.
-            still_wanted=lambda: server.usable and self._ports.fleet_sound(),
+            still_wanted=lambda: (
+                server.usable
+                and self._ports.fleet_sound()
+                and not self._picker.is_barred(context)
+            ),
             may_break_off=lambda: self._next.leaves(context, server),
         )
         self._next.note_sent(context)
         server.flights[context.call.request_id] = flight
+        if on_trial:
+            self._crashes.trials.begin(context.content_key, server.name)
         try:
             return await self._ports.attempts.send(
                 context.call,
@@ -195,6 +214,28 @@
             )
         finally:
             server.flights.pop(context.call.request_id, None)
+            if on_trial:
+                self._crashes.trials.end(context.content_key)
+
+    async def _note_lost(
+        self,
+        context: RequestContext,
+        server: BackendServer,
+        flight: Flight,
+        error: AttemptError,
+    ) -> None:
+        """Find out whether the server ended, and charge the request with it.
+
+        One that had long begun passed over what ends a server.
+        """
+        if flight.begun_s is not None and self._now_s() - flight.begun_s > TRIAL_S:
+            return
+        run = LostRun(
+            request_id=context.call.request_id,
+            content=context.content_key,
+            blame=Blame.BEGUN if error.answered else Blame.QUEUED,
+        )
+        await self._crashes.note_lost(server, run)
 
     def _note_failed(
         self, context: RequestContext, server: BackendServer, error: AttemptError
@@ -217,6 +258,8 @@
         now_s = self._now_s()
         if error.evidence is Evidence.NOT_SENT:
             note_unreached(server, now_s=now_s)
+            if error.step is Step.CONNECT and not error.timed_out:
+                self._crashes.note_ended(life_of(server))
         if error.evidence is not Evidence.REFUSED:
             silent = error.timed_out or error.evidence is Evidence.NOT_SENT
             note_failure(server, now_s=now_s, silent=silent)
--- a/src/rosepath/request_context.py
+++ b/src/rosepath/request_context.py
@@ -12,6 +12,7 @@
 from rosepath.catalog import Catalog, HostRoute, ServiceSpec
 from rosepath.clock import Clock
 from rosepath.content_key import content_key
+from rosepath.crash_watch import CrashWatch
 from rosepath.event_order import EventOrder
 from rosepath.fleet import BackendServer, Fleet
 from rosepath.gateway import CallerExchange
@@ -64,6 +65,7 @@
     # Until when a request may wait unsent: a planned stop sets an end to it.
     wait_limit_s: Callable[[], float]
     on_outcome: Callable[["RequestContext", int, str], None]
+    crashes: CrashWatch
     # Whether the fleet is known well enough to send work by it, and a look that
     # makes it so.
     fleet_sound: Callable[[], bool] = lambda: True
--- a/src/rosepath/server_picker.py
+++ b/src/rosepath/server_picker.py
@@ -7,6 +7,7 @@
 
 from rosepath.caller_call import Prompt
 from rosepath.catalog import EngineSpec
+from rosepath.crash_records import Standing
 from rosepath.engine_choice import (
     EngineChoice,
     choose_engine,
@@ -15,6 +16,7 @@
 )
 from rosepath.errors import RefusalError, Run, Step, refuse
 from rosepath.fleet import BackendServer, Flight
+from rosepath.logs import get_logger
 from rosepath.model_arrivals import Wait, choose_wait
 from rosepath.request_context import RETRY_AFTER_S, RelayPorts, RequestContext
 from rosepath.server_choice import choose_server, trusted
@@ -24,10 +26,14 @@
 # Of the time until its caller leaves, what a generation may spend waiting for
 # an engine that holds its model; the rest is for the engine to begin.
 WAITED_SHARE = 0.85
+# A caller that is told to come back sooner does, for nothing.
+BARRED_BACK_S = 60.0
 # An adapter is there after some 20 ms; a holder that does not answer by then
 # may be gone, and its successor is asked.
 ADAPTER_WAIT_S = 0.4
 
+_log = get_logger()
+
 
 class ServerPicker:
     """Pick servers, get adapters there, and let demand show who waits."""
@@ -88,6 +94,7 @@
         count_waiting: Callable[[], None],
     ) -> tuple[BackendServer, Flight]:
         while True:
+            self._refuse_if_barred(context)
             await self._ports.make_sure()
             chosen = await self._pick(context)
             now_s = self._now_s()
@@ -115,6 +122,35 @@
         """
         return math.inf if context.lost_if_refused else self._ports.wait_limit_s()
 
+    def _standing(self, context: RequestContext) -> Standing:
+        records = self._ports.crashes.records
+        # Without records, nobody pays for a key of what each request holds.
+        return records.standing(context.content_key) if records else Standing.CLEAR
+
+    def is_suspect(self, context: RequestContext) -> bool:
+        """Tell whether a request may be what crashes its servers."""
+        return self._standing(context) is Standing.SUSPECT
+
+    def is_barred(self, context: RequestContext) -> bool:
+        """Tell whether a request is known to crash its servers."""
+        return self._standing(context) is Standing.BARRED
+
+    def _refuse_if_barred(self, context: RequestContext) -> None:
+        if not self.is_barred(context):
+            return
+        _log.info(
+            "content_barred",
+            request_id=context.call.request_id,
+            content=context.content_key,
+            ended=self._ports.crashes.records.ends(context.content_key),
+        )
+        raise _refused(
+            context,
+            "crashes_servers",
+            "servers ended each time that this request was run",
+            back_s=BARRED_BACK_S,
+        )
+
     def _refuse_if_model_is_late(
         self, context: RequestContext, asked_s: float, give_up_s: float
     ) -> None:
@@ -150,11 +186,14 @@
         now_s = self._now_s()
         servers = ports.fleet.of_service(context.service.name)
         prompt = context.call.prompt
+        avoided = self._avoided(context)
+        if avoided is None:
+            return None
         if context.service.engine is None or prompt is None:
             server = choose_server(
                 servers,
                 data_centre=ports.data_centre,
-                tried=context.tried,
+                tried=context.tried | avoided,
                 cut_off=ports.cut_off(),
                 now_s=now_s,
                 rng=ports.rng,
@@ -163,7 +202,9 @@
                 # It left a slow one, and no other took it: back to any of them.
                 context.tried.clear()
             return None if server is None else (server, Flight())
-        choice = await self._pick_engine(context, prompt, context.service.engine)
+        choice = await self._pick_engine(
+            context, prompt, context.service.engine, avoided
+        )
         if choice is None:
             return None
         ports.caches.note_read(choice.server, prompt)
@@ -178,8 +219,18 @@
         )
         return choice.server, flight
 
+    def _avoided(self, context: RequestContext) -> frozenset[str] | None:
+        """Return the servers that a request keeps off; None if it must wait."""
+        if not self.is_suspect(context):
+            return frozenset()
+        return self._ports.crashes.trials.occupied(context.content_key)
+
     async def _pick_engine(
-        self, context: RequestContext, prompt: Prompt, spec: EngineSpec
+        self,
+        context: RequestContext,
+        prompt: Prompt,
+        spec: EngineSpec,
+        avoided: frozenset[str],
     ) -> EngineChoice | None:
         """Choose an engine that has the prompt's adapter, or can be given it.
 
@@ -188,7 +239,7 @@
         """
         ports = self._ports
         asked_s = self._now_s()
-        without_room: set[str] = set()
+        without_room = set(avoided)
         while (now_s := self._now_s()) < min(
             asked_s + ADAPTER_WAIT_S, context.deadline_s
         ):
@@ -203,7 +254,7 @@
                 cached_tokens=ports.caches.cached_tokens,
                 rng=ports.rng,
             )
-            if choice is None and not without_room:
+            if choice is None and without_room == avoided:
                 # All that hold the model refused it; it may be theirs again soon.
                 context.tried.clear()
             if choice is None or holds_adapter(choice.server, prompt):
--- a/src/rosepath/store_tables.py
+++ b/src/rosepath/store_tables.py
@@ -8,7 +8,7 @@
 from rosepath.catalog import Catalog
 from rosepath.clock import Clock
 from rosepath.feed import Feed, Pace
-from rosepath.fleet import Fleet, LeavingServer
+from rosepath.fleet import BackendServer, Fleet, LeavingServer
 from rosepath.leave_log import LeaveLog
 from rosepath.logs import get_logger
 from rosepath.object_store import Change, FeedPort, Listing, StoredObject
@@ -50,6 +50,7 @@
         catalog_pace: Callable[[], Pace],
         on_catalog: Callable[[Catalog], None],
         on_reborn: Callable[[str], None] = lambda _: None,
+        on_ended: Callable[[BackendServer], None] = lambda _: None,
         drain_s: float = math.inf,
         settle_s: float = 0.0,
         boot_clock: Clock | None = None,
@@ -57,6 +58,7 @@
         self._drain_s = drain_s
         self._settle_s = settle_s
         self._on_reborn = on_reborn
+        self._on_ended = on_ended
         self._clock = clock
         self._on_catalog = on_catalog
         # Entries that are not there and may have lapsed.
@@ -131,6 +133,8 @@
             if self.fleet.put(entry):
                 _log.info("server_reborn", step="store", peer=entry.name)
                 self._on_reborn(entry.name)
+                if known is not None:
+                    self._on_ended(known)
             taken = self.fleet.servers.get(entry.name)
             if entry.draining and taken and taken.entry is entry and not left:
                 self._tell("server_leaving", entry.name)
@@ -190,7 +194,10 @@
 
     def _remove(self, name: str, *, gone_at: int) -> None:
         self._tell("server_gone", name)
+        server = self.fleet.servers.get(name)
         self.fleet.remove(name, gone_at=gone_at)
+        if server is not None:
+            self._on_ended(server)
         self.leaves.note(LeavingServer(name, gone_at=gone_at))
 
     def hear_leaving(self, leaving: LeavingServer) -> bool:
--- a/tests/crashing_servers.py
+++ b/tests/crashing_servers.py
@@ -74,8 +74,7 @@
 
     def _add(self, name: str, monkeypatch: Any) -> None:
         super(CrashingWorld, self)._add(name, monkeypatch)
-        pool = self.nodes[name].pool
-        monkeypatch.setattr(pool, "refuses_connections", self._refuses, raising=False)
+        monkeypatch.setattr(self.nodes[name].crashes, "_refuses", self._refuses)
 
     async def _refuses(self, address: str, *, limit_s: float) -> bool:
         self.probes += 1
--- a/tests/entry_builders.py
+++ b/tests/entry_builders.py
@@ -13,6 +13,8 @@
     ServiceShare,
     ServiceSpec,
 )
+from rosepath.clock import Clock
+from rosepath.crash_watch import CrashWatch
 from rosepath.engine_books import EngineView
 from rosepath.entry_settings import EntrySettings
 from rosepath.fleet import BackendServer, ServerEntry
@@ -170,6 +172,15 @@
     )
 
 
+def a_crash_watch(clock: Clock, *, refuses: bool = False) -> CrashWatch:
+    """Build a watch before servers that all refuse connections, or none does."""
+
+    async def look(_: str, **__: float) -> bool:
+        return refuses
+
+    return CrashWatch(clock=clock, refuses=look, on_news=lambda: None)
+
+
 def a_peer_state(
     name: str, *, number: int = 1, data_centre: str = "a", term: int = 0
 ) -> PeerState:
--- a/tests/entry_harness.py
+++ b/tests/entry_harness.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from entry_builders import a_catalog, a_route, an_entry
+from entry_builders import a_catalog, a_crash_watch, a_route, an_entry
 
 from rosepath.attempt import Attempts
 from rosepath.catalog import Catalog, HostRoute
@@ -193,6 +193,7 @@
             cut_off=set,
             wait_limit_s=lambda: made[0].wait_limit_s,
             on_outcome=on_outcome,
+            crashes=a_crash_watch(clock),
         )
     )
     gateway = Gateway(relay.serve, clock=clock, on_failure=on_failure)
--- a/tests/test_engine_choice.py
+++ b/tests/test_engine_choice.py
@@ -5,7 +5,7 @@
 import random
 from typing import Any, cast
 
-from entry_builders import a_call, a_catalog, a_prompt, a_route, an_entry
+from entry_builders import a_call, a_catalog, a_crash_watch, a_prompt, a_route, an_entry
 from entry_harness import NoModels
 from timed_engines import Caller
 
@@ -90,6 +90,7 @@
             cut_off=set,
             wait_limit_s=lambda: math.inf,
             on_outcome=lambda *_: None,
+            crashes=a_crash_watch(ManualClock()),
         )
         context = RequestContext(
             call=a_call(prompt=prompt, arrived_s=1000.0),
--- a/tests/test_peer_exchange.py
+++ b/tests/test_peer_exchange.py
@@ -4,7 +4,7 @@
 from typing import Any, cast
 
 import pytest
-from entry_builders import an_entry, entry_settings
+from entry_builders import a_crash_watch, an_entry, entry_settings
 from test_store_tables import NoStore, listing, server, tables
 
 from rosepath.clock import ManualClock
@@ -58,6 +58,7 @@
         peers=peers,
         coordinator=coordinator,
         stopping=lambda: False,
+        crashes=a_crash_watch(clock),
     )
 
 
--- a/tests/test_stream_pauses.py
+++ b/tests/test_stream_pauses.py
@@ -4,7 +4,7 @@
 import math
 from typing import Any, cast
 
-from entry_builders import a_call, a_catalog, a_prompt, a_route
+from entry_builders import a_call, a_catalog, a_crash_watch, a_prompt, a_route
 from entry_harness import NoModels
 
 from rosepath.clock import ManualClock
@@ -31,6 +31,7 @@
         cut_off=set,
         wait_limit_s=lambda: math.inf,
         on_outcome=lambda *_: None,
+        crashes=a_crash_watch(clock),
     )
     return NextTry(ports, ServerPicker(ports))
 
--- a/tests/timed_engines.py
+++ b/tests/timed_engines.py
@@ -13,6 +13,7 @@
 from rosepath.attempt import Attempts
 from rosepath.caller_call import Prompt
 from rosepath.catalog import HostRoute, RouteKind
+from rosepath.crash_watch import CrashWatch
 from rosepath.fleet import BackendServer, Fleet, PeerLoad
 from rosepath.http_client import HttpPool, Request
 from rosepath.http_exchange import Connection
@@ -213,12 +214,16 @@
         clock=clock, ratio=0.0, slack=repeats / 0.7 + 1e-9, window_s=window_s
     )
     by_address = {engine.address: engine for engine in engines}
+    pool = TimedPool(by_address)
+    crashes = CrashWatch(
+        clock=clock, refuses=pool.refuses_connections, on_news=lambda: None
+    )
     ports = RelayPorts(
         data_centre="a",
         clock=clock,
         fleet=fleet,
         caches=PromptCaches(),
-        attempts=Attempts(TimedPool(by_address), clock=clock),
+        attempts=Attempts(pool, clock=clock),
         catalog=lambda: catalog,
         budget=lambda _: window,
         models=NoModels(),
@@ -226,6 +231,7 @@
         cut_off=set,
         wait_limit_s=lambda: float("inf"),
         on_outcome=_ignore,
+        crashes=crashes,
     )
     return Site(Relay(ports), fleet, window, by_address)
 
