Keep barred requests in the placement lease, which outlives all entry VMs

Change: the holder's lease, which it writes every second anyway and which every VM reads as it starts, names the requests that are certainly barred. No call is added. Test: a VM that starts after all others are gone refuses the request (red before: nothing carried it).

--- a/src/rosepath/entry_node.py
+++ b/src/rosepath/entry_node.py
@@ -125,6 +125,8 @@
             cut_off=lambda: self.isolation.cut_off,
             changed=self.tables.announce,
         )
+        self.coordinator.leases.barred = lambda: self.crashes.records.barred
+        self.coordinator.leases.on_barred = self._bar
         self.exchange = PeerExchange(
             settings.entry_vm,
             settings.data_centre,
@@ -334,6 +336,11 @@
             # at once, and not with the next word, which a crowd waits long for.
             asyncio.get_running_loop().call_soon(self.exchange.link.tell)
 
+    def _bar(self, contents: tuple[str, ...]) -> None:
+        """Take in which requests crash servers from a time of other VMs."""
+        for content in contents:
+            self.crashes.records.bar(content)
+
     def _limit_callers(self, catalog: Catalog) -> None:
         limits = catalog.limits
         self.gateway.limit(
--- a/src/rosepath/lease_keeper.py
+++ b/src/rosepath/lease_keeper.py
@@ -2,6 +2,7 @@
 
 import math
 import uuid
+from collections.abc import Callable
 
 from expression import Result
 
@@ -43,6 +44,10 @@
         self._heard: dict[str, int] = {}
         self._heard_s: dict[str, float] = {}
         self._resigned: dict[str, Resignation] = {}
+        # What the lease that this node holds names as barred, and who is told of
+        # what another's does.
+        self.barred: Callable[[], tuple[str, ...]] = tuple
+        self.on_barred: Callable[[tuple[str, ...]], None] = lambda _: None
         self.policy = policy
         self.rows: dict[str, LeaseRow] = {}
 
@@ -204,6 +209,7 @@
         match decode_lease(stored):
             case Result(tag="ok", ok=record):
                 row.holder, row.before = record.holder, record.before
+                self.on_barred(record.barred)
                 if record.term > row.term:
                     row.term, row.passed_on = record.term, 0
             case Result(error=problem):
@@ -220,7 +226,11 @@
         before = holders_before(row, me=self._me)
         value = encode_lease(
             LeaseRecord(
-                holder=self._me, term=term, nonce=uuid.uuid4().hex, before=before
+                holder=self._me,
+                term=term,
+                nonce=uuid.uuid4().hex,
+                before=before,
+                barred=self.barred(),
             )
         )
         name = f"{LEASE_KIND}/{row.name}"
@@ -285,6 +295,7 @@
                 term=row.term,
                 nonce=uuid.uuid4().hex,
                 before=(self._me, *row.before)[:BEFORE_KEPT],
+                barred=self.barred(),
             )
         )
         try:
--- a/src/rosepath/leases.py
+++ b/src/rosepath/leases.py
@@ -174,12 +174,17 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class LeaseRecord:
-    """Hold a lease as it is stored; an empty holder means it was given up."""
+    """Hold a lease as it is stored; an empty holder means it was given up.
+
+    `barred` names requests that crash servers. Nothing else outlives all entry VMs,
+    and each of them reads the lease as it starts.
+    """
 
     holder: str
     term: int
     nonce: str
     before: tuple[str, ...] = ()
+    barred: tuple[str, ...] = ()
 
 
 _UNREADABLE = (ValueError, KeyError, TypeError, OverflowError, RecursionError)
@@ -201,6 +206,7 @@
             term=int(raw["term"]),
             nonce=str(raw["nonce"]),
             before=tuple(map(str, raw.get("before", ()))),
+            barred=tuple(map(str, raw.get("barred", ()))),
         )
         return Ok(record)
     except _UNREADABLE as error:
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -5,8 +5,20 @@
 
 import pytest
 from crashing_servers import CrashingWorld
+from fakes import FakePlatform
 from fleet_world import play
 
+from rosepath.clock import ManualClock
+from rosepath.crash_records import (
+    Blame,
+    CrashRecords,
+    CrashReport,
+    ServerLife,
+    Standing,
+)
+from rosepath.lease_keeper import LeaseKeeper
+from rosepath.leases import LeasePolicy
+
 # VMs, drain time, and how long after a cut a VM is in touch again.
 Size = tuple[int, float, float]
 FEW = pytest.param((5, 2.0, 3.0), id="few")
@@ -14,6 +26,7 @@
 sizes = pytest.mark.parametrize("size", [FEW, CROWD])
 # What may still be sent later, once a request has ended three servers.
 SENDS_AFTER_THIRD = 3
+POLICY = LeasePolicy(duration_s=5.0, margin_s=1.0)
 
 Course = Callable[[CrashingWorld], Awaitable[None]]
 
@@ -62,3 +75,31 @@
 
     world = played(monkeypatch, size, course)
     assert world.sent_after_third <= SENDS_AFTER_THIRD
+
+
+# Guards against all VMs learning anew, by three more ends, after a power loss.
+def test_barred_requests_outlive_all_vms() -> None:
+    async def run() -> None:
+        platform, clock = FakePlatform(), ManualClock()
+
+        def a_keeper(name: str) -> tuple[LeaseKeeper, CrashRecords]:
+            records = CrashRecords(clock=clock)
+            keeper = LeaseKeeper(platform, me=name, policy=POLICY, clock=clock)
+            keeper.barred = lambda: records.barred
+            keeper.on_barred = lambda contents: [*map(records.bar, contents)]
+            return keeper, records
+
+        keeper, records = a_keeper("a")
+        await keeper.step("l", wanted=True)
+        for server in ("s1", "s2", "s3"):
+            records.add(CrashReport("bad", ServerLife(server), Blame.BEGUN))
+        clock.advance(2.6)
+        await keeper.step("l", wanted=True)
+        for name in ("b", "c"):
+            keeper, records = a_keeper(name)
+            while not keeper.valid("l"):
+                await keeper.step("l", wanted=True)
+                clock.advance(1.5)
+            assert records.standing("bad") is Standing.BARRED
+
+    asyncio.run(run())
