Charge with a server's end only what it lost then, not what it broke off before

Change: each loss is looked into; what was lost while the server still takes connections is forgotten, what was lost to one that is dark waits for its entry to go.

--- a/src/rosepath/crash_watch.py
+++ b/src/rosepath/crash_watch.py
@@ -1,23 +1,29 @@
 """Find out which lost connections were ends of servers, and who was there."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
 
 from rosepath.clock import Clock
 from rosepath.crash_records import Blame, CrashRecords, CrashReport, ServerLife
 from rosepath.crash_trials import CrashTrials
 from rosepath.fleet import BackendServer
+from rosepath.http_client import Contact
 from rosepath.logs import get_logger
 
 # A connection is refused within milliseconds where a machine lives.
-LOOK_LIMIT_S = 0.2
+PROBE_LIMIT_S = 0.2
 # The entry of a server that ended is gone or new by then, three heartbeats later.
 LOSS_KEPT_S = 5.0
 
 _log = get_logger()
 
-Refuses = Callable[..., Awaitable[bool]]
+
+class Probe(Protocol):
+    """Ask whether somebody listens at an address."""
+
+    async def __call__(self, address: str, *, limit_s: float) -> Contact: ...
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -27,15 +33,7 @@
     request_id: str
     content: str
     blame: Blame
-
-
-@dataclass(slots=True)
-class _Loss:
-    """Hold the runs that a server lost, and the look at whether it ended."""
-
     lost_s: float
-    runs: list[LostRun] = field(default_factory=list)
-    look: asyncio.Task[None] | None = None
 
 
 class CrashWatch:
@@ -47,14 +45,15 @@
     """
 
     def __init__(
-        self, *, clock: Clock, refuses: Refuses, on_news: Callable[[], None]
+        self, *, clock: Clock, probe: Probe, on_news: Callable[[], None]
     ) -> None:
         self.records = CrashRecords(clock=clock)
         self.trials = CrashTrials()
         self._clock = clock
-        self._refuses = refuses
+        self._probe = probe
         self._on_news = on_news
-        self._losses: dict[ServerLife, _Loss] = {}
+        self._lost: dict[ServerLife, list[LostRun]] = {}
+        self._probes: dict[ServerLife, asyncio.Task[None]] = {}
 
     async def note_lost(self, server: BackendServer, run: LostRun) -> None:
         """Note a lost run; return once it is known whether its server ended.
@@ -66,23 +65,29 @@
             return
         self._forget_old()
         life = life_of(server)
-        loss = self._losses.setdefault(life, _Loss(self._clock.monotonic_s()))
-        loss.runs.append(run)
-        if loss.look is None:
-            loss.look = asyncio.ensure_future(self._look(server))
-        # One of many that wait may be cancelled, as its caller leaves.
-        await asyncio.shield(loss.look)
-
-    async def _look(self, server: BackendServer) -> None:
-        if await self._refuses(server.address, limit_s=LOOK_LIMIT_S):
-            self.note_ended(life_of(server))
+        self._lost.setdefault(life, []).append(run)
+        probe = self._probes.get(life)
+        if probe is None:
+            probe = asyncio.ensure_future(self._find_out(server.address, life))
+            self._probes[life] = probe
+        # Of many that wait for it, one may be cancelled as its caller leaves.
+        await asyncio.shield(probe)
+
+    async def _find_out(self, address: str, life: ServerLife) -> None:
+        begun_s = self._clock.monotonic_s()
+        try:
+            contact = await self._probe(address, limit_s=PROBE_LIMIT_S)
+        finally:
+            del self._probes[life]
+        if contact is Contact.REFUSED:
+            self.note_ended(life)
+        elif contact is Contact.ACCEPTED:
+            self._forget(life, until_s=begun_s)
 
     def note_ended(self, life: ServerLife) -> None:
         """Charge what a server lost lately with its end."""
-        loss = self._losses.pop(life, None)
-        if loss is None or loss.lost_s < self._clock.monotonic_s() - LOSS_KEPT_S:
-            return
-        for run in loss.runs:
+        self._forget_old()
+        for run in self._lost.pop(life, ()):
             self._charge(CrashReport(run.content, life, run.blame), run.request_id)
 
     def _charge(self, report: CrashReport, request_id: str) -> None:
@@ -100,9 +105,14 @@
 
     def _forget_old(self) -> None:
         limit_s = self._clock.monotonic_s() - LOSS_KEPT_S
-        for life, loss in list(self._losses.items()):
-            if loss.lost_s < limit_s:
-                del self._losses[life]
+        for life in list(self._lost):
+            self._forget(life, until_s=limit_s)
+
+    def _forget(self, life: ServerLife, *, until_s: float) -> None:
+        """Forget what a server lost until then."""
+        left = [run for run in self._lost.pop(life, ()) if run.lost_s > until_s]
+        if left:
+            self._lost[life] = left
 
 
 def life_of(server: BackendServer) -> ServerLife:
--- a/src/rosepath/entry_node.py
+++ b/src/rosepath/entry_node.py
@@ -94,7 +94,7 @@
         self.caches = PromptCaches()
         self.crashes = CrashWatch(
             clock=self.clock,
-            refuses=self.pool.refuses_connections,
+            probe=self.pool.probe,
             on_news=lambda: self.exchange.tell_soon(),
         )
         self.tables = StoreTables(
--- a/src/rosepath/http_client.py
+++ b/src/rosepath/http_client.py
@@ -10,6 +10,7 @@
 from collections import defaultdict
 from collections.abc import AsyncIterator, Callable, Mapping
 from dataclasses import dataclass, field
+from enum import StrEnum
 
 import httptools
 
@@ -35,7 +36,15 @@
 UNACKNOWLEDGED_MS = 1500
 KEEPALIVE_IDLE_S = 1
 
-__all__ = ["HttpPool", "Request", "ResponseHead"]
+__all__ = ["Contact", "HttpPool", "Request", "ResponseHead"]
+
+
+class Contact(StrEnum):
+    """Say what an address does with a new connection."""
+
+    ACCEPTED = "accepted"
+    REFUSED = "refused"
+    UNKNOWN = "unknown"
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -127,8 +136,8 @@
             if not returned:
                 connection.close()
 
-    async def refuses_connections(self, address: str, *, limit_s: float) -> bool:
-        """Tell whether a peer's machine answers that nobody listens there.
+    async def probe(self, address: str, *, limit_s: float) -> Contact:
+        """Find out whether somebody listens at an address.
 
         A connection that comes about is kept for the next request.
         """
@@ -138,9 +147,9 @@
         try:
             connection = await self._connect(request)
         except ExchangeError as error:
-            return not error.timed_out
+            return Contact.UNKNOWN if error.timed_out else Contact.REFUSED
         self._put_back(address, connection)
-        return False
+        return Contact.ACCEPTED
 
     async def _connection_for(self, request: Request) -> tuple[Connection, bool]:
         now_s = self._clock.monotonic_s()
--- a/src/rosepath/relay.py
+++ b/src/rosepath/relay.py
@@ -228,12 +228,14 @@
 
         One that had long begun passed over what ends a server.
         """
-        if flight.begun_s is not None and self._now_s() - flight.begun_s > TRIAL_S:
+        now_s = self._now_s()
+        if flight.begun_s is not None and now_s - flight.begun_s > TRIAL_S:
             return
         run = LostRun(
             request_id=context.call.request_id,
             content=context.content_key,
             blame=Blame.BEGUN if error.answered else Blame.QUEUED,
+            lost_s=now_s,
         )
         await self._crashes.note_lost(server, run)
 
--- a/tests/crashing_servers.py
+++ b/tests/crashing_servers.py
@@ -14,7 +14,7 @@
 from tornado.httputil import HTTPHeaders
 
 from rosepath.errors import ExchangeError, Step
-from rosepath.http_client import Request, ResponseHead
+from rosepath.http_client import Contact, Request, ResponseHead
 
 CRASHING_PATH = "/drafts/crashing"
 # From the start of a run to its server's end, and to the server's next life.
@@ -74,12 +74,12 @@
 
     def _add(self, name: str, monkeypatch: Any) -> None:
         super(CrashingWorld, self)._add(name, monkeypatch)
-        monkeypatch.setattr(self.nodes[name].crashes, "_refuses", self._refuses)
+        monkeypatch.setattr(self.nodes[name].crashes, "_probe", self._probe)
 
-    async def _refuses(self, address: str, *, limit_s: float) -> bool:
+    async def _probe(self, address: str, *, limit_s: float) -> Contact:
         self.probes += 1
         await asyncio.sleep(WAY_S)
-        return not self.servers[address].up
+        return Contact.ACCEPTED if self.servers[address].up else Contact.REFUSED
 
     def _serve_as(self, name: str) -> Callable[..., Any]:
         async def exchange(request: Request, *, on_head: Any, on_data: Any) -> Any:
--- a/tests/entry_builders.py
+++ b/tests/entry_builders.py
@@ -18,6 +18,7 @@
 from rosepath.engine_books import EngineView
 from rosepath.entry_settings import EntrySettings
 from rosepath.fleet import BackendServer, ServerEntry
+from rosepath.http_client import Contact
 from rosepath.peer_messages import PeerState
 
 
@@ -172,13 +173,13 @@
     )
 
 
-def a_crash_watch(clock: Clock, *, refuses: bool = False) -> CrashWatch:
-    """Build a watch before servers that all refuse connections, or none does."""
+def a_crash_watch(clock: Clock, *, contact: Contact = Contact.ACCEPTED) -> CrashWatch:
+    """Build a watch before servers that all do the same with new connections."""
 
-    async def look(_: str, **__: float) -> bool:
-        return refuses
+    async def probe(address: str, *, limit_s: float) -> Contact:
+        return contact
 
-    return CrashWatch(clock=clock, refuses=look, on_news=lambda: None)
+    return CrashWatch(clock=clock, probe=probe, on_news=lambda: None)
 
 
 def a_peer_state(
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -2,11 +2,25 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 
 import pytest
-from crashing_servers import CrashingWorld
+from crashing_servers import CRASHING_PATH, CrashingWorld
+from entry_harness import Asked, stream_head
 from fakes import FakePlatform
-from fleet_world import play
+from fleet_world import play as play_fleet
+from timed_engines import (
+    ENDS,
+    Engine,
+    Site,
+    Timetable,
+    a_site,
+    all_do,
+    asks,
+    heard_whole,
+    run,
+    streams,
+)
 
 from rosepath.clock import ManualClock
 from rosepath.crash_records import (
@@ -38,13 +52,13 @@
     vms, drain_s, contact_s = size
     world = CrashingWorld(drain_s=drain_s, contact_s=contact_s)
 
-    async def run() -> None:
+    async def course_of_all() -> None:
         await world.start(vms, monkeypatch, servers=servers)
         await asyncio.sleep(5.0)
         await course(world)
         await world.close()
 
-    play(run)
+    play_fleet(course_of_all)
     assert world.answered > 500
     return world
 
@@ -77,9 +91,57 @@
     assert world.sent_after_third <= SENDS_AFTER_THIRD
 
 
+def ends_if_marked(asked: Asked) -> Timetable:
+    """End the engine soon after a marked stream began, and serve all others."""
+    if CRASHING_PATH in asked.line:
+        return [(0.05, stream_head(asked)), (0.08, ENDS)]
+    return streams(asked, *(0.1 * number for number in range(1, 9)), until=8)
+
+
+def comes_back_empty_handed(site: Site) -> Callable[[Engine], None]:
+    """Let an engine's next life be known, and hold the model that all ask for."""
+
+    def put(engine: Engine) -> None:
+        entry = site.fleet.servers[engine.name].entry
+        site.fleet.put(replace(entry, born_ms=entry.born_ms + 1))
+
+    return put
+
+
+# Guards against streams that shared a crashed engine being refused or cut with the
+# request that crashed it, and against that one going on to end all engines.
+def test_streams_beside_a_request_that_crashes_engines_are_all_served() -> None:
+    async def play() -> None:
+        engines = all_do(5, ends_if_marked)
+        site = a_site(*engines, repeats=200.0)
+        for engine in engines:
+            engine.on_back = comes_back_empty_handed(site)
+        others = [asks(f"q{number}") for number in range(150)]
+        for number, other in enumerate(others):
+            other.body = b"%d" % number
+        marked = [asks(f"bad-{number}") for number in range(10)]
+        for one in marked:
+            one.path = CRASHING_PATH
+        await asyncio.gather(
+            *(
+                site.serve(other, after_s=0.1 * number)
+                for number, other in enumerate(others)
+            ),
+            *(
+                site.serve(one, after_s=1.0 + 1.2 * number)
+                for number, one in enumerate(marked)
+            ),
+        )
+        assert all(heard_whole(other) for other in others)
+        assert sum(len(engine.ended_at_s) for engine in engines) == 3
+        assert {one.status for one in marked[3:]} == {503}
+
+    run(play)
+
+
 # Guards against all VMs learning anew, by three more ends, after a power loss.
 def test_barred_requests_outlive_all_vms() -> None:
-    async def run() -> None:
+    async def play() -> None:
         platform, clock = FakePlatform(), ManualClock()
 
         def a_keeper(name: str) -> tuple[LeaseKeeper, CrashRecords]:
@@ -102,4 +164,4 @@
                 clock.advance(1.5)
             assert records.standing("bad") is Standing.BARRED
 
-    asyncio.run(run())
+    asyncio.run(play())
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -7,7 +7,7 @@
 
 from rosepath.clock import ManualClock
 from rosepath.errors import ExchangeError
-from rosepath.http_client import HttpPool, Request
+from rosepath.http_client import Contact, HttpPool, Request
 
 Handler = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
@@ -274,3 +274,18 @@
         assert not raised.value.sent
 
     asyncio.run(run())
+
+
+def test_a_probe_tells_who_listens_and_its_connection_is_used_again() -> None:
+    async def run() -> None:
+        pool = HttpPool(clock=ManualClock())
+        async with Server(answering(OK)) as server:
+            contact = await pool.probe(server.address, limit_s=1.0)
+            assert contact is Contact.ACCEPTED
+            await pool.fetch(server.request())
+            assert server.connections == 1
+        pool.close()
+        contact = await pool.probe(server.address, limit_s=1.0)
+        assert contact is Contact.REFUSED
+
+    asyncio.run(run())
--- a/tests/timed_engines.py
+++ b/tests/timed_engines.py
@@ -14,6 +14,7 @@
 from rosepath.caller_call import Prompt
 from rosepath.catalog import HostRoute, RouteKind
 from rosepath.crash_watch import CrashWatch
+from rosepath.errors import ExchangeError, Step
 from rosepath.fleet import BackendServer, Fleet, PeerLoad
 from rosepath.http_client import HttpPool, Request
 from rosepath.http_exchange import Connection
@@ -22,8 +23,10 @@
 from rosepath.request_context import RelayPorts, RequestContext
 from rosepath.retry_window import RetryWindow
 
-# What an engine does after so many seconds: send bytes, or lose its connection.
+# What an engine does after so many seconds: send bytes, lose its connection, or end.
 LOST = b""
+ENDS = b"ends"
+BACK_AFTER_S = 3.0
 Timetable = list[tuple[float, bytes]]
 END = b"0\r\n\r\n"
 
@@ -55,6 +58,24 @@
     asked: list[Asked] = field(default_factory=list)
     asked_at_s: list[float] = field(default_factory=list)
     cut_at_s: list[float] = field(default_factory=list)
+    ended_at_s: list[float] = field(default_factory=list)
+    up: bool = True
+    open: "list[_TimedTransport]" = field(default_factory=list)
+    on_back: "Callable[[Engine], None]" = lambda _: None
+
+    def end(self) -> None:
+        """Lose all connections, and be back some seconds later."""
+        loop = asyncio.get_running_loop()
+        self.up = False
+        self.ended_at_s.append(loop.time())
+        for transport in self.open:
+            transport.lose()
+        self.open.clear()
+        loop.call_later(BACK_AFTER_S, self._come_back)
+
+    def _come_back(self) -> None:
+        self.up = True
+        self.on_back(self)
 
     @property
     def address(self) -> str:
@@ -70,6 +91,7 @@
         self._connection = connection
         self._loop = asyncio.get_running_loop()
         self._due: list[asyncio.TimerHandle] = []
+        engine.open.append(self)
 
     def write(self, data: Any) -> None:
         head, _, body = bytes(data).partition(b"\r\n\r\n")
@@ -89,11 +111,19 @@
             self._due.append(self._loop.call_later(after_s, self._send, parts))
 
     def _send(self, parts: list[bytes]) -> None:
-        if LOST in parts:
+        if ENDS in parts:
+            self._engine.end()
+        elif LOST in parts:
             self._connection.connection_lost(ConnectionResetError())
         else:
             self._connection.data_received(b"".join(parts))
 
+    def lose(self) -> None:
+        """Lose the connection, with all that was to come on it."""
+        for due in self._due:
+            due.cancel()
+        self._connection.connection_lost(ConnectionResetError())
+
     def abort(self) -> None:
         pending = [due for due in self._due if due.when() > self._loop.time()]
         if pending:
@@ -118,6 +148,13 @@
     async def _connect(self, request: Request) -> Connection:
         connection = Connection()
         engine = self._engines[request.address]
+        if not engine.up:
+            raise ExchangeError(
+                "cannot connect: refused",
+                step=Step.CONNECT,
+                peer=request.address,
+                sent=False,
+            )
         connection.connection_made(_TimedTransport(engine, connection))
         return connection
 
@@ -215,9 +252,7 @@
     )
     by_address = {engine.address: engine for engine in engines}
     pool = TimedPool(by_address)
-    crashes = CrashWatch(
-        clock=clock, refuses=pool.refuses_connections, on_news=lambda: None
-    )
+    crashes = CrashWatch(clock=clock, probe=pool.probe, on_news=lambda: None)
     ports = RelayPorts(
         data_centre="a",
         clock=clock,
