--- a/tests/test_peer_exchange.py
+++ b/tests/test_peer_exchange.py
@@ -116,6 +116,8 @@
         holder.link.tell()
         assert other._tables.fleet.servers["i-1"].usable
 
+    asyncio.run(run())
+
 
 def test_a_server_that_is_gone_is_not_brought_back_by_an_older_entry(
     monkeypatch: pytest.MonkeyPatch,
