--- a/src/rosepath/explain.py
+++ b/src/rosepath/explain.py
@@ -16,6 +16,9 @@
     "lease_lost",
     "stopping",
 )
+# Lines that tell why a request's repeats are refused: which servers ended as it, or
+# a repeat of it, was there.
+_CHARGE = "server_end_charged"
 _COMMON = frozenset(
     ("event", "entry_vm", "data_centre", "level", "timestamp", "request_id")
 )
@@ -83,4 +86,14 @@
         and line.details.get("peer") in peers
         and line.at <= own[-1].at
     ]
-    return sorted([*latest.values(), *orders[-5:], *own], key=lambda line: line.at)
+    contents = {line.details.get("content") for line in own} - {None}
+    charges = [
+        line
+        for line in lines
+        if line.event == _CHARGE
+        and line.request_id != request_id
+        and line.details.get("content") in contents
+        and line.at <= own[-1].at
+    ]
+    shown = [*latest.values(), *orders[-5:], *charges, *own]
+    return sorted(shown, key=lambda line: line.at)
--- a/src/rosepath/server_picker.py
+++ b/src/rosepath/server_picker.py
@@ -28,6 +28,7 @@
 WAITED_SHARE = 0.85
 # A caller that is told to come back sooner does, for nothing.
 BARRED_BACK_S = 60.0
+BARRED_CODE = "crashes_servers"
 # An adapter is there after some 20 ms; a holder that does not answer by then
 # may be gone, and its successor is asked.
 ADAPTER_WAIT_S = 0.4
@@ -146,7 +147,7 @@
         )
         raise _refused(
             context,
-            "crashes_servers",
+            BARRED_CODE,
             "servers ended each time that this request was run",
             back_s=BARRED_BACK_S,
         )
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -37,5 +37,16 @@
     ]
 
 
+def test_the_course_of_a_barred_repeat_shows_whose_ends_it_is_barred_for() -> None:
+    lines = [
+        line(1, "vm-1", "server_end_charged", request_id="q1", content="c", peer="e1"),
+        line(2, "vm-2", "server_end_charged", request_id="q2", content="c", peer="e2"),
+        line(2, "vm-2", "server_end_charged", request_id="q3", content="d", peer="e2"),
+        line(4, "vm-3", "content_barred", request_id="q4", content="c"),
+    ]
+    course = course_of("q4", read_lines(lines))
+    assert [entry.request_id for entry in course] == ["q1", "q2", "q4"]
+
+
 def test_an_id_that_no_log_knows_has_no_course() -> None:
     assert course_of("q9", read_lines([line(1, "vm-1", "started")])) == []
--- a/tests/test_peer_exchange.py
+++ b/tests/test_peer_exchange.py
@@ -8,6 +8,7 @@
 from test_store_tables import NoStore, listing, server, tables
 
 from rosepath.clock import ManualClock
+from rosepath.crash_records import Blame, CrashReport, ServerLife, Standing
 from rosepath.object_store import Change
 from rosepath.peer_exchange import PeerExchange
 from rosepath.peer_table import PeerTable
@@ -134,3 +135,28 @@
         assert set(other._tables.fleet.servers) == {"i-2"}
 
     asyncio.run(run())
+
+
+# Guards against a VM that starts, or was cut off, learning of a request that
+# crashes servers by further ends.
+def test_one_word_tells_a_vm_which_requests_crash_servers(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def run() -> None:
+        holder, other = connected(monkeypatch)
+        told, heard = holder._crashes, other._crashes
+        for name in ("s1", "s2"):
+            report = CrashReport("suspect", ServerLife(name, 5), Blame.BEGUN)
+            told.records.add(report)
+        told.records.bar("barred")
+        told.trials.begin("suspect", "i-2")
+        holder.link.tell()
+        assert heard.records.standing("barred") is Standing.BARRED
+        assert heard.records.standing("suspect") is Standing.SUSPECT
+        assert heard.trials.occupied("suspect") is None
+        assert heard.trials.occupied("another") == {"i-2"}
+        told.trials.end("suspect")
+        holder.link.tell()
+        assert heard.trials.occupied("suspect") == frozenset()
+
+    asyncio.run(run())
