Charge ends also with what was broken off for silence or had run for long

By reading the change before: a request that crashes its servers late, or takes their machines dark, would never have been charged; a stream that ends with its connection and without an event would have excused the request that ended its server.

Change: what had run for over a second, or was given up for the silence of a server that is found gone within eight seconds, is charged weakly: strong blame goes before it wherever both were at the same ends. An empty stream excuses nothing.

--- a/src/rosepath/attempt.py
+++ b/src/rosepath/attempt.py
@@ -190,6 +190,8 @@
                 step=Step.STREAM,
                 peer=server.name,
                 evidence=_begun(order),
+                lost=True,
+                answered=True,
             )
         return Answer(head=head, facts=facts, body=b"".join(body))
 
--- a/src/rosepath/crash_records.py
+++ b/src/rosepath/crash_records.py
@@ -43,11 +43,12 @@
 class Blame(IntEnum):
     """Say how likely a request is the cause of an end at which it was.
 
-    What crashes a server does so as it begins to run.
+    What crashes a server does so as it begins to run: hardly what was still
+    waiting there, or had run for long.
     """
 
-    QUEUED = 1
-    BEGUN = 2
+    WEAK = 1
+    STRONG = 2
 
 
 class CrashReport(NamedTuple):
@@ -61,8 +62,8 @@
 class Standing(IntEnum):
     """Say how a request may be sent on.
 
-    A suspect goes to servers at which there is no other suspect, so that the next
-    end tells which of them is the cause.
+    A suspect, with one strong blame or two weak ones, goes to servers at which there
+    is no other suspect, so that the next end tells which of them is the cause.
     """
 
     CLEAR = 0
@@ -163,8 +164,8 @@
             self._records.move_to_end(content)
             return Standing.BARRED
         ends = record.open_ends(self._explained)
-        begun = any(record.blames[life] is Blame.BEGUN for life in ends)
-        suspect = begun or len(ends) > 1
+        strong = any(record.blames[life] is Blame.STRONG for life in ends)
+        suspect = strong or len(ends) > 1
         return Standing.SUSPECT if suspect else Standing.CLEAR
 
     def ends(self, content: str) -> list[str]:
--- a/src/rosepath/crash_watch.py
+++ b/src/rosepath/crash_watch.py
@@ -14,8 +14,9 @@
 
 # A connection is refused within milliseconds where a machine lives.
 PROBE_LIMIT_S = 0.2
-# The entry of a server that ended is gone or new by then, three heartbeats later.
-LOSS_KEPT_S = 5.0
+# The entry of a server that ended is gone or new by then, after three heartbeats and
+# a look at the store.
+LOSS_KEPT_S = 8.0
 
 _log = get_logger()
 
@@ -55,6 +56,16 @@
         self._lost: dict[ServerLife, list[LostRun]] = {}
         self._probes: dict[ServerLife, asyncio.Task[None]] = {}
 
+    def note_silent(self, server: BackendServer, run: LostRun) -> None:
+        """Note a run that was broken off for the silence of its server.
+
+        Nobody asks whether such a server still listens: if its machine is dark,
+        that would only cost the request more time. Its entry will tell.
+        """
+        if server.usable:
+            self._forget_old()
+            self._lost.setdefault(life_of(server), []).append(run)
+
     async def note_lost(self, server: BackendServer, run: LostRun) -> None:
         """Note a lost run; return once it is known whether its server ended.
 
@@ -63,9 +74,8 @@
         """
         if not server.usable:
             return
-        self._forget_old()
+        self.note_silent(server, run)
         life = life_of(server)
-        self._lost.setdefault(life, []).append(run)
         probe = self._probes.get(life)
         if probe is None:
             probe = asyncio.ensure_future(self._find_out(server.address, life))
@@ -99,7 +109,7 @@
             content=report.content,
             peer=report.life.server,
             born_ms=report.life.born_ms,
-            begun=report.blame is Blame.BEGUN,
+            blame=report.blame.name.lower(),
             standing=self.records.standing(report.content).name.lower(),
         )
 
--- a/src/rosepath/relay.py
+++ b/src/rosepath/relay.py
@@ -123,7 +123,7 @@
             except AttemptError as error:
                 context.seen.append(error.evidence)
                 self._note_failed(context, server, error)
-                if error.lost:
+                if error.lost or error.timed_out:
                     await self._note_lost(context, server, flight, error)
                 await self._next.go_on(context, error)
                 continue
@@ -132,11 +132,19 @@
             if failed and await self._try_again_after(context, server, answer):
                 continue
             note_success(server, took_s=self._now_s() - sent_s)
-            if self._crashes.records:
-                self._crashes.records.excuse(context.content_key)
+            self._excuse(context)
             self._finish(context, server, answer)
             return
 
+    def _excuse(self, context: RequestContext) -> None:
+        """Note that a run was whole, so that no server's end was its doing.
+
+        A stream without events may be one whose server ended and closed it.
+        """
+        empty = context.order is not None and not context.order.events
+        if self._crashes.records and not empty:
+            self._crashes.records.excuse(context.content_key)
+
     async def _try_again_after(
         self, context: RequestContext, server: BackendServer, answer: Answer
     ) -> bool:
@@ -224,20 +232,19 @@
         flight: Flight,
         error: AttemptError,
     ) -> None:
-        """Find out whether the server ended, and charge the request with it.
-
-        One that had long begun passed over what ends a server.
-        """
+        """Find out whether the server ended, and charge the request with it."""
         now_s = self._now_s()
-        if flight.begun_s is not None and now_s - flight.begun_s > TRIAL_S:
-            return
+        ran_long = flight.begun_s is not None and now_s - flight.begun_s > TRIAL_S
         run = LostRun(
             request_id=context.call.request_id,
             content=context.content_key,
-            blame=Blame.BEGUN if error.answered else Blame.QUEUED,
+            blame=Blame.STRONG if error.answered and not ran_long else Blame.WEAK,
             lost_s=now_s,
         )
-        await self._crashes.note_lost(server, run)
+        if error.lost:
+            await self._crashes.note_lost(server, run)
+        else:
+            self._crashes.note_silent(server, run)
 
     def _note_failed(
         self, context: RequestContext, server: BackendServer, error: AttemptError
--- a/tests/test_crash_records.py
+++ b/tests/test_crash_records.py
@@ -18,7 +18,7 @@
 
 
 def report(
-    content: str, server: str, *, blame: Blame = Blame.BEGUN, born_ms: int = 1
+    content: str, server: str, *, blame: Blame = Blame.STRONG, born_ms: int = 1
 ) -> CrashReport:
     return CrashReport(content, ServerLife(server, born_ms), blame)
 
@@ -31,7 +31,7 @@
 
 
 def at_ends(
-    content: str, *servers: str, blame: Blame = Blame.BEGUN
+    content: str, *servers: str, blame: Blame = Blame.STRONG
 ) -> list[CrashReport]:
     return [report(content, server, blame=blame) for server in servers]
 
@@ -44,7 +44,7 @@
 
 
 def test_a_request_that_only_waited_at_one_end_is_clear() -> None:
-    records = records_of(report("good", "s1", blame=Blame.QUEUED))
+    records = records_of(report("good", "s1", blame=Blame.WEAK))
     assert records.standing("good") is Standing.CLEAR
 
 
@@ -61,7 +61,7 @@
 # Guards against innocents being refused with the request at whose ends they were.
 def test_what_waited_at_the_same_ends_is_free_once_the_cause_is_known() -> None:
     bad = at_ends("bad", "s1", "s2", "s3")
-    good = at_ends("good", "s1", "s2", "s3", blame=Blame.QUEUED)
+    good = at_ends("good", "s1", "s2", "s3", blame=Blame.WEAK)
     for order in (bad + good, good + bad):
         records = records_of(*order)
         assert records.standing("bad") is Standing.BARRED
@@ -118,7 +118,7 @@
 def test_the_order_of_reports_decides_nothing() -> None:
     reports = [
         *at_ends("bad", "s1", "s2", "s3"),
-        *at_ends("good", "s1", "s2", blame=Blame.QUEUED),
+        *at_ends("good", "s1", "s2", blame=Blame.WEAK),
     ]
     found = {
         tuple(records_of(*order).standing(content) for content in ("bad", "good"))
@@ -188,7 +188,7 @@
         reports = at_ends("bad", "s1", "s2", "s3")
         for number in range(30):
             seen = rng.sample(["s1", "s2", "s3"], rng.randint(1, 3))
-            reports += at_ends(f"good-{number}", *seen, blame=Blame.QUEUED)
+            reports += at_ends(f"good-{number}", *seen, blame=Blame.WEAK)
         rng.shuffle(reports)
         records = records_of(*reports)
         assert records.standing("bad") is Standing.BARRED
--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -37,7 +37,7 @@
     return LostRun(
         request_id=request_id,
         content="bad",
-        blame=Blame.BEGUN,
+        blame=Blame.STRONG,
         lost_s=clock.monotonic_s(),
     )
 
@@ -73,6 +73,18 @@
     assert later is Standing.CLEAR
 
 
+def test_what_was_broken_off_for_silence_is_charged_once_the_entry_is_gone() -> None:
+    async def run() -> Standing:
+        clock, server = ManualClock(), a_server("s1")
+        watch = a_crash_watch(clock)
+        watch.note_silent(server, a_run(clock))
+        assert watch.records.standing("bad") is Standing.CLEAR
+        ended(watch, server, clock)
+        return watch.records.standing("bad")
+
+    assert asyncio.run(run()) is Standing.SUSPECT
+
+
 # Guards against requests being blamed for the end of a planned leave.
 def test_a_server_that_leaves_blames_nobody() -> None:
     assert standing_after(Contact.REFUSED, draining=True) is Standing.CLEAR
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -154,7 +154,7 @@
         keeper, records = a_keeper("a")
         await keeper.step("l", wanted=True)
         for server in ("s1", "s2", "s3"):
-            records.add(CrashReport("bad", ServerLife(server), Blame.BEGUN))
+            records.add(CrashReport("bad", ServerLife(server), Blame.STRONG))
         clock.advance(2.6)
         await keeper.step("l", wanted=True)
         for name in ("b", "c"):
--- a/tests/test_peer_exchange.py
+++ b/tests/test_peer_exchange.py
@@ -146,7 +146,7 @@
         holder, other = connected(monkeypatch)
         told, heard = holder._crashes, other._crashes
         for name in ("s1", "s2"):
-            report = CrashReport("suspect", ServerLife(name, 5), Blame.BEGUN)
+            report = CrashReport("suspect", ServerLife(name, 5), Blame.STRONG)
             told.records.add(report)
         told.records.bar("barred")
         told.trials.begin("suspect", "i-2")
