--- /dev/null
+++ b/tests/outspoken_servers.py
@@ -0,0 +1,52 @@
+"""Servers that say in their answers that they leave, before several entry VMs."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from fleet_world import World, now_s
+from tornado.httputil import HTTPHeaders
+
+from rosepath.errors import ExchangeError, Step
+from rosepath.http_client import Request, ResponseHead
+
+
+@dataclass(slots=True)
+class OutspokenWorld(World):
+    """Let servers say that they leave, and note who was told when."""
+
+    leaving: set[str] = field(default_factory=set)
+    told_s: dict[tuple[str, str], float] = field(default_factory=dict)
+    # How long after a VM was told a request of it reached the server.
+    late_after_s: list[float] = field(default_factory=list)
+
+    def say_leaving(self, name: str) -> None:
+        """Let a server say in its answers that it leaves; its entry does not."""
+        self.leaving.add(name)
+
+    def _serve_as(self, name: str) -> Callable[..., Any]:
+        async def exchange(request: Request, *, on_head: Any, on_data: Any) -> Any:
+            await asyncio.sleep(0.001)
+            if not request.still_wanted():
+                raise ExchangeError(
+                    "no longer wanted",
+                    step=Step.SEND,
+                    peer=request.address,
+                    sent=False,
+                    withdrawn=True,
+                )
+            server = request.headers["Target-Instance"]
+            self.reached(name, server)
+            headers = HTTPHeaders({"Response-Signature": "s"})
+            if server in self.leaving:
+                headers["Server-Leaving"] = "1"
+                told_s = self.told_s.setdefault((name, server), now_s())
+                if now_s() - told_s > self.drain_s:
+                    self.late_after_s.append(round(now_s() - told_s, 3))
+            head = ResponseHead(200, headers)
+            on_head(head)
+            on_data(b"done")
+            return head
+
+        return exchange
--- /dev/null
+++ b/tests/test_server_notices.py
@@ -0,0 +1,192 @@
+"""What a server says of itself in an answer holds for the requests after it."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import pytest
+from entry_builders import a_route
+from entry_harness import Asked, answer
+from fleet_world import play
+from outspoken_servers import OutspokenWorld
+from timed_engines import (
+    Caller,
+    Engine,
+    Site,
+    Timetable,
+    a_look_up_route,
+    a_site,
+    asks,
+    goes_on,
+    heard_whole,
+    looks_up,
+    run,
+    streams,
+)
+
+FEW = pytest.param((5, 2.0, 3.0), id="few")
+CROWD = pytest.param((26, 3.0, 4.0), id="crowd")
+sizes = pytest.mark.parametrize("size", [FEW, CROWD])
+# A server is left alone from so long after it asked for rest.
+REST_HEEDED_S = 0.5
+REST_S = 3.0
+# What may still reach it until its rest is over.
+SENDS_IN_REST = 2
+
+Course = Callable[[OutspokenWorld], Awaitable[None]]
+
+
+def late_sends(
+    monkeypatch: pytest.MonkeyPatch, size: tuple[int, float, float], course: Course
+) -> list[float]:
+    """Return how late requests reached a server that had said that it leaves."""
+    vms, drain_s, contact_s = size
+    world = OutspokenWorld(drain_s=drain_s, contact_s=contact_s)
+
+    async def course_of_all() -> None:
+        await world.start(vms, monkeypatch)
+        await asyncio.sleep(5.0)
+        await course(world)
+        await world.close()
+
+    play(course_of_all)
+    assert world.told_s
+    return sorted(world.late_after_s, reverse=True)[:5]
+
+
+# Guards against going by the store alone, which may tell of a leave much later.
+@sizes
+def test_a_server_that_says_it_leaves_gets_nothing_though_the_store_is_silent(
+    monkeypatch: pytest.MonkeyPatch, size: tuple[int, float, float]
+) -> None:
+    async def course(world: OutspokenWorld) -> None:
+        world.say_leaving("i-1")
+        await asyncio.sleep(12.0)
+
+    assert late_sends(monkeypatch, size, course) == []
+
+
+# Guards against an entry that lapsed in an outage, and is back as it was before
+# the leave, undoing what the server itself said.
+@sizes
+def test_an_entry_that_comes_back_does_not_undo_that_its_server_leaves(
+    monkeypatch: pytest.MonkeyPatch, size: tuple[int, float, float]
+) -> None:
+    async def course(world: OutspokenWorld) -> None:
+        world.say_leaving("i-1")
+        await asyncio.sleep(1.0)
+        world.leave("i-1")
+        await asyncio.sleep(4.0)
+        world.left_s.clear()
+        world.enter("i-1")
+        await asyncio.sleep(8.0)
+
+    assert late_sends(monkeypatch, size, course) == []
+
+
+def wants_rest(asked: Asked) -> Timetable:
+    """Turn a request away unrun, and ask for rest."""
+    extra = f"Not-Executed: 1\r\nRetry-After: {REST_S:.0f}\r\n"
+    return [(0.005, answer(asked, 503, b"", extra))]
+
+
+def rests_once(does: Callable[[Asked], Timetable]) -> Callable[[Asked], Timetable]:
+    """Ask for rest at the first request, and do as told from then on."""
+    asked_before = False
+
+    def do(asked: Asked) -> Timetable:
+        nonlocal asked_before
+        first, asked_before = not asked_before, True
+        return wants_rest(asked) if first else does(asked)
+
+    return do
+
+
+def sends_in_rest(engine: Engine) -> int:
+    """Count the requests that reached a server while it had asked for rest."""
+    rest_until_s = heeded_s = -1e9
+    late = 0
+    for at_s in engine.asked_at_s:
+        late += heeded_s < at_s < rest_until_s
+        if at_s >= rest_until_s:
+            heeded_s, rest_until_s = at_s + REST_HEEDED_S, at_s + REST_S
+    return late
+
+
+async def serve_many(site: Site, callers: list[Caller], *, each_s: float) -> None:
+    await asyncio.gather(
+        *(
+            site.serve(caller, after_s=each_s * number)
+            for number, caller in enumerate(callers)
+        )
+    )
+
+
+# Guards against asking a server again each tenth of a second that asked for rest.
+def test_streams_leave_an_engine_alone_that_asked_for_rest() -> None:
+    async def play_site() -> None:
+        engine = Engine("e1", wants_rest)
+        site = a_site(engine, repeats=100.0)
+        callers = [asks(f"q{number}", wait_ms=4000) for number in range(40)]
+        await serve_many(site, callers, each_s=0.1)
+        assert sends_in_rest(engine) <= SENDS_IN_REST
+
+    run(play_site)
+
+
+# Guards against the same at a plain service, whose requests wait only shortly.
+def test_look_ups_leave_a_server_alone_that_asked_for_rest() -> None:
+    async def play_site() -> None:
+        engine = Engine("e1", wants_rest)
+        site = a_site(engine, repeats=100.0, route=a_look_up_route())
+        callers = [looks_up() for _ in range(40)]
+        await serve_many(site, callers, each_s=0.1)
+        assert sends_in_rest(engine) <= SENDS_IN_REST
+
+    run(play_site)
+
+
+# Guards against callers being held to their deadline by a rest that outlasts them.
+def test_what_a_rest_outlasts_is_refused_at_once() -> None:
+    async def play_site() -> None:
+        engine = Engine("e1", wants_rest)
+        route = a_route(timeout_s=2.0)
+        site = a_site(engine, route=route)
+        first, second = asks("q1"), asks("q2")
+        await site.serve(first)
+        loop = asyncio.get_running_loop()
+        asked_s = loop.time()
+        await site.serve(second)
+        assert loop.time() - asked_s < 0.01
+        assert second.status == 503
+        assert float(second.retry_after) > REST_S - 0.1
+
+    run(play_site)
+
+
+# Guards against all that waited for a rest to end going there in one moment.
+def test_after_a_rest_one_request_finds_out_and_the_others_follow() -> None:
+    async def play_site() -> None:
+        engine = Engine("e1", rests_once(lambda asked: streams(asked, 0.2, until=8)))
+        site = a_site(engine, repeats=100.0, route=a_route(timeout_s=20.0))
+        callers = [asks(f"q{number}") for number in range(6)]
+        await serve_many(site, callers, each_s=0.01)
+        after = [at_s - engine.asked_at_s[0] for at_s in engine.asked_at_s[1:]]
+        in_rest = [at_s for at_s in after if REST_HEEDED_S < at_s < REST_S]
+        together = [at_s for at_s in after if REST_S <= at_s < REST_S + 0.15]
+        assert in_rest == []
+        assert len(together) <= 1
+
+    run(play_site)
+
+
+# Guards against a resting server keeping a request from another that takes it.
+def test_a_request_goes_to_another_engine_while_one_rests() -> None:
+    async def play_site() -> None:
+        resting, other = Engine("e1", wants_rest), Engine("e2", goes_on)
+        site = a_site(resting, other, repeats=100.0)
+        callers = [asks(f"q{number}") for number in range(20)]
+        await serve_many(site, callers, each_s=0.1)
+        assert all(heard_whole(caller) for caller in callers)
+        assert sends_in_rest(resting) <= SENDS_IN_REST
+
+    run(play_site)
--- a/tests/timed_engines.py
+++ b/tests/timed_engines.py
@@ -173,10 +173,12 @@
     heard: bytes = b""
     whole: bool = False
     cut: bool = False
+    retry_after: str = ""
 
-    def begin(self, status: int, _: HTTPHeaders) -> None:
+    def begin(self, status: int, headers: HTTPHeaders) -> None:
         self.begun = True
         self.status = status
+        self.retry_after = headers.get("Retry-After", "")
 
     def write(self, data: bytes) -> None:
         self.heard += data
