Heed what a server's answers say of its leave

Cause: an answer was read as a verdict on one request; what it says of its server was dropped. A leave was known from the store alone, or from a VM that had read it there.

Change: the head of every answer is decoded into a notice, also of refusals, orders and reports; a 421 speaks of another server.

--- a/src/rosepath/attempt.py
+++ b/src/rosepath/attempt.py
@@ -17,6 +17,7 @@
     read_answer,
 )
 from rosepath.retries import Evidence
+from rosepath.server_notice import NO_NOTICE, ServerNotice
 
 # Within one data centre a connection takes a millisecond, between two a few.
 CONNECT_TIMEOUT_S = 0.4
@@ -74,7 +75,8 @@
 
     `patience_s` bounds the silence before its answer begins, `pause_s` after.
     `still_wanted` is asked right before the first byte goes out, `may_break_off`
-    before a silent server is left.
+    before a silent server is left. `on_notice` is told what the head of an answer
+    says of the server.
     """
 
     deadline_s: float
@@ -85,6 +87,7 @@
     last_event_id: int | None = None
     still_wanted: Callable[[], bool] = lambda: True
     may_break_off: Callable[[], bool] = lambda: True
+    on_notice: Callable[[ServerNotice], None] = lambda _: None
 
 
 OnStream = Callable[[ResponseHead, bytes], Awaitable[None] | None]
@@ -115,7 +118,10 @@
         heads: list[tuple[ResponseHead, AnswerFacts]] = []
 
         def on_head(head: ResponseHead) -> None:
-            heads.append((head, read_answer(head.status, head.headers)))
+            facts = read_answer(head.status, head.headers)
+            heads.append((head, facts))
+            if facts.notice != NO_NOTICE:
+                sending.on_notice(facts.notice)
 
         def on_data(data: bytes) -> Awaitable[None] | None:
             head, facts = heads[0]
--- a/src/rosepath/entry_node.py
+++ b/src/rosepath/entry_node.py
@@ -15,6 +15,7 @@
 from rosepath.entry_metrics import EntryMetrics
 from rosepath.entry_settings import EntrySettings
 from rosepath.feed import Feed, Pace
+from rosepath.fleet import BackendServer
 from rosepath.gateway import CallerExchange, Gateway
 from rosepath.http_client import HttpPool
 from rosepath.isolation import Isolation
@@ -31,6 +32,7 @@
 from rosepath.request_context import RelayPorts
 from rosepath.request_records import RequestRecords
 from rosepath.retry_window import RetryWindow
+from rosepath.server_notice import ServerNotice
 from rosepath.settings import split_address
 from rosepath.store_pace import Following, catalog_pace, servers_pace
 from rosepath.store_tables import StoreTables
@@ -116,7 +118,7 @@
             settings,
             clock=self.clock,
             store=self.store,
-            engines=EngineCalls(pool=self.pool),
+            engines=EngineCalls(pool=self.pool, on_notice=self._heed_by_name),
             fleet=self.tables.fleet,
             caches=self.caches,
             catalog=lambda: self.tables.catalog,
@@ -162,6 +164,7 @@
                 wait_limit_s=lambda: self.wait_limit_s,
                 on_outcome=self.records.note,
                 crashes=self.crashes,
+                on_notice=self._heed,
                 fleet_sound=lambda: self.tables.sound,
                 make_sure=self.tables.make_sure,
             )
@@ -336,6 +339,16 @@
             # at once, and not with the next word, which a crowd waits long for.
             asyncio.get_running_loop().call_soon(self.exchange.link.tell)
 
+    def _heed_by_name(self, name: str, notice: ServerNotice) -> None:
+        server = self.tables.fleet.servers.get(name)
+        if server is not None:
+            self._heed(server, notice)
+
+    def _heed(self, server: BackendServer, notice: ServerNotice) -> None:
+        """Heed what a server said of itself in an answer."""
+        if notice.leaving and self.tables.heed_leaving(server):
+            self.exchange.tell_soon()
+
     def _bar(self, contents: tuple[str, ...]) -> None:
         """Take in which requests crash servers from a time of other VMs."""
         for content in contents:
--- a/src/rosepath/fleet.py
+++ b/src/rosepath/fleet.py
@@ -157,6 +157,9 @@
         self.servers: dict[str, BackendServer] = {}
         self._born_ms: OrderedDict[str, int] = OrderedDict()
         self._gone_at: OrderedDict[str, int] = OrderedDict()
+        # Up to which life each server is known to leave. Its entry may lapse in an
+        # outage, and come back as it was written before.
+        self._leaving: OrderedDict[str, int] = OrderedDict()
 
     def note_leaving(self, leaving: LeavingServer) -> bool:
         """Send no new work to a server that another VM saw leave.
@@ -170,6 +173,7 @@
             if news or server is None:
                 self.remove(leaving.name, gone_at=leaving.gone_at)
             return news
+        self._note_leaving(leaving.name, leaving.born_ms)
         if server is None or server.entry.draining:
             return False
         if leaving.born_ms < server.entry.born_ms:
@@ -196,6 +200,10 @@
             return False
         if 0 < entry.version <= self._gone_at.get(entry.name, 0):
             return False
+        if entry.draining:
+            self._note_leaving(entry.name, entry.born_ms)
+        elif entry.born_ms <= self._leaving.get(entry.name, -1):
+            entry = replace(entry, draining=True)
         server = self.servers.get(entry.name)
         reborn = server is not None and entry.born_ms > server.entry.born_ms
         self._note_born(entry)
@@ -203,13 +211,15 @@
             if server is not None:
                 server.left = True
             server = self.servers[entry.name] = BackendServer(entry=entry)
-        elif server.entry.draining and not entry.draining:
-            entry = replace(entry, draining=True)
         server.entry = entry
         server.left = False
         server.held = {name: set(adapters) for name, adapters in entry.models.items()}
         return reborn
 
+    def _note_leaving(self, name: str, born_ms: int) -> None:
+        if born_ms > self._leaving.get(name, -1):
+            _remember(self._leaving, name, born_ms)
+
     def _note_born(self, entry: ServerEntry) -> None:
         """Remember a life for longer than entries of earlier ones may come."""
         if entry.born_ms:
--- a/src/rosepath/platform/calls.py
+++ b/src/rosepath/platform/calls.py
@@ -6,6 +6,7 @@
 from tornado.httputil import HTTPHeaders
 
 from rosepath.caller_call import BadRequestError, CallerCall, Prompt, PromptPart
+from rosepath.server_notice import NO_NOTICE, ServerNotice
 
 READY_PATH = "/v1/ready"
 
@@ -21,6 +22,7 @@
 _SIGNATURE = "Response-Signature"
 _NOT_RUN = "Not-Executed"
 _LOAD = "Server-Load"
+_LEAVING = "Server-Leaving"
 
 # These concern one connection only.
 _HOP = frozenset(
@@ -73,6 +75,7 @@
     not_run: bool
     encoded: bool
     load: ServerLoad | None
+    notice: ServerNotice
 
 
 def decode_call(
@@ -135,9 +138,18 @@
         not_run=_NOT_RUN in headers or (status == 421 and not signed),
         encoded="Content-Encoding" in headers,
         load=_load(headers.get(_LOAD, "")),
+        notice=read_notice(status, headers),
     )
 
 
+def read_notice(status: int, headers: HTTPHeaders) -> ServerNotice:
+    """Read what a server says of itself in an answer of any kind."""
+    if status == 421:
+        # Another server listens there now; it speaks of itself.
+        return NO_NOTICE
+    return ServerNotice(leaving=headers.get(_LEAVING) == "1")
+
+
 def answer_headers(headers: HTTPHeaders) -> HTTPHeaders:
     """Return the headers of an answer that are passed on to the caller."""
     passed = HTTPHeaders()
--- a/src/rosepath/platform/engines.py
+++ b/src/rosepath/platform/engines.py
@@ -6,7 +6,9 @@
 
 from rosepath.engine_orders import EngineReport, Order, OrderAction, OrderReply
 from rosepath.errors import ExchangeError, Step
-from rosepath.http_client import HttpPool, Request
+from rosepath.http_client import HttpPool, Request, ResponseHead
+from rosepath.platform.calls import read_notice
+from rosepath.server_notice import NO_NOTICE, ServerNotice
 
 ORDER_TIMEOUT_S = 0.6
 
@@ -28,6 +30,8 @@
     """Implement the engine port over pooled connections."""
 
     pool: HttpPool
+    # Told what an engine's answer says of that engine, by its name.
+    on_notice: Callable[[str, ServerNotice], None] = lambda _, __: None
 
     async def order(
         self, address: str, order: Order, *, still_wanted: Callable[[], bool]
@@ -57,6 +61,7 @@
                 still_wanted=still_wanted,
             )
         )
+        self._heed(order.server, head)
         return _REPLIES.get(head.status, OrderReply.REFUSED)
 
     async def report(self, address: str, server: str) -> EngineReport:
@@ -71,6 +76,7 @@
                 progress_timeout_s=ORDER_TIMEOUT_S,
             )
         )
+        self._heed(server, head)
         try:
             if head.status != 200:
                 raise ValueError(f"status {head.status}")
@@ -98,6 +104,11 @@
                 sent=True,
             ) from error
 
+    def _heed(self, server: str, head: ResponseHead) -> None:
+        notice = read_notice(head.status, head.headers)
+        if notice != NO_NOTICE:
+            self.on_notice(server, notice)
+
 
 def _adapter_name(adapter: object) -> str:
     if isinstance(adapter, Mapping):
--- a/src/rosepath/relay.py
+++ b/src/rosepath/relay.py
@@ -207,6 +207,7 @@
                 and not self._picker.is_barred(context)
             ),
             may_break_off=lambda: self._next.leaves(context, server),
+            on_notice=lambda notice: self._ports.on_notice(server, notice),
         )
         self._next.note_sent(context)
         server.flights[context.call.request_id] = flight
--- a/src/rosepath/store_tables.py
+++ b/src/rosepath/store_tables.py
@@ -209,12 +209,23 @@
         self.leaves.note(leaving)
         return True
 
-    def _tell(self, event: str, name: str, **fields: float) -> None:
+    def heed_leaving(self, server: BackendServer) -> bool:
+        """Take a server's own word that it leaves; tell whether it is news."""
+        leaving = LeavingServer(server.name, server.entry.born_ms)
+        news = self.hear_leaving(leaving)
+        if news:
+            self._tell("server_leaving", server.name, step="answer")
+            self.announce()
+        return news
+
+    def _tell(
+        self, event: str, name: str, *, step: str = "store", **fields: float
+    ) -> None:
         """Log a change of a server, and how old the look before it was."""
         server = self.fleet.servers.get(name)
         _log.info(
             event,
-            step="store",
+            step=step,
             peer=name,
             in_flight=len(server.flights) if server else 0,
             looked_ago_s=self.looked_ago_s,
--- a/tests/test_server_notices.py
+++ b/tests/test_server_notices.py
@@ -2,6 +2,8 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
+from typing import Any, cast
 
 import pytest
 from entry_builders import a_route
@@ -22,6 +24,14 @@
     run,
     streams,
 )
+from tornado.httputil import HTTPHeaders
+
+from rosepath.engine_orders import Order, OrderAction
+from rosepath.errors import ExchangeError
+from rosepath.http_client import Request, ResponseHead
+from rosepath.platform.calls import read_notice
+from rosepath.platform.engines import EngineCalls
+from rosepath.server_notice import NO_NOTICE, ServerNotice
 
 FEW = pytest.param((5, 2.0, 3.0), id="few")
 CROWD = pytest.param((26, 3.0, 4.0), id="crowd")
@@ -190,3 +200,41 @@
         assert sends_in_rest(resting) <= SENDS_IN_REST
 
     run(play_site)
+
+
+# Guards against the holder of the lease, who asks engines for reports and gives them
+# orders, going by less than what their answers say.
+@pytest.mark.parametrize("status", [200, 202, 409, 503])
+def test_engines_say_that_they_leave_in_answers_to_orders_and_reports(
+    status: int,
+) -> None:
+    heard: list[tuple[str, ServerNotice]] = []
+
+    class Pool:
+        async def fetch(self, _: Request) -> tuple[ResponseHead, bytes]:
+            headers = HTTPHeaders({"Server-Leaving": "1"})
+            return ResponseHead(status, headers), b"{}"
+
+    async def play_calls() -> None:
+        calls = EngineCalls(
+            pool=cast(Any, Pool()), on_notice=lambda *told: heard.append(told)
+        )
+        order = Order(
+            action=OrderAction.LOAD,
+            server="e1",
+            model="m0",
+            holder="vm-1",
+            fence=1,
+            expected_sequence=0,
+        )
+        await calls.order("e1:1", order, still_wanted=lambda: True)
+        with suppress(ExchangeError):
+            await calls.report("e1:1", "e1")
+
+    asyncio.run(play_calls())
+    assert heard == [("e1", ServerNotice(leaving=True))] * 2
+
+
+# Guards against a server being left for the word of another at its old address.
+def test_an_answer_of_another_server_says_nothing_of_the_one_asked() -> None:
+    assert read_notice(421, HTTPHeaders({"Server-Leaving": "1"})) == NO_NOTICE
