Leave servers alone for the rest that they ask for

Cause: the time in a server's refusal was dropped with the rest of its answer, and a request that all servers have refused asks them again at the next look, a tenth of a second later.

Change: a refusal's Retry-After is the server's word to this VM. Until it is over the server is no choice, no room elsewhere, no reason to wait, and gets no order or report; what waits for an adapter or a connection asks again before the first byte. If all that could take a request rest for longer than it can wait, it is refused at once and told when the first rest ends, spread over half a second so that callers don't come together.

--- a/src/rosepath/attempt.py
+++ b/src/rosepath/attempt.py
@@ -17,7 +17,7 @@
     read_answer,
 )
 from rosepath.retries import Evidence
-from rosepath.server_notice import NO_NOTICE, ServerNotice
+from rosepath.server_notice import ServerNotice
 
 # Within one data centre a connection takes a millisecond, between two a few.
 CONNECT_TIMEOUT_S = 0.4
@@ -120,8 +120,7 @@
         def on_head(head: ResponseHead) -> None:
             facts = read_answer(head.status, head.headers)
             heads.append((head, facts))
-            if facts.notice != NO_NOTICE:
-                sending.on_notice(facts.notice)
+            sending.on_notice(facts.notice)
 
         def on_data(data: bytes) -> Awaitable[None] | None:
             head, facts = heads[0]
--- a/src/rosepath/engine_choice.py
+++ b/src/rosepath/engine_choice.py
@@ -82,7 +82,9 @@
     able = [
         engine
         for engine in engines
-        if engine.usable and engine.name not in tried and prompt.model in engine.held
+        if engine.takes_work(now_s)
+        and engine.name not in tried
+        and prompt.model in engine.held
     ]
     candidates = trusted(able, cut_off=cut_off, now_s=now_s) or able
     pool = {engine.name: engine for engine in candidates}
--- a/src/rosepath/entry_node.py
+++ b/src/rosepath/entry_node.py
@@ -32,6 +32,7 @@
 from rosepath.request_context import RelayPorts
 from rosepath.request_records import RequestRecords
 from rosepath.retry_window import RetryWindow
+from rosepath.server_choice import note_rest
 from rosepath.server_notice import ServerNotice
 from rosepath.settings import split_address
 from rosepath.store_pace import Following, catalog_pace, servers_pace
@@ -164,7 +165,7 @@
                 wait_limit_s=lambda: self.wait_limit_s,
                 on_outcome=self.records.note,
                 crashes=self.crashes,
-                on_notice=self._heed,
+                on_leaving=self._heed_leaving,
                 fleet_sound=lambda: self.tables.sound,
                 make_sure=self.tables.make_sure,
             )
@@ -340,13 +341,17 @@
             asyncio.get_running_loop().call_soon(self.exchange.link.tell)
 
     def _heed_by_name(self, name: str, notice: ServerNotice) -> None:
+        """Heed what an engine said of itself in an answer to an order or report."""
         server = self.tables.fleet.servers.get(name)
-        if server is not None:
-            self._heed(server, notice)
-
-    def _heed(self, server: BackendServer, notice: ServerNotice) -> None:
-        """Heed what a server said of itself in an answer."""
-        if notice.leaving and self.tables.heed_leaving(server):
+        if server is None:
+            return
+        if notice.rest_s:
+            note_rest(server, rest_s=notice.rest_s, now_s=self.clock.monotonic_s())
+        if notice.leaving:
+            self._heed_leaving(server)
+
+    def _heed_leaving(self, server: BackendServer) -> None:
+        if self.tables.heed_leaving(server):
             self.exchange.tell_soon()
 
     def _bar(self, contents: tuple[str, ...]) -> None:
--- a/src/rosepath/order_dispatcher.py
+++ b/src/rosepath/order_dispatcher.py
@@ -181,7 +181,11 @@
         # An engine that says it is busy, with an adapter or with what a holder
         # before ordered, is looked at until it is not; swaps look themselves.
         due = not record.busy and (record.engine_busy or not record.known)
-        if due and now_s - record.looked_s >= LOOK_INTERVAL_S:
+        if (
+            due
+            and not server.rests(now_s)
+            and now_s - record.looked_s >= LOOK_INTERVAL_S
+        ):
             await self._look(server, record)
 
     async def _look(self, server: BackendServer, record: EngineRecord) -> bool:
@@ -212,6 +216,8 @@
         self._begin_term()
         async with self._lock(server_name):
             record = self._record(server)
+            if server.rests(self._ports.clock.monotonic_s()):
+                return name in record.adapters
             if not record.known:
                 await self._look(server, record)
             now_s = self._ports.clock.monotonic_s()
--- a/src/rosepath/platform/calls.py
+++ b/src/rosepath/platform/calls.py
@@ -1,5 +1,6 @@
 """Headers of callers' requests and backend servers' answers."""
 
+import math
 from dataclasses import dataclass
 from typing import NamedTuple
 
@@ -52,6 +53,8 @@
         "Kv-From",
     )
 )
+# Statuses with which a server turns requests away.
+_TURNED_AWAY = (429, 503)
 _DROPPED = _HOP | _OWN | {"Host", "Content-Length", "Expect"}
 
 
@@ -147,7 +150,10 @@
     if status == 421:
         # Another server listens there now; it speaks of itself.
         return NO_NOTICE
-    return ServerNotice(leaving=headers.get(_LEAVING) == "1")
+    rest_s = 0.0
+    if status in _TURNED_AWAY:
+        rest_s = _rest_s(headers.get("Retry-After", ""))
+    return ServerNotice(leaving=headers.get(_LEAVING) == "1", rest_s=rest_s)
 
 
 def answer_headers(headers: HTTPHeaders) -> HTTPHeaders:
@@ -205,6 +211,15 @@
     return ServerLoad(running, waiting, slots)
 
 
+def _rest_s(given: str) -> float:
+    """Read a time in seconds, 0 if there is none."""
+    try:
+        rest_s = float(given)
+    except ValueError:
+        return 0.0
+    return rest_s if math.isfinite(rest_s) and rest_s > 0 else 0.0
+
+
 def _seconds(given: str | None) -> float | None:
     whole = _whole(given)
     return None if whole is None else whole / 1000
--- a/src/rosepath/relay.py
+++ b/src/rosepath/relay.py
@@ -23,11 +23,14 @@
 from rosepath.request_context import RETRY_AFTER_S, RelayPorts, RequestContext
 from rosepath.retries import Evidence
 from rosepath.server_choice import (
+    note_answer,
     note_error,
     note_failure,
+    note_rest,
     note_success,
     note_unreached,
 )
+from rosepath.server_notice import ServerNotice
 from rosepath.server_picker import ServerPicker
 
 # A caller's clock runs three milliseconds ahead of ours; what comes later
@@ -203,14 +206,17 @@
             # An adapter and a connection take time, in which a server may leave.
             still_wanted=lambda: (
                 server.usable
+                and not server.rests(self._now_s())
                 and self._ports.fleet_sound()
                 and not self._picker.is_barred(context)
             ),
             may_break_off=lambda: self._next.leaves(context, server),
-            on_notice=lambda notice: self._ports.on_notice(server, notice),
+            on_notice=lambda notice: self._heed(server, notice),
         )
         self._next.note_sent(context)
         server.flights[context.call.request_id] = flight
+        if server.rested:
+            server.found_out_s = self._now_s()
         if on_trial:
             self._crashes.trials.begin(context.content_key, server.name)
         try:
@@ -226,6 +232,18 @@
             if on_trial:
                 self._crashes.trials.end(context.content_key)
 
+    def _heed(self, server: BackendServer, notice: ServerNotice) -> None:
+        """Heed what the head of an answer says of its server."""
+        now_s = self._now_s()
+        if notice.rest_s:
+            if not server.rests(now_s):
+                _log.info("server_rests", peer=server.name, rest_s=notice.rest_s)
+            note_rest(server, rest_s=notice.rest_s, now_s=now_s)
+        else:
+            note_answer(server, now_s=now_s)
+        if notice.leaving:
+            self._ports.on_leaving(server)
+
     async def _note_lost(
         self,
         context: RequestContext,
--- a/src/rosepath/request_context.py
+++ b/src/rosepath/request_context.py
@@ -19,7 +19,6 @@
 from rosepath.prompt_caches import PromptCaches
 from rosepath.retries import Evidence, Obstacle
 from rosepath.retry_window import RetryWindow
-from rosepath.server_notice import ServerNotice
 from rosepath.silence import Stay
 
 # When a caller may come back after a refusal: swaps and restarts are over by
@@ -67,7 +66,8 @@
     wait_limit_s: Callable[[], float]
     on_outcome: Callable[["RequestContext", int, str], None]
     crashes: CrashWatch
-    on_notice: Callable[[BackendServer, ServerNotice], None] = lambda _, __: None
+    # Told of each answer that says that its server leaves.
+    on_leaving: Callable[[BackendServer], None] = lambda _: None
     # Whether the fleet is known well enough to send work by it, and a look that
     # makes it so.
     fleet_sound: Callable[[], bool] = lambda: True
--- a/src/rosepath/server_choice.py
+++ b/src/rosepath/server_choice.py
@@ -19,6 +19,8 @@
 DOWN_S = 0.7
 SUSPECT_FIRST_S = 0.5
 SUSPECT_MAX_S = 4.0
+# No server rests for longer; one that says so gives a broken answer.
+REST_MAX_S = 600.0
 # Plain failures happen to good servers, too; this many in a row do not.
 FAILURES_BORNE = 3
 
@@ -44,7 +46,11 @@
     rng: random.Random,
 ) -> BackendServer | None:
     """Choose the least busy server; one that failed lately goes behind."""
-    able = [server for server in servers if server.usable and server.name not in tried]
+    able = [
+        server
+        for server in servers
+        if server.takes_work(now_s) and server.name not in tried
+    ]
     return min(
         trusted(able, cut_off=cut_off, now_s=now_s) or able,
         key=lambda server: (
@@ -65,6 +71,19 @@
     server.latency_s += 0.2 * (took_s - server.latency_s)
 
 
+def note_rest(server: BackendServer, *, rest_s: float, now_s: float) -> None:
+    """Note that a server asked for rest, in seconds."""
+    until_s = now_s + min(rest_s, REST_MAX_S)
+    server.rest_until_s = max(server.rest_until_s, until_s)
+    server.rested = True
+
+
+def note_answer(server: BackendServer, *, now_s: float) -> None:
+    """Note that a server answers without asking for rest."""
+    if not server.rests(now_s):
+        server.rested = False
+
+
 def note_unreached(server: BackendServer, *, now_s: float) -> None:
     """Note that no connection to a server came about."""
     server.unreached_s = now_s
--- a/src/rosepath/server_picker.py
+++ b/src/rosepath/server_picker.py
@@ -111,6 +111,7 @@
                     back_s=RETRY_AFTER_S,
                 )
             self._refuse_if_model_is_late(context, asked_s, give_up_s)
+            self._refuse_if_rest_is_long(context, asked_s, give_up_s)
             count_waiting()
             await self._wait_for_change(min(give_up_s - now_s, 0.1))
 
@@ -176,6 +177,39 @@
                 back_s=choice.back_s,
             )
 
+    def _refuse_if_rest_is_long(
+        self, context: RequestContext, asked_s: float, give_up_s: float
+    ) -> None:
+        """Refuse what only servers could take that rest for longer than it waits."""
+        now_s = self._now_s()
+        able = self._able(context)
+        if context.lost_if_refused or not all(server.rests(now_s) for server in able):
+            return
+        choice = choose_wait(
+            due_s=min((server.rest_until_s for server in able), default=None),
+            give_up_s=give_up_s,
+            now_s=now_s,
+            rng=self._ports.rng,
+        )
+        if choice.wait is Wait.REFUSED:
+            context.waited_s += now_s - asked_s
+            raise _refused(
+                context,
+                "servers_rest",
+                "all servers that could take the request asked for rest",
+                back_s=choice.back_s,
+            )
+
+    def _able(self, context: RequestContext) -> list[BackendServer]:
+        """Return the servers that could take a request, now or soon."""
+        prompt, spec = context.call.prompt, context.service.engine
+        return [
+            server
+            for server in self._ports.fleet.of_service(context.service.name)
+            if server.usable
+            and (spec is None or prompt is None or prompt.model in server.held)
+        ]
+
     def _held_somewhere(self, service: str, model: str) -> bool:
         servers = self._ports.fleet.of_service(service)
         return any(server.usable and model in server.held for server in servers)
@@ -283,18 +317,16 @@
         others = [
             other
             for other in ports.fleet.of_service(context.service.name)
-            if other is not server and other.usable and has_room(other)
+            if other is not server and other.takes_work(now_s) and has_room(other)
         ]
         return bool(trusted(others, cut_off=ports.cut_off(), now_s=now_s))
 
     def has_untried(self, context: RequestContext) -> bool:
         """Tell whether there is a server that a request has not been sent to."""
-        prompt, spec = context.call.prompt, context.service.engine
+        now_s = self._now_s()
         return any(
-            server.usable
-            and server.name not in context.tried
-            and (spec is None or prompt is None or prompt.model in server.held)
-            for server in self._ports.fleet.of_service(context.service.name)
+            server.name not in context.tried and not server.rests(now_s)
+            for server in self._able(context)
         )
 
     async def _wait_for_change(self, limit_s: float) -> None:
--- a/tests/test_server_notices.py
+++ b/tests/test_server_notices.py
@@ -6,7 +6,7 @@
 from typing import Any, cast
 
 import pytest
-from entry_builders import a_route
+from entry_builders import a_route, a_server, an_engine_spec
 from entry_harness import Asked, answer
 from fleet_world import play
 from outspoken_servers import OutspokenWorld
@@ -26,11 +26,13 @@
 )
 from tornado.httputil import HTTPHeaders
 
-from rosepath.engine_orders import Order, OrderAction
+from rosepath.engine_orders import EngineRecord, Order, OrderAction
+from rosepath.engine_views import engine_view
 from rosepath.errors import ExchangeError
 from rosepath.http_client import Request, ResponseHead
 from rosepath.platform.calls import read_notice
 from rosepath.platform.engines import EngineCalls
+from rosepath.server_choice import REST_MAX_S, note_rest
 from rosepath.server_notice import NO_NOTICE, ServerNotice
 
 FEW = pytest.param((5, 2.0, 3.0), id="few")
@@ -238,3 +240,43 @@
 # Guards against a server being left for the word of another at its old address.
 def test_an_answer_of_another_server_says_nothing_of_the_one_asked() -> None:
     assert read_notice(421, HTTPHeaders({"Server-Leaving": "1"})) == NO_NOTICE
+
+
+@pytest.mark.parametrize(
+    ("status", "given", "rest_s"),
+    [
+        (503, "3", 3.0),
+        (429, "0.5", 0.5),
+        # A failure of one request asks its caller to come back, not this VM.
+        (500, "3", 0.0),
+        (503, "", 0.0),
+        (503, "-1", 0.0),
+        (503, "nan", 0.0),
+        (503, "inf", 0.0),
+        (503, "Wed, 21 Oct 2026 07:28:00 GMT", 0.0),
+    ],
+)
+def test_only_a_server_that_turns_requests_away_asks_for_rest(
+    status: int, given: str, rest_s: float
+) -> None:
+    notice = read_notice(status, HTTPHeaders({"Retry-After": given}))
+    assert notice.rest_s == rest_s
+
+
+# Guards against a broken answer taking a server out for good.
+def test_no_rest_lasts_for_ever() -> None:
+    server = a_server("e1")
+    note_rest(server, rest_s=1e9, now_s=1000.0)
+    assert server.rests(1000.0 + REST_MAX_S - 1.0)
+    assert not server.rests(1000.0 + REST_MAX_S + 1.0)
+
+
+# Guards against the lease's holder ordering models onto an engine that rests.
+def test_a_resting_engine_gets_no_orders() -> None:
+    server = a_server("e1")
+    record = EngineRecord(server="e1", known=True)
+    spec = an_engine_spec("m0")
+    assert engine_view(server, record, spec, now_s=1000.0).settled
+    note_rest(server, rest_s=3.0, now_s=1000.0)
+    assert not engine_view(server, record, spec, now_s=1002.9).settled
+    assert engine_view(server, record, spec, now_s=1003.1).settled
