Tell of the requests that had begun at an end before those that waited there

An end takes dozens of requests with it, and a word holds sixteen reports; those that say most come first. Test: one that began among 48 that waited is told (red with the latest sixteen).

--- a/src/rosepath/crash_records.py
+++ b/src/rosepath/crash_records.py
@@ -24,7 +24,8 @@
 SETTLE_S = 1.0
 # A report is told again for so long: words are lost, and a restarted VM misses some.
 TOLD_S = 3.0
-REPORTS_TOLD = 24
+# As many as leave a datagram room for what it tells besides.
+REPORTS_TOLD = 16
 BARRED_TOLD = 8
 # A request that repeats at all comes again within minutes.
 SUSPECT_KEPT_S = 600.0
@@ -178,7 +179,9 @@
         limit_s = self._clock.monotonic_s() - TOLD_S
         while self._learned and next(iter(self._learned.values())) < limit_s:
             self._learned.popitem(last=False)
-        return tuple(self._learned)[-REPORTS_TOLD:]
+        # Dozens of requests may have waited where one ended its server.
+        weighed = sorted(self._learned, key=lambda report: report.blame)
+        return tuple(weighed[-REPORTS_TOLD:])
 
     @property
     def barred(self) -> tuple[str, ...]:
--- a/tests/test_crash_records.py
+++ b/tests/test_crash_records.py
@@ -6,6 +6,7 @@
 from rosepath.clock import ManualClock
 from rosepath.crash_records import (
     RECORDS_KEPT,
+    REPORTS_TOLD,
     SETTLE_S,
     SUSPECT_KEPT_S,
     TOLD_S,
@@ -182,6 +183,17 @@
     assert records.told() == ()
 
 
+# Guards against what waited at an end crowding out of the words what had begun there.
+def test_the_strongest_reports_are_told_first() -> None:
+    waited = [
+        report(f"good-{number}", "s1", blame=Blame.WEAK)
+        for number in range(3 * REPORTS_TOLD)
+    ]
+    records = records_of(*waited[:20], report("bad", "s1"), *waited[20:])
+    assert report("bad", "s1") in records.told()
+    assert len(records.told()) == REPORTS_TOLD
+
+
 def test_of_many_requests_at_three_ends_the_one_that_began_is_found() -> None:
     rng = random.Random(5)
     for _ in range(50):
