Bar no request that was not tried alone, and hear all VMs first

Contract: the request that crashes its servers is the one to stop; an innocent one is never to be refused.

Cause: counting ends can't tell a cause from what is simply everywhere.

Change: a request at three ends is barred only if it was the sole suspect at one of them, and 0.3 s after it looks so, in which it waits. Whole runs are told, too, and only answers that say where they end count as whole. A connection that was never made charges nobody.

--- a/src/rosepath/attempt.py
+++ b/src/rosepath/attempt.py
@@ -64,6 +64,12 @@
     facts: AnswerFacts
     body: bytes = b""
 
+    @property
+    def delimited(self) -> bool:
+        """Tell whether the answer itself says where it ends."""
+        headers = self.head.headers
+        return "Content-Length" in headers or "Transfer-Encoding" in headers
+
     @property
     def success(self) -> bool:
         return 200 <= self.head.status < 300
--- a/src/rosepath/crash_records.py
+++ b/src/rosepath/crash_records.py
@@ -6,10 +6,8 @@
 """
 
 from collections import OrderedDict
-from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 from enum import IntEnum
-from itertools import groupby
 from typing import NamedTuple
 
 from rosepath.clock import Clock
@@ -17,11 +15,9 @@
 # Servers fail on their own, too: a request that has nothing to do with it may be
 # at one such end or at two, hardly at three while none of its runs is whole.
 ENDS_TO_BAR = 3
-# Requests that were at the same ends are tried again so often, one by one.
-TRIALS_ALIKE = 2
-# The reports of one end come from all entry VMs, in any order. Until they are in,
-# the wrong request may look like the cause; others are told after that.
-SETTLE_S = 1.0
+# The reports of one end come from all entry VMs, in any order, and of two words one
+# may be lost. Until they are in, the wrong request may look like the cause.
+SETTLE_S = 0.3
 # A report is told again for so long: words are lost, and a restarted VM misses some.
 TOLD_S = 3.0
 # As many as leave a datagram room for what it tells besides.
@@ -45,11 +41,13 @@
     """Say how likely a request is the cause of an end at which it was.
 
     What crashes a server does so as it begins to run: hardly what was still
-    waiting there, or had run for long.
+    waiting there, or had run for long. `ALONE` is a suspect that had its server
+    for itself, as far as suspects go.
     """
 
     WEAK = 1
     STRONG = 2
+    ALONE = 3
 
 
 class CrashReport(NamedTuple):
@@ -64,12 +62,14 @@
     """Say how a request may be sent on.
 
     A suspect, with one strong blame or two weak ones, goes to servers at which there
-    is no other suspect, so that the next end tells which of them is the cause.
+    is no other suspect, so that the next end tells which of them is the cause. What
+    looks like the cause is held until all reports are in, then refused.
     """
 
     CLEAR = 0
     SUSPECT = 1
-    BARRED = 2
+    HELD = 2
+    BARRED = 3
 
 
 @dataclass(slots=True)
@@ -82,18 +82,16 @@
     # When it was found to be the cause, as far as is known until now.
     found_s: float | None = None
     confirmed: bool = False
-    # At how many ends it was when others were first at just the same.
-    ends_alike: int | None = None
 
     def open_ends(self, explained: set[ServerLife]) -> set[ServerLife]:
         """Return the ends of which nothing else is known to be the cause."""
         return self.blames.keys() - self.excused - explained
 
-    def had_its_trials(self) -> bool:
-        """Tell whether more ends came since it was like others; notes that it is."""
-        if self.ends_alike is None:
-            self.ends_alike = len(self.blames)
-        return len(self.blames) >= self.ends_alike + TRIALS_ALIKE
+    @property
+    def was_alone(self) -> bool:
+        """Tell whether a server ended while no other suspect was there."""
+        alone = (life for life, blame in self.blames.items() if blame is Blame.ALONE)
+        return any(life not in self.excused for life in alone)
 
     @property
     def weight(self) -> tuple[int, int]:
@@ -104,9 +102,6 @@
         return len(blames), sum(blames)
 
 
-_Doubtful = tuple[str, _Record]
-
-
 class CrashRecords:
     """Hold what is known of requests that were at the ends of servers.
 
@@ -118,6 +113,7 @@
         self._records: OrderedDict[str, _Record] = OrderedDict()
         self._explained: set[ServerLife] = set()
         self._learned: OrderedDict[CrashReport, float] = OrderedDict()
+        self._excused: dict[str, float] = {}
 
     def __len__(self) -> int:
         return len(self._records)
@@ -145,14 +141,20 @@
         self._judge()
         return True
 
-    def excuse(self, content: str) -> None:
-        """Note that a run of a request was whole: no end before was its doing."""
+    def excuse(self, content: str) -> bool:
+        """Note that a run of a request was whole: no end before was its doing.
+
+        Return whether that is news.
+        """
         record = self._records.get(content)
         if record is None or record.confirmed:
-            return
+            return False
         if record.blames.keys() - record.excused:
             record.excused.update(record.blames)
+            self._excused[content] = self._clock.monotonic_s()
             self._judge()
+            return True
+        return False
 
     def standing(self, content: str) -> Standing:
         """Tell how a request may be sent on."""
@@ -163,12 +165,18 @@
             # Asked for all the time, it is not forgotten.
             record.changed_s = self._clock.monotonic_s()
             self._records.move_to_end(content)
-            return Standing.BARRED
+            self._confirm()
+            return Standing.BARRED if record.confirmed else Standing.HELD
         ends = record.open_ends(self._explained)
-        strong = any(record.blames[life] is Blame.STRONG for life in ends)
+        strong = any(record.blames[life] >= Blame.STRONG for life in ends)
         suspect = strong or len(ends) > 1
         return Standing.SUSPECT if suspect else Standing.CLEAR
 
+    def open_ends(self, content: str) -> int:
+        """Count the ends that a request may be the cause of."""
+        record = self._records.get(content)
+        return 0 if record is None else len(record.open_ends(self._explained))
+
     def ends(self, content: str) -> list[str]:
         """Return the names of the servers at whose ends a request was."""
         record = self._records.get(content)
@@ -183,6 +191,17 @@
         weighed = sorted(self._learned, key=lambda report: report.blame)
         return tuple(weighed[-REPORTS_TOLD:])
 
+    @property
+    def excused(self) -> tuple[str, ...]:
+        """Return the requests that had a whole run lately, the latest last."""
+        limit_s = self._clock.monotonic_s() - TOLD_S
+        self._excused = {
+            content: whole_s
+            for content, whole_s in self._excused.items()
+            if whole_s > limit_s
+        }
+        return tuple(self._excused)[-REPORTS_TOLD:]
+
     @property
     def barred(self) -> tuple[str, ...]:
         """Return the requests that are certainly barred, the latest last."""
@@ -200,8 +219,8 @@
         """Find the requests that explain most ends.
 
         Once the cause of an end is known, all others that were there are free of
-        it. Of those that nothing tells apart one is the cause and all others are
-        innocent: they go on, apart from each other, until the next end tells.
+        it. Only one that ended a server while no other suspect was there can be
+        told from requests that are simply everywhere.
         """
         self._confirm()
         explained: set[ServerLife] = set()
@@ -209,22 +228,10 @@
             if record.confirmed:
                 explained.update(record.blames)
         found: set[str] = set()
-        for _, equals in self._by_weight():
-            causes = {
-                content: record
-                for content, record in equals
-                if len(record.open_ends(explained)) >= ENDS_TO_BAR
-            }
-            ends = {
-                content: record.open_ends(explained)
-                for content, record in causes.items()
-            }
-            for content, record in causes.items():
-                alike = sum(other == ends[content] for other in ends.values()) > 1
-                if not alike or record.had_its_trials():
-                    found.add(content)
-            for content in found & causes.keys():
-                explained |= ends[content]
+        for content, record in self._doubtful():
+            if len(record.open_ends(explained)) >= ENDS_TO_BAR:
+                found.add(content)
+                explained.update(record.blames)
         self._explained = explained
         now_s = self._clock.monotonic_s()
         for content, record in self._records.items():
@@ -233,15 +240,14 @@
             elif record.found_s is None:
                 record.found_s = now_s
 
-    def _by_weight(self) -> Iterator[tuple[tuple[int, int], Iterable[_Doubtful]]]:
-        """Return what was at enough ends, in groups of those at equally many."""
+    def _doubtful(self) -> list[tuple[str, _Record]]:
+        """Return the requests that may be causes, those at most ends first."""
         doubtful = [
             (content, record)
             for content, record in self._records.items()
-            if not record.confirmed and len(record.blames) >= ENDS_TO_BAR
+            if not record.confirmed and record.was_alone
         ]
-        doubtful.sort(key=lambda item: item[1].weight, reverse=True)
-        return groupby(doubtful, key=lambda item: item[1].weight)
+        return sorted(doubtful, key=lambda item: item[1].weight, reverse=True)
 
     def _confirm(self) -> None:
         settled_s = self._clock.monotonic_s() - SETTLE_S
--- a/src/rosepath/crash_watch.py
+++ b/src/rosepath/crash_watch.py
@@ -6,7 +6,13 @@
 from typing import Protocol
 
 from rosepath.clock import Clock
-from rosepath.crash_records import Blame, CrashRecords, CrashReport, ServerLife
+from rosepath.crash_records import (
+    ENDS_TO_BAR,
+    Blame,
+    CrashRecords,
+    CrashReport,
+    ServerLife,
+)
 from rosepath.crash_trials import CrashTrials
 from rosepath.fleet import BackendServer
 from rosepath.http_client import Contact
@@ -46,10 +52,11 @@
     """
 
     def __init__(
-        self, *, clock: Clock, probe: Probe, on_news: Callable[[], None]
+        self, me: str, *, clock: Clock, probe: Probe, on_news: Callable[[], None]
     ) -> None:
+        self._me = me
         self.records = CrashRecords(clock=clock)
-        self.trials = CrashTrials()
+        self.trials = CrashTrials(on_begun=on_news)
         self._clock = clock
         self._probe = probe
         self._on_news = on_news
@@ -100,6 +107,34 @@
         for run in self._lost.pop(life, ()):
             self._charge(CrashReport(run.content, life, run.blame), run.request_id)
 
+    def may_go(self, content: str, *, request_id: str) -> bool:
+        """Tell whether a suspect may go to a server now, apart from others."""
+        return self.trials.may_begin(
+            content,
+            me=self._me,
+            request_id=request_id,
+            now_s=self._clock.monotonic_s(),
+            claims=self._is_dangerous(content),
+        )
+
+    def pass_trial(self, content: str, *, request_id: str) -> bool:
+        """End a suspect's trial after a while; return whether it is over.
+
+        One that was at enough ends to be barred stays apart for its whole run.
+        """
+        if self._is_dangerous(content):
+            return False
+        self.trials.end(content, request_id=request_id)
+        return True
+
+    def _is_dangerous(self, content: str) -> bool:
+        return self.records.open_ends(content) >= ENDS_TO_BAR
+
+    def excuse(self, content: str) -> None:
+        """Note that a run of a request was whole."""
+        if self.records.excuse(content):
+            self._on_news()
+
     def _charge(self, report: CrashReport, request_id: str) -> None:
         if self.records.add(report):
             self._on_news()
--- a/src/rosepath/entry_node.py
+++ b/src/rosepath/entry_node.py
@@ -96,6 +96,7 @@
         self.pool = HttpPool(clock=self.clock)
         self.caches = PromptCaches()
         self.crashes = CrashWatch(
+            settings.entry_vm,
             clock=self.clock,
             probe=self.pool.probe,
             on_news=lambda: self.exchange.tell_soon(),
--- a/src/rosepath/fleet.py
+++ b/src/rosepath/fleet.py
@@ -55,6 +55,8 @@
     target: str = ""
     # When its first event came from this server.
     begun_s: float | None = None
+    # Whether it is suspected of crashing servers, and no other suspect is there.
+    on_trial: bool = False
 
 
 @dataclass(slots=True, kw_only=True)
--- a/src/rosepath/peer_exchange.py
+++ b/src/rosepath/peer_exchange.py
@@ -167,8 +167,9 @@
             down=tuple(unreached),
             totals=totals,
             crashes=self._crashes.records.told(),
+            excused=self._crashes.records.excused,
             barred=self._crashes.records.barred,
-            trials=self._crashes.trials.told(merged=telling),
+            trials=self._crashes.trials.told(merged=telling, now_s=now_s),
         )
 
     def tell_soon(self) -> None:
@@ -248,7 +249,11 @@
         records = self._crashes.records
         news = [records.add(report) for report in state.crashes]
         news += [records.bar(content) for content in state.barred]
-        self._crashes.trials.hear(state.entry_vm, state.trials)
+        news += [records.excuse(content) for content in state.excused]
+        now_s = self._clock.monotonic_s()
+        news.append(
+            self._crashes.trials.hear(state.entry_vm, state.trials, now_s=now_s)
+        )
         if any(news):
             self._tables.announce()
             if self._coordinator.term and self.peers.crowded:
@@ -289,8 +294,6 @@
         if self.peers.crowded and not self._coordinator.term:
             return
         live = {peer.name for peer in self.peers.live()}
-        for name in set(self._crashes.trials.heard_of) - live:
-            self._crashes.trials.forget(name)
         for server in self._tables.fleet.servers.values():
             for name in server.peers.keys() - live:
                 del server.peers[name]
--- a/src/rosepath/peer_messages.py
+++ b/src/rosepath/peer_messages.py
@@ -57,8 +57,8 @@
     speaks as the holder, all that left from `complete_ago_s` to `known_ago_s`
     ago; the latter is as of when it knows the servers, and the like of
     `configuration_known_ago_s`. `crashes` tells at which ends of servers requests
-    were, `barred` which requests cause them, and `trials` maps those that may to
-    the servers at which they are.
+    were, `excused` which of them had a whole run since, `barred` which cause ends,
+    and `trials` maps those that may to the servers at which they are.
     """
 
     entry_vm: str
@@ -88,6 +88,7 @@
     totals: Mapping[str, PeerLoad] = field(default_factory=dict)
     arrivals: tuple[ModelArrival, ...] = ()
     crashes: tuple[CrashReport, ...] = ()
+    excused: tuple[str, ...] = ()
     barred: tuple[str, ...] = ()
     trials: Mapping[str, str] = field(default_factory=dict)
 
@@ -236,6 +237,7 @@
             [report.content, *report.life, int(report.blame)]
             for report in message.crashes
         ],
+        "ex": list(message.excused),
         "ba": list(message.barred),
         "tr": dict(message.trials),
     }
@@ -294,6 +296,7 @@
             )
             for row in raw["cr"]
         ),
+        excused=tuple(map(str, raw["ex"])),
         barred=tuple(map(str, raw["ba"])),
         trials={str(content): str(server) for content, server in raw["tr"].items()},
     )
--- a/src/rosepath/relay.py
+++ b/src/rosepath/relay.py
@@ -81,6 +81,7 @@
             self._give_up(context, error)
         finally:
             self._next.release(context)
+            self._end_trial(context)
 
     def _begin(self, call: CallerCall, exchange: CallerExchange) -> RequestContext:
         catalog = self._ports.catalog()
@@ -126,7 +127,8 @@
             except AttemptError as error:
                 context.seen.append(error.evidence)
                 self._note_failed(context, server, error)
-                if error.lost or error.timed_out:
+                silent = error.timed_out and error.evidence is not Evidence.NOT_SENT
+                if error.lost or silent:
                     await self._note_lost(context, server, flight, error)
                 await self._next.go_on(context, error)
                 continue
@@ -135,18 +137,23 @@
             if failed and await self._try_again_after(context, server, answer):
                 continue
             note_success(server, took_s=self._now_s() - sent_s)
-            self._excuse(context)
+            self._excuse(context, answer)
             self._finish(context, server, answer)
             return
 
-    def _excuse(self, context: RequestContext) -> None:
+    def _end_trial(self, context: RequestContext) -> None:
+        if self._crashes.trials.any_own:
+            self._crashes.trials.end(
+                context.content_key, request_id=context.call.request_id
+            )
+
+    def _excuse(self, context: RequestContext, answer: Answer) -> None:
         """Note that a run was whole, so that no server's end was its doing.
 
-        A stream without events may be one whose server ended and closed it.
+        An answer that its connection ends may be cut by the end of its server.
         """
-        empty = context.order is not None and not context.order.events
-        if self._crashes.records and not empty:
-            self._crashes.records.excuse(context.content_key)
+        if self._crashes.records and answer.delimited:
+            self._crashes.excuse(context.content_key)
 
     async def _try_again_after(
         self, context: RequestContext, server: BackendServer, answer: Answer
@@ -185,13 +192,15 @@
             flight.unread_tokens = 0
             if flight.begun_s is None:
                 flight.begun_s = now_s
-            elif on_trial and now_s - flight.begun_s > TRIAL_S:
-                self._crashes.trials.end(context.content_key)
+            elif flight.on_trial and now_s - flight.begun_s > TRIAL_S:
+                flight.on_trial = not self._crashes.pass_trial(
+                    context.content_key, request_id=context.call.request_id
+                )
             if not context.exchange.begun:
                 context.exchange.begin(head.status, answer_headers(head.headers))
             return context.exchange.write(events)
 
-        on_trial = self._picker.is_suspect(context)
+        flight.on_trial = self._picker.is_suspect(context)
         order = context.order
         if order is not None:
             order.restart()
@@ -208,7 +217,7 @@
                 server.usable
                 and not server.rests(self._now_s())
                 and self._ports.fleet_sound()
-                and not self._picker.is_barred(context)
+                and self._picker.may_be_sent(context)
             ),
             may_break_off=lambda: self._next.leaves(context, server),
             on_notice=lambda notice: self._heed(server, notice),
@@ -217,8 +226,12 @@
         server.flights[context.call.request_id] = flight
         if server.rested:
             server.found_out_s = self._now_s()
-        if on_trial:
-            self._crashes.trials.begin(context.content_key, server.name)
+        if flight.on_trial:
+            self._crashes.trials.begin(
+                context.content_key,
+                request_id=context.call.request_id,
+                server=server.name,
+            )
         try:
             return await self._ports.attempts.send(
                 context.call,
@@ -229,8 +242,7 @@
             )
         finally:
             server.flights.pop(context.call.request_id, None)
-            if on_trial:
-                self._crashes.trials.end(context.content_key)
+            self._end_trial(context)
 
     def _heed(self, server: BackendServer, notice: ServerNotice) -> None:
         """Heed what the head of an answer says of its server."""
@@ -254,10 +266,13 @@
         """Find out whether the server ended, and charge the request with it."""
         now_s = self._now_s()
         ran_long = flight.begun_s is not None and now_s - flight.begun_s > TRIAL_S
+        blame = Blame.STRONG if error.answered and not ran_long else Blame.WEAK
+        if flight.on_trial:
+            blame = Blame.ALONE
         run = LostRun(
             request_id=context.call.request_id,
             content=context.content_key,
-            blame=Blame.STRONG if error.answered and not ran_long else Blame.WEAK,
+            blame=blame,
             lost_s=now_s,
         )
         if error.lost:
--- a/src/rosepath/server_picker.py
+++ b/src/rosepath/server_picker.py
@@ -133,12 +133,12 @@
         """Tell whether a request may be what crashes its servers."""
         return self._standing(context) is Standing.SUSPECT
 
-    def is_barred(self, context: RequestContext) -> bool:
-        """Tell whether a request is known to crash its servers."""
-        return self._standing(context) is Standing.BARRED
+    def may_be_sent(self, context: RequestContext) -> bool:
+        """Tell whether a request does not look like one that crashes its servers."""
+        return self._standing(context) < Standing.HELD
 
     def _refuse_if_barred(self, context: RequestContext) -> None:
-        if not self.is_barred(context):
+        if self._standing(context) is not Standing.BARRED:
             return
         _log.info(
             "content_barred",
@@ -256,9 +256,13 @@
 
     def _avoided(self, context: RequestContext) -> frozenset[str] | None:
         """Return the servers that a request keeps off; None if it must wait."""
+        if not self.may_be_sent(context):
+            return None
         if not self.is_suspect(context):
             return frozenset()
-        return self._ports.crashes.trials.occupied(context.content_key)
+        crashes = self._ports.crashes
+        may_go = crashes.may_go(context.content_key, request_id=context.call.request_id)
+        return crashes.trials.servers(now_s=self._now_s()) if may_go else None
 
     async def _pick_engine(
         self,
