Play random leaves and rests in virtual time

One, two or five engines that ask for rests of 0.2 to 4 s at random under up to 100 requests a second: two sends in a rest at most, and each caller is served whole or told when to come back.

--- a/tests/test_server_notices.py
+++ b/tests/test_server_notices.py
@@ -1,8 +1,11 @@
 """What a server says of itself in an answer holds for the requests after it."""
 
 import asyncio
+import os
+import random
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
+from dataclasses import dataclass
 from typing import Any, cast
 
 import pytest
@@ -38,6 +41,8 @@
 FEW = pytest.param((5, 2.0, 3.0), id="few")
 CROWD = pytest.param((26, 3.0, 4.0), id="crowd")
 sizes = pytest.mark.parametrize("size", [FEW, CROWD])
+# By hand, SEEDS=50 plays so many random courses.
+SEEDS = range(int(os.environ.get("SEEDS", "3")))
 # A server is left alone from so long after it asked for rest.
 REST_HEEDED_S = 0.5
 REST_S = 3.0
@@ -48,14 +53,21 @@
 
 
 def late_sends(
-    monkeypatch: pytest.MonkeyPatch, size: tuple[int, float, float], course: Course
+    monkeypatch: pytest.MonkeyPatch,
+    size: tuple[int, float, float],
+    course: Course,
+    *,
+    servers: int = 4,
+    seed: int = 7,
 ) -> list[float]:
     """Return how late requests reached a server that had said that it leaves."""
     vms, drain_s, contact_s = size
-    world = OutspokenWorld(drain_s=drain_s, contact_s=contact_s)
+    world = OutspokenWorld(
+        drain_s=drain_s, contact_s=contact_s, rng=random.Random(seed)
+    )
 
     async def course_of_all() -> None:
-        await world.start(vms, monkeypatch)
+        await world.start(vms, monkeypatch, servers=servers)
         await asyncio.sleep(5.0)
         await course(world)
         await world.close()
@@ -95,9 +107,37 @@
     assert late_sends(monkeypatch, size, course) == []
 
 
-def wants_rest(asked: Asked) -> Timetable:
+# Guards against sums of troubles: a store that is away, turns VMs away or loses its
+# history, entries that lapse, words lost, while servers leave by their answers alone.
+@pytest.mark.parametrize("seed", SEEDS)
+def test_random_leaves_are_heeded(monkeypatch: pytest.MonkeyPatch, seed: int) -> None:
+    rng = random.Random(seed)
+    size = rng.choice([(3, 2.0, 3.0), (9, 2.0, 3.0), (26, 3.0, 4.0)])
+
+    async def course(world: OutspokenWorld) -> None:
+        world.lost_share = rng.choice([0.0, 0.1, 0.3])
+        names = [f"i-{number}" for number in range(8)]
+        for name in rng.sample(names, 4):
+            world.say_leaving(name)
+            match rng.randrange(5):
+                case 0:
+                    await world.go_down(for_s=rng.uniform(1.0, 6.0), lapse=[name])
+                case 1:
+                    world.turn_away(*rng.sample(sorted(world.nodes), 2))
+                case 2:
+                    await world.forget_history()
+                case 3:
+                    world.enter(name)
+            await asyncio.sleep(rng.uniform(0.1, 4.0))
+            world.take_back()
+        await asyncio.sleep(5.0)
+
+    assert late_sends(monkeypatch, size, course, servers=8, seed=seed) == []
+
+
+def wants_rest(asked: Asked, *, rest_s: float = REST_S) -> Timetable:
     """Turn a request away unrun, and ask for rest."""
-    extra = f"Not-Executed: 1\r\nRetry-After: {REST_S:.0f}\r\n"
+    extra = f"Not-Executed: 1\r\nRetry-After: {rest_s:.2f}\r\n"
     return [(0.005, answer(asked, 503, b"", extra))]
 
 
@@ -280,3 +320,45 @@
     note_rest(server, rest_s=3.0, now_s=1000.0)
     assert not engine_view(server, record, spec, now_s=1002.9).settled
     assert engine_view(server, record, spec, now_s=1003.1).settled
+
+
+@dataclass(slots=True)
+class Shedding:
+    """Ask for rest at random, and count what comes all the same."""
+
+    rng: random.Random
+    heeded_s: float = -1e9
+    rest_until_s: float = -1e9
+    in_rest: int = 0
+    worst: int = 0
+
+    def do(self, asked: Asked) -> Timetable:
+        now_s = asyncio.get_running_loop().time()
+        if now_s < self.rest_until_s:
+            self.in_rest += now_s > self.heeded_s
+            self.worst = max(self.worst, self.in_rest)
+            return wants_rest(asked, rest_s=self.rest_until_s - now_s)
+        if self.rng.random() < 0.7:
+            return streams(asked, 0.05, until=8)
+        rest_s = self.rng.uniform(0.2, 4.0)
+        self.in_rest = 0
+        self.heeded_s, self.rest_until_s = now_s + REST_HEEDED_S, now_s + rest_s
+        return wants_rest(asked, rest_s=rest_s)
+
+
+# Guards against rests of several servers at once driving all requests to the others,
+# and these back to the first.
+@pytest.mark.parametrize("seed", SEEDS)
+def test_random_rests_are_heeded(seed: int) -> None:
+    async def play_site() -> None:
+        rng = random.Random(seed)
+        shedding = [Shedding(rng) for _ in range(rng.choice([1, 2, 5]))]
+        engines = [Engine(f"e{n}", one.do) for n, one in enumerate(shedding)]
+        site = a_site(*engines, repeats=100.0)
+        callers = [asks(f"q{number}", wait_ms=5000) for number in range(100)]
+        await serve_many(site, callers, each_s=rng.uniform(0.01, 0.1))
+        assert max(one.worst for one in shedding) <= SENDS_IN_REST
+        for caller in callers:
+            assert heard_whole(caller) or (caller.status == 503 and caller.retry_after)
+
+    run(play_site)
