--- a/src/rosepath/crash_watch.py
+++ b/src/rosepath/crash_watch.py
@@ -1,4 +1,4 @@
-"""Find out which lost connections were ends of servers, and who was there."""
+"""Find out which lost connections were crashes of servers, and what was in flight."""
 
 import asyncio
 from collections.abc import Callable
@@ -7,21 +7,21 @@
 
 from rosepath.clock import Clock
 from rosepath.crash_records import (
-    ENDS_TO_BAR,
-    Blame,
+    CRASHES_TO_QUARANTINE,
     CrashRecords,
     CrashReport,
+    Exposure,
     ServerLife,
 )
-from rosepath.crash_trials import CrashTrials
 from rosepath.fleet import BackendServer
 from rosepath.http_client import Contact
+from rosepath.isolated_runs import IsolatedRuns
 from rosepath.logs import get_logger
 
 # A connection is refused within milliseconds where a machine lives.
 PROBE_LIMIT_S = 0.2
-# The entry of a server that ended is gone or new by then, after three heartbeats and
-# a look at the store.
+# The entry of a server that crashed is gone or new by then, after three heartbeats
+# and a look at the store.
 LOSS_KEPT_S = 8.0
 
 _log = get_logger()
@@ -38,16 +38,16 @@
     """Describe a run whose connection was lost."""
 
     request_id: str
-    content: str
-    blame: Blame
+    content_key: str
+    exposure: Exposure
     lost_s: float
 
 
 class CrashWatch:
-    """Charge the requests of a server with its end.
+    """Report which requests were in flight at a server that crashed.
 
-    A reset connection alone is no end: a middlebox may have cut it. The server
-    ended if it then refuses connections, or if its entry is gone or that of
+    A reset connection alone is no crash: a middlebox may have cut it. The server
+    crashed if it then refuses connections, or if its entry is gone or that of
     another life.
     """
 
@@ -56,7 +56,7 @@
     ) -> None:
         self._me = me
         self.records = CrashRecords(clock=clock)
-        self.trials = CrashTrials(on_begun=on_news)
+        self.isolated = IsolatedRuns(on_started=on_news)
         self._clock = clock
         self._probe = probe
         self._on_news = on_news
@@ -70,19 +70,18 @@
         that would only cost the request more time. Its entry will tell.
         """
         if server.usable:
-            self._forget_old()
-            self._lost.setdefault(life_of(server), []).append(run)
+            self._keep(life_of(server), run)
 
     async def note_lost(self, server: BackendServer, run: LostRun) -> None:
-        """Note a lost run; return once it is known whether its server ended.
+        """Note a lost run; return once it is known whether its server crashed.
 
-        Sent on before that, a request that crashes servers would end the next.
-        A server that leaves loses what runs there to nobody's blame.
+        Sent on before that, a request that crashes servers would crash the next.
+        What a draining server breaks off is no sign of a crash.
         """
         if not server.usable:
             return
-        self.note_silent(server, run)
         life = life_of(server)
+        self._keep(life, run)
         probe = self._probes.get(life)
         if probe is None:
             probe = asyncio.ensure_future(self._find_out(server.address, life))
@@ -97,57 +96,63 @@
         finally:
             del self._probes[life]
         if contact is Contact.REFUSED:
-            self.note_ended(life)
+            self.note_crashed(life)
         elif contact is Contact.ACCEPTED:
             self._forget(life, until_s=begun_s)
 
-    def note_ended(self, life: ServerLife) -> None:
-        """Charge what a server lost lately with its end."""
+    def note_crashed(self, life: ServerLife) -> None:
+        """Report what a server that crashed had in flight just before."""
         self._forget_old()
         for run in self._lost.pop(life, ()):
-            self._charge(CrashReport(run.content, life, run.blame), run.request_id)
-
-    def may_go(self, content: str, *, request_id: str) -> bool:
-        """Tell whether a suspect may go to a server now, apart from others."""
-        return self.trials.may_begin(
-            content,
+            self._report_crash(
+                CrashReport(run.content_key, life, run.exposure), run.request_id
+            )
+
+    def may_go(self, content_key: str, *, request_id: str) -> bool:
+        """Tell whether a suspect may be sent now, isolated from others."""
+        return self.isolated.may_start(
+            content_key,
             me=self._me,
             request_id=request_id,
             now_s=self._clock.monotonic_s(),
-            claims=self._is_dangerous(content),
+            announces=self._is_dangerous(content_key),
         )
 
-    def pass_trial(self, content: str, *, request_id: str) -> bool:
-        """End a suspect's trial after a while; return whether it is over.
+    def end_isolation(self, content_key: str, *, request_id: str) -> bool:
+        """End a suspect's isolation after a while; return whether it is over.
 
-        One that was at enough ends to be barred stays apart for its whole run.
+        One that was at enough crashes to be quarantined stays isolated to its end.
         """
-        if self._is_dangerous(content):
+        if self._is_dangerous(content_key):
             return False
-        self.trials.end(content, request_id=request_id)
+        self.isolated.end(content_key, request_id=request_id)
         return True
 
-    def _is_dangerous(self, content: str) -> bool:
-        return self.records.open_ends(content) >= ENDS_TO_BAR
+    def _is_dangerous(self, content_key: str) -> bool:
+        return self.records.open_crashes(content_key) >= CRASHES_TO_QUARANTINE
 
-    def excuse(self, content: str) -> None:
-        """Note that a run of a request was whole."""
-        if self.records.excuse(content):
+    def clear(self, content_key: str) -> None:
+        """Note that a run of a request completed."""
+        if self.records.clear(content_key):
             self._on_news()
 
-    def _charge(self, report: CrashReport, request_id: str) -> None:
+    def _report_crash(self, report: CrashReport, request_id: str) -> None:
         if self.records.add(report):
             self._on_news()
         _log.info(
-            "server_end_charged",
+            "crash_reported",
             request_id=request_id,
-            content=report.content,
+            content=report.content_key,
             peer=report.life.server,
             born_ms=report.life.born_ms,
-            blame=report.blame.name.lower(),
-            standing=self.records.standing(report.content).name.lower(),
+            exposure=report.exposure.name.lower(),
+            suspicion=self.records.suspicion(report.content_key).name.lower(),
         )
 
+    def _keep(self, life: ServerLife, run: LostRun) -> None:
+        self._forget_old()
+        self._lost.setdefault(life, []).append(run)
+
     def _forget_old(self) -> None:
         limit_s = self._clock.monotonic_s() - LOSS_KEPT_S
         for life in list(self._lost):
--- a/src/rosepath/engine_views.py
+++ b/src/rosepath/engine_views.py
@@ -29,7 +29,7 @@
         in_use=server.models_in_use,
         settled=record.known
         and not record.occupied
-        and not server.rests(now_s)
+        and not server.in_backoff(now_s)
         and server.entry.remaining_s is None,
         near=near,
         coming=record.loading,
--- a/src/rosepath/entry_node.py
+++ b/src/rosepath/entry_node.py
@@ -32,7 +32,7 @@
 from rosepath.request_context import RelayPorts
 from rosepath.request_records import RequestRecords
 from rosepath.retry_window import RetryWindow
-from rosepath.server_choice import note_rest
+from rosepath.server_choice import note_backoff
 from rosepath.server_notice import ServerNotice
 from rosepath.settings import split_address
 from rosepath.store_pace import Following, catalog_pace, servers_pace
@@ -110,7 +110,7 @@
             ),
             on_catalog=self._catalog_taken,
             on_reborn=self.caches.forget,
-            on_ended=lambda server: self.crashes.note_ended(life_of(server)),
+            on_gone=lambda server: self.crashes.note_crashed(life_of(server)),
             drain_s=settings.drain_s,
             settle_s=settings.settle_s,
             boot_clock=BootClock(),
@@ -129,8 +129,8 @@
             cut_off=lambda: self.isolation.cut_off,
             changed=self.tables.announce,
         )
-        self.coordinator.leases.barred = lambda: self.crashes.records.barred
-        self.coordinator.leases.on_barred = self._bar
+        self.coordinator.leases.quarantined = lambda: self.crashes.records.quarantined
+        self.coordinator.leases.on_quarantined = self._quarantine
         self.exchange = PeerExchange(
             settings.entry_vm,
             settings.data_centre,
@@ -282,8 +282,8 @@
             "peers_live": len(self.peers.live()),
             "lease_term": self.coordinator.term,
             "ready": self.ready,
-            "contents_suspected": len(self.crashes.records),
-            "contents_barred": len(self.crashes.records.barred),
+            "requests_suspected": len(self.crashes.records),
+            "requests_quarantined": len(self.crashes.records.quarantined),
             "in_flight": len(self.gateway.open),
         }
 
@@ -346,8 +346,12 @@
         server = self.tables.fleet.servers.get(name)
         if server is None:
             return
-        if notice.rest_s:
-            note_rest(server, rest_s=notice.rest_s, now_s=self.clock.monotonic_s())
+        if notice.retry_after_s:
+            note_backoff(
+                server,
+                retry_after_s=notice.retry_after_s,
+                now_s=self.clock.monotonic_s(),
+            )
         if notice.leaving:
             self._heed_leaving(server)
 
@@ -355,10 +359,10 @@
         if self.tables.heed_leaving(server):
             self.exchange.tell_soon()
 
-    def _bar(self, contents: tuple[str, ...]) -> None:
+    def _quarantine(self, content_keys: tuple[str, ...]) -> None:
         """Take in which requests crash servers from a time of other VMs."""
-        for content in contents:
-            self.crashes.records.bar(content)
+        for content_key in content_keys:
+            self.crashes.records.quarantine(content_key)
 
     def _limit_callers(self, catalog: Catalog) -> None:
         limits = catalog.limits
--- a/src/rosepath/explain.py
+++ b/src/rosepath/explain.py
@@ -16,9 +16,8 @@
     "lease_lost",
     "stopping",
 )
-# Lines that tell why a request's repeats are refused: which servers ended as it, or
-# a repeat of it, was there.
-_CHARGE = "server_end_charged"
+# Tells at which crashes of servers a request, or a retry of it, was in flight.
+_CRASH = "crash_reported"
 _COMMON = frozenset(
     ("event", "entry_vm", "data_centre", "level", "timestamp", "request_id")
 )
@@ -87,13 +86,13 @@
         and line.at <= own[-1].at
     ]
     contents = {line.details.get("content") for line in own} - {None}
-    charges = [
+    crashes = [
         line
         for line in lines
-        if line.event == _CHARGE
+        if line.event == _CRASH
         and line.request_id != request_id
         and line.details.get("content") in contents
         and line.at <= own[-1].at
     ]
-    shown = [*latest.values(), *orders[-5:], *charges, *own]
+    shown = [*latest.values(), *orders[-5:], *crashes, *own]
     return sorted(shown, key=lambda line: line.at)
--- a/src/rosepath/fleet.py
+++ b/src/rosepath/fleet.py
@@ -10,9 +10,9 @@
 LIVES_KEPT = 5_000
 
 
-# A server that turns requests away does so at once; the others wait so long for the
-# one that finds out.
-FIND_OUT_S = 0.25
+# A server that sheds load does so at once; the others wait so long for the request
+# that finds out.
+HALF_OPEN_PROBE_S = 0.25
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -56,7 +56,7 @@
     # When its first event came from this server.
     begun_s: float | None = None
     # Whether it is suspected of crashing servers, and no other suspect is there.
-    on_trial: bool = False
+    isolated: bool = False
 
 
 @dataclass(slots=True, kw_only=True)
@@ -99,12 +99,12 @@
     held: dict[str, set[str]] = field(default_factory=dict)
     # Until when it is known to be busy with an order: no adapter gets there.
     ordering_until_s: float = -1e9
-    # Until when it wants no request of this VM; it said so in an answer.
-    rest_until_s: float = -1e9
-    # Set from then until it answers without asking for more, and when a request
-    # last went there to find out.
-    rested: bool = False
-    found_out_s: float = -1e9
+    # Until when it sheds the requests of this VM, as it said with a refusal.
+    backoff_until_s: float = -1e9
+    # Set from then until it answers without shedding, and when a request last went
+    # there to find out.
+    half_open: bool = False
+    probed_s: float = -1e9
 
     @property
     def name(self) -> str:
@@ -119,18 +119,18 @@
         """Tell whether new work may be sent there."""
         return not self.left and not self.entry.draining
 
-    def rests(self, now_s: float) -> bool:
-        """Tell whether it asked this VM to leave it alone for now."""
-        return now_s < self.rest_until_s
+    def in_backoff(self, now_s: float) -> bool:
+        """Tell whether it sheds load and told this VM to come back later."""
+        return now_s < self.backoff_until_s
 
     def takes_work(self, now_s: float) -> bool:
         """Tell whether one more request may be sent there now.
 
-        After a rest one request finds out whether it is over: all that waited for
-        it, sent in one moment, would only be turned away again.
+        After a backoff the server is half-open: one request finds out whether it takes
+        work again. All that waited, sent at once, would only be turned away again.
         """
-        finding_out = self.rested and now_s < self.found_out_s + FIND_OUT_S
-        return self.usable and not self.rests(now_s) and not finding_out
+        probing = self.half_open and now_s < self.probed_s + HALF_OPEN_PROBE_S
+        return self.usable and not self.in_backoff(now_s) and not probing
 
     def moved_ago_s(self, now_s: float) -> float | None:
         """Return how long it has done nothing for this VM, None if it never did."""
--- a/src/rosepath/lease_keeper.py
+++ b/src/rosepath/lease_keeper.py
@@ -44,10 +44,10 @@
         self._heard: dict[str, int] = {}
         self._heard_s: dict[str, float] = {}
         self._resigned: dict[str, Resignation] = {}
-        # What the lease that this node holds names as barred, and who is told of
+        # What the lease that this node holds names as quarantined, and who is told of
         # what another's does.
-        self.barred: Callable[[], tuple[str, ...]] = tuple
-        self.on_barred: Callable[[tuple[str, ...]], None] = lambda _: None
+        self.quarantined: Callable[[], tuple[str, ...]] = tuple
+        self.on_quarantined: Callable[[tuple[str, ...]], None] = lambda _: None
         self.policy = policy
         self.rows: dict[str, LeaseRow] = {}
 
@@ -209,7 +209,7 @@
         match decode_lease(stored):
             case Result(tag="ok", ok=record):
                 row.holder, row.before = record.holder, record.before
-                self.on_barred(record.barred)
+                self.on_quarantined(record.quarantined)
                 if record.term > row.term:
                     row.term, row.passed_on = record.term, 0
             case Result(error=problem):
@@ -230,7 +230,7 @@
                 term=term,
                 nonce=uuid.uuid4().hex,
                 before=before,
-                barred=self.barred(),
+                quarantined=self.quarantined(),
             )
         )
         name = f"{LEASE_KIND}/{row.name}"
@@ -295,7 +295,7 @@
                 term=row.term,
                 nonce=uuid.uuid4().hex,
                 before=(self._me, *row.before)[:BEFORE_KEPT],
-                barred=self.barred(),
+                quarantined=self.quarantined(),
             )
         )
         try:
--- a/src/rosepath/leases.py
+++ b/src/rosepath/leases.py
@@ -176,15 +176,15 @@
 class LeaseRecord:
     """Hold a lease as it is stored; an empty holder means it was given up.
 
-    `barred` names requests that crash servers. Nothing else outlives all entry VMs,
-    and each of them reads the lease as it starts.
+    `quarantined` names requests that crash servers. Nothing else outlives all entry
+    VMs, and each of them reads the lease as it starts.
     """
 
     holder: str
     term: int
     nonce: str
     before: tuple[str, ...] = ()
-    barred: tuple[str, ...] = ()
+    quarantined: tuple[str, ...] = ()
 
 
 _UNREADABLE = (ValueError, KeyError, TypeError, OverflowError, RecursionError)
@@ -206,7 +206,7 @@
             term=int(raw["term"]),
             nonce=str(raw["nonce"]),
             before=tuple(map(str, raw.get("before", ()))),
-            barred=tuple(map(str, raw.get("barred", ()))),
+            quarantined=tuple(map(str, raw.get("quarantined", ()))),
         )
         return Ok(record)
     except _UNREADABLE as error:
--- a/src/rosepath/load_report.py
+++ b/src/rosepath/load_report.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 from rosepath.explain import LogLine
-from rosepath.server_picker import BARRED_CODE
+from rosepath.server_picker import QUARANTINED_CODE
 
 # A wait of more than this share of the objective made the answer late.
 WAITED_SHARE = 0.5
@@ -25,7 +25,7 @@
     PAUSED = "late: a pause in its stream"
     SLOW = "late: answered slowly"
     REFUSED = "refused unrun"
-    BARRED = "refused: crashes its servers"
+    QUARANTINED = "refused: crashes its servers"
     FAILED = "failed"
 
 
@@ -109,8 +109,8 @@
 def cause_of(details: Mapping[str, Any]) -> Cause:
     """Return the cause that a request's last line tells of."""
     status = int(details.get("status") or 0)
-    if details.get("code") == BARRED_CODE:
-        return Cause.BARRED
+    if details.get("code") == QUARANTINED_CODE:
+        return Cause.QUARANTINED
     if status == 503:
         return Cause.REFUSED
     if not 200 <= status < 300:
--- a/src/rosepath/order_dispatcher.py
+++ b/src/rosepath/order_dispatcher.py
@@ -183,7 +183,7 @@
         due = not record.busy and (record.engine_busy or not record.known)
         if (
             due
-            and not server.rests(now_s)
+            and not server.in_backoff(now_s)
             and now_s - record.looked_s >= LOOK_INTERVAL_S
         ):
             await self._look(server, record)
@@ -216,7 +216,7 @@
         self._begin_term()
         async with self._lock(server_name):
             record = self._record(server)
-            if server.rests(self._ports.clock.monotonic_s()):
+            if server.in_backoff(self._ports.clock.monotonic_s()):
                 return name in record.adapters
             if not record.known:
                 await self._look(server, record)
--- a/src/rosepath/peer_exchange.py
+++ b/src/rosepath/peer_exchange.py
@@ -167,9 +167,9 @@
             down=tuple(unreached),
             totals=totals,
             crashes=self._crashes.records.told(),
-            excused=self._crashes.records.excused,
-            barred=self._crashes.records.barred,
-            trials=self._crashes.trials.told(merged=telling, now_s=now_s),
+            cleared=self._crashes.records.cleared,
+            quarantined=self._crashes.records.quarantined,
+            isolated=self._crashes.isolated.told(merged=telling, now_s=now_s),
         )
 
     def tell_soon(self) -> None:
@@ -248,11 +248,11 @@
         """Take in what crashes servers; a holder in a crowd tells it on at once."""
         records = self._crashes.records
         news = [records.add(report) for report in state.crashes]
-        news += [records.bar(content) for content in state.barred]
-        news += [records.excuse(content) for content in state.excused]
+        news += [records.quarantine(key) for key in state.quarantined]
+        news += [records.clear(key) for key in state.cleared]
         now_s = self._clock.monotonic_s()
         news.append(
-            self._crashes.trials.hear(state.entry_vm, state.trials, now_s=now_s)
+            self._crashes.isolated.hear(state.entry_vm, state.isolated, now_s=now_s)
         )
         if any(news):
             self._tables.announce()
--- a/src/rosepath/peer_messages.py
+++ b/src/rosepath/peer_messages.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field, replace
 from typing import Any, NamedTuple
 
-from rosepath.crash_records import Blame, CrashReport, ServerLife
+from rosepath.crash_records import CrashReport, Exposure, ServerLife
 from rosepath.demand import ModelDemand
 from rosepath.fleet import LeavingServer, PeerLoad
 from rosepath.model_arrivals import ModelArrival
@@ -56,9 +56,9 @@
     last heard of the holder. `leaving` names servers that it saw leave: if it
     speaks as the holder, all that left from `complete_ago_s` to `known_ago_s`
     ago; the latter is as of when it knows the servers, and the like of
-    `configuration_known_ago_s`. `crashes` tells at which ends of servers requests
-    were, `excused` which of them had a whole run since, `barred` which cause ends,
-    and `trials` maps those that may to the servers at which they are.
+    `configuration_known_ago_s`. `crashes` tells which requests were at crashes of
+    servers, `cleared` which of them completed a run since, `quarantined` which cause
+    crashes, and `isolated` maps those that may to the servers at which they run.
     """
 
     entry_vm: str
@@ -88,9 +88,9 @@
     totals: Mapping[str, PeerLoad] = field(default_factory=dict)
     arrivals: tuple[ModelArrival, ...] = ()
     crashes: tuple[CrashReport, ...] = ()
-    excused: tuple[str, ...] = ()
-    barred: tuple[str, ...] = ()
-    trials: Mapping[str, str] = field(default_factory=dict)
+    cleared: tuple[str, ...] = ()
+    quarantined: tuple[str, ...] = ()
+    isolated: Mapping[str, str] = field(default_factory=dict)
 
     def late_by(self, late_s: float) -> "PeerState":
         """Return this word as it vouches if it was on its way for longer."""
@@ -234,12 +234,12 @@
             for move in message.moves
         ],
         "cr": [
-            [report.content, *report.life, int(report.blame)]
+            [report.content_key, *report.life, int(report.exposure)]
             for report in message.crashes
         ],
-        "ex": list(message.excused),
-        "ba": list(message.barred),
-        "tr": dict(message.trials),
+        "cl": list(message.cleared),
+        "qu": list(message.quarantined),
+        "is": dict(message.isolated),
     }
 
 
@@ -292,13 +292,13 @@
         ),
         crashes=tuple(
             CrashReport(
-                str(row[0]), ServerLife(str(row[1]), int(row[2])), Blame(int(row[3]))
+                str(row[0]), ServerLife(str(row[1]), int(row[2])), Exposure(int(row[3]))
             )
             for row in raw["cr"]
         ),
-        excused=tuple(map(str, raw["ex"])),
-        barred=tuple(map(str, raw["ba"])),
-        trials={str(content): str(server) for content, server in raw["tr"].items()},
+        cleared=tuple(map(str, raw["cl"])),
+        quarantined=tuple(map(str, raw["qu"])),
+        isolated={str(key): str(server) for key, server in raw["is"].items()},
     )
 
 
--- a/src/rosepath/platform/calls.py
+++ b/src/rosepath/platform/calls.py
@@ -150,10 +150,12 @@
     if status == 421:
         # Another server listens there now; it speaks of itself.
         return NO_NOTICE
-    rest_s = 0.0
+    retry_after_s = 0.0
     if status in _TURNED_AWAY:
-        rest_s = _rest_s(headers.get("Retry-After", ""))
-    return ServerNotice(leaving=headers.get(_LEAVING) == "1", rest_s=rest_s)
+        retry_after_s = _retry_after_s(headers.get("Retry-After", ""))
+    return ServerNotice(
+        leaving=headers.get(_LEAVING) == "1", retry_after_s=retry_after_s
+    )
 
 
 def answer_headers(headers: HTTPHeaders) -> HTTPHeaders:
@@ -211,13 +213,13 @@
     return ServerLoad(running, waiting, slots)
 
 
-def _rest_s(given: str) -> float:
+def _retry_after_s(given: str) -> float:
     """Read a time in seconds, 0 if there is none."""
     try:
-        rest_s = float(given)
+        retry_after_s = float(given)
     except ValueError:
         return 0.0
-    return rest_s if math.isfinite(rest_s) and rest_s > 0 else 0.0
+    return retry_after_s if math.isfinite(retry_after_s) and retry_after_s > 0 else 0.0
 
 
 def _seconds(given: str | None) -> float | None:
--- a/src/rosepath/relay.py
+++ b/src/rosepath/relay.py
@@ -2,16 +2,13 @@
 
 import json
 from collections.abc import Awaitable
-from typing import Any
 
 from tornado.httputil import HTTPHeaders
 
 from rosepath.attempt import Answer, AttemptError, Sending
 from rosepath.caller_call import BadRequestError, CallerCall
 from rosepath.catalog import HostRoute, RouteKind
-from rosepath.crash_records import Blame
-from rosepath.crash_trials import TRIAL_S
-from rosepath.crash_watch import LostRun, life_of
+from rosepath.crash_watch import life_of
 from rosepath.errors import RefusalError, Step, refuse
 from rosepath.event_order import EventOrder
 from rosepath.fleet import BackendServer, Flight
@@ -24,14 +21,15 @@
 from rosepath.retries import Evidence
 from rosepath.server_choice import (
     note_answer,
+    note_backoff,
     note_error,
     note_failure,
-    note_rest,
     note_success,
     note_unreached,
 )
 from rosepath.server_notice import ServerNotice
 from rosepath.server_picker import ServerPicker
+from rosepath.suspects import Suspects, lost_run_fields
 
 # A caller's clock runs three milliseconds ahead of ours; what comes later
 # than that before its deadline reaches nobody.
@@ -44,9 +42,9 @@
 
     def __init__(self, ports: RelayPorts) -> None:
         self._ports = ports
-        self._picker = ServerPicker(ports)
+        self._suspects = Suspects(ports.crashes, clock=ports.clock)
+        self._picker = ServerPicker(ports, self._suspects)
         self._next = NextTry(ports, self._picker)
-        self._crashes = ports.crashes
 
     async def serve(self, exchange: CallerExchange) -> None:
         """Answer one request, whatever happens to it."""
@@ -81,7 +79,7 @@
             self._give_up(context, error)
         finally:
             self._next.release(context)
-            self._end_trial(context)
+            self._suspects.end(context)
 
     def _begin(self, call: CallerCall, exchange: CallerExchange) -> RequestContext:
         catalog = self._ports.catalog()
@@ -127,9 +125,7 @@
             except AttemptError as error:
                 context.seen.append(error.evidence)
                 self._note_failed(context, server, error)
-                silent = error.timed_out and error.evidence is not Evidence.NOT_SENT
-                if error.lost or silent:
-                    await self._note_lost(context, server, flight, error)
+                await self._suspects.note_failed(context, server, flight, error)
                 await self._next.go_on(context, error)
                 continue
             server.moved_s = self._now_s()
@@ -137,24 +133,10 @@
             if failed and await self._try_again_after(context, server, answer):
                 continue
             note_success(server, took_s=self._now_s() - sent_s)
-            self._excuse(context, answer)
+            self._suspects.clear(context, answer)
             self._finish(context, server, answer)
             return
 
-    def _end_trial(self, context: RequestContext) -> None:
-        if self._crashes.trials.any_own:
-            self._crashes.trials.end(
-                context.content_key, request_id=context.call.request_id
-            )
-
-    def _excuse(self, context: RequestContext, answer: Answer) -> None:
-        """Note that a run was whole, so that no server's end was its doing.
-
-        An answer that its connection ends may be cut by the end of its server.
-        """
-        if self._crashes.records and answer.delimited:
-            self._crashes.excuse(context.content_key)
-
     async def _try_again_after(
         self, context: RequestContext, server: BackendServer, answer: Answer
     ) -> bool:
@@ -187,20 +169,14 @@
         self, context: RequestContext, server: BackendServer, flight: Flight
     ) -> Answer:
         def on_events(head: ResponseHead, events: bytes) -> Awaitable[None] | None:
-            now_s = server.moved_s = self._now_s()
-            context.note_events(now_s=now_s)
+            server.moved_s = self._now_s()
+            context.note_events(now_s=server.moved_s)
             flight.unread_tokens = 0
-            if flight.begun_s is None:
-                flight.begun_s = now_s
-            elif flight.on_trial and now_s - flight.begun_s > TRIAL_S:
-                flight.on_trial = not self._crashes.pass_trial(
-                    context.content_key, request_id=context.call.request_id
-                )
+            self._suspects.note_events(context, flight)
             if not context.exchange.begun:
                 context.exchange.begin(head.status, answer_headers(head.headers))
             return context.exchange.write(events)
 
-        flight.on_trial = self._picker.is_suspect(context)
         order = context.order
         if order is not None:
             order.restart()
@@ -215,23 +191,18 @@
             # An adapter and a connection take time, in which a server may leave.
             still_wanted=lambda: (
                 server.usable
-                and not server.rests(self._now_s())
+                and not server.in_backoff(self._now_s())
                 and self._ports.fleet_sound()
-                and self._picker.may_be_sent(context)
+                and self._suspects.may_be_sent(context)
             ),
             may_break_off=lambda: self._next.leaves(context, server),
             on_notice=lambda notice: self._heed(server, notice),
         )
         self._next.note_sent(context)
         server.flights[context.call.request_id] = flight
-        if server.rested:
-            server.found_out_s = self._now_s()
-        if flight.on_trial:
-            self._crashes.trials.begin(
-                context.content_key,
-                request_id=context.call.request_id,
-                server=server.name,
-            )
+        if server.half_open:
+            server.probed_s = self._now_s()
+        self._suspects.start(context, server, flight)
         try:
             return await self._ports.attempts.send(
                 context.call,
@@ -242,44 +213,24 @@
             )
         finally:
             server.flights.pop(context.call.request_id, None)
-            self._end_trial(context)
+            self._suspects.end(context)
 
     def _heed(self, server: BackendServer, notice: ServerNotice) -> None:
         """Heed what the head of an answer says of its server."""
         now_s = self._now_s()
-        if notice.rest_s:
-            if not server.rests(now_s):
-                _log.info("server_rests", peer=server.name, rest_s=notice.rest_s)
-            note_rest(server, rest_s=notice.rest_s, now_s=now_s)
+        if notice.retry_after_s:
+            if not server.in_backoff(now_s):
+                _log.info(
+                    "server_backoff",
+                    peer=server.name,
+                    retry_after_s=notice.retry_after_s,
+                )
+            note_backoff(server, retry_after_s=notice.retry_after_s, now_s=now_s)
         else:
             note_answer(server, now_s=now_s)
         if notice.leaving:
             self._ports.on_leaving(server)
 
-    async def _note_lost(
-        self,
-        context: RequestContext,
-        server: BackendServer,
-        flight: Flight,
-        error: AttemptError,
-    ) -> None:
-        """Find out whether the server ended, and charge the request with it."""
-        now_s = self._now_s()
-        ran_long = flight.begun_s is not None and now_s - flight.begun_s > TRIAL_S
-        blame = Blame.STRONG if error.answered and not ran_long else Blame.WEAK
-        if flight.on_trial:
-            blame = Blame.ALONE
-        run = LostRun(
-            request_id=context.call.request_id,
-            content=context.content_key,
-            blame=blame,
-            lost_s=now_s,
-        )
-        if error.lost:
-            await self._crashes.note_lost(server, run)
-        else:
-            self._crashes.note_silent(server, run)
-
     def _note_failed(
         self, context: RequestContext, server: BackendServer, error: AttemptError
     ) -> None:
@@ -292,7 +243,7 @@
             evidence=error.evidence.value,
             tries=len(context.seen),
             moved_ago_s=server.moved_ago_s(self._now_s()),
-            **_run_lost(context, server, error),
+            **lost_run_fields(context, server, error),
         )
         if error.withdrawn:
             # The server did nothing wrong; if it left, the fleet says so.
@@ -302,7 +253,7 @@
         if error.evidence is Evidence.NOT_SENT:
             note_unreached(server, now_s=now_s)
             if error.step is Step.CONNECT and not error.timed_out:
-                self._crashes.note_ended(life_of(server))
+                self._ports.crashes.note_crashed(life_of(server))
         if error.evidence is not Evidence.REFUSED:
             silent = error.timed_out or error.evidence is Evidence.NOT_SENT
             note_failure(server, now_s=now_s, silent=silent)
@@ -376,19 +327,6 @@
         return self._ports.clock.monotonic_s()
 
 
-def _run_lost(
-    context: RequestContext, server: BackendServer, error: AttemptError
-) -> dict[str, Any]:
-    """Describe a run whose connection was lost, so that its repeats are found."""
-    if not error.lost:
-        return {}
-    return {
-        "content": context.content_key,
-        "born_ms": server.entry.born_ms,
-        "answered": error.answered,
-    }
-
-
 def _rank(route: HostRoute) -> int:
     """Return how urgent a generation is to an engine, 0 first of 9."""
     patient = 3 if route.target_latency_s > 2.0 else 0
--- a/src/rosepath/server_choice.py
+++ b/src/rosepath/server_choice.py
@@ -19,8 +19,8 @@
 DOWN_S = 0.7
 SUSPECT_FIRST_S = 0.5
 SUSPECT_MAX_S = 4.0
-# No server rests for longer; one that says so gives a broken answer.
-REST_MAX_S = 600.0
+# A server that asks for more gives a broken answer.
+BACKOFF_MAX_S = 600.0
 # Plain failures happen to good servers, too; this many in a row do not.
 FAILURES_BORNE = 3
 
@@ -71,17 +71,17 @@
     server.latency_s += 0.2 * (took_s - server.latency_s)
 
 
-def note_rest(server: BackendServer, *, rest_s: float, now_s: float) -> None:
-    """Note that a server asked for rest, in seconds."""
-    until_s = now_s + min(rest_s, REST_MAX_S)
-    server.rest_until_s = max(server.rest_until_s, until_s)
-    server.rested = True
+def note_backoff(server: BackendServer, *, retry_after_s: float, now_s: float) -> None:
+    """Note that a server sheds load, and after how long to come back."""
+    until_s = now_s + min(retry_after_s, BACKOFF_MAX_S)
+    server.backoff_until_s = max(server.backoff_until_s, until_s)
+    server.half_open = True
 
 
 def note_answer(server: BackendServer, *, now_s: float) -> None:
-    """Note that a server answers without asking for rest."""
-    if not server.rests(now_s):
-        server.rested = False
+    """Note that a server answers without shedding load."""
+    if not server.in_backoff(now_s):
+        server.half_open = False
 
 
 def note_unreached(server: BackendServer, *, now_s: float) -> None:
--- a/src/rosepath/server_notice.py
+++ b/src/rosepath/server_notice.py
@@ -4,10 +4,10 @@
 
 
 class ServerNotice(NamedTuple):
-    """Tell that a server leaves, or for how long it wants no request from here."""
+    """Tell that a server leaves, or after how long to send it a request again."""
 
     leaving: bool = False
-    rest_s: float = 0.0
+    retry_after_s: float = 0.0
 
 
 NO_NOTICE = ServerNotice()
--- a/src/rosepath/server_picker.py
+++ b/src/rosepath/server_picker.py
@@ -7,7 +7,7 @@
 
 from rosepath.caller_call import Prompt
 from rosepath.catalog import EngineSpec
-from rosepath.crash_records import Standing
+from rosepath.crash_records import Suspicion
 from rosepath.engine_choice import (
     EngineChoice,
     choose_engine,
@@ -20,15 +20,16 @@
 from rosepath.model_arrivals import Wait, choose_wait
 from rosepath.request_context import RETRY_AFTER_S, RelayPorts, RequestContext
 from rosepath.server_choice import choose_server, trusted
+from rosepath.suspects import Suspects
 
 # How long a request waits for a server to become known before it is refused.
 NO_SERVER_WAIT_S = 0.5
 # Of the time until its caller leaves, what a generation may spend waiting for
 # an engine that holds its model; the rest is for the engine to begin.
 WAITED_SHARE = 0.85
-# A caller that is told to come back sooner does, for nothing.
-BARRED_BACK_S = 60.0
-BARRED_CODE = "crashes_servers"
+# A caller that is told to come back sooner does so in vain.
+QUARANTINED_BACK_S = 60.0
+QUARANTINED_CODE = "crashes_servers"
 # An adapter is there after some 20 ms; a holder that does not answer by then
 # may be gone, and its successor is asked.
 ADAPTER_WAIT_S = 0.4
@@ -39,8 +40,9 @@
 class ServerPicker:
     """Pick servers, get adapters there, and let demand show who waits."""
 
-    def __init__(self, ports: RelayPorts) -> None:
+    def __init__(self, ports: RelayPorts, suspects: Suspects) -> None:
         self._ports = ports
+        self._suspects = suspects
 
     async def choose(self, context: RequestContext) -> tuple[BackendServer, Flight]:
         """Choose a server, waiting a little for one if there is none."""
@@ -95,7 +97,7 @@
         count_waiting: Callable[[], None],
     ) -> tuple[BackendServer, Flight]:
         while True:
-            self._refuse_if_barred(context)
+            self._refuse_if_quarantined(context)
             await self._ports.make_sure()
             chosen = await self._pick(context)
             now_s = self._now_s()
@@ -111,7 +113,7 @@
                     back_s=RETRY_AFTER_S,
                 )
             self._refuse_if_model_is_late(context, asked_s, give_up_s)
-            self._refuse_if_rest_is_long(context, asked_s, give_up_s)
+            self._refuse_if_backoff_is_long(context, asked_s, give_up_s)
             count_waiting()
             await self._wait_for_change(min(give_up_s - now_s, 0.1))
 
@@ -124,33 +126,20 @@
         """
         return math.inf if context.lost_if_refused else self._ports.wait_limit_s()
 
-    def _standing(self, context: RequestContext) -> Standing:
-        records = self._ports.crashes.records
-        # Without records, nobody pays for a key of what each request holds.
-        return records.standing(context.content_key) if records else Standing.CLEAR
-
-    def is_suspect(self, context: RequestContext) -> bool:
-        """Tell whether a request may be what crashes its servers."""
-        return self._standing(context) is Standing.SUSPECT
-
-    def may_be_sent(self, context: RequestContext) -> bool:
-        """Tell whether a request does not look like one that crashes its servers."""
-        return self._standing(context) < Standing.HELD
-
-    def _refuse_if_barred(self, context: RequestContext) -> None:
-        if self._standing(context) is not Standing.BARRED:
+    def _refuse_if_quarantined(self, context: RequestContext) -> None:
+        if self._suspects.suspicion(context) is not Suspicion.QUARANTINED:
             return
         _log.info(
-            "content_barred",
+            "request_quarantined",
             request_id=context.call.request_id,
             content=context.content_key,
-            ended=self._ports.crashes.records.ends(context.content_key),
+            crashed=self._ports.crashes.records.crashed(context.content_key),
         )
         raise _refused(
             context,
-            BARRED_CODE,
-            "servers ended each time that this request was run",
-            back_s=BARRED_BACK_S,
+            QUARANTINED_CODE,
+            "servers crashed each time that this request was run",
+            back_s=QUARANTINED_BACK_S,
         )
 
     def _refuse_if_model_is_late(
@@ -177,16 +166,18 @@
                 back_s=choice.back_s,
             )
 
-    def _refuse_if_rest_is_long(
+    def _refuse_if_backoff_is_long(
         self, context: RequestContext, asked_s: float, give_up_s: float
     ) -> None:
-        """Refuse what only servers could take that rest for longer than it waits."""
+        """Refuse what all able servers shed for longer than it can wait."""
         now_s = self._now_s()
         able = self._able(context)
-        if context.lost_if_refused or not all(server.rests(now_s) for server in able):
+        if context.lost_if_refused or not all(
+            server.in_backoff(now_s) for server in able
+        ):
             return
         choice = choose_wait(
-            due_s=min((server.rest_until_s for server in able), default=None),
+            due_s=min((server.backoff_until_s for server in able), default=None),
             give_up_s=give_up_s,
             now_s=now_s,
             rng=self._ports.rng,
@@ -195,8 +186,8 @@
             context.waited_s += now_s - asked_s
             raise _refused(
                 context,
-                "servers_rest",
-                "all servers that could take the request asked for rest",
+                "servers_back_off",
+                "all servers that could take the request shed load",
                 back_s=choice.back_s,
             )
 
@@ -221,7 +212,7 @@
         now_s = self._now_s()
         servers = ports.fleet.of_service(context.service.name)
         prompt = context.call.prompt
-        avoided = self._avoided(context)
+        avoided = self._suspects.shared(context)
         if avoided is None:
             return None
         if context.service.engine is None or prompt is None:
@@ -254,16 +245,6 @@
         )
         return choice.server, flight
 
-    def _avoided(self, context: RequestContext) -> frozenset[str] | None:
-        """Return the servers that a request keeps off; None if it must wait."""
-        if not self.may_be_sent(context):
-            return None
-        if not self.is_suspect(context):
-            return frozenset()
-        crashes = self._ports.crashes
-        may_go = crashes.may_go(context.content_key, request_id=context.call.request_id)
-        return crashes.trials.servers(now_s=self._now_s()) if may_go else None
-
     async def _pick_engine(
         self,
         context: RequestContext,
@@ -329,7 +310,7 @@
         """Tell whether there is a server that a request has not been sent to."""
         now_s = self._now_s()
         return any(
-            server.name not in context.tried and not server.rests(now_s)
+            server.name not in context.tried and not server.in_backoff(now_s)
             for server in self._able(context)
         )
 
--- a/src/rosepath/store_tables.py
+++ b/src/rosepath/store_tables.py
@@ -50,7 +50,7 @@
         catalog_pace: Callable[[], Pace],
         on_catalog: Callable[[Catalog], None],
         on_reborn: Callable[[str], None] = lambda _: None,
-        on_ended: Callable[[BackendServer], None] = lambda _: None,
+        on_gone: Callable[[BackendServer], None] = lambda _: None,
         drain_s: float = math.inf,
         settle_s: float = 0.0,
         boot_clock: Clock | None = None,
@@ -58,7 +58,7 @@
         self._drain_s = drain_s
         self._settle_s = settle_s
         self._on_reborn = on_reborn
-        self._on_ended = on_ended
+        self._on_gone = on_gone
         self._clock = clock
         self._on_catalog = on_catalog
         # Entries that are not there and may have lapsed.
@@ -134,7 +134,7 @@
                 _log.info("server_reborn", step="store", peer=entry.name)
                 self._on_reborn(entry.name)
                 if known is not None:
-                    self._on_ended(known)
+                    self._on_gone(known)
             taken = self.fleet.servers.get(entry.name)
             if entry.draining and taken and taken.entry is entry and not left:
                 self._tell("server_leaving", entry.name)
@@ -197,7 +197,7 @@
         server = self.fleet.servers.get(name)
         self.fleet.remove(name, gone_at=gone_at)
         if server is not None:
-            self._on_ended(server)
+            self._on_gone(server)
         self.leaves.note(LeavingServer(name, gone_at=gone_at))
 
     def hear_leaving(self, leaving: LeavingServer) -> bool:
--- a/tests/entry_builders.py
+++ b/tests/entry_builders.py
@@ -20,6 +20,9 @@
 from rosepath.fleet import BackendServer, ServerEntry
 from rosepath.http_client import Contact
 from rosepath.peer_messages import PeerState
+from rosepath.request_context import RelayPorts
+from rosepath.server_picker import ServerPicker
+from rosepath.suspects import Suspects
 
 
 def a_model(name: str, *, size_mb: float = 70_000.0) -> ModelSpec:
@@ -182,6 +185,10 @@
     return CrashWatch("vm-1", clock=clock, probe=probe, on_news=lambda: None)
 
 
+def a_picker(ports: RelayPorts) -> ServerPicker:
+    return ServerPicker(ports, Suspects(ports.crashes, clock=ports.clock))
+
+
 def a_peer_state(
     name: str, *, number: int = 1, data_centre: str = "a", term: int = 0
 ) -> PeerState:
