Soak real entry VMs under overlapping faults

Faults in series and overlapping: kill, planned stop, pause, reload, cut from the store, reset links, servers that crash, leave by their answers or by their entry alone, shed load, or crash under one request.

Not yet: engines with orders and adapters, clocks that jump, a store that loses answers, explain checked on each failure.

--- /dev/null
+++ b/benchmarks/entry_fleet.py
@@ -0,0 +1,348 @@
+"""Entry VMs as real processes, before a store and servers of this process.
+
+The servers speak the users' platform's protocol and note what reaches them: they,
+and the callers, are the witnesses of a soak, never the entry VMs themselves.
+"""
+
+import asyncio
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections import Counter, defaultdict
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from tornado.httpserver import HTTPServer
+
+from rosepath_standins.fault_proxy import FaultProxy
+from rosepath_standins.platform import PlatformShape, PlatformState, make_platform
+
+HOST = "court.example"
+SERVICE = "desk"
+EVENTS = 10
+EVENT_EACH_S = 0.02
+RUN_S = 0.02
+CRASHING = "/look/crashing"
+CRASHES_AFTER_S = 0.03
+RETRY_AFTER_S = 3.0
+DRAIN_S = 2.0
+GRACE_S = 8.0
+SHED = "Not-Executed: 1\r\nRetry-After: {:.2f}\r\n"
+
+
+def free_port(kind: int = socket.SOCK_STREAM) -> int:
+    """Return a port of loopback on which nobody listens."""
+    with socket.socket(socket.AF_INET, kind) as held:
+        held.bind(("127.0.0.1", 0))
+        return int(held.getsockname()[1])
+
+
+@dataclass(slots=True)
+class Witness:
+    """Hold what reached the servers."""
+
+    # Which VM each request was given to.
+    vm_of: dict[str, str] = field(default_factory=dict)
+    arrivals: Counter[str] = field(default_factory=Counter)
+    runs: Counter[str] = field(default_factory=Counter)
+    # Server, VM and time of each request that reached a server.
+    reached: list[tuple[str, str, float]] = field(default_factory=list)
+    told_leaving_s: dict[tuple[str, str], float] = field(default_factory=dict)
+    sheds: list[tuple[str, str, float]] = field(default_factory=list)
+    crashes_s: dict[str, list[float]] = field(default_factory=lambda: defaultdict(list))
+    crashing: list[tuple[str, str, float]] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class Server:
+    """Serve plain requests and streams, and misbehave as told."""
+
+    name: str
+    witness: Witness
+    born_ms: int
+    port: int = 0
+    leaving: bool = False
+    shedding: bool = False
+    up: bool = False
+    _listener: asyncio.Server | None = None
+    _writers: set[asyncio.StreamWriter] = field(default_factory=set)
+
+    async def listen(self) -> None:
+        self.port = self.port or free_port()
+        self._listener = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
+        self.up = True
+
+    def crash(self) -> None:
+        """Lose the listener and every connection at once."""
+        self.up = False
+        if self._listener is not None:
+            self._listener.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._writers.add(writer)
+        try:
+            while True:
+                await self._answer(reader, writer)
+        except (OSError, asyncio.IncompleteReadError):
+            return
+        finally:
+            self._writers.discard(writer)
+            writer.close()
+
+    async def _answer(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        head = (await reader.readuntil(b"\r\n\r\n")).decode()
+        line, *rest = head.strip().split("\r\n")
+        path = line.split(" ")[1]
+        headers = dict(entry.lower().split(": ", 1) for entry in rest)
+        await reader.readexactly(int(headers.get("content-length", "0")))
+        request_id = headers["request-id"]
+        vm, now_s = self.witness.vm_of[request_id], time.monotonic()
+        if headers["target-instance"] != self.name:
+            self._write(writer, 421, request_id, b"")
+            return
+        self.witness.arrivals[request_id] += 1
+        self.witness.reached.append((self.name, vm, now_s))
+        if self.leaving:
+            self.witness.told_leaving_s.setdefault((self.name, vm), now_s)
+        if self.shedding:
+            self.witness.sheds.append((self.name, vm, now_s))
+            self._write(writer, 503, request_id, b"", SHED.format(RETRY_AFTER_S))
+            return
+        self.witness.runs[request_id] += 1
+        if path.startswith(CRASHING):
+            self.witness.crashing.append((path, vm, now_s))
+            await asyncio.sleep(CRASHES_AFTER_S)
+            self.witness.crashes_s[path].append(time.monotonic())
+            self.crash()
+            raise ConnectionResetError
+        if path.startswith("/draft/"):
+            first = int(headers.get("last-event-id", "0")) + 1
+            await self._stream(writer, request_id, first)
+            return
+        await asyncio.sleep(RUN_S)
+        self._write(writer, 200, request_id, f"{path} {request_id}".encode())
+
+    async def _stream(
+        self, writer: asyncio.StreamWriter, request_id: str, first: int
+    ) -> None:
+        head = self._head(200, request_id) + "Transfer-Encoding: chunked\r\n\r\n"
+        writer.write(head.encode())
+        for number in range(first, EVENTS + 1):
+            await asyncio.sleep(EVENT_EACH_S)
+            event = f"id: {number}\ndata: {request_id}\n\n".encode()
+            writer.write(b"%x\r\n%b\r\n" % (len(event), event))
+            await writer.drain()
+        writer.write(b"0\r\n\r\n")
+
+    def _write(
+        self,
+        writer: asyncio.StreamWriter,
+        status: int,
+        request_id: str,
+        body: bytes,
+        extra: str = "",
+    ) -> None:
+        head = self._head(status, request_id) + extra
+        writer.write(f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body)
+
+    def _head(self, status: int, request_id: str) -> str:
+        signed = "Response-Signature: s\r\n" if status == 200 else ""
+        leaving = "Server-Leaving: 1\r\n" if self.leaving else ""
+        return f"HTTP/1.1 {status} X\r\nRequest-Id: {request_id}\r\n{signed}{leaving}"
+
+
+@dataclass(slots=True)
+class EntryVm:
+    """Hold one entry VM's process, its link to the store, and what was done to it."""
+
+    name: str
+    directory: Path
+    store: FaultProxy
+    port: int = 0
+    ready_port: int = 0
+    peer_port: int = 0
+    process: subprocess.Popen[bytes] | None = None
+    # When it was last killed, started, paused, resumed or cut off.
+    disturbed_s: float = -1e9
+    stopping_s: float = -1e9
+    exit_codes: list[int] = field(default_factory=list)
+
+    @property
+    def address(self) -> str:
+        return f"127.0.0.1:{self.port}"
+
+    def write_settings(self, *, slack: float = 50.0) -> Path:
+        """Write the settings file, as the platform would."""
+        self.port = self.port or free_port()
+        self.ready_port = self.ready_port or free_port()
+        self.peer_port = self.peer_port or free_port(socket.SOCK_DGRAM)
+        path = self.directory / f"{self.name}.toml"
+        path.write_text(
+            f'entry_vm = "{self.name}"\ndata_centre = "a"\n'
+            f'[callers]\nlisten = "{self.address}"\n'
+            f'ready_listen = "127.0.0.1:{self.ready_port}"\n'
+            f'[peers]\nlisten = "127.0.0.1:{self.peer_port}"\n'
+            f'[store]\naddress = "{self.store.address}"\n'
+            f"[retries]\nslack = {slack}\n[stop]\ngrace_s = {GRACE_S}\n"
+        )
+        return path
+
+    def start(self) -> None:
+        """Start the process; its lines go to a file beside its settings."""
+        path = self.write_settings()
+        log = (self.directory / f"{self.name}.jsonl").open("ab")
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "rosepath.entry_daemon", str(path)],
+            stdout=log,
+            stderr=log,
+        )
+        log.close()
+        self.note_disturbed()
+
+    def send(self, number: signal.Signals) -> None:
+        if self.process is not None and self.process.poll() is None:
+            os.kill(self.process.pid, number)
+
+    def note_disturbed(self) -> None:
+        self.disturbed_s = time.monotonic()
+
+    def undisturbed_since(self, at_s: float) -> bool:
+        return self.disturbed_s < at_s
+
+
+@dataclass(slots=True)
+class EntryFleet:
+    """Hold the store, the servers and the entry VMs."""
+
+    directory: Path
+    witness: Witness = field(default_factory=Witness)
+    state: PlatformState | None = None
+    servers: dict[str, Server] = field(default_factory=dict)
+    vms: dict[str, EntryVm] = field(default_factory=dict)
+    lives: int = 0
+    store_down_s: float = -1e9
+
+    async def start(self, *, vms: int, servers: int) -> None:
+        app, self.state = make_platform(PlatformShape())
+        store = HTTPServer(app, idle_connection_timeout=600)
+        port = free_port()
+        store.listen(port, address="127.0.0.1")
+        await self.write("config/main", _configuration())
+        for _ in range(servers):
+            await self.add_server()
+        for number in range(vms):
+            proxy = FaultProxy(f"127.0.0.1:{port}")
+            await proxy.start()
+            vm = EntryVm(f"vm-{number}", self.directory, proxy)
+            self.vms[vm.name] = vm
+            vm.start()
+        await asyncio.gather(*(self.until_ready(vm) for vm in self.vms.values()))
+
+    async def write(self, name: str, value: object) -> None:
+        """Write an object of the store, or remove it, and wake its watches."""
+        assert self.state is not None
+        self.state.write(name, value)
+        async with self.state.changed:
+            self.state.changed.notify_all()
+
+    async def add_server(self, *, port: int = 0) -> Server:
+        self.lives += 1
+        born_ms = int(time.time() * 1000)
+        server = Server(f"i-{self.lives}", self.witness, born_ms, port)
+        await server.listen()
+        self.servers[server.name] = server
+        await self.enter(server)
+        return server
+
+    async def enter(self, server: Server, *, state: str = "ready") -> None:
+        """Write a server's entry."""
+        entry = {
+            "service": SERVICE,
+            "address": f"127.0.0.1:{server.port}",
+            "zone": "a",
+            "version": "v1",
+            "slots": 32,
+            "state": state,
+            "sequence": 0,
+            "born": server.born_ms,
+        }
+        await self.write(f"servers/{server.name}", entry)
+
+    async def remove(self, server: Server) -> None:
+        self.servers.pop(server.name, None)
+        await self.write(f"servers/{server.name}", None)
+
+    async def until_ready(self, vm: EntryVm, *, limit_s: float = 20.0) -> bool:
+        """Wait until a VM says that it is ready."""
+        until_s = time.monotonic() + limit_s
+        while time.monotonic() < until_s:
+            if await _ready(vm.ready_port):
+                return True
+            await asyncio.sleep(0.1)
+        return False
+
+    async def stop(self) -> None:
+        for vm in self.vms.values():
+            vm.send(signal.SIGCONT)
+            vm.send(signal.SIGTERM)
+        for vm in self.vms.values():
+            if vm.process is not None:
+                await asyncio.to_thread(_wait, vm.process)
+            await vm.store.stop()
+        for server in self.servers.values():
+            server.crash()
+
+
+def _wait(process: subprocess.Popen[bytes]) -> int:
+    try:
+        return process.wait(GRACE_S + 2.0)
+    except subprocess.TimeoutExpired:
+        process.kill()
+        return process.wait()
+
+
+async def _ready(port: int) -> bool:
+    try:
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(b"GET /v1/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+        async with asyncio.timeout(1.0):
+            line = await reader.readline()
+        writer.close()
+    except (OSError, TimeoutError):
+        return False
+    return b" 200 " in line
+
+
+def _configuration() -> dict[str, object]:
+    def route(name: str, kind: str, **more: object) -> dict[str, object]:
+        return {
+            "name": name,
+            "host": HOST,
+            "pathPrefix": f"/{name}/",
+            "routeType": kind,
+            "timeoutMs": 5000,
+            "targetLatencyMs": 500,
+            "service": SERVICE,
+            "maxAttempts": 3,
+            **more,
+        }
+
+    return {
+        "version": 1,
+        "routes": [
+            route("look", "idempotent"),
+            route("file", "non_idempotent"),
+            route("draft", "streaming", resumable=True, targetGapMs=250),
+        ],
+        "services": [{"name": SERVICE, "healthPath": "/health"}],
+        "limits": {"idleTimeoutMs": 9000},
+    }
