Back off from plain servers that shed the daemon's calls

Change: a refusal's Retry-After is kept with the server, which is no choice until then; callers are told when the first server takes calls again. One function reads the header for both paths.

--- a/src/rosepath/platform/calls.py
+++ b/src/rosepath/platform/calls.py
@@ -1,12 +1,12 @@
 """Headers of callers' requests and backend servers' answers."""
 
-import math
 from dataclasses import dataclass
 from typing import NamedTuple
 
 from tornado.httputil import HTTPHeaders
 
 from rosepath.caller_call import BadRequestError, CallerCall, Prompt, PromptPart
+from rosepath.retry_after import read_retry_after_s
 from rosepath.server_notice import NO_NOTICE, ServerNotice
 
 READY_PATH = "/v1/ready"
@@ -150,9 +150,7 @@
     if status == 421:
         # Another server listens there now; it speaks of itself.
         return NO_NOTICE
-    retry_after_s = 0.0
-    if status in _TURNED_AWAY:
-        retry_after_s = _retry_after_s(headers.get("Retry-After", ""))
+    retry_after_s = read_retry_after_s(headers) if status in _TURNED_AWAY else 0.0
     return ServerNotice(
         leaving=headers.get(_LEAVING) == "1", retry_after_s=retry_after_s
     )
@@ -213,15 +211,6 @@
     return ServerLoad(running, waiting, slots)
 
 
-def _retry_after_s(given: str) -> float:
-    """Read a time in seconds, 0 if there is none."""
-    try:
-        retry_after_s = float(given)
-    except ValueError:
-        return 0.0
-    return retry_after_s if math.isfinite(retry_after_s) and retry_after_s > 0 else 0.0
-
-
 def _seconds(given: str | None) -> float | None:
     whole = _whole(given)
     return None if whole is None else whole / 1000
--- a/src/rosepath/routing.py
+++ b/src/rosepath/routing.py
@@ -73,7 +73,9 @@
     able = [
         replica
         for replica in replicas
-        if replica.name not in request.tried and usable(replica, request.target)
+        if replica.name not in request.tried
+        and usable(replica, request.target)
+        and replica.backoff_until_s <= now_s
     ]
     if not able:
         return None
--- a/src/rosepath/server_choice.py
+++ b/src/rosepath/server_choice.py
@@ -19,8 +19,6 @@
 DOWN_S = 0.7
 SUSPECT_FIRST_S = 0.5
 SUSPECT_MAX_S = 4.0
-# A server that asks for more gives a broken answer.
-BACKOFF_MAX_S = 600.0
 # Plain failures happen to good servers, too; this many in a row do not.
 FAILURES_BORNE = 3
 
@@ -73,7 +71,7 @@
 
 def note_backoff(server: BackendServer, *, retry_after_s: float, now_s: float) -> None:
     """Note that a server sheds load, and after how long to come back."""
-    until_s = now_s + min(retry_after_s, BACKOFF_MAX_S)
+    until_s = now_s + retry_after_s
     server.backoff_until_s = max(server.backoff_until_s, until_s)
     server.half_open = True
 
--- a/src/rosepath/services.py
+++ b/src/rosepath/services.py
@@ -18,6 +18,7 @@
     run_of,
     worst_evidence,
 )
+from rosepath.retry_after import read_retry_after_s
 from rosepath.routing import RoutingRequest, note_failure, note_success
 from rosepath.tables import Replica
 from rosepath.telemetry import traceparent_of
@@ -154,15 +155,26 @@
         if replica is not None:
             return replica
         if course.seen:
-            raise _given_up(course.seen, "", "no other server is left")
+            raise _given_up(
+                course.seen,
+                "",
+                "no other server is left",
+                retry_after_s=self._retry_after_s(service),
+            )
         raise refuse(
             503,
             "service_unavailable",
             f"no server of {service} can take calls now",
             step=Step.ROUTE,
-            retry_after_s=2.0,
+            retry_after_s=max(2.0, self._retry_after_s(service)),
         )
 
+    def _retry_after_s(self, service: str) -> float:
+        """Return when the first server may take a call again that sheds them now."""
+        now_s = asyncio.get_running_loop().time()
+        left_s = [one.backoff_until_s - now_s for one in self._servers_of(service)]
+        return max(1.0, min(left_s, default=0.0))
+
     def _servers_of(self, service: str) -> list[Replica]:
         return [
             replica
@@ -230,6 +242,8 @@
             finally:
                 replica.own_starts.pop(key, None)
         if head.headers.get(RUN_HEADER) == "no":
+            back_s = clock_s() + read_retry_after_s(head.headers)
+            replica.backoff_until_s = max(replica.backoff_until_s, back_s)
             return Evidence.REFUSED, f"{replica.name} refused before running"
         note_success(replica, held_s=clock_s() - started_s)
         return None, ""
@@ -270,7 +284,9 @@
     )
 
 
-def _given_up(seen: list[Evidence], peer: str, error: str) -> RefusalError:
+def _given_up(
+    seen: list[Evidence], peer: str, error: str, *, retry_after_s: float = 1.0
+) -> RefusalError:
     run = run_of(worst_evidence(seen))
     return refuse(
         503 if run is Run.NO else 502,
@@ -279,7 +295,7 @@
         step=Step.SEND,
         run=run,
         peer=peer,
-        retry_after_s=1.0,
+        retry_after_s=retry_after_s,
     )
 
 
--- a/tests/test_server_notices.py
+++ b/tests/test_server_notices.py
@@ -35,7 +35,8 @@
 from rosepath.http_client import Request, ResponseHead
 from rosepath.platform.calls import read_notice
 from rosepath.platform.engines import EngineCalls
-from rosepath.server_choice import BACKOFF_MAX_S, note_backoff
+from rosepath.retry_after import BACKOFF_MAX_S
+from rosepath.server_choice import note_backoff
 from rosepath.server_notice import NO_NOTICE, ServerNotice
 
 FEW = pytest.param((5, 2.0, 3.0), id="few")
@@ -307,10 +308,8 @@
 
 # Guards against a broken answer taking a server out for good.
 def test_no_backoff_lasts_for_ever() -> None:
-    server = a_server("e1")
-    note_backoff(server, retry_after_s=1e9, now_s=1000.0)
-    assert server.in_backoff(1000.0 + BACKOFF_MAX_S - 1.0)
-    assert not server.in_backoff(1000.0 + BACKOFF_MAX_S + 1.0)
+    notice = read_notice(503, HTTPHeaders({"Retry-After": "1e9"}))
+    assert notice.retry_after_s == BACKOFF_MAX_S
 
 
 # Guards against the lease's holder ordering models onto an engine that sheds load.
--- a/tests/test_silent_backends.py
+++ b/tests/test_silent_backends.py
@@ -11,7 +11,7 @@
 
 import pytest
 from builders import end_events, token_event
-from entry_harness import Asked, chunk, stream_head
+from entry_harness import Asked, answer, chunk, stream_head
 from opentelemetry import trace
 from opentelemetry.sdk.metrics import MeterProvider
 from timed_engines import END, Engine, TimedPool, Timetable, answers, run
@@ -291,3 +291,35 @@
         assert node.dispatcher.budget.balance == 2
 
     run(play)
+
+
+def sheds(asked: Asked) -> Timetable:
+    """Refuse a call unrun, and tell when to come back."""
+    return [(0.01, answer(asked, 503, b"", "Rosepath-Run: no\r\nRetry-After: 3\r\n"))]
+
+
+# Guards against a server that sheds load being asked again with each call.
+def test_calls_leave_a_server_alone_that_sheds_load() -> None:
+    async def play() -> None:
+        first, second = Engine("s1", sheds), Engine("s2", quick)
+        node = a_node(first, second, repeats=100.0)
+        for _ in range(20):
+            assert await node.call(idempotent=True) == 200
+        assert len(first.asked) == 1
+
+    run(play)
+
+
+# Guards against callers being told to come back while all servers still shed load.
+def test_callers_come_back_when_the_first_server_takes_calls_again() -> None:
+    async def play() -> None:
+        first = Engine("s1", sheds)
+        node = a_node(first, repeats=100.0)
+        for _ in range(2):
+            with pytest.raises(RefusalError) as refused:
+                await node.call(idempotent=True)
+            assert refused.value.refusal.run is Run.NO
+            assert refused.value.refusal.retry_after_s == pytest.approx(3.0, abs=0.1)
+        assert len(first.asked) == 1
+
+    run(play)
