--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -15,6 +15,7 @@
 
 import pytest
 from entry_builders import a_catalog, a_route, entry_settings
+from store_view import WAY_S, View, now_s
 from tornado.httputil import HTTPHeaders
 from virtual_time import LoopClock, VirtualLoop
 
@@ -24,32 +25,20 @@
 from rosepath.errors import ExchangeError, Step
 from rosepath.http_client import Request, ResponseHead
 from rosepath.object_store import (
-    Change,
-    HistoryGoneError,
-    Listing,
     StoredObject,
     StoreError,
 )
 
 SERVICE = "desk"
-# The way to the store or to another VM.
-WAY_S = 0.004
-CALL_LIMIT_S = 0.5
 RENEWED_EACH_S = 0.6
 BEAT_S = 0.2
 ASKED_EACH_S = 0.08
-# How much later relaxed watches are told of a change.
-RELAXED_LATE_S = 3.0
 
 
 def _address(vm: str) -> str:
     return f"10.0.0.1:{int(vm.rpartition('-')[2]) + 1}"
 
 
-def now_s() -> float:
-    return asyncio.get_running_loop().time()
-
-
 @dataclass(slots=True)
 class World:
     """Hold the store, the wire, the VMs, and what reached which server when."""
@@ -327,121 +316,6 @@
         return exchange
 
 
-@dataclass(slots=True)
-class View:
-    """Speak the store's port for one VM."""
-
-    world: World
-    vm: str
-    last_success_s: float = -1e9
-    calls: Counter[str] = field(default_factory=Counter)
-    # When the connection of its watches was made; -1 if there is none.
-    connected_s: float = -1.0
-
-    async def list(self, kind: str) -> Listing:
-        await self._call("list")
-        objects = {
-            name: stored
-            for name, stored in self.world.objects.items()
-            if name.startswith(f"{kind}/")
-        }
-        return self._answered(Listing(revision=self.world.revision, objects=objects))
-
-    async def changes(
-        self, kind: str, *, after: int, wait_s: float, relaxed: bool = False
-    ) -> Change:
-        """Watch over the connection of the watch before, unless that failed."""
-        if self.connected_s < 0:
-            self.connected_s = now_s()
-        connected_s, self.connected_s = self.connected_s, -1.0
-        late_s = RELAXED_LATE_S if relaxed else 0.0
-        change = await self._changes(kind, after, wait_s, connected_s, late_s)
-        self.connected_s = connected_s
-        return change
-
-    async def _changes(
-        self,
-        kind: str,
-        after: int,
-        wait_s: float,
-        connected_s: float,
-        late_s: float,
-    ) -> Change:
-        await self._call("relaxed_watch" if late_s else "watch")
-        world, cuts, begun_s = self.world, self.world.cuts, now_s()
-        gone = after < world.floor
-        until_s = begun_s + wait_s
-        while True:
-            if connected_s < world.silenced_s.get(self.vm, -1e9) <= now_s():
-                await asyncio.sleep(until_s + CALL_LIMIT_S - now_s())
-                raise StoreError("no answer in time", step=Step.STORE)
-            if world.cuts != cuts or self._away:
-                raise StoreError("answer closed early", step=Step.STORE)
-            change = self._change(kind, after, before_s=now_s() - late_s)
-            if change.written or change.removed:
-                if gone:
-                    raise HistoryGoneError(kind, step=Step.STORE)
-                await asyncio.sleep(WAY_S)
-                return self._answered(change)
-            left_s = until_s - now_s()
-            if left_s <= 0:
-                return self._answered(change)
-            # Nobody wakes a watch for what it may be told of by now.
-            await self._wait(min(left_s, late_s / 4 or left_s))
-
-    async def get(self, name: str) -> StoredObject | None:
-        await self._call("get")
-        return self._answered(self.world.objects.get(name))
-
-    def close(self) -> None:
-        pass
-
-    @property
-    def _away(self) -> bool:
-        return self.world.down or self.vm in self.world.turned_away
-
-    async def _call(self, what: str) -> None:
-        self.calls[what] += 1
-        if self._away:
-            await asyncio.sleep(CALL_LIMIT_S)
-            raise StoreError("no answer in time", step=Step.STORE)
-        await asyncio.sleep(WAY_S)
-
-    def _answered(self, answer: Any) -> Any:
-        self.last_success_s = now_s()
-        return answer
-
-    def _change(self, kind: str, after: int, *, before_s: float) -> Change:
-        written: dict[str, StoredObject] = {}
-        removed: set[str] = set()
-        # What was written before the history went is not told of any more.
-        seen = max(after, self.world.floor)
-        told = after
-        for revision, name, stored in self.world.events if not self.world.deaf else ():
-            if self.world.written_s[revision] > before_s:
-                break
-            told = max(told, revision)
-            if revision <= seen or not name.startswith(f"{kind}/"):
-                continue
-            written.pop(name, None)
-            removed.discard(name)
-            if stored is None:
-                removed.add(name)
-            else:
-                written[name] = stored
-        if self.world.deaf:
-            told = self.world.revision
-        return Change(revision=told, written=written, removed=frozenset(removed))
-
-    async def _wait(self, limit_s: float) -> None:
-        async with self.world.changed:
-            try:
-                async with asyncio.timeout(limit_s):
-                    await self.world.changed.wait()
-            except TimeoutError:
-                return
-
-
 @dataclass(slots=True)
 class Wire:
     """Carry a VM's datagrams."""
