Decide in one place what can't be served while its caller waits

What waits for a model and what waits for servers that shed load were refused by two functions of one shape; one asks both.

--- /dev/null
+++ b/benchmarks/entry_checks.py
@@ -0,0 +1,164 @@
+"""Whether a soak of entry VMs kept the promises, by what callers and servers saw."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from benchmarks.entry_fleet import (
+    CRASHING,
+    DRAIN_S,
+    EVENTS,
+    RETRY_AFTER_S,
+    EntryFleet,
+)
+
+# How long callers wait, as they say with each request.
+WAIT_S = 4.0
+# After so long without trouble a VM is held to its bounds again.
+CONTACT_S = 3.0
+# What may reach a server in its backoff, and once a request crashed three.
+SENDS_IN_BACKOFF = 2
+SENDS_AFTER_THIRD = 3
+
+
+@dataclass(slots=True)
+class Answered:
+    """Hold what a caller got: no status is a connection that closed."""
+
+    request_id: str
+    vm: str
+    path: str
+    sent_s: float
+    ended_s: float
+    status: int
+    body: bytes
+
+
+@dataclass(slots=True)
+class EntryChecks:
+    """Hold what callers got, and what was done to the fleet before which they were."""
+
+    fleet: EntryFleet
+    answered: list[Answered]
+
+    def failures(self, *, timed: bool = True) -> dict[str, list[str]]:
+        """Return what broke, by the rule that it broke.
+
+        Without `timed` only rules count that hold on a machine that stands still for
+        seconds, too.
+        """
+        checks: dict[str, Callable[[], list[str]]] = {
+            "whole answers": self._not_whole,
+            "at most once": self._run_twice,
+            "true refusals": self._refused_and_run,
+            "nothing else is quarantined": self._quarantined,
+        }
+        timed_checks: dict[str, Callable[[], list[str]]] = {
+            "no work for a server that said it leaves": self._sent_to_leaving,
+            "no work in a backoff": self._sent_in_backoff,
+            "three crashes are enough": self._crashed_on,
+            "answers in time": self._late,
+            "planned stops cut nothing": self._cut,
+        }
+        if timed:
+            checks |= timed_checks
+        return {rule: found for rule, check in checks.items() if (found := check())}
+
+    def _not_whole(self) -> list[str]:
+        return [
+            f"{one.request_id} {one.path} {one.body[:60]!r}"
+            for one in self.answered
+            if one.status == 200 and one.body != _whole(one)
+        ]
+
+    def _run_twice(self) -> list[str]:
+        runs = self.fleet.witness.runs
+        return [
+            one.request_id
+            for one in self.answered
+            if one.path.startswith("/file/") and runs[one.request_id] > 1
+        ]
+
+    def _refused_and_run(self) -> list[str]:
+        runs = self.fleet.witness.runs
+        return [
+            f"{one.request_id} {one.path} {one.status}"
+            for one in self.answered
+            if one.status in (408, 421, 429, 503) and runs[one.request_id]
+        ]
+
+    def _sent_to_leaving(self) -> list[str]:
+        told = self.fleet.witness.told_leaving_s
+        return [
+            f"{server} from {vm} {at_s - told[server, vm]:.2f} s after"
+            for server, vm, at_s in self.fleet.witness.reached
+            if at_s - told.get((server, vm), at_s) > DRAIN_S
+            and self.fleet.vms[vm].undisturbed_since(told[server, vm])
+        ]
+
+    def _sent_in_backoff(self) -> list[str]:
+        found = []
+        for server, vm, shed_s in self.fleet.witness.sheds:
+            sent = [
+                at_s
+                for name, by, at_s in self.fleet.witness.reached
+                if (name, by) == (server, vm)
+                and shed_s + 0.5 < at_s < shed_s + RETRY_AFTER_S
+            ]
+            calm = self.fleet.vms[vm].undisturbed_since(shed_s)
+            if calm and len(sent) > SENDS_IN_BACKOFF:
+                found.append(f"{server} from {vm}: {len(sent)}")
+        return found
+
+    def _crashed_on(self) -> list[str]:
+        found = []
+        for path, crashes_s in self.fleet.witness.crashes_s.items():
+            if len(crashes_s) < 3:
+                continue
+            known_s = crashes_s[2] + CONTACT_S
+            sent = sum(
+                at_s > known_s
+                and self.fleet.vms[vm].undisturbed_since(at_s - CONTACT_S)
+                for sent_path, vm, at_s in self.fleet.witness.crashing
+                if sent_path == path
+            )
+            if sent > SENDS_AFTER_THIRD:
+                found.append(
+                    f"{path}: sent {sent} times more, {len(crashes_s)} crashes"
+                )
+        return found
+
+    def _quarantined(self) -> list[str]:
+        return [
+            f"{one.request_id} {one.path}"
+            for one in self.answered
+            if b"crashes_servers" in one.body and not one.path.startswith(CRASHING)
+        ]
+
+    def _late(self) -> list[str]:
+        return [
+            f"{one.request_id} {one.path} {one.ended_s - one.sent_s:.2f} s"
+            for one in self.answered
+            if one.ended_s - one.sent_s > WAIT_S + 0.5
+            and self.fleet.vms[one.vm].undisturbed_since(one.sent_s - CONTACT_S)
+        ]
+
+    def _cut(self) -> list[str]:
+        arrivals = self.fleet.witness.arrivals
+        found = []
+        for one in self.answered:
+            vm = self.fleet.vms[one.vm]
+            stopping = one.sent_s < vm.stopping_s < one.ended_s
+            calm = not one.sent_s - CONTACT_S < vm.disturbed_s < one.ended_s + 0.1
+            safe = one.path.startswith("/file/") and arrivals[one.request_id]
+            if one.status == 0 and stopping and calm and safe:
+                found.append(f"{one.request_id} {one.path}")
+        return found
+
+
+def _whole(one: Answered) -> bytes:
+    if one.path.startswith("/draft/"):
+        events = range(1, EVENTS + 1)
+        return b"".join(
+            f"id: {number}\ndata: {one.request_id}\n\n".encode() for number in events
+        )
+    return f"{one.path} {one.request_id}".encode()
--- a/src/rosepath/server_picker.py
+++ b/src/rosepath/server_picker.py
@@ -112,8 +112,7 @@
                     "no server can take the request now",
                     back_s=RETRY_AFTER_S,
                 )
-            self._refuse_if_model_is_late(context, asked_s, give_up_s)
-            self._refuse_if_backoff_is_long(context, asked_s, give_up_s)
+            self._refuse_if_late(context, asked_s, give_up_s)
             count_waiting()
             await self._wait_for_change(min(give_up_s - now_s, 0.1))
 
@@ -142,54 +141,30 @@
             back_s=QUARANTINED_BACK_S,
         )
 
-    def _refuse_if_model_is_late(
+    def _refuse_if_late(
         self, context: RequestContext, asked_s: float, give_up_s: float
     ) -> None:
-        prompt = context.call.prompt
+        """Refuse at once what can't be served while its caller waits."""
         if context.lost_if_refused:
             return
-        if prompt is None or self._held_somewhere(context.service.name, prompt.model):
-            return
-        now_s = self._now_s()
-        choice = choose_wait(
-            due_s=self._ports.models.model_due_s(prompt.model),
-            give_up_s=give_up_s,
-            now_s=now_s,
-            rng=self._ports.rng,
-        )
-        if choice.wait is Wait.REFUSED:
-            context.waited_s += now_s - asked_s
-            raise _refused(
-                context,
-                "model_absent",
-                "the model can't be loaded while the caller waits",
-                back_s=choice.back_s,
-            )
-
-    def _refuse_if_backoff_is_long(
-        self, context: RequestContext, asked_s: float, give_up_s: float
-    ) -> None:
-        """Refuse what all able servers shed for longer than it can wait."""
-        now_s = self._now_s()
+        prompt, now_s = context.call.prompt, self._now_s()
         able = self._able(context)
-        if context.lost_if_refused or not all(
-            server.in_backoff(now_s) for server in able
-        ):
+        if prompt and context.service.engine and not able:
+            due_s = self._ports.models.model_due_s(prompt.model)
+            code = "model_absent"
+            why = "the model can't be loaded while the caller waits"
+        elif able and all(server.in_backoff(now_s) for server in able):
+            due_s = min(server.backoff_until_s for server in able)
+            code = "servers_back_off"
+            why = "all servers that could take the request shed load"
+        else:
             return
         choice = choose_wait(
-            due_s=min((server.backoff_until_s for server in able), default=None),
-            give_up_s=give_up_s,
-            now_s=now_s,
-            rng=self._ports.rng,
+            due_s=due_s, give_up_s=give_up_s, now_s=now_s, rng=self._ports.rng
         )
         if choice.wait is Wait.REFUSED:
             context.waited_s += now_s - asked_s
-            raise _refused(
-                context,
-                "servers_back_off",
-                "all servers that could take the request shed load",
-                back_s=choice.back_s,
-            )
+            raise _refused(context, code, why, back_s=choice.back_s)
 
     def _able(self, context: RequestContext) -> list[BackendServer]:
         """Return the servers that could take a request, now or soon."""
@@ -201,10 +176,6 @@
             and (spec is None or prompt is None or prompt.model in server.held)
         ]
 
-    def _held_somewhere(self, service: str, model: str) -> bool:
-        servers = self._ports.fleet.of_service(service)
-        return any(server.usable and model in server.held for server in servers)
-
     async def _pick(
         self, context: RequestContext
     ) -> tuple[BackendServer, Flight] | None:
--- a/tests/crashing_servers.py
+++ b/tests/crashing_servers.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, field
 from typing import Any, cast
 
-from fleet_world import Exchange, World, now_s
+from fleet_world import Exchange, World, check_wanted, now_s
 from tornado.httputil import HTTPHeaders
 
 from rosepath.errors import ExchangeError, Step
@@ -113,14 +113,7 @@
                     peer=request.address,
                     sent=False,
                 )
-            if not request.still_wanted():
-                raise ExchangeError(
-                    "no longer wanted",
-                    step=Step.SEND,
-                    peer=request.address,
-                    sent=False,
-                    withdrawn=True,
-                )
+            check_wanted(request)
             if request.headers["Target-Instance"] != server.name:
                 return _answered(on_head, 421)
             crashes = request.path.startswith(CRASHING_PATH)
--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -298,14 +298,7 @@
         async def exchange(request: Request, *, on_head: Any, on_data: Any) -> Any:
             if self.connect_s:
                 await asyncio.sleep(min(self.connect_s, request.connect_timeout_s))
-            if not request.still_wanted():
-                raise ExchangeError(
-                    "no longer wanted",
-                    step=Step.SEND,
-                    peer=request.address,
-                    sent=False,
-                    withdrawn=True,
-                )
+            check_wanted(request)
             self.reached(name, request.headers["Target-Instance"])
             headers = HTTPHeaders({"Response-Signature": "s"})
             head = ResponseHead(200, headers)
@@ -352,6 +345,18 @@
             self._world.refused += 1
 
 
+def check_wanted(request: Request) -> None:
+    """Send nothing that is no longer wanted once its connection is there."""
+    if not request.still_wanted():
+        raise ExchangeError(
+            "no longer wanted",
+            step=Step.SEND,
+            peer=request.address,
+            sent=False,
+            withdrawn=True,
+        )
+
+
 def play(work: Callable[[], Any]) -> None:
     """Run a coroutine function in virtual time."""
     random.seed(7)
--- a/tests/outspoken_servers.py
+++ b/tests/outspoken_servers.py
@@ -5,10 +5,9 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from fleet_world import World, now_s
+from fleet_world import World, check_wanted, now_s
 from tornado.httputil import HTTPHeaders
 
-from rosepath.errors import ExchangeError, Step
 from rosepath.http_client import Request, ResponseHead
 
 
@@ -28,14 +27,7 @@
     def _serve_as(self, name: str) -> Callable[..., Any]:
         async def exchange(request: Request, *, on_head: Any, on_data: Any) -> Any:
             await asyncio.sleep(0.001)
-            if not request.still_wanted():
-                raise ExchangeError(
-                    "no longer wanted",
-                    step=Step.SEND,
-                    peer=request.address,
-                    sent=False,
-                    withdrawn=True,
-                )
+            check_wanted(request)
             server = request.headers["Target-Instance"]
             self.reached(name, server)
             headers = HTTPHeaders({"Response-Signature": "s"})
