Remember suspects for an hour

A request that crashes one server each half an hour was forgotten between, after ten minutes, and would never have been found.

--- a/src/rosepath/crash_records.py
+++ b/src/rosepath/crash_records.py
@@ -20,11 +20,12 @@
 SETTLE_S = 0.3
 # A report is told again for so long: datagrams are lost, and VMs restart.
 TOLD_S = 3.0
-# As many as leave a datagram room for what it tells besides.
+# As many as leave a datagram room for what it tells besides; those in quarantine go
+# into each, the ones that were asked for last.
 REPORTS_TOLD = 16
 QUARANTINED_TOLD = 8
-# A request that is retried at all comes again within minutes.
-SUSPECT_KEPT_S = 600.0
+# Callers retry within minutes, jobs by a timetable within the hour.
+SUSPECT_KEPT_S = 3_700.0
 # What a quarantined request costs is a row in a table; let in again, it costs servers.
 QUARANTINE_S = 86_400.0
 RECORDS_KEPT = 500
