Hold the soak's entry VMs to their bounds between disturbances, too

A VM that was killed or paused at any later time was excused from all before; each check looks at its own stretch of time now.

--- a/benchmarks/entry_checks.py
+++ b/benchmarks/entry_checks.py
@@ -15,6 +15,8 @@
 WAIT_S = 4.0
 # After so long without trouble a VM is held to its bounds again.
 CONTACT_S = 3.0
+# A server is left alone from so long after it shed a request.
+HEEDED_S = 0.5
 # What may reach a server in its backoff, and once a request crashed three.
 SENDS_IN_BACKOFF = 2
 SENDS_AFTER_THIRD = 3
@@ -92,19 +94,19 @@
             f"{server} from {vm} {at_s - told[server, vm]:.2f} s after"
             for server, vm, at_s in self.fleet.witness.reached
             if at_s - told.get((server, vm), at_s) > DRAIN_S
-            and self.fleet.vms[vm].undisturbed_since(told[server, vm])
+            and self.fleet.vms[vm].undisturbed(told[server, vm], at_s)
         ]
 
     def _sent_in_backoff(self) -> list[str]:
         found = []
         for server, vm, shed_s in self.fleet.witness.sheds:
+            until_s = shed_s + RETRY_AFTER_S
             sent = [
                 at_s
                 for name, by, at_s in self.fleet.witness.reached
-                if (name, by) == (server, vm)
-                and shed_s + 0.5 < at_s < shed_s + RETRY_AFTER_S
+                if (name, by) == (server, vm) and shed_s + HEEDED_S < at_s < until_s
             ]
-            calm = self.fleet.vms[vm].undisturbed_since(shed_s)
+            calm = self.fleet.vms[vm].undisturbed(shed_s, until_s)
             if calm and len(sent) > SENDS_IN_BACKOFF:
                 found.append(f"{server} from {vm}: {len(sent)}")
         return found
@@ -117,7 +119,7 @@
             known_s = crashes_s[2] + CONTACT_S
             sent = sum(
                 at_s > known_s
-                and self.fleet.vms[vm].undisturbed_since(at_s - CONTACT_S)
+                and self.fleet.vms[vm].undisturbed(at_s - CONTACT_S, at_s)
                 for sent_path, vm, at_s in self.fleet.witness.crashing
                 if sent_path == path
             )
@@ -139,7 +141,7 @@
             f"{one.request_id} {one.path} {one.ended_s - one.sent_s:.2f} s"
             for one in self.answered
             if one.ended_s - one.sent_s > WAIT_S + 0.5
-            and self.fleet.vms[one.vm].undisturbed_since(one.sent_s - CONTACT_S)
+            and self.fleet.vms[one.vm].undisturbed(one.sent_s - CONTACT_S, one.ended_s)
         ]
 
     def _cut(self) -> list[str]:
@@ -147,8 +149,8 @@
         found = []
         for one in self.answered:
             vm = self.fleet.vms[one.vm]
-            stopping = one.sent_s < vm.stopping_s < one.ended_s
-            calm = not one.sent_s - CONTACT_S < vm.disturbed_s < one.ended_s + 0.1
+            stopping = any(one.sent_s < at_s < one.ended_s for at_s in vm.stopped_s)
+            calm = vm.undisturbed(one.sent_s - CONTACT_S, one.ended_s + 0.1)
             safe = one.path.startswith("/file/") and arrivals[one.request_id]
             if one.status == 0 and stopping and calm and safe:
                 found.append(f"{one.request_id} {one.path}")
--- a/benchmarks/entry_fleet.py
+++ b/benchmarks/entry_fleet.py
@@ -171,10 +171,9 @@
     ready_port: int = 0
     peer_port: int = 0
     process: subprocess.Popen[bytes] | None = None
-    # When it was last killed, started, paused, resumed or cut off.
-    disturbed_s: float = -1e9
-    stopping_s: float = -1e9
-    exit_codes: list[int] = field(default_factory=list)
+    # When it was killed, started, paused or resumed, and when told to stop.
+    disturbed_s: list[float] = field(default_factory=list)
+    stopped_s: list[float] = field(default_factory=list)
 
     @property
     def address(self) -> str:
@@ -213,10 +212,11 @@
             os.kill(self.process.pid, number)
 
     def note_disturbed(self) -> None:
-        self.disturbed_s = time.monotonic()
+        self.disturbed_s.append(time.monotonic())
 
-    def undisturbed_since(self, at_s: float) -> bool:
-        return self.disturbed_s < at_s
+    def undisturbed(self, from_s: float, to_s: float) -> bool:
+        """Tell whether it was left alone all that time, but for planned stops."""
+        return not any(from_s < at_s < to_s for at_s in self.disturbed_s)
 
 
 @dataclass(slots=True)
--- a/benchmarks/entry_soak.py
+++ b/benchmarks/entry_soak.py
@@ -51,8 +51,6 @@
     until_s: float
     answered: list[Answered] = field(default_factory=list)
     faults: Counter[str] = field(default_factory=Counter)
-    cut_by_stop: list[str] = field(default_factory=list)
-    bad_exits: list[int] = field(default_factory=list)
     number: int = 0
 
     async def run(self) -> None:
@@ -133,9 +131,10 @@
 
     async def stop_vm(self) -> None:
         vm = self._vm()
-        if time.monotonic() - vm.stopping_s < GRACE_S + 1.0:
+        now_s = time.monotonic()
+        if vm.stopped_s and now_s - vm.stopped_s[-1] < GRACE_S + 1.0:
             return
-        vm.stopping_s = time.monotonic()
+        vm.stopped_s.append(now_s)
         vm.send(signal.SIGTERM)
         await self._start_again(vm)
 
@@ -146,7 +145,6 @@
         await asyncio.to_thread(process.wait)
         if vm.process is not process:
             return
-        vm.exit_codes.append(process.returncode)
         await asyncio.sleep(0.3)
         if vm.process is process:
             vm.start()
