Keep the users' protocol out of the benchmarks

The soak's servers speak the users' protocol; its names live in the adapter, the tests and the stand-ins only. They are a stand-in now, and build callers' headers, too.

--- a/benchmarks/entry_checks.py
+++ b/benchmarks/entry_checks.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from benchmarks.entry_fleet import (
+from rosepath_standins.entry_fleet import (
     CRASHING,
     DRAIN_S,
     EVENTS,
--- a/benchmarks/entry_soak.py
+++ b/benchmarks/entry_soak.py
@@ -19,16 +19,17 @@
 from pathlib import Path
 
 from benchmarks.entry_checks import WAIT_S, Answered, EntryChecks
-from benchmarks.entry_fleet import (
+from rosepath.errors import ExchangeError
+from rosepath.http_client import HttpPool, Request
+from rosepath_standins.entry_fleet import (
     CRASHING,
     DRAIN_S,
     GRACE_S,
     HOST,
     EntryFleet,
     EntryVm,
+    caller_headers,
 )
-from rosepath.errors import ExchangeError
-from rosepath.http_client import HttpPool, Request
 
 VMS = 4
 SERVERS = 6
@@ -99,10 +100,7 @@
             host=HOST,
             method="POST",
             path=path,
-            headers={
-                "Request-Id": request_id,
-                "Request-Deadline-Ms": f"{WAIT_S * 1000:.0f}",
-            },
+            headers=caller_headers(request_id, wait_s=WAIT_S),
             body=b"x" * 10,
             progress_timeout_s=WAIT_S + 2.0,
         )
--- a/benchmarks/entry_fleet.py
+++ b/src/rosepath_standins/entry_fleet.py
@@ -33,6 +33,14 @@
 SHED = "Not-Executed: 1\r\nRetry-After: {:.2f}\r\n"
 
 
+def caller_headers(request_id: str, *, wait_s: float) -> dict[str, str]:
+    """Return the headers of a caller's request."""
+    return {
+        "Request-Id": request_id,
+        "Request-Deadline-Ms": f"{wait_s * 1000:.0f}",
+    }
+
+
 def free_port(kind: int = socket.SOCK_STREAM) -> int:
     """Return a port of loopback on which nobody listens."""
     with socket.socket(socket.AF_INET, kind) as held:
