Ask in one place whether an answer says where it ends

The exchange and the note of a completed run each looked for the two headers by themselves; one function tells both. Names: the servers that a suspect keeps off.

--- a/src/rosepath/attempt.py
+++ b/src/rosepath/attempt.py
@@ -10,6 +10,7 @@
 from rosepath.event_order import EventOrder, EventOrderError
 from rosepath.fleet import BackendServer
 from rosepath.http_client import HttpPool, Request, ResponseHead
+from rosepath.http_exchange import says_its_end
 from rosepath.platform.calls import (
     AnswerFacts,
     belongs_to,
@@ -67,8 +68,7 @@
     @property
     def delimited(self) -> bool:
         """Tell whether the answer itself says where it ends."""
-        headers = self.head.headers
-        return "Content-Length" in headers or "Transfer-Encoding" in headers
+        return says_its_end(self.head.headers)
 
     @property
     def success(self) -> bool:
--- a/src/rosepath/http_exchange.py
+++ b/src/rosepath/http_exchange.py
@@ -233,7 +233,7 @@
         if (
             self._connection.ended_by_peer
             and self.head is not None
-            and not self._delimited
+            and not says_its_end(self._headers)
         ):
             # Without a length, the peer's close itself ends the answer; a
             # reset, or a close of our own, leaves it incomplete.
@@ -241,12 +241,6 @@
         if not self.done.done():
             self.done.set_result(None)
 
-    @property
-    def _delimited(self) -> bool:
-        return "Content-Length" in self._headers or (
-            "Transfer-Encoding" in self._headers
-        )
-
     @property
     def reusable(self) -> bool:
         """Tell whether the next request may use this connection."""
@@ -254,11 +248,16 @@
             self.finished
             and not self._surplus
             and not self._bodiless
-            and self._delimited
+            and says_its_end(self._headers)
             and self._keep_alive
         )
 
 
+def says_its_end(headers: HTTPHeaders) -> bool:
+    """Tell whether an answer ends by itself, and not with its connection."""
+    return "Content-Length" in headers or "Transfer-Encoding" in headers
+
+
 def _stated_idle_s(headers: HTTPHeaders) -> float:
     """Return how long the peer says it keeps an idle connection."""
     for part in headers.get("Keep-Alive", "").split(","):
--- a/src/rosepath/server_picker.py
+++ b/src/rosepath/server_picker.py
@@ -183,7 +183,7 @@
         now_s = self._now_s()
         servers = ports.fleet.of_service(context.service.name)
         prompt = context.call.prompt
-        avoided = self._suspects.shared(context)
+        avoided = self._suspects.avoided_servers(context)
         if avoided is None:
             return None
         if context.service.engine is None or prompt is None:
--- a/src/rosepath/suspects.py
+++ b/src/rosepath/suspects.py
@@ -29,8 +29,8 @@
         """Tell whether a request does not look like one that crashes its servers."""
         return self.suspicion(context) < Suspicion.HELD
 
-    def shared(self, context: RequestContext) -> frozenset[str] | None:
-        """Return the servers that a request must not share; None if it must wait."""
+    def avoided_servers(self, context: RequestContext) -> frozenset[str] | None:
+        """Return the servers that a request keeps off; None if it must wait."""
         suspicion = self.suspicion(context)
         if suspicion is Suspicion.CLEAR:
             return frozenset()
