--- a/src/rosepath_standins/entry_fleet.py
+++ b/src/rosepath_standins/entry_fleet.py
@@ -237,7 +237,6 @@
     servers: dict[str, Server] = field(default_factory=dict)
     vms: dict[str, EntryVm] = field(default_factory=dict)
     lives: int = 0
-    store_down_s: float = -1e9
 
     async def start(self, *, vms: int, servers: int) -> None:
         app, self.state = make_platform(PlatformShape())
--- a/tests/crashing_servers.py
+++ b/tests/crashing_servers.py
@@ -47,7 +47,6 @@
     quarantined_unrelated: int = 0
     lives: int = 100
     statuses: list[tuple[str, int]] = field(default_factory=list)
-    probes: int = 0
 
     def enter(self, name: str, *, state: str = "ready", beat: int = 1) -> None:
         super(CrashingWorld, self).enter(name, state=state, beat=beat)
@@ -98,7 +97,6 @@
         self.quarantined_unrelated += unrelated and code == QUARANTINED_CODE
 
     async def _probe(self, address: str, *, limit_s: float) -> Contact:
-        self.probes += 1
         await asyncio.sleep(WAY_S)
         return Contact.ACCEPTED if self.servers[address].up else Contact.REFUSED
 
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -83,6 +83,8 @@
     world = played(monkeypatch, size, course)
     assert world.crashes >= 2
     assert world.sent_after_third() <= SENDS_AFTER_THIRD
+    statuses = [status for _, status in world.statuses]
+    assert len(statuses) == 120 and set(statuses) <= {502, 503}
 
 
 # Guards against repeats that come together each crashing servers of their own.
