Reproduce calls to the store that end while their answer is arriving

Callers are served by an old configuration for seconds: reads of a large one over a slow link are ended at a constant limit, as are all calls to a store that is slow for everybody, and a watch that tells just then is taken for dead by another VM's word.

--- /dev/null
+++ b/tests/store_wire.py
@@ -0,0 +1,159 @@
+"""A store behind real connections in virtual time, whose answers come in pieces."""
+
+import asyncio
+import json
+from collections.abc import Callable, Sequence
+from typing import Any, cast
+from urllib.parse import parse_qs, urlsplit
+
+from virtual_time import LoopClock, VirtualLoop
+
+from rosepath.platform.store import PlatformStore, StoreAccess
+
+CALL_TIMEOUT_S = 0.5
+
+# When each piece of an answer arrives, counted from when it was asked for.
+Pieces = Sequence[tuple[float, bytes]]
+Script = Callable[[str], Pieces]
+
+
+class _Socket:
+    """Take socket options."""
+
+    def setsockopt(self, *_: int) -> None:
+        pass
+
+
+class _Transport(asyncio.Transport):
+    """Pass requests to a script, and its answers to a connection."""
+
+    def __init__(self, connection: asyncio.Protocol, script: Script) -> None:
+        super().__init__({"socket": _Socket()})
+        self._connection = connection
+        self._script = script
+        self._timers: list[asyncio.TimerHandle] = []
+        self._closed = False
+
+    def write(self, data: bytes | bytearray | memoryview) -> None:
+        _, path, _ = bytes(data).split(b"\r\n", 1)[0].decode().split(" ")
+        loop = asyncio.get_running_loop()
+        for at_s, piece in self._script(path):
+            timer = loop.call_later(at_s, self._connection.data_received, piece)
+            self._timers.append(timer)
+
+    def pause_reading(self) -> None:
+        pass
+
+    def resume_reading(self) -> None:
+        pass
+
+    def abort(self) -> None:
+        if not self._closed:
+            self._closed = True
+            for timer in self._timers:
+                timer.cancel()
+            loop = asyncio.get_running_loop()
+            loop.call_soon(self._connection.connection_lost, None)
+
+    def close(self) -> None:
+        self.abort()
+
+    def is_closing(self) -> bool:
+        return self._closed
+
+
+class WireLoop(VirtualLoop):
+    """Connect everything to one script."""
+
+    def __init__(self, script: Script) -> None:
+        super().__init__()
+        self._script = script
+
+    async def create_connection(  # type: ignore[override]
+        self, protocol_factory: Callable[[], asyncio.Protocol], *_: Any, **__: Any
+    ) -> tuple[asyncio.Transport, asyncio.Protocol]:
+        connection = protocol_factory()
+        transport = _Transport(connection, self._script)
+        connection.connection_made(transport)
+        return transport, connection
+
+
+def a_store() -> PlatformStore:
+    """Build a client of the store at the other end of the wire."""
+    access = StoreAccess(address="10.0.0.9:80", call_timeout_s=CALL_TIMEOUT_S)
+    return PlatformStore(access, clock=LoopClock())
+
+
+def play(script: Script, work: Callable[[], Any]) -> None:
+    """Run a coroutine function in virtual time before a scripted store."""
+    with asyncio.Runner(loop_factory=lambda: WireLoop(script)) as runner:
+        runner.run(work())
+
+
+def answer(raw: Any, *, status: int = 200) -> bytes:
+    """Return an answer as it crosses the wire."""
+    body = json.dumps(raw).encode()
+    head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n\r\n"
+    return head.encode() + body
+
+
+def in_pieces(data: bytes, count: int, *, first_s: float, gap_s: float) -> Pieces:
+    """Cut an answer into pieces that arrive at even gaps."""
+    size = -(-len(data) // count)
+    return [
+        (first_s + number * gap_s, data[number * size : (number + 1) * size])
+        for number in range(count)
+    ]
+
+
+def a_configuration(revision: int, *, size: int = 300_000) -> dict[str, Any]:
+    """Return the operator's configuration as the store tells it."""
+    spec = {"version": revision, "routes": [], "note": "x" * size}
+    return {"metadata": {"name": "main", "revision": revision}, "spec": spec}
+
+
+def a_listing(revision: int) -> dict[str, Any]:
+    """Return the whole of the configuration's kind."""
+    return {"items": [a_configuration(revision)], "atRevision": revision}
+
+
+def a_change(revision: int) -> dict[str, Any]:
+    """Return the answer to a watch that tells of a new configuration."""
+    event = {"object": a_configuration(revision)}
+    return {"events": [event], "atRevision": revision}
+
+
+def no_change(revision: int) -> dict[str, Any]:
+    """Return the answer to a watch whose wait ended."""
+    return {"events": [], "atRevision": revision}
+
+
+class SlowStore:
+    """Answer right, and each time so much later."""
+
+    def __init__(self, *, slow_s: float, revision: int = 5) -> None:
+        self.slow_s = slow_s
+        self.revision = revision
+        # From when on the revision after this one is there.
+        self.changes_s = float("inf")
+        self.asked: list[str] = []
+
+    def __call__(self, path: str) -> Pieces:
+        now_s = asyncio.get_running_loop().time()
+        self.asked.append(path)
+        query = parse_qs(urlsplit(path).query)
+        newest = self.revision + (now_s >= self.changes_s)
+        if "watch" not in query:
+            return [(self.slow_s, answer(a_listing(newest)))]
+        after = int(query["watch"][0])
+        until_s = now_s + int(query["waitMs"][0]) / 1000
+        if newest > after:
+            return [(self.slow_s, answer(a_change(newest)))]
+        if self.changes_s <= until_s:
+            told_s = self.changes_s - now_s + self.slow_s
+            return [(told_s, answer(a_change(self.revision + 1)))]
+        return [(until_s - now_s + self.slow_s, answer(no_change(newest)))]
+
+
+def now_s() -> float:
+    return cast(float, asyncio.get_running_loop().time())
