Reproduce news of a configuration that is heard and then forgotten

A VM that the store fails hears from others that there is a newer configuration, and runs its longest pause all the same: a word heard during the call that fails is cleared as the pause begins, and a word ends one pause only. Gaps of some 45 s where 1.3 s are allowed, with pauses of up to 60 s.

--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -1,9 +1,13 @@
 """A table kept in step with the store, whatever the store does."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable, Sequence
+from itertools import pairwise
 from typing import Any
 
+from fleet_world import play
+from virtual_time import LoopClock
+
 from rosepath.clock import ManualClock
 from rosepath.errors import Step
 from rosepath.feed import BRIEF_S, Feed, Pace
@@ -283,3 +287,103 @@
         assert feed.failed_ago_s == 0.0
 
     asyncio.run(run())
+
+
+class FailingStore:
+    """Fail each read after a while, and note when it was asked."""
+
+    def __init__(self, *, takes_s: float) -> None:
+        self._takes_s = takes_s
+        self.asked_s: list[float] = []
+
+    async def list(self, _: str) -> Listing:
+        self.asked_s.append(asyncio.get_running_loop().time())
+        await asyncio.sleep(self._takes_s)
+        raise StoreError("no answer in time", step=Step.STORE)
+
+    async def changes(
+        self, _: str, *, after: int, wait_s: float, relaxed: bool = False
+    ) -> Change:
+        raise AssertionError("nothing was listed yet")
+
+    def backed_off(self) -> bool:
+        """Tell whether the pauses between calls have grown to their longest."""
+        return any(gap_s > BACKED_OFF_S for gap_s in self.gaps_s())
+
+    def gaps_s(self) -> Sequence[float]:
+        """Return the times from each call to the next."""
+        return [later - sooner for sooner, later in pairwise(self.asked_s)]
+
+
+LONGEST_S = 60.0
+BACKED_OFF_S = 0.6 * LONGEST_S
+# A VM that knows that it is behind asks again at least this often, beside what
+# the call itself takes: the store may be back for it at any moment.
+SEEK_S = 1.0
+TAKES_S = 0.3
+
+
+def seek(
+    course: Callable[[Feed], Awaitable[None]],
+) -> FailingStore:
+    """Let a feed's pauses grow, then play a course; return what it asked in it."""
+    store = FailingStore(takes_s=TAKES_S)
+
+    async def run() -> None:
+        feed = Feed(
+            store,
+            "config",
+            clock=LoopClock(),
+            on_listing=lambda _: None,
+            on_change=lambda _: None,
+            pace=lambda: Pace(backoff_max_s=LONGEST_S),
+            urgent=True,
+        )
+        following = asyncio.ensure_future(feed.run())
+        while not store.backed_off():  # noqa: ASYNC110
+            await asyncio.sleep(0.01)
+        # The call that was just begun is under way.
+        del store.asked_s[:-1]
+        await course(feed)
+        following.cancel()
+
+    play(run)
+    return store
+
+
+def test_news_heard_while_a_call_fails_ends_the_pause_after_it() -> None:
+    # The word comes while this VM's own call is under way. When that fails, the
+    # word must not be forgotten: it is told again, but never as news.
+    async def course(feed: Feed) -> None:
+        await asyncio.sleep(TAKES_S / 3)
+        feed.hear(9)
+        await asyncio.sleep(LONGEST_S)
+
+    assert seek(course).gaps_s()[0] <= TAKES_S + SEEK_S
+
+
+def test_news_is_sought_for_as_long_as_it_is_known() -> None:
+    # A look that fails proves nothing about what others know: until the table
+    # has it, the pauses must not grow to their longest again.
+    async def course(feed: Feed) -> None:
+        await asyncio.sleep(2 * TAKES_S)
+        feed.hear(9)
+        for _ in range(100):
+            # Others go on telling what they know.
+            await asyncio.sleep(0.2)
+            feed.hear(9)
+
+    store = seek(course)
+    assert len(store.asked_s) >= 20 / (TAKES_S + SEEK_S)
+    assert max(store.gaps_s()) <= TAKES_S + SEEK_S
+
+
+def test_without_news_the_pauses_stay_long() -> None:
+    # A store that fails is not asked at short intervals for nothing, and a word
+    # that tells nothing new is no news.
+    async def course(feed: Feed) -> None:
+        for _ in range(5 * 60):
+            await asyncio.sleep(0.2)
+            feed.hear(0)
+
+    assert len(seek(course).asked_s) <= 3
