Reproduce a configuration that only a VM's own calls could bring

Callers of a VM that the store turns away, or whose link is slow, are served by an old configuration though the VMs beside it have the new one. The view of the store learns the rate of a VM's link. It showed a further cause: while a change is known that is not here, the holder's word vouches for nothing, the pace shortens, and the watch that was receiving the change is ended for that. That has a test of its own.

--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -65,6 +65,8 @@
     turned_away: set[str] = field(default_factory=set)
     # Connections of watches that were waiting then are silent for good.
     silenced_s: dict[str, float] = field(default_factory=dict)
+    # The rate of a VM's link to the store; without one answers take no time.
+    bytes_per_s: dict[str, float] = field(default_factory=dict)
     lost_share: float = 0.0
     changed: asyncio.Condition = field(default_factory=asyncio.Condition)
     cuts: int = 0
@@ -150,6 +152,36 @@
         self.silenced_s.update(dict.fromkeys(vms, now_s()))
         self._harm(vms)
 
+    # The configuration
+
+    def configure(self, version: int, *, size: int = 0) -> None:
+        """Write the operator's configuration, of some size in bytes."""
+        route = {
+            "name": "r-1",
+            "host": "court.example",
+            "pathPrefix": "/drafts/",
+            "routeType": "idempotent",
+            "timeoutMs": 6000,
+            "targetLatencyMs": 600,
+            "service": SERVICE,
+            "maxAttempts": 2,
+        }
+        raw = {
+            "version": version,
+            "routes": [route],
+            "services": [{"name": SERVICE, "healthPath": "/health"}],
+            "note": "x" * size,
+        }
+        self.write("config/main", json.dumps(raw).encode())
+
+    def without(self, version: int) -> list[str]:
+        """Return the VMs where a version is not in force."""
+        return [
+            name
+            for name, node in self.nodes.items()
+            if node.tables.catalog is None or node.tables.catalog.version < version
+        ]
+
     # Servers
 
     async def keep_busy(self, names: list[str]) -> None:
--- a/tests/store_view.py
+++ b/tests/store_view.py
@@ -1,7 +1,9 @@
 """One VM's view of the store that all VMs of a fleet in virtual time share."""
 
 import asyncio
+import math
 from collections import Counter
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
@@ -46,7 +48,9 @@
             for name, stored in self.world.objects.items()
             if name.startswith(f"{kind}/")
         }
-        return self._answered(Listing(revision=self.world.revision, objects=objects))
+        listing = Listing(revision=self.world.revision, objects=objects)
+        await self._receive(objects)
+        return self._answered(listing)
 
     async def changes(
         self, kind: str, *, after: int, wait_s: float, relaxed: bool = False
@@ -83,6 +87,7 @@
                 if gone:
                     raise HistoryGoneError(kind, step=Step.STORE)
                 await asyncio.sleep(WAY_S)
+                await self._receive(change.written)
                 return self._answered(change)
             left_s = until_s - now_s()
             if left_s <= 0:
@@ -108,6 +113,16 @@
             raise StoreError("no answer in time", step=Step.STORE)
         await asyncio.sleep(WAY_S)
 
+    async def _receive(self, objects: Mapping[str, StoredObject]) -> None:
+        """Take as long as the objects need on this VM's link to the store."""
+        size = sum(len(stored.value) for stored in objects.values())
+        until_s = now_s() + size / self.world.bytes_per_s.get(self.vm, math.inf)
+        cuts = self.world.cuts
+        while (left_s := until_s - now_s()) > 0:
+            await self._wait(left_s)
+            if self.world.cuts != cuts or self._away:
+                raise StoreError("answer closed early", step=Step.STORE)
+
     def _answered(self, answer: Any) -> Any:
         self.last_success_s = now_s()
         return answer
--- a/tests/test_store_calls.py
+++ b/tests/test_store_calls.py
@@ -1,6 +1,7 @@
 """A call to the store fails when nothing arrives, not when it takes long."""
 
 import asyncio
+from collections.abc import Callable
 from typing import Any
 
 import pytest
@@ -18,7 +19,7 @@
 )
 from virtual_time import LoopClock
 
-from rosepath.feed import Feed
+from rosepath.feed import Feed, Pace
 from rosepath.object_store import StoreError
 
 CONFIG = "config"
@@ -95,7 +96,7 @@
     play(lambda _: (), run)
 
 
-def a_feed(taken_s: dict[int, float]) -> Feed:
+def a_feed(taken_s: dict[int, float], *, pace: Callable[[], Pace] = Pace) -> Feed:
     """Build a feed that notes when it learned of which revision."""
 
     def take(change: Any) -> None:
@@ -107,6 +108,7 @@
         clock=LoopClock(),
         on_listing=take,
         on_change=take,
+        pace=pace,
         urgent=True,
     )
 
@@ -149,9 +151,13 @@
     play(store, run)
 
 
-def test_a_watch_whose_answer_arrives_is_not_dead_by_anothers_word() -> None:
-    # Another VM on a quicker link tells of the revision while its body is on the
-    # way here: ended for that, the watch starts again at the first byte.
+def follow_a_slow_answer(
+    course: Callable[[Feed], None], *, pace: Callable[[], Pace] = Pace
+) -> tuple[list[str], dict[int, float]]:
+    """Play a course as a change arrives for 1.5 s; return what was asked, and when.
+
+    The second is when the feed learned of which revision.
+    """
     asked: list[str] = []
     taken_s: dict[int, float] = {}
 
@@ -164,13 +170,33 @@
         return ()
 
     async def run() -> None:
-        feed = a_feed(taken_s)
+        feed = a_feed(taken_s, pace=pace)
         following = asyncio.ensure_future(feed.run())
         await asyncio.sleep(0.2)
-        feed.hear(6)
+        course(feed)
         await asyncio.sleep(3.0)
         following.cancel()
-        assert [path for path in asked if "watch=5" in path] == asked[1:2]
-        assert taken_s[6] <= taken_s[5] + 1.5 + SLACK_S
 
     play(script, run)
+    return [path for path in asked if "watch=5" in path], taken_s
+
+
+def test_a_watch_whose_answer_arrives_is_not_dead_by_anothers_word() -> None:
+    # Another VM on a quicker link tells of the revision while its body is on the
+    # way here: ended for that, the watch starts again at the first byte.
+    asked, taken_s = follow_a_slow_answer(lambda feed: feed.hear(6))
+    assert len(asked) == 1
+    assert taken_s[6] <= taken_s[5] + 1.5 + SLACK_S
+
+
+def test_a_watch_whose_answer_arrives_is_not_ended_for_a_shorter_pace() -> None:
+    # While a change is known that is not here yet, the holder's word vouches for
+    # nothing: the pace shortens, and ended the watch that was receiving it.
+    wait_s = [10.0]
+
+    def shorten(_: Feed) -> None:
+        wait_s[0] = 0.8
+
+    asked, taken_s = follow_a_slow_answer(shorten, pace=lambda: Pace(wait_s=wait_s[0]))
+    assert len(asked) == 1
+    assert taken_s[6] <= taken_s[5] + 1.5 + SLACK_S
