Reproduce a 404 by a configuration that is known to be outdated

Callers of a route that was added get 404 from a VM that heard of the newer configuration and does not have it yet.

--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -154,21 +154,26 @@
 
     # The configuration
 
-    def configure(self, version: int, *, size: int = 0) -> None:
+    def configure(
+        self, version: int, *, paths: Sequence[str] = ("/drafts/",), size: int = 0
+    ) -> None:
         """Write the operator's configuration, of some size in bytes."""
-        route = {
-            "name": "r-1",
-            "host": "court.example",
-            "pathPrefix": "/drafts/",
-            "routeType": "idempotent",
-            "timeoutMs": 6000,
-            "targetLatencyMs": 600,
-            "service": SERVICE,
-            "maxAttempts": 2,
-        }
+        routes = [
+            {
+                "name": f"r-{number}",
+                "host": "court.example",
+                "pathPrefix": path,
+                "routeType": "idempotent",
+                "timeoutMs": 6000,
+                "targetLatencyMs": 600,
+                "service": SERVICE,
+                "maxAttempts": 2,
+            }
+            for number, path in enumerate(paths)
+        ]
         raw = {
             "version": version,
-            "routes": [route],
+            "routes": routes,
             "services": [{"name": SERVICE, "healthPath": "/health"}],
             "note": "x" * size,
         }
