Let reads of the store go on while they arrive, and make a late one again beside it

Cause: a call to the store was ended 0.5 s after it began, for the whole answer. A store that takes longer than that to begin an answer was never read at all, and a watch that was about to tell of a change was ended 0.5 s after another VM's word of it.

Change: a read ends when nothing arrives: 1.5 s for the first byte, 0.5 s for each pause after it. One that has not begun to arrive after 0.5 s is late: the VM counts as out of touch as before, and asks once more beside it, over a new connection; the first answer wins (late_calls). A watch that is late, or has not told what another VM knows, gets a read beside it in the same way; one that is receiving is left alone. Writes and reads of one object keep their limit for the whole call, as the lease counts on it. Each failed call leaves a line with its time and what the VM knows to exist.

--- a/src/rosepath/entry_node.py
+++ b/src/rosepath/entry_node.py
@@ -90,7 +90,9 @@
         self.metrics = EntryMetrics()
         self.budgets: dict[str, RetryWindow] = {}
         access = StoreAccess(
-            address=settings.store.address, call_timeout_s=settings.store.call_timeout_s
+            address=settings.store.address,
+            call_timeout_s=settings.store.call_timeout_s,
+            read_patience_s=settings.store.read_patience_s,
         )
         self.store = PlatformStore(access, clock=self.clock)
         self.pool = HttpPool(clock=self.clock)
--- a/src/rosepath/feed.py
+++ b/src/rosepath/feed.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Mapping
+from collections.abc import Awaitable, Callable, Mapping
 from contextlib import suppress
 from dataclasses import dataclass
 
 from rosepath.clock import Clock
+from rosepath.errors import Step
+from rosepath.late_calls import OnBegun, first_answer
 from rosepath.logs import get_logger
 from rosepath.object_store import (
     Change,
@@ -19,14 +21,21 @@
 from rosepath.table_age import TableAge
 
 # A revision that another VM knows is on its way here; if it has not come after
-# this, the watch is dead though its connection looks open.
+# this, the watch may be dead though its connection looks open.
 HEARD_GRACE_S = 0.5
+# An answer that is not there after this is late: the next call is made beside it.
+LATE_S = 0.5
+# Two calls find out whether the store or only a connection is dead; a third would
+# add to the load of a store that is slow for all.
+READS_AT_ONCE = 2
 # While changes gather or a watch waits, what allows that is looked at this often.
 PACE_LOOK_S = 0.25
 # A table that is older than its pace allows is made sure of by a watch that only
 # waits for so long.
 BRIEF_S = 0.05
 BACKOFF_FIRST_S = 0.05
+# Stands in log lines for the age of a table that was never read.
+NEVER_KNOWN_S = 1e6
 
 _log = get_logger()
 
@@ -88,6 +97,9 @@
         self._waiting: set[asyncio.Future[None]] = set()
         self.out_of_touch = False
         self._asked_s = -1e9
+        # Whether the watch has not told of a revision that another VM knows, and
+        # whether its answer has begun to arrive.
+        self._doubted = self._arriving = False
         # The latest moment at which the store or the way to it surely failed.
         self._failed_s = -1e9
 
@@ -134,10 +146,35 @@
             async with asyncio.timeout(pause_s):
                 await self._news.wait()
 
-    async def _list(self) -> None:
-        self._asked_s = self.age.now_s()
-        self._take_listing(await self._store.list(self._kind))
-        self._note_look(self._asked_s)
+    async def _list(self, *, fresh: bool = False) -> None:
+        """Read the whole; `fresh` over a new connection, as late reads are."""
+        asked_s, listing = await first_answer(
+            self._reads(fresh=fresh),
+            late_after_s=LATE_S,
+            most=READS_AT_ONCE,
+            on_late=lambda: self._note_lost(self._late("list")),
+        )
+        self._take_listing(listing)
+        self._note_look(asked_s)
+
+    def _reads(
+        self, *, fresh: bool
+    ) -> Callable[[OnBegun], Awaitable[tuple[float, Listing]]]:
+        async def read(on_begun: OnBegun) -> tuple[float, Listing]:
+            nonlocal fresh
+            own, fresh = fresh, True
+            asked_s = self._asked_s = self.age.now_s()
+            return asked_s, await self._store.list(
+                self._kind, fresh=own, on_begun=on_begun
+            )
+
+        return read
+
+    def _late(self, what: str) -> StoreError:
+        took_s = self.age.now_s() - self._asked_s
+        return StoreError(
+            f"no answer to a {what} yet after {took_s:.2f} s", step=Step.STORE
+        )
 
     async def _watch(self) -> tuple[Change, float | None] | None:
         """Wait for changes; return them and by when they are all there were.
@@ -149,22 +186,26 @@
         """
         pace = self._pace()
         wait_s = BRIEF_S if self.age.age_s > pace.wait_s else pace.wait_s
-        self._asked_s = self.age.now_s()
+        asked_s = self._asked_s = self.age.now_s()
+        self._doubted = self._arriving = False
         # A change that another VM told of, or a look that requests wait for, is
         # no matter for a watch that may be told of it late.
-        self._relaxed = pace.relaxed and not (self._waiting or self._behind)
+        self._relaxed = pace.relaxed and not (
+            self._waiting or (self._urgent and self.behind)
+        )
         watching = asyncio.ensure_future(
             self._store.changes(
-                self._kind, after=self.revision, wait_s=wait_s, relaxed=self._relaxed
+                self._kind,
+                after=self.revision,
+                wait_s=wait_s,
+                relaxed=self._relaxed,
+                on_begun=self._note_arriving,
             )
         )
         self._watching = watching
         self._hurry.clear()
         try:
-            if wait_s > BRIEF_S:
-                await self._wait_while_allowed(watching, wait_s)
-            else:
-                await asyncio.wait([watching])
+            await self._wait_while_allowed(watching, wait_s)
         finally:
             self._watching = None
             watching.cancel()
@@ -177,26 +218,53 @@
             return change, None
         if not (change.written or change.removed):
             # Nothing came up to the end of the wait.
-            return change, min(self._asked_s + wait_s, self.age.now_s())
-        return change, self._asked_s
+            return change, min(asked_s + wait_s, self.age.now_s())
+        return change, asked_s
 
     async def _wait_while_allowed(
         self, watching: "asyncio.Task[Change]", wait_s: float
     ) -> None:
         """Wait until a watch ends, or is in the way of a look that is due."""
+        brief = wait_s <= BRIEF_S
         hurry = asyncio.ensure_future(self._hurry.wait())
+        late_s = self._asked_s + wait_s + LATE_S
         try:
-            while wait_s <= self._pace().wait_s:
+            while brief or self._arriving or wait_s <= self._pace().wait_s:
+                late = not self._arriving and self.age.now_s() > late_s
+                if late:
+                    self._note_lost(self._late("watch"))
+                if late or (self._doubted and not self._arriving):
+                    await self._look_beside(watching)
+                    return
+                alone = brief or self._arriving
                 done, _ = await asyncio.wait(
-                    [watching, hurry],
+                    {watching} if alone else {watching, hurry},
                     timeout=PACE_LOOK_S,
                     return_when=asyncio.FIRST_COMPLETED,
                 )
-                if done:
+                if watching in done or (done and not self._arriving):
                     return
         finally:
             hurry.cancel()
 
+    def _note_arriving(self) -> None:
+        self._arriving = True
+
+    async def _look_beside(self, watching: "asyncio.Task[Change]") -> None:
+        """Read the whole beside a watch; whichever is answered first counts.
+
+        The connection of the watch may have gone silent, or the store is slow: ended
+        then, the watch would have to begin again.
+        """
+        listing = asyncio.ensure_future(self._list(fresh=True))
+        try:
+            await asyncio.wait([watching, listing], return_when=asyncio.FIRST_COMPLETED)
+            if not watching.done():
+                listing.result()
+        finally:
+            listing.cancel()
+            await asyncio.wait([listing])
+
     async def _gather(self) -> None:
         """Let changes gather, for as long as the pace goes on to allow it."""
         begun_s = self._clock.monotonic_s()
@@ -235,27 +303,35 @@
         self._heard_revision = revision
         if self._urgent:
             self._news.set()
-        if self._relaxed:
-            if self._urgent:
-                self._break_off(revision, self._watching)
-            return
         loop = asyncio.get_running_loop()
-        loop.call_later(HEARD_GRACE_S, self._break_off, revision, self._watching)
+        if not self._relaxed:
+            loop.call_later(HEARD_GRACE_S, self._check_watch, revision, self._watching)
+        elif self._urgent:
+            loop.call_soon(self._end_relaxed, revision, self._watching)
 
     @property
-    def _behind(self) -> bool:
-        """Tell whether another VM knows of a change that must be acted on."""
-        return self._urgent and self._heard_revision > self.changed_revision
+    def behind(self) -> bool:
+        """Tell whether another VM is known to have a newer revision."""
+        return self._heard_revision > self.changed_revision
+
+    def _end_relaxed(
+        self, revision: int, watching: "asyncio.Task[Change] | None"
+    ) -> None:
+        """Have the next watch be a full one if this one has not told of a revision."""
+        same = watching is not None and watching is self._watching
+        if same and watching and self.changed_revision < revision:
+            if not self._arriving:
+                watching.cancel()
 
-    def _break_off(
+    def _check_watch(
         self, revision: int, watching: "asyncio.Task[Change] | None"
     ) -> None:
+        """Have the next look made at once if a watch has not told of a revision."""
         if watching is None or watching is not self._watching:
             return
         if self.changed_revision < revision:
-            if not self._relaxed:
-                _log.warning("watch_dead", kind=self._kind, revision=self.revision)
-            watching.cancel()
+            _log.warning("watch_doubted", kind=self._kind, revision=self.revision)
+            self._doubted = True
 
     def _take_listing(self, listing: Listing) -> None:
         if listing.revision < self.revision:
@@ -288,13 +364,16 @@
         # silent while it was idle; the next one is made over a new connection.
         sure_s = self._asked_s if self.out_of_touch else self.age.looked_s
         self._failed_s = max(self._failed_s, sure_s)
-        if not self.out_of_touch:
-            self.out_of_touch = True
-            _log.warning(
-                "store_lost",
-                kind=self._kind,
-                why=error.message,
-                step=error.step.value,
-                peer=error.peer,
-                revision=self.revision,
-            )
+        event = "store_call_failed" if self.out_of_touch else "store_lost"
+        self.out_of_touch = True
+        _log.warning(
+            event,
+            kind=self._kind,
+            why=error.message,
+            step=error.step.value,
+            peer=error.peer,
+            took_s=round(self.age.now_s() - self._asked_s, 3),
+            revision=self.revision,
+            heard_revision=self._heard_revision,
+            looked_ago_s=round(min(self.age.age_s, NEVER_KNOWN_S), 3),
+        )
--- a/src/rosepath/object_store.py
+++ b/src/rosepath/object_store.py
@@ -1,6 +1,6 @@
 """The port to the object store: objects with versions, watches, and the VM list."""
 
-from collections.abc import AsyncIterator, Mapping
+from collections.abc import AsyncIterator, Callable, Mapping
 from dataclasses import dataclass
 from enum import StrEnum
 from typing import NamedTuple, Protocol
@@ -61,13 +61,33 @@
     unknown = False
 
 
+def tell_nobody() -> None:
+    return
+
+
 class FeedPort(Protocol):
-    """Read a kind of objects whole, then wait for what changes."""
+    """Read a kind of objects whole, then wait for what changes.
+
+    `on_begun` is called when an answer begins to arrive, `fresh` asks over a new
+    connection.
+    """
 
-    async def list(self, kind: str) -> Listing: ...
+    async def list(
+        self,
+        kind: str,
+        *,
+        fresh: bool = False,
+        on_begun: Callable[[], None] = tell_nobody,
+    ) -> Listing: ...
 
     async def changes(
-        self, kind: str, *, after: int, wait_s: float, relaxed: bool = False
+        self,
+        kind: str,
+        *,
+        after: int,
+        wait_s: float,
+        relaxed: bool = False,
+        on_begun: Callable[[], None] = tell_nobody,
     ) -> Change: ...
 
 
--- a/src/rosepath/platform/store.py
+++ b/src/rosepath/platform/store.py
@@ -3,7 +3,7 @@
 import asyncio
 import json
 from collections import Counter
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from typing import Any
 from urllib.parse import quote, urlencode
@@ -18,6 +18,7 @@
     Listing,
     StoredObject,
     StoreError,
+    tell_nobody,
 )
 
 _PATH = "/v1/objects/"
@@ -25,10 +26,16 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class StoreAccess:
-    """Tell where the store is and how long a call may take."""
+    """Tell where the store is and how long a call may take.
+
+    A write, or a read of one object, is answered within `call_timeout_s`. Reads of
+    many objects may be large: they begin within `read_patience_s`, and go on as long
+    as no pause in them is longer than `call_timeout_s`.
+    """
 
     address: str
     call_timeout_s: float
+    read_patience_s: float
 
 
 class PlatformStore:
@@ -68,14 +75,21 @@
             "delete", "DELETE", f"{_path(name)}?revision={expected_version}"
         )
 
-    async def list(self, kind: str) -> Listing:
+    async def list(
+        self,
+        kind: str,
+        *,
+        fresh: bool = False,
+        on_begun: Callable[[], None] = tell_nobody,
+    ) -> Listing:
         """Read every object of a kind, page by page."""
         objects: dict[str, StoredObject] = {}
         after = ""
         revision: int | None = None
         while True:
             query = f"?{urlencode({'after': after})}" if after else ""
-            _, raw = await self._call("list", "GET", f"{_PATH}{kind}{query}")
+            path = f"{_PATH}{kind}{query}"
+            _, raw = await self._read("list", path, fresh=fresh, on_begun=on_begun)
             for item in raw["items"]:
                 after = item["metadata"]["name"]
                 name = f"{kind}/{after}"
@@ -87,7 +101,13 @@
                 return Listing(revision=revision, objects=objects)
 
     async def changes(
-        self, kind: str, *, after: int, wait_s: float, relaxed: bool = False
+        self,
+        kind: str,
+        *,
+        after: int,
+        wait_s: float,
+        relaxed: bool = False,
+        on_begun: Callable[[], None] = tell_nobody,
     ) -> Change:
         """Wait for changes of a kind; raises HistoryGoneError or StoreError.
 
@@ -99,7 +119,7 @@
             asked["isStale"] = 1
         path = f"{_PATH}{kind}?{urlencode(asked)}"
         what = "relaxed_watch" if relaxed else "watch"
-        head, raw = await self._call(what, "GET", path, wait_s=wait_s)
+        head, raw = await self._read(what, path, wait_s=wait_s, on_begun=on_begun)
         if head.status == 410:
             raise HistoryGoneError(kind, step=Step.STORE, peer=self._access.address)
         written: dict[str, StoredObject] = {}
@@ -119,15 +139,8 @@
         )
 
     async def _call(
-        self,
-        what: str,
-        method: str,
-        path: str,
-        body: bytes = b"",
-        *,
-        wait_s: float = 0.0,
+        self, what: str, method: str, path: str, body: bytes = b""
     ) -> tuple[ResponseHead, Any]:
-        self.calls[what] += 1
         limit_s = self._access.call_timeout_s
         request = Request(
             address=self._access.address,
@@ -136,11 +149,70 @@
             headers={"Content-Type": "application/json"} if body else {},
             body=body,
             connect_timeout_s=limit_s,
-            progress_timeout_s=limit_s + wait_s,
+            progress_timeout_s=limit_s,
         )
+        return await self._fetch(what, request, limit_s=limit_s)
+
+    async def _read(
+        self,
+        what: str,
+        path: str,
+        *,
+        wait_s: float = 0.0,
+        fresh: bool = False,
+        on_begun: Callable[[], None],
+    ) -> tuple[ResponseHead, Any]:
+        """Read what may be large, for as long as it keeps arriving."""
+        patience_s = self._access.read_patience_s
+        request = Request(
+            address=self._access.address,
+            method="GET",
+            path=path,
+            connect_timeout_s=patience_s,
+            progress_timeout_s=patience_s + wait_s,
+            proven_live_within_s=0.0 if fresh else None,
+        )
+        return await self._fetch(
+            what,
+            request,
+            limit_s=patience_s + wait_s,
+            pause_s=self._access.call_timeout_s,
+            on_begun=on_begun,
+        )
+
+    async def _fetch(
+        self,
+        what: str,
+        request: Request,
+        *,
+        limit_s: float,
+        pause_s: float | None = None,
+        on_begun: Callable[[], None] = tell_nobody,
+    ) -> tuple[ResponseHead, Any]:
+        """Make a call; with `pause_s` what arrives puts its end off to then."""
+        self.calls[what] += 1
+        method, path = request.method, request.path
+        parts: list[bytes] = []
+        loop = asyncio.get_running_loop()
+
+        def note_head(_: ResponseHead) -> None:
+            put_off()
+            on_begun()
+
+        def note_part(part: bytes) -> None:
+            put_off()
+            parts.append(part)
+
+        def put_off() -> None:
+            if pause_s is not None:
+                limit.reschedule(loop.time() + pause_s)
+
         try:
-            async with asyncio.timeout(limit_s + wait_s):
-                head, answer = await self._pool.fetch(request)
+            async with asyncio.timeout(limit_s) as limit:
+                head = await self._pool.exchange(
+                    request, on_head=note_head, on_data=note_part
+                )
+            answer = b"".join(parts)
             if head.status == 409:
                 raise ConflictError(path, step=Step.STORE, peer=self._access.address)
             if head.status >= 400 and head.status not in (404, 410):
--- a/src/rosepath/store_session.py
+++ b/src/rosepath/store_session.py
@@ -33,7 +33,9 @@
         # more, is found dead no later than the bound.
         self._wait_s = settings.watch_silence_s / 2
         limit_s = min(settings.call_timeout_s, settings.watch_silence_s / 2)
-        access = StoreAccess(address=settings.address, call_timeout_s=limit_s)
+        access = StoreAccess(
+            address=settings.address, call_timeout_s=limit_s, read_patience_s=limit_s
+        )
         self._store = PlatformStore(access, clock=clock)
         self._silence_s = settings.watch_silence_s
         self._clock = clock
