Seek a newer configuration for as long as one is known to exist

Cause: news was an event. A word heard during a call that then failed was cleared as the pause after it began; a word ended one pause only, and the same revision heard again was passed over, so that after the next failure the pause ran its full length.

Change: being behind is a state. While another VM is known to have a newer revision the pauses are 0.25 s at most, and news heard since the last pause ends the next one at once. For the configuration only: servers' entries change all the time, and their leaves are told by name.

--- a/src/rosepath/feed.py
+++ b/src/rosepath/feed.py
@@ -34,6 +34,8 @@
 # waits for so long.
 BRIEF_S = 0.05
 BACKOFF_FIRST_S = 0.05
+# The longest pause between tries while a newer revision is known to exist.
+BACKOFF_BEHIND_S = 0.25
 # Stands in log lines for the age of a table that was never read.
 NEVER_KNOWN_S = 1e6
 
@@ -140,11 +142,13 @@
                 backoff_s = min(backoff_s * 2, self._pace().backoff_max_s)
 
     async def _pause(self, pause_s: float) -> None:
-        """Pause after a failure, unless there is urgent news."""
-        self._news.clear()
+        """Pause after a failure, unless news came since the call that failed."""
+        if self._urgent and self.behind:
+            pause_s = min(pause_s, BACKOFF_BEHIND_S)
         with suppress(TimeoutError):
             async with asyncio.timeout(pause_s):
                 await self._news.wait()
+        self._news.clear()
 
     async def _list(self, *, fresh: bool = False) -> None:
         """Read the whole; `fresh` over a new connection, as late reads are."""
