Copy the configuration from VM to VM

What callers saw: requests handled by a configuration that had been replaced seconds before, at VMs whose link or whose way to the store was bad, while all others had it.

Cause: others told that there is a newer version; the version itself came by the VM's own read of the store alone. One that the store turned away stayed behind until it was taken back, one with a full link until that cleared.

Change: a VM that knows of a newer revision than its own fetches it from one that has it, over HTTP at the address of the peers' datagrams, compressed (23 kB for 317): of its own data centre first, another one after each that fails, the holder last where there is a crowd. It is known by the store's revision and taken only if newer. Who takes a configuration tells others soon, so that the next know whom to ask. What a VM tells to have is what is in force there, not what it has read.

--- a/src/rosepath/entry_node.py
+++ b/src/rosepath/entry_node.py
@@ -11,6 +11,12 @@
 from rosepath.attempt import Attempts
 from rosepath.catalog import Catalog
 from rosepath.clock import BootClock, SystemClock
+from rosepath.configuration_copies import (
+    PATH as COPY_PATH,
+    ConfigurationCopies,
+    CopyHandler,
+    fetch_over,
+)
 from rosepath.crash_watch import CrashWatch, life_of
 from rosepath.entry_metrics import EntryMetrics
 from rosepath.entry_settings import EntrySettings
@@ -146,6 +152,13 @@
             crashes=self.crashes,
             boot_clock=BootClock(),
         )
+        self.copies = ConfigurationCopies(
+            settings.data_centre,
+            self.tables.catalog_feed,
+            clock=self.clock,
+            peers=self.peers,
+            fetch=fetch_over(HttpPool(clock=self.clock)),
+        )
         self.isolation = Isolation(
             settings.data_centre,
             peers=self.peers,
@@ -201,8 +214,21 @@
             self.ready_server.listen(port, address=host, family=socket.AF_INET)
         self._export_state()
         await self.exchange.link.listen()
+        copies = Application(
+            [
+                (
+                    COPY_PATH,
+                    CopyHandler,
+                    {"configuration": lambda: self.tables.configuration},
+                )
+            ],
+            log_function=lambda _: None,
+        )
+        host, port = split_address(self.settings.peers.listen)
+        self.copies_server = copies.listen(port, address=host)
         self.loops.forever(self.tables.catalog_feed.run)
         self.loops.forever(self.tables.servers_feed.run)
+        self.loops.forever(self.copies.run)
         self.loops.forever(self.exchange.join)
         self.loops.forever(self.exchange.link.run)
         self.loops.every(FORGET_TICK_S, self.exchange.forget_silent)
@@ -231,6 +257,7 @@
         cut = len(self.gateway.open)
         await self.loops.stop()
         self.exchange.link.close()
+        self.copies_server.stop()
         self.store.close()
         self.pool.close()
         _log.info("stopped", cut=cut)
@@ -342,6 +369,9 @@
             # The others may only look for it when they are told that there is one:
             # at once, and not with the next word, which a crowd waits long for.
             asyncio.get_running_loop().call_soon(self.exchange.link.tell)
+        else:
+            # Those that are behind look for somebody else to ask than the holder.
+            asyncio.get_running_loop().call_soon(self.exchange.tell_soon)
 
     def _heed_by_name(self, name: str, notice: ServerNotice) -> None:
         """Heed what an engine said of itself in an answer to an order or report."""
--- a/src/rosepath/feed.py
+++ b/src/rosepath/feed.py
@@ -102,6 +102,8 @@
         # Whether the watch has not told of a revision that another VM knows, and
         # whether its answer has begun to arrive.
         self._doubted = self._arriving = False
+        # Set while another VM is known to have a newer revision.
+        self.wanted = asyncio.Event()
         # The latest moment at which the store or the way to it surely failed.
         self._failed_s = -1e9
 
@@ -305,6 +307,7 @@
         if revision <= max(self.changed_revision, self._heard_revision):
             return
         self._heard_revision = revision
+        self.wanted.set()
         if self._urgent:
             self._news.set()
         loop = asyncio.get_running_loop()
@@ -318,10 +321,27 @@
         """Tell whether another VM is known to have a newer revision."""
         return self._heard_revision > self.changed_revision
 
+    def take_copy(self, stored: StoredObject) -> None:
+        """Take an object in that another VM read from the store."""
+        if stored.version <= self.changed_revision:
+            return
+        self._on_change(
+            Change(
+                revision=stored.version,
+                written={stored.name: stored},
+                removed=frozenset(),
+            )
+        )
+        self._note_changed({stored.name: stored})
+        self.revision = max(self.revision, stored.version)
+        if self._watching is not None:
+            # It would be told the same once more, by a larger answer.
+            self._watching.cancel()
+
     def _end_relaxed(
         self, revision: int, watching: "asyncio.Task[Change] | None"
     ) -> None:
-        """Have the next watch be a full one if this one has not told of a revision."""
+        """Have the next watch be a full one if nobody brought a revision."""
         same = watching is not None and watching is self._watching
         if same and watching and self.changed_revision < revision:
             if not self._arriving:
@@ -353,6 +373,8 @@
     def _note_changed(self, objects: Mapping[str, StoredObject]) -> None:
         newest = max((stored.version for stored in objects.values()), default=0)
         self.changed_revision = max(self.changed_revision, newest)
+        if not self.behind:
+            self.wanted.clear()
 
     def _note_touch(self, revision: int) -> None:
         self.revision = revision
--- a/src/rosepath/peer_exchange.py
+++ b/src/rosepath/peer_exchange.py
@@ -141,7 +141,7 @@
             number=number,
             stopping=self._stopping(),
             servers_revision=self._tables.servers_feed.changed_revision,
-            configuration_revision=self._tables.catalog_feed.changed_revision,
+            configuration_revision=self._tables.configuration_revision,
             term=self._coordinator.term,
             lease_version=self._coordinator.lease_version,
             heard=self._coordinator.heard,
--- a/src/rosepath/store_tables.py
+++ b/src/rosepath/store_tables.py
@@ -66,6 +66,8 @@
         self._trouble_s = -1e9
         self.leaves = LeaveLog(clock=boot_clock or clock)
         self.catalog: Catalog | None = None
+        # The object that the catalog was read from.
+        self.configuration: StoredObject | None = None
         self.fleet = Fleet()
         self.changed = asyncio.Condition()
         self.servers_feed = Feed(
@@ -90,7 +92,7 @@
 
     def _take_catalog(self, objects: Mapping[str, StoredObject]) -> None:
         stored = objects.get(CONFIGURATION_NAME)
-        if stored is None:
+        if stored is None or stored.version == self.configuration_revision:
             return
         catalog = decode_catalog(stored)
         if catalog is None:
@@ -99,12 +101,18 @@
             # A store that reads older than before must not undo a change.
             return
         self.catalog = catalog
+        self.configuration = stored
         self._on_catalog(catalog)
         _log.info(
             "configuration_in_force", version=catalog.version, revision=stored.version
         )
         self.announce()
 
+    @property
+    def configuration_revision(self) -> int:
+        """Return the store's revision of the configuration in force; 0 if none."""
+        return self.configuration.version if self.configuration else 0
+
     def _servers_listed(self, listing: Listing) -> None:
         listed = {name.partition("/")[2] for name in listing.objects}
         self._take_out(
--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -63,6 +63,7 @@
     # While it fails all of them, nobody is held to anything.
     unwell: bool = False
     turned_away: set[str] = field(default_factory=set)
+    dead: set[str] = field(default_factory=set)
     # Connections of watches that were waiting then are silent for good.
     silenced_s: dict[str, float] = field(default_factory=dict)
     # The rate of a VM's link to the store; without one answers take no time.
@@ -277,6 +278,8 @@
             leases, "holder", lambda _: name if self.holder == name else ""
         )
         monkeypatch.setattr(node.pool, "exchange", self._serve_as(name))
+        node.copies.fetch = self._copy_as(name)
+        node.copies._rng = self.rng
         node.relay._ports.on_outcome = lambda *_: None
         node.relay._ports.rng = self.rng
 
@@ -286,6 +289,7 @@
             node.tables.servers_feed.run,
             node.tables.catalog_feed.run,
             node.exchange.link.run,
+            node.copies.run,
         ):
             self.tasks.append(asyncio.create_task(work(), name=name))
         self.tasks.append(asyncio.create_task(self._stay_awake(name), name=name))
@@ -297,6 +301,7 @@
         for task in self.tasks:
             if task.get_name() == name:
                 task.cancel()
+        self.dead.add(name)
         self.turn_away(name)
         if self.holder == name:
             self.holder = ""
@@ -331,6 +336,19 @@
             asyncio.ensure_future(self.nodes[name].relay.serve(cast(Any, exchange)))
             await asyncio.sleep(ASKED_EACH_S)
 
+    def _copy_as(self, name: str) -> Callable[..., Any]:
+        async def fetch(address: str, newer_than: int) -> StoredObject | None:
+            other = self.nodes[f"vm-{int(address.rpartition(':')[2]) - 1}"]
+            await asyncio.sleep(2 * WAY_S)
+            if other.settings.entry_vm in self.dead:
+                raise ExchangeError(
+                    "cannot connect", step=Step.CONNECT, peer=address, sent=False
+                )
+            stored = other.tables.configuration
+            return stored if stored and stored.version > newer_than else None
+
+        return fetch
+
     def _serve_as(self, name: str) -> Callable[..., Any]:
         async def exchange(request: Request, *, on_head: Any, on_data: Any) -> Any:
             if self.connect_s:
