Reproduce a large change that is never read though nothing fails

Each first lost the store with a watch of 50 ms that got `no answer in time`: the pace had shortened as the change was being received, and the brief look and all reads after it have 0.5 s.

--- a/tests/test_store_calls.py
+++ b/tests/test_store_calls.py
@@ -221,3 +221,31 @@
     asked, taken_s = follow_a_slow_answer(shorten, pace=lambda: Pace(wait_s=wait_s[0]))
     assert len(asked) == 1
     assert taken_s[6] <= taken_s[5] + 1.5 + SLACK_S
+
+
+def test_a_change_over_a_slow_link_is_read_in_time_on_a_store_that_is_well() -> None:
+    # The pace shortens as the change is received, the brief look that takes the
+    # watch's place is ended at its limit, and so is each read of the whole after
+    # it: nothing fails but this VM's patience, and it never has the change.
+    wait_s = [10.0]
+    taken_s: dict[int, float] = {}
+
+    def script(path: str) -> Pieces:
+        if "watch" not in path and not taken_s:
+            return [(0.01, answer(a_listing(5)))]
+        if "watch=6" in path:
+            return ()
+        whole = a_change(6) if "watch" in path else a_listing(6)
+        return in_pieces(answer(whole), 10, first_s=0.07, gap_s=0.07)
+
+    async def run() -> None:
+        feed = a_feed(taken_s, pace=lambda: Pace(wait_s=wait_s[0]))
+        following = asyncio.ensure_future(feed.run())
+        await asyncio.sleep(0.1)
+        feed.hear(6)
+        wait_s[0] = 0.2
+        await asyncio.sleep(2.0)
+        following.cancel()
+        assert 6 in taken_s
+
+    play(script, run)
