Answer no 404 by a configuration that is known to be out of date

Cause: a VM looked the path up in the configuration that it had, though it knew that there was a newer one.

Change: a request without a route waits for the newer configuration, 0.4 s at most: it is served if the route comes, and refused with 503 and a time to come back if the configuration doesn't. A route that is known is served at once, as most changes leave it alone; with a current configuration a 404 is given at once.

--- a/src/rosepath/entry_node.py
+++ b/src/rosepath/entry_node.py
@@ -184,6 +184,7 @@
                 on_leaving=self._heed_leaving,
                 fleet_sound=lambda: self.tables.sound,
                 make_sure=self.tables.make_sure,
+                outdated=lambda: self.tables.catalog_feed.behind,
             )
         )
         self.gateway = Gateway(
--- a/src/rosepath/relay.py
+++ b/src/rosepath/relay.py
@@ -1,7 +1,9 @@
 """Bring a caller's request to a backend server and the answer back."""
 
+import asyncio
 import json
 from collections.abc import Awaitable
+from contextlib import suppress
 
 from tornado.httputil import HTTPHeaders
 
@@ -34,6 +36,8 @@
 # A caller's clock runs three milliseconds ahead of ours; what comes later
 # than that before its deadline reaches nobody.
 ANSWER_MARGIN_S = 0.02
+# A newer configuration that is known to exist is here by then more often than not.
+ROUTE_WAIT_S = 0.4
 _log = get_logger()
 
 
@@ -58,7 +62,7 @@
                 arrived_s=exchange.arrived_s,
             )
             request_id = call.request_id
-            context = self._begin(call, exchange)
+            context = await self._begin(call, exchange)
         except BadRequestError as error:
             self._refuse(exchange, request_id, 400, "bad_request", str(error))
             return
@@ -81,7 +85,11 @@
             self._next.release(context)
             self._suspects.end(context)
 
-    def _begin(self, call: CallerCall, exchange: CallerExchange) -> RequestContext:
+    async def _begin(
+        self, call: CallerCall, exchange: CallerExchange
+    ) -> RequestContext:
+        if self._find(call) is None and self._ports.outdated():
+            await self._wait_for_route(call)
         catalog = self._ports.catalog()
         if catalog is None:
             raise refuse(
@@ -91,10 +99,9 @@
                 step=Step.ROUTE,
                 retry_after_s=RETRY_AFTER_S,
             )
-        path = call.path.partition("?")[0]
-        route = catalog.find(call.host, path)
+        route = self._find(call)
         if route is None:
-            raise refuse(404, "no_route", "no route leads there", step=Step.ROUTE)
+            raise self._unrouted()
         service = catalog.services.get(route.service_for(call.request_id))
         if service is None:
             raise refuse(
@@ -116,6 +123,33 @@
             order=EventOrder(last_id=call.last_event_id) if streams else None,
         )
 
+    def _find(self, call: CallerCall) -> HostRoute | None:
+        catalog = self._ports.catalog()
+        if catalog is None:
+            return None
+        return catalog.find(call.host, call.path.partition("?")[0])
+
+    async def _wait_for_route(self, call: CallerCall) -> None:
+        """Wait a moment for a newer configuration that may have a request's route."""
+        with suppress(TimeoutError):
+            async with (
+                asyncio.timeout(min(ROUTE_WAIT_S, call.wait_s or ROUTE_WAIT_S)),
+                self._ports.fleet_changed,
+            ):
+                while self._find(call) is None and self._ports.outdated():
+                    await self._ports.fleet_changed.wait()
+
+    def _unrouted(self) -> RefusalError:
+        if self._ports.outdated():
+            return refuse(
+                503,
+                "configuration_outdated",
+                "no route leads there yet; a newer configuration is on its way",
+                step=Step.ROUTE,
+                retry_after_s=RETRY_AFTER_S,
+            )
+        return refuse(404, "no_route", "no route leads there", step=Step.ROUTE)
+
     async def _run(self, context: RequestContext) -> None:
         while True:
             server, flight = await self._picker.choose(context)
--- a/src/rosepath/request_context.py
+++ b/src/rosepath/request_context.py
@@ -72,6 +72,8 @@
     # makes it so.
     fleet_sound: Callable[[], bool] = lambda: True
     make_sure: Callable[[], Awaitable[None]] = _look_nowhere
+    # Whether a newer configuration than the one in force here is known to exist.
+    outdated: Callable[[], bool] = lambda: False
     rng: random.Random = field(default_factory=random.Random)
 
 
