Add tests of exchanges that are ended by a fixed time while they move

What callers saw: a closed connection without an answer, for a request that had been sent in time, when the entry VM's loop stood still past the end of a connection's idle time, or when a planned stop ended under a body that was still arriving.

Cause: the timers look at the clock alone. An idle timer is due in the same turn in which what had arrived is read, and closes first; a stop counts only requests that were read whole; a call's time limit drops an answer that lies in the socket.

--- /dev/null
+++ b/tests/test_idle_connections.py
@@ -0,0 +1,95 @@
+"""When a caller's kept connection is closed for having been idle.
+
+An idle connection may be closed at any time; one over which a request is coming
+may not, or its caller gets no answer to what was sent in time.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from entry_builders import a_route
+from entry_harness import Asked, Entry, Scripted, answer, entry, request
+
+from rosepath.catalog import RouteKind
+
+IDLE_S = 15.0
+LOOK_UP = "GET /drafts/1 HTTP/1.1\r\nRequest-Id: r1"
+
+
+class SteppedLoop(asyncio.SelectorEventLoop):
+    """Use real sockets, on a clock that a test moves on."""
+
+    ahead_s = 0.0
+
+    def time(self) -> float:
+        return super().time() + self.ahead_s
+
+
+def play(course: Callable[[SteppedLoop, Entry], Awaitable[None]]) -> None:
+    async def answers(asked: Asked, writer: asyncio.StreamWriter) -> None:
+        writer.write(answer(asked, 200, b"whole"))
+
+    async def run() -> None:
+        loop = asyncio.get_running_loop()
+        assert isinstance(loop, SteppedLoop)
+        route = a_route(kind=RouteKind.IDEMPOTENT, service="desk", resumable=False)
+        async with entry(Scripted("s1", answers), route=route) as node:
+            node.gateway.limit(
+                max_header_bytes=16_384, max_body_bytes=65_536, idle_timeout_s=IDLE_S
+            )
+            await course(loop, node)
+
+    with asyncio.Runner(loop_factory=SteppedLoop) as runner:
+        runner.run(run())
+
+
+async def until_idle(node: Entry) -> None:
+    """Wait until the entry VM waits for a request."""
+    while not node.gateway.idle:  # noqa: ASYNC110
+        await asyncio.sleep(0)
+
+
+def test_a_request_that_had_arrived_is_read_though_the_idle_time_is_over() -> None:
+    # The loop stood still for a moment, as while a large configuration is taken
+    # in. A request came meanwhile, and the idle time ended after it: the
+    # connection was closed, and its caller got no answer.
+    async def course(loop: SteppedLoop, node: Entry) -> None:
+        reader, writer = await node.connect()
+        await until_idle(node)
+        writer.write(request(LOOK_UP))
+        loop.ahead_s += IDLE_S + 0.1
+        assert (await reader.readline()).startswith(b"HTTP/1.1 200")
+
+    play(course)
+
+
+def test_a_request_whose_head_is_arriving_is_not_taken_for_idle() -> None:
+    # A head may take some seconds to come, and its connection may have been idle
+    # for most of the idle time before: closed at its end, half of a request was
+    # thrown away.
+    async def course(loop: SteppedLoop, node: Entry) -> None:
+        reader, writer = await node.connect()
+        await until_idle(node)
+        loop.ahead_s += IDLE_S - 1.0
+        sent = request(LOOK_UP)
+        writer.write(sent[:20])
+        exchange = next(iter(node.gateway.idle))
+        while not exchange._connection.stream._read_buffer_size:  # noqa: ASYNC110
+            await asyncio.sleep(0)
+        loop.ahead_s += 1.5
+        for _ in range(5):
+            await asyncio.sleep(0)
+        writer.write(sent[20:])
+        assert (await reader.readline()).startswith(b"HTTP/1.1 200")
+
+    play(course)
+
+
+def test_a_connection_on_which_nothing_comes_is_closed() -> None:
+    async def course(loop: SteppedLoop, node: Entry) -> None:
+        reader, _ = await node.connect()
+        await until_idle(node)
+        loop.ahead_s += IDLE_S + 0.1
+        assert await reader.read() == b""
+
+    play(course)
