Let a planned stop wait for requests whose body is arriving

What callers saw: a closed connection in the middle of sending a request to an entry VM that was stopped as planned.

Cause: the stop waited for requests that had been read whole; one whose head had come is no longer idle and was not counted either. Counted now until the grace is over.

Evidence: test_a_stop_waits_for_a_request_that_is_being_read failed before.

--- a/src/rosepath/entry_node.py
+++ b/src/rosepath/entry_node.py
@@ -253,9 +253,11 @@
         await noticed
         self.gateway.close_idle()
         limit_s = started_s + self.settings.stop.grace_s - STOP_MARGIN_S
-        while self.gateway.open and self.clock.monotonic_s() < limit_s:  # noqa: ASYNC110
+        while self.gateway.unanswered:
+            if self.clock.monotonic_s() >= limit_s:
+                break
             await asyncio.sleep(0.02)
-        cut = len(self.gateway.open)
+        cut = self.gateway.unanswered
         await self.loops.stop()
         self.exchange.link.close()
         self.copies_server.stop()
--- a/src/rosepath/gateway.py
+++ b/src/rosepath/gateway.py
@@ -51,12 +51,14 @@
         self.method, self.path = start_line.method, start_line.path
         self.headers = headers
         self._gateway.idle.discard(self)
+        self._gateway.reading.add(self)
         self.arrived_s = self._gateway.clock.monotonic_s()
 
     def data_received(self, chunk: bytes) -> None:
         self._body.append(chunk)
 
     def finish(self) -> None:
+        self._gateway.reading.discard(self)
         if self._connection.stream.closed():
             # Closed while this was being read: passed on, its answer would
             # reach nobody; not passed on, its caller may safely ask again.
@@ -71,6 +73,7 @@
     def on_connection_close(self) -> None:
         # The caller left: whatever works for it stops at once.
         self._gateway.idle.discard(self)
+        self._gateway.reading.discard(self)
         if self._task is not None:
             self._task.cancel()
         self._body.clear()
@@ -150,6 +153,8 @@
         self.on_failure = on_failure
         self.open: set[CallerExchange] = set()
         self.idle: set[CallerExchange] = set()
+        # Requests whose head has come and whose body is still arriving.
+        self.reading: set[CallerExchange] = set()
         self.closing = False
         self.server = HTTPServer(self)
 
@@ -161,6 +166,11 @@
         self.idle.add(exchange)
         return exchange
 
+    @property
+    def unanswered(self) -> int:
+        """Return how many requests have begun to arrive and have no answer."""
+        return len(self.reading) + len(self.open)
+
     def close_idle(self) -> None:
         """Listen no more, and close connections on which nothing was asked.
 
