Add a test of connections that their callers close between requests

Cause: the server library tells nobody of a close between two requests, and the gateway lists each connection as idle until a request's head comes. Of 200 connections opened and closed, 200 stayed listed, with all that they hold.

--- a/tests/test_idle_connections.py
+++ b/tests/test_idle_connections.py
@@ -93,3 +93,17 @@
         assert await reader.read() == b""
 
     play(course)
+
+
+def test_a_connection_that_its_caller_closed_is_forgotten() -> None:
+    # Each connection that was closed between two requests stayed listed as idle:
+    # an entry VM's memory grew with every connection that it ever had.
+    async def course(_: SteppedLoop, node: Entry) -> None:
+        _, writer = await node.connect()
+        await until_idle(node)
+        writer.close()
+        while node.gateway.server._connections:  # noqa: ASYNC110
+            await asyncio.sleep(0)
+        assert not node.gateway.idle
+
+    play(course)
