Close idle connections by a timer that looks at what has arrived

What callers saw: a closed connection without an answer for a request that they had sent over a kept connection before its idle time was over; after their own close, the entry VM kept what belonged to the connection for ever.

Cause: the library's timer bounds the idle time and the head as one, and is due in the turn in which the head is read. It now starts with the wait for a request, acts one turn later, and gives a head that is arriving the operator's limit for heads, which nothing used before. A close between two requests is heard of by the stream's own callback.

Evidence: three tests of test_idle_connections.py failed before.

--- a/src/rosepath/entry_node.py
+++ b/src/rosepath/entry_node.py
@@ -367,7 +367,7 @@
         )
 
     def _catalog_taken(self, catalog: Catalog) -> None:
-        self._limit_callers(catalog)
+        self.gateway.limit(catalog.limits)
         if self.coordinator.term:
             # The others may only look for it when they are told that there is one:
             # at once, and not with the next word, which a crowd waits long for.
@@ -399,14 +399,6 @@
         for content_key in content_keys:
             self.crashes.records.quarantine(content_key)
 
-    def _limit_callers(self, catalog: Catalog) -> None:
-        limits = catalog.limits
-        self.gateway.limit(
-            max_header_bytes=limits.max_header_bytes,
-            max_body_bytes=limits.max_body_bytes,
-            idle_timeout_s=limits.idle_timeout_s,
-        )
-
     def _serving_failed(
         self, exchange: CallerExchange, error: BaseException | None
     ) -> None:
--- a/src/rosepath/gateway.py
+++ b/src/rosepath/gateway.py
@@ -15,6 +15,7 @@
     ResponseStartLine,
 )
 
+from rosepath.catalog import CallerLimits
 from rosepath.clock import Clock
 
 # Enough for a burst of events; beyond it the backend server is held back.
@@ -34,12 +35,38 @@
         self._body: list[bytes] = []
         self._gateway = gateway
         self._connection = connection
+        self._idle_timer: asyncio.TimerHandle | None = None
+        self._head_arriving = False
         self._task: asyncio.Task[None] | None = None
 
     @property
     def body(self) -> bytes:
         return b"".join(self._body)
 
+    def watch_idle(self) -> None:
+        """Close the connection if no request comes over it for too long."""
+        self._close_later(self._gateway.idle_timeout_s)
+
+    def _close_later(self, after_s: float) -> None:
+        loop = asyncio.get_running_loop()
+        # After the loop stood still, what had arrived is read in the same turn
+        # as the timer is due: the timer acts in the next one.
+        self._idle_timer = loop.call_later(after_s, loop.call_soon, self._close_idle)
+
+    def _close_idle(self) -> None:
+        if self not in self._gateway.idle:
+            return
+        if self._head_arriving or not self._connection.stream._read_buffer_size:
+            self.abort()
+            return
+        self._head_arriving = True
+        self._close_later(self._gateway.header_timeout_s)
+
+    def _leave_idle(self) -> None:
+        self._gateway.idle.discard(self)
+        if self._idle_timer is not None:
+            self._idle_timer.cancel()
+
     # Called by the server
 
     def headers_received(
@@ -50,7 +77,7 @@
         assert isinstance(start_line, RequestStartLine)
         self.method, self.path = start_line.method, start_line.path
         self.headers = headers
-        self._gateway.idle.discard(self)
+        self._leave_idle()
         self._gateway.reading.add(self)
         self.arrived_s = self._gateway.clock.monotonic_s()
 
@@ -72,7 +99,7 @@
 
     def on_connection_close(self) -> None:
         # The caller left: whatever works for it stops at once.
-        self._gateway.idle.discard(self)
+        self._leave_idle()
         self._gateway.reading.discard(self)
         if self._task is not None:
             self._task.cancel()
@@ -156,7 +183,12 @@
         # Requests whose head has come and whose body is still arriving.
         self.reading: set[CallerExchange] = set()
         self.closing = False
+        limits = CallerLimits()
         self.server = HTTPServer(self)
+        # The library's own timer also closes on what has just arrived.
+        self.server.conn_params.header_timeout = None
+        self.header_timeout_s = limits.header_timeout_s
+        self.idle_timeout_s = limits.idle_timeout_s
 
     def start_request(
         self, server_conn: object, request_conn: HTTPConnection
@@ -164,6 +196,10 @@
         assert isinstance(request_conn, HTTP1Connection)
         exchange = CallerExchange(self, request_conn)
         self.idle.add(exchange)
+        exchange.watch_idle()
+        # Of a connection that closes between two requests the library tells
+        # nobody else.
+        request_conn.stream.set_close_callback(exchange.on_connection_close)
         return exchange
 
     @property
@@ -185,15 +221,10 @@
         """Answer one request."""
         await self._serve(exchange)
 
-    def limit(
-        self,
-        *,
-        max_header_bytes: int,
-        max_body_bytes: int,
-        idle_timeout_s: float,
-    ) -> None:
-        """Bound what callers may send, from the next connection on."""
+    def limit(self, limits: CallerLimits) -> None:
+        """Bound what callers may send, from the next request on."""
         params = self.server.conn_params
-        params.max_header_size = max_header_bytes
-        params.max_body_size = max_body_bytes
-        params.header_timeout = idle_timeout_s
+        params.max_header_size = limits.max_header_bytes
+        params.max_body_size = limits.max_body_bytes
+        self.header_timeout_s = limits.header_timeout_s
+        self.idle_timeout_s = limits.idle_timeout_s
--- a/tests/test_idle_connections.py
+++ b/tests/test_idle_connections.py
@@ -10,7 +10,7 @@
 from entry_builders import a_route
 from entry_harness import Asked, Entry, Scripted, answer, entry, request
 
-from rosepath.catalog import RouteKind
+from rosepath.catalog import CallerLimits, RouteKind
 
 IDLE_S = 15.0
 LOOK_UP = "GET /drafts/1 HTTP/1.1\r\nRequest-Id: r1"
@@ -34,9 +34,7 @@
         assert isinstance(loop, SteppedLoop)
         route = a_route(kind=RouteKind.IDEMPOTENT, service="desk", resumable=False)
         async with entry(Scripted("s1", answers), route=route) as node:
-            node.gateway.limit(
-                max_header_bytes=16_384, max_body_bytes=65_536, idle_timeout_s=IDLE_S
-            )
+            node.gateway.limit(CallerLimits(idle_timeout_s=IDLE_S))
             await course(loop, node)
 
     with asyncio.Runner(loop_factory=SteppedLoop) as runner:
