Let most VMs of a crowd wait for a copy before they read a change from the store

What callers saw: streams that paused while the VM's link, 10 Mbit/s here, was filled for a quarter of a second or more with a configuration of 317 kB, at all VMs at once.

Cause: each VM that heard of a change read it whole from the store at that moment.

Change: where there is a crowd, nine of ten wait up to a second for a copy, a thirteenth of the size; the others read it, tell that they have it, and are copied from. A watch that is already receiving is left alone.

In virtual time 30 VMs read 27.0 MB for three versions of 0.3 MB; the test allows half of that, and was red.

Why it holds: whoever gets no copy reads as before, a second later, of the two to four that are allowed.

--- a/src/rosepath/feed.py
+++ b/src/rosepath/feed.py
@@ -36,6 +36,9 @@
 BACKOFF_FIRST_S = 0.05
 # The longest pause between tries while a newer revision is known to exist.
 BACKOFF_BEHIND_S = 0.25
+# Of those that may wait for a copy, so many ask the store at once all the same: a
+# few in each data centre, for the others to copy from.
+FIRST_READERS_SHARE = 0.1
 # Stands in log lines for the age of a table that was never read.
 NEVER_KNOWN_S = 1e6
 
@@ -50,13 +53,16 @@
     """Say how long a watch waits, and how long changes are gathered.
 
     `backoff_max_s` bounds the pauses between tries while the store fails. With
-    `relaxed`, watches may be told of changes late, and prove no age of a table.
+    `relaxed`, watches may be told of changes late, and prove no age of a table. For
+    `copies_s` most VMs wait for a copy of what another VM has before they ask the
+    store for it.
     """
 
     wait_s: float = 2.0
     gather_s: float = 0.25
     backoff_max_s: float = 0.5
     relaxed: bool = False
+    copies_s: float = 0.0
 
 
 class Feed:
@@ -314,7 +320,9 @@
         if not self._relaxed:
             loop.call_later(HEARD_GRACE_S, self._check_watch, revision, self._watching)
         elif self._urgent:
-            loop.call_soon(self._end_relaxed, revision, self._watching)
+            first = random.random() < FIRST_READERS_SHARE
+            copies_s = 0.0 if first else self._pace().copies_s
+            loop.call_later(copies_s, self._end_relaxed, revision, self._watching)
 
     @property
     def behind(self) -> bool:
--- a/src/rosepath/store_pace.py
+++ b/src/rosepath/store_pace.py
@@ -38,6 +38,9 @@
 # Where others tell what they know, a silent one is found by that. The store
 # keeps 20 s of history, and a watch begins up to 8 s after the last.
 TOLD_WAIT_S = 10.0
+# A configuration may be large. Read by a whole crowd at once it fills the store's
+# link and, on slow ones, keeps callers' streams waiting; copies are compressed.
+COPIES_CROWDED_S = 1.0
 # While the store fails, others say when it is back or has news.
 BACKOFF_ALONE_S = 0.5
 BACKOFF_TOLD_S = 2.0
@@ -100,4 +103,5 @@
         gather_s=GATHER_S,
         backoff_max_s=BACKOFF_TOLD_S if told or crowded else BACKOFF_ALONE_S,
         relaxed=told,
+        copies_s=COPIES_CROWDED_S if crowded else 0.0,
     )
--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -68,6 +68,8 @@
     silenced_s: dict[str, float] = field(default_factory=dict)
     # The rate of a VM's link to the store; without one answers take no time.
     bytes_per_s: dict[str, float] = field(default_factory=dict)
+    # What each VM was sent of objects by the store.
+    received_bytes: Counter[str] = field(default_factory=Counter)
     lost_share: float = 0.0
     changed: asyncio.Condition = field(default_factory=asyncio.Condition)
     cuts: int = 0
--- a/tests/store_view.py
+++ b/tests/store_view.py
@@ -132,6 +132,7 @@
     async def _receive(self, objects: Mapping[str, StoredObject]) -> None:
         """Take as long as the objects need on this VM's link to the store."""
         size = sum(len(stored.value) for stored in objects.values())
+        self.world.received_bytes[self.vm] += size
         until_s = now_s() + size / self.world.bytes_per_s.get(self.vm, math.inf)
         cuts = self.world.cuts
         while (left_s := until_s - now_s()) > 0:
--- a/tests/test_outdated_configuration.py
+++ b/tests/test_outdated_configuration.py
@@ -10,6 +10,7 @@
 # A change that was accepted must be in force so soon.
 APPLY_S = 2.0
 LARGE = 300_000
+CROWD = 30
 VERSIONS = (3, 4, 5)
 
 # Which VMs were late with which version.
@@ -169,3 +170,18 @@
         return await changing
 
     assert late_with(monkeypatch, vms, course) == {}
+
+
+def test_a_crowd_does_not_read_a_large_change_from_the_store_all_at_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Each VM's link, and the store's, was filled with the same document, and
+    # callers' streams waited for it.
+    async def course(world: World) -> Behind:
+        before = sum(world.received_bytes.values())
+        behind = await apply_versions(world, size=LARGE)
+        read = sum(world.received_bytes.values()) - before
+        assert read < 0.5 * CROWD * LARGE * len(VERSIONS)
+        return behind
+
+    assert late_with(monkeypatch, CROWD, course) == {}
