Tell in each request's line by which configuration it was routed

Callers saw 404s and answers by a version that most VMs had replaced. No line said by which version a request was handled, how old that was known to be, or whether its VM knew of a newer one; refusals before a route was found (400, 404, 503 without a configuration or service) had no line at all.

request_ended and request_refused now tell configuration, configuration_age_s and configuration_behind as they were when the request was routed: by the time of the line another version may be in force. Refusals without a route write request_unrouted, a kind of its own, so that RateBound gives them a share of their own and a flood of them leaves the lines of other refusals alone; host and path are cut to 200 characters.

With the fields taken away from the context, the tests of an answer's and a refusal's line fail.

--- a/src/rosepath/entry_node.py
+++ b/src/rosepath/entry_node.py
@@ -17,6 +17,7 @@
     CopyHandler,
     fetch_over,
 )
+from rosepath.configuration_view import ConfigurationView
 from rosepath.crash_watch import CrashWatch, life_of
 from rosepath.entry_metrics import EntryMetrics
 from rosepath.entry_settings import EntrySettings
@@ -184,7 +185,7 @@
                 on_leaving=self._heed_leaving,
                 fleet_sound=lambda: self.tables.sound,
                 make_sure=self.tables.make_sure,
-                outdated=lambda: self.tables.catalog_feed.behind,
+                configuration=self._configuration_view,
             )
         )
         self.gateway = Gateway(
@@ -319,6 +320,15 @@
             "in_flight": len(self.gateway.open),
         }
 
+    def _configuration_view(self) -> ConfigurationView:
+        """Return the version in force, and how current it is known to be."""
+        catalog, feed = self.tables.catalog, self.tables.catalog_feed
+        return ConfigurationView(
+            version=catalog.version if catalog else 0,
+            age_s=feed.age.age_s,
+            behind=feed.behind,
+        )
+
     def _budget(self, service: str) -> RetryWindow:
         if service not in self.budgets:
             bounds = self.settings.retries
--- a/src/rosepath/relay.py
+++ b/src/rosepath/relay.py
@@ -11,7 +11,7 @@
 from rosepath.caller_call import BadRequestError, CallerCall
 from rosepath.catalog import HostRoute, RouteKind
 from rosepath.crash_watch import life_of
-from rosepath.errors import RefusalError, Step, refuse
+from rosepath.errors import Refusal, RefusalError, Run, Step, refuse
 from rosepath.event_order import EventOrder
 from rosepath.fleet import BackendServer, Flight
 from rosepath.gateway import CallerExchange
@@ -38,6 +38,8 @@
 ANSWER_MARGIN_S = 0.02
 # A newer configuration that is known to exist is here by then more often than not.
 ROUTE_WAIT_S = 0.4
+# Of a host or path as its caller sent it.
+MAX_LOGGED_CHARS = 200
 _log = get_logger()
 
 
@@ -64,18 +66,11 @@
             request_id = call.request_id
             context = await self._begin(call, exchange)
         except BadRequestError as error:
-            self._refuse(exchange, request_id, 400, "bad_request", str(error))
+            refusal = Refusal(400, "bad_request", str(error), Run.NO, error.step)
+            self._refuse_unrouted(exchange, request_id, refusal)
             return
         except RefusalError as error:
-            refusal = error.refusal
-            self._refuse(
-                exchange,
-                request_id,
-                refusal.status,
-                refusal.code,
-                refusal.message,
-                refusal.retry_after_s,
-            )
+            self._refuse_unrouted(exchange, request_id, error.refusal)
             return
         try:
             await self._run(context)
@@ -88,7 +83,7 @@
     async def _begin(
         self, call: CallerCall, exchange: CallerExchange
     ) -> RequestContext:
-        if self._find(call) is None and self._ports.outdated():
+        if self._find(call) is None and self._ports.configuration().behind:
             await self._wait_for_route(call)
         catalog = self._ports.catalog()
         if catalog is None:
@@ -120,6 +115,7 @@
             service=service,
             exchange=exchange,
             deadline_s=call.arrived_s + limit_s - ANSWER_MARGIN_S,
+            configuration=self._ports.configuration(),
             order=EventOrder(last_id=call.last_event_id) if streams else None,
         )
 
@@ -136,11 +132,11 @@
                 asyncio.timeout(min(ROUTE_WAIT_S, call.wait_s or ROUTE_WAIT_S)),
                 self._ports.fleet_changed,
             ):
-                while self._find(call) is None and self._ports.outdated():
+                while self._find(call) is None and self._ports.configuration().behind:
                     await self._ports.fleet_changed.wait()
 
     def _unrouted(self) -> RefusalError:
-        if self._ports.outdated():
+        if self._ports.configuration().behind:
             return refuse(
                 503,
                 "configuration_outdated",
@@ -342,6 +338,33 @@
             cut=cut,
             obstacle=context.obstacle,
             repeats_left=self._next.repeats_left(context),
+            **context.configuration.log_fields,
+        )
+
+    def _refuse_unrouted(
+        self, exchange: CallerExchange, request_id: str, refusal: Refusal
+    ) -> None:
+        """Refuse what was not understood, or has no route or service here."""
+        self._refuse(
+            exchange,
+            request_id,
+            refusal.status,
+            refusal.code,
+            refusal.message,
+            refusal.retry_after_s,
+        )
+        # A kind of line of its own: many of these, which anybody can cause, leave
+        # the lines of other refusals their share of the log.
+        _log.info(
+            "request_unrouted",
+            request_id=request_id,
+            status=refusal.status,
+            code=refusal.code,
+            why=refusal.message,
+            step=refusal.step.value,
+            host=exchange.headers.get("Host", "")[:MAX_LOGGED_CHARS],
+            path=exchange.path.partition("?")[0][:MAX_LOGGED_CHARS],
+            **self._ports.configuration().log_fields,
         )
 
     @staticmethod
--- a/src/rosepath/request_context.py
+++ b/src/rosepath/request_context.py
@@ -11,6 +11,7 @@
 from rosepath.caller_call import CallerCall, Prompt
 from rosepath.catalog import Catalog, HostRoute, ServiceSpec
 from rosepath.clock import Clock
+from rosepath.configuration_view import UNKNOWN_CONFIGURATION, ConfigurationView
 from rosepath.content_key import content_key
 from rosepath.crash_watch import CrashWatch
 from rosepath.event_order import EventOrder
@@ -72,8 +73,8 @@
     # makes it so.
     fleet_sound: Callable[[], bool] = lambda: True
     make_sure: Callable[[], Awaitable[None]] = _look_nowhere
-    # Whether a newer configuration than the one in force here is known to exist.
-    outdated: Callable[[], bool] = lambda: False
+    # How current the catalog is.
+    configuration: Callable[[], ConfigurationView] = lambda: UNKNOWN_CONFIGURATION
     rng: random.Random = field(default_factory=random.Random)
 
 
@@ -86,6 +87,8 @@
     service: ServiceSpec
     exchange: CallerExchange
     deadline_s: float
+    # As it was when the request was routed.
+    configuration: ConfigurationView = UNKNOWN_CONFIGURATION
     order: EventOrder | None = None
     tried: set[str] = field(default_factory=set)
     seen: list[Evidence] = field(default_factory=list)
--- a/src/rosepath/request_records.py
+++ b/src/rosepath/request_records.py
@@ -45,4 +45,5 @@
             longest_pause_s=round(context.longest_pause_s, 3),
             gap_s=context.route.target_gap_s,
             target_s=context.route.target_latency_s,
+            **context.configuration.log_fields,
         )
--- a/tests/entry_harness.py
+++ b/tests/entry_harness.py
@@ -12,6 +12,7 @@
 from rosepath.attempt import Attempts
 from rosepath.catalog import Catalog, HostRoute
 from rosepath.clock import SystemClock
+from rosepath.configuration_view import UNKNOWN_CONFIGURATION, ConfigurationView
 from rosepath.fleet import Fleet
 from rosepath.gateway import CallerExchange, Gateway
 from rosepath.http_client import HttpPool
@@ -156,7 +157,11 @@
 
 @asynccontextmanager
 async def entry(
-    *servers: Scripted, route: HostRoute | None = None, slack: float = 50.0
+    *servers: Scripted,
+    route: HostRoute | None = None,
+    slack: float = 50.0,
+    configuration: Callable[[], ConfigurationView] = lambda: UNKNOWN_CONFIGURATION,
+    on_outcome: Callable[[RequestContext, int, str], None] = lambda *_: None,
 ) -> AsyncIterator[Entry]:
     """Run a gateway before some backend servers."""
     clock, fleet, pool = SystemClock(), Fleet(), HttpPool()
@@ -173,8 +178,9 @@
     window = RetryWindow(clock=clock, ratio=0.2, slack=slack, window_s=10.0)
     made: list[Entry] = []
 
-    def on_outcome(_: RequestContext, status: int, code: str) -> None:
+    def note_outcome(context: RequestContext, status: int, code: str) -> None:
         made[0].outcomes.append((status, code))
+        on_outcome(context, status, code)
 
     def on_failure(_: CallerExchange, error: BaseException | None) -> None:
         made[0].outcomes.append((0, repr(error)))
@@ -192,8 +198,9 @@
             fleet_changed=asyncio.Condition(),
             cut_off=set,
             wait_limit_s=lambda: made[0].wait_limit_s,
-            on_outcome=on_outcome,
+            on_outcome=note_outcome,
             crashes=a_crash_watch(clock),
+            configuration=configuration,
         )
     )
     gateway = Gateway(relay.serve, clock=clock, on_failure=on_failure)
--- a/tests/test_entry_node.py
+++ b/tests/test_entry_node.py
@@ -2,10 +2,11 @@
 
 import asyncio
 
-from entry_builders import entry_settings
+from entry_builders import a_catalog, a_route, entry_settings
 from virtual_time import VirtualLoop
 
 from rosepath.entry_node import NO_PLAN_TICK_S, PLAN_TICK_S, EntryNode
+from rosepath.peer_messages import NEVER_S
 from rosepath.store_pace import WAIT_SHARE, catalog_pace
 
 
@@ -69,3 +70,20 @@
     node.coordinator.leases.fence = lambda _: 1  # type: ignore[method-assign]
     holder_s = catalog_pace(node._following(feed, bound_s)).wait_s
     assert holder_s < other_s == WAIT_SHARE * bound_s
+
+
+def test_what_requests_are_told_of_the_configuration_is_as_of_now() -> None:
+    # An age that is counted from the last answer of the store says nothing of
+    # what the holder has vouched for since, and the reverse.
+    async def run() -> None:
+        node = EntryNode(entry_settings("vm"))
+        age = node.tables.catalog_feed.age
+        assert node._configuration_view().log_fields["configuration_age_s"] == NEVER_S
+        node.tables.catalog = a_catalog(a_route(), version=3)
+        age.note_look(age.now_s())
+        view = node._configuration_view()
+        assert view.version == 3
+        assert view.age_s < 1.0
+
+    with asyncio.Runner(loop_factory=VirtualLoop) as runner:
+        runner.run(run())
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -20,7 +20,13 @@
 from structlog.testing import capture_logs
 
 from rosepath.catalog import HostRoute, RouteKind
+from rosepath.clock import SystemClock
+from rosepath.configuration_view import ConfigurationView
+from rosepath.entry_metrics import EntryMetrics
 from rosepath.next_try import MAX_TRIES
+from rosepath.peer_messages import NEVER_S
+from rosepath.relay import MAX_LOGGED_CHARS
+from rosepath.request_records import RequestRecords
 
 
 def generate(shared: str = "aa") -> str:
@@ -385,3 +391,95 @@
         assert event(4) in data
 
     asyncio.run(run())
+
+
+BEHIND = ConfigurationView(version=4, age_s=1.2504, behind=True)
+BEHIND_FIELDS = {
+    "configuration": 4,
+    "configuration_age_s": 1.25,
+    "configuration_behind": True,
+}
+
+
+@pytest.mark.parametrize(
+    ("head", "status", "code"),
+    [
+        ("GET /elsewhere/1?x=1 HTTP/1.1\r\nRequest-Id: q1", 404, "no_route"),
+        ("GET /drafts/1 HTTP/1.1", 400, "bad_request"),
+    ],
+)
+def test_a_refusal_without_a_route_tells_by_which_configuration(
+    head: str, status: int, code: str
+) -> None:
+    # A route that a newer version declares was answered 404, and no line said so.
+    async def run() -> None:
+        servers = Scripted("s1", answers)
+        async with entry(servers, configuration=lambda: BEHIND) as node:
+            await node.ask(head)
+
+    with capture_logs() as lines:
+        asyncio.run(run())
+    (line,) = (line for line in lines if line["event"] == "request_unrouted")
+    assert (line["status"], line["code"]) == (status, code)
+    assert (line["host"], line["path"]) == (
+        "court.example",
+        head.split()[1].partition("?")[0],
+    )
+    assert line.items() >= BEHIND_FIELDS.items()
+
+
+def test_a_line_holds_no_more_of_a_path_than_it_must() -> None:
+    # Paths of 60 kB, which any caller may send, would fill what is kept of lines.
+    async def run() -> None:
+        async with entry(Scripted("s1", answers)) as node:
+            await node.ask(f"GET /{'x' * 9000} HTTP/1.1\r\nRequest-Id: q1")
+
+    with capture_logs() as lines:
+        asyncio.run(run())
+    (line,) = (line for line in lines if line["event"] == "request_unrouted")
+    assert len(line["path"]) == MAX_LOGGED_CHARS
+
+
+def test_a_refusal_tells_the_configuration_by_which_it_was_routed() -> None:
+    # By the time of its line, the VM may go by a newer version.
+    views = iter((BEHIND, ConfigurationView(version=5, age_s=0.0)))
+
+    async def run() -> None:
+        route = a_plain_route(RouteKind.NON_IDEMPOTENT)
+        async with entry(
+            Scripted("s1", refuses),
+            route=route,
+            slack=0.0,
+            configuration=lambda: next(views),
+        ) as node:
+            await node.ask(FILE, b"claim")
+
+    with capture_logs() as lines:
+        asyncio.run(run())
+    line = next(line for line in lines if line["event"] == "request_refused")
+    assert line.items() >= BEHIND_FIELDS.items()
+
+
+def test_an_answer_tells_the_configuration_by_which_it_was_routed() -> None:
+    # Whether a wrong answer came of an old configuration could not be told.
+    records = RequestRecords(EntryMetrics(), clock=SystemClock())
+
+    async def run() -> None:
+        async with entry(
+            Scripted("s1", answers),
+            route=a_plain_route(RouteKind.IDEMPOTENT),
+            configuration=lambda: BEHIND,
+            on_outcome=records.note,
+        ) as node:
+            assert (await node.ask(LOOK_UP)).endswith(b"whole")
+
+    with capture_logs() as lines:
+        asyncio.run(run())
+    line = next(line for line in lines if line["event"] == "request_ended")
+    assert line.items() >= BEHIND_FIELDS.items()
+
+
+def test_an_age_that_was_never_known_is_told_as_a_number() -> None:
+    # JSON has no infinity, and 1e9 s is no age: readers of lines would stumble.
+    fields = ConfigurationView(age_s=float("inf")).log_fields
+    assert fields["configuration_age_s"] == NEVER_S
