Let explain answer by which configuration a request was handled

Operators had to find a request's VM, then its configuration_in_force before that, then those of all other VMs. explain now ends with one line for each VM that handled the request: version, age, whether a newer one was known to it, and where a newer one was in force by then.

Its beliefs take in store_call_failed and watch_dead, and the last line of each kind of objects: the store is lost to each kind apart, and a loss of the servers' table hid that of the configuration.

--- a/src/rosepath/cli_logs.py
+++ b/src/rosepath/cli_logs.py
@@ -4,7 +4,7 @@
 from pathlib import Path
 
 from rosepath.cli_calls import EXIT_INVALID, print_table
-from rosepath.explain import course_of, read_lines
+from rosepath.explain import configurations_of, course_of, read_lines
 from rosepath.load_report import Cause, LoadReport, cause_rows, draw_report
 
 
@@ -15,12 +15,15 @@
     :param files: log files; without any, standard input is read
     """
     lines = [text for file in files for text in file.read_text().splitlines()]
-    course = course_of(request_id, read_lines(lines if files else sys.stdin))
+    read = read_lines(lines if files else sys.stdin)
+    course = course_of(request_id, read)
     if not course:
         print(f"rosepath: no line names {request_id}", file=sys.stderr)
         return EXIT_INVALID
     for line in course:
         print(line.shown)
+    for described in configurations_of(request_id, read):
+        print(described)
     return 0
 
 
--- a/src/rosepath/explain.py
+++ b/src/rosepath/explain.py
@@ -5,13 +5,17 @@
 from dataclasses import dataclass
 from typing import Any
 
-# Lines that change what a VM believes; the latest of each before a request's
-# line is what it was decided on.
+from rosepath.peer_messages import NEVER_S
+
+# Lines that change what a VM believes, or say why it learns nothing new; the
+# latest of each before a request's line is what it was decided on.
 BELIEFS = (
     "configuration_in_force",
     "servers_listed",
     "store_lost",
+    "store_call_failed",
     "store_regained",
+    "watch_dead",
     "lease_taken",
     "lease_lost",
     "stopping",
@@ -71,12 +75,14 @@
     if not own:
         return []
     vms = {line.entry_vm for line in own}
-    latest: dict[tuple[str, str], LogLine] = {}
+    # The store may be lost to one kind of objects and answer for another.
+    latest: dict[tuple[str, str, str], LogLine] = {}
     for line in lines:
         if line.at > own[-1].at:
             break
         if line.event in BELIEFS and line.entry_vm in vms:
-            latest[line.entry_vm, line.event] = line
+            kind = str(line.details.get("kind", ""))
+            latest[line.entry_vm, line.event, kind] = line
     peers = {line.details.get("peer") for line in own} - {None, ""}
     orders = [
         line
@@ -96,3 +102,44 @@
     ]
     shown = [*latest.values(), *orders[-5:], *crashes, *own]
     return sorted(shown, key=lambda line: line.at)
+
+
+def configurations_of(request_id: str, lines: Sequence[LogLine]) -> list[str]:
+    """Tell by which configuration each VM handled a request, and how current it was.
+
+    Newer versions elsewhere count if they were in force by the VM's last line of
+    the request.
+    """
+    last: dict[str, LogLine] = {}
+    for line in lines:
+        if line.request_id == request_id and "configuration" in line.details:
+            last[line.entry_vm] = line
+    return [_describe_configuration(line, lines) for line in last.values()]
+
+
+def _describe_configuration(handled: LogLine, lines: Sequence[LogLine]) -> str:
+    version = handled.details["configuration"]
+    age_s = handled.details.get("configuration_age_s", NEVER_S)
+    behind = handled.details.get("configuration_behind", False)
+    described = [
+        f"version {version}" if version else "none",
+        "never known to be current"
+        if age_s >= NEVER_S
+        else f"known to be current {age_s} s before",
+        "a newer one was known to exist" if behind else "no newer one was known",
+    ]
+    newer = {
+        line.entry_vm: line
+        for line in reversed(lines)
+        if line.event == "configuration_in_force"
+        and line.entry_vm != handled.entry_vm
+        and line.at <= handled.at
+        and line.details.get("version", 0) > version
+    }
+    if newer:
+        first = min(newer.values(), key=lambda line: line.at)
+        described.append(
+            f"a newer one was in force elsewhere (VMs: {len(newer)},"
+            f" first: {first.entry_vm} at {first.at})"
+        )
+    return f"{handled.entry_vm}: configuration {', '.join(described)}"
