--- a/src/rosepath/entry_node.py
+++ b/src/rosepath/entry_node.py
@@ -308,6 +308,7 @@
             if self.tables.catalog
             else 0,
             "configuration_age_s": now_s - self.tables.catalog_feed.in_touch_s,
+            "configuration_behind": self._configuration_view().behind,
             "servers_age_s": now_s - self.tables.servers_feed.in_touch_s,
             "servers_looked_ago_s": self.tables.looked_ago_s,
             "store_age_s": now_s - self.store.last_success_s,
