Join the line of what was not routed with the refusal of outdated configurations

The test of the line gave a VM that is behind and held its answer to 404; since a VM that knows that it is behind says 503 there, both cases are in the test now, each with the fields of its line.

--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -393,6 +393,7 @@
     asyncio.run(run())
 
 
+UNROUTED = "GET /elsewhere/1?x=1 HTTP/1.1\r\nRequest-Id: q1"
 BEHIND = ConfigurationView(version=4, age_s=1.2504, behind=True)
 BEHIND_FIELDS = {
     "configuration": 4,
@@ -402,19 +403,20 @@
 
 
 @pytest.mark.parametrize(
-    ("head", "status", "code"),
+    ("head", "view", "status", "code"),
     [
-        ("GET /elsewhere/1?x=1 HTTP/1.1\r\nRequest-Id: q1", 404, "no_route"),
-        ("GET /drafts/1 HTTP/1.1", 400, "bad_request"),
+        (UNROUTED, BEHIND, 503, "configuration_outdated"),
+        (UNROUTED, replace(BEHIND, behind=False), 404, "no_route"),
+        ("GET /drafts/1 HTTP/1.1", BEHIND, 400, "bad_request"),
     ],
 )
 def test_a_refusal_without_a_route_tells_by_which_configuration(
-    head: str, status: int, code: str
+    head: str, view: ConfigurationView, status: int, code: str
 ) -> None:
     # A route that a newer version declares was answered 404, and no line said so.
     async def run() -> None:
         servers = Scripted("s1", answers)
-        async with entry(servers, configuration=lambda: BEHIND) as node:
+        async with entry(servers, configuration=lambda: view) as node:
             await node.ask(head)
 
     with capture_logs() as lines:
@@ -425,7 +427,8 @@
         "court.example",
         head.split()[1].partition("?")[0],
     )
-    assert line.items() >= BEHIND_FIELDS.items()
+    assert line.items() >= view.log_fields.items()
+    assert line["configuration_behind"] is view.behind
 
 
 def test_a_line_holds_no_more_of_a_path_than_it_must() -> None:
