--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -249,13 +249,8 @@
         self.holder = names[0]
         for name in names:
             self._add(name, monkeypatch)
-        for name, node in self.nodes.items():
-            for other in names:
-                node.peers.learn(other, _address(other))
-            link = node.exchange.link
-            link._rng = self.rng
-            link.connection_made(cast(Any, Wire(self, name)))
-            self._run(name)
+        for name in names:
+            self._begin(name)
 
     def _add(self, name: str, monkeypatch: pytest.MonkeyPatch) -> None:
         monkeypatch.setattr(
@@ -285,6 +280,16 @@
         node.relay._ports.on_outcome = lambda *_: None
         node.relay._ports.rng = self.rng
 
+    def _begin(self, name: str) -> None:
+        """Let a VM know the others, and run."""
+        node = self.nodes[name]
+        for other in self.nodes:
+            node.peers.learn(other, _address(other))
+        link = node.exchange.link
+        link._rng = self.rng
+        link.connection_made(cast(Any, Wire(self, name)))
+        self._run(name)
+
     def _run(self, name: str) -> None:
         node = self.nodes[name]
         for work in (
@@ -308,6 +313,13 @@
         if self.holder == name:
             self.holder = ""
 
+    def start_again(self, name: str, monkeypatch: pytest.MonkeyPatch) -> None:
+        """Start a killed VM, which knows nothing of before."""
+        self._add(name, monkeypatch)
+        self._begin(name)
+        self.turned_away.discard(name)
+        self._harm([name])
+
     async def close(self) -> None:
         for task in self.tasks:
             task.cancel()
