Let a log of leaves reach back to its VM's first list only

What callers saw: nothing; what was broken is the drain time.

Cause: a holder that is killed takes its own lease again as soon as it is back. Its first list lacks a server that was removed meanwhile, so that its log does not name it; the log said all the same that it was complete for 5 s. The other VMs, whose tables were from before the kill, took that word for a look of their own.

Change: the log is complete from its VM's first list on.

Price: one look of each VM when a holder starts again.

--- a/src/rosepath/leave_log.py
+++ b/src/rosepath/leave_log.py
@@ -1,5 +1,6 @@
 """Which servers left lately, as one entry VM tells the others."""
 
+import math
 from collections.abc import Iterable
 
 from rosepath.clock import Clock
@@ -17,9 +18,15 @@
 
     def __init__(self, *, clock: Clock) -> None:
         self._clock = clock
+        # What left before this VM first knew the servers is not among its leaves.
+        self._begun_s = math.inf
         # In the order in which they were learned.
         self._learned: dict[str, tuple[float, LeavingServer]] = {}
 
+    def begin(self) -> None:
+        """Note that from now on every leave is learned."""
+        self._begun_s = min(self._begun_s, self._clock.monotonic_s())
+
     def note(self, leave: LeavingServer) -> None:
         """Note a leave that was not known before."""
         self._forget_old()
@@ -31,9 +38,9 @@
         self._forget_old()
         learned = list(self._learned.values())
         left_out, told = learned[:-LEAVES_TOLD], learned[-LEAVES_TOLD:]
-        complete_ago_s = TOLD_S
-        if left_out:
-            complete_ago_s = self._clock.monotonic_s() - left_out[-1][0]
+        now_s = self._clock.monotonic_s()
+        since_s = left_out[-1][0] if left_out else min(self._begun_s, now_s)
+        complete_ago_s = min(TOLD_S, now_s - since_s)
         return _leaves(told), complete_ago_s
 
     def _forget_old(self) -> None:
--- a/src/rosepath/store_tables.py
+++ b/src/rosepath/store_tables.py
@@ -120,6 +120,7 @@
             gone_at=listing.revision,
         )
         self._take_in(listing.objects)
+        self.leaves.begin()
         _log.info("servers_listed", revision=listing.revision, count=len(listed))
 
     def _servers_changed(self, change: Change) -> None:
