Take one failed call for no outage

What callers saw: nothing. A server that was removed as the watches were cut, which the store may do at any time, was used for 2.05 s after it had left, 2 s allowed (virtual time, at the holder).

Cause: the first call that fails set the start of an outage to the last look. A server missing from the list right after it was then kept as one whose entry may have lapsed, for as long as a VM that comes out of an outage has to settle.

Change: an outage begins with the second call in a row that fails, when that was asked. After a single failure a missing server is used no longer than the drain time from when it was last known to be there.

Price: where a whole outage is seen as one cut watch, servers whose entries lapsed in it are dropped up to the drain time after they were last known, and come back with their entries.

--- a/src/rosepath/feed.py
+++ b/src/rosepath/feed.py
@@ -394,10 +394,10 @@
 
     def _note_lost(self, error: StoreError) -> None:
         self._resolve()
-        # The first call that fails may only have met a connection that went
-        # silent while it was idle; the next one is made over a new connection.
-        sure_s = self._asked_s if self.out_of_touch else self.age.looked_s
-        self._failed_s = max(self._failed_s, sure_s)
+        # The first call that fails may only have met a connection that went silent
+        # while it was idle; the next one is made over a new connection.
+        if self.out_of_touch:
+            self._failed_s = max(self._failed_s, self._asked_s)
         event = "store_call_failed" if self.out_of_touch else "store_lost"
         self.out_of_touch = True
         _log.warning(
