Reproduce requests that wait for a store that answers slowly

What callers saw (by this test): requests held for up to 0.65 s, time and again, at a VM whose store takes 0.6, 1.2 or 1.4 s for an answer, with a drain time of 2 s.

Cause: a late call marks the VM out of touch, and its answer ends that again. Between two such answers the table is older than it may be used, and the next is not late yet.

--- /dev/null
+++ b/tests/test_slow_store_answers.py
@@ -0,0 +1,87 @@
+"""What becomes of requests while each answer of the store is slow."""
+
+import asyncio
+
+import pytest
+from store_wire import Pieces, a_store, answer, no_change, now_s, play
+from virtual_time import LoopClock
+
+from rosepath.feed import Pace
+from rosepath.store_tables import StoreTables
+
+DRAIN_S = 2.0
+SETTLE_S = 4.0
+WAIT_S = 0.4 * DRAIN_S
+QUICK_S = 0.004
+# An eighth of the time in which the routes' answers earn their full worth.
+HELD_S = 0.6 / 8
+SERVER = {
+    "service": "llm",
+    "address": "10.0.0.1:80",
+    "zone": "a",
+    "version": "v1",
+    "slots": 4,
+    "state": "ready",
+    "sequence": 1,
+}
+
+
+class SlowServers:
+    """Tell of one server; from some moment on each answer is slow."""
+
+    def __init__(self, slow_s: float) -> None:
+        self.slow_s = slow_s
+        self.slow_from_s = float("inf")
+
+    def __call__(self, path: str) -> Pieces:
+        late_s = self.slow_s if now_s() >= self.slow_from_s else QUICK_S
+        if "watch" not in path:
+            item = {"metadata": {"name": "i-1", "revision": 3}, "spec": SERVER}
+            return [(late_s, answer({"items": [item], "atRevision": 3}))]
+        wait_s = int(path.split("waitMs=")[1].split("&")[0]) / 1000
+        return [(wait_s + late_s, answer(no_change(3)))]
+
+
+def the_tables() -> StoreTables:
+    return StoreTables(
+        a_store(),
+        clock=LoopClock(),
+        servers_pace=lambda: Pace(wait_s=WAIT_S),
+        catalog_pace=Pace,
+        on_catalog=lambda _: None,
+        drain_s=DRAIN_S,
+        settle_s=SETTLE_S,
+    )
+
+
+@pytest.mark.parametrize("slow_s", [0.3, 0.6, 0.8, 1.0, 1.2, 1.4])
+def test_requests_are_not_held_by_a_store_that_answers_slowly(slow_s: float) -> None:
+    # Between two answers the table grows too old to go by, time and again, and
+    # requests wait for the next, though no server has left.
+    store = SlowServers(slow_s)
+
+    async def run() -> None:
+        tables = the_tables()
+        following = asyncio.ensure_future(tables.servers_feed.run())
+        await asyncio.sleep(5.0)
+        store.slow_from_s = now_s()
+        held_s: list[float] = []
+
+        async def ask() -> None:
+            begun_s = now_s()
+            while True:
+                await tables.make_sure()
+                if tables.sound:
+                    break
+            held_s.append(now_s() - begun_s)
+
+        asking = []
+        for _ in range(1000):
+            asking.append(asyncio.ensure_future(ask()))
+            await asyncio.sleep(0.02)
+        await asyncio.wait(asking, timeout=3.0)
+        following.cancel()
+        assert len(held_s) == len(asking)
+        assert max(held_s) <= HELD_S
+
+    play(store, run)
