Ask a silent store again each second, and leave each read four seconds

Cause: the limit for the first byte was 1.5 s and constant, and two reads ran at once: a third was made only after the first had been given up, and a pause.

Change: a read has 4 s to begin to be answered; while none has, a further one is made each second, four at a time. Whether the store is back is found out by the next read, and the first slow answer that comes is taken. One that refuses at once is asked at the pace of the pauses, as before. Calls in a silent outage: 1.0 a second, as before. Lines for calls that fail in an outage are written every 2 s at most.

--- a/src/rosepath/entry_settings.py
+++ b/src/rosepath/entry_settings.py
@@ -22,7 +22,7 @@
     call_timeout_s: Seconds = 0.5
     # Until a read must have begun to be answered. A store that takes longer serves
     # nobody a configuration in time; other entry VMs may.
-    read_patience_s: Seconds = 1.5
+    read_patience_s: Seconds = 4.0
 
 
 class RetrySettings(Section):
--- a/src/rosepath/feed.py
+++ b/src/rosepath/feed.py
@@ -25,9 +25,13 @@
 HEARD_GRACE_S = 0.5
 # An answer that is not there after this is late: the next call is made beside it.
 LATE_S = 0.5
-# Two calls find out whether the store or only a connection is dead; a third would
-# add to the load of a store that is slow for all.
-READS_AT_ONCE = 2
+# The second read finds out whether the store or only a connection is dead. After
+# that a silent store is asked this often, which tells soon when it is back; a slow
+# one has the time of all reads that run to answer the first of them.
+READ_AGAIN_S = 1.0
+READS_AT_ONCE = 4
+# In an outage each failed call is no news.
+FAILURE_LOGGED_EACH_S = 2.0
 # While changes gather or a watch waits, what allows that is looked at this often.
 PACE_LOOK_S = 0.25
 # A table that is older than its pace allows is made sure of by a watch that only
@@ -108,6 +112,7 @@
         # Whether the watch has not told of a revision that another VM knows, and
         # whether its answer has begun to arrive.
         self._doubted = self._arriving = False
+        self._logged_s = -1e9
         # Set while another VM is known to have a newer revision.
         self.wanted = asyncio.Event()
         # The latest moment at which the store or the way to it surely failed.
@@ -162,8 +167,9 @@
         """Read the whole; `fresh` over a new connection, as late reads are."""
         asked_s, listing = await first_answer(
             self._reads(fresh=fresh),
-            late_after_s=LATE_S,
-            most=READS_AT_ONCE,
+            late_after_s=READ_AGAIN_S if fresh else LATE_S,
+            again_after_s=READ_AGAIN_S,
+            at_once=READS_AT_ONCE,
             on_late=lambda: self._note_lost(self._late("list")),
         )
         self._take_listing(listing)
@@ -276,6 +282,8 @@
         finally:
             listing.cancel()
             await asyncio.wait([listing])
+            if not listing.cancelled():
+                listing.exception()
 
     async def _gather(self) -> None:
         """Let changes gather, for as long as the pace goes on to allow it."""
@@ -400,6 +408,11 @@
             self._failed_s = max(self._failed_s, self._asked_s)
         event = "store_call_failed" if self.out_of_touch else "store_lost"
         self.out_of_touch = True
+        now_s = self._clock.monotonic_s()
+        if event == "store_call_failed":
+            if now_s < self._logged_s + FAILURE_LOGGED_EACH_S:
+                return
+        self._logged_s = now_s
         _log.warning(
             event,
             kind=self._kind,
--- a/src/rosepath/late_calls.py
+++ b/src/rosepath/late_calls.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from functools import partial
 from typing import TypeVar
 
 T = TypeVar("T")
@@ -16,36 +17,46 @@
     call: Callable[[OnBegun], Awaitable[T]],
     *,
     late_after_s: float,
-    most: int,
+    again_after_s: float,
+    at_once: int,
     on_late: Callable[[], None] = lambda: None,
 ) -> T:
-    """Return the first answer; start another call while none has begun to arrive.
+    """Return the first answer; make further calls while none has begun to arrive.
 
-    `most` calls are made in all, each told whom to tell that its answer begins.
-    Raises what the last of them raised once none of them is left.
+    The first call is late after `late_after_s`, each further one after
+    `again_after_s`; no more than `at_once` run at a time, each told whom to tell that
+    its answer begins. Raises what the last of them raised once none of them is left.
     """
-    running: set[asyncio.Future[T]] = set()
-    begun = asyncio.Event()
+    running: dict[asyncio.Future[T], int] = {}
+    arriving: set[int] = set()
     made = 0
+    loop = asyncio.get_running_loop()
+    next_s = loop.time()
     try:
         while True:
-            if made < most and not begun.is_set():
-                running.add(asyncio.ensure_future(call(begun.set)))
+            if not arriving and len(running) < at_once and loop.time() >= next_s:
+                next_s = loop.time() + (again_after_s if made else late_after_s)
                 made += 1
-            may_be_late = made < most and not begun.is_set()
+                on_begun = partial(arriving.add, made)
+                running[asyncio.ensure_future(call(on_begun))] = made
+            full = bool(arriving) or len(running) >= at_once
             done, _ = await asyncio.wait(
                 running,
-                timeout=late_after_s if may_be_late else None,
+                timeout=None if full else max(0.0, next_s - loop.time()),
                 return_when=asyncio.FIRST_COMPLETED,
             )
             for ended in done:
-                running.discard(ended)
-                if ended.exception() is None or not running:
-                    return ended.result()
-            if not done and not begun.is_set():
+                arriving.discard(running.pop(ended))
+            if answered := [ended for ended in done if ended.exception() is None]:
+                return answered[0].result()
+            if done and not running:
+                return done.pop().result()
+            if not done and not arriving:
                 on_late()
     finally:
         for left in running:
             left.cancel()
         if running:
             await asyncio.wait(running)
+            for left in running:
+                left.cancelled() or left.exception()
