Leave the read beside a watch to arrive when the watch ends

Cause: the read that is made beside a doubtful watch ended with the watch: when that failed, or was broken off for news, a read whose answer was arriving began again at its first byte.

Change: the read goes on; if it is answered first, the watch counts for nothing.

--- a/src/rosepath/feed.py
+++ b/src/rosepath/feed.py
@@ -229,7 +229,8 @@
             watching.cancel()
             # Its connection is closed before the next one is opened.
             await asyncio.wait([watching])
-        if watching.cancelled():
+        if watching.cancelled() or self.age.looked_s > asked_s:
+            # The read beside it was answered first.
             return None
         change = watching.result()
         if self._relaxed:
@@ -277,8 +278,11 @@
         listing = asyncio.ensure_future(self._list(fresh=True))
         try:
             await asyncio.wait([watching, listing], return_when=asyncio.FIRST_COMPLETED)
-            if not watching.done():
-                listing.result()
+            answered = watching.done() and not (
+                watching.cancelled() or watching.exception()
+            )
+            if not answered:
+                await listing
         finally:
             listing.cancel()
             await asyncio.wait([listing])
