Read the configuration whole when a watch passes a change over

Cause: only the watch that waits as news comes was doubted. If it ended by itself within half a second, and the store's watches had passed the change over, no later one was.

Change: a VM that is behind before a full watch and after it reads the whole next.

--- a/src/rosepath/feed.py
+++ b/src/rosepath/feed.py
@@ -132,6 +132,7 @@
                 if not listed:
                     await self._list()
                     listed = True
+                was_behind = self._urgent and self.behind
                 looked = await self._watch()
                 if looked is None:
                     continue
@@ -139,6 +140,8 @@
                 self._take_change(change)
                 if known_s is not None:
                     self._note_look(known_s)
+                    # A watch may pass a change over; the whole does not.
+                    listed = not (was_behind and self.behind)
                 backoff_s = BACKOFF_FIRST_S
                 if change.written or change.removed:
                     await self._gather()
