Count an answer that came late as no sign that the store is well

Cause: since a late read is left to run, its answer ended the state out of touch. Until the next answer was late the table of servers was too old to go by, and requests waited for it.

Change: an answer is taken, but one that began late sets out of touch or leaves it set. What counts is when it begins: a large one may arrive for long.

--- a/src/rosepath/feed.py
+++ b/src/rosepath/feed.py
@@ -1,6 +1,7 @@
 """Follow a kind of objects in the store: read it whole, then its changes."""
 
 import asyncio
+import math
 import random
 from collections.abc import Awaitable, Callable, Mapping
 from contextlib import suppress
@@ -112,6 +113,9 @@
         # Whether the watch has not told of a revision that another VM knows, and
         # whether its answer has begun to arrive.
         self._doubted = self._arriving = False
+        # When the latest answer began to arrive, and whether that was late.
+        self._begun_s = math.inf
+        self._answered_late = False
         self._logged_s = -1e9
         # Set while another VM is known to have a newer revision.
         self.wanted = asyncio.Event()
@@ -175,6 +179,7 @@
             at_once=READS_AT_ONCE,
             on_late=lambda: self._note_lost(self._late("list")),
         )
+        self._note_answered(due_s=asked_s)
         self._take_listing(listing)
         self._note_look(asked_s)
 
@@ -185,8 +190,14 @@
             nonlocal fresh
             own, fresh = fresh, True
             asked_s = self._asked_s = self.age.now_s()
+            self._begun_s = math.inf
+
+            def note_begun() -> None:
+                self._begun_s = min(self._begun_s, self.age.now_s())
+                on_begun()
+
             return asked_s, await self._store.list(
-                self._kind, fresh=own, on_begun=on_begun
+                self._kind, fresh=own, on_begun=note_begun
             )
 
         return read
@@ -209,6 +220,7 @@
         wait_s = BRIEF_S if self.age.age_s > pace.wait_s else pace.wait_s
         asked_s = self._asked_s = self.age.now_s()
         self._doubted = self._arriving = False
+        self._begun_s = math.inf
         # A change that another VM told of, or a look that requests wait for, is
         # no matter for a watch that may be told of it late.
         self._relaxed = pace.relaxed and not (
@@ -236,6 +248,7 @@
             # The read beside it was answered first.
             return None
         change = watching.result()
+        self._note_answered(due_s=asked_s + wait_s)
         if self._relaxed:
             return change, None
         if not (change.written or change.removed):
@@ -271,6 +284,12 @@
 
     def _note_arriving(self) -> None:
         self._arriving = True
+        self._begun_s = self.age.now_s()
+
+    def _note_answered(self, *, due_s: float) -> None:
+        """Note whether an answer that was due at a moment began in time."""
+        begun_s = min(self._begun_s, self.age.now_s())
+        self._answered_late = begun_s > due_s + LATE_S
 
     async def _look_beside(self, watching: "asyncio.Task[Change]") -> None:
         """Read the whole beside a watch; whichever is answered first counts.
@@ -402,7 +421,11 @@
     def _note_touch(self, revision: int) -> None:
         self.revision = revision
         self.in_touch_s = self._clock.monotonic_s()
-        if self.out_of_touch:
+        if self._answered_late:
+            # Its next answer may come when the table is too old to go by.
+            if not self.out_of_touch:
+                self._note_lost(self._late("call"))
+        elif self.out_of_touch:
             self.out_of_touch = False
             self.regained_s = self.in_touch_s
             _log.info("store_regained", kind=self._kind, revision=revision)
