Take callers only once the servers are known

Cause: readiness asked for a configuration only. That comes by copy now, without the store, where the servers' entries don't.

Change: a VM is ready when it has both.

--- a/src/rosepath/entry_node.py
+++ b/src/rosepath/entry_node.py
@@ -194,7 +194,8 @@
 
     @property
     def ready(self) -> bool:
-        known = self.tables.catalog is not None
+        # Either may come before the other, as the configuration also comes by copy.
+        known = self.tables.catalog is not None and self.tables.servers_known
         return known and not self.stopping and not self.isolation.cut_off
 
     async def start(self) -> None:
--- a/src/rosepath/store_tables.py
+++ b/src/rosepath/store_tables.py
@@ -243,6 +243,11 @@
             **fields,
         )
 
+    @property
+    def servers_known(self) -> bool:
+        """Tell whether the servers were read once."""
+        return self.servers_feed.revision > 0
+
     @property
     def looked_ago_s(self) -> float:
         """Return how old what this VM goes by is, in looks or another's word."""
