Bound what a copy of the configuration may cost

Cause: a VM that sent a byte now and then kept the only fetch of a VM that is behind (60 s in the reviewer's trial); one that gave an old copy was asked 3,000 times in 12 s; one that stopped reading held one of the four places of the VM that serves it; pauses grew while there was nobody to ask; an answer could unpack to any size.

Change: a fetch has 1 s in all and another VM is asked then, an old copy counts as none, an answer has 3 s to be taken, pauses grow with those asked in vain only, and a copy may unpack to 4 MiB.

Before: the tests of a stuck VM, of old copies and of what is no copy fail without it.

--- a/src/rosepath/configuration_copies.py
+++ b/src/rosepath/configuration_copies.py
@@ -25,8 +25,13 @@
 NAME_HEADER = "Rosepath-Object"
 # The own watch brings most changes sooner than this.
 SEEK_AFTER_S = 0.3
-# A copy is small once compressed; a VM that is slower has a full link itself.
+# A copy is small once compressed; a VM that takes longer has a full link itself, and
+# another may be asked.
 FETCH_LIMIT_S = 1.0
+# A VM that stops reading must not keep others from being served.
+SERVE_LIMIT_S = 3.0
+# Several times what the store takes for one object.
+MAX_COPY_BYTES = 4 * 1024 * 1024
 ASK_AGAIN_S = 0.1
 ASK_AGAIN_MAX_S = 0.8
 # In a crowd all learn of a change by the holder's word at once: asked by all of
@@ -72,27 +77,28 @@
             pause_s = ASK_AGAIN_S
             while self._feed.behind:
                 behind_s = self._clock.monotonic_s() - since_s
-                if not await self._ask_one(behind_s):
+                peer = self._choose(behind_s)
+                if peer is None:
+                    # Word of somebody who has it may come with the next datagram.
+                    await self._pause(ASK_AGAIN_S)
+                elif not await self._ask(peer, behind_s):
                     await self._pause(pause_s)
                     pause_s = min(2 * pause_s, ASK_AGAIN_MAX_S)
 
     async def _pause(self, pause_s: float) -> None:
         await asyncio.sleep(pause_s * self._rng.uniform(0.5, 1.5))
 
-    async def _ask_one(self, behind_s: float) -> bool:
-        """Ask one VM that has a newer configuration; tell whether it gave it."""
-        peer = self._choose(behind_s)
-        if peer is None:
-            return False
+    async def _ask(self, peer: Peer, behind_s: float) -> bool:
+        """Ask a VM that has a newer configuration; tell whether it gave it."""
         self._in_vain.add(peer.name)
         try:
-            stored = await self.fetch(peer.address, self._feed.changed_revision)
-        except ExchangeError as error:
-            _log.info(
-                "configuration_not_copied", step="peers", by=peer.name, why=str(error)
-            )
+            async with asyncio.timeout(FETCH_LIMIT_S):
+                stored = await self.fetch(peer.address, self._feed.changed_revision)
+        except (ExchangeError, TimeoutError) as error:
+            why = str(error) or "no whole answer in time"
+            _log.info("configuration_not_copied", step="peers", by=peer.name, why=why)
             return False
-        if stored is None:
+        if stored is None or not self._feed.take_copy(stored):
             return False
         _log.info(
             "configuration_copied",
@@ -101,7 +107,6 @@
             revision=stored.version,
             behind_s=round(behind_s, 3),
         )
-        self._feed.take_copy(stored)
         return True
 
     def _choose(self, behind_s: float) -> Peer | None:
@@ -144,7 +149,7 @@
             return StoredObject(
                 head.headers[NAME_HEADER],
                 int(head.headers[REVISION_HEADER]),
-                zlib.decompress(body),
+                _unpack(body),
             )
         except (KeyError, ValueError, zlib.error) as error:
             raise ExchangeError(
@@ -158,6 +163,15 @@
     return fetch
 
 
+def _unpack(body: bytes) -> bytes:
+    """Decompress a copy; raises ValueError if it is larger than any can be."""
+    unpacking = zlib.decompressobj()
+    unpacked = unpacking.decompress(body, MAX_COPY_BYTES)
+    if not unpacking.eof:
+        raise ValueError("not whole, or too large")
+    return unpacked
+
+
 class CopyHandler(RequestHandler):
     """Give other entry VMs the configuration in force here."""
 
@@ -183,6 +197,9 @@
             try:
                 self.set_header(REVISION_HEADER, str(stored.version))
                 self.set_header(NAME_HEADER, stored.name)
-                await self.finish(zlib.compress(stored.value))
+                async with asyncio.timeout(SERVE_LIMIT_S):
+                    await self.finish(zlib.compress(stored.value))
+            except TimeoutError:
+                self.request.connection.stream.close()  # type: ignore[union-attr]
             finally:
                 CopyHandler.serving -= 1
--- a/src/rosepath/feed.py
+++ b/src/rosepath/feed.py
@@ -363,10 +363,10 @@
         """Tell whether another VM is known to have a newer revision."""
         return self._heard_revision > self.changed_revision
 
-    def take_copy(self, stored: StoredObject) -> None:
-        """Take an object in that another VM read from the store."""
+    def take_copy(self, stored: StoredObject) -> bool:
+        """Take an object that another VM read from the store; False if it is old."""
         if stored.version <= self.changed_revision:
-            return
+            return False
         self._on_change(
             Change(
                 revision=stored.version,
@@ -379,6 +379,7 @@
         if self._watching is not None:
             # It would be told the same once more, by a larger answer.
             self._watching.cancel()
+        return True
 
     def _end_relaxed(
         self, revision: int, watching: "asyncio.Task[Change] | None"
--- a/tests/test_configuration_copies.py
+++ b/tests/test_configuration_copies.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import zlib
 from dataclasses import replace
 
 import pytest
@@ -15,7 +16,10 @@
 from rosepath.clock import SystemClock
 from rosepath.configuration_copies import (
     HOLDER_AFTER_S,
+    MAX_COPY_BYTES,
+    NAME_HEADER,
     PATH,
+    REVISION_HEADER,
     SERVED_AT_ONCE,
     ConfigurationCopies,
     CopyHandler,
@@ -58,6 +62,8 @@
         )
         self.asked: list[str] = []
         self.gone: set[str] = set()
+        self.stuck: set[str] = set()
+        self.given = NEWER
         self.copies = ConfigurationCopies(
             "a",
             self.feed,
@@ -73,7 +79,9 @@
             raise ExchangeError(
                 "cannot connect", step=Step.CONNECT, peer=address, sent=False
             )
-        return NEWER if NEWER.version > newer_than else None
+        if address in self.stuck:
+            await asyncio.Event().wait()
+        return self.given
 
     def hear(self, name: str, *, data_centre: str, term: int = 0) -> None:
         state = a_peer_state(name, data_centre=data_centre, term=term)
@@ -115,6 +123,34 @@
     play(run)
 
 
+def test_a_vm_that_never_ends_its_answer_does_not_keep_others_from_being_asked() -> (
+    None
+):
+    async def run() -> None:
+        behind = Behind()
+        behind.stuck = {"stuck"}
+        behind.hear("stuck", data_centre="a")
+        behind.hear("far", data_centre="b")
+        behind.peers._live = lambda _: True  # type: ignore[method-assign]
+        await behind.catch_up(limit_s=3.0)
+        assert behind.asked == ["stuck", "far"]
+
+    play(run)
+
+
+def test_a_vm_that_gives_an_old_copy_is_not_asked_all_the_time() -> None:
+    async def run() -> None:
+        behind = Behind()
+        behind.given = StoredObject("config/main", 0, b"{}")
+        behind.hear("old", data_centre="a")
+        behind.peers._live = lambda _: True  # type: ignore[method-assign]
+        with pytest.raises(TimeoutError):
+            await behind.catch_up(limit_s=10.0)
+        assert len(behind.asked) <= 30
+
+    play(run)
+
+
 def test_a_crowd_does_not_fall_upon_the_holder() -> None:
     # All learn of a change by the holder's word, at the same moment.
     async def run() -> None:
@@ -166,11 +202,20 @@
     asyncio.run(run())
 
 
-def test_bytes_that_are_no_copy_are_a_failure_and_not_a_configuration() -> None:
+@pytest.mark.parametrize(
+    "body",
+    [b"hello", zlib.compress(b"half")[:-6], zlib.compress(bytes(2 * MAX_COPY_BYTES))],
+    ids=["other", "cut", "huge"],
+)
+def test_bytes_that_are_no_copy_are_a_failure_and_not_a_configuration(
+    body: bytes,
+) -> None:
     async def run() -> None:
         class Other(CopyHandler):
             async def get(self) -> None:
-                await self.finish(b"hello")
+                self.set_header(REVISION_HEADER, "9")
+                self.set_header(NAME_HEADER, "config/main")
+                await self.finish(body)
 
         application = Application([(PATH, Other, {"configuration": lambda: None})])
         socket, port = bind_unused_port()
