--- a/tests/test_entry_node.py
+++ b/tests/test_entry_node.py
@@ -2,12 +2,10 @@
 
 import asyncio
 
-import pytest
 from entry_builders import a_catalog, a_route, entry_settings
 from virtual_time import VirtualLoop
 
 from rosepath.entry_node import NO_PLAN_TICK_S, PLAN_TICK_S, EntryNode
-from rosepath.feed import Feed
 from rosepath.peer_messages import NEVER_S
 from rosepath.store_pace import WAIT_SHARE, catalog_pace
 
@@ -74,15 +72,13 @@
     assert holder_s < other_s == WAIT_SHARE * bound_s
 
 
-def test_a_vm_that_heard_of_a_newer_configuration_shows_that_it_is_behind(
-    monkeypatch: pytest.MonkeyPatch,
-) -> None:
+def test_a_vm_that_heard_of_a_newer_configuration_shows_that_it_is_behind() -> None:
     # It served by an old one for seconds, and its metrics and lines said that all
     # was well.
     async def run() -> None:
         node = EntryNode(entry_settings("vm"))
         assert not node._beliefs()["configuration_behind"]
-        monkeypatch.setattr(Feed, "behind", True, raising=False)
+        node.tables.catalog_feed.hear(7)
         assert node._beliefs()["configuration_behind"]
         assert node._configuration_view().log_fields["configuration_behind"] is True
 
