Let a VM stop that does not lend its configuration yet

It is now made with the VM's other parts and only listens later; closing one that never listened does nothing.

Evidence: test_a_stop_takes_no_longer_for_the_swaps_that_it_ends, test_a_stop_waits_for_a_request_that_is_being_read and test_a_stop_without_requests_ends_when_the_balancer_has_noticed failed and pass.

--- a/src/rosepath/entry_node.py
+++ b/src/rosepath/entry_node.py
@@ -160,6 +160,19 @@
             peers=self.peers,
             fetch=fetch_over(HttpPool(clock=self.clock)),
         )
+        # Made here, so that a VM that is stopped before it listens can close it.
+        self.copies_server = HTTPServer(
+            Application(
+                [
+                    (
+                        COPY_PATH,
+                        CopyHandler,
+                        {"configuration": lambda: self.tables.configuration},
+                    )
+                ],
+                log_function=lambda _: None,
+            )
+        )
         self.isolation = Isolation(
             settings.data_centre,
             peers=self.peers,
@@ -217,18 +230,8 @@
             self.ready_server.listen(port, address=host, family=socket.AF_INET)
         self._export_state()
         await self.exchange.link.listen()
-        copies = Application(
-            [
-                (
-                    COPY_PATH,
-                    CopyHandler,
-                    {"configuration": lambda: self.tables.configuration},
-                )
-            ],
-            log_function=lambda _: None,
-        )
         host, port = split_address(self.settings.peers.listen)
-        self.copies_server = copies.listen(port, address=host)
+        self.copies_server.listen(port, address=host)
         self.loops.forever(self.tables.catalog_feed.run)
         self.loops.forever(self.tables.servers_feed.run)
         self.loops.forever(self.copies.run)
