Tell in the logs on which grounds a lease began and ended, and when an order left

Callers saw engines ordered under an older fence after a newer one. A VM that found itself named in the store began a term without a word in its log, a lost lease did not tell a conflict from a resignation, and an order's line not whether it ever went out. lease_taken now comes with each term (grounds, version, the wait until it may act), lease_lost says why, lease_not_renewed what failed, and order how long ago it left; null if it did not.

--- a/src/rosepath/lease_keeper.py
+++ b/src/rosepath/lease_keeper.py
@@ -93,7 +93,7 @@
         row = self.rows[name]
         # Another's lease may have been read since; that one is not resigned.
         version = row.version if row.holder == self._me else 0
-        self._lose(row)
+        self._lose(row, why="resigned")
         return version
 
     def inherit(
@@ -168,8 +168,15 @@
                 await self._write(row, term=row.term)
             elif action is LeaseAction.READ:
                 await self._read(row)
-        except StoreError:
-            return
+        except StoreError as error:
+            if action is LeaseAction.RENEW:
+                _log.info(
+                    "lease_not_renewed",
+                    step="lease",
+                    lease=row.name,
+                    why=error.message,
+                    overdue_s=round(self.overdue_s(name), 3),
+                )
 
     async def _read(self, row: LeaseRow) -> None:
         stored = await self._platform.get(f"{LEASE_KIND}/{row.name}")
@@ -192,7 +199,19 @@
                 policy=self.policy,
                 resigned=resigned,
             )
-            await self._write(row, term=row.term + 1)
+            grounds = self._grounds(row)
+            await self._write(row, term=row.term + 1, grounds=grounds)
+
+    def _grounds(self, row: LeaseRow) -> str:
+        """Tell why a lease that was just read may be taken over."""
+        resigned = self._resigned.get(row.name)
+        if row.version == 0:
+            return "absent"
+        if row.holder in ("", self._me):
+            return "own" if row.holder else "given_up"
+        if resigned is not None and resigned.version == row.version:
+            return "resigned"
+        return "lapsed"
 
     def _note(self, row: LeaseRow, stored: StoredObject | None, now_s: float) -> None:
         row.seen_at_s = now_s
@@ -219,7 +238,7 @@
                 row.holder = UNKNOWN_HOLDER
                 row.term, row.passed_on = max(row.term, stored.version), 0
 
-    async def _write(self, row: LeaseRow, *, term: int) -> None:
+    async def _write(self, row: LeaseRow, *, term: int, grounds: str = "") -> None:
         # The time counts from before the write: however late the reply, no
         # other node can have seen this version for longer than that.
         asked_s = self._clock.monotonic_s()
@@ -249,8 +268,17 @@
                 self._note(row, stored, self._clock.monotonic_s())
                 return
             version = stored.version
-        if row.holder != self._me:
-            _log.info("lease_taken", step="lease", lease=row.name, term=term)
+        if row.holder != self._me or term != row.term:
+            # One that finds itself named in the store begins a term, too.
+            _log.info(
+                "lease_taken",
+                step="lease",
+                lease=row.name,
+                term=term,
+                version=version,
+                grounds=grounds,
+                acts_in_s=round(max(0.0, row.act_from_s - asked_s), 3),
+            )
         if term != row.term:
             row.passed_on = 0
         row.version, row.holder, row.term = version, self._me, term
@@ -273,11 +301,18 @@
                     ):
                         row.version = stored.version
                         return
-        self._lose(row)
+        self._lose(row, why="conflict")
 
-    def _lose(self, row: LeaseRow) -> None:
+    def _lose(self, row: LeaseRow, *, why: str) -> None:
         if row.holder == self._me:
-            _log.warning("lease_lost", step="lease", lease=row.name)
+            _log.warning(
+                "lease_lost",
+                step="lease",
+                lease=row.name,
+                why=why,
+                version=row.version,
+                overdue_s=round(self.overdue_s(row.name), 3),
+            )
         row.holder = ""
         row.held_until_s = -1e9
         row.seen_at_s = -1e9
@@ -303,7 +338,7 @@
                 f"{LEASE_KIND}/{name}", value, expected_version=row.version
             )
         except ConflictError:
-            self._lose(row)
+            self._lose(row, why="conflict")
             return row.version
         except StoreError:
             return row.version
--- a/src/rosepath/order_sender.py
+++ b/src/rosepath/order_sender.py
@@ -79,9 +79,12 @@
         called each time that the order goes out, and not before it may.
         """
 
+        sent_s: list[float] = []
+
         def may_act() -> bool:
             allowed = self._may_act()
             if allowed:
+                sent_s.append(self.acted_s)
                 on_way()
             return allowed
 
@@ -99,6 +102,7 @@
             )
             reply: OrderReply | None = None
             why = ""
+            sent_s.clear()
             self.acted_s = self.clock.monotonic_s()
             self._on_way += 1
             try:
@@ -111,7 +115,7 @@
                 why = error.message
             finally:
                 self._on_way -= 1
-            self._note(order, reply, why)
+            self._note(order, reply, why, sent_s=sent_s[0] if sent_s else None)
             if reply is not None and _counted(order, reply):
                 record.sequence += 1
             if reply is OrderReply.CONFLICT:
@@ -133,7 +137,9 @@
         self.acted_s = self.clock.monotonic_s()
         return True
 
-    def _note(self, order: Order, reply: OrderReply | None, why: str) -> None:
+    def _note(
+        self, order: Order, reply: OrderReply | None, why: str, *, sent_s: float | None
+    ) -> None:
         outcome = reply.value if reply else "unanswered"
         key = (
             f"{order.action.value}_{'adapter' if order.adapter else 'model'}_{outcome}"
@@ -150,6 +156,10 @@
             sequence=order.expected_sequence,
             outcome=outcome,
             why=why,
+            # Null if it never went out; only what did may still arrive.
+            sent_ago_s=None
+            if sent_s is None
+            else round(self.clock.monotonic_s() - sent_s, 3),
         )
 
 
