Test that an order on its way counts as an act of its holder

A holder that resigns tells how long ago it last acted, counted from the sending. An order that is still on its way over a full link leaves the next holder 0.15 s from the moment at which it is given up, not 0.75.

--- a/tests/test_order_arrival.py
+++ b/tests/test_order_arrival.py
@@ -13,13 +13,15 @@
 from test_order_dispatcher import FakeEngine, a_dispatcher
 
 from rosepath.clock import ManualClock
+from rosepath.engine_orders import Order, OrderReply
 from rosepath.entry_settings import LeaseSettings
-from rosepath.errors import Step
+from rosepath.errors import ExchangeError, Step
 from rosepath.http_client import HttpPool, Request
 from rosepath.lease_keeper import LeaseKeeper
 from rosepath.leases import LeasePolicy
 from rosepath.object_store import StoredObject, StoreError
 from rosepath.order_sender import OrderSender
+from rosepath.platform.engines import ORDER_TIMEOUT_S
 
 LEASE = LeaseSettings()
 POLICY = LeasePolicy(
@@ -104,6 +106,28 @@
     asyncio.run(run())
 
 
+def test_an_order_is_an_act_until_its_fate_is_known() -> None:
+    # An order was still on its way over a full link, half a second after it went
+    # out, as its holder resigned. The next one counted its wait from the sending,
+    # and ordered 0.15 s after the first had given the order up.
+    async def run() -> None:
+        engine, clock = FakeEngine("m0"), ManualClock()
+        dispatcher = a_dispatcher(engine, clock)
+        dispatcher.sender.clock = clock
+        given_up_s: list[float] = []
+
+        def stay_silent(order: Order) -> OrderReply:
+            clock.advance(ORDER_TIMEOUT_S)
+            given_up_s.append(clock.monotonic_s())
+            raise ExchangeError("silent", step=Step.SEND, peer="e1", sent=True)
+
+        engine.carry_out = stay_silent  # type: ignore[method-assign]
+        assert not await dispatcher.ensure_adapter("llm", "e1", "m0", "a1")
+        assert dispatcher.sender.acted_s >= given_up_s[-1]
+
+    asyncio.run(run())
+
+
 class SlowToTell(FakePlatform):
     """Carry out a write whose answer is lost, as is the next read's."""
 
