Reset a connection on which a request is given up

Operators saw models loaded and unloaded by orders that the holder had counted as unanswered and given up, some after the next holder's first order.

The watchdog closed the connection. A close leaves to the kernel what it has not sent yet, which goes on sending it in the background: over a slow link the order was delivered after its holder had stopped counting on it.

The connection is now reset: what is unsent is dropped. That holds for every exchange that is given up for silence, whose bytes nobody wants delivered either. What has already left the kernel, onto a full link, may still arrive; the wait between two holders is for that.

Evidence: test_what_is_given_up_is_not_delivered_afterwards was red and passes.

--- a/src/rosepath/http_exchange.py
+++ b/src/rosepath/http_exchange.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import math
+import socket
+import struct
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
@@ -9,6 +11,8 @@
 from tornado.httputil import HTTPHeaders
 
 MAX_HEADER_BYTES = 64 * 1024
+# Linger on, for 0 s: the kernel drops what is unsent and resets the connection.
+NO_LINGER = struct.pack("ii", 1, 0)
 
 OnData = Callable[[bytes], Awaitable[None] | None]
 
@@ -80,6 +84,14 @@
         if self.transport is not None and not self.closed:
             self.transport.resume_reading()
 
+    def reset(self) -> None:
+        """Close at once, and keep the kernel from sending what it still holds."""
+        if self.transport is not None and not self.closed:
+            sock = self.transport.get_extra_info("socket")
+            if sock is not None:
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+        self.close()
+
     def close(self) -> None:
         """Close at once; nothing that is still buffered matters."""
         self.closed = True
@@ -317,7 +329,9 @@
         silent = self._seen == exchange.progress and not exchange.consumer_busy
         if silent and self._may_close():
             self.fired = True
-            self._connection.close()
+            # Merely closed, the kernel would go on sending over a slow link, and a
+            # request that counts as given up would be carried out all the same.
+            self._connection.reset()
             exchange.lose()
             return
         self._seen = exchange.progress
