Let no order go out under the fence of an earlier term

Engines were sent a fence after a higher one. An order takes its fence as it is made; right before its first byte, after the connection was there, only the lease was looked at. A holder that lost the lease while it connected and held it again by then sent the order under the fence of its term before, although another VM may have held it since.

An order now keeps the fence that it was made with, and neither goes out nor is sent again once the lease has another one. Whoever wanted it plans anew, with what the engines report in the new term; the check and the write are in one step of the loop, so that nothing comes between them.

Evidence: test_an_order_does_not_go_out_under_an_earlier_fence was red and passes.

--- a/src/rosepath/order_sender.py
+++ b/src/rosepath/order_sender.py
@@ -80,16 +80,19 @@
         """
 
         sent_s: list[float] = []
+        fence = self._fence()
 
         def may_act() -> bool:
-            allowed = self._may_act()
+            # A lease that was lost and is held again has another fence: a holder
+            # in between may have ordered under one that is higher than this order's.
+            allowed = self._fence() == fence and self._may_act()
             if allowed:
                 sent_s.append(self.acted_s)
                 on_way()
             return allowed
 
         for _ in range(ORDER_TRIES):
-            if not self.may_order():
+            if not self.may_order() or self._fence() != fence:
                 return None
             order = Order(
                 action=action,
@@ -97,7 +100,7 @@
                 model=model,
                 adapter=adapter,
                 holder=self._me,
-                fence=self._fence(),
+                fence=fence,
                 expected_sequence=record.sequence,
             )
             reply: OrderReply | None = None
