Wait for the holder before also after a write that was not answered

Engines took orders of two holders 0.35 s apart, where the next one has to wait 0.75 s after the last act of the one before (3.15 s if it held the lease before that).

A VM wrote itself into the lease; the write was carried out, but its answer and that of the read after it were lost. At its next look it found itself named in the store, took that for the lease of an earlier life, and acted at once: act_from_s knew no wait for a lease that names this VM.

It now keeps the wait with which it wrote. A VM that just started has none, so that a killed holder still takes up its own lease at once; the write expects one version, so that no other holder can have come between it and the look.

Evidence: test_who_finds_its_own_unanswered_write_waits_for_the_holder_before and test_who_finds_its_own_unanswered_write_takes_no_turns were red and pass.

--- a/src/rosepath/leases.py
+++ b/src/rosepath/leases.py
@@ -155,8 +155,12 @@
 
     An act of the holder before may have left just before its lease ended.
     """
+    if row.holder == me:
+        # A write of this node may have been carried out though no answer came: it
+        # waits as it did when it wrote. One that just started has nothing to wait for.
+        return row.act_from_s
     pause_s = policy.turn_s if me in row.before else policy.handover_s
-    if row.version == 0 or row.holder == me or not pause_s:
+    if row.version == 0 or not pause_s:
         return -1e9
     if resigned is not None and resigned.version >= row.version:
         return resigned.acted_s + pause_s
