Wait for the last word of a holder that others back

Engines took an order of the next holder 0.3 s after one of the holder before, where 0.75 s are kept between them, as the store came back from an outage.

A holder that can't renew goes on while all others heard it lately: up to 1.0 s after the last word that one of them heard. Who follows counted from the version in the store alone, which had stood unchanged for long by then, and acted at once.

The wait now counts from the later of the two ends: that of the stored lease, and that of the time for which the last word heard kept others off. The one before counts that time from the sending of a word that the follower heard, so that it ends no later. A killed holder is followed up to 0.3 s later than before, if it died shortly before its next renewal.

Evidence: test_who_follows_a_backed_holder_waits_for_its_last_order was red and passes.

--- a/src/rosepath/lease_keeper.py
+++ b/src/rosepath/lease_keeper.py
@@ -43,6 +43,7 @@
         self._first_seen_s: dict[str, float] = {}
         self._heard: dict[str, int] = {}
         self._heard_s: dict[str, float] = {}
+        self._last_word_s: dict[str, float] = {}
         self._resigned: dict[str, Resignation] = {}
         # What the lease that this node holds names as quarantined, and who is told of
         # what another's does.
@@ -71,11 +72,14 @@
 
         Heard from the holder, a version is known before it is read; one that
         is found unchanged later has stood since, and the wait for it to lapse
-        need not begin anew.
+        need not begin anew. The word itself keeps others off for a while, whatever
+        became of the version.
         """
+        now_s = self._clock.monotonic_s()
+        self._last_word_s[name] = now_s
         if version > self._heard.get(name, 0):
             self._heard[name] = version
-            self._heard_s[name] = self._clock.monotonic_s()
+            self._heard_s[name] = now_s
 
     def hear_resigned(self, name: str, *, version: int, acted_ago_s: float) -> None:
         """Note that the holder of a version acts no more."""
@@ -198,6 +202,7 @@
                 first_seen_s=first_seen_s,
                 policy=self.policy,
                 resigned=resigned,
+                last_word_s=self._last_word_s.get(row.name, -1e9),
             )
             grounds = self._grounds(row)
             await self._write(row, term=row.term + 1, grounds=grounds)
--- a/src/rosepath/leases.py
+++ b/src/rosepath/leases.py
@@ -39,6 +39,9 @@
     # The same for a holder of an earlier term. Holders that take turns quickly
     # look like two masters to those they order; each in its turn does not.
     turn_s: float = 0.0
+    # For how long others keep off the lease of a holder after a word of it: it may
+    # act for so long without having renewed.
+    backed_s: float = 0.0
     # How long after a renewal the next one is due, and how long after a look
     # at another's lease the next look; by default half and a quarter.
     renew_s: float | None = None
@@ -150,10 +153,12 @@
     first_seen_s: float,
     policy: LeasePolicy,
     resigned: Resignation | None = None,
+    last_word_s: float = -1e9,
 ) -> float:
     """Return when the next holder may first act, so that no two take turns.
 
     An act of the holder before may have left just before its lease ended.
+    `last_word_s` is when a holder was last heard.
     """
     if row.holder == me:
         # A write of this node may have been carried out though no answer came: it
@@ -166,8 +171,10 @@
         return resigned.acted_s + pause_s
     if not row.holder:
         return first_seen_s + pause_s
-    # The holder acts no later than its margin before the end.
-    return first_seen_s + policy.duration_s - policy.margin_s + pause_s
+    # The holder acts no later than its margin before the end: that of its lease, or
+    # of the time for which its last word keeps others off.
+    ends_s = max(first_seen_s + policy.duration_s, last_word_s + policy.backed_s)
+    return ends_s - policy.margin_s + pause_s
 
 
 def holders_before(row: LeaseRow, *, me: str) -> tuple[str, ...]:
--- a/src/rosepath/placement_coordinator.py
+++ b/src/rosepath/placement_coordinator.py
@@ -104,6 +104,7 @@
                 look_s=lease.look_s,
                 handover_s=lease.handover_s,
                 turn_s=lease.turn_s,
+                backed_s=HOLDER_SILENT_S,
             ),
             clock=self._boot,
         )
