Count an order as an act until it is answered or given up

The next holder ordered 0.15 s after an order of the one before had been given up, where 0.75 s are kept between them.

A holder that resigns tells how long ago it last acted, and the next one waits from there. It counted from the moment at which an order went out. Over a full link an order is on its way for up to 0.6 s until it is given up, so that most of the wait was over before the order was.

An act now lasts until its order is answered or given up: meanwhile the holder says that it acted just now, and counts from there afterwards. After an answer in time that is some 20 ms more. What is given up is reset, so that the wait covers what the link still held then; a link that is full for longer than that isn't covered.

Evidence: test_an_order_is_an_act_until_its_fate_is_known was red and passes, as does test_an_act_goes_on_while_an_order_is_on_its_way, new (acted_ago_s didn't exist on the sender before).

--- a/src/rosepath/order_sender.py
+++ b/src/rosepath/order_sender.py
@@ -28,8 +28,8 @@
 class OrderSender:
     """Send orders while this VM may, and remember when it last did.
 
-    `outcomes` counts them by kind and reply; `acted_s` is when the last one
-    went out, on the clock that runs through suspension.
+    `outcomes` counts them by kind and reply; `acted_s` is when the last one was
+    answered or given up, on the clock that runs through suspension.
     """
 
     def __init__(
@@ -44,7 +44,9 @@
         self._engines = engines
         self._may_order = may_order
         self._closed = False
+        # Orders that are begun, and those of them that have gone out.
         self._on_way = 0
+        self._sent = 0
         self._fence = fence
         self.clock: Clock = BootClock()
         self.outcomes: dict[str, int] = {}
@@ -54,6 +56,13 @@
         """Tell whether an order may go out."""
         return not self._closed and self._may_order()
 
+    @property
+    def acted_ago_s(self) -> float:
+        """Return how long ago the last act was over; 0 while one is on its way."""
+        if self._sent:
+            return 0.0
+        return max(0.0, self.clock.monotonic_s() - self.acted_s)
+
     async def close(self) -> None:
         """Let no order out any more, and wait for the fate of those on the way."""
         self._closed = True
@@ -87,6 +96,8 @@
             # in between may have ordered under one that is higher than this order's.
             allowed = self._fence() == fence and self._may_act()
             if allowed:
+                if not sent_s:
+                    self._sent += 1
                 sent_s.append(self.acted_s)
                 on_way()
             return allowed
@@ -118,6 +129,9 @@
                 why = error.message
             finally:
                 self._on_way -= 1
+                if sent_s:
+                    self._sent -= 1
+                    self.acted_s = self.clock.monotonic_s()
             self._note(order, reply, why, sent_s=sent_s[0] if sent_s else None)
             if reply is not None and _counted(order, reply):
                 record.sequence += 1
@@ -132,8 +146,8 @@
     def _may_act(self) -> bool:
         """Tell whether an order may go out now, and note that it does.
 
-        The next holder waits from here until the order has arrived or been
-        given up; counted from before the connection, that would be too short.
+        The next holder waits from the moment at which the order is answered or given
+        up. Until that is known, it is an act that goes on.
         """
         if not self.may_order():
             return False
--- a/src/rosepath/placement_coordinator.py
+++ b/src/rosepath/placement_coordinator.py
@@ -156,8 +156,8 @@
 
     @property
     def acted_ago_s(self) -> float:
-        """Return how long ago this VM last sent an order."""
-        return max(0.0, self._boot.monotonic_s() - self.orders.sender.acted_s)
+        """Return how long ago the last order of this VM was over."""
+        return self.orders.sender.acted_ago_s
 
     @property
     def heard(self) -> tuple[str, int]:
--- a/tests/test_order_arrival.py
+++ b/tests/test_order_arrival.py
@@ -8,14 +8,16 @@
 import socket
 from dataclasses import dataclass, field
 
+from entry_builders import an_entry
 from fakes import FakePlatform
 from test_lease_backing import NAMES, Node, play, three_nodes
 from test_order_dispatcher import FakeEngine, a_dispatcher
 
 from rosepath.clock import ManualClock
-from rosepath.engine_orders import Order, OrderReply
+from rosepath.engine_orders import EngineRecord, Order, OrderAction, OrderReply
 from rosepath.entry_settings import LeaseSettings
 from rosepath.errors import ExchangeError, Step
+from rosepath.fleet import BackendServer
 from rosepath.http_client import HttpPool, Request
 from rosepath.lease_keeper import LeaseKeeper
 from rosepath.leases import LeasePolicy
@@ -128,6 +130,31 @@
     asyncio.run(run())
 
 
+def test_an_act_goes_on_while_an_order_is_on_its_way() -> None:
+    # A holder that resigned told how long ago it had sent its last order, though
+    # that order was still on its way; once it is answered, the time runs.
+    async def run() -> None:
+        engine, clock = FakeEngine("m0"), ManualClock()
+        sender = a_dispatcher(engine, clock).sender
+        sender.clock = clock
+        told_ago_s: list[float] = []
+
+        def answer_late(_: Order) -> OrderReply:
+            clock.advance(0.5)
+            told_ago_s.append(sender.acted_ago_s)
+            return OrderReply.ACCEPTED
+
+        engine.carry_out = answer_late  # type: ignore[method-assign]
+        server = BackendServer(entry=an_entry("e1"))
+        record = EngineRecord(server="e1")
+        await sender.send(server, record, OrderAction.LOAD, "m1")
+        clock.advance(0.25)
+        assert told_ago_s == [0.0]
+        assert sender.acted_ago_s == 0.25
+
+    asyncio.run(run())
+
+
 class SlowToTell(FakePlatform):
     """Carry out a write whose answer is lost, as is the next read's."""
 
