Tell the moves of a term's beginning by four words a second in a crowd

Callers waited for models as each holder gave the lease up some three seconds after it had taken it, and orders that it had given up unanswered were carried out all the same.

In the first seconds of a term some 24 models come or go a second, and each had the holder's whole word sent to its data centre and a forwarder of each other one at once. That fills a link of 10 Mbit/s: renewals of the lease and orders timed out behind it.

In a crowd, a move after a quiet time is still told at once; those that follow within 0.25 s are told together by one word at the end of it. A caller of one of these may wait up to 0.25 s longer for a model whose load takes seconds, or be turned away, unrun, by an engine that began to unload; behind a full link the words came later than that. Where VMs are few, each move is told at once as before. A short word of the moves alone would be better still.

Evidence: test_the_moves_of_a_new_term_do_not_fill_the_holders_link was red at 8.8 and passes at 1.7 Mbit/s; new tests for the first move and those that follow.

--- a/src/rosepath/placement_coordinator.py
+++ b/src/rosepath/placement_coordinator.py
@@ -19,6 +19,7 @@
 from rosepath.model_arrivals import ModelArrivals
 from rosepath.object_store import ObjectsPort
 from rosepath.order_dispatcher import DispatcherPorts, OrderDispatcher
+from rosepath.paced_call import PacedCall
 from rosepath.peer_link import PeerLink
 from rosepath.peer_messages import AdapterAsk, Bequest, PeerState
 from rosepath.peer_table import PeerTable
@@ -36,6 +37,10 @@
 HOLDER_SILENT_S = 1.3
 HOLDER_SILENT_CROWDED_S = 3.0
 RANK_STEP_S = 0.4
+# In a crowd, a word is long and goes to a whole data centre: one for each model that
+# comes or goes fills the holder's link as a term begins, and its renewals of the lease
+# and its orders time out. Four a second leave most of a link of 10 Mbit/s free.
+MOVES_APART_CROWDED_S = 0.25
 NEVER_BACKED_S = -1e9
 # A stopping holder ends its swaps for so long, or a part of its grace: an unload
 # mostly waits less for the runs of its model, and until the lease is given up
@@ -81,7 +86,7 @@
             fleet=fleet,
             caches=caches,
             changed=changed,
-            tell=self._say_so,
+            tell=PacedCall(self._say_so, interval_s=self._moves_apart_s).ask,
         )
         self._arrivals = ModelArrivals()
         self._was_holder = False
@@ -307,6 +312,9 @@
             for peer in self._peers.live()
         )
 
+    def _moves_apart_s(self) -> float:
+        return MOVES_APART_CROWDED_S if self._peers.crowded else 0.0
+
     def _say_so(self) -> None:
         if self.link is not None:
             self.link.tell()
--- a/tests/test_holder_words.py
+++ b/tests/test_holder_words.py
@@ -11,9 +11,12 @@
 
 from rosepath.fleet import Fleet, PeerLoad
 from rosepath.peer_link import PeerLink
-from rosepath.peer_messages import PeerState
+from rosepath.peer_messages import Forwarded, PeerState, decode
 from rosepath.peer_table import PeerTable
-from rosepath.placement_coordinator import PlacementCoordinator
+from rosepath.placement_coordinator import (
+    MOVES_APART_CROWDED_S,
+    PlacementCoordinator,
+)
 from rosepath.prompt_caches import PromptCaches
 
 DATA_CENTRES = "abcd"
@@ -30,26 +33,40 @@
 
     def __init__(self) -> None:
         self.sent_bytes = 0
+        self.last = b""
 
     def sendto(self, data: bytes, _: tuple[str, int]) -> None:
         self.sent_bytes += len(data)
+        self.last = data
 
     def is_closing(self) -> bool:
         return False
 
+    @property
+    def moved(self) -> list[str]:
+        """Return the servers whose moves the last word tells, and forget the word."""
+        data, self.last = self.last, b""
+        if not data:
+            return []
+        message = decode(data)
+        if isinstance(message, Forwarded):
+            message = decode(message.word)
+        assert isinstance(message, PeerState)
+        return [move.server for move in message.moves]
 
-def speak(peers: PeerTable, word: int) -> None:
+
+def speak(peers: PeerTable, word: int, *, vms: int = VMS) -> None:
     """Let a holder hear a word of each other VM."""
-    for number in range(1, VMS):
+    for number in range(1, vms):
         centre = DATA_CENTRES[number % len(DATA_CENTRES)]
         state = a_peer_state(f"vm-{number}", number=word, data_centre=centre)
         assert peers.take(state)
 
 
-def a_holder(wire: Wire, peers: PeerTable) -> PlacementCoordinator:
-    """Build a holder that tells a crowd of its servers."""
+def a_holder(wire: Wire, peers: PeerTable, *, vms: int = VMS) -> PlacementCoordinator:
+    """Build a holder that tells other VMs of its servers."""
     clock, rng = LoopClock(), random.Random(1)
-    speak(peers, 1)
+    speak(peers, 1, vms=vms)
     totals = {
         f"i-{rng.getrandbits(40):010x}": PeerLoad(
             requests=rng.randrange(1, 20), unread_tokens=rng.randrange(30_000)
@@ -108,3 +125,48 @@
 
     with asyncio.Runner(loop_factory=VirtualLoop) as runner:
         runner.run(run())
+
+
+def test_the_first_move_of_a_quiet_time_is_told_at_once() -> None:
+    # Callers wait for a model that has come, and are turned away by an engine that
+    # unloads: only what follows closely may wait.
+    async def run() -> None:
+        wire, peers = Wire(), PeerTable("vm-0", clock=LoopClock())
+        holder = a_holder(wire, peers)
+        for name in ("i-1", "i-2"):
+            holder.moves.note(name, "m1", "", True)
+            assert wire.moved[-1] == name
+            await asyncio.sleep(MOVES_APART_CROWDED_S + 0.01)
+            assert wire.moved == []
+
+    with asyncio.Runner(loop_factory=VirtualLoop) as runner:
+        runner.run(run())
+
+
+def test_moves_that_follow_closely_are_all_told_by_one_word() -> None:
+    # None may be left untold until the next word is due.
+    async def run() -> None:
+        wire, peers = Wire(), PeerTable("vm-0", clock=LoopClock())
+        holder = a_holder(wire, peers)
+        holder.moves.note("i-1", "m1", "", True)
+        assert wire.moved == ["i-1"]
+        for name in ("i-2", "i-3"):
+            holder.moves.note(name, "m1", "", True)
+            assert wire.moved == []
+        await asyncio.sleep(MOVES_APART_CROWDED_S + 0.01)
+        assert wire.moved == ["i-1", "i-2", "i-3"]
+
+    with asyncio.Runner(loop_factory=VirtualLoop) as runner:
+        runner.run(run())
+
+
+def test_each_move_is_told_at_once_where_vms_are_few() -> None:
+    async def run() -> None:
+        wire, peers = Wire(), PeerTable("vm-0", clock=LoopClock())
+        holder = a_holder(wire, peers, vms=2)
+        for name in ("i-1", "i-2", "i-3"):
+            holder.moves.note(name, "m1", "", True)
+            assert wire.moved[-1] == name
+
+    with asyncio.Runner(loop_factory=VirtualLoop) as runner:
+        runner.run(run())
