Bound how long a planned stop gives up the lease

Callers' idle connections were closed up to half a second later than the balancer takes to notice a stop: ending the swaps (2.0 s), the answer to the last order (0.65 s) and the call that hands the lease back (0.5 s by default) stood in a row before it, over the 2.6 s that it waits for the balancer; found by reading. The handing back had no bound but the limit for calls to the store: where that is long and the store slow, the grace ends under all that is open.

The lease is now given up beside the wait for the balancer, and idle connections are closed when that is over. Handing back is bounded by 0.6 s. If the store has not taken the lease back by then, it is bequeathed to an heir by word as after a failed call. The holder stops acting before the call is made, so that no order leaves afterwards; if the store carries the write out late, the heir's next renewal meets a version that it does not expect, and the lease is taken from the store.

--- a/src/rosepath/entry_node.py
+++ b/src/rosepath/entry_node.py
@@ -253,10 +253,12 @@
         self.wait_limit_s = started_s + BALANCER_NOTICES_S
         _log.info("stopping", in_flight=len(self.gateway.open))
         self.exchange.link.tell()
-        noticed = asyncio.ensure_future(asyncio.sleep(BALANCER_NOTICES_S))
-        await self.coordinator.give_up()
-        await noticed
+        # Beside the wait: idle connections left open longer bring requests that this
+        # VM then serves in what is left of its grace.
+        giving_up = asyncio.ensure_future(self.coordinator.give_up())
+        await asyncio.sleep(BALANCER_NOTICES_S)
         self.gateway.close_idle()
+        await giving_up
         limit_s = started_s + self.settings.stop.grace_s - STOP_MARGIN_S
         while self.gateway.unanswered:
             if self.clock.monotonic_s() >= limit_s:
--- a/src/rosepath/placement_coordinator.py
+++ b/src/rosepath/placement_coordinator.py
@@ -47,6 +47,10 @@
 # nobody plans.
 FINISH_S = 2.0
 FINISH_GRACE_SHARE = 0.25
+# How long a stopping holder waits for the store to take the lease back, a little over
+# what one call takes by default; then one heir goes on by its word. With a longer limit
+# for calls, a slow store would use up the grace.
+HAND_BACK_S = 0.6
 
 _log = get_logger()
 
@@ -345,13 +349,26 @@
             self._finishing = False
         held, self._was_holder = self._was_holder, False
         fence = self.leases.fence(LEASE_NAME)
-        self.resigned_version = await self.leases.give_up(LEASE_NAME)
+        self.resigned_version = await self._hand_back()
         if held and self.leases.holder(LEASE_NAME) == self._me:
             # The store was not told: one VM goes on by this word instead.
             self.bequest = Bequest(self._heir(), self.resigned_version, fence)
             _log.info("lease_bequeathed", step="lease", peer=self.bequest.heir)
         self._say_so()
 
+    async def _hand_back(self) -> int:
+        """Hand the lease back in the store; return the version that ends, or 0.
+
+        From the first moment on this VM acts no more, whether the store takes the
+        lease back in time, late or not at all.
+        """
+        try:
+            async with asyncio.timeout(HAND_BACK_S):
+                return await self.leases.give_up(LEASE_NAME)
+        except TimeoutError:
+            _log.warning("lease_not_handed_back", step="lease", after_s=HAND_BACK_S)
+            return self.leases.version(LEASE_NAME)
+
     def _heir(self) -> str:
         live = [
             peer.name
--- a/tests/test_lease_backing.py
+++ b/tests/test_lease_backing.py
@@ -9,13 +9,18 @@
 from entry_builders import a_catalog, a_peer_state, entry_settings
 from fakes import FakePlatform
 from hypothesis import given, settings, strategies as st
+from virtual_time import VirtualLoop
 
 from rosepath.clock import ManualClock
 from rosepath.fleet import Fleet
 from rosepath.lease_backing import LeaseBacking
 from rosepath.peer_link import PeerLink
 from rosepath.peer_table import PeerTable
-from rosepath.placement_coordinator import FINISH_S, PlacementCoordinator
+from rosepath.placement_coordinator import (
+    FINISH_S,
+    HAND_BACK_S,
+    PlacementCoordinator,
+)
 from rosepath.prompt_caches import PromptCaches
 
 NAMES = ("vm-a", "vm-b", "vm-c")
@@ -48,6 +53,8 @@
         self.unreached_by: set[str] = set()
         # Runs once, while the next write is on its way.
         self.before_write: Callable[[], Awaitable[None]] | None = None
+        # Runs once, while the answer to the next write is on its way.
+        self.after_write: Callable[[], Awaitable[None]] | None = None
 
     def seen_by(self, name: str) -> "SeenStore":
         return SeenStore(self, name)
@@ -68,7 +75,11 @@
         if meanwhile is not None:
             await meanwhile()
         self._store.down = self._name in self._store.unreached_by
-        return await self._store.put(name, value, expected_version=expected_version)
+        version = await self._store.put(name, value, expected_version=expected_version)
+        meanwhile, self._store.after_write = self._store.after_write, None
+        if meanwhile is not None:
+            await meanwhile()
+        return version
 
 
 def a_node(name: str, store: Store, clock: ManualClock) -> Node:
@@ -205,6 +216,42 @@
     asyncio.run(run())
 
 
+async def for_long() -> None:
+    await asyncio.sleep(60.0)
+
+
+@pytest.mark.parametrize("carried_out", [False, True])
+def test_a_lease_that_is_not_handed_back_in_time_has_an_heir(
+    carried_out: bool,
+) -> None:
+    # The store takes a minute to take the lease back, or has taken it back and its
+    # answer takes that long. The stop waits for neither; whoever stops orders no
+    # more, and one VM at most does from then on.
+    async def run() -> None:
+        loop = asyncio.get_running_loop()
+        nodes, store, clock = three_nodes()
+        await play(nodes, clock, 3.0)
+        holder = next(node for node in nodes if node.coordinator.holds)
+        others = [node for node in nodes if node is not holder]
+        holder.stopping = True
+        if carried_out:
+            store.after_write = for_long
+        else:
+            store.before_write = for_long
+        begun_s = loop.time()
+        await holder.coordinator.give_up()
+        assert loop.time() - begun_s < HAND_BACK_S + 0.1
+        assert holder.coordinator.bequest.heir in {node.name for node in others}
+        for _ in range(40):
+            await play(nodes, clock, 0.15)
+            assert not holder.coordinator.holds
+            assert not holder.coordinator.orders.sender.may_order()
+        assert sum(node.coordinator.holds for node in others) == 1
+
+    with asyncio.Runner(loop_factory=VirtualLoop) as runner:
+        runner.run(run())
+
+
 def test_a_holder_that_stops_in_an_outage_ends_its_swaps_by_the_others_word() -> None:
     # Its own lease lapsed long ago; the others' word backs it. No longer backed
     # once it stops, it could not order the load that was to follow an unload;
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -99,6 +99,31 @@
     assert stop(monkeypatch, course) < grace_s
 
 
+def test_idle_connections_are_closed_in_time_while_the_lease_is_given_up(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # The last swaps, the answer to the last order and the lease stand in a row, and
+    # may take longer than the balancer takes to notice. Callers' idle connections
+    # were closed only after that.
+    closed_s: list[float] = []
+
+    def course(node: EntryNode) -> None:
+        loop = asyncio.get_running_loop()
+        begun_s = loop.time()
+
+        async def give_up() -> None:
+            await asyncio.sleep(entry_node.BALANCER_NOTICES_S + 1.0)
+
+        node.coordinator.give_up = give_up  # type: ignore[method-assign]
+        node.gateway.close_idle = lambda: closed_s.append(  # type: ignore[method-assign]
+            loop.time() - begun_s
+        )
+
+    took_s = stop(monkeypatch, course)
+    assert closed_s == [pytest.approx(entry_node.BALANCER_NOTICES_S)]
+    assert took_s >= entry_node.BALANCER_NOTICES_S + 1.0
+
+
 def test_a_stop_without_requests_ends_when_the_balancer_has_noticed(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
