Plan for no engine that left while reports were read

One that had only begun to leave was ordered to load a model for callers that are sent there no more.

The servers to plan for are chosen before their reports are read, which takes as long as the slowest of them; the plan then took each for one that is still there.

Who is no longer usable after the reading is left out. From there to the orders' start nothing is waited for, and a server that begins a new life meanwhile is another object, whose former one counts as left.

Evidence: test_an_engine_that_leaves_while_reports_are_read_is_planned_for_no_more was red for both, with the KeyError and with an order, and passes.

--- a/src/rosepath/order_dispatcher.py
+++ b/src/rosepath/order_dispatcher.py
@@ -116,6 +116,8 @@
             if server.usable and server.down_until_s <= now_s
         ]
         await asyncio.gather(*(self._look_if_due(server) for server in servers))
+        # One may have left, or begun to, while reports were read.
+        servers = [server for server in servers if server.usable]
         views = []
         for server in servers:
             record = self._records.get(server.name)
--- a/tests/test_order_dispatcher.py
+++ b/tests/test_order_dispatcher.py
@@ -2,7 +2,9 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import replace
 
+import pytest
 from entry_builders import a_catalog, an_engine_spec, an_entry
 
 from rosepath.catalog import EngineSpec
@@ -325,3 +327,31 @@
     late = EngineReport(sequence=9, busy=False, born_ms=400, models={"m0": frozenset()})
     assert not record.take(late, now_s=1.0)
     assert record.models == set()
+
+
+@pytest.mark.parametrize("gone", [True, False])
+def test_an_engine_that_leaves_while_reports_are_read_is_planned_for_no_more(
+    gone: bool,
+) -> None:
+    # It left between the choice of the engines to read and the plan, which then
+    # chose it: the loop failed on the missing server, and no engine got a model in
+    # that turn; one that had only begun to leave was ordered to load.
+    async def run() -> None:
+        engine, clock, fleet = FakeEngine("m0"), ManualClock(), Fleet()
+        demand = {"m1": ModelDemand(0.0, 2)}
+        dispatcher = a_dispatcher(engine, clock, demand=demand, fleet=fleet)
+        read = engine.report
+
+        async def report(address: str, server: str) -> EngineReport:
+            if gone:
+                fleet.remove("e1")
+            else:
+                fleet.put(replace(fleet.servers["e1"].entry, draining=True))
+            return await read(address, server)
+
+        engine.report = report  # type: ignore[method-assign]
+        await dispatcher.tick()
+        assert engine.reports == 1
+        assert not dispatcher.occupied
+
+    asyncio.run(run())
