Show the doubted watches in explain

The line was renamed from watch_dead to watch_doubted when a watch that another VM's word contradicts was left to run; explain went on to look for the old name, so that it showed none of them, against docs/OPERATIONS.md. Its test built a line that nothing writes; it builds the one that the feed writes now, and expects the same.

--- a/src/rosepath/explain.py
+++ b/src/rosepath/explain.py
@@ -15,7 +15,7 @@
     "store_lost",
     "store_call_failed",
     "store_regained",
-    "watch_dead",
+    "watch_doubted",
     "lease_taken",
     "lease_lost",
     "stopping",
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -98,7 +98,7 @@
         line(1, "vm-1", "store_lost", kind="config"),
         line(2, "vm-1", "store_lost", kind="servers"),
         line(2, "vm-1", "store_call_failed", kind="config"),
-        line(3, "vm-1", "watch_dead", kind="config"),
+        line(3, "vm-1", "watch_doubted", kind="config"),
         line(4, "vm-1", "request_refused", request_id="q1"),
     ]
     course = course_of("q1", read_lines(lines))
@@ -106,7 +106,7 @@
         ("store_lost", "config"),
         ("store_lost", "servers"),
         ("store_call_failed", "config"),
-        ("watch_dead", "config"),
+        ("watch_doubted", "config"),
         ("request_refused", None),
     ]
 
