Count the copies that are being given by server, not by class

The count stood in an attribute of the handler's class, which every server of a process shares and a test had to set and put back, and the entry VM assembled the application from the handler's parts. The module builds its application now, with a semaphore of its own; the test takes all slots, and sees that a free one serves.

--- a/src/rosepath/configuration_copies.py
+++ b/src/rosepath/configuration_copies.py
@@ -10,7 +10,7 @@
 import zlib
 from collections.abc import Awaitable, Callable
 
-from tornado.web import RequestHandler
+from tornado.web import Application, RequestHandler
 
 from rosepath.clock import Clock
 from rosepath.errors import ExchangeError, Step
@@ -172,13 +172,29 @@
     return unpacked
 
 
-class CopyHandler(RequestHandler):
-    """Give other entry VMs the configuration in force here."""
+def copies_application(
+    configuration: Callable[[], StoredObject | None],
+    *,
+    slots: asyncio.Semaphore | None = None,
+) -> Application:
+    """Build what gives other entry VMs the configuration in force here."""
+    options = {
+        "configuration": configuration,
+        "slots": slots or asyncio.Semaphore(SERVED_AT_ONCE),
+    }
+    return Application([(PATH, CopyHandler, options)], log_function=lambda _: None)
+
 
-    serving = 0
+class CopyHandler(RequestHandler):
+    """Answer one entry VM that asks for a copy."""
 
-    def initialize(self, configuration: Callable[[], StoredObject | None]) -> None:
+    def initialize(
+        self,
+        configuration: Callable[[], StoredObject | None],
+        slots: asyncio.Semaphore,
+    ) -> None:
         self._configuration = configuration
+        self._slots = slots
 
     def compute_etag(self) -> str | None:
         return None
@@ -190,16 +206,17 @@
             self.set_status(400)
         elif stored is None or stored.version <= int(newer_than):
             self.set_status(404)
-        elif CopyHandler.serving >= SERVED_AT_ONCE:
+        elif self._slots.locked():
             self.set_status(503)
         else:
-            CopyHandler.serving += 1
-            try:
-                self.set_header(REVISION_HEADER, str(stored.version))
-                self.set_header(NAME_HEADER, stored.name)
-                async with asyncio.timeout(SERVE_LIMIT_S):
-                    await self.finish(zlib.compress(stored.value))
-            except TimeoutError:
-                self.request.connection.stream.close()  # type: ignore[union-attr]
-            finally:
-                CopyHandler.serving -= 1
+            async with self._slots:
+                await self._give(stored)
+
+    async def _give(self, stored: StoredObject) -> None:
+        self.set_header(REVISION_HEADER, str(stored.version))
+        self.set_header(NAME_HEADER, stored.name)
+        try:
+            async with asyncio.timeout(SERVE_LIMIT_S):
+                await self.finish(zlib.compress(stored.value))
+        except TimeoutError:
+            self.request.connection.stream.close()  # type: ignore[union-attr]
--- a/src/rosepath/entry_node.py
+++ b/src/rosepath/entry_node.py
@@ -12,9 +12,8 @@
 from rosepath.catalog import Catalog
 from rosepath.clock import BootClock, SystemClock
 from rosepath.configuration_copies import (
-    PATH as COPY_PATH,
     ConfigurationCopies,
-    CopyHandler,
+    copies_application,
     fetch_over,
 )
 from rosepath.configuration_view import ConfigurationView
@@ -162,16 +161,7 @@
         )
         # Made here, so that a VM that is stopped before it listens can close it.
         self.copies_server = HTTPServer(
-            Application(
-                [
-                    (
-                        COPY_PATH,
-                        CopyHandler,
-                        {"configuration": lambda: self.tables.configuration},
-                    )
-                ],
-                log_function=lambda _: None,
-            )
+            copies_application(lambda: self.tables.configuration)
         )
         self.isolation = Isolation(
             settings.data_centre,
--- a/tests/test_configuration_copies.py
+++ b/tests/test_configuration_copies.py
@@ -10,7 +10,7 @@
 from fleet_world import play
 from tornado.httpserver import HTTPServer
 from tornado.testing import bind_unused_port
-from tornado.web import Application
+from tornado.web import Application, RequestHandler
 from virtual_time import LoopClock
 
 from rosepath.clock import SystemClock
@@ -22,7 +22,7 @@
     REVISION_HEADER,
     SERVED_AT_ONCE,
     ConfigurationCopies,
-    CopyHandler,
+    copies_application,
     fetch_over,
 )
 from rosepath.errors import ExchangeError, Step
@@ -179,10 +179,8 @@
 def test_a_copy_is_what_the_other_vm_read(size_bytes: int) -> None:
     async def run() -> None:
         held = StoredObject("config/main", 9, b"x" * size_bytes)
-        application = Application(
-            [(PATH, CopyHandler, {"configuration": lambda: held})],
-            log_function=lambda _: None,
-        )
+        slots = asyncio.Semaphore(SERVED_AT_ONCE)
+        application = copies_application(lambda: held, slots=slots)
         socket, port = bind_unused_port()
         server = HTTPServer(application)
         server.add_socket(socket)
@@ -191,11 +189,11 @@
         address = f"127.0.0.1:{port}"
         assert await fetch(address, 8) == held
         assert await fetch(address, 9) is None
-        CopyHandler.serving = SERVED_AT_ONCE
-        try:
-            assert await fetch(address, 8) is None
-        finally:
-            CopyHandler.serving = 0
+        for _ in range(SERVED_AT_ONCE):
+            await slots.acquire()
+        assert await fetch(address, 8) is None
+        slots.release()
+        assert await fetch(address, 8) == held
         pool.close()
         server.stop()
 
@@ -211,13 +209,13 @@
     body: bytes,
 ) -> None:
     async def run() -> None:
-        class Other(CopyHandler):
+        class Other(RequestHandler):
             async def get(self) -> None:
                 self.set_header(REVISION_HEADER, "9")
                 self.set_header(NAME_HEADER, "config/main")
                 await self.finish(body)
 
-        application = Application([(PATH, Other, {"configuration": lambda: None})])
+        application = Application([(PATH, Other)])
         socket, port = bind_unused_port()
         server = HTTPServer(application)
         server.add_socket(socket)
