Move the deadline that arrivals put off out of the store's adapter

When a call is given up is a decision of ours, not of the platform's protocol: the adapter keeps what it asks and how it reads the answers. Same code, in a module of its own.

--- a/src/rosepath/platform/store.py
+++ b/src/rosepath/platform/store.py
@@ -8,6 +8,7 @@
 from typing import Any
 from urllib.parse import quote, urlencode
 
+from rosepath.call_deadline import CallDeadline
 from rosepath.clock import Clock
 from rosepath.errors import ExchangeError, Step
 from rosepath.http_client import HttpPool, Request, ResponseHead
@@ -209,7 +210,7 @@
         exchanging = asyncio.ensure_future(
             self._pool.exchange(request, on_head=note_head, on_data=note_part)
         )
-        deadline = _Deadline(exchanging, limit_s=limit_s)
+        deadline = CallDeadline(exchanging, limit_s=limit_s)
         try:
             await asyncio.wait([exchanging])
             if exchanging.cancelled():
@@ -242,27 +243,6 @@
         return failure
 
 
-class _Deadline:
-    """Cancel a call unless it ends, or is put off, in time."""
-
-    def __init__(self, call: "asyncio.Future[ResponseHead]", *, limit_s: float) -> None:
-        self._call = call
-        self._loop = asyncio.get_running_loop()
-        self._timer = self._loop.call_later(limit_s, self._expire)
-
-    def put_off(self, limit_s: float) -> None:
-        self._timer.cancel()
-        self._timer = self._loop.call_later(limit_s, self._expire)
-
-    def lift(self) -> None:
-        self._timer.cancel()
-
-    def _expire(self) -> None:
-        # What arrived while the VM itself stood still is read in the turn of the
-        # loop in which the timer is due: it counts, a turn later.
-        self._loop.call_soon(self._call.cancel)
-
-
 def _path(name: str) -> str:
     kind, _, own = name.partition("/")
     return f"{_PATH}{kind}/{quote(own, safe='')}"
