Split a call to the store into its exchange and what its answer means

One function counted, sent, timed, collected, judged and parsed, with the clean-up of the exchange between the judging and the last conflict. The exchange and its deadline stand by themselves now; statuses and errors are read as before.

--- a/src/rosepath/platform/store.py
+++ b/src/rosepath/platform/store.py
@@ -190,9 +190,41 @@
         pause_s: float | None = None,
         on_begun: Callable[[], None] = tell_nobody,
     ) -> tuple[ResponseHead, Any]:
-        """Make a call; with `pause_s` what arrives puts its end off to then."""
+        """Make a call and read its answer; raises StoreError or ConflictError."""
         self.calls[what] += 1
         method, path = request.method, request.path
+        try:
+            head, answer = await self._exchange(
+                request, limit_s=limit_s, pause_s=pause_s, on_begun=on_begun
+            )
+            if head.status == 409:
+                raise ConflictError(path, step=Step.STORE, peer=self._access.address)
+            if head.status >= 400 and head.status not in (404, 410):
+                raise self._failed(f"{method} {path}: {head.status}", unknown=False)
+            # Other writers' objects may hold bytes that are no text at all.
+            raw = json.loads(answer.decode(errors="replace")) if answer else {}
+        except (ExchangeError, TimeoutError, ValueError, RecursionError) as error:
+            never_sent = isinstance(error, ExchangeError) and not error.sent
+            unknown = method != "GET" and not never_sent
+            why = str(error) or "no answer in time"
+            raise self._failed(f"{method} {path}: {why}", unknown=unknown) from error
+        if head.status == 404 and what == "replace":
+            raise ConflictError(path, step=Step.STORE, peer=self._access.address)
+        self.last_success_s = self._clock.monotonic_s()
+        return head, raw
+
+    async def _exchange(
+        self,
+        request: Request,
+        *,
+        limit_s: float,
+        pause_s: float | None,
+        on_begun: Callable[[], None],
+    ) -> tuple[ResponseHead, bytes]:
+        """Send a request and return its answer, or raise TimeoutError.
+
+        With `pause_s` each part that arrives gives the answer that much longer.
+        """
         parts: list[bytes] = []
 
         def note_head(_: ResponseHead) -> None:
@@ -215,27 +247,11 @@
             await asyncio.wait([exchanging])
             if exchanging.cancelled():
                 raise TimeoutError
-            head = exchanging.result()
-            answer = b"".join(parts)
-            if head.status == 409:
-                raise ConflictError(path, step=Step.STORE, peer=self._access.address)
-            if head.status >= 400 and head.status not in (404, 410):
-                raise self._failed(f"{method} {path}: {head.status}", unknown=False)
-            # Other writers' objects may hold bytes that are no text at all.
-            raw = json.loads(answer.decode(errors="replace")) if answer else {}
-        except (ExchangeError, TimeoutError, ValueError, RecursionError) as error:
-            never_sent = isinstance(error, ExchangeError) and not error.sent
-            unknown = method != "GET" and not never_sent
-            why = str(error) or "no answer in time"
-            raise self._failed(f"{method} {path}: {why}", unknown=unknown) from error
+            return exchanging.result(), b"".join(parts)
         finally:
             deadline.lift()
             exchanging.cancel()
             await asyncio.wait([exchanging])
-        if head.status == 404 and what == "replace":
-            raise ConflictError(path, step=Step.STORE, peer=self._access.address)
-        self.last_success_s = self._clock.monotonic_s()
-        return head, raw
 
     def _failed(self, message: str, *, unknown: bool) -> StoreError:
         failure = StoreError(message, step=Step.STORE, peer=self._access.address)
