Keep what is known of a watch in one object

Feed held a watch's task, whether it is relaxed, doubted and arriving, and its times in five fields and locals that outlived it or were reset by the next, and callbacks took the task to see whether theirs was still running. One object is made for each watch and dropped with it; a word that is heard while none runs sets no timer, where it set one that did nothing. Otherwise the same steps in the same order: the tests of feeds and of slow, silent and failing stores pass unchanged.

--- a/src/rosepath/feed.py
+++ b/src/rosepath/feed.py
@@ -50,9 +50,6 @@
 _log = get_logger()
 
 
-_Watching = asyncio.Task[Change] | None
-
-
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Pace:
     """Say how long a watch waits, and how long changes are gathered.
@@ -70,6 +67,36 @@
     copies_s: float = 0.0
 
 
+@dataclass(slots=True, kw_only=True)
+class _Watch:
+    """Hold what is known of one watch while it waits."""
+
+    call: asyncio.Task[Change]
+    asked_s: float
+    wait_s: float
+    relaxed: bool
+    # Another VM knows a revision that this watch has not told of.
+    doubted: bool = False
+    # Its answer has begun to arrive.
+    arriving: bool = False
+
+    @property
+    def brief(self) -> bool:
+        """Tell whether it only makes sure of a table that is too old."""
+        return self.wait_s <= BRIEF_S
+
+    @property
+    def due_s(self) -> float:
+        """Return when its answer begins at the latest if the store is quick."""
+        return self.asked_s + self.wait_s
+
+    @property
+    def unanswered(self) -> bool:
+        """Tell whether it is under way still, broken off or failed."""
+        call = self.call
+        return not call.done() or call.cancelled() or call.exception() is not None
+
+
 class Feed:
     """Keep a table in step with a kind of objects."""
 
@@ -96,8 +123,8 @@
         # also while this one pauses after a failure.
         self._urgent = urgent
         self._news = asyncio.Event()
-        self._watching: _Watching = None
-        self._relaxed = False
+        # The watch that is under way.
+        self._watch: _Watch | None = None
         self._heard_revision = 0
         self.revision = 0
         # The newest change of this kind; the store's own revision also moves
@@ -110,9 +137,6 @@
         self._waiting: set[asyncio.Future[None]] = set()
         self.out_of_touch = False
         self._asked_s = -1e9
-        # Whether the watch has not told of a revision that another VM knows, and
-        # whether its answer has begun to arrive.
-        self._doubted = self._arriving = False
         # When the latest answer began to arrive, and whether that was late.
         self._begun_s = math.inf
         self._answered_late = False
@@ -137,7 +161,7 @@
                     await self._list()
                     listed = True
                 was_behind = self._urgent and self.behind
-                looked = await self._watch()
+                looked = await self._wait_for_changes()
                 if looked is None:
                     continue
                 change, known_s = looked
@@ -208,7 +232,7 @@
             f"no answer to a {what} yet after {took_s:.2f} s", step=Step.STORE
         )
 
-    async def _watch(self) -> tuple[Change, float | None] | None:
+    async def _wait_for_changes(self) -> tuple[Change, float | None] | None:
         """Wait for changes; return them and by when they are all there were.
 
         That is unknown after a relaxed watch. Return None if the wait was broken
@@ -216,82 +240,81 @@
         longer holds. Who waits long trusts another's word, and that may have
         become too old.
         """
+        watch = self._watch = self._begin_watch()
+        self._hurry.clear()
+        try:
+            await self._wait_while_allowed(watch)
+        finally:
+            self._watch = None
+            watch.call.cancel()
+            # Its connection is closed before the next one is opened.
+            await asyncio.wait([watch.call])
+        if watch.call.cancelled() or self.age.looked_s > watch.asked_s:
+            # The read beside it was answered first.
+            return None
+        change = watch.call.result()
+        self._note_answered(due_s=watch.due_s)
+        if watch.relaxed:
+            return change, None
+        if not (change.written or change.removed):
+            # Nothing came up to the end of the wait.
+            return change, min(watch.due_s, self.age.now_s())
+        return change, watch.asked_s
+
+    def _begin_watch(self) -> _Watch:
         pace = self._pace()
         wait_s = BRIEF_S if self.age.age_s > pace.wait_s else pace.wait_s
-        asked_s = self._asked_s = self.age.now_s()
-        self._doubted = self._arriving = False
+        self._asked_s = self.age.now_s()
         self._begun_s = math.inf
         # A change that another VM told of, or a look that requests wait for, is
         # no matter for a watch that may be told of it late.
-        self._relaxed = pace.relaxed and not (
-            self._waiting or (self._urgent and self.behind)
-        )
-        watching = asyncio.ensure_future(
+        relaxed = pace.relaxed and not (self._waiting or (self._urgent and self.behind))
+
+        def note_arriving() -> None:
+            watch.arriving = True
+            self._begun_s = self.age.now_s()
+
+        call = asyncio.ensure_future(
             self._store.changes(
                 self._kind,
                 after=self.revision,
                 wait_s=wait_s,
-                relaxed=self._relaxed,
-                on_begun=self._note_arriving,
+                relaxed=relaxed,
+                on_begun=note_arriving,
             )
         )
-        self._watching = watching
-        self._hurry.clear()
-        try:
-            await self._wait_while_allowed(watching, wait_s)
-        finally:
-            self._watching = None
-            watching.cancel()
-            # Its connection is closed before the next one is opened.
-            await asyncio.wait([watching])
-        if watching.cancelled() or self.age.looked_s > asked_s:
-            # The read beside it was answered first.
-            return None
-        change = watching.result()
-        self._note_answered(due_s=asked_s + wait_s)
-        if self._relaxed:
-            return change, None
-        if not (change.written or change.removed):
-            # Nothing came up to the end of the wait.
-            return change, min(asked_s + wait_s, self.age.now_s())
-        return change, asked_s
+        watch = _Watch(call=call, asked_s=self._asked_s, wait_s=wait_s, relaxed=relaxed)
+        return watch
 
-    async def _wait_while_allowed(
-        self, watching: "asyncio.Task[Change]", wait_s: float
-    ) -> None:
+    async def _wait_while_allowed(self, watch: _Watch) -> None:
         """Wait until a watch ends, or is in the way of a look that is due."""
-        brief = wait_s <= BRIEF_S
         hurry = asyncio.ensure_future(self._hurry.wait())
-        late_s = self._asked_s + wait_s + LATE_S
         try:
-            while brief or self._arriving or wait_s <= self._pace().wait_s:
-                late = not self._arriving and self.age.now_s() > late_s
-                if late:
-                    self._note_lost(self._late("watch"))
-                if late or (self._doubted and not self._arriving):
-                    await self._look_beside(watching)
-                    return
-                alone = brief or self._arriving
+            while watch.brief or watch.arriving or watch.wait_s <= self._pace().wait_s:
+                if not watch.arriving:
+                    late = self.age.now_s() > watch.due_s + LATE_S
+                    if late:
+                        self._note_lost(self._late("watch"))
+                    if late or watch.doubted:
+                        await self._look_beside(watch)
+                        return
+                alone = watch.brief or watch.arriving
                 done, _ = await asyncio.wait(
-                    {watching} if alone else {watching, hurry},
+                    {watch.call} if alone else {watch.call, hurry},
                     timeout=PACE_LOOK_S,
                     return_when=asyncio.FIRST_COMPLETED,
                 )
-                if watching in done or (done and not self._arriving):
+                if watch.call in done or (done and not watch.arriving):
                     return
         finally:
             hurry.cancel()
 
-    def _note_arriving(self) -> None:
-        self._arriving = True
-        self._begun_s = self.age.now_s()
-
     def _note_answered(self, *, due_s: float) -> None:
         """Note whether an answer that was due at a moment began in time."""
         begun_s = min(self._begun_s, self.age.now_s())
         self._answered_late = begun_s > due_s + LATE_S
 
-    async def _look_beside(self, watching: "asyncio.Task[Change]") -> None:
+    async def _look_beside(self, watch: _Watch) -> None:
         """Read the whole beside a watch; whichever is answered first counts.
 
         The connection of the watch may have gone silent, or the store is slow: ended
@@ -299,11 +322,10 @@
         """
         listing = asyncio.ensure_future(self._list(fresh=True))
         try:
-            await asyncio.wait([watching, listing], return_when=asyncio.FIRST_COMPLETED)
-            answered = watching.done() and not (
-                watching.cancelled() or watching.exception()
+            await asyncio.wait(
+                [watch.call, listing], return_when=asyncio.FIRST_COMPLETED
             )
-            if not answered:
+            if watch.unanswered:
                 await listing
         finally:
             listing.cancel()
@@ -350,13 +372,16 @@
         self.wanted.set()
         if self._urgent:
             self._news.set()
+        watch = self._watch
+        if watch is None:
+            return
         loop = asyncio.get_running_loop()
-        if not self._relaxed:
-            loop.call_later(HEARD_GRACE_S, self._check_watch, revision, self._watching)
+        if not watch.relaxed:
+            loop.call_later(HEARD_GRACE_S, self._check_watch, revision, watch)
         elif self._urgent:
             first = random.random() < FIRST_READERS_SHARE
             copies_s = 0.0 if first else self._pace().copies_s
-            loop.call_later(copies_s, self._end_relaxed, revision, self._watching)
+            loop.call_later(copies_s, self._end_relaxed, revision, watch)
 
     @property
     def behind(self) -> bool:
@@ -376,29 +401,24 @@
         )
         self._note_changed({stored.name: stored})
         self.revision = max(self.revision, stored.version)
-        if self._watching is not None:
+        if self._watch is not None:
             # It would be told the same once more, by a larger answer.
-            self._watching.cancel()
+            self._watch.call.cancel()
         return True
 
-    def _end_relaxed(
-        self, revision: int, watching: "asyncio.Task[Change] | None"
-    ) -> None:
+    def _end_relaxed(self, revision: int, watch: _Watch) -> None:
         """Have the next watch be a full one if nobody brought a revision."""
-        same = watching is not None and watching is self._watching
-        if same and watching and self.changed_revision < revision:
-            if not self._arriving:
-                watching.cancel()
+        if watch is not self._watch or self.changed_revision >= revision:
+            return
+        if not watch.arriving:
+            watch.call.cancel()
 
-    def _check_watch(
-        self, revision: int, watching: "asyncio.Task[Change] | None"
-    ) -> None:
+    def _check_watch(self, revision: int, watch: _Watch) -> None:
         """Have the next look made at once if a watch has not told of a revision."""
-        if watching is None or watching is not self._watching:
+        if watch is not self._watch or self.changed_revision >= revision:
             return
-        if self.changed_revision < revision:
-            _log.warning("watch_doubted", kind=self._kind, revision=self.revision)
-            self._doubted = True
+        _log.warning("watch_doubted", kind=self._kind, revision=self.revision)
+        watch.doubted = True
 
     def _take_listing(self, listing: Listing) -> None:
         if listing.revision < self.revision:
