Say of the store's limits what they bound, and name their callback's type

Comments gave a reason without the thing it is a reason for (a share of whom, a time from what to what), one told how often a value had been enough, and the type of the callback for an answer that begins stood spelt out six times beside its name.

--- a/src/rosepath/configuration_copies.py
+++ b/src/rosepath/configuration_copies.py
@@ -23,7 +23,7 @@
 PATH = "/configuration"
 REVISION_HEADER = "Rosepath-Revision"
 NAME_HEADER = "Rosepath-Object"
-# The own watch brings most changes sooner than this.
+# A VM's own watch brings most changes sooner than this.
 SEEK_AFTER_S = 0.3
 # A copy is small once compressed; a VM that takes longer has a full link itself, and
 # another may be asked.
@@ -32,6 +32,7 @@
 SERVE_LIMIT_S = 3.0
 # Several times what the store takes for one object.
 MAX_COPY_BYTES = 4 * 1024 * 1024
+# From one VM that gave no copy to the next that is asked; doubled each time.
 ASK_AGAIN_S = 0.1
 ASK_AGAIN_MAX_S = 0.8
 # In a crowd all learn of a change by the holder's word at once: asked by all of
--- a/src/rosepath/feed.py
+++ b/src/rosepath/feed.py
@@ -24,25 +24,28 @@
 # A revision that another VM knows is on its way here; if it has not come after
 # this, the watch may be dead though its connection looks open.
 HEARD_GRACE_S = 0.5
-# An answer that is not there after this is late: the next call is made beside it.
+# An answer that has not begun to arrive this long after it was due is late: the
+# store is read beside it.
 LATE_S = 0.5
-# The second read finds out whether the store or only a connection is dead. After
-# that a silent store is asked this often, which tells soon when it is back; a slow
-# one has the time of all reads that run to answer the first of them.
+# From one late read to the next. The second, over a new connection, finds out whether
+# the store or only a connection is dead; those after it, whether the store is back.
 READ_AGAIN_S = 1.0
+# So many reads run beside each other: a slow store has the time of all of them to
+# answer the first.
 READS_AT_ONCE = 4
-# In an outage each failed call is no news.
+# Between two log lines about the failed calls of one outage.
 FAILURE_LOGGED_EACH_S = 2.0
-# While changes gather or a watch waits, what allows that is looked at this often.
+# While changes gather or a watch waits, whether the pace still allows it is looked
+# at this often.
 PACE_LOOK_S = 0.25
-# A table that is older than its pace allows is made sure of by a watch that only
-# waits for so long.
+# How long a watch waits that only proves a table current that is older than its
+# pace allows.
 BRIEF_S = 0.05
 BACKOFF_FIRST_S = 0.05
 # The longest pause between tries while a newer revision is known to exist.
 BACKOFF_BEHIND_S = 0.25
-# Of those that may wait for a copy, so many ask the store at once all the same: a
-# few in each data centre, for the others to copy from.
+# Of the VMs that may wait for a copy, this share asks the store at once: a few in
+# each data centre, for the others to copy from.
 FIRST_READERS_SHARE = 0.1
 # Stands in log lines for the age of a table that was never read.
 NEVER_KNOWN_S = 1e6
@@ -136,10 +139,12 @@
         self._hurry = asyncio.Event()
         self._waiting: set[asyncio.Future[None]] = set()
         self.out_of_touch = False
+        # When the latest call was made.
         self._asked_s = -1e9
         # When the latest answer began to arrive, and whether that was late.
         self._begun_s = math.inf
         self._answered_late = False
+        # When a failed call was last logged.
         self._logged_s = -1e9
         # Set while another VM is known to have a newer revision.
         self.wanted = asyncio.Event()
--- a/src/rosepath/gateway.py
+++ b/src/rosepath/gateway.py
@@ -54,6 +54,7 @@
         self._idle_timer = loop.call_later(after_s, loop.call_soon, self._close_idle)
 
     def _close_idle(self) -> None:
+        """Close the connection, or give a head that is arriving its own time."""
         if self not in self._gateway.idle:
             return
         if self._head_arriving or not self._connection.stream._read_buffer_size:
@@ -197,8 +198,7 @@
         exchange = CallerExchange(self, request_conn)
         self.idle.add(exchange)
         exchange.watch_idle()
-        # Of a connection that closes between two requests the library tells
-        # nobody else.
+        # The library reports a close between two requests to this callback alone.
         request_conn.stream.set_close_callback(exchange.on_connection_close)
         return exchange
 
--- a/src/rosepath/late_calls.py
+++ b/src/rosepath/late_calls.py
@@ -1,7 +1,7 @@
 """Calls that are late: left to run beside a further one, the first answer wins.
 
-A call that was ended as its answer took long begins again at the first byte; where
-each answer takes longer than the limit, none is ever read.
+A call that is ended because its answer takes long begins again at the first byte;
+where each answer takes longer than the limit, none is ever read.
 """
 
 import asyncio
@@ -10,6 +10,7 @@
 from typing import TypeVar
 
 T = TypeVar("T")
+# Called when an answer begins to arrive.
 OnBegun = Callable[[], None]
 
 
@@ -24,8 +25,8 @@
     """Return the first answer; make further calls while none has begun to arrive.
 
     The first call is late after `late_after_s`, each further one after
-    `again_after_s`; no more than `at_once` run at a time, each told whom to tell that
-    its answer begins. Raises what the last of them raised once none of them is left.
+    `again_after_s`; no more than `at_once` run at a time. Each is passed what to call
+    when its answer begins. Raises what the last of them raised once none is left.
     """
     running: dict[asyncio.Future[T], int] = {}
     arriving: set[int] = set()
--- a/src/rosepath/object_store.py
+++ b/src/rosepath/object_store.py
@@ -1,11 +1,12 @@
 """The port to the object store: objects with versions, watches, and the VM list."""
 
-from collections.abc import AsyncIterator, Callable, Mapping
+from collections.abc import AsyncIterator, Mapping
 from dataclasses import dataclass
 from enum import StrEnum
 from typing import NamedTuple, Protocol
 
 from rosepath.errors import RosepathError
+from rosepath.late_calls import OnBegun
 
 
 class StoredObject(NamedTuple):
@@ -62,7 +63,7 @@
 
 
 def tell_nobody() -> None:
-    return
+    """Ignore that an answer begins to arrive."""
 
 
 class FeedPort(Protocol):
@@ -77,7 +78,7 @@
         kind: str,
         *,
         fresh: bool = False,
-        on_begun: Callable[[], None] = tell_nobody,
+        on_begun: OnBegun = tell_nobody,
     ) -> Listing: ...
 
     async def changes(
@@ -87,7 +88,7 @@
         after: int,
         wait_s: float,
         relaxed: bool = False,
-        on_begun: Callable[[], None] = tell_nobody,
+        on_begun: OnBegun = tell_nobody,
     ) -> Change: ...
 
 
--- a/src/rosepath/platform/store.py
+++ b/src/rosepath/platform/store.py
@@ -3,7 +3,7 @@
 import asyncio
 import json
 from collections import Counter
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any
 from urllib.parse import quote, urlencode
@@ -12,6 +12,7 @@
 from rosepath.clock import Clock
 from rosepath.errors import ExchangeError, Step
 from rosepath.http_client import HttpPool, Request, ResponseHead
+from rosepath.late_calls import OnBegun
 from rosepath.object_store import (
     Change,
     ConflictError,
@@ -81,7 +82,7 @@
         kind: str,
         *,
         fresh: bool = False,
-        on_begun: Callable[[], None] = tell_nobody,
+        on_begun: OnBegun = tell_nobody,
     ) -> Listing:
         """Read every object of a kind, page by page."""
         objects: dict[str, StoredObject] = {}
@@ -108,7 +109,7 @@
         after: int,
         wait_s: float,
         relaxed: bool = False,
-        on_begun: Callable[[], None] = tell_nobody,
+        on_begun: OnBegun = tell_nobody,
     ) -> Change:
         """Wait for changes of a kind; raises HistoryGoneError or StoreError.
 
@@ -161,7 +162,7 @@
         *,
         wait_s: float = 0.0,
         fresh: bool = False,
-        on_begun: Callable[[], None],
+        on_begun: OnBegun,
     ) -> tuple[ResponseHead, Any]:
         """Read what may be large, for as long as it keeps arriving."""
         patience_s = self._access.read_patience_s
@@ -188,7 +189,7 @@
         *,
         limit_s: float,
         pause_s: float | None = None,
-        on_begun: Callable[[], None] = tell_nobody,
+        on_begun: OnBegun = tell_nobody,
     ) -> tuple[ResponseHead, Any]:
         """Make a call and read its answer; raises StoreError or ConflictError."""
         self.calls[what] += 1
@@ -219,7 +220,7 @@
         *,
         limit_s: float,
         pause_s: float | None,
-        on_begun: Callable[[], None],
+        on_begun: OnBegun,
     ) -> tuple[ResponseHead, bytes]:
         """Send a request and return its answer, or raise TimeoutError.
 
--- a/src/rosepath/relay.py
+++ b/src/rosepath/relay.py
@@ -36,7 +36,8 @@
 # A caller's clock runs three milliseconds ahead of ours; what comes later
 # than that before its deadline reaches nobody.
 ANSWER_MARGIN_S = 0.02
-# A newer configuration that is known to exist is here by then more often than not.
+# How long a request without a route waits for a newer configuration that is known
+# to exist.
 ROUTE_WAIT_S = 0.4
 # Of a host or path as its caller sent it.
 MAX_LOGGED_CHARS = 200
