Keep one copy of the loop's time and of a server's document in the tests

The document that a server writes of itself stood three times, and a function that returns the running loop's time twice, one of them imported by way of two other modules. What the tests do and expect is as before.

--- a/tests/crashing_servers.py
+++ b/tests/crashing_servers.py
@@ -10,8 +10,9 @@
 from dataclasses import dataclass, field
 from typing import Any, cast
 
-from fleet_world import Exchange, World, check_wanted, now_s
+from fleet_world import Exchange, World, check_wanted
 from tornado.httputil import HTTPHeaders
+from virtual_time import now_s
 
 from rosepath.errors import ExchangeError, Step
 from rosepath.http_client import Contact, Request, ResponseHead
--- a/tests/entry_builders.py
+++ b/tests/entry_builders.py
@@ -1,6 +1,7 @@
 """Builders of test data for the entry VM on the users' platform."""
 
 from collections.abc import Mapping
+from typing import Any
 
 from rosepath.caller_call import CallerCall, Prompt, PromptPart
 from rosepath.catalog import (
@@ -113,6 +114,20 @@
     )
 
 
+def a_server_document(*, state: str = "ready", **fields: Any) -> dict[str, Any]:
+    """Return what a backend server writes of itself into the store."""
+    return {
+        "service": "llm",
+        "address": "10.0.0.1:80",
+        "zone": "a",
+        "version": "v1",
+        "slots": 4,
+        "state": state,
+        "sequence": 1,
+        **fields,
+    }
+
+
 def a_server(name: str, **options: object) -> BackendServer:
     entry = an_entry(name, **options)  # type: ignore[arg-type]
     server = BackendServer(entry=entry)
--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -15,9 +15,9 @@
 
 import pytest
 from entry_builders import a_catalog, a_route, entry_settings
-from store_view import WAY_S, View, now_s
+from store_view import WAY_S, View
 from tornado.httputil import HTTPHeaders
-from virtual_time import LoopClock, VirtualLoop
+from virtual_time import LoopClock, VirtualLoop, now_s
 
 from rosepath import entry_node, placement_coordinator
 from rosepath.catalog import RouteKind
--- a/tests/outspoken_servers.py
+++ b/tests/outspoken_servers.py
@@ -5,8 +5,9 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from fleet_world import World, check_wanted, now_s
+from fleet_world import World, check_wanted
 from tornado.httputil import HTTPHeaders
+from virtual_time import now_s
 
 from rosepath.http_client import Request, ResponseHead
 
--- a/tests/store_view.py
+++ b/tests/store_view.py
@@ -7,6 +7,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
+from virtual_time import now_s
+
 from rosepath.errors import Step
 from rosepath.object_store import (
     Change,
@@ -29,10 +31,6 @@
 RELAXED_LATE_S = 3.0
 
 
-def now_s() -> float:
-    return asyncio.get_running_loop().time()
-
-
 @dataclass(slots=True)
 class View:
     """Speak the store's port for one VM."""
--- a/tests/store_wire.py
+++ b/tests/store_wire.py
@@ -3,10 +3,10 @@
 import asyncio
 import json
 from collections.abc import Callable, Sequence
-from typing import Any, cast
+from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
-from virtual_time import LoopClock, VirtualLoop
+from virtual_time import LoopClock, VirtualLoop, now_s
 
 from rosepath.platform.store import PlatformStore, StoreAccess
 
@@ -144,21 +144,17 @@
         self.asked: list[str] = []
 
     def __call__(self, path: str) -> Pieces:
-        now_s = asyncio.get_running_loop().time()
+        asked_s = now_s()
         self.asked.append(path)
         query = parse_qs(urlsplit(path).query)
-        newest = self.revision + (now_s >= self.changes_s)
+        newest = self.revision + (asked_s >= self.changes_s)
         if "watch" not in query:
             return [(self.slow_s, answer(a_listing(newest)))]
         after = int(query["watch"][0])
-        until_s = now_s + int(query["waitMs"][0]) / 1000
+        until_s = asked_s + int(query["waitMs"][0]) / 1000
         if newest > after:
             return [(self.slow_s, answer(a_change(newest)))]
         if self.changes_s <= until_s:
-            told_s = self.changes_s - now_s + self.slow_s
+            told_s = self.changes_s - asked_s + self.slow_s
             return [(told_s, answer(a_change(self.revision + 1)))]
-        return [(until_s - now_s + self.slow_s, answer(no_change(newest)))]
-
-
-def now_s() -> float:
-    return cast(float, asyncio.get_running_loop().time())
+        return [(until_s - asked_s + self.slow_s, answer(no_change(newest)))]
--- a/tests/test_slow_looks.py
+++ b/tests/test_slow_looks.py
@@ -4,6 +4,7 @@
 import json
 from typing import Any
 
+from entry_builders import a_server_document
 from virtual_time import LoopClock, VirtualLoop
 
 from rosepath.feed import Pace
@@ -11,15 +12,6 @@
 from rosepath.store_tables import LOOK_LIMIT_S, StoreTables
 
 DRAIN_S = 3.0
-SERVER = {
-    "service": "llm",
-    "address": "10.0.0.1:80",
-    "zone": "a",
-    "version": "v1",
-    "slots": 4,
-    "state": "ready",
-    "sequence": 1,
-}
 
 
 class SlowStore:
@@ -31,7 +23,9 @@
 
     async def list(self, kind: str, **_options: Any) -> Listing:
         await asyncio.sleep(self.takes_s)
-        stored = StoredObject("servers/i-1", 3, json.dumps(SERVER).encode())
+        stored = StoredObject(
+            "servers/i-1", 3, json.dumps(a_server_document()).encode()
+        )
         return Listing(revision=3, objects={stored.name: stored})
 
     async def changes(
--- a/tests/test_slow_store_answers.py
+++ b/tests/test_slow_store_answers.py
@@ -3,8 +3,9 @@
 import asyncio
 
 import pytest
-from store_wire import Pieces, a_store, answer, no_change, now_s, play
-from virtual_time import LoopClock
+from entry_builders import a_server_document
+from store_wire import Pieces, a_store, answer, no_change, play
+from virtual_time import LoopClock, now_s
 
 from rosepath.feed import Pace
 from rosepath.store_tables import StoreTables
@@ -15,15 +16,6 @@
 QUICK_S = 0.004
 # An eighth of the time in which the routes' answers earn their full worth.
 HELD_S = 0.6 / 8
-SERVER = {
-    "service": "llm",
-    "address": "10.0.0.1:80",
-    "zone": "a",
-    "version": "v1",
-    "slots": 4,
-    "state": "ready",
-    "sequence": 1,
-}
 
 
 class SlowServers:
@@ -36,7 +28,8 @@
     def __call__(self, path: str) -> Pieces:
         late_s = self.slow_s if now_s() >= self.slow_from_s else QUICK_S
         if "watch" not in path:
-            item = {"metadata": {"name": "i-1", "revision": 3}, "spec": SERVER}
+            metadata = {"name": "i-1", "revision": 3}
+            item = {"metadata": metadata, "spec": a_server_document()}
             return [(late_s, answer({"items": [item], "atRevision": 3}))]
         wait_s = int(path.split("waitMs=")[1].split("&")[0]) / 1000
         return [(wait_s + late_s, answer(no_change(3)))]
--- a/tests/test_store_tables.py
+++ b/tests/test_store_tables.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 import pytest
+from entry_builders import a_server_document
 
 from rosepath.clock import ManualClock
 from rosepath.feed import Pace
@@ -42,7 +43,7 @@
 
 
 def server(name: str, *, state: str = "ready", version: int = 3) -> StoredObject:
-    value = json.dumps(entry(state=state)).encode()
+    value = json.dumps(a_server_document(state=state)).encode()
     return StoredObject(f"servers/{name}", version, value)
 
 
@@ -51,19 +52,6 @@
     return [server.name for server in held.leaves.told()[0] if server.gone_at]
 
 
-def entry(*, state: str = "ready", **fields: Any) -> dict[str, Any]:
-    return {
-        "service": "llm",
-        "address": "10.0.0.1:80",
-        "zone": "a",
-        "version": "v1",
-        "slots": 4,
-        "state": state,
-        "sequence": 1,
-        **fields,
-    }
-
-
 def listing(*objects: StoredObject, revision: int = 5) -> Listing:
     return Listing(revision=revision, objects={o.name: o for o in objects})
 
@@ -180,7 +168,7 @@
         held = tables(ManualClock())
         held._on_reborn = reborn.append
         for born in (100, 200, 200, 100):
-            raw = json.dumps(entry(born=born)).encode()
+            raw = json.dumps(a_server_document(born=born)).encode()
             stored = StoredObject("servers/i-1", 3, raw)
             held._servers_listed(listing(stored))
         assert reborn == ["i-1"]
--- a/tests/test_unknown_routes.py
+++ b/tests/test_unknown_routes.py
@@ -7,8 +7,8 @@
 
 import pytest
 from fleet_world import Exchange, World, play
-from store_view import now_s
 from tornado.httputil import HTTPHeaders
+from virtual_time import now_s
 
 from rosepath.entry_node import EntryNode
 from rosepath.gateway import CallerExchange
--- a/tests/virtual_time.py
+++ b/tests/virtual_time.py
@@ -31,11 +31,16 @@
         return self._jumping.now_s
 
 
+def now_s() -> float:
+    """Return the running loop's time."""
+    return asyncio.get_running_loop().time()
+
+
 class LoopClock:
     """Tell the running loop's time."""
 
     def monotonic_s(self) -> float:
-        return asyncio.get_running_loop().time()
+        return now_s()
 
     def wall_s(self) -> float:
         return self.monotonic_s()
