--- a/tests/test_configuration_copies.py
+++ b/tests/test_configuration_copies.py
@@ -101,6 +101,8 @@
 
 
 def test_a_vm_that_the_store_turns_away_has_the_version_that_others_have() -> None:
+    # Only the store was asked: a VM that it turned away served callers by an
+    # old version for as long as that lasted, next to VMs that had the new one.
     async def run() -> None:
         behind = Behind()
         behind.hear("far", data_centre="b")
@@ -112,6 +114,8 @@
 
 
 def test_a_vm_that_is_gone_does_not_keep_others_from_being_asked() -> None:
+    # A VM that has just died still counts as one that has the version: chosen
+    # each time as the nearest, it would keep this one behind.
     async def run() -> None:
         behind = Behind()
         behind.gone = {"gone"}
@@ -126,6 +130,8 @@
 def test_a_vm_that_never_ends_its_answer_does_not_keep_others_from_being_asked() -> (
     None
 ):
+    # Over a full link an answer may stop halfway: waited for without a bound,
+    # it keeps this VM behind while others could answer.
     async def run() -> None:
         behind = Behind()
         behind.stuck = {"stuck"}
@@ -139,6 +145,8 @@
 
 
 def test_a_vm_that_gives_an_old_copy_is_not_asked_all_the_time() -> None:
+    # What a VM says that it has and what it gives may differ. Asked again at
+    # once, it would be sent requests in a loop without a pause.
     async def run() -> None:
         behind = Behind()
         behind.given = StoredObject("config/main", 0, b"{}")
@@ -164,6 +172,7 @@
 
 
 def test_nobody_is_asked_while_nothing_newer_is_known() -> None:
+    # Each VM would otherwise load the others' links for what it has already.
     async def run() -> None:
         behind = Behind()
         behind.hear("near", data_centre="a")
@@ -177,6 +186,9 @@
 
 @pytest.mark.parametrize("size_bytes", [2, 300_000])
 def test_a_copy_is_what_the_other_vm_read(size_bytes: int) -> None:
+    # A copy that is changed on its way, or an old one that is sent all the
+    # same, would go into force here; a VM that gives many at once fills its
+    # own link.
     async def run() -> None:
         held = StoredObject("config/main", 9, b"x" * size_bytes)
         slots = asyncio.Semaphore(SERVED_AT_ONCE)
@@ -208,6 +220,8 @@
 def test_bytes_that_are_no_copy_are_a_failure_and_not_a_configuration(
     body: bytes,
 ) -> None:
+    # What is cut short, or unpacks to more than any configuration, must
+    # neither go into force nor fill the memory.
     async def run() -> None:
         class Other(RequestHandler):
             async def get(self) -> None:
--- a/tests/test_holder_words.py
+++ b/tests/test_holder_words.py
@@ -161,6 +161,8 @@
 
 
 def test_each_move_is_told_at_once_where_vms_are_few() -> None:
+    # Gathered for no need, callers' requests would wait longer for a model
+    # that is there, or go to one that is not.
     async def run() -> None:
         wire, peers = Wire(), PeerTable("vm-0", clock=LoopClock())
         holder = a_holder(wire, peers, vms=2)
--- a/tests/test_idle_connections.py
+++ b/tests/test_idle_connections.py
@@ -84,6 +84,8 @@
 
 
 def test_a_connection_on_which_nothing_comes_is_closed() -> None:
+    # Our timer stands in for the library's: without it, callers that went away
+    # silently would keep their connections for ever.
     async def course(loop: SteppedLoop, node: Entry) -> None:
         reader, _ = await node.connect()
         await until_idle(node)
--- a/tests/test_late_calls.py
+++ b/tests/test_late_calls.py
@@ -49,6 +49,8 @@
 
 
 def test_a_silent_connection_does_not_hold_up_the_answer_over_another() -> None:
+    # A connection that died unnoticed answers nothing: waited for alone, it
+    # hides a store that is well.
     async def run() -> None:
         calls: list[int] = []
 
@@ -84,6 +86,8 @@
 
 
 def test_a_call_that_fails_leaves_the_other_to_answer() -> None:
+    # The failure of a further call would otherwise end the first one, which is
+    # about to be answered.
     async def run() -> None:
         made: list[int] = []
 
@@ -100,6 +104,8 @@
 
 
 def test_the_failure_of_the_last_call_is_raised() -> None:
+    # A store that refuses is to be known at once: swallowed, its refusal would
+    # look like a wait.
     async def run() -> None:
         async def call(_: OnBegun) -> str:
             raise ConnectionError
@@ -132,6 +138,8 @@
 
 
 def test_an_answer_that_stops_halfway_does_not_end_the_asking() -> None:
+    # No further call is made while an answer arrives. If it stops, calls go
+    # on, or the silent one would be all that is left.
     async def run() -> None:
         made: list[int] = []
 
@@ -152,6 +160,8 @@
 
 
 def test_a_store_that_refuses_is_not_asked_at_once_again_beside_a_silent_call() -> None:
+    # A refusal takes no time: followed at once by the next call, it would
+    # become a loop without a pause.
     async def run() -> None:
         made: list[int] = []
 
--- a/tests/test_outdated_configuration.py
+++ b/tests/test_outdated_configuration.py
@@ -69,6 +69,8 @@
 def test_a_change_reaches_all_vms_while_the_store_is_well(
     monkeypatch: pytest.MonkeyPatch, vms: int, lost_share: float
 ) -> None:
+    # Waits for copies and relaxed watches must not make a VM late by
+    # themselves.
     assert late_with(monkeypatch, vms, apply_versions, lost_share=lost_share) == {}
 
 
@@ -120,6 +122,8 @@
 def test_one_vm_that_reaches_the_store_is_enough_for_all(
     monkeypatch: pytest.MonkeyPatch, lost_share: float
 ) -> None:
+    # If copies came from the holder or the same data centre alone, most VMs
+    # would stay behind although one has the version.
     async def course(world: World) -> Behind:
         world.turn_away(*(name for name in world.nodes if name != "vm-7"))
         await asyncio.sleep(5.0)
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -127,4 +127,6 @@
 def test_a_stop_without_requests_ends_when_the_balancer_has_noticed(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
+    # A stop that waits for nothing makes a restart of all VMs that much
+    # longer.
     assert stop(monkeypatch) < entry_node.BALANCER_NOTICES_S + 0.2
--- a/tests/test_store_calls.py
+++ b/tests/test_store_calls.py
@@ -77,6 +77,8 @@
 
 
 def test_a_call_without_any_answer_is_given_up_within_the_patience_for_it() -> None:
+    # A read may take as long as it arrives; one whose answer never begins
+    # would be waited for without end.
     async def run() -> None:
         assert await time_to_fail() <= READ_PATIENCE_S + SLACK_S
 
--- a/tests/test_unknown_routes.py
+++ b/tests/test_unknown_routes.py
@@ -131,6 +131,7 @@
 def test_a_route_that_a_newer_configuration_lacks_too_is_a_404(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
+    # Refused for now, its caller would come back again and again for nothing.
     async def course(world: World, node: EntryNode) -> Asked:
         world.bytes_per_s[VM] = SIZE / (0.6 * WAIT_S)
         world.configure(3, size=SIZE)
