Name the steps of a read and of a lost store in the feed

A read took its flag for a new connection by way of a variable called own, and the event to log stood for whether the store was lost before. Same steps, same lines.

--- a/src/rosepath/feed.py
+++ b/src/rosepath/feed.py
@@ -215,9 +215,12 @@
     def _reads(
         self, *, fresh: bool
     ) -> Callable[[OnBegun], Awaitable[tuple[float, Listing]]]:
+        """Return what reads the whole, and tells with it when it was asked for."""
+
         async def read(on_begun: OnBegun) -> tuple[float, Listing]:
             nonlocal fresh
-            own, fresh = fresh, True
+            # Only the first may use a connection that may have gone silent.
+            this_fresh, fresh = fresh, True
             asked_s = self._asked_s = self.age.now_s()
             self._begun_s = math.inf
 
@@ -226,7 +229,7 @@
                 on_begun()
 
             return asked_s, await self._store.list(
-                self._kind, fresh=own, on_begun=note_begun
+                self._kind, fresh=this_fresh, on_begun=note_begun
             )
 
         return read
@@ -458,19 +461,17 @@
 
     def _note_lost(self, error: StoreError) -> None:
         self._resolve()
+        again, self.out_of_touch = self.out_of_touch, True
         # The first call that fails may only have met a connection that went silent
         # while it was idle; the next one is made over a new connection.
-        if self.out_of_touch:
+        if again:
             self._failed_s = max(self._failed_s, self._asked_s)
-        event = "store_call_failed" if self.out_of_touch else "store_lost"
-        self.out_of_touch = True
         now_s = self._clock.monotonic_s()
-        if event == "store_call_failed":
-            if now_s < self._logged_s + FAILURE_LOGGED_EACH_S:
-                return
+        if again and now_s < self._logged_s + FAILURE_LOGGED_EACH_S:
+            return
         self._logged_s = now_s
         _log.warning(
-            event,
+            "store_call_failed" if again else "store_lost",
             kind=self._kind,
             why=error.message,
             step=error.step.value,
