Keep with each read of the store when its answer began

Found by a reader of the diff: the moment at which an answer began was one field for a watch and the reads beside it, so that an answer could be judged late, or in time, by when another one began. A watch that was doubted, and told of a large change after all, counted as late by its end; the VM then counted as out of touch until the next answer. Each watch and each read holds its own now. 91 tests of the feed, the store's calls and copies pass; no test shows the difference, and none was added for it.

--- a/src/rosepath/feed.py
+++ b/src/rosepath/feed.py
@@ -6,6 +6,7 @@
 from collections.abc import Awaitable, Callable, Mapping
 from contextlib import suppress
 from dataclasses import dataclass
+from typing import NamedTuple
 
 from rosepath.clock import Clock
 from rosepath.errors import Step
@@ -70,6 +71,14 @@
     copies_s: float = 0.0
 
 
+class _Read(NamedTuple):
+    """Hold the whole, when it was asked for and when its answer began to arrive."""
+
+    asked_s: float
+    begun_s: float
+    listing: Listing
+
+
 @dataclass(slots=True, kw_only=True)
 class _Watch:
     """Hold what is known of one watch while it waits."""
@@ -80,8 +89,13 @@
     relaxed: bool
     # Another VM knows a revision that this watch has not told of.
     doubted: bool = False
-    # Its answer has begun to arrive.
-    arriving: bool = False
+    # When its answer began to arrive.
+    begun_s: float = math.inf
+
+    @property
+    def arriving(self) -> bool:
+        """Tell whether its answer has begun to arrive."""
+        return self.begun_s < math.inf
 
     @property
     def brief(self) -> bool:
@@ -141,8 +155,7 @@
         self.out_of_touch = False
         # When the latest call was made.
         self._asked_s = -1e9
-        # When the latest answer began to arrive, and whether that was late.
-        self._begun_s = math.inf
+        # Whether the latest answer began to arrive late.
         self._answered_late = False
         # When a failed call was last logged.
         self._logged_s = -1e9
@@ -201,36 +214,36 @@
 
     async def _list(self, *, fresh: bool = False) -> None:
         """Read the whole; `fresh` over a new connection, as late reads are."""
-        asked_s, listing = await first_answer(
+        read = await first_answer(
             self._reads(fresh=fresh),
             late_after_s=READ_AGAIN_S if fresh else LATE_S,
             again_after_s=READ_AGAIN_S,
             at_once=READS_AT_ONCE,
             on_late=lambda: self._note_lost(self._late("list")),
         )
-        self._note_answered(due_s=asked_s)
-        self._take_listing(listing)
-        self._note_look(asked_s)
+        self._note_answered(due_s=read.asked_s, begun_s=read.begun_s)
+        self._take_listing(read.listing)
+        self._note_look(read.asked_s)
 
-    def _reads(
-        self, *, fresh: bool
-    ) -> Callable[[OnBegun], Awaitable[tuple[float, Listing]]]:
-        """Return what reads the whole, and tells with it when it was asked for."""
+    def _reads(self, *, fresh: bool) -> Callable[[OnBegun], Awaitable[_Read]]:
+        """Return what reads the whole."""
 
-        async def read(on_begun: OnBegun) -> tuple[float, Listing]:
+        async def read(on_begun: OnBegun) -> _Read:
             nonlocal fresh
             # Only the first may use a connection that may have gone silent.
             this_fresh, fresh = fresh, True
             asked_s = self._asked_s = self.age.now_s()
-            self._begun_s = math.inf
+            begun_s = math.inf
 
             def note_begun() -> None:
-                self._begun_s = min(self._begun_s, self.age.now_s())
+                nonlocal begun_s
+                begun_s = min(begun_s, self.age.now_s())
                 on_begun()
 
-            return asked_s, await self._store.list(
+            listing = await self._store.list(
                 self._kind, fresh=this_fresh, on_begun=note_begun
             )
+            return _Read(asked_s, begun_s, listing)
 
         return read
 
@@ -261,7 +274,7 @@
             # The read beside it was answered first.
             return None
         change = watch.call.result()
-        self._note_answered(due_s=watch.due_s)
+        self._note_answered(due_s=watch.due_s, begun_s=watch.begun_s)
         if watch.relaxed:
             return change, None
         if not (change.written or change.removed):
@@ -273,14 +286,12 @@
         pace = self._pace()
         wait_s = BRIEF_S if self.age.age_s > pace.wait_s else pace.wait_s
         self._asked_s = self.age.now_s()
-        self._begun_s = math.inf
         # A change that another VM told of, or a look that requests wait for, is
         # no matter for a watch that may be told of it late.
         relaxed = pace.relaxed and not (self._waiting or (self._urgent and self.behind))
 
         def note_arriving() -> None:
-            watch.arriving = True
-            self._begun_s = self.age.now_s()
+            watch.begun_s = self.age.now_s()
 
         call = asyncio.ensure_future(
             self._store.changes(
@@ -317,10 +328,9 @@
         finally:
             hurry.cancel()
 
-    def _note_answered(self, *, due_s: float) -> None:
+    def _note_answered(self, *, due_s: float, begun_s: float) -> None:
         """Note whether an answer that was due at a moment began in time."""
-        begun_s = min(self._begun_s, self.age.now_s())
-        self._answered_late = begun_s > due_s + LATE_S
+        self._answered_late = min(begun_s, self.age.now_s()) > due_s + LATE_S
 
     async def _look_beside(self, watch: _Watch) -> None:
         """Read the whole beside a watch; whichever is answered first counts.
