Ask real entry VMs by which configuration they serve

The soak of real entry VMs changed no configuration, and its store could not be slow. An operator now adds and drops routes, now and then with 1,400 more; the store answers 0.7 s late, to all VMs or to one; a VM's link to the store has a low rate. Each VM is asked for added and dropped routes, and held to the apply bound.

--- a/benchmarks/entry_checks.py
+++ b/benchmarks/entry_checks.py
@@ -4,17 +4,20 @@
 from dataclasses import dataclass
 
 from rosepath_standins.entry_fleet import (
+    APPLY_S,
     CRASHING,
     DRAIN_S,
     EVENTS,
     RETRY_AFTER_S,
+    SETTLE_S,
+    AddedRoute,
     EntryFleet,
 )
 
 # How long callers wait, as they say with each request.
 WAIT_S = 4.0
 # After so long without trouble a VM is held to its bounds again.
-CONTACT_S = 3.0
+CONTACT_S = SETTLE_S
 # A server is left alone from so long after it shed a request.
 HEEDED_S = 0.5
 # What may reach a server in its backoff, and once a request crashed three.
@@ -60,6 +63,7 @@
             "three crashes are enough": self._crashed_on,
             "answers in time": self._late,
             "planned stops cut nothing": self._cut,
+            "configurations in force": self._outdated,
         }
         if timed:
             checks |= timed_checks
@@ -144,6 +148,35 @@
             and self.fleet.vms[one.vm].undisturbed(one.sent_s - CONTACT_S, one.ended_s)
         ]
 
+    def _outdated(self) -> list[str]:
+        return [
+            f"{one.request_id} {one.path} {one.status} by {one.vm}"
+            for one in self.answered
+            if (route := self.fleet.added.get(one.path.split("/")[1])) is not None
+            and self._handled_by_older(one, route)
+            and self._could_know(one)
+        ]
+
+    def _handled_by_older(self, one: Answered, route: AddedRoute) -> bool:
+        known_s = one.sent_s - APPLY_S
+        if route.dropped_s < known_s:
+            return self.fleet.witness.runs[one.request_id] > 0
+        unknown = one.status == 404 or b"configuration_outdated" in one.body
+        return unknown and route.added_s < known_s and one.ended_s < route.dropping_s
+
+    def _could_know(self, one: Answered) -> bool:
+        """Tell whether its VM ran all along, and it or one that did had the store."""
+        from_s = one.sent_s - CONTACT_S
+        ran = {
+            vm.name: vm
+            for vm in self.fleet.vms.values()
+            if vm.undisturbed(from_s, one.ended_s)
+            and not vm.stopping(from_s, one.ended_s)
+        }
+        return one.vm in ran and not all(
+            vm.parted(from_s, one.ended_s) for vm in ran.values()
+        )
+
     def _cut(self) -> list[str]:
         arrivals = self.fleet.witness.arrivals
         found = []
--- a/benchmarks/entry_soak.py
+++ b/benchmarks/entry_soak.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import math
 import os
 import random
 import shutil
@@ -38,7 +39,19 @@
 FAULT_EACH_S = (0.4, 1.6)
 # A request that crashes servers comes again more often than other faults do.
 CRASHING_WEIGHT = 3
+CHANGES_WEIGHT = 3
 KINDS = ("look", "file", "draft")
+# Which of the added and of the dropped routes are asked for, of each the latest.
+PROBED = 3
+PROBE_EACH_S = 0.2
+KEPT_ROUTES = 3
+# A document that a slow link takes seconds for.
+CROWD = 1400
+CROWD_SHARE = 0.3
+SLOW_ANSWER_S = 0.7
+LOW_RATE_BYTES_PER_S = (10_000.0, 100_000.0)
+
+Fault = Callable[[], Awaitable[None]]
 
 
 @dataclass(slots=True)
@@ -49,6 +62,8 @@
     # Draws the faults; callers draw from their own, so that faults come as before.
     rng: random.Random
     call_rng: random.Random
+    # Draws what is done to the configuration and to the store's ways.
+    store_rng: random.Random
     until_s: float
     answered: list[Answered] = field(default_factory=list)
     faults: Counter[str] = field(default_factory=Counter)
@@ -56,16 +71,25 @@
 
     async def run(self) -> None:
         tasks = [asyncio.create_task(self._call()) for _ in range(CALLERS)]
+        tasks += [
+            asyncio.create_task(self._probe(vm)) for vm in self.fleet.vms.values()
+        ]
+        await asyncio.gather(
+            self._strike(self.rng, self._kinds()),
+            self._strike(self.store_rng, self._store_kinds()),
+            *tasks,
+        )
+
+    async def _strike(self, rng: random.Random, kinds: list[Fault]) -> None:
         running: list[asyncio.Task[None]] = []
         while time.monotonic() < self.until_s:
-            await asyncio.sleep(self.rng.uniform(*FAULT_EACH_S))
-            fault = self.rng.choice(self._kinds())
+            await asyncio.sleep(rng.uniform(*FAULT_EACH_S))
+            fault = rng.choice(kinds)
             self.faults[fault.__name__] += 1
             running.append(asyncio.create_task(fault()))
         await asyncio.gather(*running)
-        await asyncio.gather(*tasks)
 
-    def _kinds(self) -> list[Callable[[], Awaitable[None]]]:
+    def _kinds(self) -> list[Fault]:
         return [
             self.kill_vm,
             self.stop_vm,
@@ -80,6 +104,14 @@
             *[self.send_crashing] * CRASHING_WEIGHT,
         ]
 
+    def _store_kinds(self) -> list[Fault]:
+        return [
+            *[self.change_routes] * CHANGES_WEIGHT,
+            self.slow_store,
+            self.slow_store_of_one,
+            self.slow_link,
+        ]
+
     # Callers
 
     async def _call(self) -> None:
@@ -91,6 +123,24 @@
             await asyncio.sleep(CALL_EACH_S)
         pool.close()
 
+    async def _probe(self, vm: EntryVm) -> None:
+        """Ask one VM for routes that were added and dropped lately."""
+        pool = HttpPool()
+        while time.monotonic() < self.until_s:
+            dropped, kept = self._routes()
+            for names in (dropped[-PROBED:], kept[-PROBED:]):
+                if names:
+                    name = names[self.number % len(names)]
+                    await self._ask(pool, vm, f"/{name}/{self.number}")
+            await asyncio.sleep(PROBE_EACH_S)
+        pool.close()
+
+    def _routes(self) -> tuple[list[str], list[str]]:
+        """Return the added routes: those dropped since, and the others."""
+        added = self.fleet.added
+        dropped = [name for name in added if added[name].dropping_s < math.inf]
+        return dropped, [name for name in added if name not in dropped]
+
     async def _ask(self, pool: HttpPool, vm: EntryVm, path: str) -> None:
         self.number += 1
         request_id = f"q{self.number}"
@@ -161,16 +211,46 @@
         vm.send(signal.SIGHUP)
 
     async def cut_from_store(self) -> None:
-        vm = self._vm()
+        vm, from_s = self._vm(), time.monotonic()
         vm.store.faults.refuse = True
         vm.store.reset_all()
         await asyncio.sleep(self.rng.uniform(0.5, 5.0))
         vm.store.faults.refuse = False
+        vm.parted_s.append((from_s, time.monotonic()))
 
     async def reset_store(self) -> None:
         for vm in self.fleet.vms.values():
             vm.store.reset_all()
 
+    async def change_routes(self) -> None:
+        _, kept = self._routes()
+        full = len(kept) >= KEPT_ROUTES
+        drops = self.store_rng.choice(kept) if full else None
+        crowd = CROWD if self.store_rng.random() < CROWD_SHARE else 0
+        await self.fleet.change_routes(drops=drops, crowd=crowd)
+
+    async def slow_store(self) -> None:
+        await self._slow("slow")
+
+    async def slow_store_of_one(self) -> None:
+        vm = self.store_rng.choice(list(self.fleet.vms.values()))
+        await self._slow(f"slow {vm.store.address}")
+
+    async def _slow(self, fault: str) -> None:
+        assert self.fleet.state is not None
+        faults = self.fleet.state.faults
+        faults.arm(fault, count=-1, value=SLOW_ANSWER_S)
+        await asyncio.sleep(self.store_rng.uniform(1.0, 5.0))
+        faults.arm(fault, count=0, value=0.0)
+
+    async def slow_link(self) -> None:
+        vm = self.store_rng.choice(list(self.fleet.vms.values()))
+        from_s = time.monotonic()
+        vm.store.faults.bytes_per_s = self.store_rng.uniform(*LOW_RATE_BYTES_PER_S)
+        await asyncio.sleep(self.store_rng.uniform(1.0, 5.0))
+        vm.store.faults.bytes_per_s = None
+        vm.parted_s.append((from_s, time.monotonic()))
+
     async def crash_server(self) -> None:
         server = self.rng.choice(list(self.fleet.servers.values()))
         if server.up:
@@ -234,6 +314,7 @@
         fleet,
         random.Random(seed),
         random.Random(-seed),
+        random.Random(f"store {seed}"),
         time.monotonic() + lasts_s,
     )
     keeper = asyncio.create_task(run.keep_servers_up())
--- a/src/rosepath_standins/entry_fleet.py
+++ b/src/rosepath_standins/entry_fleet.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import math
 import os
 import signal
 import socket
@@ -12,6 +13,7 @@
 import sys
 import time
 from collections import Counter, defaultdict
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -30,6 +32,8 @@
 RETRY_AFTER_S = 3.0
 DRAIN_S = 2.0
 GRACE_S = 8.0
+APPLY_S = 2.0
+SETTLE_S = 3.0
 SHED = "Not-Executed: 1\r\nRetry-After: {:.2f}\r\n"
 
 
@@ -182,6 +186,9 @@
     # When it was killed, started, paused or resumed, and when told to stop.
     disturbed_s: list[float] = field(default_factory=list)
     stopped_s: list[float] = field(default_factory=list)
+    started_s: list[float] = field(default_factory=list)
+    # From when until when its way to the store was closed or of a low rate.
+    parted_s: list[tuple[float, float]] = field(default_factory=list)
 
     @property
     def address(self) -> str:
@@ -195,6 +202,7 @@
         path = self.directory / f"{self.name}.toml"
         path.write_text(
             f'entry_vm = "{self.name}"\ndata_centre = "a"\n'
+            f"apply_ms = {APPLY_S * 1000}\nsettle_ms = {SETTLE_S * 1000}\n"
             f'[callers]\nlisten = "{self.address}"\n'
             f'ready_listen = "127.0.0.1:{self.ready_port}"\n'
             f'[peers]\nlisten = "127.0.0.1:{self.peer_port}"\n'
@@ -214,6 +222,7 @@
         )
         log.close()
         self.note_disturbed()
+        self.started_s.append(self.disturbed_s[-1])
 
     def send(self, number: signal.Signals) -> None:
         if self.process is not None and self.process.poll() is None:
@@ -226,6 +235,26 @@
         """Tell whether it was left alone all that time, but for planned stops."""
         return not any(from_s < at_s < to_s for at_s in self.disturbed_s)
 
+    def stopping(self, from_s: float, to_s: float) -> bool:
+        """Tell whether it was stopping at any time between."""
+        return any(
+            at_s < to_s and not any(at_s < one_s < from_s for one_s in self.started_s)
+            for at_s in self.stopped_s
+        )
+
+    def parted(self, from_s: float, to_s: float) -> bool:
+        """Tell whether its way to the store was harmed at any time between."""
+        return any(one_s < to_s and from_s < end_s for one_s, end_s in self.parted_s)
+
+
+@dataclass(slots=True)
+class AddedRoute:
+    """Hold when an operator's writes about a route were sent and acknowledged."""
+
+    added_s: float = math.inf
+    dropping_s: float = math.inf
+    dropped_s: float = math.inf
+
 
 @dataclass(slots=True)
 class EntryFleet:
@@ -237,6 +266,9 @@
     servers: dict[str, Server] = field(default_factory=dict)
     vms: dict[str, EntryVm] = field(default_factory=dict)
     lives: int = 0
+    version: int = 1
+    # Routes that an operator added, those dropped since among them, in their order.
+    added: dict[str, AddedRoute] = field(default_factory=dict)
 
     async def start(self, *, vms: int, servers: int) -> None:
         app, self.state = make_platform(PlatformShape())
@@ -261,6 +293,20 @@
         async with self.state.changed:
             self.state.changed.notify_all()
 
+    async def change_routes(self, *, drops: str | None, crowd: int) -> None:
+        """Write a configuration with one more route, and one less if told."""
+        self.version += 1
+        name = f"new-{self.version}"
+        route = self.added[name] = AddedRoute()
+        if drops is not None:
+            self.added[drops].dropping_s = time.monotonic()
+        names = [one for one in self.added if self.added[one].dropping_s == math.inf]
+        names += [f"crowd-{number}" for number in range(crowd)]
+        await self.write("config/main", _configuration(self.version, names))
+        route.added_s = time.monotonic()
+        if drops is not None:
+            self.added[drops].dropped_s = route.added_s
+
     async def add_server(self, *, port: int = 0) -> Server:
         self.lives += 1
         born_ms = int(time.time() * 1000)
@@ -329,7 +375,7 @@
     return b" 200 " in line
 
 
-def _configuration() -> dict[str, object]:
+def _configuration(version: int = 1, names: Iterable[str] = ()) -> dict[str, object]:
     def route(name: str, kind: str, **more: object) -> dict[str, object]:
         return {
             "name": name,
@@ -344,11 +390,12 @@
         }
 
     return {
-        "version": 1,
+        "version": version,
         "routes": [
             route("look", "idempotent"),
             route("file", "non_idempotent"),
             route("draft", "streaming", resumable=True, targetGapMs=250),
+            *(route(name, "idempotent") for name in names),
         ],
         "services": [{"name": SERVICE, "healthPath": "/health"}],
         "limits": {"idleTimeoutMs": 9000},
--- a/src/rosepath_standins/fault_proxy.py
+++ b/src/rosepath_standins/fault_proxy.py
@@ -7,6 +7,8 @@
 from dataclasses import dataclass, field
 
 READ_BYTES = 64 * 1024
+# A link of a low rate passes the bytes of so long at a time.
+PIECE_S = 0.05
 
 
 @dataclass(slots=True, kw_only=True)
@@ -20,6 +22,8 @@
     cut_down_after_bytes: int | None = None
     cut_up_after_bytes: int | None = None
     loss: float = 0.0
+    # Of all connections together, each way.
+    bytes_per_s: float | None = None
 
 
 @dataclass(slots=True)
@@ -31,6 +35,8 @@
     address: str = ""
     seed: int = 1
     accepted: int = 0
+    # Until when a link of a low rate is taken, by direction.
+    _taken_s: dict[bool, float] = field(default_factory=dict)
     _server: asyncio.Server | None = None
     _writers: set[asyncio.StreamWriter] = field(default_factory=set)
     _random: random.Random = field(default_factory=lambda: random.Random(1))
@@ -108,14 +114,31 @@
                     await writer.drain()
                     self.reset_pair(writer)
                     return
-                writer.write(data)
-                await writer.drain()
+                await self._pass(data, writer, up=up)
                 passed += len(data)
             if not writer.is_closing():
                 writer.write_eof()
         except (OSError, RuntimeError):
             writer.close()
 
+    async def _pass(
+        self, data: bytes, writer: asyncio.StreamWriter, *, up: bool
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        while rate := self.faults.bytes_per_s:
+            size = max(1, int(rate * PIECE_S))
+            piece, data = data[:size], data[size:]
+            begins_s = max(loop.time(), self._taken_s.get(up, 0.0))
+            self._taken_s[up] = begins_s + len(piece) / rate
+            await asyncio.sleep(self._taken_s[up] - loop.time())
+            writer.write(piece)
+            await writer.drain()
+            if not data:
+                return
+        self._taken_s.clear()
+        writer.write(data)
+        await writer.drain()
+
     def reset_pair(self, writer: asyncio.StreamWriter) -> None:
         """Reset one connection."""
         _reset(writer)
--- a/src/rosepath_standins/platform.py
+++ b/src/rosepath_standins/platform.py
@@ -80,13 +80,18 @@
         self.state.calls[kind] += 1
         if self.state.faults.active("silent"):
             await asyncio.Event().wait()
-        delay_s = self.state.faults.take("slow")
-        if delay_s is not None:
-            await asyncio.sleep(delay_s)
+        if not self.get_argument("watch", ""):
+            await self.delay()
         if self.state.faults.active("down"):
             self.set_status(503)
             self.finish()
 
+    async def delay(self) -> None:
+        """Answer late if that is armed, for all or by the address that was called."""
+        faults = ("slow", f"slow {self.request.host}")
+        delays_s = [self.state.faults.take(fault) or 0.0 for fault in faults]
+        await asyncio.sleep(max(delays_s))
+
     def lose_reply(self) -> bool:
         """Close the connection instead of answering, if the fault strikes."""
         if self.state.faults.take("lose_reply") is None:
@@ -150,6 +155,7 @@
         if self.state.faults.active("down"):
             self.set_status(503)
             return
+        await self.delay()
         self.finish({"events": events, "atRevision": self.state.revision})
 
     def _events(self, kind: str, after: int) -> list[dict[str, Any]]:
