--- a/src/rosepath_standins/platform.py
+++ b/src/rosepath_standins/platform.py
@@ -155,8 +155,10 @@
         if self.state.faults.active("down"):
             self.set_status(503)
             return
+        # A change that comes while the answer is held back is not in it.
+        answer = {"events": events, "atRevision": self.state.revision}
         await self.delay()
-        self.finish({"events": events, "atRevision": self.state.revision})
+        self.finish(answer)
 
     def _events(self, kind: str, after: int) -> list[dict[str, Any]]:
         changed = {
