--- a/benchmarks/entry_checks.py
+++ b/benchmarks/entry_checks.py
@@ -167,15 +167,17 @@
     def _could_know(self, one: Answered) -> bool:
         """Tell whether its VM ran all along, and it or one that did had the store."""
         from_s = one.sent_s - CONTACT_S
-        ran = {
-            vm.name: vm
+
+        def any_of(spans_s: list[tuple[float, float]]) -> bool:
+            return any(at_s < one.ended_s and from_s < to_s for at_s, to_s in spans_s)
+
+        ran = [
+            vm
             for vm in self.fleet.vms.values()
-            if vm.undisturbed(from_s, one.ended_s)
-            and not vm.stopping(from_s, one.ended_s)
-        }
-        return one.vm in ran and not all(
-            vm.parted(from_s, one.ended_s) for vm in ran.values()
-        )
+            if vm.undisturbed(from_s, one.ended_s) and not any_of(vm.stops_s)
+        ]
+        informed = any(not any_of(vm.parted_s) for vm in ran)
+        return informed and self.fleet.vms[one.vm] in ran
 
     def _cut(self) -> list[str]:
         arrivals = self.fleet.witness.arrivals
--- a/benchmarks/entry_soak.py
+++ b/benchmarks/entry_soak.py
@@ -7,7 +7,6 @@
 """
 
 import asyncio
-import math
 import os
 import random
 import shutil
@@ -39,15 +38,11 @@
 FAULT_EACH_S = (0.4, 1.6)
 # A request that crashes servers comes again more often than other faults do.
 CRASHING_WEIGHT = 3
-CHANGES_WEIGHT = 3
 KINDS = ("look", "file", "draft")
-# Which of the added and of the dropped routes are asked for, of each the latest.
-PROBED = 3
-PROBE_EACH_S = 0.2
-KEPT_ROUTES = 3
-# A document that a slow link takes seconds for.
-CROWD = 1400
-CROWD_SHARE = 0.3
+CHANGES_WEIGHT = 2
+# The latest of the routes that were added, those dropped since among them.
+PROBED = 6
+PROBE_EACH_S = 0.1
 SLOW_ANSWER_S = 0.7
 LOW_RATE_BYTES_PER_S = (10_000.0, 100_000.0)
 
@@ -59,10 +54,10 @@
     """Hold one run."""
 
     fleet: EntryFleet
-    # Draws the faults; callers draw from their own, so that faults come as before.
+    # Draws the faults; callers and the store draw from their own, so that faults come
+    # as before.
     rng: random.Random
     call_rng: random.Random
-    # Draws what is done to the configuration and to the store's ways.
     store_rng: random.Random
     until_s: float
     answered: list[Answered] = field(default_factory=list)
@@ -70,15 +65,11 @@
     number: int = 0
 
     async def run(self) -> None:
-        tasks = [asyncio.create_task(self._call()) for _ in range(CALLERS)]
-        tasks += [
-            asyncio.create_task(self._probe(vm)) for vm in self.fleet.vms.values()
-        ]
-        await asyncio.gather(
-            self._strike(self.rng, self._kinds()),
-            self._strike(self.store_rng, self._store_kinds()),
-            *tasks,
-        )
+        tasks = [self._call() for _ in range(CALLERS)]
+        tasks += [self._probe(vm) for vm in self.fleet.vms.values()]
+        tasks.append(self._strike(self.rng, self._kinds()))
+        tasks.append(self._strike(self.store_rng, self._store_kinds()))
+        await asyncio.gather(*tasks)
 
     async def _strike(self, rng: random.Random, kinds: list[Fault]) -> None:
         running: list[asyncio.Task[None]] = []
@@ -105,12 +96,7 @@
         ]
 
     def _store_kinds(self) -> list[Fault]:
-        return [
-            *[self.change_routes] * CHANGES_WEIGHT,
-            self.slow_store,
-            self.slow_store_of_one,
-            self.slow_link,
-        ]
+        return [*[self.change_routes] * CHANGES_WEIGHT, self.slow_store, self.slow_link]
 
     # Callers
 
@@ -127,20 +113,11 @@
         """Ask one VM for routes that were added and dropped lately."""
         pool = HttpPool()
         while time.monotonic() < self.until_s:
-            dropped, kept = self._routes()
-            for names in (dropped[-PROBED:], kept[-PROBED:]):
-                if names:
-                    name = names[self.number % len(names)]
-                    await self._ask(pool, vm, f"/{name}/{self.number}")
+            name = self.call_rng.choice(list(self.fleet.added)[-PROBED:] or KINDS)
+            await self._ask(pool, vm, f"/{name}/{self.number}")
             await asyncio.sleep(PROBE_EACH_S)
         pool.close()
 
-    def _routes(self) -> tuple[list[str], list[str]]:
-        """Return the added routes: those dropped since, and the others."""
-        added = self.fleet.added
-        dropped = [name for name in added if added[name].dropping_s < math.inf]
-        return dropped, [name for name in added if name not in dropped]
-
     async def _ask(self, pool: HttpPool, vm: EntryVm, path: str) -> None:
         self.number += 1
         request_id = f"q{self.number}"
@@ -185,6 +162,7 @@
         vm.stopped_s.append(now_s)
         vm.send(signal.SIGTERM)
         await self._start_again(vm)
+        vm.stops_s.append((now_s, time.monotonic()))
 
     async def _start_again(self, vm: EntryVm) -> None:
         process = vm.process
@@ -223,21 +201,12 @@
             vm.store.reset_all()
 
     async def change_routes(self) -> None:
-        _, kept = self._routes()
-        full = len(kept) >= KEPT_ROUTES
-        drops = self.store_rng.choice(kept) if full else None
-        crowd = CROWD if self.store_rng.random() < CROWD_SHARE else 0
-        await self.fleet.change_routes(drops=drops, crowd=crowd)
+        await self.fleet.change_routes(self.store_rng)
 
     async def slow_store(self) -> None:
-        await self._slow("slow")
-
-    async def slow_store_of_one(self) -> None:
-        vm = self.store_rng.choice(list(self.fleet.vms.values()))
-        await self._slow(f"slow {vm.store.address}")
-
-    async def _slow(self, fault: str) -> None:
         assert self.fleet.state is not None
+        vm = self.store_rng.choice(list(self.fleet.vms.values()))
+        fault = self.store_rng.choice(("slow", f"slow {vm.store.address}"))
         faults = self.fleet.state.faults
         faults.arm(fault, count=-1, value=SLOW_ANSWER_S)
         await asyncio.sleep(self.store_rng.uniform(1.0, 5.0))
--- a/src/rosepath_standins/entry_fleet.py
+++ b/src/rosepath_standins/entry_fleet.py
@@ -7,13 +7,13 @@
 import asyncio
 import math
 import os
+import random
 import signal
 import socket
 import subprocess
 import sys
 import time
 from collections import Counter, defaultdict
-from collections.abc import Iterable
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -34,6 +34,10 @@
 GRACE_S = 8.0
 APPLY_S = 2.0
 SETTLE_S = 3.0
+KEPT_ROUTES = 3
+# A document that a slow link takes seconds for.
+CROWD = 1400
+CROWD_SHARE = 0.3
 SHED = "Not-Executed: 1\r\nRetry-After: {:.2f}\r\n"
 
 
@@ -186,8 +190,8 @@
     # When it was killed, started, paused or resumed, and when told to stop.
     disturbed_s: list[float] = field(default_factory=list)
     stopped_s: list[float] = field(default_factory=list)
-    started_s: list[float] = field(default_factory=list)
-    # From when until when its way to the store was closed or of a low rate.
+    # From when until when it stopped, and its way to the store was cut or slow.
+    stops_s: list[tuple[float, float]] = field(default_factory=list)
     parted_s: list[tuple[float, float]] = field(default_factory=list)
 
     @property
@@ -222,7 +226,6 @@
         )
         log.close()
         self.note_disturbed()
-        self.started_s.append(self.disturbed_s[-1])
 
     def send(self, number: signal.Signals) -> None:
         if self.process is not None and self.process.poll() is None:
@@ -235,17 +238,6 @@
         """Tell whether it was left alone all that time, but for planned stops."""
         return not any(from_s < at_s < to_s for at_s in self.disturbed_s)
 
-    def stopping(self, from_s: float, to_s: float) -> bool:
-        """Tell whether it was stopping at any time between."""
-        return any(
-            at_s < to_s and not any(at_s < one_s < from_s for one_s in self.started_s)
-            for at_s in self.stopped_s
-        )
-
-    def parted(self, from_s: float, to_s: float) -> bool:
-        """Tell whether its way to the store was harmed at any time between."""
-        return any(one_s < to_s and from_s < end_s for one_s, end_s in self.parted_s)
-
 
 @dataclass(slots=True)
 class AddedRoute:
@@ -266,16 +258,16 @@
     servers: dict[str, Server] = field(default_factory=dict)
     vms: dict[str, EntryVm] = field(default_factory=dict)
     lives: int = 0
-    version: int = 1
-    # Routes that an operator added, those dropped since among them, in their order.
+    # All routes that an operator added, and those of them that were not dropped.
     added: dict[str, AddedRoute] = field(default_factory=dict)
+    kept: list[str] = field(default_factory=list)
 
     async def start(self, *, vms: int, servers: int) -> None:
         app, self.state = make_platform(PlatformShape())
         store = HTTPServer(app, idle_connection_timeout=600)
         port = free_port()
         store.listen(port, address="127.0.0.1")
-        await self.write("config/main", _configuration())
+        await self.write("config/main", _configuration(1, []))
         for _ in range(servers):
             await self.add_server()
         for number in range(vms):
@@ -293,19 +285,18 @@
         async with self.state.changed:
             self.state.changed.notify_all()
 
-    async def change_routes(self, *, drops: str | None, crowd: int) -> None:
-        """Write a configuration with one more route, and one less if told."""
-        self.version += 1
-        name = f"new-{self.version}"
+    async def change_routes(self, rng: random.Random) -> None:
+        """Write a configuration with one more route, and one less from some on."""
+        name, dropped = f"new-{len(self.added)}", AddedRoute()
+        if len(self.kept) >= KEPT_ROUTES:
+            dropped = self.added[self.kept.pop(rng.randrange(KEPT_ROUTES))]
+        dropped.dropping_s = time.monotonic()
         route = self.added[name] = AddedRoute()
-        if drops is not None:
-            self.added[drops].dropping_s = time.monotonic()
-        names = [one for one in self.added if self.added[one].dropping_s == math.inf]
-        names += [f"crowd-{number}" for number in range(crowd)]
-        await self.write("config/main", _configuration(self.version, names))
-        route.added_s = time.monotonic()
-        if drops is not None:
-            self.added[drops].dropped_s = route.added_s
+        self.kept.append(name)
+        crowd = CROWD if rng.random() < CROWD_SHARE else 0
+        names = self.kept + [f"crowd-{number}" for number in range(crowd)]
+        await self.write("config/main", _configuration(1 + len(self.added), names))
+        route.added_s = dropped.dropped_s = time.monotonic()
 
     async def add_server(self, *, port: int = 0) -> Server:
         self.lives += 1
@@ -375,7 +366,7 @@
     return b" 200 " in line
 
 
-def _configuration(version: int = 1, names: Iterable[str] = ()) -> dict[str, object]:
+def _configuration(version: int, names: list[str]) -> dict[str, object]:
     def route(name: str, kind: str, **more: object) -> dict[str, object]:
         return {
             "name": name,
--- a/src/rosepath_standins/fault_proxy.py
+++ b/src/rosepath_standins/fault_proxy.py
@@ -125,19 +125,16 @@
         self, data: bytes, writer: asyncio.StreamWriter, *, up: bool
     ) -> None:
         loop = asyncio.get_running_loop()
-        while rate := self.faults.bytes_per_s:
-            size = max(1, int(rate * PIECE_S))
+        while data:
+            rate = self.faults.bytes_per_s
+            size = max(1, int(rate * PIECE_S)) if rate else len(data)
             piece, data = data[:size], data[size:]
-            begins_s = max(loop.time(), self._taken_s.get(up, 0.0))
-            self._taken_s[up] = begins_s + len(piece) / rate
-            await asyncio.sleep(self._taken_s[up] - loop.time())
+            if rate:
+                begins_s = max(loop.time(), self._taken_s.get(up, 0.0))
+                self._taken_s[up] = begins_s + len(piece) / rate
+                await asyncio.sleep(self._taken_s[up] - loop.time())
             writer.write(piece)
             await writer.drain()
-            if not data:
-                return
-        self._taken_s.clear()
-        writer.write(data)
-        await writer.drain()
 
     def reset_pair(self, writer: asyncio.StreamWriter) -> None:
         """Reset one connection."""
