--- a/src/rosepath_standins/fault_proxy.py
+++ b/src/rosepath_standins/fault_proxy.py
@@ -35,8 +35,7 @@
     address: str = ""
     seed: int = 1
     accepted: int = 0
-    # Until when a link of a low rate is taken, by direction.
-    _taken_s: dict[bool, float] = field(default_factory=dict)
+    _taken_until_s: dict[bool, float] = field(default_factory=dict)
     _server: asyncio.Server | None = None
     _writers: set[asyncio.StreamWriter] = field(default_factory=set)
     _random: random.Random = field(default_factory=lambda: random.Random(1))
@@ -130,9 +129,9 @@
             size = max(1, int(rate * PIECE_S)) if rate else len(data)
             piece, data = data[:size], data[size:]
             if rate:
-                begins_s = max(loop.time(), self._taken_s.get(up, 0.0))
-                self._taken_s[up] = begins_s + len(piece) / rate
-                await asyncio.sleep(self._taken_s[up] - loop.time())
+                begins_s = max(loop.time(), self._taken_until_s.get(up, 0.0))
+                self._taken_until_s[up] = begins_s + len(piece) / rate
+                await asyncio.sleep(self._taken_until_s[up] - loop.time())
             writer.write(piece)
             await writer.drain()
 
--- a/src/rosepath_standins/platform.py
+++ b/src/rosepath_standins/platform.py
@@ -89,8 +89,7 @@
     async def delay(self) -> None:
         """Answer late if that is armed, for all or by the address that was called."""
         faults = ("slow", f"slow {self.request.host}")
-        delays_s = [self.state.faults.take(fault) or 0.0 for fault in faults]
-        await asyncio.sleep(max(delays_s))
+        await asyncio.sleep(max(self.state.faults.take(one) or 0.0 for one in faults))
 
     def lose_reply(self) -> bool:
         """Close the connection instead of answering, if the fault strikes."""
--- a/tests/test_entry_soak.py
+++ b/tests/test_entry_soak.py
@@ -5,15 +5,19 @@
 
 import pytest
 
-from benchmarks.entry_soak import soak
+from benchmarks.entry_soak import EntrySoak, soak
 
 LASTS_S = 8.0
 
 
+def _play(seed: int, directory: Path) -> EntrySoak:
+    return asyncio.run(soak(seed, lasts_s=LASTS_S, directory=directory))
+
+
 # Guards against faults that only real processes, sockets and signals show. What hangs
 # on how fast the machine is, is left to the soak by hand.
 @pytest.mark.parametrize("seed", [1, 14])
 def test_a_short_soak_breaks_no_promise(tmp_path: Path, seed: int) -> None:
-    run = asyncio.run(soak(seed, lasts_s=LASTS_S, directory=tmp_path))
+    run = _play(seed, tmp_path)
     assert run.failures(timed=False) == {}
     assert sum(one.status == 200 for one in run.answered) > 100
