--- a/tests/test_entry_soak.py
+++ b/tests/test_entry_soak.py
@@ -1,6 +1,7 @@
 """Real entry VMs hold their promises while faults overlap."""
 
 import asyncio
+from collections import Counter
 from pathlib import Path
 
 import pytest
@@ -21,3 +22,14 @@
     run = _play(seed, tmp_path)
     assert run.failures(timed=False) == {}
     assert sum(one.status == 200 for one in run.answered) > 100
+
+
+# Guards against entry VMs that go by an older configuration than was acknowledged: one
+# whose link to the store is slow has it from others, also when it is large.
+def test_a_configuration_is_in_force_in_time(tmp_path: Path) -> None:
+    run = _play(108, tmp_path)
+    assert run.failures(timed=False) == {}
+    assert "configurations in force" not in run.failures()
+    asked = Counter(one.status for one in run.answered if one.path.startswith("/new-"))
+    assert asked[200] > 20
+    assert asked[404] > 0
