Excuse no VM but note when the soak's own store stood still

The soak's store is in the soak's own process. Such stalls of over 0.5 s are noted, printed, and count as the store out of reach of all VMs.

--- a/benchmarks/entry_checks.py
+++ b/benchmarks/entry_checks.py
@@ -176,7 +176,8 @@
             for vm in self.fleet.vms.values()
             if vm.undisturbed(from_s, one.ended_s) and not any_of(vm.stops_s)
         ]
-        informed = any(not any_of(vm.parted_s) for vm in ran)
+        stalls_s = self.fleet.stalls_s
+        informed = any(not any_of(vm.parted_s + stalls_s) for vm in ran)
         return informed and self.fleet.vms[one.vm] in ran
 
     def _cut(self) -> list[str]:
--- a/benchmarks/entry_soak.py
+++ b/benchmarks/entry_soak.py
@@ -44,6 +44,7 @@
 PROBED = 6
 PROBE_EACH_S = 0.1
 SLOW_ANSWER_S = 0.7
+STALL_S = 0.5
 LOW_RATE_BYTES_PER_S = (10_000.0, 100_000.0)
 
 Fault = Callable[[], Awaitable[None]]
@@ -69,7 +70,15 @@
         tasks += [self._probe(vm) for vm in self.fleet.vms.values()]
         tasks.append(self._strike(self.rng, self._kinds()))
         tasks.append(self._strike(self.store_rng, self._store_kinds()))
-        await asyncio.gather(*tasks)
+        await asyncio.gather(*tasks, self._note_stalls())
+
+    async def _note_stalls(self) -> None:
+        """Note when this process stood still, and the store with it."""
+        while time.monotonic() < self.until_s:
+            from_s = time.monotonic()
+            await asyncio.sleep(0.1)
+            if time.monotonic() - from_s > STALL_S:
+                self.fleet.stalls_s.append((from_s, time.monotonic()))
 
     async def _strike(self, rng: random.Random, kinds: list[Fault]) -> None:
         running: list[asyncio.Task[None]] = []
@@ -308,7 +317,8 @@
         statuses = Counter(one.status for one in run.answered)
         print(
             f"seed {seed}: {len(run.answered)} requests {dict(statuses)}, faults"
-            f" {dict(run.faults)}, broken {sum(map(len, failures.values()))}"
+            f" {dict(run.faults)}, broken {sum(map(len, failures.values()))},"
+            f" stood still {len(run.fleet.stalls_s)} times"
         )
         for rule, found in failures.items():
             print(f"  {rule}: {len(found)}, first {found[:3]}; logs in {directory}")
--- a/src/rosepath_standins/entry_fleet.py
+++ b/src/rosepath_standins/entry_fleet.py
@@ -261,6 +261,8 @@
     # All routes that an operator added, and those of them that were not dropped.
     added: dict[str, AddedRoute] = field(default_factory=dict)
     kept: list[str] = field(default_factory=list)
+    # From when until when the store stood still with this process.
+    stalls_s: list[tuple[float, float]] = field(default_factory=list)
 
     async def start(self, *, vms: int, servers: int) -> None:
         app, self.state = make_platform(PlatformShape())
