--- a/src/rosepath/call_deadline.py
+++ b/src/rosepath/call_deadline.py
@@ -1,8 +1,11 @@
 """A call timeout that can be extended while the response arrives."""
 
 import asyncio
+from collections.abc import Callable
 from typing import Any
 
+from rosepath.http_client import HttpPool, Request, ResponseHead
+
 
 class CallDeadline:
     """Cancel a call that has neither ended nor been extended in time."""
@@ -26,3 +29,44 @@
         # loop iteration in which the timer fires. Cancelling one iteration
         # later lets that data count.
         self._loop.call_soon(self._call.cancel)
+
+
+async def fetch_with_deadline(
+    pool: HttpPool,
+    request: Request,
+    *,
+    limit_s: float,
+    pause_s: float | None,
+    on_response_start: Callable[[], None],
+) -> tuple[ResponseHead, bytes]:
+    """Send a request and return its response, or raise TimeoutError.
+
+    If `pause_s` is given, each received part extends the deadline by it.
+    """
+    parts: list[bytes] = []
+
+    def handle_head(_: ResponseHead) -> None:
+        extend_deadline()
+        on_response_start()
+
+    def handle_data(part: bytes) -> None:
+        extend_deadline()
+        parts.append(part)
+
+    def extend_deadline() -> None:
+        if pause_s is not None:
+            deadline.extend(pause_s)
+
+    task = asyncio.ensure_future(
+        pool.exchange(request, on_head=handle_head, on_data=handle_data)
+    )
+    deadline = CallDeadline(task, limit_s=limit_s)
+    try:
+        await asyncio.wait([task])
+        if task.cancelled():
+            raise TimeoutError
+        return task.result(), b"".join(parts)
+    finally:
+        deadline.disable()
+        task.cancel()
+        await asyncio.wait([task])
--- /dev/null
+++ b/src/rosepath/document_parsing.py
@@ -0,0 +1,47 @@
+"""Parse stored documents; skip and log what is invalid."""
+
+import json
+from typing import Any, TypeVar
+
+from pydantic import BaseModel, ValidationError
+
+from rosepath.logs import get_logger
+from rosepath.object_store import StoredObject
+
+_log = get_logger()
+_M = TypeVar("_M", bound=BaseModel)
+
+
+def parse_object(stored: StoredObject) -> dict[str, Any] | None:
+    """Parse an object's JSON document, or log why it is unreadable."""
+    try:
+        raw = json.loads(stored.value)
+    except (ValueError, RecursionError) as error:
+        _log.warning("entry_unreadable", name=stored.name, why=str(error)[:80])
+        return None
+    return raw if isinstance(raw, dict) else None
+
+
+def parse_entries(raw: dict[str, Any], key: str, model: type[_M]) -> list[_M]:
+    """Validate the entries of a list in a document; skip invalid ones."""
+    items = raw.get(key) or []
+    if not isinstance(items, list):
+        _log.warning("configuration_entry_skipped", name=key, why="not a list")
+        return []
+    entries = [validate(model, entry, key) for entry in items]
+    return [entry for entry in entries if entry is not None]
+
+
+def validate(model: type[_M], raw: Any, where: str) -> _M | None:
+    """Validate a value, or log why it is skipped."""
+    try:
+        return model.model_validate(raw)
+    except ValidationError as error:
+        problem = error.errors(include_url=False)[0]
+        _log.warning(
+            "configuration_entry_skipped",
+            name=where,
+            key=".".join(map(str, problem["loc"])),
+            why=problem["msg"],
+        )
+        return None
--- a/src/rosepath/platform/documents.py
+++ b/src/rosepath/platform/documents.py
@@ -1,8 +1,7 @@
 """Decode the stored configuration and the backend servers' entries."""
 
 import ipaddress
-import json
-from typing import Annotated, Any, Literal, TypeVar
+from typing import Annotated, Literal
 
 from pydantic import (
     AfterValidator,
@@ -11,7 +10,6 @@
     Field,
     StrictInt,
     StrictStr,
-    ValidationError,
 )
 from pydantic.alias_generators import to_camel
 
@@ -25,6 +23,7 @@
     ServiceShare,
     ServiceSpec,
 )
+from rosepath.document_parsing import parse_entries, parse_object, validate
 from rosepath.fleet import ServerEntry
 from rosepath.logs import get_logger
 from rosepath.object_store import StoredObject
@@ -34,7 +33,6 @@
 SERVER_KIND = "servers"
 
 _log = get_logger()
-_M = TypeVar("_M", bound=BaseModel)
 
 
 class _Document(BaseModel):
@@ -193,19 +191,19 @@
 
 def decode_catalog(stored: StoredObject) -> Catalog | None:
     """Decode a configuration and skip invalid entries."""
-    raw = _parse_object(stored)
+    raw = parse_object(stored)
     version = raw.get("version") if raw else None
     if raw is None or not isinstance(version, int):
         _log.warning("configuration_unreadable", revision=stored.version)
         return None
-    services = [s.decoded() for s in _parse_entries(raw, "services", _Service)]
+    services = [s.decoded() for s in parse_entries(raw, "services", _Service)]
     routes: list[HostRoute] = []
-    for route in _parse_entries(raw, "routes", _Route):
+    for route in parse_entries(raw, "routes", _Route):
         try:
             routes.append(route.decoded())
         except ValueError as error:
             _log.warning("configuration_entry_skipped", name=route.name, why=str(error))
-    limits = _validate(_Limits, raw.get("limits") or {}, "limits") or _Limits()
+    limits = validate(_Limits, raw.get("limits") or {}, "limits") or _Limits()
     return Catalog(
         version=version,
         routes=routes,
@@ -221,8 +219,8 @@
 
 def decode_server(stored: StoredObject) -> ServerEntry | None:
     """Decode a backend server's entry, or log why it is invalid."""
-    raw = _parse_object(stored)
-    entry = _validate(_Server, raw, stored.name) if raw is not None else None
+    raw = parse_object(stored)
+    entry = validate(_Server, raw, stored.name) if raw is not None else None
     if entry is None:
         return None
     return ServerEntry(
@@ -240,35 +238,3 @@
         on_disk=entry.available.on_disk,
         remaining_s=None if entry.remaining_ms is None else entry.remaining_ms / 1000,
     )
-
-
-def _parse_object(stored: StoredObject) -> dict[str, Any] | None:
-    try:
-        raw = json.loads(stored.value)
-    except (ValueError, RecursionError) as error:
-        _log.warning("entry_unreadable", name=stored.name, why=str(error)[:80])
-        return None
-    return raw if isinstance(raw, dict) else None
-
-
-def _parse_entries(raw: dict[str, Any], key: str, model: type[_M]) -> list[_M]:
-    items = raw.get(key) or []
-    if not isinstance(items, list):
-        _log.warning("configuration_entry_skipped", name=key, why="not a list")
-        return []
-    entries = [_validate(model, entry, key) for entry in items]
-    return [entry for entry in entries if entry is not None]
-
-
-def _validate(model: type[_M], raw: Any, where: str) -> _M | None:
-    try:
-        return model.model_validate(raw)
-    except ValidationError as error:
-        problem = error.errors(include_url=False)[0]
-        _log.warning(
-            "configuration_entry_skipped",
-            name=where,
-            key=".".join(map(str, problem["loc"])),
-            why=problem["msg"],
-        )
-        return None
--- a/src/rosepath/platform/store.py
+++ b/src/rosepath/platform/store.py
@@ -1,6 +1,5 @@
 """Access the platform's object store: conditional writes, lists, watches."""
 
-import asyncio
 import json
 from collections import Counter
 from collections.abc import Mapping
@@ -8,7 +7,7 @@
 from typing import Any
 from urllib.parse import quote, urlencode
 
-from rosepath.call_deadline import CallDeadline
+from rosepath.call_deadline import fetch_with_deadline
 from rosepath.clock import Clock
 from rosepath.errors import ExchangeError, Step
 from rosepath.hedged_calls import OnResponseStart
@@ -199,7 +198,8 @@
         self.calls[operation] += 1
         method, path = request.method, request.path
         try:
-            head, body = await self._exchange(
+            head, body = await fetch_with_deadline(
+                self._pool,
                 request,
                 limit_s=limit_s,
                 pause_s=pause_s,
@@ -221,46 +221,6 @@
         self.last_success_s = self._clock.monotonic_s()
         return head, raw
 
-    async def _exchange(
-        self,
-        request: Request,
-        *,
-        limit_s: float,
-        pause_s: float | None,
-        on_response_start: OnResponseStart,
-    ) -> tuple[ResponseHead, bytes]:
-        """Send a request and return its response, or raise TimeoutError.
-
-        If `pause_s` is given, each received part extends the deadline by it.
-        """
-        parts: list[bytes] = []
-
-        def handle_head(_: ResponseHead) -> None:
-            extend_deadline()
-            on_response_start()
-
-        def handle_data(part: bytes) -> None:
-            extend_deadline()
-            parts.append(part)
-
-        def extend_deadline() -> None:
-            if pause_s is not None:
-                deadline.extend(pause_s)
-
-        task = asyncio.ensure_future(
-            self._pool.exchange(request, on_head=handle_head, on_data=handle_data)
-        )
-        deadline = CallDeadline(task, limit_s=limit_s)
-        try:
-            await asyncio.wait([task])
-            if task.cancelled():
-                raise TimeoutError
-            return task.result(), b"".join(parts)
-        finally:
-            deadline.disable()
-            task.cancel()
-            await asyncio.wait([task])
-
     def _error(self, message: str, *, unknown: bool) -> StoreError:
         failure = StoreError(message, step=Step.STORE, peer=self._access.address)
         failure.unknown = unknown
