Check callers' API keys and name the workspace to the server

A request to a route that is not anonymous needs a key of a workspace, else 401 without Retry-After. A key that is unknown while a newer configuration is known waits as for a route, then 503. A workspace's priority goes before its route's. rosepathd and the entry VM share one digest function; its lookup is a dict now.

--- a/src/rosepath/attempt.py
+++ b/src/rosepath/attempt.py
@@ -12,11 +12,11 @@
 from rosepath.http_client import HttpPool, Request, ResponseHead
 from rosepath.http_exchange import is_self_delimited
 from rosepath.platform.calls import (
-    ResponseMetadata,
     encode_headers,
     is_response_to,
     read_response_metadata,
 )
+from rosepath.response_metadata import ResponseMetadata
 from rosepath.retries import Evidence
 from rosepath.server_notice import ServerNotice
 
@@ -91,6 +91,7 @@
     stall_timeout_s: float
     retryable: bool
     priority: int | None = None
+    workspace: str | None = None
     last_event_id: int | None = None
     still_wanted: Callable[[], bool] = lambda: True
     may_abort: Callable[[], bool] = lambda: True
@@ -149,6 +150,7 @@
                 server=server.name,
                 left_s=options.deadline_s - now_s,
                 priority=options.priority,
+                workspace=options.workspace,
                 last_event_id=options.last_event_id,
             ),
             body=call.body,
--- a/src/rosepath/caller_handler.py
+++ b/src/rosepath/caller_handler.py
@@ -1,8 +1,6 @@
 """Base of the callers' handlers: authentication, refusals, disconnects."""
 
 import asyncio
-import hashlib
-import hmac
 import json
 import uuid
 from collections.abc import Awaitable, Callable
@@ -14,6 +12,7 @@
 from tornado.web import RequestHandler
 
 from rosepath.admission import Admission
+from rosepath.api_keys import key_digest
 from rosepath.claims import HeldClaim, Outcome, claim_name, make_claim, request_digest
 from rosepath.clock import Clock
 from rosepath.configuration import Configuration
@@ -151,11 +150,8 @@
     def authenticate(self) -> str:
         """Return the caller's name."""
         scheme, _, key = self.request.headers.get("Authorization", "").partition(" ")
-        key_digest = hashlib.sha256(key.strip().encode()).hexdigest()
-        found = None
-        for known_digest, name in self.ports.configuration().callers_by_key.items():
-            if hmac.compare_digest(known_digest, key_digest):
-                found = name
+        callers = self.ports.configuration().callers_by_key
+        found = callers.get(key_digest(key.strip()))
         if scheme.lower() != "bearer" or found is None:
             raise refuse(
                 401,
--- a/src/rosepath/caller_request.py
+++ b/src/rosepath/caller_request.py
@@ -41,7 +41,9 @@
 class CallerRequest:
     """Hold one complete request.
 
-    `wait_s` is how long the caller is prepared to wait.
+    `wait_s` is how long the caller is prepared to wait, `tokens` the sum of the
+    input tokens and the most output tokens, if stated. The API key is kept as
+    its digest only.
     """
 
     request_id: str
@@ -54,3 +56,5 @@
     wait_s: float | None = None
     prompt: Prompt | None = None
     last_event_id: int | None = None
+    api_key_digest: str | None = None
+    tokens: int | None = None
--- a/src/rosepath/catalog.py
+++ b/src/rosepath/catalog.py
@@ -7,6 +7,8 @@
 
 import xxhash
 
+from rosepath.workspaces import Workspace
+
 
 class RouteKind(StrEnum):
     """Whether a request of a route may run more than once."""
@@ -42,6 +44,8 @@
     priority: int = 0
     max_attempts: int = 1
     resumable: bool = False
+    # Whether requests need no API key.
+    anonymous: bool = False
 
     @property
     def retryable(self) -> bool:
@@ -146,6 +150,9 @@
     routes: Sequence[HostRoute]
     services: Mapping[str, ServiceSpec]
     limits: CallerLimits
+    # By the digest of each API key; None if the configuration declares no
+    # workspaces, in which case requests need no key.
+    workspaces: Mapping[str, Workspace] | None = None
     by_host: Mapping[str, Sequence[HostRoute]] = field(init=False)
     # Computed once per version: the planner reads it ten times a second, and
     # there may be thousands of routes.
@@ -174,3 +181,13 @@
             if path.startswith(route.path_prefix):
                 return route
         return None
+
+    def requires_key(self, route: HostRoute) -> bool:
+        """Return whether requests of a route need a workspace's API key."""
+        return self.workspaces is not None and not route.anonymous
+
+    def workspace(self, key_digest: str | None) -> Workspace | None:
+        """Return the workspace that holds an API key."""
+        if self.workspaces is None or key_digest is None:
+            return None
+        return self.workspaces.get(key_digest)
--- a/src/rosepath/document_parsing.py
+++ b/src/rosepath/document_parsing.py
@@ -1,5 +1,6 @@
 """Parse stored documents; skip and log what is invalid."""
 
+import ipaddress
 import json
 from typing import Any, TypeVar
 
@@ -45,3 +46,12 @@
             why=problem["msg"],
         )
         return None
+
+
+def validate_address(address: str) -> str:
+    """Return the address if it is an IPv4 address with a port."""
+    host, _, port = address.rpartition(":")
+    ipaddress.IPv4Address(host)
+    if not (port.isascii() and port.isdigit() and 0 < int(port) < 65_536):
+        raise ValueError("the port is not between 1 and 65535")
+    return address
--- a/src/rosepath/platform/calls.py
+++ b/src/rosepath/platform/calls.py
@@ -1,11 +1,10 @@
 """Convert the headers of callers' requests and backend servers' responses."""
 
-from dataclasses import dataclass
-from typing import NamedTuple
-
 from tornado.httputil import HTTPHeaders
 
+from rosepath.api_keys import key_digest
 from rosepath.caller_request import BadRequestError, CallerRequest, Prompt, PromptPart
+from rosepath.response_metadata import ResponseMetadata, ServerLoad
 from rosepath.retry_after import read_retry_after_s
 from rosepath.server_notice import NO_NOTICE, ServerNotice
 
@@ -24,6 +23,8 @@
 _NOT_RUN = "Not-Executed"
 _LOAD = "Server-Load"
 _LEAVING = "Server-Leaving"
+_API_KEY = "Api-Key"
+_WORKSPACE = "Tenant"
 
 # Hop-by-hop headers are not forwarded.
 _HOP_BY_HOP = frozenset(
@@ -39,12 +40,15 @@
         "Upgrade",
     )
 )
-# Headers that the system sets; those of callers are not forwarded.
+# Headers of callers that are not forwarded: the key, which must not reach a
+# server, and those that the system sets.
 _INTERNAL = frozenset(
     (
         _DEADLINE,
         _SERVER,
         _PRIORITY,
+        _API_KEY,
+        _WORKSPACE,
         "Expected-Version",
         "Hold",
         "Pin-Ms",
@@ -58,29 +62,6 @@
 _NOT_FORWARDED = _HOP_BY_HOP | _INTERNAL | {"Host", "Content-Length", "Expect"}
 
 
-class ServerLoad(NamedTuple):
-    """Hold the load that a backend server reports."""
-
-    running: int
-    waiting: int
-    slots: int
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class ResponseMetadata:
-    """Hold what the headers of a backend server's response state.
-
-    `signed` is True if the backend server ran the request and signed the
-    response; `not_run` is True if it states that it did not run the request.
-    """
-
-    signed: bool
-    not_run: bool
-    encoded: bool
-    load: ServerLoad | None
-    notice: ServerNotice
-
-
 def decode_caller_request(
     *,
     method: str,
@@ -107,6 +88,8 @@
         wait_s=_parse_ms(headers.get(_DEADLINE)),
         prompt=_parse_prompt(headers),
         last_event_id=_parse_int(headers.get(_LAST_EVENT)),
+        api_key_digest=_digest_key(headers),
+        tokens=_parse_tokens(headers.get(_TOKENS)),
     )
 
 
@@ -117,6 +100,7 @@
     left_s: float,
     priority: int | None = None,
     last_event_id: int | None = None,
+    workspace: str | None = None,
 ) -> dict[str, str]:
     """Return the headers of a request to a backend server."""
     headers = dict(call.headers)
@@ -127,6 +111,8 @@
         headers[_PRIORITY] = str(priority)
     if last_event_id is not None:
         headers[_LAST_EVENT] = str(last_event_id)
+    if workspace is not None:
+        headers[_WORKSPACE] = workspace
     return headers
 
 
@@ -205,6 +191,21 @@
         raise BadRequestError(f"the prompt's headers are broken: {error}") from error
 
 
+def _digest_key(headers: HTTPHeaders) -> str | None:
+    """Return the digest of the request's only API key."""
+    keys = headers.get_list(_API_KEY)
+    return key_digest(keys[0]) if len(keys) == 1 else None
+
+
+def _parse_tokens(raw: str | None) -> int | None:
+    """Return the sum of input and output tokens; None if not stated."""
+    if raw is None:
+        return None
+    counts = [_parse_int(count) for count in raw.split(",")]
+    known = [count for count in counts if count is not None]
+    return sum(known) if len(known) == len(counts) else None
+
+
 def _parse_load(raw: str) -> ServerLoad | None:
     try:
         running, waiting, slots = map(int, raw.split(","))
--- a/src/rosepath/platform/documents.py
+++ b/src/rosepath/platform/documents.py
@@ -1,7 +1,7 @@
 """Decode the stored configuration and the backend servers' entries."""
 
-import ipaddress
-from typing import Annotated, Literal
+import json
+from typing import Annotated, Any, Literal
 
 from pydantic import (
     AfterValidator,
@@ -13,6 +13,7 @@
 )
 from pydantic.alias_generators import to_camel
 
+from rosepath.api_keys import key_digest
 from rosepath.catalog import (
     CallerLimits,
     Catalog,
@@ -23,10 +24,16 @@
     ServiceShare,
     ServiceSpec,
 )
-from rosepath.document_parsing import parse_entries, parse_object, validate
+from rosepath.document_parsing import (
+    parse_entries,
+    parse_object,
+    validate,
+    validate_address,
+)
 from rosepath.fleet import ServerEntry
 from rosepath.logs import get_logger
 from rosepath.object_store import StoredObject
+from rosepath.workspaces import Quota, QuotaUnit, Workspace
 
 CONFIGURATION_KIND = "config"
 CONFIGURATION_NAME = "config/main"
@@ -39,15 +46,6 @@
     model_config = ConfigDict(extra="ignore", frozen=True, alias_generator=to_camel)
 
 
-def _validate_address(address: str) -> str:
-    """Return the address if it is an IPv4 address with a port."""
-    host, _, port = address.rpartition(":")
-    ipaddress.IPv4Address(host)
-    if not (port.isascii() and port.isdigit() and 0 < int(port) < 65_536):
-        raise ValueError("the port is not between 1 and 65535")
-    return address
-
-
 class _Share(_Document):
     service: str
     weight: Annotated[float, Field(ge=0)]
@@ -66,6 +64,7 @@
     traffic_split: tuple[_Share, ...] | None = None
     max_attempts: int = 1
     resumable: bool = False
+    anonymous: bool = False
 
     def decoded(self) -> HostRoute:
         shares = tuple(
@@ -89,6 +88,7 @@
             priority=self.priority,
             max_attempts=self.max_attempts,
             resumable=self.resumable,
+            anonymous=self.anonymous,
         )
 
 
@@ -147,6 +147,42 @@
         )
 
 
+class _Workspace(_Document):
+    name: Annotated[StrictStr, Field(min_length=1)]
+    # Entries of another type are skipped, so that they don't invalidate the
+    # workspace's other keys.
+    api_keys: tuple[Any, ...] = ()
+    api_key_digests: tuple[Any, ...] = ()
+    priority: int | None = None
+
+    @property
+    def digests(self) -> list[str]:
+        keys = [key for key in self.api_keys if isinstance(key, str) and key]
+        digests = [raw for raw in self.api_key_digests if isinstance(raw, str)]
+        return [*map(key_digest, keys), *digests]
+
+
+class _Quota(_Document):
+    rate_per_s: Annotated[float, Field(ge=0, allow_inf_nan=False)] = 0.0
+    burst: Annotated[float, Field(ge=0, allow_inf_nan=False)] = 0.0
+    unit: str = "request"
+    plain_tokens: Annotated[float, Field(ge=0, allow_inf_nan=False)] = 1.0
+
+    def decoded(self) -> Quota | None:
+        if not self.rate_per_s:
+            return None
+        if self.unit not in ("request", "token_stream"):
+            _log.warning("quota_unit_unknown", unit=self.unit[:40])
+        # Counting tokens is stricter than counting requests.
+        unit = QuotaUnit.REQUESTS if self.unit == "request" else QuotaUnit.TOKENS
+        return Quota(
+            rate_per_s=self.rate_per_s,
+            burst=self.burst,
+            unit=unit,
+            plain_tokens=self.plain_tokens,
+        )
+
+
 class _Limits(_Document):
     max_header_bytes: int = 16384
     max_body_bytes: int = 4194304
@@ -175,7 +211,7 @@
     """
 
     service: Annotated[StrictStr, Field(min_length=1)]
-    address: Annotated[StrictStr, AfterValidator(_validate_address)]
+    address: Annotated[StrictStr, AfterValidator(validate_address)]
     zone: StrictStr
     version: StrictStr
     slots: Annotated[StrictInt, Field(ge=1)]
@@ -214,9 +250,48 @@
             header_timeout_s=limits.header_timeout_ms / 1000,
             idle_timeout_s=limits.idle_timeout_ms / 1000,
         ),
+        workspaces=_decode_workspaces(raw) if "tenants" in raw else None,
     )
 
 
+def _decode_workspaces(raw: dict[str, Any]) -> dict[str, Workspace]:
+    """Return the workspaces by the digests of their keys.
+
+    A name or key that is declared twice belongs to the first entry.
+    """
+    by_digest: dict[str, Workspace] = {}
+    names: set[str] = set()
+    entries = raw["tenants"] if isinstance(raw["tenants"], list) else []
+    for entry in entries:
+        declared = validate(_Workspace, entry, "tenants")
+        if declared is None or declared.name in names:
+            _log.warning("workspace_skipped", name=declared.name if declared else "")
+            continue
+        names.add(declared.name)
+        quota = validate(_Quota, entry, f"tenants.{declared.name}")
+        workspace = Workspace(
+            name=declared.name,
+            priority=declared.priority,
+            quota=quota.decoded() if quota else None,
+        )
+        for digest in declared.digests:
+            by_digest.setdefault(digest, workspace)
+    return by_digest
+
+
+def without_keys(stored: StoredObject) -> StoredObject:
+    """Return a configuration with the digests of API keys in their place."""
+    raw = parse_object(stored) if b'"apiKeys"' in stored.value else None
+    if raw is None or not isinstance(raw.get("tenants"), list):
+        return stored
+    for entry in raw["tenants"]:
+        declared = validate(_Workspace, entry, "tenants")
+        if isinstance(entry, dict):
+            entry.pop("apiKeys", None)
+            entry["apiKeyDigests"] = declared.digests if declared else []
+    return stored._replace(value=json.dumps(raw).encode())
+
+
 def decode_server(stored: StoredObject) -> ServerEntry | None:
     """Decode a backend server's entry, or log why it is invalid."""
     raw = parse_object(stored)
--- a/src/rosepath/relay.py
+++ b/src/rosepath/relay.py
@@ -7,6 +7,7 @@
 
 from tornado.httputil import HTTPHeaders
 
+from rosepath.api_keys import logged_digest
 from rosepath.attempt import AttemptError, AttemptOptions, ServerResponse
 from rosepath.caller_request import BadRequestError, CallerRequest
 from rosepath.catalog import HostRoute, RouteKind
@@ -63,7 +64,7 @@
 
     async def serve(self, exchange: CallerExchange) -> None:
         """Answer one request with a server's response or with a refusal."""
-        request_id = ""
+        request_id, key_digest = "", None
         try:
             call = decode_caller_request(
                 method=exchange.method,
@@ -72,14 +73,16 @@
                 body=exchange.body,
                 arrived_s=exchange.arrived_s,
             )
-            request_id = call.request_id
+            request_id, key_digest = call.request_id, call.api_key_digest
             context = await self._create_context(call, exchange)
         except BadRequestError as error:
             refusal = Refusal(400, "bad_request", str(error), Run.NO, error.step)
             self._refuse_unrouted(exchange, request_id, refusal)
             return
         except RefusalError as error:
-            self._refuse_unrouted(exchange, request_id, error.refusal)
+            self._refuse_unrouted(
+                exchange, request_id, error.refusal, key_digest=key_digest
+            )
             return
         try:
             await self._run_attempts(context)
@@ -92,8 +95,8 @@
     async def _create_context(
         self, call: CallerRequest, exchange: CallerExchange
     ) -> RequestContext:
-        if self._find_route(call) is None and self._ports.configuration().behind:
-            await self._wait_for_route(call)
+        if not self._recognizes(call) and self._ports.configuration().behind:
+            await self._wait_for_configuration(call)
         catalog = self._ports.catalog()
         if catalog is None:
             raise refuse(
@@ -105,7 +108,19 @@
             )
         route = self._find_route(call)
         if route is None:
-            raise self._no_route_error()
+            raise self._unrecognized_error(
+                404, "no_route", "no route leads there", step=Step.ROUTE
+            )
+        workspace = None
+        if catalog.requires_key(route):
+            workspace = catalog.workspace(call.api_key_digest)
+            if workspace is None:
+                raise self._unrecognized_error(
+                    401,
+                    "invalid_api_key",
+                    "the API key is missing or unknown",
+                    step=Step.AUTHENTICATE,
+                )
         service = catalog.services.get(route.service_for(call.request_id))
         if service is None:
             raise refuse(
@@ -122,6 +137,7 @@
             call=call,
             route=route,
             service=service,
+            workspace=workspace,
             exchange=exchange,
             deadline_s=call.arrived_s + limit_s - RESPONSE_MARGIN_S,
             configuration=self._ports.configuration(),
@@ -136,29 +152,39 @@
             return None
         return catalog.find(call.host, call.path.partition("?")[0])
 
-    async def _wait_for_route(self, call: CallerRequest) -> None:
-        """Wait briefly for a configuration that has the request's route."""
+    def _recognizes(self, call: CallerRequest) -> bool:
+        """Return whether the request's route and any key it needs are known."""
+        catalog, route = self._ports.catalog(), self._find_route(call)
+        if catalog is None or route is None:
+            return False
+        return (
+            not catalog.requires_key(route)
+            or catalog.workspace(call.api_key_digest) is not None
+        )
+
+    async def _wait_for_configuration(self, call: CallerRequest) -> None:
+        """Wait briefly for a configuration with the request's route and key."""
         with suppress(TimeoutError):
             async with (
                 asyncio.timeout(min(ROUTE_WAIT_S, call.wait_s or ROUTE_WAIT_S)),
                 self._ports.fleet_changed,
             ):
-                while (
-                    self._find_route(call) is None
-                    and self._ports.configuration().behind
-                ):
+                while not self._recognizes(call) and self._ports.configuration().behind:
                     await self._ports.fleet_changed.wait()
 
-    def _no_route_error(self) -> RefusalError:
+    def _unrecognized_error(
+        self, status: int, code: str, message: str, *, step: Step
+    ) -> RefusalError:
+        """Refuse an unknown route or key, unless they may be too new."""
         if self._ports.configuration().behind:
             return refuse(
                 503,
                 "configuration_outdated",
-                "no route leads there yet; a newer configuration is on its way",
-                step=Step.ROUTE,
+                f"{message} yet; a newer configuration is on its way",
+                step=step,
                 retry_after_s=RETRY_AFTER_S,
             )
-        return refuse(404, "no_route", "no route leads there", step=Step.ROUTE)
+        return refuse(status, code, message, step=step)
 
     async def _run_attempts(self, context: RequestContext) -> None:
         while True:
@@ -235,7 +261,8 @@
             retryable=context.route.retryable,
             priority=None
             if context.service.engine is None
-            else _engine_priority(context.route),
+            else _engine_priority(context),
+            workspace=context.workspace.name if context.workspace else None,
             last_event_id=event_sequence.last_id
             if event_sequence is not None and begun
             else None,
@@ -367,9 +394,14 @@
         )
 
     def _refuse_unrouted(
-        self, exchange: CallerExchange, request_id: str, refusal: Refusal
+        self,
+        exchange: CallerExchange,
+        request_id: str,
+        refusal: Refusal,
+        *,
+        key_digest: str | None = None,
     ) -> None:
-        """Refuse a request that is malformed or has no route or service."""
+        """Refuse a request that is malformed, or has no route, service or key."""
         self._refuse(
             exchange,
             request_id,
@@ -389,6 +421,7 @@
             step=refusal.step.value,
             host=exchange.headers.get("Host", "")[:MAX_LOGGED_CHARS],
             path=exchange.path.partition("?")[0][:MAX_LOGGED_CHARS],
+            key_digest=logged_digest(key_digest),
             **self._ports.configuration().log_fields,
         )
 
@@ -409,7 +442,7 @@
         return self._ports.clock.monotonic_s()
 
 
-def _engine_priority(route: HostRoute) -> int:
+def _engine_priority(context: RequestContext) -> int:
     """Return the priority sent to the engine, from 0 (first) to 9."""
-    latency_offset = 3 if route.target_latency_s > 2.0 else 0
-    return min(9, 1 + 2 * route.priority + latency_offset)
+    latency_offset = 3 if context.route.target_latency_s > 2.0 else 0
+    return max(0, min(9, 1 + 2 * context.priority + latency_offset))
--- a/src/rosepath/request_context.py
+++ b/src/rosepath/request_context.py
@@ -21,6 +21,7 @@
 from rosepath.retries import Evidence, Obstacle
 from rosepath.retry_window import RetryWindow
 from rosepath.silence import StayReason
+from rosepath.workspaces import Workspace
 
 # Retry-After of refusals. Most model swaps and restarts have finished by then,
 # and most deadlines leave time for a second attempt.
@@ -86,6 +87,7 @@
     call: CallerRequest
     route: HostRoute
     service: ServiceSpec
+    workspace: Workspace | None = None
     exchange: CallerExchange
     deadline_s: float
     # The configuration in force when the request was routed.
@@ -107,6 +109,13 @@
     # What prevented another attempt, if one was needed.
     obstacle: Obstacle | None = None
 
+    @property
+    def priority(self) -> int:
+        """Return the rank of the request; 0 is the highest."""
+        if self.workspace is not None and self.workspace.priority is not None:
+            return self.workspace.priority
+        return self.route.priority
+
     @cached_property
     def content_key(self) -> str:
         """Return the key that the request shares with its retries."""
--- /dev/null
+++ b/src/rosepath/response_metadata.py
@@ -0,0 +1,29 @@
+"""What the headers of a backend server's response state."""
+
+from dataclasses import dataclass
+from typing import NamedTuple
+
+from rosepath.server_notice import ServerNotice
+
+
+class ServerLoad(NamedTuple):
+    """Hold the load that a backend server reports."""
+
+    running: int
+    waiting: int
+    slots: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ResponseMetadata:
+    """Hold what the headers of a backend server's response state.
+
+    `signed` is True if the backend server ran the request and signed the
+    response; `not_run` is True if it states that it did not run the request.
+    """
+
+    signed: bool
+    not_run: bool
+    encoded: bool
+    load: ServerLoad | None
+    notice: ServerNotice
--- a/src/rosepath/store_tables.py
+++ b/src/rosepath/store_tables.py
@@ -17,6 +17,7 @@
     SERVER_KIND,
     decode_catalog,
     decode_server,
+    without_keys,
 )
 from rosepath.store_watcher import StoreWatcher, WatchPolicy
 
@@ -70,7 +71,7 @@
         self._store_failure_s = -1e9
         self.departures = DepartureLog(clock=boot_clock or clock)
         self.catalog: Catalog | None = None
-        # The object from which the catalog was decoded.
+        # The object from which the catalog was decoded, without API keys.
         self.configuration: StoredObject | None = None
         self.fleet = Fleet()
         self.changed = asyncio.Condition()
@@ -105,7 +106,7 @@
             # A stale read must not undo a change.
             return
         self.catalog = catalog
-        self.configuration = stored
+        self.configuration = without_keys(stored)
         self._on_catalog(catalog)
         _log.info(
             "configuration_in_force", version=catalog.version, revision=stored.version
--- a/tests/entry_builders.py
+++ b/tests/entry_builders.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 from typing import Any
 
+from rosepath.api_keys import key_digest
 from rosepath.caller_request import CallerRequest, Prompt, PromptPart
 from rosepath.catalog import (
     CallerLimits,
@@ -24,6 +25,7 @@
 from rosepath.request_context import RelayPorts
 from rosepath.server_picker import ServerPicker
 from rosepath.suspect_tracker import SuspectTracker
+from rosepath.workspaces import Quota, QuotaUnit, Workspace
 
 
 def a_model(name: str, *, size_mb: float = 70_000.0) -> ModelSpec:
@@ -57,6 +59,8 @@
     max_attempts: int = 2,
     timeout_s: float = 6.0,
     path_prefix: str = "/drafts/",
+    anonymous: bool = False,
+    priority: int = 0,
 ) -> HostRoute:
     return HostRoute(
         name="r-1",
@@ -69,12 +73,33 @@
         target_gap_s=0.25,
         max_attempts=max_attempts,
         resumable=resumable,
+        anonymous=anonymous,
+        priority=priority,
     )
 
 
+def a_quota(
+    *,
+    rate_per_s: float = 1000.0,
+    burst: float = 1000.0,
+    unit: QuotaUnit = QuotaUnit.TOKENS,
+) -> Quota:
+    return Quota(rate_per_s=rate_per_s, burst=burst, unit=unit, plain_tokens=200.0)
+
+
+def a_workspace(
+    name: str = "court", *, priority: int | None = None, quota: Quota | None = None
+) -> Workspace:
+    return Workspace(name=name, priority=priority, quota=quota)
+
+
 def a_catalog(
-    *routes: HostRoute, engine: EngineSpec | None = None, version: int = 1
+    *routes: HostRoute,
+    engine: EngineSpec | None = None,
+    version: int = 1,
+    workspaces: Mapping[str, Workspace] | None = None,
 ) -> Catalog:
+    """Build a catalog; `workspaces` is by API key."""
     return Catalog(
         version=version,
         routes=routes,
@@ -90,6 +115,9 @@
             ),
         },
         limits=CallerLimits(),
+        workspaces=None
+        if workspaces is None
+        else {key_digest(key): found for key, found in workspaces.items()},
     )
 
 
--- a/tests/entry_harness.py
+++ b/tests/entry_harness.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import math
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from typing import Any
@@ -20,6 +20,7 @@
 from rosepath.relay import Relay
 from rosepath.request_context import RelayPorts, RequestContext
 from rosepath.retry_window import RetryWindow
+from rosepath.workspaces import Workspace
 
 Script = Callable[["ReceivedRequest", asyncio.StreamWriter], Awaitable[None]]
 SIGNATURE_HEADER = "Response-Signature: s\r\n"
@@ -161,6 +162,7 @@
 async def running_gateway(
     *servers: ScriptedServer,
     route: HostRoute | None = None,
+    workspaces: Mapping[str, Workspace] | None = None,
     slack: float = 50.0,
     configuration: Callable[[], ConfigurationView] = lambda: UNKNOWN_CONFIGURATION,
     on_outcome: Callable[[RequestContext, int, str], None] = lambda *_: None,
@@ -168,7 +170,7 @@
     """Run a gateway in front of scripted backend servers."""
     clock, fleet, pool = SystemClock(), Fleet(), HttpPool()
     chosen = route or a_route()
-    catalog = a_catalog(chosen)
+    catalog = a_catalog(chosen, workspaces=workspaces)
     listening: dict[str, asyncio.Server] = {}
     for server in servers:
         listener = await asyncio.start_server(server.serve, "127.0.0.1", 0)
