--- a/src/rosepath/cli.py
+++ b/src/rosepath/cli.py
@@ -19,7 +19,7 @@
     print_json,
     print_table,
 )
-from rosepath.cli_logs import explain, report
+from rosepath.cli_logs import explain, quotas, report
 from rosepath.proto import rosepath_pb2 as pb
 from rosepath.proto.rosepath_grpc import OperatorsStub
 
@@ -367,6 +367,7 @@
         "watch": watch,
         "explain": explain,
         "report": report,
+        "quotas": quotas,
     }
     raise SystemExit(defopt.run(commands))
 
--- a/src/rosepath/cli_logs.py
+++ b/src/rosepath/cli_logs.py
@@ -6,6 +6,7 @@
 from rosepath.cli_calls import EXIT_INVALID, print_table
 from rosepath.explain import describe_configurations, parse_log_lines, request_timeline
 from rosepath.load_report import Cause, LoadReport, cause_rows, draw_report
+from rosepath.quota_report import QuotaReport
 
 
 def explain(request_id: str, *files: Path) -> int:
@@ -65,3 +66,27 @@
     if plot is not None:
         draw_report(counted, plot)
     return 0
+
+
+def quotas(*files: Path, by_vm: bool = False) -> int:
+    """Show what workspaces used and were refused, from entry VMs' logs.
+
+    :param files: log files; without any, standard input is read
+    :param by_vm: also show each entry VM
+    """
+    lines = [text for file in files for text in file.read_text().splitlines()]
+    counted = QuotaReport.from_lines(parse_log_lines(lines if files else sys.stdin))
+    if not counted.use:
+        print("rosepath: no request under a quota in these logs", file=sys.stderr)
+        return EXIT_INVALID
+    used = ["requests", "served", "refusals", "refused"]
+    print_table(["workspace", "limit a second", "peak", *used], counted.workspace_rows)
+    if by_vm:
+        print()
+        print_table(["workspace", "entry VM", *used], counted.vm_rows)
+    print("\ncoordinators and the share of the quotas lent to them")
+    print_table(
+        ["entry VM", "share"],
+        [[name, f"{share:.2f}"] for name, share in sorted(counted.shares.items())],
+    )
+    return 0
--- a/src/rosepath/load_report.py
+++ b/src/rosepath/load_report.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from rosepath.explain import LogLine
+from rosepath.quota_pool import EXCEEDED_CODE
 from rosepath.server_picker import QUARANTINED_CODE
 
 # A request is late because of its wait for a model if that wait exceeds this
@@ -27,6 +28,7 @@
     SLOW = "late: answered slowly"
     REFUSED = "refused unrun"
     QUARANTINED = "refused: crashes its servers"
+    OVER_QUOTA = "refused: over its quota"
     FAILED = "failed"
 
 
@@ -112,6 +114,8 @@
     status = int(details.get("status") or 0)
     if details.get("code") == QUARANTINED_CODE:
         return Cause.QUARANTINED
+    if details.get("code") == EXCEEDED_CODE:
+        return Cause.OVER_QUOTA
     if status == 503:
         return Cause.REFUSED
     if not 200 <= status < 300:
--- a/src/rosepath/quota_client.py
+++ b/src/rosepath/quota_client.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import math
 import random
 import uuid
 from collections.abc import Callable, Mapping
@@ -50,6 +51,11 @@
 # Coordinators tried for one request before this VM admits it on its own.
 MAX_COORDINATORS = 2
 RENDEZVOUS_KEY = "quotas"
+# Until the first choice: the other VMs may become known at any moment.
+START_INTERVAL_S = 0.1
+# A coordinator logs the use of its busiest workspaces at this interval.
+LOG_INTERVAL_S = 5.0
+MAX_LOGGED = 20
 
 _log = get_logger()
 
@@ -90,8 +96,9 @@
         self._number = 0
         self._pending: dict[str, asyncio.Future[QuotaReply]] = {}
         self._choosing: asyncio.Task[None] | None = None
-        self._chosen_s = -1e9
-        self._lent_s = -1e9
+        self._chosen_s = -math.inf
+        self._lent_s = -math.inf
+        self._logged_s = -math.inf
 
     def apply(self, catalog: Catalog) -> None:
         """Apply the quotas of a configuration."""
@@ -99,6 +106,9 @@
 
     async def admit(self, workspace: str, cost: float) -> QuotaDecision:
         """Admit a request of a workspace, or say when to retry."""
+        if not self._has_chosen and self._peers.peers:
+            # Right after a start, this VM's own share alone admits nothing yet.
+            await self._choose()
         request_id = self._next_id()
         try:
             for _ in range(MAX_COORDINATORS):
@@ -127,8 +137,7 @@
 
     def give_back(self, decision: QuotaDecision) -> None:
         """Return what was granted to a request that did not run."""
-        if decision.granted and decision.quota_request_id:
-            self._return(decision.coordinator, decision.quota_request_id)
+        self._return(decision.coordinator, decision.quota_request_id)
 
     async def run(self) -> None:
         """Lend this VM's share to a coordinator, indefinitely."""
@@ -136,7 +145,28 @@
             catalog = self._catalog()
             if catalog is not None and catalog.quotas:
                 await self._lend()
-            await asyncio.sleep(LEND_INTERVAL_S * self._rng.uniform(0.9, 1.0))
+                self._log_usage()
+            pause_s = LEND_INTERVAL_S if self._has_chosen else START_INTERVAL_S
+            await asyncio.sleep(pause_s * self._rng.uniform(0.9, 1.0))
+
+    @property
+    def _has_chosen(self) -> bool:
+        return self._chosen_s > -math.inf
+
+    def _log_usage(self) -> None:
+        """Log as coordinator what workspaces used in the last window."""
+        now_s = self._now_s()
+        if self.pool.lenders <= 1 or now_s < self._logged_s + LOG_INTERVAL_S:
+            return
+        self._logged_s = now_s
+        usage = self.pool.usage(now_s=now_s)
+        busiest = sorted(usage, key=lambda name: -usage[name][0])[:MAX_LOGGED]
+        _log.info(
+            "quota_usage",
+            lenders=self.pool.lenders,
+            share=round(self.pool.share, 3),
+            workspaces={name: usage[name] for name in busiest},
+        )
 
     def leave(self) -> None:
         """Withdraw this VM's share from its coordinator at a planned stop."""
@@ -189,9 +219,12 @@
     async def _lend(self) -> None:
         """Lend this VM's share unless a recent message did; choose if needed."""
         now_s = self._now_s()
-        if self.coordinator != self._preferred():
-            if now_s - self._chosen_s > REEVALUATE_INTERVAL_S:
-                await self._choose()
+        if (
+            self._peers.peers
+            and now_s - self._chosen_s > REEVALUATE_INTERVAL_S
+            and (not self._has_chosen or self.coordinator != self._preferred())
+        ):
+            await self._choose()
         if self.coordinator == self._me:
             self._lend_to_self()
         elif now_s - self._lent_s > LEND_INTERVAL_S / 2:
--- a/src/rosepath/quota_pool.py
+++ b/src/rosepath/quota_pool.py
@@ -24,6 +24,7 @@
 # The longest wait that a refused caller is told. Later waits would be guesses,
 # as the demand of the workspace changes meanwhile.
 MAX_RETRY_AFTER_S = 8.0
+EXCEEDED_CODE = "quota_exceeded"
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -161,21 +162,25 @@
             account.used -= grant.cost
             account.bucket.give_back(grant.cost)
 
-    def usage(self, *, now_s: float) -> dict[str, float]:
-        """Return what each workspace used in the last window."""
+    def usage(self, *, now_s: float) -> dict[str, tuple[float, float]]:
+        """Return what active workspaces used in the last window, and may use."""
         self._expire(now_s)
         return {
-            name: account.used
+            name: (round(account.used), round(self._allowed(account.quota)))
             for name, account in self._accounts.items()
             if account.grants
         }
 
     def _exceeds_window(self, account: _Account, cost: float) -> bool:
         """Return whether a window would exceed the quota, after returns."""
-        quota, share = account.quota, self.share
-        allowed = quota.rate_per_s * self._tolerance.window_s + self._burst(quota)
+        allowed = self._allowed(account.quota)
         # A single request may exceed the burst, see TokenBucket.
-        return account.used + min(cost, account.bucket.burst) > allowed * share
+        return account.used + min(cost, account.bucket.burst) > allowed
+
+    def _allowed(self, quota: Quota) -> float:
+        """Return what a workspace may use in a window, by the shares lent."""
+        allowed = quota.rate_per_s * self._tolerance.window_s + self._burst(quota)
+        return allowed * self.share
 
     def _window_wait_s(self, account: _Account, cost: float, now_s: float) -> float:
         """Return when the first grants of the window will have left it."""
--- a/src/rosepath/relay.py
+++ b/src/rosepath/relay.py
@@ -23,6 +23,7 @@
     forwarded_headers,
     refusal_headers,
 )
+from rosepath.quota_pool import EXCEEDED_CODE
 from rosepath.request_context import RETRY_AFTER_S, RelayPorts, RequestContext
 from rosepath.retries import Evidence
 from rosepath.retry_policy import RetryPolicy
@@ -92,8 +93,9 @@
         finally:
             self._retry_policy.release_retry(context)
             self._suspects.end(context)
-            if context.quota_decision and context.certainly_not_run:
-                self._ports.quotas.give_back(context.quota_decision)
+            decision = context.quota_decision
+            if decision and decision.granted and context.certainly_not_run:
+                self._ports.quotas.give_back(decision)
 
     async def _admit(self, context: RequestContext) -> None:
         """Raise RefusalError if the workspace's quota does not allow a request."""
@@ -118,7 +120,7 @@
         )
         raise refuse(
             429,
-            "quota_exceeded",
+            EXCEEDED_CODE,
             "the workspace's quota is used up",
             step=Step.LIMIT,
             retry_after_s=decision.retry_after_s,
--- a/src/rosepath/request_records.py
+++ b/src/rosepath/request_records.py
@@ -1,10 +1,16 @@
 """Record each finished request in the metrics and the log."""
 
+from typing import Any
+
 from rosepath.clock import Clock
 from rosepath.entry_metrics import EntryMetrics
 from rosepath.logs import get_logger
 from rosepath.request_context import RequestContext
 
+# Further workspaces share one label, as each label is kept for good.
+MAX_WORKSPACE_LABELS = 200
+OTHER_WORKSPACES = "(others)"
+
 _log = get_logger()
 
 
@@ -14,6 +20,7 @@
     def __init__(self, metrics: EntryMetrics, *, clock: Clock) -> None:
         self._metrics = metrics
         self._clock = clock
+        self._labelled: set[str] = set()
 
     def record(self, context: RequestContext, status: int, code: str) -> None:
         """Count a finished request and log how it was routed."""
@@ -30,6 +37,13 @@
         self._metrics.record("queue_wait", context.waited_s, kind=kind)
         if first_s is not None:
             self._metrics.record("first_event", first_s - arrived_s, kind=kind)
+        decision = context.quota_decision
+        if decision is not None and context.workspace is not None:
+            self._metrics.count(
+                "quota_requests",
+                workspace=self._workspace_label(context.workspace.name),
+                granted=str(decision.granted).lower(),
+            )
         _log.info(
             "request_ended",
             request_id=call.request_id,
@@ -47,5 +61,24 @@
             longest_pause_s=round(context.longest_pause_s, 3),
             gap_s=context.route.target_gap_s,
             target_s=context.route.target_latency_s,
+            **_quota_fields(context),
             **context.configuration.log_fields,
         )
+
+    def _workspace_label(self, name: str) -> str:
+        """Return the metrics label of a workspace, bounded in number."""
+        if name not in self._labelled and len(self._labelled) >= MAX_WORKSPACE_LABELS:
+            return OTHER_WORKSPACES
+        self._labelled.add(name)
+        return name
+
+
+def _quota_fields(context: RequestContext) -> dict[str, Any]:
+    """Return the log fields of a request under a quota."""
+    workspace = context.workspace
+    if workspace is None:
+        return {}
+    if workspace.quota is None:
+        return {"workspace": workspace.name}
+    cost = workspace.quota.cost(context.call.tokens)
+    return {"workspace": workspace.name, "quota_cost": cost}
--- a/tests/entry_harness.py
+++ b/tests/entry_harness.py
@@ -17,8 +17,9 @@
 from rosepath.gateway import CallerExchange, Gateway
 from rosepath.http_client import HttpPool
 from rosepath.prompt_caches import PromptCaches
+from rosepath.quota_client import Unlimited
 from rosepath.relay import Relay
-from rosepath.request_context import RelayPorts, RequestContext
+from rosepath.request_context import QuotaPort, RelayPorts, RequestContext
 from rosepath.retry_window import RetryWindow
 from rosepath.workspaces import Workspace
 
@@ -166,6 +167,7 @@
     slack: float = 50.0,
     configuration: Callable[[], ConfigurationView] = lambda: UNKNOWN_CONFIGURATION,
     on_outcome: Callable[[RequestContext, int, str], None] = lambda *_: None,
+    quotas: QuotaPort | None = None,
 ) -> AsyncIterator[RunningGateway]:
     """Run a gateway in front of scripted backend servers."""
     clock, fleet, pool = SystemClock(), Fleet(), HttpPool()
@@ -205,6 +207,7 @@
             on_outcome=note_outcome,
             crashes=a_crash_watch(clock),
             configuration=configuration,
+            quotas=quotas or Unlimited(),
         )
     )
     gateway = Gateway(relay.serve, clock=clock, on_failure=on_failure)
