Coordinate the quotas on VMs with fast links

The coordinator had a link of 10 Mbit/s, which its own callers filled under a burst, so that replies took more than 0.24 s; that the link was the cause is likely, not proved: the log has no link's queue.

State messages carry the bandwidth of the sender's link, a setting that the platform knows; VMs with the fastest links are preferred, by order of magnitude, and rendezvous hashing chooses among them. Where all links are alike nothing changes. Which VM coordinates does not matter for the rule: shares count once.

--- a/src/rosepath/entry_node.py
+++ b/src/rosepath/entry_node.py
@@ -161,6 +161,7 @@
             stopping=lambda: self.stopping,
             crashes=self.crashes,
             boot_clock=BootClock(),
+            link_mbps=settings.peers.link_mbps,
         )
         self.copies = PeerConfigurationFetcher(
             settings.data_centre,
@@ -184,6 +185,7 @@
             settings.entry_vm,
             settings.data_centre,
             settings.peers.listen,
+            link_mbps=settings.peers.link_mbps,
             clock=BootClock(),
             peers=self.peers,
             tolerance=QuotaTolerance(
--- a/src/rosepath/entry_settings.py
+++ b/src/rosepath/entry_settings.py
@@ -52,9 +52,14 @@
 
 
 class PeerAddress(Section):
-    """Address on which other entry VMs reach this one, by UDP and HTTP."""
+    """Address on which other entry VMs reach this one, by UDP and HTTP.
+
+    `link_mbps` is the bandwidth of this VM's network link. Duties for the
+    whole fleet go to VMs with fast links first.
+    """
 
     listen: Address
+    link_mbps: Annotated[float, Field(gt=0)] = 1000.0
 
 
 class LeaseSettings(Section):
--- a/src/rosepath/peer_exchange.py
+++ b/src/rosepath/peer_exchange.py
@@ -68,7 +68,9 @@
         stopping: Callable[[], bool],
         crashes: CrashWatch,
         boot_clock: Clock | None = None,
+        link_mbps: float = 0.0,
     ) -> None:
+        self._link_mbps = link_mbps
         self._crashes = crashes
         self._send_scheduled = False
         self._me = entry_vm
@@ -185,6 +187,7 @@
             isolated=self._crashes.isolated.servers_by_key(
                 merged=sends_totals, now_s=now_s
             ),
+            link_mbps=self._link_mbps,
         )
 
     def send_state_soon(self) -> None:
--- a/src/rosepath/peer_messages.py
+++ b/src/rosepath/peer_messages.py
@@ -111,6 +111,8 @@
     cleared: tuple[str, ...] = ()
     quarantined: tuple[str, ...] = ()
     isolated: Mapping[str, str] = field(default_factory=dict)
+    # Bandwidth of the sender's network link.
+    link_mbps: float = 0.0
 
     def delayed_by(self, delay_s: float) -> "PeerState":
         """Return this message with its reported ages increased by a delay."""
@@ -273,6 +275,7 @@
         "cl": list(message.cleared),
         "qu": list(message.quarantined),
         "is": dict(message.isolated),
+        "bw": message.link_mbps,
     }
 
 
@@ -336,6 +339,7 @@
         cleared=tuple(map(str, raw["cl"])),
         quarantined=tuple(map(str, raw["qu"])),
         isolated={str(key): str(server) for key, server in raw["is"].items()},
+        link_mbps=float(raw.get("bw", 0.0)),
     )
 
 
--- a/src/rosepath/quota_client.py
+++ b/src/rosepath/quota_client.py
@@ -1,8 +1,8 @@
 """Admit an entry VM's requests by the quotas, through a coordinator.
 
 One entry VM coordinates the quotas for all that reach it. Every VM prefers the
-same one by rendezvous hashing; in a partition, each side finds one of its own,
-and a VM that reaches no other is its own coordinator.
+same one, by rendezvous hashing among those with the fastest links. In a partition,
+each side finds one of its own, and a VM that reaches no other is its own.
 """
 
 import asyncio
@@ -79,11 +79,13 @@
         catalog: Callable[[], Catalog | None],
         send: Callable[[QuotaMessage, str], None],
         stopping: Callable[[], bool],
+        link_mbps: float = 0.0,
         rng: random.Random | None = None,
     ) -> None:
         self._me = entry_vm
         self._data_centre = data_centre
         self._address = address
+        self._link_mbps = link_mbps
         self._clock = clock
         self._peers = peers
         self._catalog = catalog
@@ -366,16 +368,18 @@
 
     def _candidates(self) -> list[str]:
         """Return the VMs that may coordinate, the preferred one first."""
-        serving = {
-            name: peer.state.data_centre if peer.state else ""
-            for name, peer in self._peers.peers.items()
-            if peer.state is None or not peer.state.stopping
-        }
+        links_mbps: dict[str, float] = {}
+        local: dict[str, float] = {}
+        for name, peer in self._peers.peers.items():
+            state = peer.state
+            if state is None or not state.stopping:
+                links_mbps[name] = state.link_mbps if state else 0.0
+                if state and state.data_centre == self._data_centre:
+                    local[name] = state.link_mbps
         if not self._stopping():
-            serving[self._me] = self._data_centre
-        local = [name for name, found in serving.items() if found == self._data_centre]
-        fleet = top(RENDEZVOUS_KEY, serving, FLEET_CANDIDATES)
-        nearby = top(RENDEZVOUS_KEY, local, LOCAL_CANDIDATES)
+            links_mbps[self._me] = local[self._me] = self._link_mbps
+        fleet = _ranked_by_link(links_mbps, FLEET_CANDIDATES)
+        nearby = _ranked_by_link(local, LOCAL_CANDIDATES)
         return [*dict.fromkeys([*fleet, *nearby])] or [self._me]
 
     def _return(self, coordinator: str, request_id: str) -> None:
@@ -394,6 +398,23 @@
         return self._clock.monotonic_s()
 
 
+def _ranked_by_link(links_mbps: Mapping[str, float], count: int) -> list[str]:
+    """Return the first VMs by rendezvous hashing, those with fast links first.
+
+    On a slow link that callers fill, replies come too late. Links of the same
+    order of magnitude count alike.
+    """
+    by_magnitude: dict[int, list[str]] = {}
+    for name, link_mbps in links_mbps.items():
+        magnitude = math.floor(math.log10(max(1.0, link_mbps)))
+        by_magnitude.setdefault(magnitude, []).append(name)
+    chosen: list[str] = []
+    for magnitude in sorted(by_magnitude, reverse=True):
+        if len(chosen) < count:
+            chosen += top(RENDEZVOUS_KEY, by_magnitude[magnitude], count - len(chosen))
+    return chosen
+
+
 def _responded(probe: "asyncio.Future[QuotaReply]") -> bool:
     return probe.done() and not probe.cancelled() and not probe.result().leaving
 
--- a/tests/quota_fleet.py
+++ b/tests/quota_fleet.py
@@ -29,6 +29,8 @@
     tolerance: QuotaTolerance
     data_centres: int = 1
     lost_share: float = 0.0
+    # Bandwidth of each VM's link, if not the same for all.
+    links_mbps: dict[str, float] = field(default_factory=dict)
     rng: random.Random = field(default_factory=lambda: random.Random(7))
     clients: dict[str, QuotaClient] = field(default_factory=dict)
     tasks: dict[str, asyncio.Task[None]] = field(default_factory=dict)
@@ -48,7 +50,9 @@
         for client in self.clients.values():
             for name in self.clients:
                 state = a_peer_state(name, data_centre=self.data_centre(name))
-                client._peers.apply_state(replace(state, address=name))
+                client._peers.apply_state(
+                    replace(state, address=name, link_mbps=self.link_mbps(name))
+                )
         for name in started:
             run = asyncio.ensure_future(self.clients[name].run())
             self.tasks[name] = run
@@ -66,6 +70,7 @@
             catalog=lambda: catalog,
             send=lambda message, address: self._deliver(name, message, address),
             stopping=lambda: name in self.stopping,
+            link_mbps=self.link_mbps(name),
             rng=self.rng,
         )
         client.apply(catalog)
@@ -73,6 +78,9 @@
     def data_centre(self, name: str) -> str:
         return "abcdef"[int(name.rpartition("-")[2]) % self.data_centres]
 
+    def link_mbps(self, name: str) -> float:
+        return self.links_mbps.get(name, 10.0)
+
     def kill(self, *names: str) -> None:
         for name in names:
             self.tasks.pop(name).cancel()
--- a/tests/test_entry_settings.py
+++ b/tests/test_entry_settings.py
@@ -25,7 +25,8 @@
     """Render the template, for a deployment with or without quotas."""
     given = {**GIVEN, **changed}
     text = re.sub(
-        r"\{\{#bounds\.quota\w+\}\}\n(.*?)\{\{/bounds\.quota\w+\}\}\n",
+        r"\{\{#(?:bounds\.quota\w+|limits\.\w+)\}\}\n(.*?)"
+        r"\{\{/(?:bounds\.quota\w+|limits\.\w+)\}\}\n",
         lambda match: match[1] if quotas else "",
         TEMPLATE.read_text(),
         flags=re.DOTALL,
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -37,10 +37,15 @@
     data_centres: int = 1,
     lost_share: float = 0.0,
     quota: Quota = QUOTA,
+    links_mbps: dict[str, float] | None = None,
 ) -> QuotaFleet:
     """Run a scenario on a fleet that has settled; return the fleet."""
     fleet = QuotaFleet(
-        quota, TOLERANCE, data_centres=data_centres, lost_share=lost_share
+        quota,
+        TOLERANCE,
+        data_centres=data_centres,
+        lost_share=lost_share,
+        links_mbps=links_mbps or {},
     )
 
     async def run() -> None:
@@ -88,6 +93,16 @@
     assert len({client.coordinator for client in fleet.clients.values()}) == 1
 
 
+def test_a_vm_with_a_fast_link_coordinates() -> None:
+    # Callers fill a slow link, and replies to the other VMs come too late.
+    fast = {f"vm-{number}" for number in (4, 11, 17)}
+
+    async def scenario(fleet: QuotaFleet) -> None:
+        assert {client.coordinator for client in fleet.clients.values()} <= fast
+
+    play(scenario, links_mbps=dict.fromkeys(fast, 200.0))
+
+
 def test_both_sides_of_a_partition_together_keep_to_the_quota() -> None:
     async def scenario(fleet: QuotaFleet) -> None:
         flooding = asyncio.ensure_future(flood(fleet, 20.0))
