Build the key benchmark's configuration in the stand-ins

The benchmark wrote the platform's field names itself; they belong to the adapter and the stand-ins. The same document, the same figures within noise.

--- a/benchmarks/keys.py
+++ b/benchmarks/keys.py
@@ -1,16 +1,14 @@
 """Time the check of API keys, and putting many of them in force."""
 
-import json
 import time
 from collections.abc import Callable
 
 from benchmarks._private import write_table
 from rosepath.api_keys import key_digest
-from rosepath.object_store import StoredObject
 from rosepath.platform.documents import decode_catalog, without_keys
+from rosepath_standins.workspace_documents import configuration_with_keys
 
 KEY_COUNTS = (10, 1_000, 100_000)
-KEYS_PER_WORKSPACE = 10
 CHECKS = 20_000
 
 
@@ -25,26 +23,11 @@
     return min(rounds)
 
 
-def _configuration(keys: int) -> StoredObject:
-    names = [f"key-{number:08d}" for number in range(keys)]
-    workspaces = [
-        {
-            "name": f"w-{number}",
-            "apiKeys": names[number : number + KEYS_PER_WORKSPACE],
-            "ratePerS": 1000,
-            "burst": 1000,
-        }
-        for number in range(0, keys, KEYS_PER_WORKSPACE)
-    ]
-    raw = {"version": 1, "routes": [], "services": [], "tenants": workspaces}
-    return StoredObject("config/main", 1, json.dumps(raw).encode())
-
-
 def main() -> None:
     """Print a table by the number of keys."""
     rows: list[list[object]] = []
     for keys in KEY_COUNTS:
-        stored = _configuration(keys)
+        stored = configuration_with_keys(keys)
         catalog = decode_catalog(stored)
         assert catalog is not None
         find, name = catalog.workspace, f"key-{keys // 2:08d}"
