Log how each swap ended and the contents that an order was based on

A swap that ended without its load left no line, and an order did not say which models and adapters the holder had recorded for its engine.

No logic changes: execute() is split so that each way out has an outcome.

--- a/src/rosepath/order_sender.py
+++ b/src/rosepath/order_sender.py
@@ -137,7 +137,7 @@
                     self._in_flight -= 1
                     self.last_action_s = self.clock.monotonic_s()
             self._record_outcome(
-                order, reply, why, sent_s=sent_s[0] if sent_s else None
+                order, record, reply, why, sent_s=sent_s[0] if sent_s else None
             )
             if reply is not None and _advances_sequence(order, reply):
                 record.sequence += 1
@@ -161,7 +161,13 @@
         return True
 
     def _record_outcome(
-        self, order: Order, reply: OrderReply | None, why: str, *, sent_s: float | None
+        self,
+        order: Order,
+        record: EngineRecord,
+        reply: OrderReply | None,
+        why: str,
+        *,
+        sent_s: float | None,
     ) -> None:
         outcome = reply.value if reply else "unanswered"
         key = (
@@ -177,6 +183,8 @@
             adapter=order.adapter,
             fence=order.fence,
             sequence=order.expected_sequence,
+            recorded_models=sorted(record.models),
+            recorded_adapters=len(record.adapters),
             outcome=outcome,
             why=why,
             # Null if never sent; only a sent order may still arrive late.
--- a/src/rosepath/swap_executor.py
+++ b/src/rosepath/swap_executor.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
+from enum import StrEnum
 
 from rosepath.catalog import EngineSpec
 from rosepath.clock import Clock
@@ -11,6 +12,7 @@
 from rosepath.engine_views import load_duration_s, used_mb
 from rosepath.errors import ExchangeError
 from rosepath.fleet import BackendServer
+from rosepath.logs import get_logger
 from rosepath.order_sender import POLL_INTERVAL_S, OrderSender
 
 # How often an engine's report is read while an order is in progress.
@@ -26,6 +28,21 @@
 # Loads that share the weight store's bandwidth take up to this factor longer.
 MAX_LOAD_SLOWDOWN = 4.0
 
+_log = get_logger()
+
+
+class SwapOutcome(StrEnum):
+    """Enumerate how a swap can end."""
+
+    LOADED = "loaded"
+    NO_ROOM = "no_room"
+    NOT_UNLOADED = "not_unloaded"
+    NOT_LOADED = "not_loaded"
+    # The load was accepted, but no report showed the model in time.
+    UNCONFIRMED = "unconfirmed"
+    STOPPING = "stopping"
+    CANCELLED = "cancelled"
+
 
 class SwapExecutor:
     """Send each swap's orders in sequence and wait until its model is loaded.
@@ -70,44 +87,63 @@
         self, swap: Swap, server: BackendServer, record: EngineRecord, spec: EngineSpec
     ) -> None:
         """Execute one swap; however it ends, the report is read again."""
-        now_s = self._clock.monotonic_s
+        outcome = SwapOutcome.CANCELLED
         try:
-            async with self._lock(server.name):
-                # An adapter load in flight when the swap was planned is done
-                # by now, and none is ordered while a swap is in progress.
-                if used_mb(record, spec, without=swap.evicted_models) > spec.memory_mb:
-                    return
-                if self.closing:
-                    return
-                if swap.evicted_models:
-                    self._half_finished.add(server.name)
-            for evicted_model in swap.evicted_models:
-                if not await self._unload(server, record, evicted_model):
-                    return
-            size_mb = spec.models[swap.model].size_mb
-            record.loading = ""
-            if used_mb(record, spec) + size_mb > spec.memory_mb:
-                return
-            record.loading = swap.model
-            if not await self._load(server, record, swap.model):
-                return
-            self._half_finished.discard(server.name)
-            load_s = load_duration_s(server, spec.models[swap.model])
-            record.load_due_s = now_s() + load_s
-            await asyncio.sleep(load_s)
-            limit_s = now_s() + MAX_LOAD_SLOWDOWN * spec.models[swap.model].load_s
-            while now_s() < limit_s and self._sender.may_order():
-                await self._read_report(server, record)
-                if swap.model in record.models and not record.engine_busy:
-                    record.loaded_s[swap.model] = now_s()
-                    self._on_residency_change(server.name, swap.model, "", True)
-                    return
-                await asyncio.sleep(LOADED_POLL_INTERVAL_S)
+            outcome = await self._execute(swap, server, record, spec)
         finally:
             self._half_finished.discard(server.name)
             record.loading = ""
             record.swap_in_progress = False
             record.is_current = False
+            _log.info(
+                "swap_ended",
+                step="plan",
+                peer=server.name,
+                model=swap.model,
+                outcome=outcome.value,
+            )
+
+    async def _execute(
+        self, swap: Swap, server: BackendServer, record: EngineRecord, spec: EngineSpec
+    ) -> SwapOutcome:
+        async with self._lock(server.name):
+            # An adapter load in flight when the swap was planned is done by
+            # now, and none is ordered while a swap is in progress.
+            if used_mb(record, spec, without=swap.evicted_models) > spec.memory_mb:
+                return SwapOutcome.NO_ROOM
+            if self.closing:
+                return SwapOutcome.STOPPING
+            if swap.evicted_models:
+                self._half_finished.add(server.name)
+        for evicted_model in swap.evicted_models:
+            if not await self._unload(server, record, evicted_model):
+                return SwapOutcome.NOT_UNLOADED
+        size_mb = spec.models[swap.model].size_mb
+        record.loading = ""
+        if used_mb(record, spec) + size_mb > spec.memory_mb:
+            return SwapOutcome.NO_ROOM
+        record.loading = swap.model
+        if not await self._load(server, record, swap.model):
+            return SwapOutcome.NOT_LOADED
+        self._half_finished.discard(server.name)
+        return await self._wait_until_loaded(swap.model, server, record, spec)
+
+    async def _wait_until_loaded(
+        self, model: str, server: BackendServer, record: EngineRecord, spec: EngineSpec
+    ) -> SwapOutcome:
+        now_s = self._clock.monotonic_s
+        load_s = load_duration_s(server, spec.models[model])
+        record.load_due_s = now_s() + load_s
+        await asyncio.sleep(load_s)
+        limit_s = now_s() + MAX_LOAD_SLOWDOWN * spec.models[model].load_s
+        while now_s() < limit_s and self._sender.may_order():
+            await self._read_report(server, record)
+            if model in record.models and not record.engine_busy:
+                record.loaded_s[model] = now_s()
+                self._on_residency_change(server.name, model, "", True)
+                return SwapOutcome.LOADED
+            await asyncio.sleep(LOADED_POLL_INTERVAL_S)
+        return SwapOutcome.UNCONFIRMED
 
     async def _unload(
         self, server: BackendServer, record: EngineRecord, evicted_model: str
