Bind an order to the engine contents that its memory check saw

Callers of all models on an engine lose it if it is ordered to load more than it has memory for.

Cause: an order took its expected sequence number from the engine's record at the moment that it was sent, again for each retry, while its memory check had been made before the first try. Whatever brought the record up to date in between (a report read for an adapter, after an abandoned load was executed late) made the engine accept an order that nobody had checked against its new contents.

The check now returns the basis of the order, sender and retries compare the record with it, and an order whose basis no longer holds is not sent: the swap ends and is planned anew.

--- a/src/rosepath/engine_orders.py
+++ b/src/rosepath/engine_orders.py
@@ -68,6 +68,19 @@
     async def report(self, address: str, server: str) -> EngineReport: ...
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class OrderBasis:
+    """Identify the state of an engine on which the decision to order rests.
+
+    It is taken together with the check that the order fits. An order whose
+    engine has accepted another one since is rejected and must be planned anew,
+    since what it was checked against no longer holds.
+    """
+
+    born_ms: int
+    sequence: int
+
+
 @dataclass(slots=True, kw_only=True)
 class EngineRecord:
     """Hold an engine's contents as recorded by the lease holder.
@@ -98,6 +111,11 @@
         """Return whether the engine accepts no further order now."""
         return self.swap_in_progress or self.engine_busy
 
+    @property
+    def basis(self) -> OrderBasis:
+        """Return the basis for an order that fits the recorded contents."""
+        return OrderBasis(born_ms=self.born_ms, sequence=self.sequence)
+
     def apply_report(self, report: EngineReport, *, now_s: float) -> bool:
         """Apply a report unless it is older than the last order.
 
--- a/src/rosepath/engine_views.py
+++ b/src/rosepath/engine_views.py
@@ -3,7 +3,7 @@
 from collections.abc import Collection
 
 from rosepath.catalog import EngineSpec, ModelSpec
-from rosepath.engine_orders import EngineRecord
+from rosepath.engine_orders import EngineRecord, OrderBasis
 from rosepath.engine_plan import IN_USE_WAIT_S
 from rosepath.engine_plan_state import EngineView, Swap
 from rosepath.fleet import BackendServer
@@ -48,6 +48,15 @@
     )
 
 
+def basis_for_load(
+    record: EngineRecord, spec: EngineSpec, model: str
+) -> OrderBasis | None:
+    """Return the basis for an order to load a model; None if it does not fit."""
+    if used_mb(record, spec) + spec.models[model].size_mb > spec.memory_mb:
+        return None
+    return record.basis
+
+
 def load_duration_s(server: BackendServer, model: ModelSpec) -> float:
     """Return how long a load takes from the fastest storage that has it."""
     if model.name in server.entry.in_memory:
--- a/src/rosepath/order_dispatcher.py
+++ b/src/rosepath/order_dispatcher.py
@@ -254,7 +254,12 @@
             if not await self._free_adapter_slot(server, record, spec, model):
                 return False
             reply = await self.sender.send(
-                server, record, OrderAction.LOAD, model, adapter
+                server,
+                record,
+                OrderAction.LOAD,
+                model,
+                adapter,
+                basis=record.basis,
             )
             if reply not in (OrderReply.ACCEPTED, OrderReply.HOLDS):
                 return False
@@ -290,7 +295,12 @@
         evicted = min(idle)[1]
         evicted_model, _, adapter = evicted.partition("/")
         reply = await self.sender.send(
-            server, record, OrderAction.UNLOAD, evicted_model, adapter
+            server,
+            record,
+            OrderAction.UNLOAD,
+            evicted_model,
+            adapter,
+            basis=record.basis,
         )
         if reply not in (OrderReply.ACCEPTED, OrderReply.HOLDS):
             return False
--- a/src/rosepath/order_sender.py
+++ b/src/rosepath/order_sender.py
@@ -10,6 +10,7 @@
     EngineRecord,
     Order,
     OrderAction,
+    OrderBasis,
     OrderReply,
 )
 from rosepath.errors import ExchangeError
@@ -81,12 +82,14 @@
         model: str,
         adapter: str = "",
         *,
+        basis: OrderBasis,
         on_sent: Callable[[], None] = lambda: None,
     ) -> OrderReply | None:
         """Send an order, with retries; None if its outcome stays unknown.
 
         An order without a response may still be executed. A retry has the same
-        expected sequence, so the engine executes at most one of the two.
+        expected sequence, so the engine executes at most one of the two. Once
+        the record shows that `basis` no longer holds, nothing is sent.
         `on_sent` is called each time the order is sent, after the last check
         that it may be.
         """
@@ -98,7 +101,11 @@
             # A lease that was lost and acquired again has a new fence: a
             # holder in between may have sent orders under a fence higher than
             # this order's.
-            allowed = self._fence() == fence and self._try_start_sending()
+            allowed = (
+                self._fence() == fence
+                and record.basis == basis
+                and self._try_start_sending()
+            )
             if allowed:
                 if not sent_s:
                     self._in_flight += 1
@@ -109,6 +116,8 @@
         for _ in range(MAX_ORDER_ATTEMPTS):
             if not self.may_order() or self._fence() != fence:
                 return None
+            if record.basis != basis:
+                return OrderReply.CONFLICT
             order = Order(
                 action=action,
                 server=server.name,
@@ -116,7 +125,7 @@
                 adapter=adapter,
                 holder=self._me,
                 fence=fence,
-                expected_sequence=record.sequence,
+                expected_sequence=basis.sequence,
             )
             reply: OrderReply | None = None
             why = ""
--- a/src/rosepath/swap_executor.py
+++ b/src/rosepath/swap_executor.py
@@ -7,9 +7,15 @@
 
 from rosepath.catalog import EngineSpec
 from rosepath.clock import Clock
-from rosepath.engine_orders import EnginePort, EngineRecord, OrderAction, OrderReply
+from rosepath.engine_orders import (
+    EnginePort,
+    EngineRecord,
+    OrderAction,
+    OrderBasis,
+    OrderReply,
+)
 from rosepath.engine_plan_state import Swap
-from rosepath.engine_views import load_duration_s, used_mb
+from rosepath.engine_views import basis_for_load, load_duration_s, used_mb
 from rosepath.errors import ExchangeError
 from rosepath.fleet import BackendServer
 from rosepath.logs import get_logger
@@ -113,17 +119,19 @@
                 return SwapOutcome.NO_ROOM
             if self.closing:
                 return SwapOutcome.STOPPING
+            basis = record.basis
             if swap.evicted_models:
                 self._half_finished.add(server.name)
         for evicted_model in swap.evicted_models:
-            if not await self._unload(server, record, evicted_model):
+            if not await self._unload(server, record, evicted_model, basis):
                 return SwapOutcome.NOT_UNLOADED
-        size_mb = spec.models[swap.model].size_mb
+            basis = record.basis
         record.loading = ""
-        if used_mb(record, spec) + size_mb > spec.memory_mb:
+        load_basis = basis_for_load(record, spec, swap.model)
+        if load_basis is None:
             return SwapOutcome.NO_ROOM
         record.loading = swap.model
-        if not await self._load(server, record, swap.model):
+        if not await self._load(server, record, swap.model, load_basis):
             return SwapOutcome.NOT_LOADED
         self._half_finished.discard(server.name)
         return await self._wait_until_loaded(swap.model, server, record, spec)
@@ -146,7 +154,11 @@
         return SwapOutcome.UNCONFIRMED
 
     async def _unload(
-        self, server: BackendServer, record: EngineRecord, evicted_model: str
+        self,
+        server: BackendServer,
+        record: EngineRecord,
+        evicted_model: str,
+        basis: OrderBasis,
     ) -> bool:
         announced: list[str] = []
 
@@ -158,7 +170,12 @@
 
         async with self._lock(server.name):
             reply = await self._send_while_busy(
-                server, record, OrderAction.UNLOAD, evicted_model, on_sent=announce_once
+                server,
+                record,
+                OrderAction.UNLOAD,
+                evicted_model,
+                basis=basis,
+                on_sent=announce_once,
             )
         if reply not in (OrderReply.ACCEPTED, OrderReply.HOLDS):
             if announced:
@@ -184,11 +201,17 @@
             self._on_residency_change(server.name, evicted_model, "", True)
 
     async def _load(
-        self, server: BackendServer, record: EngineRecord, model: str
+        self,
+        server: BackendServer,
+        record: EngineRecord,
+        model: str,
+        basis: OrderBasis,
     ) -> bool:
         # The engine rejects the load until the preceding unload is done, so
         # the memory is free by the time that it accepts.
-        reply = await self._send_while_busy(server, record, OrderAction.LOAD, model)
+        reply = await self._send_while_busy(
+            server, record, OrderAction.LOAD, model, basis=basis
+        )
         return reply in (OrderReply.ACCEPTED, OrderReply.HOLDS)
 
     async def _send_while_busy(
@@ -198,6 +221,7 @@
         action: OrderAction,
         model: str,
         *,
+        basis: OrderBasis,
         on_sent: Callable[[], None] = lambda: None,
     ) -> OrderReply | None:
         """Send an order; retry while the engine is busy with another one."""
@@ -205,24 +229,25 @@
         limit_s = self._clock.monotonic_s() + BUSY_RETRY_LIMIT_S
         while True:
             reply = await self._sender.send(
-                server, record, action, model, on_sent=on_sent
+                server, record, action, model, basis=basis, on_sent=on_sent
             )
             now_s = self._clock.monotonic_s()
             if reply is not OrderReply.CONFLICT or now_s > limit_s:
                 return reply
             await asyncio.sleep(pause_s)
             pause_s = min(pause_s * 1.6, REPORT_INTERVAL_S)
-            if pause_s >= REPORT_INTERVAL_S and await self._has_newer_sequence(
-                server, record
-            ):
+            outdated = record.basis != basis
+            if not outdated and pause_s >= REPORT_INTERVAL_S:
+                outdated = await self._accepted_another_order(server, basis)
+            if outdated:
                 # An abandoned order was executed late. What fits has to be
                 # planned again: this order could exceed the engine's memory.
                 return reply
 
-    async def _has_newer_sequence(
-        self, server: BackendServer, record: EngineRecord
+    async def _accepted_another_order(
+        self, server: BackendServer, basis: OrderBasis
     ) -> bool:
-        """Return whether an engine accepted orders the record does not count.
+        """Return whether an engine accepted an order after the basis.
 
         Also true if the engine restarted and its count with it.
         """
@@ -230,5 +255,5 @@
             report = await self._engines.report(server.address, server.name)
         except ExchangeError:
             return False
-        restarted = report.born_ms > record.born_ms
-        return restarted or report.sequence > record.sequence
+        restarted = report.born_ms > basis.born_ms
+        return restarted or report.sequence > basis.sequence
