Count an accepted order once, by its reply or by a report

Callers who need another model or adapter of an engine wait for nothing: the holder of the lease never orders anything from that engine again.

Cause: the reply to an accepted order raised the recorded sequence by one even if a report read in the meantime had counted the order. The record was then ahead of the engine, all its reports counted as older than the last order and were dropped, and each order was rejected. A late order that brings the engine to that number would make contents valid that nobody has read.

An accepted order is now counted only while its basis still is the record's. If the record has moved, the report that moved it contains the order, as the engine accepts one order per number.

--- a/src/rosepath/engine_orders.py
+++ b/src/rosepath/engine_orders.py
@@ -140,6 +140,11 @@
         self.adapters = {name: self.adapters.get(name, now_s) for name in names}
         return True
 
+    def count_order(self, basis: OrderBasis) -> None:
+        """Count an accepted order unless a report has counted it already."""
+        if self.basis == basis:
+            self.sequence += 1
+
     def reset_for_new_instance(self, born_ms: int) -> None:
         """Clear what was recorded about the engine's previous instance."""
         self.born_ms = born_ms
--- a/src/rosepath/order_sender.py
+++ b/src/rosepath/order_sender.py
@@ -149,7 +149,7 @@
                 order, record, reply, why, sent_s=sent_s[0] if sent_s else None
             )
             if reply is not None and _advances_sequence(order, reply):
-                record.sequence += 1
+                record.count_order(basis)
             if reply is OrderReply.CONFLICT:
                 record.is_current = False
                 return reply
--- a/tests/test_order_basis.py
+++ b/tests/test_order_basis.py
@@ -7,7 +7,7 @@
 from virtual_time import LoopClock, VirtualLoop
 
 from rosepath.demand import ModelDemand
-from rosepath.engine_orders import OrderAction
+from rosepath.engine_orders import Order, OrderAction, OrderReply
 from rosepath.order_dispatcher import REPORT_INTERVAL_S
 
 # Less than the pause before the retry of a rejected order.
@@ -60,3 +60,47 @@
         assert set(loads_of(engine, "m2")) == {0}
 
     play(run())
+
+
+class EngineWithHeldReply(FakeEngine):
+    """Reject the first load of a model as busy and hold the reply to the next."""
+
+    def __init__(self, *models: str) -> None:
+        super().__init__(*models)
+        self.loads = 0
+        self.executed, self.may_reply = asyncio.Event(), asyncio.Event()
+
+    async def order(
+        self, address: str, order: Order, *, still_wanted: Callable[[], bool]
+    ) -> OrderReply:
+        if order.action is not OrderAction.LOAD or order.adapter:
+            return await super().order(address, order, still_wanted=still_wanted)
+        self.loads += 1
+        self.busy = self.loads == 1
+        reply = await super().order(address, order, still_wanted=still_wanted)
+        self.busy = False
+        if self.loads > 1:
+            self.executed.set()
+            await self.may_reply.wait()
+        return reply
+
+
+# Guards against an engine whose reports are dropped for good, as its recorded
+# sequence is ahead of its own: it gets no more models or adapters.
+def test_order_that_a_report_has_counted_is_not_counted_again() -> None:
+    async def run() -> None:
+        engine = EngineWithHeldReply("m0")
+        demand = {"m0": ModelDemand(0.1, 0), "m1": ModelDemand(0.0, 1)}
+        dispatcher = a_dispatcher(engine, LoopClock(), demand=demand)
+        await dispatcher.tick()
+        await engine.executed.wait()
+        # The rejected first try made the record outdated, so that the report
+        # is read before the reply to the second one arrives.
+        await dispatcher.ensure_adapter("llm", "e1", "m0", "a1")
+        engine.may_reply.set()
+        await until(lambda: not dispatcher.occupied)
+        await dispatcher.tick()
+        assert await dispatcher.ensure_adapter("llm", "e1", "m0", "a1")
+        assert engine.orders[-1].expected_sequence == engine.sequence - 1
+
+    play(run())
