End a swap when its engine has restarted

Callers of all models on an engine would lose it: it could be ordered to load what its memory does not hold.

Cause: a swap keeps the record and the server object of the instance that it was planned for. A restarted engine keeps its name and address and counts its orders from zero, so that a swap which still retried was accepted once the new instance had accepted as many orders, with contents nobody had compared.

Before each try and before the first byte, sender and swap now check that the server object is still the fleet's. Fleet.put replaces it at a restart.

--- a/src/rosepath/order_sender.py
+++ b/src/rosepath/order_sender.py
@@ -103,7 +103,7 @@
             # this order's.
             allowed = (
                 self._fence() == fence
-                and record.basis == basis
+                and basis_holds(basis, server, record)
                 and self._try_start_sending()
             )
             if allowed:
@@ -116,7 +116,7 @@
         for _ in range(MAX_ORDER_ATTEMPTS):
             if not self.may_order() or self._fence() != fence:
                 return None
-            if record.basis != basis:
+            if not basis_holds(basis, server, record):
                 return OrderReply.CONFLICT
             order = Order(
                 action=action,
@@ -203,6 +203,15 @@
         )
 
 
+def basis_holds(basis: OrderBasis, server: BackendServer, record: EngineRecord) -> bool:
+    """Return whether an order with this basis may still be sent.
+
+    A restarted engine keeps its name and counts from zero, so it may reach the
+    expected sequence with other contents.
+    """
+    return record.basis == basis and not server.left
+
+
 def _advances_sequence(order: Order, reply: OrderReply) -> bool:
     """Return whether an engine counts the order in its sequence.
 
--- a/src/rosepath/swap_executor.py
+++ b/src/rosepath/swap_executor.py
@@ -19,7 +19,7 @@
 from rosepath.errors import ExchangeError
 from rosepath.fleet import BackendServer
 from rosepath.logs import get_logger
-from rosepath.order_sender import POLL_INTERVAL_S, OrderSender
+from rosepath.order_sender import POLL_INTERVAL_S, OrderSender, basis_holds
 
 # How often an engine's report is read while an order is in progress.
 REPORT_INTERVAL_S = 0.25
@@ -236,7 +236,7 @@
                 return reply
             await asyncio.sleep(pause_s)
             pause_s = min(pause_s * 1.6, REPORT_INTERVAL_S)
-            outdated = record.basis != basis
+            outdated = not basis_holds(basis, server, record)
             if not outdated and pause_s >= REPORT_INTERVAL_S:
                 outdated = await self._accepted_another_order(server, basis)
             if outdated:
--- a/tests/test_order_basis.py
+++ b/tests/test_order_basis.py
@@ -2,12 +2,15 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine
+from dataclasses import replace
 
+from entry_builders import an_entry
 from test_order_dispatcher import FakeEngine, a_dispatcher
 from virtual_time import LoopClock, VirtualLoop
 
 from rosepath.demand import ModelDemand
 from rosepath.engine_orders import Order, OrderAction, OrderReply
+from rosepath.fleet import Fleet
 from rosepath.order_dispatcher import REPORT_INTERVAL_S
 
 # Less than the pause before the retry of a rejected order.
@@ -104,3 +107,29 @@
         assert engine.orders[-1].expected_sequence == engine.sequence - 1
 
     play(run())
+
+
+# Guards against a restarted engine that accepts an order planned for the
+# contents of its previous instance, as its count reaches the same number.
+def test_swap_of_previous_instance_sends_nothing_to_the_restarted_engine() -> None:
+    async def run() -> None:
+        engine, fleet = FakeEngine("m0"), Fleet()
+        demand = {"m0": ModelDemand(0.1, 0), "m1": ModelDemand(0.0, 1)}
+        dispatcher = a_dispatcher(engine, LoopClock(), demand=demand, fleet=fleet)
+        engine.busy = True
+        engine.report_busy = False
+        await dispatcher.tick()
+        await until(lambda: bool(engine.orders))
+        # The engine restarts under its name, with another model and without
+        # having accepted an order.
+        engine.models, engine.busy, engine.born_ms = (
+            {"m2": set(), "m3": set()},
+            False,
+            9,
+        )
+        fleet.put(replace(an_entry("e1", models={"m2": frozenset()}), born_ms=9))
+        await until(lambda: not dispatcher._swaps)
+        assert len(engine.orders) == 1
+        assert set(engine.models) == {"m2", "m3"}
+
+    play(run())
--- a/tests/test_order_dispatcher.py
+++ b/tests/test_order_dispatcher.py
@@ -37,6 +37,8 @@
         self.sequence = 0
         self.born_ms = 0
         self.busy = False
+        # What reports say instead of `busy`, if set: they lag.
+        self.report_busy: bool | None = None
         self.models: dict[str, set[str]] = {name: set() for name in models}
         self.unanswered_left = 0
         self.unanswered_orders: list[Order] = []
@@ -87,7 +89,7 @@
             return self.stale_report
         report = EngineReport(
             sequence=self.sequence,
-            busy=self.busy,
+            busy=self.busy if self.report_busy is None else self.report_busy,
             born_ms=self.born_ms,
             models={name: frozenset(held) for name, held in self.models.items()},
         )
@@ -102,6 +104,7 @@
     *,
     demand: dict[str, ModelDemand] | None = None,
     may_order: Callable[[], bool] = lambda: True,
+    fence: Callable[[], int] = lambda: 7,
     fleet: Fleet | None = None,
     spec: EngineSpec | None = None,
     on_residency_change: Callable[[str, str, str, bool], None] = lambda *_: None,
@@ -118,7 +121,7 @@
             fleet=fleet,
             catalog=lambda: catalog,
             may_order=may_order,
-            fence=lambda: 7,
+            fence=fence,
             demand=lambda _: {} if demand is None else demand,
             peer_update_interval_s=lambda: 0.15,
             on_residency_change=on_residency_change,
