End a swap with the lease term in which it was planned

Callers could lose all models of an engine: between two terms of one holder another one may have ordered, and a swap of the first term went on under the fence of the second.

Cause: each try of an order took the fence that was current when it began, while the records were cleared at the new term. The swap kept the old record, so that two swaps on one engine were under way in the second term, each unaware of the memory that the other had reserved. Only the sequence number stood between them.

The fence belongs to the basis of an order. A record has the fence of the term in which it was read, and its orders are sent under that fence or not at all.

The test failed before (fences [7, 8]).

--- a/src/rosepath/engine_orders.py
+++ b/src/rosepath/engine_orders.py
@@ -74,9 +74,11 @@
 
     It is taken together with the check that the order fits. An order whose
     engine has accepted another one since is rejected and must be planned anew,
-    since what it was checked against no longer holds.
+    since what it was checked against no longer holds. The same applies to a
+    decision of an earlier lease term, which has another `fence`.
     """
 
+    fence: int
     born_ms: int
     sequence: int
 
@@ -85,6 +87,7 @@
 class EngineRecord:
     """Hold an engine's contents as recorded by the lease holder.
 
+    `fence` is the fencing token of the term in which they were recorded.
     `has_report` is set once a report was read, `is_current` while no further
     report needs to be read. `adapters` maps `model/adapter` to the time of its
     last use. `swap_in_progress` is set during a swap of this holder, which
@@ -93,6 +96,7 @@
     """
 
     server: str
+    fence: int = 0
     born_ms: int = 0
     sequence: int = 0
     has_report: bool = False
@@ -114,7 +118,9 @@
     @property
     def basis(self) -> OrderBasis:
         """Return the basis for an order that fits the recorded contents."""
-        return OrderBasis(born_ms=self.born_ms, sequence=self.sequence)
+        return OrderBasis(
+            fence=self.fence, born_ms=self.born_ms, sequence=self.sequence
+        )
 
     def apply_report(self, report: EngineReport, *, now_s: float) -> bool:
         """Apply a report unless it is older than the last order.
--- a/src/rosepath/order_dispatcher.py
+++ b/src/rosepath/order_dispatcher.py
@@ -189,7 +189,9 @@
         record = self._records.get(server.name)
         if record is None or record.born_ms < server.entry.born_ms:
             # A swap on the previous instance keeps that instance's record.
-            record = EngineRecord(server=server.name, born_ms=server.entry.born_ms)
+            record = EngineRecord(
+                server=server.name, fence=self._fence, born_ms=server.entry.born_ms
+            )
             self._records[server.name] = record
         return record
 
--- a/src/rosepath/order_sender.py
+++ b/src/rosepath/order_sender.py
@@ -95,14 +95,13 @@
         """
 
         sent_s: list[float] = []
-        fence = self._fence()
 
         def may_send_now() -> bool:
             # A lease that was lost and acquired again has a new fence: a
             # holder in between may have sent orders under a fence higher than
             # this order's.
             allowed = (
-                self._fence() == fence
+                self._fence() == basis.fence
                 and basis_holds(basis, server, record)
                 and self._try_start_sending()
             )
@@ -114,7 +113,7 @@
             return allowed
 
         for _ in range(MAX_ORDER_ATTEMPTS):
-            if not self.may_order() or self._fence() != fence:
+            if not self.may_order() or self._fence() != basis.fence:
                 return None
             if not basis_holds(basis, server, record):
                 return OrderReply.CONFLICT
@@ -124,7 +123,7 @@
                 model=model,
                 adapter=adapter,
                 holder=self._me,
-                fence=fence,
+                fence=basis.fence,
                 expected_sequence=basis.sequence,
             )
             reply: OrderReply | None = None
--- a/tests/test_order_arrival.py
+++ b/tests/test_order_arrival.py
@@ -148,7 +148,7 @@
 
         engine.execute = respond_late  # type: ignore[method-assign]
         server = BackendServer(entry=an_entry("e1"))
-        record = EngineRecord(server="e1")
+        record = EngineRecord(server="e1", fence=7)
         await sender.send(server, record, OrderAction.LOAD, "m1", basis=record.basis)
         clock.advance(0.25)
         assert reported_ages_s == [0.0]
--- a/tests/test_order_basis.py
+++ b/tests/test_order_basis.py
@@ -133,3 +133,24 @@
         assert set(engine.models) == {"m2", "m3"}
 
     play(run())
+
+
+# Guards against a swap planned in one lease term that is executed in the next
+# one, beside the orders of the holder in between.
+def test_swap_of_an_earlier_term_sends_nothing_in_the_next() -> None:
+    async def run() -> None:
+        engine, fence = FakeEngine("m0"), [7]
+        demand = {"m0": ModelDemand(0.1, 0), "m1": ModelDemand(0.0, 1)}
+        dispatcher = a_dispatcher(
+            engine, LoopClock(), demand=demand, fence=lambda: fence[0]
+        )
+        engine.busy = True
+        engine.report_busy = False
+        await dispatcher.tick()
+        await until(lambda: bool(engine.orders))
+        fence[0] = 8
+        engine.busy = False
+        await until(lambda: not dispatcher._swaps)
+        assert [order.fence for order in engine.orders] == [7]
+
+    play(run())
