Check that an adapter fits once others were evicted for it

Callers of all models on an engine would lose it: it could be ordered to load an adapter into memory that it does not have.

Cause: if an adapter did not fit, the one used longest ago was unloaded and the new one loaded without another check. Where memory was short rather than slots, and the evicted adapter was the smaller one, the load exceeded the memory.

Which adapters have to go is decided at once, none if all of them would not be enough, and the load takes its basis from a check made after the unloads.

The test failed before (the large adapter was loaded).

--- a/src/rosepath/engine_views.py
+++ b/src/rosepath/engine_views.py
@@ -1,6 +1,6 @@
 """Build the planner's view of an engine from the records of orders."""
 
-from collections.abc import Collection
+from collections.abc import Collection, Sequence
 
 from rosepath.catalog import EngineSpec, ModelSpec
 from rosepath.engine_orders import EngineRecord, OrderBasis
@@ -57,6 +57,38 @@
     return record.basis
 
 
+def basis_for_adapter(
+    record: EngineRecord, spec: EngineSpec, model: str
+) -> OrderBasis | None:
+    """Return the basis for loading a model's adapter; None if it does not fit."""
+    if adapters_to_evict(record, spec, model, ()) is None:
+        return None
+    return record.basis
+
+
+def adapters_to_evict(
+    record: EngineRecord, spec: EngineSpec, model: str, idle: Sequence[str]
+) -> Sequence[str] | None:
+    """Return how much of `idle` has to go before a model's adapter fits.
+
+    None if it does not fit even without all of them.
+    """
+    needed_mb = _adapter_mb(spec, model) + used_mb(record, spec) - spec.memory_mb
+    needed_slots = len(record.adapters) + 1 - spec.adapter_slots
+    count = 0
+    while needed_mb > 0 or needed_slots > 0:
+        if count == len(idle):
+            return None
+        needed_mb -= _adapter_mb(spec, idle[count].partition("/")[0])
+        needed_slots -= 1
+        count += 1
+    return idle[:count]
+
+
+def _adapter_mb(spec: EngineSpec, model: str) -> float:
+    return spec.models[model].adapter_mb if model in spec.models else 0.0
+
+
 def load_duration_s(server: BackendServer, model: ModelSpec) -> float:
     """Return how long a load takes from the fastest storage that has it."""
     if model.name in server.entry.in_memory:
--- a/src/rosepath/order_dispatcher.py
+++ b/src/rosepath/order_dispatcher.py
@@ -17,7 +17,12 @@
 )
 from rosepath.engine_overload import EngineLimits
 from rosepath.engine_plan import plan_swaps
-from rosepath.engine_views import engine_view, swap_duration_s, used_mb
+from rosepath.engine_views import (
+    adapters_to_evict,
+    basis_for_adapter,
+    engine_view,
+    swap_duration_s,
+)
 from rosepath.errors import ExchangeError
 from rosepath.fleet import BackendServer, Fleet
 from rosepath.logs import get_logger
@@ -253,15 +258,13 @@
                 # The engine takes one order at a time; another engine is
                 # faster.
                 return False
-            if not await self._free_adapter_slot(server, record, spec, model):
+            if not await self._evict_for_adapter(server, record, spec, model):
+                return False
+            basis = basis_for_adapter(record, spec, model)
+            if basis is None:
                 return False
             reply = await self.sender.send(
-                server,
-                record,
-                OrderAction.LOAD,
-                model,
-                adapter,
-                basis=record.basis,
+                server, record, OrderAction.LOAD, model, adapter, basis=basis
             )
             if reply not in (OrderReply.ACCEPTED, OrderReply.HOLDS):
                 return False
@@ -270,14 +273,10 @@
         self._ports.on_residency_change(server_name, model, adapter, True)
         return True
 
-    async def _free_adapter_slot(
+    async def _evict_for_adapter(
         self, server: BackendServer, record: EngineRecord, spec: EngineSpec, model: str
     ) -> bool:
-        now_s = self._ports.clock.monotonic_s()
-        free_mb = spec.memory_mb - used_mb(record, spec)
-        size_mb = spec.models[model].adapter_mb if model in spec.models else 0.0
-        if len(record.adapters) < spec.adapter_slots and size_mb <= free_mb:
-            return True
+        """Unload idle adapters until one of a model fits; False if none help."""
         # An unused adapter is unloaded immediately. For one in use the engine
         # waits until its requests end, which takes seconds, and accepts no
         # other order meanwhile: requests for other adapters there would wait
@@ -286,28 +285,34 @@
             ADAPTER_KEEP_MIN_S
             + ADAPTER_KEEP_INTERVALS * self._ports.peer_update_interval_s()
         )
+        idle_since_s = self._ports.clock.monotonic_s() - keep_s
         in_use = server.targets_in_use
-        idle = [
+        idle = sorted(
             (used_s, name)
             for name, used_s in record.adapters.items()
-            if used_s < now_s - keep_s and not in_use[name]
-        ]
-        if not idle:
+            if used_s < idle_since_s and not in_use[name]
+        )
+        evicted_adapters = adapters_to_evict(
+            record, spec, model, [name for _, name in idle]
+        )
+        if evicted_adapters is None:
             return False
-        evicted = min(idle)[1]
-        evicted_model, _, adapter = evicted.partition("/")
+        for evicted in evicted_adapters:
+            if not await self._unload_adapter(server, record, evicted):
+                return False
+        return True
+
+    async def _unload_adapter(
+        self, server: BackendServer, record: EngineRecord, name: str
+    ) -> bool:
+        model, _, adapter = name.partition("/")
         reply = await self.sender.send(
-            server,
-            record,
-            OrderAction.UNLOAD,
-            evicted_model,
-            adapter,
-            basis=record.basis,
+            server, record, OrderAction.UNLOAD, model, adapter, basis=record.basis
         )
         if reply not in (OrderReply.ACCEPTED, OrderReply.HOLDS):
             return False
-        del record.adapters[evicted]
-        self._ports.on_residency_change(server.name, evicted_model, adapter, False)
+        record.adapters.pop(name, None)
+        self._ports.on_residency_change(server.name, model, adapter, False)
         return True
 
     @property
--- a/tests/test_order_basis.py
+++ b/tests/test_order_basis.py
@@ -4,10 +4,11 @@
 from collections.abc import Callable, Coroutine
 from dataclasses import replace
 
-from entry_builders import an_entry
+from entry_builders import a_model, an_engine_spec, an_entry
 from test_order_dispatcher import FakeEngine, a_dispatcher
 from virtual_time import LoopClock, VirtualLoop
 
+from rosepath.clock import ManualClock
 from rosepath.demand import ModelDemand
 from rosepath.engine_orders import Order, OrderAction, OrderReply
 from rosepath.fleet import Fleet
@@ -154,3 +155,22 @@
         assert [order.fence for order in engine.orders] == [7]
 
     play(run())
+
+
+# Guards against an adapter that is loaded into memory that the eviction of a
+# smaller one did not free.
+def test_evicting_a_small_adapter_makes_no_room_for_a_large_one() -> None:
+    async def run() -> None:
+        models = {
+            "m0": replace(a_model("m0"), size_mb=60.0, adapter_mb=10.0),
+            "m1": replace(a_model("m1"), size_mb=60.0, adapter_mb=30.0),
+        }
+        spec = replace(an_engine_spec(adapter_slots=4), models=models, memory_mb=135.0)
+        engine, clock = FakeEngine("m0", "m1"), ManualClock()
+        dispatcher = a_dispatcher(engine, clock, spec=spec)
+        assert await dispatcher.ensure_adapter("llm", "e1", "m0", "a1")
+        clock.advance(5.0)
+        assert not await dispatcher.ensure_adapter("llm", "e1", "m1", "a1")
+        assert engine.models["m1"] == set()
+
+    asyncio.run(run())
