Count the memory of models that the configuration no longer declares

Callers of all models on an engine would lose it: it could be ordered to load a model into memory that another one still takes.

Cause: sizes come from the present configuration, and a model that is not in it counted as 0 MB, though the engine holds it until it is unloaded. The same holds for adapters of such a model.

An undeclared model counts as the largest declared one, where memory is reserved and where the planner reckons what an eviction frees.

--- a/src/rosepath/catalog.py
+++ b/src/rosepath/catalog.py
@@ -89,6 +89,24 @@
     adapters: int = 0
 
 
+def model_mb(models: Mapping[str, ModelSpec], name: str) -> float:
+    """Return the size of a model's weights.
+
+    An engine may hold a model that the configuration no longer declares. Its
+    size is unknown, so it counts as the largest one.
+    """
+    if name in models:
+        return models[name].size_mb
+    return max((model.size_mb for model in models.values()), default=0.0)
+
+
+def adapter_mb(models: Mapping[str, ModelSpec], name: str) -> float:
+    """Return the size of an adapter of a model, declared or not."""
+    if name in models:
+        return models[name].adapter_mb
+    return max((model.adapter_mb for model in models.values()), default=0.0)
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class EngineSpec:
     """Describe the engines of a service: capacity and models."""
--- a/src/rosepath/engine_orders.py
+++ b/src/rosepath/engine_orders.py
@@ -1,7 +1,7 @@
 """Orders to engines, and the lease holder's record of each engine."""
 
 from collections import deque
-from collections.abc import Callable, Collection, Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 from enum import StrEnum
 from typing import Protocol
@@ -166,21 +166,6 @@
             if target in self.adapters:
                 self.adapters[target] = now_s
 
-    def used_mb(
-        self,
-        size_mb: Mapping[str, float],
-        adapter_mb: Mapping[str, float],
-        *,
-        without: Collection[str] = (),
-    ) -> float:
-        """Return the memory used or reserved by models not in `without`."""
-        models = (self.models | ({self.loading} - {""})).difference(without)
-        weights = sum(size_mb.get(model, 0.0) for model in models)
-        owners = (name.partition("/")[0] for name in self.adapters)
-        return weights + sum(
-            adapter_mb.get(model, 0.0) for model in owners if model not in without
-        )
-
 
 @dataclass(slots=True, kw_only=True)
 class LoadRateLimit:
--- a/src/rosepath/engine_plan.py
+++ b/src/rosepath/engine_plan.py
@@ -15,7 +15,7 @@
 import math
 from collections.abc import Iterable, Mapping, Sequence
 
-from rosepath.catalog import ModelSpec
+from rosepath.catalog import ModelSpec, model_mb
 from rosepath.demand import ModelDemand
 from rosepath.engine_overload import EngineLimits
 from rosepath.engine_plan_state import (
@@ -220,7 +220,7 @@
         (
             ((model,), loss)
             for loss, model in unload_costs
-            if _size_mb(state, model) >= needed_mb
+            if model_mb(state.models, model) >= needed_mb
         ),
         None,
     )
@@ -228,15 +228,10 @@
     several: list[str] = []
     for loss, model in unload_costs:
         several.append(model)
-        freed_mb += _size_mb(state, model)
+        freed_mb += model_mb(state.models, model)
         total += loss
         if freed_mb >= needed_mb:
             break
     if freed_mb < needed_mb or (single is not None and single[1] <= total):
         return single
     return tuple(several), total
-
-
-def _size_mb(state: PlanState, model: str) -> float:
-    spec = state.models.get(model)
-    return spec.size_mb if spec else 0.0
--- a/src/rosepath/engine_views.py
+++ b/src/rosepath/engine_views.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Collection, Sequence
 
-from rosepath.catalog import EngineSpec, ModelSpec
+from rosepath.catalog import EngineSpec, ModelSpec, adapter_mb, model_mb
 from rosepath.engine_orders import EngineRecord, OrderBasis
 from rosepath.engine_plan import IN_USE_WAIT_S
 from rosepath.engine_plan_state import EngineView, Swap
@@ -41,10 +41,10 @@
     record: EngineRecord, spec: EngineSpec, *, without: Collection[str] = ()
 ) -> float:
     """Return an engine's memory in use or reserved, without some models."""
-    return record.used_mb(
-        {name: model.size_mb for name, model in spec.models.items()},
-        {name: model.adapter_mb for name, model in spec.models.items()},
-        without=without,
+    models = (record.models | ({record.loading} - {""})).difference(without)
+    owners = (name.partition("/")[0] for name in record.adapters)
+    return sum(model_mb(spec.models, model) for model in models) + sum(
+        adapter_mb(spec.models, owner) for owner in owners if owner not in without
     )
 
 
@@ -73,22 +73,18 @@
 
     None if it does not fit even without all of them.
     """
-    needed_mb = _adapter_mb(spec, model) + used_mb(record, spec) - spec.memory_mb
+    needed_mb = adapter_mb(spec.models, model) + used_mb(record, spec) - spec.memory_mb
     needed_slots = len(record.adapters) + 1 - spec.adapter_slots
     count = 0
     while needed_mb > 0 or needed_slots > 0:
         if count == len(idle):
             return None
-        needed_mb -= _adapter_mb(spec, idle[count].partition("/")[0])
+        needed_mb -= adapter_mb(spec.models, idle[count].partition("/")[0])
         needed_slots -= 1
         count += 1
     return idle[:count]
 
 
-def _adapter_mb(spec: EngineSpec, model: str) -> float:
-    return spec.models[model].adapter_mb if model in spec.models else 0.0
-
-
 def load_duration_s(server: BackendServer, model: ModelSpec) -> float:
     """Return how long a load takes from the fastest storage that has it."""
     if model.name in server.entry.in_memory:
--- a/tests/test_order_basis.py
+++ b/tests/test_order_basis.py
@@ -174,3 +174,19 @@
         assert engine.models["m1"] == set()
 
     asyncio.run(run())
+
+
+# Guards against a model that the configuration no longer names and whose
+# memory is given away although the engine still holds it.
+def test_model_dropped_from_the_configuration_keeps_its_memory() -> None:
+    async def run() -> None:
+        engine = FakeEngine("m0", "dropped")
+        demand = {"m0": ModelDemand(0.5, 0), "m1": ModelDemand(0.0, 9)}
+        dispatcher = a_dispatcher(
+            engine, LoopClock(), demand=demand, spec=an_engine_spec("m0", "m1")
+        )
+        await dispatcher.tick()
+        await until(lambda: not dispatcher._swaps)
+        assert set(engine.models) == {"m0", "m1"}
+
+    play(run())
