Reserve memory for unanswered loads of an engine's last instance

Callers of all models on an engine would lose it: a load that got no response is executed seconds later, and an engine that has restarted under its name and counted as far as that load's number would accept it beside what was ordered there in the meantime.

Cause: within one instance the number excludes one of two orders, but a restart sets the count back, so that numbers given before it come up again. What had been sent without a response was forgotten with the record of the instance.

Unanswered loads are remembered for as long as they may be executed, over restarts and lease terms of this VM. Those with a number still to come count as memory and adapter slots taken. A successor on another VM does not know them.

The test failed before (three models where two fit).

--- a/src/rosepath/engine_orders.py
+++ b/src/rosepath/engine_orders.py
@@ -6,6 +6,9 @@
 from enum import StrEnum
 from typing import Protocol
 
+# An order without a response is executed within this time or never.
+LATE_ORDER_LIMIT_S = 15.0
+
 
 class OrderAction(StrEnum):
     """Enumerate the operations that an order can request."""
@@ -83,6 +86,19 @@
     sequence: int
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class UnansweredLoad:
+    """Record a load that may still be executed although it got no response.
+
+    `sent_s` is when it was sent last.
+    """
+
+    model: str
+    adapter: str
+    sequence: int
+    sent_s: float
+
+
 @dataclass(slots=True, kw_only=True)
 class EngineRecord:
     """Hold an engine's contents as recorded by the lease holder.
@@ -92,7 +108,8 @@
     report needs to be read. `adapters` maps `model/adapter` to the time of its
     last use. `swap_in_progress` is set during a swap of this holder, which
     loads the model `loading` by `load_due_s`. `engine_busy` is set while the
-    engine itself reports an order in progress.
+    engine itself reports an order in progress. `unanswered_loads` is shared by
+    the records of an engine's instances, as a restart does not end them.
     """
 
     server: str
@@ -109,6 +126,7 @@
     loaded_s: dict[str, float] = field(default_factory=dict)
     adapters: dict[str, float] = field(default_factory=dict)
     last_read_s: float = -1e9
+    unanswered_loads: list[UnansweredLoad] = field(default_factory=list)
 
     @property
     def occupied(self) -> bool:
@@ -146,6 +164,40 @@
         self.adapters = {name: self.adapters.get(name, now_s) for name in names}
         return True
 
+    def note_unanswered(self, order: Order, *, now_s: float) -> None:
+        """Record that an order was sent and got no response."""
+        self.forget_unanswered(now_s=now_s)
+        if order.action is OrderAction.LOAD:
+            self.unanswered_loads.append(
+                UnansweredLoad(
+                    model=order.model,
+                    adapter=order.adapter,
+                    sequence=order.expected_sequence,
+                    sent_s=now_s,
+                )
+            )
+
+    def forget_unanswered(self, *, now_s: float) -> None:
+        """Drop the unanswered loads that are too old to be executed."""
+        self.unanswered_loads[:] = [
+            load
+            for load in self.unanswered_loads
+            if now_s - load.sent_s < LATE_ORDER_LIMIT_S
+        ]
+
+    def possible_late_loads(self) -> set[tuple[str, str]]:
+        """Return the unanswered loads that may follow the next order.
+
+        Their numbers are still to come, as the engine has restarted since and
+        counts from zero. A load with the number of the next order is not among
+        them: the engine executes only one of the two.
+        """
+        return {
+            (load.model, load.adapter)
+            for load in self.unanswered_loads
+            if load.sequence > self.sequence
+        }
+
     def count_order(self, basis: OrderBasis) -> None:
         """Count an accepted order unless a report has counted it already."""
         if self.basis == basis:
--- a/src/rosepath/engine_views.py
+++ b/src/rosepath/engine_views.py
@@ -41,13 +41,23 @@
     record: EngineRecord, spec: EngineSpec, *, without: Collection[str] = ()
 ) -> float:
     """Return an engine's memory in use or reserved, without some models."""
-    models = (record.models | ({record.loading} - {""})).difference(without)
-    owners = (name.partition("/")[0] for name in record.adapters)
+    models = {model for model, adapter in record.possible_late_loads() if not adapter}
+    models |= (record.models | ({record.loading} - {""})).difference(without)
+    owners = (name.partition("/")[0] for name in _reserved_adapters(record))
     return sum(model_mb(spec.models, model) for model in models) + sum(
         adapter_mb(spec.models, owner) for owner in owners if owner not in without
     )
 
 
+def _reserved_adapters(record: EngineRecord) -> set[str]:
+    """Return the adapters that an engine has or may load late."""
+    return record.adapters.keys() | {
+        f"{model}/{adapter}"
+        for model, adapter in record.possible_late_loads()
+        if adapter
+    }
+
+
 def basis_for_load(
     record: EngineRecord, spec: EngineSpec, model: str
 ) -> OrderBasis | None:
@@ -74,7 +84,7 @@
     None if it does not fit even without all of them.
     """
     needed_mb = adapter_mb(spec.models, model) + used_mb(record, spec) - spec.memory_mb
-    needed_slots = len(record.adapters) + 1 - spec.adapter_slots
+    needed_slots = len(_reserved_adapters(record)) + 1 - spec.adapter_slots
     count = 0
     while needed_mb > 0 or needed_slots > 0:
         if count == len(idle):
--- a/src/rosepath/order_dispatcher.py
+++ b/src/rosepath/order_dispatcher.py
@@ -14,6 +14,7 @@
     LoadRateLimit,
     OrderAction,
     OrderReply,
+    UnansweredLoad,
 )
 from rosepath.engine_overload import EngineLimits
 from rosepath.engine_plan import plan_swaps
@@ -74,6 +75,7 @@
         self._ports = ports
         self._records: dict[str, EngineRecord] = {}
         self._locks: dict[str, asyncio.Lock] = {}
+        self._unanswered_loads: dict[str, list[UnansweredLoad]] = {}
         self._load_rate_limit = LoadRateLimit()
         self._histories: dict[str, DemandHistory] = {}
         self._fence = 0
@@ -195,9 +197,13 @@
         if record is None or record.born_ms < server.entry.born_ms:
             # A swap on the previous instance keeps that instance's record.
             record = EngineRecord(
-                server=server.name, fence=self._fence, born_ms=server.entry.born_ms
+                server=server.name,
+                fence=self._fence,
+                born_ms=server.entry.born_ms,
+                unanswered_loads=self._unanswered_loads.setdefault(server.name, []),
             )
             self._records[server.name] = record
+        record.forget_unanswered(now_s=self.sender.clock.monotonic_s())
         return record
 
     async def _read_report_if_due(self, server: BackendServer) -> None:
--- a/src/rosepath/order_sender.py
+++ b/src/rosepath/order_sender.py
@@ -147,6 +147,8 @@
             self._record_outcome(
                 order, record, reply, why, sent_s=sent_s[0] if sent_s else None
             )
+            if reply is None and sent_s:
+                record.note_unanswered(order, now_s=self.clock.monotonic_s())
             if reply is not None and _advances_sequence(order, reply):
                 record.count_order(basis)
             if reply is OrderReply.CONFLICT:
--- a/tests/test_order_basis.py
+++ b/tests/test_order_basis.py
@@ -10,7 +10,12 @@
 
 from rosepath.clock import ManualClock
 from rosepath.demand import ModelDemand
-from rosepath.engine_orders import Order, OrderAction, OrderReply
+from rosepath.engine_orders import (
+    LATE_ORDER_LIMIT_S,
+    Order,
+    OrderAction,
+    OrderReply,
+)
 from rosepath.fleet import Fleet
 from rosepath.order_dispatcher import REPORT_INTERVAL_S
 
@@ -190,3 +195,42 @@
         assert set(engine.models) == {"m0", "m1"}
 
     play(run())
+
+
+# Guards against a load that was never answered and is executed by the next
+# instance of its engine, beside what was ordered there since.
+def test_unanswered_load_keeps_its_memory_after_a_restart() -> None:
+    async def run() -> None:
+        engine, fleet = FakeEngine("m0"), Fleet()
+        demand = {"m0": ModelDemand(0.1, 0), "m1": ModelDemand(0.0, 1)}
+        spec = replace(an_engine_spec("m0", "m1", "m2"), memory_mb=145_000.0)
+        dispatcher = a_dispatcher(
+            engine, LoopClock(), demand=demand, fleet=fleet, spec=spec
+        )
+        dispatcher.sender.clock = LoopClock()
+        for adapter in ("a1", "a2"):
+            assert await dispatcher.ensure_adapter("llm", "e1", "m0", adapter)
+        engine.unanswered_left = 3
+        await dispatcher.tick()
+        await until(lambda: not dispatcher._swaps)
+        late = engine.unanswered_orders[0]
+        assert (late.model, late.expected_sequence) == ("m1", 2)
+        # The engine restarts empty and gets as many orders as before.
+        engine.models, engine.sequence, engine.born_ms = {}, 0, 9
+        fleet.put(replace(an_entry("e1", models={}), born_ms=9))
+        del demand["m1"]
+        demand["m2"] = ModelDemand(0.0, 9)
+        for _ in range(4):
+            await asyncio.sleep(REPORT_INTERVAL_S + STEP_S)
+            await dispatcher.tick()
+            await until(lambda: not dispatcher._swaps)
+            engine.execute(late)
+        assert len(engine.models) <= 2
+        # An order that old is not executed any more.
+        await asyncio.sleep(LATE_ORDER_LIMIT_S)
+        demand["m1"] = ModelDemand(0.0, 9)
+        await dispatcher.tick()
+        await until(lambda: not dispatcher._swaps)
+        assert len(engine.models) == 2
+
+    play(run())
