Read the rate limit that a server states, and log when it changes

No decision uses the limit yet.

The notice of a response has the limit, a server's row keeps it with the time at which it was last stated, and a VM logs each change. The number of limited servers is exported. Invalid values (not a number, negative, infinite) change nothing; of several, the lowest valid one counts; only a signed answer without the header ends a limit, as orders, reports and other servers' 421 don't state it.

--- a/src/rosepath/entry_node.py
+++ b/src/rosepath/entry_node.py
@@ -40,6 +40,7 @@
 from rosepath.request_records import RequestRecorder
 from rosepath.retry_window import RetryWindow
 from rosepath.server_choice import note_backoff
+from rosepath.server_limits import apply_limit_notice
 from rosepath.server_notice import ServerNotice
 from rosepath.settings import split_address
 from rosepath.store_tables import StoreTables
@@ -349,6 +350,10 @@
             "lease_term": self.coordinator.term,
             "ready": self.ready,
             "requests_suspected": len(self.crashes.records),
+            "servers_limited": sum(
+                server.limit_per_s is not None
+                for server in self.tables.fleet.servers.values()
+            ),
             "requests_quarantined": len(self.crashes.records.quarantined),
             "in_flight": len(self.gateway.serving),
         }
@@ -432,12 +437,10 @@
         server = self.tables.fleet.servers.get(name)
         if server is None:
             return
+        now_s = self.clock.monotonic_s()
         if notice.retry_after_s:
-            note_backoff(
-                server,
-                retry_after_s=notice.retry_after_s,
-                now_s=self.clock.monotonic_s(),
-            )
+            note_backoff(server, retry_after_s=notice.retry_after_s, now_s=now_s)
+        apply_limit_notice(server, notice, now_s=now_s)
         if notice.leaving:
             self._apply_announced_departure(server)
 
--- a/src/rosepath/fleet.py
+++ b/src/rosepath/fleet.py
@@ -106,6 +106,10 @@
     half_open: bool = False
     # When the last probe request was sent to the half-open server.
     probed_s: float = -1e9
+    # The rate of requests that it accepts from all entry VMs together, and when
+    # a response last stated this limit or that there is none.
+    limit_per_s: float | None = None
+    limit_stated_s: float = -1e9
 
     @property
     def name(self) -> str:
--- a/src/rosepath/platform/calls.py
+++ b/src/rosepath/platform/calls.py
@@ -4,6 +4,7 @@
 
 from rosepath.api_keys import key_digest
 from rosepath.caller_request import BadRequestError, CallerRequest, Prompt, PromptPart
+from rosepath.header_values import lowest_rate, parse_int, parse_ms
 from rosepath.response_metadata import ResponseMetadata, ServerLoad
 from rosepath.retry_after import read_retry_after_s
 from rosepath.server_notice import NO_NOTICE, ServerNotice
@@ -23,6 +24,8 @@
 _NOT_RUN = "Not-Executed"
 _LOAD = "Server-Load"
 _LEAVING = "Server-Leaving"
+# The requests a second that a server in need accepts from all VMs together.
+_LIMIT = "Server-Limit"
 _API_KEY = "Api-Key"
 _WORKSPACE = "Tenant"
 
@@ -85,9 +88,9 @@
         | {"Host": headers.get("Host", "")},
         body=body,
         arrived_s=arrived_s,
-        wait_s=_parse_ms(headers.get(_DEADLINE)),
+        wait_s=parse_ms(headers.get(_DEADLINE)),
         prompt=_parse_prompt(headers),
-        last_event_id=_parse_int(headers.get(_LAST_EVENT)),
+        last_event_id=parse_int(headers.get(_LAST_EVENT)),
         api_key_digest=_digest_key(headers),
         tokens=_parse_tokens(headers.get(_TOKENS)),
     )
@@ -139,8 +142,12 @@
         # Another server uses this address now and sent the response.
         return NO_NOTICE
     retry_after_s = read_retry_after_s(headers) if status in _REJECTIONS else 0.0
+    stated = headers.get_list(_LIMIT)
     return ServerNotice(
-        leaving=headers.get(_LEAVING) == "1", retry_after_s=retry_after_s
+        leaving=headers.get(_LEAVING) == "1",
+        retry_after_s=retry_after_s,
+        limit_per_s=lowest_rate(stated),
+        unlimited=not stated and _SIGNATURE in headers,
     )
 
 
@@ -201,7 +208,7 @@
     """Return the sum of input and output tokens; None if not stated."""
     if raw is None:
         return None
-    counts = [_parse_int(count) for count in raw.split(",")]
+    counts = [parse_int(count) for count in raw.split(",")]
     known = [count for count in counts if count is not None]
     return sum(known) if len(known) == len(counts) else None
 
@@ -212,12 +219,3 @@
     except ValueError:
         return None
     return ServerLoad(running, waiting, slots)
-
-
-def _parse_ms(raw: str | None) -> float | None:
-    milliseconds = _parse_int(raw)
-    return None if milliseconds is None else milliseconds / 1000
-
-
-def _parse_int(raw: str | None) -> int | None:
-    return int(raw) if raw is not None and raw.strip().isdigit() else None
--- a/src/rosepath/relay.py
+++ b/src/rosepath/relay.py
@@ -35,6 +35,7 @@
     note_response,
     note_success,
 )
+from rosepath.server_limits import apply_limit_notice
 from rosepath.server_notice import ServerNotice
 from rosepath.server_picker import ServerPicker
 from rosepath.suspect_tracker import SuspectTracker, lost_run_fields
@@ -344,6 +345,7 @@
             note_backoff(server, retry_after_s=notice.retry_after_s, now_s=now_s)
         else:
             note_response(server, now_s=now_s)
+        apply_limit_notice(server, notice, now_s=now_s)
         if notice.leaving:
             self._ports.on_leaving(server)
 
--- a/src/rosepath/server_notice.py
+++ b/src/rosepath/server_notice.py
@@ -4,10 +4,17 @@
 
 
 class ServerNotice(NamedTuple):
-    """State whether a server is leaving, and how long to back off from it."""
+    """State whether a server is leaving, to back off from it or its rate limit.
+
+    `limit_per_s` is the rate of requests that it accepts from all entry VMs
+    together, None if the response states none. Only a response to a request
+    that states none means that there is no limit: `unlimited` is then set.
+    """
 
     leaving: bool = False
     retry_after_s: float = 0.0
+    limit_per_s: float | None = None
+    unlimited: bool = False
 
 
 NO_NOTICE = ServerNotice()
