--- a/tests/test_platform_boundary.py
+++ b/tests/test_platform_boundary.py
@@ -11,7 +11,7 @@
 # Names of the platform's calls, headers and fields without another meaning.
 NAMES = re.compile(
     r"Not-Executed|Token-Usage|Prompt-Prefix|Target-Instance|Request-Deadline-Ms"
-    r"|Response-Signature|Instance-Id|Server-Load|Request-Priority|fencingToken"
+    r"|Response-Signature|Instance-Id|Server-Load|Server-Limit|Server-Leaving|Request-Priority|fencingToken"
     r"|trafficSplit|markedForDeletion|model_load|model_unload|kvUsed|pathPrefix"
     r"|targetLatencyMs|atRevision|/v1/objects|/v1/order|/v1/report|/v1/ready"
 )
