Keep to the rate that a server states over all entry VMs together

Cause: no decision knew of the limit. Each VM keeping it on its own would not do: nine VMs with the whole rate send nine times as much, and equal parts with one request of burst each send 13 where 11 are allowed.

A request to a limited server is admitted by the coordinator of the quotas, with the shares that the VMs lend it anyway, so a partition or two coordinators never have more than the whole rate. The account is the server's, its rate the one that the asking VM read. What the limit does not allow goes to another server; if none is left, it waits as for a backoff, or is refused at once with the time at which the limit allows the next one. Limits are told to the other VMs with the state messages and forwarded by the holder of a large fleet; a later answer without the header ends one, a new instance has none. Grants of attempts that were not sent, or whose adapter could not be loaded, go back.

The simulated fleet no longer delivers datagrams to and from killed VMs, which let a killed coordinator answer.

--- a/src/rosepath/entry_node.py
+++ b/src/rosepath/entry_node.py
@@ -195,6 +195,7 @@
             catalog=lambda: self.tables.catalog,
             send=lambda message, address: self.exchange.link.send(message, address),
             stopping=lambda: self.stopping,
+            has_limited_servers=self._has_limited_servers,
         )
         self.exchange.link.on_quota_message = self.quotas.handle
         self.records = RequestRecorder(self.metrics, clock=self.clock)
@@ -214,6 +215,7 @@
                 on_outcome=self.records.record,
                 crashes=self.crashes,
                 on_leaving=self._apply_announced_departure,
+                on_limit_change=self._announce_limits,
                 fleet_fresh_enough=lambda: self.tables.fresh_enough,
                 ensure_fresh=self.tables.ensure_fresh,
                 configuration=self._configuration_view,
@@ -440,10 +442,22 @@
         now_s = self.clock.monotonic_s()
         if notice.retry_after_s:
             note_backoff(server, retry_after_s=notice.retry_after_s, now_s=now_s)
-        apply_limit_notice(server, notice, now_s=now_s)
+        if apply_limit_notice(server, notice, now_s=now_s):
+            self._announce_limits()
         if notice.leaving:
             self._apply_announced_departure(server)
 
+    def _announce_limits(self) -> None:
+        """Tell the other VMs which limits servers have stated."""
+        self.tables.notify_waiters()
+        self.exchange.send_state_soon()
+
+    def _has_limited_servers(self) -> bool:
+        return any(
+            server.limit_per_s is not None
+            for server in self.tables.fleet.servers.values()
+        )
+
     def _apply_announced_departure(self, server: BackendServer) -> None:
         if self.tables.apply_announced_departure(server):
             self.exchange.send_state_soon()
--- a/src/rosepath/fleet.py
+++ b/src/rosepath/fleet.py
@@ -110,6 +110,9 @@
     # a response last stated this limit or that there is none.
     limit_per_s: float | None = None
     limit_stated_s: float = -1e9
+    limit_ended_s: float = -1e9
+    # When its limit may next allow a request, as this VM was told.
+    limit_wait_until_s: float = -1e9
 
     @property
     def name(self) -> str:
@@ -128,6 +131,11 @@
         """Return whether the server asked this VM to back off."""
         return now_s < self.backoff_until_s
 
+    @property
+    def paused_until_s(self) -> float:
+        """Return until when a backoff or its rate limit allows no request."""
+        return max(self.backoff_until_s, self.limit_wait_until_s)
+
     def accepts_requests(self, now_s: float) -> bool:
         """Return whether one more request may be sent to this server now.
 
@@ -136,7 +144,7 @@
         would only get them refused again.
         """
         probing = self.half_open and now_s < self.probed_s + HALF_OPEN_PROBE_S
-        return self.usable and not self.in_backoff(now_s) and not probing
+        return self.usable and now_s >= self.paused_until_s and not probing
 
     def idle_s(self, now_s: float) -> float | None:
         """Return the time since its last progress for this VM, if any."""
--- a/src/rosepath/peer_exchange.py
+++ b/src/rosepath/peer_exchange.py
@@ -15,6 +15,7 @@
 from rosepath.peer_table import PeerTable
 from rosepath.placement_coordinator import PlacementCoordinator
 from rosepath.platform.store import PlatformStore
+from rosepath.server_limits import apply_peer_limits, known_limits
 from rosepath.settings import split_address
 from rosepath.store_tables import StoreTables
 
@@ -187,6 +188,7 @@
             isolated=self._crashes.isolated.servers_by_key(
                 merged=sends_totals, now_s=now_s
             ),
+            limits=known_limits(self._tables.fleet, now_s=now_s),
             link_mbps=self._link_mbps,
         )
 
@@ -217,6 +219,7 @@
         if state.term:
             self._apply_ages(state)
         self._apply_crash_records(state)
+        self._apply_limits(state)
         self._apply_unreachable(state)
         if state.term and state.store_ago_s > STORE_FAILURE_S:
             self._tables.note_store_failure()
@@ -283,6 +286,19 @@
             if self._coordinator.term and self.peers.large_fleet:
                 self.send_state_soon()
 
+    def _apply_limits(self, state: PeerState) -> None:
+        """Apply servers' rate limits; the holder of a large fleet forwards them."""
+        changed = apply_peer_limits(
+            self._tables.fleet,
+            state.limits,
+            entry_vm=state.entry_vm,
+            now_s=self._clock.monotonic_s(),
+        )
+        if changed:
+            self._tables.notify_waiters()
+            if self._coordinator.term and self.peers.large_fleet:
+                self.send_state_soon()
+
     def _apply_unreachable(self, state: PeerState) -> None:
         """Avoid servers that other VMs of this data centre cannot reach."""
         if state.data_centre != self._data_centre and not self._coordinator.term:
--- a/src/rosepath/peer_messages.py
+++ b/src/rosepath/peer_messages.py
@@ -15,6 +15,7 @@
     decode_quota_fields,
     encode_quota_fields,
 )
+from rosepath.server_limits import ServerLimit
 
 # In a large fleet the holder of the placement lease sends the load of all
 # engines to every entry VM: below 1,400 bytes for 70 engines once compressed.
@@ -111,6 +112,8 @@
     cleared: tuple[str, ...] = ()
     quarantined: tuple[str, ...] = ()
     isolated: Mapping[str, str] = field(default_factory=dict)
+    # Rate limits that servers have stated, and those that have just ended.
+    limits: tuple[ServerLimit, ...] = ()
     # Bandwidth of the sender's network link.
     link_mbps: float = 0.0
 
@@ -120,6 +123,10 @@
             self,
             known_ago_s=self.known_ago_s + delay_s,
             configuration_known_ago_s=self.configuration_known_ago_s + delay_s,
+            limits=tuple(
+                limit._replace(stated_ago_s=limit.stated_ago_s + delay_s)
+                for limit in self.limits
+            ),
         )
 
 
@@ -275,6 +282,7 @@
         "cl": list(message.cleared),
         "qu": list(message.quarantined),
         "is": dict(message.isolated),
+        "li": [[*limit[:3], round(limit.stated_ago_s, 3)] for limit in message.limits],
         "bw": message.link_mbps,
     }
 
@@ -339,10 +347,21 @@
         cleared=tuple(map(str, raw["cl"])),
         quarantined=tuple(map(str, raw["qu"])),
         isolated={str(key): str(server) for key, server in raw["is"].items()},
+        limits=tuple(_decode_limit(row) for row in raw.get("li", ())),
         link_mbps=float(raw.get("bw", 0.0)),
     )
 
 
+def _decode_limit(row: list[Any]) -> ServerLimit:
+    server, born_ms, limit_per_s, stated_ago_s = row
+    return ServerLimit(
+        str(server),
+        int(born_ms),
+        None if limit_per_s is None else float(limit_per_s),
+        float(stated_ago_s),
+    )
+
+
 def _encode_loads(loads: Mapping[str, PeerLoad]) -> dict[str, list[Any]]:
     return {
         name: [load.requests, load.unread_tokens, dict(load.targets)]
--- a/src/rosepath/quota_client.py
+++ b/src/rosepath/quota_client.py
@@ -1,6 +1,7 @@
 """Admit an entry VM's requests by the quotas, through a coordinator.
 
-One entry VM coordinates the quotas for all that reach it. Every VM prefers the
+Quotas are those of workspaces and the rate limits that servers state. One entry
+VM coordinates them for all that reach it. Every VM prefers the
 same one, by rendezvous hashing among those with the fastest links. In a partition,
 each side finds one of its own, and a VM that reaches no other is its own.
 """
@@ -16,7 +17,9 @@
 from rosepath.clock import Clock
 from rosepath.logs import get_logger
 from rosepath.peer_table import PeerTable
+from rosepath.quota_coordinator import QuotaCoordinator
 from rosepath.quota_messages import (
+    QuotaClaim,
     QuotaMessage,
     QuotaReply,
     QuotaRequest,
@@ -26,7 +29,6 @@
     NO_LIMIT,
     SHARE_LIFETIME_S,
     QuotaDecision,
-    QuotaPool,
     QuotaTolerance,
 )
 from rosepath.rendezvous import top
@@ -79,6 +81,7 @@
         catalog: Callable[[], Catalog | None],
         send: Callable[[QuotaMessage, str], None],
         stopping: Callable[[], bool],
+        has_limited_servers: Callable[[], bool] = lambda: False,
         link_mbps: float = 0.0,
         rng: random.Random | None = None,
     ) -> None:
@@ -91,8 +94,9 @@
         self._catalog = catalog
         self._send = send
         self._stopping = stopping
+        self._has_limited_servers = has_limited_servers
         self._rng = rng or random.Random()
-        self.pool = QuotaPool(tolerance)
+        self._granting = QuotaCoordinator(tolerance)
         self.coordinator = entry_vm
         self._start = uuid.uuid4().hex[:8]
         self._number = 0
@@ -104,10 +108,17 @@
 
     def apply(self, catalog: Catalog) -> None:
         """Apply the quotas of a configuration."""
-        self.pool.apply(catalog.quotas, now_s=self._now_s())
+        self._granting.workspaces.apply(catalog.quotas, now_s=self._now_s())
 
     async def admit(self, workspace: str, cost: float) -> QuotaDecision:
         """Admit a request of a workspace, or say when to retry."""
+        return await self._admit(QuotaClaim(workspace=workspace, cost=cost))
+
+    async def admit_to_server(self, server: str, limit_per_s: float) -> QuotaDecision:
+        """Admit a request by the rate limit of a server, or say when to retry."""
+        return await self._admit(QuotaClaim(server=server, limit_per_s=limit_per_s))
+
+    async def _admit(self, claim: QuotaClaim) -> QuotaDecision:
         if not self._has_chosen and self._peers.peers:
             # Right after a start, this VM's own share alone admits nothing yet.
             await self._choose()
@@ -117,9 +128,7 @@
                 coordinator = self.coordinator
                 if coordinator == self._me:
                     break
-                reply = await self._ask(
-                    coordinator, request_id, workspace=workspace, cost=cost
-                )
+                reply = await self._ask(coordinator, request_id, claim)
                 if reply is not None and not reply.leaving:
                     return QuotaDecision(
                         granted=reply.granted,
@@ -134,7 +143,7 @@
             self._return(self.coordinator, request_id)
             raise
         self._lend_to_self()
-        decision = self.pool.admit(request_id, workspace, cost, now_s=self._now_s())
+        decision = self._granting.admit(request_id, claim, now_s=self._now_s())
         return replace(decision, coordinator=self._me, quota_request_id=request_id)
 
     def give_back(self, decision: QuotaDecision) -> None:
@@ -145,10 +154,12 @@
         """Lend this VM's share to a coordinator, indefinitely."""
         while True:
             catalog = self._catalog()
-            if catalog is not None and catalog.quotas:
+            needed = bool(catalog and catalog.quotas) or self._has_limited_servers()
+            if needed:
                 await self._lend()
                 self._log_usage()
-            pause_s = LEND_INTERVAL_S if self._has_chosen else START_INTERVAL_S
+            starting = not self._has_chosen and (needed or catalog is None)
+            pause_s = START_INTERVAL_S if starting else LEND_INTERVAL_S
             await asyncio.sleep(pause_s * self._rng.uniform(0.9, 1.0))
 
     @property
@@ -158,15 +169,16 @@
     def _log_usage(self) -> None:
         """Log as coordinator what workspaces used in the last window."""
         now_s = self._now_s()
-        if self.pool.lenders <= 1 or now_s < self._logged_s + LOG_INTERVAL_S:
+        pool = self._granting.workspaces
+        if pool.lenders <= 1 or now_s < self._logged_s + LOG_INTERVAL_S:
             return
         self._logged_s = now_s
-        usage = self.pool.usage(now_s=now_s)
+        usage = pool.usage(now_s=now_s)
         busiest = sorted(usage, key=lambda name: -usage[name][0])[:MAX_LOGGED]
         _log.info(
             "quota_usage",
-            lenders=self.pool.lenders,
-            share=round(self.pool.share, 3),
+            lenders=pool.lenders,
+            share=round(pool.share, 3),
             workspaces={name: usage[name] for name in busiest},
         )
 
@@ -186,9 +198,9 @@
                 if pending is not None and not pending.done():
                     pending.set_result(message)
             case QuotaReturn(quota_request_id=""):
-                self.pool.withdraw(message.entry_vm, now_s=self._now_s())
+                self._granting.withdraw(message.entry_vm, now_s=self._now_s())
             case QuotaReturn():
-                self.pool.give_back(message.quota_request_id)
+                self._granting.give_back(message.quota_request_id)
 
     # As coordinator
 
@@ -202,11 +214,13 @@
         if request.probe:
             return reply
         now_s = self._now_s()
-        self.pool.lend(request.entry_vm, fleet_size=request.fleet_size, now_s=now_s)
-        if not request.workspace:
-            return replace(reply, share=self.pool.share)
-        decision = self.pool.admit(
-            request.quota_request_id, request.workspace, request.cost, now_s=now_s
+        self._granting.lend(
+            request.entry_vm, fleet_size=request.fleet_size, now_s=now_s
+        )
+        if request.claim is None:
+            return replace(reply, share=self._granting.workspaces.share)
+        decision = self._granting.admit(
+            request.quota_request_id, request.claim, now_s=now_s
         )
         return replace(
             reply,
@@ -236,7 +250,7 @@
                 await self._choose(excluded=coordinator)
 
     def _lend_to_self(self) -> None:
-        self.pool.lend(self._me, fleet_size=self._fleet_size, now_s=self._now_s())
+        self._granting.lend(self._me, fleet_size=self._fleet_size, now_s=self._now_s())
 
     @property
     def _fleet_size(self) -> int:
@@ -253,9 +267,7 @@
         self,
         coordinator: str,
         request_id: str,
-        *,
-        workspace: str = "",
-        cost: float = 0.0,
+        claim: QuotaClaim | None = None,
     ) -> QuotaReply | None:
         """Send a request to a coordinator; return None if it does not reply."""
         peer = self._peers.peers.get(coordinator)
@@ -266,8 +278,7 @@
             entry_vm=self._me,
             reply_to=self._address,
             fleet_size=self._fleet_size,
-            workspace=workspace,
-            cost=cost,
+            claim=claim,
         )
         pending = self._expect_reply(request_id)
         self._lent_s = self._now_s()
@@ -425,5 +436,8 @@
     async def admit(self, workspace: str, cost: float) -> QuotaDecision:
         return NO_LIMIT
 
+    async def admit_to_server(self, server: str, limit_per_s: float) -> QuotaDecision:
+        return NO_LIMIT
+
     def give_back(self, decision: QuotaDecision) -> None:
         return
--- a/src/rosepath/quota_messages.py
+++ b/src/rosepath/quota_messages.py
@@ -5,13 +5,30 @@
 from typing import Any
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class QuotaClaim:
+    """State by which quota a request needs to be admitted, and its cost.
+
+    It is the quota of a `workspace`, or the rate limit of a `server` as its
+    responses state it.
+    """
+
+    workspace: str = ""
+    server: str = ""
+    limit_per_s: float = 0.0
+    cost: float = 1.0
+
+
+NO_CLAIM = QuotaClaim(cost=0.0)
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class QuotaRequest:
     """Ask a coordinator to admit a request, and lend it the sender's share.
 
-    Without a `workspace` it only lends the share, and as a `probe` it only
-    finds out whether the receiver responds. `fleet_size` is the number of
-    entry VMs that the sender knows, itself included.
+    Without a `claim` it only lends the share, and as a `probe` it only finds
+    out whether the receiver responds. `fleet_size` is the number of entry VMs
+    that the sender knows, itself included.
     """
 
     quota_request_id: str
@@ -19,16 +36,15 @@
     reply_to: str
     fleet_size: int
     probe: bool = False
-    workspace: str = ""
-    cost: float = 0.0
+    claim: QuotaClaim | None = None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class QuotaReply:
     """Reply of a coordinator.
 
-    `left` is what the workspace could still use at once, `share` the part of
-    its quota that the coordinator has been lent. A coordinator that is
+    `left` is what could still be used of the quota at once, `share` the part of
+    it that the coordinator has been lent. A coordinator that is
     `leaving` has admitted nothing.
     """
 
@@ -65,8 +81,7 @@
                 "to": message.reply_to,
                 "n": message.fleet_size,
                 "p": int(message.probe),
-                "w": message.workspace,
-                "c": message.cost,
+                **_encode_claim(message.claim or NO_CLAIM),
             }
         case QuotaReply():
             return {
@@ -96,8 +111,7 @@
                 reply_to=str(raw["to"]),
                 fleet_size=int(raw["n"]),
                 probe=bool(raw["p"]),
-                workspace=str(raw["w"]),
-                cost=float(raw["c"]),
+                claim=_decode_claim(raw),
             )
         case "quota-reply":
             return QuotaReply(
@@ -111,3 +125,23 @@
         case "quota-return":
             return QuotaReturn(entry_vm=str(raw["vm"]), quota_request_id=str(raw["id"]))
     return None
+
+
+def _encode_claim(claim: QuotaClaim) -> dict[str, Any]:
+    return {
+        "w": claim.workspace,
+        "c": claim.cost,
+        "s": claim.server,
+        "r": claim.limit_per_s,
+    }
+
+
+def _decode_claim(raw: Mapping[str, Any]) -> QuotaClaim | None:
+    claim = QuotaClaim(
+        workspace=str(raw["w"]),
+        cost=float(raw["c"]),
+        # VMs of an earlier version don't know of servers' limits.
+        server=str(raw.get("s", "")),
+        limit_per_s=float(raw.get("r", 0.0)),
+    )
+    return claim if claim.workspace or claim.server else None
--- a/src/rosepath/quota_pool.py
+++ b/src/rosepath/quota_pool.py
@@ -72,6 +72,7 @@
     used: float = 0.0
     # When the last caller that was refused has been told to return.
     returns_until_s: float = 0.0
+    asked_s: float = -math.inf
     grants: deque[str] = field(default_factory=deque)
 
 
@@ -79,12 +80,15 @@
     """Own the lent shares, the accounts of workspaces and recent grants.
 
     An account starts empty: what other coordinators granted within the last
-    window is not known.
+    window is not known. Unless the pool `spreads_returns`, all that are refused
+    are told when the next request can be admitted.
     """
 
-    def __init__(self, tolerance: QuotaTolerance) -> None:
+    def __init__(
+        self, tolerance: QuotaTolerance, *, spreads_returns: bool = True
+    ) -> None:
         self._tolerance = tolerance
-        self._quotas: Mapping[str, Quota] = {}
+        self._spreads_returns = spreads_returns
         # By VM, until when its share counts and the fleet size that it knows;
         # the first to expire first.
         self._shares: OrderedDict[str, tuple[float, int]] = OrderedDict()
@@ -95,16 +99,27 @@
 
     def apply(self, quotas: Mapping[str, Quota], *, now_s: float) -> None:
         """Apply declared quotas, by workspace."""
-        self._quotas = quotas
         for name in self._accounts.keys() - quotas.keys():
             del self._accounts[name]
         for name, quota in quotas.items():
-            if name in self._accounts:
-                self._accounts[name].quota = quota
-                continue
+            self.declare(name, quota, now_s=now_s)
+
+    def declare(self, name: str, quota: Quota, *, now_s: float) -> None:
+        """Add the account of a quota, or change its quota."""
+        account = self._accounts.get(name)
+        if account is None:
             bucket = TokenBucket(rate_per_s=0.0, burst=0.0, level=0.0, at_s=now_s)
-            self._accounts[name] = _Account(quota=quota, bucket=bucket)
-        self._resize(now_s)
+            account = self._accounts[name] = _Account(
+                quota=quota, bucket=bucket, asked_s=now_s
+            )
+        account.quota = quota
+        self._resize_account(account, now_s)
+
+    def drop_unused(self, *, before_s: float) -> None:
+        """Drop the accounts that were last asked for a grant before a time."""
+        for name, account in list(self._accounts.items()):
+            if account.asked_s < before_s and not account.grants:
+                del self._accounts[name]
 
     def lend(self, entry_vm: str, *, fleet_size: int, now_s: float) -> None:
         """Add a VM's share, or extend its lifetime."""
@@ -131,7 +146,7 @@
         account = self._accounts.get(workspace)
         if account is None or quota_request_id in self._grants:
             return QuotaDecision(granted=True, share=self.share)
-        bucket = account.bucket
+        bucket, account.asked_s = account.bucket, now_s
         wait_s = bucket.take(now_s, cost)
         if not wait_s and self._exceeds_window(account, cost):
             bucket.give_back(cost)
@@ -204,6 +219,8 @@
         If all callers that were refused returned when the first of them can be
         admitted, most would be refused again.
         """
+        if not self._spreads_returns:
+            return min(wait_s, MAX_RETRY_AFTER_S)
         at_s = max(now_s + wait_s, account.returns_until_s)
         if at_s - now_s >= MAX_RETRY_AFTER_S or not account.bucket.rate_per_s:
             return MAX_RETRY_AFTER_S
@@ -215,14 +232,16 @@
 
     def _resize(self, now_s: float) -> None:
         fleet_size = max((size for _, size in self._shares.values()), default=1)
-        self.share = share = min(1.0, len(self._shares) / max(1, fleet_size))
+        self.share = min(1.0, len(self._shares) / max(1, fleet_size))
         for account in self._accounts.values():
-            quota = account.quota
-            account.bucket.resize(
-                now_s,
-                rate_per_s=quota.rate_per_s * share,
-                burst=self._burst(quota) * share,
-            )
+            self._resize_account(account, now_s)
+
+    def _resize_account(self, account: _Account, now_s: float) -> None:
+        account.bucket.resize(
+            now_s,
+            rate_per_s=account.quota.rate_per_s * self.share,
+            burst=self._burst(account.quota) * self.share,
+        )
 
     def _expire(self, now_s: float) -> None:
         """Drop the shares and the grants whose time is over."""
--- a/src/rosepath/relay.py
+++ b/src/rosepath/relay.py
@@ -231,6 +231,8 @@
             except AttemptError as error:
                 context.attempt_open = False
                 context.attempt_evidence.append(error.evidence)
+                if error.evidence is Evidence.NOT_SENT:
+                    self._picker.give_back_admission(context)
                 self._note_failed(context, server, error)
                 await self._suspects.note_failed(context, server, in_flight, error)
                 await self._retry_policy.wait_to_retry(context, error)
@@ -345,7 +347,8 @@
             note_backoff(server, retry_after_s=notice.retry_after_s, now_s=now_s)
         else:
             note_response(server, now_s=now_s)
-        apply_limit_notice(server, notice, now_s=now_s)
+        if apply_limit_notice(server, notice, now_s=now_s):
+            self._ports.on_limit_change()
         if notice.leaving:
             self._ports.on_leaving(server)
 
--- a/src/rosepath/request_context.py
+++ b/src/rosepath/request_context.py
@@ -53,10 +53,14 @@
 
 
 class QuotaPort(Protocol):
-    """Admit requests by the quotas of their workspaces."""
+    """Admit requests by quotas of workspaces and rate limits of servers."""
 
     async def admit(self, workspace: str, cost: float) -> QuotaDecision: ...
 
+    async def admit_to_server(
+        self, server: str, limit_per_s: float
+    ) -> QuotaDecision: ...
+
     def give_back(self, decision: QuotaDecision) -> None: ...
 
 
@@ -81,6 +85,8 @@
     crashes: CrashWatch
     # Called for each response which states that its server is leaving.
     on_leaving: Callable[[BackendServer], None] = lambda _: None
+    # Called when a response states another rate limit of its server than known.
+    on_limit_change: Callable[[], None] = lambda: None
     # Whether the known fleet is current enough to route by, and the refresh
     # that makes it current.
     fleet_fresh_enough: Callable[[], bool] = lambda: True
@@ -119,6 +125,8 @@
     stay_reason: StayReason | None = None
     # What admitted it, if its workspace has a quota.
     quota_decision: QuotaDecision | None = None
+    # What admitted the next attempt, if its server has a rate limit.
+    server_admission: QuotaDecision | None = None
     # Whether an attempt has begun whose outcome is not known yet.
     attempt_open: bool = False
     # What prevented another attempt, if one was needed.
--- a/src/rosepath/server_picker.py
+++ b/src/rosepath/server_picker.py
@@ -161,8 +161,8 @@
             due_s = self._ports.models.model_due_s(prompt.model)
             code = "model_absent"
             why = "the model can't be loaded while the caller waits"
-        elif eligible and all(server.in_backoff(now_s) for server in eligible):
-            due_s = min(server.backoff_until_s for server in eligible)
+        elif eligible and all(server.paused_until_s > now_s for server in eligible):
+            due_s = min(server.paused_until_s for server in eligible)
             code = "servers_back_off"
             why = "all servers that could take the request shed load"
         else:
@@ -190,25 +190,12 @@
         self, context: RequestContext
     ) -> tuple[BackendServer, InFlightRequest] | None:
         ports = self._ports
-        now_s = self._now_s()
-        servers = ports.fleet.of_service(context.service.name)
         prompt = context.call.prompt
         avoided = self._suspects.avoided_servers(context)
         if avoided is None:
             return None
         if context.service.engine is None or prompt is None:
-            server = choose_server(
-                servers,
-                data_centre=ports.data_centre,
-                tried=context.tried | avoided,
-                cut_off=ports.cut_off(),
-                now_s=now_s,
-                rng=ports.rng,
-            )
-            if server is None and not context.not_run:
-                # The request left a slow server and no other server accepted
-                # it: any server may be tried again.
-                context.tried.clear()
+            server = await self._pick_plain_server(context, avoided)
             return None if server is None else (server, InFlightRequest())
         choice = await self._pick_engine(
             context, prompt, context.service.engine, avoided
@@ -227,6 +214,54 @@
         )
         return choice.server, in_flight
 
+    async def _pick_plain_server(
+        self, context: RequestContext, avoided: frozenset[str]
+    ) -> BackendServer | None:
+        """Choose a server whose rate limit, if it has one, allows the request."""
+        ports = self._ports
+        rejected = set(avoided)
+        while True:
+            server = choose_server(
+                ports.fleet.of_service(context.service.name),
+                data_centre=ports.data_centre,
+                tried=context.tried | rejected,
+                cut_off=ports.cut_off(),
+                now_s=self._now_s(),
+                rng=ports.rng,
+            )
+            if server is None:
+                if rejected == avoided and not context.not_run:
+                    # The request left a slow server and no other server
+                    # accepted it: any server may be tried again.
+                    context.tried.clear()
+                return None
+            if await self._admit_to_server(context, server):
+                return server
+            rejected.add(server.name)
+
+    async def _admit_to_server(
+        self, context: RequestContext, server: BackendServer
+    ) -> bool:
+        """Return whether a server's rate limit, if any, allows the request."""
+        context.server_admission = None
+        if server.limit_per_s is None:
+            return True
+        decision = await self._ports.quotas.admit_to_server(
+            server.name, server.limit_per_s
+        )
+        if decision.granted:
+            context.server_admission = decision
+            return True
+        # Until then, waiting requests don't ask again one by one.
+        server.limit_wait_until_s = self._now_s() + decision.retry_after_s
+        return False
+
+    def give_back_admission(self, context: RequestContext) -> None:
+        """Return what a server's rate limit granted to an attempt not sent."""
+        if context.server_admission is not None:
+            self._ports.quotas.give_back(context.server_admission)
+            context.server_admission = None
+
     async def _pick_engine(
         self,
         context: RequestContext,
@@ -261,13 +296,19 @@
                 # All engines with the model refused the request; they may
                 # accept it again soon.
                 context.tried.clear()
-            if choice is None or holds_adapter(choice.server, prompt):
+            if choice is None:
+                return None
+            if not await self._admit_to_server(context, choice.server):
+                rejected.add(choice.server.name)
+                continue
+            if holds_adapter(choice.server, prompt):
                 return choice
             limit_s = min(ADAPTER_WAIT_S, context.deadline_s - now_s)
             if await ports.models.ensure_adapter(
                 context.service.name, choice.server, prompt, limit_s=limit_s
             ):
                 return choice
+            self.give_back_admission(context)
             rejected.add(choice.server.name)
         return None
 
--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -327,6 +327,7 @@
 
     def restart(self, name: str, monkeypatch: pytest.MonkeyPatch) -> None:
         """Start a killed VM with no earlier state."""
+        self.killed.discard(name)
         self._build_node(name, monkeypatch)
         self._connect_and_run(name)
         self.blocked.discard(name)
@@ -401,9 +402,12 @@
 
     def sendto(self, data: bytes, address: tuple[str, int]) -> None:
         self.simulation.sent[self.vm] += 1
-        node = self.simulation.nodes.get(f"vm-{address[1] - 1}")
+        receiver = f"vm-{address[1] - 1}"
+        node = self.simulation.nodes.get(receiver)
         if node is None or self.simulation.rng.random() < self.simulation.lost_share:
             return
+        if self.simulation.killed & {self.vm, receiver}:
+            return
         asyncio.get_running_loop().call_later(
             ONE_WAY_LATENCY_S, node.exchange.link.datagram_received, data, ("", 0)
         )
--- a/tests/limited_servers.py
+++ b/tests/limited_servers.py
@@ -71,7 +71,6 @@
         for vm, server in list(self.told_at_s):
             if vm == name:
                 del self.told_at_s[vm, server]
-        self.killed.discard(name)
         FleetSimulation.restart(self, name, monkeypatch)
 
     def _build_node(self, name: str, monkeypatch: Any) -> None:
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -5,16 +5,24 @@
 """
 
 import asyncio
+import os
+import random
 from collections.abc import Awaitable, Callable
 
 import pytest
 from fleet_world import run_in_virtual_time
 from limited_servers import LimitedServersSimulation
+from tornado.httputil import HTTPHeaders
+
+from rosepath.platform.calls import read_notice
 
 FEW = pytest.param((7, 3.0), id="few")
 LARGE_FLEET = pytest.param((26, 4.0), id="large_fleet")
 sizes = pytest.mark.parametrize("size", [FEW, LARGE_FLEET])
 
+# Number of random scenarios; set SEEDS in the environment to run more.
+SEEDS = range(int(os.environ.get("SEEDS", "3")))
+
 Scenario = Callable[[LimitedServersSimulation], Awaitable[None]]
 
 
@@ -55,3 +63,121 @@
     assert simulation.excesses == []
     # The other servers take what the limited ones don't.
     assert simulation.refused == 0
+
+
+# Guards against a limit that outlives the server's need: it would go on getting
+# almost no requests.
+@sizes
+def test_server_gets_its_part_again_once_it_states_no_limit(
+    monkeypatch: pytest.MonkeyPatch, size: tuple[int, float]
+) -> None:
+    async def scenario(simulation: LimitedServersSimulation) -> None:
+        simulation.limit("i-0", 1.0)
+        await asyncio.sleep(8.0)
+        simulation.withdraw_limit("i-0")
+        await asyncio.sleep(4.0)
+        simulation.total.clear()
+        await asyncio.sleep(4.0)
+
+    simulation = play(monkeypatch, size, scenario)
+    assert simulation.excesses == []
+    assert simulation.total["i-0"] > 0.5 * simulation.total["i-1"]
+
+
+# Guards against requests that wait or are refused while the limits would allow
+# them, and against limits that are exceeded as no other server can help.
+@sizes
+def test_servers_that_are_all_limited_are_used_up_to_their_limits(
+    monkeypatch: pytest.MonkeyPatch, size: tuple[int, float]
+) -> None:
+    async def scenario(simulation: LimitedServersSimulation) -> None:
+        for number in range(4):
+            simulation.limit(f"i-{number}", 3.0)
+        await asyncio.sleep(5.0)
+        simulation.total.clear()
+        await asyncio.sleep(10.0)
+
+    simulation = play(monkeypatch, size, scenario)
+    assert simulation.excesses == []
+    assert min(simulation.total.values()) > 0.7 * 3.0 * 10.0
+    assert simulation.refused > 0
+
+
+# Guards against a coordinator whose end or restart lets its successor grant the
+# same rate again, or lets every VM send on its own.
+@sizes
+def test_limit_holds_as_coordinators_end(
+    monkeypatch: pytest.MonkeyPatch, size: tuple[int, float]
+) -> None:
+    async def scenario(simulation: LimitedServersSimulation) -> None:
+        simulation.limit("i-0", 1.0)
+        await asyncio.sleep(6.0)
+        for _ in range(3):
+            live = set(simulation.nodes) - simulation.killed
+            coordinators = {
+                simulation.nodes[name].quotas.coordinator for name in live
+            } & live
+            simulation.kill(sorted(coordinators)[0])
+            await asyncio.sleep(5.0)
+
+    assert play(monkeypatch, size, scenario).excesses == []
+
+
+# Guards against VMs that hear each other badly and send as if alone.
+@sizes
+@pytest.mark.parametrize("seed", SEEDS)
+def test_limits_hold_under_random_failures(
+    monkeypatch: pytest.MonkeyPatch, size: tuple[int, float], seed: int
+) -> None:
+    rng = random.Random(seed)
+
+    async def scenario(simulation: LimitedServersSimulation) -> None:
+        for _ in range(20):
+            await asyncio.sleep(rng.uniform(0.2, 2.5))
+            server = f"i-{rng.randrange(4)}"
+            vm = rng.choice(sorted(simulation.nodes))
+            match rng.randrange(5):
+                case 0 | 1:
+                    simulation.limit(server, rng.choice((0.0, 0.5, 1.0, 1.7, 6.0)))
+                case 2:
+                    simulation.withdraw_limit(server)
+                case 3 if vm not in simulation.killed:
+                    simulation.kill(vm)
+                case _ if simulation.killed:
+                    simulation.restart(min(simulation.killed), monkeypatch)
+
+    simulation = play(monkeypatch, size, scenario, lost_share=rng.choice((0.0, 0.15)))
+    assert simulation.excesses == []
+
+
+@pytest.mark.parametrize(
+    ("stated", "limit_per_s"),
+    [
+        (["1.7"], 1.7),
+        (["0"], 0.0),
+        (["3", "1", "2"], 1.0),
+        (["x", "2"], 2.0),
+        (["1,2"], None),
+        (["-1"], None),
+        (["nan"], None),
+        (["inf"], None),
+        ([""], None),
+    ],
+)
+def test_invalid_limits_are_ignored(
+    stated: list[str], limit_per_s: float | None
+) -> None:
+    headers = HTTPHeaders({"Response-Signature": "s"})
+    for value in stated:
+        headers.add("Server-Limit", value)
+    notice = read_notice(200, headers)
+    assert notice.limit_per_s == limit_per_s
+    assert not notice.unlimited
+
+
+# Guards against a limit that ends because a response without the header came
+# from another server or from the engine's orders.
+def test_only_a_response_to_a_request_ends_a_limit() -> None:
+    assert read_notice(200, HTTPHeaders({"Response-Signature": "s"})).unlimited
+    assert not read_notice(202, HTTPHeaders()).unlimited
+    assert not read_notice(421, HTTPHeaders({"Response-Signature": "s"})).unlimited
