Plan with the rate that a limited engine accepts

Callers of a model whose only engine accepts a fraction of their requests would be refused for as long as the limit lasts, while other engines idle: the planner saw an engine with little work.

What exceeds an engine's rate limit counts as late, so a second replica gains as much; and an engine with a limit gets no replica of a model that another engine has.

Both tests fail with the two lines taken out. What it gains where limits are named is not measured.

--- a/src/rosepath/engine_plan.py
+++ b/src/rosepath/engine_plan.py
@@ -148,6 +148,9 @@
     engine: EngineView, model: str, replica_gain_per_s: float, state: PlanState
 ) -> Swap | None:
     """Return a swap with sufficient gain, or None."""
+    if state.replicas[model] and engine.limit_per_s < math.inf:
+        # An engine in need is the last to take load off others.
+        return None
     spec = state.models[model]
     from_store = model not in engine.local_load_s
     load_s = spec.load_s if from_store else engine.local_load_s[model]
--- a/src/rosepath/engine_plan_state.py
+++ b/src/rosepath/engine_plan_state.py
@@ -4,6 +4,7 @@
 chosen from the resulting state.
 """
 
+import math
 from collections import Counter
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
@@ -53,6 +54,8 @@
     loading_model: str = ""
     # Its loaded adapters, as `model/adapter`.
     adapters: frozenset[str] = frozenset()
+    # The requests per second that it accepts, if it has stated a limit.
+    limit_per_s: float = math.inf
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -159,11 +162,13 @@
     ) -> float:
         """Return the requests per second that an engine would serve late.
 
-        A request is late if it misses the latency targets of `EngineLimits`.
-        `removed` and `added` change the engine's workload in the plan state.
+        A request is late if it misses the latency targets of `EngineLimits`,
+        or is more than the engine's rate limit allows. `removed` and `added`
+        change the engine's workload in the plan state.
         """
         workload = self.workload_by_engine[engine].plus(removed, times=-1.0).plus(added)
-        return late_per_s(workload, self.limits)
+        excess_per_s = workload.requests_per_s - self.engines[engine].limit_per_s
+        return max(late_per_s(workload, self.limits), excess_per_s)
 
     def missing_adapters(self, engine: EngineView) -> float:
         """Return how many adapters an engine lacks and has slots for.
--- a/src/rosepath/engine_views.py
+++ b/src/rosepath/engine_views.py
@@ -1,5 +1,6 @@
 """Build the planner's view of an engine from the records of orders."""
 
+import math
 from collections.abc import Collection, Sequence
 
 from rosepath.catalog import EngineSpec, ModelSpec, adapter_mb, model_mb
@@ -34,6 +35,7 @@
         local_load_s=local_load_s,
         loading_model=record.loading,
         adapters=frozenset(record.adapters),
+        limit_per_s=math.inf if server.limit_per_s is None else server.limit_per_s,
     )
 
 
--- a/tests/entry_builders.py
+++ b/tests/entry_builders.py
@@ -1,5 +1,6 @@
 """Builders of test data for entry VMs."""
 
+import math
 from collections.abc import Mapping
 from typing import Any
 
@@ -207,11 +208,13 @@
     size_mb: float = 70_000.0,
     data_centre: str = "a",
     loading_model: str = "",
+    limit_per_s: float = math.inf,
 ) -> EngineView:
     return EngineView(
         name=name,
         data_centre=data_centre,
         loading_model=loading_model,
+        limit_per_s=limit_per_s,
         memory_mb=200_000.0,
         used_mb=size_mb * len(models),
         age_s=dict.fromkeys(models, 100.0),
--- a/tests/test_engine_plan.py
+++ b/tests/test_engine_plan.py
@@ -1,5 +1,6 @@
 """Tests of planned model swaps: the model, the engine and the evictions."""
 
+import math
 from dataclasses import replace
 
 import pytest
@@ -88,6 +89,28 @@
     assert len(swaps) >= 3 and {swap.model for swap in swaps} == {"m0"}
 
 
+# Guards against a model whose only engine accepts a fraction of its requests:
+# its callers are refused while the other engines idle.
+def test_model_whose_engine_limits_its_rate_is_loaded_elsewhere() -> None:
+    limited = an_engine_view("e1", "m0", "m1", limit_per_s=1.0)
+    demands = {"m0": ModelDemand(0.1, 0, requests_per_s=4.0)}
+    swaps = plan(limited, an_engine_view("e2", "m2", "m3"), demands=demands)
+    assert [(swap.model, swap.engine) for swap in swaps] == [("m0", "e2")]
+
+
+# Guards against a replica that can't be used, as its engine accepts no more.
+def test_model_is_not_loaded_onto_an_engine_at_its_rate_limit() -> None:
+    limited = an_engine_view("e1", "m1", "m2", limit_per_s=1.0)
+    busy = an_engine_view("e2", "m0", "m3")
+    demands = {
+        "m0": ModelDemand(1.0, 0, recent_load=1.0, requests_per_s=9.0),
+        "m1": ModelDemand(0.05, 0, requests_per_s=1.0),
+    }
+    assert plan(limited, busy, demands=demands) == []
+    free = replace(limited, limit_per_s=math.inf)
+    assert [swap.model for swap in plan(free, busy, demands=demands)] == ["m0"]
+
+
 def test_idle_engines_keep_their_models() -> None:
     swaps = plan(
         an_engine_view("e1", "m0", "m1"),
