Let the soak's servers state rate limits, and check them over all VMs

Up to half of the servers state a limit for some seconds, drawn apart from the other faults, so that their sequence for a seed stays the same. Arrivals are counted in windows of 4 s over the VMs that have known of the limit for half a second and were not disturbed since.

--- a/benchmarks/entry_checks.py
+++ b/benchmarks/entry_checks.py
@@ -12,6 +12,7 @@
     SETTLE_S,
     AddedRoute,
     EntryFleet,
+    StatedLimit,
 )
 
 # The deadline that callers send with each request.
@@ -24,6 +25,13 @@
 # allowed to be sent after the third crash.
 SENDS_IN_BACKOFF = 2
 SENDS_AFTER_THIRD = 3
+# In any window of this length, a server that states a rate limit may get one and
+# a half times what the limit allows and a few requests more, from the VMs that
+# have known of the limit for a moment.
+LIMIT_WINDOW_S = 4.0
+LIMIT_SHARE = 1.5
+LIMIT_EXTRA = 5
+LIMIT_APPLIED_AFTER_S = 0.5
 
 
 @dataclass(slots=True)
@@ -62,6 +70,7 @@
             "no work for a draining server": self._sent_to_draining,
             "no work during a backoff": self._sent_in_backoff,
             "no work after three crashes": self._sent_after_third_crash,
+            "rate limits of servers": self._over_limit,
             "responses in time": self._late,
             "planned stops cut no request": self._cut_by_stop,
             "configurations in force": self._outdated_configurations,
@@ -118,6 +127,30 @@
                 found.append(f"{server} from {vm}: {len(sent)}")
         return found
 
+    def _over_limit(self) -> list[str]:
+        found = []
+        for limit in self.fleet.request_log.limits:
+            allowed = LIMIT_SHARE * limit.per_s * LIMIT_WINDOW_S + LIMIT_EXTRA
+            counted_s = [
+                at_s for vm, at_s in limit.arrivals if self._counts(limit, vm, at_s)
+            ]
+            most = max(
+                (
+                    sum(from_s <= at_s <= from_s + LIMIT_WINDOW_S for at_s in counted_s)
+                    for from_s in counted_s
+                ),
+                default=0,
+            )
+            if most > allowed:
+                found.append(f"{limit.server}: {most} in a window of {allowed:.0f}")
+        return found
+
+    def _counts(self, limit: StatedLimit, vm: str, at_s: float) -> bool:
+        """Return whether a limit binds a request that a VM sent."""
+        told_s = limit.told_s.get(vm, at_s)
+        bound_s = max(told_s + LIMIT_APPLIED_AFTER_S, limit.from_s + SETTLE_S)
+        return at_s > bound_s and self.fleet.vms[vm].undisturbed(told_s, at_s)
+
     def _sent_after_third_crash(self) -> list[str]:
         found = []
         for path, crash_times_s in self.fleet.request_log.crash_times_s.items():
--- a/benchmarks/entry_soak.py
+++ b/benchmarks/entry_soak.py
@@ -46,6 +46,8 @@
 PROBE_INTERVAL_S = 0.1
 SLOW_RESPONSE_S = 0.7
 STALL_S = 0.5
+LIMITS_PER_S = (1.0, 1.7, 5.0)
+LIMIT_LASTS_S = (4.0, 10.0)
 LOW_RATE_BYTES_PER_S = (10_000.0, 100_000.0)
 
 Fault = Callable[[], Awaitable[None]]
@@ -61,6 +63,7 @@
     rng: random.Random
     call_rng: random.Random
     store_rng: random.Random
+    limit_rng: random.Random
     ends_s: float
     responses: list[CallerResponse] = field(default_factory=list)
     faults: Counter[str] = field(default_factory=Counter)
@@ -71,6 +74,7 @@
         tasks += [self._probe_routes(vm) for vm in self.fleet.vms.values()]
         tasks.append(self._inject_faults(self.rng, self._fault_choices()))
         tasks.append(self._inject_faults(self.store_rng, self._store_fault_choices()))
+        tasks.append(self._inject_faults(self.limit_rng, [self.limit_rate]))
         await asyncio.gather(*tasks, self._record_stalls())
 
     async def _record_stalls(self) -> None:
@@ -271,6 +275,17 @@
         await asyncio.sleep(self.rng.uniform(0.5, 4.0))
         server.shedding = False
 
+    async def limit_rate(self) -> None:
+        """Let up to half of the servers state a rate limit for some seconds."""
+        servers = list(self.fleet.servers.values())
+        server = self.limit_rng.choice(servers)
+        limited = sum(other.limit is not None for other in servers)
+        if server.limit is not None or limited >= len(servers) / 2:
+            return
+        server.state_limit(self.limit_rng.choice(LIMITS_PER_S))
+        await asyncio.sleep(self.limit_rng.uniform(*LIMIT_LASTS_S))
+        server.end_limit()
+
     async def send_crashing(self) -> None:
         path = f"{CRASHING_PATH}/{self.rng.randrange(2)}"
         pool = HttpPool()
@@ -304,6 +319,7 @@
         random.Random(seed),
         random.Random(-seed),
         random.Random(f"store {seed}"),
+        random.Random(f"limit {seed}"),
         time.monotonic() + duration_s,
     )
     replacing = asyncio.create_task(run.replace_crashed_servers())
--- a/src/rosepath_standins/entry_fleet.py
+++ b/src/rosepath_standins/entry_fleet.py
@@ -57,6 +57,22 @@
         return int(held.getsockname()[1])
 
 
+@dataclass(slots=True)
+class StatedLimit:
+    """Record a rate limit that a server stated, and what arrived meanwhile.
+
+    `told_s` holds when each entry VM first got a response with the limit.
+    """
+
+    server: str
+    per_s: float
+    from_s: float
+    until_s: float = math.inf
+    told_s: dict[str, float] = field(default_factory=dict)
+    # VM and time of each request.
+    arrivals: list[tuple[str, float]] = field(default_factory=list)
+
+
 @dataclass(slots=True)
 class RequestLog:
     """Record the requests that reached the servers, and the crashes."""
@@ -69,6 +85,7 @@
     received_requests: list[tuple[str, str, float]] = field(default_factory=list)
     departure_signalled_s: dict[tuple[str, str], float] = field(default_factory=dict)
     shed_requests: list[tuple[str, str, float]] = field(default_factory=list)
+    limits: list[StatedLimit] = field(default_factory=list)
     crash_times_s: dict[str, list[float]] = field(
         default_factory=lambda: defaultdict(list)
     )
@@ -88,6 +105,7 @@
     port: int = 0
     draining: bool = False
     shedding: bool = False
+    limit: StatedLimit | None = None
     listening: bool = False
     _listener: asyncio.Server | None = None
     _writers: set[asyncio.StreamWriter] = field(default_factory=set)
@@ -97,6 +115,17 @@
         self._listener = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
         self.listening = True
 
+    def state_limit(self, per_s: float) -> None:
+        """State a rate limit in all responses from now on."""
+        self.limit = StatedLimit(self.name, per_s, time.monotonic())
+        self.request_log.limits.append(self.limit)
+
+    def end_limit(self) -> None:
+        """State no rate limit any more."""
+        if self.limit is not None:
+            self.limit.until_s = time.monotonic()
+            self.limit = None
+
     def crash(self) -> None:
         """Close the listener and abort every connection."""
         self.listening = False
@@ -135,6 +164,9 @@
         self.request_log.received_requests.append((self.name, vm, now_s))
         if self.draining:
             self.request_log.departure_signalled_s.setdefault((self.name, vm), now_s)
+        if self.limit is not None:
+            self.limit.arrivals.append((vm, now_s))
+            self.limit.told_s.setdefault(vm, now_s)
         if self.shedding:
             self.request_log.shed_requests.append((self.name, vm, now_s))
             self._write(
@@ -181,7 +213,11 @@
     def _head(self, status: int, request_id: str) -> str:
         signed = "Response-Signature: s\r\n" if status == 200 else ""
         draining = "Server-Leaving: 1\r\n" if self.draining else ""
-        return f"HTTP/1.1 {status} X\r\nRequest-Id: {request_id}\r\n{signed}{draining}"
+        limit = f"Server-Limit: {self.limit.per_s}\r\n" if self.limit else ""
+        return (
+            f"HTTP/1.1 {status} X\r\nRequest-Id: {request_id}\r\n"
+            f"{signed}{draining}{limit}"
+        )
 
 
 @dataclass(slots=True)
