--- a/tests/test_entry_soak.py
+++ b/tests/test_entry_soak.py
@@ -36,3 +36,12 @@
     )
     assert asked[200] > 20
     assert asked[404] > 0
+
+
+# Guards against entry VMs that each send a server what it accepts from all of
+# them, as they hear each other over real sockets and restart.
+def test_rate_limits_of_servers_hold_over_all_entry_vms(tmp_path: Path) -> None:
+    run = _play(2, tmp_path)
+    assert run.failures(timed=False) == {}
+    assert "rate limits of servers" not in run.failures()
+    assert any(limit.told_s for limit in run.fleet.request_log.limits)
