Return a server's unused admissions, and log what a rate limit holds back

A request whose caller left, or whose deadline passed, between its admission to a limited server and its attempt kept a part of a rate of one a second for itself. Its admission goes back now, and counts as used once the attempt was made.

A line per refused claim says which VM decided, by which share and when the next request is due, so that a request's id leads to the limit that delayed it.

Tests of the relay: another engine takes what the limit does not allow, the only engine is waited for, a request that would be too late is refused at once, an attempt that was not sent gives its admission back.

--- a/src/rosepath/relay.py
+++ b/src/rosepath/relay.py
@@ -94,6 +94,9 @@
         finally:
             self._retry_policy.release_retry(context)
             self._suspects.end(context)
+            if not context.attempt_open:
+                # The caller left before the attempt was made.
+                self._picker.give_back_admission(context)
             decision = context.quota_decision
             if decision and decision.granted and context.certainly_not_run:
                 self._ports.quotas.give_back(decision)
@@ -233,11 +236,13 @@
                 context.attempt_evidence.append(error.evidence)
                 if error.evidence is Evidence.NOT_SENT:
                     self._picker.give_back_admission(context)
+                context.server_admission = None
                 self._note_failed(context, server, error)
                 await self._suspects.note_failed(context, server, in_flight, error)
                 await self._retry_policy.wait_to_retry(context, error)
                 continue
             context.attempt_open = False
+            context.server_admission = None
             server.last_activity_s = self._now_s()
             failed = not response.success
             if failed and await self._retry_error_response(context, server, response):
--- a/src/rosepath/server_picker.py
+++ b/src/rosepath/server_picker.py
@@ -112,6 +112,7 @@
             if chosen is not None and now_s < context.deadline_s:
                 context.waited_s += now_s - started_s
                 return chosen
+            self.give_back_admission(context)
             if now_s >= min(wait_until_s, self._stop_limit_s(context)):
                 context.waited_s += now_s - started_s
                 raise _refused(
@@ -252,6 +253,16 @@
         if decision.granted:
             context.server_admission = decision
             return True
+        _log.info(
+            "server_limit_reached",
+            request_id=context.call.request_id,
+            peer=server.name,
+            limit_per_s=server.limit_per_s,
+            coordinator=decision.coordinator,
+            share=round(decision.share, 3),
+            left=round(decision.left, 2),
+            retry_after_s=round(decision.retry_after_s, 2),
+        )
         # Until then, waiting requests don't ask again one by one.
         server.limit_wait_until_s = self._now_s() + decision.retry_after_s
         return False
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -8,13 +8,25 @@
 import os
 import random
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
 
 import pytest
 from fleet_world import run_in_virtual_time
 from limited_servers import LimitedServersSimulation
+from timed_engines import (
+    Caller,
+    ScriptedEngine,
+    a_relay_harness,
+    completes_stream,
+    generation_caller,
+    received_complete_stream,
+    run,
+)
 from tornado.httputil import HTTPHeaders
+from virtual_time import now_s
 
 from rosepath.platform.calls import read_notice
+from rosepath.quota_pool import NO_LIMIT, QuotaDecision
 
 FEW = pytest.param((7, 3.0), id="few")
 LARGE_FLEET = pytest.param((26, 4.0), id="large_fleet")
@@ -150,6 +162,80 @@
     assert simulation.excesses == []
 
 
+@dataclass(slots=True)
+class ScriptedQuotas:
+    """Admit no request to a server before a time; record what is given back."""
+
+    admits_from_s: float
+    asked: list[str] = field(default_factory=list)
+    given_back: int = 0
+
+    async def admit(self, workspace: str, cost: float) -> QuotaDecision:
+        return NO_LIMIT
+
+    async def admit_to_server(self, server: str, limit_per_s: float) -> QuotaDecision:
+        self.asked.append(server)
+        wait_s = max(0.0, self.admits_from_s - now_s())
+        return QuotaDecision(granted=not wait_s, retry_after_s=wait_s)
+
+    def give_back(self, decision: QuotaDecision) -> None:
+        self.given_back += 1
+
+
+def serve_one(
+    *engines: str, admits_after_s: float = 0.0, wait_ms: int = 9000, down: bool = False
+) -> tuple[Caller, ScriptedQuotas, list[ScriptedEngine]]:
+    """Serve one generation where the first of the engines states a limit."""
+    scripted = [ScriptedEngine(name, completes_stream) for name in engines]
+    caller = generation_caller("q1", wait_ms=wait_ms)
+    quotas = ScriptedQuotas(0.0)
+
+    async def serve() -> None:
+        quotas.admits_from_s = now_s() + admits_after_s
+        harness = a_relay_harness(*scripted)
+        harness.relay._ports.quotas = quotas
+        harness.fleet.servers[engines[0]].limit_per_s = 1.0
+        scripted[0].up = not down
+        await harness.serve(caller)
+
+    run(serve)
+    return caller, quotas, scripted
+
+
+# Guards against a request that waits for a limited engine beside a free one.
+def test_request_beyond_the_limit_goes_to_another_engine() -> None:
+    caller, quotas, engines = serve_one("e1", "e2", admits_after_s=60.0)
+    assert received_complete_stream(caller)
+    assert [len(engine.requests) for engine in engines] == [0, 1]
+    assert set(quotas.asked) <= {"e1"}
+
+
+# Guards against a refusal of what the limit allows while its caller waits, and
+# against asking again for each try of each waiting request.
+def test_request_waits_until_the_limit_of_the_only_engine_allows_it() -> None:
+    caller, quotas, _ = serve_one("e1", admits_after_s=1.5)
+    assert received_complete_stream(caller)
+    assert len(quotas.asked) <= 3
+    assert quotas.given_back == 0
+
+
+# Guards against a request that is held although the limit allows it too late.
+def test_request_that_the_limit_allows_too_late_is_refused_at_once() -> None:
+    caller, quotas, engines = serve_one("e1", admits_after_s=30.0, wait_ms=3000)
+    assert caller.status == 503
+    assert float(caller.retry_after) >= 30.0
+    assert len(quotas.asked) == 1
+    assert engines[0].requests == []
+
+
+# Guards against a rate that is used up by attempts that never reached the
+# server.
+def test_admission_of_an_attempt_that_was_not_sent_is_given_back() -> None:
+    caller, quotas, _ = serve_one("e1", wait_ms=1000, down=True)
+    assert caller.status == 503
+    assert quotas.given_back == len(quotas.asked) > 0
+
+
 @pytest.mark.parametrize(
     ("stated", "limit_per_s"),
     [
