--- a/src/rosepath/engine_orders.py
+++ b/src/rosepath/engine_orders.py
@@ -90,13 +90,13 @@
 class UnansweredLoad:
     """Record a load that may still be executed although it got no response.
 
-    `sent_s` is when it was sent last.
+    `unanswered_s` is when the wait for a response ended.
     """
 
     model: str
     adapter: str
     sequence: int
-    sent_s: float
+    unanswered_s: float
 
 
 @dataclass(slots=True, kw_only=True)
@@ -173,7 +173,7 @@
                     model=order.model,
                     adapter=order.adapter,
                     sequence=order.expected_sequence,
-                    sent_s=now_s,
+                    unanswered_s=now_s,
                 )
             )
 
@@ -182,7 +182,7 @@
         self.unanswered_loads[:] = [
             load
             for load in self.unanswered_loads
-            if now_s - load.sent_s < LATE_ORDER_LIMIT_S
+            if now_s - load.unanswered_s < LATE_ORDER_LIMIT_S
         ]
 
     def possible_late_loads(self) -> set[tuple[str, str]]:
--- a/src/rosepath/quota_client.py
+++ b/src/rosepath/quota_client.py
@@ -96,7 +96,7 @@
         self._stopping = stopping
         self._has_limited_servers = has_limited_servers
         self._rng = rng or random.Random()
-        self._granting = QuotaCoordinator(tolerance)
+        self._as_coordinator = QuotaCoordinator(tolerance)
         self.coordinator = entry_vm
         self._start = uuid.uuid4().hex[:8]
         self._number = 0
@@ -108,7 +108,7 @@
 
     def apply(self, catalog: Catalog) -> None:
         """Apply the quotas of a configuration."""
-        self._granting.workspaces.apply(catalog.quotas, now_s=self._now_s())
+        self._as_coordinator.workspaces.apply(catalog.quotas, now_s=self._now_s())
 
     async def admit(self, workspace: str, cost: float) -> QuotaDecision:
         """Admit a request of a workspace, or say when to retry."""
@@ -143,7 +143,7 @@
             self._return(self.coordinator, request_id)
             raise
         self._lend_to_self()
-        decision = self._granting.admit(request_id, claim, now_s=self._now_s())
+        decision = self._as_coordinator.admit(request_id, claim, now_s=self._now_s())
         return replace(decision, coordinator=self._me, quota_request_id=request_id)
 
     def give_back(self, decision: QuotaDecision) -> None:
@@ -169,7 +169,7 @@
     def _log_usage(self) -> None:
         """Log as coordinator what workspaces used in the last window."""
         now_s = self._now_s()
-        pool = self._granting.workspaces
+        pool = self._as_coordinator.workspaces
         if pool.lenders <= 1 or now_s < self._logged_s + LOG_INTERVAL_S:
             return
         self._logged_s = now_s
@@ -198,9 +198,9 @@
                 if pending is not None and not pending.done():
                     pending.set_result(message)
             case QuotaReturn(quota_request_id=""):
-                self._granting.withdraw(message.entry_vm, now_s=self._now_s())
+                self._as_coordinator.withdraw(message.entry_vm, now_s=self._now_s())
             case QuotaReturn():
-                self._granting.give_back(message.quota_request_id)
+                self._as_coordinator.give_back(message.quota_request_id)
 
     # As coordinator
 
@@ -214,12 +214,12 @@
         if request.probe:
             return reply
         now_s = self._now_s()
-        self._granting.lend(
+        self._as_coordinator.lend(
             request.entry_vm, fleet_size=request.fleet_size, now_s=now_s
         )
         if request.claim is None:
-            return replace(reply, share=self._granting.workspaces.share)
-        decision = self._granting.admit(
+            return replace(reply, share=self._as_coordinator.workspaces.share)
+        decision = self._as_coordinator.admit(
             request.quota_request_id, request.claim, now_s=now_s
         )
         return replace(
@@ -250,7 +250,9 @@
                 await self._choose(excluded=coordinator)
 
     def _lend_to_self(self) -> None:
-        self._granting.lend(self._me, fleet_size=self._fleet_size, now_s=self._now_s())
+        self._as_coordinator.lend(
+            self._me, fleet_size=self._fleet_size, now_s=self._now_s()
+        )
 
     @property
     def _fleet_size(self) -> int:
