--- a/src/rosepath/entry_node.py
+++ b/src/rosepath/entry_node.py
@@ -40,7 +40,7 @@
 from rosepath.request_records import RequestRecorder
 from rosepath.retry_window import RetryWindow
 from rosepath.server_choice import note_backoff
-from rosepath.server_limits import apply_limit_notice
+from rosepath.server_limits import apply_limit_notice, limited_servers
 from rosepath.server_notice import ServerNotice
 from rosepath.settings import split_address
 from rosepath.store_tables import StoreTables
@@ -195,7 +195,7 @@
             catalog=lambda: self.tables.catalog,
             send=lambda message, address: self.exchange.link.send(message, address),
             stopping=lambda: self.stopping,
-            has_limited_servers=self._has_limited_servers,
+            has_limited_servers=lambda: limited_servers(self.tables.fleet) > 0,
         )
         self.exchange.link.on_quota_message = self.quotas.handle
         self.records = RequestRecorder(self.metrics, clock=self.clock)
@@ -352,10 +352,7 @@
             "lease_term": self.coordinator.term,
             "ready": self.ready,
             "requests_suspected": len(self.crashes.records),
-            "servers_limited": sum(
-                server.limit_per_s is not None
-                for server in self.tables.fleet.servers.values()
-            ),
+            "servers_limited": limited_servers(self.tables.fleet),
             "requests_quarantined": len(self.crashes.records.quarantined),
             "in_flight": len(self.gateway.serving),
         }
@@ -452,12 +449,6 @@
         self.tables.notify_waiters()
         self.exchange.send_state_soon()
 
-    def _has_limited_servers(self) -> bool:
-        return any(
-            server.limit_per_s is not None
-            for server in self.tables.fleet.servers.values()
-        )
-
     def _apply_announced_departure(self, server: BackendServer) -> None:
         if self.tables.apply_announced_departure(server):
             self.exchange.send_state_soon()
--- a/src/rosepath/server_limits.py
+++ b/src/rosepath/server_limits.py
@@ -73,6 +73,11 @@
     )
 
 
+def limited_servers(fleet: Fleet) -> int:
+    """Return how many servers state a rate limit."""
+    return sum(server.limit_per_s is not None for server in fleet.servers.values())
+
+
 def _apply(server: BackendServer, limit_per_s: float | None, *, told_by: str) -> bool:
     if limit_per_s == server.limit_per_s:
         return False
