Probe further candidates if the first coordinators of quotas are silent

Callers of a limited server, or of a workspace near its quota, were refused by most VMs, and a server could get one request too many from each of them.

Cause: a VM probed three candidates of the fleet and three of its data centre, in a data centre of their own the same three. If these had ended together, each VM became its own coordinator with 1/N of every quota, until they were back: VMs that ended stay in the ranking, as they may only be cut off.

The next candidates are probed, nine of the fleet in all, then as many of the data centre, which is needed only if it is cut off. The simulation seeds the jitter, so a run repeats.

--- a/src/rosepath/quota_client.py
+++ b/src/rosepath/quota_client.py
@@ -46,10 +46,12 @@
 # While another coordinator than the preferred one is used, the preferred one is
 # probed at this interval, so that the fleet returns to one coordinator.
 REEVALUATE_INTERVAL_S = 2.0
-# Candidates over the whole fleet, and in the own data centre in case it is cut
-# off from the others.
-FLEET_CANDIDATES = 3
-LOCAL_CANDIDATES = 3
+# Candidates that are probed at once. If all of them are silent, the next ones
+# are: VMs that ended are still ranked until they are known to be gone. The own
+# data centre may be cut off from the others, so its VMs are probed last.
+CANDIDATES_PER_ROUND = 3
+FLEET_ROUNDS = 3
+LOCAL_ROUNDS = 3
 # Coordinators tried for one request before this VM admits it on its own.
 MAX_COORDINATORS = 2
 RENDEZVOUS_KEY = "quotas"
@@ -310,7 +312,18 @@
 
     async def _choose_reachable(self, excluded: str) -> None:
         """Choose the first candidate that responds to a probe."""
-        candidates = [name for name in self._candidates() if name != excluded]
+        chosen = None
+        for candidates in self._candidate_rounds():
+            chosen = await self._first_reachable(
+                [name for name in candidates if name != excluded]
+            )
+            if chosen is not None:
+                break
+        self._chosen_s = self._now_s()
+        self._change(chosen or self._me)
+
+    async def _first_reachable(self, candidates: list[str]) -> str | None:
+        """Return the first of the candidates that responds, None if none does."""
         probes: Mapping[str, asyncio.Future[QuotaReply]] = {
             name: self._probe(name) for name in candidates if name != self._me
         }
@@ -324,19 +337,17 @@
                 await asyncio.wait(
                     waiting, timeout=left_s, return_when=asyncio.FIRST_COMPLETED
                 )
-            chosen = next(
+            return next(
                 (
                     name
                     for name in candidates
                     if name == self._me or _responded(probes[name])
                 ),
-                self._me,
+                None,
             )
         finally:
             for probe in probes.values():
                 probe.cancel()
-        self._chosen_s = self._now_s()
-        self._change(chosen)
 
     def _decided(
         self, candidates: list[str], probes: Mapping[str, asyncio.Future[QuotaReply]]
@@ -377,10 +388,10 @@
         return future
 
     def _preferred(self) -> str:
-        return next(iter(self._candidates()))
+        return self._candidate_rounds()[0][0]
 
-    def _candidates(self) -> list[str]:
-        """Return the VMs that may coordinate, the preferred one first."""
+    def _candidate_rounds(self) -> list[list[str]]:
+        """Return the VMs to probe in each round, the preferred one first."""
         links_mbps: dict[str, float] = {}
         local: dict[str, float] = {}
         for name, peer in self._peers.peers.items():
@@ -391,9 +402,19 @@
                     local[name] = state.link_mbps
         if not self._stopping():
             links_mbps[self._me] = local[self._me] = self._link_mbps
-        fleet = _ranked_by_link(links_mbps, FLEET_CANDIDATES)
-        nearby = _ranked_by_link(local, LOCAL_CANDIDATES)
-        return [*dict.fromkeys([*fleet, *nearby])] or [self._me]
+        size = CANDIDATES_PER_ROUND
+        fleet = _ranked_by_link(links_mbps, FLEET_ROUNDS * size)
+        nearby = [
+            name
+            for name in _ranked_by_link(local, LOCAL_ROUNDS * size)
+            if name not in fleet
+        ]
+        rounds = [
+            names[start : start + size]
+            for names in (fleet, nearby)
+            for start in range(0, len(names), size)
+        ]
+        return rounds or [[self._me]]
 
     def _return(self, coordinator: str, request_id: str) -> None:
         """Give back a grant, or without an id this VM's share."""
--- a/tests/limited_servers.py
+++ b/tests/limited_servers.py
@@ -48,8 +48,6 @@
     arrivals: dict[str, deque[float]] = field(default_factory=dict)
     total: dict[str, int] = field(default_factory=dict)
     excesses: list[Excess] = field(default_factory=list)
-    # VMs whose datagrams are lost.
-    isolated: set[str] = field(default_factory=set)
 
     def limit(self, server: str, per_s: float, *, stated: str = "") -> None:
         """Let a server state a limit from now on."""
@@ -75,7 +73,8 @@
 
     def _build_node(self, name: str, monkeypatch: Any) -> None:
         FleetSimulation._build_node(self, name, monkeypatch)
-        self.nodes[name].quotas._address = _address(name)
+        quotas = self.nodes[name].quotas
+        quotas._address, quotas._rng = _address(name), self.rng
 
     def _run(self, name: str) -> None:
         FleetSimulation._run(self, name)
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -135,6 +135,29 @@
     assert play(monkeypatch, size, scenario).excesses == []
 
 
+# Guards against VMs that each grant on their own, as all those that they would
+# ask first have ended: one request each is more than the limit allows.
+@sizes
+def test_vms_find_a_coordinator_though_the_first_candidates_ended(
+    monkeypatch: pytest.MonkeyPatch, size: tuple[int, float]
+) -> None:
+    coordinators: set[str] = set()
+
+    async def scenario(simulation: LimitedServersSimulation) -> None:
+        simulation.limit("i-0", 1.0)
+        await asyncio.sleep(6.0)
+        for name in simulation.nodes["vm-0"].quotas._candidate_rounds()[0]:
+            simulation.kill(name)
+        await asyncio.sleep(10.0)
+        live = simulation.nodes.keys() - simulation.killed
+        coordinators.update(simulation.nodes[name].quotas.coordinator for name in live)
+
+    simulation = play(monkeypatch, size, scenario)
+    assert simulation.excesses == []
+    # Until all VMs know each other's links, some may prefer another one.
+    assert len(coordinators) <= 2
+
+
 # Guards against VMs that hear each other badly and send as if alone.
 @sizes
 @pytest.mark.parametrize("seed", SEEDS)
