--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -36,7 +36,8 @@
 REQUEST_INTERVAL_S = 0.08
 
 
-def _address(vm: str) -> str:
+def vm_address(vm: str) -> str:
+    """Return the address of an entry VM's state messages."""
     return f"10.0.0.1:{int(vm.rpartition('-')[2]) + 1}"
 
 
@@ -276,7 +277,7 @@
             }
         )
         node = self.nodes[name] = EntryNode(settings)
-        node.exchange.link.address = _address(name)
+        node.exchange.link.address = vm_address(name)
         node.tables.catalog = a_catalog(
             a_route(kind=RouteKind.IDEMPOTENT, service=SERVICE, resumable=False)
         )
@@ -296,7 +297,7 @@
         """Give a VM the addresses of the others and start its tasks."""
         node = self.nodes[name]
         for other in self.nodes:
-            node.peers.note_address(other, _address(other))
+            node.peers.note_address(other, vm_address(other))
         link = node.exchange.link
         link._rng = self.rng
         link.connection_made(cast(Any, SimulatedTransport(self, name)))
--- a/tests/limited_servers.py
+++ b/tests/limited_servers.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 from typing import Any, NamedTuple
 
-from fleet_world import FleetSimulation, _address, require_still_wanted
+from fleet_world import FleetSimulation, require_still_wanted, vm_address
 from tornado.httputil import HTTPHeaders
 from virtual_time import now_s
 
@@ -74,7 +74,7 @@
     def _build_node(self, name: str, monkeypatch: Any) -> None:
         FleetSimulation._build_node(self, name, monkeypatch)
         quotas = self.nodes[name].quotas
-        quotas._address, quotas._rng = _address(name), self.rng
+        quotas._address, quotas._rng = vm_address(name), self.rng
 
     def _run(self, name: str) -> None:
         FleetSimulation._run(self, name)
