--- a/src/rosepath/engine_plan.py
+++ b/src/rosepath/engine_plan.py
@@ -149,7 +149,7 @@
 ) -> Swap | None:
     """Return a swap with sufficient gain, or None."""
     if state.replicas[model] and engine.limit_per_s < math.inf:
-        # An engine in need is the last to take load off others.
+        # An engine that limits its rate should not take load off others.
         return None
     spec = state.models[model]
     from_store = model not in engine.local_load_s
--- a/src/rosepath/platform/calls.py
+++ b/src/rosepath/platform/calls.py
@@ -24,7 +24,7 @@
 _NOT_RUN = "Not-Executed"
 _LOAD = "Server-Load"
 _LEAVING = "Server-Leaving"
-# The requests a second that a server in need accepts from all VMs together.
+# The requests a second that a server accepts from all VMs together, if limited.
 _LIMIT = "Server-Limit"
 _API_KEY = "Api-Key"
 _WORKSPACE = "Tenant"
--- a/src/rosepath/quota_coordinator.py
+++ b/src/rosepath/quota_coordinator.py
@@ -4,8 +4,8 @@
 from rosepath.quota_pool import QuotaDecision, QuotaPool, QuotaTolerance
 from rosepath.workspaces import Quota
 
-# In any window, a server accepts half as many requests again as its limit
-# allows, and a few more.
+# In any window, a server accepts one and a half times what its limit allows,
+# and a few requests more.
 SERVER_LIMIT_TOLERANCE = QuotaTolerance(window_s=4.0, overage=0.5, slack=5.0)
 # A server that accepts no requests is sent one at this rate all the same: only
 # its responses show when the limit ends.
--- a/src/rosepath/server_notice.py
+++ b/src/rosepath/server_notice.py
@@ -4,7 +4,7 @@
 
 
 class ServerNotice(NamedTuple):
-    """State whether a server is leaving, to back off from it or its rate limit.
+    """State whether a server is leaving, how long to back off, and its limit.
 
     `limit_per_s` is the rate of requests that it accepts from all entry VMs
     together, None if the response states none. Only a response to a request
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -60,8 +60,8 @@
     return simulation
 
 
-# Guards against a server in need that gets its usual part of the requests, or
-# the rate that it asked for from each entry VM.
+# Guards against a server that limits its rate and gets its usual part of the
+# requests, or the whole rate from each entry VM.
 @sizes
 def test_limited_server_gets_its_rate_from_all_vms_together(
     monkeypatch: pytest.MonkeyPatch, size: tuple[int, float]
@@ -77,7 +77,7 @@
     assert simulation.refused == 0
 
 
-# Guards against a limit that outlives the server's need: it would go on getting
+# Guards against a limit that outlives its cause: the server would go on getting
 # almost no requests.
 @sizes
 def test_server_gets_its_part_again_once_it_states_no_limit(
