Log the engine's instance and the age of the report behind each order

On-call engineers could not tell which of the hypotheses of a late load applies: an order's line named neither the instance of its engine, whose numbers begin anew at a restart, nor how old the report was that its contents rest on; and an order of another holder that was executed left no line at all.

`order` lines have `born_ms` and `report_age_s`; a report that counts orders nobody here got a confirmation of is logged as `unconfirmed_orders_executed`, with what it added and removed. At most one line a report that was read.

No decision changes.

--- a/src/rosepath/engine_orders.py
+++ b/src/rosepath/engine_orders.py
@@ -126,6 +126,8 @@
     loaded_s: dict[str, float] = field(default_factory=dict)
     adapters: dict[str, float] = field(default_factory=dict)
     last_read_s: float = -1e9
+    # When the last report was applied, on the clock of the order sender.
+    reported_s: float = -1e9
     unanswered_loads: list[UnansweredLoad] = field(default_factory=list)
 
     @property
--- a/src/rosepath/order_dispatcher.py
+++ b/src/rosepath/order_dispatcher.py
@@ -230,7 +230,27 @@
         except ExchangeError as error:
             _log.info("report_unread", peer=server.name, why=error.message)
             return False
-        return record.apply_report(report, now_s=self._ports.clock.monotonic_s())
+        recorded, recorded_models = record.basis, set(record.models)
+        first_report = not record.has_report
+        if not record.apply_report(report, now_s=self._ports.clock.monotonic_s()):
+            return False
+        record.reported_s = self.sender.clock.monotonic_s()
+        same_instance = not first_report and record.born_ms == recorded.born_ms
+        if same_instance and record.sequence > recorded.sequence:
+            # The engine has accepted an order that was never confirmed here, of
+            # this holder or of an earlier one.
+            _log.info(
+                "unconfirmed_orders_executed",
+                step="report",
+                peer=server.name,
+                fence=record.fence,
+                born_ms=record.born_ms,
+                recorded_sequence=recorded.sequence,
+                sequence=record.sequence,
+                models_added=sorted(record.models - recorded_models),
+                models_removed=sorted(recorded_models - record.models),
+            )
+        return True
 
     # Adapters
 
--- a/src/rosepath/order_sender.py
+++ b/src/rosepath/order_sender.py
@@ -179,6 +179,7 @@
         *,
         sent_s: float | None,
     ) -> None:
+        now_s = self.clock.monotonic_s()
         outcome = reply.value if reply else "unanswered"
         key = (
             f"{order.action.value}_{'adapter' if order.adapter else 'model'}_{outcome}"
@@ -193,14 +194,15 @@
             adapter=order.adapter,
             fence=order.fence,
             sequence=order.expected_sequence,
+            # A restarted engine has the same name and counts from zero.
+            born_ms=record.born_ms,
+            report_age_s=round(now_s - record.reported_s, 3),
             recorded_models=sorted(record.models),
             recorded_adapters=len(record.adapters),
             outcome=outcome,
             why=why,
             # Null if never sent; only a sent order may still arrive late.
-            sent_ago_s=None
-            if sent_s is None
-            else round(self.clock.monotonic_s() - sent_s, 3),
+            sent_ago_s=None if sent_s is None else round(now_s - sent_s, 3),
         )
 
 
