Reproduce late loads that exceed an engine's memory across lease holders

Callers of all models on an engine lose it: it crashes when it is ordered to load more than it holds.

Three hypotheses, each as a test of two dispatchers that order one engine one after the other: 1. A load of the last holder stays without an answer, the engine restarts and counts as far under the next holder: three models, or four adapters, where two and three fit. Fails for another VM and for the next process of the same. 2. A load that was rejected and sent again under a newer number, with another holder in between: does not fail. 3. An adapter's unload that an engine answers as done without counting it: the record is one ahead. A late load takes the number between (four adapters where three fit), and otherwise the engine's reports are dropped and it gets no more orders.

--- a/tests/test_order_dispatcher.py
+++ b/tests/test_order_dispatcher.py
@@ -8,7 +8,7 @@
 from entry_builders import a_catalog, an_engine_spec, an_entry
 
 from rosepath.catalog import EngineSpec
-from rosepath.clock import ManualClock
+from rosepath.clock import Clock, ManualClock
 from rosepath.demand import ModelDemand
 from rosepath.engine_orders import (
     EngineRecord,
@@ -100,8 +100,9 @@
 
 def a_dispatcher(
     engine: FakeEngine,
-    clock: ManualClock,
+    clock: Clock,
     *,
+    me: str = "vm-1",
     demand: dict[str, ModelDemand] | None = None,
     may_order: Callable[[], bool] = lambda: True,
     fence: Callable[[], int] = lambda: 7,
@@ -115,7 +116,7 @@
     catalog = a_catalog(engine=spec)
     return OrderDispatcher(
         DispatcherPorts(
-            me="vm-1",
+            me=me,
             clock=clock,
             engines=engine,
             fleet=fleet,
--- /dev/null
+++ b/tests/test_order_succession.py
@@ -0,0 +1,296 @@
+"""Orders of one lease holder that an engine executes under the next one."""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass, field, replace
+
+import pytest
+from entry_builders import an_engine_spec, an_entry
+from structlog.testing import capture_logs
+from test_order_dispatcher import FakeEngine, a_dispatcher
+from virtual_time import LoopClock, VirtualLoop
+
+from rosepath.demand import ModelDemand
+from rosepath.engine_orders import LATE_ORDER_LIMIT_S, Order, OrderAction, OrderReply
+from rosepath.fleet import Fleet
+from rosepath.order_dispatcher import REPORT_INTERVAL_S, OrderDispatcher
+
+ADAPTER_SLOTS = 3
+# Two models of 70,000 MB and their adapters fit.
+MEMORY_MB = 145_000.0
+MODELS_THAT_FIT = 2
+STEP_S = 0.01
+
+
+def play(scenario: Coroutine[None, None, None]) -> None:
+    """Run a scenario in virtual time."""
+    with asyncio.Runner(loop_factory=VirtualLoop) as runner:
+        runner.run(scenario)
+
+
+async def until(done: Callable[[], bool]) -> None:
+    async with asyncio.timeout(60):
+        while not done():  # noqa: ASYNC110
+            await asyncio.sleep(STEP_S)
+
+
+class MeasuredEngine(FakeEngine):
+    """Record the most models and adapters that the engine was ordered to hold."""
+
+    def __init__(self, *models: str) -> None:
+        super().__init__(*models)
+        self.most_models = len(models)
+        self.most_adapters = 0
+        # The adapter whose loads get no response.
+        self.silent_adapter = ""
+
+    async def order(
+        self, address: str, order: Order, *, still_wanted: Callable[[], bool]
+    ) -> OrderReply:
+        if order.adapter and order.adapter == self.silent_adapter:
+            self.unanswered_left = 1
+        return await super().order(address, order, still_wanted=still_wanted)
+
+    def execute(self, order: Order) -> OrderReply:
+        reply = super().execute(order)
+        self.most_models = max(self.most_models, len(self.models))
+        self.most_adapters = max(
+            self.most_adapters, sum(map(len, self.models.values()))
+        )
+        return reply
+
+    def restart(self, *, born_ms: int) -> None:
+        """Start again under the same name, empty."""
+        self.models, self.sequence, self.busy = {}, 0, False
+        self.born_ms = born_ms
+
+
+@dataclass
+class Succession:
+    """Let one holder of the placement lease after another order an engine."""
+
+    engine: MeasuredEngine
+    fleet: Fleet = field(default_factory=Fleet)
+    demand: dict[str, ModelDemand] = field(default_factory=dict)
+    holder: str = ""
+    fence: int = 0
+
+    def next_holder(self, name: str) -> OrderDispatcher:
+        """Pass the lease to a VM's new process."""
+        self.fence += 1000
+        fence, self.holder = self.fence, name
+        spec = replace(
+            an_engine_spec("m0", "m1", "m2", adapter_slots=ADAPTER_SLOTS),
+            memory_mb=MEMORY_MB,
+        )
+        dispatcher = a_dispatcher(
+            self.engine,
+            LoopClock(),
+            me=name,
+            demand=self.demand,
+            may_order=lambda: self.fence == fence,
+            fence=lambda: fence,
+            fleet=self.fleet,
+            spec=spec,
+        )
+        dispatcher.sender.clock = LoopClock()
+        return dispatcher
+
+    def restart_engine(self) -> None:
+        """Restart the engine and update its entry."""
+        self.engine.restart(born_ms=int(LoopClock().wall_s() * 1000))
+        entry = replace(an_entry("e1", models={}), born_ms=self.engine.born_ms)
+        self.fleet.put(entry)
+
+    async def plan(self, dispatcher: OrderDispatcher, *, rounds: int = 1) -> None:
+        for _ in range(rounds):
+            await asyncio.sleep(REPORT_INTERVAL_S + STEP_S)
+            await dispatcher.tick()
+            await until(lambda: not dispatcher._swaps)
+
+
+# Guards against an engine that is ordered to hold three models where two fit,
+# as the load of an earlier holder comes late and fits by its number.
+@pytest.mark.parametrize("successor", ["vm-2", "vm-1"])
+def test_load_of_the_previous_holder_fits_after_a_restart(successor: str) -> None:
+    async def run() -> None:
+        succession = Succession(MeasuredEngine("m0"))
+        engine, demand = succession.engine, succession.demand
+        previous = succession.next_holder("vm-1")
+        demand.update(m0=ModelDemand(0.1, 0), m1=ModelDemand(0.0, 9))
+        for adapter in ("a1", "a2"):
+            assert await previous.ensure_adapter("llm", "e1", "m0", adapter)
+        engine.unanswered_left = 3
+        await succession.plan(previous)
+        late = engine.unanswered_orders[0]
+        assert (late.model, late.expected_sequence) == ("m1", 2)
+        succession.restart_engine()
+        # The successor may be another VM, or the next process of the same one.
+        current = succession.next_holder(successor)
+        del demand["m1"]
+        demand["m2"] = ModelDemand(0.0, 9)
+        for _ in range(4):
+            await succession.plan(current)
+            engine.execute(late)
+        assert engine.most_models <= MODELS_THAT_FIT
+        # An order that old is not executed any more.
+        await asyncio.sleep(LATE_ORDER_LIMIT_S)
+        await succession.plan(current, rounds=2)
+        assert len(engine.models) == MODELS_THAT_FIT
+
+    play(run())
+
+
+# Guards against an engine that is ordered to hold more adapters than it has
+# slots for, as the load of an earlier holder comes late.
+def test_adapter_of_the_previous_holder_fits_after_a_restart() -> None:
+    async def run() -> None:
+        succession = Succession(MeasuredEngine("m0"))
+        engine, demand = succession.engine, succession.demand
+        previous = succession.next_holder("vm-1")
+        demand["m0"] = ModelDemand(0.5, 9)
+        for adapter in ("a1", "a2", "a3"):
+            assert await previous.ensure_adapter("llm", "e1", "m0", adapter)
+        await asyncio.sleep(1.0)
+        engine.silent_adapter = "a4"
+        assert not await previous.ensure_adapter("llm", "e1", "m0", "a4")
+        late = engine.unanswered_orders[0]
+        assert (late.adapter, late.expected_sequence) == ("a4", 4)
+        succession.restart_engine()
+        current = succession.next_holder("vm-2")
+        await succession.plan(current)
+        assert "m0" in engine.models
+        for adapter in ("a1", "a2", "a3", "a5"):
+            await asyncio.sleep(1.0)
+            await current.ensure_adapter("llm", "e1", "m0", adapter)
+            engine.execute(late)
+        assert engine.most_adapters <= ADAPTER_SLOTS
+
+    play(run())
+
+
+# Guards against a swap of an earlier holder that is sent again, under a number
+# that rests on contents which the holder in between has changed.
+def test_rejected_load_is_not_sent_again_after_another_holder() -> None:
+    async def run() -> None:
+        succession = Succession(MeasuredEngine("m0"))
+        engine, demand = succession.engine, succession.demand
+        first = succession.next_holder("vm-1")
+        demand.update(m0=ModelDemand(0.1, 0), m1=ModelDemand(0.0, 9))
+        engine.busy = True
+        engine.report_busy = False
+        await first.tick()
+        await until(lambda: bool(engine.orders))
+        # The load of m1 is rejected and waits for its next try. Another VM
+        # loads m2, and the lease comes back within a second.
+        first_fence = succession.fence
+        second = succession.next_holder("vm-2")
+        engine.busy = False
+        del demand["m1"]
+        demand["m2"] = ModelDemand(0.0, 9)
+        await succession.plan(second)
+        assert set(engine.models) == {"m0", "m2"}
+        succession.fence = first_fence
+        await first.ensure_adapter("llm", "e1", "m0", "a1")
+        await until(lambda: not first._swaps)
+        assert engine.most_models <= MODELS_THAT_FIT
+
+    play(run())
+
+
+class EngineWithoutCountedUnloads(MeasuredEngine):
+    """Count no unload of an adapter that is not there."""
+
+    def execute(self, order: Order) -> OrderReply:
+        held = self.models.get(order.model, set())
+        absent = order.adapter and order.adapter not in held
+        if order.action is OrderAction.UNLOAD and absent:
+            return OrderReply.HOLDS
+        return super().execute(order)
+
+
+# Guards against an engine that is ordered to hold more adapters than it has
+# slots for: its recorded sequence is one ahead, and a late load takes the number
+# in between.
+def test_unload_of_an_absent_adapter_makes_no_room() -> None:
+    async def run() -> None:
+        succession = Succession(EngineWithoutCountedUnloads("m0"))
+        engine = succession.engine
+        previous = succession.next_holder("vm-1")
+        for adapter in ("a1", "a2", "a3"):
+            assert await previous.ensure_adapter("llm", "e1", "m0", adapter)
+        current = succession.next_holder("vm-2")
+        assert await current.ensure_adapter("llm", "e1", "m0", "a2")
+        # An adapter that the report still shows is gone.
+        engine.models["m0"].discard("a1")
+        await asyncio.sleep(1.0)
+        # A load of the previous holder arrives right after the unload of a1.
+        late = replace(engine.orders[-1], adapter="a9", expected_sequence=3)
+
+        def execute_late_before_the_load() -> None:
+            if engine.orders[-1].action is OrderAction.UNLOAD:
+                engine.execute(late)
+
+        engine.on_connect = execute_late_before_the_load
+        await current.ensure_adapter("llm", "e1", "m0", "a4")
+        assert "a9" in engine.models["m0"]
+        assert engine.most_adapters <= ADAPTER_SLOTS
+
+    play(run())
+
+
+# Guards against an engine that gets no more orders, as the record counts an
+# order that the engine did not.
+def test_record_recovers_from_an_order_that_was_not_counted() -> None:
+    async def run() -> None:
+        succession = Succession(EngineWithoutCountedUnloads("m0"))
+        engine, demand = succession.engine, succession.demand
+        current = succession.next_holder("vm-1")
+        for adapter in ("a1", "a2", "a3"):
+            assert await current.ensure_adapter("llm", "e1", "m0", adapter)
+        engine.models["m0"].discard("a1")
+        await asyncio.sleep(1.0)
+        await current.ensure_adapter("llm", "e1", "m0", "a4")
+        demand["m1"] = ModelDemand(0.0, 9)
+        await succession.plan(current, rounds=3)
+        assert "m1" in engine.models
+
+    play(run())
+
+
+# Guards against records of orders from which nobody can tell whether a number
+# was given in another instance of the engine, or by another holder.
+def test_logs_tell_instances_and_orders_of_other_holders() -> None:
+    async def run() -> None:
+        succession = Succession(MeasuredEngine("m0"))
+        engine, demand = succession.engine, succession.demand
+        succession.restart_engine()
+        engine.models = {"m0": set()}
+        current = succession.next_holder("vm-2")
+        demand["m1"] = ModelDemand(0.0, 9)
+        with capture_logs() as lines:
+            await current.tick()
+            engine.execute(
+                Order(
+                    action=OrderAction.LOAD,
+                    server="e1",
+                    model="m2",
+                    holder="vm-1",
+                    fence=succession.fence - 1000,
+                    expected_sequence=0,
+                )
+            )
+            await until(lambda: not current._swaps)
+            await succession.plan(current)
+        orders = [line for line in lines if line["event"] == "order"]
+        assert orders[0]["born_ms"] == engine.born_ms
+        assert 0.0 <= orders[0]["report_age_s"] < 1.0
+        found = [
+            line for line in lines if line["event"] == "unconfirmed_orders_executed"
+        ]
+        assert [(line["recorded_sequence"], line["sequence"]) for line in found] == [
+            (0, 1)
+        ]
+        assert found[0]["models_added"] == ["m2"]
+
+    play(run())
