Reproduce the rejected load with the late one sent by the previous holder

The test of the second hypothesis passed the lease back to the first holder, a course that needs more than the record shows. The record's own order fits a simpler one: the late load is the previous holder's, the rejected one is the next holder's.

--- a/tests/test_order_succession.py
+++ b/tests/test_order_succession.py
@@ -169,30 +169,27 @@
     play(run())
 
 
-# Guards against a swap of an earlier holder that is sent again, under a number
-# that rests on contents which the holder in between has changed.
-def test_rejected_load_is_not_sent_again_after_another_holder() -> None:
+# Guards against an engine that is ordered to hold three models where two fit:
+# as the load of an earlier holder comes late, the next holder's is rejected, and
+# a report read for an adapter gives its next try a number that fits.
+def test_load_rejected_after_one_of_the_previous_holder_is_planned_anew() -> None:
     async def run() -> None:
         succession = Succession(MeasuredEngine("m0"))
         engine, demand = succession.engine, succession.demand
-        first = succession.next_holder("vm-1")
-        demand.update(m0=ModelDemand(0.1, 0), m1=ModelDemand(0.0, 9))
-        engine.busy = True
-        engine.report_busy = False
-        await first.tick()
-        await until(lambda: bool(engine.orders))
-        # The load of m1 is rejected and waits for its next try. Another VM
-        # loads m2, and the lease comes back within a second.
-        first_fence = succession.fence
-        second = succession.next_holder("vm-2")
-        engine.busy = False
+        previous = succession.next_holder("vm-1")
+        demand.update(m0=ModelDemand(0.1, 0), m1=ModelDemand(0.0, 1))
+        engine.unanswered_left = 3
+        await succession.plan(previous)
+        current = succession.next_holder("vm-2")
         del demand["m1"]
-        demand["m2"] = ModelDemand(0.0, 9)
-        await succession.plan(second)
-        assert set(engine.models) == {"m0", "m2"}
-        succession.fence = first_fence
-        await first.ensure_adapter("llm", "e1", "m0", "a1")
-        await until(lambda: not first._swaps)
+        demand["m2"] = ModelDemand(0.0, 1)
+        # It is executed right after the report from which m2 is planned.
+        engine.execute_late_after_report = True
+        await current.tick()
+        await until(lambda: engine.orders[-1].model == "m2")
+        await current.ensure_adapter("llm", "e1", "m0", "a1")
+        await until(lambda: not current._swaps)
+        assert set(engine.models) == {"m0", "m1"}
         assert engine.most_models <= MODELS_THAT_FIT
 
     play(run())
