--- a/src/rosepath_standins/entry_fleet.py
+++ b/src/rosepath_standins/entry_fleet.py
@@ -17,6 +17,7 @@
 from collections import Counter, defaultdict
 from dataclasses import dataclass, field
 from pathlib import Path
+from typing import Any
 
 from tornado.httpserver import HTTPServer
 
@@ -154,11 +155,21 @@
         line, *rest = head.strip().split("\r\n")
         path = line.split(" ")[1]
         headers = dict(entry.lower().split(": ", 1) for entry in rest)
-        await reader.readexactly(int(headers.get("content-length", "0")))
+        body = await reader.readexactly(int(headers.get("content-length", "0")))
+        await self.respond(writer, path, headers, body)
+
+    async def respond(
+        self,
+        writer: asyncio.StreamWriter,
+        path: str,
+        headers: dict[str, str],
+        _body: bytes,
+    ) -> None:
+        """Respond to a whole request; header names and values are lower case."""
         request_id = headers["request-id"]
         vm, now_s = self.request_log.vm_by_request[request_id], time.monotonic()
         if headers["target-instance"] != self.name:
-            self._write(writer, 421, request_id, b"")
+            self.write_response(writer, 421, request_id, b"")
             return
         self.request_log.arrivals[request_id] += 1
         self.request_log.received_requests.append((self.name, vm, now_s))
@@ -169,7 +180,7 @@
             self.limit.told_s.setdefault(vm, now_s)
         if self.shedding:
             self.request_log.shed_requests.append((self.name, vm, now_s))
-            self._write(
+            self.write_response(
                 writer, 503, request_id, b"", SHED_HEADERS.format(RETRY_AFTER_S)
             )
             return
@@ -182,14 +193,15 @@
             raise ConnectionResetError
         if path.startswith("/draft/"):
             first = int(headers.get("last-event-id", "0")) + 1
-            await self._stream(writer, request_id, first)
+            await self.stream(writer, request_id, first)
             return
         await asyncio.sleep(RESPONSE_DELAY_S)
-        self._write(writer, 200, request_id, f"{path} {request_id}".encode())
+        self.write_response(writer, 200, request_id, f"{path} {request_id}".encode())
 
-    async def _stream(
+    async def stream(
         self, writer: asyncio.StreamWriter, request_id: str, first: int
     ) -> None:
+        """Stream the events of a request from the first one on."""
         head = self._head(200, request_id) + "Transfer-Encoding: chunked\r\n\r\n"
         writer.write(head.encode())
         for number in range(first, EVENTS_PER_STREAM + 1):
@@ -199,7 +211,7 @@
             await writer.drain()
         writer.write(b"0\r\n\r\n")
 
-    def _write(
+    def write_response(
         self,
         writer: asyncio.StreamWriter,
         status: int,
@@ -207,6 +219,7 @@
         body: bytes,
         extra: str = "",
     ) -> None:
+        """Write a response with a body; `extra` has further header lines."""
         head = self._head(status, request_id) + extra
         writer.write(f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body)
 
@@ -310,6 +323,9 @@
     request_log: RequestLog = field(default_factory=RequestLog)
     state: PlatformState | None = None
     servers: dict[str, Server] = field(default_factory=dict)
+    # The routes and services of its configuration beside the plain ones.
+    extra_routes: list[dict[str, object]] = field(default_factory=list)
+    extra_services: list[dict[str, object]] = field(default_factory=list)
     vms: dict[str, EntryVm] = field(default_factory=dict)
     instance_count: int = 0
     # All routes that were added, and those of them that were not dropped.
@@ -323,7 +339,7 @@
         store = HTTPServer(app, idle_connection_timeout=600)
         port = free_port()
         store.listen(port, address="127.0.0.1")
-        await self.write("config/main", _configuration(1, []))
+        await self._write_configuration([])
         for _ in range(servers):
             await self.add_server()
         for number in range(vms):
@@ -360,11 +376,15 @@
         names = self.active_routes + [
             f"crowd-{number}" for number in range(extra_routes)
         ]
-        await self.write(
-            "config/main", _configuration(1 + len(self.added_routes), names)
-        )
+        await self._write_configuration(names)
         route.added_s = dropped.dropped_s = time.monotonic()
 
+    async def _write_configuration(self, names: list[str]) -> None:
+        configuration = _configuration(1 + len(self.added_routes), names)
+        configuration["routes"] += self.extra_routes
+        configuration["services"] += self.extra_services
+        await self.write("config/main", configuration)
+
     async def add_server(self, *, port: int = 0) -> Server:
         self.instance_count += 1
         started_ms = int(time.time() * 1000)
@@ -433,7 +453,7 @@
     return b" 200 " in line
 
 
-def _configuration(version: int, names: list[str]) -> dict[str, object]:
+def _configuration(version: int, names: list[str]) -> dict[str, Any]:
     def route(name: str, kind: str, **more: object) -> dict[str, object]:
         return {
             "name": name,
