Draw the peers' port of a simulated VM free for TCP and for UDP

One of fourteen runs of the test of a killed holder, beside a soak, went on with one entry VM of two: the other had ended at its start, as its log shows ("Address already in use" in configuration_server.listen). The port between VMs carries datagrams and TCP, and was only looked for as free for datagrams, so that a connection or listener of a parallel run could have it. It is now drawn free for both. Also names whether a VM's process runs.

--- a/src/rosepath_standins/entry_fleet.py
+++ b/src/rosepath_standins/entry_fleet.py
@@ -51,11 +51,21 @@
     }
 
 
-def free_port(kind: int = socket.SOCK_STREAM) -> int:
-    """Return a free loopback port."""
-    with socket.socket(socket.AF_INET, kind) as held:
-        held.bind(("127.0.0.1", 0))
-        return int(held.getsockname()[1])
+def free_port(*, datagrams: bool = False) -> int:
+    """Return a loopback port that is free for TCP, and for UDP if asked."""
+    while True:
+        with (
+            socket.socket(socket.AF_INET, socket.SOCK_STREAM) as stream,
+            socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as datagram,
+        ):
+            stream.bind(("127.0.0.1", 0))
+            port = int(stream.getsockname()[1])
+            try:
+                if datagrams:
+                    datagram.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return port
 
 
 @dataclass(slots=True)
@@ -262,7 +272,7 @@
         """Write the settings file as the platform does."""
         self.port = self.port or free_port()
         self.ready_port = self.ready_port or free_port()
-        self.peer_port = self.peer_port or free_port(socket.SOCK_DGRAM)
+        self.peer_port = self.peer_port or free_port(datagrams=True)
         path = self.directory / f"{self.name}.toml"
         path.write_text(
             f'entry_vm = "{self.name}"\ndata_centre = "a"\n'
@@ -287,8 +297,12 @@
         log.close()
         self.note_disturbance()
 
+    @property
+    def running(self) -> bool:
+        return self.process is not None and self.process.poll() is None
+
     def send(self, number: signal.Signals) -> None:
-        if self.process is not None and self.process.poll() is None:
+        if self.process is not None and self.running:
             os.kill(self.process.pid, number)
 
     def note_disturbance(self) -> None:
