Resign only the lease that this VM held when it was stopped

Callers: two entry VMs ordered the same engines for 0.6 s, so that loads of one could take the memory that the other had given away.

Cause: a release is a write that rests on the version held, and returned the version that the row had once the write had failed. A read that was under way when the stop came had recorded the successor's lease there meanwhile, and that version was announced as resigned. The same where the release took too long.

The version is taken before the write and returned as it was taken. The test failed before (it resigned version 2, the successor's). Why it holds: what is announced is a version that this VM itself had recorded as its own.

--- a/src/rosepath/lease_keeper.py
+++ b/src/rosepath/lease_keeper.py
@@ -361,6 +361,9 @@
         row = self.rows.get(name)
         if row is None or row.holder != self._me:
             return 0
+        # A read that ends meanwhile may record the lease of a successor, whose
+        # version this VM must not resign.
+        version = row.version
         row.held_until_s = -1e9
         row.earliest_act_s = math.inf
         value = encode_lease(
@@ -373,13 +376,13 @@
             )
         )
         try:
-            version = await self._platform.put(
-                f"{LEASE_KIND}/{name}", value, expected_version=row.version
+            released_version = await self._platform.put(
+                f"{LEASE_KIND}/{name}", value, expected_version=version
             )
         except ConflictError:
             self._drop(row, why="conflict")
-            return row.version
+            return version
         except StoreError:
-            return row.version
+            return version
         row.holder = ""
-        return version
+        return released_version
--- a/src/rosepath/placement_coordinator.py
+++ b/src/rosepath/placement_coordinator.py
@@ -388,6 +388,9 @@
         This VM stops acting at once, whether the store applies the release in
         time, late or not at all.
         """
+        held_version = 0
+        if self.leases.holder(LEASE_NAME) == self._me:
+            held_version = self.leases.version(LEASE_NAME)
         try:
             async with asyncio.timeout(RELEASE_TIMEOUT_S):
                 return await self.leases.release(LEASE_NAME)
@@ -395,7 +398,7 @@
             _log.warning(
                 "lease_not_handed_back", step="lease", after_s=RELEASE_TIMEOUT_S
             )
-            return self.leases.version(LEASE_NAME)
+            return held_version
 
     def _choose_successor(self) -> str:
         live = [
--- a/tests/test_lease_handover.py
+++ b/tests/test_lease_handover.py
@@ -9,6 +9,7 @@
 from rosepath.clock import ManualClock
 from rosepath.lease_keeper import LeaseKeeper
 from rosepath.leases import LeasePolicy
+from rosepath.object_store import StoredObject
 
 HANDOVER_S = 0.75
 TURN_S = 3.0
@@ -76,6 +77,53 @@
     asyncio.run(run())
 
 
+class PlatformWithLateRead(FakePlatform):
+    """Delay reads until a write has been sent, and that write until they end."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.delays = False
+        self._write_sent, self._read_ended = asyncio.Event(), asyncio.Event()
+
+    async def get(self, name: str) -> StoredObject | None:
+        if self.delays:
+            await self._write_sent.wait()
+            asyncio.get_running_loop().call_soon(self._read_ended.set)
+        return await super().get(name)
+
+    async def put(
+        self, name: str, value: bytes, *, expected_version: int | None
+    ) -> int:
+        if self.delays:
+            self._write_sent.set()
+            await self._read_ended.wait()
+        return await super().put(name, value, expected_version=expected_version)
+
+
+# Guards against two holders: a VM that wakes up as it is stopped resigns the lease
+# that another VM has taken over meanwhile, and a third one takes that over.
+def test_a_stopping_vm_does_not_resign_the_lease_of_its_successor() -> None:
+    async def run() -> None:
+        platform, clock = PlatformWithLateRead(), ManualClock()
+        first, second = (
+            LeaseKeeper(platform, me=name, policy=POLICY, clock=clock) for name in "ab"
+        )
+        await first.step("l", wanted=True)
+        await second.step("l", wanted=True)
+        clock.advance(POLICY.duration_s + POLICY.margin_s + 0.1)
+        await second.step("l", wanted=True)
+        clock.advance(HANDOVER_S)
+        assert second.valid("l")
+        platform.delays = True
+        reading = asyncio.ensure_future(first.step("l", wanted=True))
+        await asyncio.sleep(0)
+        resigned = await first.release("l")
+        await reading
+        assert resigned != second.version("l")
+
+    asyncio.run(run())
+
+
 def test_a_resigned_lease_is_acquired_before_it_expires() -> None:
     # The holder cannot reach the store, but the others receive its
     # resignation. Without it, no VM orders models until the lease expires.
