Reserve memory for a load that an earlier holder may have left

Cause: an order without a response may be executed seconds later. Within one instance of an engine its number protects from it; a restarted engine keeps its name and counts from zero, so that the number comes round again. The sender reserves memory for its own unanswered loads since. What it knew is gone with it: the next holder, another VM or the next process of the same, loads the empty engine up to the number that the late load bears.

For as long as an order of an earlier term may be executed (15 s from the first moment of the new one), an engine whose instance may be younger than such an order is filled only as far as the largest model, and one adapter, still fit. An instance counts as older once this VM has seen it for 20 s, or by the wall clock with 10 s to spare. One load is reckoned with: for two to be executed both numbers have to come up with no order of this holder between them. First terms reserve nothing.

--- a/benchmarks/order_soak.py
+++ b/benchmarks/order_soak.py
@@ -44,6 +44,7 @@
 LATE_SHARE = 0.7
 LATE_LASTS_S = (3.0, 8.0)
 HEARTBEAT_S = 0.3
+MAX_EXTENSION_S = 60.0
 
 Fault = Callable[[], Awaitable[None]]
 
@@ -56,6 +57,8 @@
     rng: random.Random
     call_rng: random.Random
     ends_s: float
+    # A run goes on for up to MAX_EXTENSION_S until as many lease terms ordered.
+    min_terms: int = 1
     faults: Counter[str] = field(default_factory=Counter)
     statuses: Counter[int] = field(default_factory=Counter)
     in_demand: list[str] = field(default_factory=list)
@@ -72,7 +75,11 @@
 
     @property
     def running(self) -> bool:
-        return time.monotonic() < self.ends_s
+        over_s = time.monotonic() - self.ends_s
+        if over_s < 0:
+            return True
+        terms = len({order.fence for order in self.fleet.orders})
+        return terms < self.min_terms and over_s < MAX_EXTENSION_S
 
     # Load
 
@@ -223,7 +230,12 @@
 
 
 async def soak(
-    seed: int, *, duration_s: float, vms: int = VMS, directory: Path
+    seed: int,
+    *,
+    duration_s: float,
+    directory: Path,
+    vms: int = VMS,
+    min_terms: int = 1,
 ) -> OrderSoak:
     """Run one seed on a new fleet."""
     fleet = EngineFleet(directory)
@@ -234,6 +246,7 @@
         random.Random(seed),
         random.Random(-seed),
         time.monotonic() + duration_s,
+        min_terms,
     )
     try:
         await run.run()
--- a/src/rosepath/engine_orders.py
+++ b/src/rosepath/engine_orders.py
@@ -6,8 +6,7 @@
 from enum import StrEnum
 from typing import Protocol
 
-# An order without a response is executed within this time or never.
-LATE_ORDER_LIMIT_S = 15.0
+from rosepath.late_orders import LATE_ORDER_LIMIT_S
 
 
 class OrderAction(StrEnum):
@@ -110,6 +109,8 @@
     loads the model `loading` by `load_due_s`. `engine_busy` is set while the
     engine itself reports an order in progress. `unanswered_loads` is shared by
     the records of an engine's instances, as a restart does not end them.
+    `earlier_orders_possible` is set while orders of an earlier holder may still
+    be executed, `instance_settled` once none for an earlier instance is.
     """
 
     server: str
@@ -129,6 +130,16 @@
     # When the last report was applied, on the clock of the order sender.
     reported_s: float = -1e9
     unanswered_loads: list[UnansweredLoad] = field(default_factory=list)
+    earlier_orders_possible: bool = False
+    instance_settled: bool = False
+
+    @property
+    def may_execute_unknown_load(self) -> bool:
+        """Return whether a load of an earlier holder may still be executed.
+
+        Its model, adapter and sequence number are not known to this holder.
+        """
+        return self.earlier_orders_possible and not self.instance_settled
 
     @property
     def occupied(self) -> bool:
@@ -208,6 +219,7 @@
     def reset_for_new_instance(self, born_ms: int) -> None:
         """Clear what was recorded about the engine's previous instance."""
         self.born_ms = born_ms
+        self.instance_settled = False
         self.sequence = 0
         self.is_current = False
         self.models.clear()
--- a/src/rosepath/engine_views.py
+++ b/src/rosepath/engine_views.py
@@ -46,9 +46,21 @@
     models = {model for model, adapter in record.possible_late_loads() if not adapter}
     models |= (record.models | ({record.loading} - {""})).difference(without)
     owners = (name.partition("/")[0] for name in _reserved_adapters(record))
-    return sum(model_mb(spec.models, model) for model in models) + sum(
+    used = sum(model_mb(spec.models, model) for model in models) + sum(
         adapter_mb(spec.models, owner) for owner in owners if owner not in without
     )
+    return used + _unknown_load_mb(record, spec)
+
+
+def _unknown_load_mb(record: EngineRecord, spec: EngineSpec) -> float:
+    """Return the memory reserved for a load that an earlier holder ordered.
+
+    It suffices for one: two are only executed if both of their numbers come up
+    with no order of this holder in between.
+    """
+    if not record.may_execute_unknown_load:
+        return 0.0
+    return max((model.size_mb for model in spec.models.values()), default=0.0)
 
 
 def _reserved_adapters(record: EngineRecord) -> set[str]:
@@ -85,8 +97,15 @@
 
     None if it does not fit even without all of them.
     """
-    needed_mb = adapter_mb(spec.models, model) + used_mb(record, spec) - spec.memory_mb
+    used = used_mb(record, spec)
+    if used > spec.memory_mb:
+        # With the memory full, a late load exceeds it whether or not there is
+        # one more adapter.
+        used -= _unknown_load_mb(record, spec)
+    needed_mb = adapter_mb(spec.models, model) + used - spec.memory_mb
     needed_slots = len(_reserved_adapters(record)) + 1 - spec.adapter_slots
+    if record.may_execute_unknown_load:
+        needed_slots += 1
     count = 0
     while needed_mb > 0 or needed_slots > 0:
         if count == len(idle):
--- a/src/rosepath/lease_keeper.py
+++ b/src/rosepath/lease_keeper.py
@@ -177,6 +177,10 @@
         row = self.rows.get(name)
         return row.fence if row else 0
 
+    def follows_term(self, name: str) -> bool:
+        """Return whether a lease had a holder before the term last recorded."""
+        return self.fence(name) > FENCES_PER_TERM
+
     async def step(
         self, name: str, *, wanted: bool, extended_until_s: float = -1e9
     ) -> None:
--- a/src/rosepath/order_dispatcher.py
+++ b/src/rosepath/order_dispatcher.py
@@ -1,6 +1,7 @@
 """Plan and send load and unload orders as the placement lease holder."""
 
 import asyncio
+import math
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
@@ -26,6 +27,7 @@
 )
 from rosepath.errors import ExchangeError
 from rosepath.fleet import BackendServer, Fleet
+from rosepath.late_orders import LATE_ORDER_LIMIT_S, InstanceSightings
 from rosepath.logs import get_logger
 from rosepath.model_arrivals import ModelArrival
 from rosepath.order_sender import OrderSender
@@ -57,6 +59,8 @@
     catalog: Callable[[], Catalog | None]
     may_order: Callable[[], bool]
     fence: Callable[[], int]
+    # Whether another term of the lease came before the one held.
+    follows_term: Callable[[], bool]
     demand: Callable[[str], Mapping[str, ModelDemand]]
     # Bounds the age of what other VMs report as running on an engine.
     peer_update_interval_s: Callable[[], float]
@@ -79,6 +83,10 @@
         self._load_rate_limit = LoadRateLimit()
         self._histories: dict[str, DemandHistory] = {}
         self._fence = 0
+        # Until when orders of earlier terms may be executed, on the clock of
+        # the sender.
+        self._earlier_orders_until_s = -math.inf
+        self._instances = InstanceSightings()
         self.sender = OrderSender(
             me=ports.me,
             engines=ports.engines,
@@ -99,6 +107,9 @@
 
     async def tick(self) -> None:
         """Read outdated engine reports and start the next planned swaps."""
+        self._instances.update(
+            self._ports.fleet.servers.values(), now_s=self.sender.clock.monotonic_s()
+        )
         catalog = self._ports.catalog()
         if catalog is None or self._executor.closing or not self.sender.may_order():
             return
@@ -124,6 +135,11 @@
         if self._ports.fence() != self._fence:
             self._records.clear()
             self._fence = self._ports.fence()
+            if self._ports.follows_term():
+                # The previous holder had stopped before this term could act.
+                self._earlier_orders_until_s = (
+                    self.sender.clock.monotonic_s() + LATE_ORDER_LIMIT_S
+                )
 
     async def _plan(self, service: str, spec: EngineSpec, catalog: Catalog) -> None:
         # The models of an engine that is down are unavailable until it
@@ -203,7 +219,15 @@
                 unanswered_loads=self._unanswered_loads.setdefault(server.name, []),
             )
             self._records[server.name] = record
-        record.forget_unanswered(now_s=self.sender.clock.monotonic_s())
+        now_s = self.sender.clock.monotonic_s()
+        record.forget_unanswered(now_s=now_s)
+        record.earlier_orders_possible = now_s < self._earlier_orders_until_s
+        record.instance_settled = (
+            record.born_ms == server.entry.born_ms
+            and self._instances.settled(
+                server, now_s=now_s, wall_s=self._ports.clock.wall_s()
+            )
+        )
         return record
 
     async def _read_report_if_due(self, server: BackendServer) -> None:
--- a/src/rosepath/placement_coordinator.py
+++ b/src/rosepath/placement_coordinator.py
@@ -137,6 +137,7 @@
                 catalog=catalog,
                 may_order=lambda: self.holds_lease,
                 fence=lambda: self.leases.fence(LEASE_NAME),
+                follows_term=lambda: self.leases.follows_term(LEASE_NAME),
                 demand=self.all_demand,
                 peer_update_interval_s=lambda: peers.interval_s,
                 on_residency_change=self.residency_changes.record,
--- a/src/rosepath_standins/ordered_engine.py
+++ b/src/rosepath_standins/ordered_engine.py
@@ -10,6 +10,7 @@
 import random
 import time
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -74,6 +75,9 @@
     rng: random.Random = field(default_factory=random.Random)
     # Share of orders that get no response and are executed late.
     late_share: float = 0.0
+    # Orders that get no response and are executed by `execute_held_orders`.
+    holds: Callable[[ReceivedOrder], bool] = lambda _: False
+    held_orders: list[ReceivedOrder] = field(default_factory=list)
     models: dict[str, set[str]] = field(default_factory=dict)
     on_disk: set[str] = field(default_factory=set)
     sequence: int = 0
@@ -143,6 +147,10 @@
             received_s=time.monotonic(),
         )
         self.orders.append(order)
+        if self.holds(order):
+            self.held_orders.append(order)
+            await asyncio.sleep(LATE_EXECUTION_S[1])
+            raise ConnectionResetError
         if self.rng.random() < self.late_share:
             delay_s = self.rng.uniform(*LATE_EXECUTION_S)
             asyncio.get_running_loop().call_later(delay_s, self._execute, order)
@@ -151,6 +159,13 @@
             raise ConnectionResetError
         self._write_json(writer, self._execute(order), {})
 
+    def execute_held_orders(self) -> None:
+        """Execute the orders held that are not too old to be executed."""
+        now_s = time.monotonic()
+        for order in self.held_orders:
+            if now_s - order.received_s < LATE_EXECUTION_S[1]:
+                self._execute(order)
+
     def _execute(self, order: ReceivedOrder) -> int:
         """Execute an order, at once or late; return the status."""
         order.status = self._status(order)
--- a/tests/test_order_basis.py
+++ b/tests/test_order_basis.py
@@ -11,12 +11,12 @@
 from rosepath.clock import ManualClock
 from rosepath.demand import ModelDemand
 from rosepath.engine_orders import (
-    LATE_ORDER_LIMIT_S,
     Order,
     OrderAction,
     OrderReply,
 )
 from rosepath.fleet import Fleet
+from rosepath.late_orders import LATE_ORDER_LIMIT_S
 from rosepath.order_dispatcher import REPORT_INTERVAL_S
 
 # Less than the pause before the retry of a rejected order.
--- a/tests/test_order_succession.py
+++ b/tests/test_order_succession.py
@@ -11,8 +11,9 @@
 from virtual_time import LoopClock, VirtualLoop
 
 from rosepath.demand import ModelDemand
-from rosepath.engine_orders import LATE_ORDER_LIMIT_S, Order, OrderAction, OrderReply
+from rosepath.engine_orders import Order, OrderAction, OrderReply
 from rosepath.fleet import Fleet
+from rosepath.late_orders import LATE_ORDER_LIMIT_S
 from rosepath.order_dispatcher import REPORT_INTERVAL_S, OrderDispatcher
 
 ADAPTER_SLOTS = 3
@@ -90,6 +91,7 @@
             demand=self.demand,
             may_order=lambda: self.fence == fence,
             fence=lambda: fence,
+            follows_term=fence > 1000,
             fleet=self.fleet,
             spec=spec,
         )
@@ -169,6 +171,20 @@
     play(run())
 
 
+# Guards against requests for adapters that are refused after each change of
+# holder, on engines without room to reserve.
+def test_full_engine_gets_adapters_under_the_next_holder() -> None:
+    async def run() -> None:
+        succession = Succession(MeasuredEngine("m0"))
+        succession.restart_engine()
+        succession.engine.models = {"m0": set(), "m1": set()}
+        succession.next_holder("vm-1")
+        current = succession.next_holder("vm-2")
+        assert await current.ensure_adapter("llm", "e1", "m0", "a1")
+
+    play(run())
+
+
 # Guards against an engine that is ordered to hold three models where two fit:
 # as the load of an earlier holder comes late, the next holder's is rejected, and
 # a report read for an adapter gives its next try a number that fits.
