Take an adapter's unload as counted only until it is contradicted

What callers would see: requests for adapters of an engine are refused until the next lease holder, as each of its reports is dropped and each order rejected; or an engine crashes, ordered to hold one adapter more than it has slots.

Cause: an unload that an engine answers as already done is counted, as engines count the unload of an unused adapter. If one doesn't (it did not have the adapter) the record is one ahead. Reports with a lower count are dropped as outdated, so that the record never recovers; and a late order of an earlier holder that takes the number in between makes the next order fit by its number, with contents that nobody has checked.

The count is kept as uncertain. A conflict takes it back, so that the next report applies whichever number it has; and where a late order may have had that number, the adapter is not loaded before a report was read.

--- a/src/rosepath/engine_orders.py
+++ b/src/rosepath/engine_orders.py
@@ -132,6 +132,9 @@
     unanswered_loads: list[UnansweredLoad] = field(default_factory=list)
     earlier_orders_possible: bool = False
     instance_settled: bool = False
+    # Whether the engine may not have counted the last order that was counted
+    # here.
+    count_uncertain: bool = False
 
     @property
     def may_execute_unknown_load(self) -> bool:
@@ -166,6 +169,7 @@
         if report.sequence < self.sequence:
             return False
         self.sequence = report.sequence
+        self.count_uncertain = False
         self.has_report = self.is_current = True
         self.engine_busy = report.busy
         self.models = set(report.models)
@@ -211,10 +215,33 @@
             if load.sequence > self.sequence
         }
 
-    def count_order(self, basis: OrderBasis) -> None:
+    def count_order(self, basis: OrderBasis, *, uncertain: bool = False) -> None:
         """Count an accepted order unless a report has counted it already."""
         if self.basis == basis:
             self.sequence += 1
+            self.count_uncertain = uncertain
+
+    @property
+    def late_order_may_be_counted(self) -> bool:
+        """Return whether a late order may be what the engine has counted last.
+
+        It would have the number of an order that the engine did not count.
+        """
+        return self.count_uncertain and (
+            self.earlier_orders_possible
+            or any(load.sequence == self.sequence - 1 for load in self.unanswered_loads)
+        )
+
+    def require_report(self) -> None:
+        """Accept no further order until a report was read.
+
+        An order that the engine may not have counted is no longer counted here
+        either: reports with fewer orders than recorded are dropped.
+        """
+        self.is_current = False
+        if self.count_uncertain:
+            self.sequence -= 1
+            self.count_uncertain = False
 
     def reset_for_new_instance(self, born_ms: int) -> None:
         """Clear what was recorded about the engine's previous instance."""
--- a/src/rosepath/order_sender.py
+++ b/src/rosepath/order_sender.py
@@ -150,9 +150,9 @@
             if reply is None and sent_s:
                 record.note_unanswered(order, now_s=self.clock.monotonic_s())
             if reply is not None and _advances_sequence(order, reply):
-                record.count_order(basis)
+                record.count_order(basis, uncertain=reply is OrderReply.HOLDS)
             if reply is OrderReply.CONFLICT:
-                record.is_current = False
+                record.require_report()
                 return reply
             if reply is not None:
                 return reply
@@ -220,7 +220,7 @@
 
     An engine unloads an unused adapter immediately and returns HOLDS (the
     requested state already applies). It counts this order, but no other order
-    for which it returns HOLDS.
+    for which it returns HOLDS; not even this one if it did not have the adapter.
     """
     if reply is OrderReply.HOLDS:
         return bool(order.adapter) and order.action is OrderAction.UNLOAD
--- a/tests/test_order_succession.py
+++ b/tests/test_order_succession.py
@@ -246,7 +246,11 @@
 
         engine.on_connect = execute_late_before_the_load
         await current.ensure_adapter("llm", "e1", "m0", "a4")
+        engine.execute(late)
         assert "a9" in engine.models["m0"]
+        for _ in range(3):
+            await asyncio.sleep(1.0)
+            await current.ensure_adapter("llm", "e1", "m0", "a4")
         assert engine.most_adapters <= ADAPTER_SLOTS
 
     play(run())
