Keep to the weight store's rate over a change of lease holder

What callers would see: loads that take several times as long, as the weight store is asked for twice what it gives (CEILING). Looked for as the cause of the late load: what a holder knew is gone with it. Its successor, or its own next process, counted the loads of the last window from zero.

The test failed before: two holders began 12 loads within 5 s where the store takes 8.5 (rate 1 a second, 16 empty engines).

In the first window of a term that follows another, a holder starts only what the store tolerates beyond its rate, a tenth of it and two loads, as the one before may have used the rest. Also thought of: counting the loads that the last holder announced; a VM that has just started has heard none.

--- a/src/rosepath/engine_orders.py
+++ b/src/rosepath/engine_orders.py
@@ -1,5 +1,6 @@
 """Orders to engines, and the lease holder's record of each engine."""
 
+import math
 from collections import deque
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
@@ -8,6 +9,11 @@
 
 from rosepath.late_orders import LATE_ORDER_LIMIT_S
 
+# What the weight store tolerates beyond its rate in any window: this share of
+# the loads that the rate allows, and a number of loads.
+TOLERATED_SHARE = 0.1
+TOLERATED_LOADS = 2
+
 
 class OrderAction(StrEnum):
     """Enumerate the operations that an order can request."""
@@ -266,12 +272,25 @@
 
     window_s: float = 5.0
     _started_s: deque[float] = field(default_factory=deque)
+    # Until when loads count that an earlier holder started.
+    _earlier_loads_until_s: float = -math.inf
 
     def allows(self, now_s: float, *, per_s: float) -> bool:
         """Return whether one more load may start."""
         while self._started_s and self._started_s[0] <= now_s - self.window_s:
             self._started_s.popleft()
-        return len(self._started_s) + 1 <= per_s * self.window_s + 1
+        if now_s < self._earlier_loads_until_s:
+            limit = TOLERATED_SHARE * per_s * self.window_s + TOLERATED_LOADS
+        else:
+            limit = per_s * self.window_s + 1
+        return len(self._started_s) + 1 <= limit
+
+    def begin_term(self, now_s: float) -> None:
+        """Leave the rate to loads that an earlier holder may have started.
+
+        Its successor starts only what the weight store tolerates beyond it.
+        """
+        self._earlier_loads_until_s = now_s + self.window_s
 
     def record(self, now_s: float) -> None:
         """Record that a load starts."""
