--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -1,4 +1,4 @@
-"""Run the benchmarks named as arguments, by default all but `entry_soak`."""
+"""Run the benchmarks named as arguments, or `DEFAULT_BENCHMARKS`."""
 
 import importlib
 import sys
--- a/src/rosepath/engine_orders.py
+++ b/src/rosepath/engine_orders.py
@@ -229,9 +229,9 @@
 
     @property
     def late_order_may_be_counted(self) -> bool:
-        """Return whether a late order may be what the engine has counted last.
+        """Return whether the engine may have counted a late order instead.
 
-        It would have the number of an order that the engine did not count.
+        That is, with the number of an order that the engine did not count.
         """
         return self.count_uncertain and (
             self.earlier_orders_possible
@@ -239,10 +239,10 @@
         )
 
     def require_report(self) -> None:
-        """Accept no further order until a report was read.
+        """Require that a report is read before the next order.
 
-        An order that the engine may not have counted is no longer counted here
-        either: reports with fewer orders than recorded are dropped.
+        An order that the engine may not have counted is no longer counted
+        here: a report with fewer orders than recorded would be dropped.
         """
         self.is_current = False
         if self.count_uncertain:
--- a/src/rosepath/engine_views.py
+++ b/src/rosepath/engine_views.py
@@ -55,8 +55,8 @@
 def _unknown_load_mb(record: EngineRecord, spec: EngineSpec) -> float:
     """Return the memory reserved for a load that an earlier holder ordered.
 
-    It suffices for one: two are only executed if both of their numbers come up
-    with no order of this holder in between.
+    That is room for one: a second one is executed only if it has the next
+    number, and before this holder learns of the first by a rejected order.
     """
     if not record.may_execute_unknown_load:
         return 0.0
