Share the builders of successive holders and the faults' loop of the soaks

The builders of two holders that order one engine are a module of their own, which the tests of orders' basis use as well; both soaks inject their faults by one function and restart entry VMs by one method.

--- a/benchmarks/_private.py
+++ b/benchmarks/_private.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import json
+import random
 import sys
 import tempfile
+from collections import Counter
 from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass, replace
 from pathlib import Path
@@ -74,6 +76,27 @@
     return decode_result(output.decode())
 
 
+async def inject_faults(
+    choices: Sequence[Callable[[], Awaitable[None]]],
+    rng: random.Random,
+    *,
+    interval_s: tuple[float, float],
+    running: Callable[[], bool],
+    counts: Counter[str],
+) -> None:
+    """Inject random faults at random intervals, and wait until all have ended.
+
+    Faults may overlap; `counts` counts them by name.
+    """
+    started: list[asyncio.Future[None]] = []
+    while running():
+        await asyncio.sleep(rng.uniform(*interval_s))
+        fault = rng.choice(choices)
+        counts[fault.__name__] += 1
+        started.append(asyncio.ensure_future(fault()))
+    await asyncio.gather(*started)
+
+
 def benchmark_caller() -> str:
     """Return the declaration of the caller that the benchmarks use."""
     return caller_declaration("bench", KEY)
--- a/benchmarks/entry_soak.py
+++ b/benchmarks/entry_soak.py
@@ -19,6 +19,7 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
+from benchmarks._private import inject_faults
 from benchmarks.entry_checks import REQUEST_DEADLINE_S, CallerResponse, EntryChecks
 from rosepath.errors import ExchangeError
 from rosepath.http_client import HttpPool, Request
@@ -44,6 +45,7 @@
 # Probes cover the routes added last, including those dropped since.
 PROBED_ROUTES = 6
 PROBE_INTERVAL_S = 0.1
+RESTART_PAUSE_S = 0.3
 SLOW_RESPONSE_S = 0.7
 STALL_S = 0.5
 LIMITS_PER_S = (1.0, 1.7, 5.0)
@@ -86,13 +88,13 @@
                 self.fleet.stall_intervals_s.append((from_s, time.monotonic()))
 
     async def _inject_faults(self, rng: random.Random, choices: list[Fault]) -> None:
-        running: list[asyncio.Task[None]] = []
-        while time.monotonic() < self.ends_s:
-            await asyncio.sleep(rng.uniform(*FAULT_INTERVAL_S))
-            fault = rng.choice(choices)
-            self.faults[fault.__name__] += 1
-            running.append(asyncio.create_task(fault()))
-        await asyncio.gather(*running)
+        await inject_faults(
+            choices,
+            rng,
+            interval_s=FAULT_INTERVAL_S,
+            running=lambda: time.monotonic() < self.ends_s,
+            counts=self.faults,
+        )
 
     def _fault_choices(self) -> list[Fault]:
         return [
@@ -170,7 +172,7 @@
         vm = self._random_vm()
         vm.note_disturbance()
         vm.send(signal.SIGKILL)
-        await self._restart_when_exited(vm)
+        await vm.restart_when_exited(pause_s=RESTART_PAUSE_S)
 
     async def stop_vm(self) -> None:
         vm = self._random_vm()
@@ -179,20 +181,9 @@
             return
         vm.stop_sent_s.append(now_s)
         vm.send(signal.SIGTERM)
-        await self._restart_when_exited(vm)
+        await vm.restart_when_exited(pause_s=RESTART_PAUSE_S)
         vm.stop_intervals_s.append((now_s, time.monotonic()))
 
-    async def _restart_when_exited(self, vm: EntryVm) -> None:
-        process = vm.process
-        if process is None:
-            return
-        await asyncio.to_thread(process.wait)
-        if vm.process is not process:
-            return
-        await asyncio.sleep(0.3)
-        if vm.process is process:
-            vm.start()
-
     async def pause_vm(self) -> None:
         vm = self._random_vm()
         vm.note_disturbance()
--- a/benchmarks/order_soak.py
+++ b/benchmarks/order_soak.py
@@ -19,6 +19,7 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
+from benchmarks._private import inject_faults
 from benchmarks.order_checks import OrderChecks
 from rosepath.errors import ExchangeError
 from rosepath.http_client import HttpPool, Request
@@ -44,6 +45,7 @@
 LATE_SHARE = 0.7
 LATE_LASTS_S = (3.0, 8.0)
 HEARTBEAT_S = 0.3
+RESTART_PAUSE_S = (0.2, 1.0)
 MAX_EXTENSION_S = 60.0
 
 Fault = Callable[[], Awaitable[None]]
@@ -148,13 +150,13 @@
             self.stop_holder,
             self.cut_holder_from_store,
         ]
-        running: list[asyncio.Task[None]] = []
-        while self.running:
-            await asyncio.sleep(self.rng.uniform(*FAULT_INTERVAL_S))
-            fault = self.rng.choice(choices)
-            self.faults[fault.__name__] += 1
-            running.append(asyncio.create_task(fault()))
-        await asyncio.gather(*running)
+        await inject_faults(
+            choices,
+            self.rng,
+            interval_s=FAULT_INTERVAL_S,
+            running=lambda: self.running,
+            counts=self.faults,
+        )
 
     def _holder(self) -> EntryVm:
         """Return the VM that sent the last order, or the first one."""
@@ -180,7 +182,7 @@
         vm = self._holder()
         vm.note_disturbance()
         vm.send(signal.SIGKILL)
-        await self._restart_when_exited(vm)
+        await vm.restart_when_exited(pause_s=self.rng.uniform(*RESTART_PAUSE_S))
 
     async def kill_holder_and_restart_engines(self) -> None:
         await asyncio.gather(
@@ -206,7 +208,7 @@
     async def stop_holder(self) -> None:
         vm = self._holder()
         vm.send(signal.SIGTERM)
-        await self._restart_when_exited(vm)
+        await vm.restart_when_exited(pause_s=self.rng.uniform(*RESTART_PAUSE_S))
 
     async def cut_holder_from_store(self) -> None:
         vm = self._holder()
@@ -215,15 +217,6 @@
         await asyncio.sleep(self.rng.uniform(1.0, 5.0))
         vm.store.faults.refuse = False
 
-    async def _restart_when_exited(self, vm: EntryVm) -> None:
-        process = vm.process
-        if process is None:
-            return
-        await asyncio.to_thread(process.wait)
-        await asyncio.sleep(self.rng.uniform(0.2, 1.0))
-        if vm.process is process:
-            vm.start()
-
     def failures(self) -> dict[str, list[str]]:
         """Return the violations found, by rule."""
         return OrderChecks(self.fleet).failures()
--- a/src/rosepath_standins/entry_fleet.py
+++ b/src/rosepath_standins/entry_fleet.py
@@ -305,6 +305,18 @@
         if self.process is not None and self.running:
             os.kill(self.process.pid, number)
 
+    async def restart_when_exited(self, *, pause_s: float) -> None:
+        """Start the process again once it has exited, unless that was done."""
+        process = self.process
+        if process is None:
+            return
+        await asyncio.to_thread(process.wait)
+        if self.process is not process:
+            return
+        await asyncio.sleep(pause_s)
+        if self.process is process:
+            self.start()
+
     def note_disturbance(self) -> None:
         self.disturbances_s.append(time.monotonic())
 
--- a/tests/test_load_rate_succession.py
+++ b/tests/test_load_rate_succession.py
@@ -5,8 +5,8 @@
 from dataclasses import dataclass, field, replace
 
 from entry_builders import a_catalog, an_engine_spec, an_entry
+from order_succession import play
 from test_order_dispatcher import FakeEngine
-from test_order_succession import play
 from virtual_time import LoopClock
 
 from rosepath.demand import ModelDemand
--- a/tests/test_order_basis.py
+++ b/tests/test_order_basis.py
@@ -1,12 +1,13 @@
 """Orders rest on the contents of an engine for which its memory was checked."""
 
 import asyncio
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable
 from dataclasses import replace
 
 from entry_builders import a_model, an_engine_spec, an_entry
+from order_succession import STEP_S, play, until
 from test_order_dispatcher import FakeEngine, a_dispatcher
-from virtual_time import LoopClock, VirtualLoop
+from virtual_time import LoopClock
 
 from rosepath.clock import ManualClock
 from rosepath.demand import ModelDemand
@@ -19,21 +20,6 @@
 from rosepath.late_orders import LATE_ORDER_LIMIT_S
 from rosepath.order_dispatcher import REPORT_INTERVAL_S
 
-# Less than the pause before the retry of a rejected order.
-STEP_S = 0.01
-
-
-def play(scenario: Coroutine[None, None, None]) -> None:
-    """Run a scenario in virtual time."""
-    with asyncio.Runner(loop_factory=VirtualLoop) as runner:
-        runner.run(scenario)
-
-
-async def until(done: Callable[[], bool]) -> None:
-    async with asyncio.timeout(60):
-        while not done():  # noqa: ASYNC110
-            await asyncio.sleep(STEP_S)
-
 
 def loads_of(engine: FakeEngine, model: str) -> list[int]:
     """Return the expected sequence of each load order for a model."""
--- a/tests/test_random_successions.py
+++ b/tests/test_random_successions.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 
 import pytest
-from test_order_succession import (
+from order_succession import (
     ADAPTER_SLOTS,
     MODELS_THAT_FIT,
     MeasuredEngine,
