Load an adapter after an uncertain unload without waiting for a report

Callers: nothing yet.

Taken out: the check that a late order may have had the uncertain number. It guarded against an engine that doesn't count the unload of an adapter that it lacks; none was seen to do so. What stays is that a rejected order takes the uncertain count back, so that reports are not dropped for good; its test passes.

--- a/src/rosepath/engine_orders.py
+++ b/src/rosepath/engine_orders.py
@@ -227,17 +227,6 @@
             self.sequence += 1
             self.count_uncertain = uncertain
 
-    @property
-    def late_order_may_be_counted(self) -> bool:
-        """Return whether the engine may have counted a late order instead.
-
-        That is, with the number of an order that the engine did not count.
-        """
-        return self.count_uncertain and (
-            self.earlier_orders_possible
-            or any(load.sequence == self.sequence - 1 for load in self.unanswered_loads)
-        )
-
     def require_report(self) -> None:
         """Require that a report is read before the next order.
 
--- a/src/rosepath/order_dispatcher.py
+++ b/src/rosepath/order_dispatcher.py
@@ -311,9 +311,6 @@
                 return False
             if not await self._evict_for_adapter(server, record, spec, model):
                 return False
-            if record.late_order_may_be_counted:
-                record.require_report()
-                return False
             basis = basis_for_adapter(record, spec, model)
             if basis is None:
                 return False
