Name the entry VM of each isolated run that the lease holder forwards

What callers saw: in a fleet of 20 VMs or more, a request that was in flight at three crashes was refused with 503 ("no server can take the request now") each time it came back, whether or not it had caused them.

Cause: from the third crash on, a run is announced to the other VMs before it starts. In a large fleet the lease holder forwards all announcements, by content only, so that a VM got its own announcement back as one of the holder's. A holder with a lower name wins such a tie; the VM withdrew, announced again, and so on.

Change: an isolated run is sent with the name of its VM, and a VM leaves its own out of what it receives. The field that earlier builds read is still sent, and theirs is still understood; their runs count as the sender's, as before.

--- a/src/rosepath/crash_watch.py
+++ b/src/rosepath/crash_watch.py
@@ -55,9 +55,8 @@
     def __init__(
         self, me: str, *, clock: Clock, probe: Probe, on_change: Callable[[], None]
     ) -> None:
-        self._me = me
         self.records = CrashRecords(clock=clock)
-        self.isolated = IsolatedRuns(on_started=on_change)
+        self.isolated = IsolatedRuns(me, on_started=on_change)
         self._clock = clock
         self._probe = probe
         self._on_change = on_change
@@ -115,7 +114,6 @@
         """Return whether a suspect may be sent now, without other suspects."""
         return self.isolated.may_start(
             content_key,
-            me=self._me,
             request_id=request_id,
             now_s=self._clock.monotonic_s(),
             announces=self._may_be_quarantined(content_key),
--- a/src/rosepath/isolated_runs.py
+++ b/src/rosepath/isolated_runs.py
@@ -1,7 +1,8 @@
 """Track where crash suspects run, so that no two share a server; no I/O."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
+from typing import NamedTuple
 
 # A request that crashes servers does so as it starts. One whose server has
 # sent events for longer than this does not endanger the other requests there.
@@ -15,9 +16,17 @@
 PEER_RUNS_TTL_S = 2.0
 
 
+class IsolatedRun(NamedTuple):
+    """Describe a suspect's run to other VMs; `server` is empty until sent."""
+
+    entry_vm: str
+    content_key: str
+    server: str = ""
+
+
 @dataclass(slots=True)
-class _IsolatedRun:
-    """The attempt of a suspect that may run; `server` is empty until sent."""
+class _OwnRun:
+    """Hold the attempt of a suspect that may run; `server` is empty until sent."""
 
     request_id: str
     announced_s: float
@@ -27,12 +36,14 @@
 class IsolatedRuns:
     """Own the isolated runs of this entry VM and those of its peers."""
 
-    def __init__(self, *, on_started: Callable[[], None] = lambda: None) -> None:
+    def __init__(
+        self, me: str, *, on_started: Callable[[], None] = lambda: None
+    ) -> None:
+        self._me = me
         self._on_started = on_started
-        self._own_runs: dict[str, _IsolatedRun] = {}
-        # By entry VM: when its runs were received, and the server by content
-        # key, which is empty if a run is only announced.
-        self._peer_runs: dict[str, tuple[float, Mapping[str, str]]] = {}
+        self._own_runs: dict[str, _OwnRun] = {}
+        # By sender: when it last sent runs of VMs other than this one.
+        self._peer_runs: dict[str, tuple[float, frozenset[IsolatedRun]]] = {}
 
     @property
     def has_own_runs(self) -> bool:
@@ -43,7 +54,6 @@
         self,
         content_key: str,
         *,
-        me: str,
         request_id: str,
         now_s: float,
         announces: bool,
@@ -55,29 +65,30 @@
         the run is announced to the other VMs first. If several VMs announce a
         run of the same request at once, the first by name runs it.
         """
-        peer_runs = self._recent_peer_runs(now_s)
-        competing_runs = {
-            vm: runs[content_key] for vm, runs in peer_runs if content_key in runs
-        }
+        competing_runs = [
+            run
+            for run in self._recent_peer_runs(now_s)
+            if run.content_key == content_key
+        ]
         own = self._own_runs.get(content_key)
         if own is None:
             if competing_runs:
                 return False
-            own = self._own_runs[content_key] = _IsolatedRun(request_id, now_s)
+            own = self._own_runs[content_key] = _OwnRun(request_id, now_s)
             if announces:
                 self._on_started()
         if own.request_id != request_id:
             return False
         if not announces:
             return True
-        if any(vm < me or server for vm, server in competing_runs.items()):
+        if any(run.entry_vm < self._me or run.server for run in competing_runs):
             del self._own_runs[content_key]
             return False
         return now_s >= own.announced_s + ANNOUNCEMENT_S
 
     def start(self, content_key: str, *, request_id: str, server: str) -> None:
         """Record that a suspect is sent to a server."""
-        self._own_runs[content_key] = _IsolatedRun(request_id, -1e9, server)
+        self._own_runs[content_key] = _OwnRun(request_id, -1e9, server)
         self._on_started()
 
     def end(self, content_key: str, *, request_id: str) -> None:
@@ -87,36 +98,43 @@
             del self._own_runs[content_key]
 
     def apply_peer_runs(
-        self, entry_vm: str, runs: Mapping[str, str], *, now_s: float
+        self, sender: str, runs: Iterable[IsolatedRun], *, now_s: float
     ) -> bool:
-        """Apply the isolated runs of a peer; return whether any are new."""
-        _, known = self._peer_runs.get(entry_vm, (now_s, {}))
-        if runs:
-            self._peer_runs[entry_vm] = now_s, runs
+        """Apply the isolated runs that a peer sent; return whether any are new.
+
+        In a large fleet, the holder of the placement lease also forwards the
+        runs of this VM, which do not compete with themselves.
+        """
+        received = frozenset(run for run in runs if run.entry_vm != self._me)
+        _, known = self._peer_runs.get(sender, (now_s, frozenset()))
+        if received:
+            self._peer_runs[sender] = now_s, received
         else:
-            self._peer_runs.pop(entry_vm, None)
-        return bool(runs.keys() - known.keys())
+            self._peer_runs.pop(sender, None)
+        return bool(received - known)
 
-    def servers_by_key(self, *, merged: bool, now_s: float) -> dict[str, str]:
-        """Return the server of each run by content key.
+    def runs(self, *, merged: bool, now_s: float) -> frozenset[IsolatedRun]:
+        """Return the runs of this VM.
 
         With `merged`, include the runs received from other VMs.
         """
-        servers: dict[str, str] = {}
-        if merged:
-            for _, runs in self._recent_peer_runs(now_s):
-                servers.update(runs)
-        return servers | {key: run.server for key, run in self._own_runs.items()}
+        own_runs = frozenset(
+            IsolatedRun(self._me, content_key, run.server)
+            for content_key, run in self._own_runs.items()
+        )
+        return own_runs | self._recent_peer_runs(now_s) if merged else own_runs
 
     def servers(self, *, now_s: float) -> frozenset[str]:
         """Return the servers at which suspects run isolated."""
-        return frozenset(self.servers_by_key(merged=True, now_s=now_s).values()) - {""}
+        runs = self.runs(merged=True, now_s=now_s)
+        return frozenset(run.server for run in runs) - {""}
 
-    def _recent_peer_runs(self, now_s: float) -> list[tuple[str, Mapping[str, str]]]:
+    def _recent_peer_runs(self, now_s: float) -> frozenset[IsolatedRun]:
         """Return the runs of other VMs, without those that expired."""
         limit_s = now_s - PEER_RUNS_TTL_S
-        return [
-            (vm, runs)
-            for vm, (received_s, runs) in self._peer_runs.items()
+        return frozenset(
+            run
+            for received_s, runs in self._peer_runs.values()
             if received_s > limit_s
-        ]
+            for run in runs
+        )
--- a/src/rosepath/peer_exchange.py
+++ b/src/rosepath/peer_exchange.py
@@ -185,9 +185,7 @@
             crashes=self._crashes.records.recent_reports(),
             cleared=self._crashes.records.cleared,
             quarantined=self._crashes.records.quarantined,
-            isolated=self._crashes.isolated.servers_by_key(
-                merged=sends_totals, now_s=now_s
-            ),
+            isolated=self._crashes.isolated.runs(merged=sends_totals, now_s=now_s),
             limits=known_limits(self._tables.fleet, now_s=now_s),
             link_mbps=self._link_mbps,
         )
--- a/src/rosepath/peer_messages.py
+++ b/src/rosepath/peer_messages.py
@@ -9,6 +9,7 @@
 from rosepath.crash_records import CrashReport, Exposure, ServerInstance
 from rosepath.demand import ModelDemand
 from rosepath.fleet import LeavingServer, PeerLoad
+from rosepath.isolated_runs import IsolatedRun
 from rosepath.model_arrivals import ModelArrival
 from rosepath.quota_messages import (
     QuotaMessage,
@@ -78,8 +79,7 @@
 
     `crashes` lists the requests that were running when a server crashed,
     `cleared` those that have completed since, `quarantined` those that cause
-    crashes. `isolated` maps each crash suspect to the server of its isolated
-    run.
+    crashes. `isolated` lists the isolated runs of crash suspects.
     """
 
     entry_vm: str
@@ -111,7 +111,7 @@
     crashes: tuple[CrashReport, ...] = ()
     cleared: tuple[str, ...] = ()
     quarantined: tuple[str, ...] = ()
-    isolated: Mapping[str, str] = field(default_factory=dict)
+    isolated: frozenset[IsolatedRun] = frozenset()
     # Rate limits that servers have stated, and those that have just ended.
     limits: tuple[ServerLimit, ...] = ()
     # Bandwidth of the sender's network link.
@@ -281,7 +281,9 @@
         ],
         "cl": list(message.cleared),
         "qu": list(message.quarantined),
-        "is": dict(message.isolated),
+        # Read by builds that do not know "ir".
+        "is": {run.content_key: run.server for run in message.isolated},
+        "ir": [list(run) for run in message.isolated],
         "li": [[*limit[:3], round(limit.stated_ago_s, 3)] for limit in message.limits],
         "bw": message.link_mbps,
     }
@@ -346,12 +348,23 @@
         ),
         cleared=tuple(map(str, raw["cl"])),
         quarantined=tuple(map(str, raw["qu"])),
-        isolated={str(key): str(server) for key, server in raw["is"].items()},
+        isolated=_decode_isolated(raw),
         limits=tuple(_decode_limit(row) for row in raw.get("li", ())),
         link_mbps=float(raw.get("bw", 0.0)),
     )
 
 
+def _decode_isolated(raw: dict[str, Any]) -> frozenset[IsolatedRun]:
+    """Return the isolated runs; earlier builds do not name the VM of each."""
+    rows = raw.get("ir")
+    if rows is None:
+        rows = [(raw["vm"], key, server) for key, server in raw["is"].items()]
+    return frozenset(
+        IsolatedRun(str(entry_vm), str(key), str(server))
+        for entry_vm, key, server in rows
+    )
+
+
 def _decode_limit(row: list[Any]) -> ServerLimit:
     server, born_ms, limit_per_s, stated_ago_s = row
     return ServerLimit(
--- a/tests/crashing_servers.py
+++ b/tests/crashing_servers.py
@@ -20,11 +20,14 @@
 from rosepath.server_picker import QUARANTINED_CODE
 
 CRASHING_PATH = "/drafts/crashing"
+LONG_PATH = "/drafts/long"
 # Time from the start of a run to the crash, and from the crash to the restart.
 CRASH_AFTER_S = 0.05
 RESTART_AFTER_S = 3.0
-# Duration of other requests.
+# Duration of other requests, and of those to `LONG_PATH`.
 RUN_S = 0.03
+LONG_RUN_S = 0.2
+CALLER_RETRY_AFTER_S = 0.05
 ONE_WAY_LATENCY_S = 0.001
 
 
@@ -46,6 +49,12 @@
     crashes_s: dict[str, list[float]] = field(default_factory=dict)
     arrivals_s: dict[str, list[float]] = field(default_factory=dict)
     quarantined_unrelated: int = 0
+    # Whether responses to crashing requests begin before the crash.
+    answers_early: bool = False
+    # Outcomes of requests to `LONG_PATH`: whether each was served, and for how
+    # long its attempts waited for a server.
+    long_served: list[bool] = field(default_factory=list)
+    long_waits_s: list[float] = field(default_factory=list)
     instance_base: int = 100
     statuses: list[tuple[str, int]] = field(default_factory=list)
 
@@ -76,6 +85,22 @@
         exchange = CrashingExchange(request_id, self, path)
         asyncio.ensure_future(self.nodes[vm].relay.serve(cast(Any, exchange)))
 
+    async def call_long(self, vm: str, content: str, *, tries: int = 6) -> None:
+        """Make a long unrelated request, and retry it at random VMs."""
+        served = await self.call(vm, f"{LONG_PATH}/{content}", tries=tries)
+        self.long_served.append(served)
+
+    async def call(self, vm: str, path: str, *, tries: int) -> bool:
+        """Make a request and retry it at random VMs; return whether it is served."""
+        for _ in range(tries):
+            exchange = RetriedExchange(f"{path}-{self.rng.random()}", self, path)
+            await self.nodes[vm].relay.serve(cast(Any, exchange))
+            if exchange.status == 200:
+                return True
+            await asyncio.sleep(CALLER_RETRY_AFTER_S)
+            vm = self.rng.choice(sorted(self.nodes))
+        return False
+
     @property
     def crashes(self) -> int:
         return sum(map(len, self.crashes_s.values()))
@@ -103,6 +128,8 @@
         node.relay._ports.on_outcome = self._note_outcome
 
     def _note_outcome(self, context: RequestContext, _: int, code: str) -> None:
+        if context.call.path.startswith(LONG_PATH):
+            self.long_waits_s.append(context.waited_s)
         unrelated = not context.call.path.startswith(CRASHING_PATH)
         self.quarantined_unrelated += unrelated and code == QUARANTINED_CODE
 
@@ -131,15 +158,19 @@
                 loop.call_later(CRASH_AFTER_S, self._crash, request)
             else:
                 self.note_request(name, server.name)
-            await self._run_at(server, request, None if crashes else RUN_S)
-            head = _send_head(on_head, 200)
+            long = request.path.startswith(LONG_PATH)
+            answered = long or (crashes and self.answers_early)
+            head = _send_head(on_head, 200) if answered else None
+            run_s = None if crashes else LONG_RUN_S if long else RUN_S
+            await self._run_at(server, request, run_s, answered=answered)
+            head = head or _send_head(on_head, 200)
             on_data(b"done")
             return head
 
         return exchange
 
     async def _run_at(
-        self, server: Server, request: Request, run_s: float | None
+        self, server: Server, request: Request, run_s: float | None, *, answered: bool
     ) -> None:
         try:
             async with asyncio.timeout(run_s):
@@ -152,6 +183,7 @@
             peer=request.address,
             sent=True,
             lost=True,
+            answered=answered,
         )
 
     def _crash(self, request: Request) -> None:
@@ -188,6 +220,20 @@
         self._crashing.statuses.append((self._id, status))
 
 
+class RetriedExchange(SimulatedExchange):
+    """Stand in for one of a caller's tries."""
+
+    def __init__(
+        self, request_id: str, simulation: CrashingServersSimulation, path: str
+    ) -> None:
+        super().__init__(request_id, simulation)
+        self.path = path
+        self.status = 0
+
+    def respond(self, status: int, _: HTTPHeaders, __: bytes) -> None:
+        self.status = status
+
+
 def _send_head(on_head: Any, status: int) -> ResponseHead:
     headers = HTTPHeaders({"Response-Signature": "s"} if status == 200 else {})
     head = ResponseHead(status, headers)
--- a/tests/entry_builders.py
+++ b/tests/entry_builders.py
@@ -227,14 +227,17 @@
 
 
 def a_crash_watch(
-    clock: Clock, *, contact: ProbeResult = ProbeResult.ACCEPTED
+    clock: Clock,
+    *,
+    entry_vm: str = "vm-1",
+    contact: ProbeResult = ProbeResult.ACCEPTED,
 ) -> CrashWatch:
     """Build a crash watch whose connection probes all return `contact`."""
 
     async def probe(address: str, *, limit_s: float) -> ProbeResult:
         return contact
 
-    return CrashWatch("vm-1", clock=clock, probe=probe, on_change=lambda: None)
+    return CrashWatch(entry_vm, clock=clock, probe=probe, on_change=lambda: None)
 
 
 def a_picker(ports: RelayPorts) -> ServerPicker:
--- a/tests/test_peer_exchange.py
+++ b/tests/test_peer_exchange.py
@@ -59,7 +59,7 @@
         peers=peers,
         coordinator=coordinator,
         stopping=lambda: False,
-        crashes=a_crash_watch(clock),
+        crashes=a_crash_watch(clock, entry_vm=name),
     )
 
 
