Reserve a server for each crash suspect before it is sent

Cause: only one run of a suspect goes at a time, over all VMs, but nothing kept two suspects from one server. A VM told the others which server its suspect is at once it was sent, so that two VMs that chose within one state message chose the same, likely best, server. Its crash then counted as isolated for both, and of two that were at every crash the one that had begun to be answered weighs more.

Change: a suspect reserves the server that was chosen for it, the other VMs are told, and 0.2 s later it is sent there. Of two reservations of one server the first VM by name keeps it, and the other chooses anew; a run that was sent goes before both.

Why it holds: two VMs that hear each other can't both keep a reservation of a server for the time of two messages.

--- a/src/rosepath/crash_watch.py
+++ b/src/rosepath/crash_watch.py
@@ -56,7 +56,7 @@
         self, me: str, *, clock: Clock, probe: Probe, on_change: Callable[[], None]
     ) -> None:
         self.records = CrashRecords(clock=clock)
-        self.isolated = IsolatedRuns(me, on_started=on_change)
+        self.isolated = IsolatedRuns(me, on_change=on_change)
         self._clock = clock
         self._probe = probe
         self._on_change = on_change
@@ -110,13 +110,13 @@
                 CrashReport(run.content_key, instance, run.exposure), run.request_id
             )
 
-    def may_send_isolated(self, content_key: str, *, request_id: str) -> bool:
-        """Return whether a suspect may be sent now, without other suspects."""
-        return self.isolated.may_start(
+    def reserve(self, content_key: str, *, request_id: str, server: str) -> bool:
+        """Reserve a server for a suspect; return whether it may be sent now."""
+        return self.isolated.reserve(
             content_key,
             request_id=request_id,
+            server=server,
             now_s=self._clock.monotonic_s(),
-            announces=self._may_be_quarantined(content_key),
         )
 
     def end_isolation(self, content_key: str, *, request_id: str) -> bool:
--- a/src/rosepath/peer_messages.py
+++ b/src/rosepath/peer_messages.py
@@ -282,7 +282,9 @@
         "cl": list(message.cleared),
         "qu": list(message.quarantined),
         # Read by builds that do not know "ir".
-        "is": {run.content_key: run.server for run in message.isolated},
+        "is": {
+            run.content_key: run.server if run.sent else "" for run in message.isolated
+        },
         "ir": [list(run) for run in message.isolated],
         "li": [[*limit[:3], round(limit.stated_ago_s, 3)] for limit in message.limits],
         "bw": message.link_mbps,
@@ -358,10 +360,12 @@
     """Return the isolated runs; earlier builds do not name the VM of each."""
     rows = raw.get("ir")
     if rows is None:
-        rows = [(raw["vm"], key, server) for key, server in raw["is"].items()]
+        rows = [
+            (raw["vm"], key, server, bool(server)) for key, server in raw["is"].items()
+        ]
     return frozenset(
-        IsolatedRun(str(entry_vm), str(key), str(server))
-        for entry_vm, key, server in rows
+        IsolatedRun(str(entry_vm), str(key), str(server), bool(sent))
+        for entry_vm, key, server, sent in rows
     )
 
 
--- a/src/rosepath/server_picker.py
+++ b/src/rosepath/server_picker.py
@@ -192,17 +192,25 @@
     ) -> tuple[BackendServer, InFlightRequest] | None:
         ports = self._ports
         prompt = context.call.prompt
-        avoided = self._suspects.avoided_servers(context)
+        avoided = self._suspects.avoided_servers(context, ports.fleet.servers)
         if avoided is None:
             return None
+        choice: EngineChoice | None = None
         if context.service.engine is None or prompt is None:
             server = await self._pick_plain_server(context, avoided)
-            return None if server is None else (server, InFlightRequest())
-        choice = await self._pick_engine(
-            context, prompt, context.service.engine, avoided
-        )
-        if choice is None:
+        else:
+            choice = await self._pick_engine(
+                context, prompt, context.service.engine, avoided
+            )
+            server = choice.server if choice else None
+        if server is None:
+            # Nor can the server take it that a suspect has reserved.
+            self._suspects.end(context)
+            return None
+        if not self._suspects.may_send_to(context, server):
             return None
+        if choice is None or prompt is None:
+            return server, InFlightRequest()
         ports.caches.note_read(choice.server, prompt)
         ports.models.note_prefill_work(
             context.service.name, prompt, unread_tokens=choice.unread_tokens
--- a/src/rosepath/suspect_tracker.py
+++ b/src/rosepath/suspect_tracker.py
@@ -1,5 +1,6 @@
 """Decide whether and where requests that may crash servers are sent."""
 
+from collections.abc import Collection
 from typing import Any
 
 from rosepath.attempt import AttemptError, ServerResponse
@@ -8,9 +9,12 @@
 from rosepath.crash_watch import CrashWatch, LostRun
 from rosepath.fleet import BackendServer, InFlightRequest
 from rosepath.isolated_runs import ISOLATION_S
+from rosepath.logs import get_logger
 from rosepath.request_context import RequestContext
 from rosepath.retries import Evidence
 
+_log = get_logger()
+
 
 class SuspectTracker:
     """Look up requests in the crash records and report the outcome of runs.
@@ -32,19 +36,41 @@
         """Return whether a request is not considered the cause of crashes."""
         return self.suspicion(context) < Suspicion.HELD
 
-    def avoided_servers(self, context: RequestContext) -> frozenset[str] | None:
-        """Return the servers a request must avoid; None if it must wait."""
+    def avoided_servers(
+        self, context: RequestContext, servers: Collection[str]
+    ) -> frozenset[str] | None:
+        """Return which of `servers` a request must avoid; None if it must wait.
+
+        A suspect that has reserved a server must avoid all others.
+        """
         suspicion = self.suspicion(context)
         if suspicion is Suspicion.CLEAR:
             return frozenset()
         if suspicion is not Suspicion.SUSPECT:
             return None
-        request_id = context.call.request_id
-        if not self._crashes.may_send_isolated(
-            context.content_key, request_id=request_id
-        ):
+        isolated, key = self._crashes.isolated, context.content_key
+        request_id, now_s = context.call.request_id, self._clock.monotonic_s()
+        if not isolated.may_run(key, request_id=request_id, now_s=now_s):
             return None
-        return self._crashes.isolated.servers(now_s=self._clock.monotonic_s())
+        taken = isolated.taken_servers(key, now_s=now_s)
+        reserved = isolated.reserved_server(key, request_id=request_id)
+        if reserved is None or reserved in taken:
+            return taken
+        return frozenset(servers) - {reserved}
+
+    def may_send_to(self, context: RequestContext, server: BackendServer) -> bool:
+        """Return whether a request may be sent now to the server chosen for it.
+
+        A suspect reserves the server first.
+        """
+        suspicion = self.suspicion(context)
+        if suspicion is not Suspicion.SUSPECT:
+            return suspicion is Suspicion.CLEAR
+        return self._crashes.reserve(
+            context.content_key,
+            request_id=context.call.request_id,
+            server=server.name,
+        )
 
     def start(
         self, context: RequestContext, server: BackendServer, in_flight: InFlightRequest
@@ -52,6 +78,13 @@
         """Record that a request is sent to a server."""
         in_flight.isolated = self.suspicion(context) is Suspicion.SUSPECT
         if in_flight.isolated:
+            _log.info(
+                "suspect_sent",
+                request_id=context.call.request_id,
+                content=context.content_key,
+                peer=server.name,
+                open_crashes=self._crashes.records.open_crashes(context.content_key),
+            )
             self._crashes.isolated.start(
                 context.content_key,
                 request_id=context.call.request_id,
--- a/tests/test_isolated_run_conflicts.py
+++ b/tests/test_isolated_run_conflicts.py
@@ -1,9 +1,12 @@
-"""Suspects that run isolated at the same time, on several entry VMs."""
+"""Two suspects never share a server, and none is blamed for the other."""
 
 import asyncio
+import os
+import random
 
 import pytest
 from crashing_servers import (
+    CRASHING_PATH,
     LONG_PATH,
     CrashingServersSimulation,
 )
@@ -18,6 +21,64 @@
     ServerInstance,
 )
 
+# How often a request may still reach servers once its third crash is known.
+MAX_SENDS_AFTER_THIRD = 3
+SEEDS = range(int(os.environ["SEEDS"])) if "SEEDS" in os.environ else range(4)
+
+
+def run_suspects_side_by_side(
+    monkeypatch: pytest.MonkeyPatch,
+    seed: int,
+    *,
+    vms: int | None = None,
+    lost_share: float = 0.0,
+) -> CrashingServersSimulation:
+    """Run unrelated long requests beside one or two that crash servers."""
+    rng = random.Random(seed)
+    large = vms is not None and vms >= 20
+    simulation = CrashingServersSimulation(
+        drain_s=3.0 if large else 2.0,
+        settle_s=4.0 if large else 3.0,
+        rng=random.Random(seed),
+        answers_early=True,
+        lost_share=lost_share,
+    )
+    paths = [CRASHING_PATH, f"{CRASHING_PATH}/2"][: rng.randint(1, 2)]
+    vm_count = vms or rng.choice([4, 9])
+    servers = rng.choice([3, 5, 8])
+
+    async def scenario() -> None:
+        await simulation.start(vm_count, monkeypatch, servers=servers)
+        await asyncio.sleep(5.0)
+        callers = []
+        for wave in range(8):
+            for path in paths:
+                vm = rng.choice(sorted(simulation.nodes))
+                call = simulation.call(vm, path, tries=3)
+                callers.append(asyncio.ensure_future(call))
+            for number in range(rng.randint(2, 6)):
+                vm = rng.choice(sorted(simulation.nodes))
+                call_long = simulation.call_long(vm, f"{wave}-{number}")
+                callers.append(asyncio.ensure_future(call_long))
+            await asyncio.sleep(rng.choice([0.1, 0.3, 1.0, 2.5]))
+        await asyncio.gather(*callers)
+        await simulation.close()
+
+    run_in_virtual_time(scenario)
+    return simulation
+
+
+# Guards against an unrelated request that is blamed for the crashes of one that
+# ran at the same servers, which then crashes further ones.
+@pytest.mark.parametrize("seed", SEEDS)
+def test_suspects_that_meet_are_told_apart(
+    monkeypatch: pytest.MonkeyPatch, seed: int
+) -> None:
+    simulation = run_suspects_side_by_side(monkeypatch, seed)
+    for path in simulation.crashes_s:
+        assert simulation.sent_after_third(path) <= MAX_SENDS_AFTER_THIRD
+    assert simulation.quarantined_unrelated == 0
+
 
 # Guards against an unrelated request that is held until it is refused in a large
 # fleet, as the announcement of its run comes back from the lease holder.
--- a/tests/test_peer_exchange.py
+++ b/tests/test_peer_exchange.py
@@ -156,10 +156,11 @@
         holder.link.send_state()
         assert received.records.suspicion("quarantined") is Suspicion.QUARANTINED
         assert received.records.suspicion("suspect") is Suspicion.SUSPECT
-        assert not received.may_send_isolated("suspect", request_id="q2")
-        assert received.isolated.servers(now_s=now_s) == {"i-2"}
+        isolated = received.isolated
+        assert not isolated.may_run("suspect", request_id="q2", now_s=now_s)
+        assert isolated.taken_servers("other", now_s=now_s) == {"i-2"}
         sent.isolated.end("suspect", request_id="q1")
         holder.link.send_state()
-        assert received.may_send_isolated("suspect", request_id="q2")
+        assert isolated.may_run("suspect", request_id="q2", now_s=now_s)
 
     asyncio.run(run())
