Blame no suspect for a crash that another one was isolated at as well

Cause: an isolated suspect was taken for alone at its server, whatever the reports of other VMs said later.

Change: a crash at which several suspects were isolated identifies one of them only if it has been at more crashes than the others. The reports decide, in any order; until one of the two crashes a server alone or completes, neither is quarantined.

Evidence: two suspects isolated at the same three crashes, a test that failed before (one was held, by the order of reports).

--- a/src/rosepath/crash_records.py
+++ b/src/rosepath/crash_records.py
@@ -95,13 +95,6 @@
         """Return the crashes not cleared nor explained by another request."""
         return self.exposures.keys() - self.cleared - explained
 
-    def was_isolated(self, explained: set[ServerInstance]) -> bool:
-        """Return whether a server crashed with this as its only suspect."""
-        return any(
-            self.exposures[instance] is Exposure.ISOLATED
-            for instance in self.open_crashes(explained)
-        )
-
     @property
     def weight(self) -> tuple[int, int]:
         """Return the sort key: number of crashes, then sum of exposures."""
@@ -254,7 +247,9 @@
         found: set[str] = set()
         for content_key, record in self._by_weight():
             crashes = record.open_crashes(explained)
-            if len(crashes) >= CRASHES_TO_QUARANTINE and record.was_isolated(explained):
+            if len(crashes) >= CRASHES_TO_QUARANTINE and self._stands_out(
+                record, explained
+            ):
                 found.add(content_key)
                 explained |= crashes
         self._explained = explained
@@ -265,6 +260,25 @@
             elif record.identified_s is None:
                 record.identified_s = now_s
 
+    def _stands_out(self, record: _Record, explained: set[ServerInstance]) -> bool:
+        """Return whether a server crashed with this as its likeliest suspect.
+
+        Entry VMs that don't hear each other may isolate several suspects at
+        one server. A crash there only tells them apart if one of them has been
+        at more crashes.
+        """
+        crashes = record.open_crashes(explained)
+        return any(
+            record.exposures[instance] is Exposure.ISOLATED
+            and not any(
+                other is not record
+                and other.exposures.get(instance) is Exposure.ISOLATED
+                and len(other.open_crashes(explained)) >= len(crashes)
+                for other in self._records.values()
+            )
+            for instance in crashes
+        )
+
     def _by_weight(self) -> list[tuple[str, _Record]]:
         """Return the unconfirmed requests, those at the most crashes first."""
         open_records = [
--- a/tests/test_crash_records.py
+++ b/tests/test_crash_records.py
@@ -117,6 +117,22 @@
     assert records.suspicion("good") is Suspicion.CLEAR
 
 
+# Guards against quarantine of an unrelated request that VMs which don't hear each
+# other isolated at the same servers as the cause.
+def test_suspects_isolated_together_are_told_apart_by_the_next_crash() -> None:
+    together = [
+        *reports_of_cause("bad", "s1", "s2", "s3"),
+        *reports_of_cause("good", "s1", "s2", "s3"),
+    ]
+    for order in (together, together[::-1]):
+        records = records_of(*order)
+        assert records.suspicion("bad") is Suspicion.SUSPECT
+        assert records.suspicion("good") is Suspicion.SUSPECT
+        records.add(report("bad", "s4"))
+        assert is_cause(records, "bad")
+        assert records.suspicion("good") is Suspicion.CLEAR
+
+
 def test_two_causes_of_different_crashes_are_both_quarantined() -> None:
     records = records_of(
         *reports_of_cause("bad", "s1", "s2", "s3"),
