Reserve memory for one unknown load of each holder that ended recently

Cause: a holder reserves memory for one load that it does not know of.

Change: the lease records when the terms before the current one ended, so that also a VM that has just started knows it; direct handovers count as terms, by the fencing tokens of the state messages. Memory, or adapter slots, are reserved for one load of each term that ended within the time in which an order may still be executed.

Tests: two late loads of two earlier holders, right one after the other, failed before (3 models where 2 fit); the lease's record and direct handovers are new. The builder of successive holders gives each one what the lease would.

--- a/src/rosepath/engine_orders.py
+++ b/src/rosepath/engine_orders.py
@@ -115,8 +115,8 @@
     loads the model `loading` by `load_due_s`. `engine_busy` is set while the
     engine itself reports an order in progress. `unanswered_loads` is shared by
     the records of an engine's instances, as a restart does not end them.
-    `earlier_orders_possible` is set while orders of an earlier holder may still
-    be executed, `instance_settled` once none for an earlier instance is.
+    `earlier_holders` is the number of holders whose orders may still be
+    executed, `instance_settled` once none for an earlier instance is.
     """
 
     server: str
@@ -136,19 +136,20 @@
     # When the last report was applied, on the clock of the order sender.
     reported_s: float = -1e9
     unanswered_loads: list[UnansweredLoad] = field(default_factory=list)
-    earlier_orders_possible: bool = False
+    earlier_holders: int = 0
     instance_settled: bool = False
     # Whether the engine may not have counted the last order that was counted
     # here.
     count_uncertain: bool = False
 
     @property
-    def may_execute_unknown_load(self) -> bool:
-        """Return whether a load of an earlier holder may still be executed.
+    def unknown_loads(self) -> int:
+        """Return how many loads of earlier holders may still be executed.
 
-        Its model, adapter and sequence number are not known to this holder.
+        Their models, adapters and sequence numbers are not known to this
+        holder. Each earlier holder may have left one without a response.
         """
-        return self.earlier_orders_possible and not self.instance_settled
+        return 0 if self.instance_settled else self.earlier_holders
 
     @property
     def occupied(self) -> bool:
--- a/src/rosepath/engine_views.py
+++ b/src/rosepath/engine_views.py
@@ -53,14 +53,9 @@
 
 
 def _unknown_load_mb(record: EngineRecord, spec: EngineSpec) -> float:
-    """Return the memory reserved for a load that an earlier holder ordered.
-
-    That is room for one: a second one is executed only if it has the next
-    number, and before this holder learns of the first by a rejected order.
-    """
-    if not record.may_execute_unknown_load:
-        return 0.0
-    return max((model.size_mb for model in spec.models.values()), default=0.0)
+    """Return the memory reserved for loads that earlier holders ordered."""
+    largest_mb = max((model.size_mb for model in spec.models.values()), default=0.0)
+    return record.unknown_loads * largest_mb
 
 
 def _reserved_adapters(record: EngineRecord) -> set[str]:
@@ -104,8 +99,7 @@
         used -= _unknown_load_mb(record, spec)
     needed_mb = adapter_mb(spec.models, model) + used - spec.memory_mb
     needed_slots = len(_reserved_adapters(record)) + 1 - spec.adapter_slots
-    if record.may_execute_unknown_load:
-        needed_slots += 1
+    needed_slots += record.unknown_loads
     count = 0
     while needed_mb > 0 or needed_slots > 0:
         if count == len(idle):
--- a/src/rosepath/lease_keeper.py
+++ b/src/rosepath/lease_keeper.py
@@ -22,6 +22,7 @@
     lease_action,
     may_take_over,
     previous_holders_of,
+    term_ends_after,
 )
 from rosepath.logs import get_logger
 from rosepath.object_store import ConflictError, ObjectsPort, StoredObject, StoreError
@@ -53,6 +54,8 @@
         self._announced_versions: dict[str, int] = {}
         self._version_announced_s: dict[str, float] = {}
         self._last_message_s: dict[str, float] = {}
+        # The highest fencing token announced in a state message.
+        self._announced_fences: dict[str, int] = {}
         self._resignations: dict[str, Resignation] = {}
         # Callbacks that return the quarantined requests to write into a lease,
         # and receive those of each lease that is read.
@@ -77,7 +80,7 @@
             extended_until_s=extended_until_s,
         )
 
-    def note_announcement(self, name: str, *, version: int) -> None:
+    def note_announcement(self, name: str, *, version: int, fence: int = 0) -> None:
         """Record a state message in which the holder announces its version.
 
         If a later read finds the same version, it counts as unchanged since
@@ -87,6 +90,7 @@
         """
         now_s = self._clock.monotonic_s()
         self._last_message_s[name] = now_s
+        self._announced_fences[name] = max(fence, self._announced_fences.get(name, 0))
         if version > self._announced_versions.get(name, 0):
             self._announced_versions[name] = version
             self._version_announced_s[name] = now_s
@@ -134,6 +138,7 @@
         # Engines take quickly alternating holders for two concurrent ones, so
         # a VM that held the lease before waits longer.
         pause_s = self.policy.turn_s if self._me in row.previous_holders else 0.0
+        row.term_ends_s = term_ends_after(row, fence=fence, now_s=now_s)
         row.previous_holders = previous_holders_of(row, me=self._me)
         row.version, row.holder = version, self._me
         # Splits the next fencing token into its parts, see `LeaseRow.fence`.
@@ -181,6 +186,12 @@
         """Return whether a lease had a holder before the term last recorded."""
         return self.fence(name) > FENCES_PER_TERM
 
+    def terms_ended_within(self, name: str, limit_s: float) -> int:
+        """Return how many terms before the last recorded one ended recently."""
+        row = self.rows.get(name)
+        since_s = self._clock.monotonic_s() - limit_s
+        return sum(end_s > since_s for end_s in row.term_ends_s) if row else 0
+
     async def step(
         self, name: str, *, wanted: bool, extended_until_s: float = -1e9
     ) -> None:
@@ -259,6 +270,7 @@
             self._first_seen_s[row.name] = (
                 self._version_announced_s[row.name] if announced else now_s
             )
+        changed = version != row.version
         row.version = version
         row.holder = ""
         if stored is None:
@@ -267,6 +279,10 @@
             case Result(tag="ok", ok=record):
                 row.holder, row.previous_holders = record.holder, record.before
                 self.on_quarantined(record.quarantined)
+                if changed:
+                    row.term_ends_s = tuple(
+                        now_s - ago_s for ago_s in record.ended_ago_s
+                    )
                 if record.term > row.term:
                     row.term, row.direct_handovers = record.term, 0
             case Result(error=problem):
@@ -282,6 +298,11 @@
         # is, the lease thus expires here before another VM takes it over.
         started_s = self._clock.monotonic_s()
         previous_holders = previous_holders_of(row, me=self._me)
+        term_ends_s = row.term_ends_s
+        if term != row.term and row.version:
+            # Direct handovers are known from state messages only.
+            fence = max(row.fence, self._announced_fences.get(row.name, 0))
+            term_ends_s = term_ends_after(row, fence=fence, now_s=started_s)
         value = encode_lease(
             LeaseRecord(
                 holder=self._me,
@@ -289,6 +310,7 @@
                 nonce=uuid.uuid4().hex,
                 before=previous_holders,
                 quarantined=self.quarantined(),
+                ended_ago_s=_ages_s(term_ends_s, now_s=started_s),
             )
         )
         name = f"{LEASE_KIND}/{row.name}"
@@ -323,6 +345,7 @@
             row.direct_handovers = 0
         row.version, row.holder, row.term = version, self._me, term
         row.previous_holders = previous_holders
+        row.term_ends_s = term_ends_s
         row.checked_at_s = started_s
         row.held_until_s = started_s + self.policy.duration_s
 
@@ -377,6 +400,7 @@
                 nonce=uuid.uuid4().hex,
                 before=(self._me, *row.previous_holders)[:MAX_PREVIOUS_HOLDERS],
                 quarantined=self.quarantined(),
+                ended_ago_s=_ages_s(row.term_ends_s, now_s=self._clock.monotonic_s()),
             )
         )
         try:
@@ -390,3 +414,7 @@
             return version
         row.holder = ""
         return released_version
+
+
+def _ages_s(times_s: tuple[float, ...], *, now_s: float) -> tuple[float, ...]:
+    return tuple(round(now_s - time_s, 3) for time_s in times_s)
--- a/src/rosepath/leases.py
+++ b/src/rosepath/leases.py
@@ -17,7 +17,8 @@
 # Previous holders recorded in a lease. Any further ones held it longer ago
 # than `LeasePolicy.turn_s`.
 MAX_PREVIOUS_HOLDERS = 8
-
+# Ends of earlier terms recorded in a lease.
+MAX_TERM_ENDS = 8
 
 # Holder of a lease that cannot be decoded: an unknown VM that may act until
 # the lease would have expired.
@@ -81,6 +82,8 @@
     previous_holders: tuple[str, ...] = ()
     # Direct handovers in this term; the store does not record their number.
     direct_handovers: int = 0
+    # When earlier terms had ended, on this VM's clock, the latest first.
+    term_ends_s: tuple[float, ...] = ()
 
     @property
     def fence(self) -> int:
@@ -199,13 +202,29 @@
     return tuple(name for name in names if name not in ("", me))[:MAX_PREVIOUS_HOLDERS]
 
 
+def term_ends_after(row: LeaseRow, *, fence: int, now_s: float) -> tuple[float, ...]:
+    """Return the ends of earlier terms, given that a holder had `fence`.
+
+    That holder and those between it and the holder known to this VM have ended
+    by now; when is not known.
+    """
+    term, direct_handovers = divmod(fence, FENCES_PER_TERM)
+    ended = direct_handovers + 1
+    if term > row.term:
+        ended += term - row.term
+    else:
+        ended -= row.direct_handovers
+    return ((now_s,) * ended + row.term_ends_s)[:MAX_TERM_ENDS]
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class LeaseRecord:
     """Hold a lease as it is stored; an empty holder means it was released.
 
     `before` names the previous holders, the latest first. `quarantined` names
     requests that crash servers: the store outlives all entry VMs, and each of
-    them reads the lease when it starts.
+    them reads the lease when it starts. `ended_ago_s` tells how long before the
+    write earlier terms had ended, the latest first.
     """
 
     holder: str
@@ -213,6 +232,7 @@
     nonce: str
     before: tuple[str, ...] = ()
     quarantined: tuple[str, ...] = ()
+    ended_ago_s: tuple[float, ...] = ()
 
 
 _UNREADABLE = (ValueError, KeyError, TypeError, OverflowError, RecursionError)
@@ -235,6 +255,7 @@
             nonce=str(raw["nonce"]),
             before=tuple(map(str, raw.get("before", ()))),
             quarantined=tuple(map(str, raw.get("quarantined", ()))),
+            ended_ago_s=tuple(map(float, raw.get("ended_ago_s", ()))),
         )
         return Ok(record)
     except _UNREADABLE as error:
--- a/src/rosepath/order_dispatcher.py
+++ b/src/rosepath/order_dispatcher.py
@@ -59,8 +59,10 @@
     catalog: Callable[[], Catalog | None]
     may_order: Callable[[], bool]
     fence: Callable[[], int]
-    # Whether another term of the lease came before the one held.
+    # Whether another term of the lease came before the one held, and how many
+    # of them ended within some seconds.
     follows_term: Callable[[], bool]
+    terms_ended_within: Callable[[float], int]
     demand: Callable[[str], Mapping[str, ModelDemand]]
     # Bounds the age of what other VMs report as running on an engine.
     peer_update_interval_s: Callable[[], float]
@@ -222,7 +224,11 @@
             self._records[server.name] = record
         now_s = self.sender.clock.monotonic_s()
         record.forget_unanswered(now_s=now_s)
-        record.earlier_orders_possible = now_s < self._earlier_orders_until_s
+        record.earlier_holders = max(
+            self._ports.terms_ended_within(LATE_ORDER_LIMIT_S),
+            # One at least has ended, whatever was recorded of it.
+            int(now_s < self._earlier_orders_until_s),
+        )
         record.instance_settled = (
             record.born_ms == server.entry.born_ms
             and self._instances.settled(
--- a/src/rosepath/placement_coordinator.py
+++ b/src/rosepath/placement_coordinator.py
@@ -138,6 +138,9 @@
                 may_order=lambda: self.holds_lease,
                 fence=lambda: self.leases.fence(LEASE_NAME),
                 follows_term=lambda: self.leases.follows_term(LEASE_NAME),
+                terms_ended_within=lambda limit_s: self.leases.terms_ended_within(
+                    LEASE_NAME, limit_s
+                ),
                 demand=self.all_demand,
                 peer_update_interval_s=lambda: peers.interval_s,
                 on_residency_change=self.residency_changes.record,
@@ -205,7 +208,9 @@
             self._arrivals.replace_announced(
                 state.arrivals, now_s=self._clock.monotonic_s()
             )
-            self.leases.note_announcement(LEASE_NAME, version=state.lease_version)
+            self.leases.note_announcement(
+                LEASE_NAME, version=state.lease_version, fence=state.term
+            )
         if state.handover.successor == self._me and not self._stopping():
             self._accept_handover(state)
         if state.resigned_version:
--- a/tests/order_succession.py
+++ b/tests/order_succession.py
@@ -72,9 +72,14 @@
     fleet: Fleet = field(default_factory=Fleet)
     demand: dict[str, ModelDemand] = field(default_factory=dict)
     fence: int = 0
+    # When the terms before the current one ended, as the lease records them.
+    term_ends_s: list[float] = field(default_factory=list)
 
     def next_holder(self, name: str) -> OrderDispatcher:
         """Pass the lease to a VM's new process."""
+        now_s = LoopClock().monotonic_s
+        if self.fence:
+            self.term_ends_s.append(now_s())
         self.fence += 1000
         fence = self.fence
         spec = replace(
@@ -89,6 +94,9 @@
             may_order=lambda: self.fence == fence,
             fence=lambda: fence,
             follows_term=fence > 1000,
+            terms_ended_within=lambda limit_s: sum(
+                end_s > now_s() - limit_s for end_s in self.term_ends_s
+            ),
             fleet=self.fleet,
             spec=spec,
         )
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -199,3 +199,55 @@
         assert keepers["a"].resign("l") == 0
 
     asyncio.run(run())
+
+
+# Guards against a holder that does not know how many holders before it may have
+# left orders that are still executed, as it has just started.
+def test_lease_records_when_earlier_terms_ended() -> None:
+    async def run() -> None:
+        clock, platform = ManualClock(), FakePlatform()
+        for name in "abc":
+            keeper = three_keepers(platform, clock)[name]
+            await keeper.step("l", wanted=True)
+            clock.advance(2.0)
+            assert await keeper.release("l")
+        current = three_keepers(platform, clock)["a"]
+        await current.step("l", wanted=True)
+        assert current.terms_ended_within("l", 15.0) == 3
+        assert current.terms_ended_within("l", 3.0) == 2
+        for _ in range(10):
+            clock.advance(1.0)
+            await current.step("l", wanted=True)
+        assert current.terms_ended_within("l", 13.0) == 2
+        successor = three_keepers(platform, clock)["b"]
+        await current.release("l")
+        await successor.step("l", wanted=True)
+        assert successor.terms_ended_within("l", 13.0) == 3
+
+    asyncio.run(run())
+
+
+def test_each_direct_handover_counts_as_an_ended_term() -> None:
+    async def run() -> None:
+        clock, platform = ManualClock(), FakePlatform()
+        keepers = three_keepers(platform, clock)
+        await keepers["a"].step("l", wanted=True)
+        version = keepers["a"].version("l")
+        for name, former in (("b", "a"), ("c", "b")):
+            keepers[name].accept_handover(
+                "l",
+                version=version,
+                fence=keepers[former].fence("l"),
+                last_action_age_s=0.0,
+            )
+        assert keepers["c"].terms_ended_within("l", 15.0) >= 2
+        # One that was not asked knows of the handovers from state messages.
+        fresh = three_keepers(platform, clock)["a"]
+        fresh.note_announcement("l", version=version, fence=keepers["c"].fence("l"))
+        clock.advance(30.0)
+        while not fresh.valid("l"):
+            clock.advance(1.0)
+            await fresh.step("l", wanted=True)
+        assert fresh.terms_ended_within("l", 15.0) == 3
+
+    asyncio.run(run())
--- a/tests/test_load_rate_succession.py
+++ b/tests/test_load_rate_succession.py
@@ -62,6 +62,7 @@
             may_order=lambda: fence[0] == term,
             fence=lambda: term * 1000,
             follows_term=lambda: term > 1,
+            terms_ended_within=lambda _: int(term > 1),
             demand=lambda _: {name: ModelDemand(0.2, 9) for name in names},
             peer_update_interval_s=lambda: 0.15,
             on_residency_change=lambda *_: None,
--- a/tests/test_order_succession.py
+++ b/tests/test_order_succession.py
@@ -51,6 +51,36 @@
     play(run())
 
 
+# Guards against an engine that is ordered to hold three models where two fit, as
+# loads of two earlier holders come late one right after the other.
+def test_loads_of_two_previous_holders_fit_after_a_restart() -> None:
+    async def run() -> None:
+        succession = Succession(MeasuredEngine())
+        engine, demand = succession.engine, succession.demand
+        late = []
+        for number, model in enumerate(("m0", "m1"), start=1):
+            holder = succession.next_holder(f"vm-{number}")
+            demand.clear()
+            demand[model] = ModelDemand(0.0, 9)
+            engine.unanswered_left = 3
+            await succession.plan(holder)
+            unanswered = engine.unanswered_orders[-1]
+            late.append(replace(unanswered, expected_sequence=number))
+        succession.restart_engine()
+        current = succession.next_holder("vm-3")
+        demand.clear()
+        demand["m2"] = ModelDemand(0.0, 9)
+        await succession.plan(current, rounds=2)
+        for order in late:
+            engine.execute(order)
+        assert engine.most_models <= MODELS_THAT_FIT
+        await asyncio.sleep(LATE_ORDER_LIMIT_S)
+        await succession.plan(current, rounds=2)
+        assert "m2" in engine.models
+
+    play(run())
+
+
 # Guards against an engine that is ordered to hold more adapters than it has
 # slots for, as the load of an earlier holder comes late.
 def test_adapter_of_the_previous_holder_fits_after_a_restart() -> None:
