Take only terms that ended lately for recent ones at a direct handover

A successor that had heard of its predecessor's fencing token but not read its lease took all earlier terms for ended just now, and reserved an engine's memory for loads of each.

Change: a fencing token that is read or heard says that the holders before it have stopped by then, and how many, so that each VM dates the ends as it learns of them; the lease tells them to one that has just started.

--- a/src/rosepath/lease_keeper.py
+++ b/src/rosepath/lease_keeper.py
@@ -22,7 +22,6 @@
     lease_action,
     may_take_over,
     previous_holders_of,
-    term_ends_after,
 )
 from rosepath.logs import get_logger
 from rosepath.object_store import ConflictError, ObjectsPort, StoredObject, StoreError
@@ -54,8 +53,6 @@
         self._announced_versions: dict[str, int] = {}
         self._version_announced_s: dict[str, float] = {}
         self._last_message_s: dict[str, float] = {}
-        # The highest fencing token announced in a state message.
-        self._announced_fences: dict[str, int] = {}
         self._resignations: dict[str, Resignation] = {}
         # Callbacks that return the quarantined requests to write into a lease,
         # and receive those of each lease that is read.
@@ -90,7 +87,7 @@
         """
         now_s = self._clock.monotonic_s()
         self._last_message_s[name] = now_s
-        self._announced_fences[name] = max(fence, self._announced_fences.get(name, 0))
+        self.rows.setdefault(name, LeaseRow(name=name)).note_fence(fence, now_s=now_s)
         if version > self._announced_versions.get(name, 0):
             self._announced_versions[name] = version
             self._version_announced_s[name] = now_s
@@ -138,11 +135,12 @@
         # Engines take quickly alternating holders for two concurrent ones, so
         # a VM that held the lease before waits longer.
         pause_s = self.policy.turn_s if self._me in row.previous_holders else 0.0
-        row.term_ends_s = term_ends_after(row, fence=fence, now_s=now_s)
+        row.note_fence(fence, now_s=now_s)
         row.previous_holders = previous_holders_of(row, me=self._me)
         row.version, row.holder = version, self._me
         # Splits the next fencing token into its parts, see `LeaseRow.fence`.
         row.term, row.direct_handovers = divmod(fence + 1, FENCES_PER_TERM)
+        row.note_fence(row.fence, now_s=now_s)
         row.held_until_s = row.checked_at_s = now_s
         row.earliest_act_s = (
             now_s - last_action_age_s + max(pause_s, self.policy.handover_s)
@@ -279,7 +277,9 @@
             case Result(tag="ok", ok=record):
                 row.holder, row.previous_holders = record.holder, record.before
                 self.on_quarantined(record.quarantined)
-                if changed:
+                stored_fence = record.term * FENCES_PER_TERM
+                if changed and stored_fence >= row.known_fence:
+                    row.known_fence = stored_fence
                     row.term_ends_s = tuple(
                         now_s - ago_s for ago_s in record.ended_ago_s
                     )
@@ -298,11 +298,7 @@
         # is, the lease thus expires here before another VM takes it over.
         started_s = self._clock.monotonic_s()
         previous_holders = previous_holders_of(row, me=self._me)
-        term_ends_s = row.term_ends_s
-        if term != row.term and row.version:
-            # Direct handovers are known from state messages only.
-            fence = max(row.fence, self._announced_fences.get(row.name, 0))
-            term_ends_s = term_ends_after(row, fence=fence, now_s=started_s)
+        row.note_fence(term * FENCES_PER_TERM, now_s=started_s)
         value = encode_lease(
             LeaseRecord(
                 holder=self._me,
@@ -310,7 +306,7 @@
                 nonce=uuid.uuid4().hex,
                 before=previous_holders,
                 quarantined=self.quarantined(),
-                ended_ago_s=_ages_s(term_ends_s, now_s=started_s),
+                ended_ago_s=_ages_s(row.term_ends_s, now_s=started_s),
             )
         )
         name = f"{LEASE_KIND}/{row.name}"
@@ -345,7 +341,6 @@
             row.direct_handovers = 0
         row.version, row.holder, row.term = version, self._me, term
         row.previous_holders = previous_holders
-        row.term_ends_s = term_ends_s
         row.checked_at_s = started_s
         row.held_until_s = started_s + self.policy.duration_s
 
--- a/src/rosepath/leases.py
+++ b/src/rosepath/leases.py
@@ -82,7 +82,9 @@
     previous_holders: tuple[str, ...] = ()
     # Direct handovers in this term; the store does not record their number.
     direct_handovers: int = 0
-    # When earlier terms had ended, on this VM's clock, the latest first.
+    # The highest fencing token known to be in use, and by when the holders
+    # before it had stopped, the latest first.
+    known_fence: int = 0
     term_ends_s: tuple[float, ...] = ()
 
     @property
@@ -90,6 +92,18 @@
         """Return the fencing token, which increases with each new holder."""
         return self.term * FENCES_PER_TERM + self.direct_handovers
 
+    def note_fence(self, fence: int, *, now_s: float) -> None:
+        """Record a fencing token in use: the holders before it have stopped."""
+        if fence <= self.known_fence:
+            return
+        if self.known_fence:
+            known_term, known_handovers = divmod(self.known_fence, FENCES_PER_TERM)
+            term, handovers = divmod(fence, FENCES_PER_TERM)
+            same_term = term == known_term
+            stopped = term - known_term + handovers - known_handovers * same_term
+            self.term_ends_s = ((now_s,) * stopped + self.term_ends_s)[:MAX_TERM_ENDS]
+        self.known_fence = fence
+
     def valid(
         self, *, now_s: float, policy: LeasePolicy, extended_until_s: float = -1e9
     ) -> bool:
@@ -202,21 +216,6 @@
     return tuple(name for name in names if name not in ("", me))[:MAX_PREVIOUS_HOLDERS]
 
 
-def term_ends_after(row: LeaseRow, *, fence: int, now_s: float) -> tuple[float, ...]:
-    """Return the ends of earlier terms, given that a holder had `fence`.
-
-    That holder and those between it and the holder known to this VM have ended
-    by now; when is not known.
-    """
-    term, direct_handovers = divmod(fence, FENCES_PER_TERM)
-    ended = direct_handovers + 1
-    if term > row.term:
-        ended += term - row.term
-    else:
-        ended -= row.direct_handovers
-    return ((now_s,) * ended + row.term_ends_s)[:MAX_TERM_ENDS]
-
-
 @dataclass(frozen=True, slots=True, kw_only=True)
 class LeaseRecord:
     """Hold a lease as it is stored; an empty holder means it was released.
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -231,23 +231,36 @@
     async def run() -> None:
         clock, platform = ManualClock(), FakePlatform()
         keepers = three_keepers(platform, clock)
-        await keepers["a"].step("l", wanted=True)
+        for keeper in keepers.values():
+            await keeper.step("l", wanted=True)
         version = keepers["a"].version("l")
         for name, former in (("b", "a"), ("c", "b")):
-            keepers[name].accept_handover(
-                "l",
-                version=version,
-                fence=keepers[former].fence("l"),
-                last_action_age_s=0.0,
+            clock.advance(2.0)
+            fence = keepers[former].fence("l")
+            assert keepers[name].accept_handover(
+                "l", version=version, fence=fence, last_action_age_s=0.0
             )
-        assert keepers["c"].terms_ended_within("l", 15.0) >= 2
-        # One that was not asked knows of the handovers from state messages.
-        fresh = three_keepers(platform, clock)["a"]
-        fresh.note_announcement("l", version=version, fence=keepers["c"].fence("l"))
-        clock.advance(30.0)
-        while not fresh.valid("l"):
+        assert keepers["c"].terms_ended_within("l", 15.0) == 2
+        # The store does not know of them, but state messages tell of each.
+        for _ in range(3):
+            clock.advance(2.0)
+            keepers["a"].note_announcement("l", version=version, fence=fence + 1)
+        while not keepers["a"].valid("l"):
             clock.advance(1.0)
-            await fresh.step("l", wanted=True)
-        assert fresh.terms_ended_within("l", 15.0) == 3
+            await keepers["a"].step("l", wanted=True)
+        assert keepers["a"].terms_ended_within("l", 30.0) == 3
+
+    asyncio.run(run())
+
+
+# Guards against a successor that takes all earlier terms for recent ones.
+def test_long_known_fence_says_that_earlier_terms_ended_long_ago() -> None:
+    async def run() -> None:
+        clock = ManualClock()
+        keeper = three_keepers(FakePlatform(), clock)["a"]
+        keeper.note_announcement("l", version=9, fence=5000)
+        clock.advance(20.0)
+        assert keeper.accept_handover("l", version=9, fence=5000, last_action_age_s=0.0)
+        assert keeper.terms_ended_within("l", 15.0) == 1
 
     asyncio.run(run())
