Keep to the weight store's rate over several changes of holder in a row

What callers would have seen: a weight store that is asked for more than it bears, so that all loads take longer (CEILING), as VMs are stopped one after the other and the lease passes on with each.

A new holder leaves the rate to loads that one holder before it may have started, and starts what the store tolerates beyond it. The holder after that does the same, within the same window.

Evidence: found by looking for other places that reckon with one earlier holder.

Change: a holder before which two terms or more have ended within the window starts no load from the weight store until the window is over. Loads from an engine's own disk or memory go on.

Test: the standing one, over two, three and four holders; the last two failed before.

--- a/src/rosepath/engine_orders.py
+++ b/src/rosepath/engine_orders.py
@@ -264,23 +264,28 @@
     _started_s: deque[float] = field(default_factory=deque)
     # Until when loads count that an earlier holder started.
     _earlier_loads_until_s: float = -math.inf
+    _tolerance_used: bool = False
 
     def allows(self, now_s: float, *, per_s: float) -> bool:
         """Return whether one more load may start."""
         while self._started_s and self._started_s[0] <= now_s - self.window_s:
             self._started_s.popleft()
         if now_s < self._earlier_loads_until_s:
+            if self._tolerance_used:
+                return False
             limit = TOLERATED_SHARE * per_s * self.window_s + TOLERATED_LOADS
         else:
             limit = per_s * self.window_s + 1
         return len(self._started_s) + 1 <= limit
 
-    def begin_term(self, now_s: float) -> None:
-        """Leave the rate to loads that an earlier holder may have started.
+    def begin_term(self, now_s: float, *, earlier_terms: int) -> None:
+        """Leave the rate to loads that earlier holders may have started.
 
-        Its successor starts only what the weight store tolerates beyond it.
+        Of `earlier_terms` that ended within the window, the first may have used
+        the rate, and the next one what the weight store tolerates beyond it.
         """
         self._earlier_loads_until_s = now_s + self.window_s
+        self._tolerance_used = earlier_terms > 1
 
     def record(self, now_s: float) -> None:
         """Record that a load starts."""
--- a/src/rosepath/order_dispatcher.py
+++ b/src/rosepath/order_dispatcher.py
@@ -142,7 +142,11 @@
                 self._earlier_orders_until_s = (
                     self.sender.clock.monotonic_s() + LATE_ORDER_LIMIT_S
                 )
-                self._load_rate_limit.begin_term(self._ports.clock.monotonic_s())
+                window_s = self._load_rate_limit.window_s
+                self._load_rate_limit.begin_term(
+                    self._ports.clock.monotonic_s(),
+                    earlier_terms=self._ports.terms_ended_within(window_s),
+                )
 
     async def _plan(self, service: str, spec: EngineSpec, catalog: Catalog) -> None:
         # The models of an engine that is down are unavailable until it
--- a/tests/test_load_rate_succession.py
+++ b/tests/test_load_rate_succession.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
+import pytest
 from entry_builders import a_catalog, an_engine_spec, an_entry
 from order_succession import play
 from test_order_dispatcher import FakeEngine
@@ -62,7 +63,7 @@
             may_order=lambda: fence[0] == term,
             fence=lambda: term * 1000,
             follows_term=lambda: term > 1,
-            terms_ended_within=lambda _: int(term > 1),
+            terms_ended_within=lambda _: term - 1,
             demand=lambda _: {name: ModelDemand(0.2, 9) for name in names},
             peer_update_interval_s=lambda: 0.15,
             on_residency_change=lambda *_: None,
@@ -74,14 +75,15 @@
 
 # Guards against a weight store that is asked for twice its rate, as the next
 # holder does not know how many loads the last one began.
-def test_rate_of_loads_holds_over_a_change_of_holder() -> None:
+@pytest.mark.parametrize(("terms", "ticks"), [(2, 20), (3, 10), (4, 5)])
+def test_rate_of_loads_holds_over_changes_of_holder(terms: int, ticks: int) -> None:
     async def run() -> None:
         per_s, held = 1.0, [1]
         engines = Engines({f"e{number}": FakeEngine() for number in range(ENGINES)})
-        for term in (1, 2):
+        for term in range(1, terms + 1):
             held[0] = term
             holder = a_holder(engines, per_s=per_s, term=term, fence=held)
-            for _ in range(20):
+            for _ in range(ticks):
                 await holder.tick()
                 await asyncio.sleep(0.1)
             # The next holder's first order waits for longer than this.
