Leave room for a late load under the number of an uncounted unload

What callers would see: an engine that is ordered to hold four adapters where three fit crashes, and its streams end. No engine was seen to do so; the test stands for one that loses an adapter by itself and does not count the unload of it.

Cause: an unload of an adapter that is answered as already done is counted here. If the engine does not count it, its number stays open, a load that an earlier holder (or this one) left without a response may be executed under it, and this holder's next load, which bears the number after it, fits by its number and not by its contents. Answers don't tell whether the adapter was there, and a report lags by some hundred ms.

Change: from the first such unload until the next report shows what the engine holds, a slot is left for one load of each earlier holder that ended recently, and for the own ones whose number may be open: another idle adapter goes if there is one, else the load waits for that report. No swap is planned there meanwhile, and the report is read soon. Why one slot is enough: an unload that is not counted removes nothing but leaves one number open, so whatever is recorded as free may be taken by as many loads as may still be executed, and not by more.

--- a/src/rosepath/engine_orders.py
+++ b/src/rosepath/engine_orders.py
@@ -141,15 +141,31 @@
     # Whether the engine may not have counted the last order that was counted
     # here.
     count_uncertain: bool = False
+    # The number of the first order since the last report that the engine may
+    # not have counted: a late order may have been executed under it instead.
+    first_uncertain: int | None = None
 
     @property
     def unknown_loads(self) -> int:
-        """Return how many loads of earlier holders may still be executed.
+        """Return how many loads of earlier holders may be executed unnoticed.
 
         Their models, adapters and sequence numbers are not known to this
-        holder. Each earlier holder may have left one without a response.
+        holder. Each earlier holder may have left one without a response. On
+        an instance that is older than them, their numbers are used up, unless
+        one was left open.
         """
-        return 0 if self.instance_settled else self.earlier_holders
+        numbers_used = self.instance_settled and self.confirmed
+        return 0 if numbers_used else self.earlier_holders
+
+    @property
+    def late_orders_possible(self) -> bool:
+        """Return whether orders without a response may still be executed."""
+        return self.earlier_holders > 0 or bool(self.unanswered_loads)
+
+    @property
+    def confirmed(self) -> bool:
+        """Return whether no late order was executed since the last report."""
+        return self.first_uncertain is None
 
     @property
     def occupied(self) -> bool:
@@ -177,6 +193,7 @@
             return False
         self.sequence = report.sequence
         self.count_uncertain = False
+        self.first_uncertain = None
         self.has_report = self.is_current = True
         self.engine_busy = report.busy
         self.models = set(report.models)
@@ -213,13 +230,15 @@
         """Return the unanswered loads that may follow the next order.
 
         Their numbers are still to come, as the engine has restarted since and
-        counts from zero. A load with the number of the next order is not among
-        them: the engine executes only one of the two.
+        counts from zero, or were left open. A load with the number of the next
+        order is not among them: the engine executes only one of the two.
         """
+        first_open = self.first_uncertain
         return {
             (load.model, load.adapter)
             for load in self.unanswered_loads
             if load.sequence > self.sequence
+            or (first_open is not None and load.sequence >= first_open)
         }
 
     def count_order(self, basis: OrderBasis, *, uncertain: bool = False) -> None:
@@ -227,6 +246,8 @@
         if self.basis == basis:
             self.sequence += 1
             self.count_uncertain = uncertain
+            if uncertain and self.late_orders_possible and self.confirmed:
+                self.first_uncertain = basis.sequence
 
     def require_report(self) -> None:
         """Require that a report is read before the next order.
@@ -243,6 +264,7 @@
         """Clear what was recorded about the engine's previous instance."""
         self.born_ms = born_ms
         self.instance_settled = False
+        self.first_uncertain = None
         self.sequence = 0
         self.is_current = False
         self.models.clear()
--- a/src/rosepath/engine_views.py
+++ b/src/rosepath/engine_views.py
@@ -29,6 +29,7 @@
         },
         in_use=server.models_in_use,
         accepts_orders=record.is_current
+        and record.confirmed
         and not record.occupied
         and not server.in_backoff(now_s)
         and server.entry.remaining_s is None,
@@ -90,7 +91,9 @@
 ) -> Sequence[str] | None:
     """Return how much of `idle` has to go before a model's adapter fits.
 
-    None if it does not fit even without all of them.
+    None if it does not fit even without all of them. An engine that lacks an
+    adapter may not count its unload, and a late load may take that number, so
+    that others go as well if there are any.
     """
     used = used_mb(record, spec)
     if used > spec.memory_mb:
@@ -107,6 +110,8 @@
         needed_mb -= adapter_mb(spec.models, idle[count].partition("/")[0])
         needed_slots -= 1
         count += 1
+    if count and not record.unknown_loads:
+        count += record.earlier_holders
     return idle[:count]
 
 
--- a/src/rosepath/order_dispatcher.py
+++ b/src/rosepath/order_dispatcher.py
@@ -233,6 +233,9 @@
             # One at least has ended, whatever was recorded of it.
             int(now_s < self._earlier_orders_until_s),
         )
+        if not record.confirmed and not record.late_orders_possible:
+            # Nothing is reserved any more for what it may have executed.
+            record.is_current = False
         record.instance_settled = (
             record.born_ms == server.entry.born_ms
             and self._instances.settled(
@@ -245,10 +248,11 @@
         record = self._current_record(server)
         now_s = self._ports.clock.monotonic_s()
         # An engine that reports an order in progress (an adapter, or an order
-        # of a previous holder) is polled until it is idle. Swaps poll by
-        # themselves.
+        # of a previous holder) is polled until it is idle, and one that may
+        # have executed a late order until a report shows its contents. Swaps
+        # poll by themselves.
         due = not record.swap_in_progress and (
-            record.engine_busy or not record.is_current
+            record.engine_busy or not record.is_current or not record.confirmed
         )
         if (
             due
--- a/tests/test_order_succession.py
+++ b/tests/test_order_succession.py
@@ -194,6 +194,65 @@
     play(run())
 
 
+# Guards against the same with a load of this holder, whose number the unload
+# left open.
+def test_unload_of_an_absent_adapter_leaves_room_for_an_unanswered_load() -> None:
+    async def run() -> None:
+        succession = Succession(EngineWithoutCountedUnloads("m0"))
+        engine = succession.engine
+        current = succession.next_holder("vm-1")
+        for adapter in ("a1", "a2"):
+            assert await current.ensure_adapter("llm", "e1", "m0", adapter)
+        await asyncio.sleep(1.0)
+        engine.silent_adapter = "a9"
+        assert not await current.ensure_adapter("llm", "e1", "m0", "a9")
+        late = engine.unanswered_orders[0]
+        assert (late.adapter, late.expected_sequence) == ("a9", 2)
+        # The next report shows three adapters, one of which is gone.
+        engine.models["m0"].add("a3")
+        assert await current.ensure_adapter("llm", "e1", "m0", "a2")
+        engine.models["m0"].discard("a1")
+
+        def execute_late_before_the_load() -> None:
+            if engine.orders[-1].action is OrderAction.UNLOAD:
+                engine.execute(late)
+
+        engine.on_connect = execute_late_before_the_load
+        for _ in range(3):
+            await asyncio.sleep(1.0)
+            await current.ensure_adapter("llm", "e1", "m0", "a4")
+        assert "a9" in engine.models["m0"]
+        assert engine.most_adapters <= ADAPTER_SLOTS
+
+    play(run())
+
+
+# Guards against requests for adapters that wait for a report after each unload,
+# in the seconds after a change of holder.
+def test_full_engine_exchanges_adapters_at_once_under_the_next_holder() -> None:
+    async def run() -> None:
+        succession = Succession(MeasuredEngine("m0"))
+        engine = succession.engine
+        previous = succession.next_holder("vm-1")
+        for adapter in ("a1", "a2", "a3"):
+            assert await previous.ensure_adapter("llm", "e1", "m0", adapter)
+        current = succession.next_holder("vm-2")
+        await succession.plan(current)
+        await asyncio.sleep(1.0)
+        for adapter in ("a4", "a5"):
+            assert await current.ensure_adapter("llm", "e1", "m0", adapter)
+            await asyncio.sleep(1.0)
+        # A slot is left for a load of the previous holder, for as long as one
+        # may come.
+        assert len(engine.models["m0"]) == ADAPTER_SLOTS - 1
+        await asyncio.sleep(LATE_ORDER_LIMIT_S)
+        for adapter in ("a6", "a7"):
+            assert await current.ensure_adapter("llm", "e1", "m0", adapter)
+        assert len(engine.models["m0"]) == ADAPTER_SLOTS
+
+    play(run())
+
+
 # Guards against an engine that gets no more orders, as the record counts an
 # order that the engine did not.
 def test_record_recovers_from_an_order_that_was_not_counted() -> None:
