Record few ends of terms after an unreadable lease

What callers would have seen: entry VMs that run out of memory one after the other, as another program overwrites the lease.

Cause: the term that follows an unreadable lease is as high as the version of the store, and one end was recorded for each term in between before the list was cut to eight.

Change: no more than eight are made. The test failed before (MemoryError).

--- a/src/rosepath/leases.py
+++ b/src/rosepath/leases.py
@@ -101,7 +101,9 @@
             term, handovers = divmod(fence, FENCES_PER_TERM)
             same_term = term == known_term
             stopped = term - known_term + handovers - known_handovers * same_term
-            self.term_ends_s = ((now_s,) * stopped + self.term_ends_s)[:MAX_TERM_ENDS]
+            # A term that follows an unreadable lease is as high as its version.
+            ends_s = (now_s,) * min(stopped, MAX_TERM_ENDS)
+            self.term_ends_s = (ends_s + self.term_ends_s)[:MAX_TERM_ENDS]
         self.known_fence = fence
 
     def valid(
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -9,7 +9,13 @@
 from rosepath.clock import ManualClock
 from rosepath.errors import Step
 from rosepath.lease_keeper import LeaseKeeper
-from rosepath.leases import LeasePolicy, decode_lease
+from rosepath.leases import (
+    FENCES_PER_TERM,
+    MAX_TERM_ENDS,
+    LeasePolicy,
+    LeaseRow,
+    decode_lease,
+)
 from rosepath.object_store import StoredObject, StoreError
 
 POLICY = LeasePolicy(duration_s=5.0, margin_s=1.0)
@@ -264,3 +270,12 @@
         assert keeper.terms_ended_within("l", 15.0) == 1
 
     asyncio.run(run())
+
+
+# Guards against a VM that runs out of memory as it records one end for each term
+# that the version of an overwritten lease stands for.
+def test_term_after_an_unreadable_lease_records_few_ends() -> None:
+    row = LeaseRow(name="l")
+    row.note_fence(5 * FENCES_PER_TERM, now_s=1.0)
+    row.note_fence(10**15 * FENCES_PER_TERM, now_s=2.0)
+    assert row.term_ends_s == (2.0,) * MAX_TERM_ENDS
