Move opening connections out of the HTTP pool into its own module

The pool's way to connect becomes an argument, also of the entry VM's main object, so that a test can partition one entry VM from its backend servers.

--- a/src/rosepath/entry_node.py
+++ b/src/rosepath/entry_node.py
@@ -14,6 +14,7 @@
 from rosepath.configuration_view import ConfigurationView
 from rosepath.crash_watch import CrashWatch, instance_of
 from rosepath.data_centre_isolation import DataCentreIsolation
+from rosepath.dialing import Dial, dial_directly
 from rosepath.entry_metrics import EntryMetrics
 from rosepath.entry_settings import EntrySettings
 from rosepath.fleet import BackendServer
@@ -95,7 +96,9 @@
 class EntryNode:
     """Own the components of one entry VM and run its background loops."""
 
-    def __init__(self, settings: EntrySettings) -> None:
+    def __init__(
+        self, settings: EntrySettings, *, dial_server: Dial = dial_directly
+    ) -> None:
         self.settings = settings
         self.clock = SystemClock()
         self.stopping = False
@@ -110,7 +113,7 @@
             read_patience_s=settings.store.read_patience_s,
         )
         self.store = PlatformStore(access, clock=self.clock)
-        self.pool = HttpPool(clock=self.clock)
+        self.pool = HttpPool(clock=self.clock, dial=dial_server)
         self.caches = PromptCaches()
         self.crashes = CrashWatch(
             settings.entry_vm,
--- a/src/rosepath/http_client.py
+++ b/src/rosepath/http_client.py
@@ -7,8 +7,6 @@
 measurements.
 """
 
-import asyncio
-import socket
 from collections import defaultdict
 from collections.abc import AsyncIterator, Callable, Mapping
 from dataclasses import dataclass, field
@@ -17,6 +15,7 @@
 import httptools
 
 from rosepath.clock import Clock, SystemClock
+from rosepath.dialing import Dial, dial_directly
 from rosepath.errors import ExchangeError, Step
 from rosepath.http_exchange import (
     Connection,
@@ -33,11 +32,6 @@
 # A peer that announces a shorter idle timeout closes the connection by its own
 # clock. The margin avoids sending a request while the peer closes.
 IDLE_MARGIN_S = 0.5
-# A host that lost power or is behind a network partition acknowledges nothing.
-# By default, the kernel retransmits for many minutes before it gives up.
-TCP_USER_TIMEOUT_MS = 1500
-KEEPALIVE_IDLE_S = 1
-
 __all__ = ["HttpPool", "ProbeResult", "Request", "ResponseHead"]
 
 
@@ -77,8 +71,11 @@
     Whoever creates a pool closes it.
     """
 
-    def __init__(self, *, clock: Clock | None = None) -> None:
+    def __init__(
+        self, *, clock: Clock | None = None, dial: Dial = dial_directly
+    ) -> None:
         self._clock = clock or SystemClock()
+        self._dial = dial
         self._idle: dict[str, list[Connection]] = defaultdict(list)
 
     def close(self) -> None:
@@ -146,11 +143,8 @@
 
         An accepted connection is kept for the next request.
         """
-        request = Request(
-            address=address, method="GET", path="/", connect_timeout_s=limit_s
-        )
         try:
-            connection = await self._connect(request)
+            connection = await self._dial(address, timeout_s=limit_s)
         except ExchangeError as error:
             return ProbeResult.UNKNOWN if error.timed_out else ProbeResult.REFUSED
         self._release(address, connection)
@@ -172,26 +166,10 @@
                 idle.append(connection)
                 break
             connection.close()
-        return await self._connect(request), False
-
-    async def _connect(self, request: Request) -> Connection:
-        host, _, port = request.address.rpartition(":")
-        loop = asyncio.get_running_loop()
-        try:
-            async with asyncio.timeout(request.connect_timeout_s):
-                _, connection = await loop.create_connection(
-                    Connection, host, int(port)
-                )
-        except (OSError, TimeoutError) as error:
-            raise ExchangeError(
-                f"cannot connect: {error or type(error).__name__}",
-                step=Step.CONNECT,
-                peer=request.address,
-                sent=False,
-                timed_out=isinstance(error, TimeoutError),
-            ) from error
-        _set_keepalive(connection)
-        return connection
+        connection = await self._dial(
+            request.address, timeout_s=request.connect_timeout_s
+        )
+        return connection, False
 
     def _release(self, address: str, connection: Connection) -> None:
         idle = self._idle[address]
@@ -265,17 +243,6 @@
         )
 
 
-def _set_keepalive(connection: Connection) -> None:
-    """Make the kernel close a connection whose peer acknowledges nothing."""
-    assert connection.transport is not None
-    sock = connection.transport.get_extra_info("socket")
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_IDLE_S)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
-
-
 def _encode_head(request: Request) -> bytes:
     host = request.host or request.address
     lines = [f"{request.method} {request.path} HTTP/1.1", f"Host: {host}"]
