--- a/src/rosepath/entry_node.py
+++ b/src/rosepath/entry_node.py
@@ -294,12 +294,16 @@
             await asyncio.sleep(0.02)
         cut = self.gateway.pending_requests
         self.quotas.leave()
+        await self.close()
+        _log.info("stopped", cut=cut)
+
+    async def close(self) -> None:
+        """Stop every loop and close the connections to peers and servers."""
         await self.loops.stop()
         self.exchange.link.close()
         self.configuration_server.stop()
         self.store.close()
         self.pool.close()
-        _log.info("stopped", cut=cut)
 
     async def _step_lease(self) -> None:
         self.exchange.link.note_running()
--- a/src/rosepath_standins/entry_fleet.py
+++ b/src/rosepath_standins/entry_fleet.py
@@ -348,6 +348,7 @@
     directory: Path
     request_log: RequestLog = field(default_factory=RequestLog)
     state: PlatformState | None = None
+    store_address: str = ""
     servers: dict[str, Server] = field(default_factory=dict)
     # The routes and services of its configuration beside the plain ones.
     extra_routes: list[dict[str, object]] = field(default_factory=list)
@@ -365,11 +366,12 @@
         store = HTTPServer(app, idle_connection_timeout=600)
         port = free_port()
         store.listen(port, address="127.0.0.1")
+        self.store_address = f"127.0.0.1:{port}"
         await self._write_configuration([])
         for _ in range(servers):
             await self.add_server()
         for number in range(vms):
-            proxy = FaultProxy(f"127.0.0.1:{port}")
+            proxy = FaultProxy(self.store_address)
             await proxy.start()
             vm = EntryVm(f"vm-{number}", self.directory, proxy)
             self.vms[vm.name] = vm
