Send requests of a partitioned entry VM through one that reaches the servers

Cause: an entry VM knew one path to a server and took its failure for the server's. It had no other way to serve its callers, and it reported the runs that it lost as crashes of their servers (17 times in 10 s, no server ended), which made other VMs isolate innocent requests.

Change: a connection that is refused, or hangs for 50 ms, is opened through another entry VM (HTTP CONNECT on the peers' port), which copies bytes. Only the connect step differs, and nothing has been sent by then, so that retries, streams, quotas and at-most-once stay where they are. A forwarder serves only addresses of known entry VMs, reaches only servers that its own table allows new requests, never through a third VM, and at most 400 at a time. Tunnels are used once and end with their requests; a stop waits for them. Orders never take one, as engines know their holder by its machine. A server counts as down only if another VM is refused as well.

The scripted pool of the tests overrode the method that moved into the dialing module; it now passes a dial.

--- a/src/rosepath/attempt.py
+++ b/src/rosepath/attempt.py
@@ -32,7 +32,8 @@
     """An attempt ended without a valid response.
 
     `lost` means that the server's end of the connection closed while the
-    request ran, `answered` that the server had started its response before.
+    request ran, `answered` that the server had started its response before,
+    `refused` that the server is known to accept no connections.
     """
 
     def __init__(
@@ -47,8 +48,10 @@
         status: int = 0,
         lost: bool = False,
         answered: bool = False,
+        refused: bool = False,
     ) -> None:
         super().__init__(message, step=step, peer=peer)
+        self.refused = refused
         self.withdrawn = withdrawn
         self.evidence = evidence
         self.timed_out = timed_out
@@ -232,6 +235,7 @@
             withdrawn=error.withdrawn,
             lost=error.lost,
             answered=error.answered,
+            refused=error.refused,
         )
 
 
--- a/src/rosepath/dialing.py
+++ b/src/rosepath/dialing.py
@@ -33,6 +33,7 @@
             peer=address,
             sent=False,
             timed_out=isinstance(error, TimeoutError),
+            refused=not isinstance(error, TimeoutError),
         ) from error
     _set_keepalive(connection)
     return connection
--- a/src/rosepath/entry_node.py
+++ b/src/rosepath/entry_node.py
@@ -43,10 +43,12 @@
 from rosepath.server_choice import note_backoff
 from rosepath.server_limits import apply_limit_notice, limited_servers
 from rosepath.server_notice import ServerNotice
+from rosepath.server_paths import ServerPaths
 from rosepath.settings import split_address
 from rosepath.store_tables import StoreTables
 from rosepath.store_watcher import StoreWatcher, WatchPolicy
 from rosepath.supervisor import Supervisor
+from rosepath.tunnels import TUNNEL_PATH, TunnelGate, TunnelHandler
 from rosepath.watch_policy import (
     WatchConditions,
     catalog_watch_policy,
@@ -113,7 +115,11 @@
             read_patience_s=settings.store.read_patience_s,
         )
         self.store = PlatformStore(access, clock=self.clock)
-        self.pool = HttpPool(clock=self.clock, dial=dial_server)
+        self.peers = PeerTable(settings.entry_vm, clock=self.clock)
+        self.paths = ServerPaths(
+            settings.data_centre, clock=self.clock, dial=dial_server, peers=self.peers
+        )
+        self.pool = HttpPool(clock=self.clock, dial=self.paths.dial)
         self.caches = PromptCaches()
         self.crashes = CrashWatch(
             settings.entry_vm,
@@ -137,12 +143,14 @@
             settle_s=settings.settle_s,
             boot_clock=BootClock(),
         )
-        self.peers = PeerTable(settings.entry_vm, clock=self.clock)
         self.coordinator = PlacementCoordinator(
             settings,
             clock=self.clock,
             store=self.store,
-            engines=EngineClient(pool=self.pool, on_notice=self._apply_notice),
+            # Engines take orders from one VM only, so none through another.
+            engines=EngineClient(
+                pool=self.pool.with_dial(dial_server), on_notice=self._apply_notice
+            ),
             fleet=self.tables.fleet,
             caches=self.caches,
             catalog=lambda: self.tables.catalog,
@@ -166,6 +174,7 @@
             crashes=self.crashes,
             boot_clock=BootClock(),
             link_mbps=settings.peers.link_mbps,
+            partitioned=lambda: self.paths.partitioned,
         )
         self.copies = PeerConfigurationFetcher(
             settings.data_centre,
@@ -175,9 +184,18 @@
             fetch=http_fetcher(HttpPool(clock=self.clock)),
         )
         # Created here so that stop() can close it even before start() listens.
-        self.configuration_server = HTTPServer(
-            configuration_application(lambda: self.tables.configuration)
+        self.tunnels = TunnelGate(
+            dial=dial_server,
+            is_peer=self.peers.is_peer_ip,
+            is_open_server=self._is_open_server,
+            has_direct_path=self.paths.has_direct_path,
+            stopping=lambda: self.stopping,
         )
+        application = configuration_application(lambda: self.tables.configuration)
+        application.add_handlers(
+            ".*", [(TUNNEL_PATH, TunnelHandler, {"gate": self.tunnels})]
+        )
+        self.peer_server = HTTPServer(application)
         self.data_centre_isolation = DataCentreIsolation(
             settings.data_centre,
             peers=self.peers,
@@ -256,7 +274,7 @@
         self._export_state()
         await self.exchange.link.listen()
         host, port = split_address(self.settings.peers.listen)
-        self.configuration_server.listen(port, address=host)
+        self.peer_server.listen(port, address=host)
         self.loops.forever(self.tables.catalog_watcher.run)
         self.loops.forever(self.tables.servers_watcher.run)
         self.loops.forever(self.copies.run)
@@ -288,7 +306,7 @@
         self.gateway.close_idle()
         await releasing
         limit_s = started_s + self.settings.stop.grace_s - STOP_MARGIN_S
-        while self.gateway.pending_requests:
+        while self.gateway.pending_requests or self.tunnels.open_count:
             if self.clock.monotonic_s() >= limit_s:
                 break
             await asyncio.sleep(0.02)
@@ -301,7 +319,7 @@
         """Stop every loop and close the connections to peers and servers."""
         await self.loops.stop()
         self.exchange.link.close()
-        self.configuration_server.stop()
+        self.peer_server.stop()
         self.store.close()
         self.pool.close()
 
@@ -362,6 +380,9 @@
             "servers_limited": limited_servers(self.tables.fleet),
             "requests_quarantined": len(self.crashes.records.quarantined),
             "in_flight": len(self.gateway.serving),
+            "servers_without_direct_path": self.paths.failed_direct_paths,
+            "tunnels_opened": self.paths.tunnel_count,
+            "tunnels_forwarded": self.tunnels.open_count,
         }
 
     def _configuration_view(self) -> ConfigurationView:
@@ -460,6 +481,14 @@
         if self.tables.apply_announced_departure(server):
             self.exchange.send_state_soon()
 
+    def _is_open_server(self, address: str) -> bool:
+        """Return whether a server at an address may get new requests."""
+        now_s = self.clock.monotonic_s()
+        return self.tables.fresh_enough and any(
+            server.address == address and server.usable and not server.in_backoff(now_s)
+            for server in self.tables.fleet.servers.values()
+        )
+
     def _apply_quarantine(self, content_keys: tuple[str, ...]) -> None:
         """Quarantine the requests that the lease record lists as crashing."""
         for content_key in content_keys:
--- a/src/rosepath/errors.py
+++ b/src/rosepath/errors.py
@@ -44,7 +44,8 @@
     `sent` is False only if no byte of the request was written to the socket;
     `withdrawn` is True if that is because the request was cancelled;
     `answered` is True once the head of the response arrived; `lost` is True if
-    the peer closed or reset the connection before the response was complete.
+    the peer closed or reset the connection before the response was complete;
+    `refused` is True if the peer is known to accept no connections.
     """
 
     def __init__(
@@ -58,9 +59,11 @@
         timed_out: bool = False,
         withdrawn: bool = False,
         lost: bool = False,
+        refused: bool = False,
     ) -> None:
         super().__init__(message, step=step, peer=peer)
         self.lost = lost
+        self.refused = refused
         self.sent = sent
         self.withdrawn = withdrawn
         self.answered = answered
--- a/src/rosepath/http_client.py
+++ b/src/rosepath/http_client.py
@@ -78,6 +78,12 @@
         self._dial = dial
         self._idle: dict[str, list[Connection]] = defaultdict(list)
 
+    def with_dial(self, dial: Dial) -> "HttpPool":
+        """Return a pool of the same idle connections that opens others in its way."""
+        pool = HttpPool(clock=self._clock, dial=dial)
+        pool._idle = self._idle
+        return pool
+
     def close(self) -> None:
         """Close every idle connection."""
         for connections in self._idle.values():
@@ -141,12 +147,12 @@
     async def probe(self, address: str, *, limit_s: float) -> ProbeResult:
         """Test whether an address accepts connections.
 
-        An accepted connection is kept for the next request.
+        An accepted connection is kept for the next request if possible.
         """
         try:
             connection = await self._dial(address, timeout_s=limit_s)
         except ExchangeError as error:
-            return ProbeResult.UNKNOWN if error.timed_out else ProbeResult.REFUSED
+            return ProbeResult.REFUSED if error.refused else ProbeResult.UNKNOWN
         self._release(address, connection)
         return ProbeResult.ACCEPTED
 
@@ -173,7 +179,7 @@
 
     def _release(self, address: str, connection: Connection) -> None:
         idle = self._idle[address]
-        if len(idle) >= MAX_IDLE_PER_PEER:
+        if connection.single_use or len(idle) >= MAX_IDLE_PER_PEER:
             connection.close()
             return
         connection.last_response_s = self._clock.monotonic_s()
--- a/src/rosepath/http_exchange.py
+++ b/src/rosepath/http_exchange.py
@@ -5,7 +5,7 @@
 import socket
 import struct
 from collections.abc import Awaitable, Callable
-from typing import NamedTuple
+from typing import NamedTuple, Protocol
 
 import httptools
 from tornado.httputil import HTTPHeaders
@@ -29,12 +29,27 @@
 ResponseFilter = Callable[[ResponseHead], bool]
 
 
+def disable_linger(sock: socket.socket) -> None:
+    """Make the kernel reset a connection when it is closed."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+
+
+class Receiver(Protocol):
+    """Take what arrives on a connection."""
+
+    def feed(self, data: bytes) -> None: ...
+
+    def handle_connection_lost(self) -> None: ...
+
+
 class Connection(asyncio.Protocol):
     """Own one connection and reference the exchange running on it, if any."""
 
     def __init__(self) -> None:
         self.transport: asyncio.Transport | None = None
-        self.exchange: Exchange | None = None
+        self.exchange: Receiver | None = None
+        # Whether it is closed after one exchange instead of kept open.
+        self.single_use = False
         self.closed = False
         self.closed_by_peer = False
         self.last_response_s = 0.0
@@ -90,7 +105,7 @@
         if self.transport is not None and not self.closed:
             sock = self.transport.get_extra_info("socket")
             if sock is not None:
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+                disable_linger(sock)
         self.close()
 
     def close(self) -> None:
--- a/src/rosepath/peer_exchange.py
+++ b/src/rosepath/peer_exchange.py
@@ -70,8 +70,10 @@
         crashes: CrashWatch,
         boot_clock: Clock | None = None,
         link_mbps: float = 0.0,
+        partitioned: Callable[[], bool] = lambda: False,
     ) -> None:
         self._link_mbps = link_mbps
+        self._partitioned = partitioned
         self._crashes = crashes
         self._send_scheduled = False
         self._me = entry_vm
@@ -188,6 +190,7 @@
             isolated=self._crashes.isolated.runs(merged=sends_totals, now_s=now_s),
             limits=known_limits(self._tables.fleet, now_s=now_s),
             link_mbps=self._link_mbps,
+            partitioned=self._partitioned(),
         )
 
     def send_state_soon(self) -> None:
--- a/src/rosepath/peer_messages.py
+++ b/src/rosepath/peer_messages.py
@@ -116,6 +116,8 @@
     limits: tuple[ServerLimit, ...] = ()
     # Bandwidth of the sender's network link.
     link_mbps: float = 0.0
+    # Whether the sender reaches servers only through other entry VMs.
+    partitioned: bool = False
 
     def delayed_by(self, delay_s: float) -> "PeerState":
         """Return this message with its reported ages increased by a delay."""
@@ -288,6 +290,7 @@
         "ir": [list(run) for run in message.isolated],
         "li": [[*limit[:3], round(limit.stated_ago_s, 3)] for limit in message.limits],
         "bw": message.link_mbps,
+        "pt": int(message.partitioned),
     }
 
 
@@ -353,6 +356,7 @@
         isolated=_decode_isolated(raw),
         limits=tuple(_decode_limit(row) for row in raw.get("li", ())),
         link_mbps=float(raw.get("bw", 0.0)),
+        partitioned=bool(raw.get("pt", 0)),
     )
 
 
--- a/src/rosepath/peer_table.py
+++ b/src/rosepath/peer_table.py
@@ -7,6 +7,7 @@
 
 from rosepath.clock import Clock
 from rosepath.peer_messages import PeerState
+from rosepath.settings import split_address
 
 # Interval between state messages. In a small fleet each entry VM sends them to
 # all others. In a large fleet it sends them to the lease holder, which sends
@@ -123,6 +124,10 @@
             if not serving:
                 self._serving_peers.pop(peer.state.data_centre, None)
 
+    def is_peer_ip(self, ip: str) -> bool:
+        """Return whether an IP address is that of a known entry VM."""
+        return any(split_address(peer.address)[0] == ip for peer in self._recipients())
+
     def live(self) -> list[Peer]:
         """Return the VMs that sent a message recently, in a stable order.
 
--- a/src/rosepath/relay.py
+++ b/src/rosepath/relay.py
@@ -378,7 +378,7 @@
         now_s = self._now_s()
         if error.evidence is Evidence.NOT_SENT:
             note_connect_failure(server, now_s=now_s)
-            if error.step is Step.CONNECT and not error.timed_out:
+            if error.refused:
                 self._ports.crashes.note_crashed(instance_of(server))
         if error.evidence is not Evidence.REFUSED:
             silent = error.timed_out or error.evidence is Evidence.NOT_SENT
--- a/tests/crashing_servers.py
+++ b/tests/crashing_servers.py
@@ -136,6 +136,7 @@
                     step=Step.CONNECT,
                     peer=request.address,
                     sent=False,
+                    refused=True,
                 )
             require_still_wanted(request)
             if request.headers["Target-Instance"] != server.name:
--- a/tests/partitioned_fleet.py
+++ b/tests/partitioned_fleet.py
@@ -62,6 +62,7 @@
             peer=address,
             sent=False,
             timed_out=self.cut is Cut.SILENT,
+            refused=self.cut is not Cut.SILENT,
         )
 
     def fail(self, cut: Cut) -> None:
--- /dev/null
+++ b/tests/test_tunnels.py
@@ -0,0 +1,244 @@
+"""Forwarding of connections between entry VMs and backend servers."""
+
+import asyncio
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+
+import pytest
+from tornado.httpserver import HTTPServer
+from tornado.web import Application
+
+from rosepath.dialing import dial_directly
+from rosepath.errors import ExchangeError
+from rosepath.http_client import HttpPool, Request
+from rosepath.http_exchange import Connection, disable_linger
+from rosepath.tunnels import (
+    MAX_TUNNELS,
+    TUNNEL_PATH,
+    TunnelGate,
+    TunnelHandler,
+    TunnelStatus,
+    open_tunnel,
+)
+from rosepath_standins.entry_fleet import free_port
+
+TIMEOUT_S = 2.0
+LARGE_BYTES = 8 * 1024 * 1024
+
+Serve = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+
+
+def a_gate(
+    *, peer: bool = True, server: bool = True, direct: bool = True
+) -> TunnelGate:
+    return TunnelGate(
+        dial=dial_directly,
+        is_peer=lambda _: peer,
+        is_open_server=lambda _: server,
+        has_direct_path=lambda _: direct,
+        stopping=lambda: False,
+    )
+
+
+@dataclass(slots=True)
+class ForwardedServer:
+    """A server, and an entry VM that forwards connections to it."""
+
+    address: str
+    forwarder: str
+    gate: TunnelGate
+    ended: asyncio.Event = field(default_factory=asyncio.Event)
+
+    async def dial(self, address: str, *, timeout_s: float) -> Connection:
+        return await open_tunnel(self.forwarder, address, timeout_s=timeout_s)
+
+    def pool(self) -> HttpPool:
+        return HttpPool(dial=self.dial)
+
+    def request(self, **fields: object) -> Request:
+        given: dict = {"method": "GET", "path": "/", "progress_timeout_s": TIMEOUT_S}
+        return Request(address=self.address, **{**given, **fields})
+
+    async def wait_until_closed(self) -> None:
+        async with asyncio.timeout(TIMEOUT_S):
+            while self.gate.open_count:  # noqa: ASYNC110
+                await asyncio.sleep(0)
+
+
+@asynccontextmanager
+async def forwarded_server(
+    serve: Serve, gate: TunnelGate | None = None
+) -> AsyncIterator[ForwardedServer]:
+    async def accept(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            await serve(reader, writer)
+        except (OSError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            writer.close()
+            forwarded.ended.set()
+
+    listener = await asyncio.start_server(accept, "127.0.0.1", 0)
+    gate = gate or a_gate()
+    application = Application([(TUNNEL_PATH, TunnelHandler, {"gate": gate})])
+    server = HTTPServer(application)
+    port = free_port()
+    server.listen(port, address="127.0.0.1")
+    forwarded = ForwardedServer(
+        f"127.0.0.1:{listener.sockets[0].getsockname()[1]}", f"127.0.0.1:{port}", gate
+    )
+    try:
+        yield forwarded
+    finally:
+        server.stop()
+        listener.close()
+
+
+async def respond(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    while True:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+
+
+async def respond_until_close(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> None:
+    await reader.readuntil(b"\r\n\r\n")
+    writer.write(b"HTTP/1.1 200 OK\r\n\r\n" + b"x" * LARGE_BYTES)
+    await writer.drain()
+
+
+async def respond_and_reset(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> None:
+    await reader.readuntil(b"\r\n\r\n")
+    writer.write(b"HTTP/1.1 200 OK\r\n\r\nhalf")
+    await writer.drain()
+    await reader.readuntil(b"never")
+
+
+async def wait_for_close(reader: asyncio.StreamReader, _: asyncio.StreamWriter) -> None:
+    await reader.readuntil(b"\r\n\r\n")
+    await reader.readexactly(1)
+
+
+async def status_of(forwarded: ForwardedServer) -> int:
+    """Return the status with which a tunnel is refused."""
+    reader, writer = await asyncio.open_connection(*forwarded.forwarder.split(":"))
+    writer.write(f"CONNECT {forwarded.address} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
+    line = await reader.readline()
+    writer.close()
+    return int(line.split()[1])
+
+
+def test_a_request_is_answered_through_another_vm() -> None:
+    async def run() -> None:
+        async with forwarded_server(respond) as forwarded:
+            pool = forwarded.pool()
+            for _ in range(2):
+                head, body = await pool.fetch(forwarded.request())
+                assert (head.status, body) == (200, b"ok")
+            await forwarded.wait_until_closed()
+
+    asyncio.run(run())
+
+
+# Guards against an open proxy: to other targets, or for anybody.
+@pytest.mark.parametrize(
+    ("gate", "status"),
+    [
+        (a_gate(peer=False), TunnelStatus.FORBIDDEN),
+        (a_gate(server=False), TunnelStatus.FORBIDDEN),
+        # Guards against tunnels in a circle.
+        (a_gate(direct=False), TunnelStatus.UNAVAILABLE),
+    ],
+)
+def test_tunnels_that_are_not_allowed_are_refused(
+    gate: TunnelGate, status: TunnelStatus
+) -> None:
+    async def run() -> None:
+        async with forwarded_server(respond, gate) as forwarded:
+            assert await status_of(forwarded) == status
+
+    asyncio.run(run())
+
+
+# Guards against tunnels that take the descriptors callers need.
+def test_the_number_of_tunnels_is_limited() -> None:
+    gate = a_gate()
+    gate.open_count = MAX_TUNNELS
+    assert gate.check("127.0.0.1", "127.0.0.1:1") is TunnelStatus.UNAVAILABLE
+
+
+def test_a_server_that_refuses_the_forwarder_is_told_from_one_that_hangs() -> None:
+    async def run() -> None:
+        async with forwarded_server(respond) as forwarded:
+            closed = f"127.0.0.1:{free_port()}"
+            with pytest.raises(ExchangeError) as caught:
+                await open_tunnel(forwarded.forwarder, closed, timeout_s=TIMEOUT_S)
+            assert caught.value.refused
+            gone = f"127.0.0.1:{free_port()}"
+            with pytest.raises(ExchangeError) as caught:
+                await open_tunnel(gone, forwarded.address, timeout_s=TIMEOUT_S)
+            assert not caught.value.refused
+
+    asyncio.run(run())
+
+
+# Guards against a response without a length that loses its last bytes.
+def test_a_response_that_ends_with_its_connection_arrives_whole() -> None:
+    async def run() -> None:
+        async with forwarded_server(respond_until_close) as forwarded:
+            _, body = await forwarded.pool().fetch(forwarded.request())
+            assert len(body) == LARGE_BYTES
+
+    asyncio.run(run())
+
+
+# Guards against a truncated response that looks whole.
+def test_a_reset_of_the_server_is_passed_on_as_a_reset() -> None:
+    async def run() -> None:
+        resets: list[asyncio.StreamWriter] = []
+
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            resets.append(writer)
+            await respond_and_reset(reader, writer)
+
+        async with forwarded_server(serve) as forwarded:
+            received: list[bytes] = []
+
+            def on_data(data: bytes) -> None:
+                received.append(data)
+                disable_linger(resets[0].get_extra_info("socket"))
+                resets[0].transport.abort()
+
+            with pytest.raises(ExchangeError):
+                await forwarded.pool().exchange(
+                    forwarded.request(), on_head=lambda _: None, on_data=on_data
+                )
+            assert received == [b"half"]
+
+    asyncio.run(run())
+
+
+# Guards against servers that work on for callers that have left.
+def test_a_cancelled_request_ends_at_the_server() -> None:
+    async def run() -> None:
+        async with forwarded_server(wait_for_close) as forwarded:
+            fetching = asyncio.ensure_future(
+                forwarded.pool().fetch(forwarded.request())
+            )
+            async with asyncio.timeout(TIMEOUT_S):
+                while not forwarded.gate.open_count:  # noqa: ASYNC110
+                    await asyncio.sleep(0)
+            fetching.cancel()
+            async with asyncio.timeout(TIMEOUT_S):
+                await forwarded.ended.wait()
+            await forwarded.wait_until_closed()
+
+    asyncio.run(run())
--- a/tests/timed_engines.py
+++ b/tests/timed_engines.py
@@ -23,7 +23,7 @@
 from rosepath.crash_watch import CrashWatch
 from rosepath.errors import ExchangeError, Step
 from rosepath.fleet import BackendServer, Fleet, PeerLoad
-from rosepath.http_client import HttpPool, Request
+from rosepath.http_client import HttpPool
 from rosepath.http_exchange import Connection
 from rosepath.prompt_caches import PromptCaches
 from rosepath.relay import Relay
@@ -156,18 +156,19 @@
     """Connect to scripted engines in this process."""
 
     def __init__(self, engines: dict[str, ScriptedEngine]) -> None:
-        super().__init__(clock=LoopClock())
+        super().__init__(clock=LoopClock(), dial=self._dial_engine)
         self._engines = engines
 
-    async def _connect(self, request: Request) -> Connection:
+    async def _dial_engine(self, address: str, *, timeout_s: float) -> Connection:
         connection = Connection()
-        engine = self._engines[request.address]
+        engine = self._engines[address]
         if not engine.up:
             raise ExchangeError(
                 "cannot connect: refused",
                 step=Step.CONNECT,
-                peer=request.address,
+                peer=address,
                 sent=False,
+                refused=True,
             )
         connection.connection_made(_TimedTransport(engine, connection))
         return connection
