Leave the placement lease to a VM that reaches the engines

While the VM that holds the lease is partitioned from the engines, no VM can load a model or an adapter, and callers of all VMs wait for those.

A VM whose direct connections to two servers failed in a row, while tunnels worked, counts as partitioned; a single failure may be a lost packet. It releases the lease as before a planned stop, and does not want it back, as long as another VM in its messages is not partitioned.

The test, a partitioned holder beside two VMs that are not, failed before (after 10 s the first VM still held the lease).

--- a/src/rosepath/entry_node.py
+++ b/src/rosepath/entry_node.py
@@ -157,6 +157,7 @@
             peers=self.peers,
             stopping=lambda: self.stopping,
             cut_off=lambda: self.data_centre_isolation.cut_off,
+            partitioned=lambda: self.paths.partitioned,
             changed=self.tables.notify_waiters,
         )
         self.coordinator.leases.quarantined = lambda: self.crashes.records.quarantined
@@ -284,6 +285,7 @@
         self.loops.every(PEER_EXPIRY_TICK_S, self.exchange.forget_silent)
         self.loops.every(ISOLATION_TICK_S, self.data_centre_isolation.step)
         self.loops.every(LEASE_TICK_S, self._step_lease)
+        self.loops.every(ISOLATION_TICK_S, self.coordinator.release_if_partitioned)
         self.loops.forever(self._plan)
         _log.info("started", callers=self.settings.callers.listen)
 
--- a/src/rosepath/placement_coordinator.py
+++ b/src/rosepath/placement_coordinator.py
@@ -79,6 +79,7 @@
         stopping: Callable[[], bool],
         cut_off: Callable[[], bool],
         changed: Callable[[], None],
+        partitioned: Callable[[], bool] = lambda: False,
         boot_clock: Clock | None = None,
     ) -> None:
         self._me = settings.entry_vm
@@ -86,6 +87,7 @@
         self._peers = peers
         self._stopping = stopping
         self._cut_off = cut_off
+        self._partitioned = partitioned
         self._address = settings.peers.listen
         self._holder_silent_since_s = clock.monotonic_s()
         self.link: PeerLink | None = None
@@ -280,6 +282,7 @@
         # A VM that is cut off does not read the lease: reads are charged for
         # even if they fail.
         wanted = wanted and not self._stopping() and not self._cut_off()
+        wanted = wanted and not self._only_others_reach_engines()
         self._lease_checked = True
         await self.leases.step(
             LEASE_NAME, wanted=wanted, extended_until_s=self._extended_until_s()
@@ -369,8 +372,27 @@
             silent_s = HOLDER_SILENCE_LARGE_FLEET_S
         return silent_s + TAKEOVER_STAGGER_S * rank
 
+    async def release_if_partitioned(self) -> None:
+        """Release the lease if only other VMs reach the engines.
+
+        Otherwise no model or adapter is loaded until the links are back, which
+        callers of all VMs would wait for.
+        """
+        if self.holds_lease and not self._stopping():
+            if self._only_others_reach_engines():
+                _log.info("lease_left", step="lease", why="no path to the engines")
+                await self.release()
+
+    def _only_others_reach_engines(self) -> bool:
+        return self._partitioned() and any(
+            peer.state is not None
+            and not peer.state.partitioned
+            and not peer.state.stopping
+            for peer in self._peers.live()
+        )
+
     async def release(self) -> None:
-        """Finish the orders and release the lease before a planned stop."""
+        """Finish the orders and release the lease."""
         self._finishing_orders = True
         try:
             await self.orders.finish(self._finish_orders_max_s)
--- a/src/rosepath/server_paths.py
+++ b/src/rosepath/server_paths.py
@@ -32,8 +32,7 @@
 # How long a server that refused this VM and its forwarders is not asked for
 # through them again.
 DOWN_TTL_S = 0.3
-# A VM with a failed direct path to so many servers, or to all of them, is
-# partitioned; with one, that server's link may be at fault.
+# A VM is partitioned if its direct paths to so many servers failed in a row.
 PARTITIONED_PATHS = 2
 # A refused connection means that the server is down only if another entry VM
 # was refused as well.
@@ -126,6 +125,9 @@
         # By entry VM, the open tunnels through it.
         self._tunnels: dict[str, list[Connection]] = defaultdict(list)
         self._forwarder_failed_s: dict[str, float] = {}
+        # By address, when the direct path failed while a tunnel worked, since
+        # the last direct connection to any server.
+        self._failures_in_a_row: dict[str, float] = {}
         self.tunnel_count = 0
 
     def has_direct_path(self, address: str) -> bool:
@@ -136,15 +138,19 @@
     @property
     def failed_direct_paths(self) -> int:
         """Return the number of servers reached only through other VMs."""
-        now_s = self._clock.monotonic_s()
-        # Traffic tries the direct path again once in this time.
-        since_s = now_s - 2 * DIRECT_RETRY_S
+        # Traffic tries the direct path again once in DIRECT_RETRY_S.
+        since_s = self._clock.monotonic_s() - 2 * DIRECT_RETRY_S
         return sum(path.direct_failed_s > since_s for path in self._paths.values())
 
     @property
     def partitioned(self) -> bool:
-        """Return whether this VM has lost its links to the servers."""
-        return self.failed_direct_paths >= PARTITIONED_PATHS
+        """Return whether this VM has lost its links to the servers.
+
+        Single connections also fail when packets are lost.
+        """
+        since_s = self._clock.monotonic_s() - 2 * DIRECT_RETRY_S
+        recent = sum(at_s > since_s for at_s in self._failures_in_a_row.values())
+        return recent >= PARTITIONED_PATHS
 
     async def dial(self, address: str, *, timeout_s: float) -> Connection:
         """Connect to a server directly or through another entry VM.
@@ -254,6 +260,7 @@
         now_s = self._clock.monotonic_s()
         path = self._paths.get(search.address)
         if not connection.single_use:
+            self._failures_in_a_row.clear()
             if path is not None:
                 del self._paths[search.address]
                 _log.info("server_path_direct", peer=search.address)
@@ -271,7 +278,7 @@
                 by=forwarder,
                 why=search.errors[0].message if search.errors else "slow",
             )
-        path.direct_failed_s = now_s
+        path.direct_failed_s = self._failures_in_a_row[search.address] = now_s
 
     def _conclude(self, search: "_Search") -> ExchangeError:
         """Build the error of a connection for which no path worked."""
--- a/tests/partitioned_fleet.py
+++ b/tests/partitioned_fleet.py
@@ -111,6 +111,14 @@
             ):
                 await asyncio.sleep(0.01)
 
+    async def wait_for_lease_holder(self) -> str:
+        """Wait until an entry VM holds the placement lease; return its name."""
+        while True:
+            for name, node in self.nodes.items():
+                if node.coordinator.holds_lease:
+                    return name
+            await asyncio.sleep(0.01)
+
     async def send(self, vm: str, kind: str) -> int:
         """Send a caller's request to an entry VM; return the status, 0 if none."""
         self.request_count += 1
--- a/tests/test_partitioned_entry_vms.py
+++ b/tests/test_partitioned_entry_vms.py
@@ -76,3 +76,20 @@
             } == dict.fromkeys(fleet.nodes, 0)
 
     asyncio.run(run())
+
+
+# Guards against a fleet whose engines get no orders because the VM that may
+# send them cannot reach one.
+def test_a_partitioned_holder_leaves_the_placement_lease_to_another_vm(
+    tmp_path: Path,
+) -> None:
+    async def run() -> None:
+        async with partitioned_fleet(tmp_path, "a", "a", "b") as fleet:
+            async with asyncio.timeout(10.0):
+                first = await fleet.wait_for_lease_holder()
+                fleet.links[first].fail(Cut.RESET)
+                while await fleet.wait_for_lease_holder() == first:
+                    await fleet.send_all(first, rounds=1)
+            assert fleet.nodes[first].paths.partitioned
+
+    asyncio.run(run())
