Let virtual time pass while tasks run

A test in virtual time could run for ever: a task that waits 2e-13 s until some moment finds, a turn later, that it has the same time left, as the loop takes a timer within its resolution of 1 ns for due and the clock moved by waits only. A real clock moves on by itself. Each turn of the loop now takes 1 ns.

--- a/tests/virtual_time.py
+++ b/tests/virtual_time.py
@@ -6,6 +6,10 @@
 
 # Initial time of every loop.
 START_S = 1000.0
+# Time that passes while tasks run. The loop takes a timer that is due within
+# its resolution for due; without this, a task that waits for a shorter time
+# until some moment would never reach it.
+STEP_S = 1e-9
 
 
 class _JumpingSelector(selectors.DefaultSelector):
@@ -16,7 +20,7 @@
     def select(self, timeout: float | None = None) -> list[Any]:
         if timeout is None:
             raise RuntimeError("deadlock: every task waits and no timer is pending")
-        self.now_s += max(0.0, timeout)
+        self.now_s += max(STEP_S, timeout)
         return []
 
 
