Test prompts with a part that crashes each server that answers on it

No two of the requests are alike, and evidence is kept by content: 77 contents were blamed in 108 reports, 49 of them once, none was quarantined.

--- a/tests/crashing_servers.py
+++ b/tests/crashing_servers.py
@@ -51,6 +51,10 @@
     quarantined_unrelated: int = 0
     # Whether responses to crashing requests begin before the crash.
     answers_early: bool = False
+    # Parts of prompts that crash each server that begins to answer on them.
+    crashing_parts: tuple[str, ...] = ()
+    # The shared parts of the prompts of unrelated requests, if they have any.
+    prompt: str = ""
     instance_base: int = 100
     statuses: list[tuple[str, int]] = field(default_factory=list)
 
@@ -65,20 +69,29 @@
     def address_of(self, name: str) -> str:
         return f"10.9.0.{int(name.rpartition('-')[2]) % 100 + 1}:80"
 
-    async def send_repeatedly(self, *, times: int, each_s: float) -> None:
+    async def send_repeatedly(
+        self, *, times: int, each_s: float, prefix: str = ""
+    ) -> None:
         """Send the crashing request to random VMs at a fixed interval."""
         rng = random.Random(3)
         for number in range(times):
             self.send_crashing_request(
-                rng.choice(sorted(self.nodes)), f"again-{number}"
+                rng.choice(sorted(self.nodes)), f"again-{number}", prefix=prefix
             )
             await asyncio.sleep(each_s)
 
     def send_crashing_request(
-        self, vm: str, request_id: str, *, path: str = CRASHING_PATH
+        self,
+        vm: str,
+        request_id: str,
+        *,
+        path: str = CRASHING_PATH,
+        prefix: str = "",
     ) -> None:
         """Send a crashing request to a VM."""
         exchange = CrashingExchange(request_id, self, path)
+        if prefix:
+            exchange.headers.update(prompt_headers(prefix))
         asyncio.ensure_future(self.nodes[vm].relay.serve(cast(Any, exchange)))
 
     async def call(self, vm: str, path: str, *, tries: int) -> bool:
@@ -92,6 +105,12 @@
             vm = self.rng.choice(sorted(self.nodes))
         return False
 
+    def make_exchange(self, request_id: str) -> SimulatedExchange:
+        if not self.prompt:
+            return SimulatedExchange(request_id, self)
+        prefix = f"{self.prompt},{request_id.encode().hex()}:100"
+        return PromptExchange(request_id, self, prefix)
+
     @property
     def crashes(self) -> int:
         return sum(map(len, self.crashes_s.values()))
@@ -119,7 +138,10 @@
         node.relay._ports.on_outcome = self._note_outcome
 
     def _note_outcome(self, context: RequestContext, _: int, code: str) -> None:
-        unrelated = not context.call.path.startswith(CRASHING_PATH)
+        parts = context.call.prompt.parts if context.call.prompt else ()
+        unrelated = not context.call.path.startswith(CRASHING_PATH) and not any(
+            part.part_id in self.crashing_parts for part in parts
+        )
         self.quarantined_unrelated += unrelated and code == QUARANTINED_CODE
 
     async def _probe(self, address: str, *, limit_s: float) -> ProbeResult:
@@ -141,15 +163,17 @@
             require_still_wanted(request)
             if request.headers["Target-Instance"] != server.name:
                 return _send_head(on_head, 421)
-            crashes = request.path.startswith(CRASHING_PATH)
+            cause = self._cause_of_crash(request)
+            crashes = bool(cause)
             if crashes:
-                self.arrivals_s.setdefault(request.path, []).append(now_s())
+                self.arrivals_s.setdefault(cause, []).append(now_s())
                 loop = asyncio.get_running_loop()
-                loop.call_later(CRASH_AFTER_S, self._crash, request)
+                loop.call_later(CRASH_AFTER_S, self._crash, request.address, cause)
             else:
                 self.note_request(name, server.name)
             long = request.path.startswith(LONG_PATH)
-            answered = long or (crashes and self.answers_early)
+            early = self.answers_early or cause in self.crashing_parts
+            answered = long or (crashes and early)
             head = _send_head(on_head, 200) if answered else None
             run_s = None if crashes else LONG_RUN_S if long else RUN_S
             await self._run_at(server, request, run_s, answered=answered)
@@ -176,14 +200,21 @@
             answered=answered,
         )
 
-    def _crash(self, request: Request) -> None:
-        server = self.servers[request.address]
+    def _cause_of_crash(self, request: Request) -> str:
+        """Return the path or part with which a request crashes, or nothing."""
+        if request.path.startswith(CRASHING_PATH):
+            return request.path
+        prefix = request.headers.get("Prompt-Prefix", "")
+        return next((part for part in self.crashing_parts if f"{part}:" in prefix), "")
+
+    def _crash(self, address: str, cause: str) -> None:
+        server = self.servers[address]
         if not server.up:
             return
         server.up = False
         server.crashed.set()
-        self.crashes_s.setdefault(request.path, []).append(now_s())
-        asyncio.ensure_future(self._restart(request.address, server))
+        self.crashes_s.setdefault(cause, []).append(now_s())
+        asyncio.ensure_future(self._restart(address, server))
 
     async def _restart(self, address: str, server: Server) -> None:
         await asyncio.sleep(RESTART_AFTER_S)
@@ -224,8 +255,26 @@
         self.status = status
 
 
+class PromptExchange(SimulatedExchange):
+    """Stand in for a caller's request with a prompt; each has other content."""
+
+    def __init__(
+        self, request_id: str, simulation: CrashingServersSimulation, prefix: str
+    ) -> None:
+        super().__init__(request_id, simulation)
+        self.body = request_id.encode()
+        self.headers.update(prompt_headers(prefix))
+
+
+def prompt_headers(prefix: str) -> dict[str, str]:
+    """Return the headers of a request whose prompt has parts."""
+    return {"Model": "m0", "Token-Usage": "300,20", "Prompt-Prefix": prefix}
+
+
 def _send_head(on_head: Any, status: int) -> ResponseHead:
-    headers = HTTPHeaders({"Response-Signature": "s"} if status == 200 else {})
+    headers = HTTPHeaders()
+    if status == 200:
+        headers = HTTPHeaders({"Response-Signature": "s", "Content-Length": "4"})
     head = ResponseHead(status, headers)
     on_head(head)
     return head
--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -360,10 +360,14 @@
         number = 0
         while True:
             number += 1
-            exchange = SimulatedExchange(f"{name}-{number}", self)
+            exchange = self.make_exchange(f"{name}-{number}")
             asyncio.ensure_future(self.nodes[name].relay.serve(cast(Any, exchange)))
             await asyncio.sleep(REQUEST_INTERVAL_S)
 
+    def make_exchange(self, request_id: str) -> "SimulatedExchange":
+        """Return the exchange of one of the requests sent all the time."""
+        return SimulatedExchange(request_id, self)
+
     def _configuration_fetch(self, name: str) -> Callable[..., Any]:
         async def fetch(address: str, newer_than: int) -> StoredObject | None:
             other = self.nodes[f"vm-{int(address.rpartition(':')[2]) - 1}"]
