--- a/src/rosepath/crash_watch.py
+++ b/src/rosepath/crash_watch.py
@@ -35,12 +35,16 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class LostRun:
-    """A run whose connection was lost or that timed out."""
+    """A run whose connection was lost or that timed out.
+
+    `part_keys` has the shared parts of its prompt, if it had just begun.
+    """
 
     request_id: str
     content_key: str
     exposure: Exposure
     lost_s: float
+    part_keys: tuple[str, ...] = ()
 
 
 class CrashWatch:
@@ -107,7 +111,7 @@
         self._drop_expired()
         for run in self._lost_runs.pop(instance, ()):
             self._report_crash(
-                CrashReport(run.content_key, instance, run.exposure), run.request_id
+                CrashReport(run.content_key, instance, run.exposure), run
             )
 
     def reserve(self, content_key: str, *, request_id: str, server: str) -> bool:
@@ -138,13 +142,14 @@
         if self.records.clear(content_key):
             self._on_change()
 
-    def _report_crash(self, report: CrashReport, request_id: str) -> None:
+    def _report_crash(self, report: CrashReport, run: LostRun) -> None:
         if self.records.add(report):
             self._on_change()
         _log.info(
             "crash_reported",
-            request_id=request_id,
+            request_id=run.request_id,
             content=report.content_key,
+            parts=run.part_keys,
             peer=report.instance.server,
             born_ms=report.instance.born_ms,
             exposure=report.exposure.name.lower(),
--- a/src/rosepath/request_context.py
+++ b/src/rosepath/request_context.py
@@ -12,7 +12,7 @@
 from rosepath.catalog import Catalog, HostRoute, ServiceSpec
 from rosepath.clock import Clock
 from rosepath.configuration_view import UNKNOWN_CONFIGURATION, ConfigurationView
-from rosepath.content_key import content_key
+from rosepath.content_key import content_key, part_keys
 from rosepath.crash_watch import CrashWatch
 from rosepath.event_sequence import EventSequence
 from rosepath.fleet import BackendServer, Fleet
@@ -144,6 +144,11 @@
         """Return the key that the request shares with its retries."""
         return content_key(self.call)
 
+    @cached_property
+    def part_keys(self) -> tuple[str, ...]:
+        """Return the keys of the parts of its prompt that others may share."""
+        return part_keys(self.call.prompt)
+
     def note_events(self, *, now_s: float) -> None:
         """Record the arrival of events, and the longest gap between them."""
         if self.first_event_s is None:
--- a/src/rosepath/suspect_tracker.py
+++ b/src/rosepath/suspect_tracker.py
@@ -149,11 +149,13 @@
         )
         starting = error.answered and not ran_long
         exposure = Exposure.STARTING if starting else Exposure.PRESENT
+        begun = starting or in_flight.isolated
         return LostRun(
             request_id=context.call.request_id,
             content_key=context.content_key,
             exposure=Exposure.ISOLATED if in_flight.isolated else exposure,
             lost_s=now_s,
+            part_keys=context.part_keys if begun else (),
         )
 
 
