Bound the head of a server's response while it arrives

A server in trouble may send bytes that are no response until its caller closes. Too large headers were also raised as a ValueError, which ended the caller's connection without a response.

Bytes that complete no part of a response now count towards the limit of 64 KiB, in the status line, a header or a trailer, and the exchange fails as malformed.

--- a/src/rosepath/http_client.py
+++ b/src/rosepath/http_client.py
@@ -20,6 +20,7 @@
 from rosepath.http_exchange import (
     Connection,
     Exchange,
+    MalformedResponseError,
     OnData,
     OnHead,
     ResponseFilter,
@@ -206,7 +207,8 @@
         finally:
             watchdog.stop()
         if exchange.failure is not None:
-            if isinstance(exchange.failure, httptools.HttpParserError):
+            malformed = (httptools.HttpParserError, MalformedResponseError)
+            if isinstance(exchange.failure, malformed):
                 raise self._failure(request, exchange, watchdog, "cannot be parsed")
             raise exchange.failure
         if exchange.head is None or not exchange.finished:
--- a/src/rosepath/http_exchange.py
+++ b/src/rosepath/http_exchange.py
@@ -15,6 +15,11 @@
 # connection.
 NO_LINGER = struct.pack("ii", 1, 0)
 
+
+class MalformedResponseError(Exception):
+    """The bytes received are not a response, or its head is too large."""
+
+
 OnData = Callable[[bytes], Awaitable[None] | None]
 
 
@@ -148,6 +153,9 @@
         self._on_data = on_data
         self._headers = HTTPHeaders()
         self._header_bytes = 0
+        # Bytes received since the parser last completed a part of a response.
+        # It keeps those of an unfinished line or field in memory.
+        self._unparsed_bytes = 0
         self._body_parts: list[bytes] = []
         self._parser = httptools.HttpResponseParser(self)
 
@@ -167,10 +175,11 @@
             return
         self._header_bytes += len(name) + len(value)
         if self._header_bytes > MAX_HEADER_BYTES:
-            raise ValueError("the headers are too large")
+            raise MalformedResponseError("the headers are too large")
         self._headers.add(name.decode("latin1"), value.decode("latin1"))
 
     def on_headers_complete(self) -> None:
+        self._unparsed_bytes = 0
         if self._is_extra:
             return
         status = self._parser.get_status_code()
@@ -192,6 +201,7 @@
             self.finished = True
 
     def on_body(self, body: bytes) -> None:
+        self._unparsed_bytes = 0
         if not self._is_extra and not self._is_rejected:
             self._body_parts.append(body)
 
@@ -205,6 +215,7 @@
     def feed(self, data: bytes) -> None:
         """Parse received bytes and deliver their body data as one chunk."""
         self.progress += 1
+        self._unparsed_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserCallbackError as error:
@@ -214,6 +225,9 @@
             if not (self.finished and self._is_head_request):
                 self._fail(error)
                 return
+        if self._unparsed_bytes > MAX_HEADER_BYTES:
+            self._fail(MalformedResponseError("the headers are too large"))
+            return
         self._deliver_body()
 
     def _deliver_body(self) -> None:
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -291,3 +291,43 @@
         assert contact is ProbeResult.REFUSED
 
     asyncio.run(run())
+
+
+ENDLESS_BYTES = 64 * 1024 * 1024
+# A little over what the sockets between the two ends hold.
+MAX_TAKEN_BYTES = 16 * 1024 * 1024
+
+
+# Guards against an entry VM that runs out of memory as a failing server sends
+# bytes that are no response until it closes.
+@pytest.mark.parametrize(
+    "start",
+    [
+        b"",
+        b"HTTP/1.1 200 ",
+        b"HTTP/1.1 200 OK\r\nX: ",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX: ",
+    ],
+)
+def test_an_endless_head_is_not_kept_in_memory(start: bytes) -> None:
+    async def run() -> None:
+        taken = 0
+
+        async def handle(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            nonlocal taken
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(start)
+            while taken < ENDLESS_BYTES:
+                writer.write(b"a" * 65536)
+                await writer.drain()
+                taken += 65536
+
+        async with Server(handle) as server:
+            with pytest.raises(ExchangeError) as error:
+                await HttpPool().fetch(server.request(progress_timeout_s=10.0))
+            assert error.value.sent
+        assert taken < MAX_TAKEN_BYTES
+
+    asyncio.run(run())
