Bound the bodies that an entry VM holds until they are complete

A server in trouble may send a body without end until its caller closes. Plain responses are held until complete, so that a failed attempt can be repeated; an endless one was held up to the deadline, 128 MB sent within 3 s in the new test, where an entry VM has some hundred MB for all. One beyond 16 MiB now ends the attempt like any other that failed after it was sent.

--- a/src/rosepath/attempt.py
+++ b/src/rosepath/attempt.py
@@ -22,6 +22,9 @@
 
 # Connecting takes about 1 ms within a data centre and a few ms between two.
 CONNECT_TIMEOUT_S = 0.4
+# Responses are held until complete, so that a failed attempt can be repeated.
+# An entry VM has some hundred megabytes for all of them.
+MAX_BODY_BYTES = 16 * 1024 * 1024
 # A non-idempotent request must not be lost on a dead connection. The kernel's
 # keepalive probes detect one within three seconds, so a connection that
 # received data this recently, or survived the probes, is live.
@@ -126,6 +129,7 @@
         they arrive, each once and in order.
         """
         body: list[bytes] = []
+        body_bytes = 0
         heads: list[tuple[ResponseHead, ResponseMetadata]] = []
 
         def on_head(head: ResponseHead) -> None:
@@ -134,9 +138,18 @@
             options.on_notice(facts.notice)
 
         def on_data(data: bytes) -> Awaitable[None] | None:
+            nonlocal body_bytes
             head, facts = heads[0]
             streams = head.status == 200 and facts.signed and not facts.encoded
             if on_events is None or event_sequence is None or not streams:
+                body_bytes += len(data)
+                if body_bytes > MAX_BODY_BYTES:
+                    raise AttemptError(
+                        "the response is too large",
+                        step=Step.RESPONSE,
+                        peer=server.name,
+                        evidence=Evidence.SENT,
+                    )
                 body.append(data)
                 return None
             events = event_sequence.feed(data)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -19,6 +19,7 @@
 )
 from structlog.testing import capture_logs
 
+from rosepath.attempt import MAX_BODY_BYTES
 from rosepath.catalog import HostRoute, RouteKind
 from rosepath.clock import SystemClock
 from rosepath.configuration_view import ConfigurationView
@@ -525,3 +526,34 @@
     # JSON has no infinity, and 1e9 s would be read as a real age.
     fields = ConfigurationView(age_s=float("inf")).log_fields
     assert fields["configuration_age_s"] == NEVER_S
+
+
+ENDLESS_BYTES = 128 * 1024 * 1024
+
+
+# Guards against an entry VM that runs out of memory as a failing server sends
+# a body without end, or events without end on a connection that its caller no
+# longer reads.
+@pytest.mark.parametrize("kind", [RouteKind.IDEMPOTENT, RouteKind.STREAMING])
+def test_a_body_without_end_is_not_kept_in_memory(kind: RouteKind) -> None:
+    async def run() -> None:
+        taken = 0
+
+        async def sends_on(
+            received: ReceivedRequest, writer: asyncio.StreamWriter
+        ) -> None:
+            nonlocal taken
+            writer.write(stream_head(received))
+            while taken < ENDLESS_BYTES:
+                writer.write(chunk(b"a" * 65536))
+                await writer.drain()
+                taken += 65536
+
+        server = ScriptedServer("s1", sends_on)
+        route = a_route(kind=kind, service="desk", max_attempts=1, timeout_s=3.0)
+        async with running_gateway(server, route=route) as running:
+            data = await running.send_request(LOOK_UP)
+            assert b" 502 " in data.split(b"\r\n")[0]
+            assert taken < MAX_BODY_BYTES + 16 * 1024 * 1024
+
+    asyncio.run(run())
