Test responses that end with their connection

New in the users' contract: an answer, a stream too, may come with neither a length nor chunks; a stream that ends inside an event has been broken off. The code did so already; the three tests pass without a change.

--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -6,6 +6,7 @@
 import pytest
 from entry_builders import a_route
 from entry_harness import (
+    SIGNATURE_HEADER,
     ReceivedRequest,
     RunningGateway,
     ScriptedServer,
@@ -528,6 +529,59 @@
     assert fields["configuration_age_s"] == NEVER_S
 
 
+def head_without_length(received: ReceivedRequest) -> bytes:
+    """Return the head of a response that ends with its connection."""
+    return (
+        f"HTTP/1.1 200 OK\r\nRequest-Id: {received.request_id}\r\n"
+        f"{SIGNATURE_HEADER}\r\n"
+    ).encode()
+
+
+async def ends_with_its_connection(
+    received: ReceivedRequest, writer: asyncio.StreamWriter
+) -> None:
+    writer.write(head_without_length(received) + b"".join(map(event, range(1, 5))))
+    writer.close()
+
+
+async def ends_inside_an_event(
+    received: ReceivedRequest, writer: asyncio.StreamWriter
+) -> None:
+    writer.write(head_without_length(received) + event(1) + event(2)[:-3])
+    writer.close()
+
+
+# Guards against a response without a length that is taken for broken off.
+@pytest.mark.parametrize("kind", [RouteKind.IDEMPOTENT, RouteKind.STREAMING])
+def test_a_response_that_ends_with_its_connection_is_complete(kind: RouteKind) -> None:
+    async def run() -> None:
+        server = ScriptedServer("s1", ends_with_its_connection)
+        route = a_route(kind=kind, service="desk")
+        async with running_gateway(server, route=route) as running:
+            data = await running.send_request(LOOK_UP)
+            assert b" 200 " in data.split(b"\r\n")[0]
+            assert all(event(number) in data for number in range(1, 5))
+            assert running.outcomes == [(200, "")]
+
+    asyncio.run(run())
+
+
+# Guards against a stream that looks complete though its server broke it off.
+def test_a_stream_that_ends_inside_an_event_resumes_at_another_server() -> None:
+    async def run() -> None:
+        servers = (
+            ScriptedServer("s1", ends_inside_an_event),
+            ScriptedServer("s2", streams),
+        )
+        route = a_route(kind=RouteKind.STREAMING, service="desk")
+        async with running_gateway(*servers, route=route) as running:
+            for _ in range(4):
+                data = await running.send_request(LOOK_UP)
+                assert all(data.count(event(number)) == 1 for number in range(1, 5))
+
+    asyncio.run(run())
+
+
 ENDLESS_BYTES = 128 * 1024 * 1024
 
 
