Accept tunnels from entry VMs that were not heard of for long

A forwarder accepted tunnels from VMs to which it would send messages. In a large fleet a VM hears of most others now and then only: of 195 VMs, by reckoning, half within the 30 s for which it would. Their callers would have been refused. Any VM known by the store or by a message counts now; the test failed before. A VM whose message reached the other in the last seconds is always known to it.

--- a/src/rosepath/peer_table.py
+++ b/src/rosepath/peer_table.py
@@ -126,7 +126,7 @@
 
     def is_peer_ip(self, ip: str) -> bool:
         """Return whether an IP address is that of a known entry VM."""
-        return any(split_address(peer.address)[0] == ip for peer in self._recipients())
+        return any(split_address(peer.address)[0] == ip for peer in self.peers.values())
 
     def live(self) -> list[Peer]:
         """Return the VMs that sent a message recently, in a stable order.
--- a/tests/test_peer_table.py
+++ b/tests/test_peer_table.py
@@ -6,7 +6,13 @@
 from entry_builders import a_peer_state
 
 from rosepath.clock import ManualClock
-from rosepath.peer_table import SAMPLED_VMS, SMALL_FLEET_VMS, Hop, PeerTable
+from rosepath.peer_table import (
+    FORGET_AFTER_S,
+    SAMPLED_VMS,
+    SMALL_FLEET_VMS,
+    Hop,
+    PeerTable,
+)
 
 LARGE_FLEET_VMS = 3 * SMALL_FLEET_VMS
 
@@ -106,3 +112,14 @@
     before = [peer.name for peer in table.live()]
     table.apply_state(a_peer_state("vm-5", number=2, data_centre="c"))
     assert [peer.name for peer in table.live()] == before
+
+
+# Guards against refusing tunnels in a large fleet, where each VM hears of most
+# others only now and then.
+def test_an_entry_vm_is_known_by_its_address_however_long_it_is_silent() -> None:
+    clock = ManualClock()
+    table = PeerTable("vm-0", clock=clock)
+    table.note_address("vm-1", "10.0.0.1:7380")
+    clock.advance(2 * FORGET_AFTER_S)
+    assert table.is_peer_ip("10.0.0.1")
+    assert not table.is_peer_ip("10.0.0.2")
