Return to direct paths under steady traffic

Each request that went through another entry VM counted as a failure of the direct path, also if that was not tried, and put the next look at it off by a second. With more than one request a second to a server, tunnels went on for ever after the links were back: a hop more for each request, and a partitioned VM that never held the lease again. Found by reading; only a tried path counts now. The test failed before.

--- a/src/rosepath/server_paths.py
+++ b/src/rosepath/server_paths.py
@@ -206,6 +206,7 @@
             yield direct
 
     async def _open_directly(self, search: "_Search") -> Connection:
+        search.tried_directly = True
         connection = await self._dial_directly(
             search.address, timeout_s=search.timeout_s
         )
@@ -278,7 +279,8 @@
                 by=forwarder,
                 why=search.errors[0].message if search.errors else "slow",
             )
-        path.direct_failed_s = self._failures_in_a_row[search.address] = now_s
+        if search.tried_directly:
+            path.direct_failed_s = self._failures_in_a_row[search.address] = now_s
 
     def _conclude(self, search: "_Search") -> ExchangeError:
         """Build the error of a connection for which no path worked."""
@@ -316,6 +318,7 @@
 
     address: str
     timeout_s: float
+    tried_directly: bool = False
     opened: list[Connection] = field(default_factory=list)
     errors: list[ExchangeError] = field(default_factory=list)
     # The entry VMs through which it was tried, in order.
--- a/tests/test_server_paths.py
+++ b/tests/test_server_paths.py
@@ -209,3 +209,17 @@
         links.connect()
     links.connect()
     assert links.tried == ["q"]
+
+
+# Guards against tunnels that go on after the links are back, as each request
+# that takes one puts the next look at the direct path off.
+def test_steady_traffic_returns_to_the_direct_path(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    links = Links(monkeypatch, fails(refused=True), p=connects(tunnel=True))
+    links.connect()
+    links.direct = connects()
+    for _ in range(4):
+        links.advance(0.4 * DIRECT_RETRY_S)
+        connection = links.connect()
+    assert not connection.single_use
