Try a server again that goes down behind a failed direct path

A server that was reached by tunnels only, and then refused every VM, was not asked for at all for 0.3 s: the direct path came last and the tunnels were left out, so that no step remained and an IndexError ended the request. A server that is down is tried directly, whatever path worked before, and a search without a further path says so. Found by reading; the test failed before.

--- a/src/rosepath/server_paths.py
+++ b/src/rosepath/server_paths.py
@@ -169,7 +169,7 @@
                     return await step()
                 except ExchangeError as error:
                     search.errors.append(error)
-            raise search.errors[-1]
+            raise _connect_error(search.address, "no other path")
 
         chosen: Connection | None = None
         try:
@@ -196,13 +196,15 @@
         """
         now_s = self._clock.monotonic_s()
         direct = partial(self._open_directly, search)
-        if not path.avoids_direct(now_s):
-            yield direct
         if path.is_down(now_s):
+            yield direct
             return
+        avoids_direct = path.avoids_direct(now_s)
+        if not avoids_direct:
+            yield direct
         for peer in self._choose_forwarders():
             yield partial(self._open_tunnel, search, peer)
-        if path.avoids_direct(now_s):
+        if avoids_direct:
             yield direct
 
     async def _open_directly(self, search: "_Search") -> Connection:
@@ -295,14 +297,7 @@
             self._drop_old_paths(now_s)
             self._paths.setdefault(search.address, ServerPath()).refused_s = now_s
         why = search.errors[0].message if search.errors else "no path in time"
-        return ExchangeError(
-            why,
-            step=Step.CONNECT,
-            peer=search.address,
-            sent=False,
-            refused=refused,
-            timed_out=not refused,
-        )
+        return _connect_error(search.address, why, refused=refused)
 
     def _drop_old_paths(self, now_s: float) -> None:
         """Forget servers to which nothing was sent lately."""
@@ -323,3 +318,14 @@
     errors: list[ExchangeError] = field(default_factory=list)
     # The entry VMs through which it was tried, in order.
     forwarders: list[str] = field(default_factory=list)
+
+
+def _connect_error(address: str, why: str, *, refused: bool = False) -> ExchangeError:
+    return ExchangeError(
+        why,
+        step=Step.CONNECT,
+        peer=address,
+        sent=False,
+        refused=refused,
+        timed_out=not refused,
+    )
--- a/tests/test_server_paths.py
+++ b/tests/test_server_paths.py
@@ -223,3 +223,16 @@
         links.advance(0.4 * DIRECT_RETRY_S)
         connection = links.connect()
     assert not connection.single_use
+
+
+# Guards against a server that is not asked for at all once it went down while
+# its direct path was avoided.
+def test_a_server_that_goes_down_behind_a_failed_path_is_tried_again(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    links = Links(monkeypatch, fails(refused=True), p=connects(tunnel=True))
+    links.connect()
+    links.tunnels["p"] = fails(refused=True)
+    assert links.error().refused
+    links.direct = connects()
+    assert not links.connect().single_use
