Avoid the forwarders that failed, not the slow one that worked

With two tunnels on their way, the one begun last was taken for the one that worked: the other was avoided for a second and the log named the wrong VM. The forwarder is remembered with its connection. Found by reading; the test failed before.

--- a/src/rosepath/server_paths.py
+++ b/src/rosepath/server_paths.py
@@ -74,8 +74,8 @@
 ) -> list[Peer]:
     """Return the entry VMs to try in turn as forwarders.
 
-    The first two are of this data centre, if it has VMs that reach servers,
-    and are each the one with fewer tunnels among two drawn at random.
+    Each is the one with fewer tunnels among two drawn at random, the first of
+    this data centre and the second of others as far as they have any.
     """
     reaching = [
         peer
@@ -212,7 +212,7 @@
         connection = await self._dial_directly(
             search.address, timeout_s=search.timeout_s
         )
-        search.opened.append(connection)
+        search.opened[connection] = ""
         return connection
 
     async def _open_tunnel(self, search: "_Search", peer: Peer) -> Connection:
@@ -225,7 +225,7 @@
             if not error.refused:
                 self._forwarder_failed_s[peer.name] = self._clock.monotonic_s()
             raise
-        search.opened.append(connection)
+        search.opened[connection] = peer.name
         self._tunnels[peer.name].append(connection)
         return connection
 
@@ -269,7 +269,8 @@
                 _log.info("server_path_direct", peer=search.address)
             return
         self.tunnel_count += 1
-        *failed, forwarder = search.forwarders
+        forwarder = search.opened[connection]
+        failed = [name for name in search.forwarders if name != forwarder]
         self._forwarder_failed_s.update(dict.fromkeys(failed, now_s))
         if path is None:
             self._drop_old_paths(now_s)
@@ -314,7 +315,8 @@
     address: str
     timeout_s: float
     tried_directly: bool = False
-    opened: list[Connection] = field(default_factory=list)
+    # The forwarder of each connection that was opened; empty if it is direct.
+    opened: dict[Connection, str] = field(default_factory=dict)
     errors: list[ExchangeError] = field(default_factory=list)
     # The entry VMs through which it was tried, in order.
     forwarders: list[str] = field(default_factory=list)
--- a/tests/test_server_paths.py
+++ b/tests/test_server_paths.py
@@ -16,6 +16,7 @@
     DIRECT_RETRY_S,
     DOWN_TTL_S,
     MAX_FORWARDERS,
+    SLOW_TUNNEL_S,
     ServerPaths,
     choose_forwarders,
 )
@@ -236,3 +237,19 @@
     assert links.error().refused
     links.direct = connects()
     assert not links.connect().single_use
+
+
+# Guards against blaming the forwarder that was slow but worked.
+def test_a_slow_forwarder_that_connects_first_is_not_passed_over(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def slow() -> Connection:
+        await asyncio.sleep(1.5 * SLOW_TUNNEL_S)
+        return await connects(tunnel=True)()
+
+    links = Links(monkeypatch, fails(refused=True), p=slow, q=hangs)
+    while links.tried[1:] != ["p", "q"]:
+        links.advance(DIRECT_RETRY_S + 0.1)
+        links.connect()
+    links.connect()
+    assert links.tried[0] == "p"
