Report only parts of prompts with which no run survives

A crash report named all shared parts of a run that had just begun, also those that this VM knew to be sound. Each VM without that knowledge suspected them until another's message cleared them, and each that had it sent one: with dozens of runs lost at a crash, these would have crowded other clears out of the messages, which carry 16. Found by reading; the test failed before.

--- a/src/rosepath/crash_records.py
+++ b/src/rosepath/crash_records.py
@@ -180,6 +180,10 @@
         # A list, as all parts are to be cleared.
         return any([self.clear(key) for key in part_keys])
 
+    def without_survived(self, part_keys: tuple[str, ...]) -> tuple[str, ...]:
+        """Return the parts with which no run survived recently."""
+        return tuple(key for key in part_keys if not self._has_survived(key))
+
     def _has_survived(self, part_key: str) -> bool:
         """Return whether a run with a part survived recently."""
         survived_s = self._survived_s.get(part_key, -1e9)
--- a/src/rosepath/crash_watch.py
+++ b/src/rosepath/crash_watch.py
@@ -111,7 +111,12 @@
         self._drop_expired()
         for run in self._lost_runs.pop(instance, ()):
             self._report_crash(
-                CrashReport(run.content_key, instance, run.exposure, run.part_keys),
+                CrashReport(
+                    run.content_key,
+                    instance,
+                    run.exposure,
+                    self.records.without_survived(run.part_keys),
+                ),
                 run,
             )
 
--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import replace
 
 from entry_builders import a_crash_watch, a_server
 
@@ -42,6 +43,21 @@
     )
 
 
+# Guards against reports that other VMs need a message more to refute.
+def test_a_crash_report_leaves_out_parts_with_which_runs_survive() -> None:
+    async def run() -> None:
+        clock, server = ManualClock(), a_server("s1")
+        watch = a_crash_watch(clock, contact=ProbeResult.REFUSED)
+        watch.note_survived(("part:first",))
+        await watch.note_lost(
+            server, replace(a_run(clock), part_keys=("part:first", "part:x"))
+        )
+        (report,) = watch.records.recent_reports()
+        assert report.part_keys == ("part:x",)
+
+    asyncio.run(run())
+
+
 def crashed(watch: CrashWatch, server: BackendServer, _: ManualClock) -> None:
     watch.note_crashed(instance_of(server))
 
