Probe the connections of tunnels from both ends

A forwarder whose partner loses its power kept the tunnel, its connection to the server and its place among 400, and its own planned stop waited for it to the limit: the accepted connection had no keep-alive. Found by reading the diff; the test failed before (no call).

--- a/src/rosepath/dialing.py
+++ b/src/rosepath/dialing.py
@@ -35,14 +35,13 @@
             timed_out=isinstance(error, TimeoutError),
             refused=not isinstance(error, TimeoutError),
         ) from error
-    _set_keepalive(connection)
+    assert connection.transport is not None
+    set_keepalive(connection.transport.get_extra_info("socket"))
     return connection
 
 
-def _set_keepalive(connection: Connection) -> None:
+def set_keepalive(sock: socket.socket) -> None:
     """Make the kernel close a connection whose peer acknowledges nothing."""
-    assert connection.transport is not None
-    sock = connection.transport.get_extra_info("socket")
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_IDLE_S)
--- a/src/rosepath/tunnels.py
+++ b/src/rosepath/tunnels.py
@@ -15,7 +15,7 @@
 from tornado.iostream import IOStream, StreamClosedError
 from tornado.web import RequestHandler
 
-from rosepath.dialing import Dial, dial_directly
+from rosepath.dialing import Dial, dial_directly, set_keepalive
 from rosepath.errors import ExchangeError, Step
 from rosepath.http_exchange import Connection, Exchange, ResponseHead, disable_linger
 from rosepath.logs import get_logger
@@ -92,7 +92,9 @@
             connection = await self._gate.dial(
                 address, timeout_s=SERVER_CONNECT_TIMEOUT_S
             )
-            await Tunnel(self.detach(), connection).run()
+            stream = self.detach()
+            set_keepalive(stream.socket)
+            await Tunnel(stream, connection).run()
         except ExchangeError as error:
             self._refuse(
                 TunnelStatus.REFUSED if error.refused else TunnelStatus.TIMED_OUT
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -1,6 +1,7 @@
 """Forwarding of connections between entry VMs and backend servers."""
 
 import asyncio
+import socket
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
@@ -242,3 +243,23 @@
             await forwarded.wait_until_closed()
 
     asyncio.run(run())
+
+
+# Guards against tunnels that stay open for ever behind an entry VM that lost
+# its power, and hold a planned stop up.
+def test_the_connection_of_the_other_vm_is_probed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    probed: list[int] = []
+
+    def set_keepalive(sock: socket.socket) -> None:
+        probed.append(sock.getsockname()[1])
+
+    monkeypatch.setattr("rosepath.tunnels.set_keepalive", set_keepalive)
+
+    async def run() -> None:
+        async with forwarded_server(respond) as forwarded:
+            await forwarded.pool().fetch(forwarded.request())
+            assert probed == [int(forwarded.forwarder.rpartition(":")[2])]
+
+    asyncio.run(run())
