--- a/tests/test_crashing_prompt_parts.py
+++ b/tests/test_crashing_prompt_parts.py
@@ -13,19 +13,16 @@
 from timed_engines import (
     CRASH,
     Caller,
-    RelayHarness,
-    ScriptedEngine,
     Timetable,
     a_relay_harness,
     engines_following,
     generation_caller,
     received_complete_stream,
+    restarts_with_model,
     run,
     streams,
 )
 
-from rosepath.fleet import BackendServer
-
 FREE_CRASHES = 5
 # How often requests with the part may still reach servers once its fifth crash
 # is known everywhere.
@@ -65,26 +62,6 @@
     return caller
 
 
-def restarts_with_model(harness: RelayHarness) -> Callable[[ScriptedEngine], None]:
-    """Publish a restarted engine as a new instance with the same model."""
-
-    def publish_entry(engine: ScriptedEngine) -> None:
-        server: BackendServer = harness.fleet.servers[engine.name]
-        entry = server.entry
-        harness.fleet.put(
-            type(entry)(
-                **{
-                    name: getattr(entry, name)
-                    for name in entry.__dataclass_fields__
-                    if name != "born_ms"
-                },
-                born_ms=entry.born_ms + 1,
-            )
-        )
-
-    return publish_entry
-
-
 # Guards against a part that crashes one server after the other, as no two
 # requests with it are alike.
 @pytest.mark.parametrize("engine_count", [5, 8])
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -4,7 +4,6 @@
 import os
 import random
 from collections.abc import Awaitable, Callable
-from dataclasses import replace
 
 import pytest
 from crashing_servers import CRASHING_PATH, CrashingServersSimulation
@@ -13,13 +12,12 @@
 from fleet_world import run_in_virtual_time
 from timed_engines import (
     CRASH,
-    RelayHarness,
-    ScriptedEngine,
     Timetable,
     a_relay_harness,
     engines_following,
     generation_caller,
     received_complete_stream,
+    restarts_with_model,
     run,
     streams,
 )
@@ -113,16 +111,6 @@
     return streams(received, *(0.1 * number for number in range(1, 9)), until=8)
 
 
-def restarts_with_model(harness: RelayHarness) -> Callable[[ScriptedEngine], None]:
-    """Publish a restarted engine as a new instance with the same model."""
-
-    def publish_entry(engine: ScriptedEngine) -> None:
-        entry = harness.fleet.servers[engine.name].entry
-        harness.fleet.put(replace(entry, born_ms=entry.born_ms + 1))
-
-    return publish_entry
-
-
 # Guards against refusing or cutting streams that shared an engine with the
 # request that crashed it, and against that request crashing all engines.
 def test_streams_sharing_engines_with_a_crashing_request_are_all_served() -> None:
--- a/tests/timed_engines.py
+++ b/tests/timed_engines.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any, cast
 
 from entry_builders import a_catalog, a_route, an_entry
@@ -372,6 +372,16 @@
         return True
 
 
+def restarts_with_model(harness: RelayHarness) -> Callable[[ScriptedEngine], None]:
+    """Publish a restarted engine as a new instance with the same model."""
+
+    def publish_entry(engine: ScriptedEngine) -> None:
+        entry = harness.fleet.servers[engine.name].entry
+        harness.fleet.put(replace(entry, born_ms=entry.born_ms + 1))
+
+    return publish_entry
+
+
 def occupy_all_slots(harness: RelayHarness, name: str) -> None:
     """Occupy all slots of an engine with requests of another entry VM."""
     server = harness.fleet.servers[name]
