Log a path as direct again only if it had been lost

A server that crashed and came back was logged as server_path_direct at each VM, as if its links had failed: a path was remembered for a refused server too.

--- a/src/rosepath/server_paths.py
+++ b/src/rosepath/server_paths.py
@@ -38,6 +38,8 @@
 # was refused as well.
 MIN_OPINIONS = 2
 PATH_TTL_S = 60.0
+# The time of what has not happened.
+NEVER_S = -1e9
 
 _log = get_logger()
 
@@ -52,13 +54,18 @@
     tunnel worked, `refused_s` when every path was refused.
     """
 
-    direct_failed_s: float = -1e9
-    refused_s: float = -1e9
+    direct_failed_s: float = NEVER_S
+    refused_s: float = NEVER_S
 
     def avoids_direct(self, now_s: float) -> bool:
         """Return whether a tunnel is tried before the direct path."""
         return now_s < self.direct_failed_s + DIRECT_RETRY_S
 
+    @property
+    def was_lost(self) -> bool:
+        """Return whether a tunnel worked where the direct path did not."""
+        return self.direct_failed_s > NEVER_S
+
     def is_down(self, now_s: float) -> bool:
         """Return whether the server refused all VMs a moment ago."""
         return now_s < self.refused_s + DOWN_TTL_S
@@ -266,7 +273,8 @@
             self._failures_in_a_row.clear()
             if path is not None:
                 del self._paths[search.address]
-                _log.info("server_path_direct", peer=search.address)
+                if path.was_lost:
+                    _log.info("server_path_direct", peer=search.address)
             return
         self.tunnel_count += 1
         forwarder = search.opened[connection]
@@ -275,6 +283,7 @@
         if path is None:
             self._drop_old_paths(now_s)
             path = self._paths[search.address] = ServerPath()
+        if not path.was_lost:
             _log.info(
                 "server_path_lost",
                 step=Step.CONNECT.value,
--- a/tests/test_server_paths.py
+++ b/tests/test_server_paths.py
@@ -7,6 +7,7 @@
 
 import pytest
 from entry_builders import a_peer_state
+from structlog.testing import capture_logs
 
 from rosepath.clock import ManualClock
 from rosepath.errors import ExchangeError, Step
@@ -253,3 +254,31 @@
         links.connect()
     links.connect()
     assert links.tried[0] == "p"
+
+
+def path_events(links: Links) -> list[str]:
+    """Connect and return the logged changes of paths."""
+    with capture_logs() as logs:
+        try:
+            links.connect()
+        except ExchangeError:
+            pass
+    return [line["event"] for line in logs]
+
+
+# Guards against a log that tells of links that came back after a restart of
+# their server.
+def test_the_log_tells_when_the_direct_path_is_lost_and_works_again(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    links = Links(monkeypatch, fails(refused=True), p=fails(refused=True))
+    assert path_events(links) == []
+    links.direct = connects()
+    assert path_events(links) == []
+    links.direct, links.tunnels["p"] = fails(refused=True), connects(tunnel=True)
+    assert path_events(links) == ["server_path_lost"]
+    links.advance(DIRECT_RETRY_S + 0.1)
+    assert path_events(links) == []
+    links.advance(DIRECT_RETRY_S + 0.1)
+    links.direct = connects()
+    assert path_events(links) == ["server_path_direct"]
