Log on which response a failed attempt's evidence rests, and each retry

The four hypotheses about refused requests that ran can't be told apart by today's lines: try_failed names the evidence and not the response behind it, skipped responses and retries leave no trace. Adds the response's status, whether it names the request, its age and its connection's earlier exchanges to try_failed, and the lines response_skipped and retry_sent. No decision changes: the check of the id moves from the adapter as it was.

--- a/src/rosepath/attempt.py
+++ b/src/rosepath/attempt.py
@@ -8,12 +8,12 @@
 from rosepath.clock import Clock
 from rosepath.errors import ExchangeError, RosepathError, Step
 from rosepath.event_sequence import EventSequence, EventSequenceError
+from rosepath.evidence_basis import NO_BASIS, EvidenceBasis, ResponseTracker
 from rosepath.fleet import BackendServer
 from rosepath.http_client import HttpPool, Request, ResponseHead
 from rosepath.http_exchange import is_self_delimited
 from rosepath.platform.calls import (
     encode_headers,
-    is_response_to,
     read_response_metadata,
 )
 from rosepath.response_metadata import ResponseMetadata
@@ -36,7 +36,8 @@
 
     `lost` means that the server's end of the connection closed while the
     request ran, `answered` that the server had started its response before,
-    `refused` that the server is known to accept no connections.
+    `refused` that the server is known to accept no connections. `basis` tells
+    on which response the evidence rests.
     """
 
     def __init__(
@@ -61,6 +62,7 @@
         self.status = status
         self.lost = lost
         self.answered = answered
+        self.basis: EvidenceBasis = NO_BASIS
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -128,6 +130,30 @@
         With `on_events`, the events of a successful response are passed on as
         they arrive, each once and in order.
         """
+        tracker = ResponseTracker(call, server, clock=self._clock)
+        try:
+            return await self._send(
+                call,
+                server,
+                options,
+                tracker,
+                event_sequence=event_sequence,
+                on_events=on_events,
+            )
+        except AttemptError as error:
+            error.basis = tracker.basis
+            raise
+
+    async def _send(
+        self,
+        call: CallerRequest,
+        server: BackendServer,
+        options: AttemptOptions,
+        tracker: ResponseTracker,
+        *,
+        event_sequence: EventSequence | None,
+        on_events: OnEvents | None,
+    ) -> ServerResponse:
         body: list[bytes] = []
         body_bytes = 0
         heads: list[tuple[ResponseHead, ResponseMetadata]] = []
@@ -174,8 +200,9 @@
             progress_timeout_s=options.response_timeout_s,
             pause_timeout_s=options.stall_timeout_s,
             proven_live_within_s=None if options.retryable else PROVEN_LIVE_WITHIN_S,
-            accepts=lambda head: is_response_to(call, head.headers),
+            accepts=tracker.accepts,
             still_wanted=options.still_wanted,
+            on_sending=tracker.note_sending,
             may_abort=options.may_abort,
         )
         try:
--- a/src/rosepath/http_client.py
+++ b/src/rosepath/http_client.py
@@ -62,6 +62,8 @@
     accepts: ResponseFilter | None = None
     # Called once connected, before the first byte is sent; False cancels.
     still_wanted: Callable[[], bool] = lambda: True
+    # Called with the chosen connection, right before the first byte is sent.
+    on_sending: Callable[[Connection], None] = lambda _: None
     # Called when an inactivity timeout expires; False restarts it.
     may_abort: Callable[[], bool] = lambda: True
 
@@ -127,6 +129,7 @@
             connection, request.method, on_head, on_data, accepts=request.accepts
         )
         connection.exchange = exchange
+        request.on_sending(connection)
         returned = False
         try:
             head = await self._run(request, connection, exchange)
@@ -142,6 +145,7 @@
             raise
         finally:
             connection.exchange = None
+            connection.exchange_count += 1
             if not returned:
                 connection.close()
 
--- a/src/rosepath/http_exchange.py
+++ b/src/rosepath/http_exchange.py
@@ -53,6 +53,8 @@
     def __init__(self) -> None:
         self.transport: asyncio.Transport | None = None
         self.exchange: Receiver | None = None
+        # Exchanges that have run on it, without the current one.
+        self.exchange_count = 0
         # Whether it is closed after one exchange instead of kept open.
         self.single_use = False
         self.closed = False
--- a/src/rosepath/platform/calls.py
+++ b/src/rosepath/platform/calls.py
@@ -119,9 +119,9 @@
     return headers
 
 
-def is_response_to(call: CallerRequest, headers: HTTPHeaders) -> bool:
-    """Return whether a response echoes this request's id, or none."""
-    return headers.get(_REQUEST_ID, call.request_id) == call.request_id
+def echoed_request_id(headers: HTTPHeaders) -> str | None:
+    """Return the id of the request to which a response says that it belongs."""
+    return headers.get(_REQUEST_ID)
 
 
 def read_response_metadata(status: int, headers: HTTPHeaders) -> ResponseMetadata:
--- a/src/rosepath/relay.py
+++ b/src/rosepath/relay.py
@@ -369,6 +369,7 @@
             evidence=error.evidence.value,
             tries=len(context.attempt_evidence),
             moved_ago_s=server.idle_s(self._now_s()),
+            **error.basis.log_fields,
             **lost_run_fields(context, server, error),
         )
         if error.withdrawn:
--- a/src/rosepath/retry_policy.py
+++ b/src/rosepath/retry_policy.py
@@ -117,7 +117,15 @@
         context.stay_reason = None
         if context.retry_reserved:
             context.retry_reserved = False
-            self._budget(context).consume()
+            budget = self._budget(context)
+            budget.consume()
+            _log.info(
+                "retry_sent",
+                request_id=context.call.request_id,
+                service=context.service.name,
+                repeats_left=self.retries_left(context),
+                fleet_size=budget.vms,
+            )
 
     def release_retry(self, context: RequestContext) -> None:
         """Return the reserved retry, if any, as a request ends."""
