--- /dev/null
+++ b/tests/test_refusal_evidence.py
@@ -0,0 +1,167 @@
+"""What an entry VM takes as proof that a backend server did not run a request."""
+
+import asyncio
+from collections import Counter
+from dataclasses import dataclass, field
+
+import pytest
+from entry_builders import a_route
+from entry_harness import (
+    SIGNATURE_HEADER,
+    ReceivedRequest,
+    Script,
+    ScriptedServer,
+    answer,
+    running_gateway,
+)
+
+from rosepath.catalog import HostRoute, RouteKind
+
+FILE = "POST /drafts/1 HTTP/1.1\r\nRequest-Id: q1"
+GENERATE = (
+    "POST /drafts/1 HTTP/1.1\r\nRequest-Id: q1\r\nModel: m0\r\n"
+    "Token-Usage: 300,20\r\nPrompt-Prefix: aa:200,bb:100"
+)
+# Long enough for a response to arrive in a segment of its own.
+SEGMENT_GAP_S = 0.05
+NOT_RUN_HEADER = "Not-Executed: 1\r\n"
+STRAY_RESPONSES = {
+    "rejection": f"HTTP/1.1 503 X\r\n{NOT_RUN_HEADER}Content-Length: 0\r\n\r\n",
+    "misdirected": "HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n",
+}
+
+
+def a_plain_route(kind: RouteKind) -> HostRoute:
+    return a_route(kind=kind, service="desk", max_attempts=3)
+
+
+@dataclass(slots=True)
+class RunCounter:
+    """Count how often each request ran, over all servers."""
+
+    runs: Counter[str] = field(default_factory=Counter)
+
+    async def run(
+        self, received: ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        self.runs[received.request_id] += 1
+        writer.write(answer(received, 200, b"whole"))
+
+    def after_stray_response(self, stray: str) -> Script:
+        """Return a script that runs each request after a response to none."""
+
+        async def serve(
+            received: ReceivedRequest, writer: asyncio.StreamWriter
+        ) -> None:
+            writer.write(stray.encode())
+            await writer.drain()
+            await asyncio.sleep(SEGMENT_GAP_S)
+            await self.run(received, writer)
+
+        return serve
+
+    def after_repeated_rejection(self) -> Script:
+        """Return a script that rejects the first request and then runs all.
+
+        On the connection of the rejection, it comes a second time before the
+        response to the next request.
+        """
+        rejecting: list[asyncio.StreamWriter] = []
+
+        async def serve(
+            received: ReceivedRequest, writer: asyncio.StreamWriter
+        ) -> None:
+            rejection = answer(received, 503, b"", NOT_RUN_HEADER)
+            if not rejecting:
+                rejecting.append(writer)
+                writer.write(rejection)
+                return
+            if writer is rejecting[0]:
+                writer.write(rejection)
+                await writer.drain()
+                await asyncio.sleep(SEGMENT_GAP_S)
+            await self.run(received, writer)
+
+        return serve
+
+
+# Guards against a response that names no request being taken for the rejection
+# of the one that runs: its caller is told that it did not run.
+@pytest.mark.parametrize("stray", STRAY_RESPONSES.values(), ids=STRAY_RESPONSES)
+def test_a_stray_response_does_not_refuse_a_request_that_runs(stray: str) -> None:
+    async def run() -> None:
+        counter = RunCounter()
+        server = ScriptedServer("s1", counter.after_stray_response(stray))
+        route = a_plain_route(RouteKind.NON_IDEMPOTENT)
+        async with running_gateway(server, route=route) as node:
+            data = await node.send_request(FILE, b"claim")
+        assert counter.runs["q1"] == 1
+        assert data.endswith(b"whole")
+
+    asyncio.run(run())
+
+
+# Guards against the same response sending a request that runs to another server.
+@pytest.mark.parametrize("stray", STRAY_RESPONSES.values(), ids=STRAY_RESPONSES)
+def test_a_stray_response_does_not_run_a_request_twice(stray: str) -> None:
+    async def run() -> None:
+        counter = RunCounter()
+        servers = [
+            ScriptedServer(name, counter.after_stray_response(stray))
+            for name in ("s1", "s2")
+        ]
+        route = a_plain_route(RouteKind.NON_IDEMPOTENT)
+        async with running_gateway(*servers, route=route) as node:
+            await node.send_request(FILE, b"claim")
+        assert counter.runs["q1"] == 1
+
+    asyncio.run(run())
+
+
+# Guards against the second copy of a rejection being taken for the rejection of
+# the next attempt, which runs.
+def test_a_rejection_that_comes_twice_refuses_one_attempt_only() -> None:
+    async def run() -> None:
+        counter = RunCounter()
+        server = ScriptedServer("s1", counter.after_repeated_rejection())
+        async with running_gateway(server, route=a_route(resumable=False)) as node:
+            await node.send_request(GENERATE)
+        assert counter.runs["q1"] == 1
+
+    asyncio.run(run())
+
+
+# Guards against a caller being told that its request did not run because the
+# server that may have run it chose a status which promises that.
+@pytest.mark.parametrize("status", [408, 421, 429, 503])
+def test_a_rejection_without_proof_promises_nothing_to_the_caller(status: int) -> None:
+    async def rejects(received: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+        writer.write(answer(received, status, b"busy"))
+
+    async def run() -> None:
+        server = ScriptedServer("s1", rejects)
+        route = a_plain_route(RouteKind.NON_IDEMPOTENT)
+        async with running_gateway(server, route=route) as node:
+            data = await node.send_request(FILE, b"claim")
+        assert data.startswith(b"HTTP/1.1 502")
+        assert SIGNATURE_HEADER.strip().encode() not in data
+
+    asyncio.run(run())
+
+
+# Guards against an idempotent request's response being replaced as well: its
+# caller may repeat it after any failure, and gets what the server said.
+def test_an_idempotent_requests_rejection_is_passed_on_unchanged() -> None:
+    async def rejects(received: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+        head = f"{SIGNATURE_HEADER}Retry-After: 1\r\n"
+        writer.write(answer(received, 429, b"busy", head))
+
+    async def run() -> None:
+        server = ScriptedServer("s1", rejects)
+        route = a_plain_route(RouteKind.IDEMPOTENT)
+        async with running_gateway(server, route=route) as node:
+            data = await node.send_request("GET /drafts/1 HTTP/1.1\r\nRequest-Id: q1")
+        assert data.startswith(b"HTTP/1.1 429") and data.endswith(b"busy")
+        assert b"Retry-After: 1" in data
+
+    asyncio.run(run())
