Take a response for a request's own only if it names it

Cause: a response without Request-Id counted as the current request's. Bytes that belong to no request, such as a second response, reach a real socket in a segment of their own, when its connection carries the next request. A stray 503 with Not-Executed, or a 421, was then proof that this request had not run.

Now a response belongs to a request only if it bears its id, which servers echo; any other is skipped, and logged as response_skipped. The request's own response may follow it, so the caller gets that.

--- a/src/rosepath/evidence_basis.py
+++ b/src/rosepath/evidence_basis.py
@@ -26,7 +26,6 @@
     """
 
     status: int = 0
-    names_request: bool = False
     after_s: float | None = None
     earlier_exchanges: int = 0
     skipped_responses: int = 0
@@ -36,7 +35,6 @@
         """Return the fields by which a log line tells what the evidence is."""
         return {
             "response_status": self.status,
-            "response_names_request": self.names_request,
             "response_after_s": self.after_s,
             "earlier_exchanges": self.earlier_exchanges,
             "skipped_responses": self.skipped_responses,
@@ -67,9 +65,13 @@
         self._earlier_exchanges = connection.exchange_count
 
     def accepts(self, head: ResponseHead) -> bool:
-        """Return whether a response is this request's; log it if not."""
+        """Return whether a response is this request's; log it if not.
+
+        Servers echo the id. A response without one belongs to no request, and
+        its status says nothing of this one, whose own response may follow.
+        """
         echoed = echoed_request_id(head.headers)
-        if echoed in (None, self._call.request_id):
+        if echoed == self._call.request_id:
             self._head = head
             self._after_s = self._elapsed_s()
             return True
@@ -91,8 +93,6 @@
         head = self._head
         return EvidenceBasis(
             status=head.status if head else 0,
-            names_request=head is not None
-            and echoed_request_id(head.headers) == self._call.request_id,
             after_s=self._after_s,
             earlier_exchanges=self._earlier_exchanges,
             skipped_responses=self._skipped,
--- a/tests/test_evidence_basis.py
+++ b/tests/test_evidence_basis.py
@@ -47,7 +47,6 @@
     failed = next(line for line in lines if line["event"] == "try_failed")
     assert failed["evidence"] == "refused"
     assert failed["response_status"] == 503
-    assert failed["response_names_request"] is True
     assert failed["response_after_s"] >= 0.0
     assert failed["earlier_exchanges"] == 0
     assert failed["skipped_responses"] == 0
