Send no attempt of a request on a connection of its earlier attempts

Callers' requests that may run once ran twice (TWICE), where a server had first rejected them.

Cause: the copy of a rejection bears the request's id. Where the request was sent again to the same server, as to the only engine with its model, the pool gave it the connection that was used last, which is that of the rejection. The copy, late on it, counted as the second attempt's response: proof that the attempt which ran had not run.

A copy can arrive only on the connection of its own attempt. Each request now keeps the connections it was sent on, and the pool leaves them to others.

Evidence: test_a_rejection_that_comes_twice_refuses_one_attempt_only failed before and passes.

--- a/src/rosepath/attempt.py
+++ b/src/rosepath/attempt.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from rosepath.caller_request import CallerRequest
 from rosepath.clock import Clock
@@ -11,7 +11,7 @@
 from rosepath.evidence_basis import NO_BASIS, EvidenceBasis, ResponseTracker
 from rosepath.fleet import BackendServer
 from rosepath.http_client import HttpPool, Request, ResponseHead
-from rosepath.http_exchange import is_self_delimited
+from rosepath.http_exchange import Connection, is_self_delimited
 from rosepath.platform.calls import (
     encode_headers,
     read_response_metadata,
@@ -91,7 +91,8 @@
     `stall_timeout_s` the silence after. `still_wanted` is called right before
     the first byte is sent, and `may_abort` before an exchange with a
     silent server is ended. `on_notice` receives the notice in the response's
-    headers.
+    headers. `connections` are those of the request's earlier attempts; that of
+    this one is added.
     """
 
     deadline_s: float
@@ -104,6 +105,7 @@
     still_wanted: Callable[[], bool] = lambda: True
     may_abort: Callable[[], bool] = lambda: True
     on_notice: Callable[[ServerNotice], None] = lambda _: None
+    connections: set[Connection] = field(default_factory=set)
 
 
 OnEvents = Callable[[ResponseHead, bytes], Awaitable[None] | None]
@@ -156,8 +158,15 @@
     ) -> ServerResponse:
         body: list[bytes] = []
         body_bytes = 0
+        # A late copy of the response to an earlier attempt bears the same id. It
+        # can only arrive on that attempt's connection.
+        earlier_connections = frozenset(options.connections)
         heads: list[tuple[ResponseHead, ResponseMetadata]] = []
 
+        def on_sending(connection: Connection) -> None:
+            tracker.note_sending(connection)
+            options.connections.add(connection)
+
         def on_head(head: ResponseHead) -> None:
             facts = read_response_metadata(head.status, head.headers)
             heads.append((head, facts))
@@ -202,7 +211,8 @@
             proven_live_within_s=None if options.retryable else PROVEN_LIVE_WITHIN_S,
             accepts=tracker.accepts,
             still_wanted=options.still_wanted,
-            on_sending=tracker.note_sending,
+            on_sending=on_sending,
+            avoided_connections=earlier_connections,
             may_abort=options.may_abort,
         )
         try:
--- a/src/rosepath/http_client.py
+++ b/src/rosepath/http_client.py
@@ -8,7 +8,7 @@
 """
 
 from collections import defaultdict
-from collections.abc import AsyncIterator, Callable, Mapping
+from collections.abc import AsyncIterator, Callable, Collection, Mapping
 from dataclasses import dataclass, field
 from enum import StrEnum
 
@@ -60,6 +60,8 @@
     proven_live_within_s: float | None = None
     host: str | None = None
     accepts: ResponseFilter | None = None
+    # Connections that are left to other requests.
+    avoided_connections: Collection[Connection] = ()
     # Called once connected, before the first byte is sent; False cancels.
     still_wanted: Callable[[], bool] = lambda: True
     # Called with the chosen connection, right before the first byte is sent.
@@ -162,25 +164,39 @@
         return ProbeResult.ACCEPTED
 
     async def _acquire(self, request: Request) -> tuple[Connection, bool]:
+        connection = self._take_idle(request)
+        if connection is not None:
+            return connection, True
+        connection = await self._dial(
+            request.address, timeout_s=request.connect_timeout_s
+        )
+        return connection, False
+
+    def _take_idle(self, request: Request) -> Connection | None:
+        """Return the idle connection that was used last and suits a request."""
         now_s = self._clock.monotonic_s()
-        idle = self._idle[request.address]
         limit_s = request.proven_live_within_s
         max_age_s = MAX_IDLE_S if limit_s is None else min(limit_s, MAX_IDLE_S)
-        while idle:
+        idle = self._idle[request.address]
+        kept: list[Connection] = []
+        chosen: Connection | None = None
+        while idle and chosen is None:
             connection = idle.pop()
             age_s = now_s - connection.last_response_s
             if connection.closed:
                 continue
-            if age_s <= min(max_age_s, connection.max_idle_s):
-                return connection, True
-            if age_s <= min(MAX_IDLE_S, connection.max_idle_s):
-                idle.append(connection)
+            if age_s > min(MAX_IDLE_S, connection.max_idle_s):
+                connection.close()
+                continue
+            if connection in request.avoided_connections:
+                kept.append(connection)
+            elif age_s <= max_age_s:
+                chosen = connection
+            else:
+                kept.append(connection)
                 break
-            connection.close()
-        connection = await self._dial(
-            request.address, timeout_s=request.connect_timeout_s
-        )
-        return connection, False
+        idle += reversed(kept)
+        return chosen
 
     def _release(self, address: str, connection: Connection) -> None:
         idle = self._idle[address]
--- a/src/rosepath/relay.py
+++ b/src/rosepath/relay.py
@@ -304,6 +304,7 @@
             response_timeout_s=self._retry_policy.response_timeout_s(context, server),
             stall_timeout_s=self._retry_policy.stall_timeout_s(context),
             retryable=context.route.retryable,
+            connections=context.connections,
             priority=None
             if context.service.engine is None
             else _engine_priority(context),
--- a/src/rosepath/request_context.py
+++ b/src/rosepath/request_context.py
@@ -17,6 +17,7 @@
 from rosepath.event_sequence import EventSequence
 from rosepath.fleet import BackendServer, Fleet
 from rosepath.gateway import CallerExchange
+from rosepath.http_exchange import Connection
 from rosepath.prompt_caches import PromptCaches
 from rosepath.quota_client import Unlimited
 from rosepath.quota_pool import QuotaDecision
@@ -111,6 +112,8 @@
     configuration: ConfigurationView = UNKNOWN_CONFIGURATION
     event_sequence: EventSequence | None = None
     tried: set[str] = field(default_factory=set)
+    # The connections to servers on which it was sent.
+    connections: set[Connection] = field(default_factory=set)
     attempt_evidence: list[Evidence] = field(default_factory=list)
     first_event_s: float | None = None
     last_event_s: float = 0.0
