Pass no rejection on as a promise that its server did not make

Callers got a signed 503, 429, 408 or 421 for requests that the server had not said to be not run, and may have run (REFUSED).

Cause: a response below 500, or the last one of 500 and above, was passed on with the server's status. Callers take four of these statuses as a promise that a request did not run and never will; only Not-Executed states it.

Where a request may run once, such a response now ends the attempt as one that may have run: 502 of this VM's own, without the server's signature. An idempotent request's caller may repeat it after any failure, and still gets the response unchanged.

--- a/src/rosepath/attempt.py
+++ b/src/rosepath/attempt.py
@@ -16,7 +16,7 @@
     encode_headers,
     read_response_metadata,
 )
-from rosepath.response_metadata import ResponseMetadata
+from rosepath.response_metadata import NOT_RUN_STATUSES, ResponseMetadata
 from rosepath.retries import Evidence
 from rosepath.server_notice import ServerNotice
 
@@ -254,6 +254,15 @@
                 evidence=_evidence_of(event_sequence),
                 status=head.status,
             )
+        if head.status in NOT_RUN_STATUSES and not options.retryable:
+            # The status would promise the caller what the server did not state.
+            raise AttemptError(
+                f"an answer of {head.status} without proof that it did not run",
+                step=Step.RESPONSE,
+                peer=server.name,
+                evidence=_evidence_of(event_sequence),
+                status=head.status,
+            )
         if event_sequence is not None and event_sequence.has_partial_event:
             raise AttemptError(
                 "the stream ended within an event",
--- a/src/rosepath/response_metadata.py
+++ b/src/rosepath/response_metadata.py
@@ -5,6 +5,9 @@
 
 from rosepath.server_notice import ServerNotice
 
+# Callers take these statuses as a promise that a request did not run.
+NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
+
 
 class ServerLoad(NamedTuple):
     """Hold the load that a backend server reports."""
