Use no slack of the retry budget in a VM's first window

Cause: each process began with a fresh budget. It knew neither what an earlier process of its VM had sent in the same window, nor, until it heard them, by how many VMs the slack is divided: nine VMs that start together took 0.7 of the whole slack each, and each restart of all VMs spent it again.

A VM now uses its part of the slack only when one window has passed since its process started. Its retries in proportion to the requests that it received itself need no memory: a restart divides both the requests and the retries.

Weighed: telling the other VMs what was sent, so that they tell a successor. That does not hold where all are restarted at once, as here.

--- a/src/rosepath/entry_node.py
+++ b/src/rosepath/entry_node.py
@@ -103,6 +103,7 @@
     ) -> None:
         self.settings = settings
         self.clock = SystemClock()
+        self._created_s = self.clock.monotonic_s()
         self.stopping = False
         self.wait_limit_s = math.inf
         self._last_servers_policy: WatchPolicy | None = None
@@ -404,6 +405,7 @@
                 ratio=bounds.ratio,
                 slack=bounds.slack,
                 window_s=bounds.window_s,
+                slack_from_s=self._created_s + bounds.window_s,
             )
         budget = self.budgets[service]
         budget.vms = 1 + len(self.peers.peers)
--- a/src/rosepath/retry_window.py
+++ b/src/rosepath/retry_window.py
@@ -1,12 +1,13 @@
 """Sliding-window limit on the retries that each entry VM may send."""
 
+import math
 from bisect import bisect_left
 from dataclasses import dataclass, field
 
 from rosepath.clock import Clock
 
-# Keeps the sum of all VMs' slack below the limit while VMs have not discovered
-# each other yet and divide the slack by too small a number of VMs.
+# Keeps the sum of all VMs' slack below the limit while VMs that were added are
+# not known everywhere yet, and some divide the slack by too small a number.
 SLACK_USED = 0.7
 # Retries sent within this share of a window are counted as one burst, which
 # bounds the work of each decision independently of the traffic.
@@ -39,6 +40,9 @@
     slack: float
     window_s: float
     vms: int = 1
+    # The slack is not used before. What an earlier process of this VM sent is
+    # unknown, and so are the other VMs at first.
+    slack_from_s: float = -math.inf
     # Retries reserved but not sent yet, for example while waiting for a
     # server. They count towards the windows in which they are sent.
     _reserved: int = 0
@@ -100,7 +104,14 @@
         requests = bisect_left(self._requests_s, start_s + half_s) - bisect_left(
             self._requests_s, start_s - half_s
         )
-        return self.ratio * requests + SLACK_USED * self.slack / self.vms
+        return self.ratio * requests + self._usable_slack
+
+    @property
+    def _usable_slack(self) -> float:
+        """Return this VM's part of the slack, once it may be used."""
+        if self.clock.monotonic_s() < self.slack_from_s:
+            return 0.0
+        return SLACK_USED * self.slack / self.vms
 
     def _expire(self) -> None:
         """Drop entries that affect no window containing the present."""
