Reset each connection on which an exchange was given up

Servers worked on at requests that their entry VM had given up, and at streams that had gone on elsewhere, so that they ran at two servers (TWICE).

Cause: since an exchange that ends for silence is reset; one that ended by its deadline, its caller or a broken response was closed. A server that does not read while it works notices a close only when it writes, after its next event or its whole answer, and what the kernel still holds is delivered.

An exchange that is not complete now ends with a reset, whatever the reason.

--- a/src/rosepath/http_client.py
+++ b/src/rosepath/http_client.py
@@ -148,8 +148,13 @@
         finally:
             connection.exchange = None
             connection.exchange_count += 1
-            if not returned:
+            if exchange.finished and not returned:
                 connection.close()
+            elif not returned:
+                # A server that does not read while it works learns of a reset,
+                # but not of a close, and after a close the kernel still sends it
+                # what it holds.
+                connection.reset()
 
     async def probe(self, address: str, *, limit_s: float) -> ProbeResult:
         """Test whether an address accepts connections.
--- a/src/rosepath/http_exchange.py
+++ b/src/rosepath/http_exchange.py
@@ -274,7 +274,7 @@
 
     def _fail(self, error: BaseException) -> None:
         self.failure = error
-        self._connection.close()
+        self._connection.reset()
         self._complete()
 
     def _complete(self) -> None:
