Take no response to a caller for the reply to an order or a report

Found by looking for the class elsewhere: a holder may count an order that its engine accepted as rejected, or a report as unreadable.

Cause: orders and reports use the connections that callers' requests use, and took whatever came first. The late copy of a caller's response, which bears that request's id, was read as the engine's reply: a 421 as the word of another instance, a 200 as an order that holds already.

Orders and reports send no id, so that a response with one is not theirs; it is skipped, and the reply that follows counts.

--- a/src/rosepath/platform/engines.py
+++ b/src/rosepath/platform/engines.py
@@ -3,11 +3,12 @@
 import json
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
+from typing import Any
 
 from rosepath.engine_orders import EngineReport, Order, OrderAction, OrderReply
 from rosepath.errors import ExchangeError, Step
 from rosepath.http_client import HttpPool, Request, ResponseHead
-from rosepath.platform.calls import read_notice
+from rosepath.platform.calls import echoed_request_id, read_notice
 from rosepath.server_notice import NO_NOTICE, ServerNotice
 
 ORDER_TIMEOUT_S = 0.6
@@ -47,17 +48,12 @@
         if order.adapter:
             body["adapter"] = order.adapter
         head, _ = await self.pool.fetch(
-            Request(
+            _request(
+                "POST",
+                "/v1/order",
                 address=address,
-                method="POST",
-                path="/v1/order",
-                headers={
-                    "Content-Type": "application/json",
-                    "Target-Instance": order.server,
-                },
+                server=order.server,
                 body=json.dumps(body).encode(),
-                connect_timeout_s=ORDER_TIMEOUT_S,
-                progress_timeout_s=ORDER_TIMEOUT_S,
                 still_wanted=still_wanted,
             )
         )
@@ -67,14 +63,7 @@
     async def report(self, address: str, server: str) -> EngineReport:
         """Read an engine's report; raise ExchangeError if that fails."""
         head, body = await self.pool.fetch(
-            Request(
-                address=address,
-                method="GET",
-                path="/v1/report",
-                headers={"Target-Instance": server},
-                connect_timeout_s=ORDER_TIMEOUT_S,
-                progress_timeout_s=ORDER_TIMEOUT_S,
-            )
+            _request("GET", "/v1/report", address=address, server=server)
         )
         self._forward_notice(server, head)
         try:
@@ -110,6 +99,19 @@
             self.on_notice(server, notice)
 
 
+def _request(method: str, path: str, *, server: str, **fields: Any) -> Request:
+    return Request(
+        method=method,
+        path=path,
+        headers={"Content-Type": "application/json", "Target-Instance": server},
+        connect_timeout_s=ORDER_TIMEOUT_S,
+        progress_timeout_s=ORDER_TIMEOUT_S,
+        # Late responses to callers' requests on the same connections bear an id.
+        accepts=lambda head: echoed_request_id(head.headers) is None,
+        **fields,
+    )
+
+
 def _adapter_name(adapter: object) -> str:
     if isinstance(adapter, Mapping):
         return str(adapter["name"])
