Play responses that belong to no request in the soak of entry VMs

The soak had requests that may run once, but servers that never sent a stray or repeated response, broke a whole one off, or rejected without a backoff, and it did not check the retry budget. Servers do all of that now, six more callers send only requests that may run once, streams among them, and the retries of all VMs are checked against the budget.

--- a/benchmarks/entry_checks.py
+++ b/benchmarks/entry_checks.py
@@ -1,5 +1,6 @@
 """Check a soak of entry VMs by what its callers and servers recorded."""
 
+from bisect import bisect_left
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -10,6 +11,7 @@
     EVENTS_PER_STREAM,
     RETRY_AFTER_S,
     SETTLE_S,
+    STREAM_PATHS,
     AddedRoute,
     EntryFleet,
     StatedLimit,
@@ -32,6 +34,13 @@
 LIMIT_SHARE = 1.5
 LIMIT_EXTRA = 5
 LIMIT_APPLIED_AFTER_S = 0.5
+# In any window, a service may get so many retries: a share of the requests in
+# this window or in one of the two that begin half a window and a whole one before
+# it, and the largest slack that the soak sets.
+RETRY_WINDOW_S = 10.0
+RETRY_RATIO = 0.2
+MAX_RETRY_SLACK = 80.0
+ONCE_PATHS = ("/file/", "/once/")
 
 
 @dataclass(slots=True)
@@ -71,6 +80,7 @@
             "no work during a backoff": self._sent_in_backoff,
             "no work after three crashes": self._sent_after_third_crash,
             "rate limits of servers": self._over_limit,
+            "retry budget": self._over_retry_budget,
             "responses in time": self._late,
             "planned stops cut no request": self._cut_by_stop,
             "configurations in force": self._outdated_configurations,
@@ -87,12 +97,12 @@
         ]
 
     def _run_twice(self) -> list[str]:
-        """Return the non-idempotent requests (`/file/`) that ran twice."""
+        """Return the requests that may run once and ran twice."""
         runs = self.fleet.request_log.runs
         return [
-            response.request_id
+            f"{response.request_id} {response.path}"
             for response in self.responses
-            if response.path.startswith("/file/") and runs[response.request_id] > 1
+            if response.path.startswith(ONCE_PATHS) and runs[response.request_id] > 1
         ]
 
     def _refused_and_run(self) -> list[str]:
@@ -151,6 +161,31 @@
         bound_s = max(told_s + LIMIT_APPLIED_AFTER_S, limit.from_s + SETTLE_S)
         return at_s > bound_s and self.fleet.vms[vm].undisturbed(told_s, at_s)
 
+    def _over_retry_budget(self) -> list[str]:
+        """Return the windows in which all VMs together sent too many retries."""
+        log = self.fleet.request_log
+        seen: set[str] = set()
+        retries_s = []
+        for request_id, at_s in log.arrivals_s:
+            if request_id in seen:
+                retries_s.append(at_s)
+            seen.add(request_id)
+        requests_s = sorted(response.sent_s for response in self.responses)
+
+        def count(times_s: list[float], from_s: float) -> int:
+            until_s = from_s + RETRY_WINDOW_S
+            return bisect_left(times_s, until_s) - bisect_left(times_s, from_s)
+
+        found = []
+        for from_s in retries_s:
+            starts_s = (from_s, from_s - RETRY_WINDOW_S / 2, from_s - RETRY_WINDOW_S)
+            requests = max(count(requests_s, start_s) for start_s in starts_s)
+            allowed = RETRY_RATIO * requests + MAX_RETRY_SLACK
+            sent = count(retries_s, from_s)
+            if sent > allowed:
+                found.append(f"{sent} retries in a window of {allowed:.0f}")
+        return found
+
     def _sent_after_third_crash(self) -> list[str]:
         found = []
         for path, crash_times_s in self.fleet.request_log.crash_times_s.items():
@@ -253,7 +288,7 @@
                 response.sent_s - RECOVERY_S, response.ended_s + 0.1
             )
             reached_server = (
-                response.path.startswith("/file/") and arrivals[response.request_id]
+                response.path.startswith(ONCE_PATHS) and arrivals[response.request_id]
             )
             if response.status == 0 and stopping and undisturbed and reached_server:
                 found.append(f"{response.request_id} {response.path}")
@@ -261,7 +296,7 @@
 
 
 def _expected_body(response: CallerResponse) -> bytes:
-    if response.path.startswith("/draft/"):  # a stream
+    if response.path.startswith(STREAM_PATHS):
         events = range(1, EVENTS_PER_STREAM + 1)
         return b"".join(
             f"id: {number}\ndata: {response.request_id}\n\n".encode()
--- a/benchmarks/entry_soak.py
+++ b/benchmarks/entry_soak.py
@@ -41,6 +41,9 @@
 # Requests that crash servers are drawn more often than the other faults.
 CRASHING_WEIGHT = 3
 REQUEST_KINDS = ("look", "file", "draft")
+# Callers of requests that may run once, beside the others.
+ONCE_CALLERS = 6
+ONCE_KINDS = ("file", "once")
 CHANGES_WEIGHT = 2
 # Probes cover the routes added last, including those dropped since.
 PROBED_ROUTES = 6
@@ -50,6 +53,7 @@
 STALL_S = 0.5
 LIMITS_PER_S = (1.0, 1.7, 5.0)
 LIMIT_LASTS_S = (4.0, 10.0)
+RESPONSE_FAULT_LASTS_S = (1.0, 4.0)
 LOW_RATE_BYTES_PER_S = (10_000.0, 100_000.0)
 
 Fault = Callable[[], Awaitable[None]]
@@ -66,17 +70,27 @@
     call_rng: random.Random
     store_rng: random.Random
     limit_rng: random.Random
+    response_rng: random.Random
     ends_s: float
     responses: list[CallerResponse] = field(default_factory=list)
     faults: Counter[str] = field(default_factory=Counter)
     request_count: int = 0
 
     async def run(self) -> None:
-        tasks = [self._run_caller() for _ in range(CALLERS)]
+        tasks = [self._run_caller(self.call_rng) for _ in range(CALLERS)]
+        tasks += [
+            self._run_caller(self.response_rng, ONCE_KINDS) for _ in range(ONCE_CALLERS)
+        ]
         tasks += [self._probe_routes(vm) for vm in self.fleet.vms.values()]
         tasks.append(self._inject_faults(self.rng, self._fault_choices()))
         tasks.append(self._inject_faults(self.store_rng, self._store_fault_choices()))
         tasks.append(self._inject_faults(self.limit_rng, [self.limit_rate]))
+        response_faults: list[Fault] = [
+            self.send_strays,
+            self.repeat_rejections,
+            self.fail_responses,
+        ]
+        tasks.append(self._inject_faults(self.response_rng, response_faults))
         await asyncio.gather(*tasks, self._record_stalls())
 
     async def _record_stalls(self) -> None:
@@ -116,11 +130,13 @@
 
     # Callers
 
-    async def _run_caller(self) -> None:
+    async def _run_caller(
+        self, rng: random.Random, kinds: tuple[str, ...] = REQUEST_KINDS
+    ) -> None:
         pool = HttpPool()
         while time.monotonic() < self.ends_s:
-            vm = self.call_rng.choice(list(self.fleet.vms.values()))
-            kind = self.call_rng.choice(REQUEST_KINDS)
+            vm = rng.choice(list(self.fleet.vms.values()))
+            kind = rng.choice(kinds)
             await self._send_request(pool, vm, f"/{kind}/{self.request_count}")
             await asyncio.sleep(CALL_INTERVAL_S)
         pool.close()
@@ -266,6 +282,27 @@
         await asyncio.sleep(self.rng.uniform(0.5, 4.0))
         server.shedding = False
 
+    async def send_strays(self) -> None:
+        """Let a server send responses that belong to no request."""
+        server = self.response_rng.choice(list(self.fleet.servers.values()))
+        server.stray = True
+        await asyncio.sleep(self.response_rng.uniform(*RESPONSE_FAULT_LASTS_S))
+        server.stray = False
+
+    async def repeat_rejections(self) -> None:
+        """Let a server reject most requests, and send each rejection twice."""
+        server = self.response_rng.choice(list(self.fleet.servers.values()))
+        server.full = True
+        await asyncio.sleep(self.response_rng.uniform(*RESPONSE_FAULT_LASTS_S))
+        server.full = False
+
+    async def fail_responses(self) -> None:
+        """Let a server run requests and break, spoil or hold back responses."""
+        server = self.response_rng.choice(list(self.fleet.servers.values()))
+        server.failing = True
+        await asyncio.sleep(self.response_rng.uniform(*RESPONSE_FAULT_LASTS_S))
+        server.failing = False
+
     async def limit_rate(self) -> None:
         """Let up to half of the servers state a rate limit for some seconds."""
         servers = list(self.fleet.servers.values())
@@ -311,6 +348,7 @@
         random.Random(-seed),
         random.Random(f"store {seed}"),
         random.Random(f"limit {seed}"),
+        random.Random(f"response {seed}"),
         time.monotonic() + duration_s,
     )
     replacing = asyncio.create_task(run.replace_crashed_servers())
--- a/src/rosepath_standins/entry_fleet.py
+++ b/src/rosepath_standins/entry_fleet.py
@@ -30,6 +30,7 @@
 EVENT_INTERVAL_S = 0.02
 RESPONSE_DELAY_S = 0.02
 CRASHING_PATH = "/look/crashing"
+STREAM_PATHS = ("/draft/", "/once/")
 CRASH_DELAY_S = 0.03
 RETRY_AFTER_S = 3.0
 DRAIN_S = 2.0
@@ -40,7 +41,17 @@
 # A configuration with this many routes takes seconds over a slow link.
 LARGE_ROUTE_COUNT = 1400
 LARGE_CONFIGURATION_SHARE = 0.3
-SHED_HEADERS = "Not-Executed: 1\r\nRetry-After: {:.2f}\r\n"
+NOT_RUN_HEADER = "Not-Executed: 1\r\n"
+SHED_HEADERS = NOT_RUN_HEADER + "Retry-After: {:.2f}\r\n"
+# A response that belongs to no request, and how long before a server's own
+# response it is sent, so that it arrives by itself.
+STRAY_RESPONSE = f"HTTP/1.1 503 X\r\n{NOT_RUN_HEADER}Content-Length: 0\r\n\r\n"
+STRAY_BEFORE_S = 0.01
+# The share of its requests that a full server rejects, and of its responses that
+# a failing one breaks.
+FULL_SHARE = 0.7
+FAILING_SHARE = 0.3
+SILENCE_S = 1.2
 
 
 def caller_headers(request_id: str, *, wait_s: float) -> dict[str, str]:
@@ -101,6 +112,8 @@
         default_factory=lambda: defaultdict(list)
     )
     crashing_requests: list[tuple[str, str, float]] = field(default_factory=list)
+    # Request and time of each arrival.
+    arrivals_s: list[tuple[str, float]] = field(default_factory=list)
 
 
 @dataclass(slots=True)
@@ -114,12 +127,22 @@
     request_log: RequestLog
     started_ms: int
     port: int = 0
+    rng: random.Random = field(default_factory=lambda: random.Random(1))
     draining: bool = False
     shedding: bool = False
+    # Whether it rejects most requests, and sends each rejection once more before
+    # the next response on its connection.
+    full: bool = False
+    # Whether it sends a response that belongs to no request before each own one.
+    stray: bool = False
+    # Whether it runs most requests without a whole response.
+    failing: bool = False
     limit: StatedLimit | None = None
     listening: bool = False
     _listener: asyncio.Server | None = None
     _writers: set[asyncio.StreamWriter] = field(default_factory=set)
+    # The last rejection on each connection, while it is to be repeated.
+    _rejections: dict[asyncio.StreamWriter, bytes] = field(default_factory=dict)
 
     async def listen(self) -> None:
         self.port = self.port or free_port()
@@ -156,6 +179,7 @@
             return
         finally:
             self._writers.discard(writer)
+            self._rejections.pop(writer, None)
             writer.close()
 
     async def _respond(
@@ -182,6 +206,7 @@
             self.write_response(writer, 421, request_id, b"")
             return
         self.request_log.arrivals[request_id] += 1
+        self.request_log.arrivals_s.append((request_id, now_s))
         self.request_log.received_requests.append((self.name, vm, now_s))
         if self.draining:
             self.request_log.departure_signalled_s.setdefault((self.name, vm), now_s)
@@ -194,6 +219,10 @@
                 writer, 503, request_id, b"", SHED_HEADERS.format(RETRY_AFTER_S)
             )
             return
+        await self._send_extra_responses(writer)
+        if self.full and self.rng.random() < FULL_SHARE:
+            self._reject(writer, request_id)
+            return
         self.request_log.runs[request_id] += 1
         if path.startswith(CRASHING_PATH):
             self.request_log.crashing_requests.append((path, vm, now_s))
@@ -201,13 +230,47 @@
             self.request_log.crash_times_s[path].append(time.monotonic())
             self.crash()
             raise ConnectionResetError
-        if path.startswith("/draft/"):
+        if self.failing and self.rng.random() < FAILING_SHARE:
+            await self._fail(writer, request_id)
+            return
+        if path.startswith(STREAM_PATHS):
             first = int(headers.get("last-event-id", "0")) + 1
             await self.stream(writer, request_id, first)
             return
         await asyncio.sleep(RESPONSE_DELAY_S)
         self.write_response(writer, 200, request_id, f"{path} {request_id}".encode())
 
+    async def _send_extra_responses(self, writer: asyncio.StreamWriter) -> None:
+        """Send what the faults of this server put before its next response."""
+        extra = [self._rejections.pop(writer, b"")]
+        if self.stray:
+            extra.append(STRAY_RESPONSE.encode())
+        for response in filter(None, extra):
+            writer.write(response)
+            await writer.drain()
+            await asyncio.sleep(STRAY_BEFORE_S)
+
+    async def _fail(self, writer: asyncio.StreamWriter, request_id: str) -> None:
+        """Break off, spoil or hold back the response to a request that has run."""
+        await asyncio.sleep(RESPONSE_DELAY_S)
+        match self.rng.choice(("lost", "truncated", "spoiled", "silent")):
+            case "truncated":
+                writer.write(f"{self._head(200, request_id)}Content-".encode())
+                await writer.drain()
+            case "spoiled":
+                writer.write(b"\x00 no response\r\n\r\n")
+                await writer.drain()
+            case "silent":
+                await asyncio.sleep(SILENCE_S)
+        writer.transport.abort()
+        raise ConnectionResetError
+
+    def _reject(self, writer: asyncio.StreamWriter, request_id: str) -> None:
+        head = self._head(503, request_id) + NOT_RUN_HEADER
+        rejection = f"{head}Content-Length: 0\r\n\r\n".encode()
+        self._rejections[writer] = rejection
+        writer.write(rejection)
+
     async def stream(
         self, writer: asyncio.StreamWriter, request_id: str, first: int
     ) -> None:
@@ -501,6 +564,7 @@
             route("look", "idempotent"),
             route("file", "non_idempotent"),
             route("draft", "streaming", resumable=True, targetGapMs=250),
+            route("once", "streaming", targetGapMs=250),
             *(route(name, "idempotent") for name in names),
         ],
         "services": [{"name": SERVICE, "healthPath": "/health"}],
