--- a/tests/test_retry_window.py
+++ b/tests/test_retry_window.py
@@ -1,5 +1,6 @@
 """The retries of all VMs together stay within the retry budget."""
 
+import math
 from bisect import bisect_left
 from typing import NamedTuple
 
@@ -52,6 +53,7 @@
     """Describe a phase of traffic, and whether servers reject its requests.
 
     The requests reach `vms` of the entry VMs, starting with number `first_vm`.
+    The first `restarted` VMs start again as the phase begins.
     """
 
     duration_s: float
@@ -59,6 +61,7 @@
     rejected: bool
     first_vm: int = 0
     vms: int = 9
+    restarted: int = 0
 
 
 def max_excess(phases: list[TrafficPhase], *, vms: int) -> float:
@@ -69,14 +72,24 @@
     one half a window earlier and the previous one.
     """
     clock = ManualClock()
-    windows = [
-        RetryWindow(clock=clock, ratio=RATIO, slack=SLACK, window_s=WINDOW_S, vms=vms)
-        for _ in range(vms)
-    ]
+
+    def start(*, slack_from_s: float = -math.inf) -> RetryWindow:
+        return RetryWindow(
+            clock=clock,
+            ratio=RATIO,
+            slack=SLACK,
+            window_s=WINDOW_S,
+            vms=vms,
+            slack_from_s=slack_from_s,
+        )
+
+    windows = [start() for _ in range(vms)]
     requests: list[float] = []
     retries: list[float] = []
     fractional_requests = 0.0
     for phase in phases:
+        for number in range(min(phase.restarted, vms)):
+            windows[number] = start(slack_from_s=clock.monotonic_s() + WINDOW_S)
         for _ in range(int(phase.duration_s / STEP_S)):
             clock.advance(STEP_S)
             fractional_requests += phase.rate_per_s * STEP_S
@@ -141,12 +154,13 @@
             st.booleans(),
             st.integers(0, 8),
             st.integers(1, 9),
+            st.integers(0, 9),
         ),
         max_size=6,
     ),
     st.sampled_from((1, 9)),
 )
-def test_retries_stay_within_the_budget_for_any_traffic(
+def test_retries_stay_within_the_budget_for_any_traffic_and_restarts(
     phases: list[TrafficPhase], vms: int
 ) -> None:
     assert max_excess(phases, vms=vms) <= 0
