--- a/tests/test_engine_client.py
+++ b/tests/test_engine_client.py
@@ -18,7 +18,11 @@
 
 
 def ask_engine(
-    status: int, body: bytes, ask: Callable[[EngineClient, str], Awaitable[T]]
+    status: int,
+    body: bytes,
+    ask: Callable[[EngineClient, str], Awaitable[T]],
+    *,
+    extra: str = "",
 ) -> T:
     """Ask an engine that first repeats its response to a caller's request."""
 
@@ -27,7 +31,7 @@
         writer.write(answer(caller, 421, b""))
         await writer.drain()
         await asyncio.sleep(SEGMENT_GAP_S)
-        head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n\r\n"
+        head = f"HTTP/1.1 {status} X\r\n{extra}Content-Length: {len(body)}\r\n\r\n"
         writer.write(head.encode() + body)
 
     async def run() -> T:
@@ -73,3 +77,12 @@
         return await client.report(address, "i-1")
 
     assert ask_engine(200, REPORT, ask).sequence == 3
+
+
+# Guards against reports of engines that echo the id of a request without one being
+# dropped, so that no model is ever ordered.
+def test_a_report_may_bear_an_empty_id() -> None:
+    async def ask(client: EngineClient, address: str) -> EngineReport:
+        return await client.report(address, "i-1")
+
+    assert ask_engine(200, REPORT, ask, extra="Request-Id: \r\n").sequence == 3
