Send no load of a model right after the number of an unanswered one

Traced: one holder left two loads without a response, numbers 1 and 2, with a restart, a load and an adapter in between that got theirs. Its successor reserves memory for one load of each earlier term; after a restart both were executed one after the other.

Two late loads follow each other unnoticed only if their numbers do. A holder now orders no model with the number after that of a model's load without a response, until that one can't be executed any more (15 s) or another order has moved the number, on engines that state their start.

Weighed: memory for two loads of each term costs far more (docs/design).

--- a/src/rosepath/engine_orders.py
+++ b/src/rosepath/engine_orders.py
@@ -158,6 +158,20 @@
             return self.earlier_holders
         return 0 if self.contents_certain else min(1, self.earlier_holders)
 
+    @property
+    def follows_unanswered_model(self) -> bool:
+        """Return whether the last number is that of a model's unanswered load.
+
+        If the engine restarts and the lease passes on, a load with the next
+        number could be executed late after that one. The next holder reserves
+        memory for one load of each earlier holder. An engine that does not
+        state its start has another name after a restart.
+        """
+        return self.born_ms > 0 and any(
+            not load.adapter and load.sequence + 1 == self.sequence
+            for load in self.unanswered_loads
+        )
+
     @property
     def late_orders_possible(self) -> bool:
         """Return whether orders without a response may still be executed."""
--- a/src/rosepath/engine_views.py
+++ b/src/rosepath/engine_views.py
@@ -30,6 +30,7 @@
         in_use=server.models_in_use,
         accepts_orders=record.is_current
         and record.contents_certain
+        and not record.follows_unanswered_model
         and not record.occupied
         and not server.in_backoff(now_s)
         and server.entry.remaining_s is None,
--- a/tests/test_order_succession.py
+++ b/tests/test_order_succession.py
@@ -81,6 +81,63 @@
     play(run())
 
 
+# Guards against an engine that is ordered to hold three models where two fit, as
+# one earlier holder leaves two loads whose numbers follow each other.
+def test_consecutive_loads_of_one_previous_holder_fit_after_a_restart() -> None:
+    async def run() -> None:
+        succession = Succession(MeasuredEngine())
+        engine, demand = succession.engine, succession.demand
+        succession.restart_engine()
+        previous = succession.next_holder("vm-1")
+
+        async def load(model: str, *, unanswered: int = 0) -> None:
+            demand.clear()
+            demand[model] = ModelDemand(0.0, 9)
+            engine.unanswered_left = unanswered
+            await succession.plan(previous)
+            engine.unanswered_left = 0
+
+        await load("m2")
+        await load("m0", unanswered=1)
+        succession.restart_engine()
+        await load("m0")
+        assert await previous.ensure_adapter("llm", "e1", "m0", "a1")
+        await load("m1", unanswered=1)
+        succession.restart_engine()
+        current = succession.next_holder("vm-2")
+        demand.clear()
+        demand["m2"] = ModelDemand(0.0, 9)
+        await succession.plan(current)
+        for order in engine.unanswered_orders:
+            engine.execute(order)
+        assert engine.most_models <= MODELS_THAT_FIT
+        await asyncio.sleep(LATE_ORDER_LIMIT_S)
+        await succession.plan(current, rounds=2)
+        assert "m2" in engine.models
+
+    play(run())
+
+
+# Guards against a model that is never loaded, as an earlier load on its engine got
+# no response.
+def test_an_unanswered_load_holds_up_the_next_one_for_a_limited_time() -> None:
+    async def run() -> None:
+        succession = Succession(MeasuredEngine())
+        succession.restart_engine()
+        holder = succession.next_holder("vm-1")
+        succession.demand["m0"] = ModelDemand(0.0, 9)
+        succession.engine.unanswered_left = 1
+        await succession.plan(holder)
+        succession.demand["m1"] = ModelDemand(0.0, 9)
+        await succession.plan(holder)
+        assert set(succession.engine.models) == {"m0"}
+        await asyncio.sleep(LATE_ORDER_LIMIT_S)
+        await succession.plan(holder, rounds=2)
+        assert set(succession.engine.models) == {"m0", "m1"}
+
+    play(run())
+
+
 # Guards against an engine that is ordered to hold more adapters than it has
 # slots for, as the load of an earlier holder comes late.
 def test_adapter_of_the_previous_holder_fits_after_a_restart() -> None:
