Let the fault proxy reset connections that have just closed

The socket of a lost connection is closed one turn of the loop before the proxy's pump ends and forgets it; a reset of all connections in that turn set an option on a closed socket. Such connections are passed over now. It is a fault of the stand-in; the product's own reset checks whether its connection is closed, which it learns before the socket is.

--- a/src/rosepath_standins/fault_proxy.py
+++ b/src/rosepath_standins/fault_proxy.py
@@ -142,7 +142,8 @@
 
 def _reset(writer: asyncio.StreamWriter) -> None:
     raw = writer.get_extra_info("socket")
-    if raw is not None:
+    # The socket of a connection that was lost is closed before its pumps end.
+    if raw is not None and raw.fileno() >= 0:
         linger = struct.pack("ii", 1, 0)
         raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
     writer.transport.abort()
