End a tunnel whose entry VM has left without an error

Found while looking at resets: each tunnel that its entry VM gave up left an uncaught AttributeError, with a traceback outside the structured log, on the VM that forwarded it. The tunnel made its end of that VM's connection reset, whose stream had closed and has no socket any more; the server's end was reset all the same, by the finally clause.

Evidence: the test of a cancelled request checks the log now, failed and passes. What is forwarded does not change.

--- a/src/rosepath/tunnels.py
+++ b/src/rosepath/tunnels.py
@@ -137,7 +137,7 @@
             await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
             if self._connection.closed_by_peer:
                 await self._finish_writing()
-            else:
+            elif not self._stream.closed():
                 disable_linger(self._stream.socket)
         finally:
             for task in tasks:
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -227,8 +227,11 @@
     asyncio.run(run())
 
 
-# Guards against servers that work on for callers that have left.
-def test_a_cancelled_request_ends_at_the_server() -> None:
+# Guards against servers that work on for callers that have left, and against an
+# error in the log of the other VM for each of them.
+def test_a_cancelled_request_ends_at_the_server(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
     async def run() -> None:
         async with forwarded_server(wait_for_close) as forwarded:
             fetching = asyncio.ensure_future(
@@ -243,6 +246,7 @@
             await forwarded.wait_until_closed()
 
     asyncio.run(run())
+    assert "Uncaught exception" not in caplog.text
 
 
 # Guards against tunnels that stay open for ever behind an entry VM that lost
