--- a/benchmarks/entry_checks.py
+++ b/benchmarks/entry_checks.py
@@ -40,6 +40,7 @@
 RETRY_WINDOW_S = 10.0
 RETRY_RATIO = 0.2
 MAX_RETRY_SLACK = 80.0
+# Paths of requests that may run once.
 ONCE_PATHS = ("/file/", "/once/")
 
 
