--- a/src/rosepath_standins/entry_fleet.py
+++ b/src/rosepath_standins/entry_fleet.py
@@ -135,7 +135,7 @@
     full: bool = False
     # Whether it sends a response that belongs to no request before each own one.
     stray: bool = False
-    # Whether it runs most requests without a whole response.
+    # Whether it runs a share of its requests without a whole response.
     failing: bool = False
     limit: StatedLimit | None = None
     listening: bool = False
