--- /dev/null
+++ b/src/rosepath/assignment.py
@@ -0,0 +1,81 @@
+"""Requests that ask the scheduler for a server, and its decisions."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+from rosepath.caller_request import Prompt
+from rosepath.response_metadata import ServerLoad
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class AssignmentRequest:
+    """Describe a request that waits for a server.
+
+    Times are on the scheduler's clock. The first byte of the response is due at
+    `due_s`; a request that has no server at `wait_until_s` is rejected; at
+    `deadline_s` it has ended at any rate. `gap_s` is the longest acceptable pause
+    of its stream, 0 if it is none. `tried` names servers that it may not go to.
+    """
+
+    request_id: str
+    service: str
+    entry_vm: str
+    data_centre: str
+    arrived_s: float
+    due_s: float
+    wait_until_s: float
+    deadline_s: float
+    gap_s: float = 0.0
+    priority: int = 0
+    workspace: str = ""
+    prompt: Prompt | None = None
+    tried: frozenset[str] = frozenset()
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Assignment:
+    """Hold the server of a request, and what is predicted for it there."""
+
+    request: AssignmentRequest
+    server: str
+    unread_tokens: int = 0
+    first_event_s: float = 0.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class AssignmentRejection:
+    """Reject a request that can't be served in time, and say when to return."""
+
+    request: AssignmentRequest
+    code: str
+    retry_after_s: float
+
+
+Decision = Assignment | AssignmentRejection
+
+
+class RunOutcome(StrEnum):
+    """State how an assigned run ended."""
+
+    COMPLETED = "completed"
+    FAILED = "failed"
+    NOT_RUN = "not_run"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RunReport:
+    """Report the progress of an assigned run at its server.
+
+    `began_after_s` is the time from its sending to its first event or, without
+    a stream, to its response; `event_gap_s` the mean time between its events and
+    `longest_gap_s` the longest. `load` is what the server stated `load_age_s` ago.
+    """
+
+    request_id: str
+    server: str
+    began_after_s: float | None = None
+    outcome: RunOutcome | None = None
+    event_gap_s: float | None = None
+    longest_gap_s: float = 0.0
+    load: ServerLoad | None = None
+    load_age_s: float = 0.0
--- a/src/rosepath/header_values.py
+++ b/src/rosepath/header_values.py
@@ -15,14 +15,16 @@
     return None if milliseconds is None else milliseconds / 1000
 
 
+def parse_number(raw: str) -> float | None:
+    """Return a finite number of 0 or more; None if invalid."""
+    try:
+        number = float(raw)
+    except ValueError:
+        return None
+    return number if math.isfinite(number) and number >= 0 else None
+
+
 def lowest_rate(values: Iterable[str]) -> float | None:
     """Return the lowest of the valid rates, None if there is none."""
-    rates: list[float] = []
-    for raw in values:
-        try:
-            rate = float(raw)
-        except ValueError:
-            continue
-        if math.isfinite(rate) and rate >= 0:
-            rates.append(rate)
-    return min(rates, default=None)
+    rates = (parse_number(raw) for raw in values)
+    return min((rate for rate in rates if rate is not None), default=None)
--- a/src/rosepath/platform/calls.py
+++ b/src/rosepath/platform/calls.py
@@ -4,7 +4,12 @@
 
 from rosepath.api_keys import key_digest
 from rosepath.caller_request import BadRequestError, CallerRequest, Prompt, PromptPart
-from rosepath.header_values import lowest_rate, parse_int, parse_ms
+from rosepath.header_values import (
+    lowest_rate,
+    parse_int,
+    parse_ms,
+    parse_number,
+)
 from rosepath.response_metadata import ResponseMetadata, ServerLoad
 from rosepath.retry_after import read_retry_after_s
 from rosepath.server_notice import NO_NOTICE, ServerNotice
@@ -22,6 +27,8 @@
 _PRIORITY = "Request-Priority"
 _SIGNATURE = "Response-Signature"
 _NOT_RUN = "Not-Executed"
+# Running and waiting requests, slots and, from some servers, how long work takes
+# on their machine, in percent of the usual time.
 _LOAD = "Server-Load"
 _LEAVING = "Server-Leaving"
 # The requests a second that a server accepts from all VMs together, if limited.
@@ -214,8 +221,10 @@
 
 
 def _parse_load(raw: str) -> ServerLoad | None:
-    try:
-        running, waiting, slots = map(int, raw.split(","))
-    except ValueError:
+    """Return the stated load; figures beyond the known ones are ignored."""
+    figures = [parse_number(figure) for figure in raw.split(",")]
+    running, waiting, slots, percent, *_ = [*figures, None, None, None, None]
+    if running is None or waiting is None or slots is None:
         return None
-    return ServerLoad(running, waiting, slots)
+    load = ServerLoad(int(running), int(waiting), int(slots))
+    return load._replace(slowdown=percent / 100) if percent else load
--- a/src/rosepath/response_metadata.py
+++ b/src/rosepath/response_metadata.py
@@ -10,11 +10,15 @@
 
 
 class ServerLoad(NamedTuple):
-    """Hold the load that a backend server reports."""
+    """Hold the load that a backend server reports.
+
+    `slowdown` is how long work takes on its machine at the moment, 1.0 as usual.
+    """
 
     running: int
     waiting: int
     slots: int
+    slowdown: float = 1.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- /dev/null
+++ b/src/rosepath/scheduler.py
@@ -0,0 +1,167 @@
+"""Assign the requests of all entry VMs to servers; no I/O.
+
+One entry VM schedules for all that reach it. It knows each run that it assigned, so
+that requests of many VMs don't meet at the server that an old report called idle.
+"""
+
+import random
+from collections.abc import Callable, Collection, Iterable
+from dataclasses import dataclass, field
+
+from rosepath.assignment import (
+    Assignment,
+    AssignmentRequest,
+    Decision,
+    RunReport,
+)
+from rosepath.assignment_choice import Candidate, choose_candidate
+from rosepath.assignment_queue import AssignmentQueue
+from rosepath.catalog import Catalog, EngineSpec
+from rosepath.engine_choice import ADAPTER_PENALTY_S, OCCUPIED_PENALTY_S
+from rosepath.fleet import BackendServer, Fleet
+from rosepath.prompt_caches import PromptCaches
+from rosepath.server_choice import healthy_servers
+from rosepath.server_work import ServerWork, WorkTable
+
+
+@dataclass(slots=True, kw_only=True)
+class Scheduler:
+    """Own the work of the servers and the requests that wait for one."""
+
+    fleet: Fleet
+    caches: PromptCaches
+    catalog: Callable[[], Catalog | None]
+    cut_off: Callable[[], Collection[str]] = lambda: ()
+    work: WorkTable = field(default_factory=WorkTable)
+    queue: AssignmentQueue = field(default_factory=AssignmentQueue)
+    rng: random.Random = field(default_factory=random.Random)
+
+    def submit(self, request: AssignmentRequest, *, now_s: float) -> list[Decision]:
+        """Add a request; return what is decided now, of this one or others.
+
+        A request whose earlier assignment did not run comes again with its server
+        in `tried`; one that is only sent again is answered as before.
+        """
+        known = self._known_assignment(request)
+        if known is not None:
+            return [known]
+        self.queue.add(request)
+        return self.step(now_s=now_s)
+
+    def withdraw(self, request_id: str) -> None:
+        """Forget a waiting request whose caller has left."""
+        self.queue.remove(request_id)
+
+    def report(self, reports: Iterable[RunReport], *, now_s: float) -> list[Decision]:
+        """Apply reports of runs; return what is decided now."""
+        for report in reports:
+            self.work.apply(report, now_s=now_s)
+        return self.step(now_s=now_s)
+
+    def step(self, *, now_s: float) -> list[Decision]:
+        """Assign the waiting requests for which there is room."""
+        decisions: list[Decision] = []
+        # Requests with the same model wait for the same servers: if the first of
+        # them finds no room, nor do those behind it.
+        without_room: set[tuple[str, str]] = set()
+        for request in list(self.queue.in_order(now_s=now_s)):
+            model = request.prompt.model if request.prompt else ""
+            if (request.service, model) in without_room:
+                continue
+            assignment = self._assign(request, now_s=now_s)
+            if assignment is None:
+                if not request.tried:
+                    without_room.add((request.service, model))
+                continue
+            decisions.append(assignment)
+        decisions += self.queue.take_rejected(now_s=now_s)
+        return decisions
+
+    def drop_expired(self, *, now_s: float) -> None:
+        """Forget runs and servers that are gone."""
+        self.work.drop_expired(now_s=now_s)
+        for name in self.work.servers.keys() - self.fleet.servers.keys():
+            self.work.drop_server(name)
+
+    def _known_assignment(self, request: AssignmentRequest) -> Assignment | None:
+        server = self.work.server_of(request.request_id)
+        if server is None or server in request.tried:
+            return None
+        return self.work.servers[server].runs[request.request_id].assignment
+
+    def _assign(self, request: AssignmentRequest, *, now_s: float) -> Assignment | None:
+        candidates = self._candidates(request, now_s=now_s)
+        choice = choose_candidate(request, candidates, now_s=now_s)
+        if choice is None:
+            return None
+        server, prompt = choice.candidate.server, request.prompt
+        assignment = Assignment(
+            request=request,
+            server=server.name,
+            unread_tokens=choice.candidate.unread_tokens,
+            first_event_s=choice.first_event_s,
+        )
+        self.queue.remove(request.request_id)
+        self.queue.note_assigned(request, cost=assignment.unread_tokens)
+        self.work.assign(assignment, now_s=now_s)
+        if prompt is not None:
+            self.caches.note_read(server, prompt)
+        return assignment
+
+    def _candidates(
+        self, request: AssignmentRequest, *, now_s: float
+    ) -> list[Candidate]:
+        """Return the servers that could run a request, healthy ones if any."""
+        prompt = request.prompt
+        eligible = [
+            server
+            for server in self.fleet.of_service(request.service)
+            if server.accepts_requests(now_s)
+            and server.down_until_s <= now_s
+            and server.name not in request.tried
+            and (prompt is None or prompt.model in server.resident_models)
+        ]
+        servers = healthy_servers(eligible, cut_off=self.cut_off(), now_s=now_s)
+        spec = self._engine_spec(request.service)
+        return [
+            self._candidate(server, request, spec, now_s=now_s)
+            for server in servers or eligible
+        ]
+
+    def _candidate(
+        self,
+        server: BackendServer,
+        request: AssignmentRequest,
+        spec: EngineSpec | None,
+        *,
+        now_s: float,
+    ) -> Candidate:
+        work = self.work.of_server(server.name, born_ms=server.entry.born_ms)
+        prompt = request.prompt
+        if prompt is None or spec is None:
+            return Candidate(server=server, work=work)
+        unread = prompt.input_tokens - self.caches.cached_tokens(server, prompt)
+        has_adapter = prompt.adapter in ("", *server.resident_models[prompt.model])
+        return Candidate(
+            server=server,
+            work=work,
+            unread_tokens=max(0, unread),
+            adapter_s=0.0
+            if has_adapter
+            else _adapter_delay_s(server, work, spec, now_s=now_s),
+        )
+
+    def _engine_spec(self, service: str) -> EngineSpec | None:
+        catalog = self.catalog()
+        spec = catalog.services.get(service) if catalog is not None else None
+        return spec.engine if spec is not None else None
+
+
+def _adapter_delay_s(
+    server: BackendServer, work: ServerWork, spec: EngineSpec, *, now_s: float
+) -> float:
+    """Return the expected delay of loading one more adapter onto an engine."""
+    used = sum("/" in target for target in work.targets_in_use)
+    if server.order_busy_until_s > now_s or used >= spec.adapter_slots:
+        return OCCUPIED_PENALTY_S
+    return ADAPTER_PENALTY_S
