--- a/src/rosepath/scheduler.py
+++ b/src/rosepath/scheduler.py
@@ -4,7 +4,7 @@
 that requests of many VMs don't meet at the server that an old report called idle.
 """
 
-import random
+from collections import defaultdict
 from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass, field
 
@@ -34,7 +34,8 @@
     cut_off: Callable[[], Collection[str]] = lambda: ()
     work: WorkTable = field(default_factory=WorkTable)
     queue: AssignmentQueue = field(default_factory=AssignmentQueue)
-    rng: random.Random = field(default_factory=random.Random)
+    # By service and model, empty for requests without one; renewed by each step.
+    _servers: dict[tuple[str, str], list[BackendServer]] = field(default_factory=dict)
 
     def submit(self, request: AssignmentRequest, *, now_s: float) -> list[Decision]:
         """Add a request; return what is decided now, of this one or others.
@@ -61,11 +62,12 @@
     def step(self, *, now_s: float) -> list[Decision]:
         """Assign the waiting requests for which there is room."""
         decisions: list[Decision] = []
+        self._servers = _by_service_and_model(self.fleet.servers.values())
         # Requests with the same model wait for the same servers: if the first of
         # them finds no room, nor do those behind it.
         without_room: set[tuple[str, str]] = set()
         for request in list(self.queue.in_order(now_s=now_s)):
-            model = request.prompt.model if request.prompt else ""
+            model = request.prompt.model if request.prompt is not None else ""
             if (request.service, model) in without_room:
                 continue
             assignment = self._assign(request, now_s=now_s)
@@ -112,14 +114,13 @@
         self, request: AssignmentRequest, *, now_s: float
     ) -> list[Candidate]:
         """Return the servers that could run a request, healthy ones if any."""
-        prompt = request.prompt
+        model = request.prompt.model if request.prompt is not None else ""
         eligible = [
             server
-            for server in self.fleet.of_service(request.service)
+            for server in self._servers.get((request.service, model), ())
             if server.accepts_requests(now_s)
             and server.down_until_s <= now_s
             and server.name not in request.tried
-            and (prompt is None or prompt.model in server.resident_models)
         ]
         servers = healthy_servers(eligible, cut_off=self.cut_off(), now_s=now_s)
         spec = self._engine_spec(request.service)
@@ -157,6 +158,17 @@
         return spec.engine if spec is not None else None
 
 
+def _by_service_and_model(
+    servers: Iterable[BackendServer],
+) -> dict[tuple[str, str], list[BackendServer]]:
+    """Return the servers of each service, and those that hold each model."""
+    found: dict[tuple[str, str], list[BackendServer]] = defaultdict(list)
+    for server in servers:
+        for model in ("", *server.resident_models):
+            found[server.entry.service, model].append(server)
+    return found
+
+
 def _adapter_delay_s(
     server: BackendServer, work: ServerWork, spec: EngineSpec, *, now_s: float
 ) -> float:
