--- a/src/rosepath/assignment.py
+++ b/src/rosepath/assignment.py
@@ -14,7 +14,8 @@
     Times are on the scheduler's clock. The first byte of the response is due at
     `due_s`; a request that has no server at `wait_until_s` is rejected; at
     `deadline_s` it has ended at any rate. `gap_s` is the longest acceptable pause
-    of its stream, 0 if it is none. `tried` names servers that it may not go to.
+    of its stream, 0 if it is none. `tried` names servers that it may not go to;
+    `route` is the name of its host route.
     """
 
     request_id: str
@@ -28,18 +29,23 @@
     gap_s: float = 0.0
     priority: int = 0
     workspace: str = ""
+    route: str = ""
     prompt: Prompt | None = None
     tried: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Assignment:
-    """Hold the server of a request, and what is predicted for it there."""
+    """Hold the server of a request, and what is predicted for it there.
+
+    `born_ms` is the start of the server instance, 0 if not known.
+    """
 
     request: AssignmentRequest
     server: str
     unread_tokens: int = 0
     first_event_s: float = 0.0
+    born_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -68,7 +74,10 @@
 
     `began_after_s` is the time from its sending to its first event or, without
     a stream, to its response; `event_gap_s` the mean time between its events and
-    `longest_gap_s` the longest. `load` is what the server stated `load_age_s` ago.
+    `longest_gap_s` the longest. `events` counts the events so far, and `ran_s` is
+    the time since its sending. `load` is what the server stated
+    `load_age_s` ago. `assignment` is set for a run that the entry VM placed by
+    itself or that the scheduler may not know.
     """
 
     request_id: str
@@ -77,5 +86,8 @@
     outcome: RunOutcome | None = None
     event_gap_s: float | None = None
     longest_gap_s: float = 0.0
+    events: int | None = None
+    ran_s: float | None = None
     load: ServerLoad | None = None
     load_age_s: float = 0.0
+    assignment: Assignment | None = None
