--- a/src/rosepath/server_pace.py
+++ b/src/rosepath/server_pace.py
@@ -23,6 +23,9 @@
 # Models and lengths, and servers, whose factors are kept.
 MAX_FACTORS = 500
 MAX_SERVERS = 200
+# Once its window is full, a factor is estimated anew when so large a share of it
+# is new: fewer measurements move a median little, and take processor time.
+ESTIMATE_SHARE = 0.1
 # After so many measurements at any server, the others are compared anew.
 COMPARE_AFTER = 10
 # A stated slowdown holds for about this long.
@@ -42,6 +45,24 @@
     keys: tuple[str, ...]
 
 
+class Window:
+    """Own the latest measurements of a factor, and when to estimate it anew."""
+
+    def __init__(self, size: int) -> None:
+        self.measured: deque[Measurement] = deque(maxlen=size)
+        self._since_estimate = 0
+
+    def add(self, measurement: Measurement) -> bool:
+        """Add a measurement; return whether an estimate is due."""
+        self.measured.append(measurement)
+        self._since_estimate += 1
+        full = len(self.measured) == self.measured.maxlen
+        if full and self._since_estimate < ESTIMATE_SHARE * len(self.measured):
+            return False
+        self._since_estimate = 0
+        return True
+
+
 class CommonPace:
     """Own the pace of all servers: a common one, and factors by model and length.
 
@@ -52,8 +73,8 @@
         self._prior = math.log(prior_s)
         self._common = self._prior
         self._factors: dict[str, float] = {}
-        self._measured: deque[Measurement] = deque(maxlen=COMMON_WINDOW)
-        self._measured_by_key: OrderedDict[str, deque[Measurement]] = OrderedDict()
+        self._window = Window(COMMON_WINDOW)
+        self._windows: OrderedDict[str, Window] = OrderedDict()
         # The latest factor of each server, by its number, and their median.
         self._server_factors: OrderedDict[int, float] = OrderedDict()
         self._usual_server = 0.0
@@ -71,24 +92,24 @@
     def add(self, measurement: Measurement) -> None:
         """Learn from a measurement."""
         self.measurements += 1
-        self._measured.append(measurement)
-        common = [self._without_server(measured) for measured in self._measured]
-        self._common = shrunk_median(common, prior=self._prior)
+        if self._window.add(measurement):
+            common = map(self._without_server, self._window.measured)
+            self._common = shrunk_median(common, prior=self._prior)
         for position, key in enumerate(measurement.keys):
-            window = self._measured_by_key.setdefault(key, deque(maxlen=FACTOR_WINDOW))
-            window.append(measurement)
-            self._measured_by_key.move_to_end(key)
+            window = self._windows.setdefault(key, Window(FACTOR_WINDOW))
+            self._windows.move_to_end(key)
+            if not window.add(measurement):
+                continue
             # A factor is compared to those before it only, so that two of them
             # can't drift apart.
-            own = [
+            self._factors[key] = shrunk_median(
                 self._without_server(measured)
                 - self.expected(*measured.keys[:position])
-                for measured in window
-            ]
-            self._factors[key] = shrunk_median(own)
-        while len(self._measured_by_key) > MAX_FACTORS:
-            key, _ = self._measured_by_key.popitem(last=False)
-            del self._factors[key]
+                for measured in window.measured
+            )
+        while len(self._windows) > MAX_FACTORS:
+            key, _ = self._windows.popitem(last=False)
+            self._factors.pop(key, None)
 
     def _without_server(self, measured: Measurement) -> float:
         """Return what a measurement would be at a usual server."""
@@ -178,9 +199,9 @@
         common: CommonPaces | None = None,
         prefill_tokens_per_s: float | None = None,
     ) -> None:
-        common = common or CommonPaces()
-        self._prefill = ServerFactor(common.prefill)
-        self._event_gap = ServerFactor(common.event_gap)
+        self.common = common or CommonPaces()
+        self._prefill = ServerFactor(self.common.prefill)
+        self._event_gap = ServerFactor(self.common.event_gap)
         self.slowdown = 1.0
         self.slowdown_stated_s = -math.inf
         # Slowdowns stated in different periods, and the usual one.
