--- a/src/rosepath/attempt.py
+++ b/src/rosepath/attempt.py
@@ -16,7 +16,11 @@
     encode_headers,
     read_response_metadata,
 )
-from rosepath.response_metadata import NOT_RUN_STATUSES, ResponseMetadata
+from rosepath.response_metadata import (
+    NOT_RUN_STATUSES,
+    ResponseMetadata,
+    ServerLoad,
+)
 from rosepath.retries import Evidence
 from rosepath.server_notice import ServerNotice
 
@@ -91,8 +95,8 @@
     `stall_timeout_s` the silence after. `still_wanted` is called right before
     the first byte is sent, and `may_abort` before an exchange with a
     silent server is ended. `on_notice` receives the notice in the response's
-    headers. `connections` are those of the request's earlier attempts; that of
-    this one is added.
+    headers, `on_load` the server's load. `connections` are those of the request's
+    earlier attempts; that of this one is added.
     """
 
     deadline_s: float
@@ -105,6 +109,7 @@
     still_wanted: Callable[[], bool] = lambda: True
     may_abort: Callable[[], bool] = lambda: True
     on_notice: Callable[[ServerNotice], None] = lambda _: None
+    on_load: Callable[[ServerLoad | None], None] = lambda _: None
     connections: set[Connection] = field(default_factory=set)
 
 
@@ -171,6 +176,7 @@
             facts = read_response_metadata(head.status, head.headers)
             heads.append((head, facts))
             options.on_notice(facts.notice)
+            options.on_load(facts.load)
 
         def on_data(data: bytes) -> Awaitable[None] | None:
             nonlocal body_bytes
--- a/src/rosepath/entry_node.py
+++ b/src/rosepath/entry_node.py
@@ -40,6 +40,11 @@
 from rosepath.request_context import RelayPorts
 from rosepath.request_records import RequestRecorder
 from rosepath.retry_window import RetryWindow
+from rosepath.scheduler import Scheduler
+from rosepath.scheduler_client import SchedulerClient
+from rosepath.scheduler_host import SchedulerHost
+from rosepath.scheduling_messages import SchedulingMessage
+from rosepath.scheduling_mode import has_fragile_urgent_streams, uses_scheduler
 from rosepath.server_choice import note_backoff
 from rosepath.server_limits import apply_limit_notice, limited_servers
 from rosepath.server_notice import ServerNotice
@@ -106,6 +111,7 @@
         self._created_s = self.clock.monotonic_s()
         self.stopping = False
         self.wait_limit_s = math.inf
+        self._urgent_streams_fragile = False
         self._last_servers_policy: WatchPolicy | None = None
         self.loops = Supervisor()
         self.metrics = EntryMetrics()
@@ -219,8 +225,12 @@
             send=lambda message, address: self.exchange.link.send(message, address),
             stopping=lambda: self.stopping,
             has_limited_servers=lambda: limited_servers(self.tables.fleet) > 0,
+            schedules_requests=self._uses_scheduler,
+            on_coordinator_changed=lambda: self.scheduling.note_scheduler_changed(),
         )
         self.exchange.link.on_quota_message = self.quotas.handle
+        self.scheduling = self._build_scheduling()
+        self.exchange.link.on_scheduling_message = self.scheduling.handle
         self.records = RequestRecorder(self.metrics, clock=self.clock)
         self.relay = Relay(
             RelayPorts(
@@ -243,6 +253,8 @@
                 ensure_fresh=self.tables.ensure_fresh,
                 configuration=self._configuration_view,
                 quotas=self.quotas,
+                scheduling=self.scheduling,
+                entry_vm=settings.entry_vm,
             )
         )
         self.gateway = Gateway(
@@ -283,6 +295,9 @@
         self.loops.forever(self.exchange.join)
         self.loops.forever(self.exchange.link.run)
         self.loops.forever(self.quotas.run)
+        self.loops.forever(self.scheduling.run)
+        self.loops.forever(self.scheduler_host.run_steps)
+        self.loops.forever(self.scheduler_host.run_expiry)
         self.loops.every(PEER_EXPIRY_TICK_S, self.exchange.forget_silent)
         self.loops.every(ISOLATION_TICK_S, self.data_centre_isolation.step)
         self.loops.every(LEASE_TICK_S, self._step_lease)
@@ -354,7 +369,10 @@
             budget.window_s = bounds.window_s
         self.settings = settings
         _log.info(
-            "reloaded", retries=bounds.model_dump(), grace_s=settings.stop.grace_s
+            "reloaded",
+            retries=bounds.model_dump(),
+            grace_s=settings.stop.grace_s,
+            scheduling=settings.scheduling.mode.value,
         )
 
     def _export_state(self) -> None:
@@ -383,6 +401,8 @@
             "servers_limited": limited_servers(self.tables.fleet),
             "requests_quarantined": len(self.crashes.records.quarantined),
             "in_flight": len(self.gateway.serving),
+            "scheduling": self.scheduling.in_use,
+            "scheduler_waiting": self.scheduler_host.waiting,
             "servers_without_direct_path": self.paths.failed_direct_paths,
             "tunnels_opened": self.paths.tunnel_count,
             "tunnels_forwarded": self.tunnels.open_count,
@@ -450,7 +470,46 @@
             message_interval_s=self.peers.interval_s if self.coordinator.term else 0.0,
         )
 
+    def _build_scheduling(self) -> SchedulerClient:
+        """Build this VM's scheduler, and its client of the fleet's."""
+
+        def send(message: SchedulingMessage, address: str) -> None:
+            self.exchange.link.send(message, address)
+
+        self.scheduler_host = SchedulerHost(
+            self.settings.entry_vm,
+            Scheduler(
+                fleet=self.tables.fleet,
+                caches=self.caches,
+                catalog=lambda: self.tables.catalog,
+                cut_off=lambda: self.peers.cut_off(self.settings.data_centre),
+            ),
+            clock=self.clock,
+            send=send,
+            stopping=lambda: self.stopping,
+        )
+        return SchedulerClient(
+            self.settings.entry_vm,
+            self.settings.peers.listen,
+            clock=self.clock,
+            peers=self.peers,
+            host=self.scheduler_host,
+            scheduler=lambda: self.quotas.chosen_coordinator,
+            choose_other=self.quotas.choose_other,
+            send=send,
+            in_use=self._uses_scheduler,
+            count=lambda outcome: self.metrics.count("assignments", outcome=outcome),
+        )
+
+    def _uses_scheduler(self) -> bool:
+        return uses_scheduler(
+            self.settings.scheduling.mode,
+            large_fleet=self.peers.large_fleet,
+            urgent_streams_fragile=self._urgent_streams_fragile,
+        )
+
     def _on_catalog_applied(self, catalog: Catalog) -> None:
+        self._urgent_streams_fragile = has_fragile_urgent_streams(catalog)
         self.gateway.apply_limits(catalog.limits)
         self.quotas.apply(catalog)
         if self.coordinator.term:
--- a/src/rosepath/entry_settings.py
+++ b/src/rosepath/entry_settings.py
@@ -4,6 +4,7 @@
 
 from pydantic import Field
 
+from rosepath.scheduling_mode import SchedulingMode
 from rosepath.settings import Address, Seconds, Section
 
 
@@ -45,6 +46,16 @@
     slack: Annotated[float, Field(ge=0)] = 0.0
 
 
+class SchedulingSettings(Section):
+    """When one entry VM assigns the requests of all of them to servers.
+
+    With `auto`, in large fleets that have streams of the highest rank which can't
+    be resumed at another server.
+    """
+
+    mode: SchedulingMode = SchedulingMode.AUTO
+
+
 class StopBounds(Section):
     """Time limit of a planned stop."""
 
@@ -89,6 +100,7 @@
     lease: LeaseSettings = LeaseSettings()
     retries: RetrySettings = RetrySettings()
     quotas: QuotaSettings = QuotaSettings()
+    scheduling: SchedulingSettings = SchedulingSettings()
     stop: StopBounds = StopBounds()
     # Time limit for ending the requests to a departing server, counted from
     # the moment the store records the departure.
--- a/src/rosepath/fleet.py
+++ b/src/rosepath/fleet.py
@@ -52,6 +52,8 @@
 
     unread_tokens: int = 0
     target: str = ""
+    # Its id at the scheduler; empty if none is in use.
+    run_id: str = ""
     # When its first event arrived from this server.
     first_event_s: float | None = None
     # Whether it went on after its start, which is when requests crash servers.
--- a/src/rosepath/peer_link.py
+++ b/src/rosepath/peer_link.py
@@ -23,6 +23,13 @@
     QuotaRequest,
     QuotaReturn,
 )
+from rosepath.scheduling_messages import (
+    AssignmentQuery,
+    AssignmentReply,
+    RunReports,
+    SchedulingMessage,
+    Withdrawal,
+)
 from rosepath.settings import split_address
 
 # An unanswered adapter request is sent again after this, as its datagram or the
@@ -52,6 +59,7 @@
         boot_clock: Clock | None = None,
     ) -> None:
         self.on_quota_message: Callable[[QuotaMessage], None] = lambda _: None
+        self.on_scheduling_message: Callable[[SchedulingMessage], None] = lambda _: None
         self.address = address
         self._data_centre = data_centre
         # Includes the time for which the machine was suspended.
@@ -107,6 +115,10 @@
                     asyncio.ensure_future(self._reply(request))
             case QuotaRequest() | QuotaReply() | QuotaReturn() as quota_message:
                 self.on_quota_message(quota_message)
+            case (
+                AssignmentQuery() | AssignmentReply() | RunReports() | Withdrawal()
+            ) as scheduling_message:
+                self.on_scheduling_message(scheduling_message)
             case AdapterReply() as reply:
                 pending = self._pending_replies.get(reply.adapter_request_id)
                 if pending is not None and not pending.done():
--- a/src/rosepath/peer_messages.py
+++ b/src/rosepath/peer_messages.py
@@ -16,6 +16,12 @@
     decode_quota_fields,
     encode_quota_fields,
 )
+from rosepath.scheduling_messages import (
+    TYPE_PREFIX as SCHEDULING_TYPE_PREFIX,
+    SchedulingMessage,
+    decode_scheduling_fields,
+    encode_scheduling_fields,
+)
 from rosepath.server_limits import ServerLimit
 
 # In a large fleet the holder of the placement lease sends the load of all
@@ -165,7 +171,14 @@
     delay_s: float = 0.0
 
 
-Message = PeerState | AdapterRequest | AdapterReply | ForwardedState | QuotaMessage
+Message = (
+    PeerState
+    | AdapterRequest
+    | AdapterReply
+    | ForwardedState
+    | QuotaMessage
+    | SchedulingMessage
+)
 
 
 def encode(message: Message) -> bytes:
@@ -192,6 +205,8 @@
         raw = json.loads(data)
         if raw["t"].startswith("quota"):
             return decode_quota_fields(raw)
+        if raw["t"].startswith(SCHEDULING_TYPE_PREFIX):
+            return decode_scheduling_fields(raw)
         match raw["t"]:
             case "state":
                 return _decode_state(raw)
@@ -214,10 +229,16 @@
 
 
 def _encode_fields(
-    message: PeerState | AdapterRequest | AdapterReply | QuotaMessage,
+    message: PeerState
+    | AdapterRequest
+    | AdapterReply
+    | QuotaMessage
+    | SchedulingMessage,
 ) -> dict[str, Any]:
     if isinstance(message, QuotaMessage):
         return encode_quota_fields(message)
+    if isinstance(message, SchedulingMessage):
+        return encode_scheduling_fields(message)
     if isinstance(message, AdapterRequest):
         return {
             "t": "ask",
--- a/src/rosepath/quota_client.py
+++ b/src/rosepath/quota_client.py
@@ -84,6 +84,8 @@
         send: Callable[[QuotaMessage, str], None],
         stopping: Callable[[], bool],
         has_limited_servers: Callable[[], bool] = lambda: False,
+        schedules_requests: Callable[[], bool] = lambda: False,
+        on_coordinator_changed: Callable[[], None] = lambda: None,
         link_mbps: float = 0.0,
         rng: random.Random | None = None,
     ) -> None:
@@ -97,6 +99,8 @@
         self._send = send
         self._stopping = stopping
         self._has_limited_servers = has_limited_servers
+        self._schedules_requests = schedules_requests
+        self._on_coordinator_changed = on_coordinator_changed
         self._rng = rng or random.Random()
         self._as_coordinator = QuotaCoordinator(tolerance)
         self.coordinator = entry_vm
@@ -156,7 +160,11 @@
         """Lend this VM's share to a coordinator, indefinitely."""
         while True:
             catalog = self._catalog()
-            needed = bool(catalog and catalog.quotas) or self._has_limited_servers()
+            needed = (
+                bool(catalog and catalog.quotas)
+                or self._has_limited_servers()
+                or self._schedules_requests()
+            )
             if needed:
                 await self._lend()
                 self._log_usage()
@@ -164,6 +172,17 @@
             pause_s = START_INTERVAL_S if starting else LEND_INTERVAL_S
             await asyncio.sleep(pause_s * self._rng.uniform(0.9, 1.0))
 
+    @property
+    def chosen_coordinator(self) -> str | None:
+        """Return the coordinator; None while other VMs may turn out to be it."""
+        if self._has_chosen or not self._peers.peers:
+            return self.coordinator
+        return None
+
+    async def choose_other(self, silent: str) -> None:
+        """Choose another coordinator than one that does not respond."""
+        await self._choose(excluded=silent)
+
     @property
     def _has_chosen(self) -> bool:
         return self._chosen_s > -math.inf
@@ -372,6 +391,7 @@
             previous=previous,
             fleet_size=self._fleet_size,
         )
+        self._on_coordinator_changed()
 
     def _probe(self, name: str) -> "asyncio.Future[QuotaReply]":
         request_id = self._next_id()
--- a/src/rosepath/relay.py
+++ b/src/rosepath/relay.py
@@ -8,6 +8,7 @@
 from tornado.httputil import HTTPHeaders
 
 from rosepath.api_keys import logged_digest
+from rosepath.assignment import RunOutcome
 from rosepath.attempt import AttemptError, AttemptOptions, ServerResponse
 from rosepath.caller_request import BadRequestError, CallerRequest
 from rosepath.catalog import HostRoute, RouteKind
@@ -27,6 +28,7 @@
 from rosepath.request_context import RETRY_AFTER_S, RelayPorts, RequestContext
 from rosepath.retries import Evidence
 from rosepath.retry_policy import RetryPolicy
+from rosepath.run_progress import RunProgress
 from rosepath.server_choice import (
     note_backoff,
     note_connect_failure,
@@ -48,6 +50,8 @@
 ROUTE_WAIT_S = 0.4
 # Length limit of logged hosts and paths, which callers choose.
 MAX_LOGGED_CHARS = 200
+EVENT_END = b"\n\n"
+
 _log = get_logger()
 
 
@@ -284,8 +288,16 @@
     async def _attempt(
         self, context: RequestContext, server: BackendServer, in_flight: InFlightRequest
     ) -> ServerResponse:
+        progress = RunProgress(
+            run_id=in_flight.run_id,
+            server=server.name,
+            sent_s=self._now_s(),
+            report=self._ports.scheduling.report,
+        )
+
         def on_events(head: ResponseHead, events: bytes) -> Awaitable[None] | None:
             server.last_activity_s = self._now_s()
+            progress.note_events(events.count(EVENT_END), now_s=server.last_activity_s)
             context.note_events(now_s=server.last_activity_s)
             in_flight.unread_tokens = 0
             self._suspects.note_events(context, in_flight)
@@ -322,21 +334,31 @@
             ),
             may_abort=lambda: self._retry_policy.should_leave(context, server),
             on_notice=lambda notice: self._apply_notice(server, notice),
+            on_load=lambda load: progress.note_load(load, now_s=self._now_s()),
         )
         self._retry_policy.consume_retry(context)
         server.in_flight_requests[context.call.request_id] = in_flight
         if server.half_open:
             server.probed_s = self._now_s()
         self._suspects.start(context, server, in_flight)
+        outcome = RunOutcome.FAILED
         try:
-            return await self._ports.attempts.send(
+            response = await self._ports.attempts.send(
                 context.call,
                 server,
                 options,
                 event_sequence=event_sequence,
                 on_events=on_events if event_sequence is not None else None,
             )
+            if response.head.status < 500:
+                outcome = RunOutcome.COMPLETED
+            return response
+        except AttemptError as error:
+            if error.evidence in (Evidence.NOT_SENT, Evidence.REFUSED):
+                outcome = RunOutcome.NOT_RUN
+            raise
         finally:
+            progress.end(outcome, now_s=self._now_s())
             server.in_flight_requests.pop(context.call.request_id, None)
             self._suspects.end(context)
 
--- a/src/rosepath/request_context.py
+++ b/src/rosepath/request_context.py
@@ -7,6 +7,7 @@
 from functools import cached_property
 from typing import Protocol
 
+from rosepath.assignment import Assignment, AssignmentRequest, Decision, RunReport
 from rosepath.attempt import AttemptSender
 from rosepath.caller_request import CallerRequest, Prompt
 from rosepath.catalog import Catalog, HostRoute, ServiceSpec
@@ -65,6 +66,43 @@
     def give_back(self, decision: QuotaDecision) -> None: ...
 
 
+class SchedulingPort(Protocol):
+    """Ask the scheduler for servers, and report runs to it."""
+
+    @property
+    def in_use(self) -> bool: ...
+
+    def next_id(self) -> str: ...
+
+    async def assign(
+        self, request: AssignmentRequest, *, on_waiting: Callable[[], None]
+    ) -> tuple[Decision | None, str]: ...
+
+    def note_placed(self, assignment: Assignment) -> None: ...
+
+    def report(self, report: RunReport) -> None: ...
+
+
+class Unscheduled:
+    """Leave the choice of servers to each entry VM."""
+
+    in_use = False
+
+    def next_id(self) -> str:
+        return ""
+
+    async def assign(
+        self, request: AssignmentRequest, *, on_waiting: Callable[[], None]
+    ) -> tuple[Decision | None, str]:
+        return None, ""
+
+    def note_placed(self, assignment: Assignment) -> None:
+        return
+
+    def report(self, report: RunReport) -> None:
+        return
+
+
 @dataclass(slots=True, kw_only=True)
 class RelayPorts:
     """Hold the dependencies of a relay."""
@@ -95,6 +133,8 @@
     # Version and age of the catalog.
     configuration: Callable[[], ConfigurationView] = lambda: UNKNOWN_CONFIGURATION
     quotas: QuotaPort = field(default_factory=Unlimited)
+    scheduling: SchedulingPort = field(default_factory=Unscheduled)
+    entry_vm: str = ""
     rng: random.Random = field(default_factory=random.Random)
 
 
@@ -121,6 +161,10 @@
     waited_s: float = 0.0
     unread_tokens: int = 0
     predicted_s: float = 0.0
+    # The scheduler that assigned its latest server, and the time that all its
+    # queries took.
+    scheduler: str = ""
+    scheduler_wait_s: float = 0.0
     responded_by: str = ""
     # Whether a retry is reserved in the budget for the next attempt.
     retry_reserved: bool = False
--- a/src/rosepath/request_records.py
+++ b/src/rosepath/request_records.py
@@ -56,6 +56,7 @@
             waited_s=round(context.waited_s, 3),
             unread_tokens=context.unread_tokens,
             predicted_s=round(context.predicted_s, 3),
+            **_scheduling_fields(context),
             first_s=round(first_s - arrived_s, 3) if first_s else None,
             took_s=round(took_s, 3),
             longest_pause_s=round(context.longest_pause_s, 3),
@@ -73,6 +74,16 @@
         return name
 
 
+def _scheduling_fields(context: RequestContext) -> dict[str, Any]:
+    """Return the log fields of a request that asked a scheduler."""
+    if not context.scheduler:
+        return {}
+    return {
+        "scheduler": context.scheduler,
+        "scheduler_wait_s": round(context.scheduler_wait_s, 3),
+    }
+
+
 def _quota_fields(context: RequestContext) -> dict[str, Any]:
     """Return the log fields of a request under a quota."""
     workspace = context.workspace
--- a/src/rosepath/scheduler.py
+++ b/src/rosepath/scheduler.py
@@ -77,6 +77,28 @@
         decisions += self.queue.take_rejected(now_s=now_s)
         return decisions
 
+    def adopt(self, assignment: Assignment, *, begun: bool, now_s: float) -> None:
+        """Record a run that another scheduler or its own entry VM placed."""
+        request_id = assignment.request.request_id
+        if self.work.server_of(request_id) is not None:
+            return
+        self.work.assign(assignment, now_s=now_s)
+        if begun:
+            self.work.servers[assignment.server].runs[request_id].begun_s = now_s
+
+    def unlisted_runs(
+        self, entry_vm: str, listed: Collection[str], *, assigned_before_s: float
+    ) -> list[Assignment]:
+        """Return the runs of an entry VM that it does not list any more."""
+        return [
+            run.assignment
+            for work in self.work.servers.values()
+            for request_id, run in work.runs.items()
+            if run.assignment.request.entry_vm == entry_vm
+            and run.assigned_s < assigned_before_s
+            and request_id not in listed
+        ]
+
     def drop_expired(self, *, now_s: float) -> None:
         """Forget runs and servers that are gone."""
         self.work.drop_expired(now_s=now_s)
--- a/src/rosepath/server_picker.py
+++ b/src/rosepath/server_picker.py
@@ -4,7 +4,18 @@
 import math
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
+from dataclasses import dataclass
 
+from rosepath.assignment import (
+    Assignment,
+    AssignmentRejection,
+    RunOutcome,
+    RunReport,
+)
+from rosepath.assignment_requests import (
+    build_assignment_request,
+    build_own_assignment,
+)
 from rosepath.caller_request import Prompt
 from rosepath.catalog import EngineSpec
 from rosepath.crash_records import Suspicion
@@ -36,9 +47,22 @@
 # successor.
 ADAPTER_WAIT_S = 0.4
 
+# Servers that the scheduler assigns to a request, but which this VM may not use
+# now, before the request waits for a change.
+MAX_UNUSABLE_ASSIGNMENTS = 3
+
 _log = get_logger()
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Wait:
+    """Hold since when and until when a request waits for a server."""
+
+    started_s: float
+    until_s: float
+    count: Callable[[], None]
+
+
 class ServerPicker:
     """Choose servers, load adapters and count waiting requests as demand."""
 
@@ -58,9 +82,8 @@
                     context.service.name, context.call.prompt
                 )
         with self._counted_waiting(context) as count_waiting:
-            return await self._choose_until(
-                context, started_s, wait_until_s, count_waiting
-            )
+            wait = _Wait(started_s=started_s, until_s=wait_until_s, count=count_waiting)
+            return await self._choose_until(context, wait)
 
     @staticmethod
     def _wait_limit_s(context: RequestContext, started_s: float) -> float:
@@ -98,32 +121,203 @@
                 models.note_waiting(service, prompt, step=-1)
 
     async def _choose_until(
-        self,
-        context: RequestContext,
-        started_s: float,
-        wait_until_s: float,
-        count_waiting: Callable[[], None],
+        self, context: RequestContext, wait: _Wait
     ) -> tuple[BackendServer, InFlightRequest]:
         while True:
             self._refuse_if_quarantined(context)
             await self._ports.ensure_fresh()
-            chosen = await self._pick(context)
+            scheduled, chosen = False, None
+            if self._asks_scheduler(context):
+                scheduled, chosen = await self._pick_assigned(context, wait)
+            if not scheduled:
+                chosen = await self._pick(context)
             now_s = self._now_s()
-            if chosen is not None and now_s < context.deadline_s:
-                context.waited_s += now_s - started_s
-                return chosen
+            if chosen is not None:
+                if now_s < context.deadline_s:
+                    context.waited_s += now_s - wait.started_s
+                    return chosen
+                server, in_flight = chosen
+                self._report_not_run(in_flight.run_id, server.name)
             self.give_back_admission(context)
-            if now_s >= min(wait_until_s, self._stop_limit_s(context)):
-                context.waited_s += now_s - started_s
-                raise _refused(
-                    context,
-                    "no_server",
-                    "no server can take the request now",
-                    retry_after_s=RETRY_AFTER_S,
+            self._refuse_if_out_of_time(context, wait)
+            self._refuse_if_late(context, wait.started_s, wait.until_s)
+            wait.count()
+            await self._wait_for_change(min(wait.until_s - now_s, 0.1))
+
+    def _refuse_if_out_of_time(self, context: RequestContext, wait: _Wait) -> None:
+        """Refuse a request that may wait no longer."""
+        now_s = self._now_s()
+        if now_s >= min(wait.until_s, self._stop_limit_s(context)):
+            context.waited_s += now_s - wait.started_s
+            raise _refused(
+                context,
+                "no_server",
+                "no server can take the request now",
+                retry_after_s=RETRY_AFTER_S,
+            )
+
+    def _asks_scheduler(self, context: RequestContext) -> bool:
+        """Return whether a request's server is assigned by the scheduler.
+
+        While no engine has its model, it waits here, as demand for the model.
+        """
+        return self._ports.scheduling.in_use and bool(self._eligible_servers(context))
+
+    async def _pick_assigned(
+        self, context: RequestContext, wait: _Wait
+    ) -> tuple[bool, tuple[BackendServer, InFlightRequest] | None]:
+        """Return whether a scheduler decided, and the server that it assigned.
+
+        Raises RefusalError if it rejects the request.
+        """
+        ports = self._ports
+        unusable: set[str] = set()
+
+        def check_waiting() -> None:
+            wait.count()
+            self._refuse_if_quarantined(context)
+            self._refuse_if_out_of_time(context, wait)
+            self._refuse_if_late(context, wait.started_s, wait.until_s)
+
+        while len(unusable) < MAX_UNUSABLE_ASSIGNMENTS:
+            avoided = self._suspects.avoided_servers(context, ports.fleet.servers)
+            if avoided is None or self._has_tried_all(context, avoided):
+                return True, None
+            now_s = self._now_s()
+            request = build_assignment_request(
+                context,
+                ports.scheduling.next_id(),
+                entry_vm=ports.entry_vm,
+                data_centre=ports.data_centre,
+                tried=frozenset(context.tried | avoided | unusable),
+                wait_until_s=min(wait.until_s, self._stop_limit_s(context)),
+                now_s=now_s,
+            )
+            try:
+                decision, context.scheduler = await ports.scheduling.assign(
+                    request, on_waiting=check_waiting
                 )
-            self._refuse_if_late(context, started_s, wait_until_s)
-            count_waiting()
-            await self._wait_for_change(min(wait_until_s - now_s, 0.1))
+            finally:
+                context.scheduler_wait_s += self._now_s() - now_s
+            if decision is None:
+                return False, None
+            if isinstance(decision, AssignmentRejection):
+                self._refuse_rejected(context, decision, wait)
+                return True, None
+            server = await self._prepare_assigned(context, decision)
+            if server is not None:
+                return True, (server, self._start_assigned(context, decision, server))
+            unusable.add(decision.server)
+        return True, None
+
+    def _has_tried_all(self, context: RequestContext, avoided: frozenset[str]) -> bool:
+        """Return whether no server is left to try; then any may be tried again."""
+        names = {server.name for server in self._eligible_servers(context)} - avoided
+        if names - context.tried:
+            return False
+        if context.service.engine is not None or not context.not_run:
+            context.tried.clear()
+        return True
+
+    def _refuse_rejected(
+        self, context: RequestContext, rejection: AssignmentRejection, wait: _Wait
+    ) -> None:
+        """Refuse a rejected request, unless that would lose it."""
+        if context.caller_cannot_retry:
+            return
+        context.waited_s += self._now_s() - wait.started_s
+        raise _refused(
+            context,
+            rejection.code,
+            "the scheduler has no server for the request",
+            retry_after_s=rejection.retry_after_s,
+        )
+
+    async def _prepare_assigned(
+        self, context: RequestContext, assignment: Assignment
+    ) -> BackendServer | None:
+        """Return the assigned server once the request may be sent to it."""
+        server = self._ports.fleet.servers.get(assignment.server)
+        prepared = False
+        try:
+            prepared = server is not None and await self._may_use(context, server)
+        finally:
+            if not prepared:
+                self.give_back_admission(context)
+                self._report_not_run(assignment.request.request_id, assignment.server)
+        return server if prepared else None
+
+    async def _may_use(self, context: RequestContext, server: BackendServer) -> bool:
+        """Return whether a request may be sent to a server as this VM sees it."""
+        ports, now_s = self._ports, self._now_s()
+        prompt, spec = context.call.prompt, context.service.engine
+        generates = spec is not None and prompt is not None
+        if not server.accepts_requests(now_s) or server.down_until_s > now_s:
+            return False
+        if generates and prompt and prompt.model not in server.resident_models:
+            return False
+        if not self._suspects.may_send_to(context, server):
+            return False
+        if not await self._admit_to_server(context, server):
+            return False
+        if not generates or prompt is None or holds_adapter(server, prompt):
+            return True
+        limit_s = min(ADAPTER_WAIT_S, context.deadline_s - now_s)
+        return await ports.models.ensure_adapter(
+            context.service.name, server, prompt, limit_s=limit_s
+        )
+
+    def _start_assigned(
+        self, context: RequestContext, assignment: Assignment, server: BackendServer
+    ) -> InFlightRequest:
+        prompt = context.call.prompt
+        in_flight = InFlightRequest(run_id=assignment.request.request_id)
+        context.predicted_s = assignment.first_event_s
+        if context.service.engine is not None and prompt is not None:
+            in_flight.unread_tokens = assignment.unread_tokens
+            in_flight.target = prompt.target
+            self._note_generation(context, server, prompt, assignment.unread_tokens)
+        return in_flight
+
+    def _note_generation(
+        self,
+        context: RequestContext,
+        server: BackendServer,
+        prompt: Prompt,
+        unread_tokens: int,
+    ) -> None:
+        """Record that a prompt will be read by an engine."""
+        context.unread_tokens = unread_tokens
+        self._ports.caches.note_read(server, prompt)
+        self._ports.models.note_prefill_work(
+            context.service.name, prompt, unread_tokens=unread_tokens
+        )
+
+    def _note_placed(
+        self, context: RequestContext, server: BackendServer, in_flight: InFlightRequest
+    ) -> InFlightRequest:
+        """Report a run for which this VM chose the server to the scheduler."""
+        scheduling = self._ports.scheduling
+        if scheduling.in_use:
+            in_flight.run_id = scheduling.next_id()
+            assignment = build_own_assignment(
+                context,
+                in_flight.run_id,
+                server.name,
+                entry_vm=self._ports.entry_vm,
+                data_centre=self._ports.data_centre,
+                unread_tokens=in_flight.unread_tokens,
+                now_s=self._now_s(),
+            )
+            scheduling.note_placed(assignment)
+        return in_flight
+
+    def _report_not_run(self, run_id: str, server: str) -> None:
+        if run_id:
+            report = RunReport(
+                request_id=run_id, server=server, outcome=RunOutcome.NOT_RUN
+            )
+            self._ports.scheduling.report(report)
 
     def _stop_limit_s(self, context: RequestContext) -> float:
         """Return until when a planned shutdown lets a request wait.
@@ -211,19 +405,14 @@
             return None
         if not self._suspects.may_send_to(context, server):
             return None
-        if choice is None or prompt is None:
-            return server, InFlightRequest()
-        ports.caches.note_read(choice.server, prompt)
-        ports.models.note_prefill_work(
-            context.service.name, prompt, unread_tokens=choice.unread_tokens
-        )
-        context.unread_tokens = choice.unread_tokens
-        context.predicted_s = choice.first_token_s
-        in_flight = InFlightRequest(
-            unread_tokens=choice.unread_tokens,
-            target=prompt.target,
-        )
-        return choice.server, in_flight
+        in_flight = InFlightRequest()
+        if choice is not None and prompt is not None:
+            self._note_generation(context, server, prompt, choice.unread_tokens)
+            context.predicted_s = choice.first_token_s
+            in_flight = InFlightRequest(
+                unread_tokens=choice.unread_tokens, target=prompt.target
+            )
+        return server, self._note_placed(context, server, in_flight)
 
     async def _pick_plain_server(
         self, context: RequestContext, avoided: frozenset[str]
