--- a/src/rosepath/peer_link.py
+++ b/src/rosepath/peer_link.py
@@ -26,6 +26,7 @@
 from rosepath.scheduling_messages import (
     AssignmentQuery,
     AssignmentReply,
+    RunListRequest,
     RunReports,
     SchedulingMessage,
     Withdrawal,
@@ -116,7 +117,11 @@
             case QuotaRequest() | QuotaReply() | QuotaReturn() as quota_message:
                 self.on_quota_message(quota_message)
             case (
-                AssignmentQuery() | AssignmentReply() | RunReports() | Withdrawal()
+                AssignmentQuery()
+                | AssignmentReply()
+                | RunListRequest()
+                | RunReports()
+                | Withdrawal()
             ) as scheduling_message:
                 self.on_scheduling_message(scheduling_message)
             case AdapterReply() as reply:
--- a/src/rosepath/scheduler_client.py
+++ b/src/rosepath/scheduler_client.py
@@ -26,6 +26,7 @@
     AssignmentReply,
     AssignmentStatus,
     RunInProgress,
+    RunListRequest,
     RunReports,
     SchedulingMessage,
     Withdrawal,
@@ -122,6 +123,7 @@
         self._avoided_until_s = -math.inf
         self._lost = ""
         host.on_own_decision = self._take_own_decision
+        host.request_run_lists = self._request_run_lists
 
     @property
     def in_use(self) -> bool:
@@ -184,9 +186,15 @@
 
     def handle(self, message: SchedulingMessage) -> None:
         """Handle another entry VM's message."""
-        if not isinstance(message, AssignmentReply):
-            self._host.handle(message)
-            return
+        match message:
+            case AssignmentReply():
+                self._take_reply(message)
+            case RunListRequest():
+                self._list_runs(lambda runs: self._send(runs, message.reply_to))
+            case _:
+                self._host.handle(message)
+
+    def _take_reply(self, message: AssignmentReply) -> None:
         pending = self._pending.get(message.request_id)
         if pending is not None:
             pending.replies.put_nowait(message)
@@ -202,14 +210,16 @@
         scheduler = self._scheduler()
         _log.info("scheduler_chosen", peer=scheduler or "", runs=len(self._runs))
         if self.in_use:
-            self._send_all_runs()
+            self._flush()
+            self._list_runs(self._send_reports)
 
     async def run(self) -> None:
         """List the runs in progress to the scheduler, indefinitely."""
         while True:
             await asyncio.sleep(LIST_INTERVAL_S)
             if self.in_use:
-                self._send_all_runs()
+                self._flush()
+                self._list_runs(self._send_reports)
 
     # Queries
 
@@ -400,16 +410,19 @@
             )
             self._send_reports(message)
 
-    def _send_all_runs(self) -> None:
-        """List all runs in progress, also if there are none."""
-        self._flush()
+    def _request_run_lists(self) -> None:
+        """Ask the other VMs for their runs, as this one schedules now."""
+        request = RunListRequest(scheduler=self._me, reply_to=self._address)
+        for peer in self._peers.peers.values():
+            self._send(request, peer.address)
+
+    def _list_runs(self, send: Callable[[RunReports], None]) -> None:
+        """Send a list of all runs in progress, also if there are none."""
         runs = tuple(map(self._describe, self._runs.values()))
         complete = len(runs) <= MAX_LISTED_RUNS
         for at in range(0, max(1, len(runs)), MAX_LISTED_RUNS):
             some_runs = runs[at : at + MAX_LISTED_RUNS]
-            self._send_reports(
-                RunReports(entry_vm=self._me, runs=some_runs, complete=complete)
-            )
+            send(RunReports(entry_vm=self._me, runs=some_runs, complete=complete))
 
     def _describe(self, run: _Run) -> RunInProgress:
         request, prompt = run.assignment.request, run.assignment.request.prompt
--- a/src/rosepath/scheduler_host.py
+++ b/src/rosepath/scheduler_host.py
@@ -31,9 +31,9 @@
 # ends of prefills pass unannounced.
 STEP_INTERVAL_S = 0.015
 EXPIRY_INTERVAL_S = 1.0
-# A VM that takes over assigns nothing for so long. Meanwhile the others find out
-# that the last scheduler is silent and report their runs in progress.
-SETTLING_S = 0.5
+# A VM that takes over assigns nothing for so long. Meanwhile the others list their
+# runs in progress, which takes some milliseconds, or longer on a busy VM.
+SETTLING_S = 0.3
 # All VMs report their runs every second. After so long without any report, this
 # VM is not the scheduler any more, and what it knows is outdated.
 INACTIVE_AFTER_S = 3.0
@@ -57,7 +57,8 @@
 class SchedulerHost:
     """Own this VM's scheduler and the addresses of those that wait for it.
 
-    Decisions about its own requests go to `on_own_decision`.
+    Decisions about its own requests go to `on_own_decision`; `request_run_lists`
+    asks all VMs for their runs in progress.
     """
 
     def __init__(
@@ -75,6 +76,7 @@
         self._send = send
         self._stopping = stopping
         self.on_own_decision: Callable[[Decision], None] = lambda _: None
+        self.request_run_lists: Callable[[], None] = lambda: None
         self._askers: dict[str, _Asker] = {}
         self._used_s = -math.inf
         self._settled_s = -math.inf
@@ -88,10 +90,11 @@
     def settling_s(self) -> float:
         """Return how long this VM does not assign yet, now that it is asked."""
         now_s = self._now_s()
-        if now_s - self._used_s > INACTIVE_AFTER_S:
+        inactive_s, self._used_s = now_s - self._used_s, now_s
+        if inactive_s > INACTIVE_AFTER_S:
             self._settled_s = now_s + SETTLING_S
             _log.info("scheduler_started", settling_s=SETTLING_S)
-        self._used_s = now_s
+            self.request_run_lists()
         return max(0.0, self._settled_s - now_s)
 
     # Requests of this VM
--- a/src/rosepath/scheduling_messages.py
+++ b/src/rosepath/scheduling_messages.py
@@ -105,6 +105,14 @@
     complete: bool = False
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RunListRequest:
+    """Ask an entry VM for all its runs in progress, as the sender schedules now."""
+
+    scheduler: str
+    reply_to: str
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Withdrawal:
     """Withdraw a request that will not run, whether it waits or has a server."""
@@ -113,7 +121,9 @@
     entry_vm: str
 
 
-SchedulingMessage = AssignmentQuery | AssignmentReply | RunReports | Withdrawal
+SchedulingMessage = (
+    AssignmentQuery | AssignmentReply | RunListRequest | RunReports | Withdrawal
+)
 
 
 def encode_scheduling_fields(message: SchedulingMessage) -> dict[str, Any]:
@@ -157,6 +167,12 @@
                 "reports": [_encode_report(report) for report in message.reports],
                 "all": int(message.complete),
             }
+        case RunListRequest():
+            return {
+                "t": "sched-list",
+                "vm": message.scheduler,
+                "to": message.reply_to,
+            }
         case Withdrawal():
             return {
                 "t": "sched-withdraw",
@@ -203,6 +219,8 @@
                 reports=tuple(_decode_report(report) for report in raw["reports"]),
                 complete=bool(raw["all"]),
             )
+        case "sched-list":
+            return RunListRequest(scheduler=str(raw["vm"]), reply_to=str(raw["to"]))
         case "sched-withdraw":
             return Withdrawal(request_id=str(raw["id"]), entry_vm=str(raw["vm"]))
     return None
