--- a/src/rosepath/attempt.py
+++ b/src/rosepath/attempt.py
@@ -163,6 +163,13 @@
         earlier_connections = frozenset(options.connections)
         heads: list[tuple[ResponseHead, ResponseMetadata]] = []
 
+        def evidence() -> Evidence:
+            if not tracker.sent:
+                return Evidence.NOT_SENT
+            if heads and heads[0][1].not_run:
+                return Evidence.REFUSED
+            return _evidence_of(event_sequence)
+
         def on_sending(connection: Connection) -> None:
             tracker.note_sending(connection)
             options.connections.add(connection)
@@ -183,7 +190,8 @@
                         "the response is too large",
                         step=Step.RESPONSE,
                         peer=server.name,
-                        evidence=Evidence.SENT,
+                        evidence=evidence(),
+                        status=head.status,
                     )
                 body.append(data)
                 return None
@@ -224,11 +232,14 @@
             raise self._attempt_error(error, event_sequence, heads) from error
         except TimeoutError as error:
             raise AttemptError(
-                "no whole answer in time",
-                step=Step.RESPONSE,
+                "no whole answer in time" if tracker.sent else "no connection in time",
+                step=Step.RESPONSE if tracker.sent else Step.CONNECT,
                 peer=server.name,
-                evidence=_evidence_of(event_sequence),
-                timed_out=True,
+                evidence=evidence(),
+                timed_out=tracker.sent,
+                # The server was given less than the time to connect.
+                withdrawn=not tracker.sent,
+                status=heads[0][0].status if heads else 0,
             ) from error
         except EventSequenceError as error:
             raise AttemptError(
--- a/src/rosepath/evidence_basis.py
+++ b/src/rosepath/evidence_basis.py
@@ -53,6 +53,8 @@
         self._call = call
         self._server = server
         self._clock = clock
+        # Whether the first byte may have been sent.
+        self.sent = False
         self._sent_s = 0.0
         self._earlier_exchanges = 0
         self._skipped = 0
@@ -61,6 +63,7 @@
 
     def note_sending(self, connection: Connection) -> None:
         """Record the connection, right before the first byte is sent."""
+        self.sent = True
         self._sent_s = self._clock.monotonic_s()
         self._earlier_exchanges = connection.exchange_count
 
--- a/tests/test_refusal_evidence.py
+++ b/tests/test_refusal_evidence.py
@@ -14,7 +14,17 @@
     answer,
     running_gateway,
 )
+from timed_engines import (
+    Caller,
+    ScriptedEngine,
+    Timetable,
+    a_relay_harness,
+    never_responds,
+    plain_service_caller,
+    run as run_in_virtual_time,
+)
 
+from rosepath.attempt import MAX_BODY_BYTES
 from rosepath.catalog import HostRoute, RouteKind
 
 FILE = "POST /drafts/1 HTTP/1.1\r\nRequest-Id: q1"
@@ -165,3 +175,55 @@
         assert b"Retry-After: 1" in data
 
     asyncio.run(run())
+
+
+def caller_of(engine: ScriptedEngine, *, wait_ms: int) -> Caller:
+    """Serve a request that must run once, from a caller that leaves soon."""
+    caller = plain_service_caller()
+    caller.headers["Request-Deadline-Ms"] = str(wait_ms)
+
+    async def play() -> None:
+        route = a_plain_route(RouteKind.NON_IDEMPOTENT)
+        harness = a_relay_harness(engine, route=route)
+        await harness.serve(caller)
+        if not engine.requests:
+            # Its own deadline says nothing of the server.
+            assert harness.fleet.servers[engine.name].connect_failed_s < 0
+
+    run_in_virtual_time(play)
+    return caller
+
+
+# Guards against a deadline that ends an attempt to connect counting as a run: the
+# caller would not send the request again, although no byte of it was sent.
+def test_a_deadline_while_connecting_refuses_as_not_run() -> None:
+    engine = ScriptedEngine("s1", never_responds, unreachable=True)
+    caller = caller_of(engine, wait_ms=300)
+    assert not engine.requests
+    assert (caller.status, bool(caller.retry_after)) == (503, True)
+
+
+# Guards against the proof in a rejection's head being dropped as its body is late.
+def test_a_deadline_within_a_rejection_refuses_as_not_run() -> None:
+    def begins_rejection(received: ReceivedRequest) -> Timetable:
+        return [(0.01, answer(received, 503, b"busy", NOT_RUN_HEADER)[:-2])]
+
+    caller = caller_of(ScriptedEngine("s1", begins_rejection), wait_ms=300)
+    assert (caller.status, bool(caller.retry_after)) == (503, True)
+
+
+# Guards against the same for a rejection whose body is too large to be kept.
+def test_a_rejection_with_a_large_body_refuses_as_not_run() -> None:
+    def rejects_at_length(received: ReceivedRequest) -> Timetable:
+        body = bytes(MAX_BODY_BYTES + 1)
+        return [(0.01, answer(received, 503, body, NOT_RUN_HEADER))]
+
+    caller = caller_of(ScriptedEngine("s1", rejects_at_length), wait_ms=300)
+    assert (caller.status, bool(caller.retry_after)) == (503, True)
+
+
+# Guards against the mend promising too much: a request that was sent and got no
+# response by its deadline may run.
+def test_a_deadline_after_sending_promises_nothing() -> None:
+    caller = caller_of(ScriptedEngine("s1", never_responds), wait_ms=300)
+    assert (caller.status, caller.retry_after) == (504, "")
--- a/tests/timed_engines.py
+++ b/tests/timed_engines.py
@@ -73,6 +73,8 @@
     aborted_at_s: list[float] = field(default_factory=list)
     crashed_at_s: list[float] = field(default_factory=list)
     up: bool = True
+    # Whether its address answers no attempt to connect.
+    unreachable: bool = False
     open: "list[_TimedTransport]" = field(default_factory=list)
     on_restart: "Callable[[ScriptedEngine], None]" = lambda _: None
 
@@ -162,6 +164,15 @@
     async def _dial_engine(self, address: str, *, timeout_s: float) -> Connection:
         connection = Connection()
         engine = self._engines[address]
+        if engine.unreachable:
+            await asyncio.sleep(timeout_s)
+            raise ExchangeError(
+                "cannot connect: timed out",
+                step=Step.CONNECT,
+                peer=address,
+                sent=False,
+                timed_out=True,
+            )
         if not engine.up:
             raise ExchangeError(
                 "cannot connect: refused",
