--- a/src/rosepath/model_arrivals.py
+++ b/src/rosepath/model_arrivals.py
@@ -69,6 +69,7 @@
     wait_until_s: float,
     now_s: float,
     rng: random.Random,
+    shortest_load_s: float = 0.0,
 ) -> WaitChoice:
     """Decide whether a request waits for a model that no engine holds.
 
@@ -76,9 +77,12 @@
     is refused at once with the time at which the model will be available.
     Holding it until the limit would only leave its caller less time for a
     retry. If no load is announced the request keeps waiting, because waiting
-    requests count as demand and cause the load.
+    requests count as demand and cause the load, until even the shortest load
+    would end too late.
     """
-    if due_s is None or due_s <= wait_until_s:
+    if due_s is None:
+        due_s = now_s + shortest_load_s
+    if due_s <= wait_until_s:
         return WaitChoice(decision=WaitDecision.KEEP_WAITING)
     retry_after_s = max(0.0, due_s - now_s) + rng.uniform(0.0, RETRY_JITTER_S)
     return WaitChoice(decision=WaitDecision.REFUSE, retry_after_s=retry_after_s)
--- a/src/rosepath/request_context.py
+++ b/src/rosepath/request_context.py
@@ -95,6 +95,9 @@
     # Version and age of the catalog.
     configuration: Callable[[], ConfigurationView] = lambda: UNKNOWN_CONFIGURATION
     quotas: QuotaPort = field(default_factory=Unlimited)
+    # Whether a request without a model ends its wait as soon as no load can
+    # be done in time.
+    ends_hopeless_waits: Callable[[], bool] = lambda: False
     rng: random.Random = field(default_factory=random.Random)
 
 
--- a/src/rosepath/retry_policy.py
+++ b/src/rosepath/retry_policy.py
@@ -6,7 +6,7 @@
 from rosepath.errors import RefusalError, Run, refuse
 from rosepath.fleet import BackendServer
 from rosepath.logs import get_logger
-from rosepath.request_context import RETRY_AFTER_S, RelayPorts, RequestContext
+from rosepath.request_context import RelayPorts, RequestContext
 from rosepath.retries import Attempt, Obstacle, find_obstacle
 from rosepath.retry_window import RetryWindow
 from rosepath.server_picker import ServerPicker
@@ -183,7 +183,7 @@
                 error.message,
                 step=error.step,
                 peer=error.peer,
-                retry_after_s=RETRY_AFTER_S,
+                retry_after_s=self._picker.retry_after_s(context),
             )
         out_of_time = self._now_s() >= context.deadline_s
         return refuse(
--- a/src/rosepath/server_picker.py
+++ b/src/rosepath/server_picker.py
@@ -14,10 +14,11 @@
     has_capacity,
     holds_adapter,
 )
+from rosepath.engine_views import load_duration_s
 from rosepath.errors import RefusalError, Run, Step, refuse
 from rosepath.fleet import BackendServer, InFlightRequest
 from rosepath.logs import get_logger
-from rosepath.model_arrivals import WaitDecision, choose_wait
+from rosepath.model_arrivals import RETRY_JITTER_S, WaitDecision, choose_wait
 from rosepath.request_context import RETRY_AFTER_S, RelayPorts, RequestContext
 from rosepath.server_choice import choose_server, healthy_servers
 from rosepath.suspect_tracker import SuspectTracker
@@ -119,7 +120,7 @@
                     context,
                     "no_server",
                     "no server can take the request now",
-                    retry_after_s=RETRY_AFTER_S,
+                    retry_after_s=self.retry_after_s(context),
                 )
             self._refuse_if_late(context, started_s, wait_until_s)
             count_waiting()
@@ -171,12 +172,50 @@
         else:
             return
         choice = choose_wait(
-            due_s=due_s, wait_until_s=wait_until_s, now_s=now_s, rng=self._ports.rng
+            due_s=due_s,
+            wait_until_s=wait_until_s,
+            now_s=now_s,
+            rng=self._ports.rng,
+            shortest_load_s=self._shortest_load_s(context),
         )
         if choice.decision is WaitDecision.REFUSE:
             context.waited_s += now_s - started_s
             raise _refused(context, code, why, retry_after_s=choice.retry_after_s)
 
+    def _shortest_load_s(self, context: RequestContext) -> float:
+        """Return how long a load of the request's model takes at least.
+
+        0 if that is unknown, or if requests wait for loads up to their limit.
+        """
+        prompt, spec = context.call.prompt, context.service.engine
+        if not prompt or not spec or not self._ports.ends_hopeless_waits():
+            return 0.0
+        model = spec.models.get(prompt.model)
+        if model is None:
+            return 0.0
+        return min(
+            (
+                load_duration_s(server, model)
+                for server in self._ports.fleet.of_service(context.service.name)
+                if server.usable
+            ),
+            default=0.0,
+        )
+
+    def retry_after_s(self, context: RequestContext) -> float:
+        """Return when the caller of a request that did not run may retry.
+
+        Before an announced load of its model, it would be refused again.
+        """
+        prompt = context.call.prompt
+        if not prompt or not context.service.engine or self._eligible_servers(context):
+            return RETRY_AFTER_S
+        due_s = self._ports.models.model_due_s(prompt.model)
+        if due_s is None:
+            return RETRY_AFTER_S
+        jitter_s = self._ports.rng.uniform(0.0, RETRY_JITTER_S)
+        return max(RETRY_AFTER_S, due_s - self._now_s() + jitter_s)
+
     def _eligible_servers(self, context: RequestContext) -> list[BackendServer]:
         """Return the servers that could serve a request, now or soon."""
         prompt, spec = context.call.prompt, context.service.engine
--- a/tests/test_model_arrivals.py
+++ b/tests/test_model_arrivals.py
@@ -47,6 +47,24 @@
     assert choose(None, now_s=11.6).decision is WaitDecision.KEEP_WAITING
 
 
+# Guards against requests for an absent model that are held although no load can
+# be done before their callers leave.
+def test_a_wait_ends_when_the_shortest_load_would_end_too_late() -> None:
+    def choose_at(now_s: float) -> WaitChoice:
+        return choose_wait(
+            due_s=None,
+            wait_until_s=11.7,
+            now_s=now_s,
+            rng=random.Random(1),
+            shortest_load_s=4.0,
+        )
+
+    assert choose_at(7.6).decision is WaitDecision.KEEP_WAITING
+    late = choose_at(7.8)
+    assert late.decision is WaitDecision.REFUSE
+    assert 4.0 <= late.retry_after_s <= 4.0 + RETRY_JITTER_S
+
+
 def test_announced_loads_replace_earlier_ones_and_expire() -> None:
     arrivals = ModelArrivals()
     announced = (ModelArrival("e1", "m0", 4.0), ModelArrival("e2", "m0", 2.0))
--- a/tests/test_retry_policy.py
+++ b/tests/test_retry_policy.py
@@ -5,11 +5,13 @@
 """
 
 import asyncio
-from dataclasses import replace
+from dataclasses import dataclass, replace
+from typing import Any
 
-from entry_builders import a_route
-from entry_harness import ReceivedRequest, answer
+from entry_builders import a_model, a_route
+from entry_harness import NoModelOrders, ReceivedRequest, answer
 from timed_engines import (
+    Caller,
     ScriptedEngine,
     Timetable,
     a_plain_service_route,
@@ -28,6 +30,9 @@
     run,
     successive_scripts,
 )
+from virtual_time import VirtualLoop
+
+from rosepath.model_arrivals import RETRY_JITTER_S
 
 
 def test_a_begun_stream_outlasts_the_limit_of_refusals() -> None:
@@ -225,3 +230,70 @@
         assert spare.received_at_s[1] - spare.received_at_s[0] >= 4.0
 
     run(play)
+
+
+@dataclass(slots=True)
+class AnnouncedLoad(NoModelOrders):
+    """Announce a load of every model, and count the requests that wait."""
+
+    due_in_s: float | None = None
+    waited: int = 0
+
+    def model_due_s(self, _: str) -> float | None:
+        if self.due_in_s is None:
+            return None
+        return asyncio.get_running_loop().time() + self.due_in_s
+
+    def note_waiting(self, *_: Any, step: int) -> None:
+        self.waited += step > 0
+
+
+def lacks_model(received: ReceivedRequest) -> Timetable:
+    return [(0.005, answer(received, 421, b"", "Not-Executed: 1\r\n"))]
+
+
+def refused_for_an_absent_model(
+    models: AnnouncedLoad, *, retries: float, ends_hopeless_waits: bool = False
+) -> tuple[Caller, float]:
+    """Serve a request that its only engine rejects; return when that ended."""
+    caller = generation_caller()
+
+    async def play() -> float:
+        harness = a_relay_harness(ScriptedEngine("e1", lacks_model), retries=retries)
+        ports = harness.relay._ports
+        ports.models = models
+        ports.ends_hopeless_waits = lambda: ends_hopeless_waits
+        await harness.serve(caller)
+        return asyncio.get_running_loop().time() - caller.arrived_s
+
+    loop = VirtualLoop()
+    try:
+        return caller, loop.run_until_complete(play())
+    finally:
+        loop.close()
+
+
+# Guards against callers that return before the model is there, and are rejected
+# again: the retry budget is spent while a model moves between engines.
+def test_a_request_for_an_absent_model_is_told_when_it_is_loaded() -> None:
+    models = AnnouncedLoad(due_in_s=9.0)
+    caller, _ = refused_for_an_absent_model(models, retries=0.0)
+    assert caller.status == 503
+    assert 9.0 <= float(caller.retry_after) <= 9.0 + RETRY_JITTER_S
+
+
+# Guards against requests for a model that no engine has being held until their
+# callers leave: a model that was just evicted, and whose load takes longer than
+# they wait.
+def test_a_wait_for_a_model_ends_when_no_load_can_be_done_in_time() -> None:
+    models = AnnouncedLoad()
+    caller, took_s = refused_for_an_absent_model(
+        models, retries=9.0, ends_hopeless_waits=True
+    )
+    patient, patient_s = refused_for_an_absent_model(AnnouncedLoad(), retries=9.0)
+    assert (caller.status, patient.status) == (503, 503)
+    disk_load_s = a_model("m0").disk_load_s
+    assert abs(patient_s - took_s - disk_load_s) < 0.2
+    assert float(caller.retry_after) >= disk_load_s
+    # It counts as demand while it waits.
+    assert models.waited == 1
