--- a/src/rosepath/request_context.py
+++ b/src/rosepath/request_context.py
@@ -135,6 +135,9 @@
     quotas: QuotaPort = field(default_factory=Unlimited)
     scheduling: SchedulingPort = field(default_factory=Unscheduled)
     entry_vm: str = ""
+    # Whether a request without a model ends its wait as soon as no load can
+    # be done in time.
+    ends_hopeless_waits: Callable[[], bool] = lambda: False
     rng: random.Random = field(default_factory=random.Random)
 
 
--- a/tests/scheduling_fleet.py
+++ b/tests/scheduling_fleet.py
@@ -102,7 +102,6 @@
                 fleet=fleet,
                 caches=PromptCaches(),
                 catalog=lambda: catalog,
-                rng=self.rng,
             ),
             clock=clock,
             send=send,
