--- a/src/rosepath/engine_choice.py
+++ b/src/rosepath/engine_choice.py
@@ -8,9 +8,8 @@
 from rosepath.fleet import BackendServer
 from rosepath.rendezvous import ranked
 from rosepath.server_choice import healthy_servers
+from rosepath.server_pace import PRIOR_PREFILL_TOKENS_PER_S
 
-# Assumed number of prompt tokens that an engine prefills per second.
-PREFILL_TOKENS_PER_S = 30_000.0
 # Added for an engine in another data centre.
 REMOTE_PENALTY_S = 0.002
 # A failed request is prefilled again on another engine, on top of the time
@@ -113,7 +112,8 @@
     for rank, name in enumerate(ranking):
         engine = pool[name]
         unread = max(0, prompt.input_tokens - cached_tokens(engine, prompt))
-        first_token_s = (engine.unread_tokens + unread) / PREFILL_TOKENS_PER_S
+        tokens = engine.unread_tokens + unread
+        first_token_s = tokens / PRIOR_PREFILL_TOKENS_PER_S
         first_token_s += engine.requests * BATCH_PENALTY_S
         if engine.entry.data_centre != data_centre:
             first_token_s += REMOTE_PENALTY_S
--- a/src/rosepath/server_pace.py
+++ b/src/rosepath/server_pace.py
@@ -8,7 +8,7 @@
 from statistics import median
 from typing import NamedTuple
 
-# Until runs show otherwise.
+# Until runs show otherwise, and where nothing is learned.
 PRIOR_PREFILL_TOKENS_PER_S = 30_000.0
 PRIOR_EVENT_GAP_S = 0.03
 # Shorter prefills are dominated by the steps of other requests.
