--- a/src/rosepath/server_work.py
+++ b/src/rosepath/server_work.py
@@ -80,7 +80,16 @@
         output = self.cost.events.mean if self.cost is not None else 0.0
         return prompt.input_tokens + math.ceil(max(output, self.events))
 
-    def events_done(self, *, event_gap_s: float, now_s: float) -> float:
+    def left_s(self, *, event_gap_s: float, now_s: float) -> float:
+        """Return the predicted time to its end, without its prefill."""
+        if self.cost is None:
+            return 0.0
+        if not self.model:
+            return self.cost.run_time_s.left(max(0.0, now_s - self.arrives_s))
+        done = self._events_done(event_gap_s=event_gap_s, now_s=now_s)
+        return self.cost.events.left(done) * event_gap_s
+
+    def _events_done(self, *, event_gap_s: float, now_s: float) -> float:
         """Return the events that it has sent by now, as far as predicted."""
         if self.begun_s is None:
             return 0.0
@@ -143,23 +152,24 @@
 
     def work_left_s(self, now_s: float) -> float:
         """Return the predicted time until each run ends, added up over the runs."""
-        return sum(self.run_left_s(run, now_s=now_s) for run in self.runs.values())
+        return sum(self.runs_left_s(now_s))
 
-    def run_left_s(self, run: AssignedRun, *, now_s: float) -> float:
-        """Return the predicted time until a run ends.
+    def runs_left_s(self, now_s: float) -> list[float]:
+        """Return the predicted time until each run ends.
 
         For one whose prompt is not prefilled, this includes the whole prefill
         queue.
         """
-        if run.cost is None:
-            return 0.0
-        if not run.model:
-            done_s = max(0.0, now_s - run.arrives_s)
-            return run.cost.run_time_s.left(done_s)
-        gap_s = self.pace.event_gap_s(model=run.model)
-        done = run.events_done(event_gap_s=gap_s, now_s=now_s)
-        left_s = run.cost.events.left(done) * gap_s
-        return left_s + (self.prefill_left_s(now_s) if run.unread else 0.0)
+        prefill_s = self.prefill_left_s(now_s)
+        event_gaps_s = {
+            model: self.pace.event_gap_s(model=model)
+            for model in {run.model for run in self.runs.values()}
+        }
+        return [
+            run.left_s(event_gap_s=event_gaps_s[run.model], now_s=now_s)
+            + (prefill_s if run.unread else 0.0)
+            for run in self.runs.values()
+        ]
 
     def next_free_s(self, now_s: float, *, slots: int = 0) -> float:
         """Return in how long a place and the prefill queue are predicted free.
@@ -170,8 +180,7 @@
         surplus = len(self.runs) - slots
         if slots <= 0 or surplus < 0:
             return prefill_s
-        left_s = sorted(self.run_left_s(run, now_s=now_s) for run in self.runs.values())
-        return max(prefill_s, left_s[surplus])
+        return max(prefill_s, sorted(self.runs_left_s(now_s))[surplus])
 
     def begin(self, run: AssignedRun, *, begun_s: float, learn: bool = True) -> None:
         """Record a run's first event, and learn how long its prefill took."""
--- a/tests/test_server_work.py
+++ b/tests/test_server_work.py
@@ -319,7 +319,7 @@
     work = table.of_server("e1")
     now_s = 0.51
     assert work.next_free_s(now_s, slots=4) == 0.0
-    ends_s = sorted(work.run_left_s(run, now_s=now_s) for run in work.runs.values())
+    ends_s = sorted(work.runs_left_s(now_s))
     assert work.next_free_s(now_s, slots=3) == ends_s[0]
     assert work.next_free_s(now_s, slots=2) == ends_s[1]
     assert 0 < ends_s[0] < ends_s[2]
