--- a/src/rosepath/server_work.py
+++ b/src/rosepath/server_work.py
@@ -3,7 +3,6 @@
 import math
 from collections import Counter, OrderedDict
 from dataclasses import dataclass, field
-from itertools import islice
 
 from rosepath.assignment import Assignment, RunOutcome, RunReport
 from rosepath.request_cost import RequestCost, RequestCosts
@@ -19,12 +18,13 @@
 REPORT_DELAY_S = 0.1
 # Requests assigned closer together may arrive in the other order.
 ARRIVAL_ORDER_S = 0.02
-# A run that nobody has reported is set aside so long after its first event or
-# response was due: longer than a stalled engine is common, and shorter than
-# callers wait.
+# A run counts as unreported so long after its next report was due. Most servers
+# that are late answer by then, and callers wait longer.
 UNREPORTED_S = 1.5
-# The runs of an entry VM that has sent nothing for so long are set aside. An
-# entry VM reports the runs it has more often than this.
+# The end of a run is due after this multiple of a long run's time.
+LONG_RUN_FACTOR = 2.0
+# The runs of an entry VM that has sent nothing for so long count as unreported.
+# An entry VM with runs has to send a message more often than this.
 SILENT_ENTRY_VM_S = 3.0
 # Ended runs that are remembered, so that a report sent again doesn't count.
 MAX_ENDED_RUNS = 20_000
@@ -103,7 +103,8 @@
 
     born_ms: int = 0
     runs: dict[str, AssignedRun] = field(default_factory=dict)
-    # Runs without the report that was due; they may go on nevertheless.
+    # Runs without the report that was due. They take no place, and are counted
+    # again with the next report.
     unreported: dict[str, AssignedRun] = field(default_factory=dict)
     pace: ServerPace = field(default_factory=ServerPace)
     # When it will have prefilled all prompts that it was assigned.
@@ -207,13 +208,17 @@
         """Predict anew when the server will have prefilled what is unread."""
         ends_s = self.last_begun_s
         self.overdue_from_s = math.inf
-        for run in self.runs.values():
-            tokens = run.assignment.unread_tokens
-            if not run.unread or tokens <= 0:
-                continue
+        unread = [
+            run
+            for run in self.runs.values()
+            if run.unread and run.assignment.unread_tokens > 0
+        ]
+        for run in sorted(unread, key=lambda run: run.assigned_s):
             started_s = max(ends_s, run.arrives_s)
             ends_s = started_s + self.pace.prefill_s(
-                tokens, now_s=max(now_s, started_s), model=run.model
+                run.assignment.unread_tokens,
+                now_s=max(now_s, started_s),
+                model=run.model,
             )
             if self.overdue_from_s == math.inf:
                 due_s = max(ends_s, run.assigned_s + run.assignment.first_event_s)
@@ -320,7 +325,7 @@
         work.recompute_prefill(now_s=now_s)
 
     def _find_run(self, report: RunReport) -> AssignedRun | None:
-        """Return the run of a report; one that was set aside counts again."""
+        """Return the run of a report; an unreported one is counted again."""
         request_id, server = report.request_id, report.server
         work = self.servers.get(server)
         if work is None:
@@ -378,15 +383,15 @@
             del self._server_of[request_id]
         self._ended[(request_id, server)] = None
         self._ended.move_to_end((request_id, server))
-        for old in list(islice(self._ended, max(0, len(self._ended) - MAX_ENDED_RUNS))):
-            del self._ended[old]
+        while len(self._ended) > MAX_ENDED_RUNS:
+            self._ended.popitem(last=False)
 
     def server_of(self, request_id: str) -> str | None:
         """Return the server that a request is assigned to."""
         return self._server_of.get(request_id)
 
     def drop_expired(self, *, now_s: float) -> None:
-        """Drop runs that must have ended, and set aside those without reports."""
+        """Drop runs that must have ended; find those that are unreported."""
         for server, work in self.servers.items():
             known = {**work.runs, **work.unreported}
             expired = [
@@ -397,7 +402,9 @@
             for request_id in expired:
                 self._drop(work, request_id, server=server)
             silent = [
-                run for run in work.runs.values() if self._is_silent(run, now_s=now_s)
+                run
+                for run in work.runs.values()
+                if self._is_silent(run, pace=work.pace, now_s=now_s)
             ]
             for run in silent:
                 del work.runs[run.request_id]
@@ -406,18 +413,23 @@
             if expired or silent:
                 work.recompute_prefill(now_s=now_s)
 
-    def _is_silent(self, run: AssignedRun, *, now_s: float) -> bool:
+    def _is_silent(self, run: AssignedRun, *, pace: ServerPace, now_s: float) -> bool:
         """Return whether a report of a run is long overdue."""
-        request = run.assignment.request
-        heard_s = max(run.reported_s, self._heard_s.get(request.entry_vm, -math.inf))
+        entry_vm = run.assignment.request.entry_vm
+        heard_s = max(run.reported_s, self._heard_s.get(entry_vm, -math.inf))
         if now_s - heard_s > SILENT_ENTRY_VM_S:
             return True
-        if run.reported or run.cost is None:
+        if run.cost is None:
             return False
-        due_s = run.assignment.first_event_s
-        if request.prompt is None:
-            due_s += run.cost.run_time_s.high
-        return now_s - run.assigned_s > due_s + UNREPORTED_S
+        due_s = run.reported_s
+        if not run.model:
+            due_s += LONG_RUN_FACTOR * run.cost.run_time_s.high
+        elif run.reported:
+            gap_s = pace.event_gap_s(model=run.model)
+            due_s += LONG_RUN_FACTOR * run.cost.events.high * gap_s
+        else:
+            due_s += run.assignment.first_event_s
+        return now_s > due_s + UNREPORTED_S
 
     def drop_server(self, server: str) -> None:
         """Forget a server that is gone."""
--- a/tests/test_server_work.py
+++ b/tests/test_server_work.py
@@ -77,6 +77,23 @@
     assert work.prefill_left_s(0.8) == pytest.approx(late_s + PREFILL_S)
 
 
+def test_a_stalled_server_is_tried_by_one_prompt_at_a_time() -> None:
+    """Failure: a server stops working for 8 s. It doesn't gather prompts."""
+    table = WorkTable()
+    sent = 0
+    for step in range(160):
+        now_s = step * 0.05
+        table.heard_from("vm-1", now_s=now_s)
+        table.drop_expired(now_s=now_s)
+        if table.of_server("e1").prefill_left_s(now_s) > 0.1:
+            continue
+        sent += 1
+        request = an_assignment_request(f"q{sent}", input_tokens=9_000)
+        assignment = an_assignment(request=request, first_event_s=0.3)
+        table.assign(assignment, now_s=now_s)
+    assert sent <= 3 * 8.0 / (0.3 + UNREPORTED_S)
+
+
 @pytest.mark.parametrize("model", ["m0", ""])
 def test_work_without_unread_tokens_is_never_overdue(model: str) -> None:
     """Load: prompts that are cached as a whole, and requests to plain services."""
@@ -97,7 +114,7 @@
     assert work.prefill_left_s(0.5) == 0.0
 
 
-def test_a_run_that_nobody_reports_is_set_aside() -> None:
+def test_a_run_that_nobody_reports_counts_as_unreported() -> None:
     """Failure: reports lost, or a run that never was. It holds no place for long."""
     table = WorkTable()
     table.assign(an_assignment(first_event_s=PREFILL_S), now_s=0.0)
@@ -113,7 +130,7 @@
     assert work.prefill_left_s(expires_s + 0.1) == 0.0
 
 
-def test_a_report_brings_back_a_run_that_was_set_aside() -> None:
+def test_a_report_brings_an_unreported_run_back() -> None:
     """Failure: an entry VM was frozen. Its runs count again once it goes on."""
     table = WorkTable()
     table.assign(an_assignment(), now_s=0.0)
@@ -129,7 +146,7 @@
     assert not work.runs and not work.unreported
 
 
-def test_the_runs_of_a_killed_entry_vm_are_set_aside() -> None:
+def test_the_runs_of_a_killed_entry_vm_are_not_counted() -> None:
     """Failure: an entry VM killed with runs in progress. Those of others stay."""
     table = WorkTable()
     for vm in ("vm-1", "vm-2"):
@@ -407,9 +424,54 @@
 
     table.drop_expired(now_s=at_s + UNREPORTED_S + 0.5)
 
-    # Only runs whose end alone was lost are left, until their deadline.
+    # Only runs whose end alone was lost are left, as long as they may take.
     left = [run for work in table.servers.values() for run in work.runs.values()]
     assert all(run.reported for run in left)
     assert len(left) <= begun < 80
-    table.drop_expired(now_s=at_s + 62.0)
+    for vm in ("vm-0", "vm-2", "vm-3"):
+        table.heard_from(vm, now_s=at_s + 5.0)
+    table.drop_expired(now_s=at_s + 5.0)
     assert not any(work.runs for work in table.servers.values())
+    table.drop_expired(now_s=at_s + 62.0)
+    assert not any(work.unreported for work in table.servers.values())
+
+
+def test_a_run_whose_end_was_not_reported_holds_its_place_for_a_short_time() -> None:
+    """Failure: reports lost. The deadline of the run is a minute away."""
+    table = learned_table(events=30, event_gap_s=0.02)
+    table.assign(an_assignment("q1"), now_s=0.0)
+    table.apply(a_begin("q1", began_after_s=0.1), now_s=0.11)
+    work = table.of_server("e1")
+    for now_s, places_taken in ((2.0, 1), (4.0, 0)):
+        table.heard_from("vm-1", now_s=now_s)
+        table.drop_expired(now_s=now_s)
+        assert len(work.runs) == places_taken
+
+
+def test_a_long_run_whose_entry_vm_reports_it_stays() -> None:
+    """Load: a long answer among short ones, whose events are reported."""
+    table = learned_table(events=30, event_gap_s=0.02)
+    table.assign(an_assignment("q1"), now_s=0.0)
+    for number in range(20):
+        report = RunReport(
+            request_id="q1", server="e1", began_after_s=0.1, events=1 + 50 * number
+        )
+        table.apply(report, now_s=0.2 + number)
+        table.drop_expired(now_s=0.9 + number)
+        assert table.of_server("e1").streams == 1
+
+
+def test_an_order_sent_to_a_plain_service_holds_its_place_for_a_short_time() -> None:
+    """Failure: reports lost. Six places of a small service are not lost with them."""
+    table = WorkTable()
+    for number in range(50):
+        request = an_assignment_request(f"learned-{number}", model="")
+        table.assign(an_assignment(request=request), now_s=-20.0)
+        table.apply(an_end(f"learned-{number}", ran_s=0.2, events=None), now_s=-19.0)
+    request = an_assignment_request("q1", model="")
+    table.assign(an_assignment(request=request), now_s=0.0)
+    work = table.of_server("e1")
+    for now_s, places_taken in ((1.5, 1), (2.5, 0)):
+        table.heard_from("vm-1", now_s=now_s)
+        table.drop_expired(now_s=now_s)
+        assert len(work.runs) == places_taken
