--- a/benchmarks/request_cost.py
+++ b/benchmarks/request_cost.py
@@ -240,7 +240,7 @@
             runs = [0] * servers
             for number in range(1200):
                 if restart and number % 200 == 199:
-                    # The instance that takes the place of another is a usual one.
+                    # A new instance on the same machine; what was learned is gone.
                     place = rng.randrange(servers)
                     known = learners[place]
                     learners[place] = (
