--- a/tests/timed_engines.py
+++ b/tests/timed_engines.py
@@ -27,7 +27,12 @@
 from rosepath.http_exchange import Connection
 from rosepath.prompt_caches import PromptCaches
 from rosepath.relay import Relay
-from rosepath.request_context import RelayPorts, RequestContext
+from rosepath.request_context import (
+    RelayPorts,
+    RequestContext,
+    SchedulingPort,
+    Unscheduled,
+)
 from rosepath.retry_window import RetryWindow
 
 # A timetable lists delays in seconds and what the engine does then: send bytes,
@@ -251,6 +256,7 @@
     retries: float = 10.0,
     route: HostRoute | None = None,
     window_s: float = 10.0,
+    scheduling: SchedulingPort | None = None,
 ) -> RelayHarness:
     """Build a relay in front of engines with a budget of `retries`."""
     chosen = route or a_route(timeout_s=20.0)
@@ -284,6 +290,8 @@
         wait_limit_s=lambda: float("inf"),
         on_outcome=_ignore,
         crashes=crashes,
+        scheduling=scheduling or Unscheduled(),
+        entry_vm="vm-1",
     )
     return RelayHarness(Relay(ports), fleet, window, by_address)
 
