--- a/src/rosepath/scheduler.py
+++ b/src/rosepath/scheduler.py
@@ -14,7 +14,7 @@
     Decision,
     RunReport,
 )
-from rosepath.assignment_choice import Candidate, choose_candidate
+from rosepath.assignment_choice import Candidate, choose_candidate, waiting_group
 from rosepath.assignment_queue import AssignmentQueue
 from rosepath.catalog import Catalog, EngineSpec
 from rosepath.engine_choice import ADAPTER_PENALTY_S, OCCUPIED_PENALTY_S
@@ -22,6 +22,7 @@
 from rosepath.prompt_caches import PromptCaches
 from rosepath.server_choice import healthy_servers
 from rosepath.server_work import ServerWork, WorkTable
+from rosepath.stream_pauses import StreamPauses
 
 
 @dataclass(slots=True, kw_only=True)
@@ -35,6 +36,8 @@
     work: WorkTable = field(default_factory=WorkTable)
     queue: AssignmentQueue = field(default_factory=AssignmentQueue)
     rng: random.Random = field(default_factory=random.Random)
+    # How long streams pause beside prompts, by service.
+    pauses: dict[str, StreamPauses] = field(default_factory=dict)
 
     def submit(self, request: AssignmentRequest, *, now_s: float) -> list[Decision]:
         """Add a request; return what is decided now, of this one or others.
@@ -55,23 +58,22 @@
     def report(self, reports: Iterable[RunReport], *, now_s: float) -> list[Decision]:
         """Apply reports of runs; return what is decided now."""
         for report in reports:
+            self._learn_pause(report)
             self.work.apply(report, now_s=now_s)
         return self.step(now_s=now_s)
 
     def step(self, *, now_s: float) -> list[Decision]:
         """Assign the waiting requests for which there is room."""
         decisions: list[Decision] = []
-        # Requests with the same model wait for the same servers: if the first of
-        # them finds no room, nor do those behind it.
-        without_room: set[tuple[str, str]] = set()
+        without_room: set[tuple[str, str, bool]] = set()
         for request in list(self.queue.in_order(now_s=now_s)):
-            model = request.prompt.model if request.prompt else ""
-            if (request.service, model) in without_room:
+            group = waiting_group(request)
+            if group in without_room:
                 continue
             assignment = self._assign(request, now_s=now_s)
             if assignment is None:
                 if not request.tried:
-                    without_room.add((request.service, model))
+                    without_room.add(group)
                 continue
             decisions.append(assignment)
         decisions += self.queue.take_rejected(now_s=now_s)
@@ -106,8 +108,31 @@
         self.work.assign(assignment, now_s=now_s)
         if prompt is not None:
             self.caches.note_read(server, prompt)
+            self._note_prefill(request.service, self.work.servers[server.name])
         return assignment
 
+    def _learn_pause(self, report: RunReport) -> None:
+        """Learn from the longest gap of a stream that ends."""
+        work = self.work.servers.get(report.server)
+        run = work.runs.get(report.request_id) if work is not None else None
+        if work is None or run is None or report.outcome is None:
+            return
+        self._pauses_of(run.assignment.request.service).note_longest_gap(
+            report.request_id,
+            report.longest_gap_s,
+            prefill_tokens_per_s=work.pace.prefill_tokens_per_s,
+        )
+
+    def _note_prefill(self, service: str, work: ServerWork) -> None:
+        """Record what the streams of an engine are delayed by."""
+        tokens = work.unread_tokens
+        for request_id, run in work.runs.items():
+            if run.begun_s is not None and run.assignment.request.gap_s > 0:
+                self._pauses_of(service).note_prefill(request_id, tokens)
+
+    def _pauses_of(self, service: str) -> StreamPauses:
+        return self.pauses.setdefault(service, StreamPauses())
+
     def _candidates(
         self, request: AssignmentRequest, *, now_s: float
     ) -> list[Candidate]:
@@ -146,6 +171,7 @@
             server=server,
             work=work,
             unread_tokens=max(0, unread),
+            pause_tokens=self._pauses_of(request.service).tokens,
             adapter_s=0.0
             if has_adapter
             else _adapter_delay_s(server, work, spec, now_s=now_s),
