--- /dev/null
+++ b/src/rosepath/assignment_line.py
@@ -0,0 +1,269 @@
+"""The requests that wait for the same servers, and which of them is next."""
+
+import heapq
+import math
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+from rosepath.assignment import Assignment, AssignmentRequest
+from rosepath.room_prediction import RoomPrediction
+from rosepath.server_pace import PRIOR_PREFILL_TOKENS_PER_S
+from rosepath.service_floors import ServiceFloors
+from rosepath.workspace_fairness import WorkspaceUse, use_tokens
+
+# Messages between entry VMs, and the steps of an engine, take about this long
+# on top of the predicted service time.
+MARGIN_S = 0.03
+# A request of the next lower rank counts as due so much later: it gives way to
+# those of the same urgency, and never waits behind all of them.
+RANK_DELAY_S = 0.2
+# Lower ranks are treated alike.
+MAX_RANK = 3
+# Prompts of these sizes and more are told apart: a server without room for a
+# long prompt may have room for a short one.
+SIZE_BOUNDS_TOKENS = (1_000, 4_000)
+# Removed requests that a line's heaps may hold beside as many as wait.
+MAX_REMOVED_KEPT = 100
+# The weight of one assignment in the learned service time.
+SERVICE_LEARNING_RATE = 0.05
+
+
+class LineKey(NamedTuple):
+    """Identify the servers that requests wait for; no model if they need none."""
+
+    service: str
+    model: str
+
+
+class Kind(NamedTuple):
+    """Identify requests that are served alike: by rank and size of prompt."""
+
+    rank: int
+    size: int
+
+
+class OrderKey(NamedTuple):
+    """Order waiting requests; the least is next.
+
+    The kinds and models that are owed service come first, then the requests
+    that can be in time, then the workspaces within their share.
+    """
+
+    not_owed: int
+    late: bool
+    beyond_share: bool
+    urgency_s: float
+    number: int
+
+
+@dataclass(slots=True, kw_only=True)
+class WaitingRequest:
+    """Hold a waiting request and the times that order it.
+
+    Assigned after `in_time_until_s` it is late; after `useful_until_s` its
+    caller leaves before the first event.
+    """
+
+    request: AssignmentRequest
+    number: int
+    kind: Kind
+    in_time_until_s: float
+    useful_until_s: float
+    waits: bool = True
+    late: bool = False
+    # Whether its kind, and its model, were owed service when it was last next.
+    kind_owed: bool = False
+    line_owed: bool = False
+
+    @property
+    def urgency_s(self) -> float:
+        """Return by when it is due, later for lower ranks.
+
+        Among requests that can be in time, ordering by slack would prefer long
+        prompts, each of which makes several short ones late.
+        """
+        limit_s = self.useful_until_s if self.late else self.request.due_s
+        return limit_s + self.kind.rank * RANK_DELAY_S
+
+
+@dataclass(slots=True, kw_only=True)
+class Contention:
+    """Own what is learned of the requests that compete for a model's servers."""
+
+    key: LineKey
+    # Of the models of a service, by line.
+    line_floors: ServiceFloors
+    kind_floors: ServiceFloors = field(default_factory=ServiceFloors)
+    use: WorkspaceUse = field(default_factory=WorkspaceUse)
+    room: RoomPrediction = field(default_factory=RoomPrediction)
+    _token_s: float = 1 / PRIOR_PREFILL_TOKENS_PER_S
+
+    def service_s(self, request: AssignmentRequest) -> float:
+        """Return the predicted time from assignment to the first event."""
+        tokens = request.prompt.input_tokens if request.prompt else 0
+        return MARGIN_S + tokens * self._token_s
+
+    def note_assigned(
+        self,
+        waiting: WaitingRequest,
+        assignment: Assignment,
+        *,
+        left_waiting: int,
+        now_s: float,
+    ) -> None:
+        """Learn from an assignment, and count it for the order of the next."""
+        request = assignment.request
+        self._learn_service_time(assignment)
+        self.room.note_assigned(left_waiting=left_waiting, now_s=now_s)
+        self.note_outcome(waiting, served=True, now_s=now_s)
+        self.kind_floors.note_turn(was_owed=waiting.kind_owed)
+        self.line_floors.note_turn(was_owed=waiting.line_owed)
+        self.use.note_served(request.workspace, use_tokens(assignment), now_s=now_s)
+
+    def _learn_service_time(self, assignment: Assignment) -> None:
+        prompt = assignment.request.prompt
+        if prompt is None or prompt.input_tokens < SIZE_BOUNDS_TOKENS[0]:
+            return
+        token_s = assignment.first_event_s / prompt.input_tokens
+        self._token_s += SERVICE_LEARNING_RATE * (token_s - self._token_s)
+
+    def note_outcome(
+        self, waiting: WaitingRequest, *, served: bool, now_s: float
+    ) -> None:
+        """Count a request as served, or as one that can't be in time now.
+
+        A workspace beyond its share has no claim to a floor, or one that sends
+        too much would gain from what it isn't served.
+        """
+        if self.use.beyond_share(waiting.request.workspace):
+            return
+        self.kind_floors.note(waiting.kind, served=served, now_s=now_s)
+        self.line_floors.note(self.key, served=served, now_s=now_s)
+
+
+def kind_of(request: AssignmentRequest) -> Kind:
+    """Return the kind of a request."""
+    tokens = request.prompt.input_tokens if request.prompt else 0
+    size = sum(tokens >= bound for bound in SIZE_BOUNDS_TOKENS)
+    return Kind(min(request.priority, MAX_RANK), size)
+
+
+_Heap = list[tuple[float, int, WaitingRequest]]
+
+
+@dataclass(slots=True, kw_only=True)
+class _Flow:
+    """Hold the requests of one kind and workspace, in order of urgency.
+
+    Removed requests leave the heaps when they come to their front, or when
+    there are many.
+    """
+
+    in_time: _Heap = field(default_factory=list)
+    late: _Heap = field(default_factory=list)
+
+    def push(self, waiting: WaitingRequest) -> None:
+        heap = self.late if waiting.late else self.in_time
+        heapq.heappush(heap, (waiting.urgency_s, waiting.number, waiting))
+
+    def drop_removed(self) -> None:
+        for heap in (self.in_time, self.late):
+            heap[:] = [entry for entry in heap if entry[2].waits]
+            heapq.heapify(heap)
+
+
+class AssignmentLine:
+    """Own the requests that wait for the same servers."""
+
+    def __init__(self, contention: Contention) -> None:
+        self.contention = contention
+        self.waiting = 0
+        # Since removed requests were last dropped from all heaps.
+        self._removed = 0
+        self._flows: dict[tuple[Kind, str], _Flow] = {}
+
+    def add(self, waiting: WaitingRequest) -> None:
+        """Let a request wait."""
+        workspace = waiting.request.workspace
+        self._flows.setdefault((waiting.kind, workspace), _Flow()).push(waiting)
+        self.waiting += 1
+        self.contention.use.note_waiting(workspace, step=1)
+
+    def remove(self, waiting: WaitingRequest) -> None:
+        """Let a request wait no longer."""
+        waiting.waits = False
+        self.waiting -= 1
+        self.contention.use.note_waiting(waiting.request.workspace, step=-1)
+        self._removed += 1
+        if self._removed > self.waiting + MAX_REMOVED_KEPT:
+            self._removed = 0
+            for flow in self._flows.values():
+                flow.drop_removed()
+
+    def head(
+        self, *, below_size: float = math.inf, line_owed: bool = False, now_s: float
+    ) -> tuple[OrderKey, WaitingRequest] | None:
+        """Return the next request with a prompt below a size, and its place."""
+        contention = self.contention
+        owed_kinds = contention.kind_floors.owed(now_s=now_s)
+        best: tuple[OrderKey, WaitingRequest] | None = None
+        for (kind, workspace), flow in list(self._flows.items()):
+            if kind.size >= below_size:
+                continue
+            waiting = self._front(flow, now_s=now_s)
+            if waiting is None:
+                del self._flows[kind, workspace]
+                continue
+            beyond_share = contention.use.beyond_share(workspace)
+            waiting.kind_owed = kind in owed_kinds and not beyond_share
+            waiting.line_owed = line_owed and not beyond_share
+            key = OrderKey(
+                not_owed=2 - waiting.kind_owed - waiting.line_owed,
+                late=waiting.late,
+                beyond_share=beyond_share,
+                urgency_s=waiting.urgency_s,
+                number=waiting.number,
+            )
+            if best is None or key < best[0]:
+                best = key, waiting
+        return best
+
+    def _front(self, flow: _Flow, *, now_s: float) -> WaitingRequest | None:
+        """Return the first request of a flow, in time if there is any."""
+        while flow.in_time:
+            waiting = flow.in_time[0][2]
+            if waiting.waits and waiting.in_time_until_s >= now_s:
+                return waiting
+            heapq.heappop(flow.in_time)
+            if waiting.waits:
+                waiting.late = True
+                self.contention.note_outcome(waiting, served=False, now_s=now_s)
+                flow.push(waiting)
+        while flow.late:
+            waiting = flow.late[0][2]
+            if waiting.waits:
+                return waiting
+            heapq.heappop(flow.late)
+        return None
+
+    def in_order(self, *, now_s: float) -> list[WaitingRequest]:
+        """Return all waiting requests in their order without regard to floors."""
+        use = self.contention.use
+        beyond_share = {
+            workspace: use.beyond_share(workspace) for _, workspace in self._flows
+        }
+        return sorted(
+            (
+                waiting
+                for flow in self._flows.values()
+                for heap in (flow.in_time, flow.late)
+                for _, _, waiting in heap
+                if waiting.waits
+            ),
+            key=lambda waiting: (
+                waiting.in_time_until_s < now_s,
+                beyond_share[waiting.request.workspace],
+                waiting.urgency_s,
+                waiting.number,
+            ),
+        )
--- a/src/rosepath/assignment_queue.py
+++ b/src/rosepath/assignment_queue.py
@@ -1,19 +1,79 @@
 """Order the requests that wait for a server, and reject what can't be served."""
 
-from collections.abc import Iterator
+import heapq
+import math
+import random
+from collections import defaultdict
+from collections.abc import Collection, Iterator
+from dataclasses import dataclass, field
 
-from rosepath.assignment import AssignmentRejection, AssignmentRequest
+from rosepath.assignment import Assignment, AssignmentRejection, AssignmentRequest
+from rosepath.assignment_line import (
+    AssignmentLine,
+    Contention,
+    LineKey,
+    OrderKey,
+    WaitingRequest,
+    kind_of,
+)
+from rosepath.service_floors import ServiceFloors
 
-# Retry-After of a request that found no server while it could wait.
-RETRY_AFTER_S = 0.5
 NO_SERVER_CODE = "no_server"
+QUEUE_FULL_CODE = "queue_full"
+# Some kilobytes each. With more than this, few are assigned before their callers
+# leave.
+MAX_WAITING = 5_000
+# Rejected together when the queue is full, so that they are searched for seldom.
+REJECTED_WHEN_FULL = 100
+# How often requests that can't be reached in time are looked for.
+REJECTION_INTERVAL_S = 0.2
+# Shorter queues are left alone: rates change as fast as they pass.
+MIN_PREDICTED_WAIT_S = 1.0
+# A request is rejected early only if it would wait so many times longer than
+# its caller: rates are uncertain, and a late response is better than none.
+REJECTION_FACTOR = 3.0
+# What was learned of a model without requests is kept for so long.
+IDLE_LINE_S = 60.0
+
+
+def line_key(request: AssignmentRequest) -> LineKey:
+    """Return which servers a request waits for."""
+    return LineKey(request.service, request.prompt.model if request.prompt else "")
+
+
+@dataclass(slots=True, kw_only=True)
+class _ModelLines:
+    """Hold the lines of a model; requests that were tried have lines apart."""
+
+    contention: Contention
+    lines: dict[frozenset[str], AssignmentLine] = field(default_factory=dict)
+    used_s: float = 0.0
+    checked_s: float = 0.0
+
+    @property
+    def waiting(self) -> int:
+        return sum(line.waiting for line in self.lines.values())
+
+    def line_of(self, request: AssignmentRequest) -> AssignmentLine:
+        line = self.lines.get(request.tried)
+        if line is None:
+            line = self.lines[request.tried] = AssignmentLine(self.contention)
+        return line
 
 
 class AssignmentQueue:
     """Own the requests that wait for a server, by id."""
 
-    def __init__(self) -> None:
-        self._waiting: dict[str, AssignmentRequest] = {}
+    def __init__(self, *, rng: random.Random | None = None) -> None:
+        self._rng = rng or random.Random()
+        self._waiting: dict[str, WaitingRequest] = {}
+        self._models: dict[LineKey, _ModelLines] = {}
+        self._line_floors: dict[str, ServiceFloors] = defaultdict(ServiceFloors)
+        # By when their callers leave; those removed stay until then.
+        self._by_end: list[tuple[float, int, WaitingRequest]] = []
+        self._rejected: list[AssignmentRejection] = []
+        self._added = 0
+        self._dropped_idle_s = 0.0
 
     def __len__(self) -> int:
         return len(self._waiting)
@@ -21,41 +81,166 @@
     def __contains__(self, request_id: str) -> bool:
         return request_id in self._waiting
 
-    def add(self, request: AssignmentRequest) -> None:
-        """Let a request wait."""
-        self._waiting[request.request_id] = request
+    def add(self, request: AssignmentRequest, *, now_s: float) -> None:
+        """Let a request wait; one that is only sent again keeps its place."""
+        known = self._waiting.get(request.request_id)
+        if known is not None and known.request.tried == request.tried:
+            return
+        self.remove(request.request_id)
+        if len(self._waiting) >= MAX_WAITING:
+            self._make_room(now_s=now_s)
+        model = self._model_lines(line_key(request))
+        model.used_s = now_s
+        service_s = model.contention.service_s(request)
+        waiting = WaitingRequest(
+            request=request,
+            number=self._added,
+            kind=kind_of(request),
+            in_time_until_s=request.due_s - service_s,
+            useful_until_s=min(request.wait_until_s, request.deadline_s - service_s),
+        )
+        self._added += 1
+        self._waiting[request.request_id] = waiting
+        heapq.heappush(self._by_end, (waiting.useful_until_s, waiting.number, waiting))
+        model.line_of(request).add(waiting)
+
+    def _model_lines(self, key: LineKey) -> _ModelLines:
+        model = self._models.get(key)
+        if model is None:
+            contention = Contention(key=key, line_floors=self._line_floors[key.service])
+            model = self._models[key] = _ModelLines(contention=contention)
+        return model
 
     def remove(self, request_id: str) -> AssignmentRequest | None:
-        """Remove a request that was assigned, or whose caller has left."""
-        return self._waiting.pop(request_id, None)
+        """Remove a request whose caller has left."""
+        waiting = self._waiting.get(request_id)
+        if waiting is None:
+            return None
+        self._remove(waiting)
+        return waiting.request
+
+    def _remove(self, waiting: WaitingRequest) -> None:
+        request = waiting.request
+        del self._waiting[request.request_id]
+        model = self._models[line_key(request)]
+        line = model.lines[request.tried]
+        line.remove(waiting)
+        if not line.waiting:
+            del model.lines[request.tried]
+
+    def take(self, assignment: Assignment, *, now_s: float) -> None:
+        """Remove an assigned request, and count it for the order of the others."""
+        request = assignment.request
+        waiting = self._waiting[request.request_id]
+        self._remove(waiting)
+        model = self._models[line_key(request)]
+        model.used_s = now_s
+        model.contention.note_assigned(
+            waiting, assignment, left_waiting=model.waiting, now_s=now_s
+        )
 
-    def in_order(self, *, now_s: float) -> Iterator[AssignmentRequest]:
-        """Return the waiting requests, the next to be assigned first.
+    def in_order(
+        self, *, now_s: float, keys: Collection[LineKey] | None = None
+    ) -> Iterator[AssignmentRequest]:
+        """Yield the waiting requests, the next to be assigned first.
 
-        Those that can still be in time come first, by when they are due.
+        With `keys`, only those that wait for these servers. A request that still
+        waits when the next one is asked for found no room, and so would those
+        behind it that wait for the same servers with prompts of its size or
+        more: they are left out.
         """
-        return iter(
-            sorted(
-                self._waiting.values(),
-                key=lambda request: (request.due_s < now_s, request.due_s),
+        heads: list[tuple[OrderKey, WaitingRequest, AssignmentLine]] = []
+        sizes_with_room: dict[AssignmentLine, int] = {}
+        owed_lines = {
+            service: floors.owed(now_s=now_s)
+            for service, floors in self._line_floors.items()
+        }
+
+        def push_head(line: AssignmentLine) -> None:
+            key = line.contention.key
+            head = line.head(
+                below_size=sizes_with_room.get(line, math.inf),
+                line_owed=key in owed_lines[key.service],
+                now_s=now_s,
             )
-        )
+            if head is not None:
+                heapq.heappush(heads, (*head, line))
+
+        for key in self._models if keys is None else keys:
+            model = self._models.get(key)
+            for line in model.lines.values() if model is not None else ():
+                push_head(line)
+        while heads:
+            _, waiting, line = heapq.heappop(heads)
+            yield waiting.request
+            if waiting.waits:
+                sizes_with_room[line] = waiting.kind.size
+            push_head(line)
 
     def take_rejected(self, *, now_s: float) -> list[AssignmentRejection]:
-        """Remove and return the requests that wait no longer."""
-        expired = [
-            request
-            for request in self._waiting.values()
-            if request.wait_until_s <= now_s
-        ]
-        for request in expired:
-            del self._waiting[request.request_id]
-        return [
-            AssignmentRejection(
-                request=request, code=NO_SERVER_CODE, retry_after_s=RETRY_AFTER_S
-            )
-            for request in expired
-        ]
+        """Remove and return the requests that can't be served any more."""
+        while self._by_end and self._by_end[0][0] <= now_s:
+            waiting = heapq.heappop(self._by_end)[2]
+            if waiting.waits:
+                self._reject(waiting, NO_SERVER_CODE, now_s=now_s)
+        if len(self._by_end) > 2 * len(self._waiting) + REJECTED_WHEN_FULL:
+            self._by_end = [entry for entry in self._by_end if entry[2].waits]
+            heapq.heapify(self._by_end)
+        for model in self._models.values():
+            if now_s - model.checked_s >= REJECTION_INTERVAL_S:
+                model.checked_s = now_s
+                self._reject_unreachable(model, now_s=now_s)
+        self._drop_idle(now_s=now_s)
+        rejected, self._rejected = self._rejected, []
+        return rejected
+
+    def _reject_unreachable(self, model: _ModelLines, *, now_s: float) -> None:
+        """Reject the requests that are reached only after their callers left."""
+        line = model.lines.get(frozenset())
+        rate_per_s = model.contention.room.rate_per_s(now_s=now_s)
+        if line is None or rate_per_s is None:
+            return
+        if line.waiting < MIN_PREDICTED_WAIT_S * rate_per_s:
+            return
+        ahead = 0
+        for waiting in line.in_order(now_s=now_s):
+            left_s = waiting.useful_until_s - now_s
+            if ahead / rate_per_s > max(
+                MIN_PREDICTED_WAIT_S, REJECTION_FACTOR * left_s
+            ):
+                self._reject(waiting, NO_SERVER_CODE, now_s=now_s)
+            else:
+                ahead += 1
+
+    def _make_room(self, *, now_s: float) -> None:
+        """Reject the newest of the least urgent requests of the longest line."""
+        longest = max(
+            (line for model in self._models.values() for line in model.lines.values()),
+            key=lambda line: line.waiting,
+        )
+        for waiting in longest.in_order(now_s=now_s)[-REJECTED_WHEN_FULL:]:
+            self._reject(waiting, QUEUE_FULL_CODE, now_s=now_s)
+
+    def _reject(self, waiting: WaitingRequest, code: str, *, now_s: float) -> None:
+        request = waiting.request
+        self._remove(waiting)
+        model = self._models[line_key(request)]
+        if not waiting.late:
+            model.contention.note_outcome(waiting, served=False, now_s=now_s)
+        retry_after_s = model.contention.room.retry_after_s(
+            request, waiting=model.waiting, now_s=now_s, rng=self._rng
+        )
+        self._rejected.append(
+            AssignmentRejection(request=request, code=code, retry_after_s=retry_after_s)
+        )
 
-    def note_assigned(self, request: AssignmentRequest, *, cost: float) -> None:
-        """Record what an assigned request costs, for the fairness of the order."""
+    def _drop_idle(self, *, now_s: float) -> None:
+        """Forget what was learned of models that have had no requests for long."""
+        if now_s - self._dropped_idle_s < IDLE_LINE_S:
+            return
+        self._dropped_idle_s = now_s
+        for key, model in list(self._models.items()):
+            if not model.waiting and now_s - model.used_s >= IDLE_LINE_S:
+                del self._models[key]
+        for floors in self._line_floors.values():
+            floors.drop_old(now_s=now_s)
--- a/src/rosepath/scheduler.py
+++ b/src/rosepath/scheduler.py
@@ -15,7 +15,8 @@
     RunReport,
 )
 from rosepath.assignment_choice import Candidate, choose_candidate
-from rosepath.assignment_queue import AssignmentQueue
+from rosepath.assignment_line import LineKey
+from rosepath.assignment_queue import AssignmentQueue, line_key
 from rosepath.catalog import Catalog, EngineSpec
 from rosepath.engine_choice import ADAPTER_PENALTY_S, OCCUPIED_PENALTY_S
 from rosepath.fleet import BackendServer, Fleet
@@ -45,8 +46,8 @@
         known = self._known_assignment(request)
         if known is not None:
             return [known]
-        self.queue.add(request)
-        return self.step(now_s=now_s)
+        self.queue.add(request, now_s=now_s)
+        return self.step(now_s=now_s, keys=[line_key(request)])
 
     def withdraw(self, request_id: str) -> None:
         """Forget a waiting request whose caller has left."""
@@ -54,29 +55,35 @@
 
     def report(self, reports: Iterable[RunReport], *, now_s: float) -> list[Decision]:
         """Apply reports of runs; return what is decided now."""
+        keys: set[LineKey] = set()
         for report in reports:
             self.work.apply(report, now_s=now_s)
-        return self.step(now_s=now_s)
+            keys |= self._keys_of_server(report.server)
+        return self.step(now_s=now_s, keys=keys)
 
-    def step(self, *, now_s: float) -> list[Decision]:
-        """Assign the waiting requests for which there is room."""
+    def step(
+        self, *, now_s: float, keys: Collection[LineKey] | None = None
+    ) -> list[Decision]:
+        """Assign the waiting requests for which there is room.
+
+        With `keys`, only those that wait for these servers.
+        """
         decisions: list[Decision] = []
-        # Requests with the same model wait for the same servers: if the first of
-        # them finds no room, nor do those behind it.
-        without_room: set[tuple[str, str]] = set()
-        for request in list(self.queue.in_order(now_s=now_s)):
-            model = request.prompt.model if request.prompt else ""
-            if (request.service, model) in without_room:
-                continue
+        for request in self.queue.in_order(now_s=now_s, keys=keys):
             assignment = self._assign(request, now_s=now_s)
-            if assignment is None:
-                if not request.tried:
-                    without_room.add((request.service, model))
-                continue
-            decisions.append(assignment)
+            if assignment is not None:
+                decisions.append(assignment)
         decisions += self.queue.take_rejected(now_s=now_s)
         return decisions
 
+    def _keys_of_server(self, name: str) -> set[LineKey]:
+        """Return what waits for a server."""
+        server = self.fleet.servers.get(name)
+        if server is None:
+            return set()
+        service = server.entry.service
+        return {LineKey(service, model) for model in ("", *server.resident_models)}
+
     def drop_expired(self, *, now_s: float) -> None:
         """Forget runs and servers that are gone."""
         self.work.drop_expired(now_s=now_s)
@@ -101,8 +108,7 @@
             unread_tokens=choice.candidate.unread_tokens,
             first_event_s=choice.first_event_s,
         )
-        self.queue.remove(request.request_id)
-        self.queue.note_assigned(request, cost=assignment.unread_tokens)
+        self.queue.take(assignment, now_s=now_s)
         self.work.assign(assignment, now_s=now_s)
         if prompt is not None:
             self.caches.note_read(server, prompt)
