--- a/src/rosepath/platform/calls.py
+++ b/src/rosepath/platform/calls.py
@@ -4,13 +4,8 @@
 
 from rosepath.api_keys import key_digest
 from rosepath.caller_request import BadRequestError, CallerRequest, Prompt, PromptPart
-from rosepath.header_values import (
-    lowest_rate,
-    parse_int,
-    parse_ms,
-    parse_number,
-)
-from rosepath.response_metadata import ResponseMetadata, ServerLoad
+from rosepath.header_values import lowest_rate, parse_int, parse_ms
+from rosepath.response_metadata import ResponseMetadata, parse_load
 from rosepath.retry_after import read_retry_after_s
 from rosepath.server_notice import NO_NOTICE, ServerNotice
 
@@ -27,8 +22,6 @@
 _PRIORITY = "Request-Priority"
 _SIGNATURE = "Response-Signature"
 _NOT_RUN = "Not-Executed"
-# Running and waiting requests, slots and, from some servers, how long work takes
-# on their machine, in percent of the usual time.
 _LOAD = "Server-Load"
 _LEAVING = "Server-Leaving"
 # The requests a second that a server accepts from all VMs together, if limited.
@@ -138,7 +131,7 @@
         signed=signed,
         not_run=_NOT_RUN in headers or (status == 421 and not signed),
         encoded="Content-Encoding" in headers,
-        load=_parse_load(headers.get(_LOAD, "")),
+        load=parse_load(headers.get(_LOAD, "")),
         notice=read_notice(status, headers),
     )
 
@@ -218,13 +211,3 @@
     counts = [parse_int(count) for count in raw.split(",")]
     known = [count for count in counts if count is not None]
     return sum(known) if len(known) == len(counts) else None
-
-
-def _parse_load(raw: str) -> ServerLoad | None:
-    """Return the stated load; figures beyond the known ones are ignored."""
-    figures = [parse_number(figure) for figure in raw.split(",")]
-    running, waiting, slots, percent, *_ = [*figures, None, None, None, None]
-    if running is None or waiting is None or slots is None:
-        return None
-    load = ServerLoad(int(running), int(waiting), int(slots))
-    return load._replace(slowdown=percent / 100) if percent else load
