--- a/src/rosepath/assignment.py
+++ b/src/rosepath/assignment.py
@@ -79,3 +79,28 @@
     longest_gap_s: float = 0.0
     load: ServerLoad | None = None
     load_age_s: float = 0.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ServerProgress:
+    """Report how the streams of one entry VM at a server go on.
+
+    `streams` have begun and are not complete; the youngest event of any stream
+    of this VM from the server came `event_age_s` ago, infinity if none ever did.
+    """
+
+    server: str
+    born_ms: int
+    entry_vm: str
+    data_centre: str
+    streams: int
+    event_age_s: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class SilentServer:
+    """State that a server fell silent towards all entry VMs `silent_s` ago."""
+
+    server: str
+    born_ms: int
+    silent_s: float
