--- a/src/rosepath/attempt.py
+++ b/src/rosepath/attempt.py
@@ -11,7 +11,7 @@
 from rosepath.evidence_basis import NO_BASIS, EvidenceBasis, ResponseTracker
 from rosepath.fleet import BackendServer
 from rosepath.http_client import HttpPool, Request, ResponseHead
-from rosepath.http_exchange import Connection, is_self_delimited
+from rosepath.http_exchange import Connection, Watchdog, is_self_delimited
 from rosepath.platform.calls import (
     encode_headers,
     read_response_metadata,
@@ -90,9 +90,9 @@
     `response_timeout_s` limits the silence before the response begins,
     `stall_timeout_s` the silence after. `still_wanted` is called right before
     the first byte is sent, and `may_abort` before an exchange with a
-    silent server is ended. `on_notice` receives the notice in the response's
-    headers. `connections` are those of the request's earlier attempts; that of
-    this one is added.
+    silent server is ended. `on_watched` receives the watchdog, by which it may be
+    ended earlier, `on_notice` the notice in the response's headers. `connections`
+    are those of the request's earlier attempts; that of this one is added.
     """
 
     deadline_s: float
@@ -104,6 +104,7 @@
     last_event_id: int | None = None
     still_wanted: Callable[[], bool] = lambda: True
     may_abort: Callable[[], bool] = lambda: True
+    on_watched: Callable[[Watchdog], None] = lambda _: None
     on_notice: Callable[[ServerNotice], None] = lambda _: None
     connections: set[Connection] = field(default_factory=set)
 
@@ -222,6 +223,7 @@
             on_sending=on_sending,
             avoided_connections=earlier_connections,
             may_abort=options.may_abort,
+            on_watched=options.on_watched,
         )
         try:
             async with asyncio.timeout(options.deadline_s - now_s):
--- a/src/rosepath/fleet.py
+++ b/src/rosepath/fleet.py
@@ -1,7 +1,7 @@
 """Table of backend servers and their state as observed by this entry VM."""
 
 from collections import Counter, OrderedDict
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field, replace
 from typing import NamedTuple
 
@@ -59,6 +59,10 @@
     # Whether it is suspected of crashing servers and is the only suspect on
     # this one.
     isolated: bool = False
+    # Let the request leave its server if it may, as the server fell silent.
+    leave_silent: Callable[[], None] = lambda: None
+    # End the attempt as lost, as the server is gone.
+    end_lost: Callable[[], None] = lambda: None
 
 
 @dataclass(slots=True, kw_only=True)
@@ -93,6 +97,8 @@
     suspect_until_s: float = 0.0
     # When it last made progress on any request of this VM.
     last_activity_s: float | None = None
+    # Until when it counts as silent towards all entry VMs, as the scheduler said.
+    silent_until_s: float = -1e9
     # Until when it counts as down after a failed connection attempt.
     down_until_s: float = -1e9
     connect_failed_s: float = -1e9
--- a/src/rosepath/http_client.py
+++ b/src/rosepath/http_client.py
@@ -68,6 +68,8 @@
     on_sending: Callable[[Connection], None] = lambda _: None
     # Called when an inactivity timeout expires; False restarts it.
     may_abort: Callable[[], bool] = lambda: True
+    # Called with the watchdog of the exchange as it starts.
+    on_watched: Callable[[Watchdog], None] = lambda _: None
 
 
 class HttpPool:
@@ -222,6 +224,7 @@
             pause_timeout_s=request.pause_timeout_s,
             may_close=request.may_abort,
         )
+        request.on_watched(watchdog)
         try:
             connection.write(_encode_head(request) + request.body)
             if request.body_chunks is not None:
--- a/src/rosepath/http_exchange.py
+++ b/src/rosepath/http_exchange.py
@@ -360,6 +360,24 @@
     def stop(self) -> None:
         self._timer.cancel()
 
+    def close_if(self, may_close: Callable[[], bool]) -> None:
+        """Close the connection before the timeout, as after it, if `may_close`."""
+        exchange = self._exchange
+        if not (exchange.done.done() or exchange.consumer_busy) and may_close():
+            self.fired = True
+            self._close()
+
+    def close_lost(self) -> None:
+        """Close the connection to a peer that is known to be gone."""
+        if not self._exchange.done.done():
+            self._close()
+
+    def _close(self) -> None:
+        # After a plain close, the kernel would continue to send over a
+        # slow link, and the peer could run a request reported as failed.
+        self._connection.reset()
+        self._exchange.handle_connection_lost()
+
     def _check(self) -> None:
         exchange = self._exchange
         if exchange.done.done():
@@ -369,10 +387,7 @@
         )
         if inactive and self._may_close():
             self.fired = True
-            # After a plain close, the kernel would continue to send over a
-            # slow link, and the peer could run a request reported as failed.
-            self._connection.reset()
-            exchange.handle_connection_lost()
+            self._close()
             return
         self._last_progress = exchange.progress
         self._timer = self._loop.call_later(self._timeout_s, self._check)
--- a/src/rosepath/relay.py
+++ b/src/rosepath/relay.py
@@ -4,6 +4,7 @@
 import json
 from collections.abc import Awaitable
 from contextlib import suppress
+from functools import partial
 
 from tornado.httputil import HTTPHeaders
 
@@ -17,6 +18,7 @@
 from rosepath.fleet import BackendServer, InFlightRequest
 from rosepath.gateway import CallerExchange
 from rosepath.http_client import ResponseHead
+from rosepath.http_exchange import Watchdog
 from rosepath.logs import get_logger
 from rosepath.platform.calls import (
     decode_caller_request,
@@ -295,6 +297,13 @@
                 )
             return context.exchange.write(events)
 
+        def on_watched(watchdog: Watchdog) -> None:
+            in_flight.end_lost = watchdog.close_lost
+            in_flight.leave_silent = partial(
+                watchdog.close_if,
+                partial(self._retry_policy.should_leave_suspect, context, server),
+            )
+
         event_sequence = context.event_sequence
         if event_sequence is not None:
             event_sequence.discard_partial_event()
@@ -321,6 +330,7 @@
                 and self._suspects.may_be_sent(context)
             ),
             may_abort=lambda: self._retry_policy.should_leave(context, server),
+            on_watched=on_watched,
             on_notice=lambda notice: self._apply_notice(server, notice),
         )
         self._retry_policy.consume_retry(context)
--- a/src/rosepath/retry_policy.py
+++ b/src/rosepath/retry_policy.py
@@ -93,6 +93,7 @@
                 caller_timeout_s=route.event_timeout_s,
                 server_idle_s=server.idle_s(now_s),
                 capacity_elsewhere=self._picker.has_capacity_elsewhere(context, server),
+                known_silent=server.silent_until_s > now_s,
             ),
             lambda: self._reserve_retry(context),
         )
@@ -108,6 +109,23 @@
         context.stay_reason = stay_reason
         return stay_reason is None
 
+    def should_leave_suspect(
+        self, context: RequestContext, server: BackendServer
+    ) -> bool:
+        """Return whether to leave a server that fell silent towards all VMs.
+
+        A request that may not be sent again stays up to its own limits, as does
+        one for which the server just did something.
+        """
+        if self._is_last_attempt(context):
+            return False
+        if context.exchange.response_started and not context.route.resumable:
+            return False
+        idle_s = server.idle_s(self._now_s())
+        if idle_s is not None and idle_s < MIN_STALL_TIMEOUT_S:
+            return False
+        return self.should_leave(context, server)
+
     def _reserve_retry(self, context: RequestContext) -> bool:
         context.retry_reserved = self._budget(context).reserve()
         return context.retry_reserved
--- a/src/rosepath/server_choice.py
+++ b/src/rosepath/server_choice.py
@@ -30,7 +30,9 @@
     return [
         server
         for server in servers
-        if server.suspect_until_s <= now_s and server.entry.data_centre not in cut_off
+        if server.suspect_until_s <= now_s
+        and server.silent_until_s <= now_s
+        and server.entry.data_centre not in cut_off
     ]
 
 
--- a/src/rosepath/silence.py
+++ b/src/rosepath/silence.py
@@ -29,7 +29,8 @@
     `check_after_s` is the silence after which the decision is first made,
     `duration_s` the silence so far, `caller_timeout_s` the silence after which
     the caller leaves. `server_idle_s` is the time since the server last sent
-    anything for any request of this VM, None if it never did.
+    anything for any request of this VM, None if it never did. `known_silent`
+    tells that it sends nothing to any VM.
     """
 
     response_started: bool
@@ -38,6 +39,7 @@
     caller_timeout_s: float
     server_idle_s: float | None
     capacity_elsewhere: bool
+    known_silent: bool = False
 
     @property
     def preempted(self) -> bool:
@@ -48,6 +50,8 @@
         """
         if not self.response_started or self.server_idle_s is None:
             return False
+        if self.known_silent:
+            return False
         server_active = self.server_idle_s < self.check_after_s
         return (
             server_active and self.duration_s < PREEMPTED_SHARE * self.caller_timeout_s
