--- a/src/rosepath/entry_node.py
+++ b/src/rosepath/entry_node.py
@@ -14,6 +14,7 @@
 from rosepath.configuration_view import ConfigurationView
 from rosepath.crash_watch import CrashWatch, instance_of
 from rosepath.data_centre_isolation import DataCentreIsolation
+from rosepath.departed_servers import DepartedServers
 from rosepath.dialing import Dial, dial_directly
 from rosepath.entry_metrics import EntryMetrics
 from rosepath.entry_settings import EntrySettings
@@ -140,10 +141,14 @@
             on_catalog=self._on_catalog_applied,
             on_restarted=self.caches.forget,
             on_removed=lambda server: self.crashes.note_crashed(instance_of(server)),
+            on_departed=lambda server: self.departed.note_departed(server),
             drain_s=settings.drain_s,
             settle_s=settings.settle_s,
             boot_clock=BootClock(),
         )
+        self.departed = DepartedServers(
+            fleet=self.tables.fleet, clock=self.clock, probe=self.pool.probe
+        )
         self.coordinator = PlacementCoordinator(
             settings,
             clock=self.clock,
--- a/src/rosepath/store_tables.py
+++ b/src/rosepath/store_tables.py
@@ -56,6 +56,7 @@
         on_catalog: Callable[[Catalog], None],
         on_restarted: Callable[[str], None] = lambda _: None,
         on_removed: Callable[[BackendServer], None] = lambda _: None,
+        on_departed: Callable[[BackendServer], None] = lambda _: None,
         drain_s: float = math.inf,
         settle_s: float = 0.0,
         boot_clock: Clock | None = None,
@@ -64,6 +65,8 @@
         self._settle_s = settle_s
         self._on_restarted = on_restarted
         self._on_removed = on_removed
+        # Called for each instance without an entry, also if a peer found that.
+        self._on_departed = on_departed
         self._clock = clock
         self._on_catalog = on_catalog
         # Entries that are missing but may only have expired.
@@ -149,6 +152,7 @@
                 self._on_restarted(entry.name)
                 if known is not None:
                     self._on_removed(known)
+                    self._on_departed(known)
             taken = self.fleet.servers.get(entry.name)
             if entry.draining and taken and taken.entry is entry and not left:
                 self._log_server("server_leaving", entry.name)
@@ -214,14 +218,18 @@
         self.fleet.remove(name, gone_at=gone_at)
         if server is not None:
             self._on_removed(server)
+            self._on_departed(server)
         self.departures.record(LeavingServer(name, gone_at=gone_at))
 
     def apply_peer_departure(self, leaving: LeavingServer) -> bool:
         """Apply a departure reported by a peer; return whether it is new."""
+        known = self.fleet.servers.get(leaving.name)
         if not self.fleet.note_leaving(leaving):
             return False
         if leaving.gone_at:
             self._absent.pop(leaving.name, None)
+            if known is not None:
+                self._on_departed(known)
         self.departures.record(leaving)
         return True
 
--- a/tests/test_store_tables.py
+++ b/tests/test_store_tables.py
@@ -8,6 +8,7 @@
 from entry_builders import a_server_document
 
 from rosepath.clock import ManualClock
+from rosepath.fleet import LeavingServer
 from rosepath.object_store import Change, Listing, StoredObject
 from rosepath.store_tables import ENTRY_RETURN_S, StoreTables
 from rosepath.store_watcher import WatchPolicy
@@ -241,3 +242,32 @@
         assert store_tables.reported_age_s == 0.0
 
     asyncio.run(run())
+
+
+# Guards against runs at a server that is gone, or started again, being followed
+# only where the store's watch tells: in a large fleet most VMs hear it of a peer.
+@pytest.mark.parametrize("told_by", ["store", "peer", "restart"])
+def test_each_instance_that_is_gone_is_reported_once(told_by: str) -> None:
+    async def run() -> list[int]:
+        departed: list[int] = []
+        store_tables = tables(
+            ManualClock(),
+            on_departed=lambda server: departed.append(server.entry.born_ms),
+        )
+        store_tables._servers_listed(listing(server("s1")))
+        if told_by == "store":
+            store_tables._servers_changed(
+                Change(revision=9, written={}, removed=frozenset({"servers/s1"}))
+            )
+        elif told_by == "peer":
+            gone = LeavingServer("s1", gone_at=9)
+            store_tables.apply_peer_departure(gone)
+            store_tables.apply_peer_departure(gone)
+        else:
+            raw = json.dumps(a_server_document(born=2)).encode()
+            written = {"servers/s1": StoredObject("servers/s1", 9, raw)}
+            changed = Change(revision=9, written=written, removed=frozenset())
+            store_tables._servers_changed(changed)
+        return departed
+
+    assert asyncio.run(run()) == [0]
