--- a/src/rosepath/scheduler_host.py
+++ b/src/rosepath/scheduler_host.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import math
+from collections import Counter
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
@@ -31,6 +32,8 @@
 # ends of prefills pass unannounced.
 STEP_INTERVAL_S = 0.015
 EXPIRY_INTERVAL_S = 1.0
+# A scheduler logs what it has done since its last line at this interval.
+LOG_INTERVAL_S = 5.0
 # A VM that takes over assigns nothing for so long. Meanwhile the others list their
 # runs in progress, which takes some milliseconds, or longer on a busy VM.
 SETTLING_S = 0.3
@@ -43,6 +46,9 @@
 # An assignment may be on its way for so long, and its VM can't list it yet.
 IN_TRANSIT_S = 0.5
 
+# `unlisted` are runs that a VM did not list any more: their reports were lost.
+COUNTED = ("assigned", "rejected", "chosen_by_vms", "unlisted")
+
 _log = get_logger()
 
 
@@ -81,6 +87,8 @@
         self._used_s = -math.inf
         self._settled_s = -math.inf
         self._has_waiting = asyncio.Event()
+        self._logged_s = -math.inf
+        self._counts: Counter[str] = Counter()
 
     @property
     def waiting(self) -> int:
@@ -115,6 +123,8 @@
         """Apply what an entry VM reports of its runs."""
         self.settling_s()
         now_s = self._now_s()
+        if not message.complete:
+            self._counts["chosen_by_vms"] += len(message.runs)
         for run in message.runs:
             assignment = _as_assignment(run, message.entry_vm, now_s=now_s)
             self.scheduler.adopt(assignment, begun=run.begun, now_s=now_s)
@@ -125,6 +135,7 @@
                 {run.request_id for run in message.runs},
                 assigned_before_s=now_s - IN_TRANSIT_S,
             )
+            self._counts["unlisted"] += len(unlisted)
             reports += [
                 _not_run(assignment.request.request_id, assignment.server)
                 for assignment in unlisted
@@ -215,6 +226,24 @@
             await asyncio.sleep(EXPIRY_INTERVAL_S)
             if self.scheduler.work.servers:
                 self.scheduler.drop_expired(now_s=self._now_s())
+            self._log_use()
+
+    def _log_use(self) -> None:
+        """Log what was decided, while other VMs report to this one."""
+        now_s = self._now_s()
+        active = now_s - self._used_s <= INACTIVE_AFTER_S
+        if not active or now_s < self._logged_s + LOG_INTERVAL_S:
+            return
+        self._logged_s = now_s
+        servers = self.scheduler.work.servers.values()
+        _log.info(
+            "scheduler_use",
+            waiting=self.waiting,
+            runs=sum(len(work.runs) for work in servers),
+            servers=sum(bool(work.runs) for work in servers),
+            **{name: self._counts[name] for name in COUNTED},
+        )
+        self._counts.clear()
 
     def _report(self, reports: Iterable[RunReport]) -> None:
         self._dispatch(self.scheduler.report(reports, now_s=self._now_s()))
@@ -222,6 +251,8 @@
     def _dispatch(self, decisions: Iterable[Decision]) -> None:
         """Send each decision to the VM that waits for it."""
         for decision in decisions:
+            assigned = isinstance(decision, Assignment)
+            self._counts["assigned" if assigned else "rejected"] += 1
             request_id = decision.request.request_id
             asker = self._askers.pop(request_id, None)
             if asker is not None:
