--- a/benchmarks/queue_load.py
+++ b/benchmarks/queue_load.py
@@ -6,6 +6,7 @@
 from collections import defaultdict
 from collections.abc import Callable, Collection, Iterator, Mapping, Sequence
 from dataclasses import dataclass, field, replace
+from functools import partial
 from typing import Any, Protocol
 
 from rosepath.assignment import Assignment, AssignmentRejection, AssignmentRequest
@@ -92,7 +93,7 @@
     adapter: str = ""
     data_centre: str = "a"
     starts_s: float = 0.0
-    ends_s: float = 20.0
+    ends_s: float = 30.0
     # Callers that come back at once, and again and again, instead of once.
     insistent: bool = False
 
@@ -169,7 +170,6 @@
 class _Play:
     queue: Queue
     models_of: Mapping[str, frozenset[str]]
-    rng: random.Random
     counts: dict[str, Served] = field(default_factory=lambda: defaultdict(Served))
     free: set[str] = field(default_factory=set)
     events: list[tuple[float, int, Callable[[float], None]]] = field(
@@ -181,14 +181,14 @@
     def at(self, when_s: float, event: Callable[[float], None]) -> None:
         heapq.heappush(self.events, (when_s, next(self.numbers), event))
 
-    def arrive(self, traffic: Traffic, now_s: float) -> None:
+    def arrive(self, traffic: Traffic, rng: random.Random, now_s: float) -> None:
         """Add a request, and let the next one of its traffic follow."""
         request = traffic.request(f"q{next(self.numbers)}", now_s=now_s)
         self.traffic_of[request.request_id] = traffic
         self.queue.add(request, now_s=now_s)
-        next_s = now_s + self.rng.expovariate(traffic.per_s)
+        next_s = now_s + rng.expovariate(traffic.per_s)
         if next_s < traffic.ends_s:
-            self.at(next_s, lambda now_s: self.arrive(traffic, now_s))
+            self.at(next_s, partial(self.arrive, traffic, rng))
 
     def walk(self, now_s: float) -> None:
         """Assign what finds a free server, and let rejected callers return."""
@@ -264,20 +264,21 @@
     models = frozenset(traffic.model if traffic.tokens else "" for traffic in load)
     if models_of is None:
         models_of = {f"s{number}": models for number in range(servers)}
-    game = _Play(
+    load_play = _Play(
         queue=queue,
         models_of=models_of,
-        rng=random.Random(seed),
         free=set(models_of),
     )
-    for traffic in load:
-        first_s = traffic.starts_s + game.rng.expovariate(traffic.per_s)
-        game.at(first_s, lambda now_s, traffic=traffic: game.arrive(traffic, now_s))
+    for number, traffic in enumerate(load):
+        # So that a change of one traffic leaves the arrivals of the others.
+        rng = random.Random(f"{seed}/{number}")
+        first_s = traffic.starts_s + rng.expovariate(traffic.per_s)
+        load_play.at(first_s, partial(load_play.arrive, traffic, rng))
     ends_s = max(traffic.ends_s + traffic.wait_s for traffic in load)
     for step in range(int(ends_s / STEP_S) + 1):
-        game.at(step * STEP_S, lambda _: None)
-    while game.events:
-        now_s, _, event = heapq.heappop(game.events)
+        load_play.at(step * STEP_S, lambda _: None)
+    while load_play.events:
+        now_s, _, event = heapq.heappop(load_play.events)
         event(now_s)
-        game.walk(now_s)
-    return game.counts
+        load_play.walk(now_s)
+    return load_play.counts
--- a/src/rosepath/assignment_line.py
+++ b/src/rosepath/assignment_line.py
@@ -19,6 +19,9 @@
 RANK_DELAY_S = 0.2
 # Lower ranks are treated alike.
 MAX_RANK = 3
+# Workspaces compete for a model's servers for so long after a request for it
+# could no longer be in time. Else all can be served, in any order of workspaces.
+CONTENTION_LASTS_S = 2.0
 # Prompts of these sizes and more are told apart: a server without room for a
 # long prompt may have room for a short one.
 SIZE_BOUNDS_TOKENS = (1_000, 4_000)
@@ -46,12 +49,14 @@
     """Order waiting requests; the least is next.
 
     The kinds and models that are owed service come first, then the requests
-    that can be in time, then the workspaces within their share.
+    that can be in time, then the workspaces within their share. Kinds of
+    workspaces beyond their share are owed service only among each other.
     """
 
     not_owed: int
     late: bool
     beyond_share: bool
+    not_owed_beyond: bool
     urgency_s: float
     number: int
 
@@ -94,10 +99,18 @@
     # Of the models of a service, by line.
     line_floors: ServiceFloors
     kind_floors: ServiceFloors = field(default_factory=ServiceFloors)
+    # The same among the requests of workspaces beyond their share.
+    beyond_floors: ServiceFloors = field(default_factory=ServiceFloors)
     use: WorkspaceUse = field(default_factory=WorkspaceUse)
     room: RoomPrediction = field(default_factory=RoomPrediction)
+    _missed_s: float = -math.inf
     _token_s: float = 1 / PRIOR_PREFILL_TOKENS_PER_S
 
+    def beyond_share(self, workspace: str, *, now_s: float) -> bool:
+        """Return whether a workspace gives way to others that were served less."""
+        competing = now_s - self._missed_s < CONTENTION_LASTS_S
+        return competing and self.use.beyond_share(workspace)
+
     def service_s(self, request: AssignmentRequest) -> float:
         """Return the predicted time from assignment to the first event."""
         tokens = request.prompt.input_tokens if request.prompt else 0
@@ -116,8 +129,11 @@
         self._learn_service_time(assignment)
         self.room.note_assigned(left_waiting=left_waiting, now_s=now_s)
         self.note_outcome(waiting, served=True, now_s=now_s)
-        self.kind_floors.note_turn(was_owed=waiting.kind_owed)
-        self.line_floors.note_turn(was_owed=waiting.line_owed)
+        if self.beyond_share(request.workspace, now_s=now_s):
+            self.beyond_floors.note_turn(was_owed=waiting.kind_owed)
+        else:
+            self.kind_floors.note_turn(was_owed=waiting.kind_owed)
+            self.line_floors.note_turn(was_owed=waiting.line_owed)
         self.use.note_served(request.workspace, use_tokens(assignment), now_s=now_s)
 
     def _learn_service_time(self, assignment: Assignment) -> None:
@@ -132,10 +148,13 @@
     ) -> None:
         """Count a request as served, or as one that can't be in time now.
 
-        A workspace beyond its share has no claim to a floor, or one that sends
-        too much would gain from what it isn't served.
+        A workspace beyond its share has no claim on the others' room, or one
+        that sends too much would gain from what it isn't served.
         """
-        if self.use.beyond_share(waiting.request.workspace):
+        if not served:
+            self._missed_s = now_s
+        if self.beyond_share(waiting.request.workspace, now_s=now_s):
+            self.beyond_floors.note(waiting.kind, served=served, now_s=now_s)
             return
         self.kind_floors.note(waiting.kind, served=served, now_s=now_s)
         self.line_floors.note(self.key, served=served, now_s=now_s)
@@ -205,7 +224,8 @@
     ) -> tuple[OrderKey, WaitingRequest] | None:
         """Return the next request with a prompt below a size, and its place."""
         contention = self.contention
-        owed_kinds = contention.kind_floors.owed(now_s=now_s)
+        owed = contention.kind_floors.owed(now_s=now_s)
+        owed_beyond = contention.beyond_floors.owed(now_s=now_s)
         best: tuple[OrderKey, WaitingRequest] | None = None
         for (kind, workspace), flow in list(self._flows.items()):
             if kind.size >= below_size:
@@ -214,13 +234,15 @@
             if waiting is None:
                 del self._flows[kind, workspace]
                 continue
-            beyond_share = contention.use.beyond_share(workspace)
-            waiting.kind_owed = kind in owed_kinds and not beyond_share
+            beyond_share = contention.beyond_share(workspace, now_s=now_s)
+            waiting.kind_owed = kind in (owed_beyond if beyond_share else owed)
             waiting.line_owed = line_owed and not beyond_share
+            owed_turns = waiting.line_owed + (waiting.kind_owed and not beyond_share)
             key = OrderKey(
-                not_owed=2 - waiting.kind_owed - waiting.line_owed,
+                not_owed=2 - owed_turns,
                 late=waiting.late,
                 beyond_share=beyond_share,
+                not_owed_beyond=not (beyond_share and waiting.kind_owed),
                 urgency_s=waiting.urgency_s,
                 number=waiting.number,
             )
@@ -248,9 +270,9 @@
 
     def in_order(self, *, now_s: float) -> list[WaitingRequest]:
         """Return all waiting requests in their order without regard to floors."""
-        use = self.contention.use
         beyond_share = {
-            workspace: use.beyond_share(workspace) for _, workspace in self._flows
+            workspace: self.contention.beyond_share(workspace, now_s=now_s)
+            for _, workspace in self._flows
         }
         return sorted(
             (
--- a/src/rosepath/service_floors.py
+++ b/src/rosepath/service_floors.py
@@ -6,15 +6,19 @@
 # A kind is owed service below this part of the best served kind's share, so
 # that rank decides who goes first and not who is never served.
 FLOOR_SHARE = 1 / 3
-# The weight of one request in a kind's share: about ten requests show it.
+# The weight of one request in a kind's share. The first few weigh more: a rare
+# kind would starve for long until ten of its requests have shown it.
 SHARE_LEARNING_RATE = 0.1
 # A kind without requests for so long is no measure for others.
 SHARE_LASTS_S = 5.0
+# Its own share is remembered for longer, as requests of rare kinds are far apart.
+KIND_LASTS_S = 60.0
 
 
 @dataclass(slots=True)
 class _ServedShare:
     share: float = 1.0
+    requests: int = 0
     noted_s: float = 0.0
 
 
@@ -33,7 +37,9 @@
     def note(self, kind: Hashable, *, served: bool, now_s: float) -> None:
         """Count a request that got a server, or that can't be in time now."""
         kept = self._kinds.setdefault(kind, _ServedShare())
-        kept.share += SHARE_LEARNING_RATE * (served - kept.share)
+        kept.requests += 1
+        weight = max(SHARE_LEARNING_RATE, 1 / (kept.requests + 1))
+        kept.share += weight * (served - kept.share)
         kept.noted_s = now_s
 
     def note_turn(self, *, was_owed: bool) -> None:
@@ -45,19 +51,21 @@
         if self._last_was_owed:
             return frozenset()
         recent = [
-            (kind, kept.share)
-            for kind, kept in self._kinds.items()
+            kept.share
+            for kept in self._kinds.values()
             if now_s - kept.noted_s < SHARE_LASTS_S
         ]
-        if len(recent) < 2:
+        if not recent or len(self._kinds) < 2:
             return frozenset()
-        floor = FLOOR_SHARE * max(share for _, share in recent)
-        return frozenset(kind for kind, share in recent if share < floor)
+        floor = FLOOR_SHARE * max(recent)
+        return frozenset(
+            kind for kind, kept in self._kinds.items() if kept.share < floor
+        )
 
     def drop_old(self, *, now_s: float) -> None:
         """Forget kinds that have had no requests for long."""
         self._kinds = {
             kind: kept
             for kind, kept in self._kinds.items()
-            if now_s - kept.noted_s < SHARE_LASTS_S
+            if now_s - kept.noted_s < KIND_LASTS_S
         }
--- a/src/rosepath/workspace_fairness.py
+++ b/src/rosepath/workspace_fairness.py
@@ -62,7 +62,7 @@
         self._total_tokens += tokens
 
     def beyond_share(self, workspace: str) -> bool:
-        """Return whether others that were served far less go first."""
+        """Return whether a workspace used far more than the others."""
         others = len(self._tokens) - 1
         if not workspace or others < 1:
             return False
