--- a/src/rosepath/entry_node.py
+++ b/src/rosepath/entry_node.py
@@ -37,6 +37,7 @@
 from rosepath.prompt_caches import PromptCaches
 from rosepath.quota_client import QuotaClient
 from rosepath.quota_pool import QuotaTolerance
+from rosepath.refused_addresses import RefusedAddresses
 from rosepath.relay import Relay
 from rosepath.request_context import RelayPorts
 from rosepath.request_records import RequestRecorder
@@ -118,8 +119,14 @@
         )
         self.store = PlatformStore(access, clock=self.clock)
         self.peers = PeerTable(settings.entry_vm, clock=self.clock)
+        self.refused_addresses = RefusedAddresses(
+            clock=self.clock, connect=dial_server, applies=self._remembers_refusals
+        )
         self.paths = ServerPaths(
-            settings.data_centre, clock=self.clock, dial=dial_server, peers=self.peers
+            settings.data_centre,
+            clock=self.clock,
+            dial=self.refused_addresses.dial,
+            peers=self.peers,
         )
         self.pool = HttpPool(clock=self.clock, dial=self.paths.dial)
         self.caches = PromptCaches()
@@ -139,7 +146,7 @@
                 )
             ),
             on_catalog=self._on_catalog_applied,
-            on_restarted=self.caches.forget,
+            on_restarted=self._note_restarted,
             on_removed=lambda server: self.crashes.note_crashed(instance_of(server)),
             on_departed=lambda server: self.departed.note_departed(server),
             drain_s=settings.drain_s,
@@ -192,7 +199,7 @@
         )
         # Created here so that stop() can close it even before start() listens.
         self.tunnels = TunnelGate(
-            dial=dial_server,
+            dial=self.refused_addresses.dial,
             is_peer=self.peers.is_peer_ip,
             is_open_server=self._is_open_server,
             has_direct_path=self.paths.has_direct_path,
@@ -421,6 +428,15 @@
         """Whether the fleet is large and this VM is not the lease holder."""
         return self.peers.large_fleet and not self.coordinator.term
 
+    def _remembers_refusals(self) -> bool:
+        """Whether so many VMs try a server that refuses that it matters."""
+        return self.peers.large_fleet
+
+    def _note_restarted(self, name: str) -> None:
+        """Forget what was known of the earlier instance of a server."""
+        self.caches.forget(name)
+        self.refused_addresses.forget(self.tables.fleet.servers[name].address)
+
     def _servers_watch_policy(self) -> WatchPolicy:
         watcher = self.tables.servers_watcher
         conditions = self._watch_conditions(watcher, self.settings.drain_s)
