--- a/src/rosepath/assignment_choice.py
+++ b/src/rosepath/assignment_choice.py
@@ -126,7 +126,9 @@
     """Return the predicted time until a request's first event on an engine."""
     return (
         candidate.work.prefill_left_s(now_s)
-        + candidate.work.pace.prefill_s(candidate.unread_tokens, now_s=now_s)
+        + candidate.work.pace.prefill_s(
+            candidate.unread_tokens, now_s=now_s, model=_model(request)
+        )
         + candidate.adapter_s
         + _remote_s(candidate, request)
     )
@@ -158,7 +160,9 @@
     made late once more.
     """
     work = candidate.work
-    added_s = work.pace.prefill_s(candidate.unread_tokens, now_s=now_s)
+    added_s = work.pace.prefill_s(
+        candidate.unread_tokens, now_s=now_s, model=_model(request)
+    )
     longest_s = work.pace.prefill_s(math.ceil(candidate.pause_tokens), now_s=now_s)
     before_s = max(
         work.prefill_left_s(now_s),
@@ -176,6 +180,10 @@
     return late
 
 
+def _model(request: AssignmentRequest) -> str:
+    return request.prompt.model if request.prompt is not None else ""
+
+
 def _prefilled_before_s(run: AssignedRun, before_s: float) -> float:
     """Return what delays a stream before one more prompt; none before it begins."""
     return before_s if run.begun_s is not None else 0.0
--- a/src/rosepath/assignment_requests.py
+++ b/src/rosepath/assignment_requests.py
@@ -31,6 +31,7 @@
         gap_s=route.target_gap_s if context.event_sequence is not None else 0.0,
         priority=context.priority,
         workspace=context.workspace.name if context.workspace is not None else "",
+        route=route.name,
         prompt=context.call.prompt if context.service.engine is not None else None,
         tried=tried,
     )
--- a/src/rosepath/scheduler.py
+++ b/src/rosepath/scheduler.py
@@ -135,6 +135,7 @@
             server=server.name,
             unread_tokens=choice.candidate.unread_tokens,
             first_event_s=choice.first_event_s,
+            born_ms=server.entry.born_ms,
         )
         self.queue.take(assignment, now_s=now_s)
         self.work.assign(assignment, now_s=now_s)
--- a/src/rosepath/scheduler_client.py
+++ b/src/rosepath/scheduler_client.py
@@ -322,6 +322,7 @@
             gap_s=request.gap_s,
             priority=request.priority,
             workspace=request.workspace,
+            route=request.route,
             prompt=request.prompt,
             tried=request.tried,
         )
--- a/src/rosepath/scheduler_host.py
+++ b/src/rosepath/scheduler_host.py
@@ -123,6 +123,7 @@
         """Apply what an entry VM reports of its runs."""
         self.settling_s()
         now_s = self._now_s()
+        self.scheduler.work.heard_from(message.entry_vm, now_s=now_s)
         if not message.complete:
             self._counts["chosen_by_vms"] += len(message.runs)
         for run in message.runs:
@@ -169,6 +170,7 @@
             )
             return
         now_s = self._now_s()
+        self.scheduler.work.heard_from(query.entry_vm, now_s=now_s)
         self._askers[query.request_id] = _Asker(reply_to=query.reply_to, asked_s=now_s)
         if query.request_id not in self.scheduler.queue:
             request = _as_request(query, now_s=now_s)
@@ -287,6 +289,7 @@
         priority=query.priority,
         workspace=query.workspace,
         prompt=query.prompt,
+        route=query.route,
         tried=query.tried,
     )
 
--- a/src/rosepath/scheduling_messages.py
+++ b/src/rosepath/scheduling_messages.py
@@ -35,6 +35,7 @@
     gap_s: float = 0.0
     priority: int = 0
     workspace: str = ""
+    route: str = ""
     prompt: Prompt | None = None
     tried: frozenset[str] = frozenset()
 
@@ -144,6 +145,7 @@
                 "g": message.gap_s,
                 "p": message.priority,
                 "ws": message.workspace,
+                "rt": message.route,
                 "q": _encode_prompt(message.prompt),
                 "x": sorted(message.tried),
             }
@@ -198,6 +200,7 @@
                 gap_s=float(raw["g"]),
                 priority=int(raw["p"]),
                 workspace=str(raw["ws"]),
+                route=str(raw.get("rt", "")),
                 prompt=_decode_prompt(raw["q"]),
                 tried=frozenset(map(str, raw["x"])),
             )
@@ -291,6 +294,10 @@
         fields["g"] = round(report.event_gap_s, 4)
     if report.longest_gap_s:
         fields["m"] = round(report.longest_gap_s, 4)
+    if report.events is not None:
+        fields["n"] = report.events
+    if report.ran_s is not None:
+        fields["t"] = round(report.ran_s, 4)
     if report.load is not None:
         fields["l"] = list(report.load)
         fields["a"] = round(report.load_age_s, 4)
@@ -305,6 +312,8 @@
         outcome=RunOutcome(raw["o"]) if "o" in raw else None,
         event_gap_s=_optional_float(raw.get("g")),
         longest_gap_s=float(raw.get("m", 0.0)),
+        events=_optional_int(raw.get("n")),
+        ran_s=_optional_float(raw.get("t")),
         load=_decode_load(raw["l"]) if "l" in raw else None,
         load_age_s=float(raw.get("a", 0.0)),
     )
@@ -315,5 +324,9 @@
     return ServerLoad(int(running), int(waiting), int(slots), float(slowdown))
 
 
+def _optional_int(raw: Any) -> int | None:
+    return None if raw is None else int(raw)
+
+
 def _optional_float(raw: Any) -> float | None:
     return None if raw is None else float(raw)
