--- a/src/rosepath/run_progress.py
+++ b/src/rosepath/run_progress.py
@@ -63,6 +63,8 @@
                 outcome=outcome,
                 event_gap_s=self.event_gap_s,
                 longest_gap_s=self.longest_gap_s,
+                events=self.event_count or None,
+                ran_s=None if outcome is None else now_s - self.sent_s,
                 load=self.load,
                 load_age_s=now_s - self.load_stated_s if self.load else 0.0,
             )
--- a/tests/scheduling_fleet.py
+++ b/tests/scheduling_fleet.py
@@ -206,6 +206,15 @@
             tried=tried,
         )
         decision, scheduler = await client.assign(request, on_waiting=on_waiting)
+        if isinstance(decision, Assignment):
+            # Engines that don't begin to answer would get no further prompts.
+            client.report(
+                RunReport(
+                    request_id=decision.request.request_id,
+                    server=decision.server,
+                    began_after_s=0.01,
+                )
+            )
         return decision, scheduler, now_s() - started_s
 
     def end(self, name: str, assignment: Assignment) -> None:
