--- a/src/rosepath/assignment_choice.py
+++ b/src/rosepath/assignment_choice.py
@@ -1,6 +1,7 @@
 """Choose the server that a request is assigned to, or let it wait; no I/O."""
 
 import math
+from collections import Counter
 from collections.abc import Sequence
 from dataclasses import dataclass
 
@@ -9,7 +10,7 @@
 from rosepath.engine_choice import OCCUPIED_PENALTY_S, prefix_affinity_key
 from rosepath.fleet import BackendServer
 from rosepath.rendezvous import ranked
-from rosepath.server_work import AssignedRun, ServerWork
+from rosepath.server_work import ServerWork
 from rosepath.stream_pauses import PRIOR_PAUSE_TOKENS, pause_s
 
 # Prompts that an engine has not read yet wait at the scheduler, where more
@@ -27,13 +28,15 @@
 SAFE_SHARE = 0.75
 # Pauses have an upper bound that was learned, so that they are predicted better.
 SAFE_PAUSE_SHARE = 0.9
+# How likely a stream is beside another long prompt, on an engine that has one.
+PAUSE_RISK = 0.5
 # A failed request starts again at another server.
 ERROR_PENALTY_S = 1.0
 # A longer prompt is prefilled over several steps, each of which delays all streams.
 LONG_PROMPT_TOKENS = 2_048
 # Engines of one model are ordered: long prompts prefer the first, others the last.
 # A rank is given up for so much less delay.
-KIND_RANK_PENALTY_S = 0.01
+KIND_RANK_PENALTY_S = 0.1
 # Engines with less than this share of the fastest one's pace come first: prefilling
 # one prompt at a time, they delay fewer requests than beside many streams.
 SLOW_SHARE = 0.7
@@ -41,11 +44,13 @@
 URGENT_S = 0.4
 # Parts that no engine has cached go to the first engine by rendezvous, unless it
 # is so much busier.
-HOME_RANK_PENALTY_S = 0.03
+HOME_RANK_PENALTY_S = 0.22
 MAX_HOME_RANK = 3
 # A long prompt that would make streams late waits while it can be in time; after
 # that, one more stream may be late for each such time that it is late itself.
 HARM_PATIENCE_S = 0.5
+# As many streams may be late for a request that can't be in time otherwise.
+URGENT_HARM = 1.0
 # Less harm than this is not worth waiting.
 NEGLIGIBLE_HARM = 0.25
 # Before it would be rejected for want of a server, a request is assigned anyway.
@@ -149,10 +154,8 @@
     return prompt.input_tokens > LONG_PROMPT_TOKENS
 
 
-def count_late_streams(
-    candidate: Candidate, request: AssignmentRequest, *, now_s: float
-) -> float:
-    """Return how many streams of an engine a request's prompt would make late.
+def count_late_streams(candidate: Candidate, *, now_s: float) -> float:
+    """Return how many streams of an engine one more prompt would make late.
 
     What the engine prefills already counts: a stream that is late by it can't be
     made late once more.
@@ -165,20 +168,42 @@
         work.pace.prefill_s(work.unread_tokens, now_s=now_s),
     )
     late = 0.0
-    for run in work.runs.values():
-        gap_s = run.assignment.request.gap_s
-        if gap_s <= 0 or run.assignment.request.request_id == request.request_id:
-            continue
-        earlier_s = _prefilled_before_s(run, before_s)
+    for (gap_s, has_begun), streams in _streams_by_gap(work).items():
+        # A stream that has not begun is delayed only by what is prefilled after it.
+        earlier_s = before_s if has_begun else 0.0
         for total_s, sign in ((earlier_s + added_s, 1), (earlier_s, -1)):
             paused_s = pause_s(total_s, longest_s=longest_s)
-            late += sign * _lateness(paused_s, gap_s, safe_share=SAFE_PAUSE_SHARE)
+            late += (
+                streams * sign * _lateness(paused_s, gap_s, safe_share=SAFE_PAUSE_SHARE)
+            )
     return late
 
 
-def _prefilled_before_s(run: AssignedRun, before_s: float) -> float:
-    """Return what delays a stream before one more prompt; none before it begins."""
-    return before_s if run.begun_s is not None else 0.0
+def predict_late_pause(
+    candidate: Candidate, request: AssignmentRequest, *, now_s: float
+) -> float:
+    """Return how likely the stream of a short prompt pauses too long on an engine.
+
+    An engine that has long prompts will get more of them.
+    """
+    prompt = request.prompt
+    if prompt is None or is_long(prompt) or request.gap_s <= 0:
+        return 0.0
+    work = candidate.work
+    prompts = (run.assignment.request.prompt for run in work.runs.values())
+    if not any(other is not None and is_long(other) for other in prompts):
+        return 0.0
+    longest_s = work.pace.prefill_s(math.ceil(candidate.pause_tokens), now_s=now_s)
+    return PAUSE_RISK * _lateness(longest_s, request.gap_s, safe_share=SAFE_PAUSE_SHARE)
+
+
+def _streams_by_gap(work: ServerWork) -> Counter[tuple[float, bool]]:
+    """Count an engine's streams by their acceptable gap and whether they began."""
+    return Counter(
+        (run.assignment.request.gap_s, run.begun_s is not None)
+        for run in work.runs.values()
+        if run.assignment.request.gap_s > 0
+    )
 
 
 def _lateness(
@@ -232,8 +257,11 @@
     now_s: float,
 ) -> EngineCost:
     first_event_s = predict_first_event_s(candidate, request, now_s=now_s)
-    harm = count_late_streams(candidate, request, now_s=now_s)
-    own = _lateness(first_event_s, request.due_s - now_s)
+    harm = count_late_streams(candidate, now_s=now_s)
+    own = max(
+        _lateness(first_event_s, request.due_s - now_s),
+        predict_late_pause(candidate, request, now_s=now_s),
+    )
     return EngineCost(
         candidate=candidate,
         first_event_s=first_event_s,
@@ -254,10 +282,15 @@
 def _preferences_s(prompt: Prompt, candidates: Sequence[Candidate]) -> dict[str, float]:
     """Return the small costs by which like requests gather, by engine."""
     names = [candidate.server.name for candidate in candidates]
-    by_kind = _prefill_ranking(prompt.model, candidates)
-    if not is_long(prompt):
-        by_kind.reverse()
-    costs_s = {name: KIND_RANK_PENALTY_S * rank for rank, name in enumerate(by_kind)}
+    costs_s = dict.fromkeys(names, 0.0)
+    has_adapter = any(candidate.adapter_s <= 0 for candidate in candidates)
+    # Slots for adapters are few, so that one that is loaded decides.
+    if not (prompt.adapter and has_adapter):
+        by_kind = _prefill_ranking(prompt.model, candidates)
+        if not is_long(prompt):
+            by_kind.reverse()
+        for rank, name in enumerate(by_kind):
+            costs_s[name] += KIND_RANK_PENALTY_S * rank
     # Where parts are cached or the adapter is loaded, that decides.
     shares = len(prompt.parts) > 1 or prompt.adapter
     if shares and not any(_has_some(candidate, prompt) for candidate in candidates):
@@ -314,7 +347,7 @@
     spare_s = SAFE_SHARE * (request.due_s - now_s) - best.first_event_s
     if spare_s > 0:
         return NEGLIGIBLE_HARM
-    return 1.0 + max(0.0, now_s - request.due_s) / HARM_PATIENCE_S
+    return URGENT_HARM + max(0.0, now_s - request.due_s) / HARM_PATIENCE_S
 
 
 def _choose_place(
--- a/tests/test_assignment_choice.py
+++ b/tests/test_assignment_choice.py
@@ -9,6 +9,7 @@
     a_chat,
     a_document,
     a_place_server,
+    add_runs,
     an_engine,
     an_order,
 )
@@ -20,6 +21,7 @@
     choose_candidate,
     count_late_streams,
     has_room,
+    waiting_group,
 )
 from rosepath.engine_choice import OCCUPIED_PENALTY_S
 
@@ -37,14 +39,15 @@
 def test_document_goes_where_no_chat_pauses() -> None:
     # Load: a document among chats. At the engine with the shorter queue it would
     # make eight streams pause for longer than their callers accept.
-    chats = an_engine("chats", streams=8)
-    other = an_engine("other", prefill_left_s=0.09)
-    for engines in ((chats, other), (other, chats)):
-        slower = [
-            replace(engine, pause_tokens=LONG_PAUSE_TOKENS, unread_tokens=12_000)
-            for engine in engines
+    for chats, other in (("e1", "e2"), ("e2", "e1")):
+        engines = [
+            an_engine(chats, streams=8, unread_tokens=12_000),
+            an_engine(other, prefill_left_s=0.09, unread_tokens=12_000),
         ]
-        assert chosen(a_document(), *slower) == "other"
+        engines = [
+            replace(engine, pause_tokens=LONG_PAUSE_TOKENS) for engine in engines
+        ]
+        assert chosen(a_document(), *engines) == other
 
 
 def test_document_waits_while_all_engines_run_chats_then_is_served() -> None:
@@ -65,10 +68,9 @@
     engine = an_engine("e1", streams=8)
     small_chunks = replace(engine, pause_tokens=5 * 1_024)
     large_chunks = replace(engine, pause_tokens=5 * 4_096)
-    request = replace(a_document(), request_id="new")
-    assert count_late_streams(small_chunks, request, now_s=NOW_S) == 0
+    assert count_late_streams(small_chunks, now_s=NOW_S) == 0
     longer = replace(large_chunks, unread_tokens=20_000)
-    assert count_late_streams(longer, request, now_s=NOW_S) == 8
+    assert count_late_streams(longer, now_s=NOW_S) == 8
 
 
 def test_streams_that_pause_already_are_not_counted_again() -> None:
@@ -76,7 +78,7 @@
     # not made late by the second.
     engine = an_engine("e1", streams=8, prefill_left_s=0.6)
     engine = replace(engine, pause_tokens=LONG_PAUSE_TOKENS)
-    assert count_late_streams(engine, a_document(), now_s=NOW_S) == 0
+    assert count_late_streams(engine, now_s=NOW_S) == 0
 
 
 def test_one_replica_serves_documents_beside_its_chats() -> None:
@@ -118,6 +120,26 @@
     assert chosen(a_document(due_in_s=4.0), *cached) == "slow"
 
 
+def test_chat_avoids_an_engine_whose_documents_would_make_it_late() -> None:
+    # Load: one slow engine in four, which prefills documents: the next document
+    # there makes a chat pause for longer than its caller accepts.
+    slow = an_engine("slow", tokens_per_s=17_000.0, unread_tokens=600)
+    add_runs(slow.work, "slow", a_document("d1"))
+    usual = an_engine("usual", streams=30, prefill_left_s=0.05, unread_tokens=600)
+    assert chosen(a_chat(), slow, usual) == "usual"
+
+
+def test_requests_for_different_engines_wait_apart() -> None:
+    # Load: a document among chats. Requests that wait for different engines wait
+    # apart from each other.
+    groups = {
+        waiting_group(request)
+        for request in (a_chat(), a_document(), a_document(shared="s2"), an_order())
+    }
+    assert len(groups) == 4
+    assert waiting_group(a_chat("c1")) == waiting_group(a_chat("c2"))
+
+
 def test_machine_that_is_slowed_for_a_moment_is_avoided() -> None:
     # Load: a machine slowed 2.5 times for 0.6 s. Its engine is used again as soon
     # as the slowdown is over.
--- a/tests/test_stream_pauses.py
+++ b/tests/test_stream_pauses.py
@@ -1,73 +1,58 @@
-"""Stall timeouts of streams, by whether another attempt may follow."""
+"""Tests of how long streams are expected to pause beside prompts."""
 
-import asyncio
-import math
-from typing import Any, cast
+from rosepath.stream_pauses import (
+    MAX_STREAMS,
+    PRIOR_PAUSE_TOKENS,
+    StreamPauses,
+    pause_s,
+)
 
-from entry_builders import a_call, a_catalog, a_crash_watch, a_picker, a_prompt, a_route
-from entry_harness import NoModelOrders
+RATE_PER_S = 40_000.0
+CHUNK_TOKENS = 1_024
 
-from rosepath.clock import ManualClock
-from rosepath.event_sequence import EventSequence
-from rosepath.fleet import Fleet
-from rosepath.prompt_caches import PromptCaches
-from rosepath.request_context import RelayPorts, RequestContext
-from rosepath.retries import Evidence
-from rosepath.retry_policy import RetryPolicy
 
+def learn(pauses: StreamPauses, *, streams: int, tokens: int, gap_s: float) -> None:
+    for number in range(streams):
+        pauses.note_prefill(f"q{number}", tokens)
+        pauses.note_longest_gap(f"q{number}", gap_s, prefill_tokens_per_s=RATE_PER_S)
 
-def a_retry_policy(clock: ManualClock) -> RetryPolicy:
-    ports = RelayPorts(
-        data_centre="a",
-        clock=clock,
-        fleet=Fleet(),
-        caches=PromptCaches(),
-        attempts=cast(Any, None),
-        catalog=lambda: None,
-        budget=cast(Any, None),
-        models=NoModelOrders(),
-        fleet_changed=asyncio.Condition(),
-        cut_off=set,
-        wait_limit_s=lambda: math.inf,
-        on_outcome=lambda *_: None,
-        crashes=a_crash_watch(clock),
-    )
-    return RetryPolicy(ports, a_picker(ports))
 
+def test_small_chunks_are_learned_from_streams_beside_documents() -> None:
+    # Load: documents among chats, at engines that work in small chunks. Until that
+    # is known, documents wait for engines without chats.
+    pauses = StreamPauses()
+    shown = 5 * CHUNK_TOKENS
+    learn(pauses, streams=60, tokens=30_000, gap_s=shown / RATE_PER_S)
+    assert abs(pauses.tokens - shown) < 0.01 * shown
 
-LEFT_S = 5.0
 
+def test_longer_pauses_than_expected_are_learned_at_once() -> None:
+    # Load: documents among chats, at engines that work in larger chunks than usual.
+    # Each stream that pauses until that is known is late.
+    pauses = StreamPauses()
+    learn(pauses, streams=4, tokens=60_000, gap_s=1.0)
+    assert pauses.tokens > 0.9 * RATE_PER_S
 
-def a_context(
-    *attempt_evidence: Evidence, clock: ManualClock, max_attempts: int, resumable: bool
-) -> RequestContext:
-    catalog = a_catalog(a_route(max_attempts=max_attempts, resumable=resumable))
-    return RequestContext(
-        call=a_call(prompt=a_prompt(), arrived_s=0.0),
-        route=catalog.routes[0],
-        service=catalog.services["llm"],
-        exchange=cast(Any, None),
-        deadline_s=clock.monotonic_s() + LEFT_S,
-        event_sequence=EventSequence(last_id=None),
-        attempt_evidence=list(attempt_evidence),
-    )
 
+def test_pauses_beside_short_prompts_show_nothing() -> None:
+    # Load: chats only. Their prompts are shorter than what is prefilled between two
+    # events; taken for it, they would let documents in among chats.
+    pauses = StreamPauses()
+    learn(pauses, streams=60, tokens=600, gap_s=600 / RATE_PER_S)
+    learn(pauses, streams=60, tokens=0, gap_s=0.01)
+    assert pauses.tokens == PRIOR_PAUSE_TOKENS
 
-def test_a_stream_that_can_resume_elsewhere_has_a_short_stall_timeout() -> None:
-    clock = ManualClock()
-    context = a_context(clock=clock, max_attempts=2, resumable=True)
-    assert a_retry_policy(clock).stall_timeout_s(context) < 1.0
 
+def test_streams_whose_end_is_never_reported_are_forgotten() -> None:
+    # Load: streams of entry VMs that were killed.
+    pauses = StreamPauses()
+    for number in range(MAX_STREAMS + 10):
+        pauses.note_prefill(f"q{number}", 30_000)
+    pauses.note_longest_gap("q1", 1.0, prefill_tokens_per_s=RATE_PER_S)
+    assert pauses.tokens == PRIOR_PAUSE_TOKENS
 
-def test_a_stream_on_its_last_attempt_does_not_time_out_for_silence() -> None:
-    # Under load, two engines in turn pause for 0.7 s, and the route allows no
-    # third attempt. A stall timeout would cut the stream without a response or
-    # refusal, although the second engine still works on it.
-    clock = ManualClock()
-    again = a_context(
-        Evidence.ANSWER_BEGUN, clock=clock, max_attempts=2, resumable=True
-    )
-    once = a_context(clock=clock, max_attempts=1, resumable=True)
-    never = a_context(clock=clock, max_attempts=2, resumable=False)
-    for context in (again, once, never):
-        assert a_retry_policy(clock).stall_timeout_s(context) > LEFT_S
+
+def test_pause_is_bounded_by_the_prompt_and_by_the_chunks() -> None:
+    # Load: a document among chats, and a short prompt among them.
+    assert pause_s(0.02, longest_s=0.25) == 0.02
+    assert pause_s(2.0, longest_s=0.25) == 0.25
