--- a/src/rosepath/scheduler.py
+++ b/src/rosepath/scheduler.py
@@ -14,11 +14,14 @@
     Decision,
     RunReport,
 )
-from rosepath.assignment_choice import Candidate, choose_candidate
+from rosepath.assignment_choice import (
+    Candidate,
+    choose_candidate,
+    predict_adapter_s,
+)
 from rosepath.assignment_line import LineKey
 from rosepath.assignment_queue import AssignmentQueue, line_key
 from rosepath.catalog import Catalog, EngineSpec
-from rosepath.engine_choice import ADAPTER_PENALTY_S, OCCUPIED_PENALTY_S
 from rosepath.fleet import BackendServer, Fleet
 from rosepath.prompt_caches import PromptCaches
 from rosepath.server_choice import healthy_servers
@@ -206,7 +209,9 @@
             pause_tokens=self._pauses_of(request.service).tokens,
             adapter_s=0.0
             if has_adapter
-            else _adapter_delay_s(server, work, spec, now_s=now_s),
+            else predict_adapter_s(
+                server, work, adapter_slots=spec.adapter_slots, now_s=now_s
+            ),
         )
 
     def _engine_spec(self, service: str) -> EngineSpec | None:
@@ -224,13 +229,3 @@
         for model in ("", *server.resident_models):
             found[server.entry.service, model].append(server)
     return found
-
-
-def _adapter_delay_s(
-    server: BackendServer, work: ServerWork, spec: EngineSpec, *, now_s: float
-) -> float:
-    """Return the expected delay of loading one more adapter onto an engine."""
-    used = sum("/" in target for target in work.targets_in_use)
-    if server.order_busy_until_s > now_s or used >= spec.adapter_slots:
-        return OCCUPIED_PENALTY_S
-    return ADAPTER_PENALTY_S
