--- a/src/rosepath/assignment_choice.py
+++ b/src/rosepath/assignment_choice.py
@@ -7,9 +7,15 @@
 
 from rosepath.assignment import AssignmentRequest
 from rosepath.caller_request import Prompt
-from rosepath.engine_choice import OCCUPIED_PENALTY_S, prefix_affinity_key
+from rosepath.engine_choice import (
+    ADAPTER_PENALTY_S,
+    ADAPTER_SLOT_PENALTY_S,
+    OCCUPIED_PENALTY_S,
+    prefix_affinity_key,
+)
 from rosepath.fleet import BackendServer
 from rosepath.rendezvous import ranked
+from rosepath.response_metadata import ServerLoad
 from rosepath.server_work import ServerWork
 from rosepath.stream_pauses import PRIOR_PAUSE_TOKENS, pause_s
 
@@ -137,6 +143,28 @@
     )
 
 
+def predict_adapter_s(
+    server: BackendServer, work: ServerWork, *, adapter_slots: int, now_s: float
+) -> float:
+    """Return the expected delay of loading one more adapter onto an engine.
+
+    The fewer of its slots are free, the more the last ones are worth to others.
+    """
+    used = sum("/" in target for target in work.targets_in_use)
+    if server.order_busy_until_s > now_s or used >= adapter_slots:
+        return OCCUPIED_PENALTY_S
+    return ADAPTER_PENALTY_S + ADAPTER_SLOT_PENALTY_S * used / adapter_slots
+
+
+def count_others(load: ServerLoad, work: ServerWork, *, stated_s: float) -> int:
+    """Return the requests that a server had from elsewhere when it stated its load.
+
+    Call this before runs that ended after the statement are removed.
+    """
+    own = sum(run.assigned_s <= stated_s for run in work.runs.values())
+    return max(0, load.running + load.waiting - own)
+
+
 def waiting_group(request: AssignmentRequest) -> tuple[str, str, bool]:
     """Return what requests have in common that wait for the same servers.
 
--- a/src/rosepath/scheduler.py
+++ b/src/rosepath/scheduler.py
@@ -14,10 +14,14 @@
     Decision,
     RunReport,
 )
-from rosepath.assignment_choice import Candidate, choose_candidate, waiting_group
+from rosepath.assignment_choice import (
+    Candidate,
+    choose_candidate,
+    predict_adapter_s,
+    waiting_group,
+)
 from rosepath.assignment_queue import AssignmentQueue
 from rosepath.catalog import Catalog, EngineSpec
-from rosepath.engine_choice import ADAPTER_PENALTY_S, OCCUPIED_PENALTY_S
 from rosepath.fleet import BackendServer, Fleet
 from rosepath.prompt_caches import PromptCaches
 from rosepath.server_choice import healthy_servers
@@ -174,20 +178,12 @@
             pause_tokens=self._pauses_of(request.service).tokens,
             adapter_s=0.0
             if has_adapter
-            else _adapter_delay_s(server, work, spec, now_s=now_s),
+            else predict_adapter_s(
+                server, work, adapter_slots=spec.adapter_slots, now_s=now_s
+            ),
         )
 
     def _engine_spec(self, service: str) -> EngineSpec | None:
         catalog = self.catalog()
         spec = catalog.services.get(service) if catalog is not None else None
         return spec.engine if spec is not None else None
-
-
-def _adapter_delay_s(
-    server: BackendServer, work: ServerWork, spec: EngineSpec, *, now_s: float
-) -> float:
-    """Return the expected delay of loading one more adapter onto an engine."""
-    used = sum("/" in target for target in work.targets_in_use)
-    if server.order_busy_until_s > now_s or used >= spec.adapter_slots:
-        return OCCUPIED_PENALTY_S
-    return ADAPTER_PENALTY_S
--- a/tests/test_assignment_choice.py
+++ b/tests/test_assignment_choice.py
@@ -20,10 +20,13 @@
     Candidate,
     choose_candidate,
     count_late_streams,
+    count_others,
     has_room,
+    predict_adapter_s,
     waiting_group,
 )
 from rosepath.engine_choice import OCCUPIED_PENALTY_S
+from rosepath.response_metadata import ServerLoad
 
 # A pause of half a second, beyond the target gap of any chat.
 LONG_PAUSE_TOKENS = 19_000
@@ -206,6 +209,20 @@
     assert chosen(a_chat(adapter="a1"), full) is None
 
 
+def test_last_adapter_slots_are_spared() -> None:
+    # Load: chats with more adapters than one engine has slots. Each new one goes
+    # where most slots are free, so that the next finds one anywhere.
+    free, used = an_engine("free"), an_engine("used")
+    for number in range(7):
+        request = a_chat(f"q{number}", adapter=f"a{number}")
+        add_runs(used.work, "used", request)
+    delays_s = [
+        predict_adapter_s(engine.server, engine.work, adapter_slots=slots, now_s=NOW_S)
+        for engine, slots in ((free, 8), (used, 8), (used, 7))
+    ]
+    assert delays_s[0] < delays_s[1] < delays_s[2] == OCCUPIED_PENALTY_S
+
+
 def test_suspect_engine_that_alone_has_the_model_is_used() -> None:
     # Load: one replica only, which failed a moment ago and is slow.
     engine = an_engine("e1", tokens_per_s=5_000.0, slowdown=2.5, unread_tokens=600)
@@ -243,6 +260,18 @@
     assert chosen(an_order(), failing) == "failing"
 
 
+def test_requests_assigned_after_a_statement_are_not_of_others() -> None:
+    # Load: a small service at 0.9 of its places. A statement of 20 ms ago can't
+    # include what was assigned since, and counts what others have sent.
+    server = a_place_server("s1", running=4)
+    stated = ServerLoad(running=5, waiting=1, slots=6)
+    assert count_others(stated, server.work, stated_s=NOW_S) == 2
+    before_s = NOW_S - 2.0
+    idle = ServerLoad(running=0, waiting=0, slots=6)
+    assert count_others(idle, server.work, stated_s=before_s) == 0
+    assert count_others(idle, server.work, stated_s=NOW_S) == 0
+
+
 def test_places_that_others_use_are_taken() -> None:
     # Load: a small service that other schedulers use, too.
     used = a_place_server("used", others=7)
