--- a/src/rosepath/assignment_line.py
+++ b/src/rosepath/assignment_line.py
@@ -2,6 +2,7 @@
 
 import heapq
 import math
+from collections.abc import Hashable
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
@@ -103,13 +104,19 @@
     beyond_floors: ServiceFloors = field(default_factory=ServiceFloors)
     use: WorkspaceUse = field(default_factory=WorkspaceUse)
     room: RoomPrediction = field(default_factory=RoomPrediction)
+    # Counts what may change the order of the requests.
+    changes: int = 0
     _missed_s: float = -math.inf
     _token_s: float = 1 / PRIOR_PREFILL_TOKENS_PER_S
 
     def beyond_share(self, workspace: str, *, now_s: float) -> bool:
         """Return whether a workspace gives way to others that were served less."""
-        competing = now_s - self._missed_s < CONTENTION_LASTS_S
-        return competing and self.use.beyond_share(workspace)
+        return now_s < self.competing_until_s and self.use.beyond_share(workspace)
+
+    @property
+    def competing_until_s(self) -> float:
+        """Return until when workspaces compete, unless a request misses its time."""
+        return self._missed_s + CONTENTION_LASTS_S
 
     def service_s(self, request: AssignmentRequest) -> float:
         """Return the predicted time from assignment to the first event."""
@@ -126,6 +133,7 @@
     ) -> None:
         """Learn from an assignment, and count it for the order of the next."""
         request = assignment.request
+        self.changes += 1
         self._learn_service_time(assignment)
         self.room.note_assigned(left_waiting=left_waiting, now_s=now_s)
         self.note_outcome(waiting, served=True, now_s=now_s)
@@ -151,6 +159,7 @@
         A workspace beyond its share has no claim on the others' room, or one
         that sends too much would gain from what it isn't served.
         """
+        self.changes += 1
         if not served:
             self._missed_s = now_s
         if self.beyond_share(waiting.request.workspace, now_s=now_s):
@@ -200,18 +209,23 @@
         # Since removed requests were last dropped from all heaps.
         self._removed = 0
         self._flows: dict[tuple[Kind, str], _Flow] = {}
+        self._fronts: list[tuple[OrderKey, WaitingRequest]] = []
+        self._fronts_basis: tuple[Hashable, ...] = ()
+        self._fronts_until_s = -math.inf
 
     def add(self, waiting: WaitingRequest) -> None:
         """Let a request wait."""
         workspace = waiting.request.workspace
         self._flows.setdefault((waiting.kind, workspace), _Flow()).push(waiting)
         self.waiting += 1
+        self.contention.changes += 1
         self.contention.use.note_waiting(workspace, step=1)
 
     def remove(self, waiting: WaitingRequest) -> None:
         """Let a request wait no longer."""
         waiting.waits = False
         self.waiting -= 1
+        self.contention.changes += 1
         self.contention.use.note_waiting(waiting.request.workspace, step=-1)
         self._removed += 1
         if self._removed > self.waiting + MAX_REMOVED_KEPT:
@@ -219,20 +233,22 @@
             for flow in self._flows.values():
                 flow.drop_removed()
 
-    def head(
-        self, *, below_size: float = math.inf, line_owed: bool = False, now_s: float
-    ) -> tuple[OrderKey, WaitingRequest] | None:
-        """Return the next request with a prompt below a size, and its place."""
+    def fronts(
+        self, *, line_owed: bool = False, now_s: float
+    ) -> list[tuple[OrderKey, WaitingRequest]]:
+        """Return the first request of each kind and workspace, the next one first."""
         contention = self.contention
         owed = contention.kind_floors.owed(now_s=now_s)
         owed_beyond = contention.beyond_floors.owed(now_s=now_s)
-        best: tuple[OrderKey, WaitingRequest] | None = None
-        for (kind, workspace), flow in list(self._flows.items()):
-            if kind.size >= below_size:
-                continue
+        basis = (contention.changes, line_owed, owed, owed_beyond)
+        if basis == self._fronts_basis and now_s < self._fronts_until_s:
+            return self._fronts
+        fronts: list[tuple[OrderKey, WaitingRequest]] = []
+        emptied = []
+        for (kind, workspace), flow in self._flows.items():
             waiting = self._front(flow, now_s=now_s)
             if waiting is None:
-                del self._flows[kind, workspace]
+                emptied.append((kind, workspace))
                 continue
             beyond_share = contention.beyond_share(workspace, now_s=now_s)
             waiting.kind_owed = kind in (owed_beyond if beyond_share else owed)
@@ -246,9 +262,30 @@
                 urgency_s=waiting.urgency_s,
                 number=waiting.number,
             )
-            if best is None or key < best[0]:
-                best = key, waiting
-        return best
+            fronts.append((key, waiting))
+        for flow_key in emptied:
+            del self._flows[flow_key]
+        fronts.sort()
+        self._keep(fronts, (contention.changes, *basis[1:]), now_s=now_s)
+        return fronts
+
+    def _keep(
+        self,
+        fronts: list[tuple[OrderKey, WaitingRequest]],
+        basis: tuple[Hashable, ...],
+        *,
+        now_s: float,
+    ) -> None:
+        """Keep the fronts until time changes them: most walks find no change."""
+        self._fronts, self._fronts_basis = fronts, basis
+        self._fronts_until_s = min(
+            (waiting.in_time_until_s for _, waiting in fronts if not waiting.late),
+            default=math.inf,
+        )
+        if now_s < self.contention.competing_until_s:
+            self._fronts_until_s = min(
+                self._fronts_until_s, self.contention.competing_until_s
+            )
 
     def _front(self, flow: _Flow, *, now_s: float) -> WaitingRequest | None:
         """Return the first request of a flow, in time if there is any."""
--- a/src/rosepath/assignment_queue.py
+++ b/src/rosepath/assignment_queue.py
@@ -61,6 +61,35 @@
         return line
 
 
+@dataclass(slots=True, kw_only=True)
+class _LineWalk:
+    """Hold how far a walk of the waiting requests has come in a line."""
+
+    line: AssignmentLine
+    line_owed: bool
+    below_size: float = math.inf
+    fronts: list[tuple[OrderKey, WaitingRequest]] = field(default_factory=list)
+
+    def look(self, *, now_s: float) -> None:
+        """Find the next requests of the line."""
+        self.fronts = [
+            front
+            for front in self.line.fronts(line_owed=self.line_owed, now_s=now_s)
+            if front[1].kind.size < self.below_size
+        ]
+
+    def leave_out(self, size: int) -> None:
+        """Leave out prompts of a size and more, as there is no room for them."""
+        self.below_size = size
+        self.fronts = [front for front in self.fronts if front[1].kind.size < size]
+
+    def push_to(
+        self, heads: "list[tuple[OrderKey, WaitingRequest, _LineWalk]]"
+    ) -> None:
+        if self.fronts:
+            heapq.heappush(heads, (*self.fronts[0], self))
+
+
 class AssignmentQueue:
     """Own the requests that wait for a server, by id."""
 
@@ -149,33 +178,27 @@
         behind it that wait for the same servers with prompts of its size or
         more: they are left out.
         """
-        heads: list[tuple[OrderKey, WaitingRequest, AssignmentLine]] = []
-        sizes_with_room: dict[AssignmentLine, int] = {}
         owed_lines = {
             service: floors.owed(now_s=now_s)
             for service, floors in self._line_floors.items()
         }
-
-        def push_head(line: AssignmentLine) -> None:
-            key = line.contention.key
-            head = line.head(
-                below_size=sizes_with_room.get(line, math.inf),
-                line_owed=key in owed_lines[key.service],
-                now_s=now_s,
-            )
-            if head is not None:
-                heapq.heappush(heads, (*head, line))
-
+        heads: list[tuple[OrderKey, WaitingRequest, _LineWalk]] = []
         for key in self._models if keys is None else keys:
             model = self._models.get(key)
+            line_owed = key in owed_lines.get(key.service, ())
             for line in model.lines.values() if model is not None else ():
-                push_head(line)
+                walk = _LineWalk(line=line, line_owed=line_owed)
+                walk.look(now_s=now_s)
+                walk.push_to(heads)
         while heads:
-            _, waiting, line = heapq.heappop(heads)
+            _, waiting, walk = heads[0]
             yield waiting.request
+            heapq.heappop(heads)
             if waiting.waits:
-                sizes_with_room[line] = waiting.kind.size
-            push_head(line)
+                walk.leave_out(waiting.kind.size)
+            else:
+                walk.look(now_s=now_s)
+            walk.push_to(heads)
 
     def take_rejected(self, *, now_s: float) -> list[AssignmentRejection]:
         """Remove and return the requests that can't be served any more."""
