--- a/src/rosepath/assignment_line.py
+++ b/src/rosepath/assignment_line.py
@@ -104,6 +104,8 @@
     beyond_floors: ServiceFloors = field(default_factory=ServiceFloors)
     use: WorkspaceUse = field(default_factory=WorkspaceUse)
     room: RoomPrediction = field(default_factory=RoomPrediction)
+    # Of those assigned late: they only get what the others leave.
+    late_room: RoomPrediction = field(default_factory=RoomPrediction)
     # Counts what may change the order of the requests.
     changes: int = 0
     _missed_s: float = -math.inf
@@ -136,6 +138,8 @@
         self.changes += 1
         self._learn_service_time(assignment)
         self.room.note_assigned(left_waiting=left_waiting, now_s=now_s)
+        if waiting.late or not left_waiting:
+            self.late_room.note_assigned(left_waiting=left_waiting, now_s=now_s)
         self.note_outcome(waiting, served=True, now_s=now_s)
         if self.beyond_share(request.workspace, now_s=now_s):
             self.beyond_floors.note_turn(was_owed=waiting.kind_owed)
--- a/src/rosepath/assignment_queue.py
+++ b/src/rosepath/assignment_queue.py
@@ -220,20 +220,21 @@
     def _reject_unreachable(self, model: _ModelLines, *, now_s: float) -> None:
         """Reject the requests that are reached only after their callers left."""
         line = model.lines.get(frozenset())
-        rate_per_s = model.contention.room.rate_per_s(now_s=now_s)
+        contention = model.contention
+        rate_per_s = contention.room.rate_per_s(now_s=now_s)
         if line is None or rate_per_s is None:
             return
         if line.waiting < MIN_PREDICTED_WAIT_S * rate_per_s:
             return
-        ahead = 0
+        late_rate_per_s = contention.late_room.rate_per_s(now_s=now_s) or rate_per_s
+        wait_s = 0.0
         for waiting in line.in_order(now_s=now_s):
             left_s = waiting.useful_until_s - now_s
-            if ahead / rate_per_s > max(
-                MIN_PREDICTED_WAIT_S, REJECTION_FACTOR * left_s
-            ):
+            if wait_s > max(MIN_PREDICTED_WAIT_S, REJECTION_FACTOR * left_s):
                 self._reject(waiting, NO_SERVER_CODE, now_s=now_s)
             else:
-                ahead += 1
+                late = waiting.in_time_until_s < now_s
+                wait_s += 1 / (late_rate_per_s if late else rate_per_s)
 
     def _make_room(self, *, now_s: float) -> None:
         """Reject the newest of the least urgent requests of the longest line."""
--- a/tests/test_assignment_queue.py
+++ b/tests/test_assignment_queue.py
@@ -176,6 +176,27 @@
     assert not set(rejected) & {f"q{n}" for n in range(80)}
 
 
+def test_late_requests_that_others_leave_no_room_for_are_rejected() -> None:
+    """Guards against holding late requests behind a steady flow of new ones."""
+    queue = a_queue(*(a_request(f"late{n}", due_in_s=-0.1) for n in range(200)))
+    rejected: list[str] = []
+    for number in range(400):
+        now_s = number / 50
+        # Nine of ten turns go to new requests, which are in time.
+        if number % 10:
+            request_id = f"new{number}"
+            queue.add(a_request(request_id, arrived_s=now_s), now_s=now_s)
+        request = next(queue.in_order(now_s=now_s))
+        queue.take(an_assignment(request), now_s=now_s)
+        rejected += [
+            rejection.request.request_id
+            for rejection in queue.take_rejected(now_s=now_s)
+        ]
+    # Of 200, five a second are assigned late, 75 while their callers wait.
+    assert 50 <= len(rejected) <= 200 - 75
+    assert all(request_id.startswith("late") for request_id in rejected)
+
+
 def test_rejected_callers_come_back_spread_over_time() -> None:
     """Guards against a burst whose rejected callers all return together."""
     queue = a_queue(*(a_request(f"q{n}", wait_s=4.0) for n in range(400)))
