--- a/src/rosepath/assignment_line.py
+++ b/src/rosepath/assignment_line.py
@@ -204,6 +204,15 @@
             heapq.heapify(heap)
 
 
+class _Basis(NamedTuple):
+    """Hold what the places of a line's first requests depend on, besides time."""
+
+    changes: int
+    line_owed: bool
+    owed_kinds: frozenset[Hashable]
+    owed_beyond_share: frozenset[Hashable]
+
+
 class AssignmentLine:
     """Own the requests that wait for the same servers."""
 
@@ -214,7 +223,7 @@
         self._removed = 0
         self._flows: dict[tuple[Kind, str], _Flow] = {}
         self._fronts: list[tuple[OrderKey, WaitingRequest]] = []
-        self._fronts_basis: tuple[Hashable, ...] = ()
+        self._fronts_basis: _Basis | None = None
         self._fronts_until_s = -math.inf
 
     def add(self, waiting: WaitingRequest) -> None:
@@ -241,42 +250,62 @@
         self, *, line_owed: bool = False, now_s: float
     ) -> list[tuple[OrderKey, WaitingRequest]]:
         """Return the first request of each kind and workspace, the next one first."""
-        contention = self.contention
-        owed = contention.kind_floors.owed(now_s=now_s)
-        owed_beyond = contention.beyond_floors.owed(now_s=now_s)
-        basis = (contention.changes, line_owed, owed, owed_beyond)
+        basis = self._basis(line_owed=line_owed, now_s=now_s)
         if basis == self._fronts_basis and now_s < self._fronts_until_s:
             return self._fronts
-        fronts: list[tuple[OrderKey, WaitingRequest]] = []
-        emptied = []
-        for (kind, workspace), flow in self._flows.items():
+        first_requests = self._first_requests(now_s=now_s)
+        # Requests that became late since may have changed what is owed.
+        basis = self._basis(line_owed=line_owed, now_s=now_s)
+        fronts = sorted(
+            (self._place(waiting, basis, now_s=now_s), waiting)
+            for waiting in first_requests
+        )
+        self._keep(fronts, basis, now_s=now_s)
+        return fronts
+
+    def _basis(self, *, line_owed: bool, now_s: float) -> _Basis:
+        contention = self.contention
+        return _Basis(
+            contention.changes,
+            line_owed,
+            contention.kind_floors.owed(now_s=now_s),
+            contention.beyond_floors.owed(now_s=now_s),
+        )
+
+    def _first_requests(self, *, now_s: float) -> list[WaitingRequest]:
+        """Return the first request of each flow, and drop empty flows."""
+        first_requests = []
+        for flow_key, flow in list(self._flows.items()):
             waiting = self._front(flow, now_s=now_s)
             if waiting is None:
-                emptied.append((kind, workspace))
-                continue
-            beyond_share = contention.beyond_share(workspace, now_s=now_s)
-            waiting.kind_owed = kind in (owed_beyond if beyond_share else owed)
-            waiting.line_owed = line_owed and not beyond_share
-            owed_turns = waiting.line_owed + (waiting.kind_owed and not beyond_share)
-            key = OrderKey(
-                not_owed=2 - owed_turns,
-                late=waiting.late,
-                beyond_share=beyond_share,
-                not_owed_beyond=not (beyond_share and waiting.kind_owed),
-                urgency_s=waiting.urgency_s,
-                number=waiting.number,
-            )
-            fronts.append((key, waiting))
-        for flow_key in emptied:
-            del self._flows[flow_key]
-        fronts.sort()
-        self._keep(fronts, (contention.changes, *basis[1:]), now_s=now_s)
-        return fronts
+                del self._flows[flow_key]
+            else:
+                first_requests.append(waiting)
+        return first_requests
+
+    def _place(
+        self, waiting: WaitingRequest, basis: _Basis, *, now_s: float
+    ) -> OrderKey:
+        """Return a request's place, and record on what ground it has it."""
+        workspace = waiting.request.workspace
+        beyond_share = self.contention.beyond_share(workspace, now_s=now_s)
+        owed_kinds = basis.owed_beyond_share if beyond_share else basis.owed_kinds
+        waiting.kind_owed = waiting.kind in owed_kinds
+        waiting.line_owed = basis.line_owed and not beyond_share
+        owed_turns = waiting.line_owed + (waiting.kind_owed and not beyond_share)
+        return OrderKey(
+            not_owed=2 - owed_turns,
+            late=waiting.late,
+            beyond_share=beyond_share,
+            not_owed_beyond=not (beyond_share and waiting.kind_owed),
+            urgency_s=waiting.urgency_s,
+            number=waiting.number,
+        )
 
     def _keep(
         self,
         fronts: list[tuple[OrderKey, WaitingRequest]],
-        basis: tuple[Hashable, ...],
+        basis: _Basis,
         *,
         now_s: float,
     ) -> None:
--- a/tests/test_assignment_queue.py
+++ b/tests/test_assignment_queue.py
@@ -1,7 +1,11 @@
 """Tests of the order of waiting requests, and of their rejections."""
 
 import itertools
+import math
+import random
+from collections import Counter
 
+import pytest
 from queue_builders import a_queue, a_request, an_assignment, order_of
 
 from rosepath.assignment_line import LineKey
@@ -254,3 +258,74 @@
     [line] = queue._models[LineKey("llm", "m0")].lines.values()
     held = [len(flow.in_time) + len(flow.late) for flow in line._flows.values()]
     assert sum(held) < 3 * len(queue) + 200
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_each_request_leaves_the_queue_once(seed: int) -> None:
+    """Guards against requests lost or assigned twice in a mix of all events."""
+    rng = random.Random(seed)
+    queue = a_queue()
+    ended: Counter[str] = Counter()
+    added = 0
+    for step in range(3_000):
+        now_s = step / 100
+        if rng.random() < 0.7:
+            request = a_request(
+                f"q{added}",
+                arrived_s=now_s,
+                due_in_s=rng.choice([0.1, 0.5, 2.0]),
+                wait_s=rng.choice([0.5, 2.0, 8.0]),
+                tokens=rng.choice([0, 500, 2_000, 8_000]),
+                model=rng.choice(["m0", "m1"]),
+                priority=rng.randrange(3),
+                workspace=rng.choice(["", "w0", "w0", "w0", "w1"]),
+                tried=rng.choice([(), (), ("e1",)]),
+            )
+            queue.add(request, now_s=now_s)
+            added += 1
+        if rng.random() < 0.1:
+            request_id = f"q{rng.randrange(max(1, added))}"
+            ended[request_id] += queue.remove(request_id) is not None
+        for request in queue.in_order(now_s=now_s):
+            assert request.request_id in queue
+            if rng.random() < 0.2:
+                queue.take(an_assignment(request), now_s=now_s)
+                ended[request.request_id] += 1
+        for rejection in queue.take_rejected(now_s=now_s):
+            ended[rejection.request.request_id] += 1
+        assert len(queue) + sum(ended.values()) == added
+    for rejection in queue.take_rejected(now_s=1e3):
+        ended[rejection.request.request_id] += 1
+    assert len(queue) == 0
+    assert set(ended.values()) <= {0, 1}
+    assert sum(ended.values()) == added
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_kept_places_are_those_of_a_new_walk(seed: int) -> None:
+    """Guards against an order kept from before a request came, left or was late."""
+    rng = random.Random(seed)
+    queue = a_queue()
+    for step in range(1_000):
+        now_s = step / 50
+        request = a_request(
+            f"q{step}",
+            arrived_s=now_s,
+            due_in_s=rng.choice([0.05, 0.3, 1.0]),
+            wait_s=2.0,
+            tokens=rng.choice([500, 8_000]),
+            priority=rng.randrange(2),
+            workspace=rng.choice(["w0", "w0", "w0", "w1"]),
+        )
+        if rng.random() < 0.6:
+            queue.add(request, now_s=now_s)
+        kept = [request.request_id for request in queue.in_order(now_s=now_s)]
+        for model in queue._models.values():
+            for line in model.lines.values():
+                line._fronts_until_s = -math.inf
+        new = [request.request_id for request in queue.in_order(now_s=now_s)]
+        assert kept == new
+        first = next(queue.in_order(now_s=now_s), None)
+        if first is not None and rng.random() < 0.3:
+            queue.take(an_assignment(first), now_s=now_s)
+        queue.take_rejected(now_s=now_s)
