--- a/benchmarks/waiting.py
+++ b/benchmarks/waiting.py
@@ -104,12 +104,12 @@
 
 
 def _time_walks(*, late_share: float, keys: Sequence[LineKey] | None) -> list[float]:
-    """Return the milliseconds of events that free an engine for one request."""
+    """Return the processor time, in ms, of events that free an engine for one."""
     queue = _full_queue(late_share=late_share)
     took_ms = []
     for number in range(WALKS):
         now_s = number * 1e-4
-        started_s = time.perf_counter()
+        started_s = time.process_time()
         walk = queue.in_order(now_s=now_s, keys=keys)
         request = next(walk, None)
         if request is not None:
@@ -118,7 +118,7 @@
             # Nothing else finds room.
             pass
         queue.take_rejected(now_s=now_s)
-        took_ms.append((time.perf_counter() - started_s) * 1e3)
+        took_ms.append((time.process_time() - started_s) * 1e3)
     return sorted(took_ms)
 
 
