--- a/benchmarks/queue_load.py
+++ b/benchmarks/queue_load.py
@@ -10,9 +10,9 @@
 from typing import Any, Protocol
 
 from rosepath.assignment import Assignment, AssignmentRejection, AssignmentRequest
-from rosepath.assignment_line import LineKey
-from rosepath.assignment_queue import NO_SERVER_CODE, line_key
+from rosepath.assignment_queue import NO_SERVER_CODE
 from rosepath.caller_request import Prompt
+from rosepath.waiting_request import LineKey, line_key
 
 PREFILL_TOKENS_PER_S = 30_000.0
 # What an engine needs for the shortest prompt.
--- a/benchmarks/waiting.py
+++ b/benchmarks/waiting.py
@@ -17,8 +17,8 @@
     play,
 )
 from rosepath.assignment import Assignment, AssignmentRequest
-from rosepath.assignment_line import LineKey
 from rosepath.assignment_queue import AssignmentQueue
+from rosepath.waiting_request import LineKey
 
 SEEDS = (1, 2, 3)
 WAITING = 2_000
--- a/src/rosepath/assignment_queue.py
+++ b/src/rosepath/assignment_queue.py
@@ -8,15 +8,16 @@
 from dataclasses import dataclass, field
 
 from rosepath.assignment import Assignment, AssignmentRejection, AssignmentRequest
-from rosepath.assignment_line import (
-    AssignmentLine,
-    Contention,
+from rosepath.assignment_line import MAX_REMOVED_KEPT, AssignmentLine
+from rosepath.contention import Contention
+from rosepath.service_floors import ServiceFloors
+from rosepath.waiting_request import (
     LineKey,
     OrderKey,
     WaitingRequest,
     kind_of,
+    line_key,
 )
-from rosepath.service_floors import ServiceFloors
 
 NO_SERVER_CODE = "no_server"
 QUEUE_FULL_CODE = "queue_full"
@@ -36,11 +37,6 @@
 IDLE_LINE_S = 60.0
 
 
-def line_key(request: AssignmentRequest) -> LineKey:
-    """Return which servers a request waits for."""
-    return LineKey(request.service, request.prompt.model if request.prompt else "")
-
-
 @dataclass(slots=True, kw_only=True)
 class _ModelLines:
     """Hold the lines of a model; requests that were tried have lines apart."""
@@ -66,15 +62,14 @@
     """Hold how far a walk of the waiting requests has come in a line."""
 
     line: AssignmentLine
-    line_owed: bool
     below_size: float = math.inf
     fronts: list[tuple[OrderKey, WaitingRequest]] = field(default_factory=list)
 
-    def look(self, *, now_s: float) -> None:
+    def look(self, *, line_owed: bool, now_s: float) -> None:
         """Find the next requests of the line."""
         self.fronts = [
             front
-            for front in self.line.fronts(line_owed=self.line_owed, now_s=now_s)
+            for front in self.line.fronts(line_owed=line_owed, now_s=now_s)
             if front[1].kind.size < self.below_size
         ]
 
@@ -187,8 +182,8 @@
             model = self._models.get(key)
             line_owed = key in owed_lines.get(key.service, ())
             for line in model.lines.values() if model is not None else ():
-                walk = _LineWalk(line=line, line_owed=line_owed)
-                walk.look(now_s=now_s)
+                walk = _LineWalk(line=line)
+                walk.look(line_owed=line_owed, now_s=now_s)
                 walk.push_to(heads)
         while heads:
             _, waiting, walk = heads[0]
@@ -197,7 +192,8 @@
             if waiting.waits:
                 walk.leave_out(waiting.kind.size)
             else:
-                walk.look(now_s=now_s)
+                # A line gets one turn that it is owed in a walk.
+                walk.look(line_owed=False, now_s=now_s)
             walk.push_to(heads)
 
     def take_rejected(self, *, now_s: float) -> list[AssignmentRejection]:
@@ -206,7 +202,7 @@
             waiting = heapq.heappop(self._by_end)[2]
             if waiting.waits:
                 self._reject(waiting, NO_SERVER_CODE, now_s=now_s)
-        if len(self._by_end) > 2 * len(self._waiting) + REJECTED_WHEN_FULL:
+        if len(self._by_end) > 2 * len(self._waiting) + MAX_REMOVED_KEPT:
             self._by_end = [entry for entry in self._by_end if entry[2].waits]
             heapq.heapify(self._by_end)
         for model in self._models.values():
--- a/src/rosepath/scheduler.py
+++ b/src/rosepath/scheduler.py
@@ -15,14 +15,14 @@
     RunReport,
 )
 from rosepath.assignment_choice import Candidate, choose_candidate
-from rosepath.assignment_line import LineKey
-from rosepath.assignment_queue import AssignmentQueue, line_key
+from rosepath.assignment_queue import AssignmentQueue
 from rosepath.catalog import Catalog, EngineSpec
 from rosepath.engine_choice import ADAPTER_PENALTY_S, OCCUPIED_PENALTY_S
 from rosepath.fleet import BackendServer, Fleet
 from rosepath.prompt_caches import PromptCaches
 from rosepath.server_choice import healthy_servers
 from rosepath.server_work import ServerWork, WorkTable
+from rosepath.waiting_request import LineKey, line_key
 
 
 @dataclass(slots=True, kw_only=True)
--- a/tests/test_assignment_queue.py
+++ b/tests/test_assignment_queue.py
@@ -8,13 +8,13 @@
 import pytest
 from queue_builders import a_queue, a_request, an_assignment, order_of
 
-from rosepath.assignment_line import LineKey
 from rosepath.assignment_queue import (
     MAX_WAITING,
     NO_SERVER_CODE,
     QUEUE_FULL_CODE,
     AssignmentQueue,
 )
+from rosepath.waiting_request import LineKey
 
 
 def assign_steadily(
