--- a/src/rosepath/assignment_queue.py
+++ b/src/rosepath/assignment_queue.py
@@ -8,16 +8,16 @@
 from dataclasses import dataclass, field
 
 from rosepath.assignment import Assignment, AssignmentRejection, AssignmentRequest
-from rosepath.assignment_line import (
-    AssignmentLine,
-    Contention,
+from rosepath.assignment_line import MAX_REMOVED_KEPT, AssignmentLine
+from rosepath.contention import Contention
+from rosepath.service_floors import ServiceFloors
+from rosepath.waiting_request import (
     LineKey,
     OrderKey,
     WaitingRequest,
     kind_of,
+    line_key,
 )
-from rosepath.engine_choice import prefix_affinity_key
-from rosepath.service_floors import ServiceFloors
 
 NO_SERVER_CODE = "no_server"
 QUEUE_FULL_CODE = "queue_full"
@@ -37,28 +37,12 @@
 IDLE_LINE_S = 60.0
 
 
-def line_key(request: AssignmentRequest) -> LineKey:
-    """Return which servers a request waits for."""
-    return LineKey(request.service, request.prompt.model if request.prompt else "")
-
-
-def _prompt_key(request: AssignmentRequest) -> tuple[frozenset[str], str]:
-    prompt = request.prompt
-    return request.tried, prefix_affinity_key(prompt) if prompt is not None else ""
-
-
 @dataclass(slots=True, kw_only=True)
 class _ModelLines:
-    """Hold the lines of a model, by the servers tried and the shared prompt.
-
-    A request that waits for the server that has cached its prompt holds up no
-    request with another prompt.
-    """
+    """Hold the lines of a model; requests that were tried have lines apart."""
 
     contention: Contention
-    lines: dict[tuple[frozenset[str], str], AssignmentLine] = field(
-        default_factory=dict
-    )
+    lines: dict[frozenset[str], AssignmentLine] = field(default_factory=dict)
     used_s: float = 0.0
     checked_s: float = 0.0
 
@@ -67,13 +51,40 @@
         return sum(line.waiting for line in self.lines.values())
 
     def line_of(self, request: AssignmentRequest) -> AssignmentLine:
-        key = _prompt_key(request)
-        line = self.lines.get(key)
+        line = self.lines.get(request.tried)
         if line is None:
-            line = self.lines[key] = AssignmentLine(self.contention)
+            line = self.lines[request.tried] = AssignmentLine(self.contention)
         return line
 
 
+@dataclass(slots=True, kw_only=True)
+class _LineWalk:
+    """Hold how far a walk of the waiting requests has come in a line."""
+
+    line: AssignmentLine
+    below_size: float = math.inf
+    fronts: list[tuple[OrderKey, WaitingRequest]] = field(default_factory=list)
+
+    def look(self, *, line_owed: bool, now_s: float) -> None:
+        """Find the next requests of the line."""
+        self.fronts = [
+            front
+            for front in self.line.fronts(line_owed=line_owed, now_s=now_s)
+            if front[1].kind.size < self.below_size
+        ]
+
+    def leave_out(self, size: int) -> None:
+        """Leave out prompts of a size and more, as there is no room for them."""
+        self.below_size = size
+        self.fronts = [front for front in self.fronts if front[1].kind.size < size]
+
+    def push_to(
+        self, heads: "list[tuple[OrderKey, WaitingRequest, _LineWalk]]"
+    ) -> None:
+        if self.fronts:
+            heapq.heappush(heads, (*self.fronts[0], self))
+
+
 class AssignmentQueue:
     """Own the requests that wait for a server, by id."""
 
@@ -136,11 +147,10 @@
         request = waiting.request
         del self._waiting[request.request_id]
         model = self._models[line_key(request)]
-        key = _prompt_key(request)
-        line = model.lines[key]
+        line = model.lines[request.tried]
         line.remove(waiting)
         if not line.waiting:
-            del model.lines[key]
+            del model.lines[request.tried]
 
     def take(self, assignment: Assignment, *, now_s: float) -> None:
         """Remove an assigned request, and count it for the order of the others."""
@@ -163,33 +173,28 @@
         behind it that wait for the same servers with prompts of its size or
         more: they are left out.
         """
-        heads: list[tuple[OrderKey, WaitingRequest, AssignmentLine]] = []
-        sizes_with_room: dict[AssignmentLine, int] = {}
         owed_lines = {
             service: floors.owed(now_s=now_s)
             for service, floors in self._line_floors.items()
         }
-
-        def push_head(line: AssignmentLine) -> None:
-            key = line.contention.key
-            head = line.head(
-                below_size=sizes_with_room.get(line, math.inf),
-                line_owed=key in owed_lines[key.service],
-                now_s=now_s,
-            )
-            if head is not None:
-                heapq.heappush(heads, (*head, line))
-
+        heads: list[tuple[OrderKey, WaitingRequest, _LineWalk]] = []
         for key in self._models if keys is None else keys:
             model = self._models.get(key)
+            line_owed = key in owed_lines.get(key.service, ())
             for line in model.lines.values() if model is not None else ():
-                push_head(line)
+                walk = _LineWalk(line=line)
+                walk.look(line_owed=line_owed, now_s=now_s)
+                walk.push_to(heads)
         while heads:
-            _, waiting, line = heapq.heappop(heads)
+            _, waiting, walk = heads[0]
             yield waiting.request
+            heapq.heappop(heads)
             if waiting.waits:
-                sizes_with_room[line] = waiting.kind.size
-            push_head(line)
+                walk.leave_out(waiting.kind.size)
+            else:
+                # A line gets one turn that it is owed in a walk.
+                walk.look(line_owed=False, now_s=now_s)
+            walk.push_to(heads)
 
     def take_rejected(self, *, now_s: float) -> list[AssignmentRejection]:
         """Remove and return the requests that can't be served any more."""
@@ -197,7 +202,7 @@
             waiting = heapq.heappop(self._by_end)[2]
             if waiting.waits:
                 self._reject(waiting, NO_SERVER_CODE, now_s=now_s)
-        if len(self._by_end) > 2 * len(self._waiting) + REJECTED_WHEN_FULL:
+        if len(self._by_end) > 2 * len(self._waiting) + MAX_REMOVED_KEPT:
             self._by_end = [entry for entry in self._by_end if entry[2].waits]
             heapq.heapify(self._by_end)
         for model in self._models.values():
@@ -210,24 +215,22 @@
 
     def _reject_unreachable(self, model: _ModelLines, *, now_s: float) -> None:
         """Reject the requests that are reached only after their callers left."""
-        rate_per_s = model.contention.room.rate_per_s(now_s=now_s)
-        if rate_per_s is None or model.waiting < MIN_PREDICTED_WAIT_S * rate_per_s:
+        line = model.lines.get(frozenset())
+        contention = model.contention
+        rate_per_s = contention.room.rate_per_s(now_s=now_s)
+        if line is None or rate_per_s is None:
             return
-        untried = [
-            waiting
-            for (tried, _), line in model.lines.items()
-            if not tried
-            for waiting in line.waiting_requests
-        ]
-        ahead = 0
-        for waiting in model.contention.in_order(untried, now_s=now_s):
+        if line.waiting < MIN_PREDICTED_WAIT_S * rate_per_s:
+            return
+        late_rate_per_s = contention.late_room.rate_per_s(now_s=now_s) or rate_per_s
+        wait_s = 0.0
+        for waiting in line.in_order(now_s=now_s):
             left_s = waiting.useful_until_s - now_s
-            if ahead / rate_per_s > max(
-                MIN_PREDICTED_WAIT_S, REJECTION_FACTOR * left_s
-            ):
+            if wait_s > max(MIN_PREDICTED_WAIT_S, REJECTION_FACTOR * left_s):
                 self._reject(waiting, NO_SERVER_CODE, now_s=now_s)
             else:
-                ahead += 1
+                late = waiting.in_time_until_s < now_s
+                wait_s += 1 / (late_rate_per_s if late else rate_per_s)
 
     def _make_room(self, *, now_s: float) -> None:
         """Reject the newest of the least urgent requests of the longest line."""
@@ -235,8 +238,7 @@
             (line for model in self._models.values() for line in model.lines.values()),
             key=lambda line: line.waiting,
         )
-        ordered = longest.contention.in_order(longest.waiting_requests, now_s=now_s)
-        for waiting in ordered[-REJECTED_WHEN_FULL:]:
+        for waiting in longest.in_order(now_s=now_s)[-REJECTED_WHEN_FULL:]:
             self._reject(waiting, QUEUE_FULL_CODE, now_s=now_s)
 
     def _reject(self, waiting: WaitingRequest, code: str, *, now_s: float) -> None:
--- a/src/rosepath/scheduler.py
+++ b/src/rosepath/scheduler.py
@@ -19,14 +19,14 @@
     choose_candidate,
     predict_adapter_s,
 )
-from rosepath.assignment_line import LineKey
-from rosepath.assignment_queue import AssignmentQueue, line_key
+from rosepath.assignment_queue import AssignmentQueue
 from rosepath.catalog import Catalog, EngineSpec
 from rosepath.fleet import BackendServer, Fleet
 from rosepath.prompt_caches import PromptCaches
 from rosepath.server_choice import healthy_servers
 from rosepath.server_work import ServerWork, WorkTable
 from rosepath.stream_pauses import StreamPauses
+from rosepath.waiting_request import LineKey, line_key
 
 
 @dataclass(slots=True, kw_only=True)
