--- a/src/rosepath/assignment.py
+++ b/src/rosepath/assignment.py
@@ -69,6 +69,8 @@
     `began_after_s` is the time from its sending to its first event or, without
     a stream, to its response; `event_gap_s` the mean time between its events and
     `longest_gap_s` the longest. `load` is what the server stated `load_age_s` ago.
+    `refused` means that the server accepted a connection from no VM that tried.
+    `born_ms` names the instance of the server, 0 if it is not known.
     """
 
     request_id: str
@@ -79,6 +81,8 @@
     longest_gap_s: float = 0.0
     load: ServerLoad | None = None
     load_age_s: float = 0.0
+    refused: bool = False
+    born_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/rosepath/server_silence.py
+++ b/src/rosepath/server_silence.py
@@ -1,4 +1,4 @@
-"""Find servers that fell silent towards all entry VMs at once; no I/O.
+"""Find servers that fell silent towards all entry VMs, or refuse them; no I/O.
 
 One entry VM can't tell a server that stopped working from one that paused a stream.
 The scheduler hears of the streams of all of them.
@@ -47,8 +47,9 @@
 
 @dataclass(slots=True, kw_only=True)
 class _Suspicion:
-    """Hold when a suspected server is tried next, and how often it was."""
+    """Hold since when a server does nothing, and when it is tried next."""
 
+    since_s: float
     probe_s: float
     probes: int = 0
 
@@ -65,8 +66,8 @@
     suspicion: _Suspicion | None = None
 
     def note_event(self, event_s: float, *, now_s: float) -> None:
-        """Record an event; any that came after the silence began ends it."""
-        if self.suspicion and event_s > self.last_event_s + REPORT_JITTER_S:
+        """Record an event; any that came after the suspicion ends it."""
+        if self.suspicion and event_s > self.suspicion.since_s + REPORT_JITTER_S:
             self.suspicion = None
         self.last_event_s = max(self.last_event_s, min(event_s, now_s))
 
@@ -88,9 +89,19 @@
         ]
         if not _all_silent(current, limit_s=limit_s, data_centre=data_centre):
             return False
-        self.suspicion = _Suspicion(probe_s=now_s + FIRST_PROBE_S)
+        self.suspicion = _Suspicion(
+            since_s=self.last_event_s, probe_s=now_s + FIRST_PROBE_S
+        )
         return True
 
+    def note_refused(self, *, now_s: float) -> None:
+        """Suspect the server, as it accepts no connections.
+
+        That is the word of two entry VMs, each of which was refused itself.
+        """
+        if self.suspicion is None:
+            self.suspicion = _Suspicion(since_s=now_s, probe_s=now_s + FIRST_PROBE_S)
+
     def is_avoided(self, now_s: float) -> bool:
         """Return whether the server gets no request now."""
         return self.suspicion is not None and now_s < self.suspicion.probe_s
@@ -161,10 +172,14 @@
                 silence.note_progress(progress, now_s=now_s)
 
     def apply_run(self, report: RunReport, *, now_s: float) -> None:
-        """Apply what the report of a run shows of its server."""
-        silence = self._servers.get(report.server)
-        if silence is not None and report.event_gap_s is not None:
+        """Apply what the report of a run shows of its server's instance."""
+        silence = self.of_server(report.server, born_ms=report.born_ms)
+        if silence.born_ms != report.born_ms:
+            return
+        if report.event_gap_s is not None:
             silence.event_gap_s = report.event_gap_s
+        if report.refused:
+            silence.note_refused(now_s=now_s)
 
     def check(self, work: WorkTable, fleet: Fleet, *, now_s: float) -> list[str]:
         """Suspect the servers that are silent; return those that just became so."""
@@ -198,10 +213,10 @@
             SilentServer(
                 server=name,
                 born_ms=silence.born_ms,
-                silent_s=now_s - silence.last_event_s,
+                silent_s=now_s - suspicion.since_s,
             )
             for name, silence in self._servers.items()
-            if silence.suspicion is not None
+            if (suspicion := silence.suspicion) is not None
         ]
 
     def drop_server(self, server: str) -> None:
--- a/tests/silent_fleet.py
+++ b/tests/silent_fleet.py
@@ -10,6 +10,7 @@
 from rosepath.assignment import (
     Assignment,
     AssignmentRequest,
+    RunOutcome,
     RunReport,
     ServerProgress,
 )
@@ -108,7 +109,23 @@
 
     def note_gap(self, event_gap_s: float) -> None:
         """Report the time between the events of a run that ended."""
-        report = RunReport(request_id="q0", server="e1", event_gap_s=event_gap_s)
+        report = RunReport(
+            request_id="q0",
+            server="e1",
+            event_gap_s=event_gap_s,
+            born_ms=self.born_ms,
+        )
+        self.silence.apply_run(report, now_s=self.now_s)
+
+    def refuse(self, *, born_ms: int | None = None) -> None:
+        """Report that the engine refused a connection from every VM that tried."""
+        report = RunReport(
+            request_id="q0",
+            server="e1",
+            outcome=RunOutcome.NOT_RUN,
+            refused=True,
+            born_ms=self.born_ms if born_ms is None else born_ms,
+        )
         self.silence.apply_run(report, now_s=self.now_s)
 
     @property
--- a/tests/test_server_silence.py
+++ b/tests/test_server_silence.py
@@ -195,3 +195,56 @@
     played.steps(2, events_at=("vm-1",))
     assert not played.steps(STEPS)
     assert math.isinf(played.last_event_s["vm-2"])
+
+
+# Guards against each of many VMs trying a crashed engine: the first that is refused
+# tells the scheduler, which probes it by one request at a time.
+def test_a_server_that_refuses_connections_is_avoided_at_once() -> None:
+    played = SilentFleet()
+    played.steps(2, events_at=VMS)
+    assert not played.is_silent
+    played.refuse()
+    assert played.is_silent
+    now_s = played.now_s
+    for _ in range(5):
+        now_s += MAX_PROBE_INTERVAL_S
+        assert not played.silence.is_silent("e1", now_s=now_s)
+        played.silence.note_assigned("e1", now_s=now_s)
+        assert played.silence.is_silent("e1", now_s=now_s + FIRST_PROBE_S / 2)
+
+
+# Guards against the last events before a crash, which are reported after it,
+# clearing the crashed engine.
+def test_events_from_before_the_refusal_do_not_end_the_suspicion() -> None:
+    played = SilentFleet()
+    played.steps(2, events_at=VMS)
+    played.refuse()
+    played.step()
+    assert played.silence.suspects(now_s=played.now_s)
+
+
+# Guards against a server that some VMs can't reach staying out of use, while it
+# goes on with the streams of others.
+def test_a_server_that_goes_on_with_streams_is_not_avoided_for_long() -> None:
+    played = SilentFleet()
+    played.steps(2, events_at=VMS)
+    played.refuse()
+    played.steps(1, events_at=VMS[:1])
+    assert not played.is_silent
+
+
+# Guards against a refusal by the earlier instance being held against the new one.
+def test_a_late_report_of_a_refusal_is_not_held_against_a_new_instance() -> None:
+    played = SilentFleet()
+    played.start(born_ms=2)
+    played.steps(2, events_at=VMS)
+    played.refuse(born_ms=1)
+    assert not played.is_silent
+
+
+# Guards against an unknown time of the last event in the message to the VMs.
+def test_a_server_that_refused_before_any_event_has_a_finite_silence() -> None:
+    played = SilentFleet()
+    played.refuse()
+    [suspect] = played.silence.suspects(now_s=played.now_s + 1.0)
+    assert suspect.silent_s == 1.0
