--- a/src/rosepath/fleet.py
+++ b/src/rosepath/fleet.py
@@ -260,7 +260,11 @@
         elif entry.born_ms <= self._leaving.get(entry.name, -1):
             entry = replace(entry, draining=True)
         server = self.servers.get(entry.name)
-        restarted = server is not None and entry.born_ms > server.entry.born_ms
+        # An entry may lapse between the instances, so that the server is gone.
+        earlier_ms = self._born_ms.get(entry.name, entry.born_ms)
+        if server is not None:
+            earlier_ms = server.entry.born_ms
+        restarted = entry.born_ms > earlier_ms
         self._note_started(entry)
         if server is None or restarted:
             if server is not None:
--- a/src/rosepath/server_work.py
+++ b/src/rosepath/server_work.py
@@ -92,7 +92,7 @@
     def apply(self, report: RunReport, *, now_s: float) -> None:
         """Apply what an entry VM reports of a run."""
         work = self.servers.get(report.server)
-        if work is None:
+        if work is None or 0 < report.born_ms < work.born_ms:
             return
         if report.load is not None:
             work.pace.note_slowdown(
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -35,6 +35,17 @@
     assert fleet.servers == {}
 
 
+# Guards against a new process being taken for the earlier one, with its caches, as
+# its predecessor's entry lapsed before it started.
+def test_a_server_that_comes_back_after_its_entry_lapsed_has_restarted() -> None:
+    fleet = Fleet()
+    fleet.put(replace(an_entry("e1"), born_ms=100))
+    fleet.remove("e1")
+    assert fleet.put(replace(an_entry("e1", models={}), born_ms=200))
+    fleet.remove("e1")
+    assert not fleet.put(replace(an_entry("e1"), born_ms=200))
+
+
 def test_drain_from_before_a_restart_is_ignored() -> None:
     # Another VM that has not received the restarted server's entry still
     # reports that it is leaving. Applying that report would keep all requests
