--- a/tests/test_refusal_evidence.py
+++ b/tests/test_refusal_evidence.py
@@ -227,3 +227,52 @@
 def test_a_deadline_after_sending_promises_nothing() -> None:
     caller = caller_of(ScriptedEngine("s1", never_responds), wait_ms=300)
     assert (caller.status, caller.retry_after) == (504, "")
+
+
+def fails_with(status: int) -> Script:
+    async def fails(received: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+        writer.write(answer(received, status, b"failed"))
+
+    return fails
+
+
+# Guards against a server's own failure counting as not run: it has begun the
+# request, and may have carried it out.
+@pytest.mark.parametrize("status", [500, 504])
+def test_a_request_that_must_run_once_is_not_sent_again_after_a_failure(
+    status: int,
+) -> None:
+    async def run() -> None:
+        servers = [ScriptedServer(name, fails_with(status)) for name in ("s1", "s2")]
+        route = a_plain_route(RouteKind.NON_IDEMPOTENT)
+        async with running_gateway(*servers, route=route) as node:
+            data = await node.send_request(FILE, b"claim")
+        assert sum(len(server.requests) for server in servers) == 1
+        assert data.startswith(b"HTTP/1.1 %d" % status) and data.endswith(b"failed")
+
+    asyncio.run(run())
+
+
+# Guards against the rejection of the next server promising that a request did not
+# run which the first one may have run.
+@pytest.mark.parametrize("status", [500, 504])
+def test_a_rejection_after_a_failure_promises_nothing(status: int) -> None:
+    async def run() -> None:
+        begun: list[str] = []
+
+        async def fails_once(
+            received: ReceivedRequest, writer: asyncio.StreamWriter
+        ) -> None:
+            first = not begun
+            begun.append(received.request_id)
+            rejection = answer(received, 503, b"", NOT_RUN_HEADER)
+            writer.write(answer(received, status, b"failed") if first else rejection)
+
+        servers = [ScriptedServer(name, fails_once) for name in ("s1", "s2")]
+        route = a_plain_route(RouteKind.IDEMPOTENT)
+        async with running_gateway(*servers, route=route) as node:
+            data = await node.send_request("GET /drafts/1 HTTP/1.1\r\nRequest-Id: q1")
+        assert len(begun) > 1
+        assert data.startswith((b"HTTP/1.1 500", b"HTTP/1.1 502", b"HTTP/1.1 504"))
+
+    asyncio.run(run())
