--- a/src/rosepath/assignment.py
+++ b/src/rosepath/assignment.py
@@ -77,7 +77,9 @@
     `longest_gap_s` the longest. `events` counts the events so far, and `ran_s` is
     the time since its sending. `load` is what the server stated
     `load_age_s` ago. `assignment` is set for a run that the entry VM placed by
-    itself or that the scheduler may not know.
+    itself or that the scheduler may not know. `refused` means that the server
+    accepted a connection from no VM that tried. `born_ms` names the instance of
+    the server, 0 if it is not known.
     """
 
     request_id: str
@@ -91,6 +93,8 @@
     load: ServerLoad | None = None
     load_age_s: float = 0.0
     assignment: Assignment | None = None
+    refused: bool = False
+    born_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/rosepath/server_work.py
+++ b/src/rosepath/server_work.py
@@ -300,7 +300,7 @@
         if adopted and report.assignment is not None:
             run = self._adopt(report, report.assignment, now_s=now_s)
         work = self.servers.get(report.server)
-        if work is None:
+        if work is None or 0 < report.born_ms < work.born_ms:
             return
         if report.load is not None:
             work.pace.note_slowdown(
