--- a/src/rosepath/entry_node.py
+++ b/src/rosepath/entry_node.py
@@ -27,7 +27,7 @@
     http_fetcher,
 )
 from rosepath.peer_exchange import VM_KIND, PeerExchange
-from rosepath.peer_messages import NEVER_S
+from rosepath.peer_messages import NEVER_S, NO_COORDINATOR
 from rosepath.peer_table import PeerTable
 from rosepath.placement_coordinator import PlacementCoordinator
 from rosepath.platform.calls import READY_PATH
@@ -183,6 +183,11 @@
             boot_clock=BootClock(),
             link_mbps=settings.peers.link_mbps,
             partitioned=lambda: self.paths.partitioned,
+            quota_coordinator=lambda: (
+                self.quotas.coordinator_link
+                if self._uses_scheduler()
+                else NO_COORDINATOR
+            ),
         )
         self.copies = PeerConfigurationFetcher(
             settings.data_centre,
--- a/src/rosepath/peer_exchange.py
+++ b/src/rosepath/peer_exchange.py
@@ -11,7 +11,12 @@
 from rosepath.logs import get_logger
 from rosepath.object_store import ConflictError, StoredObject, StoreError
 from rosepath.peer_link import PeerLink
-from rosepath.peer_messages import NEVER_S, PeerState
+from rosepath.peer_messages import (
+    NEVER_S,
+    NO_COORDINATOR,
+    CoordinatorLink,
+    PeerState,
+)
 from rosepath.peer_table import PeerTable
 from rosepath.placement_coordinator import PlacementCoordinator
 from rosepath.platform.store import PlatformStore
@@ -71,7 +76,9 @@
         boot_clock: Clock | None = None,
         link_mbps: float = 0.0,
         partitioned: Callable[[], bool] = lambda: False,
+        quota_coordinator: Callable[[], CoordinatorLink] = lambda: NO_COORDINATOR,
     ) -> None:
+        self._quota_coordinator = quota_coordinator
         self._link_mbps = link_mbps
         self._partitioned = partitioned
         self._crashes = crashes
@@ -190,6 +197,9 @@
             isolated=self._crashes.isolated.runs(merged=sends_totals, now_s=now_s),
             limits=known_limits(self._tables.fleet, now_s=now_s),
             link_mbps=self._link_mbps,
+            coordinator=self._quota_coordinator()
+            if self._coordinator.term
+            else NO_COORDINATOR,
             partitioned=self._partitioned(),
         )
 
--- a/src/rosepath/peer_messages.py
+++ b/src/rosepath/peer_messages.py
@@ -2,7 +2,7 @@
 
 import json
 import zlib
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field, replace
 from typing import Any, NamedTuple
 
@@ -50,6 +50,16 @@
 NO_HANDOVER = LeaseHandover()
 
 
+class CoordinatorLink(NamedTuple):
+    """Name the coordinator of the quotas and the bandwidth of its link."""
+
+    entry_vm: str = ""
+    link_mbps: float = 0.0
+
+
+NO_COORDINATOR = CoordinatorLink()
+
+
 class ResidencyChange(NamedTuple):
     """A model, or one of its adapters, loaded onto or unloaded from an engine.
 
@@ -122,6 +132,9 @@
     limits: tuple[ServerLimit, ...] = ()
     # Bandwidth of the sender's network link.
     link_mbps: float = 0.0
+    # The holder's coordinator of the quotas. In a large fleet only the holder
+    # hears soon from all VMs, of which the others need to choose the same one.
+    coordinator: CoordinatorLink = NO_COORDINATOR
     # Whether the sender reaches servers only through other entry VMs.
     partitioned: bool = False
 
@@ -316,6 +329,7 @@
         "ir": [list(run) for run in message.isolated],
         "li": [[*limit[:3], round(limit.stated_ago_s, 3)] for limit in message.limits],
         "bw": message.link_mbps,
+        **({"co": list(message.coordinator)} if message.coordinator.entry_vm else {}),
         "pt": int(message.partitioned),
     }
 
@@ -383,10 +397,15 @@
         isolated=_decode_isolated(raw),
         limits=tuple(_decode_limit(row) for row in raw.get("li", ())),
         link_mbps=float(raw.get("bw", 0.0)),
+        coordinator=_decode_coordinator(raw.get("co", NO_COORDINATOR)),
         partitioned=bool(raw.get("pt", 0)),
     )
 
 
+def _decode_coordinator(raw: Sequence[Any]) -> CoordinatorLink:
+    return CoordinatorLink(str(raw[0]), float(raw[1]))
+
+
 def _decode_isolated(raw: dict[str, Any]) -> frozenset[IsolatedRun]:
     """Return the isolated runs; earlier builds do not name the VM of each."""
     rows = raw.get("ir")
--- a/src/rosepath/peer_table.py
+++ b/src/rosepath/peer_table.py
@@ -6,7 +6,7 @@
 from typing import NamedTuple
 
 from rosepath.clock import Clock
-from rosepath.peer_messages import PeerState
+from rosepath.peer_messages import NO_COORDINATOR, PeerState
 from rosepath.settings import split_address
 
 # Interval between state messages. In a small fleet each entry VM sends them to
@@ -71,6 +71,8 @@
         self.peers: dict[str, Peer] = {}
         # Named by the lease in the store; it may not know of this VM yet.
         self.named_holder = ""
+        # Named by the latest message of a VM that claims the placement lease.
+        self.quota_coordinator = NO_COORDINATOR
         # VMs that are not stopping, by data centre, oldest message first.
         self._serving_peers: dict[str, OrderedDict[str, Peer]] = {}
         # VMs whose latest message claims the placement lease.
@@ -99,6 +101,8 @@
         known = peer.state
         if known and known.start == state.start and state.number <= known.number:
             return False
+        if state.coordinator.entry_vm:
+            self.quota_coordinator = state.coordinator
         self._unindex(peer)
         peer.state = state
         peer.address = state.address
--- a/src/rosepath/quota_client.py
+++ b/src/rosepath/quota_client.py
@@ -16,6 +16,7 @@
 from rosepath.catalog import Catalog
 from rosepath.clock import Clock
 from rosepath.logs import get_logger
+from rosepath.peer_messages import NO_COORDINATOR, CoordinatorLink
 from rosepath.peer_table import PeerTable
 from rosepath.quota_coordinator import QuotaCoordinator
 from rosepath.quota_messages import (
@@ -179,6 +180,17 @@
             return self.coordinator
         return None
 
+    @property
+    def coordinator_link(self) -> CoordinatorLink:
+        """Return what other VMs need to know to choose the same coordinator."""
+        coordinator = self.chosen_coordinator
+        peer = self._peers.peers.get(coordinator or "")
+        if coordinator == self._me:
+            return CoordinatorLink(self._me, self._link_mbps)
+        if peer is None or peer.state is None:
+            return NO_COORDINATOR
+        return CoordinatorLink(peer.name, peer.state.link_mbps)
+
     async def choose_other(self, silent: str) -> None:
         """Choose another coordinator than one that does not respond."""
         await self._choose(excluded=silent)
@@ -414,11 +426,14 @@
         """Return the VMs to probe in each round, the preferred one first."""
         links_mbps: dict[str, float] = {}
         local: dict[str, float] = {}
+        named = self._peers.quota_coordinator
         for name, peer in self._peers.peers.items():
             state = peer.state
-            if state is None or not state.stopping:
-                links_mbps[name] = state.link_mbps if state else 0.0
-                if state and state.data_centre == self._data_centre:
+            if state is None:
+                links_mbps[name] = named.link_mbps if name == named.entry_vm else 0.0
+            elif not state.stopping:
+                links_mbps[name] = state.link_mbps
+                if state.data_centre == self._data_centre:
                     local[name] = state.link_mbps
         if not self._stopping():
             links_mbps[self._me] = local[self._me] = self._link_mbps
--- a/tests/scheduling_fleet.py
+++ b/tests/scheduling_fleet.py
@@ -18,7 +18,7 @@
 )
 from rosepath.clock import Clock
 from rosepath.fleet import Fleet
-from rosepath.peer_messages import Message, decode, encode
+from rosepath.peer_messages import Message, PeerState, decode, encode
 from rosepath.peer_table import PeerTable
 from rosepath.prompt_caches import PromptCaches
 from rosepath.quota_client import QuotaClient
@@ -50,6 +50,10 @@
     data_centres: int = 1
     lost_share: float = 0.0
     in_use: bool = True
+    # Bandwidth of each VM's link, if not the same for all.
+    links_mbps: dict[str, float] = field(default_factory=dict)
+    # Whether the first VM has received a state message of the second.
+    has_heard: Callable[[str, str], bool] = lambda receiver, name: True
     rng: random.Random = field(default_factory=lambda: random.Random(7))
     vms: dict[str, SchedulingVM] = field(default_factory=dict)
     stopping: set[str] = field(default_factory=set)
@@ -64,12 +68,31 @@
         """Start VMs that know all others."""
         for name in names:
             self.vms[name] = self._build(name)
-        for vm in self.vms.values():
+        for receiver, vm in self.vms.items():
             for name in self.vms:
-                state = a_peer_state(name, data_centre=self.data_centre(name))
-                vm.quotas._peers.apply_state(
-                    replace(state, address=name, link_mbps=10.0, start=f"{now_s()}")
-                )
+                if self.has_heard(receiver, name):
+                    vm.quotas._peers.apply_state(self.state(name))
+                else:
+                    vm.quotas._peers.note_address(name, name)
+
+    def state(self, name: str) -> PeerState:
+        """Return the first state message of a VM."""
+        state = a_peer_state(name, data_centre=self.data_centre(name))
+        return replace(
+            state, address=name, link_mbps=self.link_mbps(name), start=f"{now_s()}"
+        )
+
+    def link_mbps(self, name: str) -> float:
+        return self.links_mbps.get(name, 10.0)
+
+    def announce_coordinator(self, holder: str) -> None:
+        """Send a state message of a lease holder that has heard from all VMs."""
+        link = self.vms[holder].quotas.coordinator_link
+        state = replace(self.state(holder), term=1, coordinator=link)
+        for vm in self.vms.values():
+            decoded = decode(encode(state))
+            assert isinstance(decoded, PeerState)
+            vm.quotas._peers.apply_state(decoded)
 
     def _build(self, name: str) -> SchedulingVM:
         clock: Clock = LoopClock()
@@ -93,7 +116,7 @@
             stopping=lambda: name in self.stopping,
             schedules_requests=lambda: self.in_use,
             on_coordinator_changed=lambda: client.note_scheduler_changed(),
-            link_mbps=10.0,
+            link_mbps=self.link_mbps(name),
             rng=self.rng,
         )
         host = SchedulerHost(
@@ -241,10 +264,16 @@
     data_centres: int = 1,
     lost_share: float = 0.0,
     in_use: bool = True,
+    links_mbps: dict[str, float] | None = None,
+    has_heard: Callable[[str, str], bool] = lambda receiver, name: True,
 ) -> SchedulingFleet:
     """Run a scenario in virtual time on a fleet that has settled."""
     fleet = SchedulingFleet(
-        data_centres=data_centres, lost_share=lost_share, in_use=in_use
+        data_centres=data_centres,
+        lost_share=lost_share,
+        in_use=in_use,
+        links_mbps=links_mbps or {},
+        has_heard=has_heard,
     )
 
     async def run() -> None:
--- a/tests/test_scheduler_client.py
+++ b/tests/test_scheduler_client.py
@@ -331,6 +331,23 @@
     play(scenario)
 
 
+def test_vms_that_know_few_others_agree_on_one_scheduler() -> None:
+    """A large fleet after its start: several schedulers would each see a part."""
+    fast = ("vm-2", "vm-4", "vm-6")
+
+    def has_heard(receiver: str, name: str) -> bool:
+        # The lease holder hears from all VMs, others from few.
+        return receiver == "vm-0" or name == f"vm-{2 + 2 * (int(receiver[-1]) % 3)}"
+
+    async def scenario(fleet: SchedulingFleet) -> None:
+        assert len({vm.quotas.coordinator for vm in fleet.vms.values()}) > 1
+        fleet.announce_coordinator("vm-0")
+        await asyncio.sleep(3.0)
+        assert len({vm.quotas.coordinator for vm in fleet.vms.values()}) == 1
+
+    play(scenario, links_mbps=dict.fromkeys(fast, 200.0), has_heard=has_heard)
+
+
 def test_a_fleet_without_scheduling_sends_no_message_of_it() -> None:
     """A small fleet: it costs nothing where it is not in use."""
 
