--- a/src/rosepath/entry_node.py
+++ b/src/rosepath/entry_node.py
@@ -270,8 +270,12 @@
     def ready(self) -> bool:
         # The configuration and the server table arrive in either order, as the
         # configuration may also be fetched from a peer.
-        known = self.tables.catalog is not None and self.tables.servers_known
-        return known and not self.stopping and not self.data_centre_isolation.cut_off
+        serving = self._knows_fleet and not self.stopping
+        return serving and not self.data_centre_isolation.cut_off
+
+    @property
+    def _knows_fleet(self) -> bool:
+        return self.tables.catalog is not None and self.tables.servers_known
 
     async def start(self) -> None:
         """Listen and start every loop."""
@@ -491,7 +495,7 @@
             ),
             clock=self.clock,
             send=send,
-            stopping=lambda: self.stopping,
+            available=lambda: self._knows_fleet and not self.stopping,
         )
         return SchedulerClient(
             self.settings.entry_vm,
--- a/src/rosepath/scheduler_client.py
+++ b/src/rosepath/scheduler_client.py
@@ -207,9 +207,9 @@
 
     def note_scheduler_changed(self) -> None:
         """Report all runs in progress to a scheduler that does not know them."""
-        scheduler = self._scheduler()
-        _log.info("scheduler_chosen", peer=scheduler or "", runs=len(self._runs))
         if self.in_use:
+            scheduler = self._scheduler() or ""
+            _log.info("scheduler_chosen", peer=scheduler, runs=len(self._runs))
             self._flush()
             self._list_runs(self._send_reports)
 
@@ -231,6 +231,8 @@
     ) -> AssignmentReply | None:
         """Ask a scheduler; return its last reply, None if it is silent."""
         request_id = request.request_id
+        # The end of the request's last attempt, if any, must be known before.
+        self._flush()
         pending = self._pending[request_id] = _Pending()
         reply: AssignmentReply | None = None
         try:
@@ -280,7 +282,6 @@
         reply: AssignmentReply | None = None
         unanswered = 0
         waits = False
-        self._flush()
         self._send(self._query(request), peer.address)
         while True:
             limit_s = RESEND_AFTER_S if unanswered or not waits else ASK_AGAIN_AFTER_S
--- a/src/rosepath/scheduler_host.py
+++ b/src/rosepath/scheduler_host.py
@@ -63,8 +63,9 @@
 class SchedulerHost:
     """Own this VM's scheduler and the addresses of those that wait for it.
 
-    Decisions about its own requests go to `on_own_decision`; `request_run_lists`
-    asks all VMs for their runs in progress.
+    It assigns for other VMs while it is `available`: it knows the configuration and
+    the servers, and does not stop. Decisions about its own requests go to
+    `on_own_decision`; `request_run_lists` asks all VMs for their runs in progress.
     """
 
     def __init__(
@@ -74,13 +75,13 @@
         *,
         clock: Clock,
         send: Callable[[SchedulingMessage, str], None],
-        stopping: Callable[[], bool],
+        available: Callable[[], bool],
     ) -> None:
         self._me = entry_vm
         self.scheduler = scheduler
         self._clock = clock
         self._send = send
-        self._stopping = stopping
+        self._available = available
         self.on_own_decision: Callable[[Decision], None] = lambda _: None
         self.request_run_lists: Callable[[], None] = lambda: None
         self._askers: dict[str, _Asker] = {}
@@ -156,7 +157,7 @@
                 self.withdraw(message.request_id)
 
     def _answer(self, query: AssignmentQuery) -> None:
-        if self._stopping() or self.scheduler.catalog() is None:
+        if not self._available():
             self._reply(query.request_id, query.reply_to, AssignmentStatus.LEAVING)
             return
         settling_s = self.settling_s()
@@ -205,7 +206,7 @@
     def step(self) -> None:
         """Assign the waiting requests for which there is room."""
         now_s = self._now_s()
-        if self._stopping():
+        if not self._available():
             self._send_away()
         for request_id, asker in list(self._askers.items()):
             if now_s - asker.asked_s > ASKED_AGAIN_WITHIN_S:
--- a/tests/scheduling_fleet.py
+++ b/tests/scheduling_fleet.py
@@ -129,7 +129,7 @@
             ),
             clock=clock,
             send=send,
-            stopping=lambda: name in self.stopping,
+            available=lambda: name not in self.stopping,
         )
         client = SchedulerClient(
             name,
