--- a/src/rosepath/entry_node.py
+++ b/src/rosepath/entry_node.py
@@ -28,7 +28,7 @@
     http_fetcher,
 )
 from rosepath.peer_exchange import VM_KIND, PeerExchange
-from rosepath.peer_messages import NEVER_S
+from rosepath.peer_messages import NEVER_S, NO_COORDINATOR
 from rosepath.peer_table import PeerTable
 from rosepath.placement_coordinator import PlacementCoordinator
 from rosepath.platform.calls import READY_PATH
@@ -195,6 +195,11 @@
             boot_clock=BootClock(),
             link_mbps=settings.peers.link_mbps,
             partitioned=lambda: self.paths.partitioned,
+            quota_coordinator=lambda: (
+                self.quotas.coordinator_link
+                if self._uses_scheduler()
+                else NO_COORDINATOR
+            ),
         )
         self.copies = PeerConfigurationFetcher(
             settings.data_centre,
@@ -277,8 +282,12 @@
     def ready(self) -> bool:
         # The configuration and the server table arrive in either order, as the
         # configuration may also be fetched from a peer.
-        known = self.tables.catalog is not None and self.tables.servers_known
-        return known and not self.stopping and not self.data_centre_isolation.cut_off
+        serving = self._knows_fleet and not self.stopping
+        return serving and not self.data_centre_isolation.cut_off
+
+    @property
+    def _knows_fleet(self) -> bool:
+        return self.tables.catalog is not None and self.tables.servers_known
 
     async def start(self) -> None:
         """Listen and start every loop."""
@@ -507,7 +516,7 @@
             ),
             clock=self.clock,
             send=send,
-            stopping=lambda: self.stopping,
+            available=lambda: self._knows_fleet and not self.stopping,
         )
         return SchedulerClient(
             self.settings.entry_vm,
