--- a/src/rosepath/entry_node.py
+++ b/src/rosepath/entry_node.py
@@ -269,6 +269,7 @@
                 fleet_fresh_enough=lambda: self.tables.fresh_enough,
                 ensure_fresh=self.tables.ensure_fresh,
                 configuration=self._configuration_view,
+                ends_hopeless_waits=self._uses_scheduler,
                 quotas=self.quotas,
                 scheduling=self.scheduling,
                 entry_vm=settings.entry_vm,
@@ -459,7 +460,7 @@
 
     def _remembers_refusals(self) -> bool:
         """Whether so many VMs try a server that refuses that it matters."""
-        return self.peers.large_fleet
+        return self.peers.large_fleet and self._uses_scheduler()
 
     def _note_restarted(self, name: str) -> None:
         """Forget what was known of the earlier instance of a server."""
--- a/tests/test_scheduler_order.py
+++ b/tests/test_scheduler_order.py
@@ -7,6 +7,7 @@
 from queue_builders import a_request
 
 from rosepath.assignment import Assignment, Decision, RunOutcome, RunReport
+from rosepath.assignment_queue import AssignmentQueue
 from rosepath.fleet import Fleet
 from rosepath.prompt_caches import PromptCaches
 from rosepath.scheduler import Scheduler
@@ -24,7 +25,7 @@
         fleet=fleet,
         caches=PromptCaches(),
         catalog=lambda: catalog,
-        rng=random.Random(1),
+        queue=AssignmentQueue(rng=random.Random(1)),
     )
 
 
