--- a/benchmarks/assignment.py
+++ b/benchmarks/assignment.py
@@ -92,7 +92,7 @@
             cut_off=(),
             now_s=now_s,
             cached_tokens=caches.cached_tokens,
-            queue=AssignmentQueue(rng=self.rng),
+            rng=self.rng,
         )
         assert choice is not None
         caches.note_read(choice.server, run.prompt)
--- a/tests/test_scheduler_order.py
+++ b/tests/test_scheduler_order.py
@@ -48,6 +48,12 @@
     return scheduler.report([report], now_s=now_s)
 
 
+def begin(scheduler: Scheduler, request_id: str, *, now_s: float) -> None:
+    server = scheduler.work.server_of(request_id) or ""
+    report = RunReport(request_id=request_id, server=server, began_after_s=0.05)
+    scheduler.report([report], now_s=now_s)
+
+
 def assigned_ids(decisions: list[Decision]) -> list[str]:
     return [
         decision.request.request_id
@@ -65,6 +71,7 @@
         request = a_request(request_id, due_in_s=due_in_s)
         assert scheduler.submit(request, now_s=0.0) == []
     assert assigned_ids(end(scheduler, running[0], now_s=0.1)) == ["urgent"]
+    begin(scheduler, "urgent", now_s=0.2)
     assert assigned_ids(end(scheduler, running[1], now_s=0.3)) == ["distant"]
 
 
