--- a/src/rosepath/assignment_choice.py
+++ b/src/rosepath/assignment_choice.py
@@ -57,6 +57,9 @@
 HARM_PATIENCE_S = 0.5
 # As many streams may be late for a request that can't be in time otherwise.
 URGENT_HARM = 1.0
+# Some streams end within this time. A prompt that is due later waits for that where
+# each engine has streams that it would make late.
+STREAM_END_S = 1.0
 # Less harm than this is not worth waiting.
 NEGLIGIBLE_HARM = 0.25
 # Before it would be rejected for want of a server, a request is assigned anyway.
@@ -363,8 +366,15 @@
     """Return whether a request waits rather than go to the best engine with room."""
     if now_s >= request.wait_until_s - LAST_CHANCE_S:
         return False
-    if best.harm > _tolerated_harm(request, best, now_s=now_s):
+    harmless = any(cost.harm <= NEGLIGIBLE_HARM for cost in costs)
+    patient = request.due_s - now_s - best.first_event_s > STREAM_END_S
+    if (harmless or patient) and best.harm > _tolerated_harm(
+        request, best, now_s=now_s
+    ):
         return True
+    if not best.candidate.work.unread_tokens:
+        # Others wait too, and an engine that prefills nothing serves none of them.
+        return False
     # An engine that has cached its parts is worth waiting for as long as
     # prefilling them again would take, for all prompts that wait for it together.
     soonest_s = min(cost.first_event_s for cost in costs)
--- a/src/rosepath/assignment_queue.py
+++ b/src/rosepath/assignment_queue.py
@@ -37,12 +37,22 @@
 IDLE_LINE_S = 60.0
 
 
+def _line_of_model(request: AssignmentRequest) -> tuple[frozenset[str], str]:
+    return request.tried, request.prompt.adapter if request.prompt is not None else ""
+
+
 @dataclass(slots=True, kw_only=True)
 class _ModelLines:
-    """Hold the lines of a model; requests that were tried have lines apart."""
+    """Hold the lines of a model, by the servers tried and the adapter.
+
+    An engine may have room for a request, but none for one that was there before,
+    and none for the adapter of another.
+    """
 
     contention: Contention
-    lines: dict[frozenset[str], AssignmentLine] = field(default_factory=dict)
+    lines: dict[tuple[frozenset[str], str], AssignmentLine] = field(
+        default_factory=dict
+    )
     used_s: float = 0.0
     checked_s: float = 0.0
 
@@ -51,9 +61,10 @@
         return sum(line.waiting for line in self.lines.values())
 
     def line_of(self, request: AssignmentRequest) -> AssignmentLine:
-        line = self.lines.get(request.tried)
+        key = _line_of_model(request)
+        line = self.lines.get(key)
         if line is None:
-            line = self.lines[request.tried] = AssignmentLine(self.contention)
+            line = self.lines[key] = AssignmentLine(self.contention)
         return line
 
 
@@ -147,10 +158,11 @@
         request = waiting.request
         del self._waiting[request.request_id]
         model = self._models[line_key(request)]
-        line = model.lines[request.tried]
+        key = _line_of_model(request)
+        line = model.lines[key]
         line.remove(waiting)
         if not line.waiting:
-            del model.lines[request.tried]
+            del model.lines[key]
 
     def take(self, assignment: Assignment, *, now_s: float) -> None:
         """Remove an assigned request, and count it for the order of the others."""
@@ -215,14 +227,32 @@
 
     def _reject_unreachable(self, model: _ModelLines, *, now_s: float) -> None:
         """Reject the requests that are reached only after their callers left."""
-        line = model.lines.get(frozenset())
         contention = model.contention
         rate_per_s = contention.room.rate_per_s(now_s=now_s)
-        if line is None or rate_per_s is None:
-            return
-        if line.waiting < MIN_PREDICTED_WAIT_S * rate_per_s:
+        if rate_per_s is None or model.waiting < MIN_PREDICTED_WAIT_S * rate_per_s:
             return
         late_rate_per_s = contention.late_room.rate_per_s(now_s=now_s) or rate_per_s
+        waiting = model.waiting
+        for (tried, _), line in list(model.lines.items()):
+            if not tried:
+                # The lines share the rate of the model.
+                share = line.waiting / waiting
+                self._reject_from(
+                    line,
+                    rate_per_s=share * rate_per_s,
+                    late_rate_per_s=share * late_rate_per_s,
+                    now_s=now_s,
+                )
+
+    def _reject_from(
+        self,
+        line: AssignmentLine,
+        *,
+        rate_per_s: float,
+        late_rate_per_s: float,
+        now_s: float,
+    ) -> None:
+        """Reject the requests of a line that are reached too late at these rates."""
         wait_s = 0.0
         for waiting in line.in_order(now_s=now_s):
             left_s = waiting.useful_until_s - now_s
--- a/src/rosepath/server_work.py
+++ b/src/rosepath/server_work.py
@@ -61,6 +61,12 @@
         prompt = self.assignment.request.prompt
         return prompt.model if prompt is not None else ""
 
+    @property
+    def may_load_adapter(self) -> bool:
+        """Return whether it may be sent late, as its adapter is loaded first."""
+        prompt = self.assignment.request.prompt
+        return prompt is not None and bool(prompt.adapter)
+
     @property
     def arrives_s(self) -> float:
         """Return when the request reaches its server."""
@@ -220,7 +226,7 @@
                 now_s=max(now_s, started_s),
                 model=run.model,
             )
-            if self.overdue_from_s == math.inf:
+            if self.overdue_from_s == math.inf and not run.may_load_adapter:
                 due_s = max(ends_s, run.assigned_s + run.assignment.first_event_s)
                 self.overdue_from_s = due_s + REPORT_DELAY_S
                 overdue_s = max(0.0, now_s - self.overdue_from_s)
