Log which software version began a stream and which continued it

From the logs, a stream that went on at another version could not be told from one that went on rightly: the entry's software version was dropped while decoding, and Resumes was read by nobody. Both are decoded now; request_ended names the version that began a stream and the request that it takes up, stream_continued each attempt that goes on with one, and explain shows the lines of the request that began it. The store revision of an entry, which bore the name of the version, is called revision.

--- a/src/rosepath/caller_request.py
+++ b/src/rosepath/caller_request.py
@@ -42,8 +42,9 @@
     """Hold one complete request.
 
     `wait_s` is how long the caller is prepared to wait, `tokens` the sum of the
-    input tokens and the most output tokens, if stated. The API key is kept as
-    its digest only.
+    input tokens and the most output tokens, if stated. `resumed_request_id` names
+    the request that brought the first event of the stream which this one takes up.
+    The API key is kept as its digest only.
     """
 
     request_id: str
@@ -56,5 +57,6 @@
     wait_s: float | None = None
     prompt: Prompt | None = None
     last_event_id: int | None = None
+    resumed_request_id: str = ""
     api_key_digest: str | None = None
     tokens: int | None = None
--- a/src/rosepath/explain.py
+++ b/src/rosepath/explain.py
@@ -80,6 +80,9 @@
     own = [line for line in lines if line.request_id == request_id]
     if not own:
         return []
+    # The request that began the stream which this one takes up.
+    resumed = {line.details.get("resumes") for line in own} - {None, ""}
+    own = [line for line in lines if line.request_id in {request_id, *resumed}]
     vms = {line.entry_vm for line in own}
     # The store may fail for one kind of objects and respond for another.
     latest: dict[tuple[str, str, str], LogLine] = {}
--- a/src/rosepath/fleet.py
+++ b/src/rosepath/fleet.py
@@ -19,7 +19,9 @@
     """Hold the entry that a backend server publishes in the store.
 
     `born_ms` is the Unix time at which this server process started, 0 if not
-    given; `version` the store revision at which the entry was written.
+    given; `revision` the store revision at which the entry was written;
+    `software_version` what the server runs, whose streams no other version can
+    continue.
     `models` maps each model it holds to that model's adapters; `in_memory` and
     `on_disk` name the models it can load without the weight store; `sequence`
     counts the orders it has accepted; `remaining_s` is set if it shuts down at
@@ -34,7 +36,8 @@
     draining: bool
     sequence: int = 0
     born_ms: int = 0
-    version: int = 0
+    revision: int = 0
+    software_version: str = ""
     models: Mapping[str, frozenset[str]] = field(default_factory=dict)
     in_memory: frozenset[str] = frozenset()
     on_disk: frozenset[str] = frozenset()
@@ -226,7 +229,7 @@
         """
         server = self.servers.get(leaving.name)
         if leaving.gone_at:
-            is_new = server is not None and server.entry.version <= leaving.gone_at
+            is_new = server is not None and server.entry.revision <= leaving.gone_at
             if is_new or server is None:
                 self.remove(leaving.name, gone_at=leaving.gone_at)
             return is_new
@@ -255,7 +258,7 @@
         """
         if entry.born_ms < self._born_ms.get(entry.name, 0):
             return False
-        if 0 < entry.version <= self._gone_at.get(entry.name, 0):
+        if 0 < entry.revision <= self._gone_at.get(entry.name, 0):
             return False
         if entry.draining:
             self._note_leaving(entry.name, entry.born_ms)
--- a/src/rosepath/platform/calls.py
+++ b/src/rosepath/platform/calls.py
@@ -18,6 +18,8 @@
 _TOKENS = "Token-Usage"
 _PARTS = "Prompt-Prefix"
 _LAST_EVENT = "Last-Event-Id"
+# The id of the request that brought the first event of the stream continued.
+_RESUMES = "Resumes"
 _SERVER = "Target-Instance"
 _PRIORITY = "Request-Priority"
 _SIGNATURE = "Response-Signature"
@@ -91,6 +93,7 @@
         wait_s=parse_ms(headers.get(_DEADLINE)),
         prompt=_parse_prompt(headers),
         last_event_id=parse_int(headers.get(_LAST_EVENT)),
+        resumed_request_id=headers.get(_RESUMES, ""),
         api_key_digest=_digest_key(headers),
         tokens=_parse_tokens(headers.get(_TOKENS)),
     )
--- a/src/rosepath/platform/documents.py
+++ b/src/rosepath/platform/documents.py
@@ -213,6 +213,7 @@
     service: Annotated[StrictStr, Field(min_length=1)]
     address: Annotated[StrictStr, AfterValidator(validate_address)]
     zone: StrictStr
+    # Of the server's software; the weights' versions are in its responses.
     version: StrictStr
     slots: Annotated[StrictInt, Field(ge=1)]
     state: Literal["ready", "draining"]
@@ -307,7 +308,8 @@
         draining=entry.state != "ready",
         sequence=entry.sequence,
         born_ms=entry.born,
-        version=stored.version,
+        revision=stored.version,
+        software_version=entry.version,
         models={model.name: frozenset(model.adapters) for model in entry.models},
         in_memory=entry.available.in_memory,
         on_disk=entry.available.on_disk,
--- a/src/rosepath/relay.py
+++ b/src/rosepath/relay.py
@@ -299,6 +299,8 @@
 
         def on_events(head: ResponseHead, events: bytes) -> Awaitable[None] | None:
             server.last_activity_s = self._now_s()
+            if progress.event_count == 0:
+                self._note_first_events(context, server)
             progress.note_events(events.count(EVENT_END), now_s=server.last_activity_s)
             context.note_events(now_s=server.last_activity_s)
             in_flight.unread_tokens = 0
@@ -372,6 +374,25 @@
             server.in_flight_requests.pop(context.call.request_id, None)
             self._suspects.end(context)
 
+    def _note_first_events(
+        self, context: RequestContext, server: BackendServer
+    ) -> None:
+        """Note the first events of an attempt: they begin a stream or continue it."""
+        version = server.entry.software_version
+        if context.event_sequence is None:
+            return
+        if context.call.resumed_request_id or context.software_version is not None:
+            _log.info(
+                "stream_continued",
+                request_id=context.call.request_id,
+                resumes=context.call.resumed_request_id,
+                peer=server.name,
+                software_version=version,
+                began_at_version=context.software_version,
+            )
+        if context.software_version is None:
+            context.software_version = version
+
     def _apply_notice(self, server: BackendServer, notice: ServerNotice) -> None:
         """Apply the notice in a response's headers to its server."""
         now_s = self._now_s()
--- a/src/rosepath/request_context.py
+++ b/src/rosepath/request_context.py
@@ -154,6 +154,8 @@
     # The configuration in force when the request was routed.
     configuration: ConfigurationView = UNKNOWN_CONFIGURATION
     event_sequence: EventSequence | None = None
+    # Of the server that began its stream, once one did.
+    software_version: str | None = None
     tried: set[str] = field(default_factory=set)
     # The connections to servers on which it was sent.
     connections: set[Connection] = field(default_factory=set)
--- a/src/rosepath/request_records.py
+++ b/src/rosepath/request_records.py
@@ -62,6 +62,7 @@
             longest_pause_s=round(context.longest_pause_s, 3),
             gap_s=context.route.target_gap_s,
             target_s=context.route.target_latency_s,
+            **_stream_fields(context),
             **_quota_fields(context),
             **context.configuration.log_fields,
         )
@@ -84,6 +85,16 @@
     }
 
 
+def _stream_fields(context: RequestContext) -> dict[str, Any]:
+    """Return the log fields of a stream: what began it, and what it takes up."""
+    if context.event_sequence is None:
+        return {}
+    fields: dict[str, Any] = {"software_version": context.software_version}
+    if context.call.resumed_request_id:
+        fields["resumes"] = context.call.resumed_request_id
+    return fields
+
+
 def _quota_fields(context: RequestContext) -> dict[str, Any]:
     """Return the log fields of a request under a quota."""
     workspace = context.workspace
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -125,3 +125,13 @@
     assert explain("q1", log) == 0
     shown = capsys.readouterr().out.splitlines()
     assert shown[-1].startswith("vm-1: configuration version 3, known to be current")
+
+
+def test_a_resumed_stream_is_shown_with_the_request_that_began_it() -> None:
+    lines = [
+        line(1, "vm-1", "try_failed", request_id="q1", peer="e1"),
+        line(2, "vm-2", "request_ended", request_id="q2", peer="e2", resumes="q1"),
+        line(2, "vm-2", "request_ended", request_id="q3", peer="e2"),
+    ]
+    timeline = request_timeline("q2", parse_log_lines(lines))
+    assert [entry.request_id for entry in timeline] == ["q1", "q2"]
