--- a/benchmarks/entry_checks.py
+++ b/benchmarks/entry_checks.py
@@ -8,13 +8,13 @@
     APPLY_S,
     CRASHING_PATH,
     DRAIN_S,
-    EVENTS_PER_STREAM,
     RETRY_AFTER_S,
     SETTLE_S,
     STREAM_PATHS,
     AddedRoute,
     EntryFleet,
     StatedLimit,
+    whole_streams,
 )
 
 # The deadline that callers send with each request.
@@ -94,7 +94,7 @@
         return [
             f"{response.request_id} {response.path} {response.body[:60]!r}"
             for response in self.responses
-            if response.status == 200 and response.body != _expected_body(response)
+            if response.status == 200 and not _is_complete(response)
         ]
 
     def _run_twice(self) -> list[str]:
@@ -296,11 +296,9 @@
         return found
 
 
-def _expected_body(response: CallerResponse) -> bytes:
-    if response.path.startswith(STREAM_PATHS):
-        events = range(1, EVENTS_PER_STREAM + 1)
-        return b"".join(
-            f"id: {number}\ndata: {response.request_id}\n\n".encode()
-            for number in events
-        )
-    return f"{response.path} {response.request_id}".encode()
+def _is_complete(response: CallerResponse) -> bool:
+    """Return whether a body is the whole one, by one software version."""
+    if not response.path.startswith(STREAM_PATHS):
+        expected = f"{response.path} {response.request_id}"
+        return response.body == expected.encode()
+    return response.body in whole_streams(response.request_id)
--- a/src/rosepath_standins/entry_fleet.py
+++ b/src/rosepath_standins/entry_fleet.py
@@ -23,10 +23,12 @@
 
 from rosepath_standins.fault_proxy import FaultProxy
 from rosepath_standins.platform import PlatformOptions, PlatformState, make_platform
+from rosepath_standins.stream_caller import StreamEvent, encode_event
 
 HOST = "court.example"
 SERVICE = "desk"
 EVENTS_PER_STREAM = 10
+SOFTWARE_VERSIONS = ("v1", "v2")
 EVENT_INTERVAL_S = 0.02
 RESPONSE_DELAY_S = 0.02
 CRASHING_PATH = "/look/crashing"
@@ -54,6 +56,17 @@
 SILENCE_S = 1.2
 
 
+def whole_streams(request_id: str) -> list[bytes]:
+    """Return the bodies that a stream may have, by the version that wrote it."""
+    return [
+        b"".join(
+            encode_event(StreamEvent(number, request_id, version))
+            for number in range(1, EVENTS_PER_STREAM + 1)
+        )
+        for version in SOFTWARE_VERSIONS
+    ]
+
+
 def caller_headers(request_id: str, *, wait_s: float) -> dict[str, str]:
     """Return the headers of a caller's request."""
     return {
@@ -127,6 +140,8 @@
     request_log: RequestLog
     started_ms: int
     port: int = 0
+    # Of its software; it continues any stream, but writes its own events.
+    software_version: str = "v1"
     rng: random.Random = field(default_factory=lambda: random.Random(1))
     draining: bool = False
     shedding: bool = False
@@ -279,7 +294,7 @@
         writer.write(head.encode())
         for number in range(first, EVENTS_PER_STREAM + 1):
             await asyncio.sleep(EVENT_INTERVAL_S)
-            event = f"id: {number}\ndata: {request_id}\n\n".encode()
+            event = encode_event(StreamEvent(number, request_id, self.software_version))
             writer.write(b"%x\r\n%b\r\n" % (len(event), event))
             await writer.drain()
         writer.write(b"0\r\n\r\n")
@@ -476,10 +491,18 @@
         configuration["services"] += self.extra_services
         await self.write("config/main", configuration)
 
-    async def add_server(self, *, port: int = 0) -> Server:
+    async def add_server(
+        self, *, port: int = 0, software_version: str = "v1"
+    ) -> Server:
         self.instance_count += 1
         started_ms = int(time.time() * 1000)
-        server = Server(f"i-{self.instance_count}", self.request_log, started_ms, port)
+        server = Server(
+            f"i-{self.instance_count}",
+            self.request_log,
+            started_ms,
+            port,
+            software_version,
+        )
         await server.listen()
         self.servers[server.name] = server
         await self.write_entry(server)
@@ -491,7 +514,7 @@
             "service": SERVICE,
             "address": f"127.0.0.1:{server.port}",
             "zone": "a",
-            "version": "v1",
+            "version": server.software_version,
             "slots": 32,
             "state": state,
             "sequence": 0,
--- a/tests/entry_builders.py
+++ b/tests/entry_builders.py
@@ -1,5 +1,6 @@
 """Builders of test data for entry VMs."""
 
+import json
 import math
 from collections.abc import Mapping
 from typing import Any
@@ -22,7 +23,9 @@
 from rosepath.entry_settings import EntrySettings
 from rosepath.fleet import BackendServer, ServerEntry
 from rosepath.http_client import ProbeResult
+from rosepath.object_store import StoredObject
 from rosepath.peer_messages import PeerState
+from rosepath.platform.documents import decode_server
 from rosepath.request_context import RelayPorts
 from rosepath.server_picker import ServerPicker
 from rosepath.suspect_tracker import SuspectTracker
@@ -157,6 +160,14 @@
     }
 
 
+def a_decoded_entry(name: str, **fields: Any) -> ServerEntry:
+    """Return the entry that a server's document in the store decodes to."""
+    document = json.dumps(a_server_document(**fields)).encode()
+    entry = decode_server(StoredObject(f"servers/{name}", 1, document))
+    assert entry is not None
+    return entry
+
+
 def a_server(name: str, **options: object) -> BackendServer:
     entry = an_entry(name, **options)  # type: ignore[arg-type]
     server = BackendServer(entry=entry)
