Let a stream go on only at the software version that began it

What callers saw: streams that broke off went on, in the same response, with events of another software version.

Cause: the entry's version was decoded and dropped; each server of the service counted as able to continue any stream.

Change: a request whose stream has begun goes only to servers of the version that began it, wherever servers are chosen: by this VM, by the scheduler (the others count as tried), for capacity elsewhere, which decides whether a silent server is left, and in the check right before the first byte. A stream that only other versions could continue is refused at once; it waits while no server of the service is there, or none with its model. Announced loads are kept by engine, so that a load at another version's engine does not keep it waiting.

--- a/src/rosepath/model_arrivals.py
+++ b/src/rosepath/model_arrivals.py
@@ -1,7 +1,7 @@
 """Track models being loaded and decide which requests wait for them."""
 
 import random
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
 from enum import StrEnum
 from typing import NamedTuple
@@ -42,7 +42,8 @@
 class ModelArrivals:
     """Own the loads announced by the holder of the placement lease."""
 
-    _due_s: dict[str, float] = field(default_factory=dict)
+    # By model and engine.
+    _due_s: dict[str, dict[str, float]] = field(default_factory=dict)
     _updated_s: float = -1e9
 
     def replace_announced(
@@ -53,14 +54,27 @@
         self._due_s.clear()
         for arrival in arrivals:
             due_s = now_s + arrival.arrives_in_s
-            known_s = self._due_s.get(arrival.model, due_s)
-            self._due_s[arrival.model] = min(due_s, known_s)
+            at_engines = self._due_s.setdefault(arrival.model, {})
+            known_s = at_engines.get(arrival.server, due_s)
+            at_engines[arrival.server] = min(due_s, known_s)
 
-    def due_s(self, model: str, *, now_s: float) -> float | None:
-        """Return when a model will be on some engine, None if unknown."""
+    def due_s(
+        self, model: str, *, now_s: float, servers: Collection[str] | None = None
+    ) -> float | None:
+        """Return when a model will be on some engine, None if unknown.
+
+        With `servers`, on one of them.
+        """
         if now_s - self._updated_s > ARRIVALS_TTL_S:
             return None
-        return self._due_s.get(model)
+        return min(
+            (
+                due_s
+                for server, due_s in self._due_s.get(model, {}).items()
+                if servers is None or server in servers
+            ),
+            default=None,
+        )
 
 
 def choose_wait(
--- a/src/rosepath/placement_coordinator.py
+++ b/src/rosepath/placement_coordinator.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import uuid
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Collection, Mapping
 
 from rosepath.caller_request import Prompt
 from rosepath.catalog import Catalog
@@ -261,12 +261,17 @@
                 parts.append(peer.state.demand.get(service, {}))
         return total_demand(parts)
 
-    def model_due_s(self, model: str) -> float | None:
-        """Return when a model will be loaded on an engine, if known."""
+    def model_due_s(
+        self, model: str, *, servers: Collection[str] | None = None
+    ) -> float | None:
+        """Return when a model will be loaded on an engine, if known.
+
+        With `servers`, on one of them.
+        """
         now_s = self._clock.monotonic_s()
         if self.holds_lease:
             self._arrivals.replace_announced(self.orders.arrivals, now_s=now_s)
-        return self._arrivals.due_s(model, now_s=now_s)
+        return self._arrivals.due_s(model, now_s=now_s, servers=servers)
 
     # The lease
 
--- a/src/rosepath/relay.py
+++ b/src/rosepath/relay.py
@@ -339,6 +339,7 @@
             # made.
             still_wanted=lambda: (
                 server.usable
+                and context.may_run_at(server)
                 and not server.in_backoff(self._now_s())
                 and self._ports.fleet_fresh_enough()
                 and self._suspects.may_be_sent(context)
--- a/src/rosepath/request_context.py
+++ b/src/rosepath/request_context.py
@@ -47,7 +47,9 @@
 
     def note_waiting(self, service: str, prompt: Prompt, *, step: int) -> None: ...
 
-    def model_due_s(self, model: str) -> float | None: ...
+    def model_due_s(
+        self, model: str, *, servers: Collection[str] | None = None
+    ) -> float | None: ...
 
     async def ensure_adapter(
         self, service: str, server: BackendServer, prompt: Prompt, *, limit_s: float
@@ -203,6 +205,13 @@
         """Return the keys of the parts of its prompt that others may share."""
         return part_keys(self.call.prompt)
 
+    def may_run_at(self, server: BackendServer) -> bool:
+        """Return whether a server runs the software that began the stream, if any.
+
+        What two versions write does not fit together, and servers don't check.
+        """
+        return self.software_version in (None, server.entry.software_version)
+
     def note_events(self, *, now_s: float) -> None:
         """Record the arrival of events, and the longest gap between them."""
         if self.first_event_s is None:
--- a/src/rosepath/server_picker.py
+++ b/src/rosepath/server_picker.py
@@ -43,6 +43,7 @@
 # An earlier retry would be refused again.
 QUARANTINED_RETRY_AFTER_S = 60.0
 QUARANTINED_CODE = "crashes_servers"
+VERSION_ABSENT_CODE = "software_version_absent"
 # An adapter loads in about 20 ms. A placement lease holder that does not
 # reply within this time may have failed, and the request goes to its
 # successor.
@@ -127,6 +128,7 @@
         while True:
             self._refuse_if_quarantined(context)
             await self._ports.ensure_fresh()
+            self._refuse_if_stranded(context)
             scheduled, chosen = False, None
             if self._asks_scheduler(context):
                 scheduled, chosen = await self._pick_assigned(context, wait)
@@ -177,6 +179,7 @@
         def check_waiting() -> None:
             wait.count()
             self._refuse_if_quarantined(context)
+            self._refuse_if_stranded(context)
             self._refuse_if_out_of_time(context, wait)
             self._refuse_if_late(context, wait.started_s, wait.until_s)
 
@@ -190,7 +193,9 @@
                 ports.scheduling.next_id(),
                 entry_vm=ports.entry_vm,
                 data_centre=ports.data_centre,
-                tried=frozenset(context.tried | avoided | unusable),
+                tried=frozenset(
+                    context.tried | avoided | unusable | self._excluded_names(context)
+                ),
                 wait_until_s=min(wait.until_s, self._stop_limit_s(context)),
                 now_s=now_s,
             )
@@ -211,6 +216,14 @@
             unusable.add(decision.server)
         return True, None
 
+    def _excluded_names(self, context: RequestContext) -> set[str]:
+        """Return the servers of the service that can't continue the stream."""
+        return {
+            server.name
+            for server in self._ports.fleet.of_service(context.service.name)
+            if not context.may_run_at(server)
+        }
+
     def _has_tried_all(self, context: RequestContext, avoided: frozenset[str]) -> bool:
         """Return whether no server is left to try; then any may be tried again."""
         names = {server.name for server in self._eligible_servers(context)} - avoided
@@ -253,6 +266,8 @@
         ports, now_s = self._ports, self._now_s()
         prompt, spec = context.call.prompt, context.service.engine
         generates = spec is not None and prompt is not None
+        if not context.may_run_at(server):
+            return False
         if not server.accepts_requests(now_s) or server.down_until_s > now_s:
             return False
         if generates and prompt and prompt.model not in server.resident_models:
@@ -347,6 +362,39 @@
             retry_after_s=QUARANTINED_RETRY_AFTER_S,
         )
 
+    def _refuse_if_stranded(self, context: RequestContext) -> None:
+        """Refuse a stream that only other software versions could continue.
+
+        It waits if no server of the service is there, or none that has its model:
+        either may still come with its version.
+        """
+        if context.software_version is None or self._eligible_servers(context):
+            return
+        others = [
+            server
+            for server in self._ports.fleet.of_service(context.service.name)
+            if server.usable and not context.may_run_at(server)
+        ]
+        own = {server.name for server in self._servers(context) if server.usable}
+        prompt, models = context.call.prompt, self._ports.models
+        if own and prompt is not None:
+            if models.model_due_s(prompt.model, servers=own) is not None:
+                return
+            if models.model_due_s(prompt.model) is None:
+                others = [
+                    server
+                    for server in others
+                    if prompt.model in server.resident_models
+                ]
+        if not others:
+            return
+        raise _refused(
+            context,
+            VERSION_ABSENT_CODE,
+            "no server of the software version that began the stream can continue it",
+            retry_after_s=RETRY_AFTER_S,
+        )
+
     def _refuse_if_late(
         self, context: RequestContext, started_s: float, wait_until_s: float
     ) -> None:
@@ -356,7 +404,7 @@
         prompt, now_s = context.call.prompt, self._now_s()
         eligible = self._eligible_servers(context)
         if prompt and context.service.engine and not eligible:
-            due_s = self._ports.models.model_due_s(prompt.model)
+            due_s = self._model_due_s(context, prompt)
             code = "model_absent"
             why = "the model can't be loaded while the caller waits"
         elif eligible and all(server.paused_until_s > now_s for server in eligible):
@@ -390,7 +438,7 @@
         return min(
             (
                 load_duration_s(server, model)
-                for server in self._ports.fleet.of_service(context.service.name)
+                for server in self._servers(context)
                 if server.usable
             ),
             default=0.0,
@@ -404,18 +452,30 @@
         prompt = context.call.prompt
         if not prompt or not context.service.engine or self._eligible_servers(context):
             return RETRY_AFTER_S
-        due_s = self._ports.models.model_due_s(prompt.model)
+        due_s = self._model_due_s(context, prompt)
         if due_s is None:
             return RETRY_AFTER_S
         jitter_s = self._ports.rng.uniform(0.0, RETRY_JITTER_S)
         return max(RETRY_AFTER_S, due_s - self._now_s() + jitter_s)
 
+    def _model_due_s(self, context: RequestContext, prompt: Prompt) -> float | None:
+        """Return when the model will be on a server that the request may go to."""
+        if context.software_version is None:
+            return self._ports.models.model_due_s(prompt.model)
+        names = {server.name for server in self._servers(context)}
+        return self._ports.models.model_due_s(prompt.model, servers=names)
+
+    def _servers(self, context: RequestContext) -> list[BackendServer]:
+        """Return the servers of the service that a request may go to at all."""
+        servers = self._ports.fleet.of_service(context.service.name)
+        return [server for server in servers if context.may_run_at(server)]
+
     def _eligible_servers(self, context: RequestContext) -> list[BackendServer]:
         """Return the servers that could serve a request, now or soon."""
         prompt, spec = context.call.prompt, context.service.engine
         return [
             server
-            for server in self._ports.fleet.of_service(context.service.name)
+            for server in self._servers(context)
             if server.usable
             and (
                 spec is None or prompt is None or prompt.model in server.resident_models
@@ -461,7 +521,7 @@
         rejected = set(avoided)
         while True:
             server = choose_server(
-                ports.fleet.of_service(context.service.name),
+                self._servers(context),
                 data_centre=ports.data_centre,
                 tried=context.tried | rejected,
                 cut_off=ports.cut_off(),
@@ -531,7 +591,7 @@
             started_s + ADAPTER_WAIT_S, context.deadline_s
         ):
             choice = choose_engine(
-                ports.fleet.of_service(context.service.name),
+                self._servers(context),
                 prompt,
                 adapter_slots=spec.adapter_slots,
                 data_centre=ports.data_centre,
@@ -577,7 +637,7 @@
 
         others = [
             other
-            for other in ports.fleet.of_service(context.service.name)
+            for other in self._servers(context)
             if other is not server
             and other.accepts_requests(now_s)
             and has_free_capacity(other)
--- a/tests/entry_harness.py
+++ b/tests/entry_harness.py
@@ -108,7 +108,7 @@
     def note_waiting(self, *_: Any, **__: Any) -> None:
         return
 
-    def model_due_s(self, _: str) -> float | None:
+    def model_due_s(self, _: str, **__: Any) -> float | None:
         return None
 
     async def ensure_adapter(self, *_: Any, **__: Any) -> bool:
