Find which software version began a stream that a caller takes up

What callers saw: a stream that they took up at another entry VM, or after the kill of theirs, went on with events of another software version. In the recorded case the caller came back 1.5 s after all VMs had restarted.

Cause: nobody read Resumes, and what one process knew of a stream was lost with it.

Change: before the first event leaves, a VM tells three others which service and version began the stream; the VM that takes it up asks four. Both choose them by rendezvous hashing of the request's id, the own data centre first, then one of each other, so that a data centre that is cut off finds its own streams. What none of them knows may go on only if the service had a single version for a minute: the holder of the placement lease keeps the recent versions in the store (a write when they change), where they outlast all VMs. Else the request is refused at once, as not run; nothing is guessed.

Why it holds: two of the told VMs may be gone; a lost datagram, a cut or a paused VM costs an answer, never a wrong one, as replies name the query of one process and the first origin of a stream stays.

--- a/src/rosepath/caller_request.py
+++ b/src/rosepath/caller_request.py
@@ -60,3 +60,8 @@
     resumed_request_id: str = ""
     api_key_digest: str | None = None
     tokens: int | None = None
+
+    @property
+    def continues_stream(self) -> bool:
+        """Whether the caller has events of the stream already."""
+        return bool(self.resumed_request_id) or self.last_event_id is not None
--- a/src/rosepath/entry_node.py
+++ b/src/rosepath/entry_node.py
@@ -52,8 +52,10 @@
 from rosepath.server_notice import ServerNotice
 from rosepath.server_paths import ServerPaths
 from rosepath.settings import split_address
+from rosepath.software_versions import SoftwareVersions
 from rosepath.store_tables import StoreTables
 from rosepath.store_watcher import StoreWatcher, WatchPolicy
+from rosepath.stream_origin_exchange import StreamOriginExchange
 from rosepath.supervisor import Supervisor
 from rosepath.tunnels import TUNNEL_PATH, TunnelGate, TunnelHandler
 from rosepath.watch_policy import (
@@ -77,6 +79,9 @@
 # a second. A VM that does not hold the placement lease checks less often.
 STANDBY_PLAN_TICK_S = 1.0
 PEER_EXPIRY_TICK_S = 0.4
+# Unless all VMs fail within this time of the first server of a new version, the
+# store names it.
+VERSIONS_TICK_S = 0.5
 
 _log = get_logger()
 
@@ -248,6 +253,22 @@
         self.exchange.link.on_quota_message = self.quotas.handle
         self.scheduling = self._build_scheduling()
         self.exchange.link.on_scheduling_message = self.scheduling.handle
+        self.origins = StreamOriginExchange(
+            settings.entry_vm,
+            settings.data_centre,
+            settings.peers.listen,
+            clock=self.clock,
+            peers=self.peers,
+            send=lambda message, address: self.exchange.link.send(message, address),
+            count=lambda outcome: self.metrics.count("stream_origins", outcome=outcome),
+        )
+        self.exchange.link.on_origin_message = self.origins.handle
+        self.versions = SoftwareVersions(
+            self.store,
+            clock=BootClock(),
+            fleet=self.tables.fleet,
+            holds_lease=lambda: self.coordinator.holds_lease,
+        )
         self.records = RequestRecorder(self.metrics, clock=self.clock)
         self.relay = Relay(
             RelayPorts(
@@ -272,6 +293,8 @@
                 ends_hopeless_waits=self._uses_scheduler,
                 quotas=self.quotas,
                 scheduling=self.scheduling,
+                origins=self.origins,
+                sole_version=self.versions.sole_version,
                 entry_vm=settings.entry_vm,
             )
         )
@@ -324,6 +347,7 @@
         self.loops.every(ISOLATION_TICK_S, self.data_centre_isolation.step)
         self.loops.every(LEASE_TICK_S, self._step_lease)
         self.loops.every(ISOLATION_TICK_S, self.coordinator.release_if_partitioned)
+        self.loops.every(VERSIONS_TICK_S, self.versions.step)
         self.loops.forever(self._plan)
         _log.info("started", callers=self.settings.callers.listen)
 
--- a/src/rosepath/peer_exchange.py
+++ b/src/rosepath/peer_exchange.py
@@ -4,6 +4,7 @@
 import json
 import math
 from collections.abc import Callable
+from typing import NamedTuple
 
 from rosepath.clock import Clock
 from rosepath.crash_watch import CrashWatch
@@ -42,15 +43,24 @@
 _log = get_logger()
 
 
-def _member_address(stored: StoredObject) -> str | None:
-    """Return the address in a VM's store entry; None if it is unreadable."""
+class _Member(NamedTuple):
+    """An entry VM as it registered itself in the store."""
+
+    address: str
+    data_centre: str
+
+
+def _decode_member(stored: StoredObject) -> _Member | None:
+    """Decode a VM's store entry; None if it is unreadable."""
     try:
-        address = str(json.loads(stored.value)["address"])
+        raw = json.loads(stored.value)
+        address = str(raw["address"])
         split_address(address)
     except (ValueError, KeyError, TypeError, RecursionError) as error:
         _log.warning("member_unreadable", name=stored.name, why=str(error)[:80])
         return None
-    return address
+    # Earlier builds state no data centre.
+    return _Member(address, str(raw.get("data_centre", "")))
 
 
 class PeerExchange:
@@ -108,7 +118,8 @@
     async def join(self) -> None:
         """Register this VM's address in the store and read the others'."""
         name = f"{VM_KIND}/{self._me}"
-        value = json.dumps({"address": self.link.address}).encode()
+        entry = {"address": self.link.address, "data_centre": self._data_centre}
+        value = json.dumps(entry).encode()
         registered = False
         pause_s = JOIN_RETRY_S
         while True:
@@ -123,9 +134,9 @@
                 await asyncio.sleep(pause_s)
                 pause_s = min(2 * pause_s, JOIN_RETRY_MAX_S)
         for stored in listing.objects.values():
-            address = _member_address(stored)
-            if address is not None:
-                self.peers.note_address(stored.name.partition("/")[2], address)
+            member = _decode_member(stored)
+            if member is not None:
+                self.peers.note_address(stored.name.partition("/")[2], *member)
         self.link.send_state()
         _log.info("joined", peers=sorted(self.peers.peers))
         # The supervisor would start `join` again if it returned.
--- a/src/rosepath/peer_link.py
+++ b/src/rosepath/peer_link.py
@@ -32,6 +32,12 @@
     Withdrawal,
 )
 from rosepath.settings import split_address
+from rosepath.stream_origin_messages import (
+    OriginMessage,
+    OriginNotice,
+    OriginQuery,
+    OriginReply,
+)
 
 # An unanswered adapter request is sent again after this, as its datagram or the
 # reply may be lost. The round trip takes about 2 ms and the load order that it
@@ -61,6 +67,7 @@
     ) -> None:
         self.on_quota_message: Callable[[QuotaMessage], None] = lambda _: None
         self.on_scheduling_message: Callable[[SchedulingMessage], None] = lambda _: None
+        self.on_origin_message: Callable[[OriginMessage], None] = lambda _: None
         self.address = address
         self._data_centre = data_centre
         # Includes the time for which the machine was suspended.
@@ -124,6 +131,8 @@
                 | Withdrawal()
             ) as scheduling_message:
                 self.on_scheduling_message(scheduling_message)
+            case OriginNotice() | OriginQuery() | OriginReply() as origin_message:
+                self.on_origin_message(origin_message)
             case AdapterReply() as reply:
                 pending = self._pending_replies.get(reply.adapter_request_id)
                 if pending is not None and not pending.done():
--- a/src/rosepath/peer_messages.py
+++ b/src/rosepath/peer_messages.py
@@ -23,6 +23,12 @@
     encode_scheduling_fields,
 )
 from rosepath.server_limits import ServerLimit
+from rosepath.stream_origin_messages import (
+    TYPE_PREFIX as ORIGIN_TYPE_PREFIX,
+    OriginMessage,
+    decode_origin_fields,
+    encode_origin_fields,
+)
 
 # In a large fleet the holder of the placement lease sends the load of all
 # engines to every entry VM: below 1,400 bytes for 70 engines once compressed.
@@ -191,6 +197,7 @@
     | ForwardedState
     | QuotaMessage
     | SchedulingMessage
+    | OriginMessage
 )
 
 
@@ -220,6 +227,8 @@
             return decode_quota_fields(raw)
         if raw["t"].startswith(SCHEDULING_TYPE_PREFIX):
             return decode_scheduling_fields(raw)
+        if raw["t"].startswith(ORIGIN_TYPE_PREFIX):
+            return decode_origin_fields(raw)
         match raw["t"]:
             case "state":
                 return _decode_state(raw)
@@ -246,12 +255,15 @@
     | AdapterRequest
     | AdapterReply
     | QuotaMessage
-    | SchedulingMessage,
+    | SchedulingMessage
+    | OriginMessage,
 ) -> dict[str, Any]:
     if isinstance(message, QuotaMessage):
         return encode_quota_fields(message)
     if isinstance(message, SchedulingMessage):
         return encode_scheduling_fields(message)
+    if isinstance(message, OriginMessage):
+        return encode_origin_fields(message)
     if isinstance(message, AdapterRequest):
         return {
             "t": "ask",
--- a/src/rosepath/peer_table.py
+++ b/src/rosepath/peer_table.py
@@ -46,6 +46,12 @@
     state: PeerState | None = None
     last_message_s: float = -1e9
     address_noted_s: float = 0.0
+    # As in the store; its messages take precedence.
+    noted_data_centre: str = ""
+
+    @property
+    def data_centre(self) -> str:
+        return self.state.data_centre if self.state else self.noted_data_centre
 
 
 class Hop(NamedTuple):
@@ -78,7 +84,7 @@
         # VMs whose latest message claims the placement lease.
         self._lease_claimants: dict[str, Peer] = {}
 
-    def note_address(self, name: str, address: str) -> None:
+    def note_address(self, name: str, address: str, data_centre: str = "") -> None:
         """Record the address of an entry VM, as read from the store."""
         if name == self._me:
             return
@@ -87,7 +93,10 @@
             if peer is not None:
                 self._unindex(peer)
             self.peers[name] = Peer(
-                name=name, address=address, address_noted_s=self._clock.monotonic_s()
+                name=name,
+                address=address,
+                address_noted_s=self._clock.monotonic_s(),
+                noted_data_centre=data_centre,
             )
 
     def apply_state(self, state: PeerState) -> bool:
@@ -141,6 +150,19 @@
         """
         return [peer for peer in self.peers.values() if self._live(peer)]
 
+    def members(self) -> dict[str, str]:
+        """Return the data centres of the VMs on which all VMs roughly agree.
+
+        In a large fleet a VM rarely hears each of the others, so all known ones
+        count; in a small one, those that did not fall silent for good.
+        """
+        known = self.peers.values() if self.large_fleet else self._recipients()
+        return {
+            peer.name: peer.data_centre
+            for peer in known
+            if not (peer.state and peer.state.stopping)
+        }
+
     @property
     def large_fleet(self) -> bool:
         """Return whether the fleet is too large for all-to-all messages."""
--- a/src/rosepath/relay.py
+++ b/src/rosepath/relay.py
@@ -42,6 +42,7 @@
 from rosepath.server_limits import apply_limit_notice
 from rosepath.server_notice import ServerNotice
 from rosepath.server_picker import ServerPicker
+from rosepath.stream_origins import StreamOrigin
 from rosepath.suspect_tracker import SuspectTracker, lost_run_fields
 
 # Subtracted from each deadline: the caller's clock may run 3 ms ahead of this
@@ -174,6 +175,9 @@
                 step=Step.ROUTE,
                 retry_after_s=RETRY_AFTER_S,
             )
+        origin = None
+        if route.resumable and call.continues_stream:
+            origin = await self._find_origin(call, service.name)
         limit_s = min(route.timeout_s, call.wait_s or route.timeout_s)
         self._ports.budget(service.name).note_request()
         streams = route.kind is RouteKind.STREAMING
@@ -188,6 +192,27 @@
             event_sequence=EventSequence(last_id=call.last_event_id)
             if streams
             else None,
+            software_version=origin.software_version if origin else None,
+        )
+
+    async def _find_origin(self, call: CallerRequest, service: str) -> StreamOrigin:
+        """Return where the stream that a request takes up began.
+
+        Raises RefusalError if that is unknown: events of another software version
+        would not fit those that the caller has.
+        """
+        origin = await self._ports.origins.find(call.resumed_request_id)
+        if origin is not None:
+            return origin
+        version = await self._ports.sole_version(service)
+        if version is not None:
+            return StreamOrigin(service=service, software_version=version)
+        raise refuse(
+            503,
+            "stream_origin_unknown",
+            "it is not known which software version began the stream",
+            step=Step.ROUTE,
+            retry_after_s=RETRY_AFTER_S,
         )
 
     def _find_route(self, call: CallerRequest) -> HostRoute | None:
@@ -393,6 +418,11 @@
             )
         if context.software_version is None:
             context.software_version = version
+            if context.route.resumable:
+                origin = StreamOrigin(
+                    service=context.service.name, software_version=version
+                )
+                self._ports.origins.note_began(context.call.request_id, origin)
 
     def _apply_notice(self, server: BackendServer, notice: ServerNotice) -> None:
         """Apply the notice in a response's headers to its server."""
--- a/src/rosepath/request_context.py
+++ b/src/rosepath/request_context.py
@@ -25,6 +25,7 @@
 from rosepath.retries import Evidence, Obstacle
 from rosepath.retry_window import RetryWindow
 from rosepath.silence import StayReason
+from rosepath.stream_origin_exchange import LocalOrigins, OriginPort
 from rosepath.workspaces import Workspace
 
 # Retry-After of refusals. Most model swaps and restarts have finished by then,
@@ -36,6 +37,10 @@
     return
 
 
+async def _unknown_version(_: str) -> str | None:
+    return None
+
+
 class ModelPort(Protocol):
     """Record demand for models, and load adapters onto engines."""
 
@@ -136,6 +141,9 @@
     configuration: Callable[[], ConfigurationView] = lambda: UNKNOWN_CONFIGURATION
     quotas: QuotaPort = field(default_factory=Unlimited)
     scheduling: SchedulingPort = field(default_factory=Unscheduled)
+    origins: OriginPort = field(default_factory=LocalOrigins)
+    # The only software version that a service had lately, if that is certain.
+    sole_version: Callable[[str], Awaitable[str | None]] = _unknown_version
     entry_vm: str = ""
     # Whether a request without a model ends its wait as soon as no load can
     # be done in time.
