Send a stream that is taken up to the service that began it

What callers saw: on a route that is split over services, a stream that they took up went on at another service.

Cause: the split is a hash of the request's id, and each attempt of a caller has its own; a configuration may move the route as well.

Change: the service is that of the stream's origin. If the route does not lead there any more, the request is refused as not run: running it at the old service would undo the configuration. Of a split route, a stream of unknown origin is refused.

--- a/src/rosepath/relay.py
+++ b/src/rosepath/relay.py
@@ -166,7 +166,11 @@
                     "the API key is missing or unknown",
                     step=Step.AUTHENTICATE,
                 )
-        service = catalog.services.get(route.service_for(call.request_id))
+        origin = None
+        if route.resumable and call.continues_stream:
+            origin = await self._find_origin(call, route)
+        name = origin.service if origin else route.service_for(call.request_id)
+        service = catalog.services.get(name)
         if service is None:
             raise refuse(
                 503,
@@ -175,9 +179,6 @@
                 step=Step.ROUTE,
                 retry_after_s=RETRY_AFTER_S,
             )
-        origin = None
-        if route.resumable and call.continues_stream:
-            origin = await self._find_origin(call, service.name)
         limit_s = min(route.timeout_s, call.wait_s or route.timeout_s)
         self._ports.budget(service.name).note_request()
         streams = route.kind is RouteKind.STREAMING
@@ -195,22 +196,34 @@
             software_version=origin.software_version if origin else None,
         )
 
-    async def _find_origin(self, call: CallerRequest, service: str) -> StreamOrigin:
+    async def _find_origin(self, call: CallerRequest, route: HostRoute) -> StreamOrigin:
         """Return where the stream that a request takes up began.
 
-        Raises RefusalError if that is unknown: events of another software version
-        would not fit those that the caller has.
+        Raises RefusalError if that is unknown, or a service to which the route does
+        not lead any more: events of other software would not fit those that the
+        caller has.
         """
+        services = {share.service for share in route.shares}
         origin = await self._ports.origins.find(call.resumed_request_id)
-        if origin is not None:
+        if origin is not None and origin.service in services:
             return origin
-        version = await self._ports.sole_version(service)
-        if version is not None:
-            return StreamOrigin(service=service, software_version=version)
+        if origin is not None:
+            raise refuse(
+                503,
+                "stream_service_gone",
+                "the route does not lead to the service that began the stream",
+                step=Step.ROUTE,
+                retry_after_s=RETRY_AFTER_S,
+            )
+        if len(services) == 1:
+            (service,) = services
+            version = await self._ports.sole_version(service)
+            if version is not None:
+                return StreamOrigin(service=service, software_version=version)
         raise refuse(
             503,
             "stream_origin_unknown",
-            "it is not known which software version began the stream",
+            "it is not known which software began the stream",
             step=Step.ROUTE,
             retry_after_s=RETRY_AFTER_S,
         )
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -4,6 +4,7 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
 from pathlib import Path
+from typing import cast
 
 import pytest
 from entry_builders import a_decoded_entry, a_route
@@ -18,7 +19,7 @@
 )
 from versioned_fleet import VersionedFleet, versioned_fleet
 
-from rosepath.catalog import ServiceShare
+from rosepath.catalog import HostRoute, ServiceShare
 from rosepath_standins.stream_caller import CallerStream
 
 VERSIONS = ("v1", "v2")
@@ -268,3 +269,23 @@
         assert attempt.retry_after_s is not None
 
     asyncio.run(run())
+
+
+# Guards against continuing a stream at the service to which its route was moved.
+def test_a_resume_is_refused_if_its_service_is_no_longer_routed() -> None:
+    async def run() -> None:
+        models, plain = (
+            ScriptedServer("s1", dies_after_two_events),
+            ScriptedServer("s2", streams),
+        )
+        async with running_gateway(models, plain) as node:
+            set_version(node, models, "v1")
+            node.fleet.put(a_decoded_entry("s2", address=plain.address, service="desk"))
+            began, _ = await begin_at(node, models)
+            moved = replace(a_route(), shares=(ServiceShare(service="desk", weight=1),))
+            cast(dict[str, list[HostRoute]], node.catalog.by_host)[moved.host] = [moved]
+            data = await node.send_request(a_resume("r1", began))
+            assert data.startswith(b"HTTP/1.1 503")
+            assert plain.requests == []
+
+    asyncio.run(run())
