Take a server that restarts with another software version for another one

Cause: the version of the entry at the time of the choice was never checked again, and an entry whose version changed without a newer start kept all that was observed of the server.

Change: another software version counts as a restart. Before the first event of an attempt is passed on, the table is looked at once more: if its server restarted with another version, a stream that has begun leaves it, and one that begins there is continued by nobody, as either process may have written its events. A restart that the store shows only after the first event is not recognized; that remains.

--- a/src/rosepath/fleet.py
+++ b/src/rosepath/fleet.py
@@ -140,6 +140,10 @@
         """Return whether new requests may be sent to this server."""
         return not self.left and not self.entry.draining
 
+    def has_software_of(self, entry: ServerEntry) -> bool:
+        """Return whether the server runs the software version of an entry."""
+        return self.entry.software_version == entry.software_version
+
     def in_backoff(self, now_s: float) -> bool:
         """Return whether the server asked this VM to back off."""
         return now_s < self.backoff_until_s
@@ -269,7 +273,9 @@
         earlier_ms = self._born_ms.get(entry.name, entry.born_ms)
         if server is not None:
             earlier_ms = server.entry.born_ms
-        restarted = entry.born_ms > earlier_ms
+        restarted = entry.born_ms > earlier_ms or (
+            server is not None and not server.has_software_of(entry)
+        )
         self._note_started(entry)
         if server is None or restarted:
             if server is not None:
--- a/src/rosepath/relay.py
+++ b/src/rosepath/relay.py
@@ -54,6 +54,8 @@
 # Length limit of logged hosts and paths, which callers choose.
 MAX_LOGGED_CHARS = 200
 EVENT_END = b"\n\n"
+# Of a stream whose server restarted as it began; no server runs it.
+UNKNOWN_VERSION = "\0unknown"
 
 _log = get_logger()
 
@@ -416,10 +418,29 @@
     def _note_first_events(
         self, context: RequestContext, server: BackendServer
     ) -> None:
-        """Note the first events of an attempt: they begin a stream or continue it."""
+        """Note the first events of an attempt: they begin a stream or continue it.
+
+        Raises AttemptError if they may be of another software version than those
+        before: the server restarted since it was chosen.
+        """
         version = server.entry.software_version
         if context.event_sequence is None:
             return
+        current = self._ports.fleet.servers.get(server.name, server)
+        if not current.has_software_of(server.entry):
+            if context.software_version is not None:
+                raise AttemptError(
+                    "the server restarted with another software version",
+                    step=Step.STREAM,
+                    peer=server.name,
+                    evidence=Evidence.ANSWER_BEGUN
+                    if context.exchange.response_started
+                    else Evidence.SENT,
+                )
+            # Either version may have written the events, so that none can
+            # continue the stream.
+            context.software_version = UNKNOWN_VERSION
+            return
         if context.call.resumed_request_id or context.software_version is not None:
             _log.info(
                 "stream_continued",
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -58,3 +58,14 @@
     assert fleet.servers["e1"].usable
     assert fleet.note_leaving(LeavingServer("e1", 200))
     assert not fleet.servers["e1"].usable
+
+
+# Guards against keeping what was observed of a server that now runs other software.
+def test_another_software_version_is_a_restart() -> None:
+    fleet = Fleet()
+    fleet.put(replace(an_entry("s1"), software_version="v1"))
+    earlier = fleet.servers["s1"]
+    assert not fleet.put(replace(an_entry("s1"), software_version="v1"))
+    assert fleet.put(replace(an_entry("s1"), software_version="v2"))
+    assert earlier.left
+    assert fleet.servers["s1"] is not earlier
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -289,3 +289,28 @@
             assert plain.requests == []
 
     asyncio.run(run())
+
+
+# Guards against taking the version in an old entry for the one that began a stream,
+# as its server restarted with another one meanwhile.
+def test_a_stream_that_begins_as_its_server_restarts_is_not_continued() -> None:
+    async def run() -> None:
+        async def upgrades_itself(
+            received: ReceivedRequest, writer: asyncio.StreamWriter
+        ) -> None:
+            set_version(node, first, "v2", born=2)
+            await dies_after_two_events(received, writer)
+
+        first, other = (
+            ScriptedServer("s1", upgrades_itself),
+            ScriptedServer("s2", streams),
+        )
+        async with running_gateway(first, other) as node:
+            set_version(node, first, "v1")
+            set_version(node, other, "v1")
+            began, _ = await begin_at(node, first)
+            assert resumed_at(other) == []
+            data = await node.send_request(a_resume("r1", began))
+            assert data.startswith(b"HTTP/1.1 503")
+
+    asyncio.run(run())
