Soak entry VMs in front of two software versions, with streams taken up

Now half of its servers run another version, servers are replaced by the other one back and forth, two VMs are killed at the same moment, and callers break streams off and take them up at other VMs after pauses; it checks that each holds events of one version, in order, and that they go on at least half as often as new ones begin.

--- a/benchmarks/entry_checks.py
+++ b/benchmarks/entry_checks.py
@@ -2,12 +2,13 @@
 
 from bisect import bisect_left
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from rosepath_standins.entry_fleet import (
     APPLY_S,
     CRASHING_PATH,
     DRAIN_S,
+    EVENTS_PER_STREAM,
     RETRY_AFTER_S,
     SETTLE_S,
     STREAM_PATHS,
@@ -16,6 +17,7 @@
     StatedLimit,
     whole_streams,
 )
+from rosepath_standins.stream_caller import CallerStream
 
 # The deadline that callers send with each request.
 REQUEST_DEADLINE_S = 4.0
@@ -40,6 +42,11 @@
 RETRY_WINDOW_S = 10.0
 RETRY_RATIO = 0.2
 MAX_RETRY_SLACK = 80.0
+# Of at least so many streams that callers take up, while so many servers of their
+# version serve, this share of the share of new streams that begin must go on.
+MIN_TAKEN_UP = 12
+MIN_SERVERS = 2
+MIN_GOING_ON = 0.5
 # Paths of requests that may run once.
 ONCE_PATHS = ("/file/", "/once/")
 
@@ -57,12 +64,48 @@
     body: bytes
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class StreamAttemptRecord:
+    """Record one attempt of a caller to begin a stream or to take it up.
+
+    `servers` of the stream's software version served when it was sent.
+    """
+
+    vm: str
+    sent_s: float
+    ended_s: float
+    continues: bool
+    servers: int
+    went_on: bool
+
+
+@dataclass(slots=True)
+class TakenUpStream:
+    """Hold a caller's stream and its attempts."""
+
+    caller: CallerStream
+    attempts: list[StreamAttemptRecord] = field(default_factory=list)
+
+
+def describe_streams(streams: list[TakenUpStream]) -> dict[str, int]:
+    """Count the streams, those taken up, and the attempts that took one up."""
+    attempts = [attempt for stream in streams for attempt in stream.attempts]
+    continuing = [attempt for attempt in attempts if attempt.continues]
+    return {
+        "begun": len(streams),
+        "complete": sum(stream.caller.complete for stream in streams),
+        "taken_up": len(continuing),
+        "went_on": sum(attempt.went_on for attempt in continuing),
+    }
+
+
 @dataclass(slots=True)
 class EntryChecks:
     """Rules checked on what callers received, given the faults injected."""
 
     fleet: EntryFleet
     responses: list[CallerResponse]
+    streams: list[TakenUpStream] = field(default_factory=list)
 
     def failures(self, *, timed: bool = True) -> dict[str, list[str]]:
         """Return the violations found, by rule.
@@ -72,6 +115,7 @@
         """
         checks: dict[str, Callable[[], list[str]]] = {
             "responses are complete": self._incomplete,
+            "streams are of one software version": self._of_two_versions,
             "at most once": self._run_twice,
             "refused requests did not run": self._refused_and_run,
             "only crashing requests are quarantined": self._wrongly_quarantined,
@@ -82,6 +126,7 @@
             "no work after three crashes": self._sent_after_third_crash,
             "rate limits of servers": self._over_limit,
             "retry budget": self._over_retry_budget,
+            "streams go on": self._not_gone_on,
             "responses in time": self._late,
             "planned stops cut no request": self._cut_by_stop,
             "configurations in force": self._outdated_configurations,
@@ -97,6 +142,41 @@
             if response.status == 200 and not _is_complete(response)
         ]
 
+    def _of_two_versions(self) -> list[str]:
+        """Return the streams with events of two versions, or not in order."""
+        found = []
+        for stream in self.streams:
+            caller = stream.caller
+            numbers = [event.number for event in caller.events]
+            count = EVENTS_PER_STREAM if caller.complete else len(numbers)
+            in_order = numbers == list(range(1, count + 1))
+            if len(caller.software_versions) > 1 or not in_order:
+                found.append(f"{caller.attempts[0].request_id} {caller.events}")
+        return found
+
+    def _not_gone_on(self) -> list[str]:
+        """Compare how often streams go on with how often new ones begin."""
+        attempts = [
+            attempt
+            for stream in self.streams
+            for attempt in stream.attempts
+            if self.fleet.vms[attempt.vm].undisturbed(
+                attempt.sent_s - RECOVERY_S, attempt.ended_s
+            )
+        ]
+        begun = [attempt.went_on for attempt in attempts if not attempt.continues]
+        continued = [
+            attempt.went_on
+            for attempt in attempts
+            if attempt.continues and attempt.servers >= MIN_SERVERS
+        ]
+        if len(continued) < MIN_TAKEN_UP or not begun:
+            return []
+        share, usual = sum(continued) / len(continued), sum(begun) / len(begun)
+        if share >= MIN_GOING_ON * usual:
+            return []
+        return [f"{share:.2f} of those taken up, {usual:.2f} of the new ones"]
+
     def _run_twice(self) -> list[str]:
         """Return the requests that may run once and ran twice."""
         runs = self.fleet.request_log.runs
--- a/benchmarks/entry_soak.py
+++ b/benchmarks/entry_soak.py
@@ -20,7 +20,14 @@
 from pathlib import Path
 
 from benchmarks._private import inject_faults
-from benchmarks.entry_checks import REQUEST_DEADLINE_S, CallerResponse, EntryChecks
+from benchmarks.entry_checks import (
+    REQUEST_DEADLINE_S,
+    CallerResponse,
+    EntryChecks,
+    StreamAttemptRecord,
+    TakenUpStream,
+    describe_streams,
+)
 from rosepath.errors import ExchangeError
 from rosepath.http_client import HttpPool, Request
 from rosepath_standins.entry_fleet import (
@@ -28,10 +35,13 @@
     DRAIN_S,
     GRACE_S,
     HOST,
+    SOFTWARE_VERSIONS,
     EntryFleet,
     EntryVm,
+    Server,
     caller_headers,
 )
+from rosepath_standins.stream_caller import CallerStream
 
 VMS = 4
 SERVERS = 6
@@ -45,6 +55,10 @@
 ONCE_CALLERS = 6
 ONCE_KINDS = ("file", "once")
 CHANGES_WEIGHT = 2
+# Callers that break streams off and take them up elsewhere.
+STREAM_CALLERS = 12
+MAX_STREAM_ATTEMPTS = 4
+MAX_STREAM_PAUSE_S = 1.0
 # Probes cover the routes added last, including those dropped since.
 PROBED_ROUTES = 6
 PROBE_INTERVAL_S = 0.1
@@ -71,7 +85,11 @@
     store_rng: random.Random
     limit_rng: random.Random
     response_rng: random.Random
+    version_rng: random.Random
     ends_s: float
+    # Whether servers of two software versions serve and callers take streams up.
+    mixes_versions: bool = False
+    streams: list[TakenUpStream] = field(default_factory=list)
     responses: list[CallerResponse] = field(default_factory=list)
     faults: Counter[str] = field(default_factory=Counter)
     request_count: int = 0
@@ -91,6 +109,10 @@
             self.fail_responses,
         ]
         tasks.append(self._inject_faults(self.response_rng, response_faults))
+        if self.mixes_versions:
+            tasks += [self._run_stream_caller() for _ in range(STREAM_CALLERS)]
+            changes = [self.change_version, self.change_version, self.kill_two_vms]
+            tasks.append(self._inject_faults(self.version_rng, changes))
         await asyncio.gather(*tasks, self._record_stalls())
 
     async def _record_stalls(self) -> None:
@@ -179,8 +201,70 @@
             )
         )
 
+    async def _run_stream_caller(self) -> None:
+        """Begin streams, break them off and take them up at other VMs."""
+        rng, pool = self.version_rng, HttpPool()
+        while time.monotonic() < self.ends_s:
+            stream = TakenUpStream(CallerStream(path="/draft/taken-up", host=HOST))
+            for _ in range(MAX_STREAM_ATTEMPTS):
+                if stream.caller.complete:
+                    break
+                await self._attempt_stream(pool, stream)
+                await asyncio.sleep(rng.uniform(0.0, MAX_STREAM_PAUSE_S))
+            self.streams.append(stream)
+        pool.close()
+
+    async def _attempt_stream(self, pool: HttpPool, stream: TakenUpStream) -> None:
+        vm = self.version_rng.choice(list(self.fleet.vms.values()))
+        break_after = self.version_rng.choice((1, 3, 6, None))
+        self.request_count += 1
+        request_id = f"q{self.request_count}"
+        self.fleet.request_log.vm_by_request[request_id] = vm.name
+        versions = stream.caller.software_versions
+        servers = sum(
+            server.software_version in versions and not server.draining
+            for server in self.fleet.servers.values()
+            if server.listening
+        )
+        sent_s = time.monotonic()
+        attempt = await stream.caller.attempt(
+            pool, vm.address, request_id, break_after=break_after
+        )
+        stream.attempts.append(
+            StreamAttemptRecord(
+                vm=vm.name,
+                sent_s=sent_s,
+                ended_s=time.monotonic(),
+                continues=bool(versions),
+                servers=servers,
+                went_on=bool(attempt.events),
+            )
+        )
+
     # Faults
 
+    async def change_version(self) -> None:
+        """Replace a server by one of the other software version."""
+        remaining = [
+            server for server in self.fleet.servers.values() if not server.draining
+        ]
+        if len(remaining) <= 2:
+            return
+        server = self.version_rng.choice(remaining)
+        first, second = SOFTWARE_VERSIONS
+        other = second if server.software_version == first else first
+        await self._replace(server, software_version=other)
+
+    async def kill_two_vms(self) -> None:
+        """Kill two VMs at the same moment."""
+        chosen = self.version_rng.sample(list(self.fleet.vms.values()), 2)
+        for vm in chosen:
+            vm.note_disturbance()
+            vm.send(signal.SIGKILL)
+        await asyncio.gather(
+            *(vm.restart_when_exited(pause_s=RESTART_PAUSE_S) for vm in chosen)
+        )
+
     def _random_vm(self) -> EntryVm:
         return self.rng.choice(list(self.fleet.vms.values()))
 
@@ -271,8 +355,11 @@
         server.draining = announced
         if announced:
             await asyncio.sleep(self.rng.uniform(1.0, 5.0))
+        await self._replace(server, software_version=server.software_version)
+
+    async def _replace(self, server: Server, *, software_version: str) -> None:
         await self.fleet.remove(server)
-        await self.fleet.add_server()
+        await self.fleet.add_server(software_version=software_version)
         await asyncio.sleep(DRAIN_S + 1.0)
         server.crash()
 
@@ -328,20 +415,29 @@
                 if not server.listening:
                     await asyncio.sleep(1.0)
                     await self.fleet.remove(server)
-                    await self.fleet.add_server()
+                    await self.fleet.add_server(
+                        software_version=server.software_version
+                    )
             await asyncio.sleep(0.2)
 
     def failures(self, *, timed: bool = True) -> dict[str, list[str]]:
         """Return the violations found, by rule."""
-        return EntryChecks(self.fleet, self.responses).failures(timed=timed)
+        checks = EntryChecks(self.fleet, self.responses, self.streams)
+        return checks.failures(timed=timed)
 
 
 async def soak(
-    seed: int, *, duration_s: float, vms: int = VMS, directory: Path
+    seed: int,
+    *,
+    duration_s: float,
+    vms: int = VMS,
+    mixes_versions: bool = False,
+    directory: Path,
 ) -> EntrySoak:
     """Run one seed on a new fleet."""
     fleet = EntryFleet(directory)
-    await fleet.start(vms=vms, servers=SERVERS)
+    versions = SOFTWARE_VERSIONS if mixes_versions else SOFTWARE_VERSIONS[:1]
+    await fleet.start(vms=vms, servers=SERVERS, software_versions=versions)
     run = EntrySoak(
         fleet,
         random.Random(seed),
@@ -349,7 +445,9 @@
         random.Random(f"store {seed}"),
         random.Random(f"limit {seed}"),
         random.Random(f"response {seed}"),
+        random.Random(f"version {seed}"),
         time.monotonic() + duration_s,
+        mixes_versions,
     )
     replacing = asyncio.create_task(run.replace_crashed_servers())
     try:
@@ -368,14 +466,22 @@
     for seed in seeds:
         directory = Path(tempfile.mkdtemp(prefix="entry-soak-"))
         vms = int(os.environ.get("SOAK_VMS", str(VMS)))
+        mixes_versions = bool(int(os.environ.get("SOAK_VERSIONS", "1")))
         run = asyncio.run(
-            soak(seed, duration_s=duration_s, vms=vms, directory=directory)
+            soak(
+                seed,
+                duration_s=duration_s,
+                vms=vms,
+                mixes_versions=mixes_versions,
+                directory=directory,
+            )
         )
         failures = run.failures()
         statuses = Counter(response.status for response in run.responses)
         print(
             f"seed {seed}: {len(run.responses)} requests {dict(statuses)}, faults"
-            f" {dict(run.faults)}, broken {sum(map(len, failures.values()))},"
+            f" {dict(run.faults)}, streams {describe_streams(run.streams)},"
+            f" broken {sum(map(len, failures.values()))},"
             f" stood still {len(run.fleet.stall_intervals_s)} times"
         )
         for rule, found in failures.items():
--- a/src/rosepath_standins/entry_fleet.py
+++ b/src/rosepath_standins/entry_fleet.py
@@ -15,6 +15,7 @@
 import sys
 import time
 from collections import Counter, defaultdict
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -439,15 +440,19 @@
     # Intervals in which this process, and so the store, was stalled.
     stall_intervals_s: list[tuple[float, float]] = field(default_factory=list)
 
-    async def start(self, *, vms: int, servers: int) -> None:
+    async def start(
+        self, *, vms: int, servers: int, software_versions: Sequence[str] = ("v1",)
+    ) -> None:
+        """Start servers, of each software version in turn, and entry VMs."""
         app, self.state = make_platform(PlatformOptions())
         store = HTTPServer(app, idle_connection_timeout=600)
         port = free_port()
         store.listen(port, address="127.0.0.1")
         self.store_address = f"127.0.0.1:{port}"
         await self._write_configuration([])
-        for _ in range(servers):
-            await self.add_server()
+        for number in range(servers):
+            version = software_versions[number % len(software_versions)]
+            await self.add_server(software_version=version)
         for number in range(vms):
             proxy = FaultProxy(self.store_address)
             await proxy.start()
--- a/tests/test_entry_soak.py
+++ b/tests/test_entry_soak.py
@@ -45,3 +45,19 @@
     assert run.failures(timed=False) == {}
     assert "rate limits of servers" not in run.failures()
     assert any(limit.told_s for limit in run.fleet.request_log.limits)
+
+
+# Guards against streams with events of two software versions, and against ending
+# those that could go on, as callers take them up at other entry VMs while these are
+# killed and servers are upgraded and downgraded.
+def test_streams_keep_their_software_version(tmp_path: Path) -> None:
+    run = asyncio.run(
+        soak(3, duration_s=LASTS_S, mixes_versions=True, directory=tmp_path)
+    )
+    assert run.failures(timed=False) == {}
+    taken_up = [
+        stream for stream in run.streams if any(a.continues for a in stream.attempts)
+    ]
+    assert len(taken_up) > 20
+    versions = {v for stream in taken_up for v in stream.caller.software_versions}
+    assert len(versions) == 2
