Ask two VMs of the own data centre where a stream began

Cause: a VM does not tell itself, but the others chose it as the one of their data centre to ask.

Change: two of the own data centre are asked.

--- a/src/rosepath/stream_origin_exchange.py
+++ b/src/rosepath/stream_origin_exchange.py
@@ -27,9 +27,10 @@
 # The VMs that are told, beside the one at which the stream begins. Two of them may
 # be gone before the caller comes back.
 TOLD_VMS = 3
-# One more is asked: the asker may choose the VM at which the stream began, which does
-# not tell itself.
+# More are asked: one of each data centre that the teller may have chosen, and two of
+# the own one, as the first of them may be the VM at which the stream began.
 ASKED_VMS = TOLD_VMS + 1
+ASKED_OWN_VMS = 2
 # A round trip takes a few ms between data centres.
 RESEND_AFTER_S = 0.05
 MAX_SENDS = 3
@@ -63,20 +64,33 @@
         return self._origins.find(origin_key(request_id), now_s=now_s)
 
 
-def choose_vms(
-    key: str, by_data_centre: Mapping[str, Collection[str]], *, own: str, count: int
+def choose_told(
+    key: str,
+    others: Mapping[str, Collection[str]],
+    *,
+    own: str,
+    count: int = TOLD_VMS,
 ) -> list[str]:
-    """Choose VMs for a key, in different data centres as far as possible.
+    """Choose which of the other VMs are told where a stream began.
 
-    The own one comes first, so that its VMs find each other's streams while it is
-    cut off.
+    They are in different data centres as far as possible. The own one comes first,
+    so that its VMs find each other's streams while it is cut off.
     """
-    others = top(key, by_data_centre.keys() - {own}, count)
-    columns = [top(key, by_data_centre.get(name, ()), count) for name in (own, *others)]
+    places = top(key, others.keys() - {own}, count)
+    columns = [top(key, others.get(place, ()), count) for place in (own, *places)]
     in_order = [name for row in zip_longest(*columns) for name in row if name]
     return in_order[:count]
 
 
+def choose_asked(
+    key: str, others: Mapping[str, Collection[str]], *, own: str
+) -> list[str]:
+    """Choose which of the other VMs are asked where a stream began."""
+    chosen = choose_told(key, others, own=own, count=ASKED_VMS)
+    nearby = top(key, others.get(own, ()), ASKED_OWN_VMS)
+    return [*chosen, *(name for name in nearby if name not in chosen)]
+
+
 @dataclass(slots=True)
 class _PendingQuery:
     """Hold the VMs that have not replied yet."""
@@ -128,14 +142,14 @@
         key = origin_key(request_id)
         self._origins.note(key, origin, now_s=self._clock.monotonic_s())
         notice = OriginNotice(key=key, origin=origin)
-        for name in self._choose(key, TOLD_VMS):
+        for name in choose_told(key, self._others(), own=self._data_centre):
             self._send(notice, self._peers.peers[name].address)
 
     async def find(self, request_id: str) -> StreamOrigin | None:
         """Return where a stream began, None if no VM that replies knows it."""
         key = origin_key(request_id)
         origin = self._origins.find(key, now_s=self._clock.monotonic_s())
-        asked = self._choose(key, ASKED_VMS)
+        asked = choose_asked(key, self._others(), own=self._data_centre)
         if origin is None and asked:
             origin = await self._ask(key, asked)
             self._count("told" if origin is not None else "unknown")
@@ -180,10 +194,10 @@
         finally:
             del self._pending[query.query_id]
 
-    def _choose(self, key: str, count: int) -> list[str]:
-        """Return the VMs that know where a stream began, if any does."""
+    def _others(self) -> Mapping[str, Collection[str]]:
+        """Return the other VMs by data centre."""
         now_s = self._clock.monotonic_s()
         if now_s > self._members_s + MEMBERS_CACHED_S:
             self._members_s = now_s
             self._members = self._peers.members()
-        return choose_vms(key, self._members, own=self._data_centre, count=count)
+        return self._members
--- a/tests/test_stream_origin_exchange.py
+++ b/tests/test_stream_origin_exchange.py
@@ -17,7 +17,8 @@
     RESEND_AFTER_S,
     TOLD_VMS,
     StreamOriginExchange,
-    choose_vms,
+    choose_asked,
+    choose_told,
 )
 from rosepath.stream_origin_messages import (
     OriginMessage,
@@ -219,9 +220,9 @@
     members = {place: [f"{place}{number}" for number in range(10)] for place in "abc"}
     for number in range(20):
         key = origin_key(str(number))
-        chosen = choose_vms(key, members, own="b", count=TOLD_VMS)
+        chosen = choose_told(key, members, own="b")
         assert [name[0] for name in chosen] in (["b", "a", "c"], ["b", "c", "a"])
-        more = choose_vms(key, members, own="b", count=2 * TOLD_VMS)
+        more = choose_told(key, members, own="b", count=2 * TOLD_VMS)
         assert more[:TOLD_VMS] == chosen
         assert len(set(more)) == 2 * TOLD_VMS
 
@@ -231,9 +232,9 @@
     members = {place: [f"{place}{n}" for n in range(5)] for place in "abcdefgh"}
     for number in range(50):
         key = origin_key(str(number))
-        told = choose_vms(key, members, own="a", count=TOLD_VMS)
+        told = choose_told(key, members, own="a")
         for place in members:
-            asked = choose_vms(key, members, own=place, count=TOLD_VMS + 1)
+            asked = choose_asked(key, members, own=place)
             assert set(told[1:]) <= set(asked)
 
 
@@ -245,3 +246,18 @@
         OriginReply(query_id="1", entry_vm="vm-1", origin=None),
     ]
     assert [decode(encode(message)) for message in messages] == messages
+
+
+# Guards against a data centre that is cut off and whose VMs choose the one that is
+# gone: it was not there to tell itself.
+def test_vms_of_one_data_centre_ask_one_that_was_told() -> None:
+    names = [f"a{number}" for number in range(5)]
+    elsewhere = {place: [f"{place}{n}" for n in range(5)] for place in "bcde"}
+    for number in range(50):
+        key, first = origin_key(str(number)), names[number % 5]
+        left = [name for name in names if name != first]
+        told = choose_told(key, {"a": left, **elsewhere}, own="a")
+        for asker in left:
+            others = [name for name in names if name != asker]
+            asked = choose_asked(key, {"a": others, **elsewhere}, own="a")
+            assert told[0] in {asker, *asked}
