Let the stand-ins listen on ports that no connection takes

What callers saw: nothing.

Cause, from the logs of its entry VMs: vm-3 never started, as its port was in use (OSError 98), so that three VMs answered 13 requests for new routes where more than 20 are asked for. The port had been chosen as free in the range from which the system takes the ports of outgoing connections; on a busy machine one of these took it before the VM listened. The cluster of the product's own stand-ins avoids that range already.

Change: one function for both, below that range, free for TCP and UDP, and drawn from the system's generator: tests that seed the shared one alike, in two runs at the same time, drew the same ports.

--- a/src/rosepath_standins/cluster.py
+++ b/src/rosepath_standins/cluster.py
@@ -26,21 +26,27 @@
 
 
 _allocated_ports: set[int] = set()
+# Other processes seed the shared generator alike, and would draw the same ports.
+_port_rng = random.SystemRandom()
 
 
 def free_port() -> int:
-    """Return a free loopback port below the ephemeral range.
+    """Return a loopback port below the ephemeral range, free for TCP and UDP.
 
     An outgoing connection could take a port of the ephemeral range before the
     process that is meant to listen on it starts.
     """
     while True:
-        port = random.randrange(*PORT_RANGE)
+        port = _port_rng.randrange(*PORT_RANGE)
         if port in _allocated_ports:
             continue
-        with socket.socket() as probe:
+        with (
+            socket.socket(socket.AF_INET, socket.SOCK_STREAM) as stream,
+            socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as datagram,
+        ):
             try:
-                probe.bind(("127.0.0.1", port))
+                stream.bind(("127.0.0.1", port))
+                datagram.bind(("127.0.0.1", port))
             except OSError:
                 continue
         _allocated_ports.add(port)
--- a/src/rosepath_standins/entry_fleet.py
+++ b/src/rosepath_standins/entry_fleet.py
@@ -10,7 +10,6 @@
 import os
 import random
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -22,6 +21,7 @@
 
 from tornado.httpserver import HTTPServer
 
+from rosepath_standins.cluster import free_port
 from rosepath_standins.fault_proxy import FaultProxy
 from rosepath_standins.platform import PlatformOptions, PlatformState, make_platform
 from rosepath_standins.stream_caller import StreamEvent, encode_event
@@ -76,23 +76,6 @@
     }
 
 
-def free_port(*, datagrams: bool = False) -> int:
-    """Return a loopback port that is free for TCP, and for UDP if asked."""
-    while True:
-        with (
-            socket.socket(socket.AF_INET, socket.SOCK_STREAM) as stream,
-            socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as datagram,
-        ):
-            stream.bind(("127.0.0.1", 0))
-            port = int(stream.getsockname()[1])
-            try:
-                if datagrams:
-                    datagram.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-            return port
-
-
 @dataclass(slots=True)
 class StatedLimit:
     """Record a rate limit that a server stated, and what arrived meanwhile.
@@ -351,7 +334,7 @@
         """Write the settings file as the platform does."""
         self.port = self.port or free_port()
         self.ready_port = self.ready_port or free_port()
-        self.peer_port = self.peer_port or free_port(datagrams=True)
+        self.peer_port = self.peer_port or free_port()
         path = self.directory / f"{self.name}.toml"
         path.write_text(
             f'entry_vm = "{self.name}"\ndata_centre = "a"\n'
--- a/tests/partitioned_fleet.py
+++ b/tests/partitioned_fleet.py
@@ -17,11 +17,11 @@
 from rosepath.errors import ExchangeError, Step
 from rosepath.http_client import HttpPool, Request
 from rosepath.http_exchange import Connection
+from rosepath_standins.cluster import free_port
 from rosepath_standins.entry_fleet import (
     HOST,
     EntryFleet,
     caller_headers,
-    free_port,
 )
 
 WAIT_S = 4.0
@@ -95,7 +95,7 @@
                     "listen": f"127.0.0.1:{free_port()}",
                     "ready_listen": f"127.0.0.1:{free_port()}",
                 },
-                "peers": {"listen": f"127.0.0.1:{free_port(datagrams=True)}"},
+                "peers": {"listen": f"127.0.0.1:{free_port()}"},
                 "store": {"address": self.backend.store_address},
             }
         )
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -22,7 +22,7 @@
     TunnelStatus,
     open_tunnel,
 )
-from rosepath_standins.entry_fleet import free_port
+from rosepath_standins.cluster import free_port
 
 TIMEOUT_S = 2.0
 LARGE_BYTES = 8 * 1024 * 1024
