Say why the record of software versions is cached

What callers saw: nothing. Read as a newcomer, the comment on the time for which the record is kept gave no reason; it does now. A comment only; the tests of the record and of the origins pass.

--- a/src/rosepath/software_versions.py
+++ b/src/rosepath/software_versions.py
@@ -19,7 +19,7 @@
 from rosepath.stream_origins import ORIGIN_TTL_S
 
 RECORD_NAME = "rosepath-software-versions/all"
-# Callers that come back after all VMs restarted come within moments.
+# Many callers come back at once after all VMs restarted; one read serves them.
 RECORD_CACHED_S = 1.0
 # The callers wait meanwhile; the store answers in milliseconds unless it is slow.
 READ_TIMEOUT_S = 0.4
