Read at most 64 KiB of a server's connection at once

Cause: asyncio reads up to 256 KiB at once. A read that begins just below the limit arrives in full, behind the part of an event that was left of the read before, so that more than twice the limit was kept. How much was kept before depends on when the sockets were ready, so that the test passed most of the time.

A connection now reads into one buffer of 64 KiB that all connections share, as each read is copied out before the next one. Kept at most: the limit, 64 KiB and an event.

--- a/src/rosepath/http_exchange.py
+++ b/src/rosepath/http_exchange.py
@@ -11,6 +11,9 @@
 from tornado.httputil import HTTPHeaders
 
 MAX_HEADER_BYTES = 64 * 1024
+# What one read takes from a connection. It arrives in full, also if the consumer
+# has reached its limit, and so adds to what is kept for a slow caller.
+READ_BYTES = 64 * 1024
 # SO_LINGER of 0 s: on close, the kernel discards unsent data and resets the
 # connection.
 NO_LINGER = struct.pack("ii", 1, 0)
@@ -47,9 +50,12 @@
     def handle_connection_lost(self) -> None: ...
 
 
-class Connection(asyncio.Protocol):
+class Connection(asyncio.BufferedProtocol):
     """Own one connection and reference the exchange running on it, if any."""
 
+    # Shared by all connections: each read is copied out before the next one.
+    _read_buffer = memoryview(bytearray(READ_BYTES))
+
     def __init__(self) -> None:
         self.transport: asyncio.Transport | None = None
         self.exchange: Receiver | None = None
@@ -69,7 +75,14 @@
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
 
+    def get_buffer(self, sizehint: int) -> memoryview:
+        return self._read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        self.data_received(bytes(self._read_buffer[:nbytes]))
+
     def data_received(self, data: bytes) -> None:
+        """Pass what arrived on to the exchange."""
         if self.exchange is None:
             # No request is outstanding. After unexpected data, responses on
             # this connection can no longer be matched to their requests.
--- a/src/rosepath/tunnels.py
+++ b/src/rosepath/tunnels.py
@@ -17,11 +17,16 @@
 
 from rosepath.dialing import Dial, dial_directly, set_keepalive
 from rosepath.errors import ExchangeError, Step
-from rosepath.http_exchange import Connection, Exchange, ResponseHead, disable_linger
+from rosepath.http_exchange import (
+    READ_BYTES,
+    Connection,
+    Exchange,
+    ResponseHead,
+    disable_linger,
+)
 from rosepath.logs import get_logger
 
 TUNNEL_PATH = r"[^/]+:\d+"
-READ_BYTES = 64 * 1024
 # Each tunnel takes two descriptors; callers need most of those of a VM.
 MAX_TUNNELS = 400
 # Below the connect timeout of requests, so that a second VM can be tried.
--- a/tests/test_slow_callers.py
+++ b/tests/test_slow_callers.py
@@ -1,6 +1,7 @@
 """Callers that read slowly, and what an entry VM keeps for them."""
 
 import asyncio
+import socket
 
 from entry_builders import a_route
 from entry_harness import (
@@ -14,7 +15,7 @@
 )
 
 from rosepath.gateway import WRITE_AHEAD_BYTES
-from rosepath.tunnels import READ_BYTES
+from rosepath.http_exchange import READ_BYTES, Connection
 
 GENERATE = (
     "POST /drafts/1 HTTP/1.1\r\nRequest-Id: q1\r\nModel: m0\r\n"
@@ -65,3 +66,37 @@
             assert node.outcomes == [(200, "")]
 
     asyncio.run(run())
+
+
+class RecordingReceiver:
+    """Record how much each read of a connection took."""
+
+    def __init__(self) -> None:
+        self.read_bytes: list[int] = []
+        self.closed = asyncio.Event()
+
+    def feed(self, data: bytes) -> None:
+        self.read_bytes.append(len(data))
+
+    def handle_connection_lost(self) -> None:
+        self.closed.set()
+
+
+# Guards against one read of a server that takes as much as may be kept for a slow
+# caller, so that twice the limit is kept.
+def test_a_read_takes_no_more_than_its_limit_from_a_full_connection() -> None:
+    async def run() -> None:
+        server, own = socket.socketpair()
+        server.setblocking(False)
+        sent_bytes = server.send(b"x" * 3 * READ_BYTES)
+        server.close()
+        receiver = RecordingReceiver()
+        connection = Connection()
+        connection.exchange = receiver
+        await asyncio.get_running_loop().create_connection(lambda: connection, sock=own)
+        await receiver.closed.wait()
+        assert sent_bytes > READ_BYTES
+        assert sum(receiver.read_bytes) == sent_bytes
+        assert max(receiver.read_bytes) <= READ_BYTES
+
+    asyncio.run(run())
