Collect no garbage while an entry VM imports its modules

Cause: the imports create some 200,000 objects that live as long as the process. The collector looks through all of them again and again and finds nothing, at the start and in each full collection later.

The collector is off during these imports, and what they made is exempt from then on (gc.freeze).

--- a/src/rosepath/entry_daemon.py
+++ b/src/rosepath/entry_daemon.py
@@ -1,12 +1,14 @@
 """Command line and process lifecycle of the entry VM daemon."""
 
 import asyncio
+import gc
 import os
 import signal
 import sys
 from collections.abc import Callable
 from contextlib import suppress
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 from expression import Result
 
@@ -14,6 +16,9 @@
 from rosepath.logs import configure_rate_limited_logs, get_logger
 from rosepath.settings import load_settings_as
 
+if TYPE_CHECKING:
+    from rosepath.entry_node import EntryNode
+
 SETTINGS_VARIABLE = "ROSEPATH_SETTINGS"
 EXIT_USAGE = 2
 # The settings file may change without a signal, so it is polled.
@@ -50,14 +55,13 @@
 
 async def run_entry(settings: EntrySettings, path: Path) -> int:
     """Serve until SIGTERM or SIGINT, then stop; return the exit code."""
-    from rosepath.entry_node import EntryNode
-
+    entry_node_class = _import_entry_node()
     sink = configure_rate_limited_logs(
         level=settings.log_level,
         entry_vm=settings.entry_vm,
         data_centre=settings.data_centre,
     )
-    node = EntryNode(settings)
+    node = entry_node_class(settings)
     node.metrics.observe("log_lines_dropped", lambda: {"buffer": sink.dropped})
     await node.start()
     stop, look = asyncio.Event(), asyncio.Event()
@@ -72,6 +76,21 @@
     return 0
 
 
+def _import_entry_node() -> "type[EntryNode]":
+    """Import the modules of the entry VM, and exempt them from garbage collection.
+
+    They live as long as the process. Collections while they are imported find
+    nothing and take a fifth of the time of a start.
+    """
+    gc.disable()
+    try:
+        from rosepath.entry_node import EntryNode
+    finally:
+        gc.freeze()
+        gc.enable()
+    return EntryNode
+
+
 async def follow_settings(
     take: Callable[[EntrySettings], None], path: Path, look: asyncio.Event
 ) -> None:
