Look only at the servers with a request's model where one is chosen

Cause: since streams are bound to their software version, each look at the servers that could serve a request asked every server of the service for its version, also for requests that have begun no stream, and looked at the model last. A request looks several times, and again each 0.1 s while it waits.

Requests without a begun stream are no longer compared by version, and the model, which a few of 60 servers hold, comes first. The choice is the same.

--- a/src/rosepath/server_picker.py
+++ b/src/rosepath/server_picker.py
@@ -218,6 +218,8 @@
 
     def _excluded_names(self, context: RequestContext) -> set[str]:
         """Return the servers of the service that can't continue the stream."""
+        if context.software_version is None:
+            return set()
         return {
             server.name
             for server in self._ports.fleet.of_service(context.service.name)
@@ -468,19 +470,18 @@
     def _servers(self, context: RequestContext) -> list[BackendServer]:
         """Return the servers of the service that a request may go to at all."""
         servers = self._ports.fleet.of_service(context.service.name)
+        if context.software_version is None:
+            return servers
         return [server for server in servers if context.may_run_at(server)]
 
     def _eligible_servers(self, context: RequestContext) -> list[BackendServer]:
         """Return the servers that could serve a request, now or soon."""
         prompt, spec = context.call.prompt, context.service.engine
-        return [
-            server
-            for server in self._servers(context)
-            if server.usable
-            and (
-                spec is None or prompt is None or prompt.model in server.resident_models
-            )
-        ]
+        servers = self._servers(context)
+        if spec is not None and prompt is not None:
+            model = prompt.model
+            servers = [server for server in servers if model in server.resident_models]
+        return [server for server in servers if server.usable]
 
     async def _pick(
         self, context: RequestContext
