Find the servers of a request once a step instead of indexing all of them

Cause, each seen by its number of calls there: every step of the scheduler, one for each report and each request, 56,000 in all, indexed all servers by all their models (11.5 million appended); an engine's adapters in use were counted by names put together anew for each run of each candidate (18 million calls); each candidate made an object of pauses only to look one up (0.7 million).

Servers are now looked up for the services and models that a step needs, and data centres that are cut off once a step; adapters are counted by model and adapter.

--- a/src/rosepath/assignment_choice.py
+++ b/src/rosepath/assignment_choice.py
@@ -155,7 +155,7 @@
 
     The fewer of its slots are free, the more the last ones are worth to others.
     """
-    used = sum("/" in target for target in work.targets_in_use)
+    used = work.adapters_in_use
     if server.order_busy_until_s > now_s or used >= adapter_slots:
         return OCCUPIED_PENALTY_S
     return ADAPTER_PENALTY_S + ADAPTER_SLOT_PENALTY_S * used / adapter_slots
--- a/src/rosepath/scheduler.py
+++ b/src/rosepath/scheduler.py
@@ -40,9 +40,13 @@
     work: WorkTable = field(default_factory=WorkTable)
     queue: AssignmentQueue = field(default_factory=AssignmentQueue)
     # How long streams pause beside prompts, by service.
-    pauses: dict[str, StreamPauses] = field(default_factory=dict)
-    # By service and model, empty for requests without one; renewed by each step.
+    pauses: defaultdict[str, StreamPauses] = field(
+        default_factory=lambda: defaultdict(StreamPauses)
+    )
+    # Found in this step: servers by service and model, empty for requests without
+    # one, and the data centres that are cut off.
     _servers: dict[tuple[str, str], list[BackendServer]] = field(default_factory=dict)
+    _cut_off: Collection[str] = ()
 
     def submit(self, request: AssignmentRequest, *, now_s: float) -> list[Decision]:
         """Add a request; return what is decided now, of this one or others.
@@ -77,7 +81,8 @@
         With `keys`, only those that wait for these servers.
         """
         decisions: list[Decision] = []
-        self._servers = _by_service_and_model(self.fleet.servers.values())
+        self._servers.clear()
+        self._cut_off = self.cut_off()
         for request in self.queue.in_order(now_s=now_s, keys=keys):
             assignment = self._assign(request, now_s=now_s)
             if assignment is not None:
@@ -153,7 +158,7 @@
         run = work.runs.get(report.request_id) if work is not None else None
         if work is None or run is None or report.outcome is None:
             return
-        self._pauses_of(run.assignment.request.service).note_longest_gap(
+        self.pauses[run.assignment.request.service].note_longest_gap(
             report.request_id,
             report.longest_gap_s,
             prefill_tokens_per_s=work.pace.prefill_tokens_per_s,
@@ -164,10 +169,7 @@
         tokens = work.unread_tokens
         for request_id, run in work.runs.items():
             if run.begun_s is not None and run.assignment.request.gap_s > 0:
-                self._pauses_of(service).note_prefill(request_id, tokens)
-
-    def _pauses_of(self, service: str) -> StreamPauses:
-        return self.pauses.setdefault(service, StreamPauses())
+                self.pauses[service].note_prefill(request_id, tokens)
 
     def _candidates(
         self, request: AssignmentRequest, *, now_s: float
@@ -176,18 +178,31 @@
         model = request.prompt.model if request.prompt is not None else ""
         eligible = [
             server
-            for server in self._servers.get((request.service, model), ())
+            for server in self._servers_with(request.service, model)
             if server.accepts_requests(now_s)
             and server.down_until_s <= now_s
             and server.name not in request.tried
         ]
-        servers = healthy_servers(eligible, cut_off=self.cut_off(), now_s=now_s)
+        servers = healthy_servers(eligible, cut_off=self._cut_off, now_s=now_s)
         spec = self._engine_spec(request.service)
         return [
             self._candidate(server, request, spec, now_s=now_s)
             for server in servers or eligible
         ]
 
+    def _servers_with(self, service: str, model: str) -> list[BackendServer]:
+        """Return the servers of a service, with a model only those that hold it."""
+        found = self._servers.get((service, model))
+        if found is None:
+            servers = self.fleet.of_service(service)
+            found = [
+                server
+                for server in servers
+                if not model or model in server.resident_models
+            ]
+            self._servers[service, model] = found
+        return found
+
     def _candidate(
         self,
         server: BackendServer,
@@ -206,7 +221,7 @@
             server=server,
             work=work,
             unread_tokens=max(0, unread),
-            pause_tokens=self._pauses_of(request.service).tokens,
+            pause_tokens=self.pauses[request.service].tokens,
             adapter_s=0.0
             if has_adapter
             else predict_adapter_s(
@@ -218,14 +233,3 @@
         catalog = self.catalog()
         spec = catalog.services.get(service) if catalog is not None else None
         return spec.engine if spec is not None else None
-
-
-def _by_service_and_model(
-    servers: Iterable[BackendServer],
-) -> dict[tuple[str, str], list[BackendServer]]:
-    """Return the servers of each service, and those that hold each model."""
-    found: dict[tuple[str, str], list[BackendServer]] = defaultdict(list)
-    for server in servers:
-        for model in ("", *server.resident_models):
-            found[server.entry.service, model].append(server)
-    return found
--- a/src/rosepath/server_work.py
+++ b/src/rosepath/server_work.py
@@ -1,7 +1,7 @@
 """The work that each backend server has been assigned and still has to do."""
 
 import math
-from collections import Counter, OrderedDict
+from collections import OrderedDict
 from dataclasses import dataclass, field
 
 from rosepath.assignment import Assignment, RunOutcome, RunReport
@@ -51,11 +51,6 @@
     def request_id(self) -> str:
         return self.assignment.request.request_id
 
-    @property
-    def target(self) -> str:
-        prompt = self.assignment.request.prompt
-        return prompt.target if prompt is not None else ""
-
     @property
     def model(self) -> str:
         prompt = self.assignment.request.prompt
@@ -140,9 +135,16 @@
         )
 
     @property
-    def targets_in_use(self) -> Counter[str]:
-        """Return the assigned runs by model and adapter."""
-        return Counter(run.target for run in self.runs.values() if run.target)
+    def adapters_in_use(self) -> int:
+        """Return the number of adapters that its runs use."""
+        prompts = (run.assignment.request.prompt for run in self.runs.values())
+        return len(
+            {
+                (prompt.model, prompt.adapter)
+                for prompt in prompts
+                if prompt is not None and prompt.adapter
+            }
+        )
 
     @property
     def kv_tokens(self) -> int:
