--- a/src/rosepath/engine_views.py
+++ b/src/rosepath/engine_views.py
@@ -56,6 +56,8 @@
 
 def _unknown_load_mb(record: EngineRecord, spec: EngineSpec) -> float:
     """Return the memory reserved for loads that earlier holders ordered."""
+    if not record.unknown_loads:
+        return 0.0
     largest_mb = max((model.size_mb for model in spec.models.values()), default=0.0)
     return record.unknown_loads * largest_mb
 
