Count the adapters that an engine lacks once a plan

Cause: a plan asks for each engine and each model that it examines how many adapters the engine lacks. That depends on the engine and the plan's state alone, but was counted anew each time.

It is kept for the engine now and dropped with the other costs when a swap is applied. The plans are the same.

--- a/src/rosepath/engine_plan_state.py
+++ b/src/rosepath/engine_plan_state.py
@@ -86,6 +86,7 @@
     workload_by_model: dict[str, Workload] = field(default_factory=dict)
     workload_by_engine: dict[str, Workload] = field(default_factory=dict)
     _unload_costs: dict[str, list[tuple[float, str]]] = field(default_factory=dict)
+    _missing_adapters: dict[str, float] = field(default_factory=dict)
 
     @classmethod
     def from_views(
@@ -145,6 +146,7 @@
                 )
             self.workload_by_engine[name] = workload
         self._unload_costs.clear()
+        self._missing_adapters.clear()
 
     def replica_workload(self, model: str, replicas: int) -> Workload:
         """Return the workload per replica of a model with so many replicas."""
@@ -175,6 +177,13 @@
 
         A requested adapter counts 1/N if its model has N replicas.
         """
+        known = self._missing_adapters.get(engine.name)
+        if known is None:
+            known = self._count_missing_adapters(engine)
+            self._missing_adapters[engine.name] = known
+        return known
+
+    def _count_missing_adapters(self, engine: EngineView) -> float:
         missing, present = 0.0, 0
         for model in self.resident_models[engine.name]:
             demand = self.demands.get(model)
