Look for room at an engine before comparing costs

Whether any engine has room is asked first now. The decisions are the same, as a request without an engine with room was not assigned before either.

--- a/src/rosepath/assignment_choice.py
+++ b/src/rosepath/assignment_choice.py
@@ -264,6 +264,14 @@
     *,
     now_s: float,
 ) -> ServerChoice | None:
+    with_slot = [
+        candidate
+        for candidate in candidates
+        if candidate.requests < candidate.server.entry.slots
+    ]
+    # Most requests that wait still find no room, which is known before any cost.
+    if not any(has_room(candidate, request, now_s=now_s) for candidate in with_slot):
+        return None
     preferences_s = _preferences_s(prompt, candidates)
     costs = [
         _engine_cost(
@@ -272,14 +280,11 @@
             preference_s=preferences_s[candidate.server.name],
             now_s=now_s,
         )
-        for candidate in candidates
-        if candidate.requests < candidate.server.entry.slots
+        for candidate in with_slot
     ]
     with_room = [
         cost for cost in costs if has_room(cost.candidate, request, now_s=now_s)
     ]
-    if not with_room:
-        return None
     best = min(with_room, key=lambda cost: cost.cost_s)
     if len(candidates) > 1 and _should_wait(request, best, costs, now_s=now_s):
         return None
