Bring a model back at the software version where its streams began

What callers see: while servers of several software versions serve, the streams of an engine that crashes go on only at engines of its version.

Cause: the planner did not know software versions, so that the version of the engine that loads a lost model was chance.

The planner now remembers at which version each model was last.

--- a/src/rosepath/engine_plan.py
+++ b/src/rosepath/engine_plan.py
@@ -21,6 +21,7 @@
 from rosepath.engine_plan_state import (
     HORIZON_S,
     NO_UNSERVED_REQUESTS,
+    NO_VERSIONS,
     NO_WORKLOAD,
     EngineView,
     PlanState,
@@ -47,6 +48,9 @@
 # The first replica of a busy model in a data centre keeps the model available
 # if that data centre is cut off from the others.
 NEW_DATA_CENTRE_GAIN = 1.0
+# Gain of a load at the software version that lost the model's last replica, per
+# waiting request: it may be a stream that began there, and ends at other versions.
+SAME_VERSION_GAIN = 1.0
 # The gain of a swap must clearly exceed the cost of its evictions, or
 # noise in the demand would swap models back and forth.
 LOSS_FACTOR = 1.25
@@ -74,14 +78,21 @@
     store_room: bool,
     limits: EngineLimits,
     unserved_requests: Mapping[str, float] = NO_UNSERVED_REQUESTS,
+    last_versions: Mapping[str, str] = NO_VERSIONS,
 ) -> list[Swap]:
     """Return the next swaps, the most useful first, at most one per engine.
 
     `unserved_requests` counts the requests that could not be served, for each
-    model without a replica.
+    model without a replica; `last_versions` names the software version at which a
+    model was last, if engines run several.
     """
     state = PlanState.from_views(
-        engines, models, demands, limits=limits, unserved_requests=unserved_requests
+        engines,
+        models,
+        demands,
+        limits=limits,
+        unserved_requests=unserved_requests,
+        last_versions=last_versions,
     )
     free = {engine.name: engine for engine in engines if engine.accepts_orders}
     swapping = len(engines) - len(free)
@@ -158,6 +169,7 @@
         model, 0.0
     ) + _discounted_gain(replica_gain_per_s, load_s)
     gain += _new_data_centre_gain(engine, model, state)
+    gain += _same_version_gain(engine, model, state)
     blocked_per_s = (
         LOADING_COST_PER_S + BLOCKED_ADAPTER_COST_PER_S * state.missing_adapters(engine)
     )
@@ -214,6 +226,14 @@
     return 0.0 if engine.data_centre in holding_data_centres else NEW_DATA_CENTRE_GAIN
 
 
+def _same_version_gain(engine: EngineView, model: str, state: PlanState) -> float:
+    demand = state.demands.get(model)
+    if demand is None or state.replicas[model]:
+        return 0.0
+    same = engine.software_version == state.last_versions.get(model)
+    return SAME_VERSION_GAIN * demand.waiting if same else 0.0
+
+
 def _choose_evictions(
     engine: EngineView, needed_mb: float, state: PlanState
 ) -> tuple[tuple[str, ...], float] | None:
--- a/src/rosepath/engine_plan_state.py
+++ b/src/rosepath/engine_plan_state.py
@@ -32,6 +32,7 @@
 RECENT_LOAD_UNLOAD_COST = 3.0
 
 NO_UNSERVED_REQUESTS: Mapping[str, float] = {}
+NO_VERSIONS: Mapping[str, str] = {}
 NO_WORKLOAD = Workload()
 
 
@@ -56,6 +57,7 @@
     adapters: frozenset[str] = frozenset()
     # The requests per second that it accepts, if it has stated a limit.
     limit_per_s: float = math.inf
+    software_version: str = ""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -83,6 +85,8 @@
     replicas: dict[str, set[str]]
     # Models that each engine has or is loading.
     resident_models: dict[str, set[str]]
+    # The software version at which each model was last, of engines of several.
+    last_versions: Mapping[str, str] = field(default_factory=dict)
     workload_by_model: dict[str, Workload] = field(default_factory=dict)
     workload_by_engine: dict[str, Workload] = field(default_factory=dict)
     _unload_costs: dict[str, list[tuple[float, str]]] = field(default_factory=dict)
@@ -97,6 +101,7 @@
         *,
         limits: EngineLimits,
         unserved_requests: Mapping[str, float],
+        last_versions: Mapping[str, str] = NO_VERSIONS,
     ) -> "PlanState":
         state = cls(
             engines={engine.name: engine for engine in engines},
@@ -104,6 +109,7 @@
             demands=demands,
             limits=limits,
             unserved_requests=unserved_requests,
+            last_versions=last_versions,
             replicas={model: set() for model in models},
             resident_models={
                 engine.name: set(engine.age_s) | ({engine.loading_model} - {""})
--- a/src/rosepath/engine_views.py
+++ b/src/rosepath/engine_views.py
@@ -38,6 +38,7 @@
         loading_model=record.loading,
         adapters=frozenset(record.adapters),
         limit_per_s=math.inf if server.limit_per_s is None else server.limit_per_s,
+        software_version=server.entry.software_version,
     )
 
 
--- a/src/rosepath/order_dispatcher.py
+++ b/src/rosepath/order_dispatcher.py
@@ -30,6 +30,7 @@
 from rosepath.late_orders import LATE_ORDER_LIMIT_S, InstanceSightings
 from rosepath.logs import get_logger
 from rosepath.model_arrivals import ModelArrival
+from rosepath.model_versions import ModelVersions
 from rosepath.order_sender import OrderSender
 from rosepath.swap_executor import REPORT_INTERVAL_S, SwapExecutor
 
@@ -84,6 +85,7 @@
         self._unanswered_loads: dict[str, list[UnansweredLoad]] = {}
         self._load_rate_limit = LoadRateLimit()
         self._histories: dict[str, DemandHistory] = {}
+        self._versions: dict[str, ModelVersions] = {}
         self._fence = 0
         # Until when orders of earlier terms may be executed, on the clock of
         # the sender.
@@ -175,6 +177,8 @@
             model for view in views for model in (*view.age_s, view.loading_model)
         }
         history.update(demands, resident_models=resident_models, now_s=now_s)
+        versions = self._versions.setdefault(service, ModelVersions())
+        versions.update(views, now_s=now_s)
         swaps = plan_swaps(
             views,
             spec.models,
@@ -187,6 +191,7 @@
             ),
             store_room=self._load_rate_limit.allows(now_s, per_s=spec.loads_per_s),
             unserved_requests=history.unserved_requests,
+            last_versions=versions.recent(views, now_s=now_s),
         )
         for swap in swaps:
             server = self._ports.fleet.servers[swap.engine]
--- a/tests/entry_builders.py
+++ b/tests/entry_builders.py
@@ -220,12 +220,14 @@
     data_centre: str = "a",
     loading_model: str = "",
     limit_per_s: float = math.inf,
+    software_version: str = "v1",
 ) -> EngineView:
     return EngineView(
         name=name,
         data_centre=data_centre,
         loading_model=loading_model,
         limit_per_s=limit_per_s,
+        software_version=software_version,
         memory_mb=200_000.0,
         used_mb=size_mb * len(models),
         age_s=dict.fromkeys(models, 100.0),
