Say why nothing is collected among imported modules without a figure

Comments only: the doc comment named the part of a start that collections took, which is a measurement and differs between environments; two comments of a benchmark said less than they meant.

--- a/benchmarks/model_versions.py
+++ b/benchmarks/model_versions.py
@@ -16,11 +16,11 @@
 from rosepath.model_versions import ModelVersions
 
 CRASHES = 500
-# Engines of two versions; the first of each list crashes.
+# The engines of two versions; the first engine crashes.
 FLEETS = {"3 and 2": (3, 2), "2 and 3": (2, 3), "6 and 2": (6, 2)}
 MODELS_PER_ENGINE = 3
 MODEL_MB, ENGINE_MB = 20_000.0, 80_000.0
-# The part of the absent models that an engine still has in its host's memory.
+# How likely an engine has a lost model in its host's memory.
 LOCAL_SHARE = 0.3
 LOCAL_LOAD_S, STORE_LOAD_S = 0.5, 1.5
 MAX_WAITING = 3
--- a/src/rosepath/entry_daemon.py
+++ b/src/rosepath/entry_daemon.py
@@ -79,8 +79,8 @@
 def _import_entry_node() -> "type[EntryNode]":
     """Import the modules of the entry VM, and exempt them from garbage collection.
 
-    They live as long as the process. Collections while they are imported find
-    nothing and take a fifth of the time of a start.
+    They live as long as the process, so that collections find nothing among them and
+    only slow the start.
     """
     gc.disable()
     try:
