--- a/review/1/case.py
+++ b/review/1/case.py
@@ -2,9 +2,9 @@
 
 import asyncio
 import signal
-import socket
 from pathlib import Path
 
+from review_support.busy_listener import BusyListener
 from review_support.deployment import (
     BROKEN,
     COULD_NOT_RUN,
@@ -56,54 +56,13 @@
     writer.close()
 
 
-class BusyListener:
-    """Own the server's socket; its queue of new connections may be full.
-
-    The opening packet of a connection is then dropped and sent again later.
-    """
-
-    def __init__(self, server: Server) -> None:
-        self._listener = socket.socket()
-        self._listener.bind(("127.0.0.1", 0))
-        self._listener.listen(0)
-        host, port = self._listener.getsockname()
-        self._address = (host, port)
-        server.address = f"{host}:{port}"
-        self._server = server
-        self._accepting: asyncio.Server | None = None
-        self._fillers: list[socket.socket] = []
-
-    async def open(self) -> None:
-        """Accept what waits, and all that comes."""
-        self._accepting = await asyncio.start_server(
-            self._server.serve_connection, sock=self._listener.dup()
-        )
-
-    async def fill(self) -> None:
-        """Stop accepting and fill the queue."""
-        if self._accepting is not None:
-            self._accepting.close()
-            self._accepting = None
-        self._listener.listen(0)
-        for _ in range(2):
-            filler = socket.socket()
-            filler.setblocking(False)
-            filler.connect_ex(self._address)
-            self._fillers.append(filler)
-        await asyncio.sleep(0.01)
-
-    def drop_fillers(self) -> None:
-        for filler in self._fillers:
-            filler.close()
-        self._fillers.clear()
-
-
 async def lose_path(
     listener: BusyListener, vm: Vm, record: Record, number: int
 ) -> bool:
     """Let the VM's own connection to the server hang; return if it uses a tunnel."""
     before = await vm.metric("tunnels_opened")
-    await listener.fill()
+    listener.fill()
+    await asyncio.sleep(0.01)
     warm = asyncio.ensure_future(
         call("127.0.0.1", vm.port, "/warm/1", f"warm-{number}", record=record)
     )
