--- a/review/support/review_support/engine.py
+++ b/review/support/review_support/engine.py
@@ -12,6 +12,9 @@
 EVENTS = 5
 EVENT_PAUSE_S = 0.05
 UNLOAD_S = 0.1
+# A spoiled answer without end comes at the rate of a link of 1,000 Mbit/s.
+PIECE = b"x" * 1_250_000
+PIECE_PAUSE_S = 0.01
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,11 +44,16 @@
         self.sequence = 0
         self.busy = False
         self.orders: list[Order] = []
+        # How many of the next reports have no end.
+        self.endless_reports = 0
         self._load_s = load_s
         self._record = record
 
     async def _serve(self, exchange: Exchange) -> None:
-        if exchange.path == "/v1/report":
+        if exchange.path == "/v1/report" and self.endless_reports:
+            self.endless_reports -= 1
+            await self._answer_without_end(exchange)
+        elif exchange.path == "/v1/report":
             exchange.respond(200, json.dumps(self._report()).encode())
         elif exchange.path == "/v1/order":
             exchange.respond(self._take(json.loads(exchange.body)), b"{}")
@@ -54,6 +62,21 @@
         else:
             await self._generate(exchange)
 
+    async def _answer_without_end(self, exchange: Exchange) -> None:
+        self._record.note(f"{self.server.name} begins a report without end")
+        exchange.head(200, "Content-Type: application/json")
+        sent = 0
+        try:
+            while True:
+                exchange.writer.write(PIECE)
+                await exchange.writer.drain()
+                sent += len(PIECE)
+                await asyncio.sleep(PIECE_PAUSE_S)
+        finally:
+            self._record.note(
+                f"{self.server.name}: the caller has closed after {sent >> 20} MiB"
+            )
+
     def documents(self) -> list[dict[str, Any]]:
         """Return what it holds, as its entry and its report say."""
         return [
