Do not take the end of a forwarding entry VM for the end of a response

Cause: a response without a length ends with its connection, and the connection is the forwarder's. The kernel ends the connections of a killed process with a FIN, as after an orderly close, so that a tunnel could pass on a reset but not its own death.

Change: the server's bytes travel in chunks, decoded by the HTTP parser in use; the last chunk states that the server closed in order. A tunnel that ends without it was broken off. Asked for when the tunnel is opened, so that builds with and without it forward for each other; behind a forwarder without it, no response without a length is whole.

Why it holds: only the forwarder's own statement ends such a response, and it makes it only when its connection to the server ended in order. Its end, by whatever cause, is no statement.

--- a/src/rosepath/http_exchange.py
+++ b/src/rosepath/http_exchange.py
@@ -50,8 +50,25 @@
     def handle_connection_lost(self) -> None: ...
 
 
+class StreamDecoder(Protocol):
+    """Decode what a forwarding entry VM sends.
+
+    `ended` tells whether the forwarder stated that the server's connection
+    ended in order.
+    """
+
+    ended: bool
+
+    def decode(self, data: bytes) -> bytes:
+        """Return the server's bytes; raises httptools.HttpParserError."""
+        ...
+
+
 class Connection(asyncio.BufferedProtocol):
-    """Own one connection and reference the exchange running on it, if any."""
+    """Own one connection and reference the exchange running on it, if any.
+
+    `decoder` is None if the peer is the server itself.
+    """
 
     # Shared by all connections: each read is copied out before the next one.
     _read_buffer = memoryview(bytearray(READ_BYTES))
@@ -59,6 +76,7 @@
     def __init__(self) -> None:
         self.transport: asyncio.Transport | None = None
         self.exchange: Receiver | None = None
+        self.decoder: StreamDecoder | None = None
         # Exchanges that have run on it, without the current one.
         self.exchange_count = 0
         # Whether it is closed after one exchange instead of kept open.
@@ -83,6 +101,14 @@
 
     def data_received(self, data: bytes) -> None:
         """Pass what arrived on to the exchange."""
+        if self.decoder is not None:
+            try:
+                data = self.decoder.decode(data)
+            except httptools.HttpParserError:
+                self.reset()
+                return
+            if not data:
+                return
         if self.exchange is None:
             # No request is outstanding. After unexpected data, responses on
             # this connection can no longer be matched to their requests.
@@ -91,12 +117,16 @@
             self.exchange.feed(data)
 
     def connection_lost(self, error: Exception | None) -> None:
-        self.closed_by_peer = error is None and not self.closed
+        self.closed_by_peer = not self.closed and self._ended_in_order(error)
         self.closed = True
         self._writable.set()
         if self.exchange is not None:
             self.exchange.handle_connection_lost()
 
+    def _ended_in_order(self, error: Exception | None) -> bool:
+        """Return whether the server, and not a forwarder, ended the connection."""
+        return error is None if self.decoder is None else self.decoder.ended
+
     def pause_writing(self) -> None:
         self._writable.clear()
 
--- a/src/rosepath/tunnels.py
+++ b/src/rosepath/tunnels.py
@@ -3,6 +3,10 @@
 An entry VM that cannot reach a server sends its requests through one that can.
 The forwarding VM copies bytes and takes no part in the requests: routing,
 retries and deadlines remain with the VM that received them.
+
+The server's bytes travel as a chunked body, whose last chunk states that the server
+closed its connection. The end of the forwarder's own connection says nothing of the
+server: the kernel closes the connections of a killed process in order.
 """
 
 import asyncio
@@ -11,6 +15,7 @@
 from dataclasses import dataclass
 from enum import IntEnum
 
+import httptools
 from tornado.httputil import responses
 from tornado.iostream import IOStream, StreamClosedError
 from tornado.web import RequestHandler
@@ -22,6 +27,7 @@
     Connection,
     Exchange,
     ResponseHead,
+    StreamDecoder,
     disable_linger,
 )
 from rosepath.logs import get_logger
@@ -32,6 +38,12 @@
 # Below the connect timeout of requests, so that a second VM can be tried.
 SERVER_CONNECT_TIMEOUT_S = 0.2
 
+# Header of the request for a tunnel and of its response. Builds without it copy the
+# server's bytes as they are.
+FRAMING_HEADER = "Rosepath-Tunnel"
+CHUNKED = "chunked"
+LAST_CHUNK = b"0\r\n\r\n"
+
 _log = get_logger()
 
 
@@ -99,7 +111,8 @@
             )
             stream = self.detach()
             set_keepalive(stream.socket)
-            await Tunnel(stream, connection).run()
+            framing = self.request.headers.get(FRAMING_HEADER, "")
+            await Tunnel(stream, connection, chunked=framing == CHUNKED).run()
         except ExchangeError as error:
             self._refuse(
                 TunnelStatus.REFUSED if error.refused else TunnelStatus.TIMED_OUT
@@ -123,11 +136,15 @@
 
     An end that closes in order closes the other in order, after all bytes; a
     reset is passed on as a reset, so that no truncated response looks whole.
+    With `chunked`, the server's bytes are sent in chunks.
     """
 
-    def __init__(self, stream: IOStream, connection: Connection) -> None:
+    def __init__(
+        self, stream: IOStream, connection: Connection, *, chunked: bool
+    ) -> None:
         self._stream = stream
         self._connection = connection
+        self._chunked = chunked
         self._server_closed = asyncio.Event()
         self._written: asyncio.Future[None] | None = None
         connection.exchange = self
@@ -141,7 +158,7 @@
         try:
             await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
             if self._connection.closed_by_peer:
-                await self._finish_writing()
+                await self._finish()
             elif not self._stream.closed():
                 disable_linger(self._stream.socket)
         finally:
@@ -153,21 +170,30 @@
 
     async def _forward_request(self) -> None:
         with suppress(StreamClosedError):
-            await self._stream.write(b"HTTP/1.1 200 Connection established\r\n\r\n")
+            await self._stream.write(self._head())
             while not self._connection.closed:
                 data = await self._stream.read_bytes(READ_BYTES, partial=True)
                 self._connection.write(data)
                 await self._connection.drain()
 
-    async def _finish_writing(self) -> None:
-        if self._written is not None:
-            with suppress(StreamClosedError):
+    def _head(self) -> bytes:
+        framing = f"{FRAMING_HEADER}: {CHUNKED}\r\n" if self._chunked else ""
+        return f"HTTP/1.1 200 Connection established\r\n{framing}\r\n".encode()
+
+    async def _finish(self) -> None:
+        """State that the server closed, after all of its bytes."""
+        with suppress(StreamClosedError):
+            if self._chunked:
+                await self._stream.write(LAST_CHUNK)
+            elif self._written is not None:
                 await self._written
 
     # Called by the server's connection
 
     def feed(self, data: bytes) -> None:
         """Forward data, reading no more while the other end takes none."""
+        if self._chunked:
+            data = b"%x\r\n%s\r\n" % (len(data), data)
         try:
             self._written = self._stream.write(data)
         except StreamClosedError:
@@ -185,6 +211,40 @@
         self._server_closed.set()
 
 
+class ChunkDecoder:
+    """Decode a chunked body; `ended` once its last chunk has arrived."""
+
+    def __init__(self) -> None:
+        self.ended = False
+        self._parts: list[bytes] = []
+        self._parser = httptools.HttpResponseParser(self)
+        self._parser.feed_data(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+
+    def decode(self, data: bytes) -> bytes:
+        """Return the content of the chunks; raises httptools.HttpParserError."""
+        self._parser.feed_data(data)
+        content = b"".join(self._parts)
+        self._parts.clear()
+        return content
+
+    # Called by the parser
+
+    def on_body(self, body: bytes) -> None:
+        self._parts.append(body)
+
+    def on_message_complete(self) -> None:
+        self.ended = True
+
+
+class UnframedDecoder:
+    """Pass bytes on from a forwarder that does not tell how the server ended."""
+
+    ended = False
+
+    def decode(self, data: bytes) -> bytes:
+        return data
+
+
 async def open_tunnel(
     forwarder: str, address: str, *, timeout_s: float, dial: Dial = dial_directly
 ) -> Connection:
@@ -212,20 +272,38 @@
 async def _request_tunnel(connection: Connection, address: str) -> int:
     """Ask for a tunnel; return the status, or 0 without a response."""
     heads: list[ResponseHead] = []
+    first_data: list[bytes] = []
     ended = asyncio.Event()
 
     def on_head(head: ResponseHead) -> None:
         heads.append(head)
         ended.set()
 
-    exchange = Exchange(connection, "CONNECT", on_head, lambda _: None)
+    exchange = Exchange(connection, "CONNECT", on_head, first_data.append)
     exchange.done.add_done_callback(lambda _: ended.set())
     connection.exchange = exchange
-    connection.write(f"CONNECT {address} HTTP/1.1\r\nHost: {address}\r\n\r\n".encode())
+    connection.write(
+        f"CONNECT {address} HTTP/1.1\r\nHost: {address}\r\n"
+        f"{FRAMING_HEADER}: {CHUNKED}\r\n\r\n".encode()
+    )
     await ended.wait()
-    status = heads[0].status if heads else 0
-    connection.single_use = status == TunnelStatus.OPEN
-    return status
+    if not heads:
+        return 0
+    head = heads[0]
+    if head.status == TunnelStatus.OPEN:
+        connection.single_use = True
+        connection.exchange = None
+        connection.decoder = _decoder_for(head)
+        if first_data:
+            connection.data_received(b"".join(first_data))
+    return head.status
+
+
+def _decoder_for(head: ResponseHead) -> StreamDecoder:
+    """Return the decoder of the framing that a forwarder has chosen."""
+    if head.headers.get(FRAMING_HEADER) == CHUNKED:
+        return ChunkDecoder()
+    return UnframedDecoder()
 
 
 def _tunnel_error(address: str, status: int) -> ExchangeError:
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -3,8 +3,9 @@
 import asyncio
 import socket
 from collections.abc import AsyncIterator, Awaitable, Callable
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass, field
+from functools import partial
 
 import pytest
 from tornado.httpserver import HTTPServer
@@ -121,11 +122,87 @@
     await reader.readuntil(b"never")
 
 
+async def respond_in_part(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> None:
+    await reader.readuntil(b"\r\n\r\n")
+    writer.write(b"HTTP/1.1 200 OK\r\n\r\nhalf")
+    await writer.drain()
+    await reader.read()
+
+
 async def wait_for_close(reader: asyncio.StreamReader, _: asyncio.StreamWriter) -> None:
     await reader.readuntil(b"\r\n\r\n")
     await reader.readexactly(1)
 
 
+@dataclass(slots=True)
+class MortalForwarder:
+    """A forwarding entry VM whose process can end."""
+
+    address: str
+    writers: list[asyncio.StreamWriter] = field(default_factory=list)
+
+    def die(self) -> None:
+        """Close all connections as the kernel does for a killed process."""
+        for writer in self.writers:
+            writer.close()
+
+
+@asynccontextmanager
+async def mortal_forwarder(forwarder: str) -> AsyncIterator[MortalForwarder]:
+    """Relay connections to a forwarder."""
+
+    async def accept(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        far_reader, far_writer = await asyncio.open_connection(*forwarder.split(":"))
+        mortal.writers += [writer, far_writer]
+        await asyncio.gather(_copy(reader, far_writer), _copy(far_reader, writer))
+
+    listener = await asyncio.start_server(accept, "127.0.0.1", 0)
+    mortal = MortalForwarder(f"127.0.0.1:{listener.sockets[0].getsockname()[1]}")
+    try:
+        yield mortal
+    finally:
+        mortal.die()
+        listener.close()
+
+
+async def _copy(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    with suppress(OSError):
+        while data := await reader.read(LARGE_BYTES):
+            writer.write(data)
+    writer.close()
+
+
+@asynccontextmanager
+async def unframed_forwarder(response: bytes) -> AsyncIterator[str]:
+    """Run a forwarder that copies bytes unframed, before a server's response."""
+
+    async def accept(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 Connection established\r\n\r\n")
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(response)
+        await writer.drain()
+        writer.close()
+
+    listener = await asyncio.start_server(accept, "127.0.0.1", 0)
+    try:
+        yield f"127.0.0.1:{listener.sockets[0].getsockname()[1]}"
+    finally:
+        listener.close()
+
+
+async def _dial_through(
+    forwarder: str, address: str, *, timeout_s: float
+) -> Connection:
+    return await open_tunnel(forwarder, address, timeout_s=timeout_s)
+
+
 async def status_of(forwarded: ForwardedServer) -> int:
     """Return the status with which a tunnel is refused."""
     reader, writer = await asyncio.open_connection(*forwarded.forwarder.split(":"))
@@ -227,6 +304,95 @@
     asyncio.run(run())
 
 
+# Guards against a truncated response that looks whole when a forwarder is killed:
+# the kernel closes a killed process's connections in order.
+def test_the_end_of_a_forwarder_does_not_end_a_response() -> None:
+    async def run() -> None:
+        async with forwarded_server(respond_in_part) as forwarded:
+            async with mortal_forwarder(forwarded.forwarder) as forwarder:
+                pool = HttpPool(dial=partial(_dial_through, forwarder.address))
+                received: list[bytes] = []
+
+                def on_data(data: bytes) -> None:
+                    received.append(data)
+                    forwarder.die()
+
+                with pytest.raises(ExchangeError) as caught:
+                    await pool.exchange(
+                        forwarded.request(), on_head=lambda _: None, on_data=on_data
+                    )
+                assert caught.value.lost
+                assert received == [b"half"]
+
+    asyncio.run(run())
+
+
+# Guards against a truncated response that looks whole behind a forwarder of an
+# earlier build, which does not tell how the server's connection ended.
+def test_an_unframed_tunnel_does_not_end_a_response() -> None:
+    async def run() -> None:
+        async with unframed_forwarder(b"HTTP/1.1 200 OK\r\n\r\nhalf") as address:
+            pool = HttpPool(dial=partial(_dial_through, address))
+            with pytest.raises(ExchangeError):
+                await pool.fetch(Request(address="server:1", method="GET", path="/"))
+
+    asyncio.run(run())
+
+
+def test_an_unframed_tunnel_carries_a_response_with_a_length() -> None:
+    async def run() -> None:
+        response = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+        async with unframed_forwarder(response) as address:
+            pool = HttpPool(dial=partial(_dial_through, address))
+            _, body = await pool.fetch(
+                Request(address="server:1", method="GET", path="/")
+            )
+            assert body == b"ok"
+
+    asyncio.run(run())
+
+
+# Guards against a tunnel that an entry VM of an earlier build cannot read.
+def test_a_tunnel_is_framed_only_for_those_who_ask_for_it() -> None:
+    async def run() -> None:
+        async with forwarded_server(respond) as forwarded:
+            reader, writer = await asyncio.open_connection(
+                *forwarded.forwarder.split(":")
+            )
+            target = forwarded.address
+            writer.write(f"CONNECT {target} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"GET / HTTP/1.1\r\n\r\n")
+            assert await reader.readuntil(b"ok") == (
+                b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+            )
+            writer.close()
+
+    asyncio.run(run())
+
+
+# Guards against frames that are lost when they arrive with the tunnel's response.
+def test_data_that_arrives_with_the_response_to_connect_is_decoded() -> None:
+    async def run() -> None:
+        async def close_at_once(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(
+                b"HTTP/1.1 200 OK\r\nRosepath-Tunnel: chunked\r\n\r\n0\r\n\r\n"
+            )
+            writer.close()
+
+        listener = await asyncio.start_server(close_at_once, "127.0.0.1", 0)
+        address = f"127.0.0.1:{listener.sockets[0].getsockname()[1]}"
+        connection = await open_tunnel(address, "server:1", timeout_s=TIMEOUT_S)
+        assert connection.decoder is not None
+        assert connection.decoder.ended
+        listener.close()
+
+    asyncio.run(run())
+
+
 # Guards against servers that work on for callers that have left, and against an
 # error in the log of the other VM for each of them.
 def test_a_cancelled_request_ends_at_the_server(
