Let a lease holder order again after it gave the lease up and got it back

Cause: `OrderDispatcher.finish` serves a planned stop and a holder that leaves the lease because it is partitioned from the engines. It set `OrderSender._closed` and `SwapExecutor.closing` for good, though the second one goes on running and may get the lease back. What ends with a term was kept by the process.

Change: an executor belongs to one term, as the records do, and the sender remembers the fencing token of the term that has ended. A VM that gets the lease back has another one.

Why it holds: every acquisition and inheritance gets a higher fencing token, so that a term that has ended cannot be taken for the one that is held.

--- a/src/rosepath/order_dispatcher.py
+++ b/src/rosepath/order_dispatcher.py
@@ -75,7 +75,8 @@
     """Own the records of all engines and the swaps in progress.
 
     Orders are sent only while `may_order` is true, that is, while this entry
-    VM holds the placement lease.
+    VM holds the placement lease. Records and the executor of swaps belong to one
+    term of the lease: the VM may get it back after it has finished a term.
     """
 
     def __init__(self, ports: DispatcherPorts) -> None:
@@ -97,14 +98,7 @@
             may_order=ports.may_order,
             fence=ports.fence,
         )
-        self._executor = SwapExecutor(
-            clock=ports.clock,
-            engines=ports.engines,
-            sender=self.sender,
-            read_report=self._read_report,
-            lock=self._lock,
-            on_residency_change=ports.on_residency_change,
-        )
+        self._executor = self._create_executor()
         self._swaps: set[asyncio.Task[None]] = set()
 
     # Planning
@@ -115,29 +109,33 @@
             self._ports.fleet.servers.values(), now_s=self.sender.clock.monotonic_s()
         )
         catalog = self._ports.catalog()
-        if catalog is None or self._executor.closing or not self.sender.may_order():
+        if catalog is None or not self.sender.may_order():
             return
         self._reset_on_new_term()
+        if self._executor.closing:
+            return
         for service in catalog.services.values():
             if service.engine is not None:
                 await self._plan(service.name, service.engine, catalog)
 
     async def finish(self, limit_s: float) -> None:
-        """Finish started swaps within `limit_s`, then send no more orders.
+        """Finish started swaps within `limit_s`, then end the orders of the term.
 
         Adapters are still ordered meanwhile, because no other VM holds the
         lease yet.
         """
+        self._reset_on_new_term()
         await self._executor.finish(limit_s)
-        await self.sender.close()
+        await self.sender.end_term()
 
     def _reset_on_new_term(self) -> None:
-        """Clear all records on a new fence.
+        """Clear all records on a new fence, and allow swaps again.
 
         Another holder may have sent orders in between.
         """
         if self._ports.fence() != self._fence:
             self._records.clear()
+            self._executor = self._create_executor()
             self._fence = self._ports.fence()
             if self._ports.follows_term():
                 # The previous holder had stopped before this term could act.
@@ -150,6 +148,17 @@
                     earlier_terms=self._ports.terms_ended_within(window_s),
                 )
 
+    def _create_executor(self) -> SwapExecutor:
+        """Return the executor of one term's swaps."""
+        return SwapExecutor(
+            clock=self._ports.clock,
+            engines=self._ports.engines,
+            sender=self.sender,
+            read_report=self._read_report,
+            lock=self._lock,
+            on_residency_change=self._ports.on_residency_change,
+        )
+
     async def _plan(self, service: str, spec: EngineSpec, catalog: Catalog) -> None:
         # The models of an engine that is down are unavailable until it
         # returns.
--- a/src/rosepath/order_sender.py
+++ b/src/rosepath/order_sender.py
@@ -46,7 +46,9 @@
         self._me = me
         self._engines = engines
         self._may_order = may_order
-        self._closed = False
+        # The fencing token of the term whose orders have ended. A VM that gets
+        # the lease back has another one.
+        self._ended_fence = -1
         # Orders that are started, and the subset that has been sent.
         self._pending = 0
         self._in_flight = 0
@@ -57,7 +59,7 @@
 
     def may_order(self) -> bool:
         """Return whether an order may be sent."""
-        return not self._closed and self._may_order()
+        return self._fence() != self._ended_fence and self._may_order()
 
     @property
     def last_action_age_s(self) -> float:
@@ -66,9 +68,9 @@
             return 0.0
         return max(0.0, self.clock.monotonic_s() - self.last_action_s)
 
-    async def close(self) -> None:
-        """Send no more orders, and wait until those in flight have ended."""
-        self._closed = True
+    async def end_term(self) -> None:
+        """Send no more orders in this term, and wait for those in flight."""
+        self._ended_fence = self._fence()
         with suppress(TimeoutError):
             async with asyncio.timeout(CLOSE_TIMEOUT_S):
                 while self._pending:  # noqa: ASYNC110
--- a/src/rosepath/swap_executor.py
+++ b/src/rosepath/swap_executor.py
@@ -53,7 +53,8 @@
 class SwapExecutor:
     """Send each swap's orders in sequence and wait until its model is loaded.
 
-    `closing` is set once no more swaps may start.
+    It serves one term of the placement lease. `closing` is set once no more swaps
+    may start in that term.
     """
 
     def __init__(
--- a/tests/test_order_dispatcher.py
+++ b/tests/test_order_dispatcher.py
@@ -6,6 +6,7 @@
 
 import pytest
 from entry_builders import a_catalog, an_engine_spec, an_entry
+from virtual_time import VirtualLoop
 
 from rosepath.catalog import EngineSpec
 from rosepath.clock import Clock, ManualClock
@@ -374,3 +375,71 @@
         assert not dispatcher.occupied
 
     asyncio.run(run())
+
+
+class Term:
+    """The placement lease as one entry VM holds it, term after term."""
+
+    def __init__(self) -> None:
+        self.fence = 1000
+        self.held = True
+
+
+# Guards against a holder that never orders again: it released the lease while it
+# went on running, as when it is partitioned from the engines, and got it back.
+def test_a_holder_orders_again_in_its_next_term() -> None:
+    async def run() -> None:
+        engine, clock, term = FakeEngine("m0"), ManualClock(), Term()
+        demand = {"m1": ModelDemand(0.0, 2)}
+        dispatcher = a_dispatcher(
+            engine,
+            clock,
+            demand=demand,
+            may_order=lambda: term.held,
+            fence=lambda: term.fence,
+        )
+        await dispatcher.finish(1.0)
+        await dispatcher.tick()
+        assert engine.orders == []
+        term.held = False
+        await dispatcher.tick()
+        term.held, term.fence = True, 3000
+        await dispatcher.tick()
+        # A swap begins when it has its engine's lock.
+        await asyncio.sleep(0.1)
+        assert [order.fence for order in engine.orders] == [term.fence]
+        await asyncio.gather(*dispatcher._swaps)
+
+    with asyncio.Runner(loop_factory=VirtualLoop) as runner:
+        runner.run(run())
+
+
+# Guards against an adapter that is never loaded, for the same reason.
+def test_a_holder_loads_adapters_again_in_its_next_term() -> None:
+    async def run() -> None:
+        engine, clock, term = FakeEngine("m0"), ManualClock(), Term()
+        dispatcher = a_dispatcher(engine, clock, fence=lambda: term.fence)
+        await dispatcher.finish(1.0)
+        assert not await dispatcher.ensure_adapter("llm", "e1", "m0", "a1")
+        term.fence = 3000
+        assert await dispatcher.ensure_adapter("llm", "e1", "m0", "a1")
+
+    asyncio.run(run())
+
+
+# Guards against swaps that start as a VM stops right after it got the lease.
+def test_no_swap_starts_in_a_term_that_ends_before_its_first_plan() -> None:
+    async def run() -> None:
+        engine, clock, term = FakeEngine("m0"), ManualClock(), Term()
+        dispatcher = a_dispatcher(
+            engine,
+            clock,
+            demand={"m1": ModelDemand(0.0, 2)},
+            fence=lambda: term.fence,
+        )
+        term.fence = 3000
+        await dispatcher.finish(1.0)
+        await dispatcher.tick()
+        assert engine.orders == []
+
+    asyncio.run(run())
