Make a lease valid again when it comes back to a VM whose release failed

Cause: a release set `earliest_act_s` to infinity, so that the VM stops acting whether the store applies the release or not. A VM that stops needs no more. One that leaves the lease in a partition and goes on finds its own name in the store if the release failed, takes the lease "own" with the pause set then, and renews it without ever acting.

Change: a row says when this VM released the lease. Until it acquires it anew, the lease is not valid, is not its own, and is taken from the store only as another holder's would be, as it may have passed to a successor without the store: after it has lapsed, and with the pause of a VM that held it before.

Evidence: `test_a_lease_whose_release_failed_becomes_valid_again` (two cases) and `test_a_released_lease_comes_back_only_after_its_successor_has_stopped` failed before.

Why it holds: only an acquisition, which has a new fencing token, ends a release; a renewal that was on its way does not.

--- a/src/rosepath/lease_keeper.py
+++ b/src/rosepath/lease_keeper.py
@@ -1,6 +1,5 @@
 """Acquire, renew and release leases in the store."""
 
-import math
 import uuid
 from collections.abc import Callable
 
@@ -137,7 +136,7 @@
         pause_s = self.policy.turn_s if self._me in row.previous_holders else 0.0
         row.note_fence(fence, now_s=now_s)
         row.previous_holders = previous_holders_of(row, me=self._me)
-        row.version, row.holder = version, self._me
+        row.version, row.holder, row.released_s = version, self._me, None
         # Splits the next fencing token into its parts, see `LeaseRow.fence`.
         row.term, row.direct_handovers = divmod(fence + 1, FENCES_PER_TERM)
         row.note_fence(row.fence, now_s=now_s)
@@ -147,11 +146,16 @@
         )
         return True
 
+    def is_own(self, name: str) -> bool:
+        """Return whether this VM is recorded as the holder and has not left."""
+        row = self.rows.get(name)
+        return row is not None and row.is_own(self._me)
+
     def own_lease_expired(self, name: str) -> bool:
         """Return whether this VM's own lease expired without a renewal."""
         row = self.rows.get(name)
         now_s = self._clock.monotonic_s()
-        return row is not None and row.holder == self._me and row.held_until_s <= now_s
+        return row is not None and row.is_own(self._me) and row.held_until_s <= now_s
 
     def overdue_s(self, name: str) -> float:
         """Return for how long the renewal of a held lease has been due."""
@@ -223,6 +227,9 @@
         now_s = self._clock.monotonic_s()
         self._record_stored(row, stored, now_s)
         first_seen_s = self._first_seen_s[row.name]
+        if row.released_s is not None:
+            # The lease may have passed to a successor without the store.
+            first_seen_s = max(first_seen_s, row.released_s)
         resigned = self._resignations.get(row.name)
         if may_take_over(
             row,
@@ -339,6 +346,7 @@
             )
         if term != row.term:
             row.direct_handovers = 0
+            row.released_s = None
         row.version, row.holder, row.term = version, self._me, term
         row.previous_holders = previous_holders
         row.checked_at_s = started_s
@@ -387,7 +395,7 @@
         # version this VM must not resign.
         version = row.version
         row.held_until_s = -1e9
-        row.earliest_act_s = math.inf
+        row.released_s = self._clock.monotonic_s()
         value = encode_lease(
             LeaseRecord(
                 holder="",
--- a/src/rosepath/leases.py
+++ b/src/rosepath/leases.py
@@ -68,7 +68,9 @@
 
     All times are on this VM's clock. `checked_at_s` is the time of the last
     read or write. Acts before `earliest_act_s` could overlap with those of the
-    previous holder.
+    previous holder. `released_s` is when this VM released the lease, None again
+    once it has acquired the lease anew: a release may fail, and the store then
+    still names this VM.
     """
 
     name: str
@@ -78,6 +80,7 @@
     checked_at_s: float = -1e9
     held_until_s: float = -1e9
     earliest_act_s: float = -1e9
+    released_s: float | None = None
     # The latest first.
     previous_holders: tuple[str, ...] = ()
     # Direct handovers in this term; the store does not record their number.
@@ -111,7 +114,11 @@
     ) -> bool:
         """Return whether this VM may act as the holder now."""
         until_s = max(self.held_until_s, extended_until_s) - policy.margin_s
-        return self.earliest_act_s <= now_s < until_s
+        return self.released_s is None and self.earliest_act_s <= now_s < until_s
+
+    def is_own(self, me: str) -> bool:
+        """Return whether this VM is recorded as the holder and has not left."""
+        return self.holder == me and self.released_s is None
 
     def remaining_s(self, *, now_s: float) -> float:
         """Return the seconds until this VM's lease expires."""
@@ -171,7 +178,7 @@
 
     Its version has been unchanged since `first_seen_s` on the local clock.
     """
-    if row.version == 0 or not row.holder or row.holder == me:
+    if row.version == 0 or not row.holder or row.is_own(me):
         return True
     if resigned is not None and resigned.version == row.version:
         return True
@@ -192,12 +199,13 @@
     The previous holder may have acted until just before its lease ended.
     `last_announced_s` is when the last state message of a holder arrived.
     """
-    if row.holder == me:
+    if row.is_own(me):
         # Either an unanswered write of this VM was applied, and the pause
         # set then still holds, or this VM has just restarted and need not
         # pause.
         return row.earliest_act_s
-    pause_s = policy.turn_s if me in row.previous_holders else policy.handover_s
+    held_before = me in (row.holder, *row.previous_holders)
+    pause_s = policy.turn_s if held_before else policy.handover_s
     if row.version == 0 or not pause_s:
         return -1e9
     if resigned is not None and resigned.version >= row.version:
--- a/src/rosepath/placement_coordinator.py
+++ b/src/rosepath/placement_coordinator.py
@@ -178,7 +178,7 @@
         if self.holds_lease:
             return True
         accepted_ago_s = self._boot_clock.monotonic_s() - self._handover_accepted_s
-        mine = self.leases.holder(LEASE_NAME) == self._me
+        mine = self.leases.is_own(LEASE_NAME)
         return mine and accepted_ago_s < HANDOVER_CLAIM_S and not self._stopping()
 
     @property
@@ -192,7 +192,7 @@
 
         A VM that has acquired the lease itself acknowledges none.
         """
-        if self.leases.holder(LEASE_NAME) == self._me:
+        if self.leases.is_own(LEASE_NAME):
             return "", 0
         return self._peers.last_holder_message()
 
@@ -330,7 +330,7 @@
 
         A large fleet gets no extension, as its messages are too far apart.
         """
-        if self.leases.holder(LEASE_NAME) != self._me:
+        if not self.leases.is_own(LEASE_NAME):
             return NOT_EXTENDED_S
         stopped_acting = self._stopping() and not self._finishing_orders
         if stopped_acting or self._peers.large_fleet:
--- a/tests/test_lease_handover.py
+++ b/tests/test_lease_handover.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import math
+from dataclasses import replace
 
+import pytest
 from fakes import FakePlatform
 from hypothesis import given, settings, strategies as st
 
@@ -13,6 +15,7 @@
 
 HANDOVER_S = 0.75
 TURN_S = 3.0
+EXTENSION_S = 1.3
 POLICY = LeasePolicy(
     duration_s=2.0,
     margin_s=0.3,
@@ -177,3 +180,55 @@
         assert keeper.term("l") > 40
 
     asyncio.run(run())
+
+
+# Guards against a holder that never orders: a lease whose release failed came back
+# to the VM that had released it, which renewed it without ever acting.
+@pytest.mark.parametrize("late_renewal", [False, True])
+def test_a_lease_whose_release_failed_becomes_valid_again(late_renewal: bool) -> None:
+    async def run() -> None:
+        platform, clock = FakePlatform(), ManualClock()
+        keeper = LeaseKeeper(platform, me="a", policy=POLICY, clock=clock)
+        await keeper.step("l", wanted=True)
+        assert keeper.valid("l")
+        platform.down = True
+        await keeper.release("l")
+        assert not keeper.valid("l", extended_until_s=clock.monotonic_s() + 10.0)
+        platform.down = False
+        if late_renewal:
+            stored = await platform.get("leases/l")
+            assert stored is not None
+            await platform.put("leases/l", stored.value, expected_version=1)
+        released_s = clock.monotonic_s()
+        while not keeper.valid("l"):
+            clock.advance(0.1)
+            await keeper.step("l", wanted=True)
+            assert clock.monotonic_s() < released_s + 2 * POLICY.duration_s + TURN_S
+        # A successor to which it was handed over directly may have acted.
+        assert clock.monotonic_s() - released_s >= TURN_S
+
+    asyncio.run(run())
+
+
+# Guards against two holders: the VM that handed its lease over directly takes it
+# from the store again while its successor acts.
+def test_a_released_lease_comes_back_only_after_its_successor_has_stopped() -> None:
+    async def run() -> None:
+        policy = replace(POLICY, extension_s=EXTENSION_S)
+        platform, clock = FakePlatform(), ManualClock()
+        keeper = LeaseKeeper(platform, me="a", policy=policy, clock=clock)
+        await keeper.step("l", wanted=True)
+        platform.down = True
+        version = await keeper.release("l")
+        platform.down = False
+        clock.advance(3.0)
+        # The successor announces the lease and may act until its extension ends.
+        keeper.note_announcement("l", version=version, fence=keeper.fence("l") + 1)
+        ends_s = clock.monotonic_s() + EXTENSION_S - policy.margin_s
+        for _ in range(100):
+            clock.advance(0.1)
+            await keeper.step("l", wanted=True)
+            assert not keeper.valid("l") or clock.monotonic_s() >= ends_s + TURN_S
+        assert keeper.valid("l")
+
+    asyncio.run(run())
