Do not renew a lease while it is being released

The lease stayed with the VM that left it, and nobody ordered models until it lapsed.

Cause: the loop that renews runs on during a release. For a VM that stops, `_stopping` ends the extension by which a renewal is due; a VM that leaves the lease in a partition is not stopping, so that its renewal raced with its release for the same version.

Change: a lease that this VM has released is not renewed.

Evidence: `test_a_lease_is_not_renewed_while_it_is_released` failed before (the lease was still the first VM's, and no other could take it).

--- a/src/rosepath/leases.py
+++ b/src/rosepath/leases.py
@@ -144,7 +144,7 @@
     extended_until_s: float = -1e9,
 ) -> LeaseAction:
     """Choose the next step for a lease that this VM wants or holds."""
-    if row.holder == me and max(row.held_until_s, extended_until_s) > now_s:
+    if row.is_own(me) and max(row.held_until_s, extended_until_s) > now_s:
         renew_at_s = row.held_until_s - policy.duration_s + policy.renewal_interval_s
         return LeaseAction.RENEW if now_s >= renew_at_s else LeaseAction.WAIT
     if not wanted:
--- a/tests/test_lease_handover.py
+++ b/tests/test_lease_handover.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import math
+from collections.abc import Awaitable, Callable
 from dataclasses import replace
 
 import pytest
@@ -182,6 +183,47 @@
     asyncio.run(run())
 
 
+class PlatformWithEvents(FakePlatform):
+    """Run a callback once, before the next write is applied."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.before_write: Callable[[], Awaitable[None]] | None = None
+
+    async def put(
+        self, name: str, value: bytes, *, expected_version: int | None
+    ) -> int:
+        callback, self.before_write = self.before_write, None
+        if callback is not None:
+            await callback()
+        return await super().put(name, value, expected_version=expected_version)
+
+
+# Guards against a lease that stays with a VM which has left it: a renewal that
+# starts during the release wins the write.
+def test_a_lease_is_not_renewed_while_it_is_released() -> None:
+    async def run() -> None:
+        platform, clock = PlatformWithEvents(), ManualClock()
+        first, second = (
+            LeaseKeeper(platform, me=name, policy=POLICY, clock=clock) for name in "ab"
+        )
+        await first.step("l", wanted=True)
+        clock.advance(1.0)
+
+        async def renew() -> None:
+            # The peers' acknowledgements extend the lease.
+            await first.step(
+                "l", wanted=False, extended_until_s=clock.monotonic_s() + 1.0
+            )
+
+        platform.before_write = renew
+        await first.release("l")
+        await second.step("l", wanted=True)
+        assert second.holder("l") == "b"
+
+    asyncio.run(run())
+
+
 # Guards against a holder that never orders: a lease whose release failed came back
 # to the VM that had released it, which renewed it without ever acting.
 @pytest.mark.parametrize("late_renewal", [False, True])
