Announce a direct handover only until the lease has another term

Change: the handover is dropped when another VM announces a newer version of the lease, or when this VM holds it again.

Evidence: `test_a_handover_is_announced_only_until_the_next_term` (the fresh process claimed term 1001) and `test_a_holder_announces_no_handover_of_an_earlier_term` failed before.

Why it holds: a successor's first write gives the lease a newer version, which its state messages announce; until then the handover is all that there is.

--- a/src/rosepath/placement_coordinator.py
+++ b/src/rosepath/placement_coordinator.py
@@ -207,6 +207,8 @@
         if self.link is not None and start == self.link.start:
             self._extension.note_ack(state.entry_vm, number)
         if state.term:
+            if state.lease_version > self.handover.version:
+                self.handover = LeaseHandover()
             self._arrivals.replace_announced(
                 state.arrivals, now_s=self._clock.monotonic_s()
             )
@@ -304,6 +306,7 @@
             self._send_state()
         elif self.holds_lease:
             self.resigned_version = 0
+            self.handover = LeaseHandover()
         elif self.leases.own_lease_expired(LEASE_NAME) and not (
             self._claims_lease or self._stopping()
         ):
--- a/tests/test_lease_extension.py
+++ b/tests/test_lease_extension.py
@@ -253,6 +253,42 @@
         runner.run(run())
 
 
+# Guards against a VM that starts and takes a lease which was handed over to its
+# former process long ago.
+def test_a_handover_is_announced_only_until_the_next_term() -> None:
+    async def run() -> None:
+        nodes, store, clock = three_nodes()
+        await run_nodes(nodes, clock, 3.0)
+        first = next(node for node in nodes if node.coordinator.holds_lease)
+        store.unreachable_from = {first.name}
+        await first.coordinator.release()
+        handover = first.coordinator.handover
+        assert handover.successor
+        store.unreachable_from = set()
+        await run_nodes(nodes, clock, 6.0)
+        restarted = a_node(handover.successor, store, clock)
+        send_state(first, [restarted])
+        assert not restarted.coordinator.term
+
+    asyncio.run(run())
+
+
+# Guards against the same by a VM that got the lease back.
+def test_a_holder_announces_no_handover_of_an_earlier_term() -> None:
+    async def run() -> None:
+        nodes, store, clock = three_nodes()
+        await run_nodes(nodes, clock, 3.0)
+        first = next(node for node in nodes if node.coordinator.holds_lease)
+        store.unreachable_from = {first.name}
+        await first.coordinator.release()
+        store.unreachable_from = set()
+        await run_nodes([first], clock, 12.0)
+        assert first.coordinator.holds_lease
+        assert not first.coordinator.handover.successor
+
+    asyncio.run(run())
+
+
 def test_a_holder_stopping_in_an_outage_keeps_the_lease_for_its_swaps() -> None:
     # The lease has expired and only the peers' acknowledgements extend it. If
     # the extension ended with the stop, the holder could not order the load
