Limit the size and the whole time of what is read from engines and the store

Cause: `HttpPool.fetch` kept a response whatever its size, and the time limit of an order or a report counted from the last part that had arrived.

Change: `fetch` keeps a megabyte unless its caller allows more, `Request.total_timeout_s` bounds a call from its first byte to the end of the response, and both errors name step and peer and reset the connection. Responses of the store are limited to 16 MiB and a copied configuration to 4.

Why it holds: each part is counted before it is kept, and the timer of the whole is not restarted by anything that arrives.

--- a/src/rosepath/backend_http.py
+++ b/src/rosepath/backend_http.py
@@ -129,6 +129,7 @@
         headers=_JSON if body else {},
         body=body,
         progress_timeout_s=CONTROL_TIMEOUT_S,
+        total_timeout_s=CONTROL_TIMEOUT_S,
     )
 
 
--- a/src/rosepath/call_deadline.py
+++ b/src/rosepath/call_deadline.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from rosepath.http_client import HttpPool, Request, ResponseHead
+from rosepath.http_client import BoundedBody, HttpPool, Request, ResponseHead
 
 
 class CallDeadline:
@@ -37,13 +37,15 @@
     *,
     limit_s: float,
     pause_s: float | None,
+    max_bytes: int,
     on_response_start: Callable[[], None],
 ) -> tuple[ResponseHead, bytes]:
     """Send a request and return its response, or raise TimeoutError.
 
-    If `pause_s` is given, each received part extends the deadline by it.
+    If `pause_s` is given, each received part extends the deadline by it; the
+    limit of the body then bounds the whole. Raise ExchangeError beyond it.
     """
-    parts: list[bytes] = []
+    body = BoundedBody(request.address, max_bytes)
 
     def handle_head(_: ResponseHead) -> None:
         extend_deadline()
@@ -51,7 +53,7 @@
 
     def handle_data(part: bytes) -> None:
         extend_deadline()
-        parts.append(part)
+        body.append(part)
 
     def extend_deadline() -> None:
         if pause_s is not None:
@@ -65,7 +67,7 @@
         await asyncio.wait([task])
         if task.cancelled():
             raise TimeoutError
-        return task.result(), b"".join(parts)
+        return task.result(), bytes(body.data)
     finally:
         deadline.disable()
         task.cancel()
--- a/src/rosepath/http_client.py
+++ b/src/rosepath/http_client.py
@@ -7,6 +7,7 @@
 measurements.
 """
 
+import asyncio
 from collections import defaultdict
 from collections.abc import AsyncIterator, Callable, Collection, Mapping
 from dataclasses import dataclass, field
@@ -33,7 +34,10 @@
 # A peer that announces a shorter idle timeout closes the connection by its own
 # clock. The margin avoids sending a request while the peer closes.
 IDLE_MARGIN_S = 0.5
-__all__ = ["HttpPool", "ProbeResult", "Request", "ResponseHead"]
+# Limit of a response that is kept whole, unless its request sets another one.
+# Reports and replies have some kilobytes.
+MAX_FETCHED_BYTES = 1024 * 1024
+__all__ = ["BoundedBody", "HttpPool", "ProbeResult", "Request", "ResponseHead"]
 
 
 class ProbeResult(StrEnum):
@@ -46,7 +50,11 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Request:
-    """Describe one HTTP request and its timeouts."""
+    """Describe one HTTP request and its timeouts.
+
+    `progress_timeout_s` limits each silence of the peer, `total_timeout_s` the time
+    from the first byte sent to the end of the response.
+    """
 
     address: str
     method: str
@@ -57,6 +65,7 @@
     connect_timeout_s: float = 1.0
     progress_timeout_s: float = 10.0
     pause_timeout_s: float | None = None
+    total_timeout_s: float | None = None
     proven_live_within_s: float | None = None
     host: str | None = None
     accepts: ResponseFilter | None = None
@@ -72,6 +81,27 @@
     on_watched: Callable[[Watchdog], None] = lambda _: None
 
 
+class BoundedBody:
+    """Collect the body of a response up to a limit."""
+
+    def __init__(self, peer: str, max_bytes: int) -> None:
+        self.data = bytearray()
+        self._peer = peer
+        self._max_bytes = max_bytes
+
+    def append(self, part: bytes) -> None:
+        """Add a part; raise ExchangeError beyond the limit."""
+        if len(self.data) + len(part) > self._max_bytes:
+            raise ExchangeError(
+                f"the response exceeds {self._max_bytes} bytes",
+                step=Step.RESPONSE,
+                peer=self._peer,
+                sent=True,
+                answered=True,
+            )
+        self.data += part
+
+
 class HttpPool:
     """Own the idle connections to all peers and run exchanges over them.
 
@@ -103,13 +133,16 @@
         for connection in self._idle.pop(address, []):
             connection.close()
 
-    async def fetch(self, request: Request) -> tuple[ResponseHead, bytes]:
-        """Run an exchange and return the complete response."""
-        chunks: list[bytes] = []
-        head = await self.exchange(
-            request, on_head=lambda _: None, on_data=chunks.append
-        )
-        return head, b"".join(chunks)
+    async def fetch(
+        self, request: Request, *, max_bytes: int = MAX_FETCHED_BYTES
+    ) -> tuple[ResponseHead, bytes]:
+        """Run an exchange and return the complete response.
+
+        Raise ExchangeError if it fails or the body exceeds `max_bytes`.
+        """
+        body = BoundedBody(request.address, max_bytes)
+        head = await self.exchange(request, on_head=lambda _: None, on_data=body.append)
+        return head, bytes(body.data)
 
     async def exchange(
         self, request: Request, *, on_head: OnHead, on_data: OnData
@@ -226,12 +259,17 @@
         )
         request.on_watched(watchdog)
         try:
-            connection.write(_encode_head(request) + request.body)
-            if request.body_chunks is not None:
-                await self._send_chunks(
-                    request.body_chunks, connection, exchange, watchdog
-                )
-            await exchange.done
+            async with asyncio.timeout(request.total_timeout_s):
+                connection.write(_encode_head(request) + request.body)
+                if request.body_chunks is not None:
+                    await self._send_chunks(
+                        request.body_chunks, connection, exchange, watchdog
+                    )
+                await exchange.done
+        except TimeoutError as error:
+            raise self._failure(
+                request, exchange, watchdog, "took too long", timed_out=True
+            ) from error
         finally:
             watchdog.stop()
         if exchange.failure is not None:
@@ -267,6 +305,7 @@
         problem: str,
         *,
         lost: bool = False,
+        timed_out: bool = False,
     ) -> ExchangeError:
         return ExchangeError(
             "peer went silent" if watchdog.fired else f"answer {problem}",
@@ -274,7 +313,7 @@
             peer=request.address,
             sent=True,
             answered=exchange.head is not None,
-            timed_out=watchdog.fired,
+            timed_out=timed_out or watchdog.fired,
             lost=lost and not watchdog.fired,
         )
 
--- a/src/rosepath/peer_configuration.py
+++ b/src/rosepath/peer_configuration.py
@@ -150,7 +150,7 @@
             connect_timeout_s=FETCH_TIMEOUT_S,
             progress_timeout_s=FETCH_TIMEOUT_S,
         )
-        head, body = await pool.fetch(request)
+        head, body = await pool.fetch(request, max_bytes=MAX_CONFIGURATION_BYTES)
         if head.status != 200:
             return None
         try:
--- a/src/rosepath/platform/engines.py
+++ b/src/rosepath/platform/engines.py
@@ -106,6 +106,7 @@
         headers={"Content-Type": "application/json", "Target-Instance": server},
         connect_timeout_s=ORDER_TIMEOUT_S,
         progress_timeout_s=ORDER_TIMEOUT_S,
+        total_timeout_s=ORDER_TIMEOUT_S,
         # Late responses to callers' requests on the same connections bear an id.
         accepts=lambda head: not echoed_request_id(head.headers),
         **fields,
--- a/src/rosepath/platform/store.py
+++ b/src/rosepath/platform/store.py
@@ -23,6 +23,8 @@
 )
 
 _PATH = "/v1/objects/"
+# A page of a list or a watch has about a megabyte of values, which JSON escapes.
+MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -203,6 +205,7 @@
                 request,
                 limit_s=limit_s,
                 pause_s=pause_s,
+                max_bytes=MAX_RESPONSE_BYTES,
                 on_response_start=on_response_start,
             )
             if head.status == 409:
--- a/tests/test_store_calls.py
+++ b/tests/test_store_calls.py
@@ -21,6 +21,7 @@
 from virtual_time import LoopClock
 
 from rosepath.object_store import StoreError
+from rosepath.platform.store import MAX_RESPONSE_BYTES
 from rosepath.store_watcher import StoreWatcher, WatchPolicy
 
 CONFIG = "config"
@@ -76,6 +77,17 @@
     run_in_virtual_time(lambda _: pieces, run)
 
 
+# Guards against an entry VM that exceeds its memory with a response without end.
+def test_a_response_beyond_the_limit_fails() -> None:
+    endless = b"HTTP/1.1 200 OK\r\n\r\n" + b" " * (2 * MAX_RESPONSE_BYTES)
+    pieces = in_pieces(endless, 500, first_s=0.1, gap_s=0.1)
+
+    async def run() -> None:
+        assert await time_to_fail() < 0.6 * len(pieces) * 0.1
+
+    run_in_virtual_time(lambda _: pieces, run)
+
+
 def test_a_call_without_a_response_times_out_within_the_read_patience() -> None:
     # A read may take as long as data arrives. Without a limit on the first
     # byte, a call without a response would never end.
