Limit what a state message unpacks to

A datagram of 64 kB may unpack to 64 MB, and each entry VM unpacked whatever it got at the port of its state messages. No caller was seen to suffer from it.

Change: messages are unpacked up to a megabyte by the function that a copied configuration already used, which has a module now; what exceeds it is dropped like any message that cannot be read.

Evidence: `test_a_message_that_unpacks_to_more_than_the_limit_is_dropped` failed before.

Why it holds: the decompressor stops at the limit, before the rest is unpacked.

--- a/src/rosepath/peer_configuration.py
+++ b/src/rosepath/peer_configuration.py
@@ -14,6 +14,7 @@
 from tornado.web import Application, RequestHandler
 
 from rosepath.clock import Clock
+from rosepath.decompression import decompress
 from rosepath.errors import ExchangeError, Step
 from rosepath.http_client import HttpPool, Request
 from rosepath.logs import get_logger
@@ -157,9 +158,9 @@
             return StoredObject(
                 head.headers[NAME_HEADER],
                 int(head.headers[REVISION_HEADER]),
-                _decompress(body),
+                decompress(body, max_bytes=MAX_CONFIGURATION_BYTES),
             )
-        except (KeyError, ValueError, zlib.error) as error:
+        except (KeyError, ValueError) as error:
             raise ExchangeError(
                 f"not a configuration: {error}",
                 step=Step.RESPONSE,
@@ -171,15 +172,6 @@
     return fetch
 
 
-def _decompress(body: bytes) -> bytes:
-    """Decompress a response; raise ValueError if truncated or too large."""
-    decompressor = zlib.decompressobj()
-    data = decompressor.decompress(body, MAX_CONFIGURATION_BYTES)
-    if not decompressor.eof:
-        raise ValueError("truncated, or larger than the limit")
-    return data
-
-
 def configuration_application(
     configuration: Callable[[], StoredObject | None],
     *,
--- a/src/rosepath/peer_messages.py
+++ b/src/rosepath/peer_messages.py
@@ -7,6 +7,7 @@
 from typing import Any, NamedTuple
 
 from rosepath.crash_records import CrashReport, Exposure, ServerInstance
+from rosepath.decompression import decompress
 from rosepath.demand import ModelDemand
 from rosepath.fleet import LeavingServer, PeerLoad
 from rosepath.isolated_runs import IsolatedRun
@@ -37,6 +38,8 @@
 # Reported as the time since an event that has not happened yet.
 NEVER_S = 1e6
 ZLIB_MARK = b"\x78"
+# The limit of an unpacked message. A datagram of 64 kB may unpack to 64 MB.
+MAX_MESSAGE_BYTES = 1024 * 1024
 FORWARDED_MARK = b"\x01"
 
 
@@ -221,7 +224,7 @@
                 payload=payload, forward_to=to, delay_s=float(raw["l"])
             )
         if data[:1] == ZLIB_MARK:
-            data = zlib.decompress(data)
+            data = decompress(data, max_bytes=MAX_MESSAGE_BYTES)
         raw = json.loads(data)
         if raw["t"].startswith("quota"):
             return decode_quota_fields(raw)
@@ -245,7 +248,7 @@
                 return AdapterReply(
                     adapter_request_id=str(raw["id"]), ready=bool(raw["ok"])
                 )
-    except (ValueError, KeyError, TypeError, IndexError, AttributeError, zlib.error):
+    except (ValueError, KeyError, TypeError, IndexError, AttributeError):
         return None
     return None
 
--- a/tests/test_peer_messages.py
+++ b/tests/test_peer_messages.py
@@ -1,7 +1,10 @@
 """Encoding of messages between entry VMs, and what their order implies."""
 
+import json
+import zlib
 from dataclasses import replace
 
+import pytest
 from entry_builders import a_peer_state
 from hypothesis import given, strategies as st
 
@@ -10,6 +13,7 @@
 from rosepath.fleet import LeavingServer, PeerLoad
 from rosepath.model_arrivals import ModelArrival
 from rosepath.peer_messages import (
+    MAX_MESSAGE_BYTES,
     AdapterReply,
     AdapterRequest,
     LeaseHandover,
@@ -103,3 +107,24 @@
     assert holder is not None and holder.name == "vm-2"
     clock.advance(1.0)
     assert table.holder() is None
+
+
+# Guards against an entry VM that a datagram of some kilobytes takes over its memory.
+def test_a_message_that_unpacks_to_more_than_the_limit_is_dropped() -> None:
+    message = {"t": "reply", "id": "x" * MAX_MESSAGE_BYTES, "ok": True}
+    assert decode(zlib.compress(json.dumps(message).encode())) is None
+
+
+# Guards against errors of the parser in the loop that receives all messages.
+@pytest.mark.parametrize(
+    "data",
+    [
+        b'{"t": "reply", "id": ' + b"7" * 5_000 + b', "ok": true}',
+        b"\xff\xfe",
+        zlib.compress(b'{"t": "reply"}')[:-4],
+        b'{"t": 7}',
+        b"[]",
+    ],
+)
+def test_a_message_that_cannot_be_read_is_dropped(data: bytes) -> None:
+    assert decode(data) is None
