Read the other entries when one of another writer has an odd value

Cause: a page of the store was decoded as one text, and the parser's limits hold for the whole of it. Values that the parser takes but nothing else does (beyond 64 bits, infinite, unpaired surrogates, ports) went on inside.

Change: one decoder for what other programs write, with one error. What the parser refuses is decoded again with the odd values cut out. Field types with bounds where entries, the configuration, reports and members are validated; malformed pages are errors of the store.

Why it holds: the cut is made by token before the parser sees the text, so that no depth or length reaches it, and every number and text that goes on has a type with bounds.

--- a/src/rosepath/api_keys.py
+++ b/src/rosepath/api_keys.py
@@ -8,7 +8,7 @@
 
 def key_digest(key: str) -> str:
     """Return the digest that stands for a key outside its caller's request."""
-    return hashlib.sha256(key.encode(errors="surrogateescape")).hexdigest()
+    return hashlib.sha256(key.encode(errors="surrogatepass")).hexdigest()
 
 
 def logged_digest(digest: str | None) -> str:
--- a/src/rosepath/entry_node.py
+++ b/src/rosepath/entry_node.py
@@ -22,6 +22,7 @@
 from rosepath.gateway import CallerExchange, Gateway
 from rosepath.http_client import HttpPool
 from rosepath.logs import get_logger
+from rosepath.object_store import StoreAccess
 from rosepath.peer_configuration import (
     PeerConfigurationFetcher,
     configuration_application,
@@ -33,7 +34,7 @@
 from rosepath.placement_coordinator import PlacementCoordinator
 from rosepath.platform.calls import READY_PATH
 from rosepath.platform.engines import EngineClient
-from rosepath.platform.store import PlatformStore, StoreAccess
+from rosepath.platform.store import PlatformStore
 from rosepath.prompt_caches import PromptCaches
 from rosepath.quota_client import QuotaClient
 from rosepath.quota_pool import QuotaTolerance
--- a/src/rosepath/header_values.py
+++ b/src/rosepath/header_values.py
@@ -1,8 +1,23 @@
-"""Parse numbers in headers of callers and backend servers."""
+"""Headers of callers and backend servers, and the numbers in them."""
 
 import math
 from collections.abc import Iterable
 
+# Headers that concern one connection only and are not forwarded.
+HOP_BY_HOP_HEADERS = frozenset(
+    (
+        "Connection",
+        "Keep-Alive",
+        "Proxy-Authenticate",
+        "Proxy-Authorization",
+        "Proxy-Connection",
+        "Te",
+        "Trailer",
+        "Transfer-Encoding",
+        "Upgrade",
+    )
+)
+
 
 def parse_int(raw: str | None) -> int | None:
     """Return a non-negative integer; None if absent or invalid."""
--- a/src/rosepath/leases.py
+++ b/src/rosepath/leases.py
@@ -12,6 +12,7 @@
 
 from expression import Error, Ok, Result
 
+from rosepath.json_decoding import decode_json
 from rosepath.object_store import StoredObject
 
 # Previous holders recorded in a lease. Any further ones held it longer ago
@@ -244,7 +245,7 @@
     ended_ago_s: tuple[float, ...] = ()
 
 
-_UNREADABLE = (ValueError, KeyError, TypeError, OverflowError, RecursionError)
+_UNREADABLE = (ValueError, KeyError, TypeError, OverflowError)
 
 
 def encode_lease(record: LeaseRecord) -> bytes:
@@ -255,7 +256,7 @@
 def decode_lease(stored: StoredObject) -> Result[LeaseRecord, str]:
     """Decode a stored lease, or return why it is invalid."""
     try:
-        raw = json.loads(stored.value)
+        raw = decode_json(stored.value)
         if not isinstance(raw, dict):
             return Error(f"lease {stored.name} is not a JSON object")
         record = LeaseRecord(
--- a/src/rosepath/object_store.py
+++ b/src/rosepath/object_store.py
@@ -1,11 +1,12 @@
 """Interfaces to the object store: objects, watches and the VM list."""
 
-from collections.abc import AsyncIterator, Mapping
+from collections.abc import AsyncIterator, Iterator, Mapping
+from contextlib import contextmanager
 from dataclasses import dataclass
 from enum import StrEnum
 from typing import NamedTuple, Protocol
 
-from rosepath.errors import RosepathError
+from rosepath.errors import RosepathError, Step
 from rosepath.hedged_calls import OnResponseStart
 
 
@@ -114,3 +115,29 @@
     def watch(self, prefix: str) -> AsyncIterator[ObjectEvent]: ...
 
     async def vms(self) -> dict[str, VmState]: ...
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class StoreAccess:
+    """Hold the store's address and the timeouts of calls to it.
+
+    `call_timeout_s` limits writes and reads of a single object. Responses to
+    lists and watches may be large: they must start within `read_patience_s`,
+    and then `call_timeout_s` limits each pause in them.
+    """
+
+    address: str
+    call_timeout_s: float
+    read_patience_s: float
+
+
+@contextmanager
+def malformed_as_error(what: str, *, peer: str) -> Iterator[None]:
+    """Raise StoreError for a response that lacks what the store adds."""
+    try:
+        yield
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        message = f"{what}: malformed: {error!r}"
+        failure = StoreError(message, step=Step.STORE, peer=peer)
+        failure.unknown = True
+        raise failure from error
--- a/src/rosepath/peer_exchange.py
+++ b/src/rosepath/peer_exchange.py
@@ -8,7 +8,9 @@
 
 from rosepath.clock import Clock
 from rosepath.crash_watch import CrashWatch
+from rosepath.document_parsing import validate_address, validate_text
 from rosepath.fleet import BackendServer, PeerLoad, own_load
+from rosepath.json_decoding import decode_json
 from rosepath.logs import get_logger
 from rosepath.object_store import ConflictError, StoredObject, StoreError
 from rosepath.peer_link import PeerLink
@@ -22,7 +24,6 @@
 from rosepath.placement_coordinator import PlacementCoordinator
 from rosepath.platform.store import PlatformStore
 from rosepath.server_limits import apply_peer_limits, known_limits
-from rosepath.settings import split_address
 from rosepath.store_tables import StoreTables
 
 # Coalesces changes that arrive within milliseconds into one message.
@@ -43,24 +44,24 @@
 _log = get_logger()
 
 
-class _Member(NamedTuple):
+class Member(NamedTuple):
     """An entry VM as it registered itself in the store."""
 
     address: str
     data_centre: str
 
 
-def _decode_member(stored: StoredObject) -> _Member | None:
+def decode_member(stored: StoredObject) -> Member | None:
     """Decode a VM's store entry; None if it is unreadable."""
     try:
-        raw = json.loads(stored.value)
-        address = str(raw["address"])
-        split_address(address)
-    except (ValueError, KeyError, TypeError, RecursionError) as error:
+        raw = decode_json(stored.value)
+        address = validate_address(str(raw["address"]))
+        # Earlier builds state no data centre.
+        data_centre = validate_text(str(raw.get("data_centre", "")))
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
         _log.warning("member_unreadable", name=stored.name, why=str(error)[:80])
         return None
-    # Earlier builds state no data centre.
-    return _Member(address, str(raw.get("data_centre", "")))
+    return Member(address, data_centre)
 
 
 class PeerExchange:
@@ -134,7 +135,7 @@
                 await asyncio.sleep(pause_s)
                 pause_s = min(2 * pause_s, JOIN_RETRY_MAX_S)
         for stored in listing.objects.values():
-            member = _decode_member(stored)
+            member = decode_member(stored)
             if member is not None:
                 self.peers.note_address(stored.name.partition("/")[2], *member)
         self.link.send_state()
--- a/src/rosepath/peer_messages.py
+++ b/src/rosepath/peer_messages.py
@@ -11,6 +11,7 @@
 from rosepath.demand import ModelDemand
 from rosepath.fleet import LeavingServer, PeerLoad
 from rosepath.isolated_runs import IsolatedRun
+from rosepath.json_decoding import decode_json
 from rosepath.model_arrivals import ModelArrival
 from rosepath.quota_messages import (
     QuotaMessage,
@@ -204,6 +205,17 @@
 )
 
 
+# An infinite number has no integer.
+_UNREADABLE = (
+    ValueError,
+    KeyError,
+    TypeError,
+    IndexError,
+    AttributeError,
+    OverflowError,
+)
+
+
 def encode(message: Message) -> bytes:
     """Encode a message for one datagram."""
     if isinstance(message, ForwardedState):
@@ -218,14 +230,14 @@
     try:
         if data[:1] == FORWARDED_MARK:
             head, _, payload = data[1:].partition(b"\n")
-            raw = json.loads(head)
+            raw = decode_json(head)
             to = tuple(map(str, raw["to"]))
             return ForwardedState(
                 payload=payload, forward_to=to, delay_s=float(raw["l"])
             )
         if data[:1] == ZLIB_MARK:
             data = decompress(data, max_bytes=MAX_MESSAGE_BYTES)
-        raw = json.loads(data)
+        raw = decode_json(data)
         if raw["t"].startswith("quota"):
             return decode_quota_fields(raw)
         if raw["t"].startswith(SCHEDULING_TYPE_PREFIX):
@@ -248,7 +260,7 @@
                 return AdapterReply(
                     adapter_request_id=str(raw["id"]), ready=bool(raw["ok"])
                 )
-    except (ValueError, KeyError, TypeError, IndexError, AttributeError):
+    except _UNREADABLE:
         return None
     return None
 
--- a/src/rosepath/platform/calls.py
+++ b/src/rosepath/platform/calls.py
@@ -4,7 +4,12 @@
 
 from rosepath.api_keys import key_digest
 from rosepath.caller_request import BadRequestError, CallerRequest, Prompt, PromptPart
-from rosepath.header_values import lowest_rate, parse_int, parse_ms
+from rosepath.header_values import (
+    HOP_BY_HOP_HEADERS,
+    lowest_rate,
+    parse_int,
+    parse_ms,
+)
 from rosepath.response_metadata import ResponseMetadata, parse_load
 from rosepath.retry_after import read_retry_after_s
 from rosepath.server_notice import NO_NOTICE, ServerNotice
@@ -31,20 +36,6 @@
 _API_KEY = "Api-Key"
 _WORKSPACE = "Tenant"
 
-# Hop-by-hop headers are not forwarded.
-_HOP_BY_HOP = frozenset(
-    (
-        "Connection",
-        "Keep-Alive",
-        "Proxy-Authenticate",
-        "Proxy-Authorization",
-        "Proxy-Connection",
-        "Te",
-        "Trailer",
-        "Transfer-Encoding",
-        "Upgrade",
-    )
-)
 # Headers of callers that are not forwarded: the key, which must not reach a
 # server, and those that the system sets.
 _INTERNAL = frozenset(
@@ -64,7 +55,7 @@
 )
 # Statuses by which a server rejects requests for a while.
 _REJECTIONS = (429, 503)
-_NOT_FORWARDED = _HOP_BY_HOP | _INTERNAL | {"Host", "Content-Length", "Expect"}
+_NOT_FORWARDED = HOP_BY_HOP_HEADERS | _INTERNAL | {"Host", "Content-Length", "Expect"}
 
 
 def decode_caller_request(
@@ -158,7 +149,7 @@
     """Return the headers of a response that are forwarded to the caller."""
     forwarded = HTTPHeaders()
     for name, value in headers.get_all():
-        if name not in _HOP_BY_HOP and name not in (_LOAD, "Content-Length"):
+        if name not in HOP_BY_HOP_HEADERS and name not in (_LOAD, "Content-Length"):
             forwarded.add(name, value)
     return forwarded
 
--- a/src/rosepath/platform/documents.py
+++ b/src/rosepath/platform/documents.py
@@ -3,15 +3,7 @@
 import json
 from typing import Annotated, Any, Literal
 
-from pydantic import (
-    AfterValidator,
-    BaseModel,
-    ConfigDict,
-    Field,
-    StrictInt,
-    StrictStr,
-)
-from pydantic.alias_generators import to_camel
+from pydantic import Field
 
 from rosepath.api_keys import key_digest
 from rosepath.catalog import (
@@ -24,11 +16,20 @@
     ServiceShare,
     ServiceSpec,
 )
+from rosepath.document_fields import (
+    Address,
+    Amount,
+    Count,
+    Document,
+    DurationMs,
+    Integer,
+    StrictText,
+    Text,
+)
 from rosepath.document_parsing import (
     parse_entries,
     parse_object,
     validate,
-    validate_address,
 )
 from rosepath.fleet import ServerEntry
 from rosepath.logs import get_logger
@@ -42,27 +43,23 @@
 _log = get_logger()
 
 
-class _Document(BaseModel):
-    model_config = ConfigDict(extra="ignore", frozen=True, alias_generator=to_camel)
-
+class _Share(Document):
+    service: Text
+    weight: Amount
 
-class _Share(_Document):
-    service: str
-    weight: Annotated[float, Field(ge=0)]
 
-
-class _Route(_Document):
-    name: str
-    host: str
-    path_prefix: str
+class _Route(Document):
+    name: Text
+    host: Text
+    path_prefix: Text
     route_type: Literal["idempotent", "non_idempotent", "streaming"]
-    timeout_ms: Annotated[float, Field(gt=0)]
-    target_latency_ms: float = 0.0
-    target_gap_ms: float | None = None
-    priority: int = 0
-    service: str | None = None
+    timeout_ms: Annotated[DurationMs, Field(gt=0)]
+    target_latency_ms: DurationMs = 0.0
+    target_gap_ms: DurationMs | None = None
+    priority: Integer = 0
+    service: Text | None = None
     traffic_split: tuple[_Share, ...] | None = None
-    max_attempts: int = 1
+    max_attempts: Integer = 1
     resumable: bool = False
     anonymous: bool = False
 
@@ -92,22 +89,22 @@
         )
 
 
-class _Model(_Document):
-    name: str
-    mb: float
-    load_time_s: float
-    warm_s: float | None = None
-    disk_load_s: float | None = None
-    adapters: int = 0
-    adapter_mb: float = 0.0
+class _Model(Document):
+    name: Text
+    mb: Amount
+    load_time_s: Amount
+    warm_s: Amount | None = None
+    disk_load_s: Amount | None = None
+    adapters: Integer = 0
+    adapter_mb: Amount = 0.0
 
 
-class _Engine(_Document):
-    slots: int
-    kv_capacity_tokens: int
-    mb: float
-    adapter_slots: int = 0
-    loads_per_s: float = 1.0
+class _Engine(Document):
+    slots: Integer
+    kv_capacity_tokens: Integer
+    mb: Amount
+    adapter_slots: Integer = 0
+    loads_per_s: Amount = 1.0
     models: tuple[_Model, ...] = ()
 
     def decoded(self) -> EngineSpec:
@@ -132,10 +129,10 @@
         )
 
 
-class _Service(_Document):
-    name: str
-    health_path: str = "/health"
-    max_connections: int = 100
+class _Service(Document):
+    name: Text
+    health_path: Text = "/health"
+    max_connections: Integer = 100
     engine: _Engine | None = None
 
     def decoded(self) -> ServiceSpec:
@@ -147,13 +144,13 @@
         )
 
 
-class _Workspace(_Document):
-    name: Annotated[StrictStr, Field(min_length=1)]
+class _Workspace(Document):
+    name: Annotated[StrictText, Field(min_length=1)]
     # Entries of another type are skipped, so that they don't invalidate the
     # workspace's other keys.
     api_keys: tuple[Any, ...] = ()
     api_key_digests: tuple[Any, ...] = ()
-    priority: int | None = None
+    priority: Integer | None = None
 
     @property
     def digests(self) -> list[str]:
@@ -162,11 +159,11 @@
         return [*map(key_digest, keys), *digests]
 
 
-class _Quota(_Document):
-    rate_per_s: Annotated[float, Field(ge=0, allow_inf_nan=False)] = 0.0
-    burst: Annotated[float, Field(ge=0, allow_inf_nan=False)] = 0.0
+class _Quota(Document):
+    rate_per_s: Amount = 0.0
+    burst: Amount = 0.0
     unit: str = "request"
-    plain_tokens: Annotated[float, Field(ge=0, allow_inf_nan=False)] = 1.0
+    plain_tokens: Amount = 1.0
 
     def decoded(self) -> Quota | None:
         if not self.rate_per_s:
@@ -183,47 +180,44 @@
         )
 
 
-class _Limits(_Document):
-    max_header_bytes: int = 16384
-    max_body_bytes: int = 4194304
-    header_timeout_ms: float = 3000
-    idle_timeout_ms: float = 15000
-
-
-class _ResidentModel(_Document):
-    name: StrictStr
-    adapters: tuple[StrictStr, ...] = ()
+class _Limits(Document):
+    max_header_bytes: Integer = 16384
+    max_body_bytes: Integer = 4194304
+    header_timeout_ms: DurationMs = 3000
+    idle_timeout_ms: DurationMs = 15000
 
 
-class _Available(_Document):
-    in_memory: frozenset[StrictStr] = frozenset()
-    on_disk: frozenset[StrictStr] = frozenset()
+class _ResidentModel(Document):
+    name: StrictText
+    adapters: tuple[StrictText, ...] = ()
 
 
-_Count = Annotated[StrictInt, Field(ge=0)]
+class _Available(Document):
+    in_memory: frozenset[StrictText] = frozenset()
+    on_disk: frozenset[StrictText] = frozenset()
 
 
-class _Server(_Document):
+class _Server(Document):
     """Validate a server's entry without type conversion.
 
     Other writers store entries of the same kind. If missing or converted
     fields were accepted, requests could be sent to invalid addresses.
     """
 
-    service: Annotated[StrictStr, Field(min_length=1)]
-    address: Annotated[StrictStr, AfterValidator(validate_address)]
-    zone: StrictStr
+    service: Annotated[StrictText, Field(min_length=1)]
+    address: Address
+    zone: StrictText
     # Of the server's software; the weights' versions are in its responses.
-    version: StrictStr
-    slots: Annotated[StrictInt, Field(ge=1)]
+    version: StrictText
+    slots: Annotated[Count, Field(ge=1)]
     state: Literal["ready", "draining"]
-    sequence: _Count
+    sequence: Count
     # Start of this instance of the server, in Unix milliseconds. An entry
     # without it is older than any entry with it.
-    born: _Count = 0
+    born: Count = 0
     models: tuple[_ResidentModel, ...] = ()
     available: _Available = _Available()
-    remaining_ms: float | None = None
+    remaining_ms: Amount | None = None
 
 
 def decode_catalog(stored: StoredObject) -> Catalog | None:
--- a/src/rosepath/platform/engines.py
+++ b/src/rosepath/platform/engines.py
@@ -5,9 +5,11 @@
 from dataclasses import dataclass
 from typing import Any
 
+from rosepath.document_fields import Count, Document, Text
 from rosepath.engine_orders import EngineReport, Order, OrderAction, OrderReply
 from rosepath.errors import ExchangeError, Step
 from rosepath.http_client import HttpPool, Request, ResponseHead
+from rosepath.json_decoding import decode_json
 from rosepath.platform.calls import echoed_request_id, read_notice
 from rosepath.server_notice import NO_NOTICE, ServerNotice
 
@@ -26,6 +28,23 @@
 }
 
 
+class _ReportedAdapter(Document):
+    name: Text
+
+
+class _ReportedModel(Document):
+    name: Text
+    adapters: tuple[Text | _ReportedAdapter, ...]
+
+
+class _Report(Document):
+    sequence: Count
+    busy: Any
+    born: Count = 0
+    models: tuple[_ReportedModel, ...]
+    pending: tuple[Text, ...] | None = None
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class EngineClient:
     """Implement the engine interface over pooled connections."""
@@ -69,29 +88,25 @@
         try:
             if head.status != 200:
                 raise ValueError(f"status {head.status}")
-            raw = json.loads(body)
-            return EngineReport(
-                sequence=int(raw["sequence"]),
-                busy=bool(raw["busy"]),
-                born_ms=int(raw.get("born", 0)),
-                models={
-                    str(model["name"]): frozenset(
-                        _adapter_name(adapter) for adapter in model["adapters"]
-                    )
-                    for model in raw["models"]
-                },
-                # Each name has the form model/name@version.
-                pending=frozenset(
-                    name.partition("@")[0] for name in raw.get("pending") or ()
-                ),
-            )
-        except (ValueError, KeyError, TypeError, AttributeError) as error:
+            report = _Report.model_validate(decode_json(body))
+        except ValueError as error:
             raise ExchangeError(
                 f"report cannot be read: {error}",
                 step=Step.RESPONSE,
                 peer=address,
                 sent=True,
             ) from error
+        return EngineReport(
+            sequence=report.sequence,
+            busy=bool(report.busy),
+            born_ms=report.born,
+            models={
+                model.name: frozenset(map(_adapter_name, model.adapters))
+                for model in report.models
+            },
+            # Each name has the form model/name@version.
+            pending=frozenset(name.partition("@")[0] for name in report.pending or ()),
+        )
 
     def _forward_notice(self, server: str, head: ResponseHead) -> None:
         notice = read_notice(head.status, head.headers)
@@ -113,7 +128,5 @@
     )
 
 
-def _adapter_name(adapter: object) -> str:
-    if isinstance(adapter, Mapping):
-        return str(adapter["name"])
-    return str(adapter).partition("@")[0]
+def _adapter_name(adapter: _ReportedAdapter | str) -> str:
+    return adapter.partition("@")[0] if isinstance(adapter, str) else adapter.name
--- a/src/rosepath/platform/store.py
+++ b/src/rosepath/platform/store.py
@@ -3,7 +3,6 @@
 import json
 from collections import Counter
 from collections.abc import Mapping
-from dataclasses import dataclass
 from typing import Any
 from urllib.parse import quote, urlencode
 
@@ -12,14 +11,21 @@
 from rosepath.errors import ExchangeError, Step
 from rosepath.hedged_calls import OnResponseStart
 from rosepath.http_client import HttpPool, Request, ResponseHead
+from rosepath.json_decoding import (
+    DocumentError,
+    decode_json_leniently,
+    encode_json_leniently,
+)
 from rosepath.object_store import (
     Change,
     ConflictError,
     HistoryGoneError,
     Listing,
+    StoreAccess,
     StoredObject,
     StoreError,
     ignore_response_start,
+    malformed_as_error,
 )
 
 _PATH = "/v1/objects/"
@@ -27,20 +33,6 @@
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class StoreAccess:
-    """Hold the store's address and the timeouts of calls to it.
-
-    `call_timeout_s` limits writes and reads of a single object. Responses to
-    lists and watches may be large: they must start within `read_patience_s`,
-    and then `call_timeout_s` limits each pause in them.
-    """
-
-    address: str
-    call_timeout_s: float
-    read_patience_s: float
-
-
 class PlatformStore:
     """Own the connections to the store; objects are named `kind/name`."""
 
@@ -57,7 +49,10 @@
 
     async def get(self, name: str) -> StoredObject | None:
         head, raw = await self._call("get", "GET", _path(name))
-        return None if head.status == 404 else _parse_object(name, raw)
+        if head.status == 404:
+            return None
+        with malformed_as_error(name, peer=self._access.address):
+            return _parse_object(name.partition("/")[0], raw)
 
     async def put(
         self, name: str, value: bytes, *, expected_version: int | None
@@ -71,7 +66,8 @@
             _, raw = await self._call("create", "POST", _PATH + kind, body)
         else:
             _, raw = await self._call("replace", "PUT", _path(name), body)
-        return int(raw["metadata"]["revision"])
+        with malformed_as_error(name, peer=self._access.address):
+            return int(raw["metadata"]["revision"])
 
     async def delete(self, name: str, *, expected_version: int) -> None:
         await self._call(
@@ -95,15 +91,18 @@
             _, raw = await self._read_list(
                 "list", path, fresh=fresh, on_response_start=on_response_start
             )
-            for item in raw["items"]:
-                after = item["metadata"]["name"]
-                name = f"{kind}/{after}"
-                objects[name] = _parse_object(name, item)
-            # A watch from the first page's revision includes all changes made
-            # while later pages are read.
-            revision = int(raw["atRevision"]) if revision is None else revision
-            if not raw.get("hasMore"):
+            with malformed_as_error(path, peer=self._access.address):
+                items = [_parse_object(kind, item) for item in raw["items"]]
+                # A watch from the first page's revision includes all changes
+                # made while later pages are read.
+                revision = int(raw["atRevision"]) if revision is None else revision
+                has_more = bool(raw.get("hasMore"))
+                if has_more and not items:
+                    raise ValueError("an empty page is followed by another one")
+            objects.update((item.name, item) for item in items)
+            if not has_more:
                 return Listing(revision=revision, objects=objects)
+            after = items[-1].name.partition("/")[2]
 
     async def changes(
         self,
@@ -129,21 +128,8 @@
         )
         if head.status == 410:
             raise HistoryGoneError(kind, step=Step.STORE, peer=self._access.address)
-        written: dict[str, StoredObject] = {}
-        removed: set[str] = set()
-        for event in raw["events"]:
-            name = f"{kind}/{event['object']['metadata']['name']}"
-            if event.get("deleted"):
-                written.pop(name, None)
-                removed.add(name)
-            else:
-                removed.discard(name)
-                written[name] = _parse_object(name, event["object"])
-        return Change(
-            revision=int(raw["atRevision"]),
-            written=written,
-            removed=frozenset(removed),
-        )
+        with malformed_as_error(path, peer=self._access.address):
+            return _parse_change(kind, raw)
 
     async def _call(
         self, operation: str, method: str, path: str, body: bytes = b""
@@ -212,9 +198,8 @@
                 raise ConflictError(path, step=Step.STORE, peer=self._access.address)
             if head.status >= 400 and head.status not in (404, 410):
                 raise self._error(f"{method} {path}: {head.status}", unknown=False)
-            # Other writers' objects may contain invalid UTF-8.
-            raw = json.loads(body.decode(errors="replace")) if body else {}
-        except (ExchangeError, TimeoutError, ValueError, RecursionError) as error:
+            raw = decode_json_leniently(body or b"{}")
+        except (ExchangeError, TimeoutError, DocumentError) as error:
             unsent = isinstance(error, ExchangeError) and not error.sent
             unknown = method != "GET" and not unsent
             why = str(error) or "no answer in time"
@@ -235,10 +220,26 @@
     return f"{_PATH}{kind}/{quote(object_name, safe='')}"
 
 
-def _parse_object(name: str, raw: Mapping[str, Any]) -> StoredObject:
-    spec = raw.get("spec")
+def _parse_change(kind: str, raw: Mapping[str, Any]) -> Change:
+    written: dict[str, StoredObject] = {}
+    removed: set[str] = set()
+    for event in raw["events"]:
+        name = f"{kind}/{event['object']['metadata']['name']}"
+        if event.get("deleted"):
+            written.pop(name, None)
+            removed.add(name)
+        else:
+            removed.discard(name)
+            written[name] = _parse_object(kind, event["object"])
+    return Change(
+        revision=int(raw["atRevision"]), written=written, removed=frozenset(removed)
+    )
+
+
+def _parse_object(kind: str, raw: Mapping[str, Any]) -> StoredObject:
+    metadata, spec = raw["metadata"], raw.get("spec")
     # The spec of rosepath's own objects is a string, kept byte for byte; that
     # of operators' objects is a document.
-    encoded = spec if isinstance(spec, str) else json.dumps(spec)
+    encoded = spec if isinstance(spec, str) else encode_json_leniently(spec)
     value = encoded.encode(errors="replace")
-    return StoredObject(name, int(raw["metadata"]["revision"]), value)
+    return StoredObject(f"{kind}/{metadata['name']}", int(metadata["revision"]), value)
--- a/src/rosepath/software_versions.py
+++ b/src/rosepath/software_versions.py
@@ -14,6 +14,7 @@
 
 from rosepath.clock import Clock
 from rosepath.fleet import Fleet
+from rosepath.json_decoding import decode_json
 from rosepath.logs import get_logger
 from rosepath.object_store import ConflictError, StoredObject, StoreError
 from rosepath.stream_origins import ORIGIN_TTL_S
@@ -131,7 +132,7 @@
         stored = await self._store.get(RECORD_NAME)
         self._read_s = self._clock.monotonic_s()
         self._revision = stored.version if stored is not None else 0
-        self._record = _decode(stored)
+        self._record = decode_versions(stored)
         # For as long as streams last, what the last holder knew may matter.
         self._recent.note(self._record, now_s=self._read_s)
 
@@ -145,12 +146,12 @@
         _log.info("versions_recorded", versions=raw)
 
 
-def _decode(stored: StoredObject | None) -> Versions:
+def decode_versions(stored: StoredObject | None) -> Versions:
     """Decode a record; an unreadable one names no version."""
     if stored is None:
         return {}
     try:
-        raw = json.loads(stored.value)
+        raw = decode_json(stored.value)
         return _by_service(
             (str(service), str(name))
             for service, names in raw.items()
--- a/src/rosepath/store_session.py
+++ b/src/rosepath/store_session.py
@@ -12,11 +12,12 @@
     HistoryGoneError,
     Listing,
     ObjectEvent,
+    StoreAccess,
     StoredObject,
     StoreError,
     VmState,
 )
-from rosepath.platform.store import PlatformStore, StoreAccess
+from rosepath.platform.store import PlatformStore
 from rosepath.settings import PlatformSettings
 from rosepath.token_bucket import TokenBucket
 
--- a/tests/store_wire.py
+++ b/tests/store_wire.py
@@ -11,7 +11,8 @@
 
 from virtual_time import LoopClock, VirtualLoop, now_s
 
-from rosepath.platform.store import PlatformStore, StoreAccess
+from rosepath.object_store import StoreAccess
+from rosepath.platform.store import PlatformStore
 
 CALL_TIMEOUT_S = 0.5
 READ_INACTIVITY_TIMEOUT_S = 4.0
--- a/tests/test_peer_messages.py
+++ b/tests/test_peer_messages.py
@@ -119,6 +119,7 @@
 @pytest.mark.parametrize(
     "data",
     [
+        b'{"t": "reply", "id": ' + b"[" * 50_000,
         b'{"t": "reply", "id": ' + b"7" * 5_000 + b', "ok": true}',
         b"\xff\xfe",
         zlib.compress(b'{"t": "reply"}')[:-4],
--- a/tests/test_store_stalls.py
+++ b/tests/test_store_stalls.py
@@ -6,7 +6,8 @@
 from timed_engines import ScriptedEngine, TimedPool
 from virtual_time import LoopClock, VirtualLoop
 
-from rosepath.platform.store import PlatformStore, StoreAccess
+from rosepath.object_store import StoreAccess
+from rosepath.platform.store import PlatformStore
 
 LIMIT_S = 0.5
 
