Reject odd numbers in headers instead of failing on them

Seen in tests only.

Change: one parser for counts in headers, with a limit. An odd deadline or event id counts as absent, as other invalid ones did; an odd size of a prompt is a bad request.

--- a/src/rosepath/header_values.py
+++ b/src/rosepath/header_values.py
@@ -19,9 +19,28 @@
 )
 
 
+# Far beyond any number of tokens, events or milliseconds.
+MAX_COUNT = 10**15
+
+
 def parse_int(raw: str | None) -> int | None:
-    """Return a non-negative integer; None if absent or invalid."""
-    return int(raw) if raw is not None and raw.strip().isdigit() else None
+    """Return an integer from 0 to `MAX_COUNT`; None if absent or invalid."""
+    digits = (raw or "").strip()
+    if not (digits.isascii() and digits.isdigit()):
+        return None
+    digits = digits.lstrip("0") or "0"
+    if len(digits) > len(str(MAX_COUNT)):
+        return None
+    count = int(digits)
+    return count if count <= MAX_COUNT else None
+
+
+def parse_count(raw: str) -> int:
+    """Return an integer from 0 to `MAX_COUNT`; raise ValueError."""
+    count = parse_int(raw)
+    if count is None:
+        raise ValueError(f"no count: {raw[:40]!r}")
+    return count
 
 
 def parse_ms(raw: str | None) -> float | None:
--- a/src/rosepath/platform/calls.py
+++ b/src/rosepath/platform/calls.py
@@ -7,6 +7,7 @@
 from rosepath.header_values import (
     HOP_BY_HOP_HEADERS,
     lowest_rate,
+    parse_count,
     parse_int,
     parse_ms,
 )
@@ -173,19 +174,16 @@
     model, _, adapter = target.partition("/")
     input_tokens, _, output_tokens = headers.get(_TOKENS, "0,0").partition(",")
     try:
+        named = map(str.strip, headers.get(_PARTS, "").split(","))
         parts = tuple(
-            PromptPart(part_id, int(tokens))
-            for part_id, _, tokens in (
-                part.strip().partition(":")
-                for part in headers.get(_PARTS, "").split(",")
-                if part.strip()
-            )
+            PromptPart(part_id, parse_count(tokens))
+            for part_id, _, tokens in (part.partition(":") for part in named if part)
         )
         return Prompt(
             model=model,
             adapter=adapter,
-            input_tokens=int(input_tokens or 0),
-            output_tokens=int(output_tokens or 0),
+            input_tokens=parse_count(input_tokens or "0"),
+            output_tokens=parse_count(output_tokens or "0"),
             parts=parts,
         )
     except ValueError as error:
--- /dev/null
+++ b/tests/test_header_values.py
@@ -0,0 +1,69 @@
+"""Numbers in headers that callers and backend servers send."""
+
+import pytest
+from hypothesis import given, strategies as st
+from tornado.httputil import HTTPHeaders
+
+from rosepath.caller_request import BadRequestError, CallerRequest
+from rosepath.header_values import MAX_COUNT, parse_int
+from rosepath.platform.calls import decode_caller_request, read_response_metadata
+
+ODD_NUMBERS = [
+    "7" * 5_000,
+    "0" * 5_000 + "x",
+    "7" * 400,
+    "²",
+    "٣",
+    "-1",
+    "1.5",
+    "1e999",
+    "nan",
+    "",
+    "1_0",
+]
+
+
+def decode(**headers: str) -> CallerRequest:
+    named = {name.replace("_", "-"): value for name, value in headers.items()}
+    return decode_caller_request(
+        method="POST",
+        path="/draft/1",
+        headers=HTTPHeaders({"Request-Id": "q", "Host": "h", **named}),
+        body=b"",
+        arrived_s=0.0,
+    )
+
+
+# Guards against a request that ends in an internal error, or a plan that fails on the
+# size of one prompt, because of a number in a header.
+@pytest.mark.parametrize("odd", ODD_NUMBERS)
+def test_an_odd_number_in_a_request_is_ignored_or_rejected(odd: str) -> None:
+    for name in ("Request_Deadline_Ms", "Last_Event_Id"):
+        call = decode(**{name: odd})
+        assert call.wait_s is None and call.last_event_id is None
+    for headers in (
+        {"Token_Usage": f"{odd},5"},
+        {"Token_Usage": f"5,{odd}"},
+        {"Prompt_Prefix": f"aa:{odd}"},
+    ):
+        try:
+            prompt = decode(Model="m", **headers).prompt
+        except BadRequestError:
+            continue
+        assert prompt is not None
+        assert 0 <= prompt.input_tokens <= MAX_COUNT
+        assert 0 <= prompt.output_tokens <= MAX_COUNT
+        assert all(0 <= part.tokens <= MAX_COUNT for part in prompt.parts)
+
+
+@pytest.mark.parametrize("odd", ODD_NUMBERS)
+@pytest.mark.parametrize("name", ["Server-Load", "Retry-After", "Server-Limit"])
+def test_an_odd_number_in_a_response_raises_nothing(odd: str, name: str) -> None:
+    for value in (odd, f"{odd},{odd},{odd},{odd}"):
+        read_response_metadata(503, HTTPHeaders({name: value}))
+
+
+@given(st.text())
+def test_arbitrary_text_is_a_count_or_nothing(text: str) -> None:
+    count = parse_int(text)
+    assert count is None or 0 <= count <= MAX_COUNT
