Reset a truncated stream for a caller that does not know chunks

A caller that speaks HTTP/1.0 gets a stream without chunks, whose end is that of its connection. A stream that broke off was closed in order, and looked whole to it.

Change: such a connection is reset.

Evidence: `test_a_truncated_stream_is_reset_for_a_caller_without_chunks` failed before (an orderly end). Callers that know chunks see a missing last chunk, as before; a reset could cost them events that had arrived.

--- a/src/rosepath/gateway.py
+++ b/src/rosepath/gateway.py
@@ -17,6 +17,7 @@
 
 from rosepath.catalog import CallerLimits
 from rosepath.clock import Clock
+from rosepath.http_exchange import disable_linger
 
 # Large enough for a burst of events; beyond it, the relay stops reading from
 # the backend server until the caller catches up.
@@ -36,6 +37,9 @@
         self.headers = HTTPHeaders()
         self.arrived_s = 0.0
         self.response_started = False
+        # Whether the end of the connection ends the response that was started.
+        self._ends_with_close = False
+        self._knows_chunks = True
         self.done = False
         self._body: list[bytes] = []
         self._gateway = gateway
@@ -83,6 +87,7 @@
     ) -> None:
         assert isinstance(start_line, RequestStartLine)
         self.method, self.path = start_line.method, start_line.path
+        self._knows_chunks = start_line.version != "HTTP/1.0"
         self.headers = headers
         self._mark_active()
         self._gateway.reading.add(self)
@@ -127,6 +132,7 @@
     ) -> None:
         """Write the status line and headers of the response."""
         self.response_started = True
+        self._ends_with_close = length is None and not self._knows_chunks
         if length is not None:
             headers["Content-Length"] = str(length)
         if self._gateway.closing:
@@ -169,6 +175,9 @@
         self.done = True
         stream = self._connection.stream
         if stream is not None and not stream.closed():
+            if self._ends_with_close:
+                # An orderly close would complete the response.
+                disable_linger(stream.socket)
             stream.close()
 
 
--- a/tests/test_truncated_responses.py
+++ b/tests/test_truncated_responses.py
@@ -159,3 +159,30 @@
             assert is_whole(raw) and body_of(raw) == body
 
     asyncio.run(run())
+
+
+async def breaks_off_after_an_event(
+    received: ReceivedRequest, writer: asyncio.StreamWriter
+) -> None:
+    head = HEAD.replace(PLACEHOLDER, received.request_id.encode())
+    writer.write(head + CHUNKED + chunk(event(1)))
+    await writer.drain()
+    writer.close()
+
+
+# Guards against a truncated stream that looks whole to a caller that does not know
+# chunks, for which the end of the connection ends the body.
+def test_a_truncated_stream_is_reset_for_a_caller_without_chunks() -> None:
+    async def run() -> None:
+        server = ScriptedServer("s1", breaks_off_after_an_event)
+        route = a_route(kind=RouteKind.STREAMING, service="desk", max_attempts=1)
+        async with running_gateway(server, route=route) as node:
+            reader, writer = await node.connect()
+            head = post(1).replace("HTTP/1.1", "HTTP/1.0")
+            writer.write(f"{head}\r\nHost: court.example\r\n\r\n".encode())
+            async with asyncio.timeout(10):
+                with pytest.raises(ConnectionResetError):
+                    await reader.read()
+            writer.close()
+
+    asyncio.run(run())
