Break off a response whose handler fails after it has started

Callers got the last chunk, or an orderly close, and took the part for the whole.

Change: the connection is reset, as where a started response ends with a refusal.

Evidence: `test_a_response_whose_handler_fails_does_not_look_whole` failed before, with and without chunks.

--- a/src/rosepath/caller_handler.py
+++ b/src/rosepath/caller_handler.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from opentelemetry import trace
-from tornado.iostream import StreamClosedError
+from tornado.iostream import IOStream, StreamClosedError
 from tornado.web import RequestHandler
 
 from rosepath.admission import Admission
@@ -19,6 +19,7 @@
 from rosepath.declarations import matches
 from rosepath.dispatch import Dispatcher, RequestOptions
 from rosepath.errors import Refusal, RefusalError, Run, Step, refuse
+from rosepath.http_exchange import disable_linger
 from rosepath.logs import get_logger
 from rosepath.object_store import PlatformPort
 from rosepath.services import ServiceRelay
@@ -79,6 +80,16 @@
     def log_exception(self, *exc_info: Any) -> None:
         _log.error("handler_failed", request_id=self.request_id, exc_info=exc_info)
 
+    def send_error(self, status_code: int = 500, **kwargs: Any) -> None:
+        """Respond with an error, or break off a response that has started.
+
+        Tornado would finish it, and callers would take it for complete.
+        """
+        if self._headers_written and not self._finished:
+            self._break_off()
+        else:
+            super().send_error(status_code, **kwargs)
+
     def write_error(self, status_code: int, **_: Any) -> None:
         """Respond to an unexpected exception or to invalid HTTP."""
         server_error = status_code >= 500
@@ -144,8 +155,15 @@
             self.write(f"data: {body}\n\n")
             await self.finish()
             return
-        # Finishing normally would make the partial response look complete.
-        self.request.connection.stream.close()  # type: ignore[union-attr]
+        self._break_off()
+
+    def _break_off(self) -> None:
+        """Reset the connection, so that a partial response does not look complete."""
+        stream: IOStream = self.request.connection.stream  # type: ignore[union-attr]
+        if not stream.closed():
+            # An orderly close completes a response to a caller without chunks.
+            disable_linger(stream.socket)
+            stream.close()
 
     def authenticate(self) -> str:
         """Return the caller's name."""
--- a/tests/test_truncated_responses.py
+++ b/tests/test_truncated_responses.py
@@ -4,6 +4,7 @@
 from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack, asynccontextmanager
 from functools import partial
+from types import SimpleNamespace
 
 import pytest
 from entry_builders import a_route
@@ -19,6 +20,7 @@
 from tornado.httpserver import HTTPServer
 from tornado.web import Application
 
+from rosepath.caller_handler import Handler
 from rosepath.catalog import RouteKind
 from rosepath.http_client import HttpPool
 from rosepath.http_exchange import disable_linger
@@ -186,3 +188,40 @@
             writer.close()
 
     asyncio.run(run())
+
+
+class FailingHandler(Handler):
+    """Fail after a part of the response was sent."""
+
+    async def get(self) -> None:
+        self.write(b"half")
+        await self.flush()
+        raise RuntimeError
+
+
+# Guards against a truncated response of the product's own daemon that looks whole:
+# the framework finishes a response whose handler fails.
+@pytest.mark.parametrize("version", ["HTTP/1.0", "HTTP/1.1"])
+def test_a_response_whose_handler_fails_does_not_look_whole(version: str) -> None:
+    async def run() -> None:
+        ports = SimpleNamespace(stopping=lambda: False)
+        application = Application([("/", FailingHandler, {"ports": ports})])
+        server, port = HTTPServer(application), free_port()
+        server.listen(port, address="127.0.0.1")
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        head = f"GET / {version}\r\nHost: h\r\nConnection: close\r\n\r\n"
+        writer.write(head.encode())
+        async with asyncio.timeout(10):
+            assert await reader.readuntil(b"half")
+            try:
+                rest = await reader.read()
+            except ConnectionResetError:
+                rest = b""
+            else:
+                assert version == "HTTP/1.1"
+        assert b"0\r\n" not in rest
+        writer.close()
+        server.stop()
+        await server.close_all_connections()
+
+    asyncio.run(run())
