Know of a software version before a stream that began there is taken up

Change: the record is read after the request has come (one read serves all who wait, ten a second at most), is as old as its read, and names a version before the first event of a stream that begins there leaves: the first VM that sees one adds it. Events are held for that for 80 ms at most, once for each version and VM; no stream waits for a store that failed in the last 5 s.

--- a/src/rosepath/entry_node.py
+++ b/src/rosepath/entry_node.py
@@ -296,6 +296,7 @@
                 scheduling=self.scheduling,
                 origins=self.origins,
                 sole_version=self.versions.sole_version,
+                record_version=self.versions.record,
                 entry_vm=settings.entry_vm,
             )
         )
--- a/src/rosepath/relay.py
+++ b/src/rosepath/relay.py
@@ -54,12 +54,36 @@
 # Length limit of logged hosts and paths, which callers choose.
 MAX_LOGGED_CHARS = 200
 EVENT_END = b"\n\n"
+# How long the first events of a stream are held until its software version is
+# recorded. Callers notice a longer pause.
+RECORD_WAIT_S = 0.08
 # Of a stream whose server restarted as it began; no server runs it.
 UNKNOWN_VERSION = "\0unknown"
 
 _log = get_logger()
 
 
+def _pass_on(
+    exchange: CallerExchange, head: ResponseHead, events: bytes
+) -> Awaitable[None] | None:
+    """Pass events on to the caller, after the head of the response."""
+    if not exchange.response_started:
+        exchange.start_response(head.status, forwarded_headers(head.headers))
+    return exchange.write(events)
+
+
+async def _pass_on_after(
+    recording: asyncio.Future[None],
+    exchange: CallerExchange,
+    head: ResponseHead,
+    events: bytes,
+) -> None:
+    await asyncio.wait([recording], timeout=RECORD_WAIT_S)
+    written = _pass_on(exchange, head, events)
+    if written is not None:
+        await written
+
+
 class Relay:
     """Route callers' requests, run their attempts and send the responses.
 
@@ -350,17 +374,16 @@
 
         def on_events(head: ResponseHead, events: bytes) -> Awaitable[None] | None:
             server.last_activity_s = self._now_s()
+            recording = None
             if progress.event_count == 0:
-                self._note_first_events(context, server)
+                recording = self._note_first_events(context, server)
             progress.note_events(events.count(EVENT_END), now_s=server.last_activity_s)
             context.note_events(now_s=server.last_activity_s)
             in_flight.unread_tokens = 0
             self._suspects.note_events(context, in_flight)
-            if not context.exchange.response_started:
-                context.exchange.start_response(
-                    head.status, forwarded_headers(head.headers)
-                )
-            return context.exchange.write(events)
+            if recording is not None:
+                return _pass_on_after(recording, context.exchange, head, events)
+            return _pass_on(context.exchange, head, events)
 
         def on_watched(watchdog: Watchdog) -> None:
             in_flight.end_lost = watchdog.close_lost
@@ -428,15 +451,16 @@
 
     def _note_first_events(
         self, context: RequestContext, server: BackendServer
-    ) -> None:
+    ) -> asyncio.Future[None] | None:
         """Note the first events of an attempt: they begin a stream or continue it.
 
-        Raises AttemptError if they may be of another software version than those
-        before: the server restarted since it was chosen.
+        Return what must end before they are passed on, if anything. Raises
+        AttemptError if they may be of another software version than those before:
+        the server restarted since it was chosen.
         """
         version = server.entry.software_version
         if context.event_sequence is None:
-            return
+            return None
         current = self._ports.fleet.servers.get(server.name, server)
         if not current.has_software_of(server.entry):
             if context.software_version is not None:
@@ -451,7 +475,7 @@
             # Either version may have written the events, so that none can
             # continue the stream.
             context.software_version = UNKNOWN_VERSION
-            return
+            return None
         if context.call.resumed_request_id or context.software_version is not None:
             _log.info(
                 "stream_continued",
@@ -468,6 +492,8 @@
                     service=context.service.name, software_version=version
                 )
                 self._ports.origins.note_began(context.call.request_id, origin)
+                return self._ports.record_version(context.service.name, version)
+        return None
 
     def _apply_notice(self, server: BackendServer, notice: ServerNotice) -> None:
         """Apply the notice in a response's headers to its server."""
--- a/src/rosepath/request_context.py
+++ b/src/rosepath/request_context.py
@@ -144,6 +144,9 @@
     origins: OriginPort = field(default_factory=LocalOrigins)
     # The only software version that a service had lately, if that is certain.
     sole_version: Callable[[str], Awaitable[str | None]] = _unknown_version
+    # Records a software version of a service before a stream begins there; None
+    # if it is recorded already.
+    record_version: Callable[[str, str], asyncio.Future[None] | None] = lambda *_: None
     entry_vm: str = ""
     # Whether a request without a model ends its wait as soon as no load can
     # be done in time.
--- a/src/rosepath/software_versions.py
+++ b/src/rosepath/software_versions.py
@@ -13,6 +13,7 @@
 from typing import Protocol
 
 from rosepath.clock import Clock
+from rosepath.errors import Step
 from rosepath.fleet import Fleet
 from rosepath.json_decoding import decode_json
 from rosepath.logs import get_logger
@@ -20,10 +21,15 @@
 from rosepath.stream_origins import ORIGIN_TTL_S
 
 RECORD_NAME = "rosepath-software-versions/all"
-# Many callers come back at once after all VMs restarted; one read serves them.
-RECORD_CACHED_S = 1.0
+# Many callers come back at once after all VMs restarted; one read serves those who
+# have come since the one before.
+MIN_READ_INTERVAL_S = 0.1
 # The callers wait meanwhile; the store answers in milliseconds unless it is slow.
-READ_TIMEOUT_S = 0.4
+RECORD_TIMEOUT_S = 0.4
+# How long streams begin without a record after the store has failed.
+RECORD_RETRY_S = 5.0
+# Several VMs may record several new versions at once.
+MAX_WRITES = 4
 
 Versions = Mapping[str, frozenset[str]]
 
@@ -90,10 +96,21 @@
         self._record: Versions = {}
         # The revision of the record, None while it is not known.
         self._revision: int | None = None
+        # When the latest read was sent.
         self._read_s = -1e9
+        self._reading = asyncio.Lock()
+        # Versions found in the record while servers had them, by service.
+        self._confirmed: set[tuple[str, str]] = set()
+        self._recordings: dict[tuple[str, str], asyncio.Future[None]] = {}
+        # Until when streams don't wait for the store.
+        self._retry_s = -1e9
 
     async def step(self) -> None:
         """Bring the record up to date while this VM holds the lease."""
+        present = present_versions(self._fleet)
+        self._confirmed &= {
+            (service, name) for service, names in present.items() for name in names
+        }
         if not self._holds_lease():
             # Another VM may write it now.
             self._revision = None
@@ -102,7 +119,7 @@
             if self._revision is None:
                 await self._read()
             now_s = self._clock.monotonic_s()
-            self._recent.note(present_versions(self._fleet), now_s=now_s)
+            self._recent.note(present, now_s=now_s)
             recent = self._recent.recent(now_s=now_s)
             if recent != self._record:
                 await self._write(recent)
@@ -113,13 +130,13 @@
 
     async def sole_version(self, service: str) -> str | None:
         """Return the only version that a service had lately, if that is certain."""
-        if self._clock.monotonic_s() - self._read_s > RECORD_CACHED_S:
-            try:
-                async with asyncio.timeout(READ_TIMEOUT_S):
-                    await self._read()
-            except (StoreError, TimeoutError) as error:
-                _log.info("versions_not_read", why=str(error), step="store")
-                return None
+        asked_s = self._clock.monotonic_s()
+        try:
+            async with asyncio.timeout(RECORD_TIMEOUT_S):
+                await self._read_since(asked_s)
+        except (StoreError, TimeoutError) as error:
+            _log.info("versions_not_read", why=str(error), step="store")
+            return None
         versions = {
             *self._record.get(service, ()),
             *present_versions(self._fleet).get(service, ()),
@@ -128,13 +145,70 @@
         known = service in self._record and len(versions) == 1
         return versions.pop() if known else None
 
+    def record(self, service: str, version: str) -> asyncio.Future[None] | None:
+        """Record a version before a stream begins there; None if it is recorded.
+
+        Otherwise a VM that reads the record, but knows neither the stream nor its
+        server, could take another version for the only one. A stream does not wait
+        for a store that is away.
+        """
+        key = service, version
+        if key in self._confirmed or self._clock.monotonic_s() < self._retry_s:
+            return None
+        recording = self._recordings.get(key)
+        if recording is None:
+            recording = asyncio.ensure_future(self._ensure_recorded(service, version))
+            self._recordings[key] = recording
+            recording.add_done_callback(lambda _: self._recordings.pop(key))
+        return asyncio.shield(recording)
+
+    async def _ensure_recorded(self, service: str, version: str) -> None:
+        try:
+            async with asyncio.timeout(RECORD_TIMEOUT_S):
+                await self._record_version(service, version)
+            self._confirmed.add((service, version))
+        except (StoreError, TimeoutError) as error:
+            self._retry_s = self._clock.monotonic_s() + RECORD_RETRY_S
+            _log.info(
+                "version_not_recorded",
+                service=service,
+                software_version=version,
+                why=str(error),
+                step="store",
+            )
+
+    async def _record_version(self, service: str, version: str) -> None:
+        """Add a version to the record; raise StoreError."""
+        for _ in range(MAX_WRITES):
+            await self._read_since(self._clock.monotonic_s())
+            names = self._record.get(service, frozenset())
+            if version in names:
+                return
+            try:
+                await self._write({**self._record, service: names | {version}})
+                return
+            except ConflictError:
+                continue
+        raise StoreError("the record changes too often", step=Step.STORE)
+
+    async def _read_since(self, asked_s: float) -> None:
+        """Read the record unless a read has been sent since a time."""
+        async with self._reading:
+            if self._read_s >= asked_s:
+                return
+            next_s = self._read_s + MIN_READ_INTERVAL_S
+            await asyncio.sleep(max(0.0, next_s - self._clock.monotonic_s()))
+            await self._read()
+
     async def _read(self) -> None:
+        sent_s = self._clock.monotonic_s()
         stored = await self._store.get(RECORD_NAME)
-        self._read_s = self._clock.monotonic_s()
+        # The response may be handled long after it was written.
+        self._read_s = sent_s
         self._revision = stored.version if stored is not None else 0
         self._record = decode_versions(stored)
         # For as long as streams last, what the last holder knew may matter.
-        self._recent.note(self._record, now_s=self._read_s)
+        self._recent.note(self._record, now_s=sent_s)
 
     async def _write(self, versions: Versions) -> None:
         raw = {service: sorted(names) for service, names in sorted(versions.items())}
