Read the entries of servers before a stream goes on at one

Cause: a VM without the placement lease reads changes of entries up to three seconds late, as only departures are told by the holder's messages. The version at which a stream may go on was compared with the entry of the instance before.

Change: before a server is chosen for a stream that has begun, the table is read, by one call for all streams that wait for it. A refresh no longer waits for the next change unless the table is old, as its callers wait for the table as it is now.

Why it holds: a server that crashed is away for longer than the read takes, and its next instance is in the store before it accepts a connection. Left: a stream that begins there before the store is read, and outages of the store (postmortem).

--- a/src/rosepath/entry_node.py
+++ b/src/rosepath/entry_node.py
@@ -290,6 +290,7 @@
                 on_limit_change=self._announce_limits,
                 fleet_fresh_enough=lambda: self.tables.fresh_enough,
                 ensure_fresh=self.tables.ensure_fresh,
+                confirm_instances=self.tables.confirm_instances,
                 configuration=self._configuration_view,
                 ends_hopeless_waits=self._uses_scheduler,
                 quotas=self.quotas,
--- a/src/rosepath/request_context.py
+++ b/src/rosepath/request_context.py
@@ -137,6 +137,8 @@
     # that makes it current.
     fleet_fresh_enough: Callable[[], bool] = lambda: True
     ensure_fresh: Callable[[], Awaitable[None]] = _skip_refresh
+    # Learns which servers have restarted, perhaps with other software.
+    confirm_instances: Callable[[], Awaitable[None]] = _skip_refresh
     # Version and age of the catalog.
     configuration: Callable[[], ConfigurationView] = lambda: UNKNOWN_CONFIGURATION
     quotas: QuotaPort = field(default_factory=Unlimited)
--- a/src/rosepath/server_picker.py
+++ b/src/rosepath/server_picker.py
@@ -125,6 +125,8 @@
     async def _choose_until(
         self, context: RequestContext, wait: _Wait
     ) -> tuple[BackendServer, InFlightRequest]:
+        if context.software_version is not None:
+            await self._ports.confirm_instances()
         while True:
             self._refuse_if_quarantined(context)
             await self._ports.ensure_fresh()
--- a/src/rosepath/store_tables.py
+++ b/src/rosepath/store_tables.py
@@ -301,6 +301,18 @@
             _log.info("fleet_too_old", step="store", looked_ago_s=self.looked_ago_s)
             await self.servers_watcher.ensure_fresh(limit_s=REFRESH_TIMEOUT_S)
 
+    async def ensure_read_since(self, asked_s: float) -> None:
+        """Read the server table unless it was read since a time on its clock.
+
+        State messages tell of departures, but not of servers that restart.
+        """
+        if self.servers_watcher.age.last_read_s < asked_s:
+            await self.servers_watcher.ensure_fresh(limit_s=REFRESH_TIMEOUT_S)
+
+    async def confirm_instances(self) -> None:
+        """Learn which servers have restarted by now, unless the store is away."""
+        await self.ensure_read_since(self.servers_watcher.age.now_s())
+
     def note_store_failure(self) -> None:
         """Note that the store does not respond to the placement lease holder.
 
--- a/src/rosepath/store_watcher.py
+++ b/src/rosepath/store_watcher.py
@@ -42,6 +42,8 @@
 # Wait of a probe: a watch that only confirms a table that is older than the
 # policy allows.
 PROBE_WAIT_S = 0.05
+# Wait of a watch that requests wait for.
+REFRESH_WAIT_S = 0.001
 INITIAL_BACKOFF_S = 0.05
 # Longest pause between attempts while a newer revision is known to exist.
 MAX_BACKOFF_BEHIND_S = 0.25
@@ -303,7 +305,11 @@
 
     def _begin_watch(self) -> _Watch:
         policy = self._policy()
-        wait_s = PROBE_WAIT_S if self.age.age_s > policy.wait_s else policy.wait_s
+        wait_s = policy.wait_s
+        if self.age.age_s > policy.wait_s:
+            wait_s = PROBE_WAIT_S
+        elif self._refresh_waiters:
+            wait_s = REFRESH_WAIT_S
         self._requested_s = self.age.now_s()
         # A relaxed watch may receive changes late, so it does not serve a
         # refresh that requests wait for, nor a change that another VM already
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -20,6 +20,7 @@
 from versioned_fleet import VersionedFleet, versioned_fleet
 
 from rosepath.catalog import HostRoute, ServiceShare
+from rosepath.relay import Relay
 from rosepath_standins.stream_caller import CallerStream
 
 VERSIONS = ("v1", "v2")
@@ -127,6 +128,29 @@
     asyncio.run(run())
 
 
+# Guards against events of two versions where a server has started again with another
+# version under its name, and its VM has not learnt of that yet.
+def test_a_stream_goes_on_only_where_the_version_is_confirmed() -> None:
+    async def run() -> None:
+        first, restarted = (
+            ScriptedServer("s1", dies_after_two_events),
+            ScriptedServer("s2", streams),
+        )
+        async with running_gateway(first, restarted) as node:
+            for server in (first, restarted):
+                set_version(node, server, "v1")
+
+            async def confirm() -> None:
+                set_version(node, restarted, "v2", born=2)
+
+            relay = cast(Relay, node.gateway._serve.__self__)  # type: ignore[attr-defined]
+            relay._ports.confirm_instances = confirm
+            await begin_at(node, first)
+            assert resumed_at(restarted) == []
+
+    asyncio.run(run())
+
+
 # Guards against a caller that waits for a version that no server has any more.
 def test_a_resume_is_refused_at_once_without_a_server_of_its_version() -> None:
     async def run() -> None:
--- a/tests/test_store_calls.py
+++ b/tests/test_store_calls.py
@@ -171,6 +171,23 @@
     run_in_virtual_time(store, run)
 
 
+# Guards against a request that waits for the next change of a table which it needs now.
+def test_a_refresh_does_not_wait_for_a_change() -> None:
+    store = SlowStore(slow_s=0.002)
+
+    async def run() -> None:
+        watcher = a_watcher({})
+        following = asyncio.ensure_future(watcher.run())
+        await asyncio.sleep(0.1)
+        asked_s = now_s()
+        await watcher.ensure_fresh(limit_s=CALL_TIMEOUT_S)
+        assert asked_s <= watcher.age.last_read_s
+        assert now_s() - asked_s <= 0.1 * CALL_TIMEOUT_S
+        following.cancel()
+
+    run_in_virtual_time(store, run)
+
+
 def test_a_change_in_a_store_that_became_slow_is_received() -> None:
     # The table is listed and watched; then the store slows down for all VMs.
     store = SlowStore(slow_s=0.01)
