Apply no report of an engine that has left

Change: a report that arrives once its engine has left is not applied, and a swap's wait for its model ends.

Evidence: `test_a_report_from_the_address_of_an_engine_that_left_is_not_applied` failed before.

--- a/src/rosepath/order_dispatcher.py
+++ b/src/rosepath/order_dispatcher.py
@@ -283,6 +283,9 @@
         except ExchangeError as error:
             _log.info("report_unread", peer=server.name, why=error.message)
             return False
+        if server.left:
+            # Another engine may have started at its address.
+            return False
         recorded, recorded_models = record.basis, set(record.models)
         first_report = not record.has_report
         if not record.apply_report(report, now_s=self._ports.clock.monotonic_s()):
--- a/src/rosepath/swap_executor.py
+++ b/src/rosepath/swap_executor.py
@@ -149,7 +149,7 @@
         record.load_due_s = now_s() + load_s
         await asyncio.sleep(load_s)
         limit_s = now_s() + MAX_LOAD_SLOWDOWN * spec.models[model].load_s
-        while now_s() < limit_s and self._sender.may_order():
+        while now_s() < limit_s and self._sender.may_order() and not server.left:
             await self._read_report(server, record)
             if model in record.models and not record.engine_busy:
                 record.loaded_s[model] = now_s()
--- a/tests/test_order_dispatcher.py
+++ b/tests/test_order_dispatcher.py
@@ -6,7 +6,7 @@
 
 import pytest
 from entry_builders import a_catalog, an_engine_spec, an_entry
-from virtual_time import VirtualLoop
+from virtual_time import LoopClock, VirtualLoop
 
 from rosepath.catalog import EngineSpec
 from rosepath.clock import Clock, ManualClock
@@ -443,3 +443,30 @@
         assert engine.orders == []
 
     asyncio.run(run())
+
+
+# Guards against the contents of another engine, which has started at the address of one
+# that has left, being taken for those of the latter.
+def test_a_report_from_the_address_of_an_engine_that_left_is_not_applied() -> None:
+    async def run() -> None:
+        engine, fleet = FakeEngine("m0"), Fleet()
+        announced: list[tuple[str, str, str, bool]] = []
+        dispatcher = a_dispatcher(
+            engine,
+            LoopClock(),
+            demand={"m1": ModelDemand(0.0, 2)},
+            fleet=fleet,
+            on_residency_change=lambda *change: announced.append(change),
+        )
+        dispatcher.sender.clock = LoopClock()
+        await dispatcher.tick()
+        await asyncio.sleep(0.01)
+        assert [order.model for order in engine.orders] == ["m1"]
+        fleet.remove("e1")
+        # Another engine, at the same address, has loaded the same model.
+        engine.sequence, engine.models = 7, {"m1": set()}
+        await asyncio.gather(*dispatcher._swaps)
+        assert announced == []
+
+    with asyncio.Runner(loop_factory=VirtualLoop) as runner:
+        runner.run(run())
