--- a/tests/test_entry_settings.py
+++ b/tests/test_entry_settings.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from rosepath.entry_daemon import EXIT_USAGE, follow_settings, serve
+from rosepath.entry_process import EXIT_USAGE, follow_settings, serve
 from rosepath.entry_settings import EntrySettings
 
 TEMPLATE = Path(__file__).parent.parent / "deploy" / "settings.toml.in"
