Use no connection again on which a request's body is unfinished

The pool stopped sending as the response was complete, and kept the connection.

Change: such a connection is closed after its exchange.

Evidence: `test_a_connection_with_an_unfinished_body_is_not_used_again` failed before (the second request got no answer).

--- a/src/rosepath/http_client.py
+++ b/src/rosepath/http_client.py
@@ -293,6 +293,8 @@
             await connection.drain()
             watchdog.note_progress()
             if exchange.done.done():
+                # The server takes what follows on this connection for the rest.
+                connection.single_use = True
                 return
         connection.write(b"0\r\n\r\n")
         watchdog.note_progress()
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -331,3 +331,38 @@
         assert taken < MAX_TAKEN_BYTES
 
     asyncio.run(run())
+
+
+# Guards against a server that gets the next request where the rest of a body is due, as
+# it has responded before it read that.
+def test_a_connection_with_an_unfinished_body_is_not_used_again() -> None:
+    async def run() -> None:
+        async def two_chunks() -> AsyncIterator[bytes]:
+            yield b"first"
+            async with asyncio.timeout(10):
+                await responded.wait()
+            yield b"second"
+
+        async def handle(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(OK)
+            await writer.drain()
+            received.append(await reader.read())
+
+        responded = asyncio.Event()
+        received: list[bytes] = []
+        async with Server(handle) as server:
+            pool = HttpPool()
+            await pool.exchange(
+                server.request(method="POST", body_chunks=two_chunks()),
+                on_head=lambda _: None,
+                on_data=lambda _: responded.set(),
+            )
+            await pool.fetch(server.request(path="/two"))
+            assert server.connections == 2
+            pool.close()
+        assert not any(b"/two" in data for data in received)
+
+    asyncio.run(run())
