Give the soak of entry VMs odd entries and servers that change their version

It now writes entries of servers as another program might (a number of 400 digits, a port out of range, deep nesting, an unpaired surrogate, infinities), in all runs, and, with SOAK_RESTARTS=1, lets servers crash and start again under their names with another version. Both draw from a generator of their own, so that the other faults of a seed stay as they were.

Not given to it: VMs cut from the servers, killed forwarders, reports without end.

--- a/benchmarks/entry_soak.py
+++ b/benchmarks/entry_soak.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import functools
 import os
 import random
 import shutil
@@ -73,6 +74,18 @@
 Fault = Callable[[], Awaitable[None]]
 
 
+# How long a server that starts again is away.
+RESTART_S = (0.4, 1.5)
+ODD_ENTRIES: list[object] = [
+    {"version": 10**400},
+    {"service": "desk", "address": "127.0.0.1:99999999", "slots": 2**70},
+    {"service": "\ud800", "sequence": float("inf")},
+    functools.reduce(lambda inner, _: [inner], range(300), []),
+    "no document",
+    None,
+]
+
+
 @dataclass(slots=True)
 class EntrySoak:
     """One soak run: its fleet, its callers and the faults injected."""
@@ -86,9 +99,12 @@
     limit_rng: random.Random
     response_rng: random.Random
     version_rng: random.Random
+    foreign_rng: random.Random
     ends_s: float
     # Whether servers of two software versions serve and callers take streams up.
     mixes_versions: bool = False
+    # Whether servers start again under their names with another version.
+    restarts_versions: bool = False
     streams: list[TakenUpStream] = field(default_factory=list)
     responses: list[CallerResponse] = field(default_factory=list)
     faults: Counter[str] = field(default_factory=Counter)
@@ -109,6 +125,10 @@
             self.fail_responses,
         ]
         tasks.append(self._inject_faults(self.response_rng, response_faults))
+        foreign_faults: list[Fault] = [self.write_odd_entry]
+        if self.restarts_versions:
+            foreign_faults.append(self.restart_with_other_version)
+        tasks.append(self._inject_faults(self.foreign_rng, foreign_faults))
         if self.mixes_versions:
             tasks += [self._run_stream_caller() for _ in range(STREAM_CALLERS)]
             changes = [self.change_version, self.change_version, self.kill_two_vms]
@@ -255,6 +275,34 @@
         other = second if server.software_version == first else first
         await self._replace(server, software_version=other)
 
+    async def restart_with_other_version(self) -> None:
+        """Let a server crash and start again under its name, with other software."""
+        running = [
+            server
+            for server in self.fleet.servers.values()
+            if server.listening and not server.draining
+        ]
+        if len(running) <= 2:
+            return
+        server = self.foreign_rng.choice(running)
+        server.restarting = True
+        server.crash()
+        await asyncio.sleep(self.foreign_rng.uniform(*RESTART_S))
+        first, second = SOFTWARE_VERSIONS
+        server.software_version = second if server.software_version == first else first
+        server.started_ms = int(time.time() * 1000)
+        if server.name in self.fleet.servers:
+            await self.fleet.write_entry(server)
+            await server.listen()
+        server.restarting = False
+
+    async def write_odd_entry(self) -> None:
+        """Write an entry of a server as another program might, for some seconds."""
+        value = self.foreign_rng.choice(ODD_ENTRIES)
+        await self.fleet.write("servers/odd", value)
+        await asyncio.sleep(self.foreign_rng.uniform(1.0, 4.0))
+        await self.fleet.write("servers/odd", None)
+
     async def kill_two_vms(self) -> None:
         """Kill two VMs at the same moment."""
         chosen = self.version_rng.sample(list(self.fleet.vms.values()), 2)
@@ -412,7 +460,7 @@
         """Replace each crashed server by a new instance."""
         while True:
             for server in list(self.fleet.servers.values()):
-                if not server.listening:
+                if not (server.listening or server.restarting):
                     await asyncio.sleep(1.0)
                     await self.fleet.remove(server)
                     await self.fleet.add_server(
@@ -432,6 +480,7 @@
     duration_s: float,
     vms: int = VMS,
     mixes_versions: bool = False,
+    restarts_versions: bool = False,
     directory: Path,
 ) -> EntrySoak:
     """Run one seed on a new fleet."""
@@ -446,8 +495,10 @@
         random.Random(f"limit {seed}"),
         random.Random(f"response {seed}"),
         random.Random(f"version {seed}"),
+        random.Random(f"foreign {seed}"),
         time.monotonic() + duration_s,
         mixes_versions,
+        restarts_versions,
     )
     replacing = asyncio.create_task(run.replace_crashed_servers())
     try:
@@ -467,12 +518,14 @@
         directory = Path(tempfile.mkdtemp(prefix="entry-soak-"))
         vms = int(os.environ.get("SOAK_VMS", str(VMS)))
         mixes_versions = bool(int(os.environ.get("SOAK_VERSIONS", "1")))
+        restarts_versions = bool(int(os.environ.get("SOAK_RESTARTS", "0")))
         run = asyncio.run(
             soak(
                 seed,
                 duration_s=duration_s,
                 vms=vms,
                 mixes_versions=mixes_versions,
+                restarts_versions=restarts_versions,
                 directory=directory,
             )
         )
--- a/src/rosepath_standins/entry_fleet.py
+++ b/src/rosepath_standins/entry_fleet.py
@@ -128,6 +128,8 @@
     software_version: str = "v1"
     rng: random.Random = field(default_factory=lambda: random.Random(1))
     draining: bool = False
+    # Whether it is away and will start again under its name.
+    restarting: bool = False
     shedding: bool = False
     # Whether it rejects most requests, and sends each rejection once more before
     # the next response on its connection.
