--- a/src/rosepath_standins/cluster.py
+++ b/src/rosepath_standins/cluster.py
@@ -22,6 +22,8 @@
 
 START_TIMEOUT_S = 20.0
 POLL_S = 0.02
+# Of a response that is kept whole.
+MAX_BODY_BYTES = 64 * 1024 * 1024
 PORT_RANGE = (12_000, 32_000)
 
 
@@ -276,7 +278,7 @@
             headers=headers or {},
             progress_timeout_s=timeout_s,
         )
-        return await self.pool.fetch(request)
+        return await self.pool.fetch(request, max_bytes=MAX_BODY_BYTES)
 
     async def json(
         self, address: str, path: str, *, method: str = "GET", body: object = None
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -270,7 +270,9 @@
 def test_a_response_that_ends_with_its_connection_arrives_whole() -> None:
     async def run() -> None:
         async with forwarded_server(respond_until_close) as forwarded:
-            _, body = await forwarded.pool().fetch(forwarded.request())
+            _, body = await forwarded.pool().fetch(
+                forwarded.request(), max_bytes=LARGE_BYTES
+            )
             assert len(body) == LARGE_BYTES
 
     asyncio.run(run())
