Read servers' entries for a broken stream only where versions may differ

Calls to the store rose, and streams that broke waited for a read, though all servers ran one version: each entry VM read the entries for each broken stream since "Read the entries of servers before a stream goes on at one".

Change: only if some service is known, by the table or the record of versions, to have had several versions lately.

What it leaves open: the first server of a service that starts again with another version is taken for its old one for up to 3 s by VMs that know of no second version.

--- a/src/rosepath/entry_node.py
+++ b/src/rosepath/entry_node.py
@@ -290,7 +290,7 @@
                 on_limit_change=self._announce_limits,
                 fleet_fresh_enough=lambda: self.tables.fresh_enough,
                 ensure_fresh=self.tables.ensure_fresh,
-                confirm_instances=self.tables.confirm_instances,
+                confirm_instances=self._confirm_instances,
                 configuration=self._configuration_view,
                 ends_hopeless_waits=self._uses_scheduler,
                 quotas=self.quotas,
@@ -410,6 +410,11 @@
                     await term_started.wait()
             term_started.clear()
 
+    async def _confirm_instances(self) -> None:
+        """Learn which servers have restarted, if they may have other software."""
+        if self.versions.several:
+            await self.tables.confirm_instances()
+
     def reload(self, settings: EntrySettings) -> None:
         """Apply changed settings; addresses only change at the next start."""
         bounds = settings.retries
--- a/src/rosepath/software_versions.py
+++ b/src/rosepath/software_versions.py
@@ -128,6 +128,16 @@
         except StoreError as error:
             _log.info("versions_not_recorded", why=error.message, step="store")
 
+    @property
+    def several(self) -> bool:
+        """Return whether some service is known to have several versions lately."""
+        present = present_versions(self._fleet)
+        return any(
+            len(present.get(service, frozenset()) | self._record.get(service, set()))
+            > 1
+            for service in present
+        )
+
     async def sole_version(self, service: str) -> str | None:
         """Return the only version that a service had lately, if that is certain."""
         asked_s = self._clock.monotonic_s()
--- a/tests/test_version_record.py
+++ b/tests/test_version_record.py
@@ -308,3 +308,21 @@
         assert store.writes[-1] == b'{"llm": ["v1", "v2", "v3"]}'
 
     play(scenario)
+
+
+# Guards against a read of the store for each broken stream of a service whose servers
+# all run one version, and against none where they may not.
+def test_several_versions_are_known_by_the_table_or_the_record() -> None:
+    async def scenario(store: OneObjectStore) -> None:
+        await a_holder(store, "v1", "v2").versions.step()
+        vm = VersionedVM(store)
+        vm.add("e-v1", "v1")
+        assert not vm.versions.several
+        vm.add("e-v2", "v2")
+        assert vm.versions.several
+        vm.fleet.remove("e-v2")
+        assert not vm.versions.several
+        await vm.versions.sole_version("llm")
+        assert vm.versions.several
+
+    play(scenario)
