Log what a probe found of a server, and how old a retry's reservation is

Of the hypotheses on BUDGET, the logs could not tell whether a lost run was dropped because its server's address accepted a connection (nothing was written then), nor how long before it was sent a retry had been taken from the budget. server_probed names the contact and the number of lost runs it decides on; retry_sent has reserved_ago_s. No decision changes.

--- a/src/rosepath/crash_watch.py
+++ b/src/rosepath/crash_watch.py
@@ -101,6 +101,14 @@
             contact = await self._probe(address, limit_s=PROBE_TIMEOUT_S)
         finally:
             del self._probes[instance]
+        _log.info(
+            "server_probed",
+            step="probe",
+            peer=instance.server,
+            born_ms=instance.born_ms,
+            contact=contact.value,
+            lost_runs=len(self._lost_runs.get(instance, ())),
+        )
         if contact is ProbeResult.REFUSED:
             self.note_crashed(instance)
         elif contact is ProbeResult.ACCEPTED:
--- a/src/rosepath/request_context.py
+++ b/src/rosepath/request_context.py
@@ -186,8 +186,10 @@
     scheduler: str = ""
     scheduler_wait_s: float = 0.0
     responded_by: str = ""
-    # Whether a retry is reserved in the budget for the next attempt.
+    # Whether a retry is reserved in the budget for the next attempt, and since
+    # when.
     retry_reserved: bool = False
+    retry_reserved_s: float = 0.0
     # Why it stayed with a silent server at the last check, if it did.
     stay_reason: StayReason | None = None
     # What admitted it, if its workspace has a quota.
--- a/src/rosepath/retry_policy.py
+++ b/src/rosepath/retry_policy.py
@@ -128,6 +128,8 @@
 
     def _reserve_retry(self, context: RequestContext) -> bool:
         context.retry_reserved = self._budget(context).reserve()
+        if context.retry_reserved:
+            context.retry_reserved_s = self._now_s()
         return context.retry_reserved
 
     def consume_retry(self, context: RequestContext) -> None:
@@ -141,6 +143,7 @@
                 "retry_sent",
                 request_id=context.call.request_id,
                 service=context.service.name,
+                reserved_ago_s=round(self._now_s() - context.retry_reserved_s, 3),
                 repeats_left=self.retries_left(context),
                 fleet_size=budget.vms,
             )
