Show the faults behind requests beyond the budget, and two other reports, by tests that fail

- Crashes behind an open port (real entry VMs, sockets and servers): a request, or a part of prompts, that crashes servers is not known if something still accepts connections at their addresses; more than three sends later than 3 s after the third (fifth) crash.
- A backoff and a rate limit are lost with the entry of a server that lapses and comes back.
- Bodies without end: 30 responses, each below the limit of one, take 514 to 1,023 MB by tracemalloc, where a VM has 300 in all; 100 bodies of callers take 395 MB.

The stand-in servers answer health checks, may keep their port while their process is gone, start again under their names, and crash under a part of prompts.

--- a/src/rosepath_standins/entry_fleet.py
+++ b/src/rosepath_standins/entry_fleet.py
@@ -16,6 +16,7 @@
 from collections import Counter, defaultdict
 from collections.abc import Sequence
 from dataclasses import dataclass, field
+from enum import StrEnum
 from pathlib import Path
 from typing import Any
 
@@ -35,6 +36,9 @@
 CRASHING_PATH = "/look/crashing"
 STREAM_PATHS = ("/draft/", "/once/")
 CRASH_DELAY_S = 0.03
+# A part of prompts that crashes each server that begins to answer on it.
+CRASHING_PART = "dead"
+HEALTH_PATH = "/health"
 RETRY_AFTER_S = 3.0
 DRAIN_S = 2.0
 GRACE_S = 8.0
@@ -113,6 +117,16 @@
     arrivals_s: list[tuple[str, float]] = field(default_factory=list)
 
 
+class PortAfterCrash(StrEnum):
+    """Enumerate what a server's address does while its process is gone."""
+
+    CLOSED = "closed"
+    # A supervisor or a forwarder accepts connections and closes them.
+    ENDS_CONNECTIONS = "ends_connections"
+    # The kernel accepts connections for a process that writes its memory to disk.
+    HANGS = "hangs"
+
+
 @dataclass(slots=True)
 class Server:
     """Serve plain requests and streams, and simulate faults.
@@ -138,7 +152,10 @@
     stray: bool = False
     # Whether it runs a share of its requests without a whole response.
     failing: bool = False
+    response_delay_s: float = RESPONSE_DELAY_S
     limit: StatedLimit | None = None
+    port_after_crash: PortAfterCrash = PortAfterCrash.CLOSED
+    # Whether its process serves; its port may accept connections without it.
     listening: bool = False
     _listener: asyncio.Server | None = None
     _writers: set[asyncio.StreamWriter] = field(default_factory=set)
@@ -146,8 +163,11 @@
     _rejections: dict[asyncio.StreamWriter, bytes] = field(default_factory=dict)
 
     async def listen(self) -> None:
-        self.port = self.port or free_port()
-        self._listener = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
+        if self._listener is None:
+            self.port = self.port or free_port()
+            self._listener = await asyncio.start_server(
+                self._serve, "127.0.0.1", self.port
+            )
         self.listening = True
 
     def state_limit(self, per_s: float) -> None:
@@ -162,20 +182,42 @@
             self.limit = None
 
     def crash(self) -> None:
-        """Close the listener and abort every connection."""
+        """Abort every connection, and close the listener unless others hold it."""
         self.listening = False
+        if self.port_after_crash is PortAfterCrash.CLOSED:
+            self.close_port()
+        self._abort_connections()
+
+    async def restart(self) -> None:
+        """Serve again at the same address, as another process of that name."""
+        self._abort_connections()
+        self.started_ms = int(time.time() * 1000)
+        await self.listen()
+
+    def close_port(self) -> None:
+        """Close the listener."""
         if self._listener is not None:
             self._listener.close()
+            self._listener = None
+
+    def _abort_connections(self) -> None:
         for writer in list(self._writers):
             writer.transport.abort()
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        if not self.listening and (
+            self.port_after_crash is PortAfterCrash.ENDS_CONNECTIONS
+        ):
+            writer.close()
+            return
         self._writers.add(writer)
         try:
-            while True:
+            while self.listening:
                 await self._respond(reader, writer)
+            # Until it is aborted as the next process starts.
+            await reader.read()
         except (OSError, asyncio.IncompleteReadError):
             return
         finally:
@@ -191,6 +233,12 @@
         path = line.split(" ")[1]
         headers = dict(entry.lower().split(": ", 1) for entry in rest)
         body = await reader.readexactly(int(headers.get("content-length", "0")))
+        if path == HEALTH_PATH:
+            writer.write(
+                f"HTTP/1.1 200 OK\r\nInstance-Id: {self.name}\r\n"
+                "Content-Length: 0\r\n\r\n".encode()
+            )
+            return
         await self.respond(writer, path, headers, body)
 
     async def respond(
@@ -226,11 +274,11 @@
             return
         self.request_log.runs[request_id] += 1
         if path.startswith(CRASHING_PATH):
-            self.request_log.crashing_requests.append((path, vm, now_s))
-            await asyncio.sleep(CRASH_DELAY_S)
-            self.request_log.crash_times_s[path].append(time.monotonic())
-            self.crash()
-            raise ConnectionResetError
+            await self._crash_under(path, vm)
+        if CRASHING_PART in headers.get("prompt-prefix", ""):
+            head = self._head(200, request_id) + "Transfer-Encoding: chunked\r\n\r\n"
+            writer.write(head.encode())
+            await self._crash_under(CRASHING_PART, vm)
         if self.failing and self.rng.random() < FAILING_SHARE:
             await self._fail(writer, request_id)
             return
@@ -238,9 +286,18 @@
             first = int(headers.get("last-event-id", "0")) + 1
             await self.stream(writer, request_id, first)
             return
-        await asyncio.sleep(RESPONSE_DELAY_S)
+        await asyncio.sleep(self.response_delay_s)
         self.write_response(writer, 200, request_id, f"{path} {request_id}".encode())
 
+    async def _crash_under(self, cause: str, vm: str) -> None:
+        """Crash a moment after a request with the cause has begun to run."""
+        self.request_log.crashing_requests.append((cause, vm, time.monotonic()))
+        await asyncio.sleep(CRASH_DELAY_S)
+        if self.listening:
+            self.request_log.crash_times_s[cause].append(time.monotonic())
+            self.crash()
+        raise ConnectionResetError
+
     async def _send_extra_responses(self, writer: asyncio.StreamWriter) -> None:
         """Send what the faults of this server put before its next response."""
         extra = [self._rejections.pop(writer, b"")]
@@ -535,6 +592,7 @@
             await vm.store.stop()
         for server in self.servers.values():
             server.crash()
+            server.close_port()
 
 
 def _wait(process: subprocess.Popen[bytes]) -> int:
@@ -580,6 +638,6 @@
             route("once", "streaming", targetGapMs=250),
             *(route(name, "idempotent") for name in names),
         ],
-        "services": [{"name": SERVICE, "healthPath": "/health"}],
+        "services": [{"name": SERVICE, "healthPath": HEALTH_PATH}],
         "limits": {"idleTimeoutMs": 9000},
     }
--- a/tests/partitioned_fleet.py
+++ b/tests/partitioned_fleet.py
@@ -5,7 +5,7 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Mapping
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from enum import StrEnum
@@ -119,8 +119,18 @@
                     return name
             await asyncio.sleep(0.01)
 
-    async def send(self, vm: str, kind: str) -> int:
-        """Send a caller's request to an entry VM; return the status, 0 if none."""
+    async def send(
+        self,
+        vm: str,
+        kind: str,
+        *,
+        path: str = "",
+        headers: Mapping[str, str] | None = None,
+    ) -> int:
+        """Send a caller's request to an entry VM; return the status, 0 if none.
+
+        Each has a path of its own unless `path` is given.
+        """
         self.request_count += 1
         request_id = f"q{self.request_count}"
         self.backend.request_log.vm_by_request[request_id] = vm
@@ -128,8 +138,8 @@
             address=self.nodes[vm].settings.callers.listen,
             host=HOST,
             method="POST",
-            path=f"/{kind}/{self.request_count}",
-            headers=caller_headers(request_id, wait_s=WAIT_S),
+            path=path or f"/{kind}/{self.request_count}",
+            headers=caller_headers(request_id, wait_s=WAIT_S) | dict(headers or {}),
             body=b"x",
             progress_timeout_s=WAIT_S + 1.0,
         )
--- /dev/null
+++ b/tests/test_held_bytes.py
@@ -0,0 +1,109 @@
+"""What strangers can make an entry VM hold in memory, all of them together."""
+
+import asyncio
+import tracemalloc
+
+import pytest
+from entry_builders import a_route
+from entry_harness import (
+    ReceivedRequest,
+    RunningGateway,
+    ScriptedServer,
+    answer,
+    request,
+    running_gateway,
+    stream_head,
+)
+
+from rosepath.catalog import RouteKind
+
+REQUESTS = 30
+PIECE = b"x" * 256 * 1024
+# An entry VM has 300 MB, of which its own code and tables take a fifth.
+MAX_HELD_BYTES = 200 * 1024 * 1024
+
+
+async def never_ends(received: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+    """Send a body without a length until the entry VM closes."""
+    signed = f"HTTP/1.1 200 OK\r\nRequest-Id: {received.request_id}\r\n"
+    writer.write(f"{signed}Response-Signature: s\r\n\r\n".encode())
+    while True:
+        writer.write(PIECE)
+        await writer.drain()
+
+
+async def never_ends_in_chunks(
+    received: ReceivedRequest, writer: asyncio.StreamWriter
+) -> None:
+    writer.write(stream_head(received))
+    while True:
+        writer.write(b"%x\r\n%s\r\n" % (len(PIECE), PIECE))
+        await writer.drain()
+
+
+async def responds(received: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+    writer.write(answer(received, 200, b"whole"))
+
+
+async def send(gateway: RunningGateway, number: int, *, body: bytes = b"") -> bytes:
+    head = f"POST /drafts/{number} HTTP/1.1\r\nRequest-Id: q{number}"
+    return await gateway.send_request(f"{head}\r\nRequest-Deadline-Ms: 4000", body)
+
+
+# Guards against running out of memory when a faulty server sends many responses
+# without end, each of them below the limit of one.
+@pytest.mark.parametrize("script", [never_ends, never_ends_in_chunks])
+@pytest.mark.parametrize("kind", [RouteKind.IDEMPOTENT, RouteKind.NON_IDEMPOTENT])
+def test_responses_without_end_are_held_up_to_a_common_limit(
+    script: object, kind: RouteKind
+) -> None:
+    async def run() -> None:
+        route = a_route(kind=kind, service="desk")
+        server = ScriptedServer("s1", script)  # type: ignore[arg-type]
+        async with running_gateway(server, route=route) as gateway:
+            tracemalloc.start()
+            try:
+                responses = await asyncio.gather(
+                    *(send(gateway, number) for number in range(REQUESTS))
+                )
+                _, peak_bytes = tracemalloc.get_traced_memory()
+            finally:
+                tracemalloc.stop()
+            assert peak_bytes < MAX_HELD_BYTES
+            statuses = {response.split(b" ")[1] for response in responses}
+            assert statuses <= {b"502", b"503", b"504"}
+
+    asyncio.run(run())
+
+
+# Guards against running out of memory for callers whose large bodies arrive
+# together.
+def test_bodies_of_callers_are_held_up_to_a_common_limit() -> None:
+    async def run() -> None:
+        route = a_route(kind=RouteKind.IDEMPOTENT, service="desk")
+        server = ScriptedServer("s1", responds)
+        async with running_gateway(server, route=route) as gateway:
+            gateway.gateway.apply_limits(gateway.catalog.limits)
+            size = gateway.catalog.limits.max_body_bytes
+            head = f"POST /drafts/1 HTTP/1.1\r\nContent-Length: {size}"
+            writers: list[asyncio.StreamWriter] = []
+            tracemalloc.start()
+            try:
+                for number in range(2 * MAX_HELD_BYTES // size):
+                    _, writer = await gateway.connect()
+                    writers.append(writer)
+                    writer.write(request(f"{head}\r\nRequest-Id: q{number}"))
+                    for _ in range(size // len(PIECE) - 1):
+                        writer.write(PIECE)
+                        await asyncio.sleep(0)
+                    with_body = asyncio.ensure_future(writer.drain())
+                    await asyncio.wait([with_body], timeout=0.2)
+                _, peak_bytes = tracemalloc.get_traced_memory()
+            finally:
+                tracemalloc.stop()
+            assert peak_bytes < MAX_HELD_BYTES
+            assert (await send(gateway, 10_000)).startswith(b"HTTP/1.1 200")
+            for writer in writers:
+                writer.transport.abort()
+
+    asyncio.run(run())
--- a/tests/test_server_notices.py
+++ b/tests/test_server_notices.py
@@ -5,11 +5,11 @@
 import random
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any, cast
 
 import pytest
-from entry_builders import a_route, a_server, an_engine_spec
+from entry_builders import a_route, a_server, an_engine_spec, an_entry
 from entry_harness import ReceivedRequest, answer
 from fleet_world import run_in_virtual_time
 from outspoken_servers import DepartureNoticeSimulation
@@ -32,11 +32,13 @@
 from rosepath.engine_orders import EngineRecord, Order, OrderAction
 from rosepath.engine_views import engine_view
 from rosepath.errors import ExchangeError
+from rosepath.fleet import Fleet
 from rosepath.http_client import Request, ResponseHead
 from rosepath.platform.calls import read_notice
 from rosepath.platform.engines import EngineClient
 from rosepath.retry_after import BACKOFF_MAX_S
 from rosepath.server_choice import note_backoff
+from rosepath.server_limits import apply_limit_notice
 from rosepath.server_notice import NO_NOTICE, ServerNotice
 
 FEW = pytest.param((5, 2.0, 3.0), id="few")
@@ -399,3 +401,32 @@
             )
 
     run(play_site)
+
+
+# Guards against sending to a server that asked for rest as soon as its entry has
+# lapsed and come back.
+def test_a_backoff_and_a_limit_outlast_the_entry_of_their_server() -> None:
+    fleet = Fleet()
+    entry = replace(an_entry("s1"), born_ms=100, revision=1)
+    fleet.put(entry)
+    server = fleet.servers["s1"]
+    note_backoff(server, retry_after_s=RETRY_AFTER_S, now_s=0.0)
+    apply_limit_notice(server, ServerNotice(limit_per_s=2.0), now_s=0.0)
+    fleet.remove("s1", gone_at=5)
+    fleet.put(replace(entry, revision=9))
+    returned = fleet.servers["s1"]
+    assert returned.usable
+    assert not returned.accepts_requests(RETRY_AFTER_S - 0.1)
+    assert returned.accepts_requests(RETRY_AFTER_S + 0.1)
+    assert returned.limit_per_s == 2.0
+
+
+# Guards against resting for a process that has not asked for it.
+def test_a_restarted_server_has_no_backoff_of_its_predecessor() -> None:
+    fleet = Fleet()
+    entry = replace(an_entry("s1"), born_ms=100, revision=1)
+    fleet.put(entry)
+    note_backoff(fleet.servers["s1"], retry_after_s=RETRY_AFTER_S, now_s=0.0)
+    fleet.remove("s1", gone_at=5)
+    fleet.put(replace(entry, born_ms=200, revision=9))
+    assert fleet.servers["s1"].accepts_requests(0.1)
