Ask the retry budget again when a retry is sent

What callers and servers saw: retries of a service beyond its budget (BUDGET), seconds after the load that had allowed them. A retry was reserved as a request left its server, and sent whenever another one was there; streams whose model is away wait until their deadlines. Counted as sent, it was not asked whether the windows that contain that moment allow it. Besides, a retry was counted as it began to connect, so that one that could not be sent then was sent later without being counted there.

Now the budget decides right before the first byte: RetryWindow.consume() refuses what no longer fits, the request waits on if its caller can't send it again, and else is refused with what is known of its run. An attempt that was not sent keeps its reservation.

--- a/src/rosepath/relay.py
+++ b/src/rosepath/relay.py
@@ -417,13 +417,14 @@
                 and not server.in_backoff(self._now_s())
                 and self._ports.fleet_fresh_enough()
                 and self._suspects.may_be_sent(context)
+                and self._retry_policy.claim_attempt(context)
             ),
             may_abort=lambda: self._retry_policy.should_leave(context, server),
             on_watched=on_watched,
             on_notice=lambda notice: self._apply_notice(server, notice),
             on_load=lambda load: progress.note_load(load, now_s=self._now_s()),
         )
-        self._retry_policy.consume_retry(context)
+        context.stay_reason = None
         server.in_flight_requests[context.call.request_id] = in_flight
         if server.half_open:
             server.probed_s = self._now_s()
--- a/src/rosepath/retries.py
+++ b/src/rosepath/retries.py
@@ -72,7 +72,7 @@
     """Describe a failed attempt, as input to the retry decision.
 
     `retry_reserved` means that the next attempt is already taken from the
-    budget.
+    budget, `sent_before` that another attempt has reached a server.
     """
 
     evidence: Evidence
@@ -82,6 +82,7 @@
     max_attempts: int
     left_s: float
     retry_reserved: bool = False
+    sent_before: bool = False
 
 
 def find_obstacle(
@@ -97,7 +98,9 @@
         return Obstacle.NOT_IDEMPOTENT
     if attempt.evidence is Evidence.ANSWER_BEGUN and not attempt.resumable:
         return Obstacle.NOT_RESUMABLE
-    if attempt.evidence is Evidence.NOT_SENT or attempt.retry_reserved:
+    if attempt.retry_reserved:
+        return None
+    if attempt.evidence is Evidence.NOT_SENT and not attempt.sent_before:
         return None
     return None if reserve_retry() else Obstacle.BUDGET_SPENT
 
--- a/src/rosepath/retry_policy.py
+++ b/src/rosepath/retry_policy.py
@@ -132,21 +132,27 @@
             context.retry_reserved_s = self._now_s()
         return context.retry_reserved
 
-    def consume_retry(self, context: RequestContext) -> None:
-        """Count the reserved retry, if any, as an attempt is sent."""
-        context.stay_reason = None
-        if context.retry_reserved:
-            context.retry_reserved = False
-            budget = self._budget(context)
-            budget.consume()
-            _log.info(
-                "retry_sent",
-                request_id=context.call.request_id,
-                service=context.service.name,
-                reserved_ago_s=round(self._now_s() - context.retry_reserved_s, 3),
-                repeats_left=self.retries_left(context),
-                fleet_size=budget.vms,
-            )
+    def claim_attempt(self, context: RequestContext) -> bool:
+        """Count an attempt as it is sent; return False if the budget forbids it.
+
+        The first attempt to reach a server is no retry.
+        """
+        if not context.sent_count:
+            return True
+        if not context.retry_reserved:
+            return False
+        context.retry_reserved = False
+        budget = self._budget(context)
+        allowed = budget.consume()
+        _log.info(
+            "retry_sent" if allowed else "retry_withheld",
+            request_id=context.call.request_id,
+            service=context.service.name,
+            reserved_ago_s=round(self._now_s() - context.retry_reserved_s, 3),
+            repeats_left=self.retries_left(context),
+            fleet_size=budget.vms,
+        )
+        return allowed
 
     def release_retry(self, context: RequestContext) -> None:
         """Return the reserved retry, if any, as a request ends."""
@@ -163,6 +169,7 @@
             max_attempts=context.route.max_attempts,
             left_s=context.deadline_s - self._now_s(),
             retry_reserved=context.retry_reserved,
+            sent_before=context.sent_count > 0,
         )
 
     def obstacle(self, context: RequestContext, error: AttemptError) -> Obstacle | None:
--- a/src/rosepath/retry_window.py
+++ b/src/rosepath/retry_window.py
@@ -44,7 +44,7 @@
     # unknown, and so are the other VMs at first.
     slack_from_s: float = -math.inf
     # Retries reserved but not sent yet, for example while waiting for a
-    # server. They count towards the windows in which they are sent.
+    # server.
     _reserved: int = 0
     _requests_s: list[float] = field(default_factory=list)
     _bursts: list[_Burst] = field(default_factory=list)
@@ -65,9 +65,15 @@
         """Return a reserved retry that will not be sent."""
         self._reserved -= 1
 
-    def consume(self) -> None:
-        """Count a reserved retry as sent now."""
+    def consume(self) -> bool:
+        """Count a reserved retry as sent now, unless the budget no longer allows it.
+
+        It may have been reserved in a window with more requests than those that
+        contain the present. Return whether it may be sent; the reservation ends.
+        """
         self._reserved -= 1
+        if self._unsent < 1:
+            return False
         now_s = self.clock.monotonic_s()
         last = self._bursts[-1] if self._bursts else None
         if last is None or now_s - last.first_s > BURST_SHARE * self.window_s:
@@ -75,10 +81,16 @@
         else:
             last.last_s = now_s
             last.count += 1
+        return True
 
     @property
     def available(self) -> float:
         """Return how many retries may be reserved now."""
+        return self._unsent - self._reserved
+
+    @property
+    def _unsent(self) -> float:
+        """Return how many retries may be sent now, reserved or not."""
         self._expire()
         now_s = self.clock.monotonic_s()
         # Every window that contains the present must allow the retries sent
@@ -96,7 +108,7 @@
             sent += burst.count
             starts_s = (earliest_s, burst.first_s, burst.last_s)
             available = min(available, min(map(self._allowance_from, starts_s)) - sent)
-        return available - self._reserved
+        return available
 
     def _allowance_from(self, start_s: float) -> float:
         """Return the retries that the requests so far allow in a window."""
