Move what peers state until it expires to a module of its own

Isolated runs kept, by sender, what other entry VMs last stated, without this VM's own that the lease holder forwards, and let it expire. Runs whose servers may have crashed need the same. No behaviour changes; the tests of isolated runs pass.

--- a/src/rosepath/isolated_runs.py
+++ b/src/rosepath/isolated_runs.py
@@ -4,16 +4,14 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
+from rosepath.peer_statements import PeerStatements
+
 # A request that crashes servers does so as it starts. One whose server has
 # sent events for longer than this does not endanger the other requests there.
 ISOLATION_S = 1.0
 # How long an entry VM announces which server it has reserved before it sends
 # the suspect: long enough for two state messages, of which one may be lost.
 ANNOUNCEMENT_S = 0.2
-# Isolated runs of another entry VM expire after this unless received again:
-# from that VM in a small fleet, from the holder of the placement lease in a
-# large one.
-PEER_RUNS_TTL_S = 2.0
 
 
 class IsolatedRun(NamedTuple):
@@ -52,8 +50,7 @@
         self._me = me
         self._on_change = on_change
         self._own_runs: dict[str, _OwnRun] = {}
-        # By sender: when it last sent runs of VMs other than this one.
-        self._peer_runs: dict[str, tuple[float, frozenset[IsolatedRun]]] = {}
+        self._peer_runs = PeerStatements[IsolatedRun](me)
 
     @property
     def has_own_runs(self) -> bool:
@@ -76,7 +73,7 @@
         own = self._own_runs.get(content_key)
         if own is not None and own.request_id != request_id:
             return False
-        for run in self._recent_peer_runs(now_s):
+        for run in self._peer_runs.recent(now_s):
             if run.content_key == content_key and (own is None or self._yields_to(run)):
                 self.end(content_key, request_id=request_id)
                 return False
@@ -91,7 +88,7 @@
         own = self._own_runs.get(content_key)
         taken = {
             run.server
-            for run in self._recent_peer_runs(now_s)
+            for run in self._peer_runs.recent(now_s)
             if own is None or run.server != own.server or self._yields_to(run)
         }
         taken.update(
@@ -131,18 +128,8 @@
     def apply_peer_runs(
         self, sender: str, runs: Iterable[IsolatedRun], *, now_s: float
     ) -> bool:
-        """Apply the isolated runs that a peer sent; return whether any are new.
-
-        In a large fleet, the holder of the placement lease also forwards the
-        runs of this VM, which do not compete with themselves.
-        """
-        received = frozenset(run for run in runs if run.entry_vm != self._me)
-        _, known = self._peer_runs.get(sender, (now_s, frozenset()))
-        if received:
-            self._peer_runs[sender] = now_s, received
-        else:
-            self._peer_runs.pop(sender, None)
-        return bool(received - known)
+        """Apply the isolated runs that a peer sent; return whether any are new."""
+        return self._peer_runs.apply(sender, runs, now_s=now_s)
 
     def runs(self, *, merged: bool, now_s: float) -> frozenset[IsolatedRun]:
         """Return the runs of this VM.
@@ -153,18 +140,8 @@
             IsolatedRun(self._me, content_key, run.server, run.sent)
             for content_key, run in self._own_runs.items()
         )
-        return own_runs | self._recent_peer_runs(now_s) if merged else own_runs
+        return own_runs | self._peer_runs.recent(now_s) if merged else own_runs
 
     def _yields_to(self, run: IsolatedRun) -> bool:
         """Return whether a reservation of this VM ends in favor of a peer's run."""
         return run.sent or run.entry_vm < self._me
-
-    def _recent_peer_runs(self, now_s: float) -> frozenset[IsolatedRun]:
-        """Return the runs of other VMs, without those that expired."""
-        limit_s = now_s - PEER_RUNS_TTL_S
-        return frozenset(
-            run
-            for received_s, runs in self._peer_runs.values()
-            if received_s > limit_s
-            for run in runs
-        )
--- a/tests/test_isolated_runs.py
+++ b/tests/test_isolated_runs.py
@@ -2,10 +2,10 @@
 
 from rosepath.isolated_runs import (
     ANNOUNCEMENT_S,
-    PEER_RUNS_TTL_S,
     IsolatedRun,
     IsolatedRuns,
 )
+from rosepath.peer_statements import STATEMENT_TTL_S
 
 NOW_S = 1000.0
 LATER_S = NOW_S + ANNOUNCEMENT_S + 0.01
@@ -69,7 +69,7 @@
 def test_run_of_a_vm_that_stopped_sending_state_expires() -> None:
     runs = IsolatedRuns("vm-2")
     runs.apply_peer_runs("vm-1", [a_run("vm-1")], now_s=NOW_S)
-    assert may_run(runs, now_s=NOW_S + PEER_RUNS_TTL_S + 0.1)
+    assert may_run(runs, now_s=NOW_S + STATEMENT_TTL_S + 0.1)
 
 
 def test_suspect_is_sent_once_its_server_was_announced() -> None:
