Take only a server's own answer for proof that it did not crash

After a lost run an entry VM connected to the server. If the connection was accepted, it dropped what the server had lost, and the new entry seconds later found nothing to charge to the request. But a kernel accepts for whatever listens: a process that writes its memory to disk, a supervisor that holds the port, a forwarder, the next process.

Now a probe is the service's health check, on a new connection, and counts if the server itself answers. One that is accepted without an answer is undecided: its lost runs are kept and told to all VMs, the requests that may have crashed it are sent like suspects, and one that would be identified as the cause waits. It is decided by an answer, by the entry, or after the 8 s in which lost runs are kept as before. An answer that came after the next process had started (its start in the entry) proves nothing.

The test that an accepted connection means no crash gives way to one that asks the same of an answer: what it checked is the fault. Beside it: accepted is undecided, three undecided are held at all VMs, a server that answers later has not crashed.

--- a/src/rosepath/catalog.py
+++ b/src/rosepath/catalog.py
@@ -18,6 +18,9 @@
     STREAMING = "streaming"
 
 
+DEFAULT_HEALTH_PATH = "/health"
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ServiceShare:
     """The weight of a service in a route's traffic split."""
--- a/src/rosepath/crash_records.py
+++ b/src/rosepath/crash_records.py
@@ -7,6 +7,7 @@
 """
 
 from collections import OrderedDict
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from enum import IntEnum
 from typing import NamedTuple
@@ -236,14 +237,39 @@
             self._confirm()
             return Suspicion.QUARANTINED if record.confirmed else Suspicion.HELD
         crashes = record.open_crashes(self._explained)
-        if is_part_key(content_key):
-            # Unrelated parts are in flight at single crashes all the time.
-            return Suspicion.SUSPECT if len(crashes) > 1 else Suspicion.CLEAR
-        was_starting = any(
-            record.exposures[instance] >= Exposure.STARTING for instance in crashes
+        exposures = {instance: record.exposures[instance] for instance in crashes}
+        return _judge(content_key, exposures)
+
+    def suspicion_with(self, key: str, undecided: Iterable[CrashReport]) -> Suspicion:
+        """Return how a request may be sent if its undecided runs ended in crashes.
+
+        One that would be identified as the cause is held until they are decided.
+        """
+        known = self.suspicion(key)
+        if known >= Suspicion.HELD or (is_part_key(key) and self._has_survived(key)):
+            return known
+        record = self._records.get(key) or _Record()
+        crashes = record.open_crashes(self._explained)
+        exposures = {instance: record.exposures[instance] for instance in crashes}
+        contents = {
+            instance: record.contents.get(instance, set()) for instance in crashes
+        }
+        for report in undecided:
+            instance = report.instance
+            if instance in record.cleared | self._explained:
+                continue
+            known_exposure = exposures.get(instance, Exposure.PRESENT)
+            exposures[instance] = max(known_exposure, report.exposure)
+            contents.setdefault(instance, set()).add(report.content_key)
+        identifiable = (
+            len(exposures) >= CRASHES_TO_QUARANTINE
+            and Exposure.ISOLATED in exposures.values()
+            and (
+                not is_part_key(key)
+                or len(set().union(*contents.values())) >= CONTENTS_TO_QUARANTINE_PART
+            )
         )
-        suspect = was_starting or len(crashes) > 1
-        return Suspicion.SUSPECT if suspect else Suspicion.CLEAR
+        return Suspicion.HELD if identifiable else _judge(key, exposures)
 
     def open_crashes(self, content_key: str) -> int:
         """Return the number of crashes that a request may have caused."""
@@ -402,3 +428,13 @@
         while len(self._records) >= MAX_RECORDS:
             oldest = next(suspects, None) or next(iter(self._records))
             del self._records[oldest]
+
+
+def _judge(key: str, exposures: Mapping[ServerInstance, Exposure]) -> Suspicion:
+    """Return how a request may be sent that was in flight at some crashes."""
+    if is_part_key(key):
+        # Unrelated parts are in flight at single crashes all the time.
+        return Suspicion.SUSPECT if len(exposures) > 1 else Suspicion.CLEAR
+    was_starting = any(exposure >= Exposure.STARTING for exposure in exposures.values())
+    suspect = was_starting or len(exposures) > 1
+    return Suspicion.SUSPECT if suspect else Suspicion.CLEAR
--- a/src/rosepath/crash_watch.py
+++ b/src/rosepath/crash_watch.py
@@ -1,9 +1,8 @@
 """Detect which lost connections were crashes, and what was in flight."""
 
 import asyncio
-from collections.abc import Callable
-from dataclasses import dataclass
-from typing import Protocol
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, replace
 
 from rosepath.clock import Clock
 from rosepath.crash_records import (
@@ -12,14 +11,19 @@
     CrashReport,
     Exposure,
     ServerInstance,
+    Suspicion,
 )
 from rosepath.fleet import BackendServer
-from rosepath.http_client import ProbeResult
 from rosepath.isolated_runs import IsolatedRuns
 from rosepath.logs import get_logger
+from rosepath.server_probe import ServerContact, ServerProbe
+from rosepath.undecided_runs import UndecidedRuns
 
-# A running machine refuses a connection within milliseconds.
+# A running machine refuses a connection within milliseconds, and a server with
+# free capacity answers as quickly.
 PROBE_TIMEOUT_S = 0.2
+# Between two probes of a server that accepts connections and does not answer.
+PROBE_INTERVAL_S = 0.5
 # By then the store entry of a crashed server is known to be removed or
 # replaced: this covers three heartbeats and one read of the store.
 LOST_RUN_TTL_S = 8.0
@@ -27,10 +31,8 @@
 _log = get_logger()
 
 
-class Probe(Protocol):
-    """Test whether an address accepts connections."""
-
-    async def __call__(self, address: str, *, limit_s: float) -> ProbeResult: ...
+async def _confirm_nothing() -> None:
+    return
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -38,6 +40,7 @@
     """A run whose connection was lost or that timed out.
 
     `part_keys` has the shared parts of its prompt, if it had just begun.
+    `answered_wall_s` is when its server answered a probe after that.
     """
 
     request_id: str
@@ -45,27 +48,52 @@
     exposure: Exposure
     lost_s: float
     part_keys: tuple[str, ...] = ()
+    timed_out: bool = False
+    answered_wall_s: float | None = None
+
+    def outlived_by_server(self, successor_born_ms: int | None) -> bool:
+        """Return whether the server still ran after the run was lost.
+
+        The next process at its address may have answered in its place.
+        """
+        if self.answered_wall_s is None:
+            return False
+        return (
+            successor_born_ms is None or successor_born_ms > self.answered_wall_s * 1000
+        )
 
 
 class CrashWatch:
-    """Own the crash records, the isolated runs and the recently lost runs.
+    """Own the crash records, the isolated and undecided runs, and the lost ones.
 
     It reports which requests were in flight at a server that crashed.
     A connection reset alone does not count as a crash, as a middlebox may have
     caused it. A server has crashed if it then refuses connections, or if its
-    entry is removed or replaced by that of a new instance.
+    entry is removed or replaced by that of a new instance. It has not if it
+    answers. One that only accepts connections is undecided: its lost runs are
+    kept, and the requests that may have crashed it are sent like suspects.
     """
 
     def __init__(
-        self, me: str, *, clock: Clock, probe: Probe, on_change: Callable[[], None]
+        self,
+        me: str,
+        *,
+        clock: Clock,
+        probe: ServerProbe,
+        on_change: Callable[[], None],
+        confirm_instances: Callable[[], Awaitable[None]] = _confirm_nothing,
     ) -> None:
         self.records = CrashRecords(clock=clock)
         self.isolated = IsolatedRuns(me, on_change=on_change)
+        self.undecided = UndecidedRuns(me)
         self._clock = clock
         self._probe = probe
         self._on_change = on_change
+        # Learns which servers have restarted.
+        self._confirm_instances = confirm_instances
         self._lost_runs: dict[ServerInstance, list[LostRun]] = {}
         self._probes: dict[ServerInstance, asyncio.Task[None]] = {}
+        self._followed: dict[ServerInstance, asyncio.Task[None]] = {}
 
     def note_timeout(self, server: BackendServer, run: LostRun) -> None:
         """Record a run aborted because its server exceeded a timeout.
@@ -74,7 +102,7 @@
         delays the request further. A crash shows in the server's entry.
         """
         if server.usable:
-            self._record_lost(instance_of(server), run)
+            self._record_lost(instance_of(server), replace(run, timed_out=True))
 
     async def note_lost(self, server: BackendServer, run: LostRun) -> None:
         """Record a lost run and wait for the result of a probe of its server.
@@ -89,44 +117,106 @@
         self._record_lost(instance, run)
         probe = self._probes.get(instance)
         if probe is None:
-            probe = asyncio.ensure_future(self._probe_server(server.address, instance))
+            probe = asyncio.ensure_future(self._probe_server(server))
             self._probes[instance] = probe
         # Several requests may share the probe; one that is cancelled because
         # its caller disconnected must not cancel the probe.
         await asyncio.shield(probe)
 
-    async def _probe_server(self, address: str, instance: ServerInstance) -> None:
-        started_s = self._clock.monotonic_s()
+    async def _probe_server(self, server: BackendServer) -> None:
+        instance, started_s = instance_of(server), self._clock.monotonic_s()
         try:
-            contact = await self._probe(address, limit_s=PROBE_TIMEOUT_S)
+            contact = await self._probe(server, limit_s=PROBE_TIMEOUT_S)
         finally:
             del self._probes[instance]
+        self._note_contact(instance, contact, asked_s=started_s)
+        if instance in self.undecided and instance not in self._followed:
+            task = asyncio.ensure_future(self._follow(server))
+            self._followed[instance] = task
+            task.add_done_callback(lambda _: self._followed.pop(instance, None))
+
+    async def _follow(self, server: BackendServer) -> None:
+        """Probe a server until it is known whether it crashed."""
+        instance = instance_of(server)
+        while instance in self.undecided:
+            await asyncio.sleep(PROBE_INTERVAL_S)
+            self._drop_expired()
+            started_s = self._clock.monotonic_s()
+            contact = await self._probe(server, limit_s=PROBE_TIMEOUT_S)
+            if contact is ServerContact.ANSWERED:
+                # It may be the next process that answers now.
+                await self._confirm_instances()
+            self._note_contact(instance, contact, asked_s=started_s)
+
+    def _note_contact(
+        self, instance: ServerInstance, contact: ServerContact, *, asked_s: float
+    ) -> None:
+        """Apply what a probe found to the runs that a server lost before it."""
+        runs = self._lost_runs.get(instance, [])
         _log.info(
             "server_probed",
             step="probe",
             peer=instance.server,
             born_ms=instance.born_ms,
             contact=contact.value,
-            lost_runs=len(self._lost_runs.get(instance, ())),
+            lost_runs=len(runs),
         )
-        if contact is ProbeResult.REFUSED:
-            self.note_crashed(instance)
-        elif contact is ProbeResult.ACCEPTED:
-            self._drop_lost(instance, until_s=started_s)
+        match contact:
+            case ServerContact.GONE:
+                self.note_crashed(instance)
+            case ServerContact.ANSWERED:
+                self._note_answered(instance, asked_s=asked_s)
+            case ServerContact.ACCEPTED:
+                self._note_undecided(instance)
+
+    def _note_answered(self, instance: ServerInstance, *, asked_s: float) -> None:
+        wall_s = self._clock.wall_s()
+        self.undecided.decide(instance)
+        self._lost_runs[instance] = [
+            replace(run, answered_wall_s=wall_s) if run.lost_s <= asked_s else run
+            for run in self._lost_runs.get(instance, ())
+        ]
+
+    def _note_undecided(self, instance: ServerInstance) -> None:
+        self.undecided.decide(instance)
+        for run in self._lost_runs.get(instance, ()):
+            if run.answered_wall_s is None and not run.timed_out:
+                self.undecided.add(self._report_of(run, instance))
+        self._on_change()
+
+    def _report_of(self, run: LostRun, instance: ServerInstance) -> CrashReport:
+        return CrashReport(
+            run.content_key,
+            instance,
+            run.exposure,
+            self.records.without_survived(run.part_keys),
+        )
+
+    def note_crashed(
+        self, instance: ServerInstance, *, successor_born_ms: int | None = None
+    ) -> None:
+        """Report the runs that a crashed server lost recently.
 
-    def note_crashed(self, instance: ServerInstance) -> None:
-        """Report the runs that a crashed server lost recently."""
+        `successor_born_ms` is the start of the next process under its name, if
+        that is known.
+        """
         self._drop_expired()
+        self.undecided.decide(instance)
         for run in self._lost_runs.pop(instance, ()):
-            self._report_crash(
-                CrashReport(
-                    run.content_key,
-                    instance,
-                    run.exposure,
-                    self.records.without_survived(run.part_keys),
-                ),
-                run,
-            )
+            if not run.outlived_by_server(successor_born_ms):
+                self._report_crash(self._report_of(run, instance), run)
+
+    def suspicion(self, key: str) -> Suspicion:
+        """Return how a request may be sent, by its content or a part of its prompt."""
+        undecided = self.undecided.reports_with(key, now_s=self._clock.monotonic_s())
+        if not undecided:
+            return self.records.suspicion(key)
+        return self.records.suspicion_with(key, undecided)
+
+    @property
+    def suspects_any(self) -> bool:
+        """Return whether any request may be suspected."""
+        return bool(self.records) or self.undecided.has_any(self._clock.monotonic_s())
 
     def reserve(self, content_key: str, *, request_id: str, server: str) -> bool:
         """Reserve a server for a suspect; return whether it may be sent now."""
@@ -158,6 +248,7 @@
 
     def clear(self, content_key: str) -> None:
         """Record that a run of a request completed."""
+        self.undecided.clear(content_key)
         if self.records.clear(content_key):
             self._on_change()
 
@@ -191,6 +282,8 @@
         ]
         if remaining:
             self._lost_runs[instance] = remaining
+        else:
+            self.undecided.decide(instance)
 
 
 def instance_of(server: BackendServer) -> ServerInstance:
--- a/src/rosepath/departed_servers.py
+++ b/src/rosepath/departed_servers.py
@@ -2,9 +2,10 @@
 
 import asyncio
 from dataclasses import dataclass, field
+from typing import Protocol
 
 from rosepath.clock import Clock
-from rosepath.crash_watch import PROBE_TIMEOUT_S, Probe
+from rosepath.crash_watch import PROBE_TIMEOUT_S
 from rosepath.fleet import BackendServer, Fleet
 from rosepath.http_client import ProbeResult
 from rosepath.silence_reports import end_lost_runs
@@ -15,6 +16,12 @@
 PROBE_INTERVAL_S = 0.5
 
 
+class Probe(Protocol):
+    """Test whether an address accepts connections."""
+
+    async def __call__(self, address: str, *, limit_s: float) -> ProbeResult: ...
+
+
 @dataclass(slots=True, kw_only=True)
 class DepartedServers:
     """Follow servers whose entries are gone while they have runs of this VM.
--- a/src/rosepath/entry_node.py
+++ b/src/rosepath/entry_node.py
@@ -9,7 +9,7 @@
 from tornado.web import Application, RequestHandler
 
 from rosepath.attempt import AttemptSender
-from rosepath.catalog import Catalog
+from rosepath.catalog import DEFAULT_HEALTH_PATH, Catalog
 from rosepath.clock import BootClock, SystemClock
 from rosepath.configuration_view import ConfigurationView
 from rosepath.crash_watch import CrashWatch, instance_of
@@ -52,6 +52,7 @@
 from rosepath.server_limits import apply_limit_notice, limited_servers
 from rosepath.server_notice import ServerNotice
 from rosepath.server_paths import ServerPaths
+from rosepath.server_probe import health_probe
 from rosepath.settings import split_address
 from rosepath.software_versions import SoftwareVersions
 from rosepath.store_tables import StoreTables
@@ -145,8 +146,9 @@
         self.crashes = CrashWatch(
             settings.entry_vm,
             clock=self.clock,
-            probe=self.pool.probe,
+            probe=health_probe(self.pool, self._health_path),
             on_change=lambda: self.exchange.send_state_soon(),
+            confirm_instances=lambda: self.tables.confirm_instances(),
         )
         self.tables = StoreTables(
             self.store,
@@ -159,7 +161,10 @@
             ),
             on_catalog=self._on_catalog_applied,
             on_restarted=self._note_restarted,
-            on_removed=lambda server: self.crashes.note_crashed(instance_of(server)),
+            on_removed=lambda server, successor: self.crashes.note_crashed(
+                instance_of(server),
+                successor_born_ms=successor.born_ms if successor else None,
+            ),
             on_departed=lambda server: self.departed.note_departed(server),
             drain_s=settings.drain_s,
             settle_s=settings.settle_s,
@@ -471,6 +476,13 @@
             behind=watcher.behind,
         )
 
+    def _health_path(self, service: str) -> str:
+        """Return the path of a service's health check, of any if it is unknown."""
+        known = (
+            self.tables.catalog.services.get(service) if self.tables.catalog else None
+        )
+        return known.health_path if known else DEFAULT_HEALTH_PATH
+
     def _budget(self, service: str) -> RetryWindow:
         if service not in self.budgets:
             bounds = self.settings.retries
--- a/src/rosepath/header_values.py
+++ b/src/rosepath/header_values.py
@@ -62,3 +62,12 @@
     """Return the lowest of the valid rates, None if there is none."""
     rates = (parse_number(raw) for raw in values)
     return min((rate for rate in rates if rate is not None), default=None)
+
+
+def sum_counts(raw: str | None) -> int | None:
+    """Return the sum of a list of counts; None unless all are stated."""
+    if raw is None:
+        return None
+    counts = [parse_int(count) for count in raw.split(",")]
+    known = [count for count in counts if count is not None]
+    return sum(known) if len(known) == len(counts) else None
--- a/src/rosepath/peer_exchange.py
+++ b/src/rosepath/peer_exchange.py
@@ -207,6 +207,7 @@
             cleared=self._crashes.records.cleared,
             quarantined=self._crashes.records.quarantined,
             isolated=self._crashes.isolated.runs(merged=sends_totals, now_s=now_s),
+            undecided=self._crashes.undecided.runs(merged=sends_totals, now_s=now_s),
             limits=known_limits(self._tables.fleet, now_s=now_s),
             link_mbps=self._link_mbps,
             coordinator=self._quota_coordinator()
@@ -304,6 +305,11 @@
                 state.entry_vm, state.isolated, now_s=now_s
             )
         )
+        changes.append(
+            self._crashes.undecided.apply_peer_runs(
+                state.entry_vm, state.undecided, now_s=now_s
+            )
+        )
         if any(changes):
             self._tables.notify_waiters()
             if self._coordinator.term and self.peers.large_fleet:
--- a/src/rosepath/peer_messages.py
+++ b/src/rosepath/peer_messages.py
@@ -31,6 +31,7 @@
     decode_origin_fields,
     encode_origin_fields,
 )
+from rosepath.undecided_runs import UndecidedRun
 
 # In a large fleet the holder of the placement lease sends the load of all
 # engines to every entry VM: below 1,400 bytes for 70 engines once compressed.
@@ -105,7 +106,8 @@
 
     `crashes` lists the requests that were running when a server crashed,
     `cleared` those that have completed since, `quarantined` those that cause
-    crashes. `isolated` lists the isolated runs of crash suspects.
+    crashes. `isolated` lists the isolated runs of crash suspects, `undecided`
+    the runs lost at servers that may have crashed.
     """
 
     entry_vm: str
@@ -138,6 +140,7 @@
     cleared: tuple[str, ...] = ()
     quarantined: tuple[str, ...] = ()
     isolated: frozenset[IsolatedRun] = frozenset()
+    undecided: frozenset[UndecidedRun] = frozenset()
     # Rate limits that servers have stated, and those that have just ended.
     limits: tuple[ServerLimit, ...] = ()
     # Bandwidth of the sender's network link.
@@ -338,15 +341,7 @@
             [move.number, move.server, move.model, move.adapter, int(move.present)]
             for move in message.residency_changes
         ],
-        "cr": [
-            [
-                report.content_key,
-                *report.instance,
-                int(report.exposure),
-                *report.part_keys,
-            ]
-            for report in message.crashes
-        ],
+        "cr": [_encode_report(report) for report in message.crashes],
         "cl": list(message.cleared),
         "qu": list(message.quarantined),
         # Read by builds that do not know "ir".
@@ -354,6 +349,16 @@
             run.content_key: run.server if run.sent else "" for run in message.isolated
         },
         "ir": [list(run) for run in message.isolated],
+        **(
+            {
+                "un": [
+                    [run.entry_vm, *_encode_report(run.report)]
+                    for run in message.undecided
+                ]
+            }
+            if message.undecided
+            else {}
+        ),
         "li": [[*limit[:3], round(limit.stated_ago_s, 3)] for limit in message.limits],
         "bw": message.link_mbps,
         **({"co": list(message.coordinator)} if message.coordinator.entry_vm else {}),
@@ -410,18 +415,14 @@
             )
             for row in raw["m"]
         ),
-        crashes=tuple(
-            CrashReport(
-                str(row[0]),
-                ServerInstance(str(row[1]), int(row[2])),
-                Exposure(int(row[3])),
-                tuple(map(str, row[4:])),
-            )
-            for row in raw["cr"]
-        ),
+        crashes=tuple(_decode_report(row) for row in raw["cr"]),
         cleared=tuple(map(str, raw["cl"])),
         quarantined=tuple(map(str, raw["qu"])),
         isolated=_decode_isolated(raw),
+        undecided=frozenset(
+            UndecidedRun(str(row[0]), _decode_report(row[1:]))
+            for row in raw.get("un", ())
+        ),
         limits=tuple(_decode_limit(row) for row in raw.get("li", ())),
         link_mbps=float(raw.get("bw", 0.0)),
         coordinator=_decode_coordinator(raw.get("co", NO_COORDINATOR)),
@@ -429,6 +430,24 @@
     )
 
 
+def _encode_report(report: CrashReport) -> list[Any]:
+    return [
+        report.content_key,
+        *report.instance,
+        int(report.exposure),
+        *report.part_keys,
+    ]
+
+
+def _decode_report(row: Sequence[Any]) -> CrashReport:
+    return CrashReport(
+        str(row[0]),
+        ServerInstance(str(row[1]), int(row[2])),
+        Exposure(int(row[3])),
+        tuple(map(str, row[4:])),
+    )
+
+
 def _decode_coordinator(raw: Sequence[Any]) -> CoordinatorLink:
     return CoordinatorLink(str(raw[0]), float(raw[1]))
 
--- a/src/rosepath/platform/calls.py
+++ b/src/rosepath/platform/calls.py
@@ -10,6 +10,7 @@
     parse_count,
     parse_int,
     parse_ms,
+    sum_counts,
 )
 from rosepath.response_metadata import ResponseMetadata, parse_load
 from rosepath.retry_after import read_retry_after_s
@@ -28,6 +29,7 @@
 _RESUMES = "Resumes"
 _SERVER = "Target-Instance"
 _PRIORITY = "Request-Priority"
+_INSTANCE = "Instance-Id"
 _SIGNATURE = "Response-Signature"
 _NOT_RUN = "Not-Executed"
 _LOAD = "Server-Load"
@@ -87,7 +89,7 @@
         last_event_id=parse_int(headers.get(_LAST_EVENT)),
         resumed_request_id=headers.get(_RESUMES, ""),
         api_key_digest=_digest_key(headers),
-        tokens=_parse_tokens(headers.get(_TOKENS)),
+        tokens=sum_counts(headers.get(_TOKENS)),
     )
 
 
@@ -119,6 +121,11 @@
     return headers.get(_REQUEST_ID)
 
 
+def answering_server(headers: HTTPHeaders) -> str | None:
+    """Return the name of the server that answered a health check."""
+    return headers.get(_INSTANCE)
+
+
 def read_response_metadata(status: int, headers: HTTPHeaders) -> ResponseMetadata:
     """Read the headers of a backend server's response."""
     signed = _SIGNATURE in headers
@@ -194,12 +201,3 @@
     """Return the digest of the request's only API key."""
     keys = headers.get_list(_API_KEY)
     return key_digest(keys[0]) if len(keys) == 1 else None
-
-
-def _parse_tokens(raw: str | None) -> int | None:
-    """Return the sum of input and output tokens; None if not stated."""
-    if raw is None:
-        return None
-    counts = [parse_int(count) for count in raw.split(",")]
-    known = [count for count in counts if count is not None]
-    return sum(known) if len(known) == len(counts) else None
--- a/src/rosepath/platform/documents.py
+++ b/src/rosepath/platform/documents.py
@@ -7,6 +7,7 @@
 
 from rosepath.api_keys import key_digest
 from rosepath.catalog import (
+    DEFAULT_HEALTH_PATH,
     CallerLimits,
     Catalog,
     EngineSpec,
@@ -131,7 +132,7 @@
 
 class _Service(Document):
     name: Text
-    health_path: Text = "/health"
+    health_path: Text = DEFAULT_HEALTH_PATH
     max_connections: Integer = 100
     engine: _Engine | None = None
 
--- a/src/rosepath/suspect_tracker.py
+++ b/src/rosepath/suspect_tracker.py
@@ -28,24 +28,23 @@
 
     def suspicion(self, context: RequestContext) -> Suspicion:
         """Return how a request may be sent, by its content and its parts."""
-        records = self._crashes.records
-        if not records:
+        if not self._crashes.suspects_any:
             # The request body need not be hashed.
             return Suspicion.CLEAR
         keys = (context.content_key, *context.part_keys)
-        return max(map(records.suspicion, keys))
+        return max(map(self._crashes.suspicion, keys))
 
     def suspected_key(self, context: RequestContext) -> str:
         """Return the content or part for which a request is suspected.
 
         A part goes first, as only one run with it may be in progress.
         """
-        records = self._crashes.records
+        crashes = self._crashes
         suspicion = self.suspicion(context)
         parts = [
-            key for key in context.part_keys if records.suspicion(key) is suspicion
+            key for key in context.part_keys if crashes.suspicion(key) is suspicion
         ]
-        return max(parts, key=records.open_crashes, default=context.content_key)
+        return max(parts, key=crashes.records.open_crashes, default=context.content_key)
 
     def _isolate(self, context: RequestContext) -> str:
         """Return the key under which a suspect runs, and give up any other."""
@@ -154,7 +153,7 @@
             return
         if response.success:
             self._crashes.note_survived(context.part_keys)
-        if self._crashes.records:
+        if self._crashes.suspects_any:
             self._crashes.clear(context.content_key)
 
     async def note_failed(
--- /dev/null
+++ b/src/rosepath/undecided_runs.py
@@ -0,0 +1,78 @@
+"""Runs lost at servers of which it is unknown whether they crashed; no I/O."""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from rosepath.crash_records import MAX_REPORTS_SENT, CrashReport, ServerInstance
+from rosepath.peer_statements import PeerStatements
+
+
+class UndecidedRun(NamedTuple):
+    """What an entry VM will report if the server of a lost run has crashed."""
+
+    entry_vm: str
+    report: CrashReport
+
+
+class UndecidedRuns:
+    """Own the undecided runs of this entry VM and those of its peers.
+
+    The address of such a server accepts connections, which shows no more than
+    that something listens there, but nothing answers.
+    """
+
+    def __init__(self, me: str) -> None:
+        self._me = me
+        self._own: dict[ServerInstance, list[CrashReport]] = {}
+        self._peer_runs = PeerStatements[UndecidedRun](me)
+
+    def __contains__(self, instance: ServerInstance) -> bool:
+        return instance in self._own
+
+    def has_any(self, now_s: float) -> bool:
+        """Return whether any entry VM has undecided runs."""
+        return bool(self._own) or bool(self._peer_runs.recent(now_s))
+
+    def add(self, report: CrashReport) -> None:
+        """Add a run of this VM."""
+        self._own.setdefault(report.instance, []).append(report)
+
+    def decide(self, instance: ServerInstance) -> None:
+        """Drop the runs of this VM at a server, as its state is known."""
+        self._own.pop(instance, None)
+
+    def clear(self, content_key: str) -> None:
+        """Drop the runs of a request, as another of its runs completed."""
+        for instance, reports in list(self._own.items()):
+            remaining = [one for one in reports if one.content_key != content_key]
+            if remaining:
+                self._own[instance] = remaining
+            else:
+                del self._own[instance]
+
+    def reports_with(self, key: str, *, now_s: float) -> list[CrashReport]:
+        """Return the possible reports on a request or on a part of prompts."""
+        reports = [report for reports in self._own.values() for report in reports]
+        reports += [run.report for run in self._peer_runs.recent(now_s)]
+        return [one for one in reports if key in (one.content_key, *one.part_keys)]
+
+    def apply_peer_runs(
+        self, sender: str, runs: Iterable[UndecidedRun], *, now_s: float
+    ) -> bool:
+        """Apply the undecided runs that a peer sent; return whether any are new."""
+        return self._peer_runs.apply(sender, runs, now_s=now_s)
+
+    def runs(self, *, merged: bool, now_s: float) -> frozenset[UndecidedRun]:
+        """Return the runs of this VM, the likeliest causes of crashes.
+
+        With `merged`, include the runs received from other VMs.
+        """
+        found = {
+            UndecidedRun(self._me, report)
+            for reports in self._own.values()
+            for report in reports
+        }
+        if merged:
+            found |= self._peer_runs.recent(now_s)
+        by_exposure = sorted(found, key=lambda run: run.report.exposure)
+        return frozenset(by_exposure[-MAX_REPORTS_SENT:])
--- a/tests/crashing_servers.py
+++ b/tests/crashing_servers.py
@@ -15,9 +15,11 @@
 from virtual_time import now_s
 
 from rosepath.errors import ExchangeError, Step
-from rosepath.http_client import ProbeResult, Request, ResponseHead
+from rosepath.fleet import BackendServer
+from rosepath.http_client import Request, ResponseHead
 from rosepath.request_context import RequestContext
 from rosepath.server_picker import QUARANTINED_CODE
+from rosepath.server_probe import ServerContact
 
 CRASHING_PATH = "/drafts/crashing"
 LONG_PATH = "/drafts/long"
@@ -146,9 +148,10 @@
         )
         self.quarantined_unrelated += unrelated and code == QUARANTINED_CODE
 
-    async def _probe(self, address: str, *, limit_s: float) -> ProbeResult:
+    async def _probe(self, server: BackendServer, *, limit_s: float) -> ServerContact:
         await asyncio.sleep(ONE_WAY_LATENCY_S)
-        return ProbeResult.ACCEPTED if self.servers[address].up else ProbeResult.REFUSED
+        up = self.servers[server.address].up
+        return ServerContact.ANSWERED if up else ServerContact.GONE
 
     def _backend_exchange(self, name: str) -> Callable[..., Any]:
         async def exchange(request: Request, *, on_head: Any, on_data: Any) -> Any:
--- a/tests/entry_builders.py
+++ b/tests/entry_builders.py
@@ -22,12 +22,12 @@
 from rosepath.engine_plan_state import EngineView
 from rosepath.entry_settings import EntrySettings
 from rosepath.fleet import BackendServer, ServerEntry
-from rosepath.http_client import ProbeResult
 from rosepath.object_store import StoredObject
 from rosepath.peer_messages import PeerState
 from rosepath.platform.documents import decode_server
 from rosepath.request_context import RelayPorts
 from rosepath.server_picker import ServerPicker
+from rosepath.server_probe import ServerContact
 from rosepath.suspect_tracker import SuspectTracker
 from rosepath.workspaces import Quota, QuotaUnit, Workspace
 
@@ -243,11 +243,11 @@
     clock: Clock,
     *,
     entry_vm: str = "vm-1",
-    contact: ProbeResult = ProbeResult.ACCEPTED,
+    contact: ServerContact = ServerContact.ANSWERED,
 ) -> CrashWatch:
-    """Build a crash watch whose connection probes all return `contact`."""
+    """Build a crash watch whose probes all return `contact`."""
 
-    async def probe(address: str, *, limit_s: float) -> ProbeResult:
+    async def probe(server: BackendServer, *, limit_s: float) -> ServerContact:
         return contact
 
     return CrashWatch(entry_vm, clock=clock, probe=probe, on_change=lambda: None)
--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -5,18 +5,25 @@
 from dataclasses import replace
 
 from entry_builders import a_crash_watch, a_server
+from virtual_time import LoopClock, VirtualLoop
 
 from rosepath.clock import ManualClock
 from rosepath.crash_records import Exposure, Suspicion
-from rosepath.crash_watch import LOST_RUN_TTL_S, CrashWatch, LostRun, instance_of
+from rosepath.crash_watch import (
+    LOST_RUN_TTL_S,
+    PROBE_INTERVAL_S,
+    CrashWatch,
+    LostRun,
+    instance_of,
+)
 from rosepath.fleet import BackendServer
-from rosepath.http_client import ProbeResult
+from rosepath.server_probe import ServerContact
 
 AfterLoss = Callable[[CrashWatch, BackendServer, ManualClock], None]
 
 
 def suspicion_after(
-    contact: ProbeResult,
+    contact: ServerContact,
     *,
     after_loss: AfterLoss = lambda *_: None,
     draining: bool = False,
@@ -29,7 +36,7 @@
         watch = a_crash_watch(clock, contact=contact)
         await watch.note_lost(server, a_run(clock))
         after_loss(watch, server, clock)
-        return watch.records.suspicion("bad")
+        return watch.suspicion("bad")
 
     return asyncio.run(run())
 
@@ -47,7 +54,7 @@
 def test_a_crash_report_leaves_out_parts_with_which_runs_survive() -> None:
     async def run() -> None:
         clock, server = ManualClock(), a_server("s1")
-        watch = a_crash_watch(clock, contact=ProbeResult.REFUSED)
+        watch = a_crash_watch(clock, contact=ServerContact.GONE)
         watch.note_survived(("part:first",))
         await watch.note_lost(
             server, replace(a_run(clock), part_keys=("part:first", "part:x"))
@@ -62,6 +69,30 @@
     watch.note_crashed(instance_of(server))
 
 
+def restarted_later(
+    watch: CrashWatch, server: BackendServer, clock: ManualClock
+) -> None:
+    clock.advance(1.0)
+    born_ms = int(clock.wall_s() * 1000)
+    watch.note_crashed(instance_of(server), successor_born_ms=born_ms)
+
+
+def restarted_before_the_answer(
+    watch: CrashWatch, server: BackendServer, clock: ManualClock
+) -> None:
+    born_ms = int(clock.wall_s() * 1000) - 100
+    watch.note_crashed(instance_of(server), successor_born_ms=born_ms)
+
+
+def expired(watch: CrashWatch, server: BackendServer, clock: ManualClock) -> None:
+    clock.advance(LOST_RUN_TTL_S + 0.1)
+    watch.note_crashed(instance_of(server))
+
+
+def completed(watch: CrashWatch, _: BackendServer, __: ManualClock) -> None:
+    watch.clear("bad")
+
+
 def crashed_much_later(
     watch: CrashWatch, server: BackendServer, clock: ManualClock
 ) -> None:
@@ -70,22 +101,90 @@
 
 
 def test_server_that_refuses_connections_after_a_lost_run_crashed() -> None:
-    assert suspicion_after(ProbeResult.REFUSED) is Suspicion.SUSPECT
+    assert suspicion_after(ServerContact.GONE) is Suspicion.SUSPECT
 
 
 # Guards against suspecting requests whose connections a middlebox reset.
-def test_connection_reset_by_a_listening_server_is_no_crash() -> None:
-    assert suspicion_after(ProbeResult.ACCEPTED) is Suspicion.CLEAR
-    assert suspicion_after(ProbeResult.ACCEPTED, after_loss=crashed) is Suspicion.CLEAR
+def test_connection_reset_by_a_server_that_answers_is_no_crash() -> None:
+    answered = ServerContact.ANSWERED
+    assert suspicion_after(answered) is Suspicion.CLEAR
+    assert suspicion_after(answered, after_loss=crashed) is Suspicion.CLEAR
+    assert suspicion_after(answered, after_loss=restarted_later) is Suspicion.CLEAR
+
+
+# Guards against taking the answer of the next process for that of the server.
+def test_answer_of_a_restarted_server_does_not_hide_its_crash() -> None:
+    after_restart = suspicion_after(
+        ServerContact.ANSWERED, after_loss=restarted_before_the_answer
+    )
+    assert after_restart is Suspicion.SUSPECT
+
+
+# Guards against taking an accepted connection for an answer.
+def test_server_that_accepts_without_an_answer_is_undecided() -> None:
+    accepted = ServerContact.ACCEPTED
+    assert suspicion_after(accepted) is Suspicion.SUSPECT
+    assert suspicion_after(accepted, after_loss=crashed) is Suspicion.SUSPECT
+    assert suspicion_after(accepted, after_loss=expired) is Suspicion.CLEAR
+    assert suspicion_after(accepted, after_loss=completed) is Suspicion.CLEAR
+
+
+# Guards against sending a likely cause to a fourth server before it is known
+# whether the first three crashed.
+def test_request_lost_at_three_undecided_servers_is_held() -> None:
+    async def run() -> None:
+        clock = ManualClock()
+        watch = a_crash_watch(clock, contact=ServerContact.ACCEPTED)
+        peer = a_crash_watch(clock, entry_vm="vm-2", contact=ServerContact.ACCEPTED)
+        exposures = (Exposure.STARTING, Exposure.ISOLATED, Exposure.ISOLATED)
+        for number, exposure in enumerate(exposures):
+            assert watch.suspicion("bad") < Suspicion.HELD
+            lost = replace(a_run(clock), exposure=exposure)
+            await watch.note_lost(a_server(f"s{number}"), lost)
+        assert watch.suspicion("bad") is Suspicion.HELD
+        now_s = clock.monotonic_s()
+        told = watch.undecided.runs(merged=False, now_s=now_s)
+        peer.undecided.apply_peer_runs("vm-1", told, now_s=now_s)
+        assert peer.suspicion("bad") is Suspicion.HELD
+        assert watch.suspicion("other") is Suspicion.CLEAR
+        clock.advance(LOST_RUN_TTL_S + 0.1)
+        assert peer.suspicion("bad") is Suspicion.CLEAR
+
+    asyncio.run(run())
+
+
+# Guards against holding what a busy server lost once it answers again.
+def test_undecided_server_that_answers_later_has_not_crashed() -> None:
+    contacts = [ServerContact.ACCEPTED, ServerContact.ACCEPTED, ServerContact.ANSWERED]
+
+    async def play() -> None:
+        async def probe(_: BackendServer, *, limit_s: float) -> ServerContact:
+            return contacts.pop(0)
+
+        watch = CrashWatch(
+            "vm-1", clock=LoopClock(), probe=probe, on_change=lambda: None
+        )
+        now_s = asyncio.get_running_loop().time()
+        await watch.note_lost(a_server("s1"), replace(a_run(clock), lost_s=now_s))
+        assert watch.suspicion("bad") is Suspicion.SUSPECT
+        await asyncio.sleep(2.5 * PROBE_INTERVAL_S)
+        assert watch.suspicion("bad") is Suspicion.CLEAR
+        assert not contacts
+
+    clock = ManualClock()
+    with asyncio.Runner(loop_factory=VirtualLoop) as runner:
+        runner.run(play())
 
 
 def test_unresponsive_server_crashed_once_its_entry_is_removed() -> None:
-    assert suspicion_after(ProbeResult.UNKNOWN) is Suspicion.CLEAR
-    assert suspicion_after(ProbeResult.UNKNOWN, after_loss=crashed) is Suspicion.SUSPECT
+    assert suspicion_after(ServerContact.UNKNOWN) is Suspicion.CLEAR
+    assert (
+        suspicion_after(ServerContact.UNKNOWN, after_loss=crashed) is Suspicion.SUSPECT
+    )
 
 
 def test_crash_long_after_a_lost_run_is_not_related_to_it() -> None:
-    later = suspicion_after(ProbeResult.UNKNOWN, after_loss=crashed_much_later)
+    later = suspicion_after(ServerContact.UNKNOWN, after_loss=crashed_much_later)
     assert later is Suspicion.CLEAR
 
 
@@ -103,7 +202,7 @@
 
 # Guards against suspecting requests at the end of a planned departure.
 def test_departure_of_a_draining_server_is_no_crash() -> None:
-    assert suspicion_after(ProbeResult.REFUSED, draining=True) is Suspicion.CLEAR
+    assert suspicion_after(ServerContact.GONE, draining=True) is Suspicion.CLEAR
 
 
 # Guards against a burst of connections to a server that just lost many runs.
@@ -111,11 +210,11 @@
     async def run() -> int:
         clock, server, probes = ManualClock(), a_server("s1"), 0
 
-        async def probe(address: str, *, limit_s: float) -> ProbeResult:
+        async def probe(_: BackendServer, *, limit_s: float) -> ServerContact:
             nonlocal probes
             probes += 1
             await asyncio.sleep(0)
-            return ProbeResult.REFUSED
+            return ServerContact.GONE
 
         watch = CrashWatch("vm-1", clock=clock, probe=probe, on_change=lambda: None)
         lost = [a_run(clock, request_id=f"q{number}") for number in range(20)]
--- a/tests/test_crashes_behind_open_ports.py
+++ b/tests/test_crashes_behind_open_ports.py
@@ -20,17 +20,19 @@
 SEND_INTERVAL_S = 0.25
 SENDING_S = 9.0
 RESTART_AFTER_S = 2.0
+# The same under a supervisor that starts the next process at once.
+QUICK_RESTART_AFTER_S = 0.1
 # How often a cause of crashes may still reach servers once it is known.
 MAX_LATE_SENDS = 3
 ports = pytest.mark.parametrize("port", list(PortAfterCrash))
 
 
-async def restart_crashed_servers(fleet: PartitionedFleet) -> None:
-    """Start each crashed server again under its name, some seconds later."""
+async def restart_crashed_servers(fleet: PartitionedFleet, *, after_s: float) -> None:
+    """Start each crashed server again under its name."""
     restarting: set[asyncio.Task[None]] = set()
 
     async def restart(server: Server) -> None:
-        await asyncio.sleep(RESTART_AFTER_S)
+        await asyncio.sleep(after_s)
         await server.restart()
         await fleet.backend.write_entry(server)
         server.restarting = False
@@ -50,6 +52,7 @@
     cause: str,
     known_after: int,
     headers: Mapping[str, str] | None = None,
+    restart_after_s: float = RESTART_AFTER_S,
 ) -> int:
     """Send a cause of crashes again and again; return how often it came late.
 
@@ -58,7 +61,9 @@
     async with partitioned_fleet(directory, "a", "a", servers=SERVERS) as fleet:
         for server in fleet.backend.servers.values():
             server.port_after_crash = port
-        restarting = asyncio.ensure_future(restart_crashed_servers(fleet))
+        restarting = asyncio.ensure_future(
+            restart_crashed_servers(fleet, after_s=restart_after_s)
+        )
         sending: list[asyncio.Future[int]] = []
         ends_s = time.monotonic() + SENDING_S
         path = cause if cause == CRASHING_PATH else ""
@@ -90,6 +95,23 @@
     assert late <= MAX_LATE_SENDS
 
 
+# Guards against taking the answer of the next process for that of the one that
+# crashed.
+def test_a_request_that_crashes_servers_is_known_as_they_start_again_at_once(
+    tmp_path: Path,
+) -> None:
+    late = asyncio.run(
+        late_sends(
+            tmp_path,
+            PortAfterCrash.HANGS,
+            cause=CRASHING_PATH,
+            known_after=3,
+            restart_after_s=QUICK_RESTART_AFTER_S,
+        )
+    )
+    assert late <= MAX_LATE_SENDS
+
+
 # Guards against the same for a part of prompts, each time in another request.
 @ports
 def test_a_part_of_prompts_that_crashes_servers_is_known_whatever_their_ports_do(
--- a/tests/timed_engines.py
+++ b/tests/timed_engines.py
@@ -23,7 +23,7 @@
 from rosepath.crash_watch import CrashWatch
 from rosepath.errors import ExchangeError, Step
 from rosepath.fleet import BackendServer, Fleet, PeerLoad
-from rosepath.http_client import HttpPool
+from rosepath.http_client import HttpPool, ProbeResult
 from rosepath.http_exchange import Connection
 from rosepath.prompt_caches import PromptCaches
 from rosepath.relay import Relay
@@ -34,12 +34,18 @@
     Unscheduled,
 )
 from rosepath.retry_window import RetryWindow
+from rosepath.server_probe import ServerContact
 
 # A timetable lists delays in seconds and what the engine does then: send bytes,
 # lose its connection or crash.
 CONNECTION_LOST = b""
 CRASH = b"crashes"
 RESTART_AFTER_S = 3.0
+CONTACTS = {
+    ProbeResult.ACCEPTED: ServerContact.ANSWERED,
+    ProbeResult.REFUSED: ServerContact.GONE,
+    ProbeResult.UNKNOWN: ServerContact.UNKNOWN,
+}
 Timetable = list[tuple[float, bytes]]
 END = b"0\r\n\r\n"
 
@@ -166,6 +172,12 @@
         super().__init__(clock=LoopClock(), dial=self._dial_engine)
         self._engines = engines
 
+    async def probe_server(
+        self, server: BackendServer, *, limit_s: float
+    ) -> ServerContact:
+        """Ask an engine whether it lives; each that accepts a connection does."""
+        return CONTACTS[await self.probe(server.address, limit_s=limit_s)]
+
     async def _dial_engine(self, address: str, *, timeout_s: float) -> Connection:
         connection = Connection()
         engine = self._engines[address]
@@ -286,7 +298,9 @@
     )
     by_address = {engine.address: engine for engine in engines}
     pool = TimedPool(by_address)
-    crashes = CrashWatch("vm-1", clock=clock, probe=pool.probe, on_change=lambda: None)
+    crashes = CrashWatch(
+        "vm-1", clock=clock, probe=pool.probe_server, on_change=lambda: None
+    )
     ports = RelayPorts(
         data_centre="a",
         clock=clock,
