Keep what a server stated of itself while its entry is away

The entry's return made a new row, without the backoff and the limit that the same process had stated. Entries lapse while servers or the store are cut off or busy, and an entry of another writer replaces them for a moment.

Provoked in a test only; that operators' servers lapsed isn't shown.

Now the row of a server whose entry is gone is kept (1,000 at most) and used again for the same process: same name, start, address and software version. The same cause was looked for: what the scheduler and the quotas keep is by server and start, and outlives the row.

--- a/src/rosepath/fleet.py
+++ b/src/rosepath/fleet.py
@@ -3,11 +3,16 @@
 from collections import Counter, OrderedDict
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field, replace
-from typing import NamedTuple
+from typing import NamedTuple, TypeVar
+
+T = TypeVar("T")
 
 # Servers whose latest start is remembered: more than restart within the
 # minutes in which an outdated entry may still arrive.
 MAX_REMEMBERED_SERVERS = 5_000
+# Servers whose rows are kept after their entries are gone: as many as lapse
+# together while their links to the store are cut.
+MAX_ABSENT_SERVERS = 1_000
 
 # How long other requests wait after a probe of a half-open server; a server
 # that sheds load refuses the probe at once.
@@ -144,6 +149,14 @@
         """Return whether the server runs the software version of an entry."""
         return self.entry.software_version == entry.software_version
 
+    def is_process_of(self, entry: ServerEntry) -> bool:
+        """Return whether an entry describes the same process as the server's own."""
+        return (
+            self.entry.born_ms == entry.born_ms
+            and self.entry.address == entry.address
+            and self.has_software_of(entry)
+        )
+
     def in_backoff(self, now_s: float) -> bool:
         """Return whether the server asked this VM to back off."""
         return now_s < self.backoff_until_s
@@ -218,6 +231,9 @@
 
     def __init__(self) -> None:
         self.servers: dict[str, BackendServer] = {}
+        # Servers whose entries are gone, and may come back: what they stated of
+        # themselves holds as long as their processes live.
+        self._absent: OrderedDict[str, BackendServer] = OrderedDict()
         self._born_ms: OrderedDict[str, int] = OrderedDict()
         self._gone_at: OrderedDict[str, int] = OrderedDict()
         # Latest start of each server that is known to be leaving. After a
@@ -280,7 +296,8 @@
         if server is None or restarted:
             if server is not None:
                 server.left = True
-            server = self.servers[entry.name] = BackendServer(entry=entry)
+            server = self._returning(entry) or BackendServer(entry=entry)
+            self.servers[entry.name] = server
         server.entry = entry
         server.left = False
         server.resident_models = {
@@ -288,14 +305,24 @@
         }
         return restarted
 
+    def _returning(self, entry: ServerEntry) -> BackendServer | None:
+        """Return the row of the process that an entry describes, if it was here."""
+        absent = self._absent.pop(entry.name, None)
+        if absent is None or not absent.is_process_of(entry):
+            return None
+        absent.peers.clear()
+        return absent
+
     def _note_leaving(self, name: str, born_ms: int) -> None:
         if born_ms > self._leaving.get(name, -1):
-            _remember_latest(self._leaving, name, born_ms)
+            _remember_latest(self._leaving, name, born_ms, most=MAX_REMEMBERED_SERVERS)
 
     def _note_started(self, entry: ServerEntry) -> None:
         """Remember a start while entries of earlier ones may still arrive."""
         if entry.born_ms:
-            _remember_latest(self._born_ms, entry.name, entry.born_ms)
+            _remember_latest(
+                self._born_ms, entry.name, entry.born_ms, most=MAX_REMEMBERED_SERVERS
+            )
 
     def remove(self, name: str, *, gone_at: int = 0) -> None:
         """Remove a server that has left; its running requests continue.
@@ -303,16 +330,19 @@
         `gone_at` is a store revision at which its entry no longer existed.
         """
         if gone_at > self._gone_at.get(name, 0):
-            _remember_latest(self._gone_at, name, gone_at)
+            _remember_latest(self._gone_at, name, gone_at, most=MAX_REMEMBERED_SERVERS)
         server = self.servers.pop(name, None)
         if server is not None:
             server.left = True
+            _remember_latest(self._absent, name, server, most=MAX_ABSENT_SERVERS)
 
 
-def _remember_latest(latest: OrderedDict[str, int], name: str, value: int) -> None:
+def _remember_latest(
+    latest: OrderedDict[str, T], name: str, value: T, *, most: int
+) -> None:
     latest[name] = value
     latest.move_to_end(name)
-    while len(latest) > MAX_REMEMBERED_SERVERS:
+    while len(latest) > most:
         latest.popitem(last=False)
 
 
