Begin nothing in a planned stop that its grace period cannot finish

What callers saw (reported by other operators): in the planned stop of an entry VM, in calm, requests that came late in the grace period were passed on, and cut at its end without an answer, among them requests that may run once. It happens here: a request whose head is in before the stop and whose body ends 2.4 s into a grace period of 4 s runs for 2 s and is cut, idempotent or not; one that waits for its server until the end gets a closed connection.

Cause: only the wait for a server was limited in a stop, not the run; and what was left at the end was closed with its connection.

Now a request that would not end in time is refused as not run, with Retry-After 0, so that its caller goes to another entry VM at once: before it is sent, if its deadline and the longest time that runs of its route take (mean and four deviations, as TCP estimates its round trips) both lie behind the end. Streams that their callers can't send again are tried as long as there is time. At the end, what is open gets 503 if it certainly did not run, else 502, and a begun stream is cut as before.

Weighed: refusing everything from a fixed moment on would refuse short requests that fit; refusing by the deadline alone would refuse nearly everything with a deadline of seconds, as most runs are much shorter.

--- a/src/rosepath/entry_node.py
+++ b/src/rosepath/entry_node.py
@@ -71,6 +71,8 @@
 BALANCER_DETECTION_S = 2.6
 # The part of the grace period reserved for closing connections and exiting.
 STOP_MARGIN_S = 0.6
+# Of it, for the responses to requests that the end of the grace period cuts.
+LAST_RESPONSES_S = 0.2
 
 LEASE_TICK_S = 0.2
 # The load balancer checks readiness once a second, and each isolation check
@@ -120,6 +122,7 @@
         self._created_s = self.clock.monotonic_s()
         self.stopping = False
         self.wait_limit_s = math.inf
+        self.runs_end_s = math.inf
         self._urgent_streams_fragile = False
         self._last_servers_policy: WatchPolicy | None = None
         self.loops = Supervisor()
@@ -289,6 +292,7 @@
                 fleet_changed=self.tables.changed,
                 cut_off=lambda: self.peers.cut_off(settings.data_centre),
                 wait_limit_s=lambda: self.wait_limit_s,
+                runs_end_s=lambda: self.runs_end_s,
                 on_outcome=self.records.record,
                 crashes=self.crashes,
                 on_leaving=self._apply_announced_departure,
@@ -368,6 +372,7 @@
         # that their callers retry at another VM. Left in the queue, they would
         # be closed without a response when the grace period ends.
         self.wait_limit_s = started_s + BALANCER_DETECTION_S
+        self.runs_end_s = started_s + self.settings.stop.grace_s - STOP_MARGIN_S
         _log.info("stopping", in_flight=len(self.gateway.serving))
         self.exchange.link.send_state()
         # Concurrent with the wait below: idle connections that stay open
@@ -377,16 +382,21 @@
         await asyncio.sleep(BALANCER_DETECTION_S)
         self.gateway.close_idle()
         await releasing
-        limit_s = started_s + self.settings.stop.grace_s - STOP_MARGIN_S
-        while self.gateway.pending_requests or self.tunnels.open_count:
-            if self.clock.monotonic_s() >= limit_s:
-                break
-            await asyncio.sleep(0.02)
+        await self._wait_until_idle(self.runs_end_s)
         cut = self.gateway.pending_requests
+        self.gateway.end_serving()
+        await self._wait_until_idle(self.runs_end_s + LAST_RESPONSES_S)
         self.quotas.leave()
         await self.close()
         _log.info("stopped", cut=cut)
 
+    async def _wait_until_idle(self, until_s: float) -> None:
+        """Wait until no request and no tunnel is open, up to a time limit."""
+        while self.gateway.pending_requests or self.tunnels.open_count:
+            if self.clock.monotonic_s() >= until_s:
+                return
+            await asyncio.sleep(0.02)
+
     async def close(self) -> None:
         """Stop every loop and close the connections to peers and servers."""
         await self.loops.stop()
--- a/src/rosepath/gateway.py
+++ b/src/rosepath/gateway.py
@@ -48,6 +48,11 @@
         self._headers_arriving = False
         self._task: asyncio.Task[None] | None = None
 
+    @property
+    def disconnected(self) -> bool:
+        """Return whether the caller's connection has ended."""
+        return self._connection.stream.closed()
+
     @property
     def body(self) -> bytes:
         return b"".join(self._body)
@@ -118,6 +123,11 @@
             self._task.cancel()
         self._body.clear()
 
+    def end_serving(self) -> None:
+        """End the work on the request; its handler gives the final response."""
+        if self._task is not None:
+            self._task.cancel()
+
     def _on_served(self, task: asyncio.Task[None]) -> None:
         self._gateway.serving.discard(self)
         if not self.done:
@@ -242,6 +252,11 @@
         for exchange in list(self.idle):
             exchange.abort()
 
+    def end_serving(self) -> None:
+        """End the work on all requests, which get their final responses."""
+        for exchange in list(self.serving):
+            exchange.end_serving()
+
     async def serve(self, exchange: CallerExchange) -> None:
         """Serve one request."""
         await self._serve(exchange)
--- a/src/rosepath/relay.py
+++ b/src/rosepath/relay.py
@@ -41,7 +41,7 @@
 )
 from rosepath.server_limits import apply_limit_notice
 from rosepath.server_notice import ServerNotice
-from rosepath.server_picker import ServerPicker
+from rosepath.server_picker import STOPPING_CODE, ServerPicker
 from rosepath.stream_origins import StreamOrigin
 from rosepath.suspect_tracker import SuspectTracker, lost_run_fields
 
@@ -124,6 +124,10 @@
             await self._run_attempts(context)
         except RefusalError as error:
             self._give_up(context, error)
+        except asyncio.CancelledError:
+            if self._now_s() < self._ports.runs_end_s() or exchange.disconnected:
+                raise
+            self._give_up(context, _unfinished_error(context))
         finally:
             self._retry_policy.release_retry(context)
             self._suspects.end(context)
@@ -328,7 +332,10 @@
             failed = not response.success
             if failed and await self._retry_error_response(context, server, response):
                 continue
-            note_success(server, took_s=self._now_s() - sent_s)
+            took_s = self._now_s() - sent_s
+            note_success(server, took_s=took_s)
+            if response.success:
+                self._ports.durations.note_completed(context.route.name, took_s=took_s)
             self._suspects.clear(context, response)
             self._finish(context, server, response)
             return
@@ -417,6 +424,7 @@
                 and not server.in_backoff(self._now_s())
                 and self._ports.fleet_fresh_enough()
                 and self._suspects.may_be_sent(context)
+                and self._picker.fits_before_stop(context)
                 and self._retry_policy.claim_attempt(context)
             ),
             may_abort=lambda: self._retry_policy.should_leave(context, server),
@@ -647,6 +655,25 @@
         return self._ports.clock.monotonic_s()
 
 
+def _unfinished_error(context: RequestContext) -> RefusalError:
+    """Build the refusal of a request that a planned stop ends."""
+    if context.certainly_not_run:
+        return refuse(
+            503,
+            STOPPING_CODE,
+            "this entry VM stops",
+            step=Step.ROUTE,
+            retry_after_s=0.0,
+        )
+    return refuse(
+        502,
+        STOPPING_CODE,
+        "this entry VM stops before the response is complete",
+        step=Step.RESPONSE,
+        run=Run.UNKNOWN,
+    )
+
+
 def _engine_priority(context: RequestContext) -> int:
     """Return the priority sent to the engine, from 0 (first) to 9."""
     latency_offset = 3 if context.route.target_latency_s > 2.0 else 0
--- a/src/rosepath/request_context.py
+++ b/src/rosepath/request_context.py
@@ -1,6 +1,7 @@
 """State of a request in progress, and the dependencies of the relay."""
 
 import asyncio
+import math
 import random
 from collections.abc import Awaitable, Callable, Collection
 from dataclasses import dataclass, field
@@ -24,6 +25,7 @@
 from rosepath.quota_pool import QuotaDecision
 from rosepath.retries import Evidence, Obstacle
 from rosepath.retry_window import RetryWindow
+from rosepath.run_durations import RunDurations
 from rosepath.silence import StayReason
 from rosepath.stream_origin_exchange import LocalOrigins, OriginPort
 from rosepath.workspaces import Workspace
@@ -129,6 +131,9 @@
     wait_limit_s: Callable[[], float]
     on_outcome: Callable[["RequestContext", int, str], None]
     crashes: CrashWatch
+    # Until when runs may go on; limited by a planned stop.
+    runs_end_s: Callable[[], float] = lambda: math.inf
+    durations: RunDurations = field(default_factory=RunDurations)
     # Called for each response which states that its server is leaving.
     on_leaving: Callable[[BackendServer], None] = lambda _: None
     # Called when a response states another rate limit of its server than known.
--- a/src/rosepath/server_picker.py
+++ b/src/rosepath/server_picker.py
@@ -43,6 +43,7 @@
 # An earlier retry would be refused again.
 QUARANTINED_RETRY_AFTER_S = 60.0
 QUARANTINED_CODE = "crashes_servers"
+STOPPING_CODE = "vm_stopping"
 VERSION_ABSENT_CODE = "software_version_absent"
 # An adapter loads in about 20 ms. A placement lease holder that does not
 # reply within this time may have failed, and the request goes to its
@@ -129,6 +130,7 @@
             await self._ports.confirm_instances()
         while True:
             self._refuse_if_quarantined(context)
+            self._refuse_if_stopping(context)
             await self._ports.ensure_fresh()
             self._refuse_if_stranded(context)
             scheduled, chosen = False, None
@@ -181,6 +183,7 @@
         def check_waiting() -> None:
             wait.count()
             self._refuse_if_quarantined(context)
+            self._refuse_if_stopping(context)
             self._refuse_if_stranded(context)
             self._refuse_if_out_of_time(context, wait)
             self._refuse_if_late(context, wait.started_s, wait.until_s)
@@ -348,6 +351,31 @@
         """
         return math.inf if context.caller_cannot_retry else self._ports.wait_limit_s()
 
+    def fits_before_stop(self, context: RequestContext) -> bool:
+        """Return whether a run that begins now ends before a planned stop does.
+
+        If it is not known how long it takes, it may take until the deadline. One
+        that its caller can't send again is tried as long as there is time at all.
+        """
+        end_s, now_s = self._ports.runs_end_s(), self._now_s()
+        if math.isinf(end_s) or context.caller_cannot_retry:
+            return True
+        longest_s = self._ports.durations.longest_s(context.route.name)
+        left_s = context.deadline_s - now_s
+        needed_s = left_s if longest_s is None else min(left_s, longest_s)
+        return now_s + needed_s <= end_s
+
+    def _refuse_if_stopping(self, context: RequestContext) -> None:
+        """Refuse a request that a planned stop would cut; others can serve it."""
+        if self.fits_before_stop(context):
+            return
+        raise _refused(
+            context,
+            STOPPING_CODE,
+            "this entry VM stops before the request could be served",
+            retry_after_s=0.0,
+        )
+
     def _refuse_if_quarantined(self, context: RequestContext) -> None:
         if self._suspects.suspicion(context) is not Suspicion.QUARANTINED:
             return
--- a/tests/timed_engines.py
+++ b/tests/timed_engines.py
@@ -217,6 +217,7 @@
     complete: bool = False
     aborted: bool = False
     retry_after: str = ""
+    disconnected: bool = False
 
     def start_response(self, status: int, headers: HTTPHeaders) -> None:
         self.response_started = True
