Limit what all bodies together make an entry VM hold

What callers saw (reported by other operators): a faulty server sent bytes that were no answer, without end; the entry VM kept them, ran out of memory, and the requests of its other callers ended with it. It happens here, with bodies: one response was limited to 16 MiB, their sum by nothing, nor that of callers' bodies, nor of whole responses to callers that don't read.

Now an eighth of the VM's memory (new setting memory_mb) is for callers' bodies and as much for responses. What is much larger than what needs room is broken off first, so that small sound responses are served beside those without end (a test); else what needs room fails: a caller's body is refused as not run, a response fails its attempt, and its server is avoided for seconds. Slow callers' events wait in less memory while it is scarce.

--- a/src/rosepath/attempt.py
+++ b/src/rosepath/attempt.py
@@ -10,6 +10,7 @@
 from rosepath.event_sequence import EventSequence, EventSequenceError
 from rosepath.evidence_basis import NO_BASIS, EvidenceBasis, ResponseTracker
 from rosepath.fleet import BackendServer
+from rosepath.held_bytes import HeldBytes, Hold
 from rosepath.http_client import HttpPool, Request, ResponseHead
 from rosepath.http_exchange import Connection, Watchdog, is_self_delimited
 from rosepath.platform.calls import (
@@ -27,7 +28,6 @@
 # Connecting takes about 1 ms within a data centre and a few ms between two.
 CONNECT_TIMEOUT_S = 0.4
 # Responses are held until complete, so that a failed attempt can be repeated.
-# An entry VM has some hundred megabytes for all of them.
 MAX_BODY_BYTES = 16 * 1024 * 1024
 # A non-idempotent request must not be lost on a dead connection. The kernel's
 # keepalive probes detect one within three seconds, so a connection that
@@ -40,8 +40,9 @@
 
     `lost` means that the server's end of the connection closed while the
     request ran, `answered` that the server had started its response before,
-    `refused` that the server is known to accept no connections. `basis` tells
-    on which response the evidence rests.
+    `refused` that the server is known to accept no connections, `oversized` that
+    its response was too large to hold. `basis` tells on which response the
+    evidence rests.
     """
 
     def __init__(
@@ -57,8 +58,10 @@
         lost: bool = False,
         answered: bool = False,
         refused: bool = False,
+        oversized: bool = False,
     ) -> None:
         super().__init__(message, step=step, peer=peer)
+        self.oversized = oversized
         self.refused = refused
         self.withdrawn = withdrawn
         self.evidence = evidence
@@ -97,7 +100,7 @@
     silent server is ended. `on_watched` receives the watchdog, by which it may be
     ended earlier, `on_notice` the notice in the response's headers, `on_load` the
     server's load. `connections` are those of the request's earlier attempts; that
-    of this one is added.
+    of this one is added. `hold` counts what is held of the response.
     """
 
     deadline_s: float
@@ -113,6 +116,7 @@
     on_notice: Callable[[ServerNotice], None] = lambda _: None
     on_load: Callable[[ServerLoad | None], None] = lambda _: None
     connections: set[Connection] = field(default_factory=set)
+    hold: Hold = field(default_factory=lambda: HeldBytes.of_memory().open())
 
 
 OnEvents = Callable[[ResponseHead, bytes], Awaitable[None] | None]
@@ -164,7 +168,10 @@
         on_events: OnEvents | None,
     ) -> ServerResponse:
         body: list[bytes] = []
-        body_bytes = 0
+        hold = options.hold
+        hold.release()
+        watchdogs: list[Watchdog] = []
+        oversized = False
         # A late copy of the response to an earlier attempt bears the same id. It
         # can only arrive on that attempt's connection.
         earlier_connections = frozenset(options.connections)
@@ -187,20 +194,36 @@
             options.on_notice(facts.notice)
             options.on_load(facts.load)
 
+        def oversized_error() -> AttemptError:
+            body.clear()
+            hold.release()
+            return AttemptError(
+                "the response is too large",
+                step=Step.RESPONSE,
+                peer=server.name,
+                evidence=evidence(),
+                status=heads[0][0].status,
+                oversized=True,
+            )
+
+        def break_off() -> None:
+            nonlocal oversized
+            oversized = True
+            body.clear()
+            watchdogs[0].close_lost()
+
+        def on_watched(watchdog: Watchdog) -> None:
+            watchdogs.append(watchdog)
+            hold.break_off = break_off
+            options.on_watched(watchdog)
+
         def on_data(data: bytes) -> Awaitable[None] | None:
-            nonlocal body_bytes
             head, facts = heads[0]
             streams = head.status == 200 and facts.signed and not facts.encoded
             if on_events is None or event_sequence is None or not streams:
-                body_bytes += len(data)
-                if body_bytes > MAX_BODY_BYTES:
-                    raise AttemptError(
-                        "the response is too large",
-                        step=Step.RESPONSE,
-                        peer=server.name,
-                        evidence=evidence(),
-                        status=head.status,
-                    )
+                too_large = hold.size_bytes + len(data) > MAX_BODY_BYTES
+                if oversized or too_large or not hold.grow(len(data)):
+                    raise oversized_error()
                 body.append(data)
                 return None
             events = event_sequence.feed(data)
@@ -230,7 +253,7 @@
             on_sending=on_sending,
             avoided_connections=earlier_connections,
             may_abort=options.may_abort,
-            on_watched=options.on_watched,
+            on_watched=on_watched,
         )
         try:
             async with asyncio.timeout(options.deadline_s - now_s):
@@ -238,6 +261,8 @@
                     request, on_head=on_head, on_data=on_data
                 )
         except ExchangeError as error:
+            if oversized:
+                raise oversized_error() from error
             raise self._attempt_error(error, event_sequence, heads) from error
         except TimeoutError as error:
             raise AttemptError(
@@ -257,6 +282,8 @@
                 peer=server.name,
                 evidence=_evidence_of(event_sequence),
             ) from error
+        finally:
+            hold.break_off = None
         facts = heads[0][1]
         if facts.not_run:
             raise AttemptError(
--- a/src/rosepath/entry_node.py
+++ b/src/rosepath/entry_node.py
@@ -20,6 +20,7 @@
 from rosepath.entry_settings import EntrySettings
 from rosepath.fleet import BackendServer
 from rosepath.gateway import CallerExchange, Gateway
+from rosepath.held_bytes import HeldBytes
 from rosepath.http_client import HttpPool
 from rosepath.logs import get_logger
 from rosepath.object_store import StoreAccess
@@ -278,6 +279,8 @@
             fleet=self.tables.fleet,
             holds_lease=lambda: self.coordinator.holds_lease,
         )
+        self.held_bodies = HeldBytes.of_memory(settings.memory_mb)
+        self.held_responses = HeldBytes.of_memory(settings.memory_mb)
         self.records = RequestRecorder(self.metrics, clock=self.clock)
         self.relay = Relay(
             RelayPorts(
@@ -308,10 +311,16 @@
                 sole_version=self.versions.sole_version,
                 record_version=self.versions.record,
                 entry_vm=settings.entry_vm,
+                held=self.held_responses,
             )
         )
         self.gateway = Gateway(
-            self.relay.serve, clock=self.clock, on_failure=self._serving_failed
+            self.relay.serve,
+            clock=self.clock,
+            on_failure=self._serving_failed,
+            on_no_room=self.relay.refuse_body,
+            held_bodies=self.held_bodies,
+            held_responses=self.held_responses,
         )
 
     @property
@@ -470,6 +479,10 @@
             "servers_limited": limited_servers(self.tables.fleet),
             "requests_quarantined": len(self.crashes.records.quarantined),
             "in_flight": len(self.gateway.serving),
+            "held_bodies_bytes": self.held_bodies.used_bytes,
+            "held_responses_bytes": self.held_responses.used_bytes,
+            "broken_off_for_memory": self.held_bodies.broken_off
+            + self.held_responses.broken_off,
             "scheduling": self.scheduling.in_use,
             "scheduler_waiting": self.scheduler_host.waiting,
             "servers_without_direct_path": self.paths.failed_direct_paths,
--- a/src/rosepath/entry_settings.py
+++ b/src/rosepath/entry_settings.py
@@ -4,6 +4,7 @@
 
 from pydantic import Field
 
+from rosepath.held_bytes import DEFAULT_MEMORY_MB
 from rosepath.scheduling_mode import SchedulingMode
 from rosepath.settings import Address, Seconds, Section
 
@@ -110,6 +111,8 @@
     # After an outage, the two limits above apply again once this time has
     # passed.
     settle_ms: Annotated[float, Field(ge=0)] = 3000.0
+    # Of the machine, for this process.
+    memory_mb: Annotated[float, Field(gt=0)] = DEFAULT_MEMORY_MB
     log_level: Literal["debug", "info", "warning", "error"] = "info"
 
     @property
--- a/src/rosepath/gateway.py
+++ b/src/rosepath/gateway.py
@@ -17,11 +17,14 @@
 
 from rosepath.catalog import CallerLimits
 from rosepath.clock import Clock
+from rosepath.held_bytes import HeldBytes
 from rosepath.http_exchange import disable_linger
 
 # Large enough for a burst of events; beyond it, the relay stops reading from
 # the backend server until the caller catches up.
 WRITE_AHEAD_BYTES = 256 * 1024
+# The same while memory is scarce, so that many slow callers at once fit.
+SCARCE_WRITE_AHEAD_BYTES = 32 * 1024
 
 
 class CallerExchange(HTTPMessageDelegate):
@@ -42,6 +45,8 @@
         self._knows_chunks = True
         self.done = False
         self._body: list[bytes] = []
+        self._body_hold = gateway.held_bodies.open()
+        self._response_hold = gateway.held_responses.open()
         self._gateway = gateway
         self._connection = connection
         self._idle_timer: asyncio.TimerHandle | None = None
@@ -55,7 +60,9 @@
 
     @property
     def body(self) -> bytes:
-        return b"".join(self._body)
+        # Joined once, as a second copy would be held while the request runs.
+        self._body = [b"".join(self._body)]
+        return self._body[0]
 
     def start_idle_timer(self) -> None:
         """Close the connection unless a request arrives in time."""
@@ -99,10 +106,33 @@
         self.arrived_s = self._gateway.clock.monotonic_s()
 
     def data_received(self, chunk: bytes) -> None:
+        if self.done:
+            return
+        if not self._body_hold.grow(len(chunk)):
+            self._refuse_body()
+            return
         self._body.append(chunk)
 
+    def _refuse_body(self) -> None:
+        """Refuse a request for whose body there is no room.
+
+        The rest of the body is read and dropped, so that the caller gets the
+        response; then the connection is closed.
+        """
+        self._release()
+        self._gateway.reading.discard(self)
+        self._gateway.on_no_room(self)
+
+    def _release(self) -> None:
+        """Drop what was read of the request."""
+        self._body.clear()
+        self._body_hold.release()
+
     def finish(self) -> None:
         self._gateway.reading.discard(self)
+        if self.done:
+            # There was no room for its body.
+            return
         if self._connection.stream.closed():
             # The connection closed while the request was being read. A
             # response could not be delivered, and a request that was not
@@ -121,7 +151,8 @@
         self._gateway.reading.discard(self)
         if self._task is not None:
             self._task.cancel()
-        self._body.clear()
+        self._release()
+        self._response_hold.release()
 
     def end_serving(self) -> None:
         """End the work on the request; its handler gives the final response."""
@@ -130,6 +161,7 @@
 
     def _on_served(self, task: asyncio.Task[None]) -> None:
         self._gateway.serving.discard(self)
+        self._release()
         if not self.done:
             self.abort()
         if not task.cancelled() and task.exception() is not None:
@@ -161,9 +193,13 @@
         written = self._connection.write(data)
         _ignore_write_error(written)
         write_buffer = self._connection.stream._write_buffer
-        if write_buffer is not None and len(write_buffer) > WRITE_AHEAD_BYTES:
-            return written
-        return None
+        unsent_bytes = 0 if write_buffer is None else len(write_buffer)
+        if unsent_bytes <= SCARCE_WRITE_AHEAD_BYTES:
+            return None
+        self._response_hold.resize(unsent_bytes)
+        self._response_hold.break_off = self.abort
+        written.add_done_callback(lambda _: self._response_hold.release())
+        return written if unsent_bytes > self._gateway.write_ahead_bytes else None
 
     def end(self) -> None:
         """Complete the response."""
@@ -209,8 +245,15 @@
         *,
         clock: Clock,
         on_failure: Callable[[CallerExchange, BaseException | None], None],
+        on_no_room: Callable[[CallerExchange], None] = CallerExchange.abort,
+        held_bodies: HeldBytes | None = None,
+        held_responses: HeldBytes | None = None,
     ) -> None:
         self._serve = serve
+        # Called with a request for whose body there is no room, to refuse it.
+        self.on_no_room = on_no_room
+        self.held_bodies = held_bodies or HeldBytes.of_memory()
+        self.held_responses = held_responses or HeldBytes.of_memory()
         self.clock = clock
         self.on_failure = on_failure
         self.serving: set[CallerExchange] = set()
@@ -237,6 +280,15 @@
         request_conn.stream.set_close_callback(exchange.on_connection_close)
         return exchange
 
+    @property
+    def write_ahead_bytes(self) -> int:
+        """Return how much may wait for a slow caller before the relay pauses."""
+        return (
+            SCARCE_WRITE_AHEAD_BYTES
+            if self.held_responses.scarce
+            else WRITE_AHEAD_BYTES
+        )
+
     @property
     def pending_requests(self) -> int:
         """Return the number of requests being read or served."""
--- /dev/null
+++ b/src/rosepath/held_bytes.py
@@ -0,0 +1,99 @@
+"""Limit what all strangers together make an entry VM hold in memory; no I/O."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+# Of a VM's memory, for the bodies of callers and as much for responses. Each is
+# held twice for a moment, as it is joined or copied to be sent; the rest is for
+# the process itself.
+HELD_SHARE = 0.125
+DEFAULT_MEMORY_MB = 300.0
+# A hold is broken off for another one only if it is larger by this factor.
+# Sound exchanges that grow together would otherwise end each other.
+BREAK_OFF_FACTOR = 4
+
+
+@dataclass(slots=True, eq=False, kw_only=True)
+class Hold:
+    """Own what one exchange holds.
+
+    `break_off` ends the exchange, None if that would harm a request in progress.
+    """
+
+    budget: "HeldBytes"
+    break_off: Callable[[], None] | None = None
+    size_bytes: int = 0
+
+    def grow(self, added_bytes: int) -> bool:
+        """Hold more; return False if there is no room.
+
+        Much larger holds are broken off first, so that an exchange without end
+        ends before it harms others.
+        """
+        return self.budget.make_room(self, added_bytes) and self._resize(
+            self.size_bytes + added_bytes
+        )
+
+    def resize(self, size_bytes: int) -> None:
+        """Hold what can't be refused any more."""
+        self._resize(size_bytes)
+
+    def release(self) -> None:
+        """Hold nothing, and be broken off no more."""
+        self._resize(0)
+        self.break_off = None
+
+    def _resize(self, size_bytes: int) -> bool:
+        self.budget.count(self, size_bytes - self.size_bytes)
+        self.size_bytes = size_bytes
+        return True
+
+
+@dataclass(slots=True, kw_only=True)
+class HeldBytes:
+    """Own the sum of all holds, which stays below a limit."""
+
+    limit_bytes: int
+    used_bytes: int = 0
+    broken_off: int = 0
+    _holds: set[Hold] = field(default_factory=set)
+
+    @classmethod
+    def of_memory(cls, memory_mb: float = DEFAULT_MEMORY_MB) -> "HeldBytes":
+        """Build the limit of a VM with so much memory."""
+        return cls(limit_bytes=int(HELD_SHARE * memory_mb * 1024 * 1024))
+
+    def open(self) -> Hold:
+        """Return a hold of nothing yet."""
+        return Hold(budget=self)
+
+    @property
+    def scarce(self) -> bool:
+        """Return whether more than half of the limit is used."""
+        return 2 * self.used_bytes > self.limit_bytes
+
+    def make_room(self, hold: Hold, added_bytes: int) -> bool:
+        """Break much larger holds off for room; return whether there is any."""
+        needed_bytes = hold.size_bytes + added_bytes
+        while self.used_bytes + added_bytes > self.limit_bytes:
+            largest = max(
+                (one for one in self._holds if one.break_off is not None),
+                key=lambda one: one.size_bytes,
+                default=hold,
+            )
+            self.broken_off += 1
+            if largest.size_bytes < BREAK_OFF_FACTOR * needed_bytes:
+                return False
+            break_off = largest.break_off
+            largest.release()
+            if break_off is not None:
+                break_off()
+        return True
+
+    def count(self, hold: Hold, added_bytes: int) -> None:
+        """Count a change of a hold."""
+        self.used_bytes += added_bytes
+        if hold.size_bytes + added_bytes:
+            self._holds.add(hold)
+        else:
+            self._holds.discard(hold)
--- a/src/rosepath/relay.py
+++ b/src/rosepath/relay.py
@@ -23,6 +23,7 @@
 from rosepath.logs import get_logger
 from rosepath.platform.calls import (
     decode_caller_request,
+    echoed_request_id,
     forwarded_headers,
     refusal_headers,
 )
@@ -129,6 +130,7 @@
                 raise
             self._give_up(context, _unfinished_error(context))
         finally:
+            context.hold.release()
             self._retry_policy.release_retry(context)
             self._suspects.end(context)
             if not context.attempt_open:
@@ -138,6 +140,19 @@
             if decision and decision.granted and context.certainly_not_run:
                 self._ports.quotas.give_back(decision)
 
+    def refuse_body(self, exchange: CallerExchange) -> None:
+        """Refuse a request for whose body this entry VM has no memory."""
+        refusal = Refusal(
+            503,
+            "no_memory",
+            "the entry VM has no memory for the request's body",
+            Run.NO,
+            Step.PARSE,
+            retry_after_s=RETRY_AFTER_S,
+        )
+        request_id = echoed_request_id(exchange.headers) or ""
+        self._refuse_unrouted(exchange, request_id, refusal)
+
     async def _admit(self, context: RequestContext) -> None:
         """Raise RefusalError if the workspace's quota does not allow a request."""
         workspace = context.workspace
@@ -224,6 +239,7 @@
             if streams
             else None,
             software_version=origin.software_version if origin else None,
+            hold=self._ports.held.open(),
         )
 
     async def _find_origin(self, call: CallerRequest, route: HostRoute) -> StreamOrigin:
@@ -409,6 +425,7 @@
             stall_timeout_s=self._retry_policy.stall_timeout_s(context),
             retryable=context.route.retryable,
             connections=context.connections,
+            hold=context.hold,
             priority=None
             if context.service.engine is None
             else _engine_priority(context),
@@ -548,6 +565,7 @@
                 self._ports.crashes.note_crashed(instance_of(server))
         if error.evidence is not Evidence.REFUSED:
             silent = error.timed_out or error.evidence is Evidence.NOT_SENT
+            silent = silent or error.oversized
             note_failure(server, now_s=now_s, silent=silent)
         elif error.status == 421 and context.call.prompt is not None:
             # The server no longer holds the model or adapter that it was
@@ -566,6 +584,8 @@
         if exchange.response_started:
             exchange.end()
         else:
+            # From here on, the caller's exchange holds the body.
+            context.hold.release()
             exchange.respond(
                 response.head.status,
                 forwarded_headers(response.head.headers),
--- a/src/rosepath/request_context.py
+++ b/src/rosepath/request_context.py
@@ -19,6 +19,7 @@
 from rosepath.event_sequence import EventSequence
 from rosepath.fleet import BackendServer, Fleet
 from rosepath.gateway import CallerExchange
+from rosepath.held_bytes import HeldBytes, Hold
 from rosepath.http_exchange import Connection
 from rosepath.prompt_caches import PromptCaches
 from rosepath.quota_client import Unlimited
@@ -134,6 +135,8 @@
     # Until when runs may go on; limited by a planned stop.
     runs_end_s: Callable[[], float] = lambda: math.inf
     durations: RunDurations = field(default_factory=RunDurations)
+    # What requests in progress hold of the VM's memory.
+    held: HeldBytes = field(default_factory=HeldBytes.of_memory)
     # Called for each response which states that its server is leaving.
     on_leaving: Callable[[BackendServer], None] = lambda _: None
     # Called when a response states another rate limit of its server than known.
@@ -179,6 +182,8 @@
     tried: set[str] = field(default_factory=set)
     # The connections to servers on which it was sent.
     connections: set[Connection] = field(default_factory=set)
+    # What it holds of a response.
+    hold: Hold = field(default_factory=lambda: HeldBytes.of_memory().open())
     attempt_evidence: list[Evidence] = field(default_factory=list)
     first_event_s: float | None = None
     last_event_s: float = 0.0
--- a/tests/entry_harness.py
+++ b/tests/entry_harness.py
@@ -210,7 +210,13 @@
             quotas=quotas or Unlimited(),
         )
     )
-    gateway = Gateway(relay.serve, clock=clock, on_failure=on_failure)
+    gateway = Gateway(
+        relay.serve,
+        clock=clock,
+        on_failure=on_failure,
+        on_no_room=relay.refuse_body,
+        held_responses=relay._ports.held,
+    )
     gateway.server.listen(0, address="127.0.0.1")
     port = next(iter(gateway.server._sockets.values())).getsockname()[1]
     made.append(
--- a/tests/test_held_bytes.py
+++ b/tests/test_held_bytes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import tracemalloc
+from contextlib import suppress
 
 import pytest
 from entry_builders import a_route
@@ -45,8 +46,8 @@
     writer.write(answer(received, 200, b"whole"))
 
 
-async def send(gateway: RunningGateway, number: int, *, body: bytes = b"") -> bytes:
-    head = f"POST /drafts/{number} HTTP/1.1\r\nRequest-Id: q{number}"
+async def send(gateway: RunningGateway, name: int | str, *, body: bytes = b"") -> bytes:
+    head = f"POST /drafts/{name} HTTP/1.1\r\nRequest-Id: q{name}"
     return await gateway.send_request(f"{head}\r\nRequest-Deadline-Ms: 4000", body)
 
 
@@ -76,6 +77,62 @@
     asyncio.run(run())
 
 
+# Guards against ending small sound requests for want of the memory that responses
+# without end use up.
+def test_small_responses_are_served_beside_those_without_end() -> None:
+    async def by_path(received: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+        small = "/drafts/small-" in received.line
+        await (responds if small else never_ends)(received, writer)
+
+    async def run() -> None:
+        route = a_route(kind=RouteKind.NON_IDEMPOTENT, service="desk")
+        servers = [ScriptedServer(f"s{number}", by_path) for number in range(2)]
+        async with running_gateway(*servers, route=route) as gateway:
+            endless = [
+                asyncio.ensure_future(send(gateway, number))
+                for number in range(REQUESTS)
+            ]
+            statuses = []
+            for number in range(60):
+                response = await send(gateway, f"small-{number}")
+                statuses.append(response.split(b" ")[1])
+            await asyncio.gather(*endless)
+            assert set(statuses) == {b"200"}
+
+    asyncio.run(run())
+
+
+# Guards against keeping whole responses for callers that don't read them.
+def test_responses_that_callers_do_not_read_are_held_up_to_a_common_limit() -> None:
+    size = 8 * 1024 * 1024
+
+    async def large(received: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+        writer.write(answer(received, 200, bytes(size)))
+
+    async def run() -> None:
+        route = a_route(kind=RouteKind.IDEMPOTENT, service="desk")
+        async with running_gateway(ScriptedServer("s1", large), route=route) as gateway:
+            writers: list[asyncio.StreamWriter] = []
+            tracemalloc.start()
+            try:
+                for number in range(2 * MAX_HELD_BYTES // size):
+                    _, writer = await gateway.connect()
+                    assert isinstance(writer.transport, asyncio.Transport)
+                    writer.transport.pause_reading()
+                    writers.append(writer)
+                    head = f"GET /drafts/{number} HTTP/1.1\r\nRequest-Id: q{number}"
+                    writer.write(request(head))
+                    await asyncio.sleep(0.05)
+                _, peak_bytes = tracemalloc.get_traced_memory()
+            finally:
+                tracemalloc.stop()
+            assert peak_bytes < MAX_HELD_BYTES
+            for writer in writers:
+                writer.transport.abort()
+
+    asyncio.run(run())
+
+
 # Guards against running out of memory for callers whose large bodies arrive
 # together.
 def test_bodies_of_callers_are_held_up_to_a_common_limit() -> None:
@@ -96,8 +153,9 @@
                     for _ in range(size // len(PIECE) - 1):
                         writer.write(PIECE)
                         await asyncio.sleep(0)
-                    with_body = asyncio.ensure_future(writer.drain())
-                    await asyncio.wait([with_body], timeout=0.2)
+                    with suppress(ConnectionError, TimeoutError):
+                        async with asyncio.timeout(0.2):
+                            await writer.drain()
                 _, peak_bytes = tracemalloc.get_traced_memory()
             finally:
                 tracemalloc.stop()
