Give the soak of entry VMs open ports, frozen servers, endless bodies and late uploads

What it could not show before: a crash behind a port that still accepts connections, servers that stand still and read later what was given up meanwhile (their kernel keeps it), bodies without end at many requests, uploads that end in the middle of a planned stop.

--- a/benchmarks/entry_checks.py
+++ b/benchmarks/entry_checks.py
@@ -47,6 +47,8 @@
 MIN_TAKEN_UP = 12
 MIN_SERVERS = 2
 MIN_GOING_ON = 0.5
+# The memory that the smallest entry VMs have.
+MAX_MEMORY_BYTES = 200_000_000
 # Paths of requests that may run once.
 ONCE_PATHS = ("/file/", "/once/")
 
@@ -106,6 +108,7 @@
     fleet: EntryFleet
     responses: list[CallerResponse]
     streams: list[TakenUpStream] = field(default_factory=list)
+    most_memory_bytes: int = 0
 
     def failures(self, *, timed: bool = True) -> dict[str, list[str]]:
         """Return the violations found, by rule.
@@ -119,6 +122,7 @@
             "at most once": self._run_twice,
             "refused requests did not run": self._refused_and_run,
             "only crashing requests are quarantined": self._wrongly_quarantined,
+            "memory of entry VMs": self._over_memory,
         }
         timed_checks: dict[str, Callable[[], list[str]]] = {
             "no work for a draining server": self._sent_to_draining,
@@ -135,6 +139,11 @@
             checks |= timed_checks
         return {rule: found for rule, check in checks.items() if (found := check())}
 
+    def _over_memory(self) -> list[str]:
+        if self.most_memory_bytes <= MAX_MEMORY_BYTES:
+            return []
+        return [f"{self.most_memory_bytes / 1e6:.0f} MB"]
+
     def _incomplete(self) -> list[str]:
         return [
             f"{response.request_id} {response.path} {response.body[:60]!r}"
--- a/benchmarks/entry_soak.py
+++ b/benchmarks/entry_soak.py
@@ -16,11 +16,14 @@
 import tempfile
 import time
 from collections import Counter
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import suppress
 from dataclasses import dataclass, field
 from pathlib import Path
 
-from benchmarks._private import inject_faults
+import psutil
+
+from benchmarks._private import inject_faults, process_usage
 from benchmarks.entry_checks import (
     REQUEST_DEADLINE_S,
     CallerResponse,
@@ -39,6 +42,7 @@
     SOFTWARE_VERSIONS,
     EntryFleet,
     EntryVm,
+    PortAfterCrash,
     Server,
     caller_headers,
 )
@@ -69,6 +73,10 @@
 LIMITS_PER_S = (1.0, 1.7, 5.0)
 LIMIT_LASTS_S = (4.0, 10.0)
 RESPONSE_FAULT_LASTS_S = (1.0, 4.0)
+FREEZE_LASTS_S = (0.5, 3.5)
+# How long before a stop an upload begins, and how long it lasts.
+UPLOAD_BEFORE_S = 0.1
+UPLOAD_LASTS_S = (1.0, 7.0)
 LOW_RATE_BYTES_PER_S = (10_000.0, 100_000.0)
 
 Fault = Callable[[], Awaitable[None]]
@@ -100,6 +108,7 @@
     response_rng: random.Random
     version_rng: random.Random
     foreign_rng: random.Random
+    server_rng: random.Random
     ends_s: float
     # Whether servers of two software versions serve and callers take streams up.
     mixes_versions: bool = False
@@ -109,6 +118,7 @@
     responses: list[CallerResponse] = field(default_factory=list)
     faults: Counter[str] = field(default_factory=Counter)
     request_count: int = 0
+    most_memory_bytes: int = 0
 
     async def run(self) -> None:
         tasks = [self._run_caller(self.call_rng) for _ in range(CALLERS)]
@@ -129,6 +139,9 @@
         if self.restarts_versions:
             foreign_faults.append(self.restart_with_other_version)
         tasks.append(self._inject_faults(self.foreign_rng, foreign_faults))
+        server_faults: list[Fault] = [self.freeze_server, self.respond_without_end]
+        tasks.append(self._inject_faults(self.server_rng, server_faults))
+        tasks.append(self._record_memory())
         if self.mixes_versions:
             tasks += [self._run_stream_caller() for _ in range(STREAM_CALLERS)]
             changes = [self.change_version, self.change_version, self.kill_two_vms]
@@ -143,6 +156,16 @@
             if time.monotonic() - from_s > STALL_S:
                 self.fleet.stall_intervals_s.append((from_s, time.monotonic()))
 
+    async def _record_memory(self) -> None:
+        """Record the most memory that an entry VM used."""
+        while time.monotonic() < self.ends_s:
+            for vm in self.fleet.vms.values():
+                if vm.process is not None and vm.running:
+                    with suppress(psutil.Error):
+                        used_bytes = process_usage(vm.process.pid).memory_bytes
+                        self.most_memory_bytes = max(self.most_memory_bytes, used_bytes)
+            await asyncio.sleep(0.1)
+
     async def _inject_faults(self, rng: random.Random, choices: list[Fault]) -> None:
         await inject_faults(
             choices,
@@ -194,7 +217,14 @@
             await asyncio.sleep(PROBE_INTERVAL_S)
         pool.close()
 
-    async def _send_request(self, pool: HttpPool, vm: EntryVm, path: str) -> None:
+    async def _send_request(
+        self,
+        pool: HttpPool,
+        vm: EntryVm,
+        path: str,
+        *,
+        body_chunks: AsyncIterator[bytes] | None = None,
+    ) -> None:
         self.request_count += 1
         request_id = f"q{self.request_count}"
         self.fleet.request_log.vm_by_request[request_id] = vm.name
@@ -204,7 +234,8 @@
             method="POST",
             path=path,
             headers=caller_headers(request_id, wait_s=REQUEST_DEADLINE_S),
-            body=b"x" * 10,
+            body=b"x" * 10 if body_chunks is None else b"",
+            body_chunks=body_chunks,
             progress_timeout_s=REQUEST_DEADLINE_S + 2.0,
         )
         sent_s = time.monotonic()
@@ -327,11 +358,29 @@
         now_s = time.monotonic()
         if vm.stop_sent_s and now_s - vm.stop_sent_s[-1] < GRACE_S + 1.0:
             return
+        uploads = [
+            asyncio.ensure_future(self._upload_slowly(vm, kind)) for kind in ONCE_KINDS
+        ]
+        await asyncio.sleep(UPLOAD_BEFORE_S)
         vm.stop_sent_s.append(now_s)
         vm.send(signal.SIGTERM)
+        await asyncio.gather(*uploads)
         await vm.restart_when_exited(pause_s=RESTART_PAUSE_S)
         vm.stop_intervals_s.append((now_s, time.monotonic()))
 
+    async def _upload_slowly(self, vm: EntryVm, kind: str) -> None:
+        """Send a request whose body ends some seconds after its head."""
+        pool, pause_s = HttpPool(), self.server_rng.uniform(*UPLOAD_LASTS_S)
+
+        async def body() -> AsyncIterator[bytes]:
+            yield b"x"
+            await asyncio.sleep(pause_s)
+            yield b"y"
+
+        path = f"/{kind}/{self.request_count}"
+        await self._send_request(pool, vm, path, body_chunks=body())
+        pool.close()
+
     async def pause_vm(self) -> None:
         vm = self._random_vm()
         vm.note_disturbance()
@@ -400,6 +449,8 @@
         if len(remaining) <= 2:
             return
         server = self.rng.choice(remaining)
+        if server.frozen:
+            return
         server.draining = announced
         if announced:
             await asyncio.sleep(self.rng.uniform(1.0, 5.0))
@@ -413,6 +464,8 @@
 
     async def shed_load(self) -> None:
         server = self.rng.choice(list(self.fleet.servers.values()))
+        if server.frozen:
+            return
         server.shedding = True
         await asyncio.sleep(self.rng.uniform(0.5, 4.0))
         server.shedding = False
@@ -438,12 +491,38 @@
         await asyncio.sleep(self.response_rng.uniform(*RESPONSE_FAULT_LASTS_S))
         server.failing = False
 
+    async def freeze_server(self) -> None:
+        """Let a server stand still that has stated nothing that binds its callers."""
+        servers = [server for server in self._plain_servers() if not server.frozen]
+        if len(servers) <= 2:
+            return
+        server = self.server_rng.choice(servers)
+        server.freeze()
+        await asyncio.sleep(self.server_rng.uniform(*FREEZE_LASTS_S))
+        server.thaw()
+
+    async def respond_without_end(self) -> None:
+        """Let a server answer half of its requests without end."""
+        server = self.server_rng.choice(list(self.fleet.servers.values()))
+        server.endless = True
+        await asyncio.sleep(self.server_rng.uniform(*RESPONSE_FAULT_LASTS_S))
+        server.endless = False
+
+    def _plain_servers(self) -> list[Server]:
+        """Return the servers that neither leave, shed load nor limit their rate."""
+        return [
+            server
+            for server in self.fleet.servers.values()
+            if server.listening
+            and not (server.draining or server.shedding or server.limit)
+        ]
+
     async def limit_rate(self) -> None:
         """Let up to half of the servers state a rate limit for some seconds."""
         servers = list(self.fleet.servers.values())
         server = self.limit_rng.choice(servers)
         limited = sum(other.limit is not None for other in servers)
-        if server.limit is not None or limited >= len(servers) / 2:
+        if server.frozen or server.limit is not None or limited >= len(servers) / 2:
             return
         server.state_limit(self.limit_rng.choice(LIMITS_PER_S))
         await asyncio.sleep(self.limit_rng.uniform(*LIMIT_LASTS_S))
@@ -463,14 +542,25 @@
                 if not (server.listening or server.restarting):
                     await asyncio.sleep(1.0)
                     await self.fleet.remove(server)
-                    await self.fleet.add_server(
+                    server.crash()
+                    server.close_port()
+                    added = await self.fleet.add_server(
                         software_version=server.software_version
                     )
+                    added.port_after_crash = self.draw_port()
             await asyncio.sleep(0.2)
 
+    def draw_port(self) -> PortAfterCrash:
+        return self.server_rng.choice(list(PortAfterCrash))
+
     def failures(self, *, timed: bool = True) -> dict[str, list[str]]:
         """Return the violations found, by rule."""
-        checks = EntryChecks(self.fleet, self.responses, self.streams)
+        checks = EntryChecks(
+            self.fleet,
+            self.responses,
+            self.streams,
+            most_memory_bytes=self.most_memory_bytes,
+        )
         return checks.failures(timed=timed)
 
 
@@ -496,10 +586,13 @@
         random.Random(f"response {seed}"),
         random.Random(f"version {seed}"),
         random.Random(f"foreign {seed}"),
+        random.Random(f"server {seed}"),
         time.monotonic() + duration_s,
         mixes_versions,
         restarts_versions,
     )
+    for server in fleet.servers.values():
+        server.port_after_crash = run.draw_port()
     replacing = asyncio.create_task(run.replace_crashed_servers())
     try:
         await run.run()
@@ -534,6 +627,7 @@
         print(
             f"seed {seed}: {len(run.responses)} requests {dict(statuses)}, faults"
             f" {dict(run.faults)}, streams {describe_streams(run.streams)},"
+            f" memory {run.most_memory_bytes / 1e6:.0f} MB,"
             f" broken {sum(map(len, failures.values()))},"
             f" stood still {len(run.fleet.stall_intervals_s)} times"
         )
--- a/src/rosepath_standins/entry_fleet.py
+++ b/src/rosepath_standins/entry_fleet.py
@@ -59,6 +59,9 @@
 FULL_SHARE = 0.7
 FAILING_SHARE = 0.3
 SILENCE_S = 1.2
+# The share of its requests that an endless server answers without end.
+ENDLESS_SHARE = 0.5
+ENDLESS_PIECE = b"x" * 64 * 1024
 
 
 def whole_streams(request_id: str) -> list[bytes]:
@@ -152,7 +155,12 @@
     stray: bool = False
     # Whether it runs a share of its requests without a whole response.
     failing: bool = False
+    # Whether it answers a share of its requests with a body without end.
+    endless: bool = False
     response_delay_s: float = RESPONSE_DELAY_S
+    # Set while it runs; cleared, it reads nothing, and the kernel keeps what
+    # arrives, also on connections that are reset meanwhile.
+    _running: asyncio.Event = field(default_factory=asyncio.Event)
     limit: StatedLimit | None = None
     port_after_crash: PortAfterCrash = PortAfterCrash.CLOSED
     # Whether its process serves; its port may accept connections without it.
@@ -169,6 +177,26 @@
                 self._serve, "127.0.0.1", self.port
             )
         self.listening = True
+        self._running.set()
+
+    @property
+    def frozen(self) -> bool:
+        """Return whether the process stands still."""
+        return self.listening and not self._running.is_set()
+
+    def freeze(self) -> None:
+        """Let the process stand still."""
+        self._running.clear()
+        for writer in self._writers:
+            _pause_reading(writer)
+
+    def thaw(self) -> None:
+        """Let the process go on, with what arrived meanwhile."""
+        self._running.set()
+        for writer in self._writers:
+            transport = writer.transport
+            assert isinstance(transport, asyncio.Transport)
+            transport.resume_reading()
 
     def state_limit(self, per_s: float) -> None:
         """State a rate limit in all responses from now on."""
@@ -213,6 +241,8 @@
             writer.close()
             return
         self._writers.add(writer)
+        if self.frozen:
+            _pause_reading(writer)
         try:
             while self.listening:
                 await self._respond(reader, writer)
@@ -249,6 +279,7 @@
         _body: bytes,
     ) -> None:
         """Respond to a whole request; header names and values are lower case."""
+        await self._running.wait()
         request_id = headers["request-id"]
         vm, now_s = self.request_log.vm_by_request[request_id], time.monotonic()
         if headers["target-instance"] != self.name:
@@ -282,11 +313,14 @@
         if self.failing and self.rng.random() < FAILING_SHARE:
             await self._fail(writer, request_id)
             return
+        if self.endless and self.rng.random() < ENDLESS_SHARE:
+            await self._respond_without_end(writer, request_id)
         if path.startswith(STREAM_PATHS):
             first = int(headers.get("last-event-id", "0")) + 1
             await self.stream(writer, request_id, first)
             return
         await asyncio.sleep(self.response_delay_s)
+        await self._running.wait()
         self.write_response(writer, 200, request_id, f"{path} {request_id}".encode())
 
     async def _crash_under(self, cause: str, vm: str) -> None:
@@ -308,6 +342,15 @@
             await writer.drain()
             await asyncio.sleep(STRAY_BEFORE_S)
 
+    async def _respond_without_end(
+        self, writer: asyncio.StreamWriter, request_id: str
+    ) -> None:
+        """Send a body until the entry VM closes."""
+        writer.write(f"{self._head(200, request_id)}\r\n".encode())
+        while True:
+            writer.write(ENDLESS_PIECE)
+            await writer.drain()
+
     async def _fail(self, writer: asyncio.StreamWriter, request_id: str) -> None:
         """Break off, spoil or hold back the response to a request that has run."""
         await asyncio.sleep(RESPONSE_DELAY_S)
@@ -337,6 +380,7 @@
         writer.write(head.encode())
         for number in range(first, EVENTS_PER_STREAM + 1):
             await asyncio.sleep(EVENT_INTERVAL_S)
+            await self._running.wait()
             event = encode_event(StreamEvent(number, request_id, self.software_version))
             writer.write(b"%x\r\n%b\r\n" % (len(event), event))
             await writer.drain()
@@ -595,6 +639,12 @@
             server.close_port()
 
 
+def _pause_reading(writer: asyncio.StreamWriter) -> None:
+    transport = writer.transport
+    assert isinstance(transport, asyncio.Transport)
+    transport.pause_reading()
+
+
 def _wait(process: subprocess.Popen[bytes]) -> int:
     try:
         return process.wait(GRACE_S + 2.0)
