--- a/src/rosepath/caller_handler.py
+++ b/src/rosepath/caller_handler.py
@@ -29,6 +29,15 @@
 WRITE_AHEAD_BYTES = 64 * 1024
 MAX_KEY_CHARS = 255
 
+# Of a request that was in progress when a planned stop ended.
+STOP_REFUSAL = Refusal(
+    502,
+    "vm_stopping",
+    "this entry VM stops before the response is complete",
+    Run.UNKNOWN,
+    Step.RESPONSE,
+)
+
 _log = get_logger()
 
 
@@ -45,7 +54,8 @@
     telemetry: Telemetry
     clock: Clock
     ready: Callable[[], str]
-    in_flight: set[str]
+    # By request id.
+    in_flight: "dict[str, Handler]"
     stopping: Callable[[], bool]
 
 
@@ -62,6 +72,7 @@
         self.task: asyncio.Task[None] | None = None
         self.request_id = uuid.uuid4().hex
         self.event_stream_started = False
+        self._stop_ended = False
         if ports.stopping():
             # A caller that sends its next request on a connection that is
             # about to be closed cannot tell whether that request ran.
@@ -106,7 +117,7 @@
 
     async def run(self, step: Callable[[], Awaitable[None]]) -> None:
         """Run `step` as a task, cancelled when the caller disconnects."""
-        self.ports.in_flight.add(self.request_id)
+        self.ports.in_flight[self.request_id] = self
         self.task = asyncio.ensure_future(_await(step))
         try:
             await self.task
@@ -115,10 +126,18 @@
         except StreamClosedError:
             return
         except asyncio.CancelledError:
-            if not self.request.connection.stream.closed():  # type: ignore[union-attr]
+            if self._stop_ended:
+                await self.send_refusal(STOP_REFUSAL)
+            elif not self.request.connection.stream.closed():  # type: ignore[union-attr]
                 raise
         finally:
-            self.ports.in_flight.discard(self.request_id)
+            self.ports.in_flight.pop(self.request_id, None)
+
+    def end_for_stop(self) -> None:
+        """End the work on the request, as a planned stop ends, with a response."""
+        if self.task is not None:
+            self._stop_ended = True
+            self.task.cancel()
 
     async def send_refusal(self, refusal: Refusal) -> None:
         """Send a refusal as the response, or as the last event of a stream."""
--- a/src/rosepath/node.py
+++ b/src/rosepath/node.py
@@ -11,7 +11,7 @@
 from rosepath.admission import Admission
 from rosepath.backend_http import HttpBackend
 from rosepath.backend_watch import BackendWatch
-from rosepath.caller_handler import CallerPorts
+from rosepath.caller_handler import CallerPorts, Handler
 from rosepath.caller_server import make_application
 from rosepath.clock import SystemClock
 from rosepath.configuration import Configuration, ConfigurationState
@@ -52,6 +52,8 @@
 VM_LIST_INTERVAL_S = 1.5
 LEASE_TICK_S = 0.25
 DEFERRED_SCAN_S = 2.0
+# For the responses to requests that the end of a planned stop cuts.
+LAST_RESPONSES_S = 0.2
 
 _log = get_logger()
 
@@ -73,7 +75,7 @@
         self.store = ConfigurationStore(self.platform, self.state)
         self.pool = HttpPool(clock=self.clock)
         self.backend = HttpBackend(self.pool)
-        self.in_flight: set[str] = set()
+        self.in_flight: dict[str, Handler] = {}
         self.stopping = False
         self.lease_name = f"placement-{settings.data_centre}"
         self.loops = Supervisor()
@@ -302,7 +304,13 @@
 
     async def _drain(self) -> None:
         deadline_s = self.clock.monotonic_s() + self.settings.stop.drain_timeout_s
-        while self.in_flight and self.clock.monotonic_s() < deadline_s:  # noqa: ASYNC110
+        await self._wait_until_idle(deadline_s)
+        for handler in list(self.in_flight.values()):
+            handler.end_for_stop()
+        await self._wait_until_idle(deadline_s + LAST_RESPONSES_S)
+
+    async def _wait_until_idle(self, until_s: float) -> None:
+        while self.in_flight and self.clock.monotonic_s() < until_s:  # noqa: ASYNC110
             await asyncio.sleep(0.05)
 
     async def close(self) -> None:
