Clear a request of undecided runs once another of its runs completes

What callers would see: while servers reset a share of their connections and are too busy to answer health checks, requests of the same content stay suspects as long as that lasts, run one at a time and are refused, though most of their runs complete. A request that crashes each server that runs it never completes.

Cause: a completed run cleared the undecided runs known at that moment and here only; each further probe of the server brought them back, and other VMs kept theirs. Now lost runs of the request count no more, other VMs are told, and for 30 s, as for parts of prompts, a lost run of it is not suspicious by itself.

--- a/src/rosepath/crash_records.py
+++ b/src/rosepath/crash_records.py
@@ -139,7 +139,8 @@
         self._explained: set[ServerInstance] = set()
         self._recent_reports: OrderedDict[CrashReport, float] = OrderedDict()
         self._cleared: dict[str, float] = {}
-        # When a run with a part of prompts last survived, the latest last.
+        # When a run with a part of prompts last survived, or a run of a request
+        # that may have crashed servers, the latest last.
         self._survived_s: OrderedDict[str, float] = OrderedDict()
 
     def __len__(self) -> int:
@@ -185,9 +186,9 @@
         """Return the parts with which no run survived recently."""
         return tuple(key for key in part_keys if not self._has_survived(key))
 
-    def _has_survived(self, part_key: str) -> bool:
-        """Return whether a run with a part survived recently."""
-        survived_s = self._survived_s.get(part_key, -1e9)
+    def _has_survived(self, key: str) -> bool:
+        """Return whether a run of a request, or with a part, survived recently."""
+        survived_s = self._survived_s.get(key, -1e9)
         return self._clock.monotonic_s() < survived_s + SURVIVED_TTL_S
 
     def quarantine(self, content_key: str) -> bool:
@@ -211,20 +212,32 @@
         changed the records.
         """
         if is_part_key(content_key):
-            self._survived_s[content_key] = self._clock.monotonic_s()
-            self._survived_s.move_to_end(content_key)
-            if len(self._survived_s) > MAX_SURVIVED_PARTS:
-                self._survived_s.popitem(last=False)
+            self._note_survived(content_key)
         record = self._records.get(content_key)
         if record is None or record.confirmed:
             return False
         if not record.exposures.keys() - record.cleared:
             return False
         record.cleared.update(record.exposures)
-        self._cleared[content_key] = self._clock.monotonic_s()
+        self.announce_cleared(content_key)
         self._find_causes()
         return True
 
+    def announce_cleared(self, content_key: str) -> None:
+        """Tell other VMs that a run of a request completed."""
+        self._cleared[content_key] = self._clock.monotonic_s()
+
+    def clear_undecided(self, content_key: str) -> None:
+        """Clear a request of what may have been crashes, as a run completed."""
+        self._note_survived(content_key)
+        self.announce_cleared(content_key)
+
+    def _note_survived(self, key: str) -> None:
+        self._survived_s[key] = self._clock.monotonic_s()
+        self._survived_s.move_to_end(key)
+        if len(self._survived_s) > MAX_SURVIVED_PARTS:
+            self._survived_s.popitem(last=False)
+
     def suspicion(self, content_key: str) -> Suspicion:
         """Return how a request may be sent."""
         record = self._records.get(content_key)
@@ -246,7 +259,7 @@
         One that would be identified as the cause is held until they are decided.
         """
         known = self.suspicion(key)
-        if known >= Suspicion.HELD or (is_part_key(key) and self._has_survived(key)):
+        if known >= Suspicion.HELD or self._has_survived(key):
             return known
         record = self._records.get(key) or _Record()
         crashes = record.open_crashes(self._explained)
--- a/src/rosepath/crash_watch.py
+++ b/src/rosepath/crash_watch.py
@@ -40,7 +40,8 @@
     """A run whose connection was lost or that timed out.
 
     `part_keys` has the shared parts of its prompt, if it had just begun.
-    `answered_wall_s` is when its server answered a probe after that.
+    `answered_wall_s` is when its server answered a probe after that, and
+    `cleared` whether another run of the request completed.
     """
 
     request_id: str
@@ -50,6 +51,15 @@
     part_keys: tuple[str, ...] = ()
     timed_out: bool = False
     answered_wall_s: float | None = None
+    cleared: bool = False
+
+    @property
+    def undecided(self) -> bool:
+        """Return whether it may have crashed a server that does not answer.
+
+        After a timeout, nothing shows that the server lost anything.
+        """
+        return self.answered_wall_s is None and not (self.cleared or self.timed_out)
 
     def outlived_by_server(self, successor_born_ms: int | None) -> bool:
         """Return whether the server still ran after the run was lost.
@@ -180,7 +190,7 @@
     def _note_undecided(self, instance: ServerInstance) -> None:
         self.undecided.decide(instance)
         for run in self._lost_runs.get(instance, ()):
-            if run.answered_wall_s is None and not run.timed_out:
+            if run.undecided:
                 self.undecided.add(self._report_of(run, instance))
         self._on_change()
 
@@ -248,10 +258,24 @@
 
     def clear(self, content_key: str) -> None:
         """Record that a run of a request completed."""
-        self.undecided.clear(content_key)
-        if self.records.clear(content_key):
+        if self.apply_cleared(content_key):
             self._on_change()
 
+    def apply_cleared(self, content_key: str) -> bool:
+        """Apply that a run of a request completed, here or at another VM.
+
+        Return whether that changed how it may be sent.
+        """
+        for instance, runs in self._lost_runs.items():
+            self._lost_runs[instance] = [
+                replace(run, cleared=run.cleared or run.content_key == content_key)
+                for run in runs
+            ]
+        changed = self.undecided.clear(content_key)
+        if changed:
+            self.records.clear_undecided(content_key)
+        return self.records.clear(content_key) or changed
+
     def _report_crash(self, report: CrashReport, run: LostRun) -> None:
         if self.records.add(report):
             self._on_change()
--- a/src/rosepath/peer_exchange.py
+++ b/src/rosepath/peer_exchange.py
@@ -298,7 +298,7 @@
         records = self._crashes.records
         changes = [records.add(report) for report in state.crashes]
         changes += [records.quarantine(key) for key in state.quarantined]
-        changes += [records.clear(key) for key in state.cleared]
+        changes += [self._crashes.apply_cleared(key) for key in state.cleared]
         now_s = self._clock.monotonic_s()
         changes.append(
             self._crashes.isolated.apply_peer_runs(
--- a/src/rosepath/peer_statements.py
+++ b/src/rosepath/peer_statements.py
@@ -1,6 +1,6 @@
 """What other entry VMs state about themselves, until it expires; no I/O."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Generic, Protocol, TypeVar
 
 # Statements of another entry VM expire after this unless received again: from
@@ -42,6 +42,17 @@
             self._by_sender.pop(sender, None)
         return bool(received - known)
 
+    @property
+    def count(self) -> int:
+        """Return the number of statements that were received and not replaced."""
+        return sum(len(statements) for _, statements in self._by_sender.values())
+
+    def drop(self, is_void: Callable[[S], bool]) -> None:
+        """Drop the statements that this VM knows to be void."""
+        for sender, (received_s, statements) in self._by_sender.items():
+            valid = frozenset(one for one in statements if not is_void(one))
+            self._by_sender[sender] = received_s, valid
+
     def recent(self, now_s: float) -> frozenset[S]:
         """Return the statements of other VMs, without those that expired."""
         limit_s = now_s - STATEMENT_TTL_S
--- a/src/rosepath/undecided_runs.py
+++ b/src/rosepath/undecided_runs.py
@@ -41,18 +41,30 @@
         """Drop the runs of this VM at a server, as its state is known."""
         self._own.pop(instance, None)
 
-    def clear(self, content_key: str) -> None:
-        """Drop the runs of a request, as another of its runs completed."""
+    def clear(self, content_key: str) -> bool:
+        """Drop the runs of a request, as another of its runs completed.
+
+        Return whether there were any.
+        """
+        count = self._count()
+        self._peer_runs.drop(lambda run: run.report.content_key == content_key)
         for instance, reports in list(self._own.items()):
             remaining = [one for one in reports if one.content_key != content_key]
             if remaining:
                 self._own[instance] = remaining
             else:
                 del self._own[instance]
+        return self._count() < count
+
+    def _count(self) -> int:
+        return len(self._reports()) + self._peer_runs.count
+
+    def _reports(self) -> list[CrashReport]:
+        return [report for reports in self._own.values() for report in reports]
 
     def reports_with(self, key: str, *, now_s: float) -> list[CrashReport]:
         """Return the possible reports on a request or on a part of prompts."""
-        reports = [report for reports in self._own.values() for report in reports]
+        reports = self._reports()
         reports += [run.report for run in self._peer_runs.recent(now_s)]
         return [one for one in reports if key in (one.content_key, *one.part_keys)]
 
--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -153,6 +153,26 @@
     asyncio.run(run())
 
 
+# Guards against isolating a request that busy servers lost although others run it.
+def test_request_that_completes_elsewhere_is_not_suspected_for_undecided_runs() -> None:
+    async def run() -> None:
+        clock = ManualClock()
+        watch = a_crash_watch(clock, contact=ServerContact.ACCEPTED)
+        peer = a_crash_watch(clock, entry_vm="vm-2")
+        await watch.note_lost(a_server("s1"), a_run(clock))
+        told = watch.undecided.runs(merged=False, now_s=clock.monotonic_s())
+        peer.undecided.apply_peer_runs("vm-1", told, now_s=clock.monotonic_s())
+        peer.clear("bad")
+        assert peer.suspicion("bad") is Suspicion.CLEAR
+        assert [watch.apply_cleared(key) for key in peer.records.cleared] == [True]
+        clock.advance(1.0)
+        await watch.note_lost(a_server("s2"), a_run(clock))
+        await watch.note_lost(a_server("s1"), a_run(clock))
+        assert watch.suspicion("bad") is Suspicion.CLEAR
+
+    asyncio.run(run())
+
+
 # Guards against holding what a busy server lost once it answers again.
 def test_undecided_server_that_answers_later_has_not_crashed() -> None:
     contacts = [ServerContact.ACCEPTED, ServerContact.ACCEPTED, ServerContact.ANSWERED]
