Measure the time of the soak's late uploads from the end of their bodies

Traced: q1398 is an upload whose body ended some 5.4 s after its head, beyond its own deadline; the VM refused it as not run within the moment in which it had read it (age 5.544 s, waited 0). No VM can answer it earlier. The bound holds from the head as before, unless the request itself was that late, and then 0.5 s from its end.

--- a/benchmarks/entry_checks.py
+++ b/benchmarks/entry_checks.py
@@ -64,6 +64,8 @@
     ended_s: float
     status: int
     body: bytes
+    # When the last byte of the request was sent, if that took long.
+    whole_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -309,6 +311,8 @@
             f" {response.ended_s - response.sent_s:.2f} s"
             for response in self.responses
             if response.ended_s - response.sent_s > REQUEST_DEADLINE_S + 0.5
+            # A request that is late itself is answered as soon as it is read.
+            and response.ended_s - response.whole_s > 0.5
             and self.fleet.vms[response.vm].undisturbed(
                 response.sent_s - RECOVERY_S, response.ended_s
             )
--- a/benchmarks/entry_soak.py
+++ b/benchmarks/entry_soak.py
@@ -224,6 +224,7 @@
         path: str,
         *,
         body_chunks: AsyncIterator[bytes] | None = None,
+        whole_s: float = 0.0,
     ) -> None:
         self.request_count += 1
         request_id = f"q{self.request_count}"
@@ -248,7 +249,14 @@
                 return
         self.responses.append(
             CallerResponse(
-                request_id, vm.name, path, sent_s, time.monotonic(), status, body
+                request_id,
+                vm.name,
+                path,
+                sent_s,
+                time.monotonic(),
+                status,
+                body,
+                whole_s,
             )
         )
 
@@ -371,6 +379,7 @@
     async def _upload_slowly(self, vm: EntryVm, kind: str) -> None:
         """Send a request whose body ends some seconds after its head."""
         pool, pause_s = HttpPool(), self.server_rng.uniform(*UPLOAD_LASTS_S)
+        whole_s = time.monotonic() + pause_s
 
         async def body() -> AsyncIterator[bytes]:
             yield b"x"
@@ -378,7 +387,7 @@
             yield b"y"
 
         path = f"/{kind}/{self.request_count}"
-        await self._send_request(pool, vm, path, body_chunks=body())
+        await self._send_request(pool, vm, path, body_chunks=body(), whole_s=whole_s)
         pool.close()
 
     async def pause_vm(self) -> None:
