Tell a VM that has just started which crashes are not explained yet

Crash reports were told for 3 s; a VM that started later knew nothing of a suspect, sent it at once and beside other suspects, and its crash told nobody apart.

tests/test_crashing_requests.py, red before: two crashes, a VM restarts 6 s later and holds the request for sound. Now reports are kept as long as records, and those of crashes that nobody explains are told again for 3 s when a VM is heard with a new start.

--- a/src/rosepath/crash_records.py
+++ b/src/rosepath/crash_records.py
@@ -137,7 +137,8 @@
         self._clock = clock
         self._records: OrderedDict[str, _Record] = OrderedDict()
         self._explained: set[ServerInstance] = set()
-        self._recent_reports: OrderedDict[CrashReport, float] = OrderedDict()
+        # When each report was last to be told to other VMs, the latest last.
+        self._told_s: OrderedDict[CrashReport, float] = OrderedDict()
         self._cleared: dict[str, float] = {}
         # When a run with a part of prompts last survived, or a run of a request
         # that may have crashed servers, the latest last.
@@ -161,7 +162,7 @@
             changed |= report.content_key not in contents
             contents.add(report.content_key)
         if changed:
-            self._recent_reports[report] = self._clock.monotonic_s()
+            self._tell(report)
             self._find_causes()
         return changed
 
@@ -299,14 +300,38 @@
     def recent_reports(self) -> tuple[CrashReport, ...]:
         """Return the reports that other VMs may not have received yet."""
         limit_s = self._clock.monotonic_s() - REPORT_TTL_S
-        while (
-            self._recent_reports and next(iter(self._recent_reports.values())) < limit_s
-        ):
-            self._recent_reports.popitem(last=False)
+        recent = (
+            report for report, told_s in self._told_s.items() if told_s >= limit_s
+        )
         # Dozens of requests may have been queued at a server that one crashed.
-        by_exposure = sorted(self._recent_reports, key=lambda report: report.exposure)
+        by_exposure = sorted(recent, key=lambda report: report.exposure)
         return tuple(by_exposure[-MAX_REPORTS_SENT:])
 
+    def tell_open_crashes(self) -> bool:
+        """Tell the crashes that are not explained yet to a VM that has just started.
+
+        Return whether there are any.
+        """
+        found = [report for report in self._told_s if self._is_open(report)]
+        for report in found:
+            self._tell(report)
+        return bool(found)
+
+    def _is_open(self, report: CrashReport) -> bool:
+        """Return whether a request or part of a report may have caused its crash."""
+        records = map(self._records.get, (report.content_key, *report.part_keys))
+        return any(
+            report.instance in record.open_crashes(self._explained)
+            for record in records
+            if record is not None
+        )
+
+    def _tell(self, report: CrashReport) -> None:
+        self._told_s[report] = self._clock.monotonic_s()
+        self._told_s.move_to_end(report)
+        if len(self._told_s) > MAX_RECORDS:
+            self._told_s.popitem(last=False)
+
     @property
     def cleared(self) -> tuple[str, ...]:
         """Return the requests that were cleared recently, the latest last."""
--- a/src/rosepath/peer_exchange.py
+++ b/src/rosepath/peer_exchange.py
@@ -101,6 +101,8 @@
         self._tables = tables
         self._coordinator = coordinator
         self._stopping = stopping
+        # By VM, the start of its process.
+        self._starts: dict[str, str] = {}
         # By VM, the servers with load in its latest state message.
         self._servers_with_load: dict[str, frozenset[str]] = {}
         self.peers = peers
@@ -243,6 +245,7 @@
         if state.term:
             self._apply_ages(state)
         self._apply_crash_records(state)
+        self._tell_if_started(state)
         self._apply_limits(state)
         self._apply_unreachable(state)
         if state.term and state.store_ago_s > STORE_FAILURE_S:
@@ -315,6 +318,14 @@
             if self._coordinator.term and self.peers.large_fleet:
                 self.send_state_soon()
 
+    def _tell_if_started(self, state: PeerState) -> None:
+        """Tell a VM that has just started which crashes are not explained."""
+        if self._starts.get(state.entry_vm) == state.start:
+            return
+        self._starts[state.entry_vm] = state.start
+        if self._crashes.records.tell_open_crashes():
+            self.send_state_soon()
+
     def _apply_limits(self, state: PeerState) -> None:
         """Apply servers' rate limits; the holder of a large fleet forwards them."""
         changed = apply_peer_limits(
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -24,6 +24,7 @@
 
 from rosepath.clock import ManualClock
 from rosepath.crash_records import (
+    REPORT_TTL_S,
     CrashRecords,
     CrashReport,
     Exposure,
@@ -202,3 +203,25 @@
             assert records.suspicion("bad") is Suspicion.QUARANTINED
 
     asyncio.run(play())
+
+
+# Guards against forgetting, VM by VM as they restart, the crashes of a request that
+# is not known as the cause yet.
+def test_a_restarted_vm_learns_of_earlier_crashes(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    known: list[Suspicion] = []
+
+    async def scenario(simulation: CrashingServersSimulation) -> None:
+        records = simulation.nodes["vm-1"].crashes.records
+        for server in ("i-90", "i-91"):
+            report = CrashReport("bad", ServerInstance(server, 1), Exposure.STARTING)
+            records.add(report)
+        simulation.kill("vm-2")
+        await asyncio.sleep(2 * REPORT_TTL_S)
+        simulation.restart("vm-2", monkeypatch)
+        await asyncio.sleep(REPORT_TTL_S)
+        known.append(simulation.nodes["vm-2"].crashes.suspicion("bad"))
+
+    run_scenario(monkeypatch, (5, 2.0, 3.0), scenario)
+    assert known == [Suspicion.SUSPECT]
