--- a/benchmarks/entry_soak.py
+++ b/benchmarks/entry_soak.py
@@ -372,8 +372,8 @@
         await asyncio.sleep(UPLOAD_BEFORE_S)
         vm.stop_sent_s.append(now_s)
         vm.send(signal.SIGTERM)
-        await asyncio.gather(*uploads)
-        await vm.restart_when_exited(pause_s=RESTART_PAUSE_S)
+        # Waiting for this process, and not for one that another fault starts.
+        await asyncio.gather(*uploads, vm.restart_when_exited(pause_s=RESTART_PAUSE_S))
         vm.stop_intervals_s.append((now_s, time.monotonic()))
 
     async def _upload_slowly(self, vm: EntryVm, kind: str) -> None:
