Record no version for a stream until the process that began it is known

Cause: the entry was looked at again as the first events came, but not read again. An entry that was read before the connection was opened says nothing of the process behind it.

If it takes longer, no server can continue the stream. Kept connections need no read, as a restart would have ended them.

tests/test_software_versions.py, red before.

--- a/src/rosepath/attempt.py
+++ b/src/rosepath/attempt.py
@@ -100,7 +100,8 @@
     silent server is ended. `on_watched` receives the watchdog, by which it may be
     ended earlier, `on_notice` the notice in the response's headers, `on_load` the
     server's load. `connections` are those of the request's earlier attempts; that
-    of this one is added. `hold` counts what is held of the response.
+    of this one is added, and given to `on_connected`. `hold` counts what is held
+    of the response.
     """
 
     deadline_s: float
@@ -116,6 +117,7 @@
     on_notice: Callable[[ServerNotice], None] = lambda _: None
     on_load: Callable[[ServerLoad | None], None] = lambda _: None
     connections: set[Connection] = field(default_factory=set)
+    on_connected: Callable[[Connection], None] = lambda _: None
     hold: Hold = field(default_factory=lambda: HeldBytes.of_memory().open())
 
 
@@ -187,6 +189,7 @@
         def on_sending(connection: Connection) -> None:
             tracker.note_sending(connection)
             options.connections.add(connection)
+            options.on_connected(connection)
 
         def on_head(head: ResponseHead) -> None:
             facts = read_response_metadata(head.status, head.headers)
--- a/src/rosepath/entry_node.py
+++ b/src/rosepath/entry_node.py
@@ -3,6 +3,7 @@
 import asyncio
 import math
 import socket
+from collections.abc import Awaitable
 from contextlib import suppress
 
 from tornado.httpserver import HTTPServer
@@ -303,6 +304,7 @@
                 fleet_fresh_enough=lambda: self.tables.fresh_enough,
                 ensure_fresh=self.tables.ensure_fresh,
                 confirm_instances=self._confirm_instances,
+                confirm_process=self._confirm_process,
                 configuration=self._configuration_view,
                 ends_hopeless_waits=self._uses_scheduler,
                 quotas=self.quotas,
@@ -439,6 +441,18 @@
         if self.versions.several:
             await self.tables.confirm_instances()
 
+    def _confirm_process(self, connected_ago_s: float) -> Awaitable[None] | None:
+        """Learn whether a server had restarted before a connection was opened.
+
+        It is known if the server's entry was read since: a restart would have
+        ended the connection.
+        """
+        age = self.tables.servers_watcher.age
+        connected_s = age.now_s() - connected_ago_s
+        if age.last_read_s >= connected_s or not self.versions.several:
+            return None
+        return self.tables.ensure_read_since(connected_s)
+
     def reload(self, settings: EntrySettings) -> None:
         """Apply changed settings; addresses only change at the next start."""
         bounds = settings.retries
--- a/src/rosepath/http_exchange.py
+++ b/src/rosepath/http_exchange.py
@@ -77,6 +77,8 @@
         self.transport: asyncio.Transport | None = None
         self.exchange: Receiver | None = None
         self.decoder: StreamDecoder | None = None
+        # By the event loop's clock, when it reached the server.
+        self.opened_s = math.inf
         # Exchanges that have run on it, without the current one.
         self.exchange_count = 0
         # Whether it is closed after one exchange instead of kept open.
@@ -92,6 +94,11 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
+        self.note_opened()
+
+    def note_opened(self) -> None:
+        """Record that it reaches the server from now on."""
+        self.opened_s = asyncio.get_running_loop().time()
 
     def get_buffer(self, sizehint: int) -> memoryview:
         return self._read_buffer
--- a/src/rosepath/relay.py
+++ b/src/rosepath/relay.py
@@ -19,7 +19,7 @@
 from rosepath.fleet import BackendServer, InFlightRequest
 from rosepath.gateway import CallerExchange
 from rosepath.http_client import ResponseHead
-from rosepath.http_exchange import Watchdog
+from rosepath.http_exchange import Connection, Watchdog
 from rosepath.logs import get_logger
 from rosepath.platform.calls import (
     decode_caller_request,
@@ -74,12 +74,16 @@
 
 
 async def _pass_on_after(
-    recording: asyncio.Future[None],
+    noting: Awaitable[None],
     exchange: CallerExchange,
     head: ResponseHead,
     events: bytes,
 ) -> None:
-    await asyncio.wait([recording], timeout=RECORD_WAIT_S)
+    """Pass events on once they are noted; raises AttemptError if they may not be."""
+    if isinstance(noting, asyncio.Future):
+        await asyncio.wait([noting], timeout=RECORD_WAIT_S)
+    else:
+        await noting
     written = _pass_on(exchange, head, events)
     if written is not None:
         await written
@@ -395,17 +399,19 @@
             report=self._ports.scheduling.report,
         )
 
+        connected: list[Connection] = []
+
         def on_events(head: ResponseHead, events: bytes) -> Awaitable[None] | None:
             server.last_activity_s = self._now_s()
-            recording = None
+            noting = None
             if progress.event_count == 0:
-                recording = self._note_first_events(context, server)
+                noting = self._note_first_events(context, server, connected[0])
             progress.note_events(events.count(EVENT_END), now_s=server.last_activity_s)
             context.note_events(now_s=server.last_activity_s)
             in_flight.unread_tokens = 0
             self._suspects.note_events(context, in_flight)
-            if recording is not None:
-                return _pass_on_after(recording, context.exchange, head, events)
+            if noting is not None:
+                return _pass_on_after(noting, context.exchange, head, events)
             return _pass_on(context.exchange, head, events)
 
         def on_watched(watchdog: Watchdog) -> None:
@@ -446,6 +452,7 @@
             ),
             may_abort=lambda: self._retry_policy.should_leave(context, server),
             on_watched=on_watched,
+            on_connected=connected.append,
             on_notice=lambda notice: self._apply_notice(server, notice),
             on_load=lambda load: progress.note_load(load, now_s=self._now_s()),
         )
@@ -476,14 +483,45 @@
             self._suspects.end(context)
 
     def _note_first_events(
-        self, context: RequestContext, server: BackendServer
-    ) -> asyncio.Future[None] | None:
+        self, context: RequestContext, server: BackendServer, connection: Connection
+    ) -> Awaitable[None] | None:
         """Note the first events of an attempt: they begin a stream or continue it.
 
         Return what must end before they are passed on, if anything. Raises
         AttemptError if they may be of another software version than those before:
         the server restarted since it was chosen.
         """
+        confirming = None
+        if context.route.resumable:
+            connected_ago_s = asyncio.get_running_loop().time() - connection.opened_s
+            confirming = self._ports.confirm_process(connected_ago_s)
+        if confirming is not None:
+            return self._confirm_software(context, server, confirming)
+        return self._note_software(context, server)
+
+    async def _confirm_software(
+        self,
+        context: RequestContext,
+        server: BackendServer,
+        confirming: Awaitable[None],
+    ) -> None:
+        """Note the first events once it is known which process sent them.
+
+        If that takes too long, no server can continue a stream that begins.
+        """
+        reading = asyncio.ensure_future(confirming)
+        await asyncio.wait([reading], timeout=RECORD_WAIT_S)
+        if not reading.done() and context.software_version is None:
+            context.software_version = UNKNOWN_VERSION
+            return
+        recording = self._note_software(context, server)
+        if recording is not None:
+            await asyncio.wait([recording], timeout=RECORD_WAIT_S)
+
+    def _note_software(
+        self, context: RequestContext, server: BackendServer
+    ) -> asyncio.Future[None] | None:
+        """Note which software version a stream begins or goes on at."""
         version = server.entry.software_version
         if context.event_sequence is None:
             return None
--- a/src/rosepath/request_context.py
+++ b/src/rosepath/request_context.py
@@ -147,6 +147,9 @@
     ensure_fresh: Callable[[], Awaitable[None]] = _skip_refresh
     # Learns which servers have restarted, perhaps with other software.
     confirm_instances: Callable[[], Awaitable[None]] = _skip_refresh
+    # The same, unless it is known which process a connection leads to that is so
+    # many seconds old; None then.
+    confirm_process: Callable[[float], Awaitable[None] | None] = lambda _: None
     # Version and age of the catalog.
     configuration: Callable[[], ConfigurationView] = lambda: UNKNOWN_CONFIGURATION
     quotas: QuotaPort = field(default_factory=Unlimited)
--- a/src/rosepath/tunnels.py
+++ b/src/rosepath/tunnels.py
@@ -292,6 +292,7 @@
     head = heads[0]
     if head.status == TunnelStatus.OPEN:
         connection.single_use = True
+        connection.note_opened()
         connection.exchange = None
         connection.decoder = _decoder_for(head)
         if first_data:
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -338,3 +338,45 @@
             assert data.startswith(b"HTTP/1.1 503")
 
     asyncio.run(run())
+
+
+def confirming(
+    node: RunningGateway,
+    server: ScriptedServer,
+    version: str,
+    *,
+    sent: Callable[[], object],
+    after_s: float = 0.0,
+) -> None:
+    """Let a VM learn that a server had restarted, once `sent` tells of a request."""
+
+    async def confirm() -> None:
+        if sent():
+            await asyncio.sleep(after_s)
+            set_version(node, server, version, born=2)
+
+    relay = cast(Relay, node.gateway._serve.__self__)  # type: ignore[attr-defined]
+    relay._ports.confirm_process = lambda _: confirm()
+
+
+# Guards against recording the version of an entry that a VM has yet to replace for a
+# stream that begins at the server's next process.
+@pytest.mark.parametrize("after_s", [0.0, 0.3])
+def test_a_stream_that_begins_at_a_restarted_server_does_not_go_on_elsewhere(
+    after_s: float,
+) -> None:
+    async def run() -> None:
+        first, other = (
+            ScriptedServer("s1", dies_after_two_events),
+            ScriptedServer("s2", streams),
+        )
+        async with running_gateway(first, other) as node:
+            set_version(node, first, "v1")
+            set_version(node, other, "v1")
+            confirming(node, first, "v2", sent=lambda: first.requests, after_s=after_s)
+            began, _ = await begin_at(node, first)
+            assert resumed_at(other) == []
+            data = await node.send_request(a_resume("r1", began))
+            assert data.startswith(b"HTTP/1.1 503")
+
+    asyncio.run(run())
