Ask again for events that were taken and not passed on

When the first events of a further attempt turned out to be of another software version, they were dropped, but the stream's position had moved past them, so that the next server was asked for what follows them.

Now the position returns to that before the rejected data. tests/test_event_sequence.py and tests/test_software_versions.py (the stream goes on at a third server with Last-Event-Id 2).

--- a/src/rosepath/event_sequence.py
+++ b/src/rosepath/event_sequence.py
@@ -17,6 +17,13 @@
     last_id: int | None = None
     event_count: int = 0
     _pending: bytes = b""
+    # The position before the latest data.
+    _before: tuple[int | None, int] = (None, 0)
+
+    def reject_latest(self) -> None:
+        """Return to the position before the latest data, which is not passed on."""
+        self.last_id, self.event_count = self._before
+        self._pending = b""
 
     def discard_partial_event(self) -> None:
         """Drop the partial event of an attempt that was interrupted."""
@@ -29,6 +36,7 @@
 
     def feed(self, data: bytes) -> bytes:
         """Take the bytes of an attempt; return the complete new events."""
+        self._before = self.last_id, self.event_count
         whole, separator, self._pending = (self._pending + data).rpartition(_SEPARATOR)
         if len(self._pending) > MAX_EVENT_BYTES:
             raise EventSequenceError("an event is too large")
--- a/src/rosepath/relay.py
+++ b/src/rosepath/relay.py
@@ -528,6 +528,7 @@
         current = self._ports.fleet.servers.get(server.name, server)
         if not current.has_software_of(server.entry):
             if context.software_version is not None:
+                context.event_sequence.reject_latest()
                 raise AttemptError(
                     "the server restarted with another software version",
                     step=Step.STREAM,
--- a/tests/test_event_sequence.py
+++ b/tests/test_event_sequence.py
@@ -39,3 +39,14 @@
     sequence = EventSequence(last_id=4)
     with pytest.raises(EventSequenceError, match="5 to 6"):
         sequence.feed(events(6, 6))
+
+
+# Guards against going on after events that were taken and not passed on.
+def test_rejected_events_are_asked_for_again() -> None:
+    sequence = EventSequence()
+    sequence.feed(b"id: 1\n\nid: 2\n\n")
+    sequence.feed(b"id: 3\n\nid: 4\n\nid")
+    sequence.reject_latest()
+    assert (sequence.last_id, sequence.event_count) == (2, 2)
+    assert not sequence.has_partial_event
+    assert sequence.feed(b"id: 3\n\n") == b"id: 3\n\n"
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -380,3 +380,34 @@
             assert data.startswith(b"HTTP/1.1 503")
 
     asyncio.run(run())
+
+
+# Guards against passing on events of a server that restarted with another version, and
+# against going on after events that were not passed on.
+def test_a_stream_does_not_go_on_at_a_restarted_server() -> None:
+    async def run() -> None:
+        first, restarted, same = (
+            ScriptedServer("s1", dies_after_two_events),
+            ScriptedServer("s2", streams),
+            ScriptedServer("s3", streams),
+        )
+        route = a_route(max_attempts=3)
+        servers = (first, restarted, same)
+        async with running_gateway(*servers, route=route) as node:
+            for server in servers:
+                set_version(node, server, "v1")
+            node.fleet.remove("s3")
+
+            def returns_as_the_other_is_asked() -> bool:
+                asked = bool(resumed_at(restarted))
+                if asked:
+                    set_version(node, same, "v1", born=2)
+                return asked
+
+            confirming(node, restarted, "v2", sent=returns_as_the_other_is_asked)
+            began, _ = await begin_at(node, first)
+            assert resumed_at(restarted) == resumed_at(same) == [began]
+            (resumed,) = same.requests
+            assert resumed.headers["last-event-id"] == "2"
+
+    asyncio.run(run())
