Count no stream as cut by a stop that its server broke off

Traced: its server stood still for 3.5 s and then ended the connection itself (try_failed, answer closed early, answer_begun, 1.2 s into the stop, which had 6 s left); a stream of /once/ may not be taken up. The rule leaves out what a server broke off. The stand-in servers now record the requests whose connections they end, and the check leaves out those only.

--- a/benchmarks/entry_checks.py
+++ b/benchmarks/entry_checks.py
@@ -382,7 +382,9 @@
                 response.sent_s - RECOVERY_S, response.ended_s + 0.1
             )
             reached_server = (
-                response.path.startswith(ONCE_PATHS) and arrivals[response.request_id]
+                response.path.startswith(ONCE_PATHS)
+                and arrivals[response.request_id]
+                and response.request_id not in self.fleet.request_log.broken_off
             )
             if response.status == 0 and stopping and undisturbed and reached_server:
                 found.append(f"{response.request_id} {response.path}")
--- a/src/rosepath_standins/entry_fleet.py
+++ b/src/rosepath_standins/entry_fleet.py
@@ -116,6 +116,8 @@
         default_factory=lambda: defaultdict(list)
     )
     crashing_requests: list[tuple[str, str, float]] = field(default_factory=list)
+    # The requests whose connections their servers ended themselves.
+    broken_off: set[str] = field(default_factory=set)
     # Request and time of each arrival.
     arrivals_s: list[tuple[str, float]] = field(default_factory=list)
 
@@ -166,7 +168,8 @@
     # Whether its process serves; its port may accept connections without it.
     listening: bool = False
     _listener: asyncio.Server | None = None
-    _writers: set[asyncio.StreamWriter] = field(default_factory=set)
+    # The open connections, with the id of the latest request on each.
+    _writers: dict[asyncio.StreamWriter, str] = field(default_factory=dict)
     # The last rejection on each connection, while it is to be repeated.
     _rejections: dict[asyncio.StreamWriter, bytes] = field(default_factory=dict)
 
@@ -230,7 +233,11 @@
 
     def _abort_connections(self) -> None:
         for writer in list(self._writers):
-            writer.transport.abort()
+            self._abort(writer)
+
+    def _abort(self, writer: asyncio.StreamWriter) -> None:
+        self.request_log.broken_off.add(self._writers.get(writer, ""))
+        writer.transport.abort()
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -240,7 +247,7 @@
         ):
             writer.close()
             return
-        self._writers.add(writer)
+        self._writers[writer] = ""
         if self.frozen:
             _pause_reading(writer)
         try:
@@ -251,7 +258,7 @@
         except (OSError, asyncio.IncompleteReadError):
             return
         finally:
-            self._writers.discard(writer)
+            self._writers.pop(writer, None)
             self._rejections.pop(writer, None)
             writer.close()
 
@@ -280,7 +287,7 @@
     ) -> None:
         """Respond to a whole request; header names and values are lower case."""
         await self._running.wait()
-        request_id = headers["request-id"]
+        request_id = self._writers[writer] = headers["request-id"]
         vm, now_s = self.request_log.vm_by_request[request_id], time.monotonic()
         if headers["target-instance"] != self.name:
             self.write_response(writer, 421, request_id, b"")
@@ -363,7 +370,7 @@
                 await writer.drain()
             case "silent":
                 await asyncio.sleep(SILENCE_S)
-        writer.transport.abort()
+        self._abort(writer)
         raise ConnectionResetError
 
     def _reject(self, writer: asyncio.StreamWriter, request_id: str) -> None:
