--- a/src/rosepath/catalog.py
+++ b/src/rosepath/catalog.py
@@ -18,6 +18,7 @@
     STREAMING = "streaming"
 
 
+# Of services that state none.
 DEFAULT_HEALTH_PATH = "/health"
 
 
--- a/src/rosepath/crash_watch.py
+++ b/src/rosepath/crash_watch.py
@@ -266,15 +266,19 @@
 
         Return whether that changed how it may be sent.
         """
+        had_undecided = self.undecided.clear(content_key)
+        if had_undecided:
+            self._mark_cleared(content_key)
+            self.records.clear_undecided(content_key)
+        return self.records.clear(content_key) or had_undecided
+
+    def _mark_cleared(self, content_key: str) -> None:
+        """Let the lost runs of a request not become undecided again."""
         for instance, runs in self._lost_runs.items():
             self._lost_runs[instance] = [
                 replace(run, cleared=run.cleared or run.content_key == content_key)
                 for run in runs
             ]
-        changed = self.undecided.clear(content_key)
-        if changed:
-            self.records.clear_undecided(content_key)
-        return self.records.clear(content_key) or changed
 
     def _report_crash(self, report: CrashReport, run: LostRun) -> None:
         if self.records.add(report):
--- a/src/rosepath/held_bytes.py
+++ b/src/rosepath/held_bytes.py
@@ -30,24 +30,21 @@
         Much larger holds are broken off first, so that an exchange without end
         ends before it harms others.
         """
-        return self.budget.make_room(self, added_bytes) and self._resize(
-            self.size_bytes + added_bytes
-        )
+        if not self.budget.make_room(self, added_bytes):
+            return False
+        self.resize(self.size_bytes + added_bytes)
+        return True
 
     def resize(self, size_bytes: int) -> None:
-        """Hold what can't be refused any more."""
-        self._resize(size_bytes)
+        """Hold so much, room or not."""
+        self.budget.count(self, size_bytes)
+        self.size_bytes = size_bytes
 
     def release(self) -> None:
         """Hold nothing, and be broken off no more."""
-        self._resize(0)
+        self.resize(0)
         self.break_off = None
 
-    def _resize(self, size_bytes: int) -> bool:
-        self.budget.count(self, size_bytes - self.size_bytes)
-        self.size_bytes = size_bytes
-        return True
-
 
 @dataclass(slots=True, kw_only=True)
 class HeldBytes:
@@ -90,10 +87,10 @@
                 break_off()
         return True
 
-    def count(self, hold: Hold, added_bytes: int) -> None:
-        """Count a change of a hold."""
-        self.used_bytes += added_bytes
-        if hold.size_bytes + added_bytes:
+    def count(self, hold: Hold, size_bytes: int) -> None:
+        """Count the next size of a hold."""
+        self.used_bytes += size_bytes - hold.size_bytes
+        if size_bytes:
             self._holds.add(hold)
         else:
             self._holds.discard(hold)
--- a/src/rosepath/relay.py
+++ b/src/rosepath/relay.py
@@ -80,15 +80,17 @@
     events: bytes,
 ) -> None:
     """Pass events on once they are noted; raises AttemptError if they may not be."""
-    if isinstance(noting, asyncio.Future):
-        await asyncio.wait([noting], timeout=RECORD_WAIT_S)
-    else:
-        await noting
+    await noting
     written = _pass_on(exchange, head, events)
     if written is not None:
         await written
 
 
+async def _wait_briefly(task: asyncio.Future[None]) -> None:
+    """Wait for a task as long as events may be held."""
+    await asyncio.wait([task], timeout=RECORD_WAIT_S)
+
+
 class Relay:
     """Route callers' requests, run their attempts and send the responses.
 
@@ -497,7 +499,8 @@
             confirming = self._ports.confirm_process(connected_ago_s)
         if confirming is not None:
             return self._confirm_software(context, server, confirming)
-        return self._note_software(context, server)
+        recording = self._note_software(context, server)
+        return None if recording is None else _wait_briefly(recording)
 
     async def _confirm_software(
         self,
@@ -510,13 +513,13 @@
         If that takes too long, no server can continue a stream that begins.
         """
         reading = asyncio.ensure_future(confirming)
-        await asyncio.wait([reading], timeout=RECORD_WAIT_S)
+        await _wait_briefly(reading)
         if not reading.done() and context.software_version is None:
             context.software_version = UNKNOWN_VERSION
             return
         recording = self._note_software(context, server)
         if recording is not None:
-            await asyncio.wait([recording], timeout=RECORD_WAIT_S)
+            await _wait_briefly(recording)
 
     def _note_software(
         self, context: RequestContext, server: BackendServer
--- a/src/rosepath/undecided_runs.py
+++ b/src/rosepath/undecided_runs.py
@@ -47,6 +47,8 @@
         Return whether there were any.
         """
         count = self._count()
+        if not count:
+            return False
         self._peer_runs.drop(lambda run: run.report.content_key == content_key)
         for instance, reports in list(self._own.items()):
             remaining = [one for one in reports if one.content_key != content_key]
