--- a/src/rosepath_standins/entry_fleet.py
+++ b/src/rosepath_standins/entry_fleet.py
@@ -107,7 +107,8 @@
     vm_by_request: dict[str, str] = field(default_factory=dict)
     arrivals: Counter[str] = field(default_factory=Counter)
     runs: Counter[str] = field(default_factory=Counter)
-    # Server, VM and time of each request that a server received.
+    # Server process, VM and time of each request that a server received. What a
+    # process states does not bind callers of the next one under its name.
     received_requests: list[tuple[str, str, float]] = field(default_factory=list)
     departure_signalled_s: dict[tuple[str, str], float] = field(default_factory=dict)
     shed_requests: list[tuple[str, str, float]] = field(default_factory=list)
@@ -294,14 +295,15 @@
             return
         self.request_log.arrivals[request_id] += 1
         self.request_log.arrivals_s.append((request_id, now_s))
-        self.request_log.received_requests.append((self.name, vm, now_s))
+        process = f"{self.name} of {self.started_ms}"
+        self.request_log.received_requests.append((process, vm, now_s))
         if self.draining:
-            self.request_log.departure_signalled_s.setdefault((self.name, vm), now_s)
+            self.request_log.departure_signalled_s.setdefault((process, vm), now_s)
         if self.limit is not None:
             self.limit.arrivals.append((vm, now_s))
             self.limit.told_s.setdefault(vm, now_s)
         if self.shedding:
-            self.request_log.shed_requests.append((self.name, vm, now_s))
+            self.request_log.shed_requests.append((process, vm, now_s))
             self.write_response(
                 writer, 503, request_id, b"", SHED_HEADERS.format(RETRY_AFTER_S)
             )
