Log runs that end without a response, and notices that can't be read

Of three hypotheses on requests beyond the budget the logs told none apart: a run that ended by a timeout had no content in its line, one that its caller gave up had no line, one that was dropped as its server was gone had none, nor had a Retry-After that could not be parsed. serving_failed did not say which request. try_failed now has content, born_ms and timed_out for these; run_abandoned, lost_run_dropped and retry_after_unreadable are new.

--- a/src/rosepath/crash_watch.py
+++ b/src/rosepath/crash_watch.py
@@ -111,8 +111,10 @@
         The server is not probed: if its machine does not respond, a probe only
         delays the request further. A crash shows in the server's entry.
         """
-        if server.usable:
-            self._record_lost(instance_of(server), replace(run, timed_out=True))
+        if not server.usable:
+            _log_dropped(server, run)
+            return
+        self._record_lost(instance_of(server), replace(run, timed_out=True))
 
     async def note_lost(self, server: BackendServer, run: LostRun) -> None:
         """Record a lost run and wait for the result of a probe of its server.
@@ -122,6 +124,7 @@
         it ends connections without a crash.
         """
         if not server.usable:
+            _log_dropped(server, run)
             return
         instance = instance_of(server)
         self._record_lost(instance, run)
@@ -314,6 +317,18 @@
             self.undecided.decide(instance)
 
 
+def _log_dropped(server: BackendServer, run: LostRun) -> None:
+    """Log that a run is charged to nothing, as its server leaves or is gone."""
+    _log.info(
+        "lost_run_dropped",
+        request_id=run.request_id,
+        content=run.content_key,
+        peer=server.name,
+        born_ms=server.entry.born_ms,
+        draining=server.entry.draining,
+    )
+
+
 def instance_of(server: BackendServer) -> ServerInstance:
     """Return the instance that a server's entry describes."""
     return ServerInstance(server.name, server.entry.born_ms)
--- a/src/rosepath/entry_node.py
+++ b/src/rosepath/entry_node.py
@@ -34,7 +34,7 @@
 from rosepath.peer_messages import NEVER_S, NO_COORDINATOR
 from rosepath.peer_table import PeerTable
 from rosepath.placement_coordinator import PlacementCoordinator
-from rosepath.platform.calls import READY_PATH
+from rosepath.platform.calls import READY_PATH, echoed_request_id
 from rosepath.platform.engines import EngineClient
 from rosepath.platform.store import PlatformStore
 from rosepath.prompt_caches import PromptCaches
@@ -672,4 +672,9 @@
     def _serving_failed(
         self, exchange: CallerExchange, error: BaseException | None
     ) -> None:
-        _log.error("serving_failed", path=exchange.path, why=repr(error))
+        _log.error(
+            "serving_failed",
+            request_id=echoed_request_id(exchange.headers),
+            path=exchange.path,
+            why=repr(error),
+        )
--- a/src/rosepath/relay.py
+++ b/src/rosepath/relay.py
@@ -479,6 +479,17 @@
             if error.evidence in (Evidence.NOT_SENT, Evidence.REFUSED):
                 outcome = RunOutcome.NOT_RUN
             raise
+        except asyncio.CancelledError:
+            _log.info(
+                "run_abandoned",
+                request_id=context.call.request_id,
+                content=context.content_key,
+                peer=server.name,
+                born_ms=server.entry.born_ms,
+                after_s=round(self._now_s() - progress.sent_s, 3),
+                moved_ago_s=server.idle_s(self._now_s()),
+            )
+            raise
         finally:
             progress.end(outcome, now_s=self._now_s())
             server.in_flight_requests.pop(context.call.request_id, None)
--- a/src/rosepath/retry_after.py
+++ b/src/rosepath/retry_after.py
@@ -4,16 +4,25 @@
 
 from tornado.httputil import HTTPHeaders
 
+from rosepath.logs import get_logger
+
 # A longer backoff is taken for a faulty response and capped.
 BACKOFF_MAX_S = 600.0
+MAX_LOGGED_CHARS = 64
+
+_log = get_logger()
 
 
 def read_retry_after_s(headers: HTTPHeaders) -> float:
     """Return Retry-After in seconds, 0 if absent or invalid."""
+    stated = headers.get("Retry-After")
+    if stated is None:
+        return 0.0
     try:
-        given_s = float(headers.get("Retry-After", ""))
+        given_s = float(stated)
     except ValueError:
-        return 0.0
-    return (
-        min(given_s, BACKOFF_MAX_S) if math.isfinite(given_s) and given_s > 0 else 0.0
-    )
+        given_s = math.nan
+    if math.isfinite(given_s) and given_s > 0:
+        return min(given_s, BACKOFF_MAX_S)
+    _log.info("retry_after_unreadable", stated=stated[:MAX_LOGGED_CHARS])
+    return 0.0
--- a/src/rosepath/suspect_tracker.py
+++ b/src/rosepath/suspect_tracker.py
@@ -196,14 +196,15 @@
 def lost_run_fields(
     context: RequestContext, server: BackendServer, error: AttemptError
 ) -> dict[str, Any]:
-    """Return the log fields that relate a lost run to its retries.
+    """Return the log fields that relate a run without a response to its retries.
 
-    Empty if the run was not lost.
+    Empty unless the run was lost or timed out.
     """
-    if not error.lost:
+    if not (error.lost or error.timed_out):
         return {}
     return {
         "content": context.content_key,
         "born_ms": server.entry.born_ms,
         "answered": error.answered,
+        "timed_out": error.timed_out,
     }
