--- a/src/rosepath_standins/entry_fleet.py
+++ b/src/rosepath_standins/entry_fleet.py
@@ -10,6 +10,7 @@
 import os
 import random
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -62,6 +63,8 @@
 # The share of its requests that an endless server answers without end.
 ENDLESS_SHARE = 0.5
 ENDLESS_PIECE = b"x" * 64 * 1024
+# A listener without a queue still takes one connection.
+HELD_PORT_CONNECTIONS = 3
 
 
 def whole_streams(request_id: str) -> list[bytes]:
@@ -131,6 +134,8 @@
     ENDS_CONNECTIONS = "ends_connections"
     # The kernel accepts connections for a process that writes its memory to disk.
     HANGS = "hangs"
+    # Its machine is gone: open connections stay open, and new ones are not made.
+    UNREACHABLE = "unreachable"
 
 
 @dataclass(slots=True)
@@ -171,10 +176,13 @@
     _listener: asyncio.Server | None = None
     # The open connections, with the id of the latest request on each.
     _writers: dict[asyncio.StreamWriter, str] = field(default_factory=dict)
+    # Sockets that hold its port so that connections are neither made nor refused.
+    _held_port: list[socket.socket] = field(default_factory=list)
     # The last rejection on each connection, while it is to be repeated.
     _rejections: dict[asyncio.StreamWriter, bytes] = field(default_factory=dict)
 
     async def listen(self) -> None:
+        self._release_port()
         if self._listener is None:
             self.port = self.port or free_port()
             self._listener = await asyncio.start_server(
@@ -214,7 +222,13 @@
             self.limit = None
 
     def crash(self) -> None:
-        """Abort every connection, and close the listener unless others hold it."""
+        """End as `port_after_crash` says; mostly, abort every connection."""
+        if self.port_after_crash is PortAfterCrash.UNREACHABLE:
+            self.freeze()
+            self.listening = False
+            self.close_port()
+            self._held_port = hold_port(self.port)
+            return
         self.listening = False
         if self.port_after_crash is PortAfterCrash.CLOSED:
             self.close_port()
@@ -228,10 +242,22 @@
 
     def close_port(self) -> None:
         """Close the listener."""
+        self._release_port()
         if self._listener is not None:
             self._listener.close()
             self._listener = None
 
+    def _release_port(self) -> None:
+        for held in self._held_port:
+            held.close()
+        self._held_port.clear()
+
+    def stop(self) -> None:
+        """Close the listener and abort every connection."""
+        self.listening = False
+        self.close_port()
+        self._abort_connections()
+
     def _abort_connections(self) -> None:
         for writer in list(self._writers):
             self._abort(writer)
@@ -339,6 +365,8 @@
         if self.listening:
             self.request_log.crash_times_s[cause].append(time.monotonic())
             self.crash()
+        # An unreachable machine closes nothing until it is back.
+        await self._running.wait()
         raise ConnectionResetError
 
     async def _send_extra_responses(self, writer: asyncio.StreamWriter) -> None:
@@ -644,8 +672,25 @@
                 await asyncio.to_thread(_wait, vm.process)
             await vm.store.stop()
         for server in self.servers.values():
-            server.crash()
-            server.close_port()
+            server.stop()
+
+
+def hold_port(port: int) -> list[socket.socket]:
+    """Let connections to a port hang: its queue of them is full and not read.
+
+    Return the sockets that hold it.
+    """
+    listener = socket.socket()
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.bind(("127.0.0.1", port))
+    listener.listen(0)
+    held = [listener]
+    for _ in range(HELD_PORT_CONNECTIONS):
+        filler = socket.socket()
+        filler.setblocking(False)
+        filler.connect_ex(("127.0.0.1", port))
+        held.append(filler)
+    return held
 
 
 def _pause_reading(writer: asyncio.StreamWriter) -> None:
