Tell that a response had begun when the deadline of its request ended it

What callers saw: servers went on to crash under one part of prompts whose requests may not be repeated (BUDGET). Such a run stays at its server until its deadline; the error built there said that no response had begun, so that the crash was charged to a run that merely waited, without the parts of its prompt. The test failed before: answered was False though the head had arrived. Where the watchdog ends a run the field was right.

--- a/src/rosepath/attempt.py
+++ b/src/rosepath/attempt.py
@@ -274,6 +274,7 @@
                 peer=server.name,
                 evidence=evidence(),
                 timed_out=tracker.sent,
+                answered=bool(heads),
                 # The server was given less than the time to connect.
                 withdrawn=not tracker.sent,
                 status=heads[0][0].status if heads else 0,
--- a/tests/test_evidence_basis.py
+++ b/tests/test_evidence_basis.py
@@ -17,13 +17,16 @@
 FILE = "POST /drafts/1 HTTP/1.1\r\nRequest-Id: q1"
 
 
-def logs_of(server: ScriptedServer, *more: ScriptedServer) -> list[dict[str, Any]]:
+def logs_of(
+    server: ScriptedServer, *more: ScriptedServer, wait_ms: int = 5000
+) -> list[dict[str, Any]]:
     """Send a non-idempotent request to the servers and return the log lines."""
 
     async def run() -> None:
         route = a_route(kind=RouteKind.NON_IDEMPOTENT, service="desk")
         async with running_gateway(server, *more, route=route) as node:
-            await node.send_request(FILE, b"claim")
+            head = f"{FILE}\r\nRequest-Deadline-Ms: {wait_ms}"
+            await node.send_request(head, b"claim")
 
     with capture_logs() as logs:
         asyncio.run(run())
@@ -66,3 +69,18 @@
     sent = [line for line in logs_of(*servers) if line["event"] == "retry_sent"]
     assert [line["service"] for line in sent] == ["desk"]
     assert sent[0]["fleet_size"] == 1
+
+
+async def begins_and_stops(
+    received: ReceivedRequest, writer: asyncio.StreamWriter
+) -> None:
+    head = answer(received, 200, b"").partition(b"Content-Length")[0]
+    writer.write(head + b"Content-Length: 9\r\n\r\n")
+
+
+# Guards against charging crashes to a run as if it had waited, although its
+# response had begun when its deadline ended it.
+def test_the_log_tells_that_a_response_had_begun_before_the_deadline() -> None:
+    lines = logs_of(ScriptedServer("s1", begins_and_stops), wait_ms=300)
+    failed = next(line for line in lines if line["event"] == "try_failed")
+    assert (failed["timed_out"], failed["answered"]) == (True, True)
