Take silence for a possible crash, until something is heard of the server

Cause: a run that ended by a timeout was recorded and never undecided, a probe that got no connection decided nothing, and a run that its request may not repeat had no timeout but its deadline. So nothing was suspect until the store's entry changed, which takes longer than the servers last. Class: the absence of an answer was taken for the absence of evidence.

Change: after the usual time of a response or an event, whether the request leaves or stays, its server is probed, unless it did something for another run within 0.2 s. If it does not answer, its runs are undecided, as those behind an open port were: kept, told to all VMs, decided by an answer, the entry or after 8 s. A retry waits for the probe only if the run could become a suspect by it. A run that was silent and is lost later is one record, with what is known of its start.

Ways weighed: undecided only after several runs of one content at several servers (the first two crashes of each cause are then free, but parts have no content in common); bounding the rate of each content (delays every sound retry); waiting for each probe (0.2 s more for each first timeout, and the first run of a content that waits for its answer makes no suspect).

--- a/src/rosepath/crash_watch.py
+++ b/src/rosepath/crash_watch.py
@@ -22,8 +22,10 @@
 # A running machine refuses a connection within milliseconds, and a server with
 # free capacity answers as quickly.
 PROBE_TIMEOUT_S = 0.2
-# Between two probes of a server that accepts connections and does not answer.
+# Between two probes of a server that does not answer.
 PROBE_INTERVAL_S = 0.5
+# A server that did something so recently is not asked whether it lives.
+ACTIVE_WITHIN_S = 0.2
 # By then the store entry of a crashed server is known to be removed or
 # replaced: this covers three heartbeats and one read of the store.
 LOST_RUN_TTL_S = 8.0
@@ -37,7 +39,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class LostRun:
-    """A run whose connection was lost or that timed out.
+    """A run whose connection was lost, or whose server has fallen silent.
 
     `part_keys` has the shared parts of its prompt, if it had just begun.
     `answered_wall_s` is when its server answered a probe after that, and
@@ -49,17 +51,21 @@
     exposure: Exposure
     lost_s: float
     part_keys: tuple[str, ...] = ()
-    timed_out: bool = False
     answered_wall_s: float | None = None
     cleared: bool = False
 
     @property
     def undecided(self) -> bool:
-        """Return whether it may have crashed a server that does not answer.
-
-        After a timeout, nothing shows that the server lost anything.
-        """
-        return self.answered_wall_s is None and not (self.cleared or self.timed_out)
+        """Return whether it may have crashed a server that does not answer."""
+        return self.answered_wall_s is None and not self.cleared
+
+    def merged_with(self, earlier: "LostRun") -> "LostRun":
+        """Return this run with what an earlier record of it says of its start."""
+        return replace(
+            self,
+            exposure=max(self.exposure, earlier.exposure),
+            part_keys=self.part_keys or earlier.part_keys,
+        )
 
     def outlived_by_server(self, successor_born_ms: int | None) -> bool:
         """Return whether the server still ran after the run was lost.
@@ -80,8 +86,9 @@
     A connection reset alone does not count as a crash, as a middlebox may have
     caused it. A server has crashed if it then refuses connections, or if its
     entry is removed or replaced by that of a new instance. It has not if it
-    answers. One that only accepts connections is undecided: its lost runs are
-    kept, and the requests that may have crashed it are sent like suspects.
+    answers. One that does neither is undecided, whether its connections were
+    reset or it has fallen silent: its lost runs are kept, and the requests that
+    may have crashed it are sent like suspects.
     """
 
     def __init__(
@@ -104,17 +111,34 @@
         self._lost_runs: dict[ServerInstance, list[LostRun]] = {}
         self._probes: dict[ServerInstance, asyncio.Task[None]] = {}
         self._followed: dict[ServerInstance, asyncio.Task[None]] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
 
-    def note_timeout(self, server: BackendServer, run: LostRun) -> None:
-        """Record a run aborted because its server exceeded a timeout.
+    async def note_silent(self, server: BackendServer, run: LostRun) -> None:
+        """Record a run without progress and wait for the result of a probe.
 
-        The server is not probed: if its machine does not respond, a probe only
-        delays the request further. A crash shows in the server's entry.
+        The machine of its server may have vanished, which closes no connection.
+        A server that does something for another run has not.
         """
         if not server.usable:
             _log_dropped(server, run)
             return
-        self._record_lost(instance_of(server), replace(run, timed_out=True))
+        self._record_lost(instance_of(server), run)
+        if not self._is_active(server):
+            await self._ask(server)
+
+    def note_silent_soon(self, server: BackendServer, run: LostRun) -> None:
+        """Do the same without waiting."""
+        task = asyncio.ensure_future(self.note_silent(server, run))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def may_become_suspect(self, run: LostRun) -> bool:
+        """Return whether a run would be sent like a suspect if its server crashed."""
+        if run.exposure > Exposure.PRESENT:
+            return True
+        now_s = self._clock.monotonic_s()
+        known = self.records.open_crashes(run.content_key)
+        return known > 0 or bool(self.undecided.reports_with(run.content_key, now_s))
 
     async def note_lost(self, server: BackendServer, run: LostRun) -> None:
         """Record a lost run and wait for the result of a probe of its server.
@@ -126,8 +150,19 @@
         if not server.usable:
             _log_dropped(server, run)
             return
+        self._record_lost(instance_of(server), run)
+        await self._ask(server)
+
+    def _is_active(self, server: BackendServer) -> bool:
+        idle_s = server.idle_s(self._clock.monotonic_s())
+        return idle_s is not None and idle_s < ACTIVE_WITHIN_S
+
+    async def _ask(self, server: BackendServer) -> None:
+        """Probe a server, unless it is known to be undecided."""
         instance = instance_of(server)
-        self._record_lost(instance, run)
+        if instance in self.undecided:
+            self._note_undecided(instance)
+            return
         probe = self._probes.get(instance)
         if probe is None:
             probe = asyncio.ensure_future(self._probe_server(server))
@@ -155,7 +190,9 @@
             await asyncio.sleep(PROBE_INTERVAL_S)
             self._drop_expired()
             started_s = self._clock.monotonic_s()
-            contact = await self._probe(server, limit_s=PROBE_TIMEOUT_S)
+            contact = ServerContact.ANSWERED
+            if not self._is_active(server):
+                contact = await self._probe(server, limit_s=PROBE_TIMEOUT_S)
             if contact is ServerContact.ANSWERED:
                 # It may be the next process that answers now.
                 await self._confirm_instances()
@@ -179,7 +216,7 @@
                 self.note_crashed(instance)
             case ServerContact.ANSWERED:
                 self._note_answered(instance, asked_s=asked_s)
-            case ServerContact.ACCEPTED:
+            case ServerContact.ACCEPTED | ServerContact.UNKNOWN:
                 self._note_undecided(instance)
 
     def _note_answered(self, instance: ServerInstance, *, asked_s: float) -> None:
@@ -298,8 +335,15 @@
         )
 
     def _record_lost(self, instance: ServerInstance, run: LostRun) -> None:
+        """Record a run; one that was silent before may be lost later."""
         self._drop_expired()
-        self._lost_runs.setdefault(instance, []).append(run)
+        runs = self._lost_runs.setdefault(instance, [])
+        for known in runs:
+            if known.request_id == run.request_id:
+                runs.remove(known)
+                run = run.merged_with(known)
+                break
+        runs.append(run)
 
     def _drop_expired(self) -> None:
         limit_s = self._clock.monotonic_s() - LOST_RUN_TTL_S
--- a/src/rosepath/retry_policy.py
+++ b/src/rosepath/retry_policy.py
@@ -48,13 +48,10 @@
     def response_timeout_s(
         self, context: RequestContext, server: BackendServer
     ) -> float:
-        """Return the time limit for a server to begin its response."""
+        """Return after which silence a server should have begun its response."""
         left_s = max(0.01, context.deadline_s - self._now_s())
-        if self._is_last_attempt(context):
-            return left_s + 1.0
         if context.event_sequence is None:
-            usual_s = max(MIN_RESPONSE_TIMEOUT_S, LATENCY_FACTOR * server.latency_s)
-            return min(left_s + 1.0, usual_s)
+            return min(left_s + 1.0, _plain_response_s(server))
         usual_s = MIN_FIRST_EVENT_TIMEOUT_S + FIRST_EVENT_FACTOR * context.predicted_s
         return min(left_s + 1.0, max(usual_s, context.route.target_latency_s))
 
@@ -76,19 +73,21 @@
             and context.sent_count + 1 >= MAX_SENT_ATTEMPTS
         )
 
-    def stall_timeout_s(self, context: RequestContext) -> float:
-        """Return the silence after which a stream moves to another server."""
-        if self._is_last_attempt(context) or context.event_sequence is None:
-            return max(0.01, context.deadline_s - self._now_s()) + 1.0
+    def stall_timeout_s(self, context: RequestContext, server: BackendServer) -> float:
+        """Return after which silence a server should have gone on."""
+        if context.event_sequence is None:
+            return _plain_response_s(server)
         return max(MIN_STALL_TIMEOUT_S, GAP_FACTOR * context.route.target_gap_s)
 
     def should_leave(self, context: RequestContext, server: BackendServer) -> bool:
         """Return whether to leave a silent server; reserve a retry if so."""
+        if self._is_last_attempt(context):
+            return False
         now_s, route = self._now_s(), context.route
         stay_reason = reason_to_stay(
             Silence(
                 response_started=context.exchange.response_started,
-                check_after_s=self.stall_timeout_s(context),
+                check_after_s=self.stall_timeout_s(context, server),
                 duration_s=now_s - context.last_event_s,
                 caller_timeout_s=route.event_timeout_s,
                 server_idle_s=server.idle_s(now_s),
@@ -117,8 +116,6 @@
         A request that may not be sent again stays up to its own limits, as does
         one for which the server just did something.
         """
-        if self._is_last_attempt(context):
-            return False
         if context.exchange.response_started and not context.route.resumable:
             return False
         idle_s = server.idle_s(self._now_s())
@@ -232,3 +229,8 @@
 
     def _now_s(self) -> float:
         return self._ports.clock.monotonic_s()
+
+
+def _plain_response_s(server: BackendServer) -> float:
+    """Return the time in which a server usually completes a plain response."""
+    return max(MIN_RESPONSE_TIMEOUT_S, LATENCY_FACTOR * server.latency_s)
--- a/src/rosepath/suspect_tracker.py
+++ b/src/rosepath/suspect_tracker.py
@@ -166,22 +166,38 @@
         """Check for a crash of the server if a run was lost or timed out."""
         if error.evidence is Evidence.NOT_SENT:
             return
+        run = self._make_lost_run(context, in_flight, answered=error.answered)
         if error.lost:
-            run = self._make_lost_run(context, in_flight, error)
             await self._crashes.note_lost(server, run)
+        elif error.timed_out and self._crashes.may_become_suspect(run):
+            await self._crashes.note_silent(server, run)
         elif error.timed_out:
-            run = self._make_lost_run(context, in_flight, error)
-            self._crashes.note_timeout(server, run)
+            self._crashes.note_silent_soon(server, run)
+
+    def note_silent(
+        self,
+        context: RequestContext,
+        server: BackendServer,
+        in_flight: InFlightRequest,
+        *,
+        answered: bool,
+    ) -> None:
+        """Check for a crash of the server of a run that stays without progress.
+
+        `answered` tells whether the head of its response arrived.
+        """
+        run = self._make_lost_run(context, in_flight, answered=answered)
+        self._crashes.note_silent_soon(server, run)
 
     def _make_lost_run(
-        self, context: RequestContext, in_flight: InFlightRequest, error: AttemptError
+        self, context: RequestContext, in_flight: InFlightRequest, *, answered: bool
     ) -> LostRun:
         now_s = self._clock.monotonic_s()
         ran_long = (
             in_flight.first_event_s is not None
             and now_s - in_flight.first_event_s > ISOLATION_S
         )
-        starting = error.answered and not ran_long
+        starting = answered and not ran_long
         exposure = Exposure.STARTING if starting else Exposure.PRESENT
         begun = starting or in_flight.isolated
         return LostRun(
--- a/src/rosepath/undecided_runs.py
+++ b/src/rosepath/undecided_runs.py
@@ -64,7 +64,7 @@
     def _reports(self) -> list[CrashReport]:
         return [report for reports in self._own.values() for report in reports]
 
-    def reports_with(self, key: str, *, now_s: float) -> list[CrashReport]:
+    def reports_with(self, key: str, now_s: float) -> list[CrashReport]:
         """Return the possible reports on a request or on a part of prompts."""
         reports = self._reports()
         reports += [run.report for run in self._peer_runs.recent(now_s)]
