Keep what ran at a server as its callers left, until it is known whether it crashed

Cause: a run that is cancelled with its request left no record at all, so that neither a probe nor the entry's change could charge it. Class: evidence that dies with the attempt. Change: it is recorded like a silent run.

--- a/src/rosepath/crash_watch.py
+++ b/src/rosepath/crash_watch.py
@@ -50,6 +50,7 @@
     content_key: str
     exposure: Exposure
     lost_s: float
+    sent_s: float = -1e9
     part_keys: tuple[str, ...] = ()
     answered_wall_s: float | None = None
     cleared: bool = False
@@ -117,13 +118,15 @@
         """Record a run without progress and wait for the result of a probe.
 
         The machine of its server may have vanished, which closes no connection.
-        A server that does something for another run has not.
+        One that does something for another run has not, and a run that was only
+        just sent tells nothing: neither is probed.
         """
         if not server.usable:
             _log_dropped(server, run)
             return
         self._record_lost(instance_of(server), run)
-        if not self._is_active(server):
+        just_sent = run.sent_s > self._clock.monotonic_s() - ACTIVE_WITHIN_S
+        if not (just_sent or self._is_active(server)):
             await self._ask(server)
 
     def note_silent_soon(self, server: BackendServer, run: LostRun) -> None:
--- a/src/rosepath/fleet.py
+++ b/src/rosepath/fleet.py
@@ -62,6 +62,8 @@
     target: str = ""
     # Its id at the scheduler; empty if none is in use.
     run_id: str = ""
+    # When it was sent to this server.
+    sent_s: float = -1e9
     # When its first event arrived from this server.
     first_event_s: float | None = None
     # Whether it went on after its start, which is when requests crash servers.
--- a/src/rosepath/relay.py
+++ b/src/rosepath/relay.py
@@ -494,9 +494,15 @@
                 outcome = RunOutcome.NOT_RUN
             raise
         except asyncio.CancelledError:
+            if connected:
+                answered = bool(notices)
+                self._suspects.note_silent(
+                    context, server, in_flight, answered=answered
+                )
             _log.info(
                 "run_abandoned",
                 request_id=context.call.request_id,
+                sent=bool(connected),
                 content=context.content_key,
                 peer=server.name,
                 born_ms=server.entry.born_ms,
--- a/src/rosepath/suspect_tracker.py
+++ b/src/rosepath/suspect_tracker.py
@@ -100,6 +100,7 @@
         self, context: RequestContext, server: BackendServer, in_flight: InFlightRequest
     ) -> None:
         """Record that a request is sent to a server."""
+        in_flight.sent_s = self._clock.monotonic_s()
         in_flight.isolated = self.suspicion(context) is Suspicion.SUSPECT
         if in_flight.isolated:
             key = self._isolate(context)
@@ -182,9 +183,10 @@
         *,
         answered: bool,
     ) -> None:
-        """Check for a crash of the server of a run that stays without progress.
+        """Check for a crash of the server of a run without progress.
 
-        `answered` tells whether the head of its response arrived.
+        The run stays there, or its caller left. `answered` tells whether the head
+        of its response arrived.
         """
         run = self._make_lost_run(context, in_flight, answered=answered)
         self._crashes.note_silent_soon(server, run)
@@ -205,6 +207,7 @@
             content_key=context.content_key,
             exposure=Exposure.ISOLATED if in_flight.isolated else exposure,
             lost_s=now_s,
+            sent_s=in_flight.sent_s,
             part_keys=context.part_keys if begun else (),
         )
 
--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -254,6 +254,21 @@
     asyncio.run(run())
 
 
+# Guards against a probe for each caller that leaves at once, and against forgetting
+# what its request may have crashed.
+def test_run_that_its_caller_left_at_once_is_reported_if_the_server_crashed() -> None:
+    async def run() -> None:
+        clock, server = ManualClock(), a_server("s1")
+        watch = a_crash_watch(clock, contact=ServerContact.UNKNOWN)
+        sent_s = clock.monotonic_s() - ACTIVE_WITHIN_S / 2
+        await watch.note_silent(server, replace(a_run(clock), sent_s=sent_s))
+        assert watch.suspicion("bad") is Suspicion.CLEAR
+        crashed(watch, server, clock)
+        assert watch.suspicion("bad") is Suspicion.SUSPECT
+
+    asyncio.run(run())
+
+
 # Guards against forgetting that a run had begun as its deadline ends it.
 def test_run_that_was_silent_and_is_lost_later_is_reported_once_as_it_began() -> None:
     async def run() -> None:
