Charge a crash to what ends, or is told of, after the crash was noted

What callers saw: a cause of crashes whose requests may not be repeated was never known where machines vanish: its runs stay at their server until its entry shows that it started again, and were dropped then, as that server is not usable any more; so were those that ended after the entry had lapsed.

Cause: crashes were charged at one moment, as this VM's own watch reports them. Class: evidence that arrives in another order is lost. Change: a run lost at a server of which a later process is known is reported at once; one lost at a server without an entry is undecided until its next process's entry, and a refused port there is no proof, since it may have left in order; a restart reports the lost runs of all earlier processes of the name; a peer's word of a removed entry counts like the own read. A silent run whose response then completes is forgotten.

The new tests failed before (runs after a restart, without an entry, told by a peer).

--- a/src/rosepath/crash_watch.py
+++ b/src/rosepath/crash_watch.py
@@ -100,6 +100,7 @@
         probe: ServerProbe,
         on_change: Callable[[], None],
         confirm_instances: Callable[[], Awaitable[None]] = _confirm_nothing,
+        latest_start_ms: Callable[[str], int] = lambda _: 0,
     ) -> None:
         self.records = CrashRecords(clock=clock)
         self.isolated = IsolatedRuns(me, on_change=on_change)
@@ -109,6 +110,8 @@
         self._on_change = on_change
         # Learns which servers have restarted.
         self._confirm_instances = confirm_instances
+        # When the latest known process of a server started, by its name.
+        self._latest_start_ms = latest_start_ms
         self._lost_runs: dict[ServerInstance, list[LostRun]] = {}
         self._probes: dict[ServerInstance, asyncio.Task[None]] = {}
         self._followed: dict[ServerInstance, asyncio.Task[None]] = {}
@@ -121,10 +124,11 @@
         One that does something for another run has not, and a run that was only
         just sent tells nothing: neither is probed.
         """
-        if not server.usable:
-            _log_dropped(server, run)
+        if not self._may_have_crashed(server, run):
             return
         self._record_lost(instance_of(server), run)
+        if self._report_if_restarted(server):
+            return
         just_sent = run.sent_s > self._clock.monotonic_s() - ACTIVE_WITHIN_S
         if not (just_sent or self._is_active(server)):
             await self._ask(server)
@@ -150,11 +154,34 @@
         crashes the next server. Runs lost at a draining server are ignored, as
         it ends connections without a crash.
         """
-        if not server.usable:
-            _log_dropped(server, run)
+        if not self._may_have_crashed(server, run):
             return
         self._record_lost(instance_of(server), run)
-        await self._ask(server)
+        if not self._report_if_restarted(server):
+            await self._ask(server)
+
+    def _may_have_crashed(self, server: BackendServer, run: LostRun) -> bool:
+        """Return whether a server may have crashed: it did not say that it leaves."""
+        if server.entry.draining:
+            _log.info(
+                "lost_run_dropped",
+                request_id=run.request_id,
+                content=run.content_key,
+                peer=server.name,
+                born_ms=server.entry.born_ms,
+            )
+        return not server.entry.draining
+
+    def _report_if_restarted(self, server: BackendServer) -> bool:
+        """Report the runs of a server of which a later process is known.
+
+        Return whether one is. Its crash was noted before these runs ended.
+        """
+        born_ms = self._latest_start_ms(server.name)
+        if born_ms <= server.entry.born_ms:
+            return False
+        self.note_crashed(instance_of(server), successor_born_ms=born_ms)
+        return True
 
     def _is_active(self, server: BackendServer) -> bool:
         idle_s = server.idle_s(self._clock.monotonic_s())
@@ -177,7 +204,7 @@
     async def _probe_server(self, server: BackendServer) -> None:
         instance, started_s = instance_of(server), self._clock.monotonic_s()
         try:
-            contact = await self._probe(server, limit_s=PROBE_TIMEOUT_S)
+            contact = await self._probe_process(server)
         finally:
             del self._probes[instance]
         self._note_contact(instance, contact, asked_s=started_s)
@@ -186,6 +213,13 @@
             self._followed[instance] = task
             task.add_done_callback(lambda _: self._followed.pop(instance, None))
 
+    async def _probe_process(self, server: BackendServer) -> ServerContact:
+        contact = await self._probe(server, limit_s=PROBE_TIMEOUT_S)
+        if contact is ServerContact.GONE and server.left:
+            # A server without an entry may have left in order, and closed its port.
+            return ServerContact.UNKNOWN
+        return contact
+
     async def _follow(self, server: BackendServer) -> None:
         """Probe a server until it is known whether it crashed."""
         instance = instance_of(server)
@@ -195,7 +229,7 @@
             started_s = self._clock.monotonic_s()
             contact = ServerContact.ANSWERED
             if not self._is_active(server):
-                contact = await self._probe(server, limit_s=PROBE_TIMEOUT_S)
+                contact = await self._probe_process(server)
             if contact is ServerContact.ANSWERED:
                 # It may be the next process that answers now.
                 await self._confirm_instances()
@@ -259,6 +293,13 @@
             if not run.outlived_by_server(successor_born_ms):
                 self._report_crash(self._report_of(run, instance), run)
 
+    def note_restarted(self, name: str) -> None:
+        """Report the runs that earlier processes of a server lost recently."""
+        born_ms = self._latest_start_ms(name)
+        for instance in list(self._lost_runs):
+            if instance.server == name and instance.born_ms < born_ms:
+                self.note_crashed(instance, successor_born_ms=born_ms)
+
     def suspicion(self, key: str) -> Suspicion:
         """Return how a request may be sent, by its content or a part of its prompt."""
         undecided = self.undecided.reports_with(key, now_s=self._clock.monotonic_s())
@@ -299,6 +340,11 @@
         if self.records.note_survived(part_keys):
             self._on_change()
 
+    def note_responded(self, server: BackendServer, request_id: str) -> None:
+        """Forget that a run was silent, as its response is complete."""
+        runs = self._lost_runs.get(instance_of(server), [])
+        runs[:] = [run for run in runs if run.request_id != request_id]
+
     def clear(self, content_key: str) -> None:
         """Record that a run of a request completed."""
         if self.apply_cleared(content_key):
@@ -364,18 +410,6 @@
             self.undecided.decide(instance)
 
 
-def _log_dropped(server: BackendServer, run: LostRun) -> None:
-    """Log that a run is charged to nothing, as its server leaves or is gone."""
-    _log.info(
-        "lost_run_dropped",
-        request_id=run.request_id,
-        content=run.content_key,
-        peer=server.name,
-        born_ms=server.entry.born_ms,
-        draining=server.entry.draining,
-    )
-
-
 def instance_of(server: BackendServer) -> ServerInstance:
     """Return the instance that a server's entry describes."""
     return ServerInstance(server.name, server.entry.born_ms)
--- a/src/rosepath/entry_node.py
+++ b/src/rosepath/entry_node.py
@@ -154,6 +154,7 @@
             probe=health_probe(self.pool, self._health_path),
             on_change=lambda: self.exchange.send_state_soon(),
             confirm_instances=lambda: self.tables.confirm_instances(),
+            latest_start_ms=lambda name: self.tables.fleet.latest_start_ms(name),
         )
         self.tables = StoreTables(
             self.store,
@@ -166,10 +167,7 @@
             ),
             on_catalog=self._on_catalog_applied,
             on_restarted=self._note_restarted,
-            on_removed=lambda server, successor: self.crashes.note_crashed(
-                instance_of(server),
-                successor_born_ms=successor.born_ms if successor else None,
-            ),
+            on_removed=lambda server: self.crashes.note_crashed(instance_of(server)),
             on_departed=lambda server: self.departed.note_departed(server),
             drain_s=settings.drain_s,
             settle_s=settings.settle_s,
@@ -544,7 +542,8 @@
         return self.peers.large_fleet and self._uses_scheduler()
 
     def _note_restarted(self, name: str) -> None:
-        """Forget what was known of the earlier instance of a server."""
+        """Forget what was known of the earlier instance of a server but its crash."""
+        self.crashes.note_restarted(name)
         self.caches.forget(name)
         self.refused_addresses.forget(self.tables.fleet.servers[name].address)
 
--- a/src/rosepath/fleet.py
+++ b/src/rosepath/fleet.py
@@ -271,6 +271,10 @@
             if server.entry.service == service
         ]
 
+    def latest_start_ms(self, name: str) -> int:
+        """Return when the latest known process of a server started, 0 if unknown."""
+        return self._born_ms.get(name, 0)
+
     def put(self, entry: ServerEntry) -> bool:
         """Apply an entry; return whether it shows that the server restarted.
 
--- a/src/rosepath/store_tables.py
+++ b/src/rosepath/store_tables.py
@@ -8,7 +8,7 @@
 from rosepath.catalog import Catalog
 from rosepath.clock import Clock
 from rosepath.departure_log import DepartureLog
-from rosepath.fleet import BackendServer, Fleet, LeavingServer, ServerEntry
+from rosepath.fleet import BackendServer, Fleet, LeavingServer
 from rosepath.logs import get_logger
 from rosepath.object_store import Change, Listing, ListWatchPort, StoredObject
 from rosepath.platform.documents import (
@@ -55,9 +55,7 @@
         catalog_watch_policy: Callable[[], WatchPolicy],
         on_catalog: Callable[[Catalog], None],
         on_restarted: Callable[[str], None] = lambda _: None,
-        on_removed: Callable[[BackendServer, ServerEntry | None], None] = lambda *_: (
-            None
-        ),
+        on_removed: Callable[[BackendServer], None] = lambda _: None,
         on_departed: Callable[[BackendServer], None] = lambda _: None,
         drain_s: float = math.inf,
         settle_s: float = 0.0,
@@ -66,7 +64,7 @@
         self._drain_s = drain_s
         self._settle_s = settle_s
         self._on_restarted = on_restarted
-        # Called with the server's next entry, if it has started again.
+        # Called for each server whose entry is gone, also if a peer found that.
         self._on_removed = on_removed
         # Called for each instance without an entry, also if a peer found that.
         self._on_departed = on_departed
@@ -154,7 +152,6 @@
                 _log.info("server_reborn", step="store", peer=entry.name)
                 self._on_restarted(entry.name)
                 if known is not None:
-                    self._on_removed(known, entry)
                     self._on_departed(known)
             taken = self.fleet.servers.get(entry.name)
             if entry.draining and taken and taken.entry is entry and not left:
@@ -220,7 +217,7 @@
         server = self.fleet.servers.get(name)
         self.fleet.remove(name, gone_at=gone_at)
         if server is not None:
-            self._on_removed(server, None)
+            self._on_removed(server)
             self._on_departed(server)
         self.departures.record(LeavingServer(name, gone_at=gone_at))
 
@@ -232,6 +229,7 @@
         if leaving.gone_at:
             self._absent.pop(leaving.name, None)
             if known is not None:
+                self._on_removed(known)
                 self._on_departed(known)
         self.departures.record(leaving)
         return True
--- a/src/rosepath/suspect_tracker.py
+++ b/src/rosepath/suspect_tracker.py
@@ -144,7 +144,9 @@
                 context.isolation_key, request_id=context.call.request_id
             )
 
-    def clear(self, context: RequestContext, response: ServerResponse) -> None:
+    def clear(
+        self, context: RequestContext, server: BackendServer, response: ServerResponse
+    ) -> None:
         """Record a completed run, which clears the request of earlier crashes.
 
         A response that is delimited only by the end of its connection proves
@@ -152,6 +154,7 @@
         """
         if not response.delimited:
             return
+        self._crashes.note_responded(server, context.call.request_id)
         if response.success:
             self._crashes.note_survived(context.part_keys)
         if self._crashes.suspects_any:
--- a/tests/entry_builders.py
+++ b/tests/entry_builders.py
@@ -244,13 +244,23 @@
     *,
     entry_vm: str = "vm-1",
     contact: ServerContact = ServerContact.ANSWERED,
+    starts_ms: Mapping[str, int] | None = None,
 ) -> CrashWatch:
-    """Build a crash watch whose probes all return `contact`."""
+    """Build a crash watch whose probes all return `contact`.
+
+    `starts_ms` has the latest known start of servers by name.
+    """
 
     async def probe(server: BackendServer, *, limit_s: float) -> ServerContact:
         return contact
 
-    return CrashWatch(entry_vm, clock=clock, probe=probe, on_change=lambda: None)
+    return CrashWatch(
+        entry_vm,
+        clock=clock,
+        probe=probe,
+        on_change=lambda: None,
+        latest_start_ms=lambda name: (starts_ms or {}).get(name, 0),
+    )
 
 
 def a_picker(ports: RelayPorts) -> ServerPicker:
--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -284,6 +284,55 @@
     asyncio.run(run())
 
 
+# Guards against charging nothing to runs that end after the crash was noted: those
+# that may not be repeated stay until then.
+def test_run_lost_after_its_server_restarted_is_reported() -> None:
+    async def run() -> None:
+        clock, server = ManualClock(), a_server("s1")
+        watch = a_crash_watch(clock, starts_ms={"s1": server.entry.born_ms + 1})
+        server.left = True
+        await watch.note_lost(server, a_run(clock))
+        assert watch.records.suspicion("bad") is Suspicion.SUSPECT
+
+    asyncio.run(run())
+
+
+# Guards against the same where the entry lapsed before the server was back, and
+# against taking the end of a server that left without a word for a crash.
+@pytest.mark.parametrize("contact", [ServerContact.UNKNOWN, ServerContact.GONE])
+def test_run_lost_at_a_server_without_an_entry_is_undecided_until_it_restarts(
+    contact: ServerContact,
+) -> None:
+    async def run() -> None:
+        clock, server = ManualClock(), a_server("s1")
+        starts_ms = {"s1": server.entry.born_ms}
+        watch = a_crash_watch(clock, contact=contact, starts_ms=starts_ms)
+        server.left = True
+        await watch.note_lost(server, a_run(clock))
+        assert watch.suspicion("bad") is Suspicion.SUSPECT
+        assert watch.records.suspicion("bad") is Suspicion.CLEAR
+        watch.note_restarted("s1")
+        assert watch.records.suspicion("bad") is Suspicion.CLEAR
+        starts_ms["s1"] += 1
+        watch.note_restarted("s1")
+        assert watch.records.suspicion("bad") is Suspicion.SUSPECT
+
+    asyncio.run(run())
+
+
+# Guards against charging a later crash to a run that was slow and completed.
+def test_silent_run_that_completes_is_not_reported_later() -> None:
+    async def run() -> None:
+        clock, server = ManualClock(), a_server("s1")
+        watch = a_crash_watch(clock, contact=ServerContact.UNKNOWN)
+        await watch.note_silent(server, a_run(clock))
+        watch.note_responded(server, "q1")
+        crashed(watch, server, clock)
+        assert watch.suspicion("bad") is Suspicion.CLEAR
+
+    asyncio.run(run())
+
+
 # Guards against suspecting requests at the end of a planned departure.
 def test_departure_of_a_draining_server_is_no_crash() -> None:
     assert suspicion_after(ServerContact.GONE, draining=True) is Suspicion.CLEAR
--- a/tests/test_store_tables.py
+++ b/tests/test_store_tables.py
@@ -271,3 +271,34 @@
         return departed
 
     assert asyncio.run(run()) == [0]
+
+
+# Guards against crashes that show only where the store's watch tells of the entry,
+# which may lapse before the server starts again.
+@pytest.mark.parametrize("told_by", ["store", "peer"])
+def test_a_removed_entry_and_a_restart_after_it_are_reported(told_by: str) -> None:
+    def written(born: int, *, version: int) -> StoredObject:
+        raw = json.dumps(a_server_document(born=born)).encode()
+        return StoredObject("servers/s1", version, raw)
+
+    async def run() -> list[str]:
+        events: list[str] = []
+        store_tables = tables(
+            ManualClock(),
+            on_removed=lambda server: events.append(f"removed {server.entry.born_ms}"),
+            on_restarted=lambda name: events.append(f"restarted {name}"),
+        )
+        store_tables._servers_listed(listing(written(1, version=3)))
+        if told_by == "store":
+            store_tables._servers_changed(
+                Change(revision=9, written={}, removed=frozenset({"servers/s1"}))
+            )
+        else:
+            store_tables.apply_peer_departure(LeavingServer("s1", gone_at=9))
+        again = {"servers/s1": written(2, version=10)}
+        store_tables._servers_changed(
+            Change(revision=10, written=again, removed=frozenset())
+        )
+        return events
+
+    assert asyncio.run(run()) == ["removed 1", "restarted s1"]
