Drop the white space after the value of a response's header

Cause: the parser hands values on as they stand, and HTTPHeaders.add raises on them; the exception was taken for none of the ways in which a response fails. Change: white space is dropped, and what can't be a header is a malformed response, whose request is retried or answered as such.

--- a/src/rosepath/http_exchange.py
+++ b/src/rosepath/http_exchange.py
@@ -8,9 +8,10 @@
 from typing import NamedTuple, Protocol
 
 import httptools
-from tornado.httputil import HTTPHeaders
+from tornado.httputil import HTTPHeaders, HTTPInputError
 
 MAX_HEADER_BYTES = 64 * 1024
+HEADER_SPACE = b" \t"
 # What one read takes from a connection. It arrives in full, also if the consumer
 # has reached its limit, and so adds to what is kept for a slow caller.
 READ_BYTES = 64 * 1024
@@ -228,7 +229,13 @@
         self._header_bytes += len(name) + len(value)
         if self._header_bytes > MAX_HEADER_BYTES:
             raise MalformedResponseError("the headers are too large")
-        self._headers.add(name.decode("latin1"), value.decode("latin1"))
+        try:
+            # White space may follow a value, RFC 9112, section 5.1.
+            self._headers.add(
+                name.decode("latin1"), value.strip(HEADER_SPACE).decode("latin1")
+            )
+        except HTTPInputError as error:
+            raise MalformedResponseError(str(error)) from error
 
     def on_headers_complete(self) -> None:
         self._unparsed_bytes = 0
