Answer a request that this VM fails to serve

What callers saw: a closed connection without a response wherever an exception that is no refusal left the relay, as one did for white space in a server's header.

Cause: the gateway logged serving_failed and closed, for want of a response. Change: the relay answers 502, or 503 with a time to come back if no server can have the request, which is known as its attempt got no connection; a stream that had begun is broken off. The gateway's line stays for what fails beyond that. Looked for elsewhere: the handlers of the product's own daemon answer unexpected exceptions already (Handler.write_error).

--- a/src/rosepath/relay.py
+++ b/src/rosepath/relay.py
@@ -126,6 +126,11 @@
                 exchange, request_id, error.refusal, key_digest=key_digest
             )
             return
+        except Exception as error:
+            _log_own_failure(exchange, request_id, error)
+            refusal = _own_failure(not_run=True).refusal
+            self._refuse_unrouted(exchange, request_id, refusal)
+            return
         try:
             await self._admit(context)
             await self._run_attempts(context)
@@ -135,6 +140,9 @@
             if self._now_s() < self._ports.runs_end_s() or exchange.disconnected:
                 raise
             self._give_up(context, _unfinished_error(context))
+        except Exception as error:
+            _log_own_failure(exchange, request_id, error)
+            self._give_up(context, _own_failure(not_run=context.certainly_not_run))
         finally:
             context.hold.release()
             self._retry_policy.release_retry(context)
@@ -510,6 +518,10 @@
                 moved_ago_s=server.idle_s(self._now_s()),
             )
             raise
+        except Exception:
+            # Of an unexpected failure, only this tells whether a server has it.
+            context.attempt_open = bool(connected)
+            raise
         finally:
             progress.end(outcome, now_s=self._now_s())
             server.in_flight_requests.pop(context.call.request_id, None)
@@ -752,6 +764,33 @@
         return self._ports.clock.monotonic_s()
 
 
+def _log_own_failure(
+    exchange: CallerExchange, request_id: str, error: Exception
+) -> None:
+    """Log an exception that this VM raised as it served a request."""
+    _log.error(
+        "serving_failed",
+        request_id=request_id,
+        path=exchange.path.partition("?")[0][:MAX_LOGGED_CHARS],
+        why=repr(error),
+        exc_info=error,
+    )
+
+
+def _own_failure(*, not_run: bool) -> RefusalError:
+    """Build the refusal of a request that this VM failed to serve."""
+    message = "this entry VM failed to serve the request"
+    if not_run:
+        return refuse(
+            503,
+            "internal_error",
+            message,
+            step=Step.ROUTE,
+            retry_after_s=RETRY_AFTER_S,
+        )
+    return refuse(502, "internal_error", message, step=Step.RESPONSE, run=Run.UNKNOWN)
+
+
 def _unfinished_error(context: RequestContext) -> RefusalError:
     """Build the refusal of a request that a planned stop ends."""
     if context.certainly_not_run:
