Read the headers that a server sends twice

Server-Leaving, Server-Load, Instance-Id and Request-Id were joined alike, so that a leaving server was used on, and a response with its id twice was skipped.

Change: of several rests the longest holds, a server that says once that it leaves does, and of the others equal values are one. Different ids stay those of no request. Server-Limit took the lowest already; Not-Executed and Response-Signature are looked for by name.

--- a/src/rosepath/header_values.py
+++ b/src/rosepath/header_values.py
@@ -3,6 +3,8 @@
 import math
 from collections.abc import Iterable
 
+from tornado.httputil import HTTPHeaders
+
 # Headers that concern one connection only and are not forwarded.
 HOP_BY_HOP_HEADERS = frozenset(
     (
@@ -23,6 +25,12 @@
 MAX_COUNT = 10**15
 
 
+def agreed_value(headers: HTTPHeaders, name: str) -> str | None:
+    """Return the value of a header that may come twice; None if values differ."""
+    values = set(headers.get_list(name))
+    return values.pop() if len(values) == 1 else None
+
+
 def parse_int(raw: str | None) -> int | None:
     """Return an integer from 0 to `MAX_COUNT`; None if absent or invalid."""
     digits = (raw or "").strip()
--- a/src/rosepath/platform/calls.py
+++ b/src/rosepath/platform/calls.py
@@ -6,6 +6,7 @@
 from rosepath.caller_request import BadRequestError, CallerRequest, Prompt, PromptPart
 from rosepath.header_values import (
     HOP_BY_HOP_HEADERS,
+    agreed_value,
     lowest_rate,
     parse_count,
     parse_int,
@@ -118,12 +119,13 @@
 
 def echoed_request_id(headers: HTTPHeaders) -> str | None:
     """Return the id of the request to which a response says that it belongs."""
-    return headers.get(_REQUEST_ID)
+    # Several ids, joined, are those of no request.
+    return agreed_value(headers, _REQUEST_ID) or headers.get(_REQUEST_ID)
 
 
 def answering_server(headers: HTTPHeaders) -> str | None:
     """Return the name of the server that answered a health check."""
-    return headers.get(_INSTANCE)
+    return agreed_value(headers, _INSTANCE)
 
 
 def read_response_metadata(status: int, headers: HTTPHeaders) -> ResponseMetadata:
@@ -133,7 +135,7 @@
         signed=signed,
         not_run=_NOT_RUN in headers or (status == 421 and not signed),
         encoded="Content-Encoding" in headers,
-        load=parse_load(headers.get(_LOAD, "")),
+        load=parse_load(agreed_value(headers, _LOAD) or ""),
         notice=read_notice(status, headers),
     )
 
@@ -146,7 +148,7 @@
     retry_after_s = read_retry_after_s(headers) if status in _REJECTIONS else 0.0
     stated = headers.get_list(_LIMIT)
     return ServerNotice(
-        leaving=headers.get(_LEAVING) == "1",
+        leaving="1" in headers.get_list(_LEAVING),
         retry_after_s=retry_after_s,
         limit_per_s=lowest_rate(stated),
         unlimited=not stated and _SIGNATURE in headers,
--- a/src/rosepath/retry_after.py
+++ b/src/rosepath/retry_after.py
@@ -14,10 +14,14 @@
 
 
 def read_retry_after_s(headers: HTTPHeaders) -> float:
-    """Return Retry-After in seconds, 0 if absent or invalid."""
-    stated = headers.get("Retry-After")
-    if stated is None:
-        return 0.0
+    """Return Retry-After in seconds, 0 if absent or invalid.
+
+    Of several values the longest holds: a shorter one would end the rest early.
+    """
+    return max(map(_parse_s, headers.get_list("Retry-After")), default=0.0)
+
+
+def _parse_s(stated: str) -> float:
     try:
         given_s = float(stated)
     except ValueError:
--- a/tests/test_header_forms.py
+++ b/tests/test_header_forms.py
@@ -207,6 +207,16 @@
     assert calls.echoed_request_id(twice) == "q1"
 
 
+# Guards against taking a response with the ids of two requests for one of no request.
+def test_a_response_with_several_ids_belongs_to_none_of_them() -> None:
+    several = HTTPHeaders()
+    for request_id in ("q1", "q2"):
+        several.add("Request-Id", request_id)
+        several.add("Instance-Id", request_id)
+    assert calls.echoed_request_id(several) not in ("q1", "q2", None)
+    assert calls.answering_server(several) is None
+
+
 async def serve_with_failure(
     monkeypatch: pytest.MonkeyPatch, name: str, caller: Caller
 ) -> RelayHarness:
