Read a Retry-After that is a date

Change: a date counts from the response's own Date, as clocks may differ by seconds, or from now if there is none. Dates without a zone are UTC, as all of HTTP's are.

--- a/src/rosepath/retry_after.py
+++ b/src/rosepath/retry_after.py
@@ -1,6 +1,8 @@
 """Parse the Retry-After header of peers that reject requests."""
 
 import math
+from datetime import UTC, datetime
+from email.utils import parsedate_to_datetime
 
 from tornado.httputil import HTTPHeaders
 
@@ -17,16 +19,37 @@
     """Return Retry-After in seconds, 0 if absent or invalid.
 
     Of several values the longest holds: a shorter one would end the rest early.
+    A date counts from that of the response, if it has one: clocks may differ.
     """
-    return max(map(_parse_s, headers.get_list("Retry-After")), default=0.0)
-
-
-def _parse_s(stated: str) -> float:
-    try:
-        given_s = float(stated)
-    except ValueError:
-        given_s = math.nan
+    answered = _parse_date(headers.get("Date", "")) or datetime.now(UTC)
+    return max(
+        (_parse_s(stated, answered) for stated in headers.get_list("Retry-After")),
+        default=0.0,
+    )
+
+
+def _parse_s(stated: str, answered: datetime) -> float:
+    until = _parse_date(stated)
+    if until is None:
+        given_s = _parse_number(stated)
+    else:
+        given_s = (until - answered).total_seconds()
     if math.isfinite(given_s) and given_s > 0:
         return min(given_s, BACKOFF_MAX_S)
     _log.info("retry_after_unreadable", stated=stated[:MAX_LOGGED_CHARS])
     return 0.0
+
+
+def _parse_number(stated: str) -> float:
+    try:
+        return float(stated)
+    except ValueError:
+        return math.nan
+
+
+def _parse_date(stated: str) -> datetime | None:
+    """Return an HTTP date, which is always in UTC; None if it is none."""
+    try:
+        return parsedate_to_datetime(stated).replace(tzinfo=UTC)
+    except (ValueError, OverflowError):
+        return None
--- a/tests/test_server_notices.py
+++ b/tests/test_server_notices.py
@@ -6,6 +6,8 @@
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from dataclasses import dataclass, replace
+from datetime import UTC, datetime, timedelta
+from email.utils import format_datetime
 from typing import Any, cast
 
 import pytest
@@ -327,13 +329,25 @@
         (503, "nan", 0.0),
         (503, "inf", 0.0),
         (503, "Wed, 21 Oct 2026 07:28:00 GMT", 0.0),
+        (503, "Wed, 21 Oct 2026 07:28:09 GMT", 4.0),
+        (503, "Wednesday, 21-Oct-26 07:28:09 GMT", 4.0),
+        (503, "Wed Oct 21 07:28:09 2026", 4.0),
+        (503, "Wed, 99 Oct 2026 07:28:09 GMT", 0.0),
     ],
 )
 def test_only_valid_retry_after_of_a_rejection_starts_a_backoff(
     status: int, given: str, retry_after_s: float
 ) -> None:
-    notice = read_notice(status, HTTPHeaders({"Retry-After": given}))
-    assert notice.retry_after_s == retry_after_s
+    date = "Wed, 21 Oct 2026 07:28:05 GMT"
+    headers = HTTPHeaders({"Retry-After": given, "Date": date})
+    assert read_notice(status, headers).retry_after_s == retry_after_s
+
+
+# Guards against reading no date of a server that states none of its response.
+def test_a_date_counts_from_now_if_the_response_has_none() -> None:
+    until = datetime.now(UTC) + timedelta(seconds=30)
+    notice = read_notice(503, HTTPHeaders({"Retry-After": format_datetime(until)}))
+    assert 20.0 < notice.retry_after_s <= 30.0
 
 
 # Guards against a faulty response excluding a server forever.
