Prefer other servers to one whose silence made callers leave

Change: a server that did nothing for its usual response time until the caller left has failed it, as after a timeout of our own, and others are preferred for a while. Waiting for the answer after the caller left would keep servers at work for nobody; telling the rest between VMs does not help, as none of them has read it. Callers of slow servers who stay are served as before (a test beside it).

--- a/src/rosepath/relay.py
+++ b/src/rosepath/relay.py
@@ -503,10 +503,7 @@
             raise
         except asyncio.CancelledError:
             if connected:
-                answered = bool(notices)
-                self._suspects.note_silent(
-                    context, server, in_flight, answered=answered
-                )
+                self._note_abandoned(context, server, in_flight, answered=bool(notices))
             _log.info(
                 "run_abandoned",
                 request_id=context.call.request_id,
@@ -527,6 +524,26 @@
             server.in_flight_requests.pop(context.call.request_id, None)
             self._suspects.end(context)
 
+    def _note_abandoned(
+        self,
+        context: RequestContext,
+        server: BackendServer,
+        in_flight: InFlightRequest,
+        *,
+        answered: bool,
+    ) -> None:
+        """Note a request whose caller left while it was at a server.
+
+        A server that did nothing for as long as it usually needs has failed it:
+        what it says later, such as a rejection with a backoff, reaches nobody.
+        """
+        self._suspects.note_silent(context, server, in_flight, answered=answered)
+        now_s = self._now_s()
+        active = (server.last_activity_s or 0.0) > in_flight.sent_s
+        usual_s = self._retry_policy.response_timeout_s(context, server)
+        if not (answered or active) and now_s - in_flight.sent_s >= usual_s:
+            note_failure(server, now_s=now_s, silent=True)
+
     def _note_first_events(
         self, context: RequestContext, server: BackendServer, connection: Connection
     ) -> Awaitable[None] | None:
--- a/tests/test_header_forms.py
+++ b/tests/test_header_forms.py
@@ -20,6 +20,7 @@
     generation_caller,
     plain_service_caller,
     received_complete_stream,
+    responds,
     responds_quickly,
     run,
 )
@@ -112,15 +113,24 @@
     """
     route = route or a_plain_service_route()
     harness = a_relay_harness(*engines, retries=100.0, route=route)
+    await serve_many(harness, leave_after_s=leave_after_s)
+    return count_late_sends(engines[0], rejected_after_s)
+
+
+async def serve_many(
+    harness: RelayHarness, *, leave_after_s: float | None = None
+) -> list[Caller]:
+    """Serve callers, one each 0.1 s; return them."""
+    callers = [plain_service_caller() for _ in range(60)]
 
     async def serve(number: int) -> None:
         with suppress(TimeoutError):
             after_s = 0.1 * number
             async with asyncio.timeout(after_s + (leave_after_s or 10.0)):
-                await harness.serve(plain_service_caller(), after_s=after_s)
+                await harness.serve(callers[number], after_s=after_s)
 
     await asyncio.gather(*(serve(number) for number in range(60)))
-    return count_late_sends(engines[0], rejected_after_s)
+    return callers
 
 
 def count_late_sends(engine: ScriptedEngine, rejected_after_s: float) -> int:
@@ -185,6 +195,20 @@
     run(play)
 
 
+# Guards against leaving the other callers of slow servers without any.
+def test_slow_servers_serve_on_although_some_callers_leave() -> None:
+    async def play() -> None:
+        slow = partial(responds, after_s=0.4)
+        engines = [ScriptedEngine(f"e{number}", slow) for number in (1, 2)]
+        harness = a_relay_harness(*engines, route=an_unsafe_route())
+        staying, _ = await asyncio.gather(
+            serve_many(harness), serve_many(harness, leave_after_s=0.3)
+        )
+        assert all(caller.status == 200 for caller in staying)
+
+    run(play)
+
+
 # Guards against joining the values of a header that a server sends twice.
 def test_headers_that_come_twice_are_read() -> None:
     twice = HTTPHeaders()
