Tell servers the time that is left once the connection is made

Change: the header is taken right before the first byte. The test failed before (2,000 ms passed on after a connection of 0.3 s). That it was what operators saw is not shown.

--- a/src/rosepath/attempt.py
+++ b/src/rosepath/attempt.py
@@ -14,6 +14,7 @@
 from rosepath.http_client import HttpPool, Request, ResponseHead
 from rosepath.http_exchange import Connection, Watchdog, is_self_delimited
 from rosepath.platform.calls import (
+    deadline_headers,
     encode_headers,
     read_response_metadata,
 )
@@ -241,11 +242,13 @@
             headers=encode_headers(
                 call,
                 server=server.name,
-                left_s=options.deadline_s - now_s,
                 priority=options.priority,
                 workspace=options.workspace,
                 last_event_id=options.last_event_id,
             ),
+            late_headers=lambda: deadline_headers(
+                options.deadline_s - self._clock.monotonic_s()
+            ),
             body=call.body,
             connect_timeout_s=min(CONNECT_TIMEOUT_S, options.deadline_s - now_s),
             progress_timeout_s=options.response_timeout_s,
--- a/src/rosepath/http_client.py
+++ b/src/rosepath/http_client.py
@@ -60,6 +60,8 @@
     method: str
     path: str
     headers: Mapping[str, str] = field(default_factory=dict)
+    # More of them, which change with time: taken as the first byte is sent.
+    late_headers: Callable[[], Mapping[str, str]] = dict
     body: bytes = b""
     body_chunks: AsyncIterator[bytes] | None = None
     connect_timeout_s: float = 1.0
@@ -323,7 +325,8 @@
 def _encode_head(request: Request) -> bytes:
     host = request.host or request.address
     lines = [f"{request.method} {request.path} HTTP/1.1", f"Host: {host}"]
-    lines += [f"{name}: {value}" for name, value in request.headers.items()]
+    headers = {**request.headers, **request.late_headers()}
+    lines += [f"{name}: {value}" for name, value in headers.items()]
     if request.body_chunks is not None:
         lines.append("Transfer-Encoding: chunked")
     elif request.body or request.method not in ("GET", "HEAD"):
--- a/src/rosepath/platform/calls.py
+++ b/src/rosepath/platform/calls.py
@@ -98,7 +98,6 @@
     call: CallerRequest,
     *,
     server: str,
-    left_s: float,
     priority: int | None = None,
     last_event_id: int | None = None,
     workspace: str | None = None,
@@ -106,7 +105,6 @@
     """Return the headers of a request to a backend server."""
     headers = dict(call.headers)
     headers.pop("Host")
-    headers[_DEADLINE] = str(max(1, int(left_s * 1000)))
     headers[_SERVER] = server
     if priority is not None:
         headers[_PRIORITY] = str(priority)
@@ -117,6 +115,11 @@
     return headers
 
 
+def deadline_headers(left_s: float) -> dict[str, str]:
+    """Return the header that tells a backend server how much time is left."""
+    return {_DEADLINE: str(max(1, int(left_s * 1000)))}
+
+
 def echoed_request_id(headers: HTTPHeaders) -> str | None:
     """Return the id of the request to which a response says that it belongs."""
     # Several ids, joined, are those of no request.
--- a/tests/crashing_fleet.py
+++ b/tests/crashing_fleet.py
@@ -29,8 +29,9 @@
     """Describe a cause of crashes, and what becomes of the servers.
 
     `known_after` is the number of crashes after which the cause is to be known,
-    `lapse_after_s` when the entry of a crashed server is removed, if it is, and
-    `leave_after_s` when its callers leave, if they do.
+    `lapse_after_s` when the entry of a crashed server is removed, if it is,
+    `leave_after_s` when its callers leave, if they do, and `entry_after_s` how long
+    a server that is back serves before it writes its entry.
     """
 
     port: PortAfterCrash
@@ -45,6 +46,7 @@
     restart_after_s: float = 2.0
     lapse_after_s: float | None = None
     leave_after_s: float | None = None
+    entry_after_s: float = 0.0
 
     async def late_sends(self, directory: Path) -> int:
         """Send the cause again and again; return how often it came late.
@@ -101,5 +103,6 @@
             away_s -= self.lapse_after_s
         await asyncio.sleep(away_s)
         await server.restart()
+        await asyncio.sleep(self.entry_after_s)
         await fleet.backend.write_entry(server)
         server.restarting = False
--- a/tests/test_late_retries.py
+++ b/tests/test_late_retries.py
@@ -107,3 +107,16 @@
         assert received_complete_stream(caller)
 
     run(play)
+
+
+# Guards against handing servers more time than is left, as connections take long.
+def test_a_server_is_told_the_time_that_is_left_once_it_is_connected() -> None:
+    async def play() -> None:
+        engine = ScriptedEngine("e1", completes_stream, connect_s=0.3)
+        caller = generation_caller(wait_ms=2000)
+        await a_relay_harness(engine).serve(caller)
+        assert received_complete_stream(caller)
+        (received,) = engine.requests
+        assert int(received.headers["request-deadline-ms"]) <= 1700
+
+    run(play)
--- a/tests/timed_engines.py
+++ b/tests/timed_engines.py
@@ -84,6 +84,8 @@
     aborted_at_s: list[float] = field(default_factory=list)
     crashed_at_s: list[float] = field(default_factory=list)
     up: bool = True
+    # How long a connection takes.
+    connect_s: float = 0.0
     # Whether its address answers no attempt to connect.
     unreachable: bool = False
     open: "list[_TimedTransport]" = field(default_factory=list)
@@ -198,6 +200,7 @@
                 sent=False,
                 refused=True,
             )
+        await asyncio.sleep(engine.connect_s)
         connection.connection_made(_TimedTransport(engine, connection))
         return connection
 
