Probe a slow server once in half a second for its silent runs

One answer now holds for half a second, the interval at which an undecided server is probed. Ten silent runs within a second cause two probes; before, ten.

--- a/src/rosepath/crash_watch.py
+++ b/src/rosepath/crash_watch.py
@@ -130,8 +130,9 @@
         if self._report_if_restarted(server):
             return
         just_sent = run.sent_s > self._clock.monotonic_s() - ACTIVE_WITHIN_S
-        if not (just_sent or self._is_active(server)):
-            await self._ask(server)
+        if just_sent or self._is_active(server) or self._answered_recently(server):
+            return
+        await self._ask(server)
 
     def note_silent_soon(self, server: BackendServer, run: LostRun) -> None:
         """Do the same without waiting."""
@@ -184,9 +185,15 @@
         return True
 
     def _is_active(self, server: BackendServer) -> bool:
+        """Return whether the server did something for a run a moment ago."""
         idle_s = server.idle_s(self._clock.monotonic_s())
         return idle_s is not None and idle_s < ACTIVE_WITHIN_S
 
+    def _answered_recently(self, server: BackendServer) -> bool:
+        """Return whether another probe so soon would tell nothing new."""
+        now_s = self._clock.monotonic_s()
+        return now_s < server.last_health_answer_s + PROBE_INTERVAL_S
+
     async def _ask(self, server: BackendServer) -> None:
         """Probe a server, unless it is known to be undecided."""
         instance = instance_of(server)
@@ -218,6 +225,8 @@
         if contact is ServerContact.GONE and server.left:
             # A server without an entry may have left in order, and closed its port.
             return ServerContact.UNKNOWN
+        if contact is ServerContact.ANSWERED:
+            server.last_health_answer_s = self._clock.monotonic_s()
         return contact
 
     async def _follow(self, server: BackendServer) -> None:
--- a/src/rosepath/fleet.py
+++ b/src/rosepath/fleet.py
@@ -109,6 +109,8 @@
     suspect_until_s: float = 0.0
     # When it last made progress on any request of this VM.
     last_activity_s: float | None = None
+    # When it last answered a health check of this VM.
+    last_health_answer_s: float = -1e9
     # Until when it counts as silent towards all entry VMs, as the scheduler said.
     silent_until_s: float = -1e9
     # Until when it counts as down after a failed connection attempt.
--- a/src/rosepath_standins/entry_fleet.py
+++ b/src/rosepath_standins/entry_fleet.py
@@ -15,8 +15,9 @@
 import sys
 import time
 from collections import Counter, defaultdict
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
+from email.utils import formatdate
 from enum import StrEnum
 from pathlib import Path
 from typing import Any
@@ -50,7 +51,8 @@
 LARGE_ROUTE_COUNT = 1400
 LARGE_CONFIGURATION_SHARE = 0.3
 NOT_RUN_HEADER = "Not-Executed: 1\r\n"
-SHED_HEADERS = NOT_RUN_HEADER + "Retry-After: {:.2f}\r\n"
+# The forms in which a server that sheds load says when to come back.
+REST_FORMS = ("seconds", "twice", "date")
 # A response that belongs to no request, and how long before a server's own
 # response it is sent, so that it arrives by itself.
 STRAY_RESPONSE = f"HTTP/1.1 503 X\r\n{NOT_RUN_HEADER}Content-Length: 0\r\n\r\n"
@@ -86,6 +88,19 @@
     }
 
 
+def rest_headers(form: str, wall_s: float) -> str:
+    """Return header lines that ask for a rest of `RETRY_AFTER_S` in some form."""
+    match form:
+        case "twice":
+            return f"Retry-After: 1\r\nRetry-After: {RETRY_AFTER_S:.2f}\r\n"
+        case "date":
+            until = formatdate(wall_s + RETRY_AFTER_S, usegmt=True)
+            return (
+                f"Date: {formatdate(wall_s, usegmt=True)}\r\nRetry-After: {until}\r\n"
+            )
+    return f"Retry-After: {RETRY_AFTER_S:.2f}\r\n"
+
+
 @dataclass(slots=True)
 class StatedLimit:
     """Record a rate limit that a server stated, and what arrived meanwhile.
@@ -165,6 +180,10 @@
     failing: bool = False
     # Whether it answers a share of its requests with a body without end.
     endless: bool = False
+    # Whether white space follows the values of its headers.
+    spaced: bool = False
+    # How far its clock is ahead.
+    clock_ahead_s: float = 0.0
     response_delay_s: float = RESPONSE_DELAY_S
     # Set while it runs; cleared, it reads nothing, and the kernel keeps what
     # arrives, also on connections that are reset meanwhile.
@@ -237,9 +256,13 @@
     async def restart(self) -> None:
         """Serve again at the same address, as another process of that name."""
         self._abort_connections()
-        self.started_ms = int(time.time() * 1000)
+        self.started_ms = self.wall_ms()
         await self.listen()
 
+    def wall_ms(self) -> int:
+        """Return the time by its own clock."""
+        return int((time.time() + self.clock_ahead_s) * 1000)
+
     def close_port(self) -> None:
         """Close the listener."""
         self._release_port()
@@ -330,9 +353,8 @@
             self.limit.told_s.setdefault(vm, now_s)
         if self.shedding:
             self.request_log.shed_requests.append((process, vm, now_s))
-            self.write_response(
-                writer, 503, request_id, b"", SHED_HEADERS.format(RETRY_AFTER_S)
-            )
+            rest = rest_headers(self.rng.choice(REST_FORMS), self.wall_ms() / 1000)
+            self.write_response(writer, 503, request_id, b"", NOT_RUN_HEADER + rest)
             return
         await self._send_extra_responses(writer)
         if self.full and self.rng.random() < FULL_SHARE:
@@ -433,6 +455,8 @@
     ) -> None:
         """Write a response with a body; `extra` has further header lines."""
         head = self._head(status, request_id) + extra
+        if self.spaced:
+            head = head.replace("\r\n", " \t\r\n")
         writer.write(f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body)
 
     def _head(self, status: int, request_id: str) -> str:
@@ -549,6 +573,8 @@
 
     directory: Path
     request_log: RequestLog = field(default_factory=RequestLog)
+    # Called for each server that is added: how far its clock is ahead.
+    draw_clock_ahead_s: Callable[[], float] = lambda: 0.0
     state: PlatformState | None = None
     store_address: str = ""
     servers: dict[str, Server] = field(default_factory=dict)
@@ -620,17 +646,21 @@
         await self.write("config/main", configuration)
 
     async def add_server(
-        self, *, port: int = 0, software_version: str = "v1"
+        self,
+        *,
+        port: int = 0,
+        software_version: str = "v1",
     ) -> Server:
         self.instance_count += 1
-        started_ms = int(time.time() * 1000)
         server = Server(
             f"i-{self.instance_count}",
             self.request_log,
-            started_ms,
-            port,
-            software_version,
+            started_ms=0,
+            port=port,
+            software_version=software_version,
+            clock_ahead_s=self.draw_clock_ahead_s(),
         )
+        server.started_ms = server.wall_ms()
         await server.listen()
         self.servers[server.name] = server
         await self.write_entry(server)
--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -338,6 +338,24 @@
     assert suspicion_after(ServerContact.GONE, draining=True) is Suspicion.CLEAR
 
 
+# Guards against a connection for each look at each run of a slow server.
+def test_silent_runs_of_a_server_that_answered_a_moment_ago_cause_no_probe() -> None:
+    async def run() -> list[int]:
+        clock, server, counts = ManualClock(), a_server("s1"), []
+
+        async def probe(_: BackendServer, *, limit_s: float) -> ServerContact:
+            counts.append(len(counts) + 1)
+            return ServerContact.ANSWERED
+
+        watch = CrashWatch("vm-1", clock=clock, probe=probe, on_change=lambda: None)
+        for number in range(10):
+            await watch.note_silent(server, a_run(clock, request_id=f"q{number}"))
+            clock.advance(PROBE_INTERVAL_S / 5)
+        return counts
+
+    assert asyncio.run(run()) == [1, 2]
+
+
 # Guards against a burst of connections to a server that just lost many runs.
 def test_many_lost_runs_of_a_server_share_one_probe() -> None:
     async def run() -> int:
