Send no health checks to a server that asked for rest, and read those of its answers

Change: until the rest ends a server is not probed, and its lost runs are undecided; answers to health checks are read like those to orders and reports. Both tests failed before (probed within the rest, no notice).

--- a/src/rosepath/crash_watch.py
+++ b/src/rosepath/crash_watch.py
@@ -221,6 +221,9 @@
             task.add_done_callback(lambda _: self._followed.pop(instance, None))
 
     async def _probe_process(self, server: BackendServer) -> ServerContact:
+        if server.in_backoff(self._clock.monotonic_s()):
+            # It asked for no requests, which health checks are as well.
+            return ServerContact.UNKNOWN
         contact = await self._probe(server, limit_s=PROBE_TIMEOUT_S)
         if contact is ServerContact.GONE and server.left:
             # A server without an entry may have left in order, and closed its port.
--- a/src/rosepath/entry_node.py
+++ b/src/rosepath/entry_node.py
@@ -151,7 +151,9 @@
         self.crashes = CrashWatch(
             settings.entry_vm,
             clock=self.clock,
-            probe=health_probe(self.pool, self._health_path),
+            probe=health_probe(
+                self.pool, self._health_path, on_notice=self._apply_notice
+            ),
             on_change=lambda: self.exchange.send_state_soon(),
             confirm_instances=lambda: self.tables.confirm_instances(),
             latest_start_ms=lambda name: self.tables.fleet.latest_start_ms(name),
@@ -634,7 +636,7 @@
             asyncio.get_running_loop().call_soon(self.exchange.send_state_soon)
 
     def _apply_notice(self, name: str, notice: ServerNotice) -> None:
-        """Apply the notice in an engine's response to an order or report."""
+        """Apply the notice in a response to an order, a report or a health check."""
         server = self.tables.fleet.servers.get(name)
         if server is None:
             return
--- a/src/rosepath/server_probe.py
+++ b/src/rosepath/server_probe.py
@@ -7,7 +7,12 @@
 from rosepath.errors import ExchangeError
 from rosepath.fleet import BackendServer
 from rosepath.http_client import HttpPool, Request
-from rosepath.platform.calls import answering_server, echoed_request_id
+from rosepath.platform.calls import (
+    answering_server,
+    echoed_request_id,
+    read_notice,
+)
+from rosepath.server_notice import ServerNotice
 
 
 class ServerContact(StrEnum):
@@ -33,10 +38,16 @@
     ) -> ServerContact: ...
 
 
-def health_probe(pool: HttpPool, health_path: Callable[[str], str]) -> ServerProbe:
+def health_probe(
+    pool: HttpPool,
+    health_path: Callable[[str], str],
+    *,
+    on_notice: Callable[[str, ServerNotice], None] = lambda *_: None,
+) -> ServerProbe:
     """Build a probe that uses the health check of the server's service.
 
-    `health_path` returns a service's path for it.
+    `health_path` returns a service's path for it. `on_notice` is called with a
+    server's name and the notice in its answer.
     """
 
     async def probe(server: BackendServer, *, limit_s: float) -> ServerContact:
@@ -60,7 +71,9 @@
         answered_by = answering_server(head.headers)
         if answered_by is None:
             return ServerContact.ACCEPTED
-        same = answered_by == server.name
-        return ServerContact.ANSWERED if same else ServerContact.GONE
+        if answered_by != server.name:
+            return ServerContact.GONE
+        on_notice(server.name, read_notice(head.status, head.headers))
+        return ServerContact.ANSWERED
 
     return probe
--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -19,6 +19,7 @@
     instance_of,
 )
 from rosepath.fleet import BackendServer
+from rosepath.server_choice import note_backoff
 from rosepath.server_probe import ServerContact
 
 AfterLoss = Callable[[CrashWatch, BackendServer, ManualClock], None]
@@ -356,6 +357,28 @@
     assert asyncio.run(run()) == [1, 2]
 
 
+# Guards against health checks at a server that asked for no requests.
+def test_server_that_asked_for_rest_is_not_probed_until_its_end() -> None:
+    async def run() -> None:
+        clock, server, probed_s = ManualClock(), a_server("s1"), []
+
+        async def probe(_: BackendServer, *, limit_s: float) -> ServerContact:
+            probed_s.append(clock.monotonic_s())
+            return ServerContact.GONE
+
+        watch = CrashWatch("vm-1", clock=clock, probe=probe, on_change=lambda: None)
+        note_backoff(server, retry_after_s=3.0, now_s=clock.monotonic_s())
+        await watch.note_lost(server, a_run(clock))
+        assert (probed_s, watch.suspicion("bad")) == ([], Suspicion.SUSPECT)
+        assert watch.records.suspicion("bad") is Suspicion.CLEAR
+        clock.advance(3.1)
+        watch.undecided.decide(instance_of(server))
+        await watch.note_lost(server, a_run(clock))
+        assert len(probed_s) == 1
+
+    asyncio.run(run())
+
+
 # Guards against a burst of connections to a server that just lost many runs.
 def test_many_lost_runs_of_a_server_share_one_probe() -> None:
     async def run() -> int:
--- a/tests/test_server_notices.py
+++ b/tests/test_server_notices.py
@@ -42,6 +42,7 @@
 from rosepath.server_choice import note_backoff
 from rosepath.server_limits import apply_limit_notice
 from rosepath.server_notice import NO_NOTICE, ServerNotice
+from rosepath.server_probe import ServerContact, health_probe
 
 FEW = pytest.param((5, 2.0, 3.0), id="few")
 LARGE_FLEET = pytest.param((26, 3.0, 4.0), id="crowd")
@@ -444,3 +445,22 @@
     fleet.remove("s1", gone_at=5)
     fleet.put(replace(entry, born_ms=200, revision=9))
     assert fleet.servers["s1"].accepts_requests(0.1)
+
+
+# Guards against asking on a server whose answer to a health check asked for rest.
+def test_notices_are_read_from_answers_to_health_checks() -> None:
+    notices: list[tuple[str, ServerNotice]] = []
+
+    class Pool:
+        async def fetch(self, _: Request) -> tuple[ResponseHead, bytes]:
+            headers = HTTPHeaders({"Instance-Id": "s1", "Retry-After": "3"})
+            return ResponseHead(503, headers), b""
+
+    probe = health_probe(
+        cast(Any, Pool()),
+        lambda _: "/health",
+        on_notice=lambda *notice: notices.append(notice),
+    )
+    contact = asyncio.run(probe(a_server("s1"), limit_s=0.2))
+    assert contact is ServerContact.ANSWERED
+    assert notices == [("s1", ServerNotice(retry_after_s=RETRY_AFTER_S))]
