Index undecided runs, and tell only those at once that make suspects

By reading, for large fleets: since silence makes runs undecided, a dark server or a cut has hundreds of them, where before only lost connections had. Each made a state message to all VMs within 10 ms, and each look-up of a request went through all of them, by its content and each part of its prompt.

Twenty runs at one dark server cause no message of their own (before: 20), those at a second one do.

--- a/src/rosepath/crash_watch.py
+++ b/src/rosepath/crash_watch.py
@@ -277,11 +277,25 @@
         ]
 
     def _note_undecided(self, instance: ServerInstance) -> None:
-        self.undecided.decide(instance)
-        for run in self._lost_runs.get(instance, ()):
-            if run.undecided:
-                self.undecided.add(self._report_of(run, instance))
-        self._on_change()
+        """Record the undecided runs of a server, and tell the other VMs.
+
+        Those that make no suspect so far go with the next state message: a dark
+        server of a large fleet has hundreds.
+        """
+        found = self.undecided.replace(
+            instance,
+            (
+                self._report_of(run, instance)
+                for run in self._lost_runs.get(instance, ())
+                if run.undecided
+            ),
+        )
+        if any(map(self._has_suspect, found)):
+            self._on_change()
+
+    def _has_suspect(self, report: CrashReport) -> bool:
+        keys = (report.content_key, *report.part_keys)
+        return any(self.suspicion(key) > Suspicion.CLEAR for key in keys)
 
     def _report_of(self, run: LostRun, instance: ServerInstance) -> CrashReport:
         return CrashReport(
--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -357,6 +357,34 @@
     assert asyncio.run(run()) == [1, 2]
 
 
+# Guards against a state message for each of hundreds of runs at a dark server.
+def test_only_undecided_runs_that_make_suspects_are_told_at_once() -> None:
+    async def run() -> list[int]:
+        clock, told, counts = ManualClock(), 0, []
+
+        def tell() -> None:
+            nonlocal told
+            told += 1
+
+        async def probe(_: BackendServer, *, limit_s: float) -> ServerContact:
+            return ServerContact.UNKNOWN
+
+        watch = CrashWatch("vm-1", clock=clock, probe=probe, on_change=tell)
+        for server in (a_server("s1"), a_server("s2")):
+            for number in range(20):
+                waiting = replace(
+                    a_run(clock, request_id=f"q{number}"),
+                    content_key=f"c{number}",
+                    exposure=Exposure.PRESENT,
+                )
+                await watch.note_silent(server, waiting)
+            counts.append(told)
+        return counts
+
+    # At the second server each is a suspect.
+    assert asyncio.run(run()) == [0, 20]
+
+
 # Guards against health checks at a server that asked for no requests.
 def test_server_that_asked_for_rest_is_not_probed_until_its_end() -> None:
     async def run() -> None:
