--- a/src/rosepath/crash_watch.py
+++ b/src/rosepath/crash_watch.py
@@ -115,7 +115,7 @@
         self._lost_runs: dict[ServerInstance, list[LostRun]] = {}
         self._probes: dict[ServerInstance, asyncio.Task[None]] = {}
         self._followed: dict[ServerInstance, asyncio.Task[None]] = {}
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._silence_checks: set[asyncio.Task[None]] = set()
 
     async def note_silent(self, server: BackendServer, run: LostRun) -> None:
         """Record a run without progress and wait for the result of a probe.
@@ -135,13 +135,13 @@
         await self._ask(server)
 
     def note_silent_soon(self, server: BackendServer, run: LostRun) -> None:
-        """Do the same without waiting."""
+        """Record a run without progress, and probe its server in the background."""
         task = asyncio.ensure_future(self.note_silent(server, run))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._silence_checks.add(task)
+        task.add_done_callback(self._silence_checks.discard)
 
     def may_become_suspect(self, run: LostRun) -> bool:
-        """Return whether a run would be sent like a suspect if its server crashed."""
+        """Return whether a crash of its server would make a run's request a suspect."""
         if run.exposure > Exposure.PRESENT:
             return True
         now_s = self._clock.monotonic_s()
@@ -153,7 +153,8 @@
 
         A request that crashes servers must not be retried before that, or it
         crashes the next server. Runs lost at a draining server are ignored, as
-        it ends connections without a crash.
+        it ends connections without a crash. Those lost at one without an entry
+        stay undecided until that of its next process appears.
         """
         if not self._may_have_crashed(server, run):
             return
@@ -294,6 +295,7 @@
             self._on_change()
 
     def _has_suspect(self, report: CrashReport) -> bool:
+        """Return whether the request of a report or one of its parts is a suspect."""
         keys = (report.content_key, *report.part_keys)
         return any(self.suspicion(key) > Suspicion.CLEAR for key in keys)
 
--- a/src/rosepath/platform/calls.py
+++ b/src/rosepath/platform/calls.py
@@ -14,7 +14,7 @@
     sum_counts,
 )
 from rosepath.response_metadata import ResponseMetadata, parse_load
-from rosepath.retry_after import read_retry_after_s
+from rosepath.retry_after import REJECTION_STATUSES, read_retry_after_s
 from rosepath.server_notice import NO_NOTICE, ServerNotice
 
 READY_PATH = "/v1/ready"
@@ -57,8 +57,6 @@
         "Kv-From",
     )
 )
-# Statuses by which a server rejects requests for a while.
-_REJECTIONS = (429, 503)
 _NOT_FORWARDED = HOP_BY_HOP_HEADERS | _INTERNAL | {"Host", "Content-Length", "Expect"}
 
 
@@ -148,7 +146,7 @@
     if status == 421:
         # Another server uses this address now and sent the response.
         return NO_NOTICE
-    retry_after_s = read_retry_after_s(headers) if status in _REJECTIONS else 0.0
+    retry_after_s = read_retry_after_s(headers) if status in REJECTION_STATUSES else 0.0
     stated = headers.get_list(_LIMIT)
     return ServerNotice(
         leaving="1" in headers.get_list(_LEAVING),
--- a/src/rosepath/retry_after.py
+++ b/src/rosepath/retry_after.py
@@ -8,6 +8,8 @@
 
 from rosepath.logs import get_logger
 
+# By which a server rejects requests for a while.
+REJECTION_STATUSES = (429, 503)
 # A longer backoff is taken for a faulty response and capped.
 BACKOFF_MAX_S = 600.0
 MAX_LOGGED_CHARS = 64
--- a/tests/test_unreachable_servers.py
+++ b/tests/test_unreachable_servers.py
@@ -1,6 +1,7 @@
 """Servers whose machines vanish as they crash: nothing closes, connections hang."""
 
 import asyncio
+from dataclasses import replace
 from pathlib import Path
 
 import pytest
@@ -20,46 +21,18 @@
 )
 
 
-def late_requests(
-    directory: Path,
-    *,
-    lapse_after_s: float | None = None,
-    leave_after_s: float | None = None,
-) -> int:
-    """Return how often one request came late."""
-    scenario = CrashScenario(
-        port=PortAfterCrash.UNREACHABLE,
-        vms=3,
-        servers=9,
-        sending_s=12.0,
-        restart_after_s=RESTART_AFTER_S,
-        lapse_after_s=lapse_after_s,
-        leave_after_s=leave_after_s,
-    )
-    return asyncio.run(scenario.late_sends(directory))
+REQUEST = CrashScenario(
+    port=PortAfterCrash.UNREACHABLE,
+    vms=3,
+    servers=9,
+    sending_s=12.0,
+    restart_after_s=RESTART_AFTER_S,
+)
+# A part of prompts, each time in another request.
+PART = replace(REQUEST, cause=CRASHING_PART, known_after=5, headers=PART_HEADERS)
 
 
-def late_parts(
-    directory: Path,
-    kind: str,
-    *,
-    lapse_after_s: float | None = None,
-    leave_after_s: float | None = None,
-) -> int:
-    """Return how often a part of prompts came late, each time in another request."""
-    scenario = CrashScenario(
-        port=PortAfterCrash.UNREACHABLE,
-        cause=CRASHING_PART,
-        kind=kind,
-        known_after=5,
-        headers=PART_HEADERS,
-        vms=3,
-        servers=9,
-        sending_s=12.0,
-        restart_after_s=RESTART_AFTER_S,
-        lapse_after_s=lapse_after_s,
-        leave_after_s=leave_after_s,
-    )
+def late_sends(scenario: CrashScenario, directory: Path) -> int:
     return asyncio.run(scenario.late_sends(directory))
 
 
@@ -69,8 +42,8 @@
 def test_a_request_under_which_machines_vanish_is_known(
     tmp_path: Path, lapse_after_s: float | None
 ) -> None:
-    late = late_requests(tmp_path, lapse_after_s=lapse_after_s)
-    assert late <= MAX_LATE_SENDS
+    scenario = replace(REQUEST, lapse_after_s=lapse_after_s)
+    assert late_sends(scenario, tmp_path) <= MAX_LATE_SENDS
 
 
 # Guards against the same for a part of prompts. Runs that may not be repeated
@@ -80,20 +53,21 @@
 def test_a_part_of_prompts_under_which_machines_vanish_is_known(
     tmp_path: Path, kind: str, lapse_after_s: float | None
 ) -> None:
-    late = late_parts(tmp_path, kind, lapse_after_s=lapse_after_s)
-    assert late <= MAX_LATE_SENDS
+    scenario = replace(PART, kind=kind, lapse_after_s=lapse_after_s)
+    assert late_sends(scenario, tmp_path) <= MAX_LATE_SENDS
 
 
 # Guards against forgetting what ran at a server once its callers have left.
 def test_a_request_under_which_machines_vanish_is_known_after_its_callers_left(
     tmp_path: Path,
 ) -> None:
-    assert late_requests(tmp_path, leave_after_s=LEAVE_AFTER_S) <= MAX_LATE_SENDS
+    scenario = replace(REQUEST, leave_after_s=LEAVE_AFTER_S)
+    assert late_sends(scenario, tmp_path) <= MAX_LATE_SENDS
 
 
 # Guards against the same for a part of prompts.
 def test_a_part_under_which_machines_vanish_is_known_after_its_callers_left(
     tmp_path: Path,
 ) -> None:
-    late = late_parts(tmp_path, "draft", leave_after_s=LEAVE_AFTER_S)
-    assert late <= MAX_LATE_SENDS
+    scenario = replace(PART, leave_after_s=LEAVE_AFTER_S)
+    assert late_sends(scenario, tmp_path) <= MAX_LATE_SENDS
