--- a/src/rosepath/crash_watch.py
+++ b/src/rosepath/crash_watch.py
@@ -122,9 +122,10 @@
 
         The machine of its server may have vanished, which closes no connection.
         One that does something for another run has not, and a run that was only
-        just sent tells nothing: neither is probed.
+        just sent tells nothing: neither is probed. Nor is one that answered since
+        the run fell silent, as requests crash servers as they start.
         """
-        if not self._may_have_crashed(server, run):
+        if not self._may_have_crashed(server, run) or self._was_outlived(server, run):
             return
         self._record_lost(instance_of(server), run)
         if self._report_if_restarted(server):
@@ -162,6 +163,13 @@
         if not self._report_if_restarted(server):
             await self._ask(server)
 
+    def _was_outlived(self, server: BackendServer, run: LostRun) -> bool:
+        """Return whether the server answered after the run had fallen silent."""
+        return any(
+            known.request_id == run.request_id and known.answered_wall_s is not None
+            for known in self._lost_runs.get(instance_of(server), ())
+        )
+
     def _may_have_crashed(self, server: BackendServer, run: LostRun) -> bool:
         """Return whether a server may have crashed: it did not say that it leaves."""
         if server.entry.draining:
--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -357,6 +357,24 @@
     assert asyncio.run(run()) == [1, 2]
 
 
+# Guards against probing a server again and again for one slow run.
+def test_slow_run_causes_one_probe_of_a_server_that_answers() -> None:
+    async def run() -> list[int]:
+        clock, server, counts = ManualClock(), a_server("s1"), []
+
+        async def probe(_: BackendServer, *, limit_s: float) -> ServerContact:
+            counts.append(len(counts) + 1)
+            return ServerContact.ANSWERED
+
+        watch = CrashWatch("vm-1", clock=clock, probe=probe, on_change=lambda: None)
+        for _ in range(10):
+            await watch.note_silent(server, a_run(clock))
+            clock.advance(2 * PROBE_INTERVAL_S)
+        return counts
+
+    assert asyncio.run(run()) == [1]
+
+
 # Guards against a state message for each of hundreds of runs at a dark server.
 def test_only_undecided_runs_that_make_suspects_are_told_at_once() -> None:
     async def run() -> list[int]:
