--- a/src/rosepath/crash_watch.py
+++ b/src/rosepath/crash_watch.py
@@ -376,8 +376,8 @@
         if self.records.note_survived(part_keys):
             self._on_change()
 
-    def note_responded(self, server: BackendServer, request_id: str) -> None:
-        """Forget that a run was silent, as its response is complete."""
+    def note_progress(self, server: BackendServer, request_id: str) -> None:
+        """Forget that a run was silent, as its response goes on or is complete."""
         runs = self._lost_runs.get(instance_of(server), [])
         runs[:] = [run for run in runs if run.request_id != request_id]
 
--- a/src/rosepath/fleet.py
+++ b/src/rosepath/fleet.py
@@ -64,10 +64,13 @@
     run_id: str = ""
     # When it was sent to this server.
     sent_s: float = -1e9
-    # When its first event arrived from this server.
+    # When its first and its last event arrived from this server.
     first_event_s: float | None = None
+    last_event_s: float = -1e9
     # Whether it went on after its start, which is when requests crash servers.
     survived: bool = False
+    # Whether it made no progress when its server was last looked at.
+    silent: bool = False
     # Whether it is suspected of crashing servers and is the only suspect on
     # this one.
     isolated: bool = False
--- a/src/rosepath/relay.py
+++ b/src/rosepath/relay.py
@@ -420,7 +420,7 @@
             progress.note_events(events.count(EVENT_END), now_s=server.last_activity_s)
             context.note_events(now_s=server.last_activity_s)
             in_flight.unread_tokens = 0
-            self._suspects.note_events(context, in_flight)
+            self._suspects.note_events(context, server, in_flight)
             if noting is not None:
                 return _pass_on_after(noting, context.exchange, head, events)
             return _pass_on(context.exchange, head, events)
--- a/src/rosepath/suspect_tracker.py
+++ b/src/rosepath/suspect_tracker.py
@@ -6,7 +6,7 @@
 from rosepath.attempt import AttemptError, ServerResponse
 from rosepath.clock import Clock
 from rosepath.crash_records import Exposure, Suspicion
-from rosepath.crash_watch import CrashWatch, LostRun
+from rosepath.crash_watch import ACTIVE_WITHIN_S, CrashWatch, LostRun
 from rosepath.fleet import BackendServer, InFlightRequest
 from rosepath.isolated_runs import ISOLATION_S
 from rosepath.logs import get_logger
@@ -118,13 +118,19 @@
                 server=server.name,
             )
 
-    def note_events(self, context: RequestContext, in_flight: InFlightRequest) -> None:
+    def note_events(
+        self, context: RequestContext, server: BackendServer, in_flight: InFlightRequest
+    ) -> None:
         """Record that events arrived, and end the isolation of a long run.
 
         Isolation ends once more than `ISOLATION_S` have passed since the first
         event from this server.
         """
         now_s = self._clock.monotonic_s()
+        in_flight.last_event_s = now_s
+        if in_flight.silent:
+            in_flight.silent = False
+            self._crashes.note_progress(server, context.call.request_id)
         if in_flight.first_event_s is None:
             in_flight.first_event_s = now_s
         elif now_s - in_flight.first_event_s > ISOLATION_S:
@@ -154,7 +160,7 @@
         """
         if not response.delimited:
             return
-        self._crashes.note_responded(server, context.call.request_id)
+        self._crashes.note_progress(server, context.call.request_id)
         if response.success:
             self._crashes.note_survived(context.part_keys)
         if self._crashes.suspects_any:
@@ -188,9 +194,12 @@
     ) -> None:
         """Check for a crash of the server of a run without progress.
 
-        The run stays there, or its caller left. `answered` tells whether the head
-        of its response arrived.
+        The run stays there, or its caller left; one that had events a moment ago
+        makes progress. `answered` tells whether the head of its response arrived.
         """
+        if self._clock.monotonic_s() < in_flight.last_event_s + ACTIVE_WITHIN_S:
+            return
+        in_flight.silent = True
         run = self._make_lost_run(context, in_flight, answered=answered)
         self._crashes.note_silent_soon(server, run)
 
--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -327,7 +327,7 @@
         clock, server = ManualClock(), a_server("s1")
         watch = a_crash_watch(clock, contact=ServerContact.UNKNOWN)
         await watch.note_silent(server, a_run(clock))
-        watch.note_responded(server, "q1")
+        watch.note_progress(server, "q1")
         crashed(watch, server, clock)
         assert watch.suspicion("bad") is Suspicion.CLEAR
 
--- a/tests/test_departed_servers.py
+++ b/tests/test_departed_servers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import replace
 
 from entry_builders import a_route
@@ -22,6 +23,7 @@
 from virtual_time import START_S, LoopClock, now_s
 
 from rosepath.catalog import HostRoute, RouteKind
+from rosepath.crash_watch import instance_of
 from rosepath.departed_servers import MIN_IDLE_S, DepartedServers
 
 DEPARTS_AFTER_S = 1.0
@@ -136,3 +138,43 @@
     engine = ScriptedEngine("e1", goes_on)
     caller, _ = serve(engine, goes_dark(engine), depart, route=a_route(timeout_s=20.0))
     assert received_complete_stream(caller)
+
+
+async def requests_charged(
+    script: Callable[[ReceivedRequest], Timetable], *, leave_after_s: float
+) -> int:
+    """Let a caller leave, and then its server; count the requests charged with that."""
+    harness = a_relay_harness(ScriptedEngine("e1", script))
+    caller = generation_caller()
+    with suppress(TimeoutError):
+        async with asyncio.timeout(leave_after_s):
+            await harness.serve(caller)
+    # What the caller left is noted in the background.
+    await asyncio.sleep(0.01)
+    crashes, server = harness.relay._ports.crashes, harness.fleet.servers["e1"]
+    crashes.note_crashed(instance_of(server))
+    return len(crashes.records)
+
+
+# Guards against refusing a request that all callers make alike, as they break its
+# streams off and its servers leave without a word.
+def test_a_stream_that_its_caller_broke_off_is_not_charged_with_a_departure() -> None:
+    async def play() -> None:
+        def flows(received: ReceivedRequest) -> Timetable:
+            times = (0.05 * number for number in range(1, 80))
+            return streams(received, *times, until=79)
+
+        assert await requests_charged(flows, leave_after_s=0.5) == 0
+
+    run(play)
+
+
+# Guards against the same for a stream that paused and went on.
+def test_a_stream_that_went_on_after_a_pause_is_not_charged_with_a_departure() -> None:
+    async def play() -> None:
+        def pauses(received: ReceivedRequest) -> Timetable:
+            return streams(received, 0.05, 1.5, 1.6, 1.7, until=40, ends=False)
+
+        assert await requests_charged(pauses, leave_after_s=1.75) == 0
+
+    run(play)
