Keep the stand-ins' prompts in one place, and correct what undecided runs are

Read as a newcomer: the description of undecided runs still spoke of open ports alone, and the headers that crash stand-in servers stood twice, once outside the modules that may use the platform's names.

--- a/benchmarks/entry_soak.py
+++ b/benchmarks/entry_soak.py
@@ -35,6 +35,7 @@
 from rosepath.errors import ExchangeError
 from rosepath.http_client import HttpPool, Request
 from rosepath_standins.entry_fleet import (
+    CRASHING_HEADERS,
     CRASHING_PART,
     CRASHING_PATH,
     DRAIN_S,
@@ -99,11 +100,6 @@
 CRASHING_KINDS = (*PART_KINDS, "look")
 CRASHING_REPEATS = 30
 CRASHING_INTERVAL_S = 0.25
-CRASHING_HEADERS = {
-    "Model": "m0",
-    "Token-Usage": "300,20",
-    "Prompt-Prefix": f"aa:100,{CRASHING_PART}:100,bb:100",
-}
 ODD_ENTRIES: list[object] = [
     {"version": 10**400},
     {"service": "desk", "address": "127.0.0.1:99999999", "slots": 2**70},
--- a/src/rosepath/undecided_runs.py
+++ b/src/rosepath/undecided_runs.py
@@ -1,4 +1,4 @@
-"""Runs lost at servers of which it is unknown whether they crashed; no I/O."""
+"""Runs at servers of which it is unknown whether they crashed; no I/O."""
 
 import math
 from collections.abc import Iterable
@@ -13,7 +13,7 @@
 
 
 class UndecidedRun(NamedTuple):
-    """What an entry VM will report if the server of a lost run has crashed."""
+    """What an entry VM will report if the server of a run has crashed."""
 
     entry_vm: str
     report: CrashReport
@@ -22,8 +22,9 @@
 class UndecidedRuns:
     """Own the undecided runs of this entry VM and those of its peers.
 
-    The address of such a server accepts connections, which shows no more than
-    that something listens there, but nothing answers.
+    Nothing answers at the address of such a server. That it accepts connections
+    shows no more than that something listens there; that it does not may be the
+    fault of a link.
     """
 
     def __init__(self, me: str) -> None:
--- a/src/rosepath_standins/entry_fleet.py
+++ b/src/rosepath_standins/entry_fleet.py
@@ -40,6 +40,11 @@
 CRASH_DELAY_S = 0.03
 # A part of prompts that crashes each server that begins to answer on it.
 CRASHING_PART = "dead"
+CRASHING_HEADERS = {
+    "Model": "m0",
+    "Token-Usage": "300,20",
+    "Prompt-Prefix": f"aa:100,{CRASHING_PART}:100,bb:100",
+}
 HEALTH_PATH = "/health"
 RETRY_AFTER_S = 3.0
 DRAIN_S = 2.0
--- a/tests/crashing_fleet.py
+++ b/tests/crashing_fleet.py
@@ -10,19 +10,12 @@
 from partitioned_fleet import PartitionedFleet, partitioned_fleet
 
 from rosepath_standins.entry_fleet import (
-    CRASHING_PART,
     CRASHING_PATH,
     SETTLE_S,
     PortAfterCrash,
     Server,
 )
 
-PART_HEADERS = {
-    "Model": "m0",
-    "Token-Usage": "300,20",
-    "Prompt-Prefix": f"aa:100,{CRASHING_PART}:100,bb:100",
-}
-
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class CrashScenario:
--- a/tests/test_crashes_behind_open_ports.py
+++ b/tests/test_crashes_behind_open_ports.py
@@ -4,9 +4,13 @@
 from pathlib import Path
 
 import pytest
-from crashing_fleet import PART_HEADERS, CrashScenario
+from crashing_fleet import CrashScenario
 
-from rosepath_standins.entry_fleet import CRASHING_PART, PortAfterCrash
+from rosepath_standins.entry_fleet import (
+    CRASHING_HEADERS,
+    CRASHING_PART,
+    PortAfterCrash,
+)
 
 # Under a supervisor that starts the next process at once.
 QUICK_RESTART_AFTER_S = 0.1
@@ -45,6 +49,6 @@
     tmp_path: Path, port: PortAfterCrash
 ) -> None:
     scenario = CrashScenario(
-        port=port, cause=CRASHING_PART, known_after=5, headers=PART_HEADERS
+        port=port, cause=CRASHING_PART, known_after=5, headers=CRASHING_HEADERS
     )
     assert asyncio.run(scenario.late_sends(tmp_path)) <= MAX_LATE_SENDS
--- a/tests/test_unreachable_servers.py
+++ b/tests/test_unreachable_servers.py
@@ -5,9 +5,13 @@
 from pathlib import Path
 
 import pytest
-from crashing_fleet import PART_HEADERS, CrashScenario
+from crashing_fleet import CrashScenario
 
-from rosepath_standins.entry_fleet import CRASHING_PART, PortAfterCrash
+from rosepath_standins.entry_fleet import (
+    CRASHING_HEADERS,
+    CRASHING_PART,
+    PortAfterCrash,
+)
 
 # How often a cause of crashes may still reach servers once it is known.
 MAX_LATE_SENDS = 3
@@ -29,7 +33,7 @@
     restart_after_s=RESTART_AFTER_S,
 )
 # A part of prompts, each time in another request.
-PART = replace(REQUEST, cause=CRASHING_PART, known_after=5, headers=PART_HEADERS)
+PART = replace(REQUEST, cause=CRASHING_PART, known_after=5, headers=CRASHING_HEADERS)
 
 
 def late_sends(scenario: CrashScenario, directory: Path) -> int:
