--- a/src/rosepath/entry_node.py
+++ b/src/rosepath/entry_node.py
@@ -85,6 +85,8 @@
 # a second. A VM that does not hold the placement lease checks less often.
 STANDBY_PLAN_TICK_S = 1.0
 PEER_EXPIRY_TICK_S = 0.4
+# Requests that wait unread for less reach servers with about the right deadline.
+LOGGED_PAUSE_S = 0.3
 # Unless all VMs fail within this time of the first server of a new version, the
 # store names it.
 VERSIONS_TICK_S = 0.5
@@ -122,6 +124,7 @@
         self.settings = settings
         self.clock = SystemClock()
         self._created_s = self.clock.monotonic_s()
+        self._peers_step_due_s = math.inf
         self.stopping = False
         self.wait_limit_s = math.inf
         self.runs_end_s = math.inf
@@ -366,7 +369,7 @@
         self.loops.forever(self.scheduling.run)
         self.loops.forever(self.scheduler_host.run_steps)
         self.loops.forever(self.scheduler_host.run_expiry)
-        self.loops.every(PEER_EXPIRY_TICK_S, self.exchange.forget_silent)
+        self.loops.every(PEER_EXPIRY_TICK_S, self._step_peers)
         self.loops.every(ISOLATION_TICK_S, self.data_centre_isolation.step)
         self.loops.every(LEASE_TICK_S, self._step_lease)
         self.loops.every(ISOLATION_TICK_S, self.coordinator.release_if_partitioned)
@@ -420,6 +423,15 @@
         self.exchange.link.note_running()
         await self.coordinator.renew_or_acquire_lease()
 
+    async def _step_peers(self) -> None:
+        """Forget silent peers; log if this process did not run for a while."""
+        now_s = self.clock.monotonic_s()
+        late_s = now_s - self._peers_step_due_s
+        if late_s > LOGGED_PAUSE_S:
+            _log.info("process_paused", for_s=round(late_s, 3))
+        self._peers_step_due_s = now_s + PEER_EXPIRY_TICK_S
+        await self.exchange.forget_silent()
+
     async def _plan(self) -> None:
         """Plan every PLAN_TICK_S while this VM holds the placement lease.
 
--- a/src/rosepath/gateway.py
+++ b/src/rosepath/gateway.py
@@ -15,6 +15,7 @@
     ResponseStartLine,
 )
 
+from rosepath.caller_connection import unread_for_s
 from rosepath.catalog import CallerLimits
 from rosepath.clock import Clock
 from rosepath.held_bytes import HeldBytes
@@ -39,6 +40,8 @@
         self.path = ""
         self.headers = HTTPHeaders()
         self.arrived_s = 0.0
+        # How long the last bytes of its head waited to be read.
+        self.unread_s = 0.0
         self.response_started = False
         # Whether the end of the connection ends the response that was started.
         self._ends_with_close = False
@@ -104,6 +107,7 @@
         self._mark_active()
         self._gateway.reading.add(self)
         self.arrived_s = self._gateway.clock.monotonic_s()
+        self.unread_s = unread_for_s(self._connection.stream.socket)
 
     def data_received(self, chunk: bytes) -> None:
         if self.done:
--- a/src/rosepath/relay.py
+++ b/src/rosepath/relay.py
@@ -726,6 +726,7 @@
             peer=refusal.peer,
             tries=len(context.attempt_evidence),
             age_s=round(self._now_s() - context.call.arrived_s, 3),
+            unread_s=context.exchange.unread_s,
             cut=cut,
             obstacle=context.obstacle,
             repeats_left=self._retry_policy.retries_left(context),
--- a/src/rosepath/request_records.py
+++ b/src/rosepath/request_records.py
@@ -55,6 +55,7 @@
             peer=context.responded_by,
             target=call.prompt.target if call.prompt else "",
             tries=len(context.attempt_evidence),
+            unread_s=context.exchange.unread_s,
             waited_s=round(context.waited_s, 3),
             unread_tokens=context.unread_tokens,
             predicted_s=round(context.predicted_s, 3),
--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -429,6 +429,7 @@
         self.headers = HTTPHeaders({"Host": "court.example", "Request-Id": request_id})
         self.body = b""
         self.arrived_s = now_s()
+        self.unread_s = 0.0
         self.response_started = False
         self._world = simulation
 
--- a/tests/timed_engines.py
+++ b/tests/timed_engines.py
@@ -214,6 +214,7 @@
     method: str = "POST"
     body: bytes = b""
     arrived_s: float = 0.0
+    unread_s: float = 0.0
     response_started: bool = False
     status: int = 0
     received_body: bytes = b""
