Show time beyond the callers' and rests that reach nobody by tests that fail

A server's record tells until when it may work, from the kernel's time of arrival, so that a stand-in that reads late counts for nothing.

--- a/src/rosepath_standins/entry_fleet.py
+++ b/src/rosepath_standins/entry_fleet.py
@@ -24,6 +24,7 @@
 
 from tornado.httpserver import HTTPServer
 
+from rosepath.caller_connection import unread_for_s
 from rosepath_standins.cluster import free_port
 from rosepath_standins.fault_proxy import FaultProxy
 from rosepath_standins.platform import PlatformOptions, PlatformState, make_platform
@@ -144,6 +145,26 @@
     broken_off: set[str] = field(default_factory=set)
     # Request and time of each arrival.
     arrivals_s: list[tuple[str, float]] = field(default_factory=list)
+    # When the caller of a request stops waiting, by request id.
+    caller_deadlines_s: dict[str, float] = field(default_factory=dict)
+    # Request, time of its arrival, and until when its server may work on it.
+    server_deadlines_s: list[tuple[str, float, float]] = field(default_factory=list)
+
+    def note_sending(self, request_id: str, vm: str, *, wait_s: float) -> None:
+        """Record that a caller sends a request now."""
+        self.vm_by_request[request_id] = vm
+        self.caller_deadlines_s[request_id] = time.monotonic() + wait_s
+
+    def excess_times_s(self) -> list[tuple[str, float, float]]:
+        """Return by how much a server may work longer than its caller waits.
+
+        Each is of a request and the time of its arrival; negative if less.
+        """
+        return [
+            (request_id, at_s, until_s - self.caller_deadlines_s[request_id])
+            for request_id, at_s, until_s in self.server_deadlines_s
+            if request_id in self.caller_deadlines_s
+        ]
 
 
 class PortAfterCrash(StrEnum):
@@ -349,6 +370,7 @@
             return
         self.request_log.arrivals[request_id] += 1
         self.request_log.arrivals_s.append((request_id, now_s))
+        self._note_deadline(writer, headers)
         process = f"{self.name} of {self.started_ms}"
         self.request_log.received_requests.append((process, vm, now_s))
         if self.draining:
@@ -385,6 +407,18 @@
         await self._running.wait()
         self.write_response(writer, 200, request_id, f"{path} {request_id}".encode())
 
+    def _note_deadline(
+        self, writer: asyncio.StreamWriter, headers: dict[str, str]
+    ) -> None:
+        """Record until when this server may work on a request."""
+        told_ms = headers.get("request-deadline-ms")
+        left_s = math.inf if told_ms is None else int(told_ms) / 1000
+        # It may lie unread for a while, here or in the kernel.
+        arrived_s = time.monotonic() - unread_for_s(writer.get_extra_info("socket"))
+        self.request_log.server_deadlines_s.append(
+            (headers["request-id"], arrived_s, arrived_s + left_s)
+        )
+
     async def _crash_under(self, cause: str, vm: str) -> None:
         """Crash a moment after a request with the cause has begun to run."""
         self.request_log.crashing_requests.append((cause, vm, time.monotonic()))
--- a/tests/entry_harness.py
+++ b/tests/entry_harness.py
@@ -11,7 +11,7 @@
 
 from rosepath.attempt import AttemptSender
 from rosepath.catalog import Catalog, HostRoute
-from rosepath.clock import SystemClock
+from rosepath.clock import Clock, SystemClock
 from rosepath.configuration_view import UNKNOWN_CONFIGURATION, ConfigurationView
 from rosepath.fleet import Fleet
 from rosepath.gateway import CallerExchange, Gateway
@@ -168,9 +168,10 @@
     configuration: Callable[[], ConfigurationView] = lambda: UNKNOWN_CONFIGURATION,
     on_outcome: Callable[[RequestContext, int, str], None] = lambda *_: None,
     quotas: QuotaPort | None = None,
+    clock: Clock | None = None,
 ) -> AsyncIterator[RunningGateway]:
     """Run a gateway in front of scripted backend servers."""
-    clock, fleet, pool = SystemClock(), Fleet(), HttpPool()
+    clock, fleet, pool = clock or SystemClock(), Fleet(), HttpPool()
     chosen = route or a_route()
     catalog = a_catalog(chosen, workspaces=workspaces)
     listening: dict[str, asyncio.Server] = {}
--- a/tests/test_header_forms.py
+++ b/tests/test_header_forms.py
@@ -23,6 +23,7 @@
     responds,
     responds_quickly,
     run,
+    streams,
 )
 from tornado.httputil import HTTPHeaders
 
@@ -118,10 +119,13 @@
 
 
 async def serve_many(
-    harness: RelayHarness, *, leave_after_s: float | None = None
+    harness: RelayHarness,
+    *,
+    leave_after_s: float | None = None,
+    new_caller: Callable[[str], Caller] = lambda _: plain_service_caller(),
 ) -> list[Caller]:
     """Serve callers, one each 0.1 s; return them."""
-    callers = [plain_service_caller() for _ in range(60)]
+    callers = [new_caller(f"q{number}") for number in range(60)]
 
     async def serve(number: int) -> None:
         with suppress(TimeoutError):
@@ -195,6 +199,46 @@
     run(play)
 
 
+# Guards against the same for streams, whose first events may take longer than their
+# callers wait.
+@pytest.mark.parametrize("resumable", [True, False])
+@pytest.mark.parametrize("others", [2, 1, 0])
+def test_an_engine_that_rejects_late_rests_although_its_callers_have_left(
+    others: int, resumable: bool
+) -> None:
+    async def play() -> None:
+        rejecting = sheds("Retry-After: 3\r\n", after_s=0.6)
+        shedding = [ScriptedEngine(f"e{number}", rejecting) for number in (1, 2)]
+        sound = [ScriptedEngine(f"s{n}", completes_stream) for n in range(others)]
+        harness = a_relay_harness(
+            *shedding, *sound, retries=100.0, route=a_route(resumable=resumable)
+        )
+        await serve_many(harness, leave_after_s=0.3, new_caller=generation_caller)
+        for engine in shedding:
+            assert count_late_sends(engine, 0.6) <= SENDS_IN_BACKOFF
+
+    run(play)
+
+
+# Guards against leaving the callers of slow engines without any, as others leave
+# before the first event.
+def test_slow_engines_serve_on_although_some_callers_leave() -> None:
+    async def play() -> None:
+        slow = partial(streams, until=8)
+        engines = [
+            ScriptedEngine(f"e{number}", lambda received: slow(received, 0.5, 0.6))
+            for number in (1, 2)
+        ]
+        harness = a_relay_harness(*engines)
+        staying, _ = await asyncio.gather(
+            serve_many(harness, new_caller=generation_caller),
+            serve_many(harness, leave_after_s=0.3, new_caller=generation_caller),
+        )
+        assert all(received_complete_stream(caller) for caller in staying)
+
+    run(play)
+
+
 # Guards against leaving the other callers of slow servers without any.
 def test_slow_servers_serve_on_although_some_callers_leave() -> None:
     async def play() -> None:
