Count a caller's time from the first byte of its request

What callers saw: servers that worked on after their callers had given up, as they were told more time than was left.

Cause: the gateway took the time in headers_received; the library reads a head to its end and starts with the next request only after the response before.

Change: callers' connections record when the oldest byte in their read buffer was read. What lies between two requests on a kept connection is not counted, nor line breaks before a request. Ways: a timer from the accepted connection (charges callers who connect ahead), from the end of the request before (charges callers who think); both dropped.

--- a/src/rosepath/caller_connection.py
+++ b/src/rosepath/caller_connection.py
@@ -2,6 +2,12 @@
 
 import socket
 import struct
+from typing import Any
+
+from tornado.httpserver import HTTPServer
+from tornado.iostream import IOStream
+
+from rosepath.clock import Clock
 
 # Of the kernel's `struct tcp_info`: the milliseconds since data last arrived.
 _LAST_RECEIVED_OFFSET = 52
@@ -20,3 +26,43 @@
     except (OSError, struct.error):
         return 0.0
     return float(ago_ms) / 1000
+
+
+class CallerStream(IOStream):
+    """Record when the oldest byte that it holds arrived.
+
+    A caller counts its time from the first byte of a request, which may arrive
+    long before the last one, or before the response to the request before it.
+    """
+
+    def __init__(self, sock: socket.socket, *, clock: Clock, **options: Any) -> None:
+        super().__init__(sock, **options)
+        self.oldest_byte_s = clock.monotonic_s()
+        # How long what was read last had waited in the kernel.
+        self.unread_s = 0.0
+        self._clock = clock
+
+    def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
+        # Line breaks before a request are not part of it, RFC 9112, section 2.2.
+        holds_none = not self._read_buffer_size or self._read_buffer.isspace()
+        size = super().read_from_fd(buf)
+        if size:
+            self.unread_s = unread_for_s(self.socket)
+        if size and holds_none:
+            self.oldest_byte_s = self._clock.monotonic_s()
+        return size
+
+
+class CallerServer(HTTPServer):
+    """Accept connections as `CallerStream`."""
+
+    clock: Clock
+
+    def handle_stream(self, stream: IOStream, address: Any) -> None:
+        timed = CallerStream(
+            stream.socket,
+            clock=self.clock,
+            max_buffer_size=stream.max_buffer_size,
+            read_chunk_size=stream.read_chunk_size,
+        )
+        super().handle_stream(timed, address)
--- a/src/rosepath/gateway.py
+++ b/src/rosepath/gateway.py
@@ -3,9 +3,9 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 from http.client import responses
+from typing import cast
 
 from tornado.http1connection import HTTP1Connection
-from tornado.httpserver import HTTPServer
 from tornado.httputil import (
     HTTPConnection,
     HTTPHeaders,
@@ -15,7 +15,7 @@
     ResponseStartLine,
 )
 
-from rosepath.caller_connection import unread_for_s
+from rosepath.caller_connection import CallerServer, CallerStream
 from rosepath.catalog import CallerLimits
 from rosepath.clock import Clock
 from rosepath.held_bytes import HeldBytes
@@ -106,8 +106,8 @@
         self.headers = headers
         self._mark_active()
         self._gateway.reading.add(self)
-        self.arrived_s = self._gateway.clock.monotonic_s()
-        self.unread_s = unread_for_s(self._connection.stream.socket)
+        stream = cast(CallerStream, self._connection.stream)
+        self.arrived_s, self.unread_s = stream.oldest_byte_s, stream.unread_s
 
     def data_received(self, chunk: bytes) -> None:
         if self.done:
@@ -266,7 +266,8 @@
         self.reading: set[CallerExchange] = set()
         self.closing = False
         limits = CallerLimits()
-        self.server = HTTPServer(self)
+        self.server = CallerServer(self)
+        self.server.clock = clock
         # Tornado's own timer can close a connection on which data has just
         # arrived; CallerExchange has its own.
         self.server.conn_params.header_timeout = None
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -19,6 +19,7 @@
 
     def __init__(self) -> None:
         self.stream = self
+        self.oldest_byte_s = self.unread_s = 0.0
         self.cut_s: float | None = None
 
     def closed(self) -> bool:
