Count the time for which a request lay unread in the kernel

Cause: what a caller sends meanwhile lies in the socket, or in a connection that is not accepted yet, and counted from when it was read.

Change: a read takes off how long ago the kernel received the data (TCP_INFO), which also holds for connections that are accepted late, as at a start.

--- a/src/rosepath/caller_connection.py
+++ b/src/rosepath/caller_connection.py
@@ -49,7 +49,8 @@
         if size:
             self.unread_s = unread_for_s(self.socket)
         if size and holds_none:
-            self.oldest_byte_s = self._clock.monotonic_s()
+            # A process that stands still reads late what arrived meanwhile.
+            self.oldest_byte_s = self._clock.monotonic_s() - self.unread_s
         return size
 
 
