Refuse a request whose caller has no time left

Cause: 0 was taken for absent ('wait_s or timeout_s', twice).

Change: a limit that is stated holds. What is over before it could be sent is refused at once as not run (503 expired), before it counts against a quota; a request that lay unread beyond its limit gets the same.

--- a/src/rosepath/caller_request.py
+++ b/src/rosepath/caller_request.py
@@ -61,6 +61,10 @@
     api_key_digest: str | None = None
     tokens: int | None = None
 
+    def limit_s(self, longest_s: float) -> float:
+        """Return how long the caller waits, `longest_s` at most."""
+        return longest_s if self.wait_s is None else min(self.wait_s, longest_s)
+
     @property
     def continues_stream(self) -> bool:
         """Whether the caller has events of the stream already."""
--- a/src/rosepath/relay.py
+++ b/src/rosepath/relay.py
@@ -132,6 +132,7 @@
             self._refuse_unrouted(exchange, request_id, refusal)
             return
         try:
+            self._refuse_if_expired(context)
             await self._admit(context)
             await self._run_attempts(context)
         except RefusalError as error:
@@ -167,6 +168,17 @@
         request_id = echoed_request_id(exchange.headers) or ""
         self._refuse_unrouted(exchange, request_id, refusal)
 
+    def _refuse_if_expired(self, context: RequestContext) -> None:
+        """Refuse a request whose time was over before it could be sent."""
+        if self._now_s() >= context.deadline_s:
+            raise refuse(
+                503,
+                "expired",
+                "the request's time was over before it was read",
+                step=Step.PARSE,
+                retry_after_s=RETRY_AFTER_S,
+            )
+
     async def _admit(self, context: RequestContext) -> None:
         """Raise RefusalError if the workspace's quota does not allow a request."""
         workspace = context.workspace
@@ -238,7 +250,7 @@
                 step=Step.ROUTE,
                 retry_after_s=RETRY_AFTER_S,
             )
-        limit_s = min(route.timeout_s, call.wait_s or route.timeout_s)
+        limit_s = call.limit_s(route.timeout_s)
         self._ports.budget(service.name).note_request()
         streams = route.kind is RouteKind.STREAMING
         return RequestContext(
@@ -319,7 +331,7 @@
         """Wait briefly for a configuration with the request's route and key."""
         with suppress(TimeoutError):
             async with (
-                asyncio.timeout(min(ROUTE_WAIT_S, call.wait_s or ROUTE_WAIT_S)),
+                asyncio.timeout(call.limit_s(ROUTE_WAIT_S)),
                 self._ports.fleet_changed,
             ):
                 while not self._recognizes(call) and self._ports.configuration().behind:
