Probe a server whose requests were given up before it answered

One engine often is the only one with a model.

Cause: a rejection on a connection that was given up is read by nobody.

Change: a request that ends by its caller's leaving, after the time that its server should have needed, or by its own limit, without anything heard from the server since it was sent, makes the server half-open: one request at a time, after 0.5, 1, then each 2 s, until a response or an event opens it again.

Ways, in trials of one VM: waiting for the answer after the caller left was not built (it keeps servers at work for nobody, and is bound by half a second). Callers who leave before their server could have answered (0.05 s) teach nothing, as before.

--- a/src/rosepath/fleet.py
+++ b/src/rosepath/fleet.py
@@ -17,6 +17,8 @@
 # How long other requests wait after a probe of a half-open server; a server
 # that sheds load refuses the probe at once.
 HALF_OPEN_PROBE_S = 0.25
+# The same at most while nothing is heard; each probe doubles the time.
+UNANSWERED_PROBE_MAX_S = 2.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -127,8 +129,13 @@
     order_busy_until_s: float = -1e9
     # Until when it sheds requests of this VM, as given in its refusal.
     backoff_until_s: float = -1e9
-    # Set by a backoff until the server responds without load shedding.
+    # Set by a backoff, or a request without an answer, until the server responds
+    # without load shedding.
     half_open: bool = False
+    # When a response to this VM last began.
+    heard_s: float = -1e9
+    # Requests without an answer: one that was given up, and the probes sent since.
+    unanswered: int = 0
     # When the last probe request was sent to the half-open server.
     probed_s: float = -1e9
     # The rate of requests that it accepts from all entry VMs together, and when
@@ -180,9 +187,14 @@
         whether it accepts requests again. Sending all waiting requests at once
         would only get them refused again.
         """
-        probing = self.half_open and now_s < self.probed_s + HALF_OPEN_PROBE_S
+        probing = self.half_open and now_s < self.probed_s + self._probe_interval_s
         return self.usable and now_s >= self.paused_until_s and not probing
 
+    @property
+    def _probe_interval_s(self) -> float:
+        interval_s = HALF_OPEN_PROBE_S * 2 ** min(self.unanswered, 8)
+        return max(HALF_OPEN_PROBE_S, min(interval_s, UNANSWERED_PROBE_MAX_S))
+
     def idle_s(self, now_s: float) -> float | None:
         """Return the time since its last progress for this VM, if any."""
         return (
--- a/src/rosepath/relay.py
+++ b/src/rosepath/relay.py
@@ -38,7 +38,9 @@
     note_error,
     note_failure,
     note_response,
+    note_sent,
     note_success,
+    note_unanswered,
 )
 from rosepath.server_limits import apply_limit_notice
 from rosepath.server_notice import ServerNotice
@@ -365,6 +367,8 @@
                     self._picker.give_back_admission(context)
                 context.server_admission = None
                 self._note_failed(context, server, error)
+                if error.timed_out:
+                    note_unanswered(server, sent_s=sent_s, now_s=self._now_s())
                 await self._suspects.note_failed(context, server, in_flight, error)
                 await self._retry_policy.wait_to_retry(context, error)
                 continue
@@ -424,6 +428,10 @@
         connected: list[Connection] = []
         notices: list[ServerNotice] = []
 
+        def on_connected(connection: Connection) -> None:
+            connected.append(connection)
+            note_sent(server)
+
         def on_events(head: ResponseHead, events: bytes) -> Awaitable[None] | None:
             server.last_activity_s = self._now_s()
             noting = None
@@ -488,7 +496,7 @@
             ),
             may_abort=should_leave,
             on_watched=on_watched,
-            on_connected=connected.append,
+            on_connected=on_connected,
             on_notice=on_notice,
             on_load=lambda load: progress.note_load(load, now_s=self._now_s()),
         )
@@ -551,9 +559,12 @@
         """
         self._suspects.note_silent(context, server, in_flight, answered=answered)
         now_s = self._now_s()
+        waited_s = now_s - in_flight.sent_s
+        if waited_s >= self._retry_policy.expected_response_s(context, server):
+            note_unanswered(server, sent_s=in_flight.sent_s, now_s=now_s)
         active = (server.last_activity_s or 0.0) > in_flight.sent_s
         usual_s = self._retry_policy.response_timeout_s(context, server)
-        if not (answered or active) and now_s - in_flight.sent_s >= usual_s:
+        if not (answered or active) and waited_s >= usual_s:
             note_failure(server, now_s=now_s, silent=True)
 
     def _note_first_events(
--- a/src/rosepath/retry_policy.py
+++ b/src/rosepath/retry_policy.py
@@ -55,6 +55,13 @@
         usual_s = MIN_FIRST_EVENT_TIMEOUT_S + FIRST_EVENT_FACTOR * context.predicted_s
         return min(left_s + 1.0, max(usual_s, context.route.target_latency_s))
 
+    @staticmethod
+    def expected_response_s(context: RequestContext, server: BackendServer) -> float:
+        """Return when a server that is not overloaded has begun its response."""
+        if context.event_sequence is None:
+            return _plain_response_s(server)
+        return max(MIN_RESPONSE_TIMEOUT_S, context.predicted_s)
+
     @staticmethod
     def _is_last_attempt(context: RequestContext) -> bool:
         """Return whether no other attempt could follow this one.
--- a/src/rosepath/server_choice.py
+++ b/src/rosepath/server_choice.py
@@ -76,14 +76,41 @@
     until_s = now_s + retry_after_s
     server.backoff_until_s = max(server.backoff_until_s, until_s)
     server.half_open = True
+    _note_heard(server, now_s=now_s)
 
 
 def note_response(server: BackendServer, *, now_s: float) -> None:
     """Record a response without load shedding; it ends the half-open state."""
+    _note_heard(server, now_s=now_s)
     if not server.in_backoff(now_s):
         server.half_open = False
 
 
+def _note_heard(server: BackendServer, *, now_s: float) -> None:
+    server.heard_s = now_s
+    server.unanswered = 0
+
+
+def note_unanswered(server: BackendServer, *, sent_s: float, now_s: float) -> None:
+    """Record that a request was given up before its server answered at all.
+
+    The server may shed load and have asked for a backoff that reached nobody, so
+    that it is probed with one request at a time until it is heard again.
+    """
+    heard_s = max(server.heard_s, server.last_activity_s or 0.0)
+    if heard_s > sent_s or server.unanswered:
+        return
+    server.half_open = True
+    server.unanswered = 1
+    server.probed_s = now_s
+
+
+def note_sent(server: BackendServer) -> None:
+    """Record that a request is sent, as a further probe if the server is unheard."""
+    if server.unanswered:
+        server.unanswered += 1
+
+
 def note_connect_failure(server: BackendServer, *, now_s: float) -> None:
     """Record a failed connection attempt."""
     server.connect_failed_s = now_s
--- a/tests/test_header_forms.py
+++ b/tests/test_header_forms.py
@@ -199,23 +199,64 @@
     run(play)
 
 
-# Guards against the same for streams, whose first events may take longer than their
-# callers wait.
-@pytest.mark.parametrize("resumable", [True, False])
+UNHEARD_ROUTES = {
+    "stream": a_route(),
+    "stream-once": a_route(resumable=False),
+    "once": an_unsafe_route(),
+    "look": a_plain_service_route(),
+}
+
+
+# Guards against the same where no other server could take the requests, so that
+# they go on to one of which nothing has been heard: callers leave, or their time ends,
+# before it rejects.
+@pytest.mark.parametrize("ending", ["leave", "deadline"])
 @pytest.mark.parametrize("others", [2, 1, 0])
-def test_an_engine_that_rejects_late_rests_although_its_callers_have_left(
-    others: int, resumable: bool
+@pytest.mark.parametrize("kind", UNHEARD_ROUTES)
+def test_a_server_whose_rejections_reach_nobody_rests(
+    kind: str, others: int, ending: str
 ) -> None:
+    leaves = ending == "leave"
+    rejected_after_s = 0.6 if leaves else 1.2
+
+    def new_caller(request_id: str) -> Caller:
+        wait_ms = 20_000 if leaves else 1_000
+        if "stream" in kind:
+            return generation_caller(request_id, wait_ms=wait_ms)
+        caller = plain_service_caller()
+        caller.headers["Request-Deadline-Ms"] = str(wait_ms)
+        return caller
+
     async def play() -> None:
-        rejecting = sheds("Retry-After: 3\r\n", after_s=0.6)
+        rejecting = sheds("Retry-After: 3\r\n", after_s=rejected_after_s)
         shedding = [ScriptedEngine(f"e{number}", rejecting) for number in (1, 2)]
-        sound = [ScriptedEngine(f"s{n}", completes_stream) for n in range(others)]
+        serves = completes_stream if "stream" in kind else responds_quickly
+        sound = [ScriptedEngine(f"s{number}", serves) for number in range(others)]
         harness = a_relay_harness(
-            *shedding, *sound, retries=100.0, route=a_route(resumable=resumable)
+            *shedding, *sound, retries=100.0, route=UNHEARD_ROUTES[kind]
         )
-        await serve_many(harness, leave_after_s=0.3, new_caller=generation_caller)
+        leave_after_s = 0.3 if leaves else None
+        await serve_many(harness, leave_after_s=leave_after_s, new_caller=new_caller)
         for engine in shedding:
-            assert count_late_sends(engine, 0.6) <= SENDS_IN_BACKOFF
+            late = count_late_sends(engine, rejected_after_s)
+            assert late <= SENDS_IN_BACKOFF
+
+    run(play)
+
+
+# Guards against an unheard server that stays half-open after it was heard again.
+def test_a_server_that_fell_silent_serves_all_callers_once_it_goes_on() -> None:
+    async def play() -> None:
+        loop = asyncio.get_running_loop()
+        silent_until_s = loop.time() + 2.0
+
+        def script(received: ReceivedRequest) -> Timetable:
+            return responds(received, after_s=max(0.02, silent_until_s - loop.time()))
+
+        harness = a_relay_harness(ScriptedEngine("e1", script), route=an_unsafe_route())
+        await serve_many(harness, leave_after_s=0.3)
+        callers = await serve_many(harness)
+        assert all(caller.status == 200 for caller in callers)
 
     run(play)
 
