Call a server unheard after two requests in a row without an answer

One request without an answer may just have taken too long; two in a row, with nothing heard since the first was sent, are what a rest that reached nobody looks like, and as many may be sent in a rest. server_unanswered tells of each, with how long ago the server moved.

--- a/src/rosepath/fleet.py
+++ b/src/rosepath/fleet.py
@@ -1,5 +1,6 @@
 """Table of backend servers and their state as observed by this entry VM."""
 
+import math
 from collections import Counter, OrderedDict
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field, replace
@@ -17,8 +18,11 @@
 # How long other requests wait after a probe of a half-open server; a server
 # that sheds load refuses the probe at once.
 HALF_OPEN_PROBE_S = 0.25
-# The same at most while nothing is heard; each probe doubles the time.
-UNANSWERED_PROBE_MAX_S = 2.0
+# Requests without an answer after which a server is probed in the same way.
+UNHEARD_AFTER = 2
+# The longest wait after a probe that got no answer; each doubles it.
+UNHEARD_PROBE_MAX_S = 2.0
+MAX_DOUBLINGS = 8
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -134,8 +138,10 @@
     half_open: bool = False
     # When a response to this VM last began.
     heard_s: float = -1e9
-    # Requests without an answer: one that was given up, and the probes sent since.
+    # Requests in a row without an answer, those that were given up and, once it is
+    # unheard, the probes sent since; and when the first of them was sent.
     unanswered: int = 0
+    unanswered_from_s: float = -math.inf
     # When the last probe request was sent to the half-open server.
     probed_s: float = -1e9
     # The rate of requests that it accepts from all entry VMs together, and when
@@ -190,10 +196,17 @@
         probing = self.half_open and now_s < self.probed_s + self._probe_interval_s
         return self.usable and now_s >= self.paused_until_s and not probing
 
+    @property
+    def unheard(self) -> bool:
+        """Return whether too many requests in a row got no answer."""
+        return self.unanswered >= UNHEARD_AFTER
+
     @property
     def _probe_interval_s(self) -> float:
-        interval_s = HALF_OPEN_PROBE_S * 2 ** min(self.unanswered, 8)
-        return max(HALF_OPEN_PROBE_S, min(interval_s, UNANSWERED_PROBE_MAX_S))
+        if not self.unheard:
+            return HALF_OPEN_PROBE_S
+        doublings = min(self.unanswered - UNHEARD_AFTER + 1, MAX_DOUBLINGS)
+        return min(HALF_OPEN_PROBE_S * 2**doublings, UNHEARD_PROBE_MAX_S)
 
     def idle_s(self, now_s: float) -> float | None:
         """Return the time since its last progress for this VM, if any."""
--- a/src/rosepath/relay.py
+++ b/src/rosepath/relay.py
@@ -368,7 +368,7 @@
                 context.server_admission = None
                 self._note_failed(context, server, error)
                 if error.timed_out:
-                    note_unanswered(server, sent_s=sent_s, now_s=self._now_s())
+                    self._note_unanswered(context, server, sent_s=sent_s)
                 await self._suspects.note_failed(context, server, in_flight, error)
                 await self._retry_policy.wait_to_retry(context, error)
                 continue
@@ -561,12 +561,26 @@
         now_s = self._now_s()
         waited_s = now_s - in_flight.sent_s
         if waited_s >= self._retry_policy.expected_response_s(context, server):
-            note_unanswered(server, sent_s=in_flight.sent_s, now_s=now_s)
+            self._note_unanswered(context, server, sent_s=in_flight.sent_s)
         active = (server.last_activity_s or 0.0) > in_flight.sent_s
         usual_s = self._retry_policy.response_timeout_s(context, server)
         if not (answered or active) and waited_s >= usual_s:
             note_failure(server, now_s=now_s, silent=True)
 
+    def _note_unanswered(
+        self, context: RequestContext, server: BackendServer, *, sent_s: float
+    ) -> None:
+        """Note a request that ended without anything heard of its server."""
+        now_s = self._now_s()
+        if note_unanswered(server, sent_s=sent_s, now_s=now_s):
+            _log.info(
+                "server_unanswered",
+                request_id=context.call.request_id,
+                peer=server.name,
+                after_s=round(now_s - sent_s, 3),
+                moved_ago_s=server.idle_s(now_s),
+            )
+
     def _note_first_events(
         self, context: RequestContext, server: BackendServer, connection: Connection
     ) -> Awaitable[None] | None:
--- a/src/rosepath/server_choice.py
+++ b/src/rosepath/server_choice.py
@@ -91,23 +91,30 @@
     server.unanswered = 0
 
 
-def note_unanswered(server: BackendServer, *, sent_s: float, now_s: float) -> None:
+def note_unanswered(server: BackendServer, *, sent_s: float, now_s: float) -> bool:
     """Record that a request was given up before its server answered at all.
 
-    The server may shed load and have asked for a backoff that reached nobody, so
-    that it is probed with one request at a time until it is heard again.
+    The server may shed load and have asked for a backoff that reached nobody. After
+    some in a row it is probed with one request at a time until it is heard again.
+    Return whether that begins now. A single one may just have taken longer than its
+    caller waited.
     """
     heard_s = max(server.heard_s, server.last_activity_s or 0.0)
-    if heard_s > sent_s or server.unanswered:
-        return
+    if heard_s > sent_s or server.unheard:
+        return False
+    if heard_s > server.unanswered_from_s:
+        server.unanswered, server.unanswered_from_s = 0, sent_s
+    server.unanswered += 1
+    if not server.unheard:
+        return False
     server.half_open = True
-    server.unanswered = 1
     server.probed_s = now_s
+    return True
 
 
 def note_sent(server: BackendServer) -> None:
     """Record that a request is sent, as a further probe if the server is unheard."""
-    if server.unanswered:
+    if server.unheard:
         server.unanswered += 1
 
 
