Give the soak heads in pieces, short pauses and the time that servers are told

The soak sent heads whole, never paused a VM for a second only, and could not see rules 5 and 6 of BUDGET: callers now send heads in two pieces, each VM is stopped in turn for 0.3 to 1.2 s each 0.5 to 1.5 s, until when a server may work is compared with when its caller stops waiting (for requests before, in and after a pause), and how often a request ran with its route's attempts.

--- a/benchmarks/entry_checks.py
+++ b/benchmarks/entry_checks.py
@@ -10,6 +10,7 @@
     CRASHING_PATH,
     DRAIN_S,
     EVENTS_PER_STREAM,
+    MAX_ATTEMPTS,
     RETRY_AFTER_S,
     SETTLE_S,
     STREAM_PATHS,
@@ -22,6 +23,11 @@
 
 # The deadline that callers send with each request.
 REQUEST_DEADLINE_S = 4.0
+# How much more time than its caller has left a server may be given.
+DEADLINE_TOLERANCE_S = 0.5
+# Requests that may run more often than their route allows, as the servers that ran
+# them may have ended.
+REQUESTS_OVER_ATTEMPTS = 3
 # A VM must meet its time limits again once it ran this long without a fault.
 RECOVERY_S = SETTLE_S
 # The time a VM has to apply the backoff of a server that shed a request.
@@ -115,6 +121,8 @@
     responses: list[CallerResponse]
     streams: list[TakenUpStream] = field(default_factory=list)
     most_memory_bytes: int = 0
+    # Requests whose heads came in two pieces.
+    sent_in_pieces: set[str] = field(default_factory=set)
 
     def failures(self, *, timed: bool = True) -> dict[str, list[str]]:
         """Return the violations found, by rule.
@@ -126,6 +134,7 @@
             "responses are complete": self._incomplete,
             "streams are of one software version": self._of_two_versions,
             "at most once": self._run_twice,
+            "attempts of a request": self._over_attempts,
             "refused requests did not run": self._refused_and_run,
             "only crashing requests are quarantined": self._wrongly_quarantined,
             "memory of entry VMs": self._over_memory,
@@ -136,6 +145,7 @@
             "no work for a known cause of crashes": self._sent_once_known,
             "rate limits of servers": self._over_limit,
             "retry budget": self._over_retry_budget,
+            "deadlines of servers": self._beyond_deadline,
             "streams go on": self._not_gone_on,
             "responses in time": self._late,
             "planned stops cut no request": self._cut_by_stop,
@@ -201,6 +211,15 @@
             if response.path.startswith(ONCE_PATHS) and runs[response.request_id] > 1
         ]
 
+    def _over_attempts(self) -> list[str]:
+        """Return the requests that ran more often than their route allows."""
+        found = [
+            f"{request_id}: {count}"
+            for request_id, count in self.fleet.request_log.runs.items()
+            if count > MAX_ATTEMPTS
+        ]
+        return found if len(found) > REQUESTS_OVER_ATTEMPTS else []
+
     def _refused_and_run(self) -> list[str]:
         runs = self.fleet.request_log.runs
         return [
@@ -282,6 +301,26 @@
                 found.append(f"{sent} retries in a window of {allowed:.0f}")
         return found
 
+    def _beyond_deadline(self) -> list[str]:
+        """Return the requests for which a server got more time than was left."""
+        return [
+            f"{request_id} by {excess_s:.2f} s"
+            for request_id, at_s, excess_s in self.fleet.request_log.excess_times_s()
+            if excess_s > DEADLINE_TOLERANCE_S and self._knew_arrival(request_id, at_s)
+        ]
+
+    def _knew_arrival(self, request_id: str, at_s: float) -> bool:
+        """Return whether a VM could know when the first byte of a request arrived.
+
+        After a pause of its VM, the kernel tells it of the last piece only.
+        """
+        if request_id not in self.sent_in_pieces:
+            return True
+        log = self.fleet.request_log
+        sent_s = log.caller_deadlines_s[request_id] - REQUEST_DEADLINE_S
+        vm = self.fleet.vms[log.vm_by_request[request_id]]
+        return vm.undisturbed(sent_s - RECOVERY_S, at_s)
+
     def _sent_once_known(self) -> list[str]:
         found = []
         for cause, crash_times_s in self.fleet.request_log.crash_times_s.items():
--- a/benchmarks/entry_soak.py
+++ b/benchmarks/entry_soak.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import functools
+import itertools
 import os
 import random
 import shutil
@@ -19,6 +20,7 @@
 from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
 from contextlib import suppress
 from dataclasses import dataclass, field
+from functools import partial
 from pathlib import Path
 
 import psutil
@@ -48,6 +50,7 @@
     Server,
     caller_headers,
 )
+from rosepath_standins.raw_caller import request_bytes, send_in_pieces
 from rosepath_standins.stream_caller import CallerStream
 
 VMS = 4
@@ -65,6 +68,12 @@
 LEAVING_CALLERS = 4
 LEAVING_INTERVAL_S = 0.1
 PATIENCE_S = (0.01, 0.5)
+# Callers whose heads come in two pieces, beside the others.
+SLOW_CALLERS = 3
+HEAD_PAUSE_S = (0.1, 1.2)
+# Pauses of one VM after the other, and the time between two.
+SHORT_PAUSE_S = (0.3, 1.2)
+PAUSE_INTERVAL_S = (0.5, 1.5)
 CHANGES_WEIGHT = 2
 # Callers that break streams off and take them up elsewhere.
 STREAM_CALLERS = 12
@@ -126,6 +135,7 @@
     foreign_rng: random.Random
     server_rng: random.Random
     caller_rng: random.Random
+    pause_rng: random.Random
     ends_s: float
     # Whether servers of two software versions serve and callers take streams up.
     mixes_versions: bool = False
@@ -136,6 +146,7 @@
     streams: list[TakenUpStream] = field(default_factory=list)
     responses: list[CallerResponse] = field(default_factory=list)
     faults: Counter[str] = field(default_factory=Counter)
+    sent_in_pieces: set[str] = field(default_factory=set)
     request_count: int = 0
     most_memory_bytes: int = 0
 
@@ -145,6 +156,7 @@
             self._run_caller(self.response_rng, ONCE_KINDS) for _ in range(ONCE_CALLERS)
         ]
         tasks += [self._run_leaving_caller() for _ in range(LEAVING_CALLERS)]
+        tasks += [self._run_slow_caller() for _ in range(SLOW_CALLERS)]
         tasks += [self._probe_routes(vm) for vm in self.fleet.vms.values()]
         tasks.append(self._inject_faults(self.rng, self._fault_choices()))
         tasks.append(self._inject_faults(self.store_rng, self._store_fault_choices()))
@@ -165,6 +177,7 @@
             self.space_headers,
         ]
         tasks.append(self._inject_faults(self.server_rng, server_faults))
+        tasks.append(self._pause_by_turns())
         if self.repeats_crashing:
             tasks.append(self.repeat_crashing())
         tasks.append(self._record_memory())
@@ -265,9 +278,7 @@
         body_chunks: AsyncIterator[bytes] | None = None,
         whole_s: float = 0.0,
     ) -> None:
-        self.request_count += 1
-        request_id = f"q{self.request_count}"
-        self.fleet.request_log.vm_by_request[request_id] = vm.name
+        request_id = self._next_request_id(vm)
         request = Request(
             address=vm.address,
             host=HOST,
@@ -275,6 +286,7 @@
             path=path,
             headers=caller_headers(request_id, wait_s=REQUEST_DEADLINE_S)
             | dict(headers or {}),
+            late_headers=lambda: self._note_sending(request_id, vm),
             body=b"x" * 10 if body_chunks is None else b"",
             body_chunks=body_chunks,
             progress_timeout_s=REQUEST_DEADLINE_S + 2.0,
@@ -300,6 +312,51 @@
             )
         )
 
+    def _next_request_id(self, vm: EntryVm) -> str:
+        self.request_count += 1
+        request_id = f"q{self.request_count}"
+        self.fleet.request_log.vm_by_request[request_id] = vm.name
+        return request_id
+
+    def _note_sending(self, request_id: str, vm: EntryVm) -> dict[str, str]:
+        """Record that the first byte of a request is sent; add no header."""
+        self.fleet.request_log.note_sending(
+            request_id, vm.name, wait_s=REQUEST_DEADLINE_S
+        )
+        return {}
+
+    async def _run_slow_caller(self) -> None:
+        """Send requests whose heads come in two pieces."""
+        rng = self.pause_rng
+        while time.monotonic() < self.ends_s:
+            vm = rng.choice(list(self.fleet.vms.values()))
+            request_id = self._next_request_id(vm)
+            self.sent_in_pieces.add(request_id)
+            path = f"/look/{request_id}"
+            whole = request_bytes(request_id, path, wait_s=REQUEST_DEADLINE_S)
+            sent_s, pause_s = time.monotonic(), rng.uniform(*HEAD_PAUSE_S)
+            status, body = 0, b""
+            with suppress(OSError, asyncio.IncompleteReadError):
+                status, body = await send_in_pieces(
+                    vm.address,
+                    whole,
+                    first_bytes=rng.randrange(1, len(whole)),
+                    pause_s=pause_s,
+                    on_sending=partial(self._note_sending, request_id, vm),
+                )
+            self.responses.append(
+                CallerResponse(
+                    request_id,
+                    vm.name,
+                    path,
+                    sent_s,
+                    time.monotonic(),
+                    status,
+                    body,
+                    sent_s + pause_s,
+                )
+            )
+
     async def _run_stream_caller(self) -> None:
         """Begin streams, break them off and take them up at other VMs."""
         rng, pool = self.version_rng, HttpPool()
@@ -438,6 +495,18 @@
         vm.send(signal.SIGCONT)
         vm.note_disturbance()
 
+    async def _pause_by_turns(self) -> None:
+        """Pause one VM after the other, for less than peers take for a failure."""
+        for vm in itertools.cycle(list(self.fleet.vms.values())):
+            await asyncio.sleep(self.pause_rng.uniform(*PAUSE_INTERVAL_S))
+            if time.monotonic() > self.ends_s:
+                return
+            vm.note_disturbance()
+            vm.send(signal.SIGSTOP)
+            await asyncio.sleep(self.pause_rng.uniform(*SHORT_PAUSE_S))
+            vm.send(signal.SIGCONT)
+            vm.note_disturbance()
+
     async def reload_vm(self) -> None:
         vm = self._random_vm()
         vm.write_settings(slack=self.rng.uniform(20.0, 80.0))
@@ -649,6 +718,7 @@
             self.responses,
             self.streams,
             most_memory_bytes=self.most_memory_bytes,
+            sent_in_pieces=self.sent_in_pieces,
         )
         return checks.failures(timed=timed)
 
@@ -684,6 +754,7 @@
         random.Random(f"foreign {seed}"),
         random.Random(f"server {seed}"),
         random.Random(f"caller {seed}"),
+        random.Random(f"pause {seed}"),
         time.monotonic() + duration_s,
         mixes_versions,
         restarts_versions,
