Count the time for which rosepathd reads a request against its limit

The same cause on the related path: the product's own daemon began a caller's Rosepath-Deadline-Ms, and the request timeout, as the handler started, after the whole body. The library tells since when it has the head, by the wall clock; a clock that is set back meanwhile extends nothing.

--- a/src/rosepath/caller_handler.py
+++ b/src/rosepath/caller_handler.py
@@ -228,9 +228,11 @@
                 )
             timeout_s = min(timeout_s, int(header_value) / 1000)
         marked_idempotent = self.marked_idempotent()
+        # By the wall clock, which may have been set back meanwhile.
+        read_for_s = max(0.0, self.request.request_time())
         return RequestOptions(
             idempotent=idempotent and marked_idempotent,
-            deadline_s=self.ports.clock.monotonic_s() + timeout_s,
+            deadline_s=self.ports.clock.monotonic_s() + timeout_s - read_for_s,
             data_centre=settings.data_centre,
             span=span,
         )
--- a/tests/test_request_arrival.py
+++ b/tests/test_request_arrival.py
@@ -7,6 +7,8 @@
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from pathlib import Path
+from types import SimpleNamespace
+from typing import Any, cast
 
 import pytest
 from entry_builders import a_route
@@ -17,10 +19,13 @@
     answer,
     running_gateway,
 )
+from opentelemetry.trace import INVALID_SPAN
+from tornado.httputil import HTTPServerRequest
 
 from rosepath.caller_connection import unread_for_s
+from rosepath.caller_handler import Handler
 from rosepath.catalog import HostRoute, RouteKind
-from rosepath.clock import SystemClock
+from rosepath.clock import ManualClock, SystemClock
 from rosepath.errors import ExchangeError
 from rosepath.http_client import HttpPool, Request
 from rosepath_standins.entry_fleet import HOST, EntryFleet, EntryVm, caller_headers
@@ -38,6 +43,15 @@
 LIMIT_S = 10.0
 
 
+class FakeConnection:
+    """Stand in for the connection of a request that was read."""
+
+    context = None
+
+    def set_close_callback(self, _: Callable[[], None]) -> None:
+        return
+
+
 class AheadClock(SystemClock):
     """Run ahead of the system's clock by what a test adds."""
 
@@ -172,6 +186,28 @@
     assert told_s(received) <= 1.0
 
 
+# Guards against counting the time of a body from its end, in the product's own daemon.
+@pytest.mark.parametrize(("read_for_s", "left_s"), [(0.9, 3.1), (-60.0, 4.0)])
+def test_the_time_for_which_a_body_is_read_counts(
+    read_for_s: float, left_s: float
+) -> None:
+    handler = SimpleNamespace(
+        ports=SimpleNamespace(
+            settings=SimpleNamespace(
+                routing=SimpleNamespace(request_timeout_s=WAIT_S), data_centre="a"
+            ),
+            clock=ManualClock(start_s=1000.0),
+        ),
+        request=HTTPServerRequest(method="GET", uri="/", connection=FakeConnection()),
+        marked_idempotent=lambda: True,
+    )
+    handler.request._start_time -= read_for_s
+    options = Handler.request_options(
+        cast(Any, handler), idempotent=True, span=INVALID_SPAN
+    )
+    assert options.deadline_s == pytest.approx(1000.0 + left_s, abs=0.5)
+
+
 async def excess_after_pauses(directory: Path) -> list[float]:
     """Return by how much servers were told too much, as two VMs pause by turns.
 
