--- a/benchmarks/entry_soak.py
+++ b/benchmarks/entry_soak.py
@@ -17,71 +17,54 @@
 import tempfile
 import time
 from collections import Counter
-from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
+from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import suppress
 from dataclasses import dataclass, field
-from functools import partial
 from pathlib import Path
 
 import psutil
 
 from benchmarks._private import inject_faults, process_usage
+from benchmarks.entry_callers import SoakCallers
 from benchmarks.entry_checks import (
-    REQUEST_DEADLINE_S,
     CallerResponse,
     EntryChecks,
-    StreamAttemptRecord,
     TakenUpStream,
     describe_streams,
 )
-from rosepath.errors import ExchangeError
-from rosepath.http_client import HttpPool, Request
+from rosepath.http_client import HttpPool
 from rosepath_standins.entry_fleet import (
     CRASHING_HEADERS,
     CRASHING_PART,
     CRASHING_PATH,
     DRAIN_S,
     GRACE_S,
-    HOST,
     SOFTWARE_VERSIONS,
     EntryFleet,
     EntryVm,
     PortAfterCrash,
     Server,
-    caller_headers,
 )
-from rosepath_standins.raw_caller import request_bytes, send_in_pieces
-from rosepath_standins.stream_caller import CallerStream
 
 VMS = 4
 SERVERS = 6
 CALLERS = 12
-CALL_INTERVAL_S = 0.02
 FAULT_INTERVAL_S = (0.4, 1.6)
 # Requests that crash servers are drawn more often than the other faults.
 CRASHING_WEIGHT = 3
-REQUEST_KINDS = ("look", "file", "draft")
 # Callers of requests that may run once, beside the others.
 ONCE_CALLERS = 6
 ONCE_KINDS = ("file", "once")
 # Callers that give up early, beside the others.
 LEAVING_CALLERS = 4
-LEAVING_INTERVAL_S = 0.1
-PATIENCE_S = (0.01, 0.5)
 # Callers whose heads come in two pieces, beside the others.
 SLOW_CALLERS = 3
-HEAD_PAUSE_S = (0.1, 1.2)
 # Pauses of one VM after the other, and the time between two.
 SHORT_PAUSE_S = (0.3, 1.2)
 PAUSE_INTERVAL_S = (0.5, 1.5)
 CHANGES_WEIGHT = 2
 # Callers that break streams off and take them up elsewhere.
 STREAM_CALLERS = 12
-MAX_STREAM_ATTEMPTS = 4
-MAX_STREAM_PAUSE_S = 1.0
-# Probes cover the routes added last, including those dropped since.
-PROBED_ROUTES = 6
-PROBE_INTERVAL_S = 0.1
 RESTART_PAUSE_S = 0.3
 SLOW_RESPONSE_S = 0.7
 STALL_S = 0.5
@@ -124,10 +107,10 @@
     """One soak run: its fleet, its callers and the faults injected."""
 
     fleet: EntryFleet
+    callers: SoakCallers
     # Faults, callers and store faults draw from separate generators, so that
     # the fault sequence of a seed does not depend on the others.
     rng: random.Random
-    call_rng: random.Random
     store_rng: random.Random
     limit_rng: random.Random
     response_rng: random.Random
@@ -143,21 +126,19 @@
     restarts_versions: bool = False
     # Whether a cause of crashes is sent again and again from the start on.
     repeats_crashing: bool = False
-    streams: list[TakenUpStream] = field(default_factory=list)
-    responses: list[CallerResponse] = field(default_factory=list)
     faults: Counter[str] = field(default_factory=Counter)
-    sent_in_pieces: set[str] = field(default_factory=set)
-    request_count: int = 0
     most_memory_bytes: int = 0
 
+    @property
+    def responses(self) -> list[CallerResponse]:
+        return self.callers.responses
+
+    @property
+    def streams(self) -> list[TakenUpStream]:
+        return self.callers.streams
+
     async def run(self) -> None:
-        tasks = [self._run_caller(self.call_rng) for _ in range(CALLERS)]
-        tasks += [
-            self._run_caller(self.response_rng, ONCE_KINDS) for _ in range(ONCE_CALLERS)
-        ]
-        tasks += [self._run_leaving_caller() for _ in range(LEAVING_CALLERS)]
-        tasks += [self._run_slow_caller() for _ in range(SLOW_CALLERS)]
-        tasks += [self._probe_routes(vm) for vm in self.fleet.vms.values()]
+        tasks = self._caller_tasks()
         tasks.append(self._inject_faults(self.rng, self._fault_choices()))
         tasks.append(self._inject_faults(self.store_rng, self._store_fault_choices()))
         tasks.append(self._inject_faults(self.limit_rng, [self.limit_rate]))
@@ -182,11 +163,24 @@
             tasks.append(self.repeat_crashing())
         tasks.append(self._record_memory())
         if self.mixes_versions:
-            tasks += [self._run_stream_caller() for _ in range(STREAM_CALLERS)]
             changes = [self.change_version, self.change_version, self.kill_two_vms]
             tasks.append(self._inject_faults(self.version_rng, changes))
         await asyncio.gather(*tasks, self._record_stalls())
 
+    def _caller_tasks(self) -> list[Awaitable[None]]:
+        callers = self.callers
+        tasks = [callers.run_caller(callers.call_rng) for _ in range(CALLERS)]
+        tasks += [
+            callers.run_caller(self.response_rng, ONCE_KINDS)
+            for _ in range(ONCE_CALLERS)
+        ]
+        tasks += [callers.run_leaving_caller() for _ in range(LEAVING_CALLERS)]
+        tasks += [callers.run_slow_caller() for _ in range(SLOW_CALLERS)]
+        tasks += [callers.probe_routes(vm) for vm in self.fleet.vms.values()]
+        if self.mixes_versions:
+            tasks += [callers.run_stream_caller() for _ in range(STREAM_CALLERS)]
+        return [*tasks]
+
     async def _record_stalls(self) -> None:
         """Record when this process stalled, and with it the store."""
         while time.monotonic() < self.ends_s:
@@ -232,173 +226,6 @@
     def _store_fault_choices(self) -> list[Fault]:
         return [*[self.change_routes] * CHANGES_WEIGHT, self.slow_store, self.slow_link]
 
-    # Callers
-
-    async def _run_caller(
-        self, rng: random.Random, kinds: tuple[str, ...] = REQUEST_KINDS
-    ) -> None:
-        pool = HttpPool()
-        while time.monotonic() < self.ends_s:
-            vm = rng.choice(list(self.fleet.vms.values()))
-            kind = rng.choice(kinds)
-            await self._send_request(pool, vm, f"/{kind}/{self.request_count}")
-            await asyncio.sleep(CALL_INTERVAL_S)
-        pool.close()
-
-    async def _run_leaving_caller(self) -> None:
-        """Send requests and leave before most of them are answered."""
-        rng, pool = self.caller_rng, HttpPool()
-        while time.monotonic() < self.ends_s:
-            vm = rng.choice(list(self.fleet.vms.values()))
-            path = f"/{rng.choice(REQUEST_KINDS)}/{self.request_count}"
-            with suppress(TimeoutError):
-                async with asyncio.timeout(rng.uniform(*PATIENCE_S)):
-                    await self._send_request(pool, vm, path)
-            await asyncio.sleep(LEAVING_INTERVAL_S)
-        pool.close()
-
-    async def _probe_routes(self, vm: EntryVm) -> None:
-        """Send one VM requests for recently added or dropped routes."""
-        pool = HttpPool()
-        while time.monotonic() < self.ends_s:
-            name = self.call_rng.choice(
-                list(self.fleet.added_routes)[-PROBED_ROUTES:] or REQUEST_KINDS
-            )
-            await self._send_request(pool, vm, f"/{name}/{self.request_count}")
-            await asyncio.sleep(PROBE_INTERVAL_S)
-        pool.close()
-
-    async def _send_request(
-        self,
-        pool: HttpPool,
-        vm: EntryVm,
-        path: str,
-        *,
-        headers: Mapping[str, str] | None = None,
-        body_chunks: AsyncIterator[bytes] | None = None,
-        whole_s: float = 0.0,
-    ) -> None:
-        request_id = self._next_request_id(vm)
-        request = Request(
-            address=vm.address,
-            host=HOST,
-            method="POST",
-            path=path,
-            headers=caller_headers(request_id, wait_s=REQUEST_DEADLINE_S)
-            | dict(headers or {}),
-            late_headers=lambda: self._note_sending(request_id, vm),
-            body=b"x" * 10 if body_chunks is None else b"",
-            body_chunks=body_chunks,
-            progress_timeout_s=REQUEST_DEADLINE_S + 2.0,
-        )
-        sent_s = time.monotonic()
-        status, body = 0, b""
-        try:
-            head, body = await pool.fetch(request)
-            status = head.status
-        except ExchangeError as error:
-            if not error.sent:
-                return
-        self.responses.append(
-            CallerResponse(
-                request_id,
-                vm.name,
-                path,
-                sent_s,
-                time.monotonic(),
-                status,
-                body,
-                whole_s,
-            )
-        )
-
-    def _next_request_id(self, vm: EntryVm) -> str:
-        self.request_count += 1
-        request_id = f"q{self.request_count}"
-        self.fleet.request_log.vm_by_request[request_id] = vm.name
-        return request_id
-
-    def _note_sending(self, request_id: str, vm: EntryVm) -> dict[str, str]:
-        """Record that the first byte of a request is sent; add no header."""
-        self.fleet.request_log.note_sending(
-            request_id, vm.name, wait_s=REQUEST_DEADLINE_S
-        )
-        return {}
-
-    async def _run_slow_caller(self) -> None:
-        """Send requests whose heads come in two pieces."""
-        rng = self.pause_rng
-        while time.monotonic() < self.ends_s:
-            vm = rng.choice(list(self.fleet.vms.values()))
-            request_id = self._next_request_id(vm)
-            self.sent_in_pieces.add(request_id)
-            path = f"/look/{request_id}"
-            whole = request_bytes(request_id, path, wait_s=REQUEST_DEADLINE_S)
-            sent_s, pause_s = time.monotonic(), rng.uniform(*HEAD_PAUSE_S)
-            status, body = 0, b""
-            with suppress(OSError, asyncio.IncompleteReadError):
-                status, body = await send_in_pieces(
-                    vm.address,
-                    whole,
-                    first_bytes=rng.randrange(1, len(whole)),
-                    pause_s=pause_s,
-                    on_sending=partial(self._note_sending, request_id, vm),
-                )
-            self.responses.append(
-                CallerResponse(
-                    request_id,
-                    vm.name,
-                    path,
-                    sent_s,
-                    time.monotonic(),
-                    status,
-                    body,
-                    sent_s + pause_s,
-                )
-            )
-
-    async def _run_stream_caller(self) -> None:
-        """Begin streams, break them off and take them up at other VMs."""
-        rng, pool = self.version_rng, HttpPool()
-        while time.monotonic() < self.ends_s:
-            stream = TakenUpStream(CallerStream(path="/draft/taken-up", host=HOST))
-            for _ in range(MAX_STREAM_ATTEMPTS):
-                if stream.caller.complete:
-                    break
-                await self._attempt_stream(pool, stream)
-                await asyncio.sleep(rng.uniform(0.0, MAX_STREAM_PAUSE_S))
-            self.streams.append(stream)
-        pool.close()
-
-    async def _attempt_stream(self, pool: HttpPool, stream: TakenUpStream) -> None:
-        vm = self.version_rng.choice(list(self.fleet.vms.values()))
-        break_after = self.version_rng.choice((1, 3, 6, None))
-        self.request_count += 1
-        request_id = f"q{self.request_count}"
-        self.fleet.request_log.vm_by_request[request_id] = vm.name
-        versions = stream.caller.software_versions
-        servers = sum(
-            server.software_version in versions and not server.draining
-            for server in self.fleet.servers.values()
-            if server.listening
-        )
-        sent_s = time.monotonic()
-        attempt = await stream.caller.attempt(
-            pool, vm.address, request_id, break_after=break_after
-        )
-        stream.attempts.append(
-            StreamAttemptRecord(
-                vm=vm.name,
-                sent_s=sent_s,
-                ended_s=time.monotonic(),
-                continues=bool(versions),
-                servers=servers,
-                went_on=bool(attempt.events),
-            )
-        )
-
-    # Faults
-
     async def change_version(self) -> None:
         """Replace a server by one of the other software version."""
         remaining = [
@@ -483,8 +310,8 @@
             await asyncio.sleep(pause_s)
             yield b"y"
 
-        path = f"/{kind}/{self.request_count}"
-        await self._send_request(pool, vm, path, body_chunks=body(), whole_s=whole_s)
+        path = f"/{kind}/{self.callers.request_count}"
+        await self.callers.send(pool, vm, path, body_chunks=body(), whole_s=whole_s)
         pool.close()
 
     async def pause_vm(self) -> None:
@@ -658,7 +485,7 @@
         pool = HttpPool()
         path = f"{CRASHING_PATH}/{self.rng.randrange(2)}"
         for vm in self.rng.sample(list(self.fleet.vms.values()), 2):
-            await self._send_request(pool, vm, path)
+            await self.callers.send(pool, vm, path)
         pool.close()
 
     async def repeat_crashing(self) -> None:
@@ -673,9 +500,9 @@
             vm = rng.choice(list(self.fleet.vms.values()))
             path, headers = f"{CRASHING_PATH}/repeated", {}
             if kind in PART_KINDS:
-                path = f"/{kind}/{CRASHING_PART}/{self.request_count}"
+                path = f"/{kind}/{CRASHING_PART}/{self.callers.request_count}"
                 headers = CRASHING_HEADERS
-            sent = self._send_request(pool, vm, path, headers=headers)
+            sent = self.callers.send(pool, vm, path, headers=headers)
             sending.append(asyncio.ensure_future(sent))
             await asyncio.sleep(CRASHING_INTERVAL_S)
         await asyncio.gather(*sending)
@@ -718,7 +545,7 @@
             self.responses,
             self.streams,
             most_memory_bytes=self.most_memory_bytes,
-            sent_in_pieces=self.sent_in_pieces,
+            sent_in_pieces=self.callers.sent_in_pieces,
         )
         return checks.failures(timed=timed)
 
@@ -743,19 +570,27 @@
     )
     versions = SOFTWARE_VERSIONS if mixes_versions else SOFTWARE_VERSIONS[:1]
     await fleet.start(vms=vms, servers=SERVERS, software_versions=versions)
+    callers = SoakCallers(
+        fleet=fleet,
+        ends_s=time.monotonic() + duration_s,
+        call_rng=random.Random(-seed),
+        version_rng=random.Random(f"version {seed}"),
+        caller_rng=random.Random(f"caller {seed}"),
+        pause_rng=random.Random(f"pause {seed}"),
+    )
     run = EntrySoak(
         fleet,
+        callers,
         random.Random(seed),
-        random.Random(-seed),
         random.Random(f"store {seed}"),
         random.Random(f"limit {seed}"),
         random.Random(f"response {seed}"),
-        random.Random(f"version {seed}"),
+        callers.version_rng,
         random.Random(f"foreign {seed}"),
         random.Random(f"server {seed}"),
-        random.Random(f"caller {seed}"),
-        random.Random(f"pause {seed}"),
-        time.monotonic() + duration_s,
+        callers.caller_rng,
+        callers.pause_rng,
+        callers.ends_s,
         mixes_versions,
         restarts_versions,
         repeats_crashing,
