Count only requests that were sent as unanswered

Only what was sent can have been answered by a rest. The callers' server takes its clock as an argument.

--- a/src/rosepath/caller_connection.py
+++ b/src/rosepath/caller_connection.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from tornado.httpserver import HTTPServer
+from tornado.httputil import HTTPServerConnectionDelegate
 from tornado.iostream import IOStream
 
 from rosepath.clock import Clock
@@ -57,12 +58,16 @@
 class CallerServer(HTTPServer):
     """Accept connections as `CallerStream`."""
 
-    clock: Clock
+    def initialize(  # type: ignore[override]
+        self, delegate: HTTPServerConnectionDelegate, *, clock: Clock
+    ) -> None:
+        super().initialize(delegate)
+        self._clock = clock
 
     def handle_stream(self, stream: IOStream, address: Any) -> None:
         timed = CallerStream(
             stream.socket,
-            clock=self.clock,
+            clock=self._clock,
             max_buffer_size=stream.max_buffer_size,
             read_chunk_size=stream.read_chunk_size,
         )
--- a/src/rosepath/gateway.py
+++ b/src/rosepath/gateway.py
@@ -266,8 +266,7 @@
         self.reading: set[CallerExchange] = set()
         self.closing = False
         limits = CallerLimits()
-        self.server = CallerServer(self)
-        self.server.clock = clock
+        self.server = CallerServer(self, clock=clock)
         # Tornado's own timer can close a connection on which data has just
         # arrived; CallerExchange has its own.
         self.server.conn_params.header_timeout = None
--- a/src/rosepath/relay.py
+++ b/src/rosepath/relay.py
@@ -367,7 +367,7 @@
                     self._picker.give_back_admission(context)
                 context.server_admission = None
                 self._note_failed(context, server, error)
-                if error.timed_out:
+                if error.timed_out and error.evidence is not Evidence.NOT_SENT:
                     self._note_unanswered(context, server, sent_s=sent_s)
                 await self._suspects.note_failed(context, server, in_flight, error)
                 await self._retry_policy.wait_to_retry(context, error)
--- a/tests/test_header_forms.py
+++ b/tests/test_header_forms.py
@@ -244,6 +244,20 @@
     run(play)
 
 
+# Guards against taking connections that hang, on a link that is cut, for requests
+# without an answer: once it heals, nobody has to wait.
+def test_a_server_to_which_nothing_was_sent_is_not_unheard() -> None:
+    async def play() -> None:
+        engine = ScriptedEngine("e1", responds_quickly, unreachable=True)
+        harness = a_relay_harness(engine, route=an_unsafe_route())
+        for _ in range(3):
+            await harness.serve(plain_service_caller())
+        server = harness.fleet.servers["e1"]
+        assert server.connect_failed_s > 0 and not server.half_open
+
+    run(play)
+
+
 # Guards against an unheard server that stays half-open after it was heard again.
 def test_a_server_that_fell_silent_serves_all_callers_once_it_goes_on() -> None:
     async def play() -> None:
