--- a/src/rosepath/caller_connection.py
+++ b/src/rosepath/caller_connection.py
@@ -65,6 +65,8 @@
         self._clock = clock
 
     def handle_stream(self, stream: IOStream, address: Any) -> None:
+        # The library accepts connections as plain streams, which have not been
+        # used yet.
         timed = CallerStream(
             stream.socket,
             clock=self._clock,
--- a/src/rosepath/entry_node.py
+++ b/src/rosepath/entry_node.py
@@ -85,7 +85,7 @@
 # a second. A VM that does not hold the placement lease checks less often.
 STANDBY_PLAN_TICK_S = 1.0
 PEER_EXPIRY_TICK_S = 0.4
-# Requests that wait unread for less reach servers with about the right deadline.
+# Shorter pauses of the process explain no late response and no lost lease.
 LOGGED_PAUSE_S = 0.3
 # Unless all VMs fail within this time of the first server of a new version, the
 # store names it.
--- a/src/rosepath/fleet.py
+++ b/src/rosepath/fleet.py
@@ -18,11 +18,10 @@
 # How long other requests wait after a probe of a half-open server; a server
 # that sheds load refuses the probe at once.
 HALF_OPEN_PROBE_S = 0.25
-# Requests without an answer after which a server is probed in the same way.
+# Requests without an answer after which a server is probed in the same way, and
+# how long others wait then, and after each probe; the last one repeats.
 UNHEARD_AFTER = 2
-# The longest wait after a probe that got no answer; each doubles it.
-UNHEARD_PROBE_MAX_S = 2.0
-MAX_DOUBLINGS = 8
+UNHEARD_PROBE_INTERVALS_S = (0.5, 1.0, 2.0)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -133,7 +132,7 @@
     order_busy_until_s: float = -1e9
     # Until when it sheds requests of this VM, as given in its refusal.
     backoff_until_s: float = -1e9
-    # Set by a backoff, or a request without an answer, until the server responds
+    # Set by a backoff, or by requests without an answer, until the server responds
     # without load shedding.
     half_open: bool = False
     # When a response to this VM last began.
@@ -205,8 +204,9 @@
     def _probe_interval_s(self) -> float:
         if not self.unheard:
             return HALF_OPEN_PROBE_S
-        doublings = min(self.unanswered - UNHEARD_AFTER + 1, MAX_DOUBLINGS)
-        return min(HALF_OPEN_PROBE_S * 2**doublings, UNHEARD_PROBE_MAX_S)
+        probes = self.unanswered - UNHEARD_AFTER
+        last = len(UNHEARD_PROBE_INTERVALS_S) - 1
+        return UNHEARD_PROBE_INTERVALS_S[min(probes, last)]
 
     def idle_s(self, now_s: float) -> float | None:
         """Return the time since its last progress for this VM, if any."""
--- a/src/rosepath/relay.py
+++ b/src/rosepath/relay.py
@@ -171,7 +171,7 @@
         self._refuse_unrouted(exchange, request_id, refusal)
 
     def _refuse_if_expired(self, context: RequestContext) -> None:
-        """Refuse a request whose time was over before it could be sent."""
+        """Refuse a request whose time was over before it was read."""
         if self._now_s() >= context.deadline_s:
             raise refuse(
                 503,
--- a/src/rosepath_standins/raw_caller.py
+++ b/src/rosepath_standins/raw_caller.py
@@ -6,14 +6,11 @@
 from rosepath_standins.entry_fleet import HOST, caller_headers
 
 
-def request_bytes(
-    request_id: str, path: str, *, wait_s: float, close: bool = False
-) -> bytes:
+def request_bytes(request_id: str, path: str, *, wait_s: float) -> bytes:
     """Return a request without a body."""
     headers = {"Host": HOST} | caller_headers(request_id, wait_s=wait_s)
-    if close:
-        headers["Connection"] = "close"
-    lines = [f"GET {path} HTTP/1.1", *(f"{n}: {v}" for n, v in headers.items())]
+    lines = [f"GET {path} HTTP/1.1"]
+    lines += [f"{name}: {value}" for name, value in headers.items()]
     return ("\r\n".join(lines) + "\r\n\r\n").encode()
 
 
