--- a/tests/test_request_arrival.py
+++ b/tests/test_request_arrival.py
@@ -20,7 +20,7 @@
     running_gateway,
 )
 from opentelemetry.trace import INVALID_SPAN
-from tornado.httputil import HTTPServerRequest
+from tornado.httputil import HTTPServerRequest, RequestStartLine
 
 from rosepath.caller_connection import unread_for_s
 from rosepath.caller_handler import Handler
@@ -198,7 +198,10 @@
             ),
             clock=ManualClock(start_s=1000.0),
         ),
-        request=HTTPServerRequest(method="GET", uri="/", connection=FakeConnection()),
+        request=HTTPServerRequest(
+            start_line=RequestStartLine("GET", "/", "HTTP/1.1"),
+            connection=FakeConnection(),
+        ),
         marked_idempotent=lambda: True,
     )
     handler.request._start_time -= read_for_s
