--- a/tests/test_request_arrival.py
+++ b/tests/test_request_arrival.py
@@ -20,7 +20,7 @@
     running_gateway,
 )
 from opentelemetry.trace import INVALID_SPAN
-from tornado.httputil import HTTPServerRequest, RequestStartLine
+from tornado.httputil import HTTPHeaders, HTTPServerRequest, RequestStartLine
 
 from rosepath.caller_connection import unread_for_s
 from rosepath.caller_handler import Handler
@@ -200,6 +200,7 @@
         ),
         request=HTTPServerRequest(
             start_line=RequestStartLine("GET", "/", "HTTP/1.1"),
+            headers=HTTPHeaders({"Host": "court.example"}),
             connection=FakeConnection(),
         ),
         marked_idempotent=lambda: True,
