--- a/benchmarks/entry_callers.py
+++ b/benchmarks/entry_callers.py
@@ -139,29 +139,35 @@
 
     async def run_slow_caller(self) -> None:
         """Send requests whose heads come in two pieces."""
-        rng = self.pause_rng
         while time.monotonic() < self.ends_s:
-            vm = rng.choice(list(self.fleet.vms.values()))
-            request_id = self._next_request_id(vm)
-            self.sent_in_pieces.add(request_id)
-            path = f"/look/{request_id}"
-            whole = request_bytes(request_id, path, wait_s=REQUEST_DEADLINE_S)
-            sent_s, pause_s = time.monotonic(), rng.uniform(*HEAD_PAUSE_S)
-            status, body = 0, b""
-            with suppress(OSError, asyncio.IncompleteReadError):
-                status, body = await send_in_pieces(
-                    vm.address,
-                    whole,
-                    first_bytes=rng.randrange(1, len(whole)),
-                    pause_s=pause_s,
-                    on_sending=partial(self._note_sending, request_id, vm),
-                )
-            now_s, whole_s = time.monotonic(), sent_s + pause_s
-            self.responses.append(
-                CallerResponse(
-                    request_id, vm.name, path, sent_s, now_s, status, body, whole_s
-                )
+            vm = self.pause_rng.choice(list(self.fleet.vms.values()))
+            await self._send_in_pieces(vm)
+            await asyncio.sleep(CALL_INTERVAL_S)
+
+    async def _send_in_pieces(self, vm: EntryVm) -> None:
+        request_id = self._next_request_id(vm)
+        path = f"/look/{request_id}"
+        whole = request_bytes(request_id, path, wait_s=REQUEST_DEADLINE_S)
+        pause_s = self.pause_rng.uniform(*HEAD_PAUSE_S)
+        sent_s, status, body = time.monotonic(), 0, b""
+        with suppress(OSError, asyncio.IncompleteReadError):
+            status, body = await send_in_pieces(
+                vm.address,
+                whole,
+                first_bytes=self.pause_rng.randrange(1, len(whole)),
+                pause_s=pause_s,
+                on_sending=partial(self._note_sending, request_id, vm),
             )
+        if request_id not in self.fleet.request_log.caller_deadlines_s:
+            # The connection was refused.
+            return
+        self.sent_in_pieces.add(request_id)
+        now_s, whole_s = time.monotonic(), sent_s + pause_s
+        self.responses.append(
+            CallerResponse(
+                request_id, vm.name, path, sent_s, now_s, status, body, whole_s
+            )
+        )
 
     async def run_stream_caller(self) -> None:
         """Begin streams, break them off and take them up at other VMs."""
