--- a/tests/test_request_arrival.py
+++ b/tests/test_request_arrival.py
@@ -96,8 +96,8 @@
     return server.requests
 
 
-def unread_bytes(node: RunningGateway) -> int:
-    """Return how much of unfinished heads a gateway has read."""
+def buffered_bytes(node: RunningGateway) -> int:
+    """Return how much a gateway has read of heads that are not complete."""
     return sum(
         exchange._connection.stream._read_buffer_size for exchange in node.gateway.idle
     )
@@ -115,7 +115,7 @@
             clock.ahead_s += DELAY_S
         head = request_bytes("q1", PATH, wait_s=WAIT_S)
         writer.write(head[:20])
-        await until(lambda: unread_bytes(node) == 20)
+        await until(lambda: buffered_bytes(node) == 20)
         clock.ahead_s += DELAY_S
         writer.write(head[20:])
         await read_response(reader)
@@ -150,7 +150,7 @@
         writer.write(request_bytes("first", PATH, wait_s=WAIT_S))
         await read_response(reader)
         writer.write(b"\r\n")
-        await until(lambda: unread_bytes(node) == 2)
+        await until(lambda: buffered_bytes(node) == 2)
         clock.ahead_s += DELAY_S
         writer.write(request_bytes("q1", PATH, wait_s=WAIT_S))
         await read_response(reader)
