--- a/src/rosepath/relay.py
+++ b/src/rosepath/relay.py
@@ -764,6 +764,7 @@
             tries=len(context.attempt_evidence),
             age_s=round(self._now_s() - context.call.arrived_s, 3),
             unread_s=context.exchange.unread_s,
+            wait_s=context.call.wait_s,
             cut=cut,
             obstacle=context.obstacle,
             repeats_left=self._retry_policy.retries_left(context),
--- a/src/rosepath/request_records.py
+++ b/src/rosepath/request_records.py
@@ -56,6 +56,7 @@
             target=call.prompt.target if call.prompt else "",
             tries=len(context.attempt_evidence),
             unread_s=context.exchange.unread_s,
+            wait_s=call.wait_s,
             waited_s=round(context.waited_s, 3),
             unread_tokens=context.unread_tokens,
             predicted_s=round(context.predicted_s, 3),
