Read a caller's limit in each form of a number

What callers saw: servers worked for up to the route's whole time for callers that had stated 1,000 ms and were gone by then. Limits were read as digits only; 1000.5, 1000.0, 1e3, +1000, 1000;q=1 counted as no limit. A client that reckons what it has left in floating point writes such a number each time, so that each of its requests breaks the rule on time passed on.

Change: a limit is a decimal number, which may come with parameters; below 0 no time is left and the request is refused at once; one that is infinite states no limit. What can't be read as a number in milliseconds is rejected with 400, which names the header and the value. Weighed for the latter: the shortest limit that callers of a route usually state keeps servers from working too long as well, but ends sound requests early and tells nobody why; the route's time, as before, is what broke the rule. An empty value states nothing, as before.

--- a/src/rosepath/header_values.py
+++ b/src/rosepath/header_values.py
@@ -51,23 +51,43 @@
     return count
 
 
+def list_items(values: Iterable[str]) -> list[str]:
+    """Return the items of lists in a header, without their parameters."""
+    items = (item for raw in values for item in raw.split(","))
+    stripped = (item.partition(";")[0].strip() for item in items)
+    return [item for item in stripped if item]
+
+
 def lowest_limit_s(values: Iterable[str]) -> float | None:
     """Return the lowest of several limits in milliseconds, in seconds.
 
-    None if there is no valid one.
+    0 if the lowest is below 0, None if there is none. Raises ValueError if no limit
+    that is stated can be read.
     """
-    stated = (parse_int(part) for raw in values for part in raw.split(","))
-    limits_ms = [limit_ms for limit_ms in stated if limit_ms is not None]
-    return min(limits_ms) / 1000 if limits_ms else None
+    items = list_items(values)
+    stated_ms = [ms for ms in map(_parse_decimal, items) if ms is not None]
+    if items and not stated_ms:
+        raise ValueError(f"no time in milliseconds: {', '.join(items)[:40]!r}")
+    lowest_ms = min(stated_ms, default=math.inf)
+    return None if lowest_ms == math.inf else max(0.0, lowest_ms / 1000)
 
 
 def parse_number(raw: str) -> float | None:
     """Return a finite number of 0 or more; None if invalid."""
+    number = _parse_decimal(raw)
+    return number if number is not None and 0 <= number < math.inf else None
+
+
+def _parse_decimal(raw: str) -> float | None:
+    """Return a number, which may be infinite; None if invalid."""
+    # Python allows underscores and the digits of all scripts.
+    if "_" in raw or not raw.isascii():
+        return None
     try:
         number = float(raw)
     except ValueError:
         return None
-    return number if math.isfinite(number) and number >= 0 else None
+    return None if math.isnan(number) else number
 
 
 def lowest_rate(values: Iterable[str]) -> float | None:
--- a/src/rosepath/platform/calls.py
+++ b/src/rosepath/platform/calls.py
@@ -83,7 +83,7 @@
         | {"Host": headers.get("Host", "")},
         body=body,
         arrived_s=arrived_s,
-        wait_s=lowest_limit_s(headers.get_list(_DEADLINE)),
+        wait_s=_parse_wait_s(headers),
         prompt=_parse_prompt(headers),
         last_event_id=parse_int(headers.get(_LAST_EVENT)),
         resumed_request_id=headers.get(_RESUMES, ""),
@@ -177,6 +177,14 @@
     return headers
 
 
+def _parse_wait_s(headers: HTTPHeaders) -> float | None:
+    """Return how long the caller waits, None if it does not state that."""
+    try:
+        return lowest_limit_s(headers.get_list(_DEADLINE))
+    except ValueError as error:
+        raise BadRequestError(f"{_DEADLINE} can't be read: {error}") from error
+
+
 def _parse_prompt(headers: HTTPHeaders) -> Prompt | None:
     target = headers.get(_MODEL)
     if target is None:
--- a/tests/test_request_arrival.py
+++ b/tests/test_request_arrival.py
@@ -186,6 +186,56 @@
     assert told_s(received) <= 1.0
 
 
+# Guards against reading no limit, and giving a server the time of the route, where a
+# caller writes a number in another form.
+@pytest.mark.parametrize(
+    "stated",
+    ["1000.5", "999.9", "1000.0", "1e3", "+1000", "01000", "1000;q=1", "9000.0, 1e3"],
+)
+def test_a_limit_counts_in_each_form_of_a_number(stated: str) -> None:
+    async def play(node: RunningGateway, *_: object) -> None:
+        head = f"GET {PATH} HTTP/1.1\r\nRequest-Id: q1"
+        response = await node.send_request(f"{head}\r\nRequest-Deadline-Ms: {stated}")
+        assert response.startswith(b"HTTP/1.1 200 ")
+
+    received = asyncio.run(run_with_server(play))[-1]
+    assert 1.0 - TOLERANCE_S < told_s(received) <= 1.0
+
+
+# Guards against a route's whole time for a caller that reckoned that it has none left.
+def test_a_limit_below_zero_is_refused_at_once() -> None:
+    async def play(node: RunningGateway, *_: object) -> None:
+        head = f"GET {PATH} HTTP/1.1\r\nRequest-Id: q1\r\nRequest-Deadline-Ms: -12.5"
+        response = await node.send_request(head)
+        assert response.startswith(b"HTTP/1.1 503 ")
+
+    assert asyncio.run(run_with_server(play)) == []
+
+
+# Guards against a route's whole time where nobody can tell what the caller allows.
+@pytest.mark.parametrize("stated", ["1000 ms", "soon", "nan", "1_000", "0x3e8", "²"])
+def test_a_limit_that_is_no_number_is_rejected(stated: str) -> None:
+    async def play(node: RunningGateway, *_: object) -> None:
+        head = f"GET {PATH} HTTP/1.1\r\nRequest-Id: q1"
+        response = await node.send_request(f"{head}\r\nRequest-Deadline-Ms: {stated}")
+        assert response.startswith(b"HTTP/1.1 400 ")
+        assert b"Request-Deadline-Ms" in response
+
+    assert asyncio.run(run_with_server(play)) == []
+
+
+# Guards against rejecting a request whose caller states no limit.
+@pytest.mark.parametrize("stated", ["", "inf"])
+def test_a_caller_without_a_limit_gets_that_of_the_route(stated: str) -> None:
+    async def play(node: RunningGateway, *_: object) -> None:
+        head = f"GET {PATH} HTTP/1.1\r\nRequest-Id: q1"
+        response = await node.send_request(f"{head}\r\nRequest-Deadline-Ms: {stated}")
+        assert response.startswith(b"HTTP/1.1 200 ")
+
+    received = asyncio.run(run_with_server(play))[-1]
+    assert told_s(received) > LIMIT_S - TOLERANCE_S
+
+
 # Guards against counting the time of a body from its end, in the product's own daemon.
 @pytest.mark.parametrize(("read_for_s", "left_s"), [(0.9, 3.1), (-60.0, 4.0)])
 def test_the_time_for_which_a_body_is_read_counts(
