--- a/src/rosepath/header_values.py
+++ b/src/rosepath/header_values.py
@@ -65,7 +65,7 @@
     that is stated can be read.
     """
     items = list_items(values)
-    stated_ms = [ms for ms in map(_parse_decimal, items) if ms is not None]
+    stated_ms = [ms for ms in map(parse_decimal, items) if ms is not None]
     if items and not stated_ms:
         raise ValueError(f"no time in milliseconds: {', '.join(items)[:40]!r}")
     lowest_ms = min(stated_ms, default=math.inf)
@@ -74,11 +74,11 @@
 
 def parse_number(raw: str) -> float | None:
     """Return a finite number of 0 or more; None if invalid."""
-    number = _parse_decimal(raw)
+    number = parse_decimal(raw)
     return number if number is not None and 0 <= number < math.inf else None
 
 
-def _parse_decimal(raw: str) -> float | None:
+def parse_decimal(raw: str) -> float | None:
     """Return a number, which may be infinite; None if invalid."""
     # Python allows underscores and the digits of all scripts.
     if "_" in raw or not raw.isascii():
