Read the rates that servers state as lists and with parameters

What servers saw: one whose Server-Limit comes as '9, 4' (joined by a forwarder) or '4;window=1' counted as unlimited and got all that came (LIMIT). Change: its items are read without parameters, and the lowest holds. A value without any number still leaves the limit as it was. Three of five cases failed before.

--- a/src/rosepath/header_values.py
+++ b/src/rosepath/header_values.py
@@ -92,7 +92,7 @@
 
 def lowest_rate(values: Iterable[str]) -> float | None:
     """Return the lowest of the valid rates, None if there is none."""
-    rates = (parse_number(raw) for raw in values)
+    rates = map(parse_number, list_items(values))
     return min((rate for rate in rates if rate is not None), default=None)
 
 
--- a/tests/test_header_values.py
+++ b/tests/test_header_values.py
@@ -71,6 +71,15 @@
         read_response_metadata(503, HTTPHeaders({name: value}))
 
 
+# Guards against an unlimited rate for a server that states its limit as a list or with
+# parameters; the lowest holds.
+@pytest.mark.parametrize("stated", ["4", "4.0", "9, 4", "4;window=1", "soon, 4"])
+def test_a_limit_on_rates_is_read_in_each_form(stated: str) -> None:
+    headers = HTTPHeaders({"Server-Limit": stated, "Response-Signature": "s"})
+    notice = read_response_metadata(200, headers).notice
+    assert (notice.limit_per_s, notice.unlimited) == (4.0, False)
+
+
 @given(st.text())
 def test_arbitrary_text_is_a_count_or_nothing(text: str) -> None:
     count = parse_int(text)
