Read that a server leaves as a list and with parameters

What servers saw: requests after '1, 1' or '1;in=5' in Server-Leaving, which was compared as a text (DRAIN). Change: its items are read as numbers, without parameters.

--- a/src/rosepath/platform/calls.py
+++ b/src/rosepath/platform/calls.py
@@ -7,9 +7,11 @@
 from rosepath.header_values import (
     HOP_BY_HOP_HEADERS,
     agreed_value,
+    list_items,
     lowest_limit_s,
     lowest_rate,
     parse_count,
+    parse_decimal,
     parse_int,
     sum_counts,
 )
@@ -149,7 +151,7 @@
     retry_after_s = read_retry_after_s(headers) if status in REJECTION_STATUSES else 0.0
     stated = headers.get_list(_LIMIT)
     return ServerNotice(
-        leaving="1" in headers.get_list(_LEAVING),
+        leaving=1.0 in map(parse_decimal, list_items(headers.get_list(_LEAVING))),
         retry_after_s=retry_after_s,
         limit_per_s=lowest_rate(stated),
         unlimited=not stated and _SIGNATURE in headers,
--- a/tests/test_header_values.py
+++ b/tests/test_header_values.py
@@ -80,6 +80,16 @@
     assert (notice.limit_per_s, notice.unlimited) == (4.0, False)
 
 
+# Guards against further requests for a server that says in another form that it leaves.
+@pytest.mark.parametrize(
+    ("stated", "leaving"),
+    [("1", True), ("1, 1", True), ("1;in=5", True), ("1.0", True), ("0", False)],
+)
+def test_a_leave_is_read_in_each_form(stated: str, leaving: bool) -> None:
+    headers = HTTPHeaders({"Server-Leaving": stated})
+    assert read_response_metadata(200, headers).notice.leaving is leaving
+
+
 @given(st.text())
 def test_arbitrary_text_is_a_count_or_nothing(text: str) -> None:
     count = parse_int(text)
