Count tokens in each form of a number

What callers saw: a request that states '100.0,20' tokens was rejected if it names a model, and otherwise cost its workspace's quota one token, as one that states none (QUOTA).

Change: counts are decimal numbers, rounded up; numbers of tokens that can't be read are rejected with 400 on all routes, as they were with a model.

--- a/src/rosepath/header_values.py
+++ b/src/rosepath/header_values.py
@@ -44,11 +44,11 @@
 
 
 def parse_count(raw: str) -> int:
-    """Return an integer from 0 to `MAX_COUNT`; raise ValueError."""
-    count = parse_int(raw)
-    if count is None:
+    """Return a number from 0 to `MAX_COUNT`, rounded up; raise ValueError."""
+    count = parse_decimal(raw)
+    if count is None or not 0 <= count <= MAX_COUNT:
         raise ValueError(f"no count: {raw[:40]!r}")
-    return count
+    return math.ceil(count)
 
 
 def list_items(values: Iterable[str]) -> list[str]:
@@ -96,10 +96,7 @@
     return min((rate for rate in rates if rate is not None), default=None)
 
 
-def sum_counts(raw: str | None) -> int | None:
-    """Return the sum of a list of counts; None unless all are stated."""
-    if raw is None:
-        return None
-    counts = [parse_int(count) for count in raw.split(",")]
-    known = [count for count in counts if count is not None]
-    return sum(known) if len(known) == len(counts) else None
+def sum_counts(raw: str) -> int | None:
+    """Return the sum of a list of counts, None if empty; raise ValueError."""
+    counts = [parse_count(item) for item in list_items([raw])]
+    return sum(counts) if counts else None
--- a/src/rosepath/platform/calls.py
+++ b/src/rosepath/platform/calls.py
@@ -90,7 +90,7 @@
         last_event_id=parse_int(headers.get(_LAST_EVENT)),
         resumed_request_id=headers.get(_RESUMES, ""),
         api_key_digest=_digest_key(headers),
-        tokens=sum_counts(headers.get(_TOKENS)),
+        tokens=_parse_tokens(headers),
     )
 
 
@@ -187,6 +187,13 @@
         raise BadRequestError(f"{_DEADLINE} can't be read: {error}") from error
 
 
+def _parse_tokens(headers: HTTPHeaders) -> int | None:
+    try:
+        return sum_counts(headers.get(_TOKENS, ""))
+    except ValueError as error:
+        raise BadRequestError(f"{_TOKENS} can't be read: {error}") from error
+
+
 def _parse_prompt(headers: HTTPHeaders) -> Prompt | None:
     target = headers.get(_MODEL)
     if target is None:
--- a/tests/test_header_values.py
+++ b/tests/test_header_values.py
@@ -90,6 +90,23 @@
     assert read_response_metadata(200, headers).notice.leaving is leaving
 
 
+# Guards against a request that costs its workspace's quota next to nothing, or is
+# rejected, for the form of its numbers of tokens.
+@pytest.mark.parametrize("stated", ["100,20", "100.0,20", "1e2, 19.5", "+100,20;x=1"])
+def test_tokens_are_counted_in_each_form_of_a_number(stated: str) -> None:
+    assert decode(Token_Usage=stated).tokens == 120
+    prompt = decode(Token_Usage=stated.partition(";")[0], Model="m").prompt
+    assert prompt is not None
+    assert prompt.input_tokens + prompt.output_tokens == 120
+
+
+# Guards against the same for numbers that nobody can read.
+@pytest.mark.parametrize("stated", ["many", "100,nan", "-1,20", "1_0,20"])
+def test_tokens_that_are_no_numbers_are_rejected(stated: str) -> None:
+    with pytest.raises(BadRequestError):
+        decode(Token_Usage=stated)
+
+
 @given(st.text())
 def test_arbitrary_text_is_a_count_or_nothing(text: str) -> None:
     count = parse_int(text)
