Count requests in the retry budget from when they arrived

What servers would see: VMs that stood still for seven seconds and more read a heap of requests as they go on, and count them as of now. Later windows, in which nobody sent them, then allowed retries for them (BUDGET, the rule's sum over all machines, in touch or not): 9 VMs, 180 requests a second, 4 s of them into the pause; rejections begin 0 to 6 s after it. Worst excess over the budget: 48.8 retries (182 of 133) with all nine paused, 24 with six, none with three.

Cause: the class of time-beyond-the-callers: a time is taken when something is handled, and counts from when it happened. No excess in any of 96 pauses; the test failed before.

--- a/src/rosepath/relay.py
+++ b/src/rosepath/relay.py
@@ -253,7 +253,8 @@
                 retry_after_s=RETRY_AFTER_S,
             )
         limit_s = call.limit_s(route.timeout_s)
-        self._ports.budget(service.name).note_request()
+        budget = self._ports.budget(service.name)
+        budget.note_request(age_s=self._now_s() - call.arrived_s)
         streams = route.kind is RouteKind.STREAMING
         return RequestContext(
             call=call,
--- a/src/rosepath/retry_window.py
+++ b/src/rosepath/retry_window.py
@@ -1,7 +1,7 @@
 """Sliding-window limit on the retries that each entry VM may send."""
 
 import math
-from bisect import bisect_left
+from bisect import bisect_left, insort
 from dataclasses import dataclass, field
 
 from rosepath.clock import Clock
@@ -49,10 +49,14 @@
     _requests_s: list[float] = field(default_factory=list)
     _bursts: list[_Burst] = field(default_factory=list)
 
-    def note_request(self) -> None:
-        """Record a request received from a caller."""
+    def note_request(self, *, age_s: float = 0.0) -> None:
+        """Record a request that arrived from a caller so long ago.
+
+        What a VM that stood still reads late allows retries in the windows in which
+        it arrived, as it does for the VMs that did not stand still.
+        """
         self._expire()
-        self._requests_s.append(self.clock.monotonic_s())
+        insort(self._requests_s, self.clock.monotonic_s() - max(0.0, age_s))
 
     def reserve(self) -> bool:
         """Reserve one retry to be sent later; return False if none is left."""
--- a/tests/test_retry_window.py
+++ b/tests/test_retry_window.py
@@ -112,6 +112,12 @@
             if not phase.waits:
                 waiting.clear()
 
+    return excess(requests, retries)
+
+
+def excess(requests: list[float], retries: list[float]) -> float:
+    """Return by how much retries exceed the budget in the worst window."""
+
     def count(times: list[float], start_s: float) -> int:
         return bisect_left(times, start_s + WINDOW_S) - bisect_left(times, start_s)
 
@@ -166,6 +172,60 @@
         assert max_excess(phases, vms=vms) <= 0
 
 
+def max_excess_after_pause(*, paused_vms: int, pause_s: float, delay_s: float) -> float:
+    """Return by how much retries exceed the budget after some of 9 VMs stood still.
+
+    Callers send on for 4 s of the pause, and little after that. The VMs read what
+    arrived as they go on; `delay_s` later all requests are rejected.
+    """
+    clock, vms = ManualClock(), 9
+    windows = [
+        RetryWindow(clock=clock, ratio=RATIO, slack=SLACK, window_s=WINDOW_S, vms=vms)
+        for _ in range(vms)
+    ]
+    calm_s, sending_s, ends_s = 12.0, 16.0, 12.0 + pause_s + delay_s + 12.0
+    start_s = clock.monotonic_s()
+    requests: list[float] = []
+    retries: list[float] = []
+    unread: list[tuple[RetryWindow, float]] = []
+    fractional_requests = 0.0
+    while (passed_s := clock.monotonic_s() - start_s) < ends_s:
+        clock.advance(STEP_S)
+        now_s = clock.monotonic_s()
+        paused = calm_s < passed_s <= calm_s + pause_s
+        fractional_requests += (180.0 if passed_s <= sending_s else 2.0) * STEP_S
+        while fractional_requests >= 1.0:
+            fractional_requests -= 1.0
+            number = len(requests) % vms
+            requests.append(now_s)
+            if paused and number < paused_vms:
+                unread.append((windows[number], now_s))
+            else:
+                windows[number].note_request()
+        if not paused:
+            for window, arrived_s in unread:
+                window.note_request(age_s=now_s - arrived_s)
+            unread.clear()
+        for window in windows if passed_s > calm_s + pause_s + delay_s else ():
+            while send_retry(window):
+                retries.append(now_s)
+    return excess(requests, retries)
+
+
+# Guards against retries for requests that were read late, in windows in which nobody
+# sent them.
+def test_retries_stay_within_the_budget_after_vms_stood_still() -> None:
+    for paused_vms in (3, 6, 9):
+        for pause_s in (5.5, 7.0, 9.0, 12.0):
+            for delay_s in (0.0, 1.0, 2.0, 3.0, 4.0, 4.75, 5.0, 6.0):
+                assert (
+                    max_excess_after_pause(
+                        paused_vms=paused_vms, pause_s=pause_s, delay_s=delay_s
+                    )
+                    <= 0
+                )
+
+
 @settings(deadline=None)
 @given(
     st.lists(
