Count the time of a suspension in the retry budget

What servers would see: a VM whose machine was suspended goes on with the requests of before it as if they had just arrived, and retries for them in windows in which nobody sent them. The steady clock, by which the window counted, stands still meanwhile; that of leases does not. Change: the window counts by the clock that goes on. The test failed before.

--- a/src/rosepath/entry_node.py
+++ b/src/rosepath/entry_node.py
@@ -123,7 +123,9 @@
     ) -> None:
         self.settings = settings
         self.clock = SystemClock()
-        self._created_s = self.clock.monotonic_s()
+        # Time that the machine is suspended counts for the retry budgets.
+        self._boot_clock = BootClock()
+        self._created_s = self._boot_clock.monotonic_s()
         self._peers_step_due_s = math.inf
         self.stopping = False
         self.wait_limit_s = math.inf
@@ -536,7 +538,7 @@
         if service not in self.budgets:
             bounds = self.settings.retries
             self.budgets[service] = RetryWindow(
-                clock=self.clock,
+                clock=self._boot_clock,
                 ratio=bounds.ratio,
                 slack=bounds.slack,
                 window_s=bounds.window_s,
--- a/tests/test_retry_budget_restarts.py
+++ b/tests/test_retry_budget_restarts.py
@@ -71,6 +71,7 @@
 def clock(monkeypatch: pytest.MonkeyPatch) -> ManualClock:
     clock = ManualClock()
     monkeypatch.setattr("rosepath.entry_node.SystemClock", lambda: clock)
+    monkeypatch.setattr("rosepath.entry_node.BootClock", lambda: clock)
     return clock
 
 
@@ -107,3 +108,20 @@
     clock.advance(fleet._nodes["vm-0"].settings.retries.window_s + RESTART_S)
     fleet.send_all_retries()
     assert fleet.most_in_a_window >= 0.5 * fleet.slack
+
+
+# Guards against retries for requests from before a VM's machine was suspended, a time
+# which the steady clock does not count.
+def test_requests_from_before_a_suspension_allow_no_retries(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    steady, boot = ManualClock(), ManualClock()
+    monkeypatch.setattr("rosepath.entry_node.SystemClock", lambda: steady)
+    monkeypatch.setattr("rosepath.entry_node.BootClock", lambda: boot)
+    budget = EntryNode(entry_settings("vm-0"))._budget(SERVICE)
+    for _ in range(1000):
+        budget.note_request()
+    assert budget.available > 0
+    boot.advance(2 * budget.window_s)
+    budget.slack = 0.0
+    assert budget.available <= 0
