Read limits at rosepathd as decimal numbers, too

What callers saw at the product's own daemon: Rosepath-Deadline-Ms '²' and other digits that are none of ASCII ended in an internal error, and 1000.0, 1e3 or a limit that comes twice were rejected. The same reader serves both programs now; what is no number above 0 still gets 400.

--- a/src/rosepath/caller_handler.py
+++ b/src/rosepath/caller_handler.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import math
 import uuid
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
@@ -19,6 +20,7 @@
 from rosepath.declarations import matches
 from rosepath.dispatch import Dispatcher, RequestOptions
 from rosepath.errors import Refusal, RefusalError, Run, Step, refuse
+from rosepath.header_values import lowest_limit_s
 from rosepath.http_exchange import disable_linger
 from rosepath.logs import get_logger
 from rosepath.object_store import PlatformPort
@@ -217,16 +219,7 @@
         """Read the request's deadline and idempotency from its headers."""
         settings = self.ports.settings
         timeout_s = settings.routing.request_timeout_s
-        header_value = self.request.headers.get("Rosepath-Deadline-Ms", "")
-        if header_value:
-            if not header_value.isdigit() or int(header_value) == 0:
-                raise refuse(
-                    400,
-                    "invalid_header",
-                    "Rosepath-Deadline-Ms must be a positive integer",
-                    step=Step.PARSE,
-                )
-            timeout_s = min(timeout_s, int(header_value) / 1000)
+        timeout_s = min(timeout_s, self._stated_limit_s())
         marked_idempotent = self.marked_idempotent()
         # By the wall clock, which may have been set back meanwhile.
         read_for_s = max(0.0, self.request.request_time())
@@ -237,6 +230,22 @@
             span=span,
         )
 
+    def _stated_limit_s(self) -> float:
+        """Return how long the caller waits, infinity if it does not state that."""
+        stated = self.request.headers.get_list("Rosepath-Deadline-Ms")
+        try:
+            limit_s = lowest_limit_s(stated)
+        except ValueError:
+            limit_s = 0.0
+        if limit_s == 0.0:
+            raise refuse(
+                400,
+                "invalid_header",
+                "Rosepath-Deadline-Ms must be a positive number",
+                step=Step.PARSE,
+            )
+        return math.inf if limit_s is None else limit_s
+
     def marked_idempotent(self) -> bool:
         """Return False if the caller marks the request as non-idempotent."""
         header_value = self.request.headers.get("Rosepath-Idempotent", "true").lower()
