--- a/src/rosepath_standins/entry_fleet.py
+++ b/src/rosepath_standins/entry_fleet.py
@@ -87,11 +87,16 @@
     ]
 
 
+# In which callers write their limits, by turns.
+LIMIT_FORMS = ("{:.0f}", "{:.1f}", "{:e}")
+
+
 def caller_headers(request_id: str, *, wait_s: float) -> dict[str, str]:
     """Return the headers of a caller's request."""
+    form = LIMIT_FORMS[sum(request_id.encode()) % len(LIMIT_FORMS)]
     return {
         "Request-Id": request_id,
-        "Request-Deadline-Ms": f"{wait_s * 1000:.0f}",
+        "Request-Deadline-Ms": form.format(wait_s * 1000),
     }
 
 
