--- a/src/rosepath_standins/entry_fleet.py
+++ b/src/rosepath_standins/entry_fleet.py
@@ -524,6 +524,7 @@
     name: str
     directory: Path
     store: FaultProxy
+    memory_mb: float = 300.0
     port: int = 0
     ready_port: int = 0
     peer_port: int = 0
@@ -548,6 +549,7 @@
         path.write_text(
             f'entry_vm = "{self.name}"\ndata_centre = "a"\n'
             f"apply_ms = {APPLY_S * 1000}\nsettle_ms = {SETTLE_S * 1000}\n"
+            f"memory_mb = {self.memory_mb}\n"
             f'[callers]\nlisten = "{self.address}"\n'
             f'ready_listen = "127.0.0.1:{self.ready_port}"\n'
             f'[peers]\nlisten = "127.0.0.1:{self.peer_port}"\n'
@@ -626,6 +628,10 @@
     # The routes and services of its configuration beside the plain ones.
     extra_routes: list[dict[str, object]] = field(default_factory=list)
     extra_services: list[dict[str, object]] = field(default_factory=list)
+    # Limits of callers in its configuration.
+    limits: dict[str, int] = field(default_factory=lambda: {"idleTimeoutMs": 9000})
+    # Of each entry VM.
+    memory_mb: float = 300.0
     vms: dict[str, EntryVm] = field(default_factory=dict)
     instance_count: int = 0
     # All routes that were added, and those of them that were not dropped.
@@ -650,7 +656,9 @@
         for number in range(vms):
             proxy = FaultProxy(self.store_address)
             await proxy.start()
-            vm = EntryVm(f"vm-{number}", self.directory, proxy)
+            vm = EntryVm(
+                f"vm-{number}", self.directory, proxy, memory_mb=self.memory_mb
+            )
             self.vms[vm.name] = vm
             vm.start()
         await asyncio.gather(*(self.wait_until_ready(vm) for vm in self.vms.values()))
@@ -688,6 +696,7 @@
         configuration = _configuration(1 + len(self.added_routes), names)
         configuration["routes"] += self.extra_routes
         configuration["services"] += self.extra_services
+        configuration["limits"] = self.limits
         await self.write("config/main", configuration)
 
     async def add_server(
@@ -818,5 +827,4 @@
             *(route(name, "idempotent") for name in names),
         ],
         "services": [{"name": SERVICE, "healthPath": HEALTH_PATH}],
-        "limits": {"idleTimeoutMs": 9000},
     }
