Take no bodies at the addresses for readiness, metrics and other entry VMs

What operators saw: clients that send large bodies and stop short end a process, as it runs out of memory. One cause: the listeners for readiness, metrics, copies of the configuration and tunnels serve requests without bodies, and read bodies up to the library's own limit of 100 MB each, without a limit of all.

Change: a request with a body is refused (400, by the library) and its connection closed.

--- a/src/rosepath/entry_node.py
+++ b/src/rosepath/entry_node.py
@@ -90,6 +90,9 @@
 # Unless all VMs fail within this time of the first server of a new version, the
 # store names it.
 VERSIONS_TICK_S = 0.5
+# Of requests for readiness, metrics, copies and tunnels. The library's own limit is
+# 100 MB.
+NO_BODY_BYTES = 0
 
 _log = get_logger()
 
@@ -241,7 +244,7 @@
         application.add_handlers(
             ".*", [(TUNNEL_PATH, TunnelHandler, {"gate": self.tunnels})]
         )
-        self.peer_server = HTTPServer(application)
+        self.peer_server = HTTPServer(application, max_body_size=NO_BODY_BYTES)
         self.data_centre_isolation = DataCentreIsolation(
             settings.data_centre,
             peers=self.peers,
@@ -352,7 +355,7 @@
             ],
             log_function=lambda _: None,
         )
-        self.ready_server = HTTPServer(application)
+        self.ready_server = HTTPServer(application, max_body_size=NO_BODY_BYTES)
         host, port = split_address(self.settings.callers.ready_listen)
         self.ready_server.listen(port, address=host, family=socket.AF_INET)
         if self.settings.callers.metrics_listen is not None:
