Let callers read why their bodies were refused

The refusal closed the connection with the rest of the body unread, which resets it, and the response in the caller's buffer is lost.

Change: the response announces the close; what still arrives is read and dropped until the body is complete, the caller closes, or two seconds have passed. Both cases of test_a_caller_reads_why_its_body_was_refused failed before.

--- a/src/rosepath/gateway.py
+++ b/src/rosepath/gateway.py
@@ -26,6 +26,9 @@
 WRITE_AHEAD_BYTES = 256 * 1024
 # The same while memory is scarce, so that many slow callers at once fit.
 SCARCE_WRITE_AHEAD_BYTES = 32 * 1024
+# How long the rest of a refused body is read and dropped. Closing with bytes unread
+# resets the connection, and its caller may lose the response.
+LINGER_S = 2.0
 
 
 class CallerExchange(HTTPMessageDelegate):
@@ -54,6 +57,9 @@
         self._connection = connection
         self._idle_timer: asyncio.TimerHandle | None = None
         self._headers_arriving = False
+        # Whether a body may still arrive.
+        self._reading = False
+        self._linger_timer: asyncio.TimerHandle | None = None
         self._task: asyncio.Task[None] | None = None
 
     @property
@@ -105,6 +111,7 @@
         self._knows_chunks = start_line.version != "HTTP/1.0"
         self.headers = headers
         self._mark_active()
+        self._reading = True
         self._gateway.reading.add(self)
         stream = cast(CallerStream, self._connection.stream)
         self.arrived_s, self.unread_s = stream.oldest_byte_s, stream.unread_s
@@ -118,11 +125,7 @@
         self._body.append(chunk)
 
     def _refuse_body(self) -> None:
-        """Refuse a request for whose body there is no room.
-
-        The rest of the body is read and dropped, so that the caller gets the
-        response; then the connection is closed.
-        """
+        """Refuse a request for whose body there is no room."""
         self._release()
         self._gateway.reading.discard(self)
         self._gateway.on_no_room(self)
@@ -134,8 +137,10 @@
 
     def finish(self) -> None:
         self._gateway.reading.discard(self)
+        self._reading = False
         if self.done:
             # There was no room for its body.
+            self._end_linger()
             return
         if self._connection.stream.closed():
             # The connection closed while the request was being read. A
@@ -152,6 +157,8 @@
     def on_connection_close(self) -> None:
         # The caller disconnected: cancel the work done for it.
         self._mark_active()
+        if self._linger_timer is not None:
+            self._linger_timer.cancel()
         self._gateway.reading.discard(self)
         if self._task is not None:
             self._task.cancel()
@@ -181,7 +188,7 @@
         self._ends_with_close = length is None and not self._knows_chunks
         if length is not None:
             headers["Content-Length"] = str(length)
-        if self._gateway.closing:
+        if self._gateway.closing or self._reading:
             self._connection._disconnect_on_finish = True
         line = ResponseStartLine("HTTP/1.1", status, responses.get(status, "Status"))
         _ignore_write_error(self._connection.write_headers(line, headers))
@@ -208,12 +215,23 @@
     def end(self) -> None:
         """Complete the response."""
         self.done = True
+        if self._reading:
+            loop = asyncio.get_running_loop()
+            self._linger_timer = loop.call_later(LINGER_S, self._end_linger)
+            return
         if self._gateway.closing:
             # The headers may have been sent before the stop began, without
             # announcing that the connection closes after this response.
             self._connection._disconnect_on_finish = True
         self._connection.finish()
 
+    def _end_linger(self) -> None:
+        """Close a connection whose response was complete before its request."""
+        if self._linger_timer is not None:
+            self._linger_timer.cancel()
+        if not self._connection.stream.closed():
+            self._connection.finish()
+
     def respond(self, status: int, headers: HTTPHeaders, body: bytes) -> None:
         """Write a complete response."""
         self.start_response(status, headers, length=len(body))
--- a/tests/test_held_bytes.py
+++ b/tests/test_held_bytes.py
@@ -165,3 +165,32 @@
                 writer.transport.abort()
 
     asyncio.run(run())
+
+
+# Guards against a refusal that its caller never reads, as the connection is reset with
+# the rest of the body unread.
+@pytest.mark.parametrize("whole", [True, False], ids=["whole", "stops-short"])
+def test_a_caller_reads_why_its_body_was_refused(whole: bool) -> None:
+    async def run() -> None:
+        route = a_route(kind=RouteKind.IDEMPOTENT, service="desk")
+        server = ScriptedServer("s1", responds)
+        async with running_gateway(server, route=route) as gateway:
+            gateway.gateway.held_bodies.limit_bytes = len(PIECE)
+            for number in range(10):
+                reader, writer = await gateway.connect()
+                head = f"POST /drafts/1 HTTP/1.1\r\nRequest-Id: q{number}"
+                length = 16 * len(PIECE)
+                writer.write(request(f"{head}\r\nContent-Length: {length}"))
+                for _ in range(15):
+                    writer.write(PIECE)
+                    await writer.drain()
+                writer.write(PIECE if whole else PIECE[1:])
+                async with asyncio.timeout(10):
+                    response = await reader.read()
+                assert response.startswith(b"HTTP/1.1 503 ")
+                assert b"no_memory" in response
+                assert b"Connection: close" in response
+                writer.close()
+            assert (await send(gateway, 10_000)).startswith(b"HTTP/1.1 200")
+
+    asyncio.run(run())
