Let uploads that stop short yield their room

Change: as for responses, whoever needs room gets that of an upload that weighs four times as much, which is refused (503, not run). An upload weighs its size, and more by each second that it is late beyond a pause of 2 s and a pace of 64 KiB/s, so that one that makes no progress goes before a sound one of its size.

Weighed: the largest first, without the lateness, lets a thousand stopped uploads of 20 kB keep out all others of that size; the oldest first, or the least rate, ends sound callers on thin links beside a crowd that sends fast and then stops; a part of the room for small bodies helps them only, and a crowd of small ones fills it; a bound for each address harms callers behind one forwarder.

--- a/src/rosepath/gateway.py
+++ b/src/rosepath/gateway.py
@@ -18,7 +18,7 @@
 from rosepath.caller_connection import CallerServer, CallerStream
 from rosepath.catalog import CallerLimits
 from rosepath.clock import Clock
-from rosepath.held_bytes import HeldBytes
+from rosepath.held_bytes import HeldBytes, upload_weight
 from rosepath.http_exchange import disable_linger
 
 # Large enough for a burst of events; beyond it, the relay stops reading from
@@ -115,6 +115,14 @@
         self._gateway.reading.add(self)
         stream = cast(CallerStream, self._connection.stream)
         self.arrived_s, self.unread_s = stream.oldest_byte_s, stream.unread_s
+        self._body_hold.break_off = self._refuse_body
+        self._body_hold.weight = self._upload_weight
+
+    def _upload_weight(self) -> float:
+        return upload_weight(
+            age_s=self._gateway.clock.monotonic_s() - self.arrived_s,
+            received_bytes=self._body_hold.size_bytes,
+        )
 
     def data_received(self, chunk: bytes) -> None:
         if self.done:
@@ -138,6 +146,8 @@
     def finish(self) -> None:
         self._gateway.reading.discard(self)
         self._reading = False
+        # A request that is served keeps its body.
+        self._body_hold.break_off = None
         if self.done:
             # There was no room for its body.
             self._end_linger()
--- a/src/rosepath/held_bytes.py
+++ b/src/rosepath/held_bytes.py
@@ -8,9 +8,27 @@
 # the process itself.
 HELD_SHARE = 0.125
 DEFAULT_MEMORY_MB = 300.0
-# A hold is broken off for another one only if it is larger by this factor.
+# A hold is broken off for another one only if it weighs more by this factor.
 # Sound exchanges that grow together would otherwise end each other.
 BREAK_OFF_FACTOR = 4
+# An upload is late if it takes longer than this and its bytes at this pace: a sound
+# caller on a thin link may pause.
+UPLOAD_PAUSE_S = 2.0
+UPLOAD_BYTES_PER_S = 64 * 1024
+
+
+def upload_weight(*, age_s: float, received_bytes: int) -> float:
+    """Return by how much more than its size an upload weighs.
+
+    One that makes no progress weighs as much more as it is late, so that it goes
+    before sound ones of its size.
+    """
+    usual_s = UPLOAD_PAUSE_S + received_bytes / UPLOAD_BYTES_PER_S
+    return 1.0 + max(0.0, age_s - usual_s)
+
+
+def _weigh_size_only() -> float:
+    return 1.0
 
 
 @dataclass(slots=True, eq=False, kw_only=True)
@@ -18,10 +36,12 @@
     """Own what one exchange holds.
 
     `break_off` ends the exchange, None if that would harm a request in progress.
+    `weight` is by how much more than its size the hold counts as the one to end.
     """
 
     budget: "HeldBytes"
     break_off: Callable[[], None] | None = None
+    weight: Callable[[], float] = _weigh_size_only
     size_bytes: int = 0
 
     def grow(self, added_bytes: int) -> bool:
@@ -44,6 +64,7 @@
         """Hold nothing, and be broken off no more."""
         self.resize(0)
         self.break_off = None
+        self.weight = _weigh_size_only
 
 
 @dataclass(slots=True, kw_only=True)
@@ -70,19 +91,19 @@
         return 2 * self.used_bytes > self.limit_bytes
 
     def make_room(self, hold: Hold, added_bytes: int) -> bool:
-        """Break much larger holds off for room; return whether there is any."""
-        needed_bytes = hold.size_bytes + added_bytes
+        """Break off holds that weigh much more; return whether there is room."""
+        needed = (hold.size_bytes + added_bytes) * hold.weight()
         while self.used_bytes + added_bytes > self.limit_bytes:
-            largest = max(
+            heaviest = max(
                 (one for one in self._holds if one.break_off is not None),
-                key=lambda one: one.size_bytes,
+                key=_weigh,
                 default=hold,
             )
             self.broken_off += 1
-            if largest.size_bytes < BREAK_OFF_FACTOR * needed_bytes:
+            if _weigh(heaviest) < BREAK_OFF_FACTOR * needed:
                 return False
-            break_off = largest.break_off
-            largest.release()
+            break_off = heaviest.break_off
+            heaviest.release()
             if break_off is not None:
                 break_off()
         return True
@@ -94,3 +115,7 @@
             self._holds.add(hold)
         else:
             self._holds.discard(hold)
+
+
+def _weigh(hold: Hold) -> float:
+    return hold.size_bytes * hold.weight()
--- a/tests/test_held_bytes.py
+++ b/tests/test_held_bytes.py
@@ -17,6 +17,7 @@
 )
 
 from rosepath.catalog import RouteKind
+from rosepath.held_bytes import HeldBytes, Hold, upload_weight
 
 REQUESTS = 30
 PIECE = b"x" * 256 * 1024
@@ -194,3 +195,57 @@
             assert (await send(gateway, 10_000)).startswith(b"HTTP/1.1 200")
 
     asyncio.run(run())
+
+
+KB = 1000
+
+
+class Uploads:
+    """Uploads that share a room, each with its own age."""
+
+    def __init__(self, room_bytes: int) -> None:
+        self._budget = HeldBytes(limit_bytes=room_bytes)
+        self.refused: list[str] = []
+
+    def receive(self, name: str, size_bytes: int, *, age_s: float) -> bool:
+        """Read so much of an upload; return whether there was room."""
+        hold: Hold = self._budget.open()
+        hold.weight = lambda: upload_weight(age_s=age_s, received_bytes=hold.size_bytes)
+        hold.break_off = lambda: self.refused.append(name)
+        return hold.grow(size_bytes)
+
+
+# Guards against large uploads that stop short keeping the room of small ones.
+def test_a_small_upload_gets_the_room_of_a_large_one() -> None:
+    uploads = Uploads(4000 * KB)
+    assert uploads.receive("large", 4000 * KB, age_s=0.5)
+    assert uploads.receive("small", 20 * KB, age_s=0.0)
+    assert uploads.refused == ["large"]
+
+
+# Guards against uploads that stop keeping the room of sound ones of their size.
+def test_an_upload_without_progress_yields_to_one_of_its_size() -> None:
+    uploads = Uploads(60 * KB)
+    for name, age_s in (("first", 1.0), ("stopped", 8.0), ("last", 1.0)):
+        assert uploads.receive(name, 20 * KB, age_s=age_s)
+    assert uploads.receive("sound", 20 * KB, age_s=0.1)
+    assert uploads.refused == ["stopped"]
+
+
+# Guards against sound uploads ending each other, so that under load none completes.
+def test_sound_uploads_of_one_size_do_not_end_each_other() -> None:
+    uploads = Uploads(60 * KB)
+    for number in range(3):
+        assert uploads.receive(f"sound-{number}", 20 * KB, age_s=2.0)
+    assert not uploads.receive("late", 20 * KB, age_s=0.0)
+    assert uploads.refused == []
+
+
+# Guards against taking a caller on a thin link, who pauses, for one that stopped.
+@pytest.mark.parametrize(
+    ("age_s", "received_bytes"), [(2.0, 0), (3.9, 128 * 1024), (60.0, 4096 * 1024)]
+)
+def test_a_slow_upload_weighs_no_more_than_its_size(
+    age_s: float, received_bytes: int
+) -> None:
+    assert upload_weight(age_s=age_s, received_bytes=received_bytes) == 1.0
