--- a/src/rosepath/caller_request.py
+++ b/src/rosepath/caller_request.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from rosepath.errors import RosepathError, Step
+from rosepath.header_values import parse_count
 
 
 class BadRequestError(RosepathError):
@@ -21,6 +22,14 @@
     tokens: int
 
 
+def parse_parts(raw: str) -> tuple[PromptPart, ...]:
+    """Parse a list of parts as `id:tokens`; raise ValueError."""
+    named = (part.strip().partition(":") for part in raw.split(",") if part.strip())
+    return tuple(
+        PromptPart(part_id, parse_count(tokens)) for part_id, _, tokens in named
+    )
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Prompt:
     """Describe the model, the input and the output of a generation request."""
--- a/src/rosepath/header_values.py
+++ b/src/rosepath/header_values.py
@@ -31,6 +31,11 @@
     return values.pop() if len(values) == 1 else None
 
 
+def host_name(headers: HTTPHeaders) -> str:
+    """Return the host that a request is for, without its port."""
+    return headers.get("Host", "").partition(":")[0].lower()
+
+
 def parse_int(raw: str | None) -> int | None:
     """Return an integer from 0 to `MAX_COUNT`; None if absent or invalid."""
     digits = (raw or "").strip()
@@ -90,6 +95,11 @@
     return None if math.isnan(number) else number
 
 
+def states_one(values: Iterable[str]) -> bool:
+    """Return whether an item of a list is 1, which states that something is so."""
+    return 1.0 in map(parse_decimal, list_items(values))
+
+
 def lowest_rate(values: Iterable[str]) -> float | None:
     """Return the lowest of the valid rates, None if there is none."""
     rates = map(parse_number, list_items(values))
--- a/src/rosepath/platform/calls.py
+++ b/src/rosepath/platform/calls.py
@@ -2,17 +2,17 @@
 
 from tornado.httputil import HTTPHeaders
 
-from rosepath.api_keys import key_digest
-from rosepath.caller_request import BadRequestError, CallerRequest, Prompt, PromptPart
+from rosepath.api_keys import sole_key_digest
+from rosepath.caller_request import BadRequestError, CallerRequest, Prompt, parse_parts
 from rosepath.header_values import (
     HOP_BY_HOP_HEADERS,
     agreed_value,
-    list_items,
+    host_name,
     lowest_limit_s,
     lowest_rate,
     parse_count,
-    parse_decimal,
     parse_int,
+    states_one,
     sum_counts,
 )
 from rosepath.response_metadata import ResponseMetadata, parse_load
@@ -74,26 +74,38 @@
     request_id = headers.get(_REQUEST_ID, "")
     if not request_id:
         raise BadRequestError("the request has no id")
+    try:
+        prompt, tokens = _parse_prompt(headers), sum_counts(headers.get(_TOKENS, ""))
+    except ValueError as error:
+        raise BadRequestError(f"the prompt's headers are broken: {error}") from error
     return CallerRequest(
         request_id=request_id,
         method=method,
         path=path,
-        host=headers.get("Host", "").partition(":")[0].lower(),
+        host=host_name(headers),
         headers={
             name: value for name, value in headers.items() if name not in _NOT_FORWARDED
         }
         | {"Host": headers.get("Host", "")},
         body=body,
         arrived_s=arrived_s,
-        wait_s=_parse_wait_s(headers),
-        prompt=_parse_prompt(headers),
+        wait_s=caller_wait_s(headers),
+        prompt=prompt,
         last_event_id=parse_int(headers.get(_LAST_EVENT)),
         resumed_request_id=headers.get(_RESUMES, ""),
-        api_key_digest=_digest_key(headers),
-        tokens=_parse_tokens(headers),
+        api_key_digest=sole_key_digest(headers.get_list(_API_KEY)),
+        tokens=tokens,
     )
 
 
+def caller_wait_s(headers: HTTPHeaders) -> float | None:
+    """Return how long a caller waits, if stated; raises BadRequestError."""
+    try:
+        return lowest_limit_s(headers.get_list(_DEADLINE))
+    except ValueError as error:
+        raise BadRequestError(f"{_DEADLINE} can't be read: {error}") from error
+
+
 def encode_headers(
     call: CallerRequest,
     *,
@@ -151,7 +163,7 @@
     retry_after_s = read_retry_after_s(headers) if status in REJECTION_STATUSES else 0.0
     stated = headers.get_list(_LIMIT)
     return ServerNotice(
-        leaving=1.0 in map(parse_decimal, list_items(headers.get_list(_LEAVING))),
+        leaving=states_one(headers.get_list(_LEAVING)),
         retry_after_s=retry_after_s,
         limit_per_s=lowest_rate(stated),
         unlimited=not stated and _SIGNATURE in headers,
@@ -179,45 +191,16 @@
     return headers
 
 
-def _parse_wait_s(headers: HTTPHeaders) -> float | None:
-    """Return how long the caller waits, None if it does not state that."""
-    try:
-        return lowest_limit_s(headers.get_list(_DEADLINE))
-    except ValueError as error:
-        raise BadRequestError(f"{_DEADLINE} can't be read: {error}") from error
-
-
-def _parse_tokens(headers: HTTPHeaders) -> int | None:
-    try:
-        return sum_counts(headers.get(_TOKENS, ""))
-    except ValueError as error:
-        raise BadRequestError(f"{_TOKENS} can't be read: {error}") from error
-
-
 def _parse_prompt(headers: HTTPHeaders) -> Prompt | None:
     target = headers.get(_MODEL)
     if target is None:
         return None
     model, _, adapter = target.partition("/")
     input_tokens, _, output_tokens = headers.get(_TOKENS, "0,0").partition(",")
-    try:
-        named = map(str.strip, headers.get(_PARTS, "").split(","))
-        parts = tuple(
-            PromptPart(part_id, parse_count(tokens))
-            for part_id, _, tokens in (part.partition(":") for part in named if part)
-        )
-        return Prompt(
-            model=model,
-            adapter=adapter,
-            input_tokens=parse_count(input_tokens or "0"),
-            output_tokens=parse_count(output_tokens or "0"),
-            parts=parts,
-        )
-    except ValueError as error:
-        raise BadRequestError(f"the prompt's headers are broken: {error}") from error
-
-
-def _digest_key(headers: HTTPHeaders) -> str | None:
-    """Return the digest of the request's only API key."""
-    keys = headers.get_list(_API_KEY)
-    return key_digest(keys[0]) if len(keys) == 1 else None
+    return Prompt(
+        model=model,
+        adapter=adapter,
+        input_tokens=parse_count(input_tokens or "0"),
+        output_tokens=parse_count(output_tokens or "0"),
+        parts=parse_parts(headers.get(_PARTS, "")),
+    )
