Refuse uploads that are not complete when their time is over

What callers saw: an upload that stops short stayed as long as its caller liked, with its room and its connection: a body had no time limit, and a request's time was only asked once it was complete. Change: an upload gets a timer, of what is left of its caller's limit and its route's time (5 s where no route is known), counted from the first byte; then it is refused as expired (503, not run), its room is free, and its connection is closed.

--- a/src/rosepath/entry_node.py
+++ b/src/rosepath/entry_node.py
@@ -329,6 +329,8 @@
             clock=self.clock,
             on_failure=self._serving_failed,
             on_no_room=self.relay.refuse_body,
+            on_expired=self.relay.refuse_late_upload,
+            upload_time_s=self.relay.upload_time_s,
             held_bodies=self.held_bodies,
             held_responses=self.held_responses,
         )
--- a/src/rosepath/gateway.py
+++ b/src/rosepath/gateway.py
@@ -29,6 +29,8 @@
 # How long the rest of a refused body is read and dropped. Closing with bytes unread
 # resets the connection, and its caller may lose the response.
 LINGER_S = 2.0
+# How long the body of a request may take of which nothing else is known.
+UPLOAD_TIME_S = 5.0
 
 
 class CallerExchange(HTTPMessageDelegate):
@@ -60,6 +62,7 @@
         # Whether a body may still arrive.
         self._reading = False
         self._linger_timer: asyncio.TimerHandle | None = None
+        self._upload_timer: asyncio.TimerHandle | None = None
         self._task: asyncio.Task[None] | None = None
 
     @property
@@ -117,6 +120,21 @@
         self.arrived_s, self.unread_s = stream.oldest_byte_s, stream.unread_s
         self._body_hold.break_off = self._refuse_body
         self._body_hold.weight = self._upload_weight
+        if "Content-Length" in headers or "Transfer-Encoding" in headers:
+            self._upload_timer = asyncio.get_running_loop().call_later(
+                self._gateway.upload_time_s(self), self._expire_upload
+            )
+
+    def _expire_upload(self) -> None:
+        """Refuse a request whose time is over before its body is complete."""
+        self._release()
+        self._gateway.reading.discard(self)
+        self._gateway.on_expired(self)
+
+    def _cancel_upload_timer(self) -> None:
+        if self._upload_timer is not None:
+            self._upload_timer.cancel()
+            self._upload_timer = None
 
     def _upload_weight(self) -> float:
         return upload_weight(
@@ -134,6 +152,7 @@
 
     def _refuse_body(self) -> None:
         """Refuse a request for whose body there is no room."""
+        self._cancel_upload_timer()
         self._release()
         self._gateway.reading.discard(self)
         self._gateway.on_no_room(self)
@@ -146,6 +165,7 @@
     def finish(self) -> None:
         self._gateway.reading.discard(self)
         self._reading = False
+        self._cancel_upload_timer()
         # A request that is served keeps its body.
         self._body_hold.break_off = None
         if self.done:
@@ -167,6 +187,7 @@
     def on_connection_close(self) -> None:
         # The caller disconnected: cancel the work done for it.
         self._mark_active()
+        self._cancel_upload_timer()
         if self._linger_timer is not None:
             self._linger_timer.cancel()
         self._gateway.reading.discard(self)
@@ -278,12 +299,18 @@
         clock: Clock,
         on_failure: Callable[[CallerExchange, BaseException | None], None],
         on_no_room: Callable[[CallerExchange], None] = CallerExchange.abort,
+        on_expired: Callable[[CallerExchange], None] = CallerExchange.abort,
+        upload_time_s: Callable[[CallerExchange], float] = lambda _: UPLOAD_TIME_S,
         held_bodies: HeldBytes | None = None,
         held_responses: HeldBytes | None = None,
     ) -> None:
         self._serve = serve
         # Called with a request for whose body there is no room, to refuse it.
         self.on_no_room = on_no_room
+        # Called with a request whose time ended before its body was complete.
+        self.on_expired = on_expired
+        # How long the rest of a request may take, once its head is read.
+        self.upload_time_s = upload_time_s
         self.held_bodies = held_bodies or HeldBytes.of_memory()
         self.held_responses = held_responses or HeldBytes.of_memory()
         self.clock = clock
--- a/src/rosepath/relay.py
+++ b/src/rosepath/relay.py
@@ -17,11 +17,13 @@
 from rosepath.errors import Refusal, RefusalError, Run, Step, refuse
 from rosepath.event_sequence import EventSequence
 from rosepath.fleet import BackendServer, InFlightRequest
-from rosepath.gateway import CallerExchange
+from rosepath.gateway import UPLOAD_TIME_S, CallerExchange
+from rosepath.header_values import host_name
 from rosepath.http_client import ResponseHead
 from rosepath.http_exchange import Connection, Watchdog
 from rosepath.logs import get_logger
 from rosepath.platform.calls import (
+    caller_wait_s,
     decode_caller_request,
     echoed_request_id,
     forwarded_headers,
@@ -63,6 +65,15 @@
 # Of a stream whose server restarted as it began; no server runs it.
 UNKNOWN_VERSION = "\0unknown"
 
+EXPIRED = Refusal(
+    503,
+    "expired",
+    "the request's time was over before it was read",
+    Run.NO,
+    Step.PARSE,
+    retry_after_s=RETRY_AFTER_S,
+)
+
 _log = get_logger()
 
 
@@ -170,16 +181,28 @@
         request_id = echoed_request_id(exchange.headers) or ""
         self._refuse_unrouted(exchange, request_id, refusal)
 
+    def upload_time_s(self, exchange: CallerExchange) -> float:
+        """Return how long the body of a request may take until nobody waits for it."""
+        catalog = self._ports.catalog()
+        host, path = host_name(exchange.headers), exchange.path.partition("?")[0]
+        route = catalog.find(host, path) if catalog is not None else None
+        limit_s = UPLOAD_TIME_S if route is None else route.timeout_s
+        with suppress(BadRequestError):
+            # A limit that can't be read is rejected once the request is complete.
+            wait_s = caller_wait_s(exchange.headers)
+            limit_s = limit_s if wait_s is None else min(wait_s, limit_s)
+        ends_s = exchange.arrived_s + limit_s - RESPONSE_MARGIN_S
+        return max(0.0, ends_s - self._now_s())
+
+    def refuse_late_upload(self, exchange: CallerExchange) -> None:
+        """Refuse a request whose body was not complete before its time ended."""
+        request_id = echoed_request_id(exchange.headers) or ""
+        self._refuse_unrouted(exchange, request_id, EXPIRED)
+
     def _refuse_if_expired(self, context: RequestContext) -> None:
         """Refuse a request whose time was over before it was read."""
         if self._now_s() >= context.deadline_s:
-            raise refuse(
-                503,
-                "expired",
-                "the request's time was over before it was read",
-                step=Step.PARSE,
-                retry_after_s=RETRY_AFTER_S,
-            )
+            raise RefusalError(EXPIRED)
 
     async def _admit(self, context: RequestContext) -> None:
         """Raise RefusalError if the workspace's quota does not allow a request."""
--- a/tests/entry_harness.py
+++ b/tests/entry_harness.py
@@ -216,6 +216,8 @@
         clock=clock,
         on_failure=on_failure,
         on_no_room=relay.refuse_body,
+        on_expired=relay.refuse_late_upload,
+        upload_time_s=relay.upload_time_s,
         held_responses=relay._ports.held,
     )
     gateway.server.listen(0, address="127.0.0.1")
