Hold callers' bodies at rosepathd up to a common limit

What operators saw: clients that send large bodies and stop short end a process.

Bodies below /services/ are relayed as they arrive and not held.

--- a/src/rosepath/caller_server.py
+++ b/src/rosepath/caller_server.py
@@ -8,6 +8,9 @@
 from rosepath.generation_handlers import GenerationHandler, ModelsHandler
 from rosepath.service_handler import ServiceHandler
 
+# Below it, bodies are relayed as they arrive.
+SERVICES_PREFIX = "/services/"
+
 
 class LiveHandler(Handler):
     """Liveness check: respond while the process runs."""
@@ -59,7 +62,7 @@
             ),
             (r"/v1/deferred", DeferHandler, arguments),
             (r"/v1/deferred/([0-9a-f]{32})", DeferredStatusHandler, arguments),
-            (r"/services/([^/?]+)(?:/.*)?", ServiceHandler, arguments),
+            (SERVICES_PREFIX + r"([^/?]+)(?:/.*)?", ServiceHandler, arguments),
             (r"/livez", LiveHandler, arguments),
             (r"/readyz", ReadyHandler, arguments),
             (r"/metrics", MetricsHandler, arguments),
--- a/src/rosepath/gateway.py
+++ b/src/rosepath/gateway.py
@@ -20,15 +20,13 @@
 from rosepath.clock import Clock
 from rosepath.held_bytes import HeldBytes, upload_weight
 from rosepath.http_exchange import disable_linger
+from rosepath.lingering import finish_after_body, finish_connection
 
 # Large enough for a burst of events; beyond it, the relay stops reading from
 # the backend server until the caller catches up.
 WRITE_AHEAD_BYTES = 256 * 1024
 # The same while memory is scarce, so that many slow callers at once fit.
 SCARCE_WRITE_AHEAD_BYTES = 32 * 1024
-# How long the rest of a refused body is read and dropped. Closing with bytes unread
-# resets the connection, and its caller may lose the response.
-LINGER_S = 2.0
 # How long the body of a request may take of which nothing else is known.
 UPLOAD_TIME_S = 5.0
 
@@ -170,8 +168,9 @@
         # A request that is served keeps its body.
         self._body_hold.break_off = None
         if self.done:
-            # There was no room for its body.
-            self._end_linger()
+            # It was refused before its body was complete.
+            self._cancel_linger()
+            finish_connection(self._connection)
             return
         if self._connection.stream.closed():
             # The connection closed while the request was being read. A
@@ -189,14 +188,17 @@
         # The caller disconnected: cancel the work done for it.
         self._mark_active()
         self._cancel_upload_timer()
-        if self._linger_timer is not None:
-            self._linger_timer.cancel()
+        self._cancel_linger()
         self._gateway.reading.discard(self)
         if self._task is not None:
             self._task.cancel()
         self._release()
         self._response_hold.release()
 
+    def _cancel_linger(self) -> None:
+        if self._linger_timer is not None:
+            self._linger_timer.cancel()
+
     def end_serving(self) -> None:
         """End the work on the request; its handler gives the final response."""
         if self._task is not None:
@@ -248,8 +250,7 @@
         """Complete the response."""
         self.done = True
         if self._reading:
-            loop = asyncio.get_running_loop()
-            self._linger_timer = loop.call_later(LINGER_S, self._end_linger)
+            self._linger_timer = finish_after_body(self._connection)
             return
         if self._gateway.closing:
             # The headers may have been sent before the stop began, without
@@ -257,13 +258,6 @@
             self._connection._disconnect_on_finish = True
         self._connection.finish()
 
-    def _end_linger(self) -> None:
-        """Close a connection whose response was complete before its request."""
-        if self._linger_timer is not None:
-            self._linger_timer.cancel()
-        if not self._connection.stream.closed():
-            self._connection.finish()
-
     def respond(self, status: int, headers: HTTPHeaders, body: bytes) -> None:
         """Write a complete response."""
         self.start_response(status, headers, length=len(body))
--- a/src/rosepath/node.py
+++ b/src/rosepath/node.py
@@ -11,8 +11,9 @@
 from rosepath.admission import Admission
 from rosepath.backend_http import HttpBackend
 from rosepath.backend_watch import BackendWatch
+from rosepath.body_limiter import BodyLimiter
 from rosepath.caller_handler import CallerPorts, Handler
-from rosepath.caller_server import make_application
+from rosepath.caller_server import SERVICES_PREFIX, make_application
 from rosepath.clock import SystemClock
 from rosepath.configuration import Configuration, ConfigurationState
 from rosepath.configuration_exchange import ConfigurationExchange
@@ -22,6 +23,7 @@
 from rosepath.deferred_runner import DeferredRunner, RunnerPorts
 from rosepath.dispatch import Dispatcher
 from rosepath.engine_keeper import PlacerPorts
+from rosepath.held_bytes import HeldBytes
 from rosepath.http_client import HttpPool
 from rosepath.lease_keeper import LeaseKeeper
 from rosepath.leases import LeasePolicy
@@ -238,8 +240,14 @@
         )
         callers = settings.callers
         self.caller_tls = server_context(callers.tls)
+        bodies = HeldBytes.of_memory(settings.memory_mb)
         self.http = HTTPServer(
-            make_application(ports),
+            BodyLimiter(
+                make_application(ports),
+                bodies,
+                clock=self.clock,
+                streamed_prefix=SERVICES_PREFIX,
+            ),
             max_body_size=callers.max_body_bytes,
             idle_connection_timeout=callers.idle_timeout_s,
             body_timeout=callers.body_timeout_s,
--- a/src/rosepath/settings.py
+++ b/src/rosepath/settings.py
@@ -7,6 +7,8 @@
 from expression import Error, Ok, Result
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
+from rosepath.held_bytes import DEFAULT_MEMORY_MB
+
 Port = Annotated[int, Field(ge=0, le=65535)]
 Seconds = Annotated[float, Field(gt=0)]
 _Model = TypeVar("_Model", bound=BaseModel)
@@ -121,6 +123,8 @@
     entry_vm: Annotated[str, Field(min_length=1, pattern=r"^[\w.-]+$")]
     data_centre: Annotated[str, Field(min_length=1, pattern=r"^[\w.-]+$")]
     seeds: tuple[Address, ...] = ()
+    # Of the machine, for this process.
+    memory_mb: Annotated[float, Field(gt=0)] = DEFAULT_MEMORY_MB
     callers: CallerSettings = CallerSettings()
     peers: PeerSettings = PeerSettings()
     operators: OperatorSettings = OperatorSettings()
