Keep descriptors for servers, the store and peers

What callers saw: no answer, for as long as a crowd keeps connections open: they took all descriptors, so that nothing could be accepted nor any server reached, and each attempt to accept failed at once and was made again (306 connections where 256 descriptors are; the test failed before).

Change: callers' connections have 45 in 100 of the descriptors, of the new setting max_descriptors (4,100 on the users' machines: 1,845), or of the kernel's limit; beyond it the one that has waited longest for a request, a head that never ends among them, is closed, and a new one only if none waits. Each request needs at most one more for its server.

--- a/src/rosepath/caller_connection.py
+++ b/src/rosepath/caller_connection.py
@@ -1,7 +1,10 @@
 """Connections of callers: when what they hold arrived."""
 
+import resource
 import socket
 import struct
+import sys
+from collections.abc import Callable
 from typing import Any
 
 from tornado.httpserver import HTTPServer
@@ -9,10 +12,16 @@
 from tornado.iostream import IOStream
 
 from rosepath.clock import Clock
+from rosepath.logs import get_logger
 
 # Of the kernel's `struct tcp_info`: the milliseconds since data last arrived.
 _LAST_RECEIVED_OFFSET = 52
 _LAST_RECEIVED = struct.Struct("I")
+# Of a process's descriptors, for connections of callers. Each may need one more for
+# its server; the store, peers and files need some, too.
+CALLERS_SHARE = 0.45
+
+_log = get_logger()
 
 
 def unread_for_s(sock: socket.socket) -> float:
@@ -56,15 +65,40 @@
 
 
 class CallerServer(HTTPServer):
-    """Accept connections as `CallerStream`."""
+    """Accept connections as `CallerStream`, up to a part of all descriptors.
+
+    `close_idle` closes a connection that waits for a request, if there is one.
+    """
 
     def initialize(  # type: ignore[override]
-        self, delegate: HTTPServerConnectionDelegate, *, clock: Clock
+        self,
+        delegate: HTTPServerConnectionDelegate,
+        *,
+        clock: Clock,
+        close_idle: Callable[[], bool],
     ) -> None:
         super().initialize(delegate)
         self._clock = clock
+        self._close_idle = close_idle
+        # Of the process, if it is not the kernel's limit.
+        self.max_descriptors: int | None = None
+
+    @property
+    def max_connections(self) -> int:
+        """Return how many connections callers may have."""
+        limit = self.max_descriptors
+        if limit is None:
+            limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+        if limit == resource.RLIM_INFINITY:
+            return sys.maxsize
+        return int(limit * CALLERS_SHARE)
 
     def handle_stream(self, stream: IOStream, address: Any) -> None:
+        full = len(self._connections) >= self.max_connections
+        if full and not self._close_idle():
+            _log.info("connection_refused", why="too many connections")
+            stream.close()
+            return
         # The library accepts connections as plain streams, which have not been
         # used yet.
         timed = CallerStream(
--- a/src/rosepath/entry_node.py
+++ b/src/rosepath/entry_node.py
@@ -334,6 +334,7 @@
             held_bodies=self.held_bodies,
             held_responses=self.held_responses,
         )
+        self.gateway.server.max_descriptors = settings.max_descriptors
 
     @property
     def ready(self) -> bool:
@@ -512,6 +513,7 @@
             "servers_limited": limited_servers(self.tables.fleet),
             "requests_quarantined": len(self.crashes.records.quarantined),
             "in_flight": len(self.gateway.serving),
+            "caller_connections": len(self.gateway.server._connections),
             "held_bodies_bytes": self.held_bodies.used_bytes,
             "held_responses_bytes": self.held_responses.used_bytes,
             "broken_off_for_memory": self.held_bodies.broken_off
--- a/src/rosepath/entry_settings.py
+++ b/src/rosepath/entry_settings.py
@@ -113,6 +113,8 @@
     settle_ms: Annotated[float, Field(ge=0)] = 3000.0
     # Of the machine, for this process.
     memory_mb: Annotated[float, Field(gt=0)] = DEFAULT_MEMORY_MB
+    # Descriptors that the process may use; by default, the kernel's limit.
+    max_descriptors: Annotated[int, Field(gt=0)] | None = None
     log_level: Literal["debug", "info", "warning", "error"] = "info"
 
     @property
--- a/src/rosepath/gateway.py
+++ b/src/rosepath/gateway.py
@@ -97,7 +97,7 @@
         self._schedule_idle_close(self._gateway.header_timeout_s)
 
     def _mark_active(self) -> None:
-        self._gateway.idle.discard(self)
+        self._gateway.idle.pop(self, None)
         if self._idle_timer is not None:
             self._idle_timer.cancel()
 
@@ -311,12 +311,15 @@
         self.clock = clock
         self.on_failure = on_failure
         self.serving: set[CallerExchange] = set()
-        self.idle: set[CallerExchange] = set()
+        # Connections that wait for a request, the longest first.
+        self.idle: dict[CallerExchange, None] = {}
         # Requests whose headers are complete and whose body is being read.
         self.reading: set[CallerExchange] = set()
         self.closing = False
         limits = CallerLimits()
-        self.server = CallerServer(self, clock=clock)
+        self.server = CallerServer(
+            self, clock=clock, close_idle=self._close_longest_idle
+        )
         # Tornado's own timer can close a connection on which data has just
         # arrived; CallerExchange has its own.
         self.server.conn_params.header_timeout = None
@@ -328,7 +331,7 @@
     ) -> CallerExchange:
         assert isinstance(request_conn, HTTP1Connection)
         exchange = CallerExchange(self, request_conn)
-        self.idle.add(exchange)
+        self.idle[exchange] = None
         exchange.start_idle_timer()
         # Tornado reports a close between two requests only to this callback.
         request_conn.stream.set_close_callback(exchange.on_connection_close)
@@ -348,6 +351,15 @@
         """Return the number of requests being read or served."""
         return len(self.reading) + len(self.serving)
 
+    def _close_longest_idle(self) -> bool:
+        """Close the connection that has waited longest; return False if none does."""
+        exchange = next(iter(self.idle), None)
+        if exchange is None:
+            return False
+        del self.idle[exchange]
+        exchange.abort()
+        return True
+
     def close_idle(self) -> None:
         """Stop listening and close idle connections.
 
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -74,7 +74,8 @@
 
         node.gateway._serve = serve
         exchange = CallerExchange(node.gateway, cast(Any, connection))
-        node.gateway.idle.add(exchange)
+        node.gateway.idle[exchange] = None
+        connection.oldest_byte_s = asyncio.get_running_loop().time()
         line = RequestStartLine("POST", "/drafts/1", "HTTP/1.1")
         exchange.headers_received(line, HTTPHeaders({"Content-Length": "4"}))
         asyncio.get_running_loop().call_later(4.0, exchange.finish)
