Let the soak have clients that do not behave

By turns at a random VM, at its address for callers or for readiness: twelve uploads of 4 MB, of 20 kB and in chunks of 10 bytes that stop short, or beyond the limit, which stay for 0.5 to 4 s. Checked as before: the memory of VMs, and what sound callers get.

--- a/benchmarks/entry_callers.py
+++ b/benchmarks/entry_callers.py
@@ -14,9 +14,11 @@
     StreamAttemptRecord,
     TakenUpStream,
 )
+from rosepath.catalog import CallerLimits
 from rosepath.errors import ExchangeError
 from rosepath.http_client import HttpPool, Request
 from rosepath_standins.entry_fleet import HOST, EntryFleet, EntryVm, caller_headers
+from rosepath_standins.misbehaving_clients import MisbehavingClients, Upload
 from rosepath_standins.raw_caller import request_bytes, send_in_pieces
 from rosepath_standins.stream_caller import CallerStream
 
@@ -26,6 +28,19 @@
 PATIENCE_S = (0.01, 0.5)
 # Between the two pieces of a head.
 HEAD_PAUSE_S = (0.1, 1.2)
+# Of clients that do not behave: their number, and how long they stay.
+CROWD = 12
+CROWD_STAYS_S = (0.5, 4.0)
+CROWD_HEADERS = "Request-Id: crowd\r\n"
+MAX_BODY_BYTES = CallerLimits().max_body_bytes
+MISBEHAVING_UPLOADS = (
+    Upload.stopping_short(MAX_BODY_BYTES),
+    Upload.stopping_short(20_000),
+    Upload.stopping_short(MAX_BODY_BYTES, chunk_bytes=256 * 1024),
+    Upload.stopping_short(100_000, chunk_bytes=10),
+    Upload(sent_bytes=2 * MAX_BODY_BYTES, length=1 << 30),
+    Upload(sent_bytes=2 * MAX_BODY_BYTES, chunk_bytes=64 * 1024),
+)
 MAX_STREAM_ATTEMPTS = 4
 MAX_STREAM_PAUSE_S = 1.0
 # Probes cover the routes added last, including those dropped since.
@@ -47,6 +62,7 @@
     version_rng: random.Random
     caller_rng: random.Random
     pause_rng: random.Random
+    client_rng: random.Random
     streams: list[TakenUpStream] = field(default_factory=list)
     responses: list[CallerResponse] = field(default_factory=list)
     sent_in_pieces: set[str] = field(default_factory=set)
@@ -169,6 +185,22 @@
             )
         )
 
+    async def run_misbehaving_clients(self) -> None:
+        """Send bodies that stop short or go beyond the limit, and stay for a while."""
+        rng = self.client_rng
+        while time.monotonic() < self.ends_s:
+            vm = rng.choice(list(self.fleet.vms.values()))
+            port = rng.choice([vm.port, vm.port, vm.port, vm.ready_port])
+            crowd = MisbehavingClients("127.0.0.1", port)
+            upload = rng.choice(MISBEHAVING_UPLOADS)
+            sending = (
+                crowd.send(f"/look/crowd-{number}", upload, headers=CROWD_HEADERS)
+                for number in range(CROWD)
+            )
+            await asyncio.gather(*sending)
+            await asyncio.sleep(rng.uniform(*CROWD_STAYS_S))
+            crowd.close()
+
     async def run_stream_caller(self) -> None:
         """Begin streams, break them off and take them up at other VMs."""
         rng, pool = self.version_rng, HttpPool()
--- a/benchmarks/entry_soak.py
+++ b/benchmarks/entry_soak.py
@@ -176,6 +176,7 @@
         ]
         tasks += [callers.run_leaving_caller() for _ in range(LEAVING_CALLERS)]
         tasks += [callers.run_slow_caller() for _ in range(SLOW_CALLERS)]
+        tasks.append(callers.run_misbehaving_clients())
         tasks += [callers.probe_routes(vm) for vm in self.fleet.vms.values()]
         if self.mixes_versions:
             tasks += [callers.run_stream_caller() for _ in range(STREAM_CALLERS)]
@@ -577,6 +578,7 @@
         version_rng=random.Random(f"version {seed}"),
         caller_rng=random.Random(f"caller {seed}"),
         pause_rng=random.Random(f"pause {seed}"),
+        client_rng=random.Random(f"client {seed}"),
     )
     run = EntrySoak(
         fleet,
