Let uploads that stand still yield sooner where room is short

Found by a trial: beside 2,000 uploads of 20 kB that stop short, ten ordinary requests of 20 kB in 3 s got 503, and beside 400 that come again each half second 11 of 20: an upload was late only after 2 s, and weighed four times as much three seconds later.

Change: late after half a second, and its weight grows by four a second. It decides nothing in calm, where a caller that pauses for 2 s is served (test_late_bodies.py).

--- a/src/rosepath/held_bytes.py
+++ b/src/rosepath/held_bytes.py
@@ -11,10 +11,11 @@
 # A hold is broken off for another one only if it weighs more by this factor.
 # Sound exchanges that grow together would otherwise end each other.
 BREAK_OFF_FACTOR = 4
-# An upload is late if it takes longer than this and its bytes at this pace: a sound
-# caller on a thin link may pause.
-UPLOAD_PAUSE_S = 2.0
+# An upload is late if it takes longer than this and its bytes at this pace. It counts
+# only where room is short, so that callers on thin links may be slower otherwise.
+UPLOAD_PAUSE_S = 0.5
 UPLOAD_BYTES_PER_S = 64 * 1024
+LATE_WEIGHT_PER_S = 4.0
 
 
 def upload_weight(*, age_s: float, received_bytes: int) -> float:
@@ -24,7 +25,7 @@
     before sound ones of its size.
     """
     usual_s = UPLOAD_PAUSE_S + received_bytes / UPLOAD_BYTES_PER_S
-    return 1.0 + max(0.0, age_s - usual_s)
+    return 1.0 + LATE_WEIGHT_PER_S * max(0.0, age_s - usual_s)
 
 
 def _weigh_size_only() -> float:
