--- a/src/rosepath/header_values.py
+++ b/src/rosepath/header_values.py
@@ -107,6 +107,9 @@
 
 
 def sum_counts(raw: str) -> int | None:
-    """Return the sum of a list of counts, None if empty; raise ValueError."""
-    counts = [parse_count(item) for item in list_items([raw])]
+    """Return the sum of a list of counts; None unless all are stated."""
+    try:
+        counts = [parse_count(item) for item in list_items([raw])]
+    except ValueError:
+        return None
     return sum(counts) if counts else None
--- a/src/rosepath/platform/calls.py
+++ b/src/rosepath/platform/calls.py
@@ -75,7 +75,7 @@
     if not request_id:
         raise BadRequestError("the request has no id")
     try:
-        prompt, tokens = _parse_prompt(headers), sum_counts(headers.get(_TOKENS, ""))
+        prompt = _parse_prompt(headers)
     except ValueError as error:
         raise BadRequestError(f"the prompt's headers are broken: {error}") from error
     return CallerRequest(
@@ -94,7 +94,7 @@
         last_event_id=parse_int(headers.get(_LAST_EVENT)),
         resumed_request_id=headers.get(_RESUMES, ""),
         api_key_digest=sole_key_digest(headers.get_list(_API_KEY)),
-        tokens=tokens,
+        tokens=sum_counts(headers.get(_TOKENS, "")),
     )
 
 
