Hold less of what clients send ahead, and fewer connections on small machines

What operators would see: clients that send requests ahead on many connections, without reading, end a process.

Change: heads are read in pieces of 8 KiB, bodies of 64 KiB as before.

--- a/src/rosepath/caller_connection.py
+++ b/src/rosepath/caller_connection.py
@@ -3,7 +3,6 @@
 import resource
 import socket
 import struct
-import sys
 from collections.abc import Callable
 from typing import Any
 
@@ -12,6 +11,7 @@
 from tornado.iostream import IOStream
 
 from rosepath.clock import Clock
+from rosepath.held_bytes import DEFAULT_MEMORY_MB
 from rosepath.logs import get_logger
 
 # Of the kernel's `struct tcp_info`: the milliseconds since data last arrived.
@@ -20,6 +20,14 @@
 # Of a process's descriptors, for connections of callers. Each may need one more for
 # its server; the store, peers and files need some, too.
 CALLERS_SHARE = 0.45
+# Of a process's memory, for connections of callers, and what one may hold beside its
+# body: a head near its limit, with the copies that a server gets, and the next one.
+CONNECTIONS_MEMORY_SHARE = 0.25
+CONNECTION_BYTES = 40 * 1024
+# What one read takes of a head, and of a body. What arrives ahead of a request stays in
+# memory while the one before it is served, on each connection.
+HEAD_READ_BYTES = 8 * 1024
+BODY_READ_BYTES = 64 * 1024
 
 _log = get_logger()
 
@@ -65,7 +73,7 @@
 
 
 class CallerServer(HTTPServer):
-    """Accept connections as `CallerStream`, up to a part of all descriptors.
+    """Accept connections as `CallerStream`, as many as descriptors and memory allow.
 
     `close_idle` closes a connection that waits for a request, if there is one.
     """
@@ -82,16 +90,19 @@
         self._close_idle = close_idle
         # Of the process, if it is not the kernel's limit.
         self.max_descriptors: int | None = None
+        self.memory_mb = DEFAULT_MEMORY_MB
 
     @property
     def max_connections(self) -> int:
         """Return how many connections callers may have."""
+        memory_bytes = self.memory_mb * 1024 * 1024 * CONNECTIONS_MEMORY_SHARE
+        by_memory = int(memory_bytes / CONNECTION_BYTES)
         limit = self.max_descriptors
         if limit is None:
             limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
         if limit == resource.RLIM_INFINITY:
-            return sys.maxsize
-        return int(limit * CALLERS_SHARE)
+            return by_memory
+        return min(by_memory, int(limit * CALLERS_SHARE))
 
     def handle_stream(self, stream: IOStream, address: Any) -> None:
         full = len(self._connections) >= self.max_connections
@@ -105,6 +116,6 @@
             stream.socket,
             clock=self._clock,
             max_buffer_size=stream.max_buffer_size,
-            read_chunk_size=stream.read_chunk_size,
+            read_chunk_size=HEAD_READ_BYTES,
         )
         super().handle_stream(timed, address)
--- a/src/rosepath/entry_node.py
+++ b/src/rosepath/entry_node.py
@@ -335,6 +335,7 @@
             held_responses=self.held_responses,
         )
         self.gateway.server.max_descriptors = settings.max_descriptors
+        self.gateway.server.memory_mb = settings.memory_mb
 
     @property
     def ready(self) -> bool:
--- a/src/rosepath/gateway.py
+++ b/src/rosepath/gateway.py
@@ -15,7 +15,12 @@
     ResponseStartLine,
 )
 
-from rosepath.caller_connection import CallerServer, CallerStream
+from rosepath.caller_connection import (
+    BODY_READ_BYTES,
+    HEAD_READ_BYTES,
+    CallerServer,
+    CallerStream,
+)
 from rosepath.catalog import CallerLimits
 from rosepath.clock import Clock
 from rosepath.held_bytes import HeldBytes, upload_weight
@@ -120,6 +125,7 @@
         self._body_hold.break_off = self._refuse_body
         self._body_hold.weight = self._upload_weight
         if "Content-Length" in headers or "Transfer-Encoding" in headers:
+            stream.read_chunk_size = BODY_READ_BYTES
             self._upload_timer = asyncio.get_running_loop().call_later(
                 self._gateway.upload_time_s(self), self._expire_upload
             )
@@ -164,6 +170,7 @@
     def finish(self) -> None:
         self._gateway.reading.discard(self)
         self._reading = False
+        self._connection.stream.read_chunk_size = HEAD_READ_BYTES
         self._cancel_upload_timer()
         # A request that is served keeps its body.
         self._body_hold.break_off = None
--- a/tests/test_misbehaving_clients.py
+++ b/tests/test_misbehaving_clients.py
@@ -27,6 +27,12 @@
 DAEMON_MEMORY_MB = 300
 DAEMON_BODY_BYTES = 4 * 1024 * 1024
 DESCRIPTORS = 256
+# Connections with requests sent ahead, and how long the first of each runs.
+PIPELINING = 1500
+PIPELINED_RUN_S = 3.0
+# As clients of a full VM do, whose connections are closed with the request unread.
+MAX_ATTEMPTS = 4
+RETRY_PAUSE_S = 0.5
 ORDINARY_BODY = b"x" * 20_000
 WAIT_S = 4.0
 # All of the limit, then ever smaller ones, so that they fill whatever room is left.
@@ -73,6 +79,15 @@
     return head.status
 
 
+async def status_after_retries(fleet: EntryFleet, vm: EntryVm) -> int:
+    """Send an ordinary request, again if its connection was closed unread."""
+    for attempt in range(MAX_ATTEMPTS):
+        if status := await status_of(fleet, vm, f"ordinary-{attempt}"):
+            return status
+        await asyncio.sleep(RETRY_PAUSE_S)
+    return 0
+
+
 def check_process(vm: EntryVm) -> None:
     """Check that a VM lives and stayed within its memory and descriptors."""
     assert vm.running and vm.process is not None
@@ -166,6 +181,34 @@
     asyncio.run(run())
 
 
+# Guards against running out of memory for requests that are sent ahead while the first
+# one of their connection is served.
+def test_pipelined_requests_leave_room_for_others(tmp_path: Path) -> None:
+    async def run() -> None:
+        async with running_vm(tmp_path) as (fleet, vm):
+            for server in fleet.servers.values():
+                server.response_delay_s = PIPELINED_RUN_S
+            crowd = MisbehavingClients("127.0.0.1", vm.port)
+            for number in range(PIPELINING):
+                name = f"crowd-{number}"
+                fleet.request_log.vm_by_request[name] = vm.name
+                head = f"GET /look/{name} HTTP/1.1\r\nHost: {HOST}\r\n"
+                head += f"Request-Id: {name}\r\n"
+                ahead = head + f"X: {'x' * 12_000}\r\n\r\n"
+                await crowd.send_bytes(f"{head}\r\n{ahead * 10}".encode())
+            try:
+                check_process(vm)
+                crowd.close()
+                for server in fleet.servers.values():
+                    server.response_delay_s = 0.0
+                assert await status_after_retries(fleet, vm) == 200
+                check_process(vm)
+            finally:
+                crowd.close()
+
+    asyncio.run(run())
+
+
 # Guards against bodies that together exceed the memory of the product's own daemon.
 @pytest.mark.parametrize("chunk_bytes", [0, 64 * 1024], ids=lambda n: f"chunk-{n}")
 def test_bodies_at_rosepathd_are_held_up_to_a_common_limit(
