--- a/src/rosepath/body_limiter.py
+++ b/src/rosepath/body_limiter.py
@@ -21,7 +21,11 @@
 from rosepath.clock import Clock
 from rosepath.errors import Refusal, Run, Step
 from rosepath.held_bytes import HeldBytes, upload_weight
-from rosepath.lingering import finish_after_body, finish_connection
+from rosepath.lingering import (
+    finish_after_body,
+    finish_connection,
+    ignore_write_error,
+)
 from rosepath.logs import get_logger
 
 NO_ROOM = Refusal(
@@ -167,9 +171,7 @@
         )
         self._connection._disconnect_on_finish = True
         line = ResponseStartLine("HTTP/1.1", NO_ROOM.status, "Service Unavailable")
-        written = self._connection.write_headers(line, headers, body)
-        # A write fails once the caller has disconnected.
-        written.add_done_callback(lambda done: done.cancelled() or done.exception())
+        ignore_write_error(self._connection.write_headers(line, headers, body))
         self._linger_timer = finish_after_body(self._connection)
 
     def _cancel_linger(self) -> None:
--- a/src/rosepath/caller_connection.py
+++ b/src/rosepath/caller_connection.py
@@ -1,4 +1,4 @@
-"""Connections of callers: when what they hold arrived."""
+"""Connections of callers: how many there may be, and when what they hold arrived."""
 
 import resource
 import socket
--- a/src/rosepath/gateway.py
+++ b/src/rosepath/gateway.py
@@ -25,7 +25,11 @@
 from rosepath.clock import Clock
 from rosepath.held_bytes import HeldBytes, upload_weight
 from rosepath.http_exchange import disable_linger
-from rosepath.lingering import finish_after_body, finish_connection
+from rosepath.lingering import (
+    finish_after_body,
+    finish_connection,
+    ignore_write_error,
+)
 
 # Large enough for a burst of events; beyond it, the relay stops reading from
 # the backend server until the caller catches up.
@@ -232,7 +236,7 @@
         if self._gateway.closing or self._reading:
             self._connection._disconnect_on_finish = True
         line = ResponseStartLine("HTTP/1.1", status, responses.get(status, "Status"))
-        _ignore_write_error(self._connection.write_headers(line, headers))
+        ignore_write_error(self._connection.write_headers(line, headers))
 
     def write(self, data: bytes) -> Awaitable[None] | None:
         """Write a part of the body.
@@ -243,7 +247,7 @@
         if not data:
             return None
         written = self._connection.write(data)
-        _ignore_write_error(written)
+        ignore_write_error(written)
         write_buffer = self._connection.stream._write_buffer
         unsent_bytes = 0 if write_buffer is None else len(write_buffer)
         if unsent_bytes <= SCARCE_WRITE_AHEAD_BYTES:
@@ -282,12 +286,6 @@
             stream.close()
 
 
-def _ignore_write_error(written: "asyncio.Future[None]") -> None:
-    # A write fails once the caller has disconnected; on_connection_close
-    # handles that case.
-    written.add_done_callback(lambda done: done.cancelled() or done.exception())
-
-
 class Gateway(HTTPServerConnectionDelegate):
     """Own the HTTP server for callers and its connections.
 
--- a/src/rosepath/lingering.py
+++ b/src/rosepath/lingering.py
@@ -1,4 +1,4 @@
-"""End connections whose response is complete before their request."""
+"""Respond to requests that are not complete, and end their connections."""
 
 import asyncio
 
@@ -19,3 +19,8 @@
     """Complete a response, which ends a connection that announced so."""
     if not connection.stream.closed():
         connection.finish()
+
+
+def ignore_write_error(written: "asyncio.Future[None]") -> None:
+    """Leave it to the connection's close to tell that a caller is gone."""
+    written.add_done_callback(lambda done: done.cancelled() or done.exception())
