Test parts of prompts that crash servers while entry VMs start, red

Operators saw requests with a part of their prompts sent long after its fifth crash (BUDGET), and sound requests that share its other parts not begin at the first attempt (LOST); they kept no logs.

--- a/tests/crashing_servers.py
+++ b/tests/crashing_servers.py
@@ -6,7 +6,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from typing import Any, cast
 
@@ -14,6 +14,7 @@
 from tornado.httputil import HTTPHeaders
 from virtual_time import now_s
 
+from rosepath.entry_node import LEASE_TICK_S
 from rosepath.errors import ExchangeError, Step
 from rosepath.fleet import BackendServer
 from rosepath.http_client import Request, ResponseHead
@@ -26,13 +27,35 @@
 # Time from the start of a run to the crash, and from the crash to the restart.
 CRASH_AFTER_S = 0.05
 RESTART_AFTER_S = 3.0
+VM_RESTART_AFTER_S = 0.3
 # Duration of other requests, and of those to `LONG_PATH`.
 RUN_S = 0.03
 LONG_RUN_S = 0.2
 CALLER_RETRY_AFTER_S = 0.05
+CRASHING_PART = "dead"
+# How often requests with a part that crashes servers may still reach servers once
+# its fifth crash is known everywhere, and when and how often sound requests have
+# to be served.
+FREE_CRASHES = 5
+MAX_SENDS_AFTER_FIFTH = 3
+MIN_SERVED_SHARE = 0.5
+CONTACT_S = 3.0
 ONE_WAY_LATENCY_S = 0.001
 
 
+def late_sends(sent_s: Sequence[float], crashes_s: Sequence[float]) -> int:
+    """Count the sends after the fifth crash became known."""
+    if len(crashes_s) < FREE_CRASHES:
+        return 0
+    known_s = sorted(crashes_s)[FREE_CRASHES - 1] + CONTACT_S
+    return sum(at_s > known_s for at_s in sent_s)
+
+
+def settled_s(crashes_s: Sequence[float]) -> float:
+    """Return from when sound requests have to be served again."""
+    return sorted(crashes_s)[:FREE_CRASHES][-1] + 2 * CONTACT_S
+
+
 @dataclass(slots=True)
 class Server:
     """Hold a server's current instance and its crash event."""
@@ -57,6 +80,11 @@
     crashing_parts: tuple[str, ...] = ()
     # The shared parts of the prompts of unrelated requests, if they have any.
     prompt: str = ""
+    # How long sound requests with a prompt run, and when they begin to answer.
+    run_s: float = RUN_S
+    first_event_after_s: float = RUN_S
+    # The VMs keep the placement lease in the store, as outside the tests.
+    stores_lease: bool = False
     # Arrival and status of each request with a prompt that crashes no server.
     sound_outcomes: list[tuple[float, int]] = field(default_factory=list)
     instance_base: int = 100
@@ -96,7 +124,13 @@
         exchange = CrashingExchange(request_id, self, path)
         if prefix:
             exchange.headers.update(prompt_headers(prefix))
-        asyncio.ensure_future(self.nodes[vm].relay.serve(cast(Any, exchange)))
+        self.serve(vm, exchange)
+
+    def send_prompt(self, request_id: str, parts: Sequence[str]) -> None:
+        """Send a request with parts of a prompt, and one of its own, to a VM."""
+        vm = self.rng.choice(sorted(self.nodes.keys() - self.killed))
+        prefix = ",".join(f"{part}:100" for part in (*parts, request_id.encode().hex()))
+        self.serve(vm, PromptExchange(request_id, self, prefix))
 
     async def call(self, vm: str, path: str, *, tries: int) -> bool:
         """Make a request and retry it at random VMs; return whether it is served."""
@@ -135,6 +169,30 @@
         self.holder = self.rng.choice(sorted(self.nodes))
         self.holder_term += 1
 
+    async def replace_vm(self, name: str, monkeypatch: Any) -> None:
+        """Kill a VM and start it again a moment later, without any state."""
+        self.kill(name)
+        await asyncio.sleep(VM_RESTART_AFTER_S)
+        self.restart(name, monkeypatch)
+
+    async def replace_vms(self, monkeypatch: Any) -> None:
+        """Kill all VMs at once and start them again."""
+        names = sorted(self.nodes)
+        await asyncio.gather(*(self.replace_vm(name, monkeypatch) for name in names))
+
+    def _replace_leases(self, node: Any, name: str, monkeypatch: Any) -> None:
+        if not self.stores_lease:
+            super(CrashingServersSimulation, self)._replace_leases(
+                node, name, monkeypatch
+            )
+
+    async def _renew_lease(self, name: str) -> None:
+        node = self.nodes[name]
+        while self.stores_lease:
+            await node._step_lease()
+            await asyncio.sleep(LEASE_TICK_S)
+        await super(CrashingServersSimulation, self)._renew_lease(name)
+
     def _build_node(self, name: str, monkeypatch: Any) -> None:
         super(CrashingServersSimulation, self)._build_node(name, monkeypatch)
         node = self.nodes[name]
@@ -181,6 +239,12 @@
             answered = long or (crashes and early)
             head = _send_head(on_head, 200) if answered else None
             run_s = None if crashes else LONG_RUN_S if long else RUN_S
+            if not crashes and "Prompt-Prefix" in request.headers:
+                await self._run_at(
+                    server, request, self.first_event_after_s, answered=False
+                )
+                head = _send_head(on_head, 200)
+                answered, run_s = True, self.run_s - self.first_event_after_s
             await self._run_at(server, request, run_s, answered=answered)
             head = head or _send_head(on_head, 200)
             on_data(b"done")
--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -83,6 +83,8 @@
     cuts: int = 0
     nodes: dict[str, EntryNode] = field(default_factory=dict)
     tasks: list[asyncio.Task[Any]] = field(default_factory=list)
+    # Requests in progress; the tasks are named after their VMs.
+    serving: set[asyncio.Task[None]] = field(default_factory=set)
     holder: str = ""
     holder_term: int = 1
     departed_at_s: dict[str, float] = field(default_factory=dict)
@@ -281,17 +283,23 @@
         node.tables.catalog = a_catalog(
             a_route(kind=RouteKind.IDEMPOTENT, service=SERVICE, resumable=False)
         )
+        self._replace_leases(node, name, monkeypatch)
+        monkeypatch.setattr(node.pool, "exchange", self._backend_exchange(name))
+        node.copies.fetch = self._configuration_fetch(name)
+        node.copies._rng = self.rng
+        node.relay._ports.on_outcome = lambda *_: None
+        node.relay._ports.rng = self.rng
+
+    def _replace_leases(
+        self, node: EntryNode, name: str, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Let the simulation say who holds the placement lease."""
         leases = node.coordinator.leases
         monkeypatch.setattr(leases, "valid", lambda *_, **__: self.holder == name)
         monkeypatch.setattr(leases, "fence", lambda _: self.holder_term)
         monkeypatch.setattr(
             leases, "holder", lambda _: name if self.holder == name else ""
         )
-        monkeypatch.setattr(node.pool, "exchange", self._backend_exchange(name))
-        node.copies.fetch = self._configuration_fetch(name)
-        node.copies._rng = self.rng
-        node.relay._ports.on_outcome = lambda *_: None
-        node.relay._ports.rng = self.rng
 
     def _connect_and_run(self, name: str) -> None:
         """Give a VM the addresses of the others and start its tasks."""
@@ -318,7 +326,7 @@
 
     def kill(self, name: str) -> None:
         """Cancel a VM's tasks and block it from the store."""
-        for task in self.tasks:
+        for task in [*self.tasks, *self.serving]:
             if task.get_name() == name:
                 task.cancel()
         self.killed.add(name)
@@ -335,9 +343,10 @@
         self._note_disruption([name])
 
     async def close(self) -> None:
-        for task in self.tasks:
+        tasks = [*self.tasks, *self.serving]
+        for task in tasks:
             task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await asyncio.gather(*tasks, return_exceptions=True)
 
     async def _note_loop_running(self, name: str) -> None:
         while True:
@@ -360,10 +369,16 @@
         number = 0
         while True:
             number += 1
-            exchange = self.make_exchange(f"{name}-{number}")
-            asyncio.ensure_future(self.nodes[name].relay.serve(cast(Any, exchange)))
+            self.serve(name, self.make_exchange(f"{name}-{number}"))
             await asyncio.sleep(REQUEST_INTERVAL_S)
 
+    def serve(self, vm: str, exchange: "SimulatedExchange") -> None:
+        """Serve a request at a VM, until it is killed."""
+        serving = self.nodes[vm].relay.serve(cast(Any, exchange))
+        task = asyncio.create_task(serving, name=vm)
+        self.serving.add(task)
+        task.add_done_callback(self.serving.discard)
+
     def make_exchange(self, request_id: str) -> "SimulatedExchange":
         """Return the exchange of one of the requests sent all the time."""
         return SimulatedExchange(request_id, self)
--- a/tests/store_view.py
+++ b/tests/store_view.py
@@ -12,6 +12,7 @@
 from rosepath.errors import Step
 from rosepath.object_store import (
     Change,
+    ConflictError,
     HistoryGoneError,
     Listing,
     StoredObject,
@@ -118,6 +119,18 @@
         await self._call("get")
         return self._succeeded(self.simulation.objects.get(name))
 
+    async def put(
+        self, name: str, value: bytes, *, expected_version: int | None
+    ) -> int:
+        """Write an object if it has the expected version, 0 for none."""
+        await self._call("put")
+        stored = self.simulation.objects.get(name)
+        version = stored.version if stored is not None else 0
+        if expected_version not in (None, version):
+            raise ConflictError(name, step=Step.STORE)
+        self.simulation.write(name, value)
+        return self._succeeded(self.simulation.revision)
+
     def close(self) -> None:
         pass
 
--- a/tests/test_crashing_prompt_parts.py
+++ b/tests/test_crashing_prompt_parts.py
@@ -3,11 +3,17 @@
 import asyncio
 import os
 import random
-from collections.abc import Awaitable, Callable, Sequence
-from typing import cast
+from collections.abc import Awaitable, Callable
 
 import pytest
-from crashing_servers import CrashingServersSimulation, PromptExchange
+from crashing_servers import (
+    CRASHING_PART,
+    MAX_SENDS_AFTER_FIFTH,
+    MIN_SERVED_SHARE,
+    CrashingServersSimulation,
+    late_sends,
+    settled_s,
+)
 from entry_harness import ReceivedRequest, stream_head
 from fleet_world import run_in_virtual_time
 from timed_engines import (
@@ -23,30 +29,10 @@
     streams,
 )
 
-FREE_CRASHES = 5
-# How often requests with the part may still reach servers once its fifth crash
-# is known everywhere.
-MAX_SENDS_AFTER_FIFTH = 3
-MIN_SERVED_SHARE = 0.5
-CONTACT_S = 3.0
-CRASHING_PART = "dead"
 # SEEDS=50 in the environment runs 50 random scenarios.
 SEEDS = range(int(os.environ["SEEDS"])) if "SEEDS" in os.environ else (0, 1, 2, 3)
 
 
-def late_sends(sent_s: Sequence[float], crashes_s: Sequence[float]) -> int:
-    """Count the sends after the fifth crash became known."""
-    if len(crashes_s) < FREE_CRASHES:
-        return 0
-    known_s = sorted(crashes_s)[FREE_CRASHES - 1] + CONTACT_S
-    return sum(at_s > known_s for at_s in sent_s)
-
-
-def settled_s(crashes_s: Sequence[float]) -> float:
-    """Return from when sound requests have to be served again."""
-    return sorted(crashes_s)[:FREE_CRASHES][-1] + 2 * CONTACT_S
-
-
 def crashes_on_part(received: ReceivedRequest) -> Timetable:
     """Crash the engine soon after the head of an answer on the part."""
     if f"{CRASHING_PART}:" in received.headers["prompt-prefix"]:
@@ -130,15 +116,6 @@
     return simulation
 
 
-def send(
-    simulation: CrashingServersSimulation, request_id: str, parts: Sequence[str]
-) -> None:
-    vm = simulation.rng.choice(sorted(simulation.nodes))
-    prefix = ",".join(f"{part}:100" for part in (*parts, request_id.encode().hex()))
-    exchange = PromptExchange(request_id, simulation, prefix)
-    asyncio.ensure_future(simulation.nodes[vm].relay.serve(cast(object, exchange)))  # type: ignore[arg-type]
-
-
 # Guards against each entry VM learning of the part by crashes of its own,
 # with lost messages, two such parts at once and holders that change.
 @pytest.mark.parametrize("seed", SEEDS)
@@ -157,12 +134,12 @@
             for _ in range(rng.choice([1, 1, 2])):
                 part = rng.choice(bad)
                 parts = [part, "bb"] if first else ["aa", part]
-                send(simulation, f"p{number}-{rng.random()}", parts)
+                simulation.send_prompt(f"p{number}-{rng.random()}", parts)
             await asyncio.sleep(rng.choice([0.05, 0.3, 0.6]))
             if rng.random() < 0.05:
                 simulation.replace_holder()
         for number in range(30):
-            send(simulation, f"last{number}", ["aa", rng.choice(bad)])
+            simulation.send_prompt(f"last{number}", ["aa", rng.choice(bad)])
             await asyncio.sleep(0.4)
 
     simulation = run_scenario(
@@ -191,7 +168,7 @@
             times=20, each_s=0.5, prefix="aa:100,cc:100,ee:10"
         )
         for number in range(20):
-            send(simulation, f"s{number}", ["aa", "cc"])
+            simulation.send_prompt(f"s{number}", ["aa", "cc"])
             await asyncio.sleep(0.1)
 
     simulation = run_scenario(monkeypatch, scenario, vms=5, servers=5, seed=5)
