Refuse only prompts with all parts that may have crashed servers

Cause: parts that were only ever seen together can't be told apart, and one of them was chosen by its place. Class of fault: a verdict narrower than its evidence, that ends the evidence which could refute it.

Change: a cause is a set of parts, those that every request at the crashes had. Only a request with all of them is refused; one with some runs isolated, and its outcome narrows the set down. Where several sets share a part (two causes), a request without the other parts is tried before the shared one is condemned, at most until two servers crashed without them.

Why it holds: under one guilty part each request at a crash has it, so that it is in the set, and no sound request has all of the set.

--- a/src/rosepath/crash_records.py
+++ b/src/rosepath/crash_records.py
@@ -7,28 +7,34 @@
 """
 
 from collections import OrderedDict
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 from enum import IntEnum
-from typing import NamedTuple
 
 from rosepath.clock import Clock
 from rosepath.content_key import is_part_key
+from rosepath.crash_report import (
+    SETTLE_S,
+    CrashReport,
+    Exposure,
+    ServerInstance,
+)
+from rosepath.known_part_causes import KnownPartCauses
+from rosepath.part_causes import (
+    PartCause,
+    PartEvidence,
+    find_part_causes,
+    is_identifiable,
+    parts_of_key,
+)
 
 # Servers also crash for other reasons. An unrelated request may be in flight
 # at one or two such crashes, hardly at three while none of its runs completes.
 CRASHES_TO_QUARANTINE = 3
-# A request that crashes servers whatever its prompt is retried with the same
-# parts. So many requests with other contents tell a part from it.
-CONTENTS_TO_QUARANTINE_PART = 3
 # How long a part of prompts is not suspected after a run with it survived.
 # Parts that most requests share are in flight at every crash.
 SURVIVED_TTL_S = 30.0
 MAX_SURVIVED_PARTS = 5_000
-# Reports of a crash arrive from all entry VMs, in any order, and one of two
-# datagrams may be lost. Until all are in, an unrelated request may look like
-# the cause.
-SETTLE_S = 0.3
 # Reports are included in state messages for this long, as datagrams are lost
 # and VMs restart.
 REPORT_TTL_S = 3.0
@@ -44,38 +50,6 @@
 MAX_RECORDS = 500
 
 
-class ServerInstance(NamedTuple):
-    """Identify one instance of a server, from its start to its end."""
-
-    server: str
-    born_ms: int = 0
-
-
-class Exposure(IntEnum):
-    """State of a request at a server that crashed, the likeliest cause last.
-
-    A `PRESENT` request was queued or had run for long, a `STARTING` one had
-    just begun to run, which is when requests crash servers. An `ISOLATED` one
-    was the only suspect at that server.
-    """
-
-    PRESENT = 1
-    STARTING = 2
-    ISOLATED = 3
-
-
-class CrashReport(NamedTuple):
-    """Report that a server crashed while a request was in flight there.
-
-    `part_keys` has the shared parts of its prompt, if it had just begun.
-    """
-
-    content_key: str
-    instance: ServerInstance
-    exposure: Exposure
-    part_keys: tuple[str, ...] = ()
-
-
 class Suspicion(IntEnum):
     """How a request may be sent.
 
@@ -96,13 +70,12 @@
     """Crashes at which a request, or one with a part of prompts, was in flight.
 
     `cleared` are those before its last completed run. `contents` has the
-    requests with the part by crash, and `depth` its place in their prompts.
+    requests with the part by crash.
     """
 
     exposures: dict[ServerInstance, Exposure] = field(default_factory=dict)
     cleared: set[ServerInstance] = field(default_factory=set)
     contents: dict[ServerInstance, set[str]] = field(default_factory=dict)
-    depth: int = 0
     changed_s: float = 0.0
     # When it was identified as the cause; provisional until `confirmed`.
     identified_s: float | None = None
@@ -112,10 +85,6 @@
         """Return the crashes not cleared nor explained by another request."""
         return self.exposures.keys() - self.cleared - explained
 
-    def count_contents(self, instances: set[ServerInstance]) -> int:
-        """Return the number of requests in flight at some of the crashes."""
-        return len(set().union(*(self.contents.get(one, ()) for one in instances)))
-
     @property
     def weight(self) -> tuple[int, int]:
         """Return the sort key: number of crashes, then sum of exposures."""
@@ -136,6 +105,7 @@
     def __init__(self, *, clock: Clock) -> None:
         self._clock = clock
         self._records: OrderedDict[str, _Record] = OrderedDict()
+        self.part_causes = KnownPartCauses(clock=clock)
         self._explained: set[ServerInstance] = set()
         # When each report was last to be told to other VMs, the latest last.
         self._told_s: OrderedDict[CrashReport, float] = OrderedDict()
@@ -145,19 +115,18 @@
         self._survived_s: OrderedDict[str, float] = OrderedDict()
 
     def __len__(self) -> int:
-        return len(self._records)
+        return len(self._records) + len(self.part_causes)
 
     def add(self, report: CrashReport) -> bool:
         """Add a report; return whether it changed the records."""
         changed = self._add_exposure(report.content_key, report)
-        for depth, key in enumerate(report.part_keys):
+        for key in report.part_keys:
             if self._has_survived(key):
                 # Tells VMs that have not seen such a run.
                 self._cleared[key] = self._clock.monotonic_s()
                 continue
             changed |= self._add_exposure(key, report)
             record = self._records[key]
-            record.depth = max(record.depth, depth)
             contents = record.contents.setdefault(report.instance, set())
             changed |= report.content_key not in contents
             contents.add(report.content_key)
@@ -175,13 +144,33 @@
         self._records.move_to_end(key)
         return True
 
-    def note_survived(self, part_keys: tuple[str, ...]) -> bool:
-        """Record that a run with parts of prompts went on after its start.
+    def note_survived(
+        self, part_keys: Collection[str], *, completed: bool = True
+    ) -> bool:
+        """Record that runs with parts of prompts went on after their start.
 
-        Return whether that changed the records.
+        One that is not `completed` may still crash its server. Return whether that
+        changed the records.
         """
+        innocent = self.part_causes.innocent(part_keys, completed=completed)
         # A list, as all parts are to be cleared.
-        return any([self.clear(key) for key in part_keys])
+        changed = any([self._clear_part(key) for key in sorted(innocent)])
+        changed |= self.part_causes.remove_parts(innocent)
+        if changed:
+            self._find_causes()
+        return changed
+
+    def _clear_part(self, key: str) -> bool:
+        """Clear a part of its crashes so far; return whether it had any."""
+        self._note_survived(key)
+        record = self._records.get(key)
+        if key in self.part_causes.parts:
+            self.announce_cleared(key)
+        if record is None or not record.exposures.keys() - record.cleared:
+            return False
+        record.cleared.update(record.exposures)
+        self.announce_cleared(key)
+        return True
 
     def without_survived(self, part_keys: tuple[str, ...]) -> tuple[str, ...]:
         """Return the parts with which no run survived recently."""
@@ -197,6 +186,12 @@
 
         Return whether that changed the records.
         """
+        if is_part_key(content_key):
+            survived = set(filter(self._has_survived, parts_of_key(content_key)))
+            changed = self.part_causes.tell(content_key, survived=survived)
+            if changed:
+                self._find_causes()
+            return changed
         record = self._records.get(content_key) or self._create(content_key)
         if record.confirmed:
             return False
@@ -209,11 +204,8 @@
     def clear(self, content_key: str) -> bool:
         """Clear a request of its crashes so far, as one of its runs completed.
 
-        The same for a part, as a run with it survived. Return whether that
-        changed the records.
+        Return whether that changed the records.
         """
-        if is_part_key(content_key):
-            self._note_survived(content_key)
         record = self._records.get(content_key)
         if record is None or record.confirmed:
             return False
@@ -239,20 +231,90 @@
         if len(self._survived_s) > MAX_SURVIVED_PARTS:
             self._survived_s.popitem(last=False)
 
-    def suspicion(self, content_key: str) -> Suspicion:
-        """Return how a request may be sent."""
-        record = self._records.get(content_key)
+    def suspicion(self, key: str) -> Suspicion:
+        """Return how a request may be sent, by its content or a part of its prompt."""
+        if is_part_key(key):
+            return self.parts_suspicion((key,))
+        record = self._records.get(key)
         if record is None:
             return Suspicion.CLEAR
         if record.identified_s is not None:
             # The record is kept for as long as callers send the request.
             record.changed_s = self._clock.monotonic_s()
-            self._records.move_to_end(content_key)
+            self._records.move_to_end(key)
             self._confirm()
             return Suspicion.QUARANTINED if record.confirmed else Suspicion.HELD
         crashes = record.open_crashes(self._explained)
-        exposures = {instance: record.exposures[instance] for instance in crashes}
-        return _judge(content_key, exposures)
+        return _judge({instance: record.exposures[instance] for instance in crashes})
+
+    def parts_suspicion(
+        self, part_keys: Collection[str], undecided: Iterable[CrashReport] = ()
+    ) -> Suspicion:
+        """Return how a request may be sent, by the parts of its prompt.
+
+        `undecided` are runs with some of them that may have ended in crashes. A
+        request that would be refused if they did is held until they are decided.
+        """
+        cause = self.part_causes.find(part_keys)
+        if cause is not None:
+            confirmed = self.part_causes.is_confirmed(cause)
+            return Suspicion.QUARANTINED if confirmed else Suspicion.HELD
+        keys = self.without_survived(tuple(part_keys))
+        evidence = {key: self._part_evidence(key, self._explained) for key in keys}
+        possible = [report for report in undecided if self._may_count(report)]
+        if possible:
+            self._add_undecided(evidence, possible)
+            if any(map(is_identifiable, evidence.values())) and any(
+                one.condemns(part_keys) for one in self._causes_with(possible)
+            ):
+                return Suspicion.HELD
+        # Unrelated parts are in flight at single crashes all the time.
+        several = any(len(one.exposures) > 1 for one in evidence.values())
+        suspect = several or self.part_causes.concern(keys)
+        return Suspicion.SUSPECT if suspect else Suspicion.CLEAR
+
+    def _may_count(self, report: CrashReport) -> bool:
+        return report.instance not in self._explained
+
+    def _add_undecided(
+        self, evidence: dict[str, PartEvidence], undecided: Iterable[CrashReport]
+    ) -> None:
+        """Add runs that may have ended in crashes to the evidence on some parts."""
+        for report in undecided:
+            for key in evidence.keys() & set(report.part_keys):
+                record = self._records.get(key)
+                if record is None or report.instance not in record.cleared:
+                    evidence[key].add(
+                        report.instance, report.exposure, report.content_key
+                    )
+
+    def _causes_with(self, undecided: list[CrashReport]) -> Iterable[PartCause]:
+        """Return the causes if undecided runs ended in crashes."""
+        keys = set().union(*(report.part_keys for report in undecided))
+        keys |= set(filter(is_part_key, self._records))
+        evidence = {
+            key: self._part_evidence(key, self._explained)
+            for key in self.without_survived(tuple(keys))
+        }
+        self._add_undecided(evidence, undecided)
+        return find_part_causes(evidence, ())
+
+    def _part_evidence(self, key: str, explained: set[ServerInstance]) -> PartEvidence:
+        """Return the evidence on a part by the crashes that nothing else explains."""
+        record = self._records.get(key)
+        if record is None:
+            return PartEvidence()
+        crashes = record.open_crashes(explained)
+        evidence = PartEvidence()
+        for instance in crashes:
+            exposure = record.exposures[instance]
+            if exposure is Exposure.ISOLATED and not self._stands_out(
+                record, instance, crashes, explained
+            ):
+                exposure = Exposure.STARTING
+            for content in record.contents.get(instance, ()):
+                evidence.add(instance, exposure, content)
+        return evidence
 
     def suspicion_with(self, key: str, undecided: Iterable[CrashReport]) -> Suspicion:
         """Return how a request may be sent if its undecided runs ended in crashes.
@@ -265,25 +327,17 @@
         record = self._records.get(key) or _Record()
         crashes = record.open_crashes(self._explained)
         exposures = {instance: record.exposures[instance] for instance in crashes}
-        contents = {
-            instance: record.contents.get(instance, set()) for instance in crashes
-        }
         for report in undecided:
             instance = report.instance
             if instance in record.cleared | self._explained:
                 continue
             known_exposure = exposures.get(instance, Exposure.PRESENT)
             exposures[instance] = max(known_exposure, report.exposure)
-            contents.setdefault(instance, set()).add(report.content_key)
         identifiable = (
             len(exposures) >= CRASHES_TO_QUARANTINE
             and Exposure.ISOLATED in exposures.values()
-            and (
-                not is_part_key(key)
-                or len(set().union(*contents.values())) >= CONTENTS_TO_QUARANTINE_PART
-            )
         )
-        return Suspicion.HELD if identifiable else _judge(key, exposures)
+        return Suspicion.HELD if identifiable else _judge(exposures)
 
     def open_crashes(self, content_key: str) -> int:
         """Return the number of crashes that a request may have caused."""
@@ -297,6 +351,11 @@
             [] if record is None else [instance.server for instance in record.exposures]
         )
 
+    def cause_among(self, part_keys: Collection[str]) -> str:
+        """Return the key of the parts for which a request is not sent, if any."""
+        cause = self.part_causes.find(part_keys)
+        return "" if cause is None else cause.key
+
     def recent_reports(self) -> tuple[CrashReport, ...]:
         """Return the reports that other VMs may not have received yet."""
         limit_s = self._clock.monotonic_s() - REPORT_TTL_S
@@ -347,11 +406,12 @@
     def quarantined(self) -> tuple[str, ...]:
         """Return the quarantined requests, the most recently sent last."""
         self._confirm()
-        return tuple(
+        contents = tuple(
             content_key
             for content_key, record in self._records.items()
             if record.confirmed
         )[-MAX_QUARANTINED_SENT:]
+        return contents + self.part_causes.confirmed_keys[-MAX_QUARANTINED_SENT:]
 
     def _create(self, content_key: str) -> _Record:
         self._evict_old()
@@ -371,13 +431,18 @@
             if record.confirmed:
                 explained.update(record.exposures)
         found: set[str] = set()
-        while part := self._find_part(explained):
-            found.add(part)
-            explained |= self._records[part].open_crashes(explained)
+        evidence = {
+            key: self._part_evidence(key, explained)
+            for key in filter(is_part_key, self._records)
+        }
+        self.part_causes.replace_found(find_part_causes(evidence, explained))
+        explained |= self.part_causes.explained
         for content_key, record in self._by_weight():
             crashes = record.open_crashes(explained)
-            if len(crashes) >= CRASHES_TO_QUARANTINE and self._stands_out(
-                record, explained
+            if len(crashes) >= CRASHES_TO_QUARANTINE and any(
+                record.exposures[instance] is Exposure.ISOLATED
+                and self._stands_out(record, instance, crashes, explained)
+                for instance in crashes
             ):
                 found.add(content_key)
                 explained |= crashes
@@ -389,48 +454,25 @@
             elif record.identified_s is None:
                 record.identified_s = now_s
 
-    def _find_part(self, explained: set[ServerInstance]) -> str | None:
-        """Return the part that explains most crashes, if any is the cause.
-
-        Requests with a part share those before it, which are therefore at as
-        many crashes, so that the deepest part at most of them is chosen.
-        """
-        counts: dict[str, int] = {}
-        for key, record in self._records.items():
-            if not is_part_key(key) or record.confirmed:
-                continue
-            crashes = record.open_crashes(explained)
-            if (
-                len(crashes) >= CRASHES_TO_QUARANTINE
-                and record.count_contents(crashes) >= CONTENTS_TO_QUARANTINE_PART
-                and self._stands_out(record, explained)
-            ):
-                counts[key] = len(crashes)
-        most = max(counts.values(), default=0)
-        return max(
-            (key for key, count in counts.items() if 2 * count > most),
-            key=lambda key: (self._records[key].depth, counts[key]),
-            default=None,
-        )
-
-    def _stands_out(self, record: _Record, explained: set[ServerInstance]) -> bool:
-        """Return whether a server crashed with this as its likeliest suspect.
+    def _stands_out(
+        self,
+        record: _Record,
+        instance: ServerInstance,
+        crashes: set[ServerInstance],
+        explained: set[ServerInstance],
+    ) -> bool:
+        """Return whether a request is the likeliest suspect at a crash.
 
         Entry VMs that don't hear each other may isolate several suspects at
         one server. A crash there only tells them apart if one of them has been
         at more crashes.
         """
-        crashes = record.open_crashes(explained)
-        return any(
-            record.exposures[instance] is Exposure.ISOLATED
-            and not any(
-                other is not record
-                and not is_part_key(key)
-                and other.exposures.get(instance) is Exposure.ISOLATED
-                and len(other.open_crashes(explained)) >= len(crashes)
-                for key, other in self._records.items()
-            )
-            for instance in crashes
+        return not any(
+            other is not record
+            and not is_part_key(key)
+            and other.exposures.get(instance) is Exposure.ISOLATED
+            and len(other.open_crashes(explained)) >= len(crashes)
+            for key, other in self._records.items()
         )
 
     def _by_weight(self) -> list[tuple[str, _Record]]:
@@ -447,6 +489,7 @@
         for record in self._records.values():
             if record.identified_s is not None and record.identified_s <= settled_s:
                 record.confirmed = True
+        self.part_causes.confirm()
 
     def _evict_old(self) -> None:
         """Remove expired records, then the oldest ones above `MAX_RECORDS`.
@@ -454,6 +497,7 @@
         Records of requests not identified as a cause are removed first.
         """
         now_s = self._clock.monotonic_s()
+        self.part_causes.drop_unused(for_s=QUARANTINE_TTL_S)
         for content_key, record in list(self._records.items()):
             kept_s = SUSPECT_TTL_S if record.identified_s is None else QUARANTINE_TTL_S
             if record.changed_s < now_s - kept_s:
@@ -468,11 +512,8 @@
             del self._records[oldest]
 
 
-def _judge(key: str, exposures: Mapping[ServerInstance, Exposure]) -> Suspicion:
+def _judge(exposures: Mapping[ServerInstance, Exposure]) -> Suspicion:
     """Return how a request may be sent that was in flight at some crashes."""
-    if is_part_key(key):
-        # Unrelated parts are in flight at single crashes all the time.
-        return Suspicion.SUSPECT if len(exposures) > 1 else Suspicion.CLEAR
     was_starting = any(exposure >= Exposure.STARTING for exposure in exposures.values())
     suspect = was_starting or len(exposures) > 1
     return Suspicion.SUSPECT if suspect else Suspicion.CLEAR
--- a/src/rosepath/crash_watch.py
+++ b/src/rosepath/crash_watch.py
@@ -1,18 +1,13 @@
 """Detect which lost connections were crashes, and what was in flight."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Collection
 from dataclasses import dataclass, replace
 
 from rosepath.clock import Clock
-from rosepath.crash_records import (
-    CRASHES_TO_QUARANTINE,
-    CrashRecords,
-    CrashReport,
-    Exposure,
-    ServerInstance,
-    Suspicion,
-)
+from rosepath.content_key import is_part_key
+from rosepath.crash_records import CRASHES_TO_QUARANTINE, CrashRecords, Suspicion
+from rosepath.crash_report import CrashReport, Exposure, ServerInstance
 from rosepath.fleet import BackendServer
 from rosepath.isolated_runs import IsolatedRuns
 from rosepath.logs import get_logger
@@ -304,8 +299,8 @@
 
     def _has_suspect(self, report: CrashReport) -> bool:
         """Return whether the request of a report or one of its parts is a suspect."""
-        keys = (report.content_key, *report.part_keys)
-        return any(self.suspicion(key) > Suspicion.CLEAR for key in keys)
+        suspicion = self.suspicion(report.content_key, report.part_keys)
+        return suspicion > Suspicion.CLEAR
 
     def _report_of(self, run: LostRun, instance: ServerInstance) -> CrashReport:
         return CrashReport(
@@ -336,12 +331,26 @@
             if instance.server == name and instance.born_ms < born_ms:
                 self.note_crashed(instance, successor_born_ms=born_ms)
 
-    def suspicion(self, key: str) -> Suspicion:
-        """Return how a request may be sent, by its content or a part of its prompt."""
-        undecided = self.undecided.reports_with(key, now_s=self._clock.monotonic_s())
+    def suspicion(self, content_key: str, part_keys: tuple[str, ...] = ()) -> Suspicion:
+        """Return how a request may be sent, by its content and its parts."""
+        return max(self.content_suspicion(content_key), self.parts_suspicion(part_keys))
+
+    def content_suspicion(self, content_key: str) -> Suspicion:
+        """Return how a request may be sent, by its content."""
+        undecided = self._undecided_with(content_key)
         if not undecided:
-            return self.records.suspicion(key)
-        return self.records.suspicion_with(key, undecided)
+            return self.records.suspicion(content_key)
+        return self.records.suspicion_with(content_key, undecided)
+
+    def parts_suspicion(self, part_keys: tuple[str, ...]) -> Suspicion:
+        """Return how a request may be sent, by the parts of its prompt."""
+        undecided = {
+            report for key in part_keys for report in self._undecided_with(key)
+        }
+        return self.records.parts_suspicion(part_keys, undecided)
+
+    def _undecided_with(self, key: str) -> list[CrashReport]:
+        return self.undecided.reports_with(key, now_s=self._clock.monotonic_s())
 
     @property
     def suspects_any(self) -> bool:
@@ -371,9 +380,11 @@
     def _may_be_quarantined(self, content_key: str) -> bool:
         return self.records.open_crashes(content_key) >= CRASHES_TO_QUARANTINE
 
-    def note_survived(self, part_keys: tuple[str, ...]) -> None:
+    def note_survived(
+        self, part_keys: tuple[str, ...], *, completed: bool = False
+    ) -> None:
         """Record that a run with parts of prompts went on after its start."""
-        if self.records.note_survived(part_keys):
+        if self.records.note_survived(part_keys, completed=completed):
             self._on_change()
 
     def note_progress(self, server: BackendServer, request_id: str) -> None:
@@ -386,6 +397,16 @@
         if self.apply_cleared(content_key):
             self._on_change()
 
+    def apply_all_cleared(self, keys: Collection[str]) -> bool:
+        """Apply that requests, and runs with parts of prompts, survived elsewhere.
+
+        Return whether that changed how any may be sent.
+        """
+        parts = set(filter(is_part_key, keys))
+        # A list, as all are to be cleared.
+        changed = any([self.apply_cleared(key) for key in keys if key not in parts])
+        return self.records.note_survived(parts) or changed
+
     def apply_cleared(self, content_key: str) -> bool:
         """Apply that a run of a request completed, here or at another VM.
 
--- a/src/rosepath/peer_messages.py
+++ b/src/rosepath/peer_messages.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field, replace
 from typing import Any, NamedTuple
 
-from rosepath.crash_records import CrashReport, Exposure, ServerInstance
+from rosepath.crash_report import CrashReport, Exposure, ServerInstance
 from rosepath.decompression import decompress
 from rosepath.demand import ModelDemand
 from rosepath.fleet import LeavingServer, PeerLoad
--- a/src/rosepath/suspect_tracker.py
+++ b/src/rosepath/suspect_tracker.py
@@ -5,7 +5,8 @@
 
 from rosepath.attempt import AttemptError, ServerResponse
 from rosepath.clock import Clock
-from rosepath.crash_records import Exposure, Suspicion
+from rosepath.crash_records import Suspicion
+from rosepath.crash_report import Exposure
 from rosepath.crash_watch import ACTIVE_WITHIN_S, CrashWatch, LostRun
 from rosepath.fleet import BackendServer, InFlightRequest
 from rosepath.isolated_runs import ISOLATION_S
@@ -31,8 +32,7 @@
         if not self._crashes.suspects_any:
             # The request body need not be hashed.
             return Suspicion.CLEAR
-        keys = (context.content_key, *context.part_keys)
-        return max(map(self._crashes.suspicion, keys))
+        return self._crashes.suspicion(context.content_key, context.part_keys)
 
     def suspected_key(self, context: RequestContext) -> str:
         """Return the content or part for which a request is suspected.
@@ -40,9 +40,13 @@
         A part goes first, as only one run with it may be in progress.
         """
         crashes = self._crashes
+        if cause := crashes.records.cause_among(context.part_keys):
+            return cause
         suspicion = self.suspicion(context)
         parts = [
-            key for key in context.part_keys if crashes.suspicion(key) is suspicion
+            key
+            for key in context.part_keys
+            if crashes.parts_suspicion((key,)) is suspicion
         ]
         return max(parts, key=crashes.records.open_crashes, default=context.content_key)
 
@@ -162,7 +166,7 @@
             return
         self._crashes.note_progress(server, context.call.request_id)
         if response.success:
-            self._crashes.note_survived(context.part_keys)
+            self._crashes.note_survived(context.part_keys, completed=True)
         if self._crashes.suspects_any:
             self._crashes.clear(context.content_key)
 
--- a/src/rosepath/undecided_runs.py
+++ b/src/rosepath/undecided_runs.py
@@ -4,7 +4,8 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from rosepath.crash_records import MAX_REPORTS_SENT, CrashReport, ServerInstance
+from rosepath.crash_records import MAX_REPORTS_SENT
+from rosepath.crash_report import CrashReport, ServerInstance
 from rosepath.peer_statements import PeerStatements
 
 # Each request is looked up by its content and its parts, and in a large fleet a
