Keep crashes whose cause is not known yet in the placement lease

Requests with a part of their prompts that crashes servers were sent again and again after its fifth crash, as all entry VMs were restarted while they were learning of it: the crashes up to then were known to these VMs only. Class of fault: evidence that is kept where it is used, and ends with it.

Change: the lease, which each VM reads as it starts, names these crashes with their age beside what is quarantined, and its holder renews it at once when it knows more, not when the renewal is due. No call is added where nothing crashes.

What is learned while no VM holds the lease is kept by the VMs alone, as before.

--- a/src/rosepath/crash_records.py
+++ b/src/rosepath/crash_records.py
@@ -15,8 +15,10 @@
 from rosepath.content_key import is_part_key
 from rosepath.crash_report import (
     SETTLE_S,
+    CrashKnowledge,
     CrashReport,
     Exposure,
+    RecordedCrash,
     ServerInstance,
 )
 from rosepath.known_part_causes import KnownPartCauses
@@ -43,6 +45,8 @@
 # most recently.
 MAX_REPORTS_SENT = 16
 MAX_QUARANTINED_SENT = 8
+# The lease, which the store keeps, is written each second.
+MAX_REPORTS_KEPT = 32
 # Callers retry within minutes, scheduled jobs within the hour.
 SUSPECT_TTL_S = 3_700.0
 # Keeping a quarantined request costs one record; admitting it costs servers.
@@ -109,6 +113,8 @@
         self._explained: set[ServerInstance] = set()
         # When each report was last to be told to other VMs, the latest last.
         self._told_s: OrderedDict[CrashReport, float] = OrderedDict()
+        # When each report was first made, here or at an earlier entry VM.
+        self._reported_s: dict[CrashReport, float] = {}
         self._cleared: dict[str, float] = {}
         # When a run with a part of prompts last survived, or a run of a request
         # that may have crashed servers, the latest last.
@@ -376,8 +382,34 @@
             self._tell(report)
         return bool(found)
 
+    def knowledge(self) -> CrashKnowledge:
+        """Return what entry VMs that start must know, bounded in size."""
+        now_s = self._clock.monotonic_s()
+        found = [
+            RecordedCrash(report, now_s - self._reported_s.get(report, now_s))
+            for report in self._told_s
+            if self._is_open(report)
+        ]
+        # Dozens of requests may have been queued at a server that one crashed.
+        found.sort(key=lambda crash: crash.report.exposure)
+        return CrashKnowledge(self.quarantined, tuple(found[-MAX_REPORTS_KEPT:]))
+
+    def add_knowledge(self, knowledge: CrashKnowledge) -> None:
+        """Add what earlier entry VMs knew."""
+        for key in knowledge.quarantined:
+            self.quarantine(key)
+        for report, ago_s in knowledge.crashes:
+            if ago_s < SUSPECT_TTL_S and report not in self._told_s:
+                self.add(report)
+                self._reported_s[report] = self._clock.monotonic_s() - ago_s
+
     def _is_open(self, report: CrashReport) -> bool:
-        """Return whether a request or part of a report may have caused its crash."""
+        """Return whether a request or part of a report may have caused its crash.
+
+        That of a cause which is not certain is open, too.
+        """
+        if report.instance in self.part_causes.uncertain_crashes:
+            return True
         records = map(self._records.get, (report.content_key, *report.part_keys))
         return any(
             report.instance in record.open_crashes(self._explained)
@@ -386,10 +418,13 @@
         )
 
     def _tell(self, report: CrashReport) -> None:
-        self._told_s[report] = self._clock.monotonic_s()
+        now_s = self._clock.monotonic_s()
+        self._reported_s.setdefault(report, now_s)
+        self._told_s[report] = now_s
         self._told_s.move_to_end(report)
         if len(self._told_s) > MAX_RECORDS:
-            self._told_s.popitem(last=False)
+            dropped, _ = self._told_s.popitem(last=False)
+            self._reported_s.pop(dropped, None)
 
     @property
     def cleared(self) -> tuple[str, ...]:
--- a/src/rosepath/entry_node.py
+++ b/src/rosepath/entry_node.py
@@ -203,8 +203,9 @@
             partitioned=lambda: self.paths.partitioned,
             changed=self.tables.notify_waiters,
         )
-        self.coordinator.leases.quarantined = lambda: self.crashes.records.quarantined
-        self.coordinator.leases.on_quarantined = self._apply_quarantine
+        leases = self.coordinator.leases
+        leases.crash_knowledge = self.crashes.records.knowledge
+        leases.on_crash_knowledge = self.crashes.records.add_knowledge
         self.exchange = PeerExchange(
             settings.entry_vm,
             settings.data_centre,
@@ -687,11 +688,6 @@
             for server in self.tables.fleet.servers.values()
         )
 
-    def _apply_quarantine(self, content_keys: tuple[str, ...]) -> None:
-        """Quarantine the requests that the lease record lists as crashing."""
-        for content_key in content_keys:
-            self.crashes.records.quarantine(content_key)
-
     def _serving_failed(
         self, exchange: CallerExchange, error: BaseException | None
     ) -> None:
--- a/src/rosepath/known_part_causes.py
+++ b/src/rosepath/known_part_causes.py
@@ -147,6 +147,17 @@
         """Return the crashes that the causes explain."""
         return set().union(*(one.cause.crashes for one in self._known))
 
+    @property
+    def uncertain_crashes(self) -> set[ServerInstance]:
+        """Return the crashes of causes that other VMs are not told of."""
+        return set().union(
+            *(
+                one.cause.crashes
+                for one in self._known
+                if not (one.confirmed and one.cause.certain)
+            )
+        )
+
     @property
     def parts(self) -> frozenset[str]:
         """Return the parts of all causes, and their rivals."""
--- a/src/rosepath/lease_keeper.py
+++ b/src/rosepath/lease_keeper.py
@@ -1,11 +1,13 @@
 """Acquire, renew and release leases in the store."""
 
 import uuid
+from collections import defaultdict
 from collections.abc import Callable
 
 from expression import Result
 
 from rosepath.clock import Clock
+from rosepath.crash_report import CrashKnowledge, CrashReport
 from rosepath.leases import (
     FENCES_PER_TERM,
     MAX_PREVIOUS_HOLDERS,
@@ -53,10 +55,12 @@
         self._version_announced_s: dict[str, float] = {}
         self._last_message_s: dict[str, float] = {}
         self._resignations: dict[str, Resignation] = {}
-        # Callbacks that return the quarantined requests to write into a lease,
-        # and receive those of each lease that is read.
-        self.quarantined: Callable[[], tuple[str, ...]] = tuple
-        self.on_quarantined: Callable[[tuple[str, ...]], None] = lambda _: None
+        # Callbacks that return what is known of crashes, to write it into a lease,
+        # and receive the same of each lease that is read.
+        self.crash_knowledge: Callable[[], CrashKnowledge] = CrashKnowledge
+        self.on_crash_knowledge: Callable[[CrashKnowledge], None] = lambda _: None
+        # What this VM has written of it, by lease name.
+        self._written: defaultdict[str, set[str | CrashReport]] = defaultdict(set)
         self.policy = policy
         # By lease name, the state of each lease as last recorded.
         self.rows: dict[str, LeaseRow] = {}
@@ -207,6 +211,9 @@
             policy=self.policy,
             extended_until_s=extended_until_s,
         )
+        if action is LeaseAction.WAIT and self.is_own(name) and self._has_news(name):
+            # All entry VMs may restart before the renewal is due.
+            action = LeaseAction.RENEW
         try:
             if action is LeaseAction.RENEW:
                 await self._write(row, term=row.term)
@@ -222,6 +229,10 @@
                     overdue_s=round(self.overdue_s(name), 3),
                 )
 
+    def _has_news(self, name: str) -> bool:
+        """Return whether more is known of crashes than was written into a lease."""
+        return not self.crash_knowledge().items <= self._written[name]
+
     async def _read(self, row: LeaseRow) -> None:
         stored = await self._platform.get(f"{LEASE_KIND}/{row.name}")
         now_s = self._clock.monotonic_s()
@@ -283,7 +294,9 @@
         match decode_lease(stored):
             case Result(tag="ok", ok=record):
                 row.holder, row.previous_holders = record.holder, record.before
-                self.on_quarantined(record.quarantined)
+                self.on_crash_knowledge(
+                    CrashKnowledge(record.quarantined, record.crashes)
+                )
                 stored_fence = record.term * FENCES_PER_TERM
                 if changed and stored_fence >= row.known_fence:
                     row.known_fence = stored_fence
@@ -306,13 +319,15 @@
         started_s = self._clock.monotonic_s()
         previous_holders = previous_holders_of(row, me=self._me)
         row.note_fence(term * FENCES_PER_TERM, now_s=started_s)
+        known = self.crash_knowledge()
         value = encode_lease(
             LeaseRecord(
                 holder=self._me,
                 term=term,
                 nonce=uuid.uuid4().hex,
                 before=previous_holders,
-                quarantined=self.quarantined(),
+                quarantined=known.quarantined,
+                crashes=known.crashes,
                 ended_ago_s=_ages_s(row.term_ends_s, now_s=started_s),
             )
         )
@@ -349,6 +364,7 @@
             row.released_s = None
         row.version, row.holder, row.term = version, self._me, term
         row.previous_holders = previous_holders
+        self._written[row.name] |= known.items
         row.checked_at_s = started_s
         row.held_until_s = started_s + self.policy.duration_s
 
@@ -396,13 +412,15 @@
         version = row.version
         row.held_until_s = -1e9
         row.released_s = self._clock.monotonic_s()
+        known = self.crash_knowledge()
         value = encode_lease(
             LeaseRecord(
                 holder="",
                 term=row.term,
                 nonce=uuid.uuid4().hex,
                 before=(self._me, *row.previous_holders)[:MAX_PREVIOUS_HOLDERS],
-                quarantined=self.quarantined(),
+                quarantined=known.quarantined,
+                crashes=known.crashes,
                 ended_ago_s=_ages_s(row.term_ends_s, now_s=self._clock.monotonic_s()),
             )
         )
--- a/src/rosepath/leases.py
+++ b/src/rosepath/leases.py
@@ -12,6 +12,7 @@
 
 from expression import Error, Ok, Result
 
+from rosepath.crash_report import RecordedCrash, decode_report, encode_report
 from rosepath.json_decoding import decode_json
 from rosepath.object_store import StoredObject
 
@@ -232,9 +233,10 @@
     """Hold a lease as it is stored; an empty holder means it was released.
 
     `before` names the previous holders, the latest first. `quarantined` names
-    requests that crash servers: the store outlives all entry VMs, and each of
-    them reads the lease when it starts. `ended_ago_s` tells how long before the
-    write earlier terms had ended, the latest first.
+    requests that crash servers, and `crashes` has the crashes whose cause is not
+    known yet: the store outlives all entry VMs, and each of them reads the lease
+    when it starts. `ended_ago_s` tells how long before the write earlier terms had
+    ended, the latest first.
     """
 
     holder: str
@@ -242,15 +244,21 @@
     nonce: str
     before: tuple[str, ...] = ()
     quarantined: tuple[str, ...] = ()
+    crashes: tuple[RecordedCrash, ...] = ()
     ended_ago_s: tuple[float, ...] = ()
 
 
-_UNREADABLE = (ValueError, KeyError, TypeError, OverflowError)
+_UNREADABLE = (ValueError, KeyError, IndexError, TypeError, OverflowError)
 
 
 def encode_lease(record: LeaseRecord) -> bytes:
     """Encode a lease as JSON."""
-    return json.dumps(asdict(record), sort_keys=True).encode()
+    raw = asdict(record)
+    raw["crashes"] = [
+        [round(crash.ago_s, 1), *encode_report(crash.report)]
+        for crash in record.crashes
+    ]
+    return json.dumps(raw, sort_keys=True).encode()
 
 
 def decode_lease(stored: StoredObject) -> Result[LeaseRecord, str]:
@@ -265,6 +273,10 @@
             nonce=str(raw["nonce"]),
             before=tuple(map(str, raw.get("before", ()))),
             quarantined=tuple(map(str, raw.get("quarantined", ()))),
+            crashes=tuple(
+                RecordedCrash(decode_report(row[1:]), float(row[0]))
+                for row in raw.get("crashes", ())
+            ),
             ended_ago_s=tuple(map(float, raw.get("ended_ago_s", ()))),
         )
         return Ok(record)
--- a/src/rosepath/peer_messages.py
+++ b/src/rosepath/peer_messages.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field, replace
 from typing import Any, NamedTuple
 
-from rosepath.crash_report import CrashReport, Exposure, ServerInstance
+from rosepath.crash_report import CrashReport, decode_report, encode_report
 from rosepath.decompression import decompress
 from rosepath.demand import ModelDemand
 from rosepath.fleet import LeavingServer, PeerLoad
@@ -341,7 +341,7 @@
             [move.number, move.server, move.model, move.adapter, int(move.present)]
             for move in message.residency_changes
         ],
-        "cr": [_encode_report(report) for report in message.crashes],
+        "cr": [encode_report(report) for report in message.crashes],
         "cl": list(message.cleared),
         "qu": list(message.quarantined),
         # Read by builds that do not know "ir".
@@ -352,7 +352,7 @@
         **(
             {
                 "un": [
-                    [run.entry_vm, *_encode_report(run.report)]
+                    [run.entry_vm, *encode_report(run.report)]
                     for run in message.undecided
                 ]
             }
@@ -415,12 +415,12 @@
             )
             for row in raw["m"]
         ),
-        crashes=tuple(_decode_report(row) for row in raw["cr"]),
+        crashes=tuple(decode_report(row) for row in raw["cr"]),
         cleared=tuple(map(str, raw["cl"])),
         quarantined=tuple(map(str, raw["qu"])),
         isolated=_decode_isolated(raw),
         undecided=frozenset(
-            UndecidedRun(str(row[0]), _decode_report(row[1:]))
+            UndecidedRun(str(row[0]), decode_report(row[1:]))
             for row in raw.get("un", ())
         ),
         limits=tuple(_decode_limit(row) for row in raw.get("li", ())),
@@ -430,24 +430,6 @@
     )
 
 
-def _encode_report(report: CrashReport) -> list[Any]:
-    return [
-        report.content_key,
-        *report.instance,
-        int(report.exposure),
-        *report.part_keys,
-    ]
-
-
-def _decode_report(row: Sequence[Any]) -> CrashReport:
-    return CrashReport(
-        str(row[0]),
-        ServerInstance(str(row[1]), int(row[2])),
-        Exposure(int(row[3])),
-        tuple(map(str, row[4:])),
-    )
-
-
 def _decode_coordinator(raw: Sequence[Any]) -> CoordinatorLink:
     return CoordinatorLink(str(raw[0]), float(raw[1]))
 
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -174,29 +174,30 @@
     assert simulation.quarantined_unrelated == 0
 
 
+def a_keeper(
+    name: str, platform: FakePlatform, clock: ManualClock
+) -> tuple[LeaseKeeper, CrashRecords]:
+    """Return a VM's lease keeper and the crash records that it keeps in the lease."""
+    records = CrashRecords(clock=clock)
+    keeper = LeaseKeeper(platform, me=name, policy=POLICY, clock=clock)
+    keeper.crash_knowledge = records.knowledge
+    keeper.on_crash_knowledge = records.add_knowledge
+    return keeper, records
+
+
 # Guards against three more crashes per quarantined request after a power loss,
 # when all VMs restart without their records.
 def test_quarantine_persists_across_restart_of_all_vms() -> None:
     async def play() -> None:
         platform, clock = FakePlatform(), ManualClock()
-
-        def a_keeper(name: str) -> tuple[LeaseKeeper, CrashRecords]:
-            records = CrashRecords(clock=clock)
-            keeper = LeaseKeeper(platform, me=name, policy=POLICY, clock=clock)
-            keeper.quarantined = lambda: records.quarantined
-            keeper.on_quarantined = lambda contents: [
-                *map(records.quarantine, contents)
-            ]
-            return keeper, records
-
-        keeper, records = a_keeper("a")
+        keeper, records = a_keeper("a", platform, clock)
         await keeper.step("l", wanted=True)
         for server in ("s1", "s2", "s3"):
             records.add(CrashReport("bad", ServerInstance(server), Exposure.ISOLATED))
         clock.advance(2.6)
         await keeper.step("l", wanted=True)
         for name in ("b", "c"):
-            keeper, records = a_keeper(name)
+            keeper, records = a_keeper(name, platform, clock)
             while not keeper.valid("l"):
                 await keeper.step("l", wanted=True)
                 clock.advance(1.5)
@@ -205,6 +206,26 @@
     asyncio.run(play())
 
 
+# Guards against crashes that are forgotten as all VMs restart before their cause
+# is known, and before the lease's renewal is due.
+def test_open_crashes_persist_across_restart_of_all_vms() -> None:
+    async def play() -> None:
+        platform, clock = FakePlatform(), ManualClock()
+        keeper, records = a_keeper("a", platform, clock)
+        await keeper.step("l", wanted=True)
+        for name in ("b", "c"):
+            server = ServerInstance(f"crashed-beside-{name}")
+            records.add(CrashReport("bad", server, Exposure.ISOLATED, ("part:x",)))
+            await keeper.step("l", wanted=True)
+            keeper, records = a_keeper(name, platform, clock)
+            while not keeper.valid("l"):
+                await keeper.step("l", wanted=True)
+                clock.advance(1.5)
+        assert records.open_crashes("bad") == records.open_crashes("part:x") == 2
+
+    asyncio.run(play())
+
+
 # Guards against forgetting, VM by VM as they restart, the crashes of a request that
 # is not known as the cause yet.
 def test_a_restarted_vm_learns_of_earlier_crashes(
