Keep all causes of crashes in the lease, not the eight sent last

Where callers send more than eight requests that crash servers, or parts of prompts, VMs that start learned of eight only: the lease, which outlives all VMs, named those that go into a datagram. Class of fault: a limit of one channel applied to what another one keeps.

Change: the lease has up to 100 of each kind.

Test: test_all_causes_persist_across_restart_of_all_vms, 30 of each kind; red before (run on the former code).

--- a/src/rosepath/crash_records.py
+++ b/src/rosepath/crash_records.py
@@ -45,7 +45,8 @@
 # most recently.
 MAX_REPORTS_SENT = 16
 MAX_QUARANTINED_SENT = 8
-# The lease, which the store keeps, is written each second.
+# Limits of the lease, which the store keeps and its holder writes each second.
+MAX_QUARANTINED_KEPT = 100
 MAX_REPORTS_KEPT = 32
 # Callers retry within minutes, scheduled jobs within the hour.
 SUSPECT_TTL_S = 3_700.0
@@ -392,7 +393,9 @@
         ]
         # Dozens of requests may have been queued at a server that one crashed.
         found.sort(key=lambda crash: crash.report.exposure)
-        return CrashKnowledge(self.quarantined, tuple(found[-MAX_REPORTS_KEPT:]))
+        return CrashKnowledge(
+            self._quarantined(MAX_QUARANTINED_KEPT), tuple(found[-MAX_REPORTS_KEPT:])
+        )
 
     def add_knowledge(self, knowledge: CrashKnowledge) -> None:
         """Add what earlier entry VMs knew."""
@@ -439,14 +442,18 @@
 
     @property
     def quarantined(self) -> tuple[str, ...]:
-        """Return the quarantined requests, the most recently sent last."""
+        """Return the quarantined requests and parts that callers sent most recently."""
+        return self._quarantined(MAX_QUARANTINED_SENT)
+
+    def _quarantined(self, most: int) -> tuple[str, ...]:
+        """Return so many quarantined requests, and parts, the last sent last."""
         self._confirm()
         contents = tuple(
             content_key
             for content_key, record in self._records.items()
             if record.confirmed
-        )[-MAX_QUARANTINED_SENT:]
-        return contents + self.part_causes.confirmed_keys[-MAX_QUARANTINED_SENT:]
+        )
+        return contents[-most:] + self.part_causes.confirmed_keys[-most:]
 
     def _create(self, content_key: str) -> _Record:
         self._evict_old()
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -206,6 +206,26 @@
     asyncio.run(play())
 
 
+# Guards against causes that are forgotten as all VMs restart, because callers sent
+# more others since.
+def test_all_causes_persist_across_restart_of_all_vms() -> None:
+    async def play() -> None:
+        platform, clock = FakePlatform(), ManualClock()
+        keeper, records = a_keeper("a", platform, clock)
+        await keeper.step("l", wanted=True)
+        causes = [f"bad-{number}" for number in range(30)]
+        causes += [f"part:bad-{number}" for number in range(30)]
+        for key in causes:
+            records.quarantine(key)
+        await keeper.step("l", wanted=True)
+        keeper, records = a_keeper("b", platform, clock)
+        await keeper.step("l", wanted=True)
+        for key in causes:
+            assert records.suspicion(key) is Suspicion.QUARANTINED
+
+    asyncio.run(play())
+
+
 # Guards against crashes that are forgotten as all VMs restart before their cause
 # is known, and before the lease's renewal is due.
 def test_open_crashes_persist_across_restart_of_all_vms() -> None:
