Reject responses whose status the protocol does not have

Here 000 and 099 ended as 502 or 504, but 600 and 999 reached the caller: any status from 200 on counted as one that the server meant. Class of fault: a field is read by its syntax, not by its range.

Change: a status outside 100 to 599 is a response that can't be read, at the one place where all connections' responses are parsed: servers, forwarders, probes, the store, engines' replies, and rosepathd's services.

--- a/src/rosepath/http_exchange.py
+++ b/src/rosepath/http_exchange.py
@@ -12,6 +12,10 @@
 
 MAX_HEADER_BYTES = 64 * 1024
 HEADER_SPACE = b" \t"
+# The classes of responses that the protocol has, RFC 9110, section 15. A status
+# outside of them tells nothing of the request.
+MIN_STATUS = 100
+MAX_STATUS = 599
 # What one read takes from a connection. It arrives in full, also if the consumer
 # has reached its limit, and so adds to what is kept for a slow caller.
 READ_BYTES = 64 * 1024
@@ -242,6 +246,8 @@
         if self._is_extra:
             return
         status = self._parser.get_status_code()
+        if not MIN_STATUS <= status <= MAX_STATUS:
+            raise MalformedResponseError(f"status {status}")
         if status < 200:
             self._headers = HTTPHeaders()
             return
