Take no response for complete that ends amid the upload

Cause: a response without a length ends with its connection, and only how it ended was looked at, not what the server had read. Class of fault: the end of one direction was taken for that of the exchange.

Change: such a response is complete only if the peer's kernel had acknowledged all that was written as the end arrived (TIOCOUTQ), and the request was written whole. A forwarder states in a trailer of its last chunk how much it passed on; without a last chunk a response with a length, which need not wait for the upload, still arrives. A forwarder of an earlier build states nothing and is believed as before.

Why it holds: the segment that ends a connection acknowledges all that the server's kernel has. An upload that the kernel has taken whole and the server never reads can't be told from one that was read.

--- a/src/rosepath/http_client.py
+++ b/src/rosepath/http_client.py
@@ -267,6 +267,8 @@
                     await self._send_chunks(
                         request.body_chunks, connection, exchange, watchdog
                     )
+                else:
+                    exchange.request_written = True
                 await exchange.done
         except TimeoutError as error:
             raise self._failure(
@@ -299,6 +301,7 @@
                 connection.single_use = True
                 return
         connection.write(b"0\r\n\r\n")
+        exchange.request_written = True
         watchdog.note_progress()
 
     def _failure(
--- a/src/rosepath/http_exchange.py
+++ b/src/rosepath/http_exchange.py
@@ -1,9 +1,11 @@
 """Run one HTTP/1.1 exchange on a connection, parsed with llhttp."""
 
 import asyncio
+import fcntl
 import math
 import socket
 import struct
+import termios
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple, Protocol
 
@@ -22,6 +24,7 @@
 # SO_LINGER of 0 s: on close, the kernel discards unsent data and resets the
 # connection.
 NO_LINGER = struct.pack("ii", 1, 0)
+_QUEUED = struct.Struct("i")
 
 
 class MalformedResponseError(Exception):
@@ -47,6 +50,15 @@
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
 
 
+def unacknowledged_bytes(sock: socket.socket) -> int:
+    """Return how much of what was sent the peer's kernel lacks; 0 if unknown."""
+    try:
+        queued = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(_QUEUED.size))
+    except OSError:
+        return 0
+    return int(_QUEUED.unpack(queued)[0])
+
+
 class Receiver(Protocol):
     """Take what arrives on a connection."""
 
@@ -59,10 +71,11 @@
     """Decode what a forwarding entry VM sends.
 
     `ended` tells whether the forwarder stated that the server's connection
-    ended in order.
+    ended in order, and `forwarded_bytes` how much it had got by then, if stated.
     """
 
     ended: bool
+    forwarded_bytes: int | None
 
     def decode(self, data: bytes) -> bytes:
         """Return the server's bytes; raises httptools.HttpParserError."""
@@ -89,7 +102,11 @@
         # Whether it is closed after one exchange instead of kept open.
         self.single_use = False
         self.closed = False
+        # Whether the peer ended it in order, and after all that was written.
         self.closed_by_peer = False
+        # Whether it did so before it had all that was written.
+        self.closed_early = False
+        self.written_bytes = 0
         self.last_response_s = 0.0
         self.peer_idle_timeout_s = math.inf
         self.max_idle_s = math.inf
@@ -104,6 +121,7 @@
     def note_opened(self) -> None:
         """Record that it reaches the server from now on."""
         self.opened_s = asyncio.get_running_loop().time()
+        self.written_bytes = 0
 
     def get_buffer(self, sizehint: int) -> memoryview:
         return self._read_buffer
@@ -128,6 +146,17 @@
         else:
             self.exchange.feed(data)
 
+    def eof_received(self) -> None:
+        """Record whether the peer ended the connection before it had the request."""
+        self.closed_early = self._undelivered_bytes() > 0
+
+    def _undelivered_bytes(self) -> int:
+        """Return how much was written that the peer's kernel has not acknowledged."""
+        assert self.transport is not None
+        buffered = self.transport.get_write_buffer_size()
+        sock = self.transport.get_extra_info("socket")
+        return buffered + (0 if sock is None else unacknowledged_bytes(sock))
+
     def connection_lost(self, error: Exception | None) -> None:
         self.closed_by_peer = not self.closed and self._ended_in_order(error)
         self.closed = True
@@ -136,8 +165,15 @@
             self.exchange.handle_connection_lost()
 
     def _ended_in_order(self, error: Exception | None) -> bool:
-        """Return whether the server, and not a forwarder, ended the connection."""
-        return error is None if self.decoder is None else self.decoder.ended
+        """Return whether the server ended the connection once it had the request.
+
+        The end of a forwarder's connection says nothing of that.
+        """
+        if self.decoder is None:
+            return error is None and not self.closed_early
+        forwarded = self.decoder.forwarded_bytes
+        complete = forwarded is None or forwarded >= self.written_bytes
+        return self.decoder.ended and complete
 
     def pause_writing(self) -> None:
         self._writable.clear()
@@ -148,6 +184,7 @@
     def write(self, data: bytes) -> None:
         """Write bytes to the transport unless the connection is closed."""
         if self.transport is not None and not self.closed:
+            self.written_bytes += len(data)
             self.transport.write(data)
 
     async def drain(self) -> None:
@@ -196,6 +233,8 @@
         self.done: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self.head: ResponseHead | None = None
         self.finished = False
+        # Whether the whole request has been written.
+        self.request_written = False
         self.failure: BaseException | None = None
         self.progress = 0
         self.consumer_busy = False
@@ -343,11 +382,13 @@
     def _complete(self) -> None:
         if (
             self._connection.closed_by_peer
+            and self.request_written
             and self.head is not None
             and not is_self_delimited(self._headers)
         ):
             # Without a length, an orderly close by the peer ends the
-            # response. After a reset or a local close, it is incomplete.
+            # response. After a reset or a local close, and amid the request,
+            # it is incomplete.
             self.finished = True
         if not self.done.done():
             self.done.set_result(None)
--- a/src/rosepath/tunnels.py
+++ b/src/rosepath/tunnels.py
@@ -5,8 +5,9 @@
 retries and deadlines remain with the VM that received them.
 
 The server's bytes travel as a chunked body, whose last chunk states that the server
-closed its connection. The end of the forwarder's own connection says nothing of the
-server: the kernel closes the connections of a killed process in order.
+closed its connection, and how much it had received. The end of the forwarder's own
+connection says nothing of the server: the kernel closes the connections of a killed
+process in order.
 """
 
 import asyncio
@@ -42,7 +43,8 @@
 # server's bytes as they are.
 FRAMING_HEADER = "Rosepath-Tunnel"
 CHUNKED = "chunked"
-LAST_CHUNK = b"0\r\n\r\n"
+# Trailer of the last chunk. Builds without it ignore it.
+FORWARDED_HEADER = "Rosepath-Forwarded"
 
 _log = get_logger()
 
@@ -136,7 +138,8 @@
 
     An end that closes in order closes the other in order, after all bytes; a
     reset is passed on as a reset, so that no truncated response looks whole.
-    With `chunked`, the server's bytes are sent in chunks.
+    With `chunked`, the server's bytes are sent in chunks. Without a last chunk,
+    the end in order of a server that did not get the whole request is passed on.
     """
 
     def __init__(
@@ -159,6 +162,8 @@
             await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
             if self._connection.closed_by_peer:
                 await self._finish()
+            elif self._connection.closed_early and self._chunked:
+                await self._write_rest()
             elif not self._stream.closed():
                 disable_linger(self._stream.socket)
         finally:
@@ -182,10 +187,18 @@
 
     async def _finish(self) -> None:
         """State that the server closed, after all of its bytes."""
+        if self._chunked:
+            forwarded_bytes = self._connection.written_bytes
+            trailer = f"{FORWARDED_HEADER}: {forwarded_bytes}"
+            with suppress(StreamClosedError):
+                await self._stream.write(f"0\r\n{trailer}\r\n\r\n".encode())
+        else:
+            await self._write_rest()
+
+    async def _write_rest(self) -> None:
+        """Write what the server has sent."""
         with suppress(StreamClosedError):
-            if self._chunked:
-                await self._stream.write(LAST_CHUNK)
-            elif self._written is not None:
+            if self._written is not None:
                 await self._written
 
     # Called by the server's connection
@@ -216,6 +229,7 @@
 
     def __init__(self) -> None:
         self.ended = False
+        self.forwarded_bytes: int | None = None
         self._parts: list[bytes] = []
         self._parser = httptools.HttpResponseParser(self)
         self._parser.feed_data(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
@@ -232,6 +246,10 @@
     def on_body(self, body: bytes) -> None:
         self._parts.append(body)
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if name.decode("latin1").lower() == FORWARDED_HEADER.lower():
+            self.forwarded_bytes = int(value) if value.isdigit() else None
+
     def on_message_complete(self) -> None:
         self.ended = True
 
@@ -240,6 +258,7 @@
     """Pass bytes on from a forwarder that does not tell how the server ended."""
 
     ended = False
+    forwarded_bytes: int | None = None
 
     def decode(self, data: bytes) -> bytes:
         return data
