Let the soak share parts of prompts with those that crash servers

The soak's sound requests had no prompts, so that nothing showed whether they are served beside a part that crashes servers (LOST). With SOAK_CRASHES=1 they share its other parts now, and are compared to all other requests; SOAK_KILLS=1 kills all entry VMs at once every 1.5 to 6 s.

--- a/benchmarks/entry_callers.py
+++ b/benchmarks/entry_callers.py
@@ -66,6 +66,9 @@
     streams: list[TakenUpStream] = field(default_factory=list)
     responses: list[CallerResponse] = field(default_factory=list)
     sent_in_pieces: set[str] = field(default_factory=set)
+    # Of requests that share parts of their prompts with those that crash servers.
+    prompt_headers: Mapping[str, str] = field(default_factory=dict)
+    with_prompts: set[str] = field(default_factory=set)
     request_count: int = 0
 
     async def run_caller(
@@ -74,8 +77,8 @@
         pool = HttpPool()
         while time.monotonic() < self.ends_s:
             vm = rng.choice(list(self.fleet.vms.values()))
-            kind = rng.choice(kinds)
-            await self.send(pool, vm, f"/{kind}/{self.request_count}")
+            path = f"/{rng.choice(kinds)}/{self.request_count}"
+            await self.send(pool, vm, path, headers=self.prompt_headers)
             await asyncio.sleep(CALL_INTERVAL_S)
         pool.close()
 
@@ -113,6 +116,8 @@
         whole_s: float = 0.0,
     ) -> None:
         request_id = self._next_request_id(vm)
+        if headers and headers == self.prompt_headers:
+            self.with_prompts.add(request_id)
         request = Request(
             address=vm.address,
             host=HOST,
--- a/benchmarks/entry_checks.py
+++ b/benchmarks/entry_checks.py
@@ -39,6 +39,10 @@
 CRASHES = 3
 CRASHES_OF_PART = 5
 SENDS_ONCE_KNOWN = 3
+# Sound requests that share parts with the cause, if there are so many, are then
+# served at least so often, beside all others.
+MIN_SOUND_REQUESTS = 20
+MIN_SOUND_SHARE = 0.5
 # In any window of this length, a server that states a rate limit may get one and
 # a half times what the limit allows and a few requests more, from the VMs that
 # have known of the limit for a moment.
@@ -123,6 +127,8 @@
     most_memory_bytes: int = 0
     # Requests whose heads came in two pieces.
     sent_in_pieces: set[str] = field(default_factory=set)
+    # Requests that share parts of their prompts with those that crash servers.
+    with_prompts: set[str] = field(default_factory=set)
 
     def failures(self, *, timed: bool = True) -> dict[str, list[str]]:
         """Return the violations found, by rule.
@@ -143,6 +149,7 @@
             "no work for a draining server": self._sent_to_draining,
             "no work during a backoff": self._sent_in_backoff,
             "no work for a known cause of crashes": self._sent_once_known,
+            "sound requests beside a cause of crashes": self._sound_unserved,
             "rate limits of servers": self._over_limit,
             "retry budget": self._over_retry_budget,
             "deadlines of servers": self._beyond_deadline,
@@ -341,6 +348,27 @@
                 )
         return found
 
+    def _sound_unserved(self) -> list[str]:
+        """Compare requests that share parts with the cause to all others."""
+        crash_times_s = self.fleet.request_log.crash_times_s.get(CRASHING_PART, [])
+        if not crash_times_s:
+            return []
+        from_s = crash_times_s[:CRASHES_OF_PART][-1] + 2 * RECOVERY_S
+        served: dict[bool, list[bool]] = {True: [], False: []}
+        for response in self.responses:
+            vm = self.fleet.vms[response.vm]
+            if response.sent_s > from_s and vm.undisturbed(
+                response.sent_s - RECOVERY_S, response.ended_s
+            ):
+                shares = response.request_id in self.with_prompts
+                served[shares].append(response.status == 200)
+        if min(map(len, served.values())) < MIN_SOUND_REQUESTS:
+            return []
+        shares = {key: sum(found) / len(found) for key, found in served.items()}
+        if shares[True] >= MIN_SOUND_SHARE * shares[False]:
+            return []
+        return [f"{shares[True]:.2f} served, {shares[False]:.2f} of all others"]
+
     def _wrongly_quarantined(self) -> list[str]:
         return [
             f"{response.request_id} {response.path}"
--- a/benchmarks/entry_soak.py
+++ b/benchmarks/entry_soak.py
@@ -40,6 +40,7 @@
     DRAIN_S,
     GRACE_S,
     SOFTWARE_VERSIONS,
+    SOUND_HEADERS,
     EntryFleet,
     EntryVm,
     PortAfterCrash,
@@ -75,6 +76,8 @@
 # How long before a stop an upload begins, and how long it lasts.
 UPLOAD_BEFORE_S = 0.1
 UPLOAD_LASTS_S = (1.0, 7.0)
+# Between two times that all VMs are killed.
+KILL_INTERVAL_S = (1.5, 6.0)
 LOW_RATE_BYTES_PER_S = (10_000.0, 100_000.0)
 
 Fault = Callable[[], Awaitable[None]]
@@ -119,6 +122,7 @@
     server_rng: random.Random
     caller_rng: random.Random
     pause_rng: random.Random
+    kill_rng: random.Random
     ends_s: float
     # Whether servers of two software versions serve and callers take streams up.
     mixes_versions: bool = False
@@ -126,6 +130,8 @@
     restarts_versions: bool = False
     # Whether a cause of crashes is sent again and again from the start on.
     repeats_crashing: bool = False
+    # Whether all entry VMs are killed at once, several times.
+    kills_all: bool = False
     faults: Counter[str] = field(default_factory=Counter)
     most_memory_bytes: int = 0
 
@@ -161,6 +167,8 @@
         tasks.append(self._pause_by_turns())
         if self.repeats_crashing:
             tasks.append(self.repeat_crashing())
+        if self.kills_all:
+            tasks.append(self._kill_all_vms())
         tasks.append(self._record_memory())
         if self.mixes_versions:
             changes = [self.change_version, self.change_version, self.kill_two_vms]
@@ -267,9 +275,19 @@
         await asyncio.sleep(self.foreign_rng.uniform(1.0, 4.0))
         await self.fleet.write("servers/odd", None)
 
+    async def _kill_all_vms(self) -> None:
+        """Kill all VMs at the same moment, several times."""
+        rng = self.kill_rng
+        while time.monotonic() < self.ends_s:
+            await asyncio.sleep(rng.uniform(*KILL_INTERVAL_S))
+            await self._kill_at_once(list(self.fleet.vms.values()))
+
     async def kill_two_vms(self) -> None:
         """Kill two VMs at the same moment."""
         chosen = self.version_rng.sample(list(self.fleet.vms.values()), 2)
+        await self._kill_at_once(chosen)
+
+    async def _kill_at_once(self, chosen: list[EntryVm]) -> None:
         for vm in chosen:
             vm.note_disturbance()
             vm.send(signal.SIGKILL)
@@ -547,6 +565,7 @@
             self.streams,
             most_memory_bytes=self.most_memory_bytes,
             sent_in_pieces=self.callers.sent_in_pieces,
+            with_prompts=self.callers.with_prompts,
         )
         return checks.failures(timed=timed)
 
@@ -559,6 +578,7 @@
     mixes_versions: bool = False,
     restarts_versions: bool = False,
     repeats_crashing: bool = False,
+    kills_all: bool = False,
     directory: Path,
 ) -> EntrySoak:
     """Run one seed on a new fleet."""
@@ -579,6 +599,7 @@
         caller_rng=random.Random(f"caller {seed}"),
         pause_rng=random.Random(f"pause {seed}"),
         client_rng=random.Random(f"client {seed}"),
+        prompt_headers=SOUND_HEADERS if repeats_crashing else {},
     )
     run = EntrySoak(
         fleet,
@@ -592,10 +613,12 @@
         random.Random(f"server {seed}"),
         callers.caller_rng,
         callers.pause_rng,
+        random.Random(f"kill {seed}"),
         callers.ends_s,
         mixes_versions,
         restarts_versions,
         repeats_crashing,
+        kills_all,
     )
     for server in fleet.servers.values():
         server.port_after_crash = run.draw_port()
@@ -626,6 +649,7 @@
                 mixes_versions=mixes_versions,
                 restarts_versions=restarts_versions,
                 repeats_crashing=bool(int(os.environ.get("SOAK_CRASHES", "0"))),
+                kills_all=bool(int(os.environ.get("SOAK_KILLS", "0"))),
                 directory=directory,
             )
         )
--- a/src/rosepath_standins/entry_fleet.py
+++ b/src/rosepath_standins/entry_fleet.py
@@ -44,8 +44,10 @@
 CRASHING_HEADERS = {
     "Model": "m0",
     "Token-Usage": "300,20",
-    "Prompt-Prefix": f"aa:100,{CRASHING_PART}:100,bb:100",
+    "Prompt-Prefix": f"aa:100,{CRASHING_PART}:100,cc:100,ee:100",
 }
+# Those of requests that share all other parts with it.
+SOUND_HEADERS = CRASHING_HEADERS | {"Prompt-Prefix": "aa:100,bb:100,cc:100,ff:100"}
 HEALTH_PATH = "/health"
 RETRY_AFTER_S = 3.0
 DRAIN_S = 2.0
