Test a part of prompts that begins to crash servers, red

Servers that vanish under a part while nothing is known of it: sound requests are served, two plays.

--- a/tests/crashing_servers.py
+++ b/tests/crashing_servers.py
@@ -83,6 +83,8 @@
     # How long sound requests with a prompt run, and when they begin to answer.
     run_s: float = RUN_S
     first_event_after_s: float = RUN_S
+    # Crashed servers refuse no connections and answer no probes.
+    dark: bool = False
     # The VMs keep the placement lease in the store, as outside the tests.
     stores_lease: bool = False
     # Arrival and status of each request with a prompt that crashes no server.
@@ -208,20 +210,24 @@
 
     async def _probe(self, server: BackendServer, *, limit_s: float) -> ServerContact:
         await asyncio.sleep(ONE_WAY_LATENCY_S)
-        up = self.servers[server.address].up
-        return ServerContact.ANSWERED if up else ServerContact.GONE
+        if self.servers[server.address].up:
+            return ServerContact.ANSWERED
+        return ServerContact.UNKNOWN if self.dark else ServerContact.GONE
 
     def _backend_exchange(self, name: str) -> Callable[..., Any]:
         async def exchange(request: Request, *, on_head: Any, on_data: Any) -> Any:
             await asyncio.sleep(ONE_WAY_LATENCY_S)
             server = self.servers[request.address]
             if not server.up:
+                if self.dark:
+                    await asyncio.sleep(request.connect_timeout_s)
                 raise ExchangeError(
-                    "cannot connect: refused",
+                    "cannot connect",
                     step=Step.CONNECT,
                     peer=request.address,
                     sent=False,
-                    refused=True,
+                    refused=not self.dark,
+                    timed_out=self.dark,
                 )
             require_still_wanted(request)
             if request.headers["Target-Instance"] != server.name:
@@ -334,9 +340,7 @@
         self.body = request_id.encode()
         self.headers.update(prompt_headers(prefix))
         self._simulation = simulation
-        self._sound = not any(
-            f"{part}:" in prefix for part in simulation.crashing_parts
-        )
+        self._sound = f"{CRASHING_PART}" not in prefix
 
     def respond(self, status: int, headers: HTTPHeaders, body: bytes) -> None:
         super().respond(status, headers, body)
--- a/tests/test_crashing_parts_at_starts.py
+++ b/tests/test_crashing_parts_at_starts.py
@@ -40,22 +40,29 @@
     run_s: float,
     vms: int = 3,
     faults: Faults = no_faults,
+    harmless_s: float = 0.0,
+    dark: bool = False,
 ) -> CrashingServersSimulation:
-    """Send guilty requests from half a second after the start of the VMs."""
+    """Send guilty requests from half a second after the start of the VMs.
+
+    For the first `harmless_s` they crash nothing.
+    """
     simulation = CrashingServersSimulation(
         rng=random.Random(seed),
         stores_lease=True,
         run_s=run_s,
         first_event_after_s=run_s,
+        dark=dark,
     )
     simulation.prompt = ",".join(f"{part}:100" for part in sound)
-    simulation.crashing_parts = tuple(
-        part for part in guilty if part.startswith(CRASHING_PART)
-    )
+
+    def begin_to_crash() -> None:
+        simulation.crashing_parts = (CRASHING_PART,)
 
     async def scenario() -> None:
         await simulation.start(vms, monkeypatch, servers=SERVERS)
         await asyncio.sleep(0.5)
+        asyncio.get_running_loop().call_later(harmless_s, begin_to_crash)
         faulting = asyncio.create_task(faults(simulation))
         for number in range(int(GUILTY_S / interval_s)):
             if len(simulation.killed) < vms:
@@ -74,6 +81,16 @@
         assert late_sends(sent_s, crashes_s) <= MAX_SENDS_AFTER_FIFTH
 
 
+def require_sound_served(simulation: CrashingServersSimulation) -> None:
+    from_s = settled_s(simulation.crashes_s[CRASHING_PART])
+    later = [
+        status == 200
+        for arrived_s, status in simulation.sound_outcomes
+        if arrived_s > from_s
+    ]
+    assert len(later) > 20 and sum(later) >= MIN_SERVED_SHARE * len(later)
+
+
 # Guards against refusing sound requests for parts that they share with those that
 # crash servers, while no run with these parts has survived yet.
 @pytest.mark.parametrize("seed", SEEDS)
@@ -105,13 +122,45 @@
         run_s=run_s,
     )
     require_few_late_sends(simulation)
-    from_s = settled_s(simulation.crashes_s["dead"])
-    later = [
-        status == 200
-        for arrived_s, status in simulation.sound_outcomes
-        if arrived_s > from_s
-    ]
-    assert len(later) > 20 and sum(later) >= MIN_SERVED_SHARE * len(later)
+    require_sound_served(simulation)
+
+
+# The same, where nothing tells at once that a server has crashed.
+@pytest.mark.parametrize("guilty", [["aa", "dead", "cc"], ["aa", "dead"]])
+def test_sound_requests_are_served_beside_servers_that_vanish(
+    monkeypatch: pytest.MonkeyPatch, guilty: list[str]
+) -> None:
+    simulation = play(
+        monkeypatch,
+        0,
+        guilty=guilty,
+        sound=["aa", "bb", "cc"],
+        interval_s=0.2,
+        run_s=1.5,
+        dark=True,
+    )
+    require_few_late_sends(simulation)
+    require_sound_served(simulation)
+
+
+# Guards against sends that go on because runs with the part survived before it began
+# to crash servers.
+@pytest.mark.parametrize("interval_s", [0.05, 0.5, 2.0])
+@pytest.mark.parametrize("run_s", [0.03, 1.5])
+def test_a_part_that_begins_to_crash_servers_is_known(
+    monkeypatch: pytest.MonkeyPatch, run_s: float, interval_s: float
+) -> None:
+    simulation = play(
+        monkeypatch,
+        0,
+        guilty=["aa", "dead"],
+        sound=["aa", "bb"],
+        interval_s=interval_s,
+        run_s=run_s,
+        harmless_s=8.0,
+    )
+    require_few_late_sends(simulation)
+    require_sound_served(simulation)
 
 
 # Guards against each generation of entry VMs learning of the part anew, at the
