Count crashes that come after a run with the part survived

A part of prompts that callers had used before began to crash servers, and went on for as long as 30 s after its last sound run: VMs left it out of crash reports for that long, so that a report named nothing. It needs no other fault, and fits 'on most runs' best of what was found; that it is what the operators saw is not shown. Class of fault: evidence outranks what is newer than it.

Change: a run that survived clears its parts of the crashes before it, and 0.3 s after, in which reports are under way. Of a long run only its start counts, not its end. Runs at servers of which it is not known whether they crashed are left out as before.

Why sound parts are not blamed: a set of parts is, and only requests with all of it are refused; each sound run removes its parts again.

--- a/src/rosepath/crash_records.py
+++ b/src/rosepath/crash_records.py
@@ -33,8 +33,9 @@
 # Servers also crash for other reasons. An unrelated request may be in flight
 # at one or two such crashes, hardly at three while none of its runs completes.
 CRASHES_TO_QUARANTINE = 3
-# How long a part of prompts is not suspected after a run with it survived.
-# Parts that most requests share are in flight at every crash.
+# How long a part of prompts is not suspected for runs at servers of which it is not
+# known whether they crashed, after another run with it survived. Parts that most
+# requests share are in flight at all servers.
 SURVIVED_TTL_S = 30.0
 MAX_SURVIVED_PARTS = 5_000
 # Reports are included in state messages for this long, as datagrams are lost
@@ -128,7 +129,7 @@
         """Add a report; return whether it changed the records."""
         changed = self._add_exposure(report.content_key, report)
         for key in report.part_keys:
-            if self._has_survived(key):
+            if self.has_survived(key, within_s=SETTLE_S):
                 # Tells VMs that have not seen such a run.
                 self._cleared[key] = self._clock.monotonic_s()
                 continue
@@ -151,15 +152,12 @@
         self._records.move_to_end(key)
         return True
 
-    def note_survived(
-        self, part_keys: Collection[str], *, completed: bool = True
-    ) -> bool:
+    def note_survived(self, part_keys: Collection[str]) -> bool:
         """Record that runs with parts of prompts went on after their start.
 
-        One that is not `completed` may still crash its server. Return whether that
-        changed the records.
+        Return whether that changed the records.
         """
-        innocent = self.part_causes.innocent(part_keys, completed=completed)
+        innocent = self.part_causes.innocent(part_keys)
         # A list, as all parts are to be cleared.
         changed = any([self._clear_part(key) for key in sorted(innocent)])
         changed |= self.part_causes.remove_parts(innocent)
@@ -179,14 +177,18 @@
         self.announce_cleared(key)
         return True
 
-    def without_survived(self, part_keys: tuple[str, ...]) -> tuple[str, ...]:
+    def without_survived(
+        self, part_keys: Iterable[str], *, within_s: float = SURVIVED_TTL_S
+    ) -> tuple[str, ...]:
         """Return the parts with which no run survived recently."""
-        return tuple(key for key in part_keys if not self._has_survived(key))
+        return tuple(
+            key for key in part_keys if not self.has_survived(key, within_s=within_s)
+        )
 
-    def _has_survived(self, key: str) -> bool:
+    def has_survived(self, key: str, *, within_s: float = SURVIVED_TTL_S) -> bool:
         """Return whether a run of a request, or with a part, survived recently."""
         survived_s = self._survived_s.get(key, -1e9)
-        return self._clock.monotonic_s() < survived_s + SURVIVED_TTL_S
+        return self._clock.monotonic_s() < survived_s + within_s
 
     def quarantine(self, content_key: str) -> bool:
         """Quarantine a request that another entry VM identified as the cause.
@@ -194,8 +196,9 @@
         Return whether that changed the records.
         """
         if is_part_key(content_key):
-            survived = set(filter(self._has_survived, parts_of_key(content_key)))
-            changed = self.part_causes.tell(content_key, survived=survived)
+            parts = parts_of_key(content_key)
+            unknown = self.without_survived(parts, within_s=SETTLE_S)
+            changed = self.part_causes.tell(parts, survived=parts.difference(unknown))
             if changed:
                 self._find_causes()
             return changed
@@ -266,8 +269,7 @@
         if cause is not None:
             confirmed = self.part_causes.is_confirmed(cause)
             return Suspicion.QUARANTINED if confirmed else Suspicion.HELD
-        keys = self.without_survived(tuple(part_keys))
-        evidence = {key: self._part_evidence(key, self._explained) for key in keys}
+        evidence = {key: self._part_evidence(key, self._explained) for key in part_keys}
         possible = [report for report in undecided if self._may_count(report)]
         if possible:
             self._add_undecided(evidence, possible)
@@ -277,7 +279,7 @@
                 return Suspicion.HELD
         # Unrelated parts are in flight at single crashes all the time.
         several = any(len(one.exposures) > 1 for one in evidence.values())
-        suspect = several or self.part_causes.concern(keys)
+        suspect = several or self.part_causes.concern(part_keys)
         return Suspicion.SUSPECT if suspect else Suspicion.CLEAR
 
     def _may_count(self, report: CrashReport) -> bool:
@@ -286,9 +288,12 @@
     def _add_undecided(
         self, evidence: dict[str, PartEvidence], undecided: Iterable[CrashReport]
     ) -> None:
-        """Add runs that may have ended in crashes to the evidence on some parts."""
+        """Add runs that may have ended in crashes to the evidence on some parts.
+
+        They say nothing of parts that were harmless a moment ago.
+        """
         for report in undecided:
-            for key in evidence.keys() & set(report.part_keys):
+            for key in evidence.keys() & set(self.without_survived(report.part_keys)):
                 record = self._records.get(key)
                 if record is None or report.instance not in record.cleared:
                     evidence[key].add(
@@ -299,10 +304,7 @@
         """Return the causes if undecided runs ended in crashes."""
         keys = set().union(*(report.part_keys for report in undecided))
         keys |= set(filter(is_part_key, self._records))
-        evidence = {
-            key: self._part_evidence(key, self._explained)
-            for key in self.without_survived(tuple(keys))
-        }
+        evidence = {key: self._part_evidence(key, self._explained) for key in keys}
         self._add_undecided(evidence, undecided)
         return find_part_causes(evidence, ())
 
@@ -329,7 +331,7 @@
         One that would be identified as the cause is held until they are decided.
         """
         known = self.suspicion(key)
-        if known >= Suspicion.HELD or self._has_survived(key):
+        if known >= Suspicion.HELD or self.has_survived(key):
             return known
         record = self._records.get(key) or _Record()
         crashes = record.open_crashes(self._explained)
--- a/src/rosepath/crash_watch.py
+++ b/src/rosepath/crash_watch.py
@@ -7,7 +7,7 @@
 from rosepath.clock import Clock
 from rosepath.content_key import is_part_key
 from rosepath.crash_records import CRASHES_TO_QUARANTINE, CrashRecords, Suspicion
-from rosepath.crash_report import CrashReport, Exposure, ServerInstance
+from rosepath.crash_report import SETTLE_S, CrashReport, Exposure, ServerInstance
 from rosepath.fleet import BackendServer
 from rosepath.isolated_runs import IsolatedRuns
 from rosepath.logs import get_logger
@@ -303,11 +303,13 @@
         return suspicion > Suspicion.CLEAR
 
     def _report_of(self, run: LostRun, instance: ServerInstance) -> CrashReport:
+        """Return the report of a run, without the parts that survived since."""
+        since_s = self._clock.monotonic_s() - run.lost_s + SETTLE_S
         return CrashReport(
             run.content_key,
             instance,
             run.exposure,
-            self.records.without_survived(run.part_keys),
+            self.records.without_survived(run.part_keys, within_s=since_s),
         )
 
     def note_crashed(
@@ -380,11 +382,9 @@
     def _may_be_quarantined(self, content_key: str) -> bool:
         return self.records.open_crashes(content_key) >= CRASHES_TO_QUARANTINE
 
-    def note_survived(
-        self, part_keys: tuple[str, ...], *, completed: bool = False
-    ) -> None:
+    def note_survived(self, part_keys: tuple[str, ...]) -> None:
         """Record that a run with parts of prompts went on after its start."""
-        if self.records.note_survived(part_keys, completed=completed):
+        if self.records.note_survived(part_keys):
             self._on_change()
 
     def note_progress(self, server: BackendServer, request_id: str) -> None:
--- a/src/rosepath/known_part_causes.py
+++ b/src/rosepath/known_part_causes.py
@@ -5,7 +5,7 @@
 
 from rosepath.clock import Clock
 from rosepath.crash_report import SETTLE_S, ServerInstance
-from rosepath.part_causes import PartCause, parts_of_key
+from rosepath.part_causes import PartCause
 
 # Bounds the time that it takes to look up a request.
 MAX_PART_CAUSES = 64
@@ -62,13 +62,12 @@
         for one in kept:
             self._add(one)
 
-    def tell(self, key: str, *, survived: Collection[str]) -> bool:
+    def tell(self, parts: frozenset[str], *, survived: Collection[str]) -> bool:
         """Add a cause that another entry VM has confirmed.
 
         Parts with which runs have `survived` are left out, unless all have. Return
         whether that changed the causes.
         """
-        parts = parts_of_key(key)
         now_s = self._clock.monotonic_s()
         cause = PartCause(parts=parts.difference(survived) or parts)
         for one in self._known:
@@ -89,16 +88,15 @@
         del self._known[:-MAX_PART_CAUSES]
         return True
 
-    def innocent(self, parts: Collection[str], *, completed: bool) -> frozenset[str]:
+    def innocent(self, parts: Collection[str]) -> frozenset[str]:
         """Return which parts of a run that went on after its start are innocent.
 
-        A run with all parts of a cause does not tell which of them is innocent, but
-        if it `completed`, it shows that a cause which is not certain is none.
+        Not those of a cause that is certain: the run may have begun before.
         """
         found = frozenset(parts)
         for one in self._known:
-            immune = one.cause.certain or not completed
-            if one.confirmed and immune and one.cause.parts <= found:
+            immune = one.confirmed and one.cause.certain
+            if immune and one.cause.parts <= found:
                 found -= one.cause.parts
         return found
 
--- a/src/rosepath/relay.py
+++ b/src/rosepath/relay.py
@@ -406,7 +406,7 @@
             note_success(server, took_s=took_s)
             if response.success:
                 self._ports.durations.note_completed(context.route.name, took_s=took_s)
-            self._suspects.clear(context, server, response)
+            self._suspects.clear(context, server, in_flight, response)
             self._finish(context, server, response)
             return
 
--- a/src/rosepath/suspect_tracker.py
+++ b/src/rosepath/suspect_tracker.py
@@ -155,7 +155,11 @@
             )
 
     def clear(
-        self, context: RequestContext, server: BackendServer, response: ServerResponse
+        self,
+        context: RequestContext,
+        server: BackendServer,
+        in_flight: InFlightRequest,
+        response: ServerResponse,
     ) -> None:
         """Record a completed run, which clears the request of earlier crashes.
 
@@ -165,8 +169,9 @@
         if not response.delimited:
             return
         self._crashes.note_progress(server, context.call.request_id)
-        if response.success:
-            self._crashes.note_survived(context.part_keys, completed=True)
+        if response.success and not in_flight.survived:
+            # Of a long run, only its start shows that its parts were harmless then.
+            self._crashes.note_survived(context.part_keys)
         if self._crashes.suspects_any:
             self._crashes.clear(context.content_key)
 
