Clear parts and requests only of crashes before the run that survived

Class of fault: a statement without the time that it is about, repeated.

Builds that state no age are applied as before.

--- a/src/rosepath/crash_records.py
+++ b/src/rosepath/crash_records.py
@@ -15,6 +15,7 @@
 from rosepath.content_key import is_part_key
 from rosepath.crash_report import (
     SETTLE_S,
+    Cleared,
     CrashKnowledge,
     CrashReport,
     Exposure,
@@ -75,11 +76,12 @@
 class _Record:
     """Crashes at which a request, or one with a part of prompts, was in flight.
 
-    `cleared` are those before its last completed run. `contents` has the
-    requests with the part by crash.
+    `cleared` are those before its last completed run, `known_s` is when each became
+    known. `contents` has the requests with the part by crash.
     """
 
     exposures: dict[ServerInstance, Exposure] = field(default_factory=dict)
+    known_s: dict[ServerInstance, float] = field(default_factory=dict)
     cleared: set[ServerInstance] = field(default_factory=set)
     contents: dict[ServerInstance, set[str]] = field(default_factory=dict)
     changed_s: float = 0.0
@@ -91,6 +93,13 @@
         """Return the crashes not cleared nor explained by another request."""
         return self.exposures.keys() - self.cleared - explained
 
+    def clear(self, *, until_s: float) -> bool:
+        """Clear the crashes known until a time; return whether there were any."""
+        found = {one for one, known_s in self.known_s.items() if known_s <= until_s}
+        changed = not found <= self.cleared
+        self.cleared |= found
+        return changed
+
     @property
     def weight(self) -> tuple[int, int]:
         """Return the sort key: number of crashes, then sum of exposures."""
@@ -117,6 +126,7 @@
         self._told_s: OrderedDict[CrashReport, float] = OrderedDict()
         # When each report was first made, here or at an earlier entry VM.
         self._reported_s: dict[CrashReport, float] = {}
+        # When a run last survived, of what is told to other VMs.
         self._cleared: dict[str, float] = {}
         # When a run with a part of prompts last survived, or a run of a request
         # that may have crashed servers, the latest last.
@@ -131,7 +141,7 @@
         for key in report.part_keys:
             if self.has_survived(key, within_s=SETTLE_S):
                 # Tells VMs that have not seen such a run.
-                self._cleared[key] = self._clock.monotonic_s()
+                self.announce_cleared(key, at_s=self._survived_s[key])
                 continue
             changed |= self._add_exposure(key, report)
             record = self._records[key]
@@ -149,33 +159,32 @@
             return False
         record.exposures[report.instance] = report.exposure
         record.changed_s = self._clock.monotonic_s()
+        record.known_s.setdefault(report.instance, record.changed_s)
         self._records.move_to_end(key)
         return True
 
-    def note_survived(self, part_keys: Collection[str]) -> bool:
+    def note_survived(self, part_keys: Collection[str], *, ago_s: float = 0.0) -> bool:
         """Record that runs with parts of prompts went on after their start.
 
-        Return whether that changed the records.
+        `ago_s` is how long ago they did. Return whether that changed the records.
         """
+        at_s = self._clock.monotonic_s() - ago_s
         innocent = self.part_causes.innocent(part_keys)
         # A list, as all parts are to be cleared.
-        changed = any([self._clear_part(key) for key in sorted(innocent)])
-        changed |= self.part_causes.remove_parts(innocent)
+        changed = any([self._clear_part(key, at_s=at_s) for key in sorted(innocent)])
+        changed |= self.part_causes.remove_parts(innocent, at_s=at_s)
         if changed:
             self._find_causes()
         return changed
 
-    def _clear_part(self, key: str) -> bool:
-        """Clear a part of its crashes so far; return whether it had any."""
-        self._note_survived(key)
+    def _clear_part(self, key: str, *, at_s: float) -> bool:
+        """Clear a part of the crashes until a time; return whether it had any."""
+        self._note_survived(key, at_s=at_s)
         record = self._records.get(key)
-        if key in self.part_causes.parts:
-            self.announce_cleared(key)
-        if record is None or not record.exposures.keys() - record.cleared:
-            return False
-        record.cleared.update(record.exposures)
-        self.announce_cleared(key)
-        return True
+        changed = record is not None and record.clear(until_s=at_s + SETTLE_S)
+        if changed or key in self.part_causes.parts:
+            self.announce_cleared(key, at_s=at_s)
+        return changed
 
     def without_survived(
         self, part_keys: Iterable[str], *, within_s: float = SURVIVED_TTL_S
@@ -211,32 +220,33 @@
         self._find_causes()
         return True
 
-    def clear(self, content_key: str) -> bool:
+    def clear(self, content_key: str, *, ago_s: float = 0.0) -> bool:
         """Clear a request of its crashes so far, as one of its runs completed.
 
         Return whether that changed the records.
         """
+        at_s = self._clock.monotonic_s() - ago_s
         record = self._records.get(content_key)
         if record is None or record.confirmed:
             return False
-        if not record.exposures.keys() - record.cleared:
+        if not record.clear(until_s=at_s + SETTLE_S):
             return False
-        record.cleared.update(record.exposures)
-        self.announce_cleared(content_key)
+        self.announce_cleared(content_key, at_s=at_s)
         self._find_causes()
         return True
 
-    def announce_cleared(self, content_key: str) -> None:
-        """Tell other VMs that a run of a request completed."""
-        self._cleared[content_key] = self._clock.monotonic_s()
+    def announce_cleared(self, key: str, *, at_s: float) -> None:
+        """Tell other VMs that a run of a request, or with a part, survived."""
+        self._cleared[key] = max(at_s, self._cleared.get(key, at_s))
 
-    def clear_undecided(self, content_key: str) -> None:
+    def clear_undecided(self, content_key: str, *, ago_s: float = 0.0) -> None:
         """Clear a request of what may have been crashes, as a run completed."""
-        self._note_survived(content_key)
-        self.announce_cleared(content_key)
+        at_s = self._clock.monotonic_s() - ago_s
+        self._note_survived(content_key, at_s=at_s)
+        self.announce_cleared(content_key, at_s=at_s)
 
-    def _note_survived(self, key: str) -> None:
-        self._survived_s[key] = self._clock.monotonic_s()
+    def _note_survived(self, key: str, *, at_s: float) -> None:
+        self._survived_s[key] = max(at_s, self._survived_s.get(key, at_s))
         self._survived_s.move_to_end(key)
         if len(self._survived_s) > MAX_SURVIVED_PARTS:
             self._survived_s.popitem(last=False)
@@ -432,15 +442,21 @@
             self._reported_s.pop(dropped, None)
 
     @property
-    def cleared(self) -> tuple[str, ...]:
-        """Return the requests that were cleared recently, the latest last."""
-        limit_s = self._clock.monotonic_s() - REPORT_TTL_S
+    def cleared(self) -> tuple[Cleared, ...]:
+        """Return what was cleared recently, the latest last.
+
+        Other VMs that tell it on add to its age, so that it does not stay new.
+        """
+        now_s = self._clock.monotonic_s()
         self._cleared = {
-            content_key: completed_s
-            for content_key, completed_s in self._cleared.items()
-            if completed_s > limit_s
+            key: at_s
+            for key, at_s in self._cleared.items()
+            if at_s > now_s - REPORT_TTL_S
         }
-        return tuple(self._cleared)[-MAX_REPORTS_SENT:]
+        latest = sorted(self._cleared.items(), key=lambda item: item[1])
+        return tuple(
+            Cleared(key, now_s - at_s) for key, at_s in latest[-MAX_REPORTS_SENT:]
+        )
 
     @property
     def quarantined(self) -> tuple[str, ...]:
--- a/src/rosepath/crash_report.py
+++ b/src/rosepath/crash_report.py
@@ -43,6 +43,16 @@
     part_keys: tuple[str, ...] = ()
 
 
+class Cleared(NamedTuple):
+    """A request of which a run completed, or a part with which one survived.
+
+    It clears the key of the crashes before that, `ago_s` before it is told.
+    """
+
+    key: str
+    ago_s: float = 0.0
+
+
 class RecordedCrash(NamedTuple):
     """A report as the store keeps it, and its age when it was written."""
 
--- a/src/rosepath/crash_watch.py
+++ b/src/rosepath/crash_watch.py
@@ -7,7 +7,13 @@
 from rosepath.clock import Clock
 from rosepath.content_key import is_part_key
 from rosepath.crash_records import CRASHES_TO_QUARANTINE, CrashRecords, Suspicion
-from rosepath.crash_report import SETTLE_S, CrashReport, Exposure, ServerInstance
+from rosepath.crash_report import (
+    SETTLE_S,
+    Cleared,
+    CrashReport,
+    Exposure,
+    ServerInstance,
+)
 from rosepath.fleet import BackendServer
 from rosepath.isolated_runs import IsolatedRuns
 from rosepath.logs import get_logger
@@ -394,29 +400,35 @@
 
     def clear(self, content_key: str) -> None:
         """Record that a run of a request completed."""
-        if self.apply_cleared(content_key):
+        if self._clear_content(Cleared(content_key)):
             self._on_change()
 
-    def apply_all_cleared(self, keys: Collection[str]) -> bool:
+    def apply_cleared(self, cleared: Collection[Cleared]) -> bool:
         """Apply that requests, and runs with parts of prompts, survived elsewhere.
 
         Return whether that changed how any may be sent.
         """
-        parts = set(filter(is_part_key, keys))
+        contents = [one for one in cleared if not is_part_key(one.key)]
         # A list, as all are to be cleared.
-        changed = any([self.apply_cleared(key) for key in keys if key not in parts])
-        return self.records.note_survived(parts) or changed
-
-    def apply_cleared(self, content_key: str) -> bool:
+        changed = any([self._clear_content(one) for one in contents])
+        parts = {one.key: one.ago_s for one in cleared if is_part_key(one.key)}
+        # One call for those of one run: together they may be a whole cause.
+        for ago_s in set(parts.values()):
+            keys = [key for key, its_ago_s in parts.items() if its_ago_s == ago_s]
+            changed |= self.records.note_survived(keys, ago_s=ago_s)
+        return changed
+
+    def _clear_content(self, cleared: Cleared) -> bool:
         """Apply that a run of a request completed, here or at another VM.
 
         Return whether that changed how it may be sent.
         """
-        had_undecided = self.undecided.clear(content_key)
+        key, ago_s = cleared
+        had_undecided = self.undecided.clear(key)
         if had_undecided:
-            self._mark_cleared(content_key)
-            self.records.clear_undecided(content_key)
-        return self.records.clear(content_key) or had_undecided
+            self._mark_cleared(key)
+            self.records.clear_undecided(key, ago_s=ago_s)
+        return self.records.clear(key, ago_s=ago_s) or had_undecided
 
     def _mark_cleared(self, content_key: str) -> None:
         """Let the lost runs of a request not become undecided again."""
--- a/src/rosepath/known_part_causes.py
+++ b/src/rosepath/known_part_causes.py
@@ -100,10 +100,15 @@
                 found -= one.cause.parts
         return found
 
-    def remove_parts(self, innocent: Collection[str]) -> bool:
-        """Remove innocent parts from the causes; return whether that changed any."""
+    def remove_parts(self, innocent: Collection[str], *, at_s: float) -> bool:
+        """Remove parts with which runs survived; return whether that changed any.
+
+        A run that survived long before a cause was identified tells nothing of it.
+        """
         before = [one.cause for one in self._known]
         for one in self._known:
+            if at_s + SETTLE_S < one.identified_s:
+                continue
             one.cause = replace(
                 one.cause,
                 parts=one.cause.parts.difference(innocent),
--- a/src/rosepath/peer_exchange.py
+++ b/src/rosepath/peer_exchange.py
@@ -301,7 +301,7 @@
         records = self._crashes.records
         changes = [records.add(report) for report in state.crashes]
         changes += [records.quarantine(key) for key in state.quarantined]
-        changes.append(self._crashes.apply_all_cleared(state.cleared))
+        changes.append(self._crashes.apply_cleared(state.cleared))
         now_s = self._clock.monotonic_s()
         changes.append(
             self._crashes.isolated.apply_peer_runs(
--- a/src/rosepath/peer_messages.py
+++ b/src/rosepath/peer_messages.py
@@ -6,7 +6,12 @@
 from dataclasses import dataclass, field, replace
 from typing import Any, NamedTuple
 
-from rosepath.crash_report import CrashReport, decode_report, encode_report
+from rosepath.crash_report import (
+    Cleared,
+    CrashReport,
+    decode_report,
+    encode_report,
+)
 from rosepath.decompression import decompress
 from rosepath.demand import ModelDemand
 from rosepath.fleet import LeavingServer, PeerLoad
@@ -137,7 +142,7 @@
     totals: Mapping[str, PeerLoad] = field(default_factory=dict)
     arrivals: tuple[ModelArrival, ...] = ()
     crashes: tuple[CrashReport, ...] = ()
-    cleared: tuple[str, ...] = ()
+    cleared: tuple[Cleared, ...] = ()
     quarantined: tuple[str, ...] = ()
     isolated: frozenset[IsolatedRun] = frozenset()
     undecided: frozenset[UndecidedRun] = frozenset()
@@ -157,6 +162,7 @@
             self,
             known_ago_s=self.known_ago_s + delay_s,
             configuration_known_ago_s=self.configuration_known_ago_s + delay_s,
+            cleared=tuple(Cleared(key, ago_s + delay_s) for key, ago_s in self.cleared),
             limits=tuple(
                 limit._replace(stated_ago_s=limit.stated_ago_s + delay_s)
                 for limit in self.limits
@@ -342,7 +348,9 @@
             for move in message.residency_changes
         ],
         "cr": [encode_report(report) for report in message.crashes],
-        "cl": list(message.cleared),
+        # Read by builds that do not know "ca".
+        "cl": [cleared.key for cleared in message.cleared],
+        "ca": [round(cleared.ago_s, 3) for cleared in message.cleared],
         "qu": list(message.quarantined),
         # Read by builds that do not know "ir".
         "is": {
@@ -416,7 +424,7 @@
             for row in raw["m"]
         ),
         crashes=tuple(decode_report(row) for row in raw["cr"]),
-        cleared=tuple(map(str, raw["cl"])),
+        cleared=_decode_cleared(raw),
         quarantined=tuple(map(str, raw["qu"])),
         isolated=_decode_isolated(raw),
         undecided=frozenset(
@@ -430,6 +438,13 @@
     )
 
 
+def _decode_cleared(raw: dict[str, Any]) -> tuple[Cleared, ...]:
+    """Return what was cleared; earlier builds do not tell how long ago."""
+    keys = list(map(str, raw["cl"]))
+    ages_s = map(float, raw.get("ca", [0.0] * len(keys)))
+    return tuple(map(Cleared, keys, ages_s))
+
+
 def _decode_coordinator(raw: Sequence[Any]) -> CoordinatorLink:
     return CoordinatorLink(str(raw[0]), float(raw[1]))
 
--- a/tests/test_crash_records.py
+++ b/tests/test_crash_records.py
@@ -146,7 +146,7 @@
 def test_completed_run_clears_a_request_of_earlier_crashes() -> None:
     records = records_of(*reports_at("good", "s1", "s2"))
     assert records.clear("good")
-    assert records.cleared == ("good",)
+    assert [one.key for one in records.cleared] == ["good"]
     assert records.suspicion("good") is Suspicion.CLEAR
     # Other VMs send reports of the same crashes again.
     records.add(report("good", "s1"))
@@ -293,7 +293,7 @@
         records.add(one)
     assert records.suspicion("part:first") is Suspicion.CLEAR
     assert is_cause(records, "part:x")
-    assert "part:first" in records.cleared
+    assert "part:first" in {one.key for one in records.cleared}
 
 
 # Guards against refusing sound requests for a part that they share with those that
@@ -374,6 +374,25 @@
     assert not records.quarantine("part:first+part:x")
 
 
+# Guards against crashes without end while VMs tell each other of a run that survived
+# before them.
+def test_a_run_that_survived_elsewhere_clears_earlier_crashes_only() -> None:
+    clock = ManualClock()
+    vms = [CrashRecords(clock=clock) for _ in range(2)]
+    *earlier, last = part_reports("part:x", servers=7, contents=7)
+    for records in vms:
+        records.add(earlier[0])
+    vms[0].note_survived(("part:x",))
+    for one in (*earlier[1:], last):
+        for records, other in (vms, vms[::-1]):
+            records.add(one)
+            for cleared in other.cleared:
+                records.note_survived((cleared.key,), ago_s=cleared.ago_s)
+        clock.advance(2 * SETTLE_S)
+    for records in vms:
+        assert records.suspicion("part:x") is Suspicion.QUARANTINED
+
+
 def test_a_part_is_cleared_by_a_run_at_another_vm() -> None:
     records = records_of(*part_reports("part:x", servers=2))
     assert records.note_survived(("part:x",))
--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -167,7 +167,7 @@
         peer.undecided.apply_peer_runs("vm-1", told, now_s=clock.monotonic_s())
         peer.clear("bad")
         assert peer.suspicion("bad") is Suspicion.CLEAR
-        assert [watch.apply_cleared(key) for key in peer.records.cleared] == [True]
+        assert watch.apply_cleared(peer.records.cleared)
         clock.advance(1.0)
         await watch.note_lost(a_server("s2"), a_run(clock))
         await watch.note_lost(a_server("s1"), a_run(clock))
