Log which parts of prompts are known as causes of crashes

Whether a sound request was refused for a shared part, whether a part was left out of a report, and what narrowed a cause down could not be read from the logs: crash_reported had the parts of a run, not those that counted, and nothing told of a cause. crash_reported has counted now, and the suspicion with its parts; part_cause_found and part_cause_replaced name the parts, their rivals and whether the cause is certain.

--- a/src/rosepath/crash_watch.py
+++ b/src/rosepath/crash_watch.py
@@ -17,6 +17,7 @@
 from rosepath.fleet import BackendServer
 from rosepath.isolated_runs import IsolatedRuns
 from rosepath.logs import get_logger
+from rosepath.part_causes import PartCause
 from rosepath.server_probe import ServerContact, ServerProbe
 from rosepath.undecided_runs import UndecidedRuns
 
@@ -116,6 +117,7 @@
         self._lost_runs: dict[ServerInstance, list[LostRun]] = {}
         self._probes: dict[ServerInstance, asyncio.Task[None]] = {}
         self._followed: dict[ServerInstance, asyncio.Task[None]] = {}
+        self._logged_causes: frozenset[PartCause] = frozenset()
         self._silence_checks: set[asyncio.Task[None]] = set()
 
     async def note_silent(self, server: BackendServer, run: LostRun) -> None:
@@ -446,12 +448,28 @@
             request_id=run.request_id,
             content=report.content_key,
             parts=run.part_keys,
+            counted=report.part_keys,
             peer=report.instance.server,
             born_ms=report.instance.born_ms,
             exposure=report.exposure.name.lower(),
-            suspicion=self.records.suspicion(report.content_key).name.lower(),
+            suspicion=self.suspicion(report.content_key, report.part_keys).name.lower(),
         )
 
+    def log_causes(self) -> None:
+        """Log which parts of prompts have become causes, or no longer are."""
+        causes = frozenset(self.records.part_causes.causes)
+        for cause in causes - self._logged_causes:
+            _log.info(
+                "part_cause_found",
+                suspected=cause.key,
+                crashed=sorted(crash.server for crash in cause.crashes),
+                rivals=sorted(cause.rivals),
+                certain=cause.certain,
+            )
+        for cause in self._logged_causes - causes:
+            _log.info("part_cause_replaced", suspected=cause.key)
+        self._logged_causes = causes
+
     def _record_lost(self, instance: ServerInstance, run: LostRun) -> None:
         """Record a run; one that was silent before may be lost later."""
         self._drop_expired()
--- a/src/rosepath/entry_node.py
+++ b/src/rosepath/entry_node.py
@@ -434,12 +434,13 @@
         await self.coordinator.renew_or_acquire_lease()
 
     async def _step_peers(self) -> None:
-        """Forget silent peers; log if this process did not run for a while."""
+        """Forget silent peers; log pauses of this process and causes of crashes."""
         now_s = self.clock.monotonic_s()
         late_s = now_s - self._peers_step_due_s
         if late_s > LOGGED_PAUSE_S:
             _log.info("process_paused", for_s=round(late_s, 3))
         self._peers_step_due_s = now_s + PEER_EXPIRY_TICK_S
+        self.crashes.log_causes()
         await self.exchange.forget_silent()
 
     async def _plan(self) -> None:
--- a/src/rosepath/known_part_causes.py
+++ b/src/rosepath/known_part_causes.py
@@ -168,6 +168,11 @@
             *(one.cause.parts | one.cause.rivals for one in self._known)
         )
 
+    @property
+    def causes(self) -> tuple[PartCause, ...]:
+        """Return the causes, also the provisional ones."""
+        return tuple(one.cause for one in self._known)
+
     @property
     def confirmed_keys(self) -> tuple[str, ...]:
         """Return the certain causes to tell other VMs, the last used last."""
--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -6,6 +6,7 @@
 
 import pytest
 from entry_builders import a_crash_watch, a_server
+from structlog.testing import capture_logs
 from virtual_time import LoopClock, VirtualLoop
 
 from rosepath.clock import ManualClock
@@ -442,3 +443,23 @@
         return probes
 
     assert asyncio.run(run()) == 1
+
+
+def test_causes_that_are_parts_of_prompts_are_logged_once() -> None:
+    async def run() -> None:
+        clock = ManualClock()
+        watch = a_crash_watch(clock, contact=ServerContact.GONE)
+        watch.records.quarantine("part:first+part:x")
+        with capture_logs() as lines:
+            watch.log_causes()
+            watch.log_causes()
+            watch.note_survived(("part:first",))
+            watch.log_causes()
+        found = [(line["event"], line["suspected"]) for line in lines]
+        assert found == [
+            ("part_cause_found", "part:first+part:x"),
+            ("part_cause_found", "part:x"),
+            ("part_cause_replaced", "part:first+part:x"),
+        ]
+
+    asyncio.run(run())
