--- a/src/rosepath/crash_records.py
+++ b/src/rosepath/crash_records.py
@@ -169,7 +169,7 @@
         `ago_s` is how long ago they did. Return whether that changed the records.
         """
         at_s = self._clock.monotonic_s() - ago_s
-        innocent = self.part_causes.innocent(part_keys)
+        innocent = self.part_causes.innocent_parts(part_keys)
         # A list, as all parts are to be cleared.
         changed = any([self._clear_part(key, at_s=at_s) for key in sorted(innocent)])
         changed |= self.part_causes.remove_parts(innocent, at_s=at_s)
@@ -207,7 +207,9 @@
         if is_part_key(content_key):
             parts = parts_of_key(content_key)
             unknown = self.without_survived(parts, within_s=SETTLE_S)
-            changed = self.part_causes.tell(parts, survived=parts.difference(unknown))
+            changed = self.part_causes.add_told(
+                parts, survived=parts.difference(unknown)
+            )
             if changed:
                 self._find_causes()
             return changed
@@ -289,7 +291,7 @@
                 return Suspicion.HELD
         # Unrelated parts are in flight at single crashes all the time.
         several = any(len(one.exposures) > 1 for one in evidence.values())
-        suspect = several or self.part_causes.concern(part_keys)
+        suspect = several or self.part_causes.any_concerns(part_keys)
         return Suspicion.SUSPECT if suspect else Suspicion.CLEAR
 
     def _may_count(self, report: CrashReport) -> bool:
--- a/src/rosepath/known_part_causes.py
+++ b/src/rosepath/known_part_causes.py
@@ -62,7 +62,7 @@
         for one in kept:
             self._add(one)
 
-    def tell(self, parts: frozenset[str], *, survived: Collection[str]) -> bool:
+    def add_told(self, parts: frozenset[str], *, survived: Collection[str]) -> bool:
         """Add a cause that another entry VM has confirmed.
 
         Parts with which runs have `survived` are left out, unless all have. Return
@@ -88,7 +88,7 @@
         del self._known[:-MAX_PART_CAUSES]
         return True
 
-    def innocent(self, parts: Collection[str]) -> frozenset[str]:
+    def innocent_parts(self, parts: Collection[str]) -> frozenset[str]:
         """Return which parts of a run that went on after its start are innocent.
 
         Not those of a cause that is certain: the run may have begun before.
@@ -130,7 +130,7 @@
         self.confirm()
         return any(one.confirmed for one in self._known if one.cause == cause)
 
-    def concern(self, parts: Collection[str]) -> bool:
+    def any_concerns(self, parts: Collection[str]) -> bool:
         """Return whether a request with some parts may crash its server."""
         return any(one.cause.concerns(parts) for one in self._known)
 
