Leave parts that survived out of runs that are not decided, again

Class of fault: one function for two statements of different age.

Test: test_undecided_runs_leave_out_parts_with_which_runs_survived_before, red before (the report named the part that survived 15 s earlier).

--- a/src/rosepath/crash_watch.py
+++ b/src/rosepath/crash_watch.py
@@ -297,7 +297,7 @@
         found = self.undecided.replace(
             instance,
             (
-                self._report_of(run, instance)
+                self._report_undecided(run, instance)
                 for run in self._lost_runs.get(instance, ())
                 if run.undecided
             ),
@@ -310,15 +310,15 @@
         suspicion = self.suspicion(report.content_key, report.part_keys)
         return suspicion > Suspicion.CLEAR
 
-    def _report_of(self, run: LostRun, instance: ServerInstance) -> CrashReport:
+    def _report_undecided(self, run: LostRun, instance: ServerInstance) -> CrashReport:
+        """Return what a run would report, without parts that survived recently."""
+        return _report_of(run, instance, self.records.without_survived(run.part_keys))
+
+    def _report_crashed(self, run: LostRun, instance: ServerInstance) -> CrashReport:
         """Return the report of a run, without the parts that survived since."""
         since_s = self._clock.monotonic_s() - run.lost_s + SETTLE_S
-        return CrashReport(
-            run.content_key,
-            instance,
-            run.exposure,
-            self.records.without_survived(run.part_keys, within_s=since_s),
-        )
+        parts = self.records.without_survived(run.part_keys, within_s=since_s)
+        return _report_of(run, instance, parts)
 
     def note_crashed(
         self, instance: ServerInstance, *, successor_born_ms: int | None = None
@@ -332,7 +332,7 @@
         self.undecided.decide(instance)
         for run in self._lost_runs.pop(instance, ()):
             if not run.outlived_by_server(successor_born_ms):
-                self._report_crash(self._report_of(run, instance), run)
+                self._report_crash(self._report_crashed(run, instance), run)
 
     def note_restarted(self, name: str) -> None:
         """Report the runs that earlier processes of a server lost recently."""
@@ -497,6 +497,12 @@
             self.undecided.decide(instance)
 
 
+def _report_of(
+    run: LostRun, instance: ServerInstance, part_keys: tuple[str, ...]
+) -> CrashReport:
+    return CrashReport(run.content_key, instance, run.exposure, part_keys)
+
+
 def instance_of(server: BackendServer) -> ServerInstance:
     """Return the instance that a server's entry describes."""
     return ServerInstance(server.name, server.entry.born_ms)
--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -10,7 +10,7 @@
 from virtual_time import LoopClock, VirtualLoop
 
 from rosepath.clock import ManualClock
-from rosepath.crash_records import Exposure, Suspicion
+from rosepath.crash_records import SURVIVED_TTL_S, Exposure, Suspicion
 from rosepath.crash_watch import (
     ACTIVE_WITHIN_S,
     LOST_RUN_TTL_S,
@@ -69,6 +69,25 @@
     asyncio.run(run())
 
 
+# Guards against VMs that suspect sound requests for a part that survived elsewhere
+# shortly before servers stopped answering.
+def test_undecided_runs_leave_out_parts_with_which_runs_survived_before() -> None:
+    async def run() -> None:
+        clock, server = ManualClock(), a_server("s1")
+        watch = a_crash_watch(clock, contact=ServerContact.ACCEPTED)
+        watch.note_survived(("part:first",))
+        clock.advance(SURVIVED_TTL_S / 2)
+        await watch.note_lost(
+            server, replace(a_run(clock), part_keys=("part:first", "part:x"))
+        )
+        runs = watch.undecided.runs(merged=False, now_s=clock.monotonic_s())
+        assert [run.report.part_keys for run in runs] == [("part:x",)]
+        watch.undecided.replace(instance_of(server), ())
+        watch._followed[instance_of(server)].cancel()
+
+    asyncio.run(run())
+
+
 def crashed(watch: CrashWatch, server: BackendServer, _: ManualClock) -> None:
     watch.note_crashed(instance_of(server))
 
