--- a/review/support2/standins.py
+++ b/review/support2/standins.py
@@ -32,24 +32,24 @@
     return time.monotonic()
 
 
-# Below the ports that the kernel hands out for connections of its own choice.
+# Below the ports that the kernel hands out for connections of its own choice. Cases
+# that run at the same time begin at different ones.
 PORTS = range(20_000, 32_000)
-_given: set[int] = set()
+_next_port = PORTS.start + os.getpid() * 40 % len(PORTS)
 
 
 def free_port() -> int:
     """Return a port of the loopback address that nothing uses, TCP or UDP."""
+    global _next_port
     while True:
-        port = random.SystemRandom().choice(PORTS)
-        if port in _given:
-            continue
+        port = _next_port
+        _next_port = port + 1 if port + 1 in PORTS else PORTS.start
         try:
             for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
                 with socket.socket(type=kind) as probe:
                     probe.bind(("127.0.0.1", port))
         except OSError:
             continue
-        _given.add(port)
         return port
 
 
@@ -706,7 +706,8 @@
         for vm in self.vms:
             while not await vm.ready():
                 if now_s() > until_s:
-                    raise RuntimeError(f"{vm.name} does not become ready")
+                    log = (self.path / f"{vm.name}.log").read_text()[-2000:]
+                    raise RuntimeError(f"{vm.name} does not become ready: {log}")
                 await asyncio.sleep(0.1)
 
     async def end(self) -> None:
