--- a/review/support2/standins.py
+++ b/review/support2/standins.py
@@ -642,6 +642,14 @@
             return False
         return b" 200 " in line
 
+    def peak_mb(self) -> float:
+        """Return the most memory that the process has had resident."""
+        if self.process is None or self.process.returncode is not None:
+            return 0.0
+        status = Path(f"/proc/{self.process.pid}/status").read_text()
+        peak = next(line for line in status.splitlines() if line.startswith("VmHWM"))
+        return int(peak.split()[1]) / 1024
+
     async def end(self) -> None:
         if self.process is not None and self.process.returncode is None:
             self.send(signal.SIGCONT)
