--- a/review/support2/standins.py
+++ b/review/support2/standins.py
@@ -837,11 +837,14 @@
 def run_case(play: Callable[[Path], Awaitable[int]], folder: Path) -> None:
     """Play a case; exit with 1 if the rule was broken, 0 if it held.
 
-    Exit with 2 if the case could not run.
+    Exit with 2 if the case could not run. SIGTERM ends it, with its processes.
     """
     try:
 
         async def bounded() -> int:
+            if current := asyncio.current_task():
+                loop = asyncio.get_running_loop()
+                loop.add_signal_handler(signal.SIGTERM, current.cancel)
             async with asyncio.timeout(115):
                 return await play(folder)
 
